--- /dev/null
+++ b/meta/berylhill.sh
@@ -0,0 +1,63 @@
+#!/usr/bin/env bash
+# The one entry point for people and CI; README.md names its commands.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+usage() {
+    cat <<'T'
+usage: meta/berylhill.sh COMMAND
+  build [PRESET]          configure and build (release, asan, tsan)
+  test [PRESET]           all tests, through CTest
+  format [--check]        run the formatter, or only check
+  lint [FILE...]          run the linter over all sources, or some
+  bench                   print one `name=value unit` line for each figure
+  demo                    install, build, run both customers' samples
+  scenario FILE [--seed N] [--runs M]
+T
+}
+
+sources() { git ls-files -co --exclude-standard -- '*.cpp' '*.hpp' | while read -r it; do [ -f "$it" ] && echo "$it"; done; }
+
+configure() { [ -f "build/$1/build.ninja" ] || cmake --preset "$1" >/dev/null; }
+
+build() {
+    local preset=${1:-release}
+    configure "$preset"
+    cmake --build --preset "$preset" -- ${BERYLHILL_JOBS:+-j"$BERYLHILL_JOBS"}
+}
+
+run_tests() {
+    local preset=${1:-release}
+    build "$preset"
+    ctest --preset "$preset" -j "${BERYLHILL_JOBS:-4}"
+}
+
+format() {
+    if [ "${1:-}" = --check ]; then
+        sources | xargs clang-format --dry-run --Werror
+    else
+        sources | xargs clang-format -i
+    fi
+}
+
+lint() {
+    configure release
+    local files=("$@")
+    if [ "${#files[@]}" -eq 0 ]; then
+        mapfile -t files < <(sources | grep '\.cpp$')
+    fi
+    printf '%s\n' "${files[@]}" | xargs -P "${BERYLHILL_JOBS:-$(nproc)}" -n 2 clang-tidy --quiet -p build/release 2>/dev/null
+}
+
+command=${1:-}
+shift || true
+case "$command" in
+    build) build "$@" ;;
+    test) run_tests "$@" ;;
+    format) format "$@" ;;
+    lint) lint "$@" ;;
+    bench) build release >&2; build/release/bin/bench "$@" ;;
+    demo) meta/install-dependencies.sh; build release; build/release/bin/demo --binary build/release/bin/berylhill --stand-ins build/release/bin/stand_ins --samples samples "$@" ;;
+    scenario) build release >&2; build/release/bin/scenario "$@" ;;
+    *) usage; exit 2 ;;
+esac
--- /dev/null
+++ b/services/berylhill/main.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+    return 2;
+}
