--- a/tests/platform/scripted_server.cpp
+++ b/tests/platform/scripted_server.cpp
@@ -20,7 +20,7 @@
     at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof(at);
     auto* const address = reinterpret_cast<sockaddr*>(&at);
-    ::bind(m_listener, address, size);
+    (void)::bind(m_listener, address, size);
     ::listen(m_listener, 16);
     ::getsockname(m_listener, address, &size);
     m_port = ntohs(at.sin_port);
