rpc: Call methods of peers over framed TCP with deadlines

Cause: libjsonrpccpp has HTTP and Unix-socket connectors only; between entries every call needs a deadline and a true answer on whether it may have run. Ruled out: error text in the message member, as the library puts its own words before it (seen: "Configuration file was not found: full" for code -32000). Before: with the code -32000 the failure's message came back wrong, the test a_failure_keeps_its_code_and_its_retry_time failed. Conclusion: failures keep code, message and retry time over a hop.

--- /dev/null
+++ b/libraries/rpc/server.cpp
@@ -0,0 +1,147 @@
+#include <rpc/server.hpp>
+
+#include <rpc/failure_codec.hpp>
+
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <chrono>
+
+namespace berylhill::rpc
+{
+
+namespace
+{
+
+/// A caller closes what it does not use long before; this is for callers that
+/// vanished without a word.
+constexpr base::duration s_idle_limit = std::chrono::minutes{2};
+constexpr base::duration s_write_limit = std::chrono::seconds{5};
+constexpr int s_accept_poll_ms = 50;
+
+} // namespace
+
+server::~server()
+{
+    stop();
+}
+
+void server::add(std::string const& name, method run)
+{
+    m_protocol.add(name,
+                   [run = std::move(run)](Json::Value const& parameters,
+                                          Json::Value& result)
+                   {
+                       auto const it =
+                           base::capture([&] { return run(parameters); });
+                       if (!it)
+                       {
+                           return to_error(it.error());
+                       }
+                       result = it.value();
+                       return rpc_error{};
+                   });
+}
+
+base::result<std::string> server::start(std::string const& address)
+{
+    BOOST_LEAF_ASSIGN(m_listener, listen_at(address));
+    m_acceptor = std::jthread{[this](std::stop_token const& stop)
+                              {
+                                  accept_loop(stop);
+                              }};
+    return bound_address(m_listener);
+}
+
+void server::stop()
+{
+    if (m_listener < 0)
+    {
+        return;
+    }
+    m_acceptor.request_stop();
+    m_acceptor.join();
+    ::close(m_listener);
+    m_listener = -1;
+    {
+        std::lock_guard const lock{m_mutex};
+        m_stopping = true;
+        for (auto const& it : m_connections)
+        {
+            it.socket.shut_down();
+        }
+    }
+    for (auto& it : m_connections)
+    {
+        it.thread.join();
+    }
+    m_connections.clear();
+}
+
+void server::accept_loop(std::stop_token const& stop)
+{
+    while (!stop.stop_requested())
+    {
+        pollfd it{m_listener, POLLIN, 0};
+        if (::poll(&it, 1, s_accept_poll_ms) <= 0)
+        {
+            continue;
+        }
+        auto const descriptor =
+            ::accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
+        if (descriptor < 0)
+        {
+            continue;
+        }
+        reap_finished();
+        std::lock_guard const lock{m_mutex};
+        auto& added = m_connections.emplace_back(descriptor);
+        added.thread = std::jthread{[this, &added]
+                                    {
+                                        serve(added);
+                                    }};
+    }
+}
+
+void server::serve(connection& it)
+{
+    for (;;)
+    {
+        auto const request =
+            base::capture([&] { return it.socket.read(s_idle_limit); });
+        if (!request)
+        {
+            break;
+        }
+        auto const response = m_protocol.handle(request.value());
+        auto const written = base::capture(
+            [&] { return it.socket.write(response, s_write_limit); });
+        if (!written)
+        {
+            break;
+        }
+    }
+    std::lock_guard const lock{m_mutex};
+    it.socket.shut_down();
+    it.finished = true;
+}
+
+void server::reap_finished()
+{
+    std::list<connection> finished;
+    std::lock_guard const lock{m_mutex};
+    for (auto it = m_connections.begin(); it != m_connections.end();)
+    {
+        auto const next = std::next(it);
+        if (it->finished)
+        {
+            finished.splice(finished.end(), m_connections, it);
+        }
+        it = next;
+    }
+    // A finished thread has nothing left to do, so joining it under the lock
+    // does not wait.
+}
+
+} // namespace berylhill::rpc
