--- a/tests/stand_ins/minions_stand_in.cpp
+++ b/tests/stand_ins/minions_stand_in.cpp
@@ -165,6 +165,8 @@
     if (it.refuses || it.busy >= it.self.slots)
     {
         details["busy"] = it.busy;
+        details["why"] = it.refuses ? "told" : "full";
+        details["slots"] = it.self.slots;
         m_seen.add("call_refused", it.self.id, details);
         response.status = s_service_unavailable;
         response.set_header("X-Ran", "no");
--- a/tests/stand_ins/simulated_task.cpp
+++ b/tests/stand_ins/simulated_task.cpp
@@ -30,6 +30,10 @@
         BOOST_LEAF_ASSIGN(otherwise.end, model::enum_from<model::task_end>(
                                              value["end"].asString()));
     }
+    if (value["tag"].isString())
+    {
+        otherwise.tag = value["tag"].asString();
+    }
     return otherwise;
 }
 
@@ -37,8 +41,10 @@
 
 task_truth truth_of(platform::task_start const& it, double time_scale)
 {
-    task_truth const plain{base::from_seconds(1 / time_scale), it.planned,
-                           model::task_end::succeeded};
+    task_truth const plain{base::from_seconds(1 / time_scale),
+                           it.planned,
+                           model::task_end::succeeded,
+                           {}};
     auto const parsed = base::capture(
         [&] { return parse_truth(it.command, plain, time_scale); });
     return parsed ? parsed.value() : plain;
--- a/tests/stand_ins/simulated_task.hpp
+++ b/tests/stand_ins/simulated_task.hpp
@@ -12,12 +12,15 @@
 
 /// What a task really does, told by its command's JSON:
 /// `{"run_s": 2, "use": {"millicores": 900, "memory_mb": 700}, "end":
-/// "succeeded"}`. What is missing is as planned, one second, succeeded.
+/// "succeeded", "tag": "daily-7"}`. What is missing is as planned, one second,
+/// succeeded.
 struct task_truth
 {
     base::duration run{0};
     model::resources use;
     model::task_end end{model::task_end::succeeded};
+    /// The caller's own name for the job, for the history.
+    std::string tag;
 };
 
 /// Run times are divided by `time_scale`.
--- a/tests/stand_ins/worker_stand_in.cpp
+++ b/tests/stand_ins/worker_stand_in.cpp
@@ -126,6 +126,7 @@
     }
     m_running.emplace(it.attempt, std::move(task));
     m_leases[it.attempt] = it.lease_until;
+    details["tag"] = m_running.at(it.attempt).truth.tag;
     details["contract"] = it.contract;
     details["name"] = it.name;
     details["planned"] = model::to_json(it.planned);
