--- a/tests/stand_ins/minions_stand_in.cpp
+++ b/tests/stand_ins/minions_stand_in.cpp
@@ -193,12 +193,22 @@
     std::lock_guard const lock{m_mutex};
     auto const id = id_of(request);
     m_seen.add("call_ended", it.self.id, call_details(request));
-    auto answered = id;
+    Json::Value answer;
+    answer["request_id"] = id;
+    answer["minion"] = it.self.id;
+    answer["service"] = it.self.service;
+    answer["target"] = request.path;
+    answer["echo"] = request.body;
+    auto body = model::text_of(answer);
     if (it.crosses && !it.previous_id.empty())
     {
-        answered = it.previous_id;
         response.headers.erase("X-Request-Id");
-        response.set_header("X-Request-Id", answered);
+        response.set_header("X-Request-Id", it.previous_id);
+        std::swap(body, it.previous_body);
+    }
+    else
+    {
+        it.previous_body = body;
     }
     it.previous_id = id;
     if (it.truncates)
@@ -206,13 +216,8 @@
         break_off(response);
         return;
     }
-    Json::Value body;
-    body["request_id"] = answered;
-    body["minion"] = it.self.id;
-    body["service"] = it.self.service;
-    body["echo"] = request.body;
     response.status = it.fails ? 500 : 200;
-    response.set_content(model::text_of(body), "application/json");
+    response.set_content(body, "application/json");
 }
 
 bool minions_stand_in::set_fault(minion_state& minion, fault const& it)
--- a/tests/stand_ins/minions_stand_in.hpp
+++ b/tests/stand_ins/minions_stand_in.hpp
@@ -53,8 +53,9 @@
     /// Remote ports whose connections have gone silent.
     std::set<int> silent;
     std::set<int> seen_ports;
-    /// The request whose id the next crossed answer carries.
+    /// What the next crossed answer carries.
     std::string previous_id;
+    std::string previous_body;
 };
 
 /// Many minions on one port, under `/minions/ID`; answers carry the request's
