--- /dev/null
+++ b/libraries/jobs/record.hpp
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <base/result.hpp>
+#include <model/job.hpp>
+
+#include <json/value.h>
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+/// What a shard of jobs keeps in its stream of the platform's log, and how a
+/// new owner gets it back.
+namespace berylhill::jobs
+{
+
+/// The name of a shard's stream.
+[[nodiscard]] std::string stream_of(std::int64_t shard);
+
+/// A new owner begins. Records of lower epochs that come after it are void.
+struct opened
+{
+    std::string instance;
+    /// Counts the owners; the attempt numbers of each lie above those of all
+    /// before it.
+    std::int32_t term{0};
+
+    friend bool operator==(opened const&, opened const&) = default;
+};
+
+/// The job will be run; its caller may be told so.
+struct accepted
+{
+    std::string job;
+    model::job_request request;
+    /// Microseconds since 1970 in UTC, for people and for ageing out.
+    std::int64_t at_us{0};
+
+    friend bool operator==(accepted const&, accepted const&) = default;
+};
+
+/// An attempt that must not run twice is about to be sent.
+struct intent
+{
+    model::attempt_id attempt;
+
+    friend bool operator==(intent const&, intent const&) = default;
+};
+
+/// A task has succeeded and is not run again.
+struct task_done
+{
+    model::task_id task;
+
+    friend bool operator==(task_done const&, task_done const&) = default;
+};
+
+/// The job's final state.
+struct ended
+{
+    std::string job;
+    model::job_state state{model::job_state::succeeded};
+    std::string detail;
+    std::int64_t at_us{0};
+
+    friend bool operator==(ended const&, ended const&) = default;
+};
+
+/// One job again, before retention drops the records that made it.
+struct kept
+{
+    std::string job;
+    model::job_request request;
+    std::int64_t accepted_at_us{0};
+    std::vector<std::int32_t> done;
+    std::vector<model::attempt_id> intents;
+    model::job_state state{model::job_state::queued};
+    std::string detail;
+    std::int64_t ended_at_us{0};
+
+    friend bool operator==(kept const&, kept const&) = default;
+};
+
+using record = std::variant<opened, accepted, intent, task_done, ended, kept>;
+
+/// A record and the epoch of the owner that wrote it.
+struct stamped
+{
+    std::int64_t epoch{0};
+    record value;
+
+    friend bool operator==(stamped const&, stamped const&) = default;
+};
+
+[[nodiscard]] Json::Value to_json(stamped const& it);
+
+/// Fails with `invalid`.
+[[nodiscard]] base::result<stamped> stamped_from(Json::Value const& it);
+
+} // namespace berylhill::jobs
