--- /dev/null
+++ b/libraries/ownership/claim_table.cpp
@@ -0,0 +1,248 @@
+#include <ownership/claim_table.hpp>
+
+#include <base/log.hpp>
+#include <model/json.hpp>
+
+#include <algorithm>
+
+namespace berylhill::ownership
+{
+
+claim_table::claim_table(joiner_rule joiners)
+    : m_joiners{joiners}
+{
+}
+
+applied claim_table::apply(std::int64_t offset, record const& it)
+{
+    m_next = std::max(m_next, offset + 1);
+    if (!m_complete && !std::holds_alternative<snapshot>(it))
+    {
+        m_held_back.emplace_back(offset, it);
+        return {};
+    }
+    auto const done =
+        std::visit([&](auto const& typed) { return take(offset, typed); }, it);
+    m_version += done.counted ? 1 : 0;
+    return done;
+}
+
+void claim_table::read_through(std::int64_t offset)
+{
+    m_next = std::max(m_next, offset);
+}
+
+void claim_table::restart(std::int64_t first)
+{
+    m_complete = false;
+    m_first = first;
+    m_next = std::max(m_next, first);
+    m_units.clear();
+    m_members.clear();
+    m_held_back.clear();
+    ++m_version;
+}
+
+void claim_table::take_as_complete()
+{
+    m_complete = true;
+    auto const held_back = std::move(m_held_back);
+    m_held_back.clear();
+    for (auto const& [offset, it] : held_back)
+    {
+        apply(offset, it);
+    }
+}
+
+owner const* claim_table::owner_of(std::string const& unit) const
+{
+    auto const it = m_units.find(unit);
+    return it == m_units.end() ? nullptr : &it->second;
+}
+
+bool claim_table::may_claim(std::string const& unit,
+                            std::string const& incarnation) const
+{
+    auto const claimer = m_members.find(incarnation);
+    if (claimer == m_members.end())
+    {
+        return false;
+    }
+    auto const* current = owner_of(unit);
+    return current == nullptr || knows_claimer(*current, claimer->second);
+}
+
+std::vector<std::string> claim_table::changed_since(std::int64_t offset) const
+{
+    std::vector<std::string> names;
+    for (auto const& [name, it] : m_units)
+    {
+        if (it.changed >= offset)
+        {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
+/// Guards against two rights at once: an owner without the log goes on when
+/// every member it knows vouches. A claim of a process that it does not know
+/// would be missed, so such a claim does not count until the owner has
+/// published that it has read the claimer's join, or has stopped for good.
+bool claim_table::knows_claimer(owner const& current,
+                                member const& claimer) const
+{
+    if (m_joiners == joiner_rule::claim_at_once || current.released)
+    {
+        return true;
+    }
+    auto const holder = m_members.find(current.incarnation);
+    if (holder == m_members.end())
+    {
+        return true;
+    }
+    return claimer.joined < std::max(holder->second.seen, current.epoch);
+}
+
+applied claim_table::take(std::int64_t offset, join const& it)
+{
+    // One process runs at a time on an instance, so an older one is gone.
+    std::erase_if(m_members, [&](auto const& known)
+                  { return known.second.instance == it.instance; });
+    m_members[it.incarnation] = {it.instance, it.zone, offset, offset};
+    return {true, false};
+}
+
+applied claim_table::take(std::int64_t, leave const& it)
+{
+    return {m_members.erase(it.incarnation) != 0, false};
+}
+
+applied claim_table::take(std::int64_t, remove const& it)
+{
+    return {m_members.erase(it.incarnation) != 0, false};
+}
+
+applied claim_table::take(std::int64_t offset, seen const& it)
+{
+    auto const known = m_members.find(it.incarnation);
+    if (known == m_members.end())
+    {
+        return {};
+    }
+    auto& through = known->second.seen;
+    through = std::max(through, std::min(it.through, offset));
+    return {true, false};
+}
+
+applied claim_table::take(std::int64_t offset, claim const& it)
+{
+    auto const* current = owner_of(it.unit);
+    auto const changed = current == nullptr ? -1 : current->changed;
+    if (it.follows != changed || !may_claim(it.unit, it.incarnation))
+    {
+        return {};
+    }
+    auto const was_free = current == nullptr || current->released;
+    m_units[it.unit] = {it.incarnation, offset, offset, false};
+    return {true, was_free};
+}
+
+applied claim_table::take(std::int64_t offset, release const& it)
+{
+    auto const found = m_units.find(it.unit);
+    if (found == m_units.end())
+    {
+        return {};
+    }
+    auto& current = found->second;
+    if (current.incarnation != it.incarnation || current.epoch != it.epoch ||
+        current.released)
+    {
+        return {};
+    }
+    current.changed = offset;
+    if (m_members.contains(it.successor))
+    {
+        current.incarnation = it.successor;
+        current.epoch = offset;
+        return {true, true};
+    }
+    current.released = true;
+    return {true, true};
+}
+
+applied claim_table::take(std::int64_t offset, snapshot const& it)
+{
+    if (m_complete || it.through < m_first)
+    {
+        return {};
+    }
+    auto const loaded = base::capture([&] { return load(it.table); });
+    if (!loaded.has_value())
+    {
+        base::log(base::log_level::warning, "snapshot_skipped",
+                  {{"offset", offset}, {"why", loaded.error().message}});
+        return {};
+    }
+    std::erase_if(m_held_back,
+                  [&](auto const& held) { return held.first < it.through; });
+    take_as_complete();
+    return {true, false};
+}
+
+snapshot claim_table::to_snapshot() const
+{
+    Json::Value table{Json::objectValue};
+    for (auto const& [name, it] : m_members)
+    {
+        Json::Value row{Json::arrayValue};
+        row.append(it.instance);
+        row.append(it.zone);
+        row.append(Json::Int64{it.joined});
+        row.append(Json::Int64{it.seen});
+        table["members"][name] = std::move(row);
+    }
+    for (auto const& [name, it] : m_units)
+    {
+        Json::Value row{Json::arrayValue};
+        row.append(it.incarnation);
+        row.append(Json::Int64{it.epoch});
+        row.append(Json::Int64{it.changed});
+        row.append(it.released);
+        table["units"][name] = std::move(row);
+    }
+    return {m_next, model::text_of(table)};
+}
+
+base::result<base::done> claim_table::load(std::string const& text)
+{
+    BOOST_LEAF_AUTO(table, model::parse_json(text));
+    std::map<std::string, owner> units;
+    std::map<std::string, member> members;
+    try
+    {
+        for (auto const& name : table["members"].getMemberNames())
+        {
+            auto const& row = table["members"][name];
+            members[name] = {row[0].asString(), row[1].asString(),
+                             row[2].asInt64(), row[3].asInt64()};
+        }
+        for (auto const& name : table["units"].getMemberNames())
+        {
+            auto const& row = table["units"][name];
+            units[name] = {row[0].asString(), row[1].asInt64(),
+                           row[2].asInt64(), row[3].asBool()};
+        }
+    }
+    catch (Json::Exception const& it)
+    {
+        // The library throws where a value has another type.
+        return base::fail(base::failure_code::invalid, it.what());
+    }
+    m_units = std::move(units);
+    m_members = std::move(members);
+    return base::done{};
+}
+
+} // namespace berylhill::ownership
--- /dev/null
+++ b/libraries/ownership/message.cpp
@@ -0,0 +1,105 @@
+#include <ownership/message.hpp>
+
+#include <initializer_list>
+
+namespace berylhill::ownership
+{
+
+namespace
+{
+
+base::result<base::done> need_texts(Json::Value const& it,
+                                    std::initializer_list<char const*> names)
+{
+    for (auto const* name : names)
+    {
+        if (!it.isObject() || !it[name].isString())
+        {
+            return base::fail(base::failure_code::invalid,
+                              std::string{"a message without "} + name);
+        }
+    }
+    return base::done{};
+}
+
+} // namespace
+
+Json::Value to_json(heartbeat const& it)
+{
+    Json::Value value{Json::objectValue};
+    value["incarnation"] = it.incarnation;
+    value["instance"] = it.instance;
+    value["zone"] = it.zone;
+    value["leaving"] = it.leaving;
+    return value;
+}
+
+Json::Value to_json(vouch_request const& it)
+{
+    Json::Value value{Json::objectValue};
+    value["from"] = it.from;
+    value["instance"] = it.instance;
+    value["round"] = Json::UInt64{it.round};
+    value["table_next"] = Json::Int64{it.table_next};
+    return value;
+}
+
+Json::Value to_json(vouch_answer const& it)
+{
+    Json::Value value{Json::objectValue};
+    value["from"] = it.from;
+    value["instance"] = it.instance;
+    value["round"] = Json::UInt64{it.round};
+    value["doubtful"] = Json::Value{Json::arrayValue};
+    for (auto const& unit : it.doubtful)
+    {
+        value["doubtful"].append(unit);
+    }
+    return value;
+}
+
+base::result<heartbeat> heartbeat_from(Json::Value const& it)
+{
+    BOOST_LEAF_CHECK(need_texts(it, {"incarnation", "instance", "zone"}));
+    return heartbeat{it["incarnation"].asString(), it["instance"].asString(),
+                     it["zone"].asString(),
+                     it["leaving"].isBool() && it["leaving"].asBool()};
+}
+
+base::result<vouch_request> vouch_request_from(Json::Value const& it)
+{
+    BOOST_LEAF_CHECK(need_texts(it, {"from", "instance"}));
+    if (!it["round"].isUInt64() || !it["table_next"].isInt64())
+    {
+        return base::fail(base::failure_code::invalid,
+                          "a vouch request without round or table_next");
+    }
+    return vouch_request{it["from"].asString(), it["instance"].asString(),
+                         it["round"].asUInt64(), it["table_next"].asInt64()};
+}
+
+base::result<vouch_answer> vouch_answer_from(Json::Value const& it)
+{
+    BOOST_LEAF_CHECK(need_texts(it, {"from", "instance"}));
+    if (!it["round"].isUInt64() || !it["doubtful"].isArray())
+    {
+        return base::fail(base::failure_code::invalid,
+                          "a vouch answer without round or doubtful");
+    }
+    vouch_answer value{it["from"].asString(),
+                       it["instance"].asString(),
+                       it["round"].asUInt64(),
+                       {}};
+    for (auto const& unit : it["doubtful"])
+    {
+        if (!unit.isString())
+        {
+            return base::fail(base::failure_code::invalid,
+                              "a doubtful unit is not a name");
+        }
+        value.doubtful.push_back(unit.asString());
+    }
+    return value;
+}
+
+} // namespace berylhill::ownership
--- /dev/null
+++ b/libraries/ownership/tenure.cpp
@@ -0,0 +1,366 @@
+#include <ownership/tenure.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace berylhill::ownership
+{
+
+tenure::tenure(tenure_options options, base::instant now)
+    : m_options{std::move(options)}
+    , m_table{m_options.rules.joiners}
+    , m_started{now}
+    , m_last_move{now}
+    , m_last_snapshot{now}
+{
+}
+
+actions tenure::set_units(std::set<std::string> units, base::instant now)
+{
+    m_units = std::move(units);
+    m_scanned = false;
+    return tick(now);
+}
+
+actions
+tenure::log_read(std::vector<std::pair<std::int64_t, record>> const& records,
+                 std::int64_t next,
+                 std::optional<base::instant> fresh_as_of,
+                 base::instant now)
+{
+    for (auto const& [offset, it] : records)
+    {
+        fold(offset, it, now);
+    }
+    m_table.read_through(next);
+    if (!fresh_as_of)
+    {
+        return {};
+    }
+    if (!m_table.complete())
+    {
+        m_table.take_as_complete();
+        m_trust_free_from = now + m_options.right + m_options.margin;
+    }
+    m_log_right_until =
+        std::max(m_log_right_until, *fresh_as_of + m_options.right);
+    // What was written before this read, and is not among what was read, was
+    // lost in a gap or did not count.
+    for (auto it = m_written.begin(); it != m_written.end();)
+    {
+        auto const [ticket, at] = *it;
+        ++it;
+        if (at <= *fresh_as_of)
+        {
+            forget(ticket);
+        }
+    }
+    return tick(now);
+}
+
+void tenure::log_gap(std::int64_t first)
+{
+    m_table.restart(first);
+    m_active_from.clear();
+    m_orphaned.clear();
+    m_log_right_until = {};
+    m_vouched_until = {};
+    m_round.reset();
+    m_scanned = false;
+}
+
+void tenure::fold(std::int64_t offset, record const& it, base::instant now)
+{
+    auto const was_member = is_member();
+    auto const done = m_table.apply(offset, it);
+    settle_own(it);
+    if (auto const* joined = std::get_if<join>(&it))
+    {
+        if (was_member && !is_member())
+        {
+            // A newer process runs on this instance.
+            m_active_from.clear();
+            m_left = true;
+        }
+        auto& known = m_peers[joined->incarnation];
+        known.instance = joined->instance;
+        known.heard = std::max(known.heard, now);
+    }
+    else if (auto const* taken = std::get_if<claim>(&it))
+    {
+        note_change(taken->unit, done, now);
+    }
+    else if (auto const* given = std::get_if<release>(&it))
+    {
+        if (given->incarnation == m_options.incarnation)
+        {
+            m_releasing.erase(given->unit);
+        }
+        note_change(given->unit, done, now);
+    }
+    else if (auto const* table = std::get_if<snapshot>(&it))
+    {
+        m_snapshot_through = std::max(m_snapshot_through, table->through);
+        m_last_snapshot = now;
+    }
+}
+
+void tenure::note_change(std::string const& unit,
+                         applied const& done,
+                         base::instant now)
+{
+    if (!done.counted)
+    {
+        return;
+    }
+    auto const* current = m_table.owner_of(unit);
+    if (current->released || current->incarnation != m_options.incarnation)
+    {
+        m_active_from.erase(unit);
+        m_releasing.erase(unit);
+        return;
+    }
+    // An older right ends at the latest `right` after the claim took effect,
+    // which was before now; `margin` allows for clocks of unlike rates.
+    auto const is_free = done.unit_was_free && now >= m_trust_free_from;
+    m_active_from[unit] =
+        is_free ? now : now + m_options.right + m_options.margin;
+}
+
+void tenure::settle_own(record const& it)
+{
+    for (auto const& [ticket, own] : m_unresolved)
+    {
+        if (own == it)
+        {
+            forget(ticket);
+            return;
+        }
+    }
+}
+
+void tenure::forget(std::uint64_t ticket)
+{
+    m_unresolved.erase(ticket);
+    m_written.erase(ticket);
+}
+
+actions
+tenure::append_settled(std::uint64_t ticket, append_end end, base::instant now)
+{
+    auto const found = m_unresolved.find(ticket);
+    if (found == m_unresolved.end())
+    {
+        return {};
+    }
+    if (end == append_end::written)
+    {
+        m_written.emplace(ticket, now);
+        return {};
+    }
+    if (auto const* it = std::get_if<release>(&found->second))
+    {
+        m_releasing.erase(it->unit);
+    }
+    forget(ticket);
+    return {};
+}
+
+actions tenure::heard(heartbeat const& it, base::instant now)
+{
+    auto& known = m_peers[it.incarnation];
+    known = {it.instance, std::max(known.heard, now), it.leaving};
+    return {};
+}
+
+actions tenure::vouch_asked(vouch_request const& it, base::instant)
+{
+    vouch_answer answer{m_options.incarnation, m_options.instance, it.round,
+                        m_table.changed_since(it.table_next)};
+    if (m_options.rules.unresolved == unresolved_rule::is_doubtful)
+    {
+        for (auto const& [ticket, own] : m_unresolved)
+        {
+            if (auto const* taken = std::get_if<claim>(&own))
+            {
+                answer.doubtful.push_back(taken->unit);
+            }
+        }
+    }
+    return {send_vouch_answer{it.instance, std::move(answer)}};
+}
+
+actions tenure::vouch_answered(vouch_answer const& it, base::instant)
+{
+    if (!m_round || it.round != m_round->number)
+    {
+        return {};
+    }
+    m_round->incarnations.insert(it.from);
+    m_round->instances.insert(it.instance);
+    m_round->doubtful.insert(it.doubtful.begin(), it.doubtful.end());
+    finish_round();
+    return {};
+}
+
+actions tenure::listed(std::set<std::string> instances, base::instant as_of)
+{
+    if (m_listed_as_of && as_of < *m_listed_as_of)
+    {
+        return {};
+    }
+    m_listed = std::move(instances);
+    m_ever_listed.insert(m_listed.begin(), m_listed.end());
+    m_listed_as_of = as_of;
+    finish_round();
+    return {};
+}
+
+void tenure::ask_vouches(base::instant now, actions& out)
+{
+    auto const log_is_late = m_log_right_until - now < m_options.right / 2;
+    auto const is_asking =
+        m_round && now - m_round->started < m_options.right / 2;
+    auto const is_settled = m_vouched_until - now > m_options.right * 3 / 4;
+    if (!log_is_late || is_asking || is_settled || m_active_from.empty() ||
+        !is_member())
+    {
+        return;
+    }
+    m_round = vouch_round{};
+    m_round->number = ++m_last_round;
+    m_round->started = now;
+    std::set<std::string> asked = m_listed;
+    for (auto const& [incarnation, it] : m_table.members())
+    {
+        asked.insert(it.instance);
+    }
+    asked.erase(m_options.instance);
+    vouch_request const request{m_options.incarnation, m_options.instance,
+                                m_round->number, m_table.next()};
+    for (auto const& it : asked)
+    {
+        out.emplace_back(send_vouch_request{it, request});
+    }
+    out.emplace_back(fetch_list{});
+    finish_round();
+}
+
+/// Guards against a claim that took effect while this owner could not read the
+/// log: it shows as two processes acting for one unit. Only a member that this
+/// owner knows can have made the first such claim (`claim_table`), and it says
+/// so, or is still missing here.
+bool tenure::all_members_answered() const
+{
+    for (auto const& [incarnation, it] : m_table.members())
+    {
+        auto const is_self = incarnation == m_options.incarnation;
+        if (!is_self && !m_round->incarnations.contains(incarnation))
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+/// The same for members that can never answer because they are gone. What
+/// such a member won may have gone on to a process that this owner does not
+/// know; but who acts has been on the list since before its claim, so it is
+/// on a list fetched after the round began, and says so itself.
+bool tenure::all_listed_answered() const
+{
+    if (!m_listed_as_of || *m_listed_as_of < m_round->started)
+    {
+        return false;
+    }
+    auto const has_answered = [&](std::string const& instance)
+    {
+        return instance == m_options.instance ||
+               m_round->instances.contains(instance);
+    };
+    for (auto const& [incarnation, it] : m_table.members())
+    {
+        auto const was_dropped = m_ever_listed.contains(it.instance) &&
+                                 !m_listed.contains(it.instance);
+        if (!was_dropped && !has_answered(it.instance))
+        {
+            return false;
+        }
+    }
+    return std::all_of(m_listed.begin(), m_listed.end(), has_answered);
+}
+
+void tenure::finish_round()
+{
+    if (!m_round)
+    {
+        return;
+    }
+    auto const may_go_on =
+        m_options.rules.vouch == vouch_rule::whoever_answers ||
+        all_members_answered() || all_listed_answered();
+    if (!may_go_on)
+    {
+        return;
+    }
+    m_vouched_until =
+        std::max(m_vouched_until, m_round->started + m_options.right);
+    m_doubtful = std::move(m_round->doubtful);
+    m_round.reset();
+}
+
+std::optional<std::int64_t> tenure::may_act(std::string const& unit,
+                                            base::instant now) const
+{
+    auto const active = m_active_from.find(unit);
+    if (active == m_active_from.end() || now < active->second ||
+        m_releasing.contains(unit) || m_left)
+    {
+        return std::nullopt;
+    }
+    auto const has_right =
+        now < m_log_right_until ||
+        (now < m_vouched_until && !m_doubtful.contains(unit));
+    if (!has_right)
+    {
+        return std::nullopt;
+    }
+    auto const* current = m_table.owner_of(unit);
+    if (current == nullptr || current->released ||
+        current->incarnation != m_options.incarnation)
+    {
+        return std::nullopt;
+    }
+    return current->epoch;
+}
+
+std::vector<std::string> tenure::owned() const
+{
+    std::vector<std::string> names;
+    for (auto const& [name, it] : m_table.units())
+    {
+        if (!it.released && it.incarnation == m_options.incarnation)
+        {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
+std::optional<std::string> tenure::owner_of(std::string const& unit) const
+{
+    auto const* it = m_table.owner_of(unit);
+    if (it == nullptr || it->released)
+    {
+        return std::nullopt;
+    }
+    return it->incarnation;
+}
+
+heartbeat tenure::own_heartbeat() const
+{
+    return {m_options.incarnation, m_options.instance, m_options.zone,
+            m_stopping};
+}
+
+} // namespace berylhill::ownership
--- /dev/null
+++ b/libraries/ownership/tenure.hpp
@@ -0,0 +1,324 @@
+#pragma once
+
+#include <base/time.hpp>
+#include <ownership/claim_table.hpp>
+#include <ownership/message.hpp>
+#include <ownership/record.hpp>
+#include <ownership/spread.hpp>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace berylhill::ownership
+{
+
+/// Whose word an owner needs to go on without the log.
+enum class vouch_rule : std::uint8_t
+{
+    every_member,    ///< All that it knows.
+    whoever_answers, ///< Not safe; for the exhaustive test only.
+};
+
+/// What a process with an unresolved claim says when it is asked to vouch.
+enum class unresolved_rule : std::uint8_t
+{
+    is_doubtful, ///< That the unit may be its own.
+    is_ignored,  ///< Not safe; for the exhaustive test only.
+};
+
+/// The rules that keep two processes from acting for one unit. Only tests give
+/// other values.
+struct safety_rules
+{
+    vouch_rule vouch{vouch_rule::every_member};
+    unresolved_rule unresolved{unresolved_rule::is_doubtful};
+    joiner_rule joiners{joiner_rule::wait_until_seen};
+
+    friend auto operator<=>(safety_rules const&, safety_rules const&) = default;
+};
+
+struct tenure_options
+{
+    std::string incarnation;
+    std::string instance;
+    std::string zone;
+    /// How long a right lasts, from before the exchange that granted it.
+    base::duration right{std::chrono::milliseconds{2'500}};
+    /// Added to `right` before a claim over a living owner is acted on, for
+    /// clocks that run at unlike rates.
+    base::duration margin{std::chrono::milliseconds{50}};
+    /// A process not heard for this long is taken for dead.
+    base::duration suspect_after{std::chrono::milliseconds{1'200}};
+    /// Longer, where this process hears less than half of the others and may
+    /// itself be the one that is cut off.
+    base::duration isolated_after{std::chrono::milliseconds{4'000}};
+    /// How long the process wanted first for a unit may leave it unclaimed.
+    base::duration claim_patience{std::chrono::milliseconds{600}};
+    /// Load above the mean at which an owner passes units on.
+    double most_load{1.25};
+    base::duration move_every{std::chrono::seconds{2}};
+    /// Records after which the table is written again.
+    std::int64_t snapshot_every{2'000};
+    /// And the time after which it is, whatever was written: well below the
+    /// log's retention.
+    base::duration snapshot_period{std::chrono::minutes{10}};
+    safety_rules rules;
+
+    friend auto operator<=>(tenure_options const&,
+                            tenure_options const&) = default;
+};
+
+/// Append to the ownership stream; answer with `append_settled`.
+struct append_entry
+{
+    std::uint64_t ticket{0};
+    record value;
+
+    friend auto operator<=>(append_entry const&, append_entry const&) = default;
+};
+
+struct send_vouch_request
+{
+    /// An instance, whatever its incarnation.
+    std::string to;
+    vouch_request message;
+
+    friend auto operator<=>(send_vouch_request const&,
+                            send_vouch_request const&) = default;
+};
+
+struct send_vouch_answer
+{
+    /// An instance.
+    std::string to;
+    vouch_answer message;
+
+    friend auto operator<=>(send_vouch_answer const&,
+                            send_vouch_answer const&) = default;
+};
+
+/// Read the platform's list now; answer with `listed`.
+struct fetch_list
+{
+    friend auto operator<=>(fetch_list const&, fetch_list const&) = default;
+};
+
+using action = std::
+    variant<append_entry, send_vouch_request, send_vouch_answer, fetch_list>;
+using actions = std::vector<action>;
+
+/// How an append of this process ended.
+enum class append_end : std::uint8_t
+{
+    written,
+    never_written, ///< It is not in the log and never will be.
+};
+
+/// What this process may do for which unit, and what it has to do to keep it
+/// so. One an instance. Pure: each event comes with its instant and returns
+/// the actions; not thread-safe.
+///
+/// Why no two processes act for one unit at once: a right ends `right` after
+/// an instant at which no claim over it had taken effect, shown either by the
+/// log's end or by every member that could have claimed. A claim over a unit
+/// that was not released is acted on only `right + margin` after it was seen
+/// in the log, so not before the older right has ended.
+class tenure
+{
+public:
+    /// `now` is when the process started to listen.
+    tenure(tenure_options options, base::instant now);
+
+    /// The units that should have an owner.
+    [[nodiscard]] actions set_units(std::set<std::string> units,
+                                    base::instant now);
+
+    /// Records in log order, as read up to `next`. `fresh_as_of` is an instant
+    /// before the read, present if it reached the stream's end.
+    [[nodiscard]] actions
+    log_read(std::vector<std::pair<std::int64_t, record>> const& records,
+             std::int64_t next,
+             std::optional<base::instant> fresh_as_of,
+             base::instant now);
+
+    /// Retention dropped what this process had not read.
+    void log_gap(std::int64_t first);
+
+    [[nodiscard]] actions
+    append_settled(std::uint64_t ticket, append_end end, base::instant now);
+
+    [[nodiscard]] actions heard(heartbeat const& it, base::instant now);
+
+    /// The instances on the platform's list, live or leaving; the request was
+    /// sent at `as_of`.
+    [[nodiscard]] actions listed(std::set<std::string> instances,
+                                 base::instant as_of);
+
+    [[nodiscard]] actions vouch_asked(vouch_request const& it,
+                                      base::instant now);
+    [[nodiscard]] actions vouch_answered(vouch_answer const& it,
+                                         base::instant now);
+
+    /// Hand everything over; it is done when `stopped`.
+    [[nodiscard]] actions stop(base::instant now);
+
+    /// Call about every 100 ms.
+    [[nodiscard]] actions tick(base::instant now);
+
+    /// The epoch under which this process acts for the unit at `now`, if it
+    /// may. Ask immediately before each send: a process that was paused finds
+    /// its right lapsed here.
+    [[nodiscard]] std::optional<std::int64_t> may_act(std::string const& unit,
+                                                      base::instant now) const;
+
+    /// The units that this process owns by the table, whether or not it may
+    /// act for them now.
+    [[nodiscard]] std::vector<std::string> owned() const;
+
+    /// Where a request for the unit goes: its owner's incarnation.
+    [[nodiscard]] std::optional<std::string>
+    owner_of(std::string const& unit) const;
+
+    [[nodiscard]] claim_table const& table() const noexcept
+    {
+        return m_table;
+    }
+    [[nodiscard]] heartbeat own_heartbeat() const;
+
+    /// Members that have been heard lately, with this process.
+    [[nodiscard]] std::vector<candidate> live(base::instant now) const;
+
+    /// All was handed over and the parting is in the log.
+    [[nodiscard]] bool stopped() const noexcept
+    {
+        return m_left;
+    }
+    /// The end of the right that the log gave; in an outage it lies behind.
+    [[nodiscard]] base::instant log_right_until() const noexcept
+    {
+        return m_log_right_until;
+    }
+    [[nodiscard]] base::instant vouched_until() const noexcept
+    {
+        return m_vouched_until;
+    }
+
+    friend auto operator<=>(tenure const&, tenure const&) = default;
+
+private:
+    struct peer
+    {
+        std::string instance;
+        base::instant heard{};
+        bool leaving{false};
+
+        friend auto operator<=>(peer const&, peer const&) = default;
+    };
+
+    struct vouch_round
+    {
+        std::uint64_t number{0};
+        base::instant started{};
+        /// Who answered: incarnations and their instances.
+        std::set<std::string> incarnations;
+        std::set<std::string> instances;
+        std::set<std::string> doubtful;
+
+        friend auto operator<=>(vouch_round const&,
+                                vouch_round const&) = default;
+    };
+
+    void fold(std::int64_t offset, record const& it, base::instant now);
+    void settle_own(record const& it);
+    void note_change(std::string const& unit,
+                     applied const& done,
+                     base::instant now);
+    void append(record it, actions& out);
+    template <class Record>
+    [[nodiscard]] bool has_pending() const;
+    [[nodiscard]] bool has_pending_claim(std::string const& unit) const;
+    void forget(std::uint64_t ticket);
+    [[nodiscard]] bool is_member() const;
+    [[nodiscard]] bool log_is_fresh(base::instant now) const;
+
+    void take_part(base::instant now, actions& out);
+    void publish_seen(actions& out);
+    void remove_dropped(base::instant now, actions& out);
+    void claim_orphans(base::instant now, actions& out);
+    void move_surplus(base::instant now, actions& out);
+    void write_snapshot(base::instant now, actions& out);
+    void part(base::instant now, actions& out);
+    void ask_vouches(base::instant now, actions& out);
+    void finish_round();
+    [[nodiscard]] bool all_members_answered() const;
+    [[nodiscard]] bool all_listed_answered() const;
+
+    [[nodiscard]] bool is_heard(std::string const& incarnation,
+                                base::instant now,
+                                base::duration within) const;
+    [[nodiscard]] bool is_first(std::string const& what,
+                                base::instant now) const;
+    [[nodiscard]] base::duration suspicion(base::instant now) const;
+    [[nodiscard]] unit_counts counts() const;
+    [[nodiscard]] std::vector<candidate> takers(base::instant now) const;
+    [[nodiscard]] std::vector<std::string> surplus_units(double mean) const;
+    void claim_one(std::string const& unit,
+                   std::vector<candidate> const& candidates,
+                   unit_counts& load,
+                   base::instant now,
+                   actions& out);
+    void hand_over(std::string const& unit,
+                   std::string const& successor,
+                   actions& out);
+    [[nodiscard]] std::string taker_of(std::string const& unit,
+                                       std::vector<candidate> const& candidates,
+                                       unit_counts& load,
+                                       std::size_t most) const;
+
+    tenure_options m_options;
+    claim_table m_table;
+    std::set<std::string> m_units;
+    base::instant m_started{};
+    std::uint64_t m_last_ticket{0};
+    /// Appends of which this process does not know yet, from the log or by
+    /// failure, how they ended.
+    std::map<std::uint64_t, record> m_unresolved;
+    /// Of these, the written ones, and when that became known.
+    std::map<std::uint64_t, base::instant> m_written;
+    /// From when on this process acts for the units that it has won.
+    std::map<std::string, base::instant> m_active_from;
+    /// Since when a unit has been without a living owner.
+    std::map<std::string, base::instant> m_orphaned;
+    /// Release records under way: this process has stopped acting for these.
+    std::set<std::string> m_releasing;
+    base::instant m_log_right_until{};
+    base::instant m_vouched_until{};
+    std::set<std::string> m_doubtful;
+    std::optional<vouch_round> m_round;
+    std::uint64_t m_last_round{0};
+    std::map<std::string, peer> m_peers;
+    std::set<std::string> m_listed;
+    std::set<std::string> m_ever_listed;
+    std::optional<base::instant> m_listed_as_of;
+    base::instant m_last_move{};
+    base::instant m_last_snapshot{};
+    std::int64_t m_snapshot_through{0};
+    bool m_stopping{false};
+    bool m_left{false};
+    /// The table began after a gap that nobody could fill: until then, units
+    /// that look free may have an owner.
+    base::instant m_trust_free_from{};
+    /// What `claim_orphans` looked at last; it has nothing to do while this
+    /// stays.
+    std::uint64_t m_scanned_version{0};
+    std::vector<candidate> m_scanned_live;
+    bool m_scanned{false};
+};
+
+} // namespace berylhill::ownership
--- /dev/null
+++ b/libraries/ownership/tenure_plan.cpp
@@ -0,0 +1,426 @@
+/// What a tenure wants: taking part, claims, moves, snapshots, parting.
+#include <ownership/tenure.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace berylhill::ownership
+{
+
+namespace
+{
+
+/// Surplus units passed on at once are this part of the surplus, at least one.
+constexpr std::size_t s_part_moved = 8;
+
+} // namespace
+
+actions tenure::tick(base::instant now)
+{
+    actions out;
+    if (m_left)
+    {
+        return out;
+    }
+    if (log_is_fresh(now))
+    {
+        if (m_stopping)
+        {
+            part(now, out);
+        }
+        else
+        {
+            take_part(now, out);
+            remove_dropped(now, out);
+            claim_orphans(now, out);
+            move_surplus(now, out);
+            write_snapshot(now, out);
+        }
+        publish_seen(out);
+    }
+    ask_vouches(now, out);
+    return out;
+}
+
+actions tenure::stop(base::instant now)
+{
+    m_stopping = true;
+    return tick(now);
+}
+
+void tenure::append(record it, actions& out)
+{
+    auto const ticket = ++m_last_ticket;
+    m_unresolved.emplace(ticket, it);
+    out.emplace_back(append_entry{ticket, std::move(it)});
+}
+
+template <class Record>
+bool tenure::has_pending() const
+{
+    return std::any_of(m_unresolved.begin(), m_unresolved.end(),
+                       [](auto const& it)
+                       { return std::holds_alternative<Record>(it.second); });
+}
+
+bool tenure::has_pending_claim(std::string const& unit) const
+{
+    return std::any_of(m_unresolved.begin(), m_unresolved.end(),
+                       [&](auto const& it)
+                       {
+                           auto const* own = std::get_if<claim>(&it.second);
+                           return own != nullptr && own->unit == unit;
+                       });
+}
+
+bool tenure::is_member() const
+{
+    return m_table.members().contains(m_options.incarnation);
+}
+
+bool tenure::log_is_fresh(base::instant now) const
+{
+    return m_table.complete() && now < m_log_right_until;
+}
+
+void tenure::take_part(base::instant, actions& out)
+{
+    if (is_member() || has_pending<join>())
+    {
+        return;
+    }
+    append(join{m_options.incarnation, m_options.instance, m_options.zone},
+           out);
+}
+
+void tenure::publish_seen(actions& out)
+{
+    if (!is_member() || has_pending<seen>())
+    {
+        return;
+    }
+    auto const& own = m_table.members().at(m_options.incarnation);
+    auto const is_unknown = [&](auto const& it)
+    {
+        return it.second.joined > own.seen;
+    };
+    if (std::any_of(m_table.members().begin(), m_table.members().end(),
+                    is_unknown))
+    {
+        append(seen{m_options.incarnation, m_table.next()}, out);
+    }
+}
+
+void tenure::remove_dropped(base::instant now, actions& out)
+{
+    if (!is_member() || has_pending<remove>())
+    {
+        return;
+    }
+    for (auto const& [incarnation, it] : m_table.members())
+    {
+        auto const was_dropped = m_ever_listed.contains(it.instance) &&
+                                 !m_listed.contains(it.instance);
+        if (incarnation == m_options.incarnation || !was_dropped ||
+            is_heard(incarnation, now, m_options.isolated_after) ||
+            !is_first(incarnation, now))
+        {
+            continue;
+        }
+        append(remove{incarnation}, out);
+        return;
+    }
+}
+
+bool tenure::is_heard(std::string const& incarnation,
+                      base::instant now,
+                      base::duration within) const
+{
+    if (incarnation == m_options.incarnation)
+    {
+        return true;
+    }
+    auto const it = m_peers.find(incarnation);
+    auto const last = it == m_peers.end() ? m_started : it->second.heard;
+    return now - last <= within;
+}
+
+/// Guards against a process whose own network is cut taking every unit of the
+/// cell: it hears nobody, and so waits longer than those it does not hear.
+base::duration tenure::suspicion(base::instant now) const
+{
+    auto const others = m_table.members().size() - (is_member() ? 1 : 0);
+    std::size_t heard = 0;
+    for (auto const& [incarnation, it] : m_table.members())
+    {
+        heard += incarnation != m_options.incarnation &&
+                         is_heard(incarnation, now, m_options.suspect_after)
+                     ? 1
+                     : 0;
+    }
+    auto const is_isolated = others >= 2 && heard * 2 < others;
+    return is_isolated ? m_options.isolated_after : m_options.suspect_after;
+}
+
+std::vector<candidate> tenure::live(base::instant now) const
+{
+    auto const within = suspicion(now);
+    std::vector<candidate> found;
+    for (auto const& [incarnation, it] : m_table.members())
+    {
+        if (is_heard(incarnation, now, within))
+        {
+            found.push_back({incarnation, it.instance, it.zone});
+        }
+    }
+    return found;
+}
+
+/// Who may be given a unit. Only processes on the platform's list, which is
+/// what `all_listed_answered` rests on.
+std::vector<candidate> tenure::takers(base::instant now) const
+{
+    auto found = live(now);
+    std::erase_if(found,
+                  [&](candidate const& it)
+                  {
+                      auto const known = m_peers.find(it.incarnation);
+                      auto const is_leaving =
+                          it.incarnation == m_options.incarnation
+                              ? m_stopping
+                              : known != m_peers.end() && known->second.leaving;
+                      return is_leaving || !m_listed.contains(it.instance);
+                  });
+    return found;
+}
+
+bool tenure::is_first(std::string const& what, base::instant now) const
+{
+    auto const order = wanted_order(what, live(now));
+    return !order.empty() && order.front() == m_options.incarnation;
+}
+
+unit_counts tenure::counts() const
+{
+    unit_counts load;
+    for (auto const& [name, it] : m_table.units())
+    {
+        if (!it.released && m_units.contains(name))
+        {
+            ++load[it.incarnation];
+        }
+    }
+    return load;
+}
+
+void tenure::claim_orphans(base::instant now, actions& out)
+{
+    auto alive = live(now);
+    auto const is_same = m_scanned && m_orphaned.empty() &&
+                         m_scanned_version == m_table.version() &&
+                         m_scanned_live == alive;
+    if (is_same || !is_member())
+    {
+        return;
+    }
+    std::set<std::string> owners;
+    for (auto const& it : alive)
+    {
+        owners.insert(it.incarnation);
+    }
+    auto const candidates = takers(now);
+    auto load = counts();
+    for (auto const& unit : m_units)
+    {
+        auto const* current = m_table.owner_of(unit);
+        auto const has_owner = current != nullptr && !current->released &&
+                               owners.contains(current->incarnation);
+        if (has_owner)
+        {
+            m_orphaned.erase(unit);
+            continue;
+        }
+        claim_one(unit, candidates, load, now, out);
+    }
+    std::erase_if(m_orphaned,
+                  [&](auto const& it) { return !m_units.contains(it.first); });
+    m_scanned = true;
+    m_scanned_version = m_table.version();
+    m_scanned_live = std::move(alive);
+}
+
+void tenure::claim_one(std::string const& unit,
+                       std::vector<candidate> const& candidates,
+                       unit_counts& load,
+                       base::instant now,
+                       actions& out)
+{
+    auto const since = m_orphaned.try_emplace(unit, now).first->second;
+    if (has_pending_claim(unit))
+    {
+        return;
+    }
+    auto const most =
+        most_units(m_units.size(), candidates.size(), m_options.most_load);
+    auto order = wanted_order(unit, candidates);
+    std::erase_if(order, [&](std::string const& it)
+                  { return load[it] >= most || !m_table.may_claim(unit, it); });
+    auto const own =
+        std::find(order.begin(), order.end(), m_options.incarnation);
+    if (own == order.end())
+    {
+        return;
+    }
+    // The next ones in order come forward if the first, which may not be able
+    // to reach the log, does not.
+    auto const rank = own - order.begin();
+    if (now - since < m_options.claim_patience * rank)
+    {
+        ++load[order.front()];
+        return;
+    }
+    ++load[m_options.incarnation];
+    auto const* current = m_table.owner_of(unit);
+    auto const follows = current == nullptr ? -1 : current->changed;
+    append(claim{unit, m_options.incarnation, follows}, out);
+}
+
+std::string tenure::taker_of(std::string const& unit,
+                             std::vector<candidate> const& candidates,
+                             unit_counts& load,
+                             std::size_t most) const
+{
+    for (auto const& it : wanted_order(unit, candidates))
+    {
+        if (it != m_options.incarnation && load[it] < most)
+        {
+            ++load[it];
+            return it;
+        }
+    }
+    return {};
+}
+
+void tenure::hand_over(std::string const& unit,
+                       std::string const& successor,
+                       actions& out)
+{
+    m_releasing.insert(unit);
+    auto const epoch = m_table.owner_of(unit)->epoch;
+    append(release{unit, m_options.incarnation, epoch, successor}, out);
+}
+
+std::vector<std::string> tenure::surplus_units(double mean) const
+{
+    auto const load = counts();
+    auto const own = owned();
+    auto const most = std::ceil(mean * m_options.most_load);
+    auto const n = static_cast<double>(own.size());
+    auto const has_poor =
+        std::any_of(m_scanned_live.begin(), m_scanned_live.end(),
+                    [&](candidate const& it)
+                    {
+                        auto const found = load.find(it.incarnation);
+                        auto const size =
+                            found == load.end() ? 0 : found->second;
+                        return static_cast<double>(size) <
+                               std::floor(mean / m_options.most_load);
+                    });
+    auto const keep = has_poor ? std::ceil(mean) : most;
+    if (n <= keep)
+    {
+        return {};
+    }
+    auto const surplus = static_cast<std::size_t>(n - keep);
+    auto const moved = std::max<std::size_t>(1, surplus / s_part_moved);
+    std::vector<std::string> names;
+    for (auto const& it : own)
+    {
+        if (names.size() < moved && m_active_from.contains(it))
+        {
+            names.push_back(it);
+        }
+    }
+    return names;
+}
+
+/// Few at a time, so that a cell whose instances come and go is not shuffled.
+void tenure::move_surplus(base::instant now, actions& out)
+{
+    if (now - m_last_move < m_options.move_every || !m_releasing.empty() ||
+        m_active_from.empty())
+    {
+        return;
+    }
+    m_last_move = now;
+    auto const candidates = takers(now);
+    if (candidates.size() < 2)
+    {
+        return;
+    }
+    for (auto const& [unit, from] : m_active_from)
+    {
+        if (now >= from && !m_units.contains(unit))
+        {
+            hand_over(unit, {}, out);
+        }
+    }
+    auto load = counts();
+    auto const mean = static_cast<double>(m_units.size()) /
+                      static_cast<double>(candidates.size());
+    auto const room = static_cast<std::size_t>(std::ceil(mean));
+    for (auto const& unit : surplus_units(mean))
+    {
+        auto const to = taker_of(unit, candidates, load, room);
+        if (!to.empty() && now >= m_active_from.at(unit))
+        {
+            hand_over(unit, to, out);
+        }
+    }
+}
+
+void tenure::write_snapshot(base::instant now, actions& out)
+{
+    auto const is_due =
+        m_table.next() - m_snapshot_through >= m_options.snapshot_every ||
+        now - m_last_snapshot >= m_options.snapshot_period;
+    if (!is_due || !is_member() || has_pending<snapshot>() ||
+        !is_first("snapshot", now))
+    {
+        return;
+    }
+    append(m_table.to_snapshot(), out);
+}
+
+void tenure::part(base::instant now, actions& out)
+{
+    if (!is_member())
+    {
+        m_left = !has_pending<join>();
+        return;
+    }
+    auto const candidates = takers(now);
+    auto load = counts();
+    for (auto const& [unit, from] : m_active_from)
+    {
+        // A claim that is not acted on yet is not released: its release would
+        // let the next owner act before the older right has ended.
+        if (now < from || m_releasing.contains(unit))
+        {
+            continue;
+        }
+        hand_over(unit, taker_of(unit, candidates, load, m_units.size() + 1),
+                  out);
+    }
+    auto const has_active =
+        std::any_of(m_active_from.begin(), m_active_from.end(),
+                    [&](auto const& it) { return now >= it.second; });
+    if (!has_active && m_unresolved.empty())
+    {
+        // Units still waiting to become active are left to be claimed.
+        m_active_from.clear();
+        append(leave{m_options.incarnation}, out);
+    }
+}
+
+} // namespace berylhill::ownership
