--- /dev/null
+++ b/libraries/lease/inventory_barrier.cpp
@@ -0,0 +1,42 @@
+#include <lease/inventory_barrier.hpp>
+
+#include <utility>
+
+namespace berylhill::lease
+{
+
+inventory_barrier::inventory_barrier(
+    std::map<std::string, base::instant> lapses_at)
+    : m_missing{std::move(lapses_at)}
+{
+}
+
+void inventory_barrier::answered(std::string const& worker)
+{
+    m_missing.erase(worker);
+}
+
+void inventory_barrier::dropped(std::string const& worker)
+{
+    m_missing.erase(worker);
+}
+
+bool inventory_barrier::is_open(base::instant now) const
+{
+    return missing(now).empty();
+}
+
+std::vector<std::string> inventory_barrier::missing(base::instant now) const
+{
+    std::vector<std::string> names;
+    for (auto const& [name, lapses_at] : m_missing)
+    {
+        if (now < lapses_at)
+        {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
+} // namespace berylhill::lease
--- /dev/null
+++ b/libraries/lease/worker_lease.cpp
@@ -0,0 +1,107 @@
+#include <lease/worker_lease.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace berylhill::lease
+{
+
+namespace
+{
+
+constexpr std::int64_t s_million = 1'000'000;
+
+} // namespace
+
+worker_lease::worker_lease(lease_options options, base::instant since)
+    : m_options{options}
+    , m_since{since}
+{
+}
+
+std::int64_t worker_lease::renew_until() const noexcept
+{
+    return m_last ? m_last->clock + m_options.length.count() : 0;
+}
+
+void worker_lease::sent(std::int64_t renewed_until)
+{
+    m_renewed_until = std::max(m_renewed_until, renewed_until);
+}
+
+worker_news worker_lease::answered(std::string const& incarnation,
+                                   std::int64_t clock,
+                                   base::instant sent_at,
+                                   base::instant received_at)
+{
+    if (incarnation == m_replaced)
+    {
+        return worker_news::overtaken;
+    }
+    if (!m_last)
+    {
+        m_incarnation = incarnation;
+        m_last = reading{clock, sent_at, received_at};
+        return worker_news::same_process;
+    }
+    if (incarnation != m_incarnation)
+    {
+        // NOTE: A later answer of the old process cannot be told from a second
+        // restart by its name alone, so the last one replaced is remembered.
+        m_replaced = std::exchange(m_incarnation, incarnation);
+        m_last = reading{clock, sent_at, received_at};
+        m_renewed_until = 0;
+        return worker_news::new_process;
+    }
+    if (clock < m_last->clock)
+    {
+        return worker_news::overtaken;
+    }
+    m_last = reading{clock, sent_at, received_at};
+    return worker_news::same_process;
+}
+
+base::instant worker_lease::lapses_at() const
+{
+    // Every earlier owner's renewal named a clock that had been read before
+    // `m_since`, plus the length.
+    auto const by_others =
+        m_since + stretched(m_options.length) + m_options.margin;
+    if (!m_last)
+    {
+        return by_others;
+    }
+    auto const left = base::duration{
+        std::max(m_renewed_until - m_last->clock, m_options.length.count())};
+    auto const by_us = m_last->received_at + stretched(left) + m_options.margin;
+    return std::max(by_others, by_us);
+}
+
+std::optional<clock_bounds> worker_lease::clock_at(base::instant now) const
+{
+    if (!m_last)
+    {
+        return std::nullopt;
+    }
+    auto const least = std::max(now - m_last->received_at, base::duration{});
+    auto const most = std::max(now - m_last->sent_at, base::duration{});
+    auto const slow = least - (stretched(least) - least);
+    return clock_bounds{m_last->clock + slow.count(),
+                        m_last->clock + stretched(most).count()};
+}
+
+std::optional<base::instant> worker_lease::answered_at() const
+{
+    if (!m_last)
+    {
+        return std::nullopt;
+    }
+    return m_last->received_at;
+}
+
+base::duration worker_lease::stretched(base::duration it) const
+{
+    return it + it * m_options.rate_error_ppm / s_million;
+}
+
+} // namespace berylhill::lease
