--- /dev/null
+++ b/libraries/placement/estimator.cpp
@@ -0,0 +1,120 @@
+#include <placement/estimator.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace berylhill::placement
+{
+
+namespace
+{
+
+// Before three tasks have ended the declaration is trusted.
+constexpr std::uint32_t s_few = 3;
+constexpr double s_unknown_factor = 1.0;
+constexpr double s_run_quantile = 0.9;
+// Room above the largest peak seen, narrower the more were seen.
+constexpr double s_least_margin = 0.05;
+constexpr double s_first_margin = 0.5;
+constexpr std::size_t s_most_names = 50'000;
+
+float ratio(double seen, double declared)
+{
+    return declared > 0 ? static_cast<float>(seen / declared) : 1.0F;
+}
+
+std::int64_t scaled(std::int64_t declared, double factor)
+{
+    return static_cast<std::int64_t>(
+        std::ceil(static_cast<double>(declared) * factor));
+}
+
+} // namespace
+
+std::string estimator::key_of(model::job_request const& request)
+{
+    return request.contract + '/' + request.name;
+}
+
+void estimator::learn(model::job_request const& request,
+                      model::resources const& peak,
+                      double run_s)
+{
+    if (m_histories.size() >= s_most_names)
+    {
+        m_histories.clear();
+    }
+    auto& it = m_histories[key_of(request)];
+    auto const at = it.count % s_kept;
+    auto const& declared = request.declared;
+    it.cores[at] = ratio(static_cast<double>(peak.millicores),
+                         static_cast<double>(declared.millicores));
+    it.memory[at] = ratio(static_cast<double>(peak.memory_mb),
+                          static_cast<double>(declared.memory_mb));
+    it.run[at] = ratio(run_s, request.declared_run_s);
+    it.count += 1;
+    summarize(it);
+}
+
+void estimator::learn_use(model::job_request const& request,
+                          model::resources const& used)
+{
+    auto const found = m_histories.find(key_of(request));
+    if (found == m_histories.end())
+    {
+        return;
+    }
+    auto& it = found->second;
+    auto const& declared = request.declared;
+    it.largest_cores = std::max(
+        it.largest_cores, ratio(static_cast<double>(used.millicores),
+                                static_cast<double>(declared.millicores)));
+    it.largest_memory = std::max(
+        it.largest_memory, ratio(static_cast<double>(used.memory_mb),
+                                 static_cast<double>(declared.memory_mb)));
+}
+
+void estimator::summarize(history& it)
+{
+    auto const n = std::min<std::size_t>(it.count, s_kept);
+    auto const largest = [n](auto const& all)
+    {
+        return *std::max_element(all.begin(), all.begin() + n);
+    };
+    it.largest_cores = largest(it.cores);
+    it.largest_memory = largest(it.memory);
+    auto run = it.run;
+    auto const at = static_cast<std::size_t>(
+        s_run_quantile * static_cast<double>(n - 1) + 0.5);
+    std::nth_element(run.begin(), run.begin() + at, run.begin() + n);
+    it.long_run = run[at];
+}
+
+estimate estimator::of(model::job_request const& request,
+                       model::resources const& largest) const
+{
+    estimate result;
+    auto cores = s_unknown_factor;
+    auto memory = s_unknown_factor;
+    result.run_s = request.declared_run_s;
+    auto const found = m_histories.find(key_of(request));
+    if (found != m_histories.end() && found->second.count >= s_few)
+    {
+        auto const& it = found->second;
+        auto const n =
+            static_cast<double>(std::min<std::size_t>(it.count, s_kept));
+        auto const margin = 1 + std::max(s_least_margin, s_first_margin / n);
+        cores = it.largest_cores * margin;
+        memory = it.largest_memory * margin;
+        result.run_s = request.declared_run_s * it.long_run;
+        result.confidence = 1 - 1 / n;
+    }
+    auto const& declared = request.declared;
+    result.peak = {
+        std::min(scaled(declared.millicores, cores), largest.millicores),
+        std::min(scaled(declared.memory_mb, memory), largest.memory_mb),
+        declared.accelerators};
+    return result;
+}
+
+} // namespace berylhill::placement
--- /dev/null
+++ b/libraries/placement/group_ledger.cpp
@@ -0,0 +1,387 @@
+#include <placement/group_ledger.hpp>
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace berylhill::placement
+{
+
+namespace
+{
+
+constexpr std::int32_t s_most_ended = 1024;
+
+} // namespace
+
+group_ledger::group_ledger(std::string group,
+                           std::string zone,
+                           std::string rack)
+    : m_group{std::move(group)}
+    , m_zone{std::move(zone)}
+    , m_rack{std::move(rack)}
+{
+}
+
+void group_ledger::set_worker(model::endpoint const& it, base::instant now)
+{
+    m_workers[it.id].listed = it;
+    advance(now);
+}
+
+std::vector<model::attempt_id>
+group_ledger::remove_worker(std::string const& worker)
+{
+    auto const it = m_workers.find(worker);
+    if (it == m_workers.end())
+    {
+        return {};
+    }
+    std::vector<model::attempt_id> gone{it->second.tasks.begin(),
+                                        it->second.tasks.end()};
+    for (auto const& attempt : gone)
+    {
+        m_tasks.erase(attempt);
+    }
+    m_workers.erase(it);
+    return gone;
+}
+
+void group_ledger::set_silent(std::string const& worker, bool silent)
+{
+    auto const it = m_workers.find(worker);
+    if (it != m_workers.end())
+    {
+        it->second.silent = silent;
+    }
+}
+
+void group_ledger::set_cell_failure_rate(double rate)
+{
+    m_cell_failure_rate = rate;
+}
+
+std::optional<start_order>
+group_ledger::commit(model::attempt_id const& attempt, base::instant now)
+{
+    auto const it = m_tasks.find(attempt);
+    if (it == m_tasks.end() || it->second.at != phase::held)
+    {
+        return std::nullopt;
+    }
+    if (now >= it->second.expires_at)
+    {
+        erase(attempt);
+        return std::nullopt;
+    }
+    auto& held = it->second;
+    held.at = phase::committed;
+    unreserve(attempt.task.job);
+    held.since = now;
+    start_order order;
+    order.worker = held.worker;
+    order.start.attempt = attempt;
+    order.start.contract = held.request.contract;
+    order.start.name = held.request.name;
+    order.start.planned = held.request.need;
+    order.start.command = held.request.command;
+    return order;
+}
+
+std::vector<ledger_action>
+group_ledger::release(model::attempt_id const& attempt, base::instant /*now*/)
+{
+    auto const it = m_tasks.find(attempt);
+    if (it == m_tasks.end())
+    {
+        return {};
+    }
+    if (it->second.at == phase::held)
+    {
+        erase(attempt);
+        return {};
+    }
+    it->second.at = phase::stopping;
+    return {{ledger_action_kind::stop, it->second.worker, attempt, 1}};
+}
+
+void group_ledger::adopt(std::string const& worker,
+                         platform::running_task const& running,
+                         base::instant now)
+{
+    auto const it = m_workers.find(worker);
+    if (it == m_workers.end() || m_tasks.contains(running.attempt))
+    {
+        return;
+    }
+    task_state found;
+    found.request.attempt = running.attempt;
+    found.request.contract = running.contract;
+    found.request.name = running.name;
+    found.request.need = running.planned;
+    found.at = phase::running;
+    found.peak = running.used;
+    found.used = running.used;
+    found.since = now;
+    found.adopted = true;
+    place(it->second, std::move(found));
+}
+
+void group_ledger::finished(model::attempt_id const& attempt,
+                            model::task_end end,
+                            base::instant now)
+{
+    auto const it = m_tasks.find(attempt);
+    if (it == m_tasks.end())
+    {
+        return;
+    }
+    auto const& ended = it->second;
+    auto& on = m_workers.at(ended.worker);
+    auto const failed = end == model::task_end::failed;
+    if (failed || end == model::task_end::succeeded)
+    {
+        auto const name = ended.request.contract + '/' + ended.request.name;
+        auto const likely =
+            m_history.likely(name, ended.worker, m_cell_failure_rate);
+        on.condition.ended(failed, likely, now);
+        m_history.add(name, ended.worker, failed);
+        m_ended += 1;
+        m_failed += failed ? 1 : 0;
+        if (m_ended >= s_most_ended)
+        {
+            m_ended /= 2;
+            m_failed /= 2;
+        }
+    }
+    else
+    {
+        on.condition.attempt_gone();
+    }
+    erase(attempt);
+}
+
+std::vector<ledger_action>
+group_ledger::observe(std::string const& worker,
+                      std::vector<platform::running_task> const& running,
+                      base::instant now)
+{
+    advance(now);
+    auto const found = m_workers.find(worker);
+    if (found == m_workers.end())
+    {
+        return {};
+    }
+    auto& on = found->second;
+    on.silent = false;
+    std::set<model::attempt_id> reported;
+    for (auto const& it : running)
+    {
+        reported.insert(it.attempt);
+        adopt(worker, it, now);
+        auto& known = m_tasks.at(it.attempt);
+        note_use(known, it.used);
+        if (known.at == phase::held || known.at == phase::committed)
+        {
+            known.at = phase::running;
+        }
+    }
+    std::vector<ledger_action> actions;
+    auto const tasks = on.tasks;
+    for (auto const& it : tasks)
+    {
+        auto const at = m_tasks.at(it).at;
+        if (reported.contains(it) || at == phase::held ||
+            at == phase::committed)
+        {
+            continue;
+        }
+        actions.push_back({ledger_action_kind::lost, worker, it, 1});
+        on.condition.attempt_gone();
+        erase(it);
+    }
+    auto const relief = relieve_worker(on);
+    actions.insert(actions.end(), relief.begin(), relief.end());
+    return actions;
+}
+
+std::vector<ledger_action> group_ledger::relieve_worker(worker_state& on)
+{
+    std::vector<task_use> uses;
+    for (auto const& attempt : on.tasks)
+    {
+        auto const& it = m_tasks.at(attempt);
+        uses.push_back({attempt, it.request.need, it.used, it.request.urgent,
+                        it.request.safety, it.since, it.throttled,
+                        it.checkpointing || it.at == phase::stopping});
+    }
+    auto actions = relieve(on.listed.id, on.listed.capacity, std::move(uses));
+    for (auto const& it : actions)
+    {
+        auto& known = m_tasks.at(it.attempt);
+        known.throttled |= it.kind == ledger_action_kind::throttle;
+        known.checkpointing |= it.kind == ledger_action_kind::checkpoint;
+    }
+    return actions;
+}
+
+std::vector<model::attempt_id> group_ledger::expire(base::instant now)
+{
+    advance(now);
+    std::vector<model::attempt_id> over;
+    for (auto const& [attempt, it] : m_tasks)
+    {
+        if (it.at == phase::held && now >= it.expires_at)
+        {
+            over.push_back(attempt);
+        }
+    }
+    for (auto const& it : over)
+    {
+        erase(it);
+    }
+    return over;
+}
+
+bool group_ledger::reserve(std::string const& job,
+                           base::instant frees_at,
+                           base::instant until,
+                           base::instant now)
+{
+    advance(now);
+    if (m_reservation && m_reservation->job != job)
+    {
+        return false;
+    }
+    m_reservation = reservation{job, frees_at, until};
+    return true;
+}
+
+void group_ledger::unreserve(std::string const& job)
+{
+    if (m_reservation && m_reservation->job == job)
+    {
+        m_reservation.reset();
+    }
+}
+
+group_digest group_ledger::digest() const
+{
+    group_digest it;
+    it.group = m_group;
+    it.zone = m_zone;
+    it.rack = m_rack;
+    it.ended = m_ended;
+    it.failed = m_failed;
+    it.reserved_for = m_reservation ? m_reservation->job : "";
+    double most = -1;
+    for (auto const& [id, on] : m_workers)
+    {
+        if (!takes_new(on))
+        {
+            continue;
+        }
+        auto const capacity = on.listed.capacity;
+        auto const room = free_for(on, {});
+        it.workers += 1;
+        it.total = it.total + capacity;
+        it.free = it.free + room;
+        it.largest_worker = model::largest_of(it.largest_worker, capacity);
+        auto const used = dominant_share(capacity - room, capacity);
+        if (1 - used > most)
+        {
+            most = 1 - used;
+            it.largest_free = room;
+        }
+    }
+    for (auto const& [attempt, placed] : m_tasks)
+    {
+        it.held += placed.at == phase::held ? 1 : 0;
+        it.running += placed.at == phase::held ? 0 : 1;
+        if (placed.request.preempted == model::preemption::by_checkpoint &&
+            placed.request.urgent == model::urgency::normal &&
+            placed.at == phase::running && !placed.checkpointing)
+        {
+            it.preemptible = it.preemptible + placed.charge();
+        }
+    }
+    return it;
+}
+
+std::vector<worker_account> group_ledger::accounts() const
+{
+    std::vector<worker_account> all;
+    for (auto const& [id, on] : m_workers)
+    {
+        worker_account it;
+        it.worker = id;
+        it.capacity = on.listed.capacity;
+        it.tasks = static_cast<std::int32_t>(on.tasks.size());
+        it.state = on.condition.state();
+        it.leaving = on.listed.state == model::listed_state::leaving;
+        for (auto const& attempt : on.tasks)
+        {
+            auto const& placed = m_tasks.at(attempt);
+            it.planned = it.planned + placed.request.need;
+            it.charged = it.charged + placed.charge();
+        }
+        assert(it.charged == on.charged);
+        all.push_back(std::move(it));
+    }
+    return all;
+}
+
+std::string group_ledger::worker_of(model::attempt_id const& attempt) const
+{
+    auto const it = m_tasks.find(attempt);
+    return it == m_tasks.end() ? std::string{} : it->second.worker;
+}
+
+void group_ledger::place(worker_state& on, task_state placed)
+{
+    auto const attempt = placed.request.attempt;
+    placed.worker = on.listed.id;
+    on.charged = on.charged + placed.charge();
+    on.tasks.insert(attempt);
+    m_tasks.emplace(attempt, std::move(placed));
+}
+
+void group_ledger::erase(model::attempt_id const& attempt)
+{
+    auto const it = m_tasks.find(attempt);
+    if (it == m_tasks.end())
+    {
+        return;
+    }
+    auto& on = m_workers.at(it->second.worker);
+    on.charged = on.charged - it->second.charge();
+    on.tasks.erase(attempt);
+    m_tasks.erase(it);
+}
+
+void group_ledger::note_use(task_state& it, model::resources const& used)
+{
+    auto& on = m_workers.at(it.worker);
+    on.charged = on.charged - it.charge();
+    it.used = used;
+    it.peak = model::largest_of(it.peak, used);
+    on.charged = on.charged + it.charge();
+}
+
+void group_ledger::advance(base::instant now)
+{
+    for (auto& [id, on] : m_workers)
+    {
+        on.condition.advance(now);
+        if (on.claimed && now >= on.claimed->expires_at)
+        {
+            on.claimed.reset();
+        }
+    }
+    if (m_reservation && now >= m_reservation->until)
+    {
+        m_reservation.reset();
+    }
+}
+
+} // namespace berylhill::placement
--- /dev/null
+++ b/libraries/placement/group_ledger.hpp
@@ -0,0 +1,211 @@
+#pragma once
+
+#include <placement/failure_history.hpp>
+#include <placement/hold.hpp>
+#include <placement/ledger_action.hpp>
+#include <placement/overuse.hpp>
+#include <placement/policy.hpp>
+#include <placement/worker_health.hpp>
+
+#include <model/endpoint.hpp>
+#include <platform/worker_link.hpp>
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace berylhill::placement
+{
+
+/// A start to send; `start.lease_until` is for the sender to fill in.
+struct start_order
+{
+    std::string worker;
+    platform::task_start start;
+
+    friend bool operator==(start_order const&, start_order const&) = default;
+};
+
+/// A hold's answer, and what has to be done for it.
+struct hold_result
+{
+    hold_answer answer;
+    std::vector<ledger_action> actions;
+};
+
+/// One worker's account, for status pages and tests.
+struct worker_account
+{
+    std::string worker;
+    model::resources capacity;
+    /// What held and running tasks are planned to use.
+    model::resources planned;
+    /// The same, each by its observed peak where that is more.
+    model::resources charged;
+    std::int32_t tasks{0};
+    health state{health::good};
+    bool leaving{false};
+};
+
+/// The state of one group's owner: the only one that counts what the group's
+/// workers hold, because workers start what they are given, fits or not. Pure;
+/// not thread-safe. Every event takes the instant at which it happens, and
+/// instants must not go back.
+///
+/// Always true: a hold is granted only where the plans and observed peaks of
+/// all held and running tasks leave room for it.
+class group_ledger
+{
+public:
+    group_ledger(std::string group, std::string zone, std::string rack);
+
+    /// Adds a worker or takes its new state. A leaving one gets nothing new.
+    void set_worker(model::endpoint const& it, base::instant now);
+
+    /// The worker is off the platform's list. Returns the attempts that were
+    /// held or running there, which are gone.
+    std::vector<model::attempt_id> remove_worker(std::string const& worker);
+
+    /// The worker does not answer (or does again); it gets nothing new
+    /// meanwhile, and its tasks stay counted.
+    void set_silent(std::string const& worker, bool silent);
+
+    /// The share of attempts that fail in the whole cell, 0 to 1.
+    void set_cell_failure_rate(double rate);
+
+    /// Sets room aside until `expires_at`. Repeating a hold is harmless.
+    hold_result hold(hold_request const& request,
+                     base::instant expires_at,
+                     base::instant now);
+
+    /// Turns a hold into a start. Empty when the hold has expired or was never
+    /// given: nothing may be sent then.
+    std::optional<start_order> commit(model::attempt_id const& attempt,
+                                      base::instant now);
+
+    /// Gives a hold back at once. A started attempt is asked to stop and stays
+    /// counted until the worker says that it has ended.
+    std::vector<ledger_action> release(model::attempt_id const& attempt,
+                                       base::instant now);
+
+    /// Counts an attempt that runs already, as found on takeover, whether it
+    /// fits or not.
+    void adopt(std::string const& worker,
+               platform::running_task const& task,
+               base::instant now);
+
+    /// The attempt has ended, or was never started. Unknown attempts are
+    /// ignored, since ends are repeated until acknowledged.
+    void finished(model::attempt_id const& attempt,
+                  model::task_end end,
+                  base::instant now);
+
+    /// Takes a worker's report. Precondition: the ends in the same answer were
+    /// given to `finished` first, and answers come in the order of exchanges.
+    std::vector<ledger_action>
+    observe(std::string const& worker,
+            std::vector<platform::running_task> const& running,
+            base::instant now);
+
+    /// Drops holds whose time is over and returns them.
+    std::vector<model::attempt_id> expire(base::instant now);
+
+    /// Keeps the group's room for one job until `until`: others get in only if
+    /// they will have ended by `frees_at`. False when it is kept for another.
+    bool reserve(std::string const& job,
+                 base::instant frees_at,
+                 base::instant until,
+                 base::instant now);
+    void unreserve(std::string const& job);
+
+    [[nodiscard]] group_digest digest() const;
+    [[nodiscard]] std::vector<worker_account> accounts() const;
+    /// The worker that holds or runs the attempt; empty for none.
+    [[nodiscard]] std::string worker_of(model::attempt_id const& attempt) const;
+
+private:
+    enum class phase : std::uint8_t
+    {
+        held,
+        committed,
+        running,
+        stopping,
+    };
+
+    struct task_state
+    {
+        hold_request request;
+        std::string worker;
+        phase at{phase::held};
+        model::resources peak;
+        model::resources used;
+        base::instant since{};
+        base::instant expires_at{};
+        bool throttled{false};
+        bool adopted{false};
+        bool checkpointing{false};
+
+        [[nodiscard]] model::resources charge() const
+        {
+            return model::largest_of(request.need, peak);
+        }
+    };
+
+    /// Room on a worker that preemption is making for one attempt.
+    struct claim
+    {
+        model::attempt_id attempt;
+        model::resources need;
+        base::instant expires_at{};
+    };
+
+    struct worker_state
+    {
+        model::endpoint listed;
+        bool silent{false};
+        model::resources charged;
+        worker_health condition;
+        std::optional<claim> claimed;
+        std::set<model::attempt_id> tasks;
+    };
+
+    struct reservation
+    {
+        std::string job;
+        base::instant frees_at{};
+        base::instant until{};
+    };
+
+    [[nodiscard]] static bool takes_new(worker_state const& it);
+    [[nodiscard]] static model::resources
+    free_for(worker_state const& it, model::attempt_id const& attempt);
+    [[nodiscard]] bool kept_for_other(hold_request const& request,
+                                      base::instant now) const;
+    [[nodiscard]] worker_state* best_worker(hold_request const& request);
+    [[nodiscard]] candidate candidate_of(worker_state const& it,
+                                         hold_request const& request) const;
+    [[nodiscard]] bool could_fit(model::resources const& need) const;
+    hold_result make_room(hold_request const& request, base::instant now);
+    [[nodiscard]] std::vector<model::attempt_id>
+    victims_on(worker_state const& it, hold_request const& request) const;
+    void place(worker_state& it, task_state placed);
+    void erase(model::attempt_id const& attempt);
+    void note_use(task_state& it, model::resources const& used);
+    void advance(base::instant now);
+    std::vector<ledger_action> relieve_worker(worker_state& it);
+
+    std::string m_group;
+    std::string m_zone;
+    std::string m_rack;
+    double m_cell_failure_rate{0.02};
+    std::map<std::string, worker_state> m_workers;
+    std::map<model::attempt_id, task_state> m_tasks;
+    failure_history m_history;
+    std::optional<reservation> m_reservation;
+    std::int32_t m_ended{0};
+    std::int32_t m_failed{0};
+};
+
+} // namespace berylhill::placement
--- /dev/null
+++ b/libraries/placement/group_table.cpp
@@ -0,0 +1,268 @@
+#include <placement/group_table.hpp>
+
+#include <algorithm>
+#include <limits>
+#include <numeric>
+
+namespace berylhill::placement
+{
+
+namespace
+{
+
+std::size_t at(std::int32_t index)
+{
+    return static_cast<std::size_t>(index);
+}
+
+model::resources smallest_of(model::resources const& a,
+                             model::resources const& b)
+{
+    return {std::min(a.millicores, b.millicores),
+            std::min(a.memory_mb, b.memory_mb),
+            std::min(a.accelerators, b.accelerators)};
+}
+
+std::int64_t times(model::resources const& room, model::resources const& need)
+{
+    auto n = std::numeric_limits<std::int32_t>::max() * std::int64_t{1};
+    auto const limit = [&n](std::int64_t have, std::int64_t want)
+    {
+        n = want > 0 ? std::min(n, have / want) : n;
+    };
+    limit(room.millicores, need.millicores);
+    limit(room.memory_mb, need.memory_mb);
+    limit(room.accelerators, need.accelerators);
+    return n;
+}
+
+} // namespace
+
+std::int32_t group_table::index_of(std::string const& group)
+{
+    auto const [it, added] = m_index.emplace(group, size());
+    if (added)
+    {
+        m_groups.emplace_back().seen.group = group;
+        m_rooms.emplace_back();
+    }
+    return it->second;
+}
+
+void group_table::update(group_digest const& it)
+{
+    auto const index = at(index_of(it.group));
+    auto& known = m_groups[index];
+    auto const total_changed =
+        !(known.seen.total == it.total) ||
+        !(known.seen.largest_worker == it.largest_worker);
+    known.seen = it;
+    known.zone =
+        m_zones.emplace(it.zone, static_cast<std::int32_t>(m_zones.size()))
+            .first->second;
+    auto& room = m_rooms[index];
+    room.total = it.total;
+    room.free = model::largest_of(it.free - known.in_flight, {});
+    room.largest_free = smallest_of(it.largest_free, room.free);
+    room.has_refused = false;
+    room.reserved = !known.reserved_for.empty() || !it.reserved_for.empty();
+    if (total_changed)
+    {
+        sum_up();
+    }
+}
+
+void group_table::remove(std::string const& group)
+{
+    auto const it = m_index.find(group);
+    if (it == m_index.end())
+    {
+        return;
+    }
+    group_digest empty;
+    empty.group = group;
+    empty.zone = m_groups[at(it->second)].seen.zone;
+    update(empty);
+}
+
+void group_table::sum_up()
+{
+    m_total = {};
+    m_largest_worker = {};
+    for (auto const& it : m_groups)
+    {
+        m_total = m_total + it.seen.total;
+        m_largest_worker =
+            model::largest_of(m_largest_worker, it.seen.largest_worker);
+    }
+}
+
+bool group_table::kept_for_other(std::size_t index,
+                                 job_record const& job,
+                                 double run_s,
+                                 base::instant now) const
+{
+    auto const& it = m_groups[index];
+    if (!it.reserved_for.empty() && now < it.reserved_until)
+    {
+        return it.reserved_for != job.id &&
+               now + base::from_seconds(run_s) > it.frees_at;
+    }
+    return !it.seen.reserved_for.empty() && it.seen.reserved_for != job.id;
+}
+
+bool group_table::fits(std::size_t index,
+                       job_record const& job,
+                       model::resources const& need,
+                       double run_s,
+                       base::instant now) const
+{
+    auto const& room = m_rooms[index];
+    if (!need.fits_in(room.largest_free))
+    {
+        return false;
+    }
+    if (room.has_refused && room.refused.fits_in(need))
+    {
+        return false;
+    }
+    return !room.reserved || !kept_for_other(index, job, run_s, now);
+}
+
+std::int32_t group_table::choose(job_record const& job,
+                                 model::resources const& need,
+                                 double run_s,
+                                 base::instant now,
+                                 policy const& order) const
+{
+    std::int32_t best = -1;
+    rank best_rank;
+    auto const spread = job.request.kind == model::job_kind::service;
+    for (std::size_t index = 0; index < m_rooms.size(); ++index)
+    {
+        if (!fits(index, job, need, run_s, now))
+        {
+            continue;
+        }
+        candidate seen;
+        seen.total = m_rooms[index].total;
+        seen.free = m_rooms[index].free;
+        if (spread)
+        {
+            for (auto const& [group, n] : job.spread)
+            {
+                auto const& other = m_groups[at(group)];
+                auto const same_zone = other.zone == m_groups[index].zone;
+                seen.same_in_zone += same_zone ? n : 0;
+                seen.same_in_rack += at(group) == index ? n : 0;
+            }
+        }
+        auto const found = order.rank_of(seen, need);
+        if (best < 0 || found < best_rank)
+        {
+            best = static_cast<std::int32_t>(index);
+            best_rank = found;
+        }
+    }
+    return best;
+}
+
+std::int32_t group_table::slots(std::int32_t index,
+                                job_record const& job,
+                                model::resources const& need,
+                                double run_s,
+                                base::instant now) const
+{
+    if (!fits(at(index), job, need, run_s, now))
+    {
+        return 0;
+    }
+    auto const n = times(m_rooms[at(index)].free, need);
+    return static_cast<std::int32_t>(std::min<std::int64_t>(n, 1'000'000));
+}
+
+std::int32_t group_table::choose_preemptible(model::resources const& need) const
+{
+    std::int32_t best = -1;
+    std::int64_t most = 0;
+    for (std::size_t index = 0; index < m_groups.size(); ++index)
+    {
+        auto const& it = m_groups[index].seen;
+        auto const room = it.preemptible + m_rooms[index].free;
+        if (need.fits_in(room) && need.fits_in(it.largest_worker) &&
+            it.preemptible.millicores > most)
+        {
+            most = it.preemptible.millicores;
+            best = static_cast<std::int32_t>(index);
+        }
+    }
+    return best;
+}
+
+void group_table::ordered(std::int32_t index, model::resources const& need)
+{
+    auto& it = m_groups[at(index)];
+    it.in_flight = it.in_flight + need;
+    auto& room = m_rooms[at(index)];
+    room.free = model::largest_of(room.free - need, {});
+    room.largest_free = smallest_of(room.largest_free, room.free);
+}
+
+void group_table::answered(std::int32_t index, model::resources const& need)
+{
+    auto& it = m_groups[at(index)];
+    it.in_flight = model::largest_of(it.in_flight - need, {});
+}
+
+void group_table::refused(std::int32_t index, model::resources const& need)
+{
+    auto& room = m_rooms[at(index)];
+    if (!room.has_refused || need.fits_in(room.refused))
+    {
+        room.refused = need;
+    }
+    room.has_refused = true;
+}
+
+void group_table::reserve(std::int32_t index,
+                          std::string const& job,
+                          base::instant frees_at,
+                          base::instant until)
+{
+    auto& it = m_groups[at(index)];
+    it.reserved_for = job;
+    it.frees_at = frees_at;
+    it.reserved_until = until;
+    m_rooms[at(index)].reserved = true;
+}
+
+void group_table::unreserve(std::string const& job)
+{
+    for (std::size_t index = 0; index < m_groups.size(); ++index)
+    {
+        auto& it = m_groups[index];
+        if (it.reserved_for == job)
+        {
+            it.reserved_for.clear();
+        }
+        if (it.seen.reserved_for == job)
+        {
+            it.seen.reserved_for.clear();
+        }
+        m_rooms[index].reserved =
+            !it.reserved_for.empty() || !it.seen.reserved_for.empty();
+    }
+}
+
+std::vector<std::int32_t> group_table::in_order() const
+{
+    std::vector<std::int32_t> all(m_groups.size());
+    std::iota(all.begin(), all.end(), 0);
+    std::sort(
+        all.begin(), all.end(),
+        [&](auto a, auto b)
+        { return m_groups[at(a)].seen.group < m_groups[at(b)].seen.group; });
+    return all;
+}
+
+} // namespace berylhill::placement
--- /dev/null
+++ b/libraries/placement/group_table.hpp
@@ -0,0 +1,123 @@
+#pragma once
+
+#include <base/time.hpp>
+#include <placement/group_digest.hpp>
+#include <placement/job_record.hpp>
+#include <placement/policy.hpp>
+
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace berylhill::placement
+{
+
+/// What a job owner believes of every group: its last digest, less what was
+/// ordered since. Not thread-safe.
+class group_table
+{
+public:
+    /// Takes a fresh digest; what is in flight stays subtracted.
+    void update(group_digest const& it);
+    void remove(std::string const& group);
+
+    /// The index of a group, which stays the same while the process lives.
+    [[nodiscard]] std::int32_t index_of(std::string const& group);
+    [[nodiscard]] std::string const& name_of(std::int32_t index) const
+    {
+        return m_groups[static_cast<std::size_t>(index)].seen.group;
+    }
+
+    /// The best group for one task of this job by the policy, or -1.
+    [[nodiscard]] std::int32_t choose(job_record const& job,
+                                      model::resources const& need,
+                                      double run_s,
+                                      base::instant now,
+                                      policy const& order) const;
+
+    /// How many such tasks seem to fit into the group now.
+    [[nodiscard]] std::int32_t slots(std::int32_t index,
+                                     job_record const& job,
+                                     model::resources const& need,
+                                     double run_s,
+                                     base::instant now) const;
+
+    /// The group with the most that can be preempted for `need`, or -1.
+    [[nodiscard]] std::int32_t
+    choose_preemptible(model::resources const& need) const;
+
+    void ordered(std::int32_t index, model::resources const& need);
+    void answered(std::int32_t index, model::resources const& need);
+    /// The owner said that this does not fit, which the digest hid.
+    void refused(std::int32_t index, model::resources const& need);
+
+    /// Keeps the group's room for a job: others get in only if they will most
+    /// likely have ended by `frees_at`.
+    void reserve(std::int32_t index,
+                 std::string const& job,
+                 base::instant frees_at,
+                 base::instant until);
+    void unreserve(std::string const& job);
+
+    [[nodiscard]] model::resources const& total() const noexcept
+    {
+        return m_total;
+    }
+    [[nodiscard]] model::resources const& largest_worker() const noexcept
+    {
+        return m_largest_worker;
+    }
+    [[nodiscard]] std::int32_t size() const noexcept
+    {
+        return static_cast<std::int32_t>(m_groups.size());
+    }
+    [[nodiscard]] group_digest const& digest_of(std::int32_t index) const
+    {
+        return m_groups[static_cast<std::size_t>(index)].seen;
+    }
+    /// Indices in the one global order of names.
+    [[nodiscard]] std::vector<std::int32_t> in_order() const;
+
+private:
+    /// What the scan over all groups reads, close together.
+    struct room_view
+    {
+        model::resources total;
+        model::resources free;
+        model::resources largest_free;
+        model::resources refused;
+        bool has_refused{false};
+        bool reserved{false};
+    };
+
+    struct group_view
+    {
+        group_digest seen;
+        model::resources in_flight;
+        std::string reserved_for;
+        base::instant frees_at{};
+        base::instant reserved_until{};
+        std::int32_t zone{0};
+    };
+
+    [[nodiscard]] bool fits(std::size_t index,
+                            job_record const& job,
+                            model::resources const& need,
+                            double run_s,
+                            base::instant now) const;
+    [[nodiscard]] bool kept_for_other(std::size_t index,
+                                      job_record const& job,
+                                      double run_s,
+                                      base::instant now) const;
+    void sum_up();
+
+    std::vector<room_view> m_rooms;
+    std::vector<group_view> m_groups;
+    std::unordered_map<std::string, std::int32_t> m_index;
+    std::unordered_map<std::string, std::int32_t> m_zones;
+    model::resources m_total;
+    model::resources m_largest_worker;
+};
+
+} // namespace berylhill::placement
--- /dev/null
+++ b/libraries/placement/job_queue.hpp
@@ -0,0 +1,255 @@
+#pragma once
+
+#include <base/result.hpp>
+#include <base/time.hpp>
+#include <model/contract.hpp>
+#include <model/job.hpp>
+#include <placement/contract_account.hpp>
+#include <placement/estimator.hpp>
+#include <placement/group_table.hpp>
+#include <placement/job_record.hpp>
+#include <placement/queue_action.hpp>
+
+#include <boost/random/mersenne_twister.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace berylhill::placement
+{
+
+/// How an attempt ended, as its group's owner tells it.
+struct attempt_end
+{
+    model::attempt_id attempt;
+    model::task_end end{model::task_end::succeeded};
+    std::string worker;
+    model::resources peak;
+    double run_s{0};
+    std::string detail;
+};
+
+/// What is known of a job, for status pages.
+struct job_view
+{
+    model::job_request request;
+    model::job_state state{model::job_state::queued};
+    std::int32_t waiting{0};
+    std::int32_t running{0};
+    std::int32_t done{0};
+};
+
+/// The state of a job owner: the jobs of some contracts, which of their tasks
+/// go where and in which order, and their outcomes. Pure; not thread-safe.
+/// Every event takes the instant at which it happens, and instants must not go
+/// back. Attempt numbers only rise; events of older attempts are ignored.
+class job_queue
+{
+public:
+    /// `seed` drives the back-off. Attempts are numbered from `first_attempt`
+    /// on: a new owner of the same jobs gives a number above all that earlier
+    /// owners can have used.
+    explicit job_queue(std::uint64_t seed, std::int32_t first_attempt = 1);
+
+    /// Adds a contract, or puts its new version in force for what is decided
+    /// from now on.
+    void set_contract(model::contract const& it);
+
+    void update_group(group_digest const& it, base::instant now);
+    void remove_group(std::string const& group);
+
+    /// Takes a job. Fails with `invalid` when it can never run, `not_found`
+    /// without a contract and `refused` when the contract is full now. A job
+    /// id that is known already is taken as the same job.
+    base::result<base::done> submit(std::string const& id,
+                                    model::job_request const& request,
+                                    base::instant now);
+
+    /// Takes a job that was accepted earlier, without checking it again.
+    void restore(std::string const& id,
+                 model::job_request const& request,
+                 base::instant accepted_at);
+    /// A task of a restored job that has its outcome already.
+    void restore_done(model::task_id const& task);
+    /// An attempt of a restored job that is found running. Releases it when a
+    /// newer one is known.
+    queue_actions restore_running(model::attempt_id const& attempt,
+                                  std::string const& group,
+                                  model::resources const& planned,
+                                  base::instant now);
+
+    /// Cancels a job: its holds are given back and its tasks stopped at once.
+    /// The outcome is among the actions; unknown jobs give none.
+    queue_actions cancel(std::string const& job, base::instant now);
+
+    /// Decides on at most about `most` tasks; a gang is decided whole.
+    queue_actions decide(base::instant now, std::int32_t most);
+
+    /// The group's owner holds the attempt (mode `hold`). Released when it is
+    /// not wanted any more.
+    queue_actions held(model::attempt_id const& attempt,
+                       std::string const& group,
+                       base::instant now);
+    /// The attempt was started. Released when it is not wanted any more.
+    queue_actions started(model::attempt_id const& attempt,
+                          std::string const& group,
+                          base::instant now);
+    /// The owner refused a hold, or a commit came too late. Nothing runs.
+    queue_actions refused(model::attempt_id const& attempt,
+                          hold_state why,
+                          base::instant now);
+    /// No answer came: the same order again, since it may have been taken.
+    queue_actions unanswered(model::attempt_id const& attempt);
+    queue_actions finished(attempt_end const& it, base::instant now);
+    /// A running attempt's measured use.
+    void used(model::attempt_id const& attempt, model::resources const& use);
+
+    /// When `decide` next has something to do without another event; `max` for
+    /// never.
+    [[nodiscard]] base::instant next_wake() const;
+
+    [[nodiscard]] std::optional<job_view> view_of(std::string const& job) const;
+    [[nodiscard]] std::size_t jobs() const noexcept
+    {
+        return m_jobs.size();
+    }
+    [[nodiscard]] std::int64_t waiting_tasks() const noexcept
+    {
+        return m_waiting_tasks;
+    }
+    [[nodiscard]] model::resources used_by(std::string const& contract) const;
+
+private:
+    using job_pointer = std::shared_ptr<job_record>;
+
+    /// A contract's turn in one round of decisions.
+    struct turn
+    {
+        double share{0};
+        std::int32_t account{0};
+        friend auto operator<=>(turn const&, turn const&) = default;
+    };
+    using turns = std::priority_queue<turn, std::vector<turn>, std::greater<>>;
+
+    /// A job that comes back to its queue at an instant.
+    struct wake
+    {
+        base::instant at{};
+        std::uint64_t order{0};
+        std::weak_ptr<job_record> job;
+        std::int32_t task{-1};
+        friend bool operator>(wake const& a, wake const& b)
+        {
+            return a.at != b.at ? a.at > b.at : a.order > b.order;
+        }
+    };
+
+    /// Groups kept for the job that has waited longest without finding room.
+    struct reservation
+    {
+        std::string job;
+        base::instant until{};
+    };
+
+    // Life of a job (job_queue.cpp).
+    job_pointer add(std::string const& id,
+                    model::job_request const& request,
+                    base::instant accepted_at);
+    [[nodiscard]] base::result<base::done>
+    check(contract_account const& it, model::job_request const& request) const;
+    [[nodiscard]] job_pointer find(std::string const& job) const;
+    [[nodiscard]] contract_account& account_of(job_record const& it);
+    void enqueue(job_pointer const& job);
+    void make_waiting(job_record& job, std::int32_t index);
+    void forget_waiting(job_record& job);
+    std::shared_ptr<work_class> class_of(job_record const& job);
+    queue_actions release_all(job_record& job);
+    queue_actions
+    close(job_record& job, model::job_state state, std::string detail);
+
+    // Decisions (job_queue_decide.cpp).
+    void wake_due(base::instant now);
+    void wake_at(job_pointer const& job, std::int32_t task, base::instant at);
+    [[nodiscard]] turns turns_of(bool urgent) const;
+    bool decide_one(turns& from,
+                    bool urgent,
+                    base::instant now,
+                    queue_actions& actions);
+    work_class*
+    next_class(contract_account& it, bool urgent, base::instant now);
+    [[nodiscard]] double order_key(contract_account const& account,
+                                   work_class const& it) const;
+    void drop_dead_front(work_class& it);
+    void refresh(work_class& it);
+    bool place(work_class& it, base::instant now, queue_actions& actions);
+    bool place_task(work_class& it,
+                    job_pointer const& job,
+                    base::instant now,
+                    queue_actions& actions);
+    void order(job_pointer const& job,
+               std::int32_t index,
+               std::int32_t group,
+               hold_mode mode,
+               bool preempt,
+               queue_actions& actions);
+    [[nodiscard]] hold_order order_for(job_record const& job,
+                                       std::int32_t index) const;
+
+    // Gangs (job_queue_gang.cpp).
+    bool place_gang(work_class& it,
+                    job_pointer const& job,
+                    base::instant now,
+                    queue_actions& actions);
+    void ask_next_group(job_pointer const& job,
+                        base::instant now,
+                        queue_actions& actions);
+    queue_actions gang_answered(job_pointer const& job, base::instant now);
+    queue_actions give_up_gang(job_pointer const& job, base::instant now);
+    queue_actions restart_gang(job_pointer const& job, base::instant now);
+
+    // Reservations (job_queue_reserve.cpp).
+    void note_blocked(job_pointer const& job, base::instant now);
+    void reserve_if_due(base::instant now, queue_actions& to);
+    void
+    reserve_for(job_record const& job, base::instant now, queue_actions& to);
+    void drop_reservation(std::string const& job);
+
+    // Ends (job_queue_events.cpp).
+    task_record* current(job_pointer const& job,
+                         model::attempt_id const& attempt);
+    void settle(job_record& job, task_record& it);
+    queue_actions task_done(job_pointer const& job, std::int32_t index);
+    queue_actions task_failed(job_pointer const& job,
+                              std::int32_t index,
+                              attempt_end const& it,
+                              base::instant now);
+    queue_actions run_again(job_pointer const& job,
+                            std::int32_t index,
+                            base::instant at,
+                            base::instant now);
+
+    boost::random::mt19937_64 m_random;
+    std::int32_t m_first_attempt;
+    estimator m_estimator;
+    group_table m_groups;
+    std::vector<std::unique_ptr<contract_account>> m_accounts;
+    std::unordered_map<std::string, std::int32_t> m_account_index;
+    std::unordered_map<std::string, job_pointer> m_jobs;
+    std::priority_queue<wake, std::vector<wake>, std::greater<>> m_wakes;
+    std::uint64_t m_wake_order{0};
+    std::optional<reservation> m_reservation;
+    /// Of this round's blocked jobs the one that is blocked longest.
+    job_pointer m_longest_blocked;
+    std::uint64_t m_round{0};
+    std::int32_t m_urgent_in_row{0};
+    std::int64_t m_waiting_tasks{0};
+};
+
+} // namespace berylhill::placement
--- /dev/null
+++ b/libraries/placement/job_queue_decide.cpp
@@ -0,0 +1,339 @@
+#include <placement/job_queue.hpp>
+
+#include <algorithm>
+#include <cassert>
+#include <limits>
+
+namespace berylhill::placement
+{
+
+namespace
+{
+
+/// Normal work gets a turn after so many urgent decisions in a row.
+constexpr std::int32_t s_most_urgent_in_row = 16;
+/// Dead jobs are swept out when there are this many and they are the half.
+constexpr std::size_t s_sweep_at = 64;
+/// A job with a deadline goes ahead this long before its latest start.
+constexpr double s_deadline_margin_s = 60;
+/// For contracts that prefer short waiting, a job of one second counts as if it
+/// had come this many seconds earlier than one of two seconds.
+constexpr double s_short_first = 4;
+/// For contracts that prefer packing, the largest task counts as if it had come
+/// this many seconds earlier than the smallest: small ones fill what is left.
+constexpr double s_large_first_s = 60;
+
+} // namespace
+
+void job_queue::wake_at(job_pointer const& job,
+                        std::int32_t task,
+                        base::instant at)
+{
+    m_wakes.push({at, ++m_wake_order, job, task});
+}
+
+base::instant job_queue::next_wake() const
+{
+    return m_wakes.empty() ? base::instant::max() : m_wakes.top().at;
+}
+
+void job_queue::wake_due(base::instant now)
+{
+    while (!m_wakes.empty() && m_wakes.top().at <= now)
+    {
+        auto const job = m_wakes.top().job.lock();
+        auto const index = m_wakes.top().task;
+        m_wakes.pop();
+        if (job == nullptr || model::is_final(job->state))
+        {
+            continue;
+        }
+        if (index >= 0)
+        {
+            make_waiting(*job, index);
+        }
+        enqueue(job);
+    }
+}
+
+job_queue::turns job_queue::turns_of(bool urgent) const
+{
+    std::vector<turn> all;
+    for (std::size_t n = 0; n < m_accounts.size(); ++n)
+    {
+        auto const& it = *m_accounts[n];
+        auto const wants = std::any_of(it.active.begin(), it.active.end(),
+                                       [&](auto const& each)
+                                       { return !urgent || each->urgent; });
+        if (wants)
+        {
+            all.push_back({it.weighted_share(m_groups.total()),
+                           static_cast<std::int32_t>(n)});
+        }
+    }
+    return turns{std::greater<>{}, std::move(all)};
+}
+
+queue_actions job_queue::decide(base::instant now, std::int32_t most)
+{
+    queue_actions actions;
+    wake_due(now);
+    m_round += 1;
+    auto urgent = turns_of(true);
+    auto normal = turns_of(false);
+    auto const decided = [&]
+    {
+        return static_cast<std::int32_t>(actions.holds.size());
+    };
+    while (decided() < most && !(urgent.empty() && normal.empty()))
+    {
+        auto const yields = m_urgent_in_row >= s_most_urgent_in_row;
+        if (!urgent.empty() && !(yields && !normal.empty()))
+        {
+            if (decide_one(urgent, true, now, actions))
+            {
+                m_urgent_in_row += 1;
+            }
+            continue;
+        }
+        m_urgent_in_row = 0;
+        if (!normal.empty())
+        {
+            decide_one(normal, false, now, actions);
+        }
+    }
+    reserve_if_due(now, actions);
+    return actions;
+}
+
+bool job_queue::decide_one(turns& from,
+                           bool urgent,
+                           base::instant now,
+                           queue_actions& actions)
+{
+    auto const index = from.top().account;
+    auto& account = *m_accounts[static_cast<std::size_t>(index)];
+    from.pop();
+    auto* const chosen = next_class(account, urgent, now);
+    if (chosen == nullptr)
+    {
+        return false;
+    }
+    auto const placed = place(*chosen, now, actions);
+    if (!placed)
+    {
+        chosen->failed_round = m_round;
+    }
+    from.push({account.weighted_share(m_groups.total()), index});
+    return placed;
+}
+
+void job_queue::drop_dead_front(work_class& it)
+{
+    while (!it.jobs.empty())
+    {
+        auto const& front = it.jobs.front();
+        auto const dead = model::is_final(front->state);
+        if (!dead && !front->waiting.empty())
+        {
+            break;
+        }
+        it.dead -= dead ? 1 : 0;
+        front->queued = false;
+        it.jobs.pop_front();
+    }
+    if (it.dead < s_sweep_at || it.dead * 2 < it.jobs.size())
+    {
+        return;
+    }
+    std::erase_if(it.jobs,
+                  [](auto const& job) { return model::is_final(job->state); });
+    it.dead = 0;
+}
+
+void job_queue::refresh(work_class& it)
+{
+    if (it.planned_round == m_round)
+    {
+        return;
+    }
+    it.planned_round = m_round;
+    auto const& request = it.jobs.front()->request;
+    auto const found = m_estimator.of(request, m_groups.largest_worker());
+    it.need = found.peak;
+    it.run_s = found.run_s;
+}
+
+double job_queue::order_key(contract_account const& account,
+                            work_class const& it) const
+{
+    auto const& job = *it.jobs.front();
+    auto key = base::seconds_of(job.accepted_at.time_since_epoch());
+    if (account.contract().preferred == model::preference::waiting)
+    {
+        key += s_short_first * it.run_s;
+    }
+    else
+    {
+        key -= s_large_first_s *
+               dominant_share(it.need, m_groups.largest_worker());
+    }
+    if (job.request.deadline_s > 0)
+    {
+        auto const end = base::seconds_of(job.deadline.time_since_epoch());
+        key = std::min(key, end - it.run_s - s_deadline_margin_s);
+    }
+    return key;
+}
+
+work_class*
+job_queue::next_class(contract_account& account, bool urgent, base::instant now)
+{
+    work_class* best = nullptr;
+    auto best_key = std::numeric_limits<double>::infinity();
+    std::erase_if(account.active,
+                  [this](auto const& each)
+                  {
+                      drop_dead_front(*each);
+                      each->active = !each->jobs.empty();
+                      return !each->active;
+                  });
+    for (auto const& each : account.active)
+    {
+        auto& it = *each;
+        if (it.failed_round == m_round || (urgent && !it.urgent) ||
+            it.jobs.front()->not_before > now)
+        {
+            continue;
+        }
+        refresh(it);
+        auto const& job = *it.jobs.front();
+        auto const gang = job.request.kind == model::job_kind::gang;
+        auto const tasks =
+            gang ? static_cast<std::int32_t>(job.waiting.size()) : 1;
+        if (!account.allows(it.need, tasks) ||
+            (urgent && !account.allows_urgent(it.need, tasks)))
+        {
+            continue;
+        }
+        auto const at = order_key(account, it);
+        if (at < best_key)
+        {
+            best_key = at;
+            best = &it;
+        }
+    }
+    return best;
+}
+
+bool job_queue::place(work_class& it, base::instant now, queue_actions& actions)
+{
+    auto const job = it.jobs.front();
+    auto const placed = job->request.kind == model::job_kind::gang
+                            ? place_gang(it, job, now, actions)
+                            : place_task(it, job, now, actions);
+    if (!placed)
+    {
+        note_blocked(job, now);
+        return false;
+    }
+    if (job->request.kind == model::job_kind::gang)
+    {
+        // It comes back to the queue only if it does not get all its holds.
+        it.jobs.pop_front();
+        job->queued = false;
+    }
+    else
+    {
+        job->blocked_since = base::instant::max();
+    }
+    return true;
+}
+
+bool job_queue::place_task(work_class& it,
+                           job_pointer const& job,
+                           base::instant now,
+                           queue_actions& actions)
+{
+    auto const& account = account_of(*job);
+    auto const& by =
+        policy_for(job->request.kind, account.contract().preferred);
+    auto& task = job->tasks[static_cast<std::size_t>(job->waiting.front())];
+    auto preempt = task.claimed_group >= 0;
+    auto group = preempt ? task.claimed_group
+                         : m_groups.choose(*job, it.need, it.run_s, now, by);
+    task.claimed_group = -1;
+    if (group < 0 && it.urgent && account.allows_urgent(it.need, 1))
+    {
+        group = m_groups.choose_preemptible(it.need);
+        preempt = group >= 0;
+    }
+    if (group < 0)
+    {
+        return false;
+    }
+    auto const index = job->waiting.front();
+    job->waiting.pop_front();
+    m_waiting_tasks -= 1;
+    // What may run only once is committed after its intent is in the log.
+    auto const mode = job->request.safety == model::rerun::at_most_once
+                          ? hold_mode::hold
+                          : hold_mode::start;
+    order(job, index, group, mode, preempt, actions);
+    return true;
+}
+
+void job_queue::order(job_pointer const& job,
+                      std::int32_t index,
+                      std::int32_t group,
+                      hold_mode mode,
+                      bool preempt,
+                      queue_actions& actions)
+{
+    auto& account = account_of(*job);
+    auto const& of_class = *job->of_class;
+    auto& it = job->tasks[static_cast<std::size_t>(index)];
+    it.number += 1;
+    it.group = group;
+    it.phase = task_phase::ordered;
+    it.planned = of_class.need;
+    it.expected_run_s = static_cast<float>(of_class.run_s);
+    it.urgent = of_class.urgent && account.allows_urgent(it.planned, 1);
+    account.charge(it);
+    if (it.number == m_first_attempt)
+    {
+        account.note_first_start();
+    }
+    m_groups.ordered(group, it.planned);
+    auto found = order_for(*job, index);
+    found.mode = mode;
+    found.request.may_preempt = preempt;
+    actions.holds.push_back(std::move(found));
+}
+
+hold_order job_queue::order_for(job_record const& job, std::int32_t index) const
+{
+    auto const& it = job.tasks[static_cast<std::size_t>(index)];
+    auto const& account = *m_accounts[static_cast<std::size_t>(job.account)];
+    hold_order found;
+    found.group = m_groups.name_of(it.group);
+    found.mode = job.request.kind == model::job_kind::gang ||
+                         job.request.safety == model::rerun::at_most_once
+                     ? hold_mode::hold
+                     : hold_mode::start;
+    auto& request = found.request;
+    request.attempt = {{job.id, index}, it.number};
+    request.contract = job.request.contract;
+    request.name = job.request.name;
+    request.kind = job.request.kind;
+    request.urgent =
+        it.urgent ? model::urgency::urgent : model::urgency::normal;
+    request.safety = job.request.safety;
+    request.preempted = account.contract().preempted;
+    request.need = it.planned;
+    request.expected_run_s = it.expected_run_s;
+    request.command = job.request.command;
+    return found;
+}
+
+} // namespace berylhill::placement
--- /dev/null
+++ b/libraries/placement/job_queue_events.cpp
@@ -0,0 +1,364 @@
+#include <placement/job_queue.hpp>
+
+#include <boost/random/uniform_real_distribution.hpp>
+
+#include <algorithm>
+
+namespace berylhill::placement
+{
+
+namespace
+{
+
+constexpr std::int16_t s_most_failures = 5;
+constexpr std::size_t s_distinct_workers = 3;
+constexpr std::int16_t s_far_too_many_failures = 12;
+constexpr double s_first_back_off_s = 1;
+constexpr double s_longest_back_off_s = 300;
+constexpr std::int32_t s_most_doublings = 9;
+constexpr double s_no_budget_s = 10;
+constexpr base::duration s_refused_pause{20'000};
+constexpr base::duration s_preempting_pause{100'000};
+
+queue_actions release_of(std::string const& group,
+                         model::attempt_id const& attempt)
+{
+    queue_actions actions;
+    actions.releases.push_back({group, attempt});
+    return actions;
+}
+
+} // namespace
+
+task_record* job_queue::current(job_pointer const& job,
+                                model::attempt_id const& attempt)
+{
+    auto const index = attempt.task.index;
+    if (job == nullptr || index < 0 || index >= job->request.tasks)
+    {
+        return nullptr;
+    }
+    auto& it = job->tasks[static_cast<std::size_t>(index)];
+    return it.number == attempt.number ? &it : nullptr;
+}
+
+void job_queue::settle(job_record& job, task_record& it)
+{
+    if (it.phase == task_phase::ordered)
+    {
+        m_groups.answered(it.group, it.planned);
+    }
+    if (it.phase == task_phase::running)
+    {
+        auto const at = job.spread.find(it.group);
+        if (at != job.spread.end() && --at->second <= 0)
+        {
+            job.spread.erase(at);
+        }
+    }
+    account_of(job).refund(it);
+}
+
+queue_actions job_queue::held(model::attempt_id const& attempt,
+                              std::string const& group,
+                              base::instant now)
+{
+    auto const job = find(attempt.task.job);
+    auto* const it = current(job, attempt);
+    if (it == nullptr || it->phase == task_phase::waiting ||
+        it->phase == task_phase::stopping)
+    {
+        return release_of(group, attempt);
+    }
+    if (it->phase != task_phase::ordered)
+    {
+        return {};
+    }
+    m_groups.answered(it->group, it->planned);
+    it->phase = task_phase::held;
+    if (job->request.kind == model::job_kind::gang)
+    {
+        job->held += 1;
+        return gang_answered(job, now);
+    }
+    it->phase = task_phase::committed;
+    queue_actions actions;
+    actions.commits.push_back({group, attempt});
+    return actions;
+}
+
+queue_actions job_queue::started(model::attempt_id const& attempt,
+                                 std::string const& group,
+                                 base::instant now)
+{
+    auto const job = find(attempt.task.job);
+    auto* const it = current(job, attempt);
+    if (it == nullptr || it->phase == task_phase::waiting ||
+        it->phase == task_phase::stopping)
+    {
+        // The release went past the start on its way, or was lost.
+        return release_of(group, attempt);
+    }
+    if (it->phase != task_phase::ordered && it->phase != task_phase::committed)
+    {
+        return {};
+    }
+    if (it->phase == task_phase::ordered)
+    {
+        m_groups.answered(it->group, it->planned);
+    }
+    it->phase = task_phase::running;
+    it->since = now;
+    job->state = model::job_state::running;
+    job->spread[it->group] += 1;
+    drop_reservation(job->id);
+    return {};
+}
+
+queue_actions job_queue::refused(model::attempt_id const& attempt,
+                                 hold_state why,
+                                 base::instant now)
+{
+    auto const job = find(attempt.task.job);
+    auto* const it = current(job, attempt);
+    if (it == nullptr || it->phase == task_phase::running ||
+        it->phase == task_phase::done || it->phase == task_phase::waiting)
+    {
+        return {};
+    }
+    auto const late_commit = it->phase == task_phase::committed;
+    auto const group = it->group;
+    if (why != hold_state::preempting)
+    {
+        m_groups.refused(it->group, it->planned);
+    }
+    settle(*job, *it);
+    auto const gang = job->request.kind == model::job_kind::gang;
+    if (gang && it->phase == task_phase::ordered)
+    {
+        job->ordered -= 1;
+        make_waiting(*job, attempt.task.index);
+        return gang_answered(job, now);
+    }
+    make_waiting(*job, attempt.task.index);
+    if (gang)
+    {
+        // One hold ran out while others were started: none may run without it.
+        job->not_before = now + s_refused_pause;
+        return late_commit || job->state == model::job_state::running
+                   ? restart_gang(job, now)
+                   : give_up_gang(job, now);
+    }
+    auto const making_room = why == hold_state::preempting;
+    it->claimed_group = making_room ? group : -1;
+    auto const pause = making_room ? s_preempting_pause : base::duration{0};
+    wake_at(job, -1, now + pause);
+    return {};
+}
+
+queue_actions job_queue::unanswered(model::attempt_id const& attempt)
+{
+    auto const job = find(attempt.task.job);
+    auto* const it = current(job, attempt);
+    queue_actions actions;
+    if (it == nullptr)
+    {
+        return actions;
+    }
+    if (it->phase == task_phase::ordered)
+    {
+        actions.holds.push_back(order_for(*job, attempt.task.index));
+    }
+    else if (it->phase == task_phase::committed)
+    {
+        actions.commits.push_back({m_groups.name_of(it->group), attempt});
+    }
+    else if (it->phase == task_phase::stopping)
+    {
+        actions.releases.push_back({m_groups.name_of(it->group), attempt});
+    }
+    return actions;
+}
+
+void job_queue::used(model::attempt_id const& attempt,
+                     model::resources const& use)
+{
+    auto const job = find(attempt.task.job);
+    if (current(job, attempt) != nullptr)
+    {
+        m_estimator.learn_use(job->request, use);
+    }
+}
+
+queue_actions job_queue::finished(attempt_end const& end, base::instant now)
+{
+    auto const job = find(end.attempt.task.job);
+    auto* const it = current(job, end.attempt);
+    if (it == nullptr || it->phase == task_phase::done ||
+        it->phase == task_phase::waiting)
+    {
+        return {};
+    }
+    settle(*job, *it);
+    auto const index = end.attempt.task.index;
+    auto const once = job->request.safety == model::rerun::at_most_once;
+    switch (end.end)
+    {
+    case model::task_end::succeeded:
+        m_estimator.learn(job->request, end.peak, end.run_s);
+        if (job->request.kind == model::job_kind::service)
+        {
+            return run_again(job, index, now, now);
+        }
+        return task_done(job, index);
+    case model::task_end::failed:
+        return task_failed(job, index, end, now);
+    case model::task_end::checkpointed:
+        return run_again(job, index, now, now);
+    case model::task_end::stopped:
+        if (once)
+        {
+            return close(*job, model::job_state::failed,
+                         "stopped before its end, and may not run again");
+        }
+        return run_again(job, index, now, now);
+    case model::task_end::lapsed:
+        if (!once)
+        {
+            return run_again(job, index, now, now);
+        }
+        break;
+    case model::task_end::unknown:
+        break;
+    }
+    it->phase = task_phase::done;
+    return close(*job, model::job_state::outcome_unknown,
+                 "task " + std::to_string(index) +
+                     " may have run, and may not run again");
+}
+
+queue_actions job_queue::task_done(job_pointer const& job, std::int32_t index)
+{
+    job->tasks[static_cast<std::size_t>(index)].phase = task_phase::done;
+    job->failures_in_row = 0;
+    job->unfinished -= 1;
+    if (job->unfinished > 0)
+    {
+        return {};
+    }
+    return close(*job, model::job_state::succeeded, {});
+}
+
+queue_actions job_queue::task_failed(job_pointer const& job,
+                                     std::int32_t index,
+                                     attempt_end const& end,
+                                     base::instant now)
+{
+    auto& it = job->tasks[static_cast<std::size_t>(index)];
+    it.failures += 1;
+    job->failures_in_row += 1;
+    job->failed_on.insert(end.worker);
+    if (job->request.safety == model::rerun::at_most_once)
+    {
+        return close(*job, model::job_state::failed,
+                     "task " + std::to_string(index) +
+                         " failed: " + end.detail);
+    }
+    auto const everywhere = it.failures >= s_most_failures &&
+                            job->failed_on.size() >= s_distinct_workers;
+    auto const service = job->request.kind == model::job_kind::service;
+    if (!service && (everywhere || it.failures >= s_far_too_many_failures))
+    {
+        return close(*job, model::job_state::failed,
+                     "task " + std::to_string(index) + " failed " +
+                         std::to_string(it.failures) + " times on " +
+                         std::to_string(job->failed_on.size()) +
+                         " workers: " + end.detail);
+    }
+    auto const doublings = std::min(job->failures_in_row - 1, s_most_doublings);
+    auto longest =
+        std::min(s_first_back_off_s * (1 << doublings), s_longest_back_off_s);
+    if (!account_of(*job).take_retry())
+    {
+        longest += s_no_budget_s;
+    }
+    boost::random::uniform_real_distribution<double> spread{longest / 2,
+                                                            longest};
+    return run_again(job, index, now + base::from_seconds(spread(m_random)),
+                     now);
+}
+
+queue_actions job_queue::run_again(job_pointer const& job,
+                                   std::int32_t index,
+                                   base::instant at,
+                                   base::instant now)
+{
+    auto& it = job->tasks[static_cast<std::size_t>(index)];
+    it.group = -1;
+    if (job->request.kind == model::job_kind::gang)
+    {
+        job->not_before = std::max(job->not_before, at);
+        make_waiting(*job, index);
+        return restart_gang(job, now);
+    }
+    it.phase = task_phase::waiting;
+    wake_at(job, index, at);
+    return {};
+}
+
+queue_actions job_queue::restore_running(model::attempt_id const& attempt,
+                                         std::string const& group,
+                                         model::resources const& planned,
+                                         base::instant now)
+{
+    queue_actions actions;
+    auto const job = find(attempt.task.job);
+    auto const index = attempt.task.index;
+    if (job == nullptr || index < 0 || index >= job->request.tasks)
+    {
+        actions.releases.push_back({group, attempt});
+        return actions;
+    }
+    auto& it = job->tasks[static_cast<std::size_t>(index)];
+    auto const at = std::find(job->waiting.begin(), job->waiting.end(), index);
+    if (at == job->waiting.end())
+    {
+        if (it.number != attempt.number)
+        {
+            actions.releases.push_back({group, attempt});
+        }
+        return actions;
+    }
+    job->waiting.erase(at);
+    m_waiting_tasks -= 1;
+    it.number = attempt.number;
+    it.group = m_groups.index_of(group);
+    it.phase = task_phase::running;
+    it.planned = planned;
+    it.since = now;
+    account_of(*job).charge(it);
+    job->spread[it.group] += 1;
+    job->state = model::job_state::running;
+    return actions;
+}
+
+void job_queue::restore_done(model::task_id const& task)
+{
+    auto const job = find(task.job);
+    if (job == nullptr || task.index < 0 || task.index >= job->request.tasks)
+    {
+        return;
+    }
+    auto const at =
+        std::find(job->waiting.begin(), job->waiting.end(), task.index);
+    if (at != job->waiting.end())
+    {
+        job->waiting.erase(at);
+        m_waiting_tasks -= 1;
+        job->tasks[static_cast<std::size_t>(task.index)].phase =
+            task_phase::done;
+        job->unfinished -= 1;
+    }
+}
+
+} // namespace berylhill::placement
--- /dev/null
+++ b/libraries/placement/job_queue_gang.cpp
@@ -0,0 +1,170 @@
+#include <placement/job_queue.hpp>
+
+#include <boost/random/uniform_real_distribution.hpp>
+
+#include <algorithm>
+
+namespace berylhill::placement
+{
+
+namespace
+{
+
+constexpr double s_first_back_off_s = 0.05;
+constexpr double s_longest_back_off_s = 5;
+constexpr std::int32_t s_most_doublings = 7;
+
+} // namespace
+
+bool job_queue::place_gang(work_class& it,
+                           job_pointer const& job,
+                           base::instant now,
+                           queue_actions& actions)
+{
+    auto const wanted = static_cast<std::int32_t>(job->waiting.size());
+    struct offer
+    {
+        std::int32_t slots;
+        std::int32_t group;
+    };
+    std::vector<offer> offers;
+    std::int64_t all = 0;
+    for (std::int32_t group = 0; group < m_groups.size(); ++group)
+    {
+        auto const n = m_groups.slots(group, *job, it.need, it.run_s, now);
+        if (n > 0)
+        {
+            offers.push_back({n, group});
+            all += n;
+        }
+    }
+    if (all < wanted)
+    {
+        return false;
+    }
+    // The fewest groups: those with the most slots.
+    std::sort(offers.begin(), offers.end(),
+              [](auto const& a, auto const& b) { return a.slots > b.slots; });
+    std::int64_t enough = 0;
+    auto const last = std::find_if(offers.begin(), offers.end(),
+                                   [&](auto const& each)
+                                   {
+                                       enough += each.slots;
+                                       return enough >= wanted;
+                                   });
+    offers.erase(last + 1, offers.end());
+    std::sort(offers.begin(), offers.end(),
+              [&](auto const& a, auto const& b) {
+                  return m_groups.name_of(a.group) < m_groups.name_of(b.group);
+              });
+    job->to_ask.clear();
+    for (auto const& each : offers)
+    {
+        job->to_ask.push_back(each.group);
+    }
+    job->ordered = 0;
+    job->held = 0;
+    ask_next_group(job, now, actions);
+    return true;
+}
+
+void job_queue::ask_next_group(job_pointer const& job,
+                               base::instant now,
+                               queue_actions& actions)
+{
+    auto const& it = *job->of_class;
+    while (!job->to_ask.empty() && !job->waiting.empty())
+    {
+        auto const group = job->to_ask.front();
+        job->to_ask.pop_front();
+        auto n = m_groups.slots(group, *job, it.need, it.run_s, now);
+        auto const asked = n > 0;
+        while (n-- > 0 && !job->waiting.empty())
+        {
+            auto const index = job->waiting.front();
+            job->waiting.pop_front();
+            m_waiting_tasks -= 1;
+            job->ordered += 1;
+            order(job, index, group, hold_mode::hold, false, actions);
+        }
+        if (asked)
+        {
+            return;
+        }
+    }
+}
+
+queue_actions job_queue::gang_answered(job_pointer const& job,
+                                       base::instant now)
+{
+    queue_actions actions;
+    if (job->held < job->ordered)
+    {
+        return actions;
+    }
+    if (!job->waiting.empty())
+    {
+        ask_next_group(job, now, actions);
+        return actions.holds.empty() ? give_up_gang(job, now) : actions;
+    }
+    for (std::int32_t index = 0; index < job->request.tasks; ++index)
+    {
+        auto& it = job->tasks[static_cast<std::size_t>(index)];
+        if (it.phase == task_phase::held)
+        {
+            it.phase = task_phase::committed;
+            actions.commits.push_back(
+                {m_groups.name_of(it.group), {{job->id, index}, it.number}});
+        }
+    }
+    job->rounds_failed = 0;
+    job->blocked_since = base::instant::max();
+    drop_reservation(job->id);
+    return actions;
+}
+
+queue_actions job_queue::give_up_gang(job_pointer const& job, base::instant now)
+{
+    auto actions = release_all(*job);
+    auto& account = account_of(*job);
+    for (std::int32_t index = job->request.tasks - 1; index >= 0; --index)
+    {
+        auto& it = job->tasks[static_cast<std::size_t>(index)];
+        if (it.phase == task_phase::stopping)
+        {
+            account.refund(it);
+            make_waiting(*job, index);
+        }
+    }
+    job->ordered = 0;
+    job->held = 0;
+    job->rounds_failed += 1;
+    auto const doublings = std::min(job->rounds_failed, s_most_doublings);
+    auto const longest =
+        std::min(s_first_back_off_s * (1 << doublings), s_longest_back_off_s);
+    boost::random::uniform_real_distribution<double> spread{longest / 2,
+                                                            longest};
+    job->not_before = now + base::from_seconds(spread(m_random));
+    wake_at(job, -1, job->not_before);
+    return actions;
+}
+
+queue_actions job_queue::restart_gang(job_pointer const& job, base::instant now)
+{
+    auto actions = release_all(*job);
+    auto const stopping = [](auto const& it)
+    {
+        return it.phase == task_phase::stopping;
+    };
+    if (std::any_of(job->tasks.begin(), job->tasks.end(), stopping))
+    {
+        return actions;
+    }
+    // Every task that was stopped has ended: all of them start together again.
+    job->ordered = 0;
+    job->held = 0;
+    wake_at(job, -1, std::max(now, job->not_before));
+    return actions;
+}
+
+} // namespace berylhill::placement
--- /dev/null
+++ b/libraries/placement/job_queue_reserve.cpp
@@ -0,0 +1,164 @@
+#include <placement/job_queue.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace berylhill::placement
+{
+
+namespace
+{
+
+/// How long a job is blocked before room is kept for it.
+constexpr base::duration s_patience_waiting{1'000'000};
+constexpr base::duration s_patience_packing{15'000'000};
+/// Reservations are short, so that one whose owner is gone ends soon, and are
+/// renewed while their job waits.
+constexpr base::duration s_longest_reservation{30'000'000};
+constexpr base::duration s_renewal_before{15'000'000};
+/// The share of a worker from which on a task is large.
+constexpr double s_large_task = 0.25;
+constexpr double s_first_step_s = 1;
+constexpr double s_longest_step_s = 4096;
+
+} // namespace
+
+void job_queue::note_blocked(job_pointer const& job, base::instant now)
+{
+    job->blocked_since = std::min(job->blocked_since, now);
+    auto const size =
+        dominant_share(job->of_class->need, m_groups.largest_worker());
+    if (job->request.kind != model::job_kind::gang && size < s_large_task)
+    {
+        // Small tasks find room soon enough; keeping it for them would only
+        // leave it idle.
+        return;
+    }
+    if (m_longest_blocked == nullptr ||
+        job->blocked_since < m_longest_blocked->blocked_since)
+    {
+        m_longest_blocked = job;
+    }
+}
+
+void job_queue::reserve_if_due(base::instant now, queue_actions& to)
+{
+    auto const job = std::exchange(m_longest_blocked, nullptr);
+    if (job == nullptr)
+    {
+        return;
+    }
+    auto const packing =
+        account_of(*job).contract().preferred == model::preference::packing;
+    auto const patience = packing ? s_patience_packing : s_patience_waiting;
+    if (now - job->blocked_since < patience)
+    {
+        return;
+    }
+    if (m_reservation && now + s_renewal_before >= m_reservation->until)
+    {
+        drop_reservation(m_reservation->job);
+    }
+    if (!m_reservation)
+    {
+        reserve_for(*job, now, to);
+    }
+}
+
+void job_queue::reserve_for(job_record const& job,
+                            base::instant now,
+                            queue_actions& to)
+{
+    auto const& need = job.of_class->need;
+    auto const wanted = static_cast<std::int64_t>(
+        job.request.kind == model::job_kind::gang ? job.waiting.size() : 1);
+    struct ending
+    {
+        std::int32_t group;
+        base::instant at;
+        model::resources planned;
+    };
+    std::vector<ending> endings;
+    for (auto const& [id, other] : m_jobs)
+    {
+        for (auto const& it : other->tasks)
+        {
+            if (it.phase == task_phase::running ||
+                it.phase == task_phase::committed)
+            {
+                // A task that outran its estimate has half as long again.
+                auto const ran = now - it.since;
+                auto const run = std::max<base::duration>(
+                    base::from_seconds(it.expected_run_s), ran + ran / 2);
+                endings.push_back({it.group, it.since + run, it.planned});
+            }
+        }
+    }
+    auto const groups = static_cast<std::size_t>(m_groups.size());
+    for (auto step = s_first_step_s; step <= s_longest_step_s; step *= 2)
+    {
+        auto const at = now + base::from_seconds(step);
+        std::vector<model::resources> free(groups);
+        for (std::size_t n = 0; n < groups; ++n)
+        {
+            free[n] = m_groups.digest_of(static_cast<std::int32_t>(n)).free;
+        }
+        for (auto const& it : endings)
+        {
+            if (it.at <= at)
+            {
+                auto& room = free[static_cast<std::size_t>(it.group)];
+                room = room + it.planned;
+            }
+        }
+        struct offer
+        {
+            std::int64_t slots;
+            std::int32_t group;
+        };
+        std::vector<offer> offers;
+        std::int64_t all = 0;
+        for (std::size_t n = 0; n < groups; ++n)
+        {
+            std::int64_t slots = 0;
+            while (slots < wanted && (need * (slots + 1)).fits_in(free[n]))
+            {
+                slots += 1;
+            }
+            all += slots;
+            offers.push_back({slots, static_cast<std::int32_t>(n)});
+        }
+        if (all < wanted)
+        {
+            continue;
+        }
+        std::sort(offers.begin(), offers.end(),
+                  [](auto const& a, auto const& b)
+                  { return a.slots > b.slots; });
+        m_reservation = reservation{job.id, now + s_longest_reservation};
+        std::int64_t kept = 0;
+        for (auto const& it : offers)
+        {
+            if (kept >= wanted)
+            {
+                break;
+            }
+            kept += it.slots;
+            m_groups.reserve(it.group, job.id, at, m_reservation->until);
+            to.reservations.push_back(
+                {m_groups.name_of(it.group), job.id, at, m_reservation->until});
+        }
+        return;
+    }
+}
+
+void job_queue::drop_reservation(std::string const& job)
+{
+    if (m_reservation && m_reservation->job == job)
+    {
+        m_groups.unreserve(job);
+        m_reservation.reset();
+    }
+}
+
+} // namespace berylhill::placement
--- /dev/null
+++ b/libraries/placement/overuse.cpp
@@ -0,0 +1,102 @@
+#include <placement/overuse.hpp>
+
+#include <algorithm>
+#include <tuple>
+
+namespace berylhill::placement
+{
+
+namespace
+{
+
+// Reports lag, so the worker counts as full a little before it is.
+constexpr std::int64_t s_full_percent = 95;
+constexpr double s_least_share = 0.1;
+
+bool over_plan(task_use const& it)
+{
+    return !it.used.fits_in(it.planned);
+}
+
+/// The share of its cores that brings a task back to its plan.
+double share_for(task_use const& it)
+{
+    if (it.used.millicores <= it.planned.millicores)
+    {
+        // Only its memory grows; slower work grows it more slowly.
+        return 0.5;
+    }
+    auto const share = static_cast<double>(it.planned.millicores) /
+                       static_cast<double>(it.used.millicores);
+    return std::max(share, s_least_share);
+}
+
+/// Cheapest first: normal before urgent, what may be run again before what may
+/// not, what outgrew its plan before what kept to it, the youngest first.
+bool cheaper(task_use const& a, task_use const& b)
+{
+    auto const cost = [](task_use const& it)
+    {
+        return std::tuple{it.urgent, it.safety, !over_plan(it),
+                          -it.started_at.time_since_epoch()};
+    };
+    return cost(a) < cost(b);
+}
+
+ledger_action action_for(std::string const& worker, task_use const& it)
+{
+    // A checkpoint keeps the progress, so it is safe for every task.
+    return {ledger_action_kind::checkpoint, worker, it.attempt, 1};
+}
+
+} // namespace
+
+std::vector<ledger_action> relieve(std::string const& worker,
+                                   model::resources const& capacity,
+                                   std::vector<task_use> tasks)
+{
+    std::vector<ledger_action> actions;
+    model::resources charged;
+    model::resources used;
+    for (auto const& it : tasks)
+    {
+        if (!it.leaving)
+        {
+            charged = charged + model::largest_of(it.planned, it.used);
+            used = used + it.used;
+        }
+    }
+    auto const full = model::resources{
+        capacity.millicores, capacity.memory_mb * s_full_percent / 100,
+        capacity.accelerators};
+    if (charged.fits_in(capacity) && used.fits_in(full))
+    {
+        return actions;
+    }
+    for (auto const& it : tasks)
+    {
+        if (over_plan(it) && !it.throttled && !it.leaving)
+        {
+            actions.push_back({ledger_action_kind::throttle, worker, it.attempt,
+                               share_for(it)});
+        }
+    }
+    // Processors are shared by throttling alone; memory can only be freed.
+    auto memory = used.memory_mb;
+    std::sort(tasks.begin(), tasks.end(), cheaper);
+    for (auto const& it : tasks)
+    {
+        if (memory <= full.memory_mb)
+        {
+            break;
+        }
+        if (!it.leaving && it.used.memory_mb > 0)
+        {
+            actions.push_back(action_for(worker, it));
+            memory -= it.used.memory_mb;
+        }
+    }
+    return actions;
+}
+
+} // namespace berylhill::placement
--- /dev/null
+++ b/libraries/placement/policy.cpp
@@ -0,0 +1,80 @@
+#include <placement/policy.hpp>
+
+#include <algorithm>
+
+namespace berylhill::placement
+{
+
+namespace
+{
+
+// An accelerator that is left idle by a task without need of one costs more
+// than any gap in cores or memory.
+constexpr double s_idle_accelerator_cost = 10;
+
+double share(std::int64_t part, std::int64_t whole) noexcept
+{
+    return whole > 0 ? static_cast<double>(part) / static_cast<double>(whole)
+                     : 0.0;
+}
+
+double left_after(candidate const& it, model::resources const& need) noexcept
+{
+    auto const left = it.free - need;
+    return share(left.millicores, it.total.millicores) +
+           share(left.memory_mb, it.total.memory_mb);
+}
+
+} // namespace
+
+double dominant_share(model::resources const& used,
+                      model::resources const& total) noexcept
+{
+    return std::max({share(used.millicores, total.millicores),
+                     share(used.memory_mb, total.memory_mb),
+                     share(used.accelerators, total.accelerators)});
+}
+
+rank service_policy::rank_of(candidate const& it,
+                             model::resources const& need) const
+{
+    constexpr double zone_weight = 1e6;
+    constexpr double rack_weight = 1e3;
+    auto const spread = it.same_in_zone * zone_weight +
+                        it.same_in_rack * rack_weight + it.same_here;
+    return {spread, -left_after(it, need)};
+}
+
+rank batch_policy::rank_of(candidate const& it,
+                           model::resources const& need) const
+{
+    auto const idle = need.accelerators == 0 && it.total.accelerators > 0;
+    return {idle ? s_idle_accelerator_cost : 0, left_after(it, need)};
+}
+
+rank gang_policy::rank_of(candidate const& it,
+                          model::resources const& need) const
+{
+    auto const idle = need.accelerators == 0 && it.total.accelerators > 0;
+    return {idle ? s_idle_accelerator_cost : 0, -left_after(it, need)};
+}
+
+policy const& policy_for(model::job_kind kind,
+                         model::preference /*preferred*/) noexcept
+{
+    static service_policy const s_service;
+    static batch_policy const s_batch;
+    static gang_policy const s_gang;
+    switch (kind)
+    {
+    case model::job_kind::service:
+        return s_service;
+    case model::job_kind::gang:
+        return s_gang;
+    case model::job_kind::batch:
+        break;
+    }
+    return s_batch;
+}
+
+} // namespace berylhill::placement
--- /dev/null
+++ b/libraries/placement/worker_health.cpp
@@ -0,0 +1,69 @@
+#include <placement/worker_health.hpp>
+
+#include <algorithm>
+
+namespace berylhill::placement
+{
+
+namespace
+{
+
+constexpr double s_least_chance = 1e-4;
+constexpr double s_least_likely = 0.02;
+constexpr double s_most_likely = 0.98;
+constexpr base::duration s_first_span{30'000'000};
+constexpr base::duration s_longest_span{600'000'000};
+
+} // namespace
+
+void worker_health::ended(bool failed, double likely, base::instant now)
+{
+    m_probe_out = false;
+    if (!failed)
+    {
+        m_chance = 1;
+        m_span = {};
+        m_state = health::good;
+        return;
+    }
+    if (m_state == health::probing)
+    {
+        quarantine(now);
+        return;
+    }
+    m_chance *= std::clamp(likely, s_least_likely, s_most_likely);
+    if (m_state == health::good && m_chance < s_least_chance)
+    {
+        quarantine(now);
+    }
+}
+
+void worker_health::advance(base::instant now)
+{
+    if (m_state == health::quarantined && now >= m_until)
+    {
+        m_state = health::probing;
+        m_probe_out = false;
+    }
+}
+
+void worker_health::attempt_given()
+{
+    m_probe_out = m_state == health::probing;
+}
+
+void worker_health::attempt_gone()
+{
+    m_probe_out = false;
+}
+
+void worker_health::quarantine(base::instant now)
+{
+    m_state = health::quarantined;
+    m_span = m_span.count() == 0 ? s_first_span
+                                 : std::min(m_span * 2, s_longest_span);
+    m_until = now + m_span;
+    m_chance = 1;
+}
+
+} // namespace berylhill::placement
--- /dev/null
+++ b/tests/placement/fake_cell.cpp
@@ -0,0 +1,198 @@
+#include "fake_cell.hpp"
+
+#include <utility>
+
+namespace berylhill::placement_test
+{
+
+namespace
+{
+
+constexpr base::duration s_hold_span{2'000'000};
+
+} // namespace
+
+fake_cell::fake_cell(std::size_t n)
+{
+    for (std::size_t index = 0; index < n; ++index)
+    {
+        queues.emplace_back(index + 1);
+    }
+}
+
+void fake_cell::add_worker(std::string const& group,
+                           std::string const& worker,
+                           model::resources const& capacity)
+{
+    auto const zone = "zone-" + std::string(1, group.back());
+    model::endpoint it;
+    it.id = worker;
+    it.capacity = capacity;
+    it.zone = zone;
+    it.rack = group;
+    ledgers.try_emplace(group, group, zone, group)
+        .first->second.set_worker(it, now);
+}
+
+void fake_cell::add_contract(model::contract const& it)
+{
+    for (auto& queue : queues)
+    {
+        queue.set_contract(it);
+    }
+}
+
+void fake_cell::step(std::int32_t most)
+{
+    for (auto& [name, ledger] : ledgers)
+    {
+        ledger.expire(now);
+    }
+    for (std::size_t n = 0; n < queues.size(); ++n)
+    {
+        for (auto const& [name, ledger] : ledgers)
+        {
+            queues[n].update_group(ledger.digest(), now);
+        }
+        carry_out(n, queues[n].decide(now, most));
+    }
+}
+
+void fake_cell::carry_out(std::size_t queue, placement::queue_actions actions)
+{
+    while (!actions.empty())
+    {
+        placement::queue_actions next;
+        for (auto const& it : actions.reservations)
+        {
+            ledgers.at(it.group).reserve(it.job, it.frees_at, it.until, now);
+        }
+        for (auto const& it : actions.releases)
+        {
+            ledgers.at(it.group).release(it.attempt, now);
+            if (running.erase(it.attempt) > 0)
+            {
+                ledgers.at(it.group).finished(it.attempt,
+                                              model::task_end::stopped, now);
+                next.append(queues[queue].finished(
+                    {it.attempt, model::task_end::stopped, {}, {}, 0, {}},
+                    now));
+            }
+        }
+        for (auto const& it : actions.holds)
+        {
+            carry_out_hold(queue, it, next);
+        }
+        for (auto const& it : actions.commits)
+        {
+            start(queue, it.group, it.attempt, next);
+        }
+        for (auto const& it : actions.outcomes)
+        {
+            outcomes[it.job] = it.state;
+        }
+        actions = std::move(next);
+    }
+}
+
+void fake_cell::carry_out_hold(std::size_t queue,
+                               placement::hold_order const& order,
+                               placement::queue_actions& next)
+{
+    auto& ledger = ledgers.at(order.group);
+    auto const attempt = order.request.attempt;
+    auto const found = ledger.hold(order.request, now + s_hold_span, now);
+    for (auto const& it : found.actions)
+    {
+        checkpoints.push_back(it.attempt);
+    }
+    if (found.answer.state != placement::hold_state::held)
+    {
+        refusals += 1;
+        next.append(queues[queue].refused(attempt, found.answer.state, now));
+    }
+    else if (order.mode == placement::hold_mode::start)
+    {
+        start(queue, order.group, attempt, next);
+    }
+    else
+    {
+        next.append(queues[queue].held(attempt, order.group, now));
+    }
+}
+
+void fake_cell::start(std::size_t queue,
+                      std::string const& group,
+                      model::attempt_id const& attempt,
+                      placement::queue_actions& next)
+{
+    auto const order = ledgers.at(group).commit(attempt, now);
+    if (!order)
+    {
+        next.append(
+            queues[queue].refused(attempt, placement::hold_state::full, now));
+        return;
+    }
+    running[attempt] = group;
+    owner[attempt] = queue;
+    next.append(queues[queue].started(attempt, group, now));
+    if (on_start)
+    {
+        on_start(*order);
+    }
+}
+
+void fake_cell::end(model::attempt_id const& attempt, model::task_end how)
+{
+    auto const it = running.find(attempt);
+    if (it == running.end())
+    {
+        return;
+    }
+    auto& ledger = ledgers.at(it->second);
+    auto const worker = ledger.worker_of(attempt);
+    ledger.finished(attempt, how, now);
+    running.erase(it);
+    auto const queue = owner.at(attempt);
+    carry_out(queue,
+              queues[queue].finished({attempt, how, worker, {}, 1, {}}, now));
+}
+
+bool fake_cell::nothing_overfull() const
+{
+    for (auto const& [name, ledger] : ledgers)
+    {
+        for (auto const& it : ledger.accounts())
+        {
+            if (!it.charged.fits_in(it.capacity))
+            {
+                return false;
+            }
+        }
+    }
+    return true;
+}
+
+model::contract wide_contract(std::string const& name)
+{
+    model::contract it;
+    it.name = name;
+    it.quota = {100'000'000, 1'000'000'000, 1'000};
+    it.urgent_quota = it.quota;
+    it.jobs_at_once = 1'000'000;
+    it.tasks_at_once = 1'000'000;
+    return it;
+}
+
+model::job_request request_of(std::string const& contract,
+                              std::string const& name,
+                              model::resources const& declared)
+{
+    model::job_request it;
+    it.contract = contract;
+    it.name = name;
+    it.declared = declared;
+    return it;
+}
+
+} // namespace berylhill::placement_test
--- /dev/null
+++ b/tests/placement/fake_cell.hpp
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <placement/group_ledger.hpp>
+#include <placement/job_queue.hpp>
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace berylhill::placement_test
+{
+
+/// Job queues joined to group ledgers in virtual time: every order is answered
+/// at once, and workers run what they are given. A fake for unit tests.
+class fake_cell
+{
+public:
+    explicit fake_cell(std::size_t queues = 1);
+
+    void add_worker(std::string const& group,
+                    std::string const& worker,
+                    model::resources const& capacity);
+    void add_contract(model::contract const& it);
+
+    /// Hands digests over, decides and carries all orders out.
+    void step(std::int32_t most = 1000);
+    void advance(double seconds)
+    {
+        now += base::from_seconds(seconds);
+    }
+    /// Ends one running attempt.
+    void end(model::attempt_id const& attempt, model::task_end how);
+    /// Carries out what a queue asked for.
+    void carry_out(std::size_t queue, placement::queue_actions actions);
+
+    [[nodiscard]] placement::job_queue& queue(std::size_t n = 0)
+    {
+        return queues[n];
+    }
+    /// Every worker's plans and peaks are within what it holds.
+    [[nodiscard]] bool nothing_overfull() const;
+
+    base::instant now{base::from_seconds(1000)};
+    std::map<std::string, placement::group_ledger> ledgers;
+    std::vector<placement::job_queue> queues;
+    /// Running attempts and the group of each.
+    std::map<model::attempt_id, std::string> running;
+    std::map<model::attempt_id, std::size_t> owner;
+    std::map<std::string, model::job_state> outcomes;
+    std::vector<model::attempt_id> checkpoints;
+    std::int64_t refusals{0};
+    /// Called with each start; may end it at once.
+    std::function<void(placement::start_order const&)> on_start;
+
+private:
+    void carry_out_hold(std::size_t queue,
+                        placement::hold_order const& order,
+                        placement::queue_actions& next);
+    void start(std::size_t queue,
+               std::string const& group,
+               model::attempt_id const& attempt,
+               placement::queue_actions& next);
+};
+
+[[nodiscard]] model::contract wide_contract(std::string const& name);
+
+[[nodiscard]] model::job_request request_of(std::string const& contract,
+                                            std::string const& name,
+                                            model::resources const& declared);
+
+} // namespace berylhill::placement_test
