--- /dev/null
+++ b/libraries/calls/contract_gate.cpp
@@ -0,0 +1,160 @@
+#include <calls/contract_gate.hpp>
+
+#include <algorithm>
+#include <cassert>
+
+namespace berylhill::calls
+{
+
+namespace
+{
+
+/// Weight of the newest measurement in a smoothed value.
+constexpr double s_newest = 0.2;
+/// What is left of a demand after a report without any.
+constexpr double s_fade = 0.7;
+/// Below this, a demand is noise and is left out of the gossip.
+constexpr double s_least_demand = 0.01;
+/// The shortest span over which refused clients are spread, in seconds.
+constexpr double s_least_spread_s = 0.5;
+/// A client that is told to wait longer than this would hear of a change of
+/// the shares too late.
+constexpr double s_longest_retry_s = 30;
+
+limit_part least_of(limit_part const& a, limit_part const& b)
+{
+    return {std::min(a.calls_per_s, b.calls_per_s), std::min(a.burst, b.burst),
+            std::min(a.at_once, b.at_once)};
+}
+
+} // namespace
+
+contract_gate::contract_gate(model::contract limits, base::instant now)
+    : m_limits{std::move(limits)}
+    , m_refilled{now}
+    , m_reported{now}
+{
+    m_demand.contract = m_limits.name;
+}
+
+void contract_gate::set_limits(model::contract const& limits)
+{
+    m_limits = limits;
+    m_part = least_of(m_part, {limits.calls_per_s,
+                               static_cast<double>(limits.call_burst),
+                               static_cast<double>(limits.calls_at_once)});
+    m_tokens = std::min(m_tokens, m_part.burst);
+}
+
+void contract_gate::set_part(limit_part const& part,
+                             base::instant now,
+                             base::duration settle)
+{
+    refill(now);
+    m_parts.emplace_back(now, part);
+    // One part older than the settling time stays: it was in force at the
+    // window's start.
+    while (m_parts.size() > 1 && m_parts[1].first <= now - settle)
+    {
+        m_parts.pop_front();
+    }
+    m_part = part;
+    for (auto const& it : m_parts)
+    {
+        m_part = least_of(m_part, it.second);
+    }
+    m_tokens = std::min(m_tokens, m_part.burst);
+}
+
+std::optional<refusal> contract_gate::admit(base::instant now,
+                                            generator& random)
+{
+    refill(now);
+    ++m_offered;
+    if (static_cast<double>(m_in_flight) + 1 > m_part.at_once)
+    {
+        ++m_refused;
+        ++m_refused_at_once;
+        return refuse(refusal_code::too_many_at_once, m_part.at_once / m_took_s,
+                      random);
+    }
+    if (m_tokens < 1)
+    {
+        ++m_refused;
+        return refuse(refusal_code::rate_limited, m_part.calls_per_s, random);
+    }
+    m_tokens -= 1;
+    ++m_in_flight;
+    m_peak = std::max(m_peak, m_in_flight);
+    return std::nullopt;
+}
+
+bool contract_gate::admit_resend(base::instant now)
+{
+    refill(now);
+    if (m_tokens < 1)
+    {
+        return false;
+    }
+    m_tokens -= 1;
+    return true;
+}
+
+void contract_gate::finish(base::duration took)
+{
+    assert(m_in_flight > 0);
+    --m_in_flight;
+    m_took_s += s_newest * (base::seconds_of(took) - m_took_s);
+}
+
+contract_demand contract_gate::report(base::instant now)
+{
+    auto const span = base::seconds_of(now - m_reported);
+    if (span <= 0)
+    {
+        return m_demand;
+    }
+    auto const rate = static_cast<double>(m_offered) / span;
+    auto const wanted = m_peak + m_refused_at_once;
+    auto const at_once = std::min(static_cast<double>(wanted),
+                                  static_cast<double>(m_limits.calls_at_once));
+    m_demand.calls_per_s = std::max(rate, m_demand.calls_per_s * s_fade);
+    m_demand.at_once = std::max(at_once, m_demand.at_once * s_fade);
+    if (m_demand.calls_per_s < s_least_demand)
+    {
+        m_demand.calls_per_s = 0;
+        m_demand.at_once = 0;
+    }
+    m_reported = now;
+    m_offered = 0;
+    m_refused = 0;
+    m_refused_at_once = 0;
+    m_peak = m_in_flight;
+    return m_demand;
+}
+
+void contract_gate::refill(base::instant now)
+{
+    auto const span = base::seconds_of(now - m_refilled);
+    if (span > 0)
+    {
+        m_tokens = std::min(m_tokens + span * m_part.calls_per_s, m_part.burst);
+        m_refilled = now;
+    }
+}
+
+refusal contract_gate::refuse(refusal_code code,
+                              double freed_per_s,
+                              generator& random) const
+{
+    // Those refused since the last report are ahead of this one: told the
+    // same time, they would all come back at once and be refused again.
+    auto const ahead = static_cast<double>(m_refused);
+    auto const spread =
+        freed_per_s > 0 ? ahead / freed_per_s : s_longest_retry_s;
+    auto const latest = std::clamp(spread, s_least_spread_s, s_longest_retry_s);
+    return {ran::not_run, code, "the limit of contract " + m_limits.name,
+            uniform(random, latest / 2, latest * 1.5)};
+}
+
+} // namespace berylhill::calls
--- /dev/null
+++ b/libraries/calls/idempotency_table.cpp
@@ -0,0 +1,181 @@
+#include <calls/idempotency_table.hpp>
+
+namespace berylhill::calls
+{
+
+namespace
+{
+
+/// When a repeat of a call in progress may find its answer, in seconds.
+constexpr double s_ask_again_s = 1;
+
+} // namespace
+
+idempotency_table::idempotency_table(base::duration retention, std::size_t most)
+    : m_retention{retention}
+    , m_most{most}
+{
+}
+
+bool idempotency_table::apply(call_intent const& it, base::instant now)
+{
+    auto const key = flat(it.key);
+    auto const [found, added] = m_entries.try_emplace(key);
+    auto& known = found->second;
+    auto const again = !added && known.intent.request_id == it.request_id;
+    // A first call that did not run leaves the key to the next one.
+    auto const unused = !added && known.outcome &&
+                        !known.outcome->is_answer() &&
+                        known.outcome->why().work == ran::not_run &&
+                        known.intent.fingerprint == it.fingerprint;
+    if (!added && (again || !unused))
+    {
+        return again;
+    }
+    known.intent = it;
+    known.outcome.reset();
+    // An intent of a process that was declared gone may be read late: its
+    // outcome will never come.
+    known.unknown = m_gone.contains(it.incarnation);
+    m_open[it.incarnation].insert(key);
+    touch_entry(key, known, now);
+    return true;
+}
+
+void idempotency_table::apply(call_result const& it, base::instant now)
+{
+    auto const key = flat(it.key);
+    auto const found = m_entries.find(key);
+    if (found == m_entries.end() ||
+        found->second.intent.request_id != it.request_id ||
+        found->second.outcome)
+    {
+        return;
+    }
+    found->second.outcome = it.outcome;
+    // A result that was in flight when its writer went is the truth.
+    found->second.unknown = false;
+    auto const open = m_open.find(found->second.intent.incarnation);
+    if (open != m_open.end())
+    {
+        open->second.erase(key);
+        if (open->second.empty())
+        {
+            m_open.erase(open);
+        }
+    }
+    touch_entry(key, found->second, now);
+}
+
+void idempotency_table::writer_gone(std::string const& incarnation,
+                                    base::instant now)
+{
+    m_gone.insert(incarnation);
+    auto const open = m_open.find(incarnation);
+    if (open == m_open.end())
+    {
+        return;
+    }
+    for (auto const& key : open->second)
+    {
+        auto const found = m_entries.find(key);
+        if (found != m_entries.end())
+        {
+            found->second.unknown = true;
+            touch_entry(key, found->second, now);
+        }
+    }
+    m_open.erase(open);
+}
+
+key_state idempotency_table::find(idempotency_key const& key,
+                                  std::uint64_t fingerprint) const
+{
+    auto const found = m_entries.find(flat(key));
+    if (found == m_entries.end())
+    {
+        return key_state::fresh;
+    }
+    auto const& known = found->second;
+    if (known.intent.fingerprint != fingerprint)
+    {
+        return key_state::conflict;
+    }
+    if (known.unknown)
+    {
+        return key_state::outcome_unknown;
+    }
+    if (!known.outcome)
+    {
+        return key_state::in_progress;
+    }
+    if (known.outcome->is_answer())
+    {
+        return key_state::answered;
+    }
+    return known.outcome->why().work == ran::not_run
+               ? key_state::fresh
+               : key_state::outcome_unknown;
+}
+
+std::optional<call_outcome>
+idempotency_table::outcome_of(idempotency_key const& key) const
+{
+    auto const found = m_entries.find(flat(key));
+    return found == m_entries.end() ? std::nullopt : found->second.outcome;
+}
+
+refusal idempotency_table::refusal_for(key_state state)
+{
+    switch (state)
+    {
+    case key_state::conflict:
+        return {ran::not_run, refusal_code::key_conflict,
+                "another request was made under this key", 0};
+    case key_state::in_progress:
+        // It speaks of the first call, which may well have run by now.
+        return {ran::unknown, refusal_code::key_in_progress,
+                "the first call with this key is in progress", s_ask_again_s};
+    case key_state::fresh:
+    case key_state::answered:
+    case key_state::outcome_unknown:
+        break;
+    }
+    return {ran::unknown, refusal_code::outcome_unknown,
+            "the first call with this key may have run", 0};
+}
+
+void idempotency_table::expire(base::instant now)
+{
+    while (!m_touched.empty() && m_touched.front().at + m_retention <= now)
+    {
+        auto const found = m_entries.find(m_touched.front().key);
+        if (found != m_entries.end() &&
+            found->second.touched == m_touched.front().at)
+        {
+            auto const open = m_open.find(found->second.intent.incarnation);
+            if (open != m_open.end())
+            {
+                open->second.erase(found->first);
+            }
+            m_entries.erase(found);
+        }
+        m_touched.pop_front();
+    }
+}
+
+std::string idempotency_table::flat(idempotency_key const& it)
+{
+    // The length first: no contract's name can reach into another's keys.
+    return std::to_string(it.contract.size()) + ":" + it.contract + it.key;
+}
+
+void idempotency_table::touch_entry(std::string const& key,
+                                    entry& it,
+                                    base::instant now)
+{
+    it.touched = now;
+    m_touched.push_back({now, key});
+}
+
+} // namespace berylhill::calls
--- /dev/null
+++ b/libraries/calls/ledger_action.hpp
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <base/time.hpp>
+#include <calls/call_outcome.hpp>
+
+#include <compare>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace berylhill::calls
+{
+
+/// Send the call to this minion once, on a connection of its own, and report
+/// `answered`, `not_run` or `unknown` within `timeout`.
+struct send_to_minion
+{
+    std::string request_id;
+    std::string minion;
+    base::duration timeout;
+
+    friend bool operator==(send_to_minion const&,
+                           send_to_minion const&) = default;
+};
+
+/// The call waits for a slot; nothing is to be done.
+struct call_queued
+{
+    std::string request_id;
+    base::duration expected_wait;
+
+    friend bool operator==(call_queued const&, call_queued const&) = default;
+};
+
+/// Give the caller its final answer now.
+struct refuse_call
+{
+    std::string request_id;
+    refusal why;
+
+    friend bool operator==(refuse_call const&, refuse_call const&) = default;
+};
+
+/// Pass the minion's answer on to the caller.
+struct deliver_answer
+{
+    std::string request_id;
+
+    friend bool operator==(deliver_answer const&,
+                           deliver_answer const&) = default;
+};
+
+/// The answer is of a call that was given up on, or of none: drop it and
+/// count it.
+struct drop_answer
+{
+    std::string request_id;
+
+    friend bool operator==(drop_answer const&, drop_answer const&) = default;
+};
+
+/// Ask the minion on a new connection whether it is there, and report
+/// `probed`.
+struct probe_minion
+{
+    std::string minion;
+
+    friend bool operator==(probe_minion const&, probe_minion const&) = default;
+};
+
+using ledger_action = std::variant<send_to_minion,
+                                   call_queued,
+                                   refuse_call,
+                                   deliver_answer,
+                                   drop_answer,
+                                   probe_minion>;
+using ledger_actions = std::vector<ledger_action>;
+
+} // namespace berylhill::calls
--- /dev/null
+++ b/libraries/calls/minion_ledger.cpp
@@ -0,0 +1,387 @@
+#include <calls/minion_ledger.hpp>
+
+#include <base/hash.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace berylhill::calls
+{
+
+namespace
+{
+
+/// Weight of the newest call in what callers allow.
+constexpr double s_newest = 0.05;
+/// Between two looks at ejections, lingering slots and deadlines.
+constexpr base::duration s_look_every{std::chrono::milliseconds{50}};
+/// Refusals are counted over this window for the time to come back.
+constexpr double s_refused_window_s = 1;
+constexpr double s_least_retry_s = 0.2;
+
+} // namespace
+
+minion_ledger::minion_ledger(std::string group,
+                             std::string service,
+                             ledger_settings const& settings,
+                             generator random)
+    : m_group{std::move(group)}
+    , m_service{std::move(service)}
+    , m_settings{settings}
+    , m_random{random}
+    , m_ejection{settings.health}
+    , m_run_s{base::seconds_of(settings.first_run)}
+{
+}
+
+ledger_actions minion_ledger::set_minion(model::endpoint const& it,
+                                         base::instant now)
+{
+    ledger_actions out;
+    m_removed.erase(it.id);
+    auto const [found, added] =
+        m_minions.try_emplace(it.id, it, m_settings.health);
+    if (!added)
+    {
+        found->second.set_endpoint(it);
+    }
+    dispatch(now, out);
+    return out;
+}
+
+ledger_actions minion_ledger::remove_minion(std::string const& minion,
+                                            base::instant now)
+{
+    ledger_actions out;
+    auto const found = m_minions.find(minion);
+    if (found == m_minions.end())
+    {
+        return out;
+    }
+    // The list lags and errs: a minion that drops off it and comes back must
+    // not have lost the count of its slots.
+    auto gone = found->second.endpoint();
+    gone.state = model::listed_state::leaving;
+    found->second.set_endpoint(std::move(gone));
+    m_removed.insert(minion);
+    erase_removed();
+    dispatch(now, out);
+    return out;
+}
+
+void minion_ledger::adopt(std::string const& minion,
+                          std::string const& request_id,
+                          base::instant free_at,
+                          base::instant now)
+{
+    auto const found = m_minions.find(minion);
+    if (found != m_minions.end())
+    {
+        found->second.take_unseen(request_id, now, free_at);
+        m_flights.emplace(request_id, flight{minion, now, false});
+    }
+}
+
+ledger_actions minion_ledger::offer(call const& it, base::instant now)
+{
+    ledger_actions out;
+    if (!first_sight(it))
+    {
+        return out;
+    }
+    auto const left = it.deadline - now;
+    m_allowed_s +=
+        s_newest * (std::max(0.0, base::seconds_of(left)) - m_allowed_s);
+    if (base::seconds_of(left) <= m_fast_run_s)
+    {
+        refuse(it, refusal_code::deadline_too_short, now, out);
+        return out;
+    }
+    if (m_queue.empty())
+    {
+        if (auto* minion = least_loaded(left, now))
+        {
+            send(it, *minion, now, out);
+            return out;
+        }
+    }
+    enqueue(it, now, out);
+    return out;
+}
+
+ledger_actions minion_ledger::answered(std::string const& request_id,
+                                       call_end end,
+                                       base::instant now)
+{
+    ledger_actions out;
+    auto const found = m_flights.find(request_id);
+    if (found == m_flights.end() || !found->second.awaited)
+    {
+        // A late answer: its caller has had the final answer already.
+        out.emplace_back(drop_answer{request_id});
+    }
+    else
+    {
+        out.emplace_back(deliver_answer{request_id});
+    }
+    end_flight(request_id, end, now);
+    dispatch(now, out);
+    return out;
+}
+
+ledger_actions minion_ledger::not_run(std::string const& request_id,
+                                      base::instant now)
+{
+    ledger_actions out;
+    auto const found = m_flights.find(request_id);
+    if (found == m_flights.end())
+    {
+        return out;
+    }
+    if (found->second.awaited)
+    {
+        out.emplace_back(refuse_call{
+            request_id,
+            {ran::not_run, refusal_code::minion_refused,
+             "minion " + found->second.minion + " did not take the call",
+             s_least_retry_s}});
+    }
+    end_flight(request_id, call_end::failed, now);
+    dispatch(now, out);
+    return out;
+}
+
+ledger_actions minion_ledger::unknown(std::string const& request_id,
+                                      base::instant now)
+{
+    ledger_actions out;
+    auto const found = m_flights.find(request_id);
+    if (found == m_flights.end())
+    {
+        return out;
+    }
+    if (found->second.awaited)
+    {
+        out.emplace_back(refuse_call{
+            request_id,
+            {ran::unknown, refusal_code::outcome_unknown,
+             "no whole answer came from minion " + found->second.minion, 0}});
+        found->second.awaited = false;
+    }
+    auto const minion = m_minions.find(found->second.minion);
+    if (minion != m_minions.end())
+    {
+        minion->second.health().ended(call_end::timed_out,
+                                      now - found->second.sent_at, now);
+        minion->second.linger(request_id, now + m_settings.longest_run);
+        judge(minion->second, now);
+    }
+    dispatch(now, out);
+    return out;
+}
+
+ledger_actions minion_ledger::freed(std::string const& request_id,
+                                    base::instant now)
+{
+    ledger_actions out;
+    auto const found = m_flights.find(request_id);
+    if (found == m_flights.end())
+    {
+        return out;
+    }
+    auto const minion = m_minions.find(found->second.minion);
+    if (minion != m_minions.end())
+    {
+        minion->second.release(request_id);
+    }
+    m_flights.erase(found);
+    erase_removed();
+    dispatch(now, out);
+    return out;
+}
+
+ledger_actions minion_ledger::give_up(std::string const& request_id,
+                                      base::instant now)
+{
+    ledger_actions out;
+    if (auto const waiting = m_queue.remove(request_id))
+    {
+        refuse(*waiting, refusal_code::deadline_too_short, now, out);
+        return out;
+    }
+    auto const found = m_flights.find(request_id);
+    if (found == m_flights.end() || !found->second.awaited)
+    {
+        return out;
+    }
+    found->second.awaited = false;
+    auto const minion = m_minions.find(found->second.minion);
+    if (minion != m_minions.end())
+    {
+        minion->second.give_up(request_id);
+    }
+    out.emplace_back(
+        refuse_call{request_id,
+                    {ran::unknown, refusal_code::outcome_unknown,
+                     "given up on while a minion had the call", 0}});
+    return out;
+}
+
+ledger_actions
+minion_ledger::probed(std::string const& minion, bool there, base::instant now)
+{
+    ledger_actions out;
+    auto const found = m_minions.find(minion);
+    if (found != m_minions.end())
+    {
+        found->second.health().probed(there, now);
+        dispatch(now, out);
+    }
+    return out;
+}
+
+ledger_actions minion_ledger::expire(base::instant now)
+{
+    ledger_actions out;
+    forget_seen(now);
+    auto const window = base::seconds_of(now - m_refused_since);
+    if (window >= s_refused_window_s)
+    {
+        m_refused /= 2;
+        m_refused_since = now;
+    }
+    for (auto& [id, minion] : m_minions)
+    {
+        for (auto const& ended : minion.expire(now))
+        {
+            m_flights.erase(ended);
+        }
+        if (minion.health().start_probe(now))
+        {
+            out.emplace_back(probe_minion{id});
+        }
+    }
+    judge_silent(now);
+    erase_removed();
+    auto const least = now + base::from_seconds(m_fast_run_s);
+    for (auto const& it : m_queue.take_due(least))
+    {
+        refuse(it, refusal_code::deadline_too_short, now, out);
+    }
+    dispatch(now, out);
+    return out;
+}
+
+base::instant minion_ledger::next_expiry(base::instant now) const
+{
+    auto next = now + s_look_every;
+    if (auto const deadline = m_queue.earliest_deadline())
+    {
+        next = std::min(next, *deadline - base::from_seconds(m_fast_run_s));
+    }
+    return std::max(next, now + base::duration{1});
+}
+
+ledger_actions minion_ledger::stop()
+{
+    ledger_actions out;
+    while (auto const it = m_queue.pop())
+    {
+        out.emplace_back(refuse_call{
+            it->request_id,
+            {ran::not_run, refusal_code::stopping,
+             "the owner of " + m_group + " is stopping", s_least_retry_s}});
+    }
+    return out;
+}
+
+group_digest minion_ledger::digest(base::instant now) const
+{
+    group_digest it;
+    it.group = m_group;
+    it.service = m_service;
+    it.slots = usable_slots(now);
+    for (auto const& [id, minion] : m_minions)
+    {
+        it.busy += std::min(minion.busy(), minion.usable(now));
+    }
+    it.queued = static_cast<std::int32_t>(m_queue.size());
+    it.run = base::from_seconds(m_run_s);
+    it.wait = it.busy < it.slots && m_queue.empty()
+                  ? base::duration{0}
+                  : wait_of(static_cast<double>(m_queue.size()), now);
+    return it;
+}
+
+minion_slots const* minion_ledger::find(std::string const& minion) const
+{
+    auto const it = m_minions.find(minion);
+    return it == m_minions.end() ? nullptr : &it->second;
+}
+
+std::string minion_ledger::minion_of(std::string const& request_id) const
+{
+    auto const it = m_flights.find(request_id);
+    return it == m_flights.end() ? std::string{} : it->second.minion;
+}
+
+bool minion_ledger::first_sight(call const& it)
+{
+    auto const hash = base::hash_of(it.request_id);
+    if (!m_seen.insert(hash).second)
+    {
+        return false;
+    }
+    m_seen_until.emplace(it.deadline, hash);
+    return true;
+}
+
+void minion_ledger::forget_seen(base::instant now)
+{
+    while (!m_seen_until.empty() && m_seen_until.top().first <= now)
+    {
+        m_seen.erase(m_seen_until.top().second);
+        m_seen_until.pop();
+    }
+}
+
+void minion_ledger::send(call const& it,
+                         minion_slots& minion,
+                         base::instant now,
+                         ledger_actions& out)
+{
+    minion.take(it.request_id, now);
+    m_flights.emplace(it.request_id, flight{minion.endpoint().id, now, true});
+    out.emplace_back(
+        send_to_minion{it.request_id, minion.endpoint().id, it.deadline - now});
+}
+
+void minion_ledger::end_flight(std::string const& request_id,
+                               call_end end,
+                               base::instant now)
+{
+    auto const found = m_flights.find(request_id);
+    if (found == m_flights.end())
+    {
+        return;
+    }
+    auto const it = found->second;
+    m_flights.erase(found);
+    auto const minion = m_minions.find(it.minion);
+    if (minion == m_minions.end())
+    {
+        return;
+    }
+    minion->second.release(request_id);
+    auto const run = now - it.sent_at;
+    auto& health = minion->second.health();
+    health.ended(end, run, now);
+    if (end == call_end::good && health.state() == health_state::in)
+    {
+        learn_run(run);
+    }
+    judge(minion->second, now);
+    erase_removed();
+}
+
+} // namespace berylhill::calls
--- /dev/null
+++ b/libraries/calls/minion_ledger_choice.cpp
@@ -0,0 +1,217 @@
+#include <calls/minion_ledger.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+/// The half of the ledger that chooses: which minion, queue or refusal, and
+/// who is ejected. The events are in minion_ledger.cpp.
+namespace berylhill::calls
+{
+
+namespace
+{
+
+/// Weight of the newest call in the group's smoothed run time.
+constexpr double s_newest = 0.05;
+/// The part of answers that are at least as fast as the fast run.
+constexpr double s_fast_part = 0.1;
+/// Calls that must hang on a minion before it counts as silent.
+constexpr std::int32_t s_hanging = 2;
+constexpr double s_least_retry_s = 0.2;
+constexpr double s_longest_retry_s = 30;
+
+} // namespace
+
+void minion_ledger::dispatch(base::instant now, ledger_actions& out)
+{
+    while (!m_queue.empty())
+    {
+        auto* minion = least_loaded(base::from_seconds(m_allowed_s), now);
+        if (minion == nullptr)
+        {
+            return;
+        }
+        auto const it = m_queue.pop();
+        if (base::seconds_of(it->deadline - now) <= m_fast_run_s)
+        {
+            refuse(*it, refusal_code::deadline_too_short, now, out);
+            continue;
+        }
+        send(*it, *minion, now, out);
+    }
+}
+
+void minion_ledger::enqueue(call const& it,
+                            base::instant now,
+                            ledger_actions& out)
+{
+    if (usable_slots(now) == 0)
+    {
+        refuse(it, refusal_code::no_minion, now, out);
+        return;
+    }
+    auto const wait = wait_of(m_queue.turns_before(it), now);
+    if (now + wait + base::from_seconds(m_run_s) > it.deadline)
+    {
+        refuse(it, refusal_code::deadline_too_short, now, out);
+        return;
+    }
+    m_queue.push(it);
+    out.emplace_back(call_queued{it.request_id, wait});
+    auto const most = static_cast<std::size_t>(m_settings.most_queued);
+    auto const whole = wait_of(static_cast<double>(m_queue.size()), now);
+    if (m_queue.size() > most || whole > m_settings.longest_wait)
+    {
+        auto const victim = m_queue.shed();
+        refuse(*victim, refusal_code::overloaded, now, out);
+    }
+}
+
+minion_slots* minion_ledger::least_loaded(base::duration left,
+                                          base::instant now)
+{
+    minion_slots* best = nullptr;
+    double least = 0;
+    for (auto& [id, minion] : m_minions)
+    {
+        // A call would be lost on a minion that takes longer than is left.
+        if (!minion.has_room(now) || minion.health().run() > left)
+        {
+            continue;
+        }
+        auto const slots = std::max(minion.endpoint().slots, std::int32_t{1});
+        // The random part decides between equals only.
+        auto const load =
+            (static_cast<double>(minion.busy()) + uniform(m_random, 0, 0.5)) /
+            static_cast<double>(slots);
+        if (best == nullptr || load < least)
+        {
+            best = &minion;
+            least = load;
+        }
+    }
+    return best;
+}
+
+void minion_ledger::refuse(call const& it,
+                           refusal_code code,
+                           base::instant now,
+                           ledger_actions& out)
+{
+    m_refused += 1;
+    // Those refused just before come back too; spread over the time that it
+    // takes to serve them, they do not all find the group full again.
+    auto const ahead = m_refused + static_cast<double>(m_queue.size());
+    auto const spread = std::clamp(base::seconds_of(wait_of(ahead, now)),
+                                   s_least_retry_s, s_longest_retry_s);
+    out.emplace_back(refuse_call{
+        it.request_id,
+        {ran::not_run, code, "group " + m_group + " has no room in time",
+         uniform(m_random, spread / 2, spread * 1.5)}});
+}
+
+void minion_ledger::learn_run(base::duration run)
+{
+    auto const seconds = base::seconds_of(run);
+    m_run_s += s_newest * (seconds - m_run_s);
+    // Steps up and down balance where a tenth of the answers is faster.
+    auto const step = s_newest * m_run_s;
+    m_fast_run_s +=
+        seconds < m_fast_run_s ? -step * (1 - s_fast_part) : step * s_fast_part;
+    m_fast_run_s = std::clamp(m_fast_run_s, 0.0, m_run_s);
+}
+
+void minion_ledger::judge(minion_slots& minion, base::instant now)
+{
+    auto& health = minion.health();
+    auto const in_time =
+        !m_queue.empty() && base::seconds_of(health.run()) < m_allowed_s;
+    auto const help = in_time ? slow_help::in_time : slow_help::none;
+    if (m_ejection.is_outlier(health, peers_of(minion), help) && may_eject())
+    {
+        health.eject(now);
+    }
+}
+
+void minion_ledger::judge_silent(base::instant now)
+{
+    for (auto& [id, minion] : m_minions)
+    {
+        auto& health = minion.health();
+        if (health.state() != health_state::in)
+        {
+            continue;
+        }
+        auto const silence = m_ejection.silence(peers_of(minion));
+        // One long call is no sign; several, and nothing else answered
+        // meanwhile, are.
+        if (now - health.last_good() > silence &&
+            minion.running_longer(silence, now) >= s_hanging && may_eject())
+        {
+            health.eject(now);
+        }
+    }
+}
+
+void minion_ledger::erase_removed()
+{
+    std::erase_if(m_removed,
+                  [&](std::string const& id)
+                  {
+                      auto const it = m_minions.find(id);
+                      if (it != m_minions.end() && it->second.busy() > 0)
+                      {
+                          return false;
+                      }
+                      m_minions.erase(id);
+                      return true;
+                  });
+}
+
+bool minion_ledger::may_eject() const
+{
+    std::size_t all = 0;
+    std::size_t out = 0;
+    for (auto const& [id, minion] : m_minions)
+    {
+        if (minion.leaving())
+        {
+            continue;
+        }
+        ++all;
+        out += minion.health().state() == health_state::in ? 0 : 1;
+    }
+    return m_ejection.may_eject(all, out);
+}
+
+peer_figures minion_ledger::peers_of(minion_slots const& except) const
+{
+    std::vector<minion_health const*> peers;
+    for (auto const& [id, minion] : m_minions)
+    {
+        if (&minion != &except)
+        {
+            peers.push_back(&minion.health());
+        }
+    }
+    return ejection_rules::figures_of(peers);
+}
+
+std::int32_t minion_ledger::usable_slots(base::instant now) const
+{
+    std::int32_t n = 0;
+    for (auto const& [id, minion] : m_minions)
+    {
+        n += minion.usable(now);
+    }
+    return n;
+}
+
+base::duration minion_ledger::wait_of(double turns, base::instant now) const
+{
+    auto const slots = std::max(usable_slots(now), std::int32_t{1});
+    return base::from_seconds((turns + 1) * m_run_s /
+                              static_cast<double>(slots));
+}
+
+} // namespace berylhill::calls
--- /dev/null
+++ b/libraries/calls/router.cpp
@@ -0,0 +1,183 @@
+#include <calls/router.hpp>
+
+#include <algorithm>
+
+namespace berylhill::calls
+{
+
+namespace
+{
+
+/// Most calls end within this multiple of the smoothed run time.
+constexpr double s_hedge_after_runs = 3;
+/// What a group without usable slots counts as waiting, in seconds.
+constexpr double s_no_slots_s = 60;
+
+} // namespace
+
+router::router(router_settings const& settings, generator random)
+    : m_settings{settings}
+    , m_random{random}
+{
+}
+
+void router::heard(group_digest const& it, base::instant now)
+{
+    auto const old = m_service_of.find(it.group);
+    if (old != m_service_of.end() && old->second != it.service)
+    {
+        forget(it.group);
+    }
+    m_service_of[it.group] = it.service;
+    auto& known = m_services[it.service][it.group];
+    auto const& last = known.digest;
+    auto const newer = it.epoch != last.epoch ? it.epoch > last.epoch
+                                              : it.sequence > last.sequence;
+    if (!last.group.empty() && !newer)
+    {
+        return;
+    }
+    known.digest = it;
+    known.heard_at = now;
+    known.sent_since = 0;
+}
+
+void router::forget(std::string const& group)
+{
+    auto const service = m_service_of.find(group);
+    if (service == m_service_of.end())
+    {
+        return;
+    }
+    m_services[service->second].erase(group);
+    m_service_of.erase(service);
+}
+
+std::optional<route> router::choose(std::string const& service,
+                                    std::vector<std::string> const& tried,
+                                    base::instant now)
+{
+    auto const found = m_services.find(service);
+    if (found == m_services.end())
+    {
+        return std::nullopt;
+    }
+    std::vector<known_group*> open;
+    std::vector<known_group*> last_resort;
+    for (auto& [group, it] : found->second)
+    {
+        if (std::find(tried.begin(), tried.end(), group) != tried.end())
+        {
+            continue;
+        }
+        auto const doubtful =
+            now - it.heard_at > m_settings.stale || now < it.avoid_until;
+        (doubtful ? last_resort : open).push_back(&it);
+    }
+    auto& candidates = open.empty() ? last_resort : open;
+    if (candidates.empty())
+    {
+        return std::nullopt;
+    }
+    auto const n = static_cast<double>(candidates.size());
+    auto const first = static_cast<std::size_t>(uniform(m_random, 0, n));
+    auto* best = candidates[first];
+    if (candidates.size() > 1)
+    {
+        auto second = static_cast<std::size_t>(uniform(m_random, 0, n - 1));
+        second += second >= first ? 1 : 0;
+        auto* other = candidates[second];
+        if (expected_wait_s(*other, now) < expected_wait_s(*best, now))
+        {
+            best = other;
+        }
+    }
+    ++best->sent_since;
+    ++best->in_flight;
+    return route{best->digest.group, best->digest.owner, best->digest.epoch};
+}
+
+void router::refused(std::string const& group,
+                     base::duration retry_after,
+                     base::instant now)
+{
+    auto const service = m_service_of.find(group);
+    if (service != m_service_of.end())
+    {
+        m_services[service->second][group].avoid_until = now + retry_after;
+    }
+}
+
+void router::ended(std::string const& group)
+{
+    auto const service = m_service_of.find(group);
+    if (service != m_service_of.end())
+    {
+        auto& known = m_services[service->second][group];
+        known.in_flight = std::max(known.in_flight - 1, std::int32_t{0});
+    }
+}
+
+std::optional<base::instant> router::hedge_at(std::string const& group,
+                                              call const& it,
+                                              base::instant now) const
+{
+    auto const service = m_service_of.find(group);
+    if (service == m_service_of.end())
+    {
+        return std::nullopt;
+    }
+    auto const& digest = m_services.at(service->second).at(group).digest;
+    auto const run = base::seconds_of(digest.run);
+    auto const at =
+        now + digest.wait + base::from_seconds(run * s_hedge_after_runs);
+    if (at + digest.run > it.deadline)
+    {
+        return std::nullopt;
+    }
+    return at;
+}
+
+bool router::knows(std::string const& service) const
+{
+    auto const it = m_services.find(service);
+    return it != m_services.end() && !it->second.empty();
+}
+
+void router::expire(base::instant now)
+{
+    for (auto& [service, groups] : m_services)
+    {
+        std::erase_if(groups,
+                      [&](auto const& it)
+                      {
+                          auto const old =
+                              now - it.second.heard_at > m_settings.gone;
+                          if (old)
+                          {
+                              m_service_of.erase(it.first);
+                          }
+                          return old;
+                      });
+    }
+}
+
+double router::expected_wait_s(known_group const& it, base::instant now) const
+{
+    auto const& digest = it.digest;
+    if (digest.slots <= 0)
+    {
+        return s_no_slots_s;
+    }
+    auto const run = base::seconds_of(digest.run);
+    auto const load =
+        static_cast<double>(digest.busy + digest.queued + it.sent_since) /
+        static_cast<double>(digest.slots);
+    auto const age = std::max(base::seconds_of(now - it.heard_at) -
+                                  base::seconds_of(m_settings.fresh),
+                              0.0);
+    // What an old digest says is worth less the older it is.
+    return load * run + base::seconds_of(digest.wait) + age;
+}
+
+} // namespace berylhill::calls
