--- a/libraries/placement/estimator.cpp
+++ b/libraries/placement/estimator.cpp
@@ -85,7 +85,7 @@
     it.largest_memory = largest(it.memory);
     auto run = it.run;
     auto const at = static_cast<std::size_t>(
-        s_run_quantile * static_cast<double>(n - 1) + 0.5);
+        std::floor(s_run_quantile * static_cast<double>(n)));
     std::nth_element(run.begin(), run.begin() + at, run.begin() + n);
     it.long_run = run[at];
 }
