--- a/libraries/settings/schema.hpp
+++ b/libraries/settings/schema.hpp
@@ -217,17 +217,15 @@
                         std::string const& pointer,
                         std::vector<std::string> const& members)
     {
-        for (auto const& it : found.items())
+        auto const is_below = [&](base::finding const& it)
         {
-            for (auto const& name : members)
-            {
-                if (it.place.starts_with(pointer + "/" + name))
-                {
-                    return true;
-                }
-            }
-        }
-        return false;
+            return std::any_of(
+                members.begin(), members.end(),
+                [&](auto const& name)
+                { return it.place.starts_with(pointer + "/" + name); });
+        };
+        return std::any_of(found.items().begin(), found.items().end(),
+                           is_below);
     }
 
     std::vector<std::unique_ptr<field>> m_fields;
--- a/tests/telemetry/metrics_test.cpp
+++ b/tests/telemetry/metrics_test.cpp
@@ -68,6 +68,7 @@
 {
     telemetry::metrics all;
     std::vector<std::thread> threads;
+    threads.reserve(4);
     for (int i = 0; i < 4; ++i)
     {
         threads.emplace_back(
