--- a/libraries/settings/entry_schema.cpp
+++ b/libraries/settings/entry_schema.cpp
@@ -271,16 +271,16 @@
     return value;
 }
 
-base::result<entry_settings> load_entry_settings(std::string const& path)
+entry_settings load_entry_settings(std::string const& path,
+                                   base::findings& found)
 {
-    BOOST_LEAF_AUTO(text, read_file(path));
-    base::findings found;
-    auto value = read_entry_settings(path, text, found);
-    if (!found.empty())
+    auto const text = base::capture([&] { return read_file(path); });
+    if (!text)
     {
-        return base::fail(base::failure_code::invalid, found.text());
+        found.add({path, 0, "", "cannot be read as a file"});
+        return {};
     }
-    return value;
+    return read_entry_settings(path, text.value(), found);
 }
 
 } // namespace berylhill::settings
--- a/libraries/settings/entry_schema.hpp
+++ b/libraries/settings/entry_schema.hpp
@@ -17,9 +17,8 @@
                                                  std::string const& text,
                                                  base::findings& found);
 
-/// Reads a settings file. Fails with `invalid` and a message of one line for
-/// each finding, and with `not_found` where the file cannot be read.
-[[nodiscard]] base::result<entry_settings>
-load_entry_settings(std::string const& path);
+/// The same for a file; that it cannot be read is a finding too.
+[[nodiscard]] entry_settings load_entry_settings(std::string const& path,
+                                                 base::findings& found);
 
 } // namespace berylhill::settings
--- a/libraries/settings/kinds.cpp
+++ b/libraries/settings/kinds.cpp
@@ -2,6 +2,8 @@
 
 #include <arpa/inet.h>
 
+#include <json/writer.h>
+
 #include <algorithm>
 #include <charconv>
 #include <sstream>
@@ -17,7 +19,9 @@
 
 std::string plain(double it)
 {
+    constexpr int enough_for_limits = 12;
     std::ostringstream out;
+    out.precision(enough_for_limits);
     out << it;
     return out.str();
 }
@@ -143,7 +147,7 @@
         auto value = from.json().asString();
         if (!m_accepts(value, m_longest))
         {
-            found.add(from.wrong("\"" + value + "\" is not " + name()));
+            found.add(from.wrong("\"" + value + "\" is not a valid " + name()));
             return;
         }
         into = std::move(value);
@@ -204,8 +208,17 @@
 
 base::finding wrong_type(located_value const& it, std::string_view wanted)
 {
-    return it.wrong(std::string{type_name_of(it.json())} + " stands here; " +
-                    std::string{wanted} + " was expected");
+    return it.wrong("expected " + std::string{wanted} + ", found " +
+                    std::string{type_name_of(it.json())});
+}
+
+std::string short_text_of(Json::Value const& it)
+{
+    constexpr int digits_of_people = 12;
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    builder["precision"] = digits_of_people;
+    return Json::writeString(builder, it);
 }
 
 kind_pointer<std::int64_t> integer(std::int64_t least, std::int64_t most)
--- a/libraries/settings/kinds.hpp
+++ b/libraries/settings/kinds.hpp
@@ -44,6 +44,9 @@
 [[nodiscard]] base::finding wrong_type(located_value const& it,
                                        std::string_view wanted);
 
+/// JSON text with numbers as people write them: 0.1, not its nearest double.
+[[nodiscard]] std::string short_text_of(Json::Value const& it);
+
 /// A list of values of one kind.
 template <class T>
 class list_kind final : public value_kind<std::vector<T>>
--- a/libraries/settings/schema.hpp
+++ b/libraries/settings/schema.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <model/json.hpp>
 #include <settings/kinds.hpp>
 
 #include <algorithm>
@@ -162,7 +161,7 @@
             into.push_back({pointer, kind->name(),
                             words.needed == presence::required
                                 ? "required"
-                                : model::text_of(kind->write(defaults.*member)),
+                                : short_text_of(kind->write(defaults.*member)),
                             words.unit, words.explanation});
         }
 
