--- a/libraries/settings/schema.hpp
+++ b/libraries/settings/schema.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <model/json.hpp>
 #include <settings/kinds.hpp>
 
 #include <algorithm>
@@ -162,7 +161,7 @@
             into.push_back({pointer, kind->name(),
                             words.needed == presence::required
                                 ? "required"
-                                : model::text_of(kind->write(defaults.*member)),
+                                : short_text_of(kind->write(defaults.*member)),
                             words.unit, words.explanation});
         }
 
@@ -217,17 +216,15 @@
                         std::string const& pointer,
                         std::vector<std::string> const& members)
     {
-        for (auto const& it : found.items())
+        auto const is_below = [&](base::finding const& it)
         {
-            for (auto const& name : members)
-            {
-                if (it.place.starts_with(pointer + "/" + name))
-                {
-                    return true;
-                }
-            }
-        }
-        return false;
+            return std::any_of(
+                members.begin(), members.end(),
+                [&](auto const& name)
+                { return it.place.starts_with(pointer + "/" + name); });
+        };
+        return std::any_of(found.items().begin(), found.items().end(),
+                           is_below);
     }
 
     std::vector<std::unique_ptr<field>> m_fields;
