--- a/libraries/calls/ledger_action.hpp
+++ b/libraries/calls/ledger_action.hpp
@@ -11,12 +11,15 @@
 namespace berylhill::calls
 {
 
-/// Send the call to this minion once, on a connection of its own, and report
-/// `answered`, `not_run` or `unknown` within `timeout`.
+/// Send the call to this minion once, on a connection of its own. Report
+/// `answered` or `not_run` when they come, also when the call was given up on
+/// meanwhile, and `unknown` when the connection breaks or `timeout` is over:
+/// until then the late answer is what says that the minion's slot is free.
 struct send_to_minion
 {
     std::string request_id;
     std::string minion;
+    /// Since the send; later than the call's deadline, which the ledger keeps.
     base::duration timeout;
 
     friend bool operator==(send_to_minion const&,
--- a/libraries/calls/minion_ledger.cpp
+++ b/libraries/calls/minion_ledger.cpp
@@ -160,21 +160,16 @@
     {
         return out;
     }
+    auto const minion = m_minions.find(found->second.minion);
     if (found->second.awaited)
     {
-        out.emplace_back(refuse_call{
-            request_id,
-            {ran::unknown, refusal_code::outcome_unknown,
-             "no whole answer came from minion " + found->second.minion, 0}});
-        found->second.awaited = false;
+        stop_waiting(request_id, found->second, out);
+        note_timeout(found->second, now);
     }
-    auto const minion = m_minions.find(found->second.minion);
     if (minion != m_minions.end())
     {
-        minion->second.health().ended(call_end::timed_out,
-                                      now - found->second.sent_at, now);
-        minion->second.linger(request_id, now + m_settings.longest_run);
-        judge(minion->second, now);
+        minion->second.linger(request_id,
+                              found->second.sent_at + m_settings.longest_run);
     }
     dispatch(now, out);
     return out;
@@ -214,16 +209,7 @@
     {
         return out;
     }
-    found->second.awaited = false;
-    auto const minion = m_minions.find(found->second.minion);
-    if (minion != m_minions.end())
-    {
-        minion->second.give_up(request_id);
-    }
-    out.emplace_back(
-        refuse_call{request_id,
-                    {ran::unknown, refusal_code::outcome_unknown,
-                     "given up on while a minion had the call", 0}});
+    stop_waiting(request_id, found->second, out);
     return out;
 }
 
@@ -261,6 +247,7 @@
             out.emplace_back(probe_minion{id});
         }
     }
+    give_up_late(now, out);
     judge_silent(now);
     erase_removed();
     auto const least = now + base::from_seconds(m_fast_run_s);
@@ -279,6 +266,10 @@
     {
         next = std::min(next, *deadline - base::from_seconds(m_fast_run_s));
     }
+    if (!m_deadlines.empty())
+    {
+        next = std::min(next, m_deadlines.top().first);
+    }
     return std::max(next, now + base::duration{1});
 }
 
@@ -352,8 +343,51 @@
 {
     minion.take(it.request_id, now);
     m_flights.emplace(it.request_id, flight{minion.endpoint().id, now, true});
+    m_deadlines.emplace(it.deadline, it.request_id);
+    out.emplace_back(send_to_minion{it.request_id, minion.endpoint().id,
+                                    m_settings.longest_run});
+}
+
+void minion_ledger::give_up_late(base::instant now, ledger_actions& out)
+{
+    while (!m_deadlines.empty() && m_deadlines.top().first <= now)
+    {
+        auto const id = m_deadlines.top().second;
+        m_deadlines.pop();
+        auto const found = m_flights.find(id);
+        if (found != m_flights.end() && found->second.awaited)
+        {
+            stop_waiting(id, found->second, out);
+            note_timeout(found->second, now);
+        }
+    }
+}
+
+void minion_ledger::stop_waiting(std::string const& request_id,
+                                 flight& it,
+                                 ledger_actions& out)
+{
+    it.awaited = false;
+    auto const minion = m_minions.find(it.minion);
+    if (minion != m_minions.end())
+    {
+        minion->second.give_up(request_id);
+    }
     out.emplace_back(
-        send_to_minion{it.request_id, minion.endpoint().id, it.deadline - now});
+        refuse_call{request_id,
+                    {ran::unknown, refusal_code::outcome_unknown,
+                     "no whole answer came from minion " + it.minion, 0}});
+}
+
+void minion_ledger::note_timeout(flight const& it, base::instant now)
+{
+    auto const minion = m_minions.find(it.minion);
+    if (minion != m_minions.end())
+    {
+        minion->second.health().ended(call_end::timed_out, now - it.sent_at,
+                                      now);
+        judge(minion->second, now);
+    }
 }
 
 void minion_ledger::end_flight(std::string const& request_id,
@@ -373,6 +407,12 @@
         return;
     }
     minion->second.release(request_id);
+    if (!it.awaited)
+    {
+        // It was counted when it was given up on.
+        erase_removed();
+        return;
+    }
     auto const run = now - it.sent_at;
     auto& health = minion->second.health();
     health.ended(end, run, now);
--- a/libraries/calls/minion_ledger.hpp
+++ b/libraries/calls/minion_ledger.hpp
@@ -27,12 +27,15 @@
 
 struct ledger_settings
 {
-    /// Calls are refused rather than queued for longer than this: a short
-    /// queue evens out chance, a long one only adds waiting.
+    /// Calls are refused rather than queued for longer than this many times
+    /// what a call takes: a queue of one or two runs evens out chance and
+    /// keeps every slot busy, a longer one only makes answers late.
+    double longest_wait_runs{2};
+    /// The same as a time, whatever a call takes.
     base::duration longest_wait{std::chrono::milliseconds{500}};
     std::int32_t most_queued{1'024};
-    /// The longest that a minion may spend on a call after its connection is
-    /// closed; until then its slot counts as taken.
+    /// The longest that a minion may be at a call, from the send on; until
+    /// then, or its answer, the slot counts as taken.
     base::duration longest_run{std::chrono::seconds{30}};
     /// What a call takes before the first one ended.
     base::duration first_run{std::chrono::milliseconds{20}};
@@ -137,10 +140,15 @@
         base::instant sent_at;
         bool awaited{true};
     };
+    using deadline_of = std::pair<base::instant, std::string>;
     using seen_until = std::pair<base::instant, std::uint64_t>;
 
     [[nodiscard]] bool first_sight(call const& it);
     void forget_seen(base::instant now);
+    void give_up_late(base::instant now, ledger_actions& out);
+    void stop_waiting(std::string const& request_id,
+                      flight& it,
+                      ledger_actions& out);
     void dispatch(base::instant now, ledger_actions& out);
     void send(call const& it,
               minion_slots& minion,
@@ -155,6 +163,7 @@
                 ledger_actions& out);
     void
     end_flight(std::string const& request_id, call_end end, base::instant now);
+    void note_timeout(flight const& it, base::instant now);
     void learn_run(base::duration run);
     void judge(minion_slots& minion, base::instant now);
     void judge_silent(base::instant now);
@@ -172,6 +181,9 @@
     std::map<std::string, minion_slots> m_minions;
     call_queue m_queue;
     std::unordered_map<std::string, flight> m_flights;
+    /// Of the flights, and of some that have ended since.
+    std::priority_queue<deadline_of, std::vector<deadline_of>, std::greater<>>
+        m_deadlines;
     /// Hashes of the request ids offered, until their deadlines.
     std::unordered_set<std::uint64_t> m_seen;
     std::priority_queue<seen_until, std::vector<seen_until>, std::greater<>>
--- a/libraries/calls/minion_ledger_choice.cpp
+++ b/libraries/calls/minion_ledger_choice.cpp
@@ -60,7 +60,10 @@
     out.emplace_back(call_queued{it.request_id, wait});
     auto const most = static_cast<std::size_t>(m_settings.most_queued);
     auto const whole = wait_of(static_cast<double>(m_queue.size()), now);
-    if (m_queue.size() > most || whole > m_settings.longest_wait)
+    auto const longest =
+        std::min(m_settings.longest_wait,
+                 base::from_seconds(m_settings.longest_wait_runs * m_run_s));
+    if (m_queue.size() > most || whole > longest)
     {
         auto const victim = m_queue.shed();
         refuse(*victim, refusal_code::overloaded, now, out);
--- a/libraries/calls/router.cpp
+++ b/libraries/calls/router.cpp
@@ -12,6 +12,8 @@
 constexpr double s_hedge_after_runs = 3;
 /// What a group without usable slots counts as waiting, in seconds.
 constexpr double s_no_slots_s = 60;
+/// What a refusal since the last digest adds to the waiting, in seconds.
+constexpr double s_full_s = 0.5;
 
 } // namespace
 
@@ -40,6 +42,7 @@
     known.digest = it;
     known.heard_at = now;
     known.sent_since = 0;
+    known.full = false;
 }
 
 void router::forget(std::string const& group)
@@ -55,66 +58,18 @@
 
 std::optional<route> router::choose(std::string const& service,
                                     std::vector<std::string> const& tried,
+                                    wanted_room room,
                                     base::instant now)
 {
-    auto const found = m_services.find(service);
-    if (found == m_services.end())
-    {
-        return std::nullopt;
-    }
-    std::vector<known_group*> open;
-    std::vector<known_group*> last_resort;
-    for (auto& [group, it] : found->second)
-    {
-        if (std::find(tried.begin(), tried.end(), group) != tried.end())
-        {
-            continue;
-        }
-        auto const doubtful =
-            now - it.heard_at > m_settings.stale || now < it.avoid_until;
-        (doubtful ? last_resort : open).push_back(&it);
-    }
-    auto& candidates = open.empty() ? last_resort : open;
-    if (candidates.empty())
-    {
-        return std::nullopt;
-    }
-    auto const n = static_cast<double>(candidates.size());
-    auto const first = static_cast<std::size_t>(uniform(m_random, 0, n));
-    auto* best = candidates[first];
-    if (candidates.size() > 1)
-    {
-        auto second = static_cast<std::size_t>(uniform(m_random, 0, n - 1));
-        second += second >= first ? 1 : 0;
-        auto* other = candidates[second];
-        if (expected_wait_s(*other, now) < expected_wait_s(*best, now))
-        {
-            best = other;
-        }
-    }
-    ++best->sent_since;
-    ++best->in_flight;
-    return route{best->digest.group, best->digest.owner, best->digest.epoch};
+    return draw(candidates(service, tried, room, now), now);
 }
 
-void router::refused(std::string const& group,
-                     base::duration retry_after,
-                     base::instant now)
+void router::refused(std::string const& group)
 {
     auto const service = m_service_of.find(group);
     if (service != m_service_of.end())
     {
-        m_services[service->second][group].avoid_until = now + retry_after;
-    }
-}
-
-void router::ended(std::string const& group)
-{
-    auto const service = m_service_of.find(group);
-    if (service != m_service_of.end())
-    {
-        auto& known = m_services[service->second][group];
-        known.in_flight = std::max(known.in_flight - 1, std::int32_t{0});
+        m_services[service->second][group].full = true;
     }
 }
 
@@ -162,6 +117,72 @@
     }
 }
 
+router::group_list router::candidates(std::string const& service,
+                                      std::vector<std::string> const& tried,
+                                      wanted_room room,
+                                      base::instant now)
+{
+    group_list fresh;
+    group_list old;
+    auto const found = m_services.find(service);
+    if (found == m_services.end())
+    {
+        return fresh;
+    }
+    for (auto& [group, it] : found->second)
+    {
+        auto const was_tried =
+            std::find(tried.begin(), tried.end(), group) != tried.end();
+        if (was_tried || !has_room(it, room, now))
+        {
+            continue;
+        }
+        auto const is_old = now - it.heard_at > m_settings.stale;
+        (is_old ? old : fresh).push_back(&it);
+    }
+    return fresh.empty() ? old : fresh;
+}
+
+bool router::has_room(known_group const& it,
+                      wanted_room room,
+                      base::instant now) const
+{
+    if (room == wanted_room::any)
+    {
+        return true;
+    }
+    if (it.full || now - it.heard_at > m_settings.stale)
+    {
+        return false;
+    }
+    auto const& digest = it.digest;
+    auto const used = digest.busy + digest.queued + it.sent_since;
+    return room == wanted_room::not_refused || used < digest.slots;
+}
+
+std::optional<route> router::draw(group_list const& among, base::instant now)
+{
+    if (among.empty())
+    {
+        return std::nullopt;
+    }
+    auto const n = static_cast<double>(among.size());
+    auto const first = static_cast<std::size_t>(uniform(m_random, 0, n));
+    auto* best = among[first];
+    if (among.size() > 1)
+    {
+        auto second = static_cast<std::size_t>(uniform(m_random, 0, n - 1));
+        second += second >= first ? 1 : 0;
+        auto* other = among[second];
+        if (expected_wait_s(*other, now) < expected_wait_s(*best, now))
+        {
+            best = other;
+        }
+    }
+    ++best->sent_since;
+    return route{best->digest.group, best->digest.owner, best->digest.epoch};
+}
+
 double router::expected_wait_s(known_group const& it, base::instant now) const
 {
     auto const& digest = it.digest;
@@ -177,7 +198,8 @@
                                   base::seconds_of(m_settings.fresh),
                               0.0);
     // What an old digest says is worth less the older it is.
-    return load * run + base::seconds_of(digest.wait) + age;
+    auto const full = it.full ? s_full_s : 0;
+    return load * run + base::seconds_of(digest.wait) + age + full;
 }
 
 } // namespace berylhill::calls
--- a/libraries/calls/router.hpp
+++ b/libraries/calls/router.hpp
@@ -28,6 +28,17 @@
                            router_settings const&) = default;
 };
 
+/// What a group must have to be chosen.
+enum class wanted_room : std::uint8_t
+{
+    any,         ///< For first attempts, and when a minion failed.
+    not_refused, ///< It refused nothing since its last digest: for calls that
+                 ///< another owner refused. Under overload a full group only
+                 ///< refuses them again.
+    idle,        ///< Slots to spare: for hedges, so that they never take a
+                 ///< slot from a first attempt.
+};
+
 /// Where a call is sent. A value.
 struct route
 {
@@ -53,20 +64,17 @@
     /// The group has no owner any more, or another one from now on.
     void forget(std::string const& group);
 
-    /// A group of the service that is not in `tried`; empty where none is.
+    /// A group of the service that is not in `tried` and has this room, as
+    /// far as is known; empty where none is.
     [[nodiscard]] std::optional<route>
     choose(std::string const& service,
            std::vector<std::string> const& tried,
+           wanted_room room,
            base::instant now);
 
-    /// The group's owner refused a call for want of room: it is avoided for
-    /// the time that the owner named.
-    void refused(std::string const& group,
-                 base::duration retry_after,
-                 base::instant now);
-
-    /// A call that was routed to the group has ended.
-    void ended(std::string const& group);
+    /// The group's owner refused a call for want of room: until its next
+    /// digest it counts as full.
+    void refused(std::string const& group);
 
     /// When an idempotent call may be sent a second time elsewhere: after a
     /// time that most calls of the service end in. Empty where it would not
@@ -85,11 +93,20 @@
     {
         group_digest digest;
         base::instant heard_at;
-        base::instant avoid_until;
+        bool full{false};
         /// Calls of this entry that the digest cannot know of yet.
         std::int32_t sent_since{0};
-        std::int32_t in_flight{0};
     };
+    using group_list = std::vector<known_group*>;
+
+    [[nodiscard]] group_list candidates(std::string const& service,
+                                        std::vector<std::string> const& tried,
+                                        wanted_room room,
+                                        base::instant now);
+    [[nodiscard]] bool
+    has_room(known_group const& it, wanted_room room, base::instant now) const;
+    [[nodiscard]] std::optional<route> draw(group_list const& among,
+                                            base::instant now);
 
     [[nodiscard]] double expected_wait_s(known_group const& it,
                                          base::instant now) const;
