--- a/libraries/calls/router.cpp
+++ b/libraries/calls/router.cpp
@@ -12,6 +12,8 @@
 constexpr double s_hedge_after_runs = 3;
 /// What a group without usable slots counts as waiting, in seconds.
 constexpr double s_no_slots_s = 60;
+/// Calls for each slot, those on it included, while a queue is short.
+constexpr std::int32_t s_short_queue_per_slot = 2;
 /// What a refusal since the last digest adds to the waiting, in seconds.
 constexpr double s_full_s = 0.5;
 
@@ -157,7 +159,10 @@
     }
     auto const& digest = it.digest;
     auto const used = digest.busy + digest.queued + it.sent_since;
-    return room == wanted_room::not_refused || used < digest.slots;
+    auto const most = room == wanted_room::idle
+                          ? digest.slots
+                          : digest.slots * s_short_queue_per_slot;
+    return used < most;
 }
 
 std::optional<route> router::draw(group_list const& among, base::instant now)
--- a/libraries/calls/router.hpp
+++ b/libraries/calls/router.hpp
@@ -32,9 +32,8 @@
 enum class wanted_room : std::uint8_t
 {
     any,         ///< For first attempts, and when a minion failed.
-    not_refused, ///< It refused nothing since its last digest: for calls that
-                 ///< another owner refused. Under overload a full group only
-                 ///< refuses them again.
+    short_queue, ///< For calls that another owner refused: under overload a
+                 ///< full group only refuses them again.
     idle,        ///< Slots to spare: for hedges, so that they never take a
                  ///< slot from a first attempt.
 };
--- a/utilities/bench/calls_goodput.cpp
+++ b/utilities/bench/calls_goodput.cpp
@@ -335,15 +335,19 @@
     }
 
 private:
+    calls::group_digest digest_of(std::size_t g)
+    {
+        auto digest = m_ledgers[g].digest(m_time.now());
+        digest.sequence = ++m_sequence;
+        return digest;
+    }
+
     void gossip()
     {
-        ++m_sequence;
-        for (auto const& it : m_ledgers)
+        for (std::size_t g = 0; g < m_ledgers.size(); ++g)
         {
-            auto digest = it.digest(m_time.now());
-            digest.sequence = m_sequence;
             m_time.after(s_hop,
-                         [this, digest]
+                         [this, digest = digest_of(g)]
                          {
                              for (auto& each : m_routers)
                              {
@@ -476,7 +480,7 @@
     {
         auto const now = m_time.now();
         auto const room = end == calls::attempt_end::owner_refused
-                              ? calls::wanted_room::not_refused
+                              ? calls::wanted_room::short_queue
                               : calls::wanted_room::any;
         auto const to = router(it).choose("report-svc", it->tried, room, now);
         if (to && budget(it).take(it->call.contract))
@@ -497,12 +501,12 @@
             }
             else if (auto const* refuse = std::get_if<calls::refuse_call>(&it))
             {
-                back(refuse->request_id, end_of(refuse->why));
+                back(g, refuse->request_id, end_of(refuse->why));
             }
             else if (auto const* answer =
                          std::get_if<calls::deliver_answer>(&it))
             {
-                back(answer->request_id, calls::attempt_end::answered);
+                back(g, answer->request_id, calls::attempt_end::answered);
             }
             else if (auto const* probe = std::get_if<calls::probe_minion>(&it))
             {
@@ -525,11 +529,16 @@
                    : calls::attempt_end::owner_refused;
     }
 
-    void back(std::string const& id, calls::attempt_end end)
+    void back(std::size_t g, std::string const& id, calls::attempt_end end)
     {
+        // Every answer of an owner carries its digest.
         auto const held = m_held.extract(id);
         m_time.after(s_hop,
-                     [this, it = held.mapped(), end] { ended(it, end); });
+                     [this, it = held.mapped(), end, digest = digest_of(g)]
+                     {
+                         router(it).heard(digest, m_time.now());
+                         ended(it, end);
+                     });
     }
 
     void send_out(std::size_t g, calls::send_to_minion const& send)
