--- a/libraries/scenario/api_client.cpp
+++ b/libraries/scenario/api_client.cpp
@@ -14,6 +14,8 @@
 {
 
 constexpr auto s_timeout = std::chrono::seconds{5};
+/// An apply answers when the change is in force everywhere.
+constexpr auto s_apply_timeout = std::chrono::seconds{20};
 constexpr auto s_watch_timeout = std::chrono::milliseconds{800};
 /// An answer may come this much after the deadline that the entry was given.
 constexpr auto s_way_back = std::chrono::milliseconds{500};
@@ -256,8 +258,8 @@
     body["operator"] = who;
     body["contracts"] = contracts;
     std::string entry;
-    BOOST_LEAF_AUTO(reply,
-                    send(post("/v1/contracts/apply", body), s_timeout, entry));
+    BOOST_LEAF_AUTO(
+        reply, send(post("/v1/contracts/apply", body), s_apply_timeout, entry));
     auto const answer = json_in(reply.body);
     if (!good(reply) || !answer["offset"].isInt64())
     {
--- a/libraries/scenario/check_configuration.cpp
+++ b/libraries/scenario/check_configuration.cpp
@@ -9,6 +9,8 @@
 namespace
 {
 
+/// Where the product's operators' interface writes; see docs/PLATFORM.md.
+constexpr char const* s_stream = "configuration";
 constexpr std::int64_t s_in_force_within_us = 8'000'000;
 
 /// Keeps the highest accepted offset that must be in force by now.
@@ -49,11 +51,20 @@
         accepted_offsets accepted;
         std::map<std::string, std::int64_t> last;
         std::map<std::int64_t, std::string> content;
+        std::map<std::int64_t, std::int64_t> written;
         for (auto const& it : seen)
         {
-            if (it.kind == "configuration_accepted")
+            if (it.kind == "append" && it.subject == s_stream)
             {
-                accepted.accept(it.at_us, it.number("offset"));
+                written.emplace(it.number("offset"), it.at_us);
+            }
+            else if (it.kind == "configuration_accepted")
+            {
+                // The answer may come late, so the time is the log's.
+                auto const offset = it.number("offset");
+                auto const at = written.find(offset);
+                accepted.accept(at == written.end() ? it.at_us : at->second,
+                                offset);
             }
             else if (it.kind == "process_started")
             {
