--- a/utilities/bench/replay.cpp
+++ b/utilities/bench/replay.cpp
@@ -137,7 +137,8 @@
         {
             auto const done = end == model::task_end::succeeded;
             m_left -= done ? 1 : 0;
-            m_result.checkpoints += done ? 0 : 1;
+            m_result.checkpoints +=
+                end == model::task_end::checkpointed ? 1 : 0;
             m_kept[{it.start.job, it.start.index}] = it.done_s;
             m_scheduler.ended(it, end, m_now);
         }
--- a/utilities/bench/replay.hpp
+++ b/utilities/bench/replay.hpp
@@ -59,6 +59,7 @@
     /// What the last report said, two seconds late.
     model::resources reported;
     bool checkpoint{false};
+    bool stop{false};
 };
 
 /// Decision code under replay.
--- a/utilities/bench/replay_input.cpp
+++ b/utilities/bench/replay_input.cpp
@@ -14,6 +14,11 @@
 namespace
 {
 
+/// The month's end is this much work for a fleet that is used to the full.
+constexpr double s_fleet_work_s = 2'000;
+/// The share of the fleet that a race day's batch work takes as declared.
+constexpr double s_race_day_load = 0.85;
+
 using generator = boost::random::mt19937_64;
 
 double uniform(generator& from, double least, double most)
@@ -87,6 +92,16 @@
     return it;
 }
 
+/// The larger of the shares of the fleet's cores and memory.
+double share_of_fleet(replay_input const& fleet, model::resources const& it)
+{
+    auto const all = fleet.capacity * fleet.workers;
+    return std::max(static_cast<double>(it.millicores) /
+                        static_cast<double>(all.millicores),
+                    static_cast<double>(it.memory_mb) /
+                        static_cast<double>(all.memory_mb));
+}
+
 void sort_by_arrival(replay_input& it)
 {
     std::stable_sort(it.jobs.begin(), it.jobs.end(),
@@ -99,20 +114,23 @@
 replay_input kitakaze_month_end(std::uint64_t seed)
 {
     constexpr std::int32_t names = 20;
-    constexpr std::int32_t jobs = 6'000;
-    constexpr double arrive_within_s = 1'800;
+    constexpr double arrive_within_s = 900;
     generator from{seed};
     replay_input it;
     it.name = "kitakaze";
     it.capacity = {32'000, 131'072, 0};
     it.contracts = {contract_of("kitakaze", model::preference::packing)};
     auto const sizes = make_names(from, names);
-    for (std::int32_t n = 0; n < jobs; ++n)
+    for (double work_s = 0; work_s < s_fleet_work_s;)
     {
         auto const name = static_cast<std::size_t>(whole(from, 0, names - 1));
         it.jobs.push_back(make_job(from, sizes[name], "kitakaze",
                                    "monthly-" + std::to_string(name),
                                    uniform(from, 0, arrive_within_s)));
+        auto const& job = it.jobs.back();
+        work_s += job.size_factor * job.run_factor *
+                  job.request.declared_run_s *
+                  share_of_fleet(it, job.request.declared);
     }
     sort_by_arrival(it);
     return it;
@@ -137,8 +155,13 @@
             it.jobs.push_back(make(at));
         }
     };
-    // About nine tenths of the fleet's memory by what is declared.
-    arrivals(0.35,
+    double work_s = 0;
+    for (auto const& each : sizes)
+    {
+        work_s += each.run_factor * each.run_s *
+                  share_of_fleet(it, each.declared) / clubs;
+    }
+    arrivals(work_s / s_race_day_load,
              [&](double at)
              {
                  auto const club =
--- a/utilities/bench/replay_own.cpp
+++ b/utilities/bench/replay_own.cpp
@@ -93,7 +93,11 @@
         }
         for (auto const& it : actions.releases)
         {
-            m_ledgers.at(it.group).release(it.attempt, now);
+            for (auto const& stop :
+                 m_ledgers.at(it.group).release(it.attempt, now))
+            {
+                m_stops.insert(stop.attempt);
+            }
         }
         for (auto const& it : actions.holds)
         {
@@ -154,6 +158,7 @@
 {
     auto const now = instant_of(now_s);
     auto const attempt = attempt_of(it.start);
+    m_stops.erase(attempt);
     ledger_of(it.start.worker).finished(attempt, end, now);
     carry_out(m_queue.finished({attempt,
                                 end,
@@ -179,6 +184,7 @@
         running.push_back({attempt, request.contract, request.name,
                            request.declared, it->reported});
         by_attempt[attempt] = it;
+        it->stop |= m_stops.erase(attempt) > 0;
         it->checkpoint |= m_checkpoints.erase(attempt) > 0;
         m_queue.used(attempt, it->reported);
     }
--- a/utilities/bench/replay_schedulers.hpp
+++ b/utilities/bench/replay_schedulers.hpp
@@ -7,6 +7,7 @@
 
 #include <deque>
 #include <memory>
+#include <set>
 #include <vector>
 
 namespace berylhill::bench
@@ -78,6 +79,7 @@
     placement::job_queue m_queue;
     std::vector<replay_start> m_starts;
     std::set<model::attempt_id> m_checkpoints;
+    std::set<model::attempt_id> m_stops;
 };
 
 } // namespace berylhill::bench
