placement: Restart a gang whose last stopped task ends well

A gang that loses a task stops the rest and starts anew when all have ended. Failing first: running_of(cell, "job-1") == 1 has failed [0 != 1].

--- a/libraries/placement/job_queue.hpp
+++ b/libraries/placement/job_queue.hpp
@@ -225,7 +225,8 @@
     task_record* current(job_pointer const& job,
                          model::attempt_id const& attempt);
     void settle(job_record& job, task_record& it);
-    queue_actions task_done(job_pointer const& job, std::int32_t index);
+    queue_actions
+    task_done(job_pointer const& job, std::int32_t index, base::instant now);
     queue_actions task_failed(job_pointer const& job,
                               std::int32_t index,
                               attempt_end const& it,
--- a/libraries/placement/job_queue_events.cpp
+++ b/libraries/placement/job_queue_events.cpp
@@ -210,7 +210,7 @@
         {
             return run_again(job, index, now, now);
         }
-        return task_done(job, index);
+        return task_done(job, index, now);
     case model::task_end::failed:
         return task_failed(job, index, end, now);
     case model::task_end::checkpointed:
@@ -237,14 +237,20 @@
                      " may have run, and may not run again");
 }
 
-queue_actions job_queue::task_done(job_pointer const& job, std::int32_t index)
+queue_actions job_queue::task_done(job_pointer const& job,
+                                   std::int32_t index,
+                                   base::instant now)
 {
     job->tasks[static_cast<std::size_t>(index)].phase = task_phase::done;
     job->failures_in_row = 0;
     job->unfinished -= 1;
     if (job->unfinished > 0)
     {
-        return {};
+        // A gang that is being stopped may end its last task well: what is
+        // left of it starts together again.
+        auto const gang = job->request.kind == model::job_kind::gang;
+        return gang && !job->waiting.empty() ? restart_gang(job, now)
+                                             : queue_actions{};
     }
     return close(*job, model::job_state::succeeded, {});
 }
--- a/tests/placement/fake_cell.cpp
+++ b/tests/placement/fake_cell.cpp
@@ -62,37 +62,42 @@
 {
     while (!actions.empty())
     {
-        placement::queue_actions next;
-        for (auto const& it : actions.reservations)
-        {
-            ledgers.at(it.group).reserve(it.job, it.frees_at, it.until, now);
-        }
-        for (auto const& it : actions.releases)
-        {
-            ledgers.at(it.group).release(it.attempt, now);
-            if (running.erase(it.attempt) > 0)
-            {
-                ledgers.at(it.group).finished(it.attempt,
-                                              model::task_end::stopped, now);
-                next.append(queues[queue].finished(
-                    {it.attempt, model::task_end::stopped, {}, {}, 0, {}},
-                    now));
-            }
-        }
-        for (auto const& it : actions.holds)
-        {
-            carry_out_hold(queue, it, next);
-        }
-        for (auto const& it : actions.commits)
-        {
-            start(queue, it.group, it.attempt, next);
-        }
-        for (auto const& it : actions.outcomes)
+        actions = deliver(queue, actions);
+    }
+}
+
+placement::queue_actions
+fake_cell::deliver(std::size_t queue, placement::queue_actions const& actions)
+{
+    placement::queue_actions next;
+    for (auto const& it : actions.reservations)
+    {
+        ledgers.at(it.group).reserve(it.job, it.frees_at, it.until, now);
+    }
+    for (auto const& it : actions.releases)
+    {
+        ledgers.at(it.group).release(it.attempt, now);
+        if (running.erase(it.attempt) > 0)
         {
-            outcomes[it.job] = it.state;
+            ledgers.at(it.group).finished(it.attempt, model::task_end::stopped,
+                                          now);
+            next.append(queues[queue].finished(
+                {it.attempt, model::task_end::stopped, {}, {}, 0, {}}, now));
         }
-        actions = std::move(next);
     }
+    for (auto const& it : actions.holds)
+    {
+        carry_out_hold(queue, it, next);
+    }
+    for (auto const& it : actions.commits)
+    {
+        start(queue, it.group, it.attempt, next);
+    }
+    for (auto const& it : actions.outcomes)
+    {
+        outcomes[it.job] = it.state;
+    }
+    return next;
 }
 
 void fake_cell::carry_out_hold(std::size_t queue,
@@ -135,6 +140,7 @@
     }
     running[attempt] = group;
     owner[attempt] = queue;
+    planned[attempt] = order->start.planned;
     next.append(queues[queue].started(attempt, group, now));
     if (on_start)
     {
@@ -155,7 +161,8 @@
     running.erase(it);
     auto const queue = owner.at(attempt);
     carry_out(queue,
-              queues[queue].finished({attempt, how, worker, {}, 1, {}}, now));
+              queues[queue].finished(
+                  {attempt, how, worker, planned.at(attempt), 10, {}}, now));
 }
 
 bool fake_cell::nothing_overfull() const
--- a/tests/placement/fake_cell.hpp
+++ b/tests/placement/fake_cell.hpp
@@ -33,6 +33,9 @@
     void end(model::attempt_id const& attempt, model::task_end how);
     /// Carries out what a queue asked for.
     void carry_out(std::size_t queue, placement::queue_actions actions);
+    /// Only the first step of that: returns what the queue asked for next.
+    placement::queue_actions deliver(std::size_t queue,
+                                     placement::queue_actions const& actions);
 
     [[nodiscard]] placement::job_queue& queue(std::size_t n = 0)
     {
@@ -47,6 +50,7 @@
     /// Running attempts and the group of each.
     std::map<model::attempt_id, std::string> running;
     std::map<model::attempt_id, std::size_t> owner;
+    std::map<model::attempt_id, model::resources> planned;
     std::map<std::string, model::job_state> outcomes;
     std::vector<model::attempt_id> checkpoints;
     std::int64_t refusals{0};
--- /dev/null
+++ b/tests/placement/gang_test.cpp
@@ -0,0 +1,204 @@
+#include "fake_cell.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <array>
+
+using namespace berylhill;
+using namespace berylhill::placement_test;
+
+namespace
+{
+
+model::job_request gang_of(std::int32_t tasks, model::resources const& each)
+{
+    auto it = request_of("cantabrica", "reissue", each);
+    it.kind = model::job_kind::gang;
+    it.tasks = tasks;
+    return it;
+}
+
+void submit(fake_cell& cell,
+            std::size_t queue,
+            std::string const& id,
+            model::job_request const& request)
+{
+    auto const taken = base::capture(
+        [&] { return cell.queue(queue).submit(id, request, cell.now); });
+    BOOST_REQUIRE(taken.has_value());
+}
+
+/// How many tasks of the job run now.
+std::int64_t running_of(fake_cell const& cell, std::string const& job)
+{
+    return std::count_if(cell.running.begin(), cell.running.end(),
+                         [&](auto const& it)
+                         { return it.first.task.job == job; });
+}
+
+void add_racks(fake_cell& cell, std::int32_t racks, std::int32_t workers)
+{
+    for (std::int32_t rack = 0; rack < racks; ++rack)
+    {
+        auto const group =
+            "rack-" + std::string(1, static_cast<char>('a' + rack));
+        for (std::int32_t n = 0; n < workers; ++n)
+        {
+            cell.add_worker(group, group + "-w" + std::to_string(n),
+                            {4'000, 8'192, 0});
+        }
+    }
+    cell.add_contract(wide_contract("cantabrica"));
+    cell.add_contract(wide_contract("kitakaze"));
+    cell.step();
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(gang)
+
+// A season's reissue runs with all its tasks; one of them is checkpointed while
+// the others are told to stop, and one of those ends well before the stop
+// reaches it. The secretary then waits for ever, because nobody starts the
+// gang's rest again: the success was not taken as the last stop.
+BOOST_AUTO_TEST_CASE(a_gang_restarts_when_its_last_stop_is_a_success)
+{
+    fake_cell cell;
+    add_racks(cell, 1, 1);
+    submit(cell, 0, "job-1", gang_of(2, {1'000, 1'024, 0}));
+    cell.step();
+    BOOST_REQUIRE(running_of(cell, "job-1") == 2);
+    auto const first = cell.running.begin()->first;
+    auto const second = cell.running.rbegin()->first;
+    auto& ledger = cell.ledgers.at("rack-a");
+    // The stop is on its way while the second task ends.
+    ledger.finished(first, model::task_end::checkpointed, cell.now);
+    auto const actions = cell.queue().finished(
+        {first, model::task_end::checkpointed, "w", {}, 1, {}}, cell.now);
+    BOOST_TEST(actions.releases.size() == 1U);
+    cell.running.erase(first);
+    cell.end(second, model::task_end::succeeded);
+    cell.advance(1);
+    cell.step();
+    BOOST_TEST(running_of(cell, "job-1") == 1);
+    cell.end(cell.running.begin()->first, model::task_end::succeeded);
+    BOOST_CHECK(cell.outcomes.at("job-1") == model::job_state::succeeded);
+}
+
+// Two reissues arrive at two owners in the same instant; each needs more than
+// half of the fleet. If each kept what it got and waited for the rest, neither
+// club would ever see its ratings.
+BOOST_AUTO_TEST_CASE(two_gangs_of_two_owners_both_get_done)
+{
+    fake_cell cell{2};
+    add_racks(cell, 4, 2);
+    submit(cell, 0, "job-1", gang_of(20, {1'000, 1'024, 0}));
+    submit(cell, 1, "job-2", gang_of(20, {1'000, 1'024, 0}));
+    for (std::int32_t n = 0; n < 200 && cell.outcomes.size() < 2; ++n)
+    {
+        cell.step();
+        for (auto const* job : {"job-1", "job-2"})
+        {
+            auto const n_running = running_of(cell, job);
+            BOOST_TEST((n_running == 0 || n_running == 20));
+        }
+        BOOST_TEST(cell.nothing_overfull());
+        cell.advance(0.1);
+        if (n % 10 == 9)
+        {
+            auto const all = cell.running;
+            for (auto const& [attempt, group] : all)
+            {
+                cell.end(attempt, model::task_end::succeeded);
+            }
+        }
+    }
+    BOOST_TEST(cell.outcomes.size() == 2U);
+}
+
+// The holds of two gangs cross on their way: each has half of the racks when
+// it is refused the other half. Both give back and ask again after a pause; if
+// the pauses were equal they would meet again for ever.
+BOOST_AUTO_TEST_CASE(crossing_holds_do_not_meet_for_ever)
+{
+    fake_cell cell{2};
+    add_racks(cell, 2, 1);
+    submit(cell, 0, "job-1", gang_of(6, {1'000, 1'024, 0}));
+    submit(cell, 1, "job-2", gang_of(6, {1'000, 1'024, 0}));
+    std::int32_t rounds = 0;
+    while (cell.running.empty() && rounds < 200)
+    {
+        rounds += 1;
+        std::array<placement::queue_actions, 2> orders;
+        for (std::size_t n = 0; n < 2; ++n)
+        {
+            for (auto const& [name, ledger] : cell.ledgers)
+            {
+                cell.queue(n).update_group(ledger.digest(), cell.now);
+            }
+            orders[n] = cell.queue(n).decide(cell.now, 100);
+        }
+        // The first gets the first rack, the second is ahead at the other.
+        orders[0] = cell.deliver(0, orders[0]);
+        orders[1] = cell.deliver(1, orders[1]);
+        while (!orders[0].empty() || !orders[1].empty())
+        {
+            orders[1] = cell.deliver(1, orders[1]);
+            orders[0] = cell.deliver(0, orders[0]);
+        }
+        cell.advance(0.01);
+    }
+    BOOST_TEST(cell.running.size() == 6U);
+    BOOST_TEST(rounds < 200);
+}
+
+// Small jobs arrive all the time and fill every gap, so a gang that needs most
+// of the fleet would wait for ever. Room is kept for it after its patience.
+BOOST_AUTO_TEST_CASE(a_large_gang_is_not_starved_by_a_stream_of_small_jobs)
+{
+    fake_cell cell;
+    add_racks(cell, 4, 2);
+    auto small = request_of("kitakaze", "daily", {1'000, 1'024, 0});
+    small.declared_run_s = 5;
+    std::map<model::attempt_id, base::instant> ends;
+    cell.on_start = [&](placement::start_order const& it)
+    {
+        ends[it.start.attempt] = cell.now + base::from_seconds(5);
+    };
+    std::int32_t next = 0;
+    auto const pass = [&](double seconds)
+    {
+        for (double at = 0; at < seconds; at += 0.5)
+        {
+            for (std::int32_t n = 0; n < 4; ++n)
+            {
+                submit(cell, 0, "small-" + std::to_string(next++), small);
+            }
+            auto const all = ends;
+            for (auto const& [attempt, end] : all)
+            {
+                if (cell.now >= end)
+                {
+                    cell.end(attempt, model::task_end::succeeded);
+                    ends.erase(attempt);
+                }
+            }
+            cell.step();
+            cell.advance(0.5);
+        }
+    };
+    pass(20);
+    // Plans are a little above what was seen: three tasks a worker.
+    BOOST_TEST(cell.running.size() == 24U);
+    submit(cell, 0, "large", gang_of(28, {1'000, 1'024, 0}));
+    std::int64_t most = 0;
+    for (std::int32_t n = 0; n < 60 && most == 0; ++n)
+    {
+        pass(0.5);
+        most = running_of(cell, "large");
+    }
+    BOOST_TEST(most == 28);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/utilities/bench/replay.cpp
+++ b/utilities/bench/replay.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <optional>
 #include <set>
 
 namespace berylhill::bench
@@ -109,29 +110,42 @@
         it.largest = model::largest_of(it.largest, it.used);
     }
 
+    /// Whether the task goes on; otherwise how it ended.
+    static std::optional<model::task_end> advance_task(replay_task& it)
+    {
+        it.done_s += s_tick * it.share;
+        set_use(it);
+        if (it.done_s >= it.work_s)
+        {
+            return model::task_end::succeeded;
+        }
+        if (it.stop)
+        {
+            it.done_s = 0;
+            return model::task_end::stopped;
+        }
+        if (it.checkpoint)
+        {
+            return model::task_end::checkpointed;
+        }
+        return std::nullopt;
+    }
+
     void advance()
     {
         std::vector<std::pair<replay_task, model::task_end>> over;
         for (auto& tasks : m_tasks)
         {
-            std::erase_if(
-                tasks,
-                [&](replay_task& it)
-                {
-                    it.done_s += s_tick * it.share;
-                    set_use(it);
-                    if (it.done_s >= it.work_s)
-                    {
-                        over.emplace_back(it, model::task_end::succeeded);
-                        return true;
-                    }
-                    if (it.checkpoint)
-                    {
-                        over.emplace_back(it, model::task_end::checkpointed);
-                        return true;
-                    }
-                    return false;
-                });
+            std::erase_if(tasks,
+                          [&](replay_task& it)
+                          {
+                              auto const end = advance_task(it);
+                              if (end)
+                              {
+                                  over.emplace_back(it, *end);
+                              }
+                              return end.has_value();
+                          });
         }
         for (auto const& [it, end] : over)
         {
