--- a/libraries/placement/estimator.cpp
+++ b/libraries/placement/estimator.cpp
@@ -1,5 +1,7 @@
 #include <placement/estimator.hpp>
 
+#include <base/hash.hpp>
+
 #include <algorithm>
 #include <cmath>
 
@@ -36,23 +38,38 @@
     return request.contract + '/' + request.name;
 }
 
-void estimator::learn(model::job_request const& request,
+void estimator::learn(std::string const& job,
+                      model::job_request const& request,
                       model::resources const& peak,
                       double run_s)
 {
+    if (peak.empty())
+    {
+        // It ended before its use was ever measured.
+        return;
+    }
     if (m_histories.size() >= s_most_names)
     {
         m_histories.clear();
     }
     auto& it = m_histories[key_of(request)];
-    auto const at = it.count % s_kept;
+    auto const id = base::hash_of(job);
+    auto const known = std::find(it.jobs.begin(), it.jobs.end(), id);
+    auto const seen = known != it.jobs.end();
+    auto const at = seen ? static_cast<std::size_t>(known - it.jobs.begin())
+                         : it.count % s_kept;
     auto const& declared = request.declared;
-    it.cores[at] = ratio(static_cast<double>(peak.millicores),
-                         static_cast<double>(declared.millicores));
-    it.memory[at] = ratio(static_cast<double>(peak.memory_mb),
-                          static_cast<double>(declared.memory_mb));
-    it.run[at] = ratio(run_s, request.declared_run_s);
-    it.count += 1;
+    auto const note = [&](float& into, float value)
+    {
+        into = seen ? std::max(into, value) : value;
+    };
+    note(it.cores[at], ratio(static_cast<double>(peak.millicores),
+                             static_cast<double>(declared.millicores)));
+    note(it.memory[at], ratio(static_cast<double>(peak.memory_mb),
+                              static_cast<double>(declared.memory_mb)));
+    note(it.run[at], ratio(run_s, request.declared_run_s));
+    it.jobs[at] = id;
+    it.count += seen ? 0 : 1;
     summarize(it);
 }
 
--- a/libraries/placement/estimator.hpp
+++ b/libraries/placement/estimator.hpp
@@ -32,7 +32,9 @@
 {
 public:
     /// One task has ended well; `peak` and `run_s` are what it took.
-    void learn(model::job_request const& request,
+    /// Tasks of one job are alike, so a job counts once, by its largest task.
+    void learn(std::string const& job,
+               model::job_request const& request,
                model::resources const& peak,
                double run_s);
 
@@ -53,6 +55,7 @@
         std::array<float, s_kept> cores{};
         std::array<float, s_kept> memory{};
         std::array<float, s_kept> run{};
+        std::array<std::uint64_t, s_kept> jobs{};
         std::uint32_t count{0};
         float largest_cores{0};
         float largest_memory{0};
