placement: Throttle again as use grows, and end throttles when there is room

A task was throttled once, at the first report over its plan, and grew on under that share. Gangs are now the dearest victims, since all of one starts anew.

--- a/libraries/placement/group_ledger.hpp
+++ b/libraries/placement/group_ledger.hpp
@@ -143,7 +143,7 @@
         model::resources used;
         base::instant since{};
         base::instant expires_at{};
-        bool throttled{false};
+        double share{1};
         bool adopted{false};
         bool checkpointing{false};
 
--- a/libraries/placement/overuse.hpp
+++ b/libraries/placement/overuse.hpp
@@ -18,9 +18,11 @@
     model::resources planned;
     model::resources used;
     model::urgency urgent{model::urgency::normal};
+    model::job_kind kind{model::job_kind::batch};
     model::rerun safety{model::rerun::idempotent};
     base::instant started_at{};
-    bool throttled{false};
+    /// Of the processors it would use; 1 when it is not throttled.
+    double share{1};
     /// It was asked to checkpoint or stop already.
     bool leaving{false};
 };
@@ -31,8 +33,9 @@
 /// Guards against declarations and estimates that were too small: it shows as
 /// use that grows beyond the plan until the machine runs out of memory and
 /// fails every task on it. The guard holds because the growth is throttled
-/// first, which gains time, and what still does not fit is checkpointed, the
-/// cheapest first, before the worker is full.
+/// first, again as it goes on, which gains time, and what still does not fit is
+/// checkpointed, the cheapest first, before the worker is full. Throttles end
+/// when there is room for what the tasks would use without them.
 [[nodiscard]] std::vector<ledger_action>
 relieve(std::string const& worker,
         model::resources const& capacity,
