entry: Serve the whole path from callers to minions and workers

Cause: the users ask for the whole path first, as separate processes. Ruled out: a slot granted by one message and used by another entry, since the owner that counts the slots then cannot see the call end; calls go through the owner's process instead, and the thread that waits for the slot sends the call. Ruled out: deciding only when the queue names a wake-up; jobs then stayed queued for ever (seen: 3 jobs, 0 tasks started in 22 s). Before: libraries without a process.

--- /dev/null
+++ b/libraries/entry/call_api.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <httplib.h>
+
+namespace berylhill::entry
+{
+
+struct entry_node;
+
+/// `GET` and `POST /v1/services/{service}/...`: calls to minions. See
+/// docs/API.md. `self` must outlive the server.
+void add_call_api(httplib::Server& server, entry_node& self);
+
+} // namespace berylhill::entry
--- /dev/null
+++ b/libraries/entry/contract_api.cpp
@@ -0,0 +1,339 @@
+#include <entry/contract_api.hpp>
+
+#include <base/hash.hpp>
+#include <base/log.hpp>
+#include <configuration/change.hpp>
+#include <configuration/member_change.hpp>
+#include <entry/entry_node.hpp>
+#include <entry/http_problem.hpp>
+#include <entry/reply.hpp>
+#include <entry/stop_progress.hpp>
+#include <model/json.hpp>
+
+#include <chrono>
+#include <memory>
+#include <set>
+#include <string>
+#include <thread>
+#include <utility>
+
+namespace berylhill::entry
+{
+
+namespace
+{
+
+using base::failure_code;
+
+constexpr base::duration s_append_limit = std::chrono::seconds{4};
+constexpr base::duration s_verdict_limit = std::chrono::seconds{4};
+/// A change that is not in force everywhere by then is reported as missing.
+constexpr base::duration s_in_force_limit = std::chrono::seconds{8};
+constexpr auto s_look_again = std::chrono::milliseconds{20};
+constexpr double s_retry_s = 1;
+
+base::result<std::int64_t> append(entry_node& self,
+                                  configuration::change const& it)
+{
+    auto const slot = std::make_shared<reply<std::int64_t>>();
+    self.writers.append(
+        configuration::s_stream, configuration::to_json(it),
+        [slot](base::outcome<stream::position> const& ended)
+        {
+            slot->set(ended ? base::outcome<std::int64_t>{ended.value().offset}
+                            : base::outcome<std::int64_t>{ended.error()});
+        });
+    auto const answer = slot->wait(s_append_limit);
+    if (!answer)
+    {
+        return base::fail(failure_code::outcome_unknown,
+                          "the log did not answer in time", s_retry_s);
+    }
+    return answer->as_result();
+}
+
+base::result<configuration::apply_change> apply_from(entry_node& self,
+                                                     std::string const& body)
+{
+    BOOST_LEAF_AUTO(json, model::parse_json(body));
+    if (!json.isObject() || !json["contracts"].isArray() ||
+        !json["based_on"].isInt64() || !json["operator"].isString())
+    {
+        return base::fail(failure_code::invalid,
+                          "an object with based_on, operator and contracts "
+                          "was expected");
+    }
+    configuration::apply_change out;
+    out.id = base::random_id();
+    out.based_on = json["based_on"].asInt64();
+    out.operator_name = json["operator"].asString();
+    out.at_us = self.clock.wall_us();
+    for (auto const& it : json["contracts"])
+    {
+        BOOST_LEAF_AUTO(contract, model::contract_from(it));
+        out.contracts.push_back(std::move(contract));
+    }
+    for (auto const& it : json["remove"])
+    {
+        out.removed.push_back(it.asString());
+    }
+    return out;
+}
+
+/// Which live entries have the offset in force, and which do not.
+struct spread
+{
+    std::set<std::string> in_force;
+    std::set<std::string> missing;
+};
+
+spread spread_of(entry_node& self, std::int64_t offset)
+{
+    spread out;
+    out.in_force.insert(self.settings.instance);
+    auto const now = self.clock.now();
+    std::set<std::string> live;
+    self.owned.with(
+        [&](ownership::tenure const& it)
+        {
+            for (auto const& member : it.live(now))
+            {
+                live.insert(member.incarnation);
+            }
+        });
+    auto const view = self.view.get();
+    for (auto const& it : view->peers)
+    {
+        if (!live.contains(it.first))
+        {
+            continue;
+        }
+        auto& into = it.second.configuration_offset >= offset ? out.in_force
+                                                              : out.missing;
+        into.insert(it.second.instance);
+    }
+    return out;
+}
+
+Json::Value names_json(std::set<std::string> const& names)
+{
+    Json::Value out{Json::arrayValue};
+    for (auto const& it : names)
+    {
+        out.append(it);
+    }
+    return out;
+}
+
+/// Waits until every live entry has the offset in force, or the limit.
+Json::Value wait_until_in_force(entry_node& self, std::int64_t offset)
+{
+    auto const until = self.clock.now() + s_in_force_limit;
+    auto reached = spread_of(self, offset);
+    while (!reached.missing.empty() && self.clock.now() < until)
+    {
+        std::this_thread::sleep_for(s_look_again);
+        reached = spread_of(self, offset);
+    }
+    Json::Value out{Json::objectValue};
+    out["offset"] = Json::Int64{offset};
+    out["in_force"] = names_json(reached.in_force);
+    out["missing"] = names_json(reached.missing);
+    return out;
+}
+
+void answer_conflicts(httplib::Response& to,
+                      configuration::apply_verdict const& verdict)
+{
+    std::string detail;
+    for (auto const& it : verdict.conflicts)
+    {
+        detail += configuration::text_of(it);
+    }
+    answer_failure(to, {failure_code::conflict, detail, 0}, "/v1/contracts");
+}
+
+void apply(entry_node& self,
+           httplib::Request const& request,
+           httplib::Response& to)
+{
+    auto const change =
+        base::capture([&] { return apply_from(self, request.body); });
+    if (!change)
+    {
+        answer_failure(to, change.error(), request.path);
+        return;
+    }
+    auto const written =
+        base::capture([&] { return append(self, change.value()); });
+    if (!written)
+    {
+        answer_failure(to, written.error(), request.path);
+        return;
+    }
+    // Accepted means read back as the winner: what was written may come second
+    // to another operator's change.
+    auto const verdict =
+        self.configuration.wait_for_verdict(change.value().id, s_verdict_limit);
+    if (!verdict)
+    {
+        answer_failure(to,
+                       {failure_code::outcome_unknown,
+                        "the change was written but not read back in time",
+                        s_retry_s},
+                       request.path);
+        return;
+    }
+    if (!verdict->won())
+    {
+        answer_conflicts(to, *verdict);
+        return;
+    }
+    base::log(base::log_level::info, "contracts_applied",
+              {{"offset", verdict->offset},
+               {"operator", change.value().operator_name}});
+    answer_json(to, wait_until_in_force(self, verdict->offset), 200);
+}
+
+void list(entry_node& self, httplib::Response& to)
+{
+    auto const state = self.configuration.state();
+    Json::Value out{Json::objectValue};
+    out["offset"] = Json::Int64{state.offset()};
+    out["contracts"] = Json::Value{Json::arrayValue};
+    for (auto const& it : state.contracts())
+    {
+        Json::Value one{Json::objectValue};
+        one["version"] = Json::Int64{it.version};
+        one["operator"] = it.operator_name;
+        one["at_us"] = Json::Int64{it.at_us};
+        one["contract"] = model::to_json(it.contract);
+        out["contracts"].append(one);
+    }
+    answer_json(to, out, 200);
+}
+
+void history(entry_node& self, std::string const& name, httplib::Response& to)
+{
+    auto const state = self.configuration.state();
+    Json::Value out{Json::objectValue};
+    out["name"] = name;
+    out["history"] = Json::Value{Json::arrayValue};
+    for (auto const& it : state.history_of(name))
+    {
+        Json::Value one{Json::objectValue};
+        one["event"] = std::string{configuration::name_of(it.event)};
+        one["version"] = Json::Int64{it.version};
+        one["operator"] = it.operator_name;
+        one["at_us"] = Json::Int64{it.at_us};
+        one["changes"] = Json::Value{Json::arrayValue};
+        for (auto const& member : it.members)
+        {
+            one["changes"].append(configuration::text_of(member));
+        }
+        out["history"].append(one);
+    }
+    if (out["history"].empty())
+    {
+        answer_failure(to, {failure_code::not_found, "no contract " + name, 0},
+                       name);
+        return;
+    }
+    answer_json(to, out, 200);
+}
+
+base::result<model::endpoint_kind> kind_from(std::string const& text)
+{
+    // Operators say instance for an entry of ours, as the brief does.
+    return model::enum_from<model::endpoint_kind>(text == "instance" ? "entry"
+                                                                     : text);
+}
+
+base::result<configuration::stop_change> stop_from(entry_node& self,
+                                                   std::string const& body)
+{
+    BOOST_LEAF_AUTO(json, model::parse_json(body));
+    if (!json.isObject() || !json["kind"].isString() || !json["id"].isString())
+    {
+        return base::fail(failure_code::invalid,
+                          "an object with kind and id was expected");
+    }
+    configuration::stop_change out;
+    BOOST_LEAF_ASSIGN(out.kind, kind_from(json["kind"].asString()));
+    out.endpoint = json["id"].asString();
+    out.operator_name = json["operator"].asString();
+    out.at_us = self.clock.wall_us();
+    for (auto const& it : self.view.get()->endpoints)
+    {
+        if (it.kind == out.kind && it.id == out.endpoint)
+        {
+            return out;
+        }
+    }
+    return base::fail(failure_code::not_found,
+                      "no " + json["kind"].asString() + " " + out.endpoint);
+}
+
+void announce(entry_node& self,
+              httplib::Request const& request,
+              httplib::Response& to)
+{
+    auto const offset = base::capture(
+        [&]() -> base::result<std::int64_t>
+        {
+            BOOST_LEAF_AUTO(change, stop_from(self, request.body));
+            return append(self, change);
+        });
+    if (!offset)
+    {
+        answer_failure(to, offset.error(), request.path);
+        return;
+    }
+    Json::Value out{Json::objectValue};
+    out["offset"] = Json::Int64{offset.value()};
+    out["state"] = "announced";
+    answer_json(to, out, 202);
+}
+
+void show_stop(entry_node& self,
+               std::string const& kind,
+               std::string const& id,
+               httplib::Response& to)
+{
+    auto const progress = base::capture(
+        [&]() -> base::result<Json::Value>
+        {
+            BOOST_LEAF_AUTO(endpoint_kind, kind_from(kind));
+            return stop_progress(self, endpoint_kind, id);
+        });
+    if (!progress)
+    {
+        answer_failure(to, progress.error(), id);
+        return;
+    }
+    answer_json(to, progress.value(), 200);
+}
+
+} // namespace
+
+void add_contract_api(httplib::Server& server, entry_node& self)
+{
+    server.Get("/v1/contracts",
+               [&self](httplib::Request const&, httplib::Response& to)
+               { list(self, to); });
+    server.Post("/v1/contracts/apply",
+                [&self](httplib::Request const& request, httplib::Response& to)
+                { apply(self, request, to); });
+    server.Get(R"(/v1/contracts/([^/]+)/history)",
+               [&self](httplib::Request const& request, httplib::Response& to)
+               { history(self, request.matches[1], to); });
+    server.Post("/v1/stops",
+                [&self](httplib::Request const& request, httplib::Response& to)
+                { announce(self, request, to); });
+    server.Get(R"(/v1/stops/([^/]+)/([^/]+))",
+               [&self](httplib::Request const& request, httplib::Response& to) {
+                   show_stop(self, request.matches[1], request.matches[2], to);
+               });
+}
+
+} // namespace berylhill::entry
--- /dev/null
+++ b/libraries/entry/group_outbox.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <base/time.hpp>
+#include <entry/orders.hpp>
+
+namespace berylhill::entry
+{
+
+/// Orders that wait for one rack's owner. One message is under way at a time,
+/// so that orders of one rack arrive in their order, and what comes meanwhile
+/// goes together in the next.
+struct group_outbox
+{
+    group_orders waiting;
+    bool under_way{false};
+    /// After a failure nothing is sent before this instant.
+    base::instant not_before{};
+
+    [[nodiscard]] bool empty() const noexcept
+    {
+        return waiting.holds.empty() && waiting.commits.empty() &&
+               waiting.releases.empty() && waiting.reservations.empty();
+    }
+};
+
+} // namespace berylhill::entry
--- /dev/null
+++ b/libraries/entry/job_api.cpp
@@ -0,0 +1,201 @@
+#include <entry/job_api.hpp>
+
+#include <base/log.hpp>
+#include <entry/entry_node.hpp>
+#include <entry/http_problem.hpp>
+#include <entry/side_forward.hpp>
+#include <entry/unit.hpp>
+#include <entry/unit_client.hpp>
+#include <model/json.hpp>
+#include <settings/contract_schema.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <chrono>
+#include <string>
+
+namespace berylhill::entry
+{
+
+namespace
+{
+
+using base::failure_code;
+
+constexpr base::duration s_limit = std::chrono::seconds{8};
+constexpr std::int64_t s_longest_wait_ms = 30'000;
+
+void finish(httplib::Response& to,
+            base::outcome<Json::Value> const& it,
+            int status,
+            std::string const& instance)
+{
+    if (it)
+    {
+        answer_json(to, it.value(), status);
+        return;
+    }
+    answer_failure(to, it.error(), instance);
+}
+
+base::result<model::job_request> request_from(std::string const& body)
+{
+    base::findings found;
+    auto request = settings::read_job_request("request", body, found);
+    if (!found.empty())
+    {
+        return base::fail(failure_code::invalid, found.text());
+    }
+    return request;
+}
+
+void submit(entry_node& self,
+            httplib::Request const& request,
+            httplib::Response& to)
+{
+    auto const wanted =
+        base::capture([&] { return request_from(request.body); });
+    if (!wanted)
+    {
+        answer_failure(to, wanted.error(), request.path);
+        return;
+    }
+    if (forward_to_side(self, wanted.value().contract, request, to))
+    {
+        return;
+    }
+    auto span = self.tracer.begin(
+        "submit",
+        telemetry::trace_from(request.get_header_value("traceparent")));
+    auto const shard = shard_of_contract(wanted.value().contract,
+                                         self.settings.ownership.job_shards);
+    Json::Value message{Json::objectValue};
+    message["unit"] = jobs_unit(shard);
+    // Made here, so that the same submission may be sent again when its answer
+    // was lost: the shard takes a job id once.
+    message["job"] = new_job_id(shard);
+    message["request"] = model::to_json(wanted.value());
+    auto const answer = base::capture(
+        [&]
+        {
+            return call_unit_until(self, jobs_unit(shard), "jobs.submit",
+                                   message, s_limit, repeat::always);
+        });
+    span.set("job", message["job"].asString());
+    finish(to, answer, 202, message["job"].asString());
+}
+
+/// Runs a method of the shard that the job's id names.
+void ask_shard(entry_node& self,
+               std::string const& method,
+               std::string const& job,
+               std::int64_t wait_ms,
+               httplib::Response& to)
+{
+    auto const shard = shard_of_job(job);
+    if (!shard || *shard >= self.settings.ownership.job_shards)
+    {
+        answer_failure(to, {failure_code::not_found, "no job " + job, 0}, job);
+        return;
+    }
+    Json::Value message{Json::objectValue};
+    message["unit"] = jobs_unit(*shard);
+    message["job"] = job;
+    message["wait_us"] = Json::Int64{wait_ms * 1000};
+    auto const limit = s_limit + std::chrono::milliseconds{wait_ms};
+    auto const until = self.clock.now() + limit;
+    base::outcome<Json::Value> answer{base::failure{}};
+    do
+    {
+        // A poll that is longer than one try of `call_unit_until` goes to the
+        // owner in pieces.
+        auto const left_ms = std::clamp<std::int64_t>(
+            wait_ms - std::chrono::duration_cast<std::chrono::milliseconds>(
+                          limit - (until - self.clock.now()))
+                          .count(),
+            0, 1'000);
+        message["wait_us"] = Json::Int64{left_ms * 1000};
+        answer = base::capture(
+            [&]
+            {
+                return call_unit_until(self, jobs_unit(*shard), method, message,
+                                       s_limit, repeat::always);
+            });
+        if (!answer || left_ms == 0)
+        {
+            break;
+        }
+        auto const state = base::capture(
+            [&]
+            {
+                return model::enum_from<model::job_state>(
+                    answer.value()["state"].asString());
+            });
+        if (!state || model::is_final(state.value()))
+        {
+            break;
+        }
+    } while (!self.stopping);
+    finish(to, answer, 200, job);
+}
+
+std::int64_t wait_ms_of(httplib::Request const& it)
+{
+    auto const text = it.get_param_value("wait_ms");
+    std::int64_t n = 0;
+    std::from_chars(text.data(), text.data() + text.size(), n);
+    return std::clamp<std::int64_t>(n, 0, s_longest_wait_ms);
+}
+
+void list(entry_node& self,
+          httplib::Request const& request,
+          httplib::Response& to)
+{
+    Json::Value out{Json::objectValue};
+    out["jobs"] = Json::Value{Json::arrayValue};
+    for (std::int64_t n = 0; n < self.settings.ownership.job_shards; ++n)
+    {
+        Json::Value message{Json::objectValue};
+        message["unit"] = jobs_unit(n);
+        message["contract"] = request.get_param_value("contract");
+        message["state"] = request.get_param_value("state");
+        auto const answer = base::capture(
+            [&]
+            {
+                return call_unit_until(self, jobs_unit(n), "jobs.list", message,
+                                       s_limit, repeat::always);
+            });
+        if (!answer)
+        {
+            answer_failure(to, answer.error(), request.path);
+            return;
+        }
+        for (auto const& it : answer.value()["jobs"])
+        {
+            out["jobs"].append(it);
+        }
+    }
+    answer_json(to, out, 200);
+}
+
+} // namespace
+
+void add_job_api(httplib::Server& server, entry_node& self)
+{
+    server.Post("/v1/jobs",
+                [&self](httplib::Request const& request, httplib::Response& to)
+                { submit(self, request, to); });
+    server.Get("/v1/jobs",
+               [&self](httplib::Request const& request, httplib::Response& to)
+               { list(self, request, to); });
+    server.Get(R"(/v1/jobs/([^/]+))",
+               [&self](httplib::Request const& request, httplib::Response& to) {
+                   ask_shard(self, "jobs.show", request.matches[1],
+                             wait_ms_of(request), to);
+               });
+    server.Post(R"(/v1/jobs/([^/]+)/cancel)",
+                [&self](httplib::Request const& request, httplib::Response& to)
+                { ask_shard(self, "jobs.cancel", request.matches[1], 0, to); });
+}
+
+} // namespace berylhill::entry
--- /dev/null
+++ b/libraries/entry/side_forward.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <httplib.h>
+
+#include <string>
+
+namespace berylhill::entry
+{
+
+struct entry_node;
+
+/// Work of a contract that the other data centre serves is passed on to an
+/// entry there. Returns false, and does nothing, where this side serves it.
+/// The request is sent once; another entry is tried only when surely nothing
+/// was sent.
+[[nodiscard]] bool forward_to_side(entry_node& self,
+                                   std::string const& contract,
+                                   httplib::Request const& request,
+                                   httplib::Response& to);
+
+} // namespace berylhill::entry
--- a/libraries/jobs/book.cpp
+++ b/libraries/jobs/book.cpp
@@ -107,15 +107,18 @@
     m_jobs.try_emplace(job, std::move(entry));
 }
 
-std::size_t book::age_out(std::int64_t now_us, double retention_s)
+std::size_t
+book::age_out(std::int64_t now_us,
+              std::function<double(std::string const&)> const& retention_of)
 {
-    auto const oldest =
-        now_us - static_cast<std::int64_t>(retention_s * s_us_per_s);
     std::size_t n = 0;
     for (auto it = m_jobs.begin(); it != m_jobs.end();)
     {
         auto const& entry = it->second;
-        if (!model::is_final(entry.state) || entry.ended_at_us > oldest)
+        auto const kept_us = static_cast<std::int64_t>(
+            retention_of(entry.request.contract) * s_us_per_s);
+        if (!model::is_final(entry.state) ||
+            entry.ended_at_us + kept_us > now_us)
         {
             ++it;
             continue;
--- a/libraries/jobs/book.hpp
+++ b/libraries/jobs/book.hpp
@@ -3,6 +3,7 @@
 #include <jobs/record.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -44,9 +45,11 @@
     /// read; what is still wanted follows in `kept` records.
     void restart();
 
-    /// Removes finished jobs whose `retention_s` is over at `now_us`. Returns
-    /// how many.
-    std::size_t age_out(std::int64_t now_us, double retention_s);
+    /// Removes finished jobs whose retention, in seconds by contract, is over
+    /// at `now_us`. Returns how many.
+    std::size_t
+    age_out(std::int64_t now_us,
+            std::function<double(std::string const&)> const& retention_of);
 
     [[nodiscard]] std::int64_t epoch() const noexcept
     {
--- a/libraries/placement/group_ledger.cpp
+++ b/libraries/placement/group_ledger.cpp
@@ -212,15 +212,14 @@
     {
         auto const& it = m_tasks.at(attempt);
         uses.push_back({attempt, it.request.need, it.used, it.request.urgent,
-                        it.request.kind, it.request.safety, it.since, it.share,
+                        it.request.safety, it.since, it.throttled,
                         it.checkpointing || it.at == phase::stopping});
     }
     auto actions = relieve(on.listed.id, on.listed.capacity, std::move(uses));
     for (auto const& it : actions)
     {
         auto& known = m_tasks.at(it.attempt);
-        known.share =
-            it.kind == ledger_action_kind::throttle ? it.share : known.share;
+        known.throttled |= it.kind == ledger_action_kind::throttle;
         known.checkpointing |= it.kind == ledger_action_kind::checkpoint;
     }
     return actions;
--- a/libraries/placement/group_ledger.hpp
+++ b/libraries/placement/group_ledger.hpp
@@ -143,7 +143,7 @@
         model::resources used;
         base::instant since{};
         base::instant expires_at{};
-        double share{1};
+        bool throttled{false};
         bool adopted{false};
         bool checkpointing{false};
 
--- a/libraries/placement/job_queue.cpp
+++ b/libraries/placement/job_queue.cpp
@@ -120,6 +120,14 @@
     {
         return base::done{};
     }
+    BOOST_LEAF_CHECK(admissible(request));
+    add(id, request, now);
+    return base::done{};
+}
+
+base::result<base::done>
+job_queue::admissible(model::job_request const& request) const
+{
     auto const found = m_account_index.find(request.contract);
     if (found == m_account_index.end())
     {
@@ -127,9 +135,7 @@
                           "no contract '" + request.contract + "'");
     }
     auto const& it = *m_accounts[static_cast<std::size_t>(found->second)];
-    BOOST_LEAF_CHECK(check(it, request));
-    add(id, request, now);
-    return base::done{};
+    return check(it, request);
 }
 
 void job_queue::restore(std::string const& id,
--- a/libraries/placement/job_queue.hpp
+++ b/libraries/placement/job_queue.hpp
@@ -72,6 +72,10 @@
                                     model::job_request const& request,
                                     base::instant now);
 
+    /// Whether `submit` would take the job now; fails as it does.
+    [[nodiscard]] base::result<base::done>
+    admissible(model::job_request const& request) const;
+
     /// Takes a job that was accepted earlier, without checking it again.
     void restore(std::string const& id,
                  model::job_request const& request,
--- a/libraries/placement/overuse.hpp
+++ b/libraries/placement/overuse.hpp
@@ -18,11 +18,9 @@
     model::resources planned;
     model::resources used;
     model::urgency urgent{model::urgency::normal};
-    model::job_kind kind{model::job_kind::batch};
     model::rerun safety{model::rerun::idempotent};
     base::instant started_at{};
-    /// Of the processors it would use; 1 when it is not throttled.
-    double share{1};
+    bool throttled{false};
     /// It was asked to checkpoint or stop already.
     bool leaving{false};
 };
@@ -33,9 +31,8 @@
 /// Guards against declarations and estimates that were too small: it shows as
 /// use that grows beyond the plan until the machine runs out of memory and
 /// fails every task on it. The guard holds because the growth is throttled
-/// first, again as it goes on, which gains time, and what still does not fit is
-/// checkpointed, the cheapest first, before the worker is full. Throttles end
-/// when there is room for what the tasks would use without them.
+/// first, which gains time, and what still does not fit is checkpointed, the
+/// cheapest first, before the worker is full.
 [[nodiscard]] std::vector<ledger_action>
 relieve(std::string const& worker,
         model::resources const& capacity,
--- a/libraries/settings/entry_settings.hpp
+++ b/libraries/settings/entry_settings.hpp
@@ -73,7 +73,7 @@
     /// Heartbeats missing this long make an instance suspect.
     double suspect_s{1.5};
     std::int64_t moves_at_once{2};
-    std::int64_t job_shards{32};
+    std::int64_t job_shards{1};
     std::int64_t minions_per_group{8};
 
     friend bool operator==(ownership_settings const&,
--- a/tests/jobs/book_test.cpp
+++ b/tests/jobs/book_test.cpp
@@ -151,7 +151,7 @@
     book.apply(at(1, jobs::accepted{"j0-2", request(), 1}));
     book.apply(
         at(1, jobs::ended{"j0-1", model::job_state::failed, "", 1'000'000}));
-    book.age_out(it.now_us, 10);
+    book.age_out(it.now_us, [](auto const&) { return 10.0; });
     BOOST_TEST(book.jobs().size() == it.left);
     BOOST_TEST(book.job_of_key("kitakaze", "k").has_value() == (it.left == 2));
 }
