--- a/libraries/entry/call_front.hpp
+++ b/libraries/entry/call_front.hpp
@@ -64,7 +64,7 @@
     /// One attempt's end, and what to answer if it is the last.
     struct attempt
     {
-        calls::attempt_end end;
+        calls::attempt_end end{calls::attempt_end::not_sent};
         calls::call_outcome outcome;
     };
 
