--- a/utilities/bench/calls_goodput.cpp
+++ b/utilities/bench/calls_goodput.cpp
@@ -595,6 +595,14 @@
     print_figure(name + ".goodput",
                  100 * static_cast<double>(it.in_time) / best,
                  "percent_of_possible");
+    // The slot is also taken while the call and its answer travel.
+    auto const held = s_run_s + 2 * base::seconds_of(s_hop);
+    auto const reachable =
+        std::min(load * s_capacity, s_capacity * s_run_s / held) *
+        base::seconds_of(s_measured);
+    print_figure(name + ".goodput_reachable",
+                 100 * static_cast<double>(it.in_time) / reachable,
+                 "percent_of_reachable");
     print_figure(name + ".attempts", static_cast<double>(it.attempts) / n,
                  "a_call");
     print_figure(name + ".minion_sends", static_cast<double>(it.sends) / n,
