calls: Hold a contract's limits at a few homes instead of every entry

Divided over every entry, one entry's part was used up while others had room.

Resends are paid to the rate afterwards, as only the home has its tokens.

--- a/libraries/calls/admission.cpp
+++ b/libraries/calls/admission.cpp
@@ -1,13 +1,25 @@
 #include <calls/admission.hpp>
 
+#include <base/hash.hpp>
 #include <calls/limit_share.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace berylhill::calls
 {
 
+namespace
+{
+
+bool contains(std::vector<std::string> const& names, std::string const& name)
+{
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+} // namespace
+
 admission::admission(std::string entry,
                      admission_settings const& settings,
                      generator random)
@@ -19,23 +31,23 @@
 
 void admission::set_contract(model::contract const& it, base::instant now)
 {
-    auto const found = m_gates.find(it.name);
-    if (found != m_gates.end())
+    auto const [found, added] = m_contracts.try_emplace(
+        it.name, contract_state{{it, now}, {}, {}, {}, {}});
+    auto& state = found->second;
+    if (!added)
     {
-        found->second.set_limits(it);
-        return;
+        state.gate.set_limits(it);
     }
-    auto& gate = m_gates.emplace(it.name, contract_gate{it, now}).first->second;
     if (!m_live.empty())
     {
-        divide(gate, now);
+        place(state);
+        divide(state, now);
     }
 }
 
 void admission::remove_contract(std::string const& name)
 {
-    m_gates.erase(name);
-    m_demands.erase(name);
+    m_contracts.erase(name);
 }
 
 void admission::set_live(std::vector<std::string> entries, base::instant now)
@@ -47,124 +59,195 @@
         return;
     }
     m_live = std::move(entries);
-    for (auto& it : m_demands)
-    {
-        std::erase_if(it.second,
-                      [&](auto const& demand) {
-                          return !std::binary_search(
-                              m_live.begin(), m_live.end(), demand.first);
-                      });
-    }
-    for (auto& it : m_gates)
+    for (auto& [name, it] : m_contracts)
     {
         if (first)
         {
             // A joiner's peers still use the whole limit. Its own window
             // starts with nothing, so that the limit holds until they have
             // heard of it.
-            it.second.set_part({}, now, m_settings.settle);
+            it.gate.set_part({}, now, m_settings.settle);
         }
-        divide(it.second, now);
+        forget_gone(it);
+        place(it);
+        divide(it, now);
     }
 }
 
 void admission::heard(entry_demand const& report)
 {
-    if (!std::binary_search(m_live.begin(), m_live.end(), report.entry))
+    for (auto& [name, it] : m_contracts)
     {
-        return;
-    }
-    for (auto& it : m_demands)
-    {
-        it.second.erase(report.entry);
+        it.demands.erase(report.entry);
     }
     for (auto const& it : report.contracts)
     {
-        m_demands[it.contract][report.entry] = it;
+        auto const found = m_contracts.find(it.contract);
+        if (found != m_contracts.end() && is_live(report.entry))
+        {
+            found->second.demands[report.entry] = it;
+        }
     }
 }
 
 entry_demand admission::report(base::instant now)
 {
     entry_demand own{m_entry, {}};
-    for (auto& [name, gate] : m_gates)
+    for (auto& [name, it] : m_contracts)
     {
-        auto demand = gate.report(now);
+        auto demand = it.gate.report(now);
         if (demand.calls_per_s > 0 || demand.at_once > 0)
         {
             own.contracts.push_back(std::move(demand));
         }
     }
     heard(own);
-    for (auto& it : m_gates)
+    for (auto& [name, it] : m_contracts)
     {
-        divide(it.second, now);
+        divide(it, now);
     }
     return own;
 }
 
-std::optional<refusal> admission::admit(std::string const& contract,
-                                        std::string const& service,
-                                        base::instant now)
+admission_step admission::next(std::string const& contract,
+                               std::string const& service,
+                               std::vector<std::string> const& tried,
+                               base::instant now)
 {
-    auto const it = m_gates.find(contract);
-    if (it == m_gates.end())
+    if (auto why = forbidden(contract, service))
     {
-        return refusal{ran::not_run, refusal_code::unknown_contract,
-                       "no contract " + contract + " is in force", 0};
+        return {admission_state::refused, {}, std::move(*why)};
     }
-    auto const& allowed = it->second.limits().services;
-    if (std::find(allowed.begin(), allowed.end(), service) == allowed.end())
+    auto& state = m_contracts.at(contract);
+    std::optional<refusal> own;
+    if (contains(state.homes, m_entry) && !contains(tried, m_entry))
     {
-        return refusal{ran::not_run, refusal_code::service_not_allowed,
-                       "contract " + contract + " does not name " + service, 0};
+        own = admit_for(m_entry, contract, service, now);
+        if (!own)
+        {
+            return {admission_state::admitted, m_entry, {}};
+        }
     }
-    return it->second.admit(now, m_random);
+    std::vector<std::string const*> open;
+    for (auto const& it : state.homes)
+    {
+        auto const until = state.exhausted_until.find(it);
+        auto const exhausted =
+            until != state.exhausted_until.end() && now < until->second;
+        if (it != m_entry && !exhausted && !contains(tried, it))
+        {
+            open.push_back(&it);
+        }
+    }
+    if (!open.empty())
+    {
+        auto const at = uniform(m_random, 0, static_cast<double>(open.size()));
+        return {admission_state::ask, *open[static_cast<std::size_t>(at)], {}};
+    }
+    auto why = own ? *own : state.gate.refuse_as_exhausted(m_random);
+    return {admission_state::refused, {}, std::move(why)};
 }
 
-bool admission::admit_resend(std::string const& contract, base::instant now)
+void admission::home_refused(std::string const& contract,
+                             std::string const& home,
+                             base::instant now)
 {
-    auto const it = m_gates.find(contract);
-    return it != m_gates.end() && it->second.admit_resend(now);
+    auto const it = m_contracts.find(contract);
+    if (it != m_contracts.end())
+    {
+        it->second.exhausted_until[home] = now + m_settings.exhausted_for;
+    }
+}
+
+std::optional<refusal> admission::admit_for(std::string const& peer,
+                                            std::string const& contract,
+                                            std::string const& service,
+                                            base::instant now)
+{
+    if (auto why = forbidden(contract, service))
+    {
+        return why;
+    }
+    auto& state = m_contracts.at(contract);
+    auto why = state.gate.admit(now, m_random);
+    if (!why)
+    {
+        ++state.admitted_for[peer];
+    }
+    return why;
 }
 
-void admission::finished(std::string const& contract, base::duration took)
+void admission::finished(std::string const& peer,
+                         std::string const& contract,
+                         base::duration took,
+                         std::int32_t resends,
+                         base::instant now)
 {
-    auto const it = m_gates.find(contract);
-    if (it != m_gates.end() && it->second.in_flight() > 0)
+    auto const it = m_contracts.find(contract);
+    if (it == m_contracts.end())
     {
-        it->second.finish(took);
+        return;
+    }
+    auto const held = it->second.admitted_for.find(peer);
+    if (held == it->second.admitted_for.end())
+    {
+        return;
+    }
+    it->second.gate.finish(took, resends, now);
+    if (--held->second == 0)
+    {
+        it->second.admitted_for.erase(held);
     }
 }
 
 limit_part admission::part_of(std::string const& contract) const
 {
-    auto const it = m_gates.find(contract);
-    return it == m_gates.end() ? limit_part{} : it->second.part();
+    auto const it = m_contracts.find(contract);
+    return it == m_contracts.end() ? limit_part{} : it->second.gate.part();
+}
+
+std::vector<std::string> admission::homes_of(std::string const& contract) const
+{
+    auto const it = m_contracts.find(contract);
+    return it == m_contracts.end() ? std::vector<std::string>{}
+                                   : it->second.homes;
 }
 
-void admission::divide(contract_gate& gate, base::instant now)
+void admission::place(contract_state& it) const
 {
-    auto const self = std::lower_bound(m_live.begin(), m_live.end(), m_entry);
-    if (self == m_live.end() || *self != m_entry)
+    auto const& limits = it.gate.limits();
+    auto const wanted = std::floor(static_cast<double>(limits.calls_at_once) /
+                                   m_settings.least_at_once);
+    auto const n = std::clamp(static_cast<std::size_t>(std::max(wanted, 0.0)),
+                              std::min(m_settings.least_homes, m_live.size()),
+                              m_live.size());
+    it.homes = base::rendezvous_order(limits.name, m_live);
+    it.homes.resize(n);
+    std::sort(it.homes.begin(), it.homes.end());
+}
+
+void admission::divide(contract_state& it, base::instant now) const
+{
+    auto const self =
+        std::lower_bound(it.homes.begin(), it.homes.end(), m_entry);
+    if (self == it.homes.end() || *self != m_entry)
     {
-        gate.set_part({}, now, m_settings.settle);
+        it.gate.set_part({}, now, m_settings.settle);
         return;
     }
-    auto const& limits = gate.limits();
-    auto const known = m_demands.find(limits.name);
-    std::vector<double> rates(m_live.size());
-    std::vector<double> at_once(m_live.size());
-    for (std::size_t i = 0; known != m_demands.end() && i < m_live.size(); ++i)
+    auto const& limits = it.gate.limits();
+    std::vector<double> rates(it.homes.size());
+    std::vector<double> at_once(it.homes.size());
+    for (std::size_t i = 0; i < it.homes.size(); ++i)
     {
-        auto const demand = known->second.find(m_live[i]);
-        if (demand != known->second.end())
+        auto const demand = it.demands.find(it.homes[i]);
+        if (demand != it.demands.end())
         {
             rates[i] = demand->second.calls_per_s;
             at_once[i] = demand->second.at_once;
         }
     }
-    auto const index = static_cast<std::size_t>(self - m_live.begin());
+    auto const index = static_cast<std::size_t>(self - it.homes.begin());
     auto const rate =
         divide_limit(limits.calls_per_s, rates, m_settings.floor)[index];
     auto const units = divide_units(static_cast<double>(limits.calls_at_once),
@@ -173,7 +256,52 @@
         limits.calls_per_s > 0
             ? static_cast<double>(limits.call_burst) * rate / limits.calls_per_s
             : 0;
-    gate.set_part({rate, burst, units}, now, m_settings.settle);
+    it.gate.set_part({rate, burst, units}, now, m_settings.settle);
+}
+
+void admission::forget_gone(contract_state& it) const
+{
+    // What a dead entry had in flight is never reported as finished; kept, it
+    // would lower the contract's concurrency for good.
+    for (auto held = it.admitted_for.begin(); held != it.admitted_for.end();)
+    {
+        if (held->first == m_entry || is_live(held->first))
+        {
+            ++held;
+            continue;
+        }
+        for (std::int64_t n = held->second; n > 0; --n)
+        {
+            it.gate.drop();
+        }
+        held = it.admitted_for.erase(held);
+    }
+    std::erase_if(it.demands,
+                  [&](auto const& demand) { return !is_live(demand.first); });
+    std::erase_if(it.exhausted_until,
+                  [&](auto const& home) { return !is_live(home.first); });
+}
+
+bool admission::is_live(std::string const& entry) const
+{
+    return std::binary_search(m_live.begin(), m_live.end(), entry);
+}
+
+std::optional<refusal> admission::forbidden(std::string const& contract,
+                                            std::string const& service) const
+{
+    auto const it = m_contracts.find(contract);
+    if (it == m_contracts.end())
+    {
+        return refusal{ran::not_run, refusal_code::unknown_contract,
+                       "no contract " + contract + " is in force", 0};
+    }
+    if (!contains(it->second.gate.limits().services, service))
+    {
+        return refusal{ran::not_run, refusal_code::service_not_allowed,
+                       "contract " + contract + " does not name " + service, 0};
+    }
+    return std::nullopt;
 }
 
 } // namespace berylhill::calls
--- a/libraries/calls/contract_gate.cpp
+++ b/libraries/calls/contract_gate.cpp
@@ -89,22 +89,26 @@
     return std::nullopt;
 }
 
-bool contract_gate::admit_resend(base::instant now)
+void contract_gate::finish(base::duration took,
+                           std::int32_t resends,
+                           base::instant now)
 {
+    assert(m_in_flight > 0);
     refill(now);
-    if (m_tokens < 1)
-    {
-        return false;
-    }
-    m_tokens -= 1;
-    return true;
+    --m_in_flight;
+    m_tokens -= resends;
+    m_took_s += s_newest * (base::seconds_of(took) - m_took_s);
 }
 
-void contract_gate::finish(base::duration took)
+void contract_gate::drop()
 {
     assert(m_in_flight > 0);
     --m_in_flight;
-    m_took_s += s_newest * (base::seconds_of(took) - m_took_s);
+}
+
+refusal contract_gate::refuse_as_exhausted(generator& random) const
+{
+    return refuse(refusal_code::rate_limited, m_limits.calls_per_s, random);
 }
 
 contract_demand contract_gate::report(base::instant now)
--- a/libraries/calls/contract_gate.hpp
+++ b/libraries/calls/contract_gate.hpp
@@ -43,12 +43,17 @@
     [[nodiscard]] std::optional<refusal> admit(base::instant now,
                                                generator& random);
 
-    /// Takes a token for a further attempt at an admitted call, if there is
-    /// one.
-    [[nodiscard]] bool admit_resend(base::instant now);
+    /// An admitted call got its final answer after `took` and `resends`
+    /// further attempts. Those are paid afterwards: the next calls wait until
+    /// the rate has made up for them. Precondition: `in_flight() > 0`.
+    void finish(base::duration took, std::int32_t resends, base::instant now);
 
-    /// An admitted call got its final answer. Precondition: `in_flight() > 0`.
-    void finish(base::duration took);
+    /// An admitted call whose entry is gone ends without a word.
+    /// Precondition: `in_flight() > 0`.
+    void drop();
+
+    /// The refusal for a call that found every home used up.
+    [[nodiscard]] refusal refuse_as_exhausted(generator& random) const;
 
     /// What callers asked for since the last report, smoothed.
     [[nodiscard]] contract_demand report(base::instant now);
--- a/tests/calls/minion_ledger_test.cpp
+++ b/tests/calls/minion_ledger_test.cpp
@@ -46,7 +46,7 @@
 // A minion with 8 slots gets a ninth call and slows all nine down: calls that
 // their callers gave up on were taken off the count while the minion was
 // still at them. The slot has to stay taken until the minion has answered, or
-// the longest run after the closed connection is over.
+// the longest run since the send is over.
 BOOST_AUTO_TEST_CASE(a_call_given_up_on_keeps_its_slot)
 {
     calls::ledger_settings settings;
@@ -59,12 +59,14 @@
     BOOST_TEST(only<calls::send_to_minion>(
                    it.offer(call_of("r-2", at_ms(100)), at_ms(100)))
                    .empty());
-    std::ignore = it.unknown("r-1", at_ms(1'000));
-    BOOST_TEST(only<calls::send_to_minion>(it.expire(at_ms(1'050))).empty());
-    BOOST_TEST(only<calls::send_to_minion>(
-                   it.offer(call_of("r-3", at_ms(5'900)), at_ms(5'900)))
-                   .empty());
-    auto const sent = only<calls::send_to_minion>(it.expire(at_ms(6'000)));
+    std::ignore = it.unknown("r-1", at_ms(200));
+    BOOST_TEST(it.find("m-1")->open_connections() == 0);
+    std::ignore = it.expire(at_ms(4'980));
+    auto const late = call_of("r-3", at_ms(4'980));
+    BOOST_TEST(
+        only<calls::send_to_minion>(it.offer(late, at_ms(4'980))).empty());
+    BOOST_TEST(only<calls::send_to_minion>(it.expire(at_ms(4'999))).empty());
+    auto const sent = only<calls::send_to_minion>(it.expire(at_ms(5'000)));
     BOOST_REQUIRE(sent.size() == 1U);
     BOOST_TEST(sent[0].request_id == "r-3");
 }
--- a/utilities/bench/calls_limits.cpp
+++ b/utilities/bench/calls_limits.cpp
@@ -49,6 +49,8 @@
     double most_at_once{0};
     double admitted{0};
     double offered{0};
+    /// Questions to homes.
+    double asks{0};
 };
 
 class limits_experiment
@@ -155,26 +157,79 @@
         auto const hot =
             m_how == balance::moving && calls::uniform(m_random, 0, 1) < 0.5;
         auto const at = hot ? m_hot % m_serving.size() : pick(m_serving.size());
-        auto const entry = m_entries.at(m_serving[at]);
         auto const counted = now >= base::instant{} + s_warm_up;
         m_result.offered += counted ? 1 : 0;
-        if (!entry->admit("kitakaze", "report-svc", now))
-        {
-            m_result.admitted += counted ? 1 : 0;
-            count(counted);
-            boost::random::exponential_distribution<double> run{1 / s_run_s};
-            auto const took = base::from_seconds(run(m_random));
-            m_time.after(took,
-                         [this, entry, took]
-                         {
-                             --m_at_once;
-                             entry->finished("kitakaze", took);
-                         });
-        }
+        admit(m_serving[at], {}, counted);
         boost::random::exponential_distribution<double> gap{m_load * s_rate};
         m_time.after(base::from_seconds(gap(m_random)), [this] { arrive(); });
     }
 
+    /// Asks take a hop to the home and one back.
+    void
+    admit(std::string const& at, std::vector<std::string> tried, bool counted)
+    {
+        auto const entry = m_entries.find(at);
+        if (entry == m_entries.end())
+        {
+            return;
+        }
+        auto const step =
+            entry->second->next("kitakaze", "report-svc", tried, m_time.now());
+        if (step.state == calls::admission_state::admitted)
+        {
+            start_call(at, at, counted);
+        }
+        if (step.state != calls::admission_state::ask)
+        {
+            return;
+        }
+        m_result.asks += counted ? 1 : 0;
+        tried.push_back(step.home);
+        m_time.after(2 * s_hop, [this, at, home = step.home, tried, counted]
+                     { ask(at, home, tried, counted); });
+    }
+
+    void ask(std::string const& at,
+             std::string const& home,
+             std::vector<std::string> const& tried,
+             bool counted)
+    {
+        auto const entry = m_entries.find(home);
+        auto const now = m_time.now();
+        if (entry != m_entries.end() &&
+            !entry->second->admit_for(at, "kitakaze", "report-svc", now))
+        {
+            start_call(at, home, counted);
+            return;
+        }
+        if (m_entries.contains(at))
+        {
+            m_entries.at(at)->home_refused("kitakaze", home, now);
+            admit(at, tried, counted);
+        }
+    }
+
+    void
+    start_call(std::string const& at, std::string const& home, bool counted)
+    {
+        m_result.admitted += counted ? 1 : 0;
+        count(counted);
+        boost::random::exponential_distribution<double> run{1 / s_run_s};
+        auto const took = base::from_seconds(run(m_random));
+        m_time.after(took,
+                     [this, at, home, took]
+                     {
+                         // On a dead entry the call still ran until here.
+                         --m_at_once;
+                         auto const it = m_entries.find(home);
+                         if (m_entries.contains(at) && it != m_entries.end())
+                         {
+                             it->second->finished(at, "kitakaze", took, 0,
+                                                  m_time.now());
+                         }
+                     });
+    }
+
     void count(bool counted)
     {
         ++m_at_once;
@@ -232,6 +287,7 @@
                                              static_cast<double>(s_at_once) -
                                          1),
                  "percent");
+    print_figure(name + ".asks", result.asks / result.offered, "a_call");
     auto const span = base::seconds_of(s_length - s_warm_up);
     auto const possible = std::min(result.offered, s_rate * span);
     print_figure(name + ".under_use", 100 * (1 - result.admitted / possible),
