calls: Add the entry's dispatcher of calls and the watch of a connection

The dispatcher holds an entry's admitted calls together: route, resend, hedge, deadline.

A part of a limit that was not set anew within the settling time admits nothing: a stopped process comes back with a part that others use.

--- /dev/null
+++ b/libraries/calls/call_dispatcher.cpp
@@ -0,0 +1,327 @@
+#include <calls/call_dispatcher.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace berylhill::calls
+{
+
+namespace
+{
+
+/// When no group is known, one may be by then.
+constexpr double s_no_group_retry_s = 1;
+/// An owner gives up a little before the caller's deadline, so that its word
+/// on whether the call ran is here in time: at most this, and at most this
+/// part of what is left.
+constexpr base::duration s_answer_way{std::chrono::milliseconds{5}};
+constexpr std::int32_t s_answer_part = 10;
+
+} // namespace
+
+attempt_end end_of(refusal const& why) noexcept
+{
+    if (why.work == ran::unknown)
+    {
+        return attempt_end::timed_out;
+    }
+    return why.code == refusal_code::minion_refused
+               ? attempt_end::minion_refused
+               : attempt_end::owner_refused;
+}
+
+call_dispatcher::call_dispatcher(router_settings const& routes,
+                                 retry_settings const& retries,
+                                 generator random)
+    : m_router{routes, random}
+    , m_budget{retries, random}
+{
+}
+
+void call_dispatcher::heard(group_digest const& it, base::instant now)
+{
+    m_router.heard(it, now);
+}
+
+void call_dispatcher::forget(std::string const& group)
+{
+    m_router.forget(group);
+}
+
+dispatch_actions call_dispatcher::start(call const& it,
+                                        std::string const& service,
+                                        base::instant now)
+{
+    dispatch_actions out;
+    request fresh;
+    fresh.original = it;
+    fresh.service = service;
+    auto& added =
+        m_requests.emplace(it.request_id, std::move(fresh)).first->second;
+    m_budget.first_attempt(it.contract);
+    m_plans.push({it.deadline, it.request_id, plan_kind::give_up, {}});
+    send(added, wanted_room::any, now, out);
+    return out;
+}
+
+dispatch_actions call_dispatcher::attempt_ended(attempt_report const& report,
+                                                base::instant now)
+{
+    dispatch_actions out;
+    auto const id = m_attempts.extract(report.attempt_id);
+    if (id.empty())
+    {
+        return out;
+    }
+    auto& it = m_requests.at(id.mapped());
+    auto const ended = std::find_if(it.attempts.begin(), it.attempts.end(),
+                                    [&](attempt const& each)
+                                    { return each.id == report.attempt_id; });
+    ended->open = false;
+    if (report.end == attempt_end::owner_refused)
+    {
+        m_router.refused(ended->to.group);
+    }
+    if (report.why)
+    {
+        it.last_refusal = report.why;
+    }
+    auto const step = attempt_rules::after(report.end, it.original.safety,
+                                           it.earlier, room_for(it, now));
+    if (!attempt_rules::surely_not_run(report.end))
+    {
+        it.earlier = ran::unknown;
+    }
+    auto const others_open =
+        std::any_of(it.attempts.begin(), it.attempts.end(),
+                    [](attempt const& each) { return each.open; });
+    if (step == next_step::deliver)
+    {
+        finish(it.original.request_id, report.attempt_id, out);
+        return out;
+    }
+    if (others_open || it.resend_planned)
+    {
+        return out;
+    }
+    if (step == next_step::resend && resend_later(it, report.end, now))
+    {
+        return out;
+    }
+    refuse(it, it.earlier, out);
+    return out;
+}
+
+dispatch_actions call_dispatcher::caller_gone(std::string const& request_id)
+{
+    dispatch_actions out;
+    if (m_requests.contains(request_id))
+    {
+        finish(request_id, {}, out);
+    }
+    return out;
+}
+
+dispatch_actions call_dispatcher::expire(base::instant now)
+{
+    dispatch_actions out;
+    while (!m_plans.empty() && m_plans.top().at <= now)
+    {
+        auto const it = m_plans.top();
+        m_plans.pop();
+        run_plan(it, now, out);
+    }
+    m_router.expire(now);
+    return out;
+}
+
+std::optional<base::instant> call_dispatcher::next_expiry() const
+{
+    if (m_plans.empty())
+    {
+        return std::nullopt;
+    }
+    return m_plans.top().at;
+}
+
+std::int32_t call_dispatcher::resends(std::string const& request_id) const
+{
+    auto const it = m_requests.find(request_id);
+    if (it == m_requests.end() || it->second.attempts.empty())
+    {
+        return 0;
+    }
+    return static_cast<std::int32_t>(it->second.attempts.size()) - 1;
+}
+
+std::vector<std::string> call_dispatcher::tried(request const& it)
+{
+    std::vector<std::string> groups;
+    for (auto const& each : it.attempts)
+    {
+        groups.push_back(each.to.group);
+    }
+    return groups;
+}
+
+void call_dispatcher::send(request& it,
+                           wanted_room room,
+                           base::instant now,
+                           dispatch_actions& out)
+{
+    auto const to = m_router.choose(it.service, tried(it), room, now);
+    auto const first = it.attempts.empty();
+    if (!to || (!first && !m_budget.take(it.original.contract)))
+    {
+        auto const waits =
+            std::any_of(it.attempts.begin(), it.attempts.end(),
+                        [](attempt const& each) { return each.open; });
+        if (!waits)
+        {
+            refuse(it, it.earlier, out);
+        }
+        return;
+    }
+    auto sent = it.original;
+    sent.request_id += "/" + std::to_string(it.attempts.size() + 1);
+    sent.deadline -=
+        std::min(s_answer_way, (sent.deadline - now) / s_answer_part);
+    it.attempts.push_back({sent.request_id, *to, true});
+    m_attempts.emplace(sent.request_id, it.original.request_id);
+    if (first)
+    {
+        plan_hedge(it, *to, now);
+    }
+    out.emplace_back(
+        send_to_owner{it.original.request_id, std::move(sent), *to});
+}
+
+void call_dispatcher::plan_hedge(request const& it,
+                                 route const& to,
+                                 base::instant now)
+{
+    if (!attempt_rules::may_hedge(it.original.safety, room_for(it, now)))
+    {
+        return;
+    }
+    auto const at = m_router.hedge_at(to.group, it.original, now);
+    if (at)
+    {
+        m_plans.push(
+            {*at, it.original.request_id, plan_kind::hedge, wanted_room::idle});
+    }
+}
+
+void call_dispatcher::run_plan(plan const& it,
+                               base::instant now,
+                               dispatch_actions& out)
+{
+    auto const found = m_requests.find(it.request_id);
+    if (found == m_requests.end())
+    {
+        return;
+    }
+    auto& planned = found->second;
+    switch (it.kind)
+    {
+    case plan_kind::give_up:
+    {
+        // An attempt in an owner's hands may be with a minion already.
+        auto const open =
+            std::any_of(planned.attempts.begin(), planned.attempts.end(),
+                        [](attempt const& each) { return each.open; });
+        refuse(planned, open ? ran::unknown : planned.earlier, out);
+        return;
+    }
+    case plan_kind::resend:
+        planned.resend_planned = false;
+        send(planned, it.room, now, out);
+        return;
+    case plan_kind::hedge:
+        hedge(planned, now, out);
+        return;
+    }
+}
+
+void call_dispatcher::hedge(request& it,
+                            base::instant now,
+                            dispatch_actions& out)
+{
+    auto const one_open = it.attempts.size() == 1 && it.attempts[0].open;
+    if (one_open &&
+        attempt_rules::may_hedge(it.original.safety, room_for(it, now)))
+    {
+        send(it, wanted_room::idle, now, out);
+    }
+}
+
+bool call_dispatcher::resend_later(request& it,
+                                   attempt_end end,
+                                   base::instant now)
+{
+    // A full owner says nothing of the others, but most are full together.
+    auto const room = end == attempt_end::owner_refused
+                          ? wanted_room::short_queue
+                          : wanted_room::any;
+    // With nowhere to go the caller hears so now, and not after the back-off.
+    if (!m_router.offers(it.service, tried(it), room, now))
+    {
+        return false;
+    }
+    auto const number = static_cast<std::int32_t>(it.attempts.size());
+    it.resend_planned = true;
+    m_plans.push({now + m_budget.back_off(number), it.original.request_id,
+                  plan_kind::resend, room});
+    return true;
+}
+
+void call_dispatcher::finish(std::string const& request_id,
+                             std::string const& answered,
+                             dispatch_actions& out)
+{
+    if (!answered.empty())
+    {
+        out.emplace_back(deliver_attempt{request_id, answered});
+    }
+    auto const it = m_requests.extract(request_id);
+    for (auto const& each : it.mapped().attempts)
+    {
+        if (each.open)
+        {
+            m_attempts.erase(each.id);
+            out.emplace_back(cancel_attempt{each.id, each.to});
+        }
+    }
+}
+
+void call_dispatcher::refuse(request const& it, ran work, dispatch_actions& out)
+{
+    refusal why{ran::not_run, refusal_code::no_minion,
+                "no owner of minions of " + it.service + " is known",
+                s_no_group_retry_s};
+    if (it.last_refusal)
+    {
+        why = *it.last_refusal;
+    }
+    if (work == ran::unknown)
+    {
+        why = {ran::unknown, refusal_code::outcome_unknown,
+               "the call was sent and no whole answer came", 0};
+    }
+    out.emplace_back(refuse_request{it.original.request_id, why});
+    finish(std::string{it.original.request_id}, {}, out);
+}
+
+resend_room call_dispatcher::room_for(request const& it,
+                                      base::instant now) const
+{
+    auto const most =
+        static_cast<std::size_t>(m_budget.settings().most_attempts);
+    auto const left =
+        it.attempts.size() < most &&
+        now + m_budget.settings().first_back_off < it.original.deadline &&
+        m_budget.has(it.original.contract);
+    return left ? resend_room::left : resend_room::none;
+}
+
+} // namespace berylhill::calls
--- a/libraries/calls/contract_gate.cpp
+++ b/libraries/calls/contract_gate.cpp
@@ -51,7 +51,15 @@
                              base::duration settle)
 {
     refill(now);
+    // A process that was stopped for a while comes back with the part it had:
+    // its peers may have dropped it and use that part. It starts again with
+    // nothing, and has heard of them when the settling time is over.
+    if (!m_parts.empty() && now - m_parts.back().first > settle)
+    {
+        m_parts.emplace_back(now, limit_part{});
+    }
     m_parts.emplace_back(now, part);
+    m_valid_until = now + settle;
     // One part older than the settling time stays: it was in force at the
     // window's start.
     while (m_parts.size() > 1 && m_parts[1].first <= now - settle)
@@ -71,6 +79,11 @@
 {
     refill(now);
     ++m_offered;
+    if (now > m_valid_until)
+    {
+        ++m_refused;
+        return refuse(refusal_code::rate_limited, m_limits.calls_per_s, random);
+    }
     if (static_cast<double>(m_in_flight) + 1 > m_part.at_once)
     {
         ++m_refused;
--- a/libraries/calls/contract_gate.hpp
+++ b/libraries/calls/contract_gate.hpp
@@ -36,6 +36,7 @@
     /// The part that the demands of all entries give this one now. A smaller
     /// part is in force at once, a larger one when every part computed since
     /// `settle` ago was as large: until then another entry may still use it.
+    /// Set it every gossip round: a part not set for `settle` admits nothing.
     void
     set_part(limit_part const& part, base::instant now, base::duration settle);
 
@@ -84,6 +85,8 @@
     std::deque<std::pair<base::instant, limit_part>> m_parts;
     double m_tokens{0};
     base::instant m_refilled;
+    /// The part counts until here unless it is set again.
+    base::instant m_valid_until;
     std::int64_t m_in_flight{0};
     std::int64_t m_peak{0};
     std::int64_t m_offered{0};
--- a/libraries/calls/router.cpp
+++ b/libraries/calls/router.cpp
@@ -66,6 +66,14 @@
     return draw(candidates(service, tried, room, now), now);
 }
 
+bool router::offers(std::string const& service,
+                    std::vector<std::string> const& tried,
+                    wanted_room room,
+                    base::instant now)
+{
+    return !candidates(service, tried, room, now).empty();
+}
+
 void router::refused(std::string const& group)
 {
     auto const service = m_service_of.find(group);
--- a/libraries/calls/router.hpp
+++ b/libraries/calls/router.hpp
@@ -71,6 +71,12 @@
            wanted_room room,
            base::instant now);
 
+    /// Whether `choose` would find a group now.
+    [[nodiscard]] bool offers(std::string const& service,
+                              std::vector<std::string> const& tried,
+                              wanted_room room,
+                              base::instant now);
+
     /// The group's owner refused a call for want of room: until its next
     /// digest it counts as full.
     void refused(std::string const& group);
