--- a/libraries/calls/admission.cpp
+++ b/libraries/calls/admission.cpp
@@ -248,14 +248,16 @@
         }
     }
     auto const index = static_cast<std::size_t>(self - it.homes.begin());
-    auto const rate =
-        divide_limit(limits.calls_per_s, rates, m_settings.floor)[index];
+    // In whole tokens: a part of less than one token would never admit a
+    // call, and its rate would be lost.
+    auto const burst = divide_units(static_cast<double>(limits.call_burst),
+                                    rates, m_settings.floor)[index];
+    auto const rate = limits.call_burst > 0
+                          ? limits.calls_per_s * burst /
+                                static_cast<double>(limits.call_burst)
+                          : 0;
     auto const units = divide_units(static_cast<double>(limits.calls_at_once),
                                     at_once, m_settings.floor)[index];
-    auto const burst =
-        limits.calls_per_s > 0
-            ? static_cast<double>(limits.call_burst) * rate / limits.calls_per_s
-            : 0;
     it.gate.set_part({rate, burst, units}, now, m_settings.settle);
 }
 
--- a/libraries/calls/contract_gate.cpp
+++ b/libraries/calls/contract_gate.cpp
@@ -81,8 +81,7 @@
     ++m_offered;
     if (now > m_valid_until)
     {
-        ++m_refused;
-        return refuse(refusal_code::rate_limited, m_limits.calls_per_s, random);
+        return refuse_as_exhausted(random);
     }
     if (static_cast<double>(m_in_flight) + 1 > m_part.at_once)
     {
@@ -119,8 +118,9 @@
     --m_in_flight;
 }
 
-refusal contract_gate::refuse_as_exhausted(generator& random) const
+refusal contract_gate::refuse_as_exhausted(generator& random)
 {
+    ++m_refused;
     return refuse(refusal_code::rate_limited, m_limits.calls_per_s, random);
 }
 
@@ -144,7 +144,7 @@
     }
     m_reported = now;
     m_offered = 0;
-    m_refused = 0;
+    m_refused *= s_fade;
     m_refused_at_once = 0;
     m_peak = m_in_flight;
     return m_demand;
@@ -164,11 +164,10 @@
                               double freed_per_s,
                               generator& random) const
 {
-    // Those refused since the last report are ahead of this one: told the
-    // same time, they would all come back at once and be refused again.
-    auto const ahead = static_cast<double>(m_refused);
+    // Those refused just before are ahead of this one: told the same time, they
+    // would all come back at once and be refused again.
     auto const spread =
-        freed_per_s > 0 ? ahead / freed_per_s : s_longest_retry_s;
+        freed_per_s > 0 ? m_refused / freed_per_s : s_longest_retry_s;
     auto const latest = std::clamp(spread, s_least_spread_s, s_longest_retry_s);
     return {ran::not_run, code, "the limit of contract " + m_limits.name,
             uniform(random, latest / 2, latest * 1.5)};
--- a/libraries/calls/contract_gate.hpp
+++ b/libraries/calls/contract_gate.hpp
@@ -54,7 +54,7 @@
     void drop();
 
     /// The refusal for a call that found every home used up.
-    [[nodiscard]] refusal refuse_as_exhausted(generator& random) const;
+    [[nodiscard]] refusal refuse_as_exhausted(generator& random);
 
     /// What callers asked for since the last report, smoothed.
     [[nodiscard]] contract_demand report(base::instant now);
@@ -90,7 +90,8 @@
     std::int64_t m_in_flight{0};
     std::int64_t m_peak{0};
     std::int64_t m_offered{0};
-    std::int64_t m_refused{0};
+    /// Within about a second; what is older fades.
+    double m_refused{0};
     std::int64_t m_refused_at_once{0};
     base::instant m_reported;
     contract_demand m_demand;
--- a/libraries/calls/idempotency_table.cpp
+++ b/libraries/calls/idempotency_table.cpp
@@ -70,7 +70,7 @@
 void idempotency_table::writer_gone(std::string const& incarnation,
                                     base::instant now)
 {
-    m_gone.insert(incarnation);
+    m_gone.emplace(incarnation, now);
     auto const open = m_open.find(incarnation);
     if (open == m_open.end())
     {
@@ -162,6 +162,8 @@
         }
         m_touched.pop_front();
     }
+    std::erase_if(m_gone, [&](auto const& it)
+                  { return it.second + m_retention <= now; });
 }
 
 std::string idempotency_table::flat(idempotency_key const& it)
--- a/libraries/calls/idempotency_table.hpp
+++ b/libraries/calls/idempotency_table.hpp
@@ -133,7 +133,8 @@
     std::unordered_map<std::string, entry> m_entries;
     /// Open intents of each incarnation.
     std::unordered_map<std::string, std::unordered_set<std::string>> m_open;
-    std::unordered_set<std::string> m_gone;
+    /// Incarnations that are gone, until no record of theirs can come.
+    std::unordered_map<std::string, base::instant> m_gone;
     std::deque<touch> m_touched;
 };
 
--- a/libraries/calls/limit_share.cpp
+++ b/libraries/calls/limit_share.cpp
@@ -11,6 +11,9 @@
 namespace
 {
 
+/// Remainders that differ by less are the same but for rounding.
+constexpr double s_same = 1e-6;
+
 std::vector<std::size_t> order_by(std::vector<double> const& keys)
 {
     std::vector<std::size_t> order(keys.size());
@@ -58,7 +61,7 @@
     auto rest = std::floor(limit);
     for (std::size_t i = 0; i < shares.size(); ++i)
     {
-        missing[i] = std::floor(shares[i]) - shares[i];
+        missing[i] = std::round((std::floor(shares[i]) - shares[i]) / s_same);
         shares[i] = std::floor(shares[i]);
         rest -= shares[i];
     }
