calls: Eject silent minions by comparison only, and test the ledger

With all four minions of a group silent, two were ejected (test minions_that_are_all_bad_stay_in/silent: out() was 2, 0 now): a hanging call was judged alone. A minion counts as silent only while a peer has answered.

--- a/libraries/calls/ejection_rules.cpp
+++ b/libraries/calls/ejection_rules.cpp
@@ -32,8 +32,10 @@
 {
     std::vector<base::duration> runs;
     std::vector<double> failing;
+    base::instant last_good;
     for (auto const* it : peers)
     {
+        last_good = std::max(last_good, it->last_good());
         if (it->state() != health_state::in || !it->known())
         {
             continue;
@@ -44,7 +46,7 @@
             runs.push_back(it->run());
         }
     }
-    return {failing.size(), median_of(runs), median_of(failing)};
+    return {failing.size(), median_of(runs), median_of(failing), last_good};
 }
 
 bool ejection_rules::is_outlier(minion_health const& it,
@@ -75,6 +77,14 @@
     return std::max(long_run, m_settings.least_silence);
 }
 
+bool ejection_rules::is_silent(minion_health const& it,
+                               peer_figures const& peers,
+                               base::instant now) const
+{
+    auto const since = now - silence(peers);
+    return it.last_good() < since && peers.last_good >= since;
+}
+
 bool ejection_rules::may_eject(std::size_t all, std::size_t out) const
 {
     auto const most = m_settings.most_ejected * static_cast<double>(all);
--- a/libraries/calls/ejection_rules.hpp
+++ b/libraries/calls/ejection_rules.hpp
@@ -17,6 +17,8 @@
     /// Medians over them.
     base::duration run{0};
     double failing{0};
+    /// When the last good answer of any of them came.
+    base::instant last_good;
 
     friend bool operator==(peer_figures const&, peer_figures const&) = default;
 };
@@ -50,6 +52,11 @@
     /// From when on a running call counts as a sign of a silent minion.
     [[nodiscard]] base::duration silence(peer_figures const& peers) const;
 
+    /// Whether it has said nothing for so long while a peer has answered.
+    [[nodiscard]] bool is_silent(minion_health const& it,
+                                 peer_figures const& peers,
+                                 base::instant now) const;
+
     /// Whether one more of `all` minions may be out when `out` are.
     [[nodiscard]] bool may_eject(std::size_t all, std::size_t out) const;
 
--- a/libraries/calls/minion_ledger_choice.cpp
+++ b/libraries/calls/minion_ledger_choice.cpp
@@ -145,11 +145,13 @@
         {
             continue;
         }
-        auto const silence = m_ejection.silence(peers_of(minion));
+        auto const peers = peers_of(minion);
         // One long call is no sign; several, and nothing else answered
         // meanwhile, are.
-        if (now - health.last_good() > silence &&
-            minion.running_longer(silence, now) >= s_hanging && may_eject())
+        if (m_ejection.is_silent(health, peers, now) &&
+            minion.running_longer(m_ejection.silence(peers), now) >=
+                s_hanging &&
+            may_eject())
         {
             health.eject(now);
         }
--- /dev/null
+++ b/tests/calls/ejection_test.cpp
@@ -0,0 +1,221 @@
+#include "fixtures.hpp"
+
+#include <calls/minion_ledger.hpp>
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <array>
+#include <map>
+#include <ostream>
+#include <tuple>
+
+using namespace berylhill;
+using namespace berylhill::calls::testing;
+using calls::call_end;
+using calls::health_state;
+
+BOOST_AUTO_TEST_SUITE(ejection)
+
+namespace
+{
+
+/// How a minion answers; a run of 0 ms is no answer at all.
+struct behaviour
+{
+    call_end end{call_end::good};
+    std::int64_t run_ms{10};
+};
+
+/// A ledger whose minions answer as they are told, a call every millisecond.
+class driven_ledger
+{
+public:
+    explicit driven_ledger(std::vector<behaviour> minions)
+        : m_minions{std::move(minions)}
+        , m_ledger{"g-1", "report-svc", {}, calls::generator{7}}
+    {
+        for (std::size_t i = 0; i < m_minions.size(); ++i)
+        {
+            act(m_ledger.set_minion(minion(std::to_string(i)), now()));
+        }
+    }
+
+    void run_for(std::int64_t ms)
+    {
+        for (auto const end = m_ms + ms; m_ms < end; ++m_ms)
+        {
+            for (auto due = m_due.begin();
+                 due != m_due.end() && due->first <= m_ms;
+                 due = m_due.erase(due))
+            {
+                answer(due->second);
+            }
+            act(m_ledger.expire(now()));
+            auto const id = "r-" + std::to_string(m_ms);
+            act(m_ledger.offer(call_of(id, now()), now()));
+        }
+    }
+
+    void set(std::size_t minion, behaviour how)
+    {
+        m_minions[minion] = how;
+    }
+
+    [[nodiscard]] health_state state(std::size_t minion) const
+    {
+        return m_ledger.find(std::to_string(minion))->health().state();
+    }
+
+    [[nodiscard]] std::int32_t usable(std::size_t minion) const
+    {
+        return m_ledger.find(std::to_string(minion))->usable(now());
+    }
+
+    [[nodiscard]] std::size_t out() const
+    {
+        std::size_t n = 0;
+        for (std::size_t i = 0; i < m_minions.size(); ++i)
+        {
+            n += state(i) == health_state::in ? 0 : 1;
+        }
+        return n;
+    }
+
+    /// Sends to each minion since the last question.
+    [[nodiscard]] std::map<std::string, int> take_sends()
+    {
+        return std::exchange(m_sends, {});
+    }
+
+private:
+    [[nodiscard]] base::instant now() const
+    {
+        return at_ms(m_ms);
+    }
+
+    void answer(std::string const& id)
+    {
+        auto const& how = m_minions[std::stoul(m_ledger.minion_of(id))];
+        act(how.end == call_end::failed
+                ? m_ledger.not_run(id, now())
+                : m_ledger.answered(id, how.end, now()));
+    }
+
+    void act(calls::ledger_actions const& actions)
+    {
+        for (auto const& it : only<calls::send_to_minion>(actions))
+        {
+            ++m_sends[it.minion];
+            auto const run = m_minions[std::stoul(it.minion)].run_ms;
+            if (run > 0)
+            {
+                m_due.emplace(m_ms + run, it.request_id);
+            }
+        }
+        for (auto const& it : only<calls::probe_minion>(actions))
+        {
+            act(m_ledger.probed(it.minion, true, now()));
+        }
+    }
+
+    std::vector<behaviour> m_minions;
+    calls::minion_ledger m_ledger;
+    std::int64_t m_ms{1};
+    std::multimap<std::int64_t, std::string> m_due;
+    std::map<std::string, int> m_sends;
+};
+
+constexpr behaviour s_good{};
+constexpr behaviour s_failing{call_end::failed, 1};
+constexpr behaviour s_slow{call_end::good, 200};
+constexpr behaviour s_silent{call_end::good, 0};
+
+struct bad_case
+{
+    char const* name;
+    behaviour how;
+};
+
+std::ostream& operator<<(std::ostream& out, bad_case const& it)
+{
+    return out << it.name;
+}
+
+std::array const s_bad{
+    bad_case{"failing", s_failing},
+    bad_case{"slow", s_slow},
+    bad_case{"silent", s_silent},
+};
+
+} // namespace
+
+// A tenth of the calls fail or crawl although five of six minions are well. A
+// minion that fails at once is always the least loaded, and draws most calls.
+BOOST_DATA_TEST_CASE(one_bad_minion_is_taken_out, s_bad, it)
+{
+    driven_ledger group{{s_good, s_good, it.how, s_good, s_good, s_good}};
+    group.run_for(1'000);
+    BOOST_CHECK(group.state(2) != health_state::in);
+    BOOST_TEST(group.out() == 1U);
+    std::ignore = group.take_sends();
+    group.run_for(500);
+    BOOST_TEST(group.take_sends()["2"] == 0);
+}
+
+// The service's database is down and every call fails. Taking minions out one
+// after another would leave the last one with the load of all when it is back.
+BOOST_DATA_TEST_CASE(minions_that_are_all_bad_stay_in, s_bad, it)
+{
+    driven_ledger group{{it.how, it.how, it.how, it.how}};
+    group.run_for(3'000);
+    BOOST_TEST(group.out() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(never_more_than_half_are_out)
+{
+    driven_ledger group{
+        {s_good, s_good, s_good, s_failing, s_failing, s_failing}};
+    group.run_for(1'500);
+    BOOST_TEST(group.out() == 3U);
+    group.set(2, s_failing);
+    group.run_for(400);
+    BOOST_TEST(group.out() == 3U);
+}
+
+// A minion is well again, but gets its full load at once, with cold caches,
+// and is taken out again. It starts with one call at a time.
+BOOST_AUTO_TEST_CASE(a_minion_that_is_well_again_comes_back_slowly)
+{
+    driven_ledger group{{s_good, s_good, s_failing, s_good}};
+    group.run_for(1'000);
+    BOOST_CHECK(group.state(2) == health_state::ejected);
+    group.set(2, s_good);
+    group.run_for(1'500);
+    BOOST_CHECK(group.state(2) == health_state::in);
+    BOOST_TEST(group.usable(2) <= 2);
+    group.run_for(2'000);
+    BOOST_TEST(group.usable(2) >= 3);
+    BOOST_TEST(group.usable(2) <= 5);
+    group.run_for(3'000);
+    BOOST_TEST(group.usable(2) == 8);
+}
+
+BOOST_AUTO_TEST_CASE(each_ejection_lasts_twice_as_long)
+{
+    calls::health_settings const settings;
+    calls::minion_health it{settings};
+    auto now = at_ms(0);
+    for (auto span = settings.first_ejection; span < settings.longest_ejection;
+         span *= 2)
+    {
+        it.eject(now);
+        BOOST_TEST((it.until() - now == span));
+        BOOST_TEST(!it.start_probe(it.until() - base::duration{1}));
+        now = it.until();
+        BOOST_TEST(it.start_probe(now));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/calls/minion_ledger_test.cpp
+++ b/tests/calls/minion_ledger_test.cpp
@@ -71,4 +71,168 @@
     BOOST_TEST(sent[0].request_id == "r-3");
 }
 
+// A caller gets somebody else's report: an answer came after its own caller
+// had been told "unknown", and was passed on to whoever asked next.
+BOOST_AUTO_TEST_CASE(a_late_answer_reaches_nobody_and_frees_the_slot)
+{
+    auto it = ledger_with({minion("m-1", 1)});
+    std::ignore = it.offer(call_of("r-1", at_ms(0)), at_ms(0));
+    auto const over = only<calls::refuse_call>(it.expire(at_ms(1'000)));
+    BOOST_REQUIRE(over.size() == 1U);
+    BOOST_CHECK(over[0].why.work == ran::unknown);
+    BOOST_TEST(it.find("m-1")->busy() == 1);
+    std::ignore = it.offer(call_of("r-2", at_ms(1'100)), at_ms(1'100));
+    auto const out = it.answered("r-1", call_end::good, at_ms(1'110));
+    BOOST_TEST(only<calls::deliver_answer>(out).empty());
+    BOOST_TEST(only<calls::drop_answer>(out).size() == 1U);
+    auto const sent = only<calls::send_to_minion>(out);
+    BOOST_REQUIRE(sent.size() == 1U);
+    BOOST_TEST(sent[0].request_id == "r-2");
+}
+
+// Two answers arrive in the other order than their calls, and a third twice:
+// each goes to its own request id, and the doubled one nowhere.
+BOOST_AUTO_TEST_CASE(crossed_and_doubled_answers_go_to_their_own_calls)
+{
+    auto it = ledger_with({minion("m-1")});
+    std::ignore = it.offer(call_of("r-1", at_ms(0)), at_ms(0));
+    std::ignore = it.offer(call_of("r-2", at_ms(0)), at_ms(0));
+    auto const second = only<calls::deliver_answer>(
+        it.answered("r-2", call_end::good, at_ms(5)));
+    BOOST_REQUIRE(second.size() == 1U);
+    BOOST_TEST(second[0].request_id == "r-2");
+    BOOST_TEST(
+        only<calls::drop_answer>(it.answered("r-2", call_end::good, at_ms(6)))
+            .size() == 1U);
+    BOOST_TEST(it.find("m-1")->busy() == 1);
+    auto const first = only<calls::deliver_answer>(
+        it.answered("r-1", call_end::good, at_ms(7)));
+    BOOST_REQUIRE(first.size() == 1U);
+    BOOST_TEST(first[0].request_id == "r-1");
+}
+
+// A result is booked twice: the offer reached the owner twice, and the second
+// one was sent to another minion.
+BOOST_AUTO_TEST_CASE(an_attempt_offered_twice_is_sent_once)
+{
+    auto it = ledger_with({minion("m-1"), minion("m-2")});
+    auto const call = call_of("r-1/1", at_ms(0));
+    BOOST_TEST(it.offer(call, at_ms(0)).size() == 1U);
+    BOOST_TEST(it.offer(call, at_ms(1)).empty());
+    std::ignore = it.answered("r-1/1", call_end::good, at_ms(5));
+    BOOST_TEST(it.offer(call, at_ms(10)).empty());
+}
+
+BOOST_AUTO_TEST_CASE(slots_and_connections_are_never_exceeded)
+{
+    auto few = minion("m-2");
+    few.connections = 4;
+    auto it = ledger_with({minion("m-1", 2), few});
+    int sent = 0;
+    for (int i = 0; i < 20; ++i)
+    {
+        auto const call = call_of("r-" + std::to_string(i), at_ms(0));
+        sent += static_cast<int>(
+            only<calls::send_to_minion>(it.offer(call, at_ms(0))).size());
+    }
+    // One connection stays free for pings.
+    BOOST_TEST(sent == 5);
+    BOOST_TEST(it.find("m-1")->busy() == 2);
+    BOOST_TEST(it.find("m-2")->busy() == 3);
+}
+
+// A minion is being replaced; calls that were sent to it after the stop was
+// announced are lost with it.
+BOOST_AUTO_TEST_CASE(a_leaving_minion_gets_nothing_new)
+{
+    auto it = ledger_with({minion("m-1"), minion("m-2")});
+    std::ignore = it.offer(call_of("r-0", at_ms(0)), at_ms(0));
+    auto const at = it.minion_of("r-0");
+    auto leaving = minion(at);
+    leaving.state = model::listed_state::leaving;
+    std::ignore = it.set_minion(leaving, at_ms(1));
+    for (int i = 1; i < 9; ++i)
+    {
+        auto const id = "r-" + std::to_string(i);
+        std::ignore = it.offer(call_of(id, at_ms(2)), at_ms(2));
+        BOOST_TEST(it.minion_of(id) != at);
+    }
+    auto const out = it.answered("r-0", call_end::good, at_ms(5));
+    BOOST_TEST(only<calls::deliver_answer>(out).size() == 1U);
+    BOOST_TEST(it.find(at)->busy() == 0);
+}
+
+// The platform's list drops a minion by mistake and shows it again: the calls
+// on it were forgotten, and it got twice what it can hold.
+BOOST_AUTO_TEST_CASE(a_minion_that_drops_off_the_list_keeps_its_count)
+{
+    auto it = ledger_with({minion("m-1", 2)});
+    std::ignore = it.offer(call_of("r-1", at_ms(0)), at_ms(0));
+    std::ignore = it.offer(call_of("r-2", at_ms(0)), at_ms(0));
+    std::ignore = it.remove_minion("m-1", at_ms(1));
+    auto const back = it.set_minion(minion("m-1", 2), at_ms(2));
+    BOOST_TEST(only<calls::send_to_minion>(
+                   it.offer(call_of("r-3", at_ms(3)), at_ms(3)))
+                   .empty());
+    std::ignore = it.remove_minion("m-1", at_ms(4));
+    std::ignore = it.answered("r-1", call_end::good, at_ms(5));
+    std::ignore = it.answered("r-2", call_end::good, at_ms(5));
+    BOOST_TEST(it.find("m-1") == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(a_new_owner_counts_what_the_earlier_one_may_have_sent)
+{
+    auto it = ledger_with({minion("m-1", 1)});
+    it.adopt("m-1", "old-1", at_ms(500), at_ms(0));
+    std::ignore = it.offer(call_of("r-1", at_ms(0)), at_ms(0));
+    BOOST_TEST(it.queued() == 1U);
+    auto const sent = only<calls::send_to_minion>(it.expire(at_ms(500)));
+    BOOST_REQUIRE(sent.size() == 1U);
+    BOOST_TEST(sent[0].request_id == "r-1");
+}
+
+// A caller waits its whole timeout for "too late", which was sure from the
+// start: the queue before it took longer than its deadline.
+BOOST_AUTO_TEST_CASE(a_call_that_cannot_make_its_deadline_is_refused_at_once)
+{
+    calls::ledger_settings settings;
+    settings.first_run = std::chrono::milliseconds{100};
+    auto it = ledger_with({minion("m-1", 1)}, settings);
+    std::ignore = it.offer(call_of("r-1", at_ms(0)), at_ms(0));
+    auto tight = call_of("r-2", at_ms(0));
+    tight.deadline = at_ms(150);
+    auto const out = only<calls::refuse_call>(it.offer(tight, at_ms(0)));
+    BOOST_REQUIRE(out.size() == 1U);
+    BOOST_CHECK(out[0].why.work == ran::not_run);
+    BOOST_CHECK(out[0].why.code == refusal_code::deadline_too_short);
+    BOOST_TEST(out[0].why.retry_after_s > 0);
+}
+
+BOOST_AUTO_TEST_CASE(a_queue_longer_than_its_bound_sheds_at_once)
+{
+    auto it = ledger_with({minion("m-1", 1)});
+    std::size_t refused = 0;
+    for (int i = 0; i < 10; ++i)
+    {
+        auto const call = call_of("r-" + std::to_string(i), at_ms(0));
+        refused += only<calls::refuse_call>(it.offer(call, at_ms(0))).size();
+    }
+    BOOST_TEST(it.queued() == 1U);
+    BOOST_TEST(refused == 8U);
+    auto const stopped = only<calls::refuse_call>(it.stop());
+    BOOST_REQUIRE(stopped.size() == 1U);
+    BOOST_CHECK(stopped[0].why.work == ran::not_run);
+}
+
+BOOST_AUTO_TEST_CASE(a_call_given_up_on_in_the_queue_did_not_run)
+{
+    auto it = ledger_with({minion("m-1", 1)});
+    std::ignore = it.offer(call_of("r-1", at_ms(0)), at_ms(0));
+    std::ignore = it.offer(call_of("r-2", at_ms(0)), at_ms(0));
+    auto const out = only<calls::refuse_call>(it.give_up("r-2", at_ms(1)));
+    BOOST_REQUIRE(out.size() == 1U);
+    BOOST_CHECK(out[0].why.work == ran::not_run);
+    BOOST_TEST(it.queued() == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/utilities/bench/calls_experiment.hpp
+++ b/utilities/bench/calls_experiment.hpp
@@ -25,6 +25,7 @@
 inline constexpr int s_entries = 5;
 inline constexpr int s_minions = 30;
 inline constexpr int s_bad_every = 10;
+inline constexpr int s_good_minions = s_minions - s_minions / s_bad_every;
 inline constexpr int s_slots = 8;
 inline constexpr int s_connections = 64;
 inline constexpr int s_contracts = 20;
@@ -34,8 +35,7 @@
 inline constexpr base::duration s_gossip{milliseconds{200}};
 inline constexpr base::duration s_warm_up{milliseconds{3'000}};
 inline constexpr base::duration s_measured{milliseconds{6'000}};
-inline constexpr double s_capacity =
-    s_slots * (s_minions - s_minions / s_bad_every) / s_run_s;
+inline constexpr double s_capacity = s_slots * s_good_minions / s_run_s;
 inline constexpr int s_most_attempts = 3;
 
 enum class badness : std::uint8_t
--- a/utilities/bench/calls_limits.cpp
+++ b/utilities/bench/calls_limits.cpp
@@ -90,7 +90,7 @@
 private:
     using gate = std::shared_ptr<calls::admission>;
 
-    std::string start_entry()
+    void start_entry()
     {
         auto const name = "e-" + std::to_string(100 + ++m_started);
         auto it = std::make_shared<calls::admission>(
@@ -98,7 +98,6 @@
             calls::generator{static_cast<std::uint64_t>(m_started)});
         it->set_contract(m_contract, m_time.now());
         m_entries.emplace(name, std::move(it));
-        return name;
     }
 
     /// All running entries learn who is live; a new one takes calls from now
