--- a/tests/calls/fixtures.hpp
+++ b/tests/calls/fixtures.hpp
@@ -54,8 +54,8 @@
 }
 
 /// The actions of one kind, in their order.
-template <class Action>
-[[nodiscard]] std::vector<Action> only(ledger_actions const& actions)
+template <class Action, class Actions>
+[[nodiscard]] std::vector<Action> only(Actions const& actions)
 {
     std::vector<Action> found;
     for (auto const& it : actions)
--- /dev/null
+++ b/tests/calls/idempotency_table_test.cpp
@@ -0,0 +1,143 @@
+#include "fixtures.hpp"
+
+#include <calls/idempotency_table.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+#include <tuple>
+
+using namespace berylhill;
+using namespace berylhill::calls::testing;
+using calls::key_state;
+using calls::ran;
+using calls::refusal_code;
+
+BOOST_AUTO_TEST_SUITE(idempotency_table)
+
+namespace
+{
+
+constexpr std::uint64_t s_body = 42;
+
+calls::idempotency_key const s_key{"kitakaze", "forecast-12"};
+
+calls::idempotency_table table()
+{
+    return {std::chrono::seconds{60}, 100};
+}
+
+calls::call_intent intent(std::string request_id,
+                          std::string incarnation = "e-1#1")
+{
+    return {s_key, std::move(request_id), s_body, std::move(incarnation)};
+}
+
+calls::call_result answer(std::string request_id)
+{
+    return {s_key, std::move(request_id),
+            platform::minion_answer{200, "text/plain", "12.40"}};
+}
+
+calls::call_result refused(std::string request_id, ran work)
+{
+    return {s_key, std::move(request_id),
+            calls::refusal{work, refusal_code::overloaded, "", 1}};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_repeat_gets_the_first_answer)
+{
+    auto it = table();
+    BOOST_CHECK(it.find(s_key, s_body) == key_state::fresh);
+    BOOST_TEST(it.apply(intent("r-1"), at_ms(0)));
+    BOOST_CHECK(it.find(s_key, s_body) == key_state::in_progress);
+    it.apply(answer("r-1"), at_ms(5));
+    BOOST_CHECK(it.find(s_key, s_body) == key_state::answered);
+    BOOST_TEST(it.outcome_of(s_key)->answer().body == "12.40");
+}
+
+// The same grandmother gets two forecasts: her app asked two entries at the
+// same time, and each wrote its intent and sent the call.
+BOOST_AUTO_TEST_CASE(of_two_intents_the_first_in_the_log_may_be_sent)
+{
+    auto it = table();
+    BOOST_TEST(it.apply(intent("r-1", "e-1#1"), at_ms(0)));
+    BOOST_TEST(!it.apply(intent("r-2", "e-2#1"), at_ms(1)));
+    // The first one read again, as after a lost answer to its append.
+    BOOST_TEST(it.apply(intent("r-1", "e-1#1"), at_ms(2)));
+    it.apply(answer("r-2"), at_ms(3));
+    BOOST_CHECK(it.find(s_key, s_body) == key_state::in_progress);
+}
+
+// An entry dies between writing the intent and the answer. Its call may have
+// run; a repeat must neither run it again nor say that it did not run.
+BOOST_AUTO_TEST_CASE(an_entry_dies_after_its_intent)
+{
+    auto it = table();
+    std::ignore = it.apply(intent("r-1"), at_ms(0));
+    it.writer_gone("e-1#1", at_ms(10));
+    BOOST_CHECK(it.find(s_key, s_body) == key_state::outcome_unknown);
+    BOOST_TEST(!it.apply(intent("r-2", "e-2#1"), at_ms(20)));
+    auto const why =
+        calls::idempotency_table::refusal_for(key_state::outcome_unknown);
+    BOOST_CHECK(why.work == ran::unknown);
+    // Its result was on the way to the log all the same.
+    it.apply(answer("r-1"), at_ms(30));
+    BOOST_CHECK(it.find(s_key, s_body) == key_state::answered);
+}
+
+// The intent of a dead entry is read only after its death was noticed: the
+// repeat would be told "in progress" for ever.
+BOOST_AUTO_TEST_CASE(an_intent_read_after_its_writer_is_gone_is_unknown)
+{
+    auto it = table();
+    it.writer_gone("e-1#1", at_ms(0));
+    std::ignore = it.apply(intent("r-1"), at_ms(10));
+    BOOST_CHECK(it.find(s_key, s_body) == key_state::outcome_unknown);
+}
+
+BOOST_AUTO_TEST_CASE(a_first_call_that_did_not_run_leaves_the_key)
+{
+    auto it = table();
+    std::ignore = it.apply(intent("r-1"), at_ms(0));
+    it.apply(refused("r-1", ran::not_run), at_ms(5));
+    BOOST_CHECK(it.find(s_key, s_body) == key_state::fresh);
+    BOOST_TEST(it.apply(intent("r-2", "e-2#1"), at_ms(10)));
+    it.apply(refused("r-2", ran::unknown), at_ms(15));
+    BOOST_CHECK(it.find(s_key, s_body) == key_state::outcome_unknown);
+    BOOST_TEST(!it.apply(intent("r-3"), at_ms(20)));
+}
+
+BOOST_AUTO_TEST_CASE(another_request_under_the_key_is_a_conflict)
+{
+    auto it = table();
+    std::ignore = it.apply(intent("r-1"), at_ms(0));
+    BOOST_CHECK(it.find(s_key, s_body + 1) == key_state::conflict);
+    auto const why = calls::idempotency_table::refusal_for(key_state::conflict);
+    BOOST_CHECK(why.work == ran::not_run);
+}
+
+BOOST_AUTO_TEST_CASE(keys_of_two_contracts_never_meet)
+{
+    auto it = table();
+    std::ignore = it.apply(intent("r-1"), at_ms(0));
+    BOOST_CHECK(it.find({"cantabrica", s_key.key}, s_body) == key_state::fresh);
+    BOOST_CHECK(it.find({"kitakazefore", "cast-12"}, s_body) ==
+                key_state::fresh);
+}
+
+BOOST_AUTO_TEST_CASE(keys_age_out_after_their_last_record_and_are_bounded)
+{
+    calls::idempotency_table it{std::chrono::seconds{60}, 1};
+    std::ignore = it.apply(intent("r-1"), at_ms(0));
+    BOOST_TEST(it.full());
+    it.apply(answer("r-1"), at_ms(30'000));
+    it.expire(at_ms(60'000));
+    BOOST_TEST(it.size() == 1U);
+    it.expire(at_ms(90'000));
+    BOOST_TEST(it.size() == 0U);
+    BOOST_TEST(!it.full());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/calls/router_test.cpp
@@ -0,0 +1,114 @@
+#include "fixtures.hpp"
+
+#include <calls/router.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+
+using namespace berylhill;
+using namespace berylhill::calls::testing;
+using calls::wanted_room;
+
+BOOST_AUTO_TEST_SUITE(router)
+
+namespace
+{
+
+calls::group_digest loaded(std::string group, std::int32_t busy)
+{
+    calls::group_digest it;
+    it.group = std::move(group);
+    it.service = "report-svc";
+    it.epoch = 1;
+    it.sequence = 1;
+    it.slots = 10;
+    it.busy = busy;
+    it.run = std::chrono::milliseconds{20};
+    return it;
+}
+
+std::map<std::string, int>
+chosen(calls::router& it, int calls, base::instant now)
+{
+    std::map<std::string, int> counts;
+    for (int i = 0; i < calls; ++i)
+    {
+        auto const to = it.choose("report-svc", {}, wanted_room::any, now);
+        ++counts[to ? to->group : "none"];
+    }
+    return counts;
+}
+
+} // namespace
+
+// A digest is half a second old and shows one group idle: every call goes
+// there and it is full, while the others idle.
+BOOST_AUTO_TEST_CASE(calls_since_the_digest_count)
+{
+    calls::router it{{}, calls::generator{9}};
+    for (auto const* group : {"g-1", "g-2", "g-3", "g-4"})
+    {
+        it.heard(loaded(group, 0), at_ms(0));
+    }
+    for (auto const& [group, n] : chosen(it, 40, at_ms(400)))
+    {
+        BOOST_TEST(n >= 8, group);
+        BOOST_TEST(n <= 12, group);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(the_less_loaded_of_two_is_chosen)
+{
+    calls::router it{{}, calls::generator{9}};
+    it.heard(loaded("full", 10), at_ms(0));
+    it.heard(loaded("idle", 0), at_ms(0));
+    BOOST_TEST(chosen(it, 10, at_ms(1)).at("idle") == 10);
+}
+
+// A group's owner died; its last digest, which showed it idle, draws calls for
+// ever.
+BOOST_AUTO_TEST_CASE(a_stale_digest_draws_no_calls_while_there_are_others)
+{
+    calls::router it{{}, calls::generator{9}};
+    it.heard(loaded("dead", 0), at_ms(0));
+    it.heard(loaded("alive", 9), at_ms(3'500));
+    BOOST_TEST(chosen(it, 10, at_ms(3'600)).at("alive") == 10);
+    it.forget("alive");
+    BOOST_TEST(chosen(it, 1, at_ms(3'600)).at("dead") == 1);
+    it.expire(at_ms(40'000));
+    BOOST_TEST(chosen(it, 1, at_ms(40'000)).at("none") == 1);
+}
+
+// An old owner's digest overtakes the new owner's, and calls go to an owner
+// that refuses them.
+BOOST_AUTO_TEST_CASE(a_digest_of_an_earlier_epoch_is_ignored)
+{
+    calls::router it{{}, calls::generator{9}};
+    auto newer = loaded("g-1", 0);
+    newer.owner = "e-2";
+    newer.epoch = 2;
+    it.heard(newer, at_ms(0));
+    auto older = loaded("g-1", 0);
+    older.owner = "e-1";
+    older.sequence = 99;
+    it.heard(older, at_ms(1));
+    auto const to = it.choose("report-svc", {}, wanted_room::any, at_ms(1));
+    BOOST_REQUIRE(to);
+    BOOST_TEST(to->owner == "e-2");
+}
+
+BOOST_AUTO_TEST_CASE(a_full_group_is_chosen_for_first_attempts_only)
+{
+    calls::router it{{}, calls::generator{9}};
+    it.heard(loaded("g-1", 10), at_ms(0));
+    BOOST_TEST(!it.offers("report-svc", {}, wanted_room::idle, at_ms(1)));
+    BOOST_TEST(it.offers("report-svc", {}, wanted_room::short_queue, at_ms(1)));
+    it.refused("g-1");
+    BOOST_TEST(
+        !it.offers("report-svc", {}, wanted_room::short_queue, at_ms(1)));
+    BOOST_TEST(it.offers("report-svc", {}, wanted_room::any, at_ms(1)));
+    BOOST_TEST(!it.offers("report-svc", {"g-1"}, wanted_room::any, at_ms(1)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
