--- a/libraries/calls/contract_gate.hpp
+++ b/libraries/calls/contract_gate.hpp
@@ -36,6 +36,7 @@
     /// The part that the demands of all entries give this one now. A smaller
     /// part is in force at once, a larger one when every part computed since
     /// `settle` ago was as large: until then another entry may still use it.
+    /// Set it every gossip round: a part not set for `settle` admits nothing.
     void
     set_part(limit_part const& part, base::instant now, base::duration settle);
 
@@ -43,12 +44,17 @@
     [[nodiscard]] std::optional<refusal> admit(base::instant now,
                                                generator& random);
 
-    /// Takes a token for a further attempt at an admitted call, if there is
-    /// one.
-    [[nodiscard]] bool admit_resend(base::instant now);
+    /// An admitted call got its final answer after `took` and `resends`
+    /// further attempts. Those are paid afterwards: the next calls wait until
+    /// the rate has made up for them. Precondition: `in_flight() > 0`.
+    void finish(base::duration took, std::int32_t resends, base::instant now);
 
-    /// An admitted call got its final answer. Precondition: `in_flight() > 0`.
-    void finish(base::duration took);
+    /// An admitted call whose entry is gone ends without a word.
+    /// Precondition: `in_flight() > 0`.
+    void drop();
+
+    /// The refusal for a call that found every home used up.
+    [[nodiscard]] refusal refuse_as_exhausted(generator& random);
 
     /// What callers asked for since the last report, smoothed.
     [[nodiscard]] contract_demand report(base::instant now);
@@ -79,10 +85,13 @@
     std::deque<std::pair<base::instant, limit_part>> m_parts;
     double m_tokens{0};
     base::instant m_refilled;
+    /// The part counts until here unless it is set again.
+    base::instant m_valid_until;
     std::int64_t m_in_flight{0};
     std::int64_t m_peak{0};
     std::int64_t m_offered{0};
-    std::int64_t m_refused{0};
+    /// Within about a second; what is older fades.
+    double m_refused{0};
     std::int64_t m_refused_at_once{0};
     base::instant m_reported;
     contract_demand m_demand;
