placement: Plan unknown names with room, and plan what runs anew when they are known

A name's first jobs were planned as declared; one in ten uses half as much again, and four such on one worker made it overfull before the first report came. An unknown name is now planned at 1.6 of its declaration, one ended job is enough to know it, and running attempts of the name are then planned anew (resizes). A gang that was accepted as declared and would never fit at 1.6 is planned as declared, so that it cannot wait for ever.

The starvation test says what its tasks truly use, since the fake took the plan for the truth.

--- a/libraries/placement/estimator.cpp
+++ b/libraries/placement/estimator.cpp
@@ -3,6 +3,7 @@
 #include <base/hash.hpp>
 
 #include <algorithm>
+#include <bit>
 #include <cmath>
 
 namespace berylhill::placement
@@ -11,9 +12,10 @@
 namespace
 {
 
-// Before three tasks have ended the declaration is trusted.
-constexpr std::uint32_t s_few = 3;
-constexpr double s_unknown_factor = 1.0;
+// Before any job of a name has ended it is planned so that a declaration which
+// is too small by half does no harm. Once more is known, what runs is planned
+// again and gives the rest back.
+constexpr double s_unknown_factor = 1.6;
 constexpr double s_run_quantile = 0.9;
 // Room above the largest peak seen, narrower the more were seen.
 constexpr double s_least_margin = 0.05;
@@ -38,7 +40,7 @@
     return request.contract + '/' + request.name;
 }
 
-void estimator::learn(std::string const& job,
+bool estimator::learn(std::string const& job,
                       model::job_request const& request,
                       model::resources const& peak,
                       double run_s)
@@ -46,7 +48,7 @@
     if (peak.empty())
     {
         // It ended before its use was ever measured.
-        return;
+        return false;
     }
     if (m_histories.size() >= s_most_names)
     {
@@ -71,6 +73,7 @@
     it.jobs[at] = id;
     it.count += seen ? 0 : 1;
     summarize(it);
+    return !seen && std::has_single_bit(it.count);
 }
 
 void estimator::learn_use(model::job_request const& request,
@@ -115,7 +118,7 @@
     auto memory = s_unknown_factor;
     result.run_s = request.declared_run_s;
     auto const found = m_histories.find(key_of(request));
-    if (found != m_histories.end() && found->second.count >= s_few)
+    if (found != m_histories.end() && found->second.count > 0)
     {
         auto const& it = found->second;
         auto const n =
--- a/libraries/placement/estimator.hpp
+++ b/libraries/placement/estimator.hpp
@@ -33,7 +33,8 @@
 public:
     /// One task has ended well; `peak` and `run_s` are what it took.
     /// Tasks of one job are alike, so a job counts once, by its largest task.
-    void learn(std::string const& job,
+    /// True when so much is new that running tasks should be planned again.
+    bool learn(std::string const& job,
                model::job_request const& request,
                model::resources const& peak,
                double run_s);
--- a/libraries/placement/group_ledger.hpp
+++ b/libraries/placement/group_ledger.hpp
@@ -90,6 +90,9 @@
     std::vector<ledger_action> release(model::attempt_id const& attempt,
                                        base::instant now);
 
+    /// Plans an attempt anew; it grows only into room that its worker has.
+    void resize(model::attempt_id const& attempt, model::resources const& need);
+
     /// Counts an attempt that runs already, as found on takeover, whether it
     /// fits or not.
     void adopt(std::string const& worker,
--- a/libraries/placement/group_ledger_hold.cpp
+++ b/libraries/placement/group_ledger_hold.cpp
@@ -139,6 +139,27 @@
     return {{hold_state::held, on->listed.id}, {}};
 }
 
+void group_ledger::resize(model::attempt_id const& attempt,
+                          model::resources const& need)
+{
+    auto const found = m_tasks.find(attempt);
+    if (found == m_tasks.end())
+    {
+        return;
+    }
+    auto& it = found->second;
+    auto& on = m_workers.at(it.worker);
+    auto const others = on.charged - it.charge();
+    auto const room = at_least_nothing(on.listed.capacity - others);
+    auto const before = it.request.need;
+    // What it has already it keeps, even on a worker that is over its capacity.
+    it.request.need = {
+        std::min(need.millicores, std::max(room.millicores, before.millicores)),
+        std::min(need.memory_mb, std::max(room.memory_mb, before.memory_mb)),
+        before.accelerators};
+    on.charged = others + it.charge();
+}
+
 std::vector<model::attempt_id>
 group_ledger::victims_on(worker_state const& it,
                          hold_request const& request) const
--- a/libraries/placement/group_table.cpp
+++ b/libraries/placement/group_table.cpp
@@ -181,6 +181,16 @@
     return static_cast<std::int32_t>(std::min<std::int64_t>(n, 1'000'000));
 }
 
+std::int64_t group_table::slots_when_empty(model::resources const& need) const
+{
+    std::int64_t all = 0;
+    for (auto const& it : m_groups)
+    {
+        all += times(it.seen.largest_worker, need) * it.seen.workers;
+    }
+    return all;
+}
+
 std::int32_t group_table::choose_preemptible(model::resources const& need) const
 {
     std::int32_t best = -1;
--- a/libraries/placement/group_table.hpp
+++ b/libraries/placement/group_table.hpp
@@ -43,6 +43,10 @@
                                      double run_s,
                                      base::instant now) const;
 
+    /// How many such tasks the whole cell would hold if it were empty.
+    [[nodiscard]] std::int64_t
+    slots_when_empty(model::resources const& need) const;
+
     /// The group with the most that can be preempted for `need`, or -1.
     [[nodiscard]] std::int32_t
     choose_preemptible(model::resources const& need) const;
--- a/libraries/placement/job_queue.cpp
+++ b/libraries/placement/job_queue.cpp
@@ -95,13 +95,13 @@
                 " tasks at once, the job needs " + std::to_string(together));
     }
     if (known && request.kind == model::job_kind::gang &&
-        !(need * together).fits_in(m_groups.total()))
+        m_groups.slots_when_empty(need) < together)
     {
         return base::fail(
             failure_code::invalid,
-            "all workers together are too small: the gang needs " +
-                text_of(need * together) + ", they have " +
-                text_of(m_groups.total()));
+            "all workers together are too small: they would hold " +
+                std::to_string(m_groups.slots_when_empty(need)) +
+                " such tasks, the gang has " + std::to_string(together));
     }
     if (it.jobs >= contract.jobs_at_once)
     {
--- a/libraries/placement/job_queue.hpp
+++ b/libraries/placement/job_queue.hpp
@@ -188,6 +188,8 @@
                                    work_class const& it) const;
     void drop_dead_front(work_class& it);
     void refresh(work_class& it);
+    [[nodiscard]] bool can_ever_fit(job_record const& job,
+                                    model::resources const& need) const;
     bool place(work_class& it, base::instant now, queue_actions& actions);
     bool place_task(work_class& it,
                     job_pointer const& job,
@@ -221,6 +223,8 @@
     reserve_for(job_record const& job, base::instant now, queue_actions& to);
     void drop_reservation(std::string const& job);
 
+    void replan(queue_actions& to);
+
     // Ends (job_queue_events.cpp).
     task_record* current(job_pointer const& job,
                          model::attempt_id const& attempt);
@@ -251,6 +255,7 @@
     std::uint64_t m_round{0};
     std::int32_t m_urgent_in_row{0};
     std::int64_t m_waiting_tasks{0};
+    bool m_replan{false};
 };
 
 } // namespace berylhill::placement
--- a/libraries/placement/job_queue_decide.cpp
+++ b/libraries/placement/job_queue_decide.cpp
@@ -78,6 +78,10 @@
 {
     queue_actions actions;
     wake_due(now);
+    if (m_replan)
+    {
+        replan(actions);
+    }
     m_round += 1;
     auto urgent = turns_of(true);
     auto normal = turns_of(false);
@@ -162,6 +166,25 @@
     auto const found = m_estimator.of(request, m_groups.largest_worker());
     it.need = found.peak;
     it.run_s = found.run_s;
+    // The room above a declaration that nothing is known of must not keep a job
+    // waiting for ever that was accepted as declared.
+    if (found.confidence <= 0 && !can_ever_fit(*it.jobs.front(), it.need))
+    {
+        it.need = request.declared;
+    }
+}
+
+bool job_queue::can_ever_fit(job_record const& job,
+                             model::resources const& need) const
+{
+    auto const& account = *m_accounts[static_cast<std::size_t>(job.account)];
+    auto const batch = job.request.kind == model::job_kind::batch;
+    auto const together = batch ? 1 : job.request.tasks;
+    auto const& contract = account.contract();
+    auto const urgent = job.request.urgent == model::urgency::urgent;
+    return (need * together).fits_in(contract.quota) &&
+           (!urgent || (need * together).fits_in(contract.urgent_quota)) &&
+           m_groups.slots_when_empty(need) >= together;
 }
 
 double job_queue::order_key(contract_account const& account,
--- a/libraries/placement/job_queue_events.cpp
+++ b/libraries/placement/job_queue_events.cpp
@@ -205,7 +205,11 @@
     switch (end.end)
     {
     case model::task_end::succeeded:
-        m_estimator.learn(job->id, job->request, end.peak, end.run_s);
+        if (m_estimator.learn(job->id, job->request, end.peak, end.run_s))
+        {
+            job->of_class->replan = true;
+            m_replan = true;
+        }
         if (job->request.kind == model::job_kind::service)
         {
             return run_again(job, index, now, now);
--- a/libraries/placement/job_queue_reserve.cpp
+++ b/libraries/placement/job_queue_reserve.cpp
@@ -152,6 +152,44 @@
     }
 }
 
+void job_queue::replan(queue_actions& to)
+{
+    m_replan = false;
+    for (auto const& [id, job] : m_jobs)
+    {
+        if (!job->of_class->replan)
+        {
+            continue;
+        }
+        auto const need =
+            m_estimator.of(job->request, m_groups.largest_worker()).peak;
+        auto& account = account_of(*job);
+        for (std::int32_t index = 0; index < job->request.tasks; ++index)
+        {
+            auto& it = job->tasks[static_cast<std::size_t>(index)];
+            if (it.phase != task_phase::running || it.planned == need)
+            {
+                continue;
+            }
+            account.refund(it);
+            it.planned = need;
+            account.charge(it);
+            to.resizes.push_back(
+                {m_groups.name_of(it.group), {{id, index}, it.number}, need});
+        }
+    }
+    for (auto const& account : m_accounts)
+    {
+        for (auto const& [key, each] : account->classes)
+        {
+            if (auto const it = each.lock())
+            {
+                it->replan = false;
+            }
+        }
+    }
+}
+
 void job_queue::drop_reservation(std::string const& job)
 {
     if (m_reservation && m_reservation->job == job)
--- a/libraries/placement/job_record.hpp
+++ b/libraries/placement/job_record.hpp
@@ -92,6 +92,8 @@
     /// its plan was last looked up.
     std::uint64_t failed_round{0};
     std::uint64_t planned_round{0};
+    /// More is known since its running tasks were planned.
+    bool replan{false};
     /// It stands among its contract's active classes.
     bool active{false};
 };
--- a/libraries/placement/queue_action.cpp
+++ b/libraries/placement/queue_action.cpp
@@ -20,6 +20,7 @@
     add_all(commits, it.commits);
     add_all(releases, it.releases);
     add_all(reservations, it.reservations);
+    add_all(resizes, it.resizes);
     add_all(outcomes, it.outcomes);
 }
 
--- a/libraries/placement/queue_action.hpp
+++ b/libraries/placement/queue_action.hpp
@@ -50,6 +50,17 @@
                            reserve_order const&) = default;
 };
 
+/// Plans a running attempt anew, now that more is known of its like. Leaving it
+/// out is safe and only costs room.
+struct resize_order
+{
+    std::string group;
+    model::attempt_id attempt;
+    model::resources need;
+
+    friend bool operator==(resize_order const&, resize_order const&) = default;
+};
+
 /// A job is over, with the reason where it did not succeed.
 struct job_outcome
 {
@@ -68,6 +79,7 @@
     /// Holds to give back and running attempts to stop.
     std::vector<attempt_order> releases;
     std::vector<reserve_order> reservations;
+    std::vector<resize_order> resizes;
     std::vector<job_outcome> outcomes;
 
     void append(queue_actions const& it);
@@ -75,7 +87,7 @@
     [[nodiscard]] bool empty() const noexcept
     {
         return holds.empty() && commits.empty() && releases.empty() &&
-               reservations.empty() && outcomes.empty();
+               reservations.empty() && resizes.empty() && outcomes.empty();
     }
 };
 
--- a/tests/placement/gang_test.cpp
+++ b/tests/placement/gang_test.cpp
@@ -161,6 +161,7 @@
     add_racks(cell, 4, 2);
     auto small = request_of("kitakaze", "daily", {1'000, 1'024, 0});
     small.declared_run_s = 5;
+    cell.true_peaks["daily"] = small.declared;
     std::map<model::attempt_id, base::instant> ends;
     cell.on_start = [&](placement::start_order const& it)
     {
--- a/utilities/bench/replay_own.cpp
+++ b/utilities/bench/replay_own.cpp
@@ -99,6 +99,10 @@
                 m_stops.insert(stop.attempt);
             }
         }
+        for (auto const& it : actions.resizes)
+        {
+            m_ledgers.at(it.group).resize(it.attempt, it.need);
+        }
         for (auto const& it : actions.holds)
         {
             carry_out_hold(it, next, now);
