--- a/libraries/scenario/check_configuration.cpp
+++ b/libraries/scenario/check_configuration.cpp
@@ -128,18 +128,4 @@
     return std::make_unique<configuration_checker>();
 }
 
-std::vector<checker_pointer> all_checkers()
-{
-    std::vector<checker_pointer> all;
-    all.push_back(never_overfull());
-    all.push_back(never_in_two_places());
-    all.push_back(whole_answers());
-    all.push_back(refusals_are_true());
-    all.push_back(at_most_once());
-    all.push_back(leaving_gets_no_work());
-    all.push_back(stops_are_graceful());
-    all.push_back(configuration_holds());
-    return all;
-}
-
 } // namespace berylhill::scenario
--- a/libraries/scenario/checker.hpp
+++ b/libraries/scenario/checker.hpp
@@ -70,4 +70,7 @@
 /// The eight of them, in the order of the brief.
 [[nodiscard]] std::vector<checker_pointer> all_checkers();
 
+/// What all of them find. Precondition: as `checker::check`.
+[[nodiscard]] std::vector<breach> check_all(timeline const& seen);
+
 } // namespace berylhill::scenario
--- a/libraries/scenario/runner.cpp
+++ b/libraries/scenario/runner.cpp
@@ -2,6 +2,7 @@
 
 #include <model/json.hpp>
 #include <scenario/configuration_watch.hpp>
+#include <scenario/operations.hpp>
 #include <scenario/script_values.hpp>
 
 #include <algorithm>
@@ -64,12 +65,7 @@
         return m_report;
     }
     m_report.seen = merged(history.value(), m_cell->seen().events());
-    for (auto const& promise : all_checkers())
-    {
-        auto const found = promise->check(m_report.seen);
-        m_report.breaches.insert(m_report.breaches.end(), found.begin(),
-                                 found.end());
-    }
+    m_report.breaches = check_all(m_report.seen);
     return m_report;
 }
 
@@ -102,16 +98,6 @@
                               it.text + ": " + why);
 }
 
-void runner::try_it(statement const& it,
-                    std::function<base::result<base::done>()> const& action)
-{
-    auto const result = base::capture(action);
-    if (!result)
-    {
-        miss(it, result.error().message);
-    }
-}
-
 void runner::do_one(statement const& it)
 {
     Json::Value details;
@@ -126,29 +112,19 @@
     case action::wait:
         std::this_thread::sleep_for(base::from_seconds(it.number("time")));
         break;
-    case action::kill_entry:
-        m_cell->kill_entry(it.count("entry"));
-        break;
-    case action::freeze_entry:
-        m_cell->freeze_entry(it.count("entry"));
-        break;
-    case action::thaw_entry:
-        m_cell->thaw_entry(it.count("entry"));
-        break;
-    case action::start_entry:
-        try_it(it, [&] { return m_cell->start_entry(it.count("entry")); });
-        break;
-    case action::stop_entry:
-        try_it(it, [&] { return m_cell->stop_entry(it.count("entry")); });
-        break;
     case action::contract:
     case action::race:
     case action::calls:
     case action::jobs:
     case action::cancel:
-    case action::announce:
         do_work(it);
         break;
+    case action::kill_entry:
+    case action::freeze_entry:
+    case action::thaw_entry:
+    case action::start_entry:
+    case action::stop_entry:
+    case action::announce:
     case action::log_fault:
     case action::log_slow:
     case action::log_lose:
@@ -157,7 +133,7 @@
     case action::worker_fault:
     case action::minion_slow:
     case action::minion_fault:
-        do_fault(it);
+        do_operation(it);
         break;
     case action::expect_answered:
     case action::expect_refused:
@@ -171,38 +147,14 @@
     }
 }
 
-void runner::do_fault(statement const& it)
+void runner::do_operation(statement const& it)
 {
-    std::string subject = "log";
-    std::string name;
-    double value = 0;
-    switch (it.what)
+    auto const done =
+        base::capture([&] { return perform(it, *m_cell, *m_api); });
+    if (!done)
     {
-    case action::log_slow:
-    case action::minion_slow:
-        name = "slow";
-        value = it.number("time") * 1'000;
-        break;
-    case action::log_lose:
-        name = "lose_" + it.word("when");
-        value = it.number("share");
-        break;
-    case action::worker_cut:
-        name = "cut_" + it.word("way");
-        break;
-    default:
-        name = it.word("fault");
-        break;
-    }
-    if (it.what == action::list_fault)
-    {
-        subject = "list";
-    }
-    else if (it.arguments.contains("id"))
-    {
-        subject = it.word("id");
+        miss(it, done.error().message);
     }
-    try_it(it, [&] { return m_cell->fault(subject, name, value); });
 }
 
 void runner::do_work(statement const& it)
@@ -238,12 +190,8 @@
         m_work->start(batch);
         break;
     }
-    case action::cancel:
-        m_work->cancel(it.word("tag"), it.count("count"));
-        break;
     default:
-        try_it(it,
-               [&] { return m_api->announce(it.word("kind"), it.word("id")); });
+        m_work->cancel(it.word("tag"), it.count("count"));
         break;
     }
 }
--- a/libraries/scenario/runner.hpp
+++ b/libraries/scenario/runner.hpp
@@ -39,14 +39,12 @@
 private:
     void set_up(script const& it);
     void do_one(statement const& it);
-    void do_fault(statement const& it);
+    void do_operation(statement const& it);
     void do_work(statement const& it);
     void do_expect(statement const& it);
     void apply(std::vector<std::string> const& files);
     void wait_for(statement const& it, std::function<bool()> const& held);
     void miss(statement const& it, std::string const& why);
-    void try_it(statement const& it,
-                std::function<base::result<base::done>()> const& action);
     bool in_force_everywhere();
 
     runner_options m_options;
