--- a/services/berylhill/main.cpp
+++ b/services/berylhill/main.cpp
@@ -1,24 +1,14 @@
-#include <base/finding.hpp>
+#include <command/run.hpp>
 #include <entry/entry.hpp>
-#include <settings/entry_schema.hpp>
 
 #include <iostream>
 #include <string>
+#include <vector>
 
-int main(int count, char** words)
+using namespace berylhill;
+
+int main(int argc, char** argv)
 {
-    if (count != 4 || std::string{words[1]} != "entry")
-    {
-        std::cerr << "usage: berylhill entry --settings FILE\n";
-        return 2;
-    }
-    berylhill::base::findings found;
-    auto const settings =
-        berylhill::settings::load_entry_settings(words[3], found);
-    if (!found.empty())
-    {
-        std::cerr << found.text();
-        return 2;
-    }
-    return berylhill::entry::run(settings);
+    std::vector<std::string> const arguments{argv + 1, argv + argc};
+    return command::run(arguments, {std::cout, std::cerr, entry::run});
 }
