calls: Send short calls again once slow minions are fast

The ledger refused calls with less time than its fastest answers took, and left out minions slower than a call's time. Now each such refusal lowers the estimate, and slow minions come last instead of never.

--- a/libraries/calls/minion_ledger.cpp
+++ b/libraries/calls/minion_ledger.cpp
@@ -13,6 +13,8 @@
 
 /// Weight of the newest call in what callers allow.
 constexpr double s_newest = 0.05;
+/// What is left of the fast run after a call was refused for it.
+constexpr double s_doubt = 0.98;
 /// Between two looks at ejections, lingering slots and deadlines.
 constexpr base::duration s_look_every{std::chrono::milliseconds{50}};
 /// Refusals are counted over this window for the time to come back.
@@ -94,6 +96,9 @@
         s_newest * (std::max(0.0, base::seconds_of(left)) - m_allowed_s);
     if (base::seconds_of(left) <= m_fast_run_s)
     {
+        // Refused calls teach nothing: without this, calls with little time
+        // would be refused for good once the minions were slow for a while.
+        m_fast_run_s *= s_doubt;
         refuse(it, refusal_code::deadline_too_short, now, out);
         return out;
     }
--- a/libraries/calls/minion_ledger_choice.cpp
+++ b/libraries/calls/minion_ledger_choice.cpp
@@ -77,16 +77,19 @@
     double least = 0;
     for (auto& [id, minion] : m_minions)
     {
-        // A call would be lost on a minion that takes longer than is left.
-        if (!minion.has_room(now) || minion.health().run() > left)
+        if (!minion.has_room(now))
         {
             continue;
         }
         auto const slots = std::max(minion.endpoint().slots, std::int32_t{1});
         // The random part decides between equals only.
-        auto const load =
+        auto load =
             (static_cast<double>(minion.busy()) + uniform(m_random, 0, 0.5)) /
             static_cast<double>(slots);
+        // A minion that takes longer than is left comes last. It is not left
+        // out: were all of them so, none would get a call again, and nobody
+        // would see that they have become fast.
+        load += minion.health().run() > left ? 1 : 0;
         if (best == nullptr || load < least)
         {
             best = &minion;
--- a/tests/calls/minion_ledger_test.cpp
+++ b/tests/calls/minion_ledger_test.cpp
@@ -235,4 +235,31 @@
     BOOST_TEST(it.queued() == 0U);
 }
 
+// Minions were slow for a minute; now they are fast, but calls with little time
+// are refused for ever, because only calls that are sent can show it.
+BOOST_AUTO_TEST_CASE(minions_that_are_fast_again_get_calls_with_little_time)
+{
+    auto it = ledger_with({minion("m-1"), minion("m-2")});
+    for (int i = 0; i < 200; ++i)
+    {
+        auto const id = "slow-" + std::to_string(i);
+        std::ignore = it.offer(call_of(id, at_ms(i * 900)), at_ms(i * 900));
+        std::ignore = it.answered(id, call_end::good, at_ms(i * 900 + 900));
+    }
+    std::size_t sent = 0;
+    for (int i = 0; i < 200; ++i)
+    {
+        auto call = call_of("fast-" + std::to_string(i), at_ms(200'000 + i));
+        call.deadline = at_ms(200'100 + i);
+        auto const out = it.offer(call, at_ms(200'000 + i));
+        for (auto const& each : only<calls::send_to_minion>(out))
+        {
+            ++sent;
+            std::ignore = it.answered(each.request_id, call_end::good,
+                                      at_ms(200'000 + i));
+        }
+    }
+    BOOST_TEST(sent > 50U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
