entry: Ask a contract's homes for their part of its limit

Cause: the admission now keeps each limit at a few homes, so that small limits are not cut into parts of less than one call. Before: every entry divided each limit. Conclusion: an entry that is no home asks one, at the cost of one message.

--- a/libraries/entry/call_front.cpp
+++ b/libraries/entry/call_front.cpp
@@ -1,5 +1,6 @@
 #include <entry/call_front.hpp>
 
+#include <base/log.hpp>
 #include <entry/codec.hpp>
 #include <entry/entry_node.hpp>
 #include <entry/unit_client.hpp>
@@ -20,6 +21,7 @@
 
 constexpr double s_retry_s = 1;
 /// The way back from the owner, left over from the caller's deadline.
+constexpr base::duration s_home_limit = std::chrono::milliseconds{500};
 constexpr base::duration s_hand_over_pause = std::chrono::milliseconds{20};
 constexpr base::duration s_way_back = std::chrono::milliseconds{20};
 
@@ -142,40 +144,161 @@
 calls::call_outcome call_front::serve(incoming_call const& it)
 {
     auto const began = m_node.clock.now();
+    std::string home;
+    if (auto why = admit(it, home))
     {
-        std::lock_guard const lock{m_mutex};
-        take_contracts(began);
-        if (auto why = m_admission.admit(it.contract, it.service, began))
+        return *why;
+    }
+    std::int32_t resends = 0;
+    auto outcome = serve_admitted(it, resends);
+    finished(it, home, m_node.clock.now() - began, resends);
+    return outcome;
+}
+
+/// Asks for a part of the contract's limit, here or at the entries that hold
+/// it. On success `home` is the one that gave it.
+std::optional<calls::refusal> call_front::admit(incoming_call const& it,
+                                                std::string& home)
+{
+    std::vector<std::string> tried;
+    for (;;)
+    {
+        auto const now = m_node.clock.now();
+        calls::admission_step step;
+        {
+            std::lock_guard const lock{m_mutex};
+            take_contracts(now);
+            step = m_admission.next(it.contract, it.service, tried, now);
+        }
+        if (step.state == calls::admission_state::refused)
+        {
+            return step.why;
+        }
+        home = step.state == calls::admission_state::admitted
+                   ? m_node.incarnation
+                   : step.home;
+        if (home == m_node.incarnation || ask_home(it, home))
         {
-            return *why;
+            return std::nullopt;
         }
+        std::lock_guard const lock{m_mutex};
+        m_admission.home_refused(it.contract, home, m_node.clock.now());
+        tried.push_back(home);
     }
-    auto outcome = serve_admitted(it);
+}
+
+bool call_front::ask_home(incoming_call const& it, std::string const& home)
+{
+    auto const view = m_node.view.get();
+    auto const peer = view->peers.find(home);
+    if (peer == view->peers.end())
+    {
+        return false;
+    }
+    Json::Value message{Json::objectValue};
+    message["peer"] = m_node.incarnation;
+    message["contract"] = it.contract;
+    message["service"] = it.service;
+    auto const answer = base::capture(
+        [&]
+        {
+            return m_node.peers.call(peer->second.peer_address, "calls.admit",
+                                     message, s_home_limit);
+        });
+    return answer.has_value();
+}
+
+base::result<Json::Value> call_front::admit_for(Json::Value const& asked)
+{
+    auto const now = m_node.clock.now();
     std::lock_guard const lock{m_mutex};
-    m_admission.finished(it.contract, m_node.clock.now() - began);
-    return outcome;
+    take_contracts(now);
+    auto const why = m_admission.admit_for(asked["peer"].asString(),
+                                           asked["contract"].asString(),
+                                           asked["service"].asString(), now);
+    if (why)
+    {
+        return base::fail(failure_code::refused, why->reason,
+                          why->retry_after_s);
+    }
+    return Json::Value{Json::objectValue};
+}
+
+void call_front::finished(incoming_call const& it,
+                          std::string const& home,
+                          base::duration took,
+                          std::int32_t resends)
+{
+    if (home == m_node.incarnation)
+    {
+        std::lock_guard const lock{m_mutex};
+        m_admission.finished(home, it.contract, took, resends,
+                             m_node.clock.now());
+        return;
+    }
+    Json::Value message{Json::objectValue};
+    message["peer"] = m_node.incarnation;
+    message["contract"] = it.contract;
+    message["took_us"] = Json::Int64{took.count()};
+    message["resends"] = resends;
+    // The caller does not wait for this. Where it is lost, the home counts the
+    // call until this process has left the view.
+    m_node.peer_io.post(
+        [&node = m_node, home, message]
+        {
+            auto const view = node.view.get();
+            auto const peer = view->peers.find(home);
+            if (peer == view->peers.end())
+            {
+                return;
+            }
+            auto const told = base::capture(
+                [&]
+                {
+                    return node.peers.call(peer->second.peer_address,
+                                           "calls.finished", message,
+                                           s_home_limit);
+                });
+            if (!told)
+            {
+                base::log(base::log_level::debug, "home_not_told",
+                          {{"home", home}, {"cause", told.error().message}});
+            }
+        });
+}
+
+base::result<Json::Value> call_front::finished_for(Json::Value const& told)
+{
+    std::lock_guard const lock{m_mutex};
+    m_admission.finished(told["peer"].asString(), told["contract"].asString(),
+                         base::duration{told["took_us"].asInt64()},
+                         told["resends"].asInt(), m_node.clock.now());
+    return Json::Value{Json::objectValue};
 }
 
-calls::call_outcome call_front::serve_admitted(incoming_call const& it)
+calls::call_outcome call_front::serve_admitted(incoming_call const& it,
+                                               std::int32_t& resends)
 {
     auto const keyed =
         !it.idempotency_key.empty() && it.safety == model::rerun::at_most_once;
-    return keyed ? serve_keyed(it) : try_groups(it);
+    return keyed ? serve_keyed(it, resends) : try_groups(it, resends);
 }
 
-calls::call_outcome call_front::serve_keyed(incoming_call const& it)
+calls::call_outcome call_front::serve_keyed(incoming_call const& it,
+                                            std::int32_t& resends)
 {
     auto const begun = m_keys.begin(it);
     if (begun)
     {
         return *begun;
     }
-    auto outcome = try_groups(it);
+    auto outcome = try_groups(it, resends);
     m_keys.end(it, outcome);
     return outcome;
 }
 
-calls::call_outcome call_front::try_groups(incoming_call const& it)
+calls::call_outcome call_front::try_groups(incoming_call const& it,
+                                           std::int32_t& resends)
 {
     std::vector<std::string> tried;
     auto earlier = calls::ran::not_run;
@@ -217,6 +340,7 @@
             // A group that is changing hands may be asked again.
             tried.push_back(to->group);
         }
+        resends += 1;
         wanted = done.end == calls::attempt_end::owner_refused
                      ? calls::wanted_room::short_queue
                      : calls::wanted_room::any;
@@ -262,7 +386,6 @@
         }
         pause = m_budget.back_off(number);
         if (now + pause + s_way_back >= it.deadline ||
-            !m_admission.admit_resend(it.contract, now) ||
             !m_budget.take(it.contract))
         {
             return calls::resend_room::none;
--- a/libraries/entry/call_front.hpp
+++ b/libraries/entry/call_front.hpp
@@ -55,6 +55,14 @@
     /// This entry's demand, for its heartbeat. Call once a heartbeat.
     [[nodiscard]] calls::entry_demand report();
 
+    /// Another entry asks for a part of a limit that this one holds. Fails
+    /// with `refused`.
+    [[nodiscard]] base::result<Json::Value> admit_for(Json::Value const& asked);
+
+    /// A call that was admitted for another entry has ended.
+    [[nodiscard]] base::result<Json::Value>
+    finished_for(Json::Value const& told);
+
     [[nodiscard]] call_keys& keys() noexcept
     {
         return m_keys;
@@ -69,9 +77,20 @@
     };
 
     void take_contracts(base::instant now);
-    [[nodiscard]] calls::call_outcome serve_admitted(incoming_call const& it);
-    [[nodiscard]] calls::call_outcome serve_keyed(incoming_call const& it);
-    [[nodiscard]] calls::call_outcome try_groups(incoming_call const& it);
+    [[nodiscard]] std::optional<calls::refusal> admit(incoming_call const& it,
+                                                      std::string& home);
+    [[nodiscard]] bool ask_home(incoming_call const& it,
+                                std::string const& home);
+    void finished(incoming_call const& it,
+                  std::string const& home,
+                  base::duration took,
+                  std::int32_t resends);
+    [[nodiscard]] calls::call_outcome serve_admitted(incoming_call const& it,
+                                                     std::int32_t& resends);
+    [[nodiscard]] calls::call_outcome serve_keyed(incoming_call const& it,
+                                                  std::int32_t& resends);
+    [[nodiscard]] calls::call_outcome try_groups(incoming_call const& it,
+                                                 std::int32_t& resends);
     [[nodiscard]] attempt try_group(incoming_call const& it,
                                     calls::route const& to,
                                     std::int32_t number);
--- a/libraries/entry/peer_api.cpp
+++ b/libraries/entry/peer_api.cpp
@@ -1,5 +1,6 @@
 #include <entry/peer_api.hpp>
 
+#include <entry/call_front.hpp>
 #include <entry/codec.hpp>
 #include <entry/entry_node.hpp>
 #include <entry/membership_actor.hpp>
@@ -90,6 +91,14 @@
             return work_left(m_node, it);
         };
     }
+    m_methods["calls.admit"] = [this](Json::Value const& it)
+    {
+        return m_node.calls->admit_for(it);
+    };
+    m_methods["calls.finished"] = [this](Json::Value const& it)
+    {
+        return m_node.calls->finished_for(it);
+    };
     m_methods["minions.call"] = [this](Json::Value const& it)
     {
         return serve_minion_call(m_node, it);
