entry: Schedule actors by sharing, not by stealing

Cause: an idle entry spent 7% to 8.5% of a core; per thread, nearly all of it was in the actors' scheduler threads, which poll for work to steal. Ruled out: the ticks of actors (about 100 a second), the exchanges with workers (16 a second), JSON: none of them shows in other threads' time.

--- a/libraries/entry/entry.cpp
+++ b/libraries/entry/entry.cpp
@@ -230,6 +230,9 @@
     std::signal(SIGPIPE, SIG_IGN);
     caf::actor_system_config config;
     config.set("scheduler.max-threads", s_actor_threads);
+    // Work stealing looks for work all the time: an idle entry then spends
+    // five times its budget of a core.
+    config.set("scheduler.policy", caf::atom("sharing"));
     caf::actor_system system{config};
     entry_node self{settings, system};
     auto const ended = base::capture([&] { return serve(self); });
