--- a/libraries/lease/attempt_book.cpp
+++ b/libraries/lease/attempt_book.cpp
@@ -78,7 +78,7 @@
 std::vector<model::attempt_id>
 attempt_book::lost_worker(std::string const& worker)
 {
-    auto const ended = running_on(worker);
+    auto ended = running_on(worker);
     for (auto const& it : ended)
     {
         lost(it);
--- a/libraries/ownership/spread.cpp
+++ b/libraries/ownership/spread.cpp
@@ -16,6 +16,7 @@
         by_zone[it.zone][it.instance] = it.incarnation;
     }
     std::vector<std::string> zones;
+    zones.reserve(by_zone.size());
     for (auto const& [zone, instances] : by_zone)
     {
         zones.push_back(zone);
--- a/libraries/ownership/tenure.cpp
+++ b/libraries/ownership/tenure.cpp
@@ -287,7 +287,8 @@
             return false;
         }
     }
-    return std::all_of(m_listed.begin(), m_listed.end(), has_answered);
+    return m_options.rules.dropped == dropped_rule::is_exempt ||
+           std::all_of(m_listed.begin(), m_listed.end(), has_answered);
 }
 
 void tenure::finish_round()
--- a/libraries/ownership/tenure.hpp
+++ b/libraries/ownership/tenure.hpp
@@ -32,6 +32,13 @@
     is_ignored,  ///< Not safe; for the exhaustive test only.
 };
 
+/// What an owner needs where a member that it knows is gone for good.
+enum class dropped_rule : std::uint8_t
+{
+    ask_all_listed, ///< All that a list fetched since shows have vouched.
+    is_exempt,      ///< Not safe; for the exhaustive test only.
+};
+
 /// The rules that keep two processes from acting for one unit. Only tests give
 /// other values.
 struct safety_rules
@@ -39,6 +46,7 @@
     vouch_rule vouch{vouch_rule::every_member};
     unresolved_rule unresolved{unresolved_rule::is_doubtful};
     joiner_rule joiners{joiner_rule::wait_until_seen};
+    dropped_rule dropped{dropped_rule::ask_all_listed};
 
     friend auto operator<=>(safety_rules const&, safety_rules const&) = default;
 };
@@ -212,6 +220,9 @@
     friend auto operator<=>(tenure const&, tenure const&) = default;
 
 private:
+    /// Reads the whole state, for the exhaustive test.
+    friend class tenure_inspector;
+
     struct peer
     {
         std::string instance;
--- a/libraries/stream/log_writer.cpp
+++ b/libraries/stream/log_writer.cpp
@@ -13,6 +13,7 @@
 {
 
 constexpr base::duration s_longest_step = std::chrono::milliseconds{100};
+constexpr double s_retry_elsewhere_s = 1;
 
 } // namespace
 
@@ -29,20 +30,7 @@
 
 void log_writer::append(Json::Value const& entry, callback done)
 {
-    auto text = model::text_of(entry);
-    std::optional<base::failure> refusal;
-    {
-        std::unique_lock const lock{m_mutex};
-        auto const ticket = ++m_last_ticket;
-        refusal = m_stopping
-                      ? base::failure{base::failure_code::unavailable,
-                                      "this instance stops", 1}
-                      : m_state.submit(ticket, std::move(text), m_clock.now());
-        if (!refusal)
-        {
-            m_callbacks.emplace(ticket, std::move(done));
-        }
-    }
+    auto const refusal = enqueue(model::text_of(entry), done);
     if (refusal)
     {
         done(*refusal);
@@ -51,6 +39,24 @@
     m_work.notify_one();
 }
 
+std::optional<base::failure> log_writer::enqueue(std::string text,
+                                                 callback const& done)
+{
+    std::unique_lock const lock{m_mutex};
+    if (m_stopping)
+    {
+        return base::failure{base::failure_code::unavailable,
+                             "this instance stops", s_retry_elsewhere_s};
+    }
+    auto const ticket = ++m_last_ticket;
+    auto refusal = m_state.submit(ticket, std::move(text), m_clock.now());
+    if (!refusal)
+    {
+        m_callbacks.emplace(ticket, done);
+    }
+    return refusal;
+}
+
 void log_writer::run(std::stop_token const& stop, base::duration drain)
 {
     while (!stop.stop_requested())
--- a/libraries/stream/log_writer.hpp
+++ b/libraries/stream/log_writer.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <stop_token>
 #include <string>
 
@@ -49,6 +50,8 @@
     [[nodiscard]] std::uint64_t appends() const;
 
 private:
+    [[nodiscard]] std::optional<base::failure> enqueue(std::string text,
+                                                       callback const& done);
     /// Speaks to the log without the lock.
     [[nodiscard]] std::vector<settled>
     ask_log(writer_step const& todo, std::unique_lock<std::mutex>& lock);
--- a/libraries/stream/writer_state.cpp
+++ b/libraries/stream/writer_state.cpp
@@ -305,9 +305,9 @@
         auto const probe = std::max(m_next_try - now, base::duration{});
         return base::seconds_of(probe + m_options.longest_retry);
     }
-    auto const batches =
-        static_cast<double>(1 + m_queue.size() / m_options.most_batch);
-    return batches * base::seconds_of(std::max(interval(), m_append_time));
+    auto const batches = 1 + m_queue.size() / m_options.most_batch;
+    return static_cast<double>(batches) *
+           base::seconds_of(std::max(interval(), m_append_time));
 }
 
 } // namespace berylhill::stream
