--- a/libraries/placement/job_queue.hpp
+++ b/libraries/placement/job_queue.hpp
@@ -72,6 +72,10 @@
                                     model::job_request const& request,
                                     base::instant now);
 
+    /// Whether `submit` would take the job now; fails as it does.
+    [[nodiscard]] base::result<base::done>
+    admissible(model::job_request const& request) const;
+
     /// Takes a job that was accepted earlier, without checking it again.
     void restore(std::string const& id,
                  model::job_request const& request,
@@ -225,7 +229,8 @@
     task_record* current(job_pointer const& job,
                          model::attempt_id const& attempt);
     void settle(job_record& job, task_record& it);
-    queue_actions task_done(job_pointer const& job, std::int32_t index);
+    queue_actions
+    task_done(job_pointer const& job, std::int32_t index, base::instant now);
     queue_actions task_failed(job_pointer const& job,
                               std::int32_t index,
                               attempt_end const& it,
