entry: End an announced stop in the log, and empty workers that leave

Ruled out: the ownership of its former incarnation, which was handed over whole (the log shows units_handed_over complete=yes 50 ms after the stop began). Also here: tasks on a leaving worker are checkpointed when they do not end by themselves within 3 s; a refusal for want of the log goes out at once; jobs of the other data centre are asked for there; the configuration is kept beyond retention; a failed actor ends its process. Conclusion: a planned stop has an end that outlives the process.

--- a/libraries/base/failure.cpp
+++ b/libraries/base/failure.cpp
@@ -15,6 +15,8 @@
     std::pair{failure_code::conflict, std::string_view{"conflict"}},
     std::pair{failure_code::refused, std::string_view{"refused"}},
     std::pair{failure_code::unavailable, std::string_view{"unavailable"}},
+    std::pair{failure_code::log_unavailable,
+              std::string_view{"log_unavailable"}},
     std::pair{failure_code::timed_out, std::string_view{"timed_out"}},
     std::pair{failure_code::superseded, std::string_view{"superseded"}},
     std::pair{failure_code::outcome_unknown,
--- a/libraries/base/failure.hpp
+++ b/libraries/base/failure.hpp
@@ -16,7 +16,8 @@
     not_found,       ///< No such thing.
     conflict,        ///< Somebody else's change came first.
     refused,         ///< A limit forbids it now; nothing was run.
-    unavailable,     ///< A dependency cannot be reached; nothing was run.
+    unavailable,     ///< A process cannot be reached; nothing was run.
+    log_unavailable, ///< The log cannot be written to; nothing was run.
     timed_out,       ///< The deadline passed; nothing was run.
     superseded,      ///< The speaker's epoch or right is no longer current.
     outcome_unknown, ///< It may or may not have taken effect.
--- a/libraries/command/exit_code.cpp
+++ b/libraries/command/exit_code.cpp
@@ -14,6 +14,7 @@
     case base::failure_code::refused:
         return exit_code::refused;
     case base::failure_code::unavailable:
+    case base::failure_code::log_unavailable:
     case base::failure_code::timed_out:
     case base::failure_code::superseded:
         return exit_code::unavailable;
--- a/libraries/entry/entry.cpp
+++ b/libraries/entry/entry.cpp
@@ -3,6 +3,7 @@
 #include <base/log.hpp>
 #include <entry/call_api.hpp>
 #include <entry/call_front.hpp>
+#include <entry/configuration_keeper.hpp>
 #include <entry/contract_api.hpp>
 #include <entry/entry_node.hpp>
 #include <entry/job_api.hpp>
@@ -206,6 +207,7 @@
                {"incarnation", self.incarnation}});
     wait_for_stop(self);
     hand_over(self);
+    record_own_stop(self);
     http.stop();
     peers.stop();
     self.handed_over = true;
--- a/libraries/entry/entry_node.cpp
+++ b/libraries/entry/entry_node.cpp
@@ -45,6 +45,7 @@
                        caf::actor_system& actors)
     : settings{given}
     , incarnation{given.instance + "." + base::random_id().substr(0, 12)}
+    , ownership_stream{"ownership-" + given.side}
     , tracer{given.instance, threads(given.traces.spans), clock}
     , http{std::make_shared<platform::http_pool>()}
     , log{http, given.platform.log,
--- a/libraries/entry/entry_node.hpp
+++ b/libraries/entry/entry_node.hpp
@@ -32,8 +32,9 @@
 
 class call_front;
 
-/// Names of the streams in the platform's log that all entries share.
-constexpr char const* ownership_stream = "ownership";
+/// The stream in which keys of calls are kept. Like `configuration` it is one
+/// for both data centres, so that a key is used once, whichever side it came
+/// to.
 constexpr char const* calls_stream = "calls";
 
 /// What the parts of one process share. Every member is thread-safe, or is set
@@ -50,6 +51,8 @@
     settings::entry_settings const settings;
     /// Of this process; a restart is another one.
     std::string const incarnation;
+    /// The stream of this side's ownership; the sides do not share units.
+    std::string const ownership_stream;
     base::system_clock clock;
     telemetry::metrics metrics;
     telemetry::tracer tracer;
--- a/libraries/entry/http_problem.cpp
+++ b/libraries/entry/http_problem.cpp
@@ -25,6 +25,7 @@
     case failure_code::refused:
         return 429;
     case failure_code::unavailable:
+    case failure_code::log_unavailable:
     case failure_code::superseded:
         return 503;
     case failure_code::timed_out:
--- a/libraries/entry/job_api.cpp
+++ b/libraries/entry/job_api.cpp
@@ -24,6 +24,7 @@
 
 constexpr base::duration s_limit = std::chrono::seconds{8};
 constexpr std::int64_t s_longest_wait_ms = 30'000;
+constexpr base::duration s_one_poll = std::chrono::seconds{1};
 
 void finish(httplib::Response& to,
             base::outcome<Json::Value> const& it,
@@ -85,66 +86,76 @@
     finish(to, answer, 202, message["job"].asString());
 }
 
-/// Runs a method of the shard that the job's id names.
+bool is_over(Json::Value const& job)
+{
+    auto const state = base::capture(
+        [&] {
+            return model::enum_from<model::job_state>(job["state"].asString());
+        });
+    return !state || model::is_final(state.value());
+}
+
+/// Asks the owner again and again until the job is over or `wait` has passed.
+/// Each question waits for a short while only, so that a change of the owner
+/// in between goes unnoticed.
+base::result<Json::Value> ask_shard_until(entry_node& self,
+                                          std::string const& unit,
+                                          std::string const& method,
+                                          Json::Value message,
+                                          base::duration wait)
+{
+    auto const until = self.clock.now() + wait;
+    for (;;)
+    {
+        auto const left =
+            std::clamp(until - self.clock.now(), base::duration{0}, s_one_poll);
+        message["wait_us"] = Json::Int64{left.count()};
+        BOOST_LEAF_AUTO(job, call_unit_until(self, unit, method, message,
+                                             s_limit, repeat::always));
+        if (left <= base::duration{0} || is_over(job) || self.stopping)
+        {
+            return job;
+        }
+    }
+}
+
+/// Runs a method of the shard that the job's id names; a job that is not known
+/// here may be the other data centre's.
 void ask_shard(entry_node& self,
                std::string const& method,
-               std::string const& job,
-               std::int64_t wait_ms,
+               httplib::Request const& request,
+               base::duration wait,
                httplib::Response& to)
 {
+    std::string const job = request.matches[1];
     auto const shard = shard_of_job(job);
     if (!shard || *shard >= self.settings.ownership.job_shards)
     {
         answer_failure(to, {failure_code::not_found, "no job " + job, 0}, job);
         return;
     }
+    auto const unit = jobs_unit(*shard);
     Json::Value message{Json::objectValue};
-    message["unit"] = jobs_unit(*shard);
+    message["unit"] = unit;
     message["job"] = job;
-    message["wait_us"] = Json::Int64{wait_ms * 1000};
-    auto const limit = s_limit + std::chrono::milliseconds{wait_ms};
-    auto const until = self.clock.now() + limit;
-    base::outcome<Json::Value> answer{base::failure{}};
-    do
+    auto const answer = base::capture(
+        [&] { return ask_shard_until(self, unit, method, message, wait); });
+    auto const unknown_here =
+        !answer && answer.error().code == failure_code::not_found;
+    if (unknown_here && forward_to_other_sides(self, request, to))
     {
-        // A poll that is longer than one try of `call_unit_until` goes to the
-        // owner in pieces.
-        auto const left_ms = std::clamp<std::int64_t>(
-            wait_ms - std::chrono::duration_cast<std::chrono::milliseconds>(
-                          limit - (until - self.clock.now()))
-                          .count(),
-            0, 1'000);
-        message["wait_us"] = Json::Int64{left_ms * 1000};
-        answer = base::capture(
-            [&]
-            {
-                return call_unit_until(self, jobs_unit(*shard), method, message,
-                                       s_limit, repeat::always);
-            });
-        if (!answer || left_ms == 0)
-        {
-            break;
-        }
-        auto const state = base::capture(
-            [&]
-            {
-                return model::enum_from<model::job_state>(
-                    answer.value()["state"].asString());
-            });
-        if (!state || model::is_final(state.value()))
-        {
-            break;
-        }
-    } while (!self.stopping);
+        return;
+    }
     finish(to, answer, 200, job);
 }
 
-std::int64_t wait_ms_of(httplib::Request const& it)
+base::duration wait_of(httplib::Request const& it)
 {
     auto const text = it.get_param_value("wait_ms");
     std::int64_t n = 0;
     std::from_chars(text.data(), text.data() + text.size(), n);
-    return std::clamp<std::int64_t>(n, 0, s_longest_wait_ms);
+    return std::chrono::milliseconds{
+        std::clamp<std::int64_t>(n, 0, s_longest_wait_ms)};
 }
 
 void list(entry_node& self,
@@ -190,12 +201,12 @@
                { list(self, request, to); });
     server.Get(R"(/v1/jobs/([^/]+))",
                [&self](httplib::Request const& request, httplib::Response& to) {
-                   ask_shard(self, "jobs.show", request.matches[1],
-                             wait_ms_of(request), to);
+                   ask_shard(self, "jobs.show", request, wait_of(request), to);
                });
-    server.Post(R"(/v1/jobs/([^/]+)/cancel)",
-                [&self](httplib::Request const& request, httplib::Response& to)
-                { ask_shard(self, "jobs.cancel", request.matches[1], 0, to); });
+    server.Post(
+        R"(/v1/jobs/([^/]+)/cancel)",
+        [&self](httplib::Request const& request, httplib::Response& to)
+        { ask_shard(self, "jobs.cancel", request, base::duration{0}, to); });
 }
 
 } // namespace berylhill::entry
--- a/libraries/entry/job_shard_actor.cpp
+++ b/libraries/entry/job_shard_actor.cpp
@@ -1,6 +1,7 @@
 #include <entry/job_shard_actor.hpp>
 
 #include <base/log.hpp>
+#include <entry/actor_guard.hpp>
 #include <entry/entry_node.hpp>
 #include <entry/unit.hpp>
 #include <entry/unit_client.hpp>
@@ -34,7 +35,7 @@
     : caf::event_based_actor{config}
     , m_node{self}
     , m_unit{std::move(unit)}
-    , m_shard{shard_of_unit(m_unit)}
+    , m_stream{jobs::stream_of(self.settings.side, shard_of_unit(m_unit))}
     , m_epoch{epoch}
 {
 }
@@ -46,6 +47,7 @@
 
 caf::behavior job_shard_actor::make_behavior()
 {
+    end_process_on_exception(*this);
     start_reading();
     tick();
     return {
--- a/libraries/entry/job_shard_actor.hpp
+++ b/libraries/entry/job_shard_actor.hpp
@@ -120,7 +120,7 @@
 
     entry_node& m_node;
     std::string m_unit;
-    std::int64_t m_shard;
+    std::string m_stream;
     std::int64_t m_epoch;
     phase m_phase{phase::reading};
     std::shared_ptr<std::atomic<bool>> m_stop_reading{
--- a/libraries/entry/job_shard_log.cpp
+++ b/libraries/entry/job_shard_log.cpp
@@ -132,7 +132,7 @@
     };
     auto const self = caf::actor_cast<caf::actor>(this);
     m_node.writers.append(
-        jobs::stream_of(m_shard), jobs::to_json(stamped),
+        m_stream, jobs::to_json(stamped),
         [self, ticket](base::outcome<stream::position> const& ended) {
             caf::anon_send(self, shard_append_ended{ticket, ended});
         });
--- a/libraries/entry/job_shard_recovery.cpp
+++ b/libraries/entry/job_shard_recovery.cpp
@@ -33,7 +33,7 @@
     auto const self = caf::actor_cast<caf::actor>(this);
     m_node.system.spawn<caf::detached>(
         [this_node = &m_node, self, stop = m_stop_reading,
-         stream = jobs::stream_of(m_shard)](caf::blocking_actor*)
+         stream = m_stream](caf::blocking_actor*)
         {
             stream::log_reader reader{this_node->log, this_node->clock, stream};
             while (!*stop && !this_node->handed_over)
--- a/libraries/entry/job_shard_requests.cpp
+++ b/libraries/entry/job_shard_requests.cpp
@@ -78,7 +78,14 @@
     m_keys_pending.erase({it.request.contract, it.request.key});
     if (!written)
     {
-        it.answer.set(written.error());
+        auto why = written.error();
+        if (why.code == failure_code::unavailable)
+        {
+            // Told apart from an owner that cannot be reached, which is tried
+            // again: this refusal goes to the caller at once.
+            why.code = failure_code::log_unavailable;
+        }
+        it.answer.set(why);
         return;
     }
     auto const now = m_node.clock.now();
--- a/libraries/entry/log_followers.cpp
+++ b/libraries/entry/log_followers.cpp
@@ -126,7 +126,7 @@
 {
     auto const wait = base::from_seconds(self.settings.platform.read_wait_s);
     follow(
-        self, ownership_stream, s_ownership_wait,
+        self, self.ownership_stream, s_ownership_wait,
         [&self](stream::reader_page&& page)
         {
             caf::anon_send(self.ownership,
--- a/libraries/entry/membership_actor.cpp
+++ b/libraries/entry/membership_actor.cpp
@@ -1,6 +1,7 @@
 #include <entry/membership_actor.hpp>
 
 #include <base/log.hpp>
+#include <entry/actor_guard.hpp>
 #include <entry/call_front.hpp>
 #include <entry/codec.hpp>
 #include <entry/entry_node.hpp>
@@ -41,11 +42,13 @@
 membership_actor::membership_actor(caf::actor_config& config, entry_node& self)
     : caf::event_based_actor{config}
     , m_node{self}
+    , m_keeper{self}
 {
 }
 
 caf::behavior membership_actor::make_behavior()
 {
+    end_process_on_exception(*this);
     auto const poll = base::from_seconds(m_node.settings.platform.list_poll_s);
     auto const beat = base::from_seconds(m_node.settings.ownership.heartbeat_s);
     send(this, tick_atom::value);
@@ -126,6 +129,7 @@
     }
     caf::anon_send(m_node.ownership, units_listed{units()});
     caf::anon_send(m_node.ownership, entries_listed{instances, it.as_of});
+    m_keeper.keep(m_listed);
     publish();
 }
 
--- a/libraries/entry/membership_actor.hpp
+++ b/libraries/entry/membership_actor.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <entry/configuration_keeper.hpp>
 #include <entry/messages.hpp>
 #include <entry/view.hpp>
 
@@ -42,6 +43,7 @@
     std::map<std::string, Json::Value> m_sent_digests;
     std::uint64_t m_beats{0};
     bool m_fetching{false};
+    configuration_keeper m_keeper;
 };
 
 /// What this process says of itself; without digests it is also the answer to
--- a/libraries/entry/minion_group_actor.cpp
+++ b/libraries/entry/minion_group_actor.cpp
@@ -1,6 +1,7 @@
 #include <entry/minion_group_actor.hpp>
 
 #include <base/log.hpp>
+#include <entry/actor_guard.hpp>
 #include <entry/entry_node.hpp>
 #include <entry/unit.hpp>
 
@@ -44,6 +45,7 @@
 
 caf::behavior minion_group_actor::make_behavior()
 {
+    end_process_on_exception(*this);
     tick();
     return {
         [this](tick_atom) { tick(); },
--- a/libraries/entry/ownership_actor.cpp
+++ b/libraries/entry/ownership_actor.cpp
@@ -1,6 +1,7 @@
 #include <entry/ownership_actor.hpp>
 
 #include <base/log.hpp>
+#include <entry/actor_guard.hpp>
 #include <entry/entry_node.hpp>
 
 #include <caf/all.hpp>
@@ -28,6 +29,7 @@
 
 caf::behavior ownership_actor::make_behavior()
 {
+    end_process_on_exception(*this);
     delayed_send(this, s_tick, tick_atom::value);
     // Each event runs the state machine, alone, at the instant of the event.
     auto const change = [this](auto const& step)
@@ -127,7 +129,7 @@
     auto const self = caf::actor_cast<caf::actor>(this);
     auto const ticket = it.ticket;
     m_node.writers.append(
-        ownership_stream, ownership::to_json(it.value),
+        m_node.ownership_stream, ownership::to_json(it.value),
         [self, ticket](base::outcome<stream::position> const& ended)
         {
             if (ended)
--- a/libraries/entry/side_forward.cpp
+++ b/libraries/entry/side_forward.cpp
@@ -15,6 +15,7 @@
 /// Set on a forwarded request: while a change of side is on its way, two
 /// entries may each hold the other's side for the right one.
 constexpr auto s_forwarded = "X-Berylhill-Forwarded";
+constexpr std::int32_t s_not_found = 404;
 constexpr base::duration s_limit = std::chrono::seconds{35};
 
 void refuse(httplib::Response& to, calls::ran work, std::string reason)
@@ -46,6 +47,32 @@
     return out;
 }
 
+base::outcome<platform::http_reply>
+send_once(entry_node& self,
+          std::string const& address,
+          platform::http_request const& message)
+{
+    return base::capture(
+        [&]
+        {
+            return self.http->send(address, message, s_limit,
+                                   platform::connection_choice::fresh);
+        });
+}
+
+void pass_on(platform::http_reply const& it, httplib::Response& to)
+{
+    to.status = it.status;
+    for (auto const* const name : {"retry-after", "x-request-id"})
+    {
+        if (auto const text = it.header(name); !text.empty())
+        {
+            to.set_header(name, text);
+        }
+    }
+    to.set_content(it.body, it.header("content-type"));
+}
+
 } // namespace
 
 bool forward_to_side(entry_node& self,
@@ -69,25 +96,10 @@
     auto const message = forwarded(request);
     for (auto const& address : side->second)
     {
-        auto const answer = base::capture(
-            [&]
-            {
-                return self.http->send(address, message, s_limit,
-                                       platform::connection_choice::fresh);
-            });
+        auto const answer = send_once(self, address, message);
         if (answer)
         {
-            to.status = answer.value().status;
-            for (auto const* const name : {"retry-after", "x-request-id"})
-            {
-                if (auto const text = answer.value().header(name);
-                    !text.empty())
-                {
-                    to.set_header(name, text);
-                }
-            }
-            to.set_content(answer.value().body,
-                           answer.value().header("content-type"));
+            pass_on(answer.value(), to);
             return true;
         }
         if (answer.error().code != base::failure_code::unavailable)
@@ -100,4 +112,32 @@
     return true;
 }
 
+bool forward_to_other_sides(entry_node& self,
+                            httplib::Request const& request,
+                            httplib::Response& to)
+{
+    if (request.has_header(s_forwarded))
+    {
+        return false;
+    }
+    auto const message = forwarded(request);
+    for (auto const& side : self.settings.sides)
+    {
+        for (auto const& address : side.second)
+        {
+            auto const answer = send_once(self, address, message);
+            if (answer && answer.value().status != s_not_found)
+            {
+                pass_on(answer.value(), to);
+                return true;
+            }
+            if (answer)
+            {
+                break;
+            }
+        }
+    }
+    return false;
+}
+
 } // namespace berylhill::entry
--- a/libraries/entry/side_forward.hpp
+++ b/libraries/entry/side_forward.hpp
@@ -18,4 +18,10 @@
                                    httplib::Request const& request,
                                    httplib::Response& to);
 
+/// Asks the entries of all other sides for something that is not known here.
+/// Returns false, and leaves `to` alone, where none of them knows it either.
+[[nodiscard]] bool forward_to_other_sides(entry_node& self,
+                                          httplib::Request const& request,
+                                          httplib::Response& to);
+
 } // namespace berylhill::entry
--- a/libraries/entry/worker_group_actor.cpp
+++ b/libraries/entry/worker_group_actor.cpp
@@ -1,6 +1,7 @@
 #include <entry/worker_group_actor.hpp>
 
 #include <base/log.hpp>
+#include <entry/actor_guard.hpp>
 #include <entry/entry_node.hpp>
 #include <entry/unit.hpp>
 
@@ -16,6 +17,8 @@
 namespace
 {
 
+constexpr base::duration s_end_by_themselves = std::chrono::seconds{3};
+constexpr std::int32_t s_checkpoints_at_once = 4;
 constexpr auto s_tick = std::chrono::milliseconds{100};
 
 std::string zone_of(std::string const& unit)
@@ -54,6 +57,7 @@
 
 caf::behavior worker_group_actor::make_behavior()
 {
+    end_process_on_exception(*this);
     tick();
     return {
         [this](tick_atom) { tick(); },
@@ -78,6 +82,7 @@
     take_list(now);
     expire_holds(now);
     look_for_lapses(now);
+    empty_leaving(now);
     exchange_due(now);
     report_ends();
     publish();
@@ -143,13 +148,14 @@
     }
     else
     {
-        worker_state added{
-            it,
-            lease::worker_lease{lease_options(m_node.settings.workers), m_begun},
-            {},
-            false,
-            false,
-            now};
+        worker_state added{it,
+                           lease::worker_lease{
+                               lease_options(m_node.settings.workers), m_begun},
+                           {},
+                           false,
+                           false,
+                           now,
+                           std::nullopt};
         m_workers.emplace(it.id, std::move(added));
     }
     m_ledger.set_worker(it, now);
@@ -242,6 +248,39 @@
     }
 }
 
+/// A planned stop of a worker: short tasks end by themselves, what still runs
+/// after a while is checkpointed a few at a time and goes on elsewhere.
+void worker_group_actor::empty_leaving(base::instant now)
+{
+    for (auto& it : m_workers)
+    {
+        auto& state = it.second;
+        if (state.listed.state != model::listed_state::leaving)
+        {
+            state.leaving_since.reset();
+            continue;
+        }
+        if (!state.leaving_since)
+        {
+            state.leaving_since = now;
+        }
+        if (now - *state.leaving_since < s_end_by_themselves || !acting())
+        {
+            continue;
+        }
+        std::int32_t n = 0;
+        for (auto const& counted : m_attempts)
+        {
+            if (counted.second.worker == it.first &&
+                counted.second.at == phase::started &&
+                n++ < s_checkpoints_at_once)
+            {
+                state.outbox.checkpoint(counted.first);
+            }
+        }
+    }
+}
+
 void worker_group_actor::give_work_left(work_left_asked const& it)
 {
     auto const n =
--- a/libraries/entry/worker_group_actor.hpp
+++ b/libraries/entry/worker_group_actor.hpp
@@ -62,6 +62,8 @@
         bool exchanging{false};
         bool lapse_seen{false};
         base::instant due{};
+        /// Since when the worker is leaving.
+        std::optional<base::instant> leaving_since;
     };
 
     // The list and the clock (worker_group_actor.cpp).
@@ -71,6 +73,7 @@
     void drop_worker(std::string const& worker);
     void expire_holds(base::instant now);
     void look_for_lapses(base::instant now);
+    void empty_leaving(base::instant now);
     void give_work_left(work_left_asked const& it);
     void publish();
 
--- a/libraries/jobs/record.cpp
+++ b/libraries/jobs/record.cpp
@@ -162,9 +162,9 @@
 
 } // namespace
 
-std::string stream_of(std::int64_t shard)
+std::string stream_of(std::string const& side, std::int64_t shard)
 {
-    return "jobs-" + std::to_string(shard);
+    return "jobs-" + side + "-" + std::to_string(shard);
 }
 
 Json::Value to_json(stamped const& it)
--- a/libraries/jobs/record.hpp
+++ b/libraries/jobs/record.hpp
@@ -15,8 +15,9 @@
 namespace berylhill::jobs
 {
 
-/// The name of a shard's stream.
-[[nodiscard]] std::string stream_of(std::int64_t shard);
+/// The name of a shard's stream; each data centre has shards of its own.
+[[nodiscard]] std::string stream_of(std::string const& side,
+                                    std::int64_t shard);
 
 /// A new owner begins. Records of lower epochs that come after it are void.
 struct opened
