--- a/libraries/ownership/claim_table.cpp
+++ b/libraries/ownership/claim_table.cpp
@@ -118,7 +118,7 @@
     return {m_members.erase(it.incarnation) != 0, false};
 }
 
-applied claim_table::take(std::int64_t, remove const& it)
+applied claim_table::take(std::int64_t, removal const& it)
 {
     return {m_members.erase(it.incarnation) != 0, false};
 }
--- a/libraries/ownership/claim_table.hpp
+++ b/libraries/ownership/claim_table.hpp
@@ -121,7 +121,7 @@
 private:
     applied take(std::int64_t offset, join const& it);
     applied take(std::int64_t offset, leave const& it);
-    applied take(std::int64_t offset, remove const& it);
+    applied take(std::int64_t offset, removal const& it);
     applied take(std::int64_t offset, seen const& it);
     applied take(std::int64_t offset, claim const& it);
     applied take(std::int64_t offset, release const& it);
--- a/libraries/ownership/record.cpp
+++ b/libraries/ownership/record.cpp
@@ -19,7 +19,7 @@
     {
         return tagged("leave", it.incarnation);
     }
-    Json::Value operator()(remove const& it) const
+    Json::Value operator()(removal const& it) const
     {
         return tagged("remove", it.incarnation);
     }
@@ -103,7 +103,7 @@
     }
     if (type == "remove")
     {
-        return remove{incarnation};
+        return removal{incarnation};
     }
     if (type == "seen")
     {
--- a/libraries/ownership/record.hpp
+++ b/libraries/ownership/record.hpp
@@ -33,11 +33,11 @@
 };
 
 /// The platform's list has dropped the instance of this process.
-struct remove
+struct removal
 {
     std::string incarnation;
 
-    friend auto operator<=>(remove const&, remove const&) = default;
+    friend auto operator<=>(removal const&, removal const&) = default;
 };
 
 /// The process has read all records before `through`, so it knows, and asks
@@ -84,7 +84,7 @@
 };
 
 using record =
-    std::variant<join, leave, remove, seen, claim, release, snapshot>;
+    std::variant<join, leave, removal, seen, claim, release, snapshot>;
 
 [[nodiscard]] Json::Value to_json(record const& it);
 
--- a/libraries/ownership/tenure.cpp
+++ b/libraries/ownership/tenure.cpp
@@ -82,6 +82,10 @@
             m_active_from.clear();
             m_left = true;
         }
+        if (joined->incarnation == m_options.incarnation)
+        {
+            m_joined_at = now;
+        }
         auto& known = m_peers[joined->incarnation];
         known.instance = joined->instance;
         known.heard = std::max(known.heard, now);
--- a/libraries/ownership/tenure.hpp
+++ b/libraries/ownership/tenure.hpp
@@ -6,6 +6,7 @@
 #include <ownership/record.hpp>
 #include <ownership/spread.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -68,6 +69,9 @@
     base::duration isolated_after{std::chrono::milliseconds{4'000}};
     /// How long the process wanted first for a unit may leave it unclaimed.
     base::duration claim_patience{std::chrono::milliseconds{600}};
+    /// A stopping process takes part for this long, so that the others, who
+    /// hear of it by heartbeat, have ceased to hand units to it.
+    base::duration leave_after{std::chrono::milliseconds{700}};
     /// Load above the mean at which an owner passes units on.
     double most_load{1.25};
     base::duration move_every{std::chrono::seconds{2}};
@@ -252,7 +256,13 @@
                      base::instant now);
     void append(record it, actions& out);
     template <class Record>
-    [[nodiscard]] bool has_pending() const;
+    [[nodiscard]] bool has_pending() const
+    {
+        return std::any_of(m_unresolved.begin(), m_unresolved.end(),
+                           [](auto const& it) {
+                               return std::holds_alternative<Record>(it.second);
+                           });
+    }
     [[nodiscard]] bool has_pending_claim(std::string const& unit) const;
     void forget(std::uint64_t ticket);
     [[nodiscard]] bool is_member() const;
@@ -317,6 +327,8 @@
     std::set<std::string> m_listed;
     std::set<std::string> m_ever_listed;
     std::optional<base::instant> m_listed_as_of;
+    base::instant m_joined_at{};
+    base::instant m_stopping_since{};
     base::instant m_last_move{};
     base::instant m_last_snapshot{};
     std::int64_t m_snapshot_through{0};
--- a/libraries/ownership/tenure_plan.cpp
+++ b/libraries/ownership/tenure_plan.cpp
@@ -44,7 +44,11 @@
 
 actions tenure::stop(base::instant now)
 {
-    m_stopping = true;
+    if (!m_stopping)
+    {
+        m_stopping = true;
+        m_stopping_since = now;
+    }
     return tick(now);
 }
 
@@ -55,14 +59,6 @@
     out.emplace_back(append_entry{ticket, std::move(it)});
 }
 
-template <class Record>
-bool tenure::has_pending() const
-{
-    return std::any_of(m_unresolved.begin(), m_unresolved.end(),
-                       [](auto const& it)
-                       { return std::holds_alternative<Record>(it.second); });
-}
-
 bool tenure::has_pending_claim(std::string const& unit) const
 {
     return std::any_of(m_unresolved.begin(), m_unresolved.end(),
@@ -83,143 +79,15 @@
     return m_table.complete() && now < m_log_right_until;
 }
 
-void tenure::take_part(base::instant, actions& out)
-{
-    if (is_member() || has_pending<join>())
-    {
-        return;
-    }
-    append(join{m_options.incarnation, m_options.instance, m_options.zone},
-           out);
-}
-
-void tenure::publish_seen(actions& out)
-{
-    if (!is_member() || has_pending<seen>())
-    {
-        return;
-    }
-    auto const& own = m_table.members().at(m_options.incarnation);
-    auto const is_unknown = [&](auto const& it)
-    {
-        return it.second.joined > own.seen;
-    };
-    if (std::any_of(m_table.members().begin(), m_table.members().end(),
-                    is_unknown))
-    {
-        append(seen{m_options.incarnation, m_table.next()}, out);
-    }
-}
-
-void tenure::remove_dropped(base::instant now, actions& out)
-{
-    if (!is_member() || has_pending<remove>())
-    {
-        return;
-    }
-    for (auto const& [incarnation, it] : m_table.members())
-    {
-        auto const was_dropped = m_ever_listed.contains(it.instance) &&
-                                 !m_listed.contains(it.instance);
-        if (incarnation == m_options.incarnation || !was_dropped ||
-            is_heard(incarnation, now, m_options.isolated_after) ||
-            !is_first(incarnation, now))
-        {
-            continue;
-        }
-        append(remove{incarnation}, out);
-        return;
-    }
-}
-
-bool tenure::is_heard(std::string const& incarnation,
-                      base::instant now,
-                      base::duration within) const
-{
-    if (incarnation == m_options.incarnation)
-    {
-        return true;
-    }
-    auto const it = m_peers.find(incarnation);
-    auto const last = it == m_peers.end() ? m_started : it->second.heard;
-    return now - last <= within;
-}
-
-/// Guards against a process whose own network is cut taking every unit of the
-/// cell: it hears nobody, and so waits longer than those it does not hear.
-base::duration tenure::suspicion(base::instant now) const
-{
-    auto const others = m_table.members().size() - (is_member() ? 1 : 0);
-    std::size_t heard = 0;
-    for (auto const& [incarnation, it] : m_table.members())
-    {
-        heard += incarnation != m_options.incarnation &&
-                         is_heard(incarnation, now, m_options.suspect_after)
-                     ? 1
-                     : 0;
-    }
-    auto const is_isolated = others >= 2 && heard * 2 < others;
-    return is_isolated ? m_options.isolated_after : m_options.suspect_after;
-}
-
-std::vector<candidate> tenure::live(base::instant now) const
-{
-    auto const within = suspicion(now);
-    std::vector<candidate> found;
-    for (auto const& [incarnation, it] : m_table.members())
-    {
-        if (is_heard(incarnation, now, within))
-        {
-            found.push_back({incarnation, it.instance, it.zone});
-        }
-    }
-    return found;
-}
-
-/// Who may be given a unit. Only processes on the platform's list, which is
-/// what `all_listed_answered` rests on.
-std::vector<candidate> tenure::takers(base::instant now) const
-{
-    auto found = live(now);
-    std::erase_if(found,
-                  [&](candidate const& it)
-                  {
-                      auto const known = m_peers.find(it.incarnation);
-                      auto const is_leaving =
-                          it.incarnation == m_options.incarnation
-                              ? m_stopping
-                              : known != m_peers.end() && known->second.leaving;
-                      return is_leaving || !m_listed.contains(it.instance);
-                  });
-    return found;
-}
-
-bool tenure::is_first(std::string const& what, base::instant now) const
-{
-    auto const order = wanted_order(what, live(now));
-    return !order.empty() && order.front() == m_options.incarnation;
-}
-
-unit_counts tenure::counts() const
-{
-    unit_counts load;
-    for (auto const& [name, it] : m_table.units())
-    {
-        if (!it.released && m_units.contains(name))
-        {
-            ++load[it.incarnation];
-        }
-    }
-    return load;
-}
-
 void tenure::claim_orphans(base::instant now, actions& out)
 {
     auto alive = live(now);
     auto const is_same = m_scanned && m_orphaned.empty() &&
                          m_scanned_version == m_table.version() &&
                          m_scanned_live == alive;
-    if (is_same || !is_member())
+    // When all start at once, the first to join would take every unit.
+    auto const is_early = now - m_joined_at < m_options.suspect_after;
+    if (is_same || is_early || !is_member())
     {
         return;
     }
@@ -347,8 +215,10 @@
 /// Few at a time, so that a cell whose instances come and go is not shuffled.
 void tenure::move_surplus(base::instant now, actions& out)
 {
+    // A release that meets an outage leaves its unit idle while it is tried.
+    auto const log_is_well = m_log_right_until - now >= m_options.right * 3 / 4;
     if (now - m_last_move < m_options.move_every || !m_releasing.empty() ||
-        m_active_from.empty())
+        m_active_from.empty() || !log_is_well)
     {
         return;
     }
@@ -415,7 +285,8 @@
     auto const has_active =
         std::any_of(m_active_from.begin(), m_active_from.end(),
                     [&](auto const& it) { return now >= it.second; });
-    if (!has_active && m_unresolved.empty())
+    auto const may_leave = now - m_stopping_since >= m_options.leave_after;
+    if (may_leave && !has_active && m_unresolved.empty())
     {
         // Units still waiting to become active are left to be claimed.
         m_active_from.clear();
--- /dev/null
+++ b/tests/ownership/cell.cpp
@@ -0,0 +1,273 @@
+#include "cell.hpp"
+
+#include <algorithm>
+
+namespace berylhill::ownership
+{
+
+cell::cell(settings of)
+    : m_settings{of}
+{
+    for (std::size_t n = 0; n < of.units; ++n)
+    {
+        m_units.insert("unit-" + std::to_string(n));
+    }
+    m_nodes.resize(of.instances);
+    for (std::size_t i = 0; i < of.instances; ++i)
+    {
+        m_nodes[i].instance = "entry-" + std::to_string(i);
+        create(i);
+    }
+    reset_gaps();
+}
+
+void cell::create(std::size_t i)
+{
+    auto& node = m_nodes[i];
+    tenure_options options;
+    options.instance = node.instance;
+    options.incarnation = node.instance + "." + std::to_string(node.starts);
+    options.zone = "zone-" + std::to_string(i % m_settings.zones);
+    node.it = std::make_unique<tenure>(options, m_now);
+    node.next = 0;
+    node.alive = true;
+    node.paused = false;
+    perform(i, node.it->listed(list(), m_now));
+    perform(i, node.it->set_units(m_units, m_now));
+}
+
+void cell::kill(std::size_t i)
+{
+    m_nodes[i].alive = false;
+    m_nodes[i].listed_until = m_now + m_settings.list_lag;
+}
+
+void cell::restart(std::size_t i)
+{
+    ++m_nodes[i].starts;
+    create(i);
+}
+
+void cell::pause(std::size_t i, bool paused)
+{
+    m_nodes[i].paused = paused;
+}
+
+void cell::stop(std::size_t i)
+{
+    perform(i, m_nodes[i].it->stop(m_now));
+}
+
+void cell::set_log(bool is_up)
+{
+    m_log_up = is_up;
+}
+
+std::set<std::string> cell::list() const
+{
+    std::set<std::string> names;
+    for (auto const& it : m_nodes)
+    {
+        if (it.alive || m_now < it.listed_until)
+        {
+            names.insert(it.instance);
+        }
+    }
+    return names;
+}
+
+void cell::perform(std::size_t i, actions const& list_of)
+{
+    for (auto const& it : list_of)
+    {
+        if (auto const* append = std::get_if<append_entry>(&it))
+        {
+            m_appends.push_back({m_now + m_settings.append_takes, i, *append,
+                                 m_nodes[i].starts});
+        }
+        else if (auto const* ask = std::get_if<send_vouch_request>(&it))
+        {
+            m_letters.push_back({ask->to, it});
+            ++m_vouch_messages;
+        }
+        else if (auto const* answer = std::get_if<send_vouch_answer>(&it))
+        {
+            m_letters.push_back({answer->to, it});
+            ++m_vouch_messages;
+        }
+        else
+        {
+            perform(i, m_nodes[i].it->listed(list(), m_now));
+        }
+    }
+}
+
+void cell::write_due()
+{
+    while (!m_appends.empty() && m_appends.front().due <= m_now)
+    {
+        auto const it = m_appends.front();
+        m_appends.pop_front();
+        auto& node = m_nodes[it.node];
+        if (m_log_up)
+        {
+            m_log.push_back(it.entry.value);
+        }
+        else if (node.alive && node.starts == it.start)
+        {
+            perform(it.node,
+                    node.it->append_settled(it.entry.ticket,
+                                            append_end::never_written, m_now));
+        }
+    }
+}
+
+void cell::deliver()
+{
+    auto const letters = std::move(m_letters);
+    m_letters.clear();
+    for (auto const& it : letters)
+    {
+        for (std::size_t i = 0; i < m_nodes.size(); ++i)
+        {
+            auto& node = m_nodes[i];
+            if (node.instance != it.to || !node.alive || node.paused)
+            {
+                continue;
+            }
+            if (auto const* ask = std::get_if<send_vouch_request>(&it.message))
+            {
+                perform(i, node.it->vouch_asked(ask->message, m_now));
+                continue;
+            }
+            auto const& answer = std::get<send_vouch_answer>(it.message);
+            perform(i, node.it->vouch_answered(answer.message, m_now));
+        }
+    }
+}
+
+bool cell::every(base::duration period, std::size_t i) const
+{
+    auto const shift = m_settings.step * static_cast<std::int64_t>(i);
+    return (m_now.time_since_epoch() + shift) % period < m_settings.step;
+}
+
+void cell::serve(std::size_t i)
+{
+    auto& node = m_nodes[i];
+    if (!node.alive || node.paused)
+    {
+        return;
+    }
+    if (every(m_settings.beat_every, i))
+    {
+        for (std::size_t to = 0; to < m_nodes.size(); ++to)
+        {
+            if (to != i && m_nodes[to].alive && !m_nodes[to].paused)
+            {
+                perform(to,
+                        m_nodes[to].it->heard(node.it->own_heartbeat(), m_now));
+            }
+        }
+        perform(i, node.it->listed(list(), m_now));
+    }
+    if (m_log_up && every(m_settings.read_every, i))
+    {
+        std::vector<std::pair<std::int64_t, record>> records;
+        auto const end = static_cast<std::int64_t>(m_log.size());
+        for (auto n = node.next; n < end; ++n)
+        {
+            records.emplace_back(n, m_log[static_cast<std::size_t>(n)]);
+        }
+        node.next = end;
+        perform(i, node.it->log_read(records, end, m_now, m_now));
+    }
+    if (every(m_settings.tick_every, i))
+    {
+        perform(i, node.it->tick(m_now));
+    }
+}
+
+void cell::run(base::duration span)
+{
+    for (auto const until = m_now + span; m_now < until;
+         m_now += m_settings.step)
+    {
+        write_due();
+        deliver();
+        for (std::size_t i = 0; i < m_nodes.size(); ++i)
+        {
+            serve(i);
+        }
+        observe();
+    }
+}
+
+void cell::observe()
+{
+    for (auto const& unit : m_units)
+    {
+        std::size_t n = 0;
+        for (auto const& it : m_nodes)
+        {
+            n += it.alive && it.it->may_act(unit, m_now) ? 1 : 0;
+        }
+        m_conflicts += n > 1 ? 1 : 0;
+        auto& last = m_last_acted[unit];
+        if (n == 0)
+        {
+            auto& gap = m_gaps[unit];
+            gap = std::max(gap, m_now - last);
+            continue;
+        }
+        last = m_now;
+    }
+}
+
+std::size_t cell::acted_on() const
+{
+    std::size_t n = 0;
+    for (std::size_t i = 0; i < m_nodes.size(); ++i)
+    {
+        n += acted_on_by(i).size();
+    }
+    return n;
+}
+
+std::vector<std::string> cell::acted_on_by(std::size_t i) const
+{
+    std::vector<std::string> names;
+    if (!m_nodes[i].alive || m_nodes[i].paused)
+    {
+        return names;
+    }
+    for (auto const& unit : m_units)
+    {
+        if (m_nodes[i].it->may_act(unit, m_now))
+        {
+            names.push_back(unit);
+        }
+    }
+    return names;
+}
+
+base::duration cell::longest_gap() const
+{
+    base::duration longest{};
+    for (auto const& [unit, it] : m_gaps)
+    {
+        longest = std::max(longest, it);
+    }
+    return longest;
+}
+
+void cell::reset_gaps()
+{
+    m_gaps.clear();
+    for (auto const& unit : m_units)
+    {
+        m_last_acted[unit] = m_now;
+    }
+}
+
+} // namespace berylhill::ownership
--- /dev/null
+++ b/tests/ownership/cell.hpp
@@ -0,0 +1,137 @@
+#pragma once
+
+#include <ownership/tenure.hpp>
+
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace berylhill::ownership
+{
+
+/// Entries with their tenures, a log, a lagging list and a network in virtual
+/// time, for tests and measurements of the decisions alone. Not thread-safe.
+class cell
+{
+public:
+    struct settings
+    {
+        std::size_t instances{9};
+        std::size_t zones{3};
+        std::size_t units{64};
+        base::duration step{std::chrono::milliseconds{10}};
+        base::duration append_takes{std::chrono::milliseconds{30}};
+        base::duration read_every{std::chrono::milliseconds{50}};
+        base::duration tick_every{std::chrono::milliseconds{100}};
+        base::duration beat_every{std::chrono::milliseconds{300}};
+        base::duration list_lag{std::chrono::seconds{15}};
+    };
+
+    explicit cell(settings of);
+
+    void run(base::duration span);
+
+    /// Ends the process at once; the list drops it after its lag.
+    void kill(std::size_t i);
+    /// Starts a new process on the instance.
+    void restart(std::size_t i);
+    void pause(std::size_t i, bool paused);
+    void stop(std::size_t i);
+    void set_log(bool is_up);
+
+    [[nodiscard]] base::instant now() const noexcept
+    {
+        return m_now;
+    }
+    [[nodiscard]] std::size_t size() const noexcept
+    {
+        return m_nodes.size();
+    }
+    [[nodiscard]] tenure const& at(std::size_t i) const
+    {
+        return *m_nodes[i].it;
+    }
+    [[nodiscard]] tenure& at(std::size_t i)
+    {
+        return *m_nodes[i].it;
+    }
+    [[nodiscard]] std::set<std::string> const& units() const noexcept
+    {
+        return m_units;
+    }
+    /// Units for which somebody may act now.
+    [[nodiscard]] std::size_t acted_on() const;
+    /// The units for which this process may act now.
+    [[nodiscard]] std::vector<std::string> acted_on_by(std::size_t i) const;
+    /// The longest time that a unit has been without an owner that may act,
+    /// since `reset_gaps`.
+    [[nodiscard]] base::duration longest_gap() const;
+    void reset_gaps();
+    /// Moments at which two processes might have acted for one unit.
+    [[nodiscard]] std::size_t conflicts() const noexcept
+    {
+        return m_conflicts;
+    }
+    [[nodiscard]] std::size_t vouch_messages() const noexcept
+    {
+        return m_vouch_messages;
+    }
+    [[nodiscard]] std::size_t log_entries() const noexcept
+    {
+        return m_log.size();
+    }
+
+private:
+    struct entry_process
+    {
+        std::unique_ptr<tenure> it;
+        std::string instance;
+        bool alive{true};
+        bool paused{false};
+        int starts{1};
+        std::int64_t next{0};
+        /// The list shows it until then, if it is not alive.
+        base::instant listed_until{};
+    };
+    struct under_way
+    {
+        base::instant due;
+        std::size_t node{0};
+        append_entry entry;
+        int start{0};
+    };
+    struct letter
+    {
+        std::string to;
+        action message;
+    };
+
+    void create(std::size_t i);
+    void perform(std::size_t i, actions const& list);
+    void write_due();
+    void deliver();
+    void serve(std::size_t i);
+    void observe();
+    [[nodiscard]] bool every(base::duration period, std::size_t i) const;
+    [[nodiscard]] std::set<std::string> list() const;
+
+    settings m_settings;
+    base::instant m_now{std::chrono::seconds{1}};
+    std::vector<entry_process> m_nodes;
+    std::set<std::string> m_units;
+    std::vector<record> m_log;
+    std::deque<under_way> m_appends;
+    std::vector<letter> m_letters;
+    bool m_log_up{true};
+    std::map<std::string, base::instant> m_last_acted;
+    std::map<std::string, base::duration> m_gaps;
+    std::size_t m_conflicts{0};
+    std::size_t m_vouch_messages{0};
+};
+
+} // namespace berylhill::ownership
--- /dev/null
+++ b/tests/ownership/world.cpp
@@ -0,0 +1,373 @@
+#include "world.hpp"
+
+#include <algorithm>
+
+namespace berylhill::ownership
+{
+
+namespace
+{
+
+constexpr auto s_unit = "u";
+constexpr base::duration s_never = std::chrono::hours{1};
+
+tenure_options options_of(std::string const& name, world::bounds const& limits)
+{
+    tenure_options it;
+    it.incarnation = name;
+    it.instance = name;
+    it.zone = "z";
+    it.right = base::duration{limits.right};
+    it.margin = {};
+    // No heartbeats: each process claims as soon as a tick lets it.
+    it.suspect_after = {};
+    it.isolated_after = {};
+    it.claim_patience = {};
+    it.leave_after = {};
+    it.move_every = s_never;
+    it.snapshot_period = s_never;
+    it.rules = limits.rules;
+    return it;
+}
+
+} // namespace
+
+world::world(bounds limits)
+    : m_bounds{std::move(limits)}
+    , m_log{std::make_shared<std::vector<record>>()}
+{
+    start("e");
+    settle_all(0);
+    start("p");
+    settle_all(0);
+    if (m_bounds.enters == joiner::joined_unseen)
+    {
+        start("j");
+        settle_all(1);
+    }
+    m_claims = 0;
+}
+
+world::process& world::edit(std::size_t i)
+{
+    auto const copy = std::make_shared<process>(*m_processes[i]);
+    copy->digested_at = -1;
+    m_processes[i] = copy;
+    return *copy;
+}
+
+void world::start(std::string const& name)
+{
+    m_processes.push_back(std::make_shared<process>(
+        process{name, tenure{options_of(name, m_bounds), at(m_now)}}));
+    m_list.insert(name);
+    auto const i = m_processes.size() - 1;
+    auto& it = edit(i).it;
+    perform(i, it.listed(m_list, at(m_now)));
+    perform(i, it.set_units({s_unit}, at(m_now)));
+}
+
+void world::settle_all(std::size_t first)
+{
+    for (int round = 0; round < 4; ++round)
+    {
+        for (auto i = first; i < m_processes.size(); ++i)
+        {
+            read(i);
+        }
+        while (!m_appends.empty())
+        {
+            take_effect(0);
+        }
+    }
+}
+
+void world::perform(std::size_t i, actions const& list)
+{
+    for (auto const& it : list)
+    {
+        if (auto const* append = std::get_if<append_entry>(&it))
+        {
+            m_appends.push_back({i, *append});
+        }
+        else if (auto const* ask = std::get_if<send_vouch_request>(&it))
+        {
+            std::erase_if(m_letters,
+                          [&](letter const& old) {
+                              return old.asker == ask->message.from &&
+                                     old.round != ask->message.round;
+                          });
+            m_letters.push_back(
+                {ask->to, ask->message.from, ask->message.round, ask->message});
+        }
+        else if (auto const* answer = std::get_if<send_vouch_answer>(&it))
+        {
+            m_letters.push_back({answer->to, answer->to, answer->message.round,
+                                 answer->message});
+        }
+        else if (m_bounds.deaths)
+        {
+            m_fetches.push_back({i, m_now});
+        }
+    }
+    drop_stale_letters();
+}
+
+void world::drop_stale_letters()
+{
+    for (std::size_t i = 0; i < m_processes.size(); ++i)
+    {
+        auto const& it = *m_processes[i];
+        if (!tenure_inspector::is_asking(it.it))
+        {
+            std::erase_if(m_letters, [&](letter const& old)
+                          { return old.asker == it.name; });
+            std::erase_if(m_fetches,
+                          [&](fetch const& old) { return old.process == i; });
+        }
+    }
+}
+
+void world::read(std::size_t i)
+{
+    auto& it = edit(i);
+    std::vector<std::pair<std::int64_t, record>> records;
+    auto const end = static_cast<std::int64_t>(m_log->size());
+    for (auto n = it.next; n < end; ++n)
+    {
+        records.emplace_back(n, (*m_log)[static_cast<std::size_t>(n)]);
+    }
+    it.next = end;
+    perform(i, it.it.log_read(records, end, at(m_now), at(m_now)));
+}
+
+void world::tick(std::size_t i)
+{
+    perform(i, edit(i).it.tick(at(m_now)));
+}
+
+void world::take_effect(std::size_t i)
+{
+    auto log = std::make_shared<std::vector<record>>(*m_log);
+    log->push_back(m_appends[i].entry.value);
+    m_claims += std::holds_alternative<claim>(log->back()) ? 1 : 0;
+    tenure_inspector digest;
+    digest.add(m_log_digest);
+    digest.add(log->back());
+    m_log_digest = digest.result();
+    m_log = std::move(log);
+    m_appends.erase(m_appends.begin() + static_cast<std::ptrdiff_t>(i));
+}
+
+void world::refuse(std::size_t i)
+{
+    auto const it = m_appends[i];
+    m_appends.erase(m_appends.begin() + static_cast<std::ptrdiff_t>(i));
+    ++m_refusals;
+    perform(it.process,
+            edit(it.process)
+                .it.append_settled(it.entry.ticket, append_end::never_written,
+                                   at(m_now)));
+}
+
+void world::deliver(std::size_t i)
+{
+    auto const it = m_letters[i];
+    m_letters.erase(m_letters.begin() + static_cast<std::ptrdiff_t>(i));
+    for (std::size_t n = 0; n < m_processes.size(); ++n)
+    {
+        if (m_processes[n]->name != it.to || m_processes[n]->dead)
+        {
+            continue;
+        }
+        auto& to = edit(n);
+        if (auto const* ask = std::get_if<vouch_request>(&it.message))
+        {
+            perform(n, to.it.vouch_asked(*ask, at(m_now)));
+            continue;
+        }
+        perform(n, to.it.vouch_answered(std::get<vouch_answer>(it.message),
+                                        at(m_now)));
+    }
+}
+
+void world::answer_fetch(std::size_t i)
+{
+    auto const it = m_fetches[i];
+    m_fetches.erase(m_fetches.begin() + static_cast<std::ptrdiff_t>(i));
+    perform(it.process, edit(it.process).it.listed(m_list, at(it.as_of)));
+}
+
+template <class Change>
+void world::visit_changed(std::string const& label,
+                          visitor const& visit,
+                          Change const& change) const
+{
+    auto next = *this;
+    change(next);
+    visit("t=" + std::to_string(m_now) + " " + label, next);
+}
+
+void world::each_step(visitor const& visit) const
+{
+    if (m_now < m_bounds.horizon)
+    {
+        visit_changed("time passes", visit, [](world& it) { ++it.m_now; });
+    }
+    if (m_bounds.enters == joiner::starts && m_processes.size() < 3)
+    {
+        visit_changed("j starts", visit, [](world& it) { it.start("j"); });
+    }
+    for (std::size_t i = 0; i < m_processes.size(); ++i)
+    {
+        if (!m_processes[i]->dead)
+        {
+            visit_process(i, visit);
+        }
+    }
+    visit_log(visit);
+    visit_network(visit);
+}
+
+void world::visit_process(std::size_t i, visitor const& visit) const
+{
+    auto const& name = m_processes[i]->name;
+    if (!m_bounds.owner_is_cut_off || i != 0)
+    {
+        visit_changed(name + " reads the log to its end", visit,
+                      [&](world& it) { it.read(i); });
+    }
+    if (m_bounds.all_tick || i == 0)
+    {
+        visit_changed(name + " ticks", visit, [&](world& it) { it.tick(i); });
+    }
+    auto const is_stopping = m_processes[i]->it.own_heartbeat().leaving;
+    if (m_bounds.stops == name && !is_stopping)
+    {
+        visit_changed(name + " is told to stop", visit,
+                      [&](world& it)
+                      { it.perform(i, it.edit(i).it.stop(at(m_now))); });
+    }
+    if (m_bounds.deaths && name == "p")
+    {
+        visit_changed(name + " dies", visit,
+                      [&](world& it) { it.edit(i).dead = true; });
+    }
+}
+
+void world::visit_log(visitor const& visit) const
+{
+    for (std::size_t i = 0; i < m_appends.size(); ++i)
+    {
+        auto label = m_processes[m_appends[i].process]->name + "'s ";
+        auto const type = to_json(m_appends[i].entry.value)["type"].asString();
+        label += type;
+        if (type != "claim" || m_claims < m_bounds.claims)
+        {
+            visit_changed(label + " takes effect", visit,
+                          [&](world& it) { it.take_effect(i); });
+        }
+        if (m_refusals < m_bounds.refusals)
+        {
+            visit_changed(label + " is refused", visit,
+                          [&](world& it) { it.refuse(i); });
+        }
+    }
+}
+
+void world::visit_network(visitor const& visit) const
+{
+    for (std::size_t i = 0; i < m_letters.size(); ++i)
+    {
+        auto const& it = m_letters[i];
+        auto const* ask = std::get_if<vouch_request>(&it.message);
+        auto const label =
+            ask != nullptr
+                ? it.to + " gets " + ask->from + "'s request and answers"
+                : it.to + " gets the answer of " +
+                      std::get<vouch_answer>(it.message).from;
+        visit_changed(label, visit, [&](world& next) { next.deliver(i); });
+    }
+    for (std::size_t i = 0; i < m_fetches.size(); ++i)
+    {
+        visit_changed(m_processes[m_fetches[i].process]->name +
+                          " gets the list",
+                      visit, [&](world& it) { it.answer_fetch(i); });
+    }
+    for (auto const& it : m_processes)
+    {
+        if (it->dead && m_list.contains(it->name))
+        {
+            visit_changed("the list drops " + it->name, visit,
+                          [&](world& next) { next.m_list.erase(it->name); });
+        }
+    }
+}
+
+std::vector<std::string> world::acting() const
+{
+    std::vector<std::string> names;
+    for (auto const& it : m_processes)
+    {
+        if (!it->dead && it->it.may_act(s_unit, at(m_now)))
+        {
+            names.push_back(it->name);
+        }
+    }
+    return names;
+}
+
+tenure_inspector::digest world::digest_of(process const& of) const
+{
+    if (of.digested_at != m_now)
+    {
+        tenure_inspector it;
+        it.add(of.it, at(m_now));
+        it.add(of.next);
+        it.add(of.dead);
+        of.digest = it.result();
+        of.digested_at = m_now;
+    }
+    return of.digest;
+}
+
+tenure_inspector::digest world::digest() const
+{
+    // What is under way has no order, so the digests of its parts are sorted.
+    std::vector<tenure_inspector::digest> parts;
+    for (auto const& each : m_appends)
+    {
+        tenure_inspector part;
+        part.add(each.process);
+        part.add(each.entry.value);
+        parts.push_back(part.result());
+    }
+    for (auto const& each : m_letters)
+    {
+        tenure_inspector part;
+        part.add(each.to);
+        part.add(each.message);
+        parts.push_back(part.result());
+    }
+    for (auto const& each : m_fetches)
+    {
+        tenure_inspector part;
+        part.add(each.process);
+        part.add(each.as_of);
+        parts.push_back(part.result());
+    }
+    std::sort(parts.begin(), parts.end());
+    tenure_inspector it;
+    it.add(m_now);
+    for (auto const& each : m_processes)
+    {
+        it.add(digest_of(*each));
+    }
+    it.add(m_log_digest);
+    it.add(parts);
+    it.add(m_list);
+    it.add(m_refusals);
+    return it.result();
+}
+
+} // namespace berylhill::ownership
