--- /dev/null
+++ b/libraries/calls/admission.cpp
@@ -0,0 +1,309 @@
+#include <calls/admission.hpp>
+
+#include <base/hash.hpp>
+#include <calls/limit_share.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace berylhill::calls
+{
+
+namespace
+{
+
+bool contains(std::vector<std::string> const& names, std::string const& name)
+{
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+} // namespace
+
+admission::admission(std::string entry,
+                     admission_settings const& settings,
+                     generator random)
+    : m_entry{std::move(entry)}
+    , m_settings{settings}
+    , m_random{random}
+{
+}
+
+void admission::set_contract(model::contract const& it, base::instant now)
+{
+    auto const [found, added] = m_contracts.try_emplace(
+        it.name, contract_state{{it, now}, {}, {}, {}, {}});
+    auto& state = found->second;
+    if (!added)
+    {
+        state.gate.set_limits(it);
+    }
+    if (!m_live.empty())
+    {
+        place(state);
+        divide(state, now);
+    }
+}
+
+void admission::remove_contract(std::string const& name)
+{
+    m_contracts.erase(name);
+}
+
+void admission::set_live(std::vector<std::string> entries, base::instant now)
+{
+    auto const first = m_live.empty();
+    std::sort(entries.begin(), entries.end());
+    if (entries == m_live)
+    {
+        return;
+    }
+    m_live = std::move(entries);
+    for (auto& [name, it] : m_contracts)
+    {
+        if (first)
+        {
+            // A joiner's peers still use the whole limit. Its own window
+            // starts with nothing, so that the limit holds until they have
+            // heard of it.
+            it.gate.set_part({}, now, m_settings.settle);
+        }
+        forget_gone(it);
+        place(it);
+        divide(it, now);
+    }
+}
+
+void admission::heard(entry_demand const& report)
+{
+    for (auto& [name, it] : m_contracts)
+    {
+        it.demands.erase(report.entry);
+    }
+    for (auto const& it : report.contracts)
+    {
+        auto const found = m_contracts.find(it.contract);
+        if (found != m_contracts.end() && is_live(report.entry))
+        {
+            found->second.demands[report.entry] = it;
+        }
+    }
+}
+
+entry_demand admission::report(base::instant now)
+{
+    entry_demand own{m_entry, {}};
+    for (auto& [name, it] : m_contracts)
+    {
+        auto demand = it.gate.report(now);
+        if (demand.calls_per_s > 0 || demand.at_once > 0)
+        {
+            own.contracts.push_back(std::move(demand));
+        }
+    }
+    heard(own);
+    for (auto& [name, it] : m_contracts)
+    {
+        divide(it, now);
+    }
+    return own;
+}
+
+admission_step admission::next(std::string const& contract,
+                               std::string const& service,
+                               std::vector<std::string> const& tried,
+                               base::instant now)
+{
+    if (auto why = forbidden(contract, service))
+    {
+        return {admission_state::refused, {}, std::move(*why)};
+    }
+    auto& state = m_contracts.at(contract);
+    std::optional<refusal> own;
+    if (contains(state.homes, m_entry) && !contains(tried, m_entry))
+    {
+        own = admit_for(m_entry, contract, service, now);
+        if (!own)
+        {
+            return {admission_state::admitted, m_entry, {}};
+        }
+    }
+    std::vector<std::string const*> open;
+    for (auto const& it : state.homes)
+    {
+        auto const until = state.exhausted_until.find(it);
+        auto const exhausted =
+            until != state.exhausted_until.end() && now < until->second;
+        if (it != m_entry && !exhausted && !contains(tried, it))
+        {
+            open.push_back(&it);
+        }
+    }
+    if (!open.empty())
+    {
+        auto const at = uniform(m_random, 0, static_cast<double>(open.size()));
+        return {admission_state::ask, *open[static_cast<std::size_t>(at)], {}};
+    }
+    auto why = own ? *own : state.gate.refuse_as_exhausted(m_random);
+    return {admission_state::refused, {}, std::move(why)};
+}
+
+void admission::home_refused(std::string const& contract,
+                             std::string const& home,
+                             base::instant now)
+{
+    auto const it = m_contracts.find(contract);
+    if (it != m_contracts.end())
+    {
+        it->second.exhausted_until[home] = now + m_settings.exhausted_for;
+    }
+}
+
+std::optional<refusal> admission::admit_for(std::string const& peer,
+                                            std::string const& contract,
+                                            std::string const& service,
+                                            base::instant now)
+{
+    if (auto why = forbidden(contract, service))
+    {
+        return why;
+    }
+    auto& state = m_contracts.at(contract);
+    auto why = state.gate.admit(now, m_random);
+    if (!why)
+    {
+        ++state.admitted_for[peer];
+    }
+    return why;
+}
+
+void admission::finished(std::string const& peer,
+                         std::string const& contract,
+                         base::duration took,
+                         std::int32_t resends,
+                         base::instant now)
+{
+    auto const it = m_contracts.find(contract);
+    if (it == m_contracts.end())
+    {
+        return;
+    }
+    auto const held = it->second.admitted_for.find(peer);
+    if (held == it->second.admitted_for.end())
+    {
+        return;
+    }
+    it->second.gate.finish(took, resends, now);
+    if (--held->second == 0)
+    {
+        it->second.admitted_for.erase(held);
+    }
+}
+
+limit_part admission::part_of(std::string const& contract) const
+{
+    auto const it = m_contracts.find(contract);
+    return it == m_contracts.end() ? limit_part{} : it->second.gate.part();
+}
+
+std::vector<std::string> admission::homes_of(std::string const& contract) const
+{
+    auto const it = m_contracts.find(contract);
+    return it == m_contracts.end() ? std::vector<std::string>{}
+                                   : it->second.homes;
+}
+
+void admission::place(contract_state& it) const
+{
+    auto const& limits = it.gate.limits();
+    auto const wanted = std::floor(static_cast<double>(limits.calls_at_once) /
+                                   m_settings.least_at_once);
+    auto const n = std::clamp(static_cast<std::size_t>(std::max(wanted, 0.0)),
+                              std::min(m_settings.least_homes, m_live.size()),
+                              m_live.size());
+    it.homes = base::rendezvous_order(limits.name, m_live);
+    it.homes.resize(n);
+    std::sort(it.homes.begin(), it.homes.end());
+}
+
+void admission::divide(contract_state& it, base::instant now) const
+{
+    auto const self =
+        std::lower_bound(it.homes.begin(), it.homes.end(), m_entry);
+    if (self == it.homes.end() || *self != m_entry)
+    {
+        it.gate.set_part({}, now, m_settings.settle);
+        return;
+    }
+    auto const& limits = it.gate.limits();
+    std::vector<double> rates(it.homes.size());
+    std::vector<double> at_once(it.homes.size());
+    for (std::size_t i = 0; i < it.homes.size(); ++i)
+    {
+        auto const demand = it.demands.find(it.homes[i]);
+        if (demand != it.demands.end())
+        {
+            rates[i] = demand->second.calls_per_s;
+            at_once[i] = demand->second.at_once;
+        }
+    }
+    auto const index = static_cast<std::size_t>(self - it.homes.begin());
+    // In whole tokens: a part of less than one token would never admit a
+    // call, and its rate would be lost.
+    auto const burst = divide_units(static_cast<double>(limits.call_burst),
+                                    rates, m_settings.floor)[index];
+    auto const rate = limits.call_burst > 0
+                          ? limits.calls_per_s * burst /
+                                static_cast<double>(limits.call_burst)
+                          : 0;
+    auto const units = divide_units(static_cast<double>(limits.calls_at_once),
+                                    at_once, m_settings.floor)[index];
+    it.gate.set_part({rate, burst, units}, now, m_settings.settle);
+}
+
+void admission::forget_gone(contract_state& it) const
+{
+    // What a dead entry had in flight is never reported as finished; kept, it
+    // would lower the contract's concurrency for good.
+    for (auto held = it.admitted_for.begin(); held != it.admitted_for.end();)
+    {
+        if (held->first == m_entry || is_live(held->first))
+        {
+            ++held;
+            continue;
+        }
+        for (std::int64_t n = held->second; n > 0; --n)
+        {
+            it.gate.drop();
+        }
+        held = it.admitted_for.erase(held);
+    }
+    std::erase_if(it.demands,
+                  [&](auto const& demand) { return !is_live(demand.first); });
+    std::erase_if(it.exhausted_until,
+                  [&](auto const& home) { return !is_live(home.first); });
+}
+
+bool admission::is_live(std::string const& entry) const
+{
+    return std::binary_search(m_live.begin(), m_live.end(), entry);
+}
+
+std::optional<refusal> admission::forbidden(std::string const& contract,
+                                            std::string const& service) const
+{
+    auto const it = m_contracts.find(contract);
+    if (it == m_contracts.end())
+    {
+        return refusal{ran::not_run, refusal_code::unknown_contract,
+                       "no contract " + contract + " is in force", 0};
+    }
+    if (!contains(it->second.gate.limits().services, service))
+    {
+        return refusal{ran::not_run, refusal_code::service_not_allowed,
+                       "contract " + contract + " does not name " + service, 0};
+    }
+    return std::nullopt;
+}
+
+} // namespace berylhill::calls
