placement: Keep decisions fast at the target's size

Planning running tasks anew scanned every job (53,000) at each power of two of a name's ended jobs; a class now knows its jobs. Two deques a job took over 1 KB each time; they are vectors. Contracts count their active urgent classes.

--- a/libraries/placement/contract_account.hpp
+++ b/libraries/placement/contract_account.hpp
@@ -60,6 +60,8 @@
     std::int64_t jobs{0};
     /// Classes with jobs that wait.
     std::vector<std::shared_ptr<work_class>> active;
+    /// How many of them are urgent.
+    std::int32_t active_urgent{0};
     /// Every class that some job is of, by its key.
     std::unordered_map<std::string, std::weak_ptr<work_class>> classes;
 
--- a/libraries/placement/job_queue.cpp
+++ b/libraries/placement/job_queue.cpp
@@ -165,16 +165,19 @@
     }
     job->tasks.resize(static_cast<std::size_t>(request.tasks));
     job->unfinished = request.tasks;
-    for (std::int32_t index = 0; index < request.tasks; ++index)
+    for (auto& it : job->tasks)
+    {
+        it.number = m_first_attempt - 1;
+    }
+    for (auto index = request.tasks - 1; index >= 0; --index)
     {
-        job->tasks[static_cast<std::size_t>(index)].number =
-            m_first_attempt - 1;
         job->waiting.push_back(index);
     }
     m_waiting_tasks += request.tasks;
     m_jobs.emplace(id, job);
     account_of(*job).jobs += 1;
     job->of_class = class_of(*job);
+    job->of_class->members.insert(job.get());
     enqueue(job);
     return job;
 }
@@ -222,7 +225,9 @@
     if (!job->of_class->active)
     {
         job->of_class->active = true;
-        account_of(*job).active.push_back(job->of_class);
+        auto& account = account_of(*job);
+        account.active.push_back(job->of_class);
+        account.active_urgent += job->of_class->urgent ? 1 : 0;
     }
 }
 
@@ -231,7 +236,7 @@
     auto& it = job.tasks[static_cast<std::size_t>(index)];
     it.phase = task_phase::waiting;
     it.group = -1;
-    job.waiting.push_front(index);
+    job.waiting.push_back(index);
     m_waiting_tasks += 1;
 }
 
@@ -293,6 +298,7 @@
     {
         job.of_class->dead += 1;
     }
+    job.of_class->members.erase(&job);
     drop_reservation(job.id);
     actions.outcomes.push_back({job.id, state, std::move(detail)});
     m_jobs.erase(job.id);
--- a/libraries/placement/job_queue.hpp
+++ b/libraries/placement/job_queue.hpp
@@ -187,6 +187,7 @@
     [[nodiscard]] double order_key(contract_account const& account,
                                    work_class const& it) const;
     void drop_dead_front(work_class& it);
+    void sweep(contract_account& account);
     void refresh(work_class& it);
     [[nodiscard]] bool can_ever_fit(job_record const& job,
                                     model::resources const& need) const;
@@ -223,7 +224,9 @@
     reserve_for(job_record const& job, base::instant now, queue_actions& to);
     void drop_reservation(std::string const& job);
 
+    void note_learnt(std::shared_ptr<work_class> const& it);
     void replan(queue_actions& to);
+    void replan_job(job_record& job, queue_actions& to);
 
     // Ends (job_queue_events.cpp).
     task_record* current(job_pointer const& job,
@@ -255,7 +258,8 @@
     std::uint64_t m_round{0};
     std::int32_t m_urgent_in_row{0};
     std::int64_t m_waiting_tasks{0};
-    bool m_replan{false};
+    /// Classes of which more is known since their tasks were planned.
+    std::vector<std::shared_ptr<work_class>> m_learnt;
 };
 
 } // namespace berylhill::placement
--- a/libraries/placement/job_queue_decide.cpp
+++ b/libraries/placement/job_queue_decide.cpp
@@ -62,9 +62,7 @@
     for (std::size_t n = 0; n < m_accounts.size(); ++n)
     {
         auto const& it = *m_accounts[n];
-        auto const wants = std::any_of(it.active.begin(), it.active.end(),
-                                       [&](auto const& each)
-                                       { return !urgent || each->urgent; });
+        auto const wants = urgent ? it.active_urgent > 0 : !it.active.empty();
         if (wants)
         {
             all.push_back({it.weighted_share(m_groups.total()),
@@ -78,10 +76,7 @@
 {
     queue_actions actions;
     wake_due(now);
-    if (m_replan)
-    {
-        replan(actions);
-    }
+    replan(actions);
     m_round += 1;
     auto urgent = turns_of(true);
     auto normal = turns_of(false);
@@ -209,18 +204,25 @@
     return key;
 }
 
-work_class*
-job_queue::next_class(contract_account& account, bool urgent, base::instant now)
+void job_queue::sweep(contract_account& account)
 {
-    work_class* best = nullptr;
-    auto best_key = std::numeric_limits<double>::infinity();
     std::erase_if(account.active,
-                  [this](auto const& each)
+                  [&](auto const& each)
                   {
                       drop_dead_front(*each);
                       each->active = !each->jobs.empty();
+                      account.active_urgent -=
+                          !each->active && each->urgent ? 1 : 0;
                       return !each->active;
                   });
+}
+
+work_class*
+job_queue::next_class(contract_account& account, bool urgent, base::instant now)
+{
+    work_class* best = nullptr;
+    auto best_key = std::numeric_limits<double>::infinity();
+    sweep(account);
     for (auto const& each : account.active)
     {
         auto& it = *each;
@@ -281,7 +283,7 @@
     auto const& account = account_of(*job);
     auto const& by =
         policy_for(job->request.kind, account.contract().preferred);
-    auto& task = job->tasks[static_cast<std::size_t>(job->waiting.front())];
+    auto& task = job->tasks[static_cast<std::size_t>(job->waiting.back())];
     auto preempt = task.claimed_group >= 0;
     auto group = preempt ? task.claimed_group
                          : m_groups.choose(*job, it.need, it.run_s, now, by);
@@ -295,8 +297,8 @@
     {
         return false;
     }
-    auto const index = job->waiting.front();
-    job->waiting.pop_front();
+    auto const index = job->waiting.back();
+    job->waiting.pop_back();
     m_waiting_tasks -= 1;
     // What may run only once is committed after its intent is in the log.
     auto const mode = job->request.safety == model::rerun::at_most_once
--- a/libraries/placement/job_queue_events.cpp
+++ b/libraries/placement/job_queue_events.cpp
@@ -207,8 +207,7 @@
     case model::task_end::succeeded:
         if (m_estimator.learn(job->id, job->request, end.peak, end.run_s))
         {
-            job->of_class->replan = true;
-            m_replan = true;
+            note_learnt(job->of_class);
         }
         if (job->request.kind == model::job_kind::service)
         {
--- a/libraries/placement/job_queue_gang.cpp
+++ b/libraries/placement/job_queue_gang.cpp
@@ -55,7 +55,7 @@
     offers.erase(last + 1, offers.end());
     std::sort(offers.begin(), offers.end(),
               [&](auto const& a, auto const& b) {
-                  return m_groups.name_of(a.group) < m_groups.name_of(b.group);
+                  return m_groups.name_of(a.group) > m_groups.name_of(b.group);
               });
     job->to_ask.clear();
     for (auto const& each : offers)
@@ -75,14 +75,14 @@
     auto const& it = *job->of_class;
     while (!job->to_ask.empty() && !job->waiting.empty())
     {
-        auto const group = job->to_ask.front();
-        job->to_ask.pop_front();
+        auto const group = job->to_ask.back();
+        job->to_ask.pop_back();
         auto n = m_groups.slots(group, *job, it.need, it.run_s, now);
         auto const asked = n > 0;
         while (n-- > 0 && !job->waiting.empty())
         {
-            auto const index = job->waiting.front();
-            job->waiting.pop_front();
+            auto const index = job->waiting.back();
+            job->waiting.pop_back();
             m_waiting_tasks -= 1;
             job->ordered += 1;
             order(job, index, group, hold_mode::hold, false, actions);
--- a/libraries/placement/job_queue_reserve.cpp
+++ b/libraries/placement/job_queue_reserve.cpp
@@ -152,41 +152,44 @@
     }
 }
 
+void job_queue::note_learnt(std::shared_ptr<work_class> const& it)
+{
+    if (!it->replan)
+    {
+        it->replan = true;
+        m_learnt.push_back(it);
+    }
+}
+
 void job_queue::replan(queue_actions& to)
 {
-    m_replan = false;
-    for (auto const& [id, job] : m_jobs)
+    for (auto const& each : std::exchange(m_learnt, {}))
     {
-        if (!job->of_class->replan)
-        {
-            continue;
-        }
-        auto const need =
-            m_estimator.of(job->request, m_groups.largest_worker()).peak;
-        auto& account = account_of(*job);
-        for (std::int32_t index = 0; index < job->request.tasks; ++index)
+        each->replan = false;
+        for (auto* const job : each->members)
         {
-            auto& it = job->tasks[static_cast<std::size_t>(index)];
-            if (it.phase != task_phase::running || it.planned == need)
-            {
-                continue;
-            }
-            account.refund(it);
-            it.planned = need;
-            account.charge(it);
-            to.resizes.push_back(
-                {m_groups.name_of(it.group), {{id, index}, it.number}, need});
+            replan_job(*job, to);
         }
     }
-    for (auto const& account : m_accounts)
+}
+
+void job_queue::replan_job(job_record& job, queue_actions& to)
+{
+    auto const need =
+        m_estimator.of(job.request, m_groups.largest_worker()).peak;
+    auto& account = account_of(job);
+    for (std::int32_t index = 0; index < job.request.tasks; ++index)
     {
-        for (auto const& [key, each] : account->classes)
+        auto& it = job.tasks[static_cast<std::size_t>(index)];
+        if (it.phase != task_phase::running || it.planned == need)
         {
-            if (auto const it = each.lock())
-            {
-                it->replan = false;
-            }
+            continue;
         }
+        account.refund(it);
+        it.planned = need;
+        account.charge(it);
+        to.resizes.push_back(
+            {m_groups.name_of(it.group), {{job.id, index}, it.number}, need});
     }
 }
 
--- a/libraries/placement/job_record.hpp
+++ b/libraries/placement/job_record.hpp
@@ -9,6 +9,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 namespace berylhill::placement
@@ -55,16 +56,17 @@
     base::instant deadline{base::instant::max()};
     model::job_state state{model::job_state::queued};
     std::vector<task_record> tasks;
-    /// Tasks that may be placed now, by index, the next in front.
-    std::deque<std::int32_t> waiting;
+    /// Tasks that may be placed now, by index, the next at the back.
+    std::vector<std::int32_t> waiting;
     /// It stands in its class's queue.
     bool queued{false};
     std::int32_t unfinished{0};
     /// Tasks of a gang that have been ordered, held or not.
     std::int32_t ordered{0};
     std::int32_t held{0};
-    /// Groups that a gang still has to ask, in the one global order.
-    std::deque<std::int32_t> to_ask;
+    /// Groups that a gang still has to ask, in the one global order, the
+    /// next at the back.
+    std::vector<std::int32_t> to_ask;
     /// Where holds of this gang were refused since it began to ask.
     std::int32_t rounds_failed{0};
     std::int32_t failures_in_row{0};
@@ -92,6 +94,8 @@
     /// its plan was last looked up.
     std::uint64_t failed_round{0};
     std::uint64_t planned_round{0};
+    /// All its jobs without an outcome, waiting or not.
+    std::unordered_set<job_record*> members;
     /// More is known since its running tasks were planned.
     bool replan{false};
     /// It stands among its contract's active classes.
