calls: Tighten three tests that passed without their guard

Three passed without their guard and are stricter now: jitter of the time to come back (the first five differ), calls counted since a digest (one idle group of four), stale digests (two of three). Each fails without its guard now.

--- a/tests/calls/admission_test.cpp
+++ b/tests/calls/admission_test.cpp
@@ -10,6 +10,7 @@
 #include <array>
 #include <numeric>
 #include <ostream>
+#include <set>
 #include <tuple>
 
 using namespace berylhill;
@@ -218,6 +219,9 @@
         BOOST_CHECK(why->code == refusal_code::too_many_at_once);
         times.push_back(why->retry_after_s);
     }
+    // The first few find the same state, so only jitter tells them apart.
+    BOOST_TEST((std::set<double>{times.begin(), times.begin() + 5}.size()) ==
+               5U);
     auto const [least, most] = std::minmax_element(times.begin(), times.end());
     BOOST_TEST(*least > 0);
     BOOST_TEST(*most > 2 * *least);
--- a/tests/calls/call_queue_test.cpp
+++ b/tests/calls/call_queue_test.cpp
@@ -95,7 +95,7 @@
 BOOST_AUTO_TEST_CASE(calls_past_their_deadline_are_taken_from_anywhere)
 {
     calls::call_queue it;
-    for (int i = 0; i < 6; ++i)
+    for (std::int64_t i = 0; i < 6; ++i)
     {
         auto each = weighed(std::to_string(i), i % 2 == 0 ? "a" : "b", 1);
         each.deadline = at_ms(100 * (i % 3));
--- a/tests/calls/minion_ledger_test.cpp
+++ b/tests/calls/minion_ledger_test.cpp
@@ -240,7 +240,7 @@
 BOOST_AUTO_TEST_CASE(minions_that_are_fast_again_get_calls_with_little_time)
 {
     auto it = ledger_with({minion("m-1"), minion("m-2")});
-    for (int i = 0; i < 200; ++i)
+    for (std::int64_t i = 0; i < 200; ++i)
     {
         auto const id = "slow-" + std::to_string(i);
         std::ignore = it.offer(call_of(id, at_ms(i * 900)), at_ms(i * 900));
--- a/tests/calls/router_test.cpp
+++ b/tests/calls/router_test.cpp
@@ -47,15 +47,15 @@
 BOOST_AUTO_TEST_CASE(calls_since_the_digest_count)
 {
     calls::router it{{}, calls::generator{9}};
-    for (auto const* group : {"g-1", "g-2", "g-3", "g-4"})
-    {
-        it.heard(loaded(group, 0), at_ms(0));
-    }
-    for (auto const& [group, n] : chosen(it, 40, at_ms(400)))
+    it.heard(loaded("idle", 0), at_ms(0));
+    for (auto const* group : {"g-1", "g-2", "g-3"})
     {
-        BOOST_TEST(n >= 8, group);
-        BOOST_TEST(n <= 12, group);
+        it.heard(loaded(group, 5), at_ms(0));
     }
+    // All are level at 215 / 4 calls.
+    auto const idle = chosen(it, 200, at_ms(400)).at("idle");
+    BOOST_TEST(idle >= 50);
+    BOOST_TEST(idle <= 58);
 }
 
 BOOST_AUTO_TEST_CASE(the_less_loaded_of_two_is_chosen)
@@ -72,9 +72,11 @@
 {
     calls::router it{{}, calls::generator{9}};
     it.heard(loaded("dead", 0), at_ms(0));
+    it.heard(loaded("dead too", 0), at_ms(0));
     it.heard(loaded("alive", 9), at_ms(3'500));
-    BOOST_TEST(chosen(it, 10, at_ms(3'600)).at("alive") == 10);
+    BOOST_TEST(chosen(it, 50, at_ms(3'600)).at("alive") == 50);
     it.forget("alive");
+    it.forget("dead too");
     BOOST_TEST(chosen(it, 1, at_ms(3'600)).at("dead") == 1);
     it.expire(at_ms(40'000));
     BOOST_TEST(chosen(it, 1, at_ms(40'000)).at("none") == 1);
