--- a/libraries/calls/minion_ledger.cpp
+++ b/libraries/calls/minion_ledger.cpp
@@ -15,10 +15,6 @@
 constexpr double s_newest = 0.05;
 /// What is left of the fast run after a call was refused for it.
 constexpr double s_doubt = 0.98;
-/// Between two looks at ejections, lingering slots and deadlines.
-constexpr base::duration s_look_every{std::chrono::milliseconds{50}};
-/// Refusals are counted over this window for the time to come back.
-constexpr double s_refused_window_s = 1;
 constexpr double s_least_retry_s = 0.2;
 
 } // namespace
@@ -231,53 +227,6 @@
     return out;
 }
 
-ledger_actions minion_ledger::expire(base::instant now)
-{
-    ledger_actions out;
-    forget_seen(now);
-    auto const window = base::seconds_of(now - m_refused_since);
-    if (window >= s_refused_window_s)
-    {
-        m_refused /= 2;
-        m_refused_since = now;
-    }
-    for (auto& [id, minion] : m_minions)
-    {
-        for (auto const& ended : minion.expire(now))
-        {
-            m_flights.erase(ended);
-        }
-        if (minion.health().start_probe(now))
-        {
-            out.emplace_back(probe_minion{id});
-        }
-    }
-    give_up_late(now, out);
-    judge_silent(now);
-    erase_removed();
-    auto const least = now + base::from_seconds(m_fast_run_s);
-    for (auto const& it : m_queue.take_due(least))
-    {
-        refuse(it, refusal_code::deadline_too_short, now, out);
-    }
-    dispatch(now, out);
-    return out;
-}
-
-base::instant minion_ledger::next_expiry(base::instant now) const
-{
-    auto next = now + s_look_every;
-    if (auto const deadline = m_queue.earliest_deadline())
-    {
-        next = std::min(next, *deadline - base::from_seconds(m_fast_run_s));
-    }
-    if (!m_deadlines.empty())
-    {
-        next = std::min(next, m_deadlines.top().first);
-    }
-    return std::max(next, now + base::duration{1});
-}
-
 ledger_actions minion_ledger::stop()
 {
     ledger_actions out;
@@ -332,15 +281,6 @@
     return true;
 }
 
-void minion_ledger::forget_seen(base::instant now)
-{
-    while (!m_seen_until.empty() && m_seen_until.top().first <= now)
-    {
-        m_seen.erase(m_seen_until.top().second);
-        m_seen_until.pop();
-    }
-}
-
 void minion_ledger::send(call const& it,
                          minion_slots& minion,
                          base::instant now,
@@ -353,21 +293,6 @@
                                     m_settings.longest_run});
 }
 
-void minion_ledger::give_up_late(base::instant now, ledger_actions& out)
-{
-    while (!m_deadlines.empty() && m_deadlines.top().first <= now)
-    {
-        auto const id = m_deadlines.top().second;
-        m_deadlines.pop();
-        auto const found = m_flights.find(id);
-        if (found != m_flights.end() && found->second.awaited)
-        {
-            stop_waiting(id, found->second, out);
-            note_timeout(found->second, now);
-        }
-    }
-}
-
 void minion_ledger::stop_waiting(std::string const& request_id,
                                  flight& it,
                                  ledger_actions& out)
--- /dev/null
+++ b/libraries/calls/minion_ledger_expiry.cpp
@@ -0,0 +1,91 @@
+#include <calls/minion_ledger.hpp>
+
+#include <algorithm>
+
+/// The part of the ledger that follows the clock: deadlines, lingering slots,
+/// probes, and what may be forgotten.
+namespace berylhill::calls
+{
+
+namespace
+{
+
+/// Between two looks at ejections, lingering slots and deadlines.
+constexpr base::duration s_look_every{std::chrono::milliseconds{50}};
+/// Refusals are counted over this window for the time to come back.
+constexpr double s_refused_window_s = 1;
+
+} // namespace
+
+ledger_actions minion_ledger::expire(base::instant now)
+{
+    ledger_actions out;
+    forget_seen(now);
+    auto const window = base::seconds_of(now - m_refused_since);
+    if (window >= s_refused_window_s)
+    {
+        m_refused /= 2;
+        m_refused_since = now;
+    }
+    for (auto& [id, minion] : m_minions)
+    {
+        for (auto const& ended : minion.expire(now))
+        {
+            m_flights.erase(ended);
+        }
+        if (minion.health().start_probe(now))
+        {
+            out.emplace_back(probe_minion{id});
+        }
+    }
+    give_up_late(now, out);
+    judge_silent(now);
+    erase_removed();
+    auto const least = now + base::from_seconds(m_fast_run_s);
+    for (auto const& it : m_queue.take_due(least))
+    {
+        refuse(it, refusal_code::deadline_too_short, now, out);
+    }
+    dispatch(now, out);
+    return out;
+}
+
+base::instant minion_ledger::next_expiry(base::instant now) const
+{
+    auto next = now + s_look_every;
+    if (auto const deadline = m_queue.earliest_deadline())
+    {
+        next = std::min(next, *deadline - base::from_seconds(m_fast_run_s));
+    }
+    if (!m_deadlines.empty())
+    {
+        next = std::min(next, m_deadlines.top().first);
+    }
+    return std::max(next, now + base::duration{1});
+}
+
+void minion_ledger::forget_seen(base::instant now)
+{
+    while (!m_seen_until.empty() && m_seen_until.top().first <= now)
+    {
+        m_seen.erase(m_seen_until.top().second);
+        m_seen_until.pop();
+    }
+}
+
+void minion_ledger::give_up_late(base::instant now, ledger_actions& out)
+{
+    while (!m_deadlines.empty() && m_deadlines.top().first <= now)
+    {
+        auto const id = m_deadlines.top().second;
+        m_deadlines.pop();
+        auto const found = m_flights.find(id);
+        if (found != m_flights.end() && found->second.awaited)
+        {
+            stop_waiting(id, found->second, out);
+            note_timeout(found->second, now);
+        }
+    }
+}
+
+} // namespace berylhill::calls
