calls: Ask a group that changes hands again, outside the retry budget

A planned stop refused calls that waited at the old owner: the contract had no resends saved up, and the group counted as tried. Trial without the rule that the group may be asked again: a_group_that_changes_hands_is_asked_again_for_free fails at its first step.

--- a/libraries/calls/attempt_rules.hpp
+++ b/libraries/calls/attempt_rules.hpp
@@ -14,6 +14,7 @@
     answered,        ///< A whole answer with the call's own request id.
     not_sent,        ///< No byte left this entry.
     owner_refused,   ///< The group's owner answered that it sent nothing.
+    owner_moved,     ///< The owner gives the group away; it sent nothing.
     minion_refused,  ///< The minion itself said that it did not run it.
     connection_lost, ///< The connection broke after a byte may have left.
     cut_short,       ///< A part of an answer came.
@@ -51,6 +52,11 @@
                                          ran earlier,
                                          resend_room room) noexcept;
 
+    /// Whether sending again after this end comes out of the retry budget. It
+    /// does not where nobody was given work: a group changes hands, and a
+    /// planned stop would refuse calls for want of budget. Thread-safe.
+    [[nodiscard]] static bool costs_budget(attempt_end end) noexcept;
+
     /// Whether a second attempt may start while the first still runs.
     /// Thread-safe.
     [[nodiscard]] static bool may_hedge(model::rerun safety,
--- a/libraries/calls/call_dispatcher.cpp
+++ b/libraries/calls/call_dispatcher.cpp
@@ -25,6 +25,10 @@
     {
         return attempt_end::timed_out;
     }
+    if (why.code == refusal_code::stopping)
+    {
+        return attempt_end::owner_moved;
+    }
     return why.code == refusal_code::minion_refused
                ? attempt_end::minion_refused
                : attempt_end::owner_refused;
@@ -60,7 +64,7 @@
         m_requests.emplace(it.request_id, std::move(fresh)).first->second;
     m_budget.first_attempt(it.contract);
     m_plans.push({it.deadline, it.request_id, plan_kind::give_up, {}});
-    send(added, wanted_room::any, now, out);
+    send(added, wanted_room::any, false, now, out);
     return out;
 }
 
@@ -77,7 +81,9 @@
     auto const ended = std::find_if(it.attempts.begin(), it.attempts.end(),
                                     [&](attempt const& each)
                                     { return each.id == report.attempt_id; });
+    auto const paid = attempt_rules::costs_budget(report.end);
     ended->open = false;
+    ended->moved = !paid;
     if (report.end == attempt_end::owner_refused)
     {
         m_router.refused(ended->to.group);
@@ -87,7 +93,7 @@
         it.last_refusal = report.why;
     }
     auto const step = attempt_rules::after(report.end, it.original.safety,
-                                           it.earlier, room_for(it, now));
+                                           it.earlier, room_for(it, paid, now));
     if (!attempt_rules::surely_not_run(report.end))
     {
         it.earlier = ran::unknown;
@@ -159,19 +165,23 @@
     std::vector<std::string> groups;
     for (auto const& each : it.attempts)
     {
-        groups.push_back(each.to.group);
+        if (!each.moved)
+        {
+            groups.push_back(each.to.group);
+        }
     }
     return groups;
 }
 
 void call_dispatcher::send(request& it,
                            wanted_room room,
+                           bool paid,
                            base::instant now,
                            dispatch_actions& out)
 {
     auto const to = m_router.choose(it.service, tried(it), room, now);
     auto const first = it.attempts.empty();
-    if (!to || (!first && !m_budget.take(it.original.contract)))
+    if (!to || (paid && !m_budget.take(it.original.contract)))
     {
         auto const waits =
             std::any_of(it.attempts.begin(), it.attempts.end(),
@@ -200,7 +210,7 @@
                                  route const& to,
                                  base::instant now)
 {
-    if (!attempt_rules::may_hedge(it.original.safety, room_for(it, now)))
+    if (!attempt_rules::may_hedge(it.original.safety, room_for(it, true, now)))
     {
         return;
     }
@@ -235,7 +245,7 @@
     }
     case plan_kind::resend:
         planned.resend_planned = false;
-        send(planned, it.room, now, out);
+        send(planned, it.room, it.paid, now, out);
         return;
     case plan_kind::hedge:
         hedge(planned, now, out);
@@ -249,9 +259,9 @@
 {
     auto const one_open = it.attempts.size() == 1 && it.attempts[0].open;
     if (one_open &&
-        attempt_rules::may_hedge(it.original.safety, room_for(it, now)))
+        attempt_rules::may_hedge(it.original.safety, room_for(it, true, now)))
     {
-        send(it, wanted_room::idle, now, out);
+        send(it, wanted_room::idle, true, now, out);
     }
 }
 
@@ -271,7 +281,7 @@
     auto const number = static_cast<std::int32_t>(it.attempts.size());
     it.resend_planned = true;
     m_plans.push({now + m_budget.back_off(number), it.original.request_id,
-                  plan_kind::resend, room});
+                  plan_kind::resend, room, attempt_rules::costs_budget(end)});
     return true;
 }
 
@@ -312,15 +322,22 @@
     finish(std::string{it.original.request_id}, {}, out);
 }
 
-resend_room call_dispatcher::room_for(request const& it,
-                                      base::instant now) const
+resend_room
+call_dispatcher::room_for(request const& it, bool paid, base::instant now) const
 {
-    auto const most =
-        static_cast<std::size_t>(m_budget.settings().most_attempts);
-    auto const left =
-        it.attempts.size() < most &&
-        now + m_budget.settings().first_back_off < it.original.deadline &&
-        m_budget.has(it.original.contract);
+    if (now + m_budget.settings().first_back_off >= it.original.deadline)
+    {
+        return resend_room::none;
+    }
+    if (!paid)
+    {
+        return resend_room::left;
+    }
+    auto const sent =
+        std::count_if(it.attempts.begin(), it.attempts.end(),
+                      [](attempt const& each) { return !each.moved; });
+    auto const left = sent < m_budget.settings().most_attempts &&
+                      m_budget.has(it.original.contract);
     return left ? resend_room::left : resend_room::none;
 }
 
--- a/libraries/calls/call_dispatcher.hpp
+++ b/libraries/calls/call_dispatcher.hpp
@@ -92,6 +92,8 @@
         std::string id;
         route to;
         bool open{true};
+        /// Nobody was given work; the same group may be asked again.
+        bool moved{false};
     };
     struct request
     {
@@ -114,6 +116,7 @@
         std::string request_id;
         plan_kind kind;
         wanted_room room;
+        bool paid{true};
 
         bool operator>(plan const& it) const noexcept
         {
@@ -123,6 +126,7 @@
 
     void send(request& it,
               wanted_room room,
+              bool paid,
               base::instant now,
               dispatch_actions& out);
     void plan_hedge(request const& it, route const& to, base::instant now);
@@ -136,8 +140,8 @@
                 std::string const& answered,
                 dispatch_actions& out);
     void refuse(request const& it, ran work, dispatch_actions& out);
-    [[nodiscard]] resend_room room_for(request const& it,
-                                       base::instant now) const;
+    [[nodiscard]] resend_room
+    room_for(request const& it, bool paid, base::instant now) const;
 
     router m_router;
     retry_budget m_budget;
--- a/tests/calls/call_dispatcher_test.cpp
+++ b/tests/calls/call_dispatcher_test.cpp
@@ -222,4 +222,31 @@
     BOOST_TEST(it.in_flight() == 0U);
 }
 
+// An entry is stopped as planned and gives its group away. Calls that waited
+// there are refused, because the contract has no resends saved up and the
+// group was tried.
+BOOST_AUTO_TEST_CASE(a_group_that_changes_hands_is_asked_again_for_free)
+{
+    calls::call_dispatcher it{{}, {}, calls::generator{5}};
+    it.heard(digest_of("g-1"), at_ms(0));
+    std::ignore = it.start(call_of("r-1", at_ms(0)), "report-svc", at_ms(0));
+    calls::refusal const stopping{ran::not_run, refusal_code::stopping, "", 0};
+    std::string attempt = "r-1/1";
+    std::int64_t ms = 0;
+    for (int i = 0; i < 4; ++i)
+    {
+        BOOST_TEST(
+            it.attempt_ended({attempt, calls::end_of(stopping), stopping},
+                             at_ms(ms))
+                .empty());
+        ms += 100;
+        auto const again = only<calls::send_to_owner>(it.expire(at_ms(ms)));
+        BOOST_REQUIRE(again.size() == 1U);
+        attempt = again[0].attempt.request_id;
+    }
+    auto const out =
+        it.attempt_ended({attempt, attempt_end::answered, {}}, at_ms(ms));
+    BOOST_TEST(only<calls::deliver_attempt>(out).size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
