--- a/libraries/calls/call_dispatcher.cpp
+++ b/libraries/calls/call_dispatcher.cpp
@@ -153,11 +153,18 @@
 std::int32_t call_dispatcher::resends(std::string const& request_id) const
 {
     auto const it = m_requests.find(request_id);
-    if (it == m_requests.end() || it->second.attempts.empty())
+    if (it == m_requests.end())
     {
         return 0;
     }
-    return static_cast<std::int32_t>(it->second.attempts.size()) - 1;
+    return std::max(sent(it->second) - 1, std::int32_t{0});
+}
+
+std::int32_t call_dispatcher::sent(request const& it)
+{
+    return static_cast<std::int32_t>(
+        std::count_if(it.attempts.begin(), it.attempts.end(),
+                      [](attempt const& each) { return !each.moved; }));
 }
 
 std::vector<std::string> call_dispatcher::tried(request const& it)
@@ -192,18 +199,18 @@
         }
         return;
     }
-    auto sent = it.original;
-    sent.request_id += "/" + std::to_string(it.attempts.size() + 1);
-    sent.deadline -=
-        std::min(s_answer_way, (sent.deadline - now) / s_answer_part);
-    it.attempts.push_back({sent.request_id, *to, true});
-    m_attempts.emplace(sent.request_id, it.original.request_id);
+    auto offered = it.original;
+    offered.request_id += "/" + std::to_string(it.attempts.size() + 1);
+    offered.deadline -=
+        std::min(s_answer_way, (offered.deadline - now) / s_answer_part);
+    it.attempts.push_back({offered.request_id, *to, true});
+    m_attempts.emplace(offered.request_id, it.original.request_id);
     if (first)
     {
         plan_hedge(it, *to, now);
     }
     out.emplace_back(
-        send_to_owner{it.original.request_id, std::move(sent), *to});
+        send_to_owner{it.original.request_id, std::move(offered), *to});
 }
 
 void call_dispatcher::plan_hedge(request const& it,
@@ -333,10 +340,7 @@
     {
         return resend_room::left;
     }
-    auto const sent =
-        std::count_if(it.attempts.begin(), it.attempts.end(),
-                      [](attempt const& each) { return !each.moved; });
-    auto const left = sent < m_budget.settings().most_attempts &&
+    auto const left = sent(it) < m_budget.settings().most_attempts &&
                       m_budget.has(it.original.contract);
     return left ? resend_room::left : resend_room::none;
 }
--- a/libraries/calls/call_dispatcher.hpp
+++ b/libraries/calls/call_dispatcher.hpp
@@ -136,6 +136,8 @@
     [[nodiscard]] bool
     resend_later(request& it, attempt_end end, base::instant now);
     [[nodiscard]] static std::vector<std::string> tried(request const& it);
+    /// Attempts that an owner took or refused for want of room.
+    [[nodiscard]] static std::int32_t sent(request const& it);
     void finish(std::string const& request_id,
                 std::string const& answered,
                 dispatch_actions& out);
