--- a/libraries/calls/minion_ledger_choice.cpp
+++ b/libraries/calls/minion_ledger_choice.cpp
@@ -77,16 +77,19 @@
     double least = 0;
     for (auto& [id, minion] : m_minions)
     {
-        // A call would be lost on a minion that takes longer than is left.
-        if (!minion.has_room(now) || minion.health().run() > left)
+        if (!minion.has_room(now))
         {
             continue;
         }
         auto const slots = std::max(minion.endpoint().slots, std::int32_t{1});
         // The random part decides between equals only.
-        auto const load =
+        auto load =
             (static_cast<double>(minion.busy()) + uniform(m_random, 0, 0.5)) /
             static_cast<double>(slots);
+        // A minion that takes longer than is left comes last. It is not left
+        // out: were all of them so, none would get a call again, and nobody
+        // would see that they have become fast.
+        load += minion.health().run() > left ? 1 : 0;
         if (best == nullptr || load < least)
         {
             best = &minion;
@@ -145,11 +148,13 @@
         {
             continue;
         }
-        auto const silence = m_ejection.silence(peers_of(minion));
+        auto const peers = peers_of(minion);
         // One long call is no sign; several, and nothing else answered
         // meanwhile, are.
-        if (now - health.last_good() > silence &&
-            minion.running_longer(silence, now) >= s_hanging && may_eject())
+        if (m_ejection.is_silent(health, peers, now) &&
+            minion.running_longer(m_ejection.silence(peers), now) >=
+                s_hanging &&
+            may_eject())
         {
             health.eject(now);
         }
