stand_ins: One thread for each connection, begun when it is opened

The pool of 768 threads took over 2 s to begin under the thread sanitizer, so three tests of test_platform timed out there; it now passes (38 cases), as does test_scenario (48).

--- a/tests/stand_ins/http_host.cpp
+++ b/tests/stand_ins/http_host.cpp
@@ -1,6 +1,7 @@
 #include <stand_ins/http_host.hpp>
 
 #include <model/json.hpp>
+#include <stand_ins/connection_threads.hpp>
 
 #include <utility>
 
@@ -10,8 +11,6 @@
 namespace
 {
 
-/// Each open connection holds a thread of the library's pool.
-constexpr std::size_t s_threads = 768;
 constexpr std::size_t s_requests_a_connection = 1'000'000;
 constexpr int s_loopback_any_port = 0;
 
@@ -27,7 +26,7 @@
 {
     m_server.new_task_queue = []
     {
-        return new httplib::ThreadPool{s_threads};
+        return new connection_threads;
     };
     m_server.set_keep_alive_max_count(s_requests_a_connection);
     m_server.set_tcp_nodelay(true);
