--- a/libraries/api/problem.cpp
+++ b/libraries/api/problem.cpp
@@ -88,7 +88,7 @@
             row.ran,    it.retry_after_s};
 }
 
-std::string body_of(problem const& it)
+Json::Value json_of(problem const& it)
 {
     Json::Value out{Json::objectValue};
     out["type"] = "urn:berylhill:problem:" + it.code;
@@ -101,7 +101,12 @@
     {
         out["retry_after_s"] = it.retry_after_s;
     }
-    return model::text_of(out);
+    return out;
+}
+
+std::string body_of(problem const& it)
+{
+    return model::text_of(json_of(it));
 }
 
 problem problem_from(std::int32_t status, std::string_view body)
--- a/libraries/api/problem.hpp
+++ b/libraries/api/problem.hpp
@@ -2,6 +2,8 @@
 
 #include <base/result.hpp>
 
+#include <json/value.h>
+
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -29,6 +31,9 @@
 /// kinds of refusals, see calls/problem.hpp. Thread-safe.
 [[nodiscard]] problem problem_of(base::failure const& it);
 
+/// The members of `body_of`, for a document that adds some.
+[[nodiscard]] Json::Value json_of(problem const& it);
+
 /// One line of JSON with the members type, title, status, detail, code, ran,
 /// and retry_after_s where it is not 0.
 [[nodiscard]] std::string body_of(problem const& it);
--- a/libraries/command/status_command.cpp
+++ b/libraries/command/status_command.cpp
@@ -12,6 +12,8 @@
 namespace
 {
 
+constexpr char const* s_log_queue = "log_entries";
+
 /// What one entry said, or why it did not.
 struct entry_status
 {
@@ -19,12 +21,33 @@
     base::outcome<Json::Value> answer;
 };
 
+/// Which instance an incarnation is, as this entry and its peers say.
+void add_instances(entry_status const& from,
+                   std::map<std::string, std::string>& into)
+{
+    if (!from.answer)
+    {
+        return;
+    }
+    auto const& status = from.answer.value();
+    into[cell(status, "incarnation")] = cell(status, "instance");
+    for (auto const& it : status["peers"])
+    {
+        into[cell(it, "incarnation")] = cell(it, "instance");
+    }
+}
+
 std::string units_text(std::vector<entry_status> const& all)
 {
+    std::map<std::string, std::string> instances;
+    for (auto const& it : all)
+    {
+        add_instances(it, instances);
+    }
     struct owner
     {
         std::string name;
-        std::string epoch;
+        std::int64_t epoch{-1};
     };
     std::map<std::string, owner> owners;
     for (auto const& it : all)
@@ -36,46 +59,63 @@
         for (auto const& unit : it.answer.value()["units"])
         {
             auto& known = owners[cell(unit, "unit")];
+            auto const epoch = unit["epoch"].isInt64() ? unit["epoch"].asInt64()
+                                                       : std::int64_t{0};
             // Entries lag differently behind the log; the newest claim counts.
-            if (known.epoch.empty() || std::stoll("0" + cell(unit, "epoch")) >
-                                           std::stoll("0" + known.epoch))
+            if (epoch > known.epoch)
             {
-                known = {cell(unit, "owner"), cell(unit, "epoch")};
+                known = {unit["released"].asBool() ? "" : cell(unit, "owner"),
+                         epoch};
             }
         }
     }
     table rows{{"UNIT", "OWNER", "EPOCH"}};
     for (auto const& [unit, it] : owners)
     {
-        rows.add({unit, it.name.empty() ? "-" : it.name, it.epoch});
+        auto const instance = instances.find(it.name);
+        rows.add({unit,
+                  it.name.empty()               ? "-"
+                  : instance == instances.end() ? it.name
+                                                : instance->second,
+                  std::to_string(it.epoch)});
     }
     return rows.text();
 }
 
+/// All waiting calls; the log's own queue has a column of its own.
+std::string waiting_calls(Json::Value const& queues)
+{
+    std::int64_t sum = 0;
+    for (auto const& it : queues.getMemberNames())
+    {
+        if (it != s_log_queue && queues[it].isInt64())
+        {
+            sum += queues[it].asInt64();
+        }
+    }
+    return std::to_string(sum);
+}
+
 std::string entries_text(std::vector<entry_status> const& all)
 {
-    table rows{{"ENTRY", "INSTANCE", "ZONE", "SIDE", "CONFIGURATION", "LOG",
-                "CALLS", "WAITING", "JOBS QUEUED", "TASKS", "LOG PENDING"}};
+    table rows{{"ENTRY", "INSTANCE", "ZONE", "SIDE", "INCARNATION",
+                "CONFIGURATION", "CALLS WAITING", "LOG ENTRIES WAITING"}};
     for (auto const& it : all)
     {
         if (!it.answer)
         {
-            rows.add({it.address, "unreachable", "", "", "", "", "", "", "", "",
-                      ""});
+            rows.add({it.address, "unreachable", "", "", "", "", "", ""});
             continue;
         }
         auto const& status = it.answer.value();
-        auto const& queues = status["queues"];
-        auto const complete = status["configuration_complete"].asBool();
-        rows.add(
-            {it.address, cell(status, "instance"), cell(status, "zone"),
-             cell(status, "side"),
-             cell(status, "configuration_offset") +
-                 (complete ? "" : " (incomplete)"),
-             status["log_reachable"].asBool() ? "reachable" : "unreachable",
-             cell(queues, "calls_running"), cell(queues, "calls_waiting"),
-             cell(queues, "jobs_queued"), cell(queues, "tasks_running"),
-             cell(queues, "log_entries_pending")});
+        auto const& complete = status["configuration_complete"];
+        auto const behind = complete.isBool() && !complete.asBool();
+        rows.add({it.address, cell(status, "instance"), cell(status, "zone"),
+                  cell(status, "side"), cell(status, "incarnation"),
+                  cell(status, "configuration_offset") +
+                      (behind ? " (incomplete)" : ""),
+                  waiting_calls(status["queues"]),
+                  cell(status["queues"], s_log_queue)});
     }
     return rows.text();
 }
--- a/libraries/settings/contract_schema.cpp
+++ b/libraries/settings/contract_schema.cpp
@@ -207,10 +207,15 @@
 
 } // namespace
 
-value_kind<model::contract> const& contract_schema()
+kind_pointer<model::contract> contract_kind()
 {
     static auto const s_schema = make_contract_schema();
-    return *s_schema;
+    return s_schema;
+}
+
+value_kind<model::contract> const& contract_schema()
+{
+    return *contract_kind();
 }
 
 value_kind<model::job_request> const& job_request_schema()
--- a/libraries/settings/contract_schema.hpp
+++ b/libraries/settings/contract_schema.hpp
@@ -12,6 +12,9 @@
 /// The one description of a contract as people write it. Thread-safe.
 [[nodiscard]] value_kind<model::contract> const& contract_schema();
 
+/// The same, to be part of another schema.
+[[nodiscard]] kind_pointer<model::contract> contract_kind();
+
 /// The one description of a job as callers submit it. Thread-safe.
 [[nodiscard]] value_kind<model::job_request> const& job_request_schema();
 
--- a/tests/command/client_test.cpp
+++ b/tests/command/client_test.cpp
@@ -273,16 +273,22 @@
     fake_entry entry;
     entry.on_get("/v1/status", 200,
                  R"({"instance": "e-1", "zone": "sapporo-a", "side": "sapporo",
-                     "incarnation": "i", "configuration_offset": 42,
-                     "configuration_complete": true, "log_reachable": false,
-                     "entries": [], "units": [
-                       {"unit": "rack-1", "owner": "e-1", "epoch": 7}],
-                     "queues": {"calls_waiting": 3}})");
+                     "incarnation": "i-1", "configuration_offset": 42,
+                     "configuration_complete": false,
+                     "peers": [{"instance": "e-2", "incarnation": "i-2"}],
+                     "units": [
+                       {"unit": "rack-1", "owner": "i-2", "epoch": 7,
+                        "released": false},
+                       {"unit": "rack-2", "owner": "i-1", "epoch": 8,
+                        "released": true}],
+                     "queues": {"calls-1": 3, "log_entries": 2}})");
     auto const down = closed_address();
     auto const end =
         run_command({"status", "--entry", entry.address(), "--entry", down});
     BOOST_TEST(end.status == 3);
-    BOOST_TEST(holds(end.out, "rack-1  e-1    7"), end.out);
+    BOOST_TEST(holds(end.out, "rack-1  e-2    7"), end.out);
+    BOOST_TEST(holds(end.out, "rack-2  -      8"), end.out);
+    BOOST_TEST(holds(end.out, "42 (incomplete)"), end.out);
     BOOST_TEST(holds(end.out, down + "  unreachable"), end.out);
 }
 
