--- a/libraries/calls/contract_gate.cpp
+++ b/libraries/calls/contract_gate.cpp
@@ -51,7 +51,15 @@
                              base::duration settle)
 {
     refill(now);
+    // A process that was stopped for a while comes back with the part it had:
+    // its peers may have dropped it and use that part. It starts again with
+    // nothing, and has heard of them when the settling time is over.
+    if (!m_parts.empty() && now - m_parts.back().first > settle)
+    {
+        m_parts.emplace_back(now, limit_part{});
+    }
     m_parts.emplace_back(now, part);
+    m_valid_until = now + settle;
     // One part older than the settling time stays: it was in force at the
     // window's start.
     while (m_parts.size() > 1 && m_parts[1].first <= now - settle)
@@ -71,6 +79,10 @@
 {
     refill(now);
     ++m_offered;
+    if (now > m_valid_until)
+    {
+        return refuse_as_exhausted(random);
+    }
     if (static_cast<double>(m_in_flight) + 1 > m_part.at_once)
     {
         ++m_refused;
@@ -89,22 +101,27 @@
     return std::nullopt;
 }
 
-bool contract_gate::admit_resend(base::instant now)
+void contract_gate::finish(base::duration took,
+                           std::int32_t resends,
+                           base::instant now)
 {
+    assert(m_in_flight > 0);
     refill(now);
-    if (m_tokens < 1)
-    {
-        return false;
-    }
-    m_tokens -= 1;
-    return true;
+    --m_in_flight;
+    m_tokens -= resends;
+    m_took_s += s_newest * (base::seconds_of(took) - m_took_s);
 }
 
-void contract_gate::finish(base::duration took)
+void contract_gate::drop()
 {
     assert(m_in_flight > 0);
     --m_in_flight;
-    m_took_s += s_newest * (base::seconds_of(took) - m_took_s);
+}
+
+refusal contract_gate::refuse_as_exhausted(generator& random)
+{
+    ++m_refused;
+    return refuse(refusal_code::rate_limited, m_limits.calls_per_s, random);
 }
 
 contract_demand contract_gate::report(base::instant now)
@@ -127,7 +144,7 @@
     }
     m_reported = now;
     m_offered = 0;
-    m_refused = 0;
+    m_refused *= s_fade;
     m_refused_at_once = 0;
     m_peak = m_in_flight;
     return m_demand;
@@ -147,11 +164,10 @@
                               double freed_per_s,
                               generator& random) const
 {
-    // Those refused since the last report are ahead of this one: told the
-    // same time, they would all come back at once and be refused again.
-    auto const ahead = static_cast<double>(m_refused);
+    // Those refused just before are ahead of this one: told the same time, they
+    // would all come back at once and be refused again.
     auto const spread =
-        freed_per_s > 0 ? ahead / freed_per_s : s_longest_retry_s;
+        freed_per_s > 0 ? m_refused / freed_per_s : s_longest_retry_s;
     auto const latest = std::clamp(spread, s_least_spread_s, s_longest_retry_s);
     return {ran::not_run, code, "the limit of contract " + m_limits.name,
             uniform(random, latest / 2, latest * 1.5)};
