--- a/libraries/command/job_output.cpp
+++ b/libraries/command/job_output.cpp
@@ -41,7 +41,7 @@
         << cell(job, "name") << ": " << cell(job, "state") << ", "
         << cell(job, "tasks_done") << " of " << cell(job, "tasks")
         << " tasks done";
-    if (cell(job, "tasks_failed") != "0")
+    if (job["tasks_failed"].isInt64() && job["tasks_failed"].asInt64() > 0)
     {
         out << ", " << cell(job, "tasks_failed") << " failed";
     }
--- a/libraries/command/stop_command.cpp
+++ b/libraries/command/stop_command.cpp
@@ -14,6 +14,26 @@
 
 constexpr auto s_between_questions = std::chrono::milliseconds{500};
 
+/// How far one stop has come, printed again and again.
+struct stop_line
+{
+    std::string what;
+    cxxopts::ParseResult const& options;
+    command_context& context;
+
+    void print(Json::Value const& stop) const
+    {
+        if (wants_json(options))
+        {
+            context.out << model::text_of(stop) << std::endl;
+            return;
+        }
+        auto const left = cell(stop, "work_left");
+        context.out << what << ": " << cell(stop, "state")
+                    << (left.empty() ? "" : ", work left " + left) << std::endl;
+    }
+};
+
 class stop_command final : public subcommand
 {
 public:
@@ -61,41 +81,27 @@
         // Announced twice, a stop is still one.
         BOOST_LEAF_AUTO(answer,
                         client.ask(post(api::s_stops, body, repeat::harmless)));
-        print(answer, options, context);
+        stop_line const line{words[0] + " " + words[1], options, context};
+        line.print(answer);
         if (options.count("wait") == 0)
         {
             return exit_code::done;
         }
         auto const target = std::string{api::s_stops} + "/" + words[0] + "/" +
                             encoded(words[1]);
-        return follow(target, cell(answer, "state"), client, options, context);
+        return follow(target, cell(answer, "state"), client, line);
     }
 
 private:
-    static void print(Json::Value const& stop,
-                      cxxopts::ParseResult const& options,
-                      command_context& context)
-    {
-        if (wants_json(options))
-        {
-            context.out << model::text_of(stop) << std::endl;
-            return;
-        }
-        context.out << cell(stop, "kind") << ' ' << cell(stop, "id") << ": "
-                    << cell(stop, "state") << ", work left "
-                    << cell(stop, "work_left") << std::endl;
-    }
-
     static base::result<exit_code> follow(std::string const& target,
                                           std::string state,
                                           entry_client const& client,
-                                          cxxopts::ParseResult const& options,
-                                          command_context& context)
+                                          stop_line const& line)
     {
         base::system_clock const clock;
         auto const until =
             clock.now() +
-            base::from_seconds(options["wait-at-most"].as<double>());
+            base::from_seconds(line.options["wait-at-most"].as<double>());
         while (state != "done")
         {
             if (clock.now() >= until)
@@ -111,7 +117,7 @@
             if (answer && cell(answer.value(), "state") != state)
             {
                 state = cell(answer.value(), "state");
-                print(answer.value(), options, context);
+                line.print(answer.value());
             }
         }
         return exit_code::done;
