entry: Wait a moment for a group that is being taken over

Ruled out: the groups' digests (heard within one heartbeat once there is an owner) and the retry budget (no attempt was made). Conclusion: where the list names live minions a call waits up to 2 s of its deadline for an owner; where it names none, the refusal still goes out at once.

--- a/libraries/entry/call_front.cpp
+++ b/libraries/entry/call_front.cpp
@@ -21,6 +21,7 @@
 
 constexpr double s_retry_s = 1;
 /// The way back from the owner, left over from the caller's deadline.
+constexpr base::duration s_take_over_wait = std::chrono::seconds{2};
 constexpr base::duration s_home_limit = std::chrono::milliseconds{500};
 constexpr base::duration s_hand_over_pause = std::chrono::milliseconds{20};
 constexpr base::duration s_way_back = std::chrono::milliseconds{20};
@@ -312,7 +313,8 @@
     auto wanted = calls::wanted_room::any;
     for (std::int32_t number = 1;; ++number)
     {
-        auto const to = choose(it, tried, wanted);
+        auto const to =
+            number == 1 ? wait_for_group(it) : choose(it, tried, wanted);
         if (!to)
         {
             return last;
@@ -347,6 +349,41 @@
     }
 }
 
+/// A service whose minions the platform lists, and of which no group has an
+/// owner yet, is being taken over, or this process has just begun: that takes
+/// a moment, and a refusal would send the caller away from work that can be
+/// done. For a service without minions there is nothing to wait for.
+std::optional<calls::route> call_front::wait_for_group(incoming_call const& it)
+{
+    auto const until =
+        std::min(m_node.clock.now() + s_take_over_wait, it.deadline);
+    for (;;)
+    {
+        if (auto to = choose(it, {}, calls::wanted_room::any))
+        {
+            return to;
+        }
+        if (m_node.clock.now() + s_hand_over_pause >= until ||
+            !has_minions(it.service))
+        {
+            return std::nullopt;
+        }
+        std::this_thread::sleep_for(s_hand_over_pause);
+    }
+}
+
+bool call_front::has_minions(std::string const& service) const
+{
+    auto const view = m_node.view.get();
+    return std::any_of(view->endpoints.begin(), view->endpoints.end(),
+                       [&](auto const& it)
+                       {
+                           return it.kind == model::endpoint_kind::minion &&
+                                  it.service == service &&
+                                  it.state == model::listed_state::live;
+                       });
+}
+
 std::optional<calls::route>
 call_front::choose(incoming_call const& it,
                    std::vector<std::string> const& tried,
--- a/libraries/entry/call_front.hpp
+++ b/libraries/entry/call_front.hpp
@@ -95,6 +95,9 @@
                                     calls::route const& to,
                                     std::int32_t number);
     [[nodiscard]] std::optional<calls::route>
+    wait_for_group(incoming_call const& it);
+    [[nodiscard]] bool has_minions(std::string const& service) const;
+    [[nodiscard]] std::optional<calls::route>
     choose(incoming_call const& it,
            std::vector<std::string> const& tried,
            calls::wanted_room room);
--- a/libraries/entry/operator_api.cpp
+++ b/libraries/entry/operator_api.cpp
@@ -106,8 +106,9 @@
 void health(entry_node& self, httplib::Response& to)
 {
     Json::Value out{Json::objectValue};
-    auto const ready = !self.stopping && self.configuration.offset() >= 0;
-    out["state"] = self.stopping ? "stopping" : ready ? "ready" : "starting";
+    out["state"] = self.stopping                      ? "stopping"
+                   : self.configuration.offset() >= 0 ? "ready"
+                                                      : "starting";
     answer_json(to, out, self.stopping ? 503 : 200);
 }
 
