capacity: Measure an entry's cost by workers, entries and tasks

Cause: docs/CAPACITY.md has to rest on slopes of the real processes. Ruled out: counting in the product, which leaves out the transport's share.

--- a/libraries/scenario/cell.cpp
+++ b/libraries/scenario/cell.cpp
@@ -267,6 +267,19 @@
     return base::done{};
 }
 
+std::vector<int> cell::process_ids() const
+{
+    std::vector<int> out;
+    for (auto const& it : m_entries)
+    {
+        if (it.process.started())
+        {
+            out.push_back(it.process.id());
+        }
+    }
+    return out;
+}
+
 bool cell::ready(int entry) const
 {
     auto const& it = m_entries[static_cast<std::size_t>(entry - 1)];
--- a/libraries/scenario/cell.hpp
+++ b/libraries/scenario/cell.hpp
@@ -69,6 +69,9 @@
     /// What the stand-ins have written down. Fails with `invalid`.
     [[nodiscard]] base::result<timeline> history() const;
 
+    /// Of the entries that live, in their order.
+    [[nodiscard]] std::vector<int> process_ids() const;
+
     [[nodiscard]] int entry_count() const noexcept
     {
         return m_options.entries;
--- a/libraries/scenario/child_process.hpp
+++ b/libraries/scenario/child_process.hpp
@@ -43,6 +43,12 @@
         return m_id > 0;
     }
 
+    /// Precondition: `started()`.
+    [[nodiscard]] pid_t id() const noexcept
+    {
+        return m_id;
+    }
+
 private:
     pid_t m_id{0};
     std::optional<int> m_code;
