--- a/libraries/ownership/message.cpp
+++ b/libraries/ownership/message.cpp
@@ -34,6 +34,14 @@
     return value;
 }
 
+Json::Value to_json(suspicion const& it)
+{
+    Json::Value value{Json::objectValue};
+    value["from"] = it.from;
+    value["silent"] = it.silent;
+    return value;
+}
+
 Json::Value to_json(vouch_request const& it)
 {
     Json::Value value{Json::objectValue};
@@ -66,6 +74,12 @@
                      it["leaving"].isBool() && it["leaving"].asBool()};
 }
 
+base::result<suspicion> suspicion_from(Json::Value const& it)
+{
+    BOOST_LEAF_CHECK(need_texts(it, {"from", "silent"}));
+    return suspicion{it["from"].asString(), it["silent"].asString()};
+}
+
 base::result<vouch_request> vouch_request_from(Json::Value const& it)
 {
     BOOST_LEAF_CHECK(need_texts(it, {"from", "instance"}));
--- a/libraries/ownership/message.hpp
+++ b/libraries/ownership/message.hpp
@@ -24,6 +24,16 @@
     friend auto operator<=>(heartbeat const&, heartbeat const&) = default;
 };
 
+/// "I watch this process and do not hear it."
+struct suspicion
+{
+    /// Incarnations.
+    std::string from;
+    std::string silent;
+
+    friend auto operator<=>(suspicion const&, suspicion const&) = default;
+};
+
 /// An owner that cannot read the log asks a process that it knows.
 struct vouch_request
 {
@@ -52,11 +62,13 @@
 };
 
 [[nodiscard]] Json::Value to_json(heartbeat const& it);
+[[nodiscard]] Json::Value to_json(suspicion const& it);
 [[nodiscard]] Json::Value to_json(vouch_request const& it);
 [[nodiscard]] Json::Value to_json(vouch_answer const& it);
 
 /// Each fails with `invalid`.
 [[nodiscard]] base::result<heartbeat> heartbeat_from(Json::Value const& it);
+[[nodiscard]] base::result<suspicion> suspicion_from(Json::Value const& it);
 [[nodiscard]] base::result<vouch_request>
 vouch_request_from(Json::Value const& it);
 [[nodiscard]] base::result<vouch_answer>
--- a/libraries/ownership/spread.cpp
+++ b/libraries/ownership/spread.cpp
@@ -3,6 +3,7 @@
 #include <base/hash.hpp>
 
 #include <cmath>
+#include <utility>
 
 namespace berylhill::ownership
 {
@@ -37,6 +38,44 @@
     return order;
 }
 
+std::vector<candidate> watchers_of(candidate const& watched,
+                                   std::vector<candidate> const& all,
+                                   std::size_t most)
+{
+    std::map<std::string, candidate> by_incarnation;
+    std::vector<candidate> others;
+    for (auto const& it : all)
+    {
+        if (it.incarnation != watched.incarnation)
+        {
+            others.push_back(it);
+            by_incarnation[it.incarnation] = it;
+        }
+    }
+    if (others.size() <= most)
+    {
+        return others;
+    }
+    // Each zone's first, then each zone's second, and so on.
+    std::map<std::string, std::size_t> taken;
+    std::map<std::pair<std::size_t, std::size_t>, candidate> rounds;
+    std::size_t place = 0;
+    for (auto const& name : wanted_order(watched.instance, others))
+    {
+        auto const& it = by_incarnation[name];
+        rounds.emplace(std::pair{taken[it.zone]++, place++}, it);
+    }
+    std::vector<candidate> found;
+    for (auto const& [round, it] : rounds)
+    {
+        if (found.size() < most)
+        {
+            found.push_back(it);
+        }
+    }
+    return found;
+}
+
 std::size_t most_units(std::size_t units, std::size_t n, double most_load)
 {
     if (n == 0)
--- a/libraries/ownership/spread.hpp
+++ b/libraries/ownership/spread.hpp
@@ -25,6 +25,14 @@
 [[nodiscard]] std::vector<std::string>
 wanted_order(std::string_view unit, std::vector<candidate> const& candidates);
 
+/// Who watches the process for silence: at most `most` of the others, from as
+/// many zones as there are, so that a zone that is lost takes few of them.
+/// Equal in every process.
+[[nodiscard]] std::vector<candidate>
+watchers_of(candidate const& watched,
+            std::vector<candidate> const& all,
+            std::size_t most);
+
 /// How many units each process owns.
 using unit_counts = std::map<std::string, std::size_t>;
 
--- a/libraries/ownership/tenure.cpp
+++ b/libraries/ownership/tenure.cpp
@@ -33,6 +33,7 @@
         fold(offset, it, now);
     }
     m_table.read_through(next);
+    choose_watched();
     if (!fresh_as_of)
     {
         return {};
@@ -177,6 +178,11 @@
     return {};
 }
 
+void tenure::suspected(suspicion const& it, base::instant now)
+{
+    m_suspected[it.silent][it.from] = now;
+}
+
 actions tenure::vouch_asked(vouch_request const& it, base::instant)
 {
     vouch_answer answer{m_options.incarnation, m_options.instance, it.round,
@@ -224,8 +230,8 @@
 {
     auto const log_is_late = m_log_right_until - now < m_options.right / 2;
     auto const is_asking =
-        m_round && now - m_round->started < m_options.right / 2;
-    auto const is_settled = m_vouched_until - now > m_options.right * 3 / 4;
+        m_round && now - m_round->started < m_options.right / 4;
+    auto const is_settled = m_vouched_until - now > m_options.right / 2;
     if (!log_is_late || is_asking || is_settled || m_active_from.empty() ||
         !is_member())
     {
--- a/libraries/ownership/tenure.hpp
+++ b/libraries/ownership/tenure.hpp
@@ -64,6 +64,12 @@
     base::duration margin{std::chrono::milliseconds{50}};
     /// A process not heard for this long is taken for dead.
     base::duration suspect_after{std::chrono::milliseconds{1'200}};
+    /// A process beats to at most this many others. They tell the rest when it
+    /// falls silent, so that what an instance sends does not grow with the
+    /// number of instances.
+    std::size_t watchers{8};
+    /// How often a watcher repeats that a process is silent.
+    base::duration suspicion_every{std::chrono::milliseconds{500}};
     /// Longer, where this process hears less than half of the others and may
     /// itself be the one that is cut off.
     base::duration isolated_after{std::chrono::milliseconds{4'000}};
@@ -121,8 +127,21 @@
     friend auto operator<=>(fetch_list const&, fetch_list const&) = default;
 };
 
-using action = std::
-    variant<append_entry, send_vouch_request, send_vouch_answer, fetch_list>;
+struct send_suspicion
+{
+    /// An instance.
+    std::string to;
+    suspicion message;
+
+    friend auto operator<=>(send_suspicion const&,
+                            send_suspicion const&) = default;
+};
+
+using action = std::variant<append_entry,
+                            send_vouch_request,
+                            send_vouch_answer,
+                            send_suspicion,
+                            fetch_list>;
 using actions = std::vector<action>;
 
 /// How an append of this process ended.
@@ -167,6 +186,12 @@
 
     [[nodiscard]] actions heard(heartbeat const& it, base::instant now);
 
+    /// A watcher does not hear a process.
+    void suspected(suspicion const& it, base::instant now);
+
+    /// The instances that get `own_heartbeat` about every 300 ms.
+    [[nodiscard]] std::set<std::string> heartbeat_targets() const;
+
     /// The instances on the platform's list, live or leaving; the request was
     /// sent at `as_of`.
     [[nodiscard]] actions listed(std::set<std::string> instances,
@@ -285,7 +310,11 @@
                                 base::duration within) const;
     [[nodiscard]] bool is_first(std::string const& what,
                                 base::instant now) const;
-    [[nodiscard]] base::duration suspicion(base::instant now) const;
+    [[nodiscard]] bool is_suspected(std::string const& incarnation,
+                                    base::instant now) const;
+    [[nodiscard]] base::duration suspicion_time(base::instant now) const;
+    void choose_watched();
+    void tell_silent(base::instant now, actions& out);
     [[nodiscard]] unit_counts counts() const;
     [[nodiscard]] std::vector<candidate> takers(base::instant now) const;
     [[nodiscard]] std::vector<std::string> surplus_units(double mean) const;
@@ -324,6 +353,13 @@
     std::optional<vouch_round> m_round;
     std::uint64_t m_last_round{0};
     std::map<std::string, peer> m_peers;
+    /// The incarnations that beat to this process, and those that it beats to.
+    std::set<std::string> m_watched;
+    std::set<std::string> m_watchers;
+    std::vector<candidate> m_watch_chosen_of;
+    /// By the silent process and who says so.
+    std::map<std::string, std::map<std::string, base::instant>> m_suspected;
+    base::instant m_last_told{};
     std::set<std::string> m_listed;
     std::set<std::string> m_ever_listed;
     std::optional<base::instant> m_listed_as_of;
--- a/libraries/ownership/tenure_plan.cpp
+++ b/libraries/ownership/tenure_plan.cpp
@@ -38,6 +38,7 @@
         }
         publish_seen(out);
     }
+    tell_silent(now, out);
     ask_vouches(now, out);
     return out;
 }
--- a/libraries/ownership/tenure_view.cpp
+++ b/libraries/ownership/tenure_view.cpp
@@ -2,6 +2,7 @@
 #include <ownership/tenure.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace berylhill::ownership
 {
@@ -63,6 +64,10 @@
     {
         return true;
     }
+    if (!m_watched.contains(incarnation))
+    {
+        return !is_suspected(incarnation, now);
+    }
     auto const it = m_peers.find(incarnation);
     auto const last = it == m_peers.end() ? m_started : it->second.heard;
     return now - last <= within;
@@ -70,24 +75,114 @@
 
 /// Guards against a process whose own network is cut taking every unit of the
 /// cell: it hears nobody, and so waits longer than those it does not hear.
-base::duration tenure::suspicion(base::instant now) const
+base::duration tenure::suspicion_time(base::instant now) const
 {
-    auto const others = m_table.members().size() - (is_member() ? 1 : 0);
+    auto const others = m_watched.size();
     std::size_t heard = 0;
-    for (auto const& [incarnation, it] : m_table.members())
+    for (auto const& it : m_watched)
     {
-        heard += incarnation != m_options.incarnation &&
-                         is_heard(incarnation, now, m_options.suspect_after)
-                     ? 1
-                     : 0;
+        heard += is_heard(it, now, m_options.suspect_after) ? 1 : 0;
     }
     auto const is_isolated = others >= 2 && heard * 2 < others;
     return is_isolated ? m_options.isolated_after : m_options.suspect_after;
 }
 
+/// Two watchers have to say so, because one may itself be the one that is cut
+/// off.
+bool tenure::is_suspected(std::string const& incarnation,
+                          base::instant now) const
+{
+    auto const said = m_suspected.find(incarnation);
+    if (said == m_suspected.end())
+    {
+        return false;
+    }
+    auto const is_recent = [&](auto const& it)
+    {
+        return now - it.second <= 2 * m_options.suspicion_every;
+    };
+    return std::count_if(said->second.begin(), said->second.end(), is_recent) >=
+           2;
+}
+
+void tenure::choose_watched()
+{
+    std::vector<candidate> all;
+    all.reserve(m_table.members().size());
+    for (auto const& [incarnation, it] : m_table.members())
+    {
+        all.push_back({incarnation, it.instance, it.zone});
+    }
+    // Costs the square of the members' number, so only when they change.
+    if (all == m_watch_chosen_of)
+    {
+        return;
+    }
+    m_watched.clear();
+    m_watchers.clear();
+    for (auto const& it : all)
+    {
+        for (auto const& watcher : watchers_of(it, all, m_options.watchers))
+        {
+            if (watcher.incarnation == m_options.incarnation)
+            {
+                m_watched.insert(it.incarnation);
+            }
+            if (it.incarnation == m_options.incarnation)
+            {
+                m_watchers.insert(watcher.instance);
+            }
+        }
+    }
+    std::erase_if(m_suspected, [&](auto const& it)
+                  { return !m_table.members().contains(it.first); });
+    m_watch_chosen_of = std::move(all);
+}
+
+std::set<std::string> tenure::heartbeat_targets() const
+{
+    if (!m_stopping && is_member())
+    {
+        return m_watchers;
+    }
+    // All have to know who leaves, and who is not a member yet.
+    std::set<std::string> all = m_listed;
+    for (auto const& [incarnation, it] : m_table.members())
+    {
+        all.insert(it.instance);
+    }
+    all.erase(m_options.instance);
+    return all;
+}
+
+void tenure::tell_silent(base::instant now, actions& out)
+{
+    auto const hears_all = m_watched.size() + 1 >= m_table.members().size();
+    if (hears_all || now - m_last_told < m_options.suspicion_every)
+    {
+        return;
+    }
+    m_last_told = now;
+    for (auto const& silent : m_watched)
+    {
+        if (is_heard(silent, now, m_options.suspect_after))
+        {
+            continue;
+        }
+        for (auto const& [incarnation, it] : m_table.members())
+        {
+            if (incarnation != m_options.incarnation && incarnation != silent)
+            {
+                out.emplace_back(send_suspicion{
+                    it.instance, {m_options.incarnation, silent}});
+            }
+        }
+    }
+}
+
 std::vector<candidate> tenure::live(base::instant now) const
 {
-    auto const within = suspicion(now);
+    auto const within = suspicion_time(now);
     std::vector<candidate> found;
     for (auto const& [incarnation, it] : m_table.members())
     {
--- a/tests/ownership/cell.cpp
+++ b/tests/ownership/cell.cpp
@@ -95,6 +95,10 @@
             m_letters.push_back({answer->to, it});
             ++m_vouch_messages;
         }
+        else if (auto const* word = std::get_if<send_suspicion>(&it))
+        {
+            m_letters.push_back({word->to, it});
+        }
         else
         {
             perform(i, m_nodes[i].it->listed(list(), m_now));
@@ -140,6 +144,11 @@
                 perform(i, node.it->vouch_asked(ask->message, m_now));
                 continue;
             }
+            if (auto const* word = std::get_if<send_suspicion>(&it.message))
+            {
+                node.it->suspected(word->message, m_now);
+                continue;
+            }
             auto const& answer = std::get<send_vouch_answer>(it.message);
             perform(i, node.it->vouch_answered(answer.message, m_now));
         }
@@ -161,12 +170,18 @@
     }
     if (every(m_settings.beat_every, i))
     {
+        auto const targets = node.it->heartbeat_targets();
         for (std::size_t to = 0; to < m_nodes.size(); ++to)
         {
-            if (to != i && m_nodes[to].alive && !m_nodes[to].paused)
+            auto& other = m_nodes[to];
+            if (targets.contains(other.instance))
             {
-                perform(to,
-                        m_nodes[to].it->heard(node.it->own_heartbeat(), m_now));
+                ++m_heartbeats;
+                if (other.alive && !other.paused)
+                {
+                    perform(to,
+                            other.it->heard(node.it->own_heartbeat(), m_now));
+                }
             }
         }
         perform(i, node.it->listed(list(), m_now));
--- a/tests/ownership/cell.hpp
+++ b/tests/ownership/cell.hpp
@@ -81,6 +81,10 @@
     {
         return m_vouch_messages;
     }
+    [[nodiscard]] std::size_t heartbeats() const noexcept
+    {
+        return m_heartbeats;
+    }
     [[nodiscard]] std::size_t log_entries() const noexcept
     {
         return m_log.size();
@@ -132,6 +136,7 @@
     std::map<std::string, base::duration> m_gaps;
     std::size_t m_conflicts{0};
     std::size_t m_vouch_messages{0};
+    std::size_t m_heartbeats{0};
 };
 
 } // namespace berylhill::ownership
--- a/tests/ownership/tenure_test.cpp
+++ b/tests/ownership/tenure_test.cpp
@@ -64,6 +64,39 @@
     BOOST_TEST(it.conflicts() == 0U);
 }
 
+// A cell of many instances, where none hears all the others: a crash has to be
+// noticed by its watchers and told to the rest.
+BOOST_AUTO_TEST_CASE(a_crash_is_noticed_by_watchers)
+{
+    auto it = settled_cell({.instances = 24, .zones = 4, .units = 72});
+    BOOST_TEST(it.at(3).heartbeat_targets().size() == 8U);
+    it.kill(3);
+    it.run(8s);
+    BOOST_TEST(it.acted_on() == it.units().size());
+    BOOST_TEST_MESSAGE(
+        "takeover with watchers_s=" << base::seconds_of(it.longest_gap()));
+    BOOST_TEST(base::seconds_of(it.longest_gap()) <= 5);
+    BOOST_TEST(it.conflicts() == 0U);
+}
+
+// A watcher is cut off from those that it watches and calls them all dead. Its
+// word alone must not move their units.
+BOOST_AUTO_TEST_CASE(one_watchers_word_is_not_enough)
+{
+    auto it = settled_cell({.instances = 24, .zones = 4, .units = 72});
+    auto const told = it.at(0).own_heartbeat().incarnation;
+    for (int n = 0; n < 20; ++n)
+    {
+        for (std::size_t i = 1; i < it.size(); ++i)
+        {
+            it.at(i).suspected({told, it.at(5).own_heartbeat().incarnation},
+                               it.now());
+        }
+        it.run(250ms);
+    }
+    BOOST_TEST(it.longest_gap() == base::duration{});
+}
+
 // An operator announces that an instance will be replaced. Calls and jobs must
 // not notice: each unit has its next owner before the old one is gone.
 BOOST_AUTO_TEST_CASE(a_planned_stop_leaves_no_gap)
--- a/tests/ownership/world.cpp
+++ b/tests/ownership/world.cpp
@@ -105,8 +105,11 @@
             m_letters.push_back({answer->to, answer->to, answer->message.round,
                                  answer->message});
         }
-        else if (m_bounds.deaths)
+        else if (std::holds_alternative<fetch_list>(it) && m_bounds.deaths)
         {
+            // An older fetch is of no use to the round that has begun.
+            std::erase_if(m_fetches,
+                          [&](fetch const& old) { return old.process == i; });
             m_fetches.push_back({i, m_now});
         }
     }
--- a/utilities/state_bench/main.cpp
+++ b/utilities/state_bench/main.cpp
@@ -48,6 +48,8 @@
 std::vector<std::pair<std::int64_t, record>> history(int units, int instances)
 {
     std::vector<std::pair<std::int64_t, record>> all;
+    all.reserve(static_cast<std::size_t>(units) +
+                static_cast<std::size_t>(instances));
     std::int64_t offset = 0;
     for (int i = 0; i < instances; ++i)
     {
@@ -151,6 +153,8 @@
     // One owner falls silent: its units are planned anew.
     now += std::chrono::seconds{2};
     hear_all(it, instances, 1, now);
+    it.suspected({incarnation(2), incarnation(1)}, now);
+    it.suspected({incarnation(3), incarnation(1)}, now);
     start = stopwatch::now();
     auto const actions = it.log_read({}, units + instances, now, now);
     print(name + ".one_dead", us_since(start), "us");
@@ -226,11 +230,13 @@
 
 void measure_messages(std::size_t instances)
 {
-    constexpr double s_beats_per_s = 1 / 0.3;
     cell it{{.instances = instances, .zones = 4, .units = 8 * instances}};
     it.run(std::chrono::seconds{15});
     auto const entries = it.log_entries();
+    auto const beats_before = it.heartbeats();
     it.run(std::chrono::seconds{20});
+    auto const beats = static_cast<double>(it.heartbeats() - beats_before) /
+                       20 / static_cast<double>(instances);
     auto const idle_entries = it.log_entries() - entries;
     it.set_log(false);
     it.run(std::chrono::seconds{5});
@@ -239,7 +245,6 @@
     auto const vouches = static_cast<double>(it.vouch_messages() - before) /
                          20.0 / static_cast<double>(instances);
     auto const beat = model::text_of(to_json(it.at(0).own_heartbeat())).size();
-    auto const beats = s_beats_per_s * static_cast<double>(instances - 1);
     auto const name = "mesh.instances_" + std::to_string(instances);
     print(name + ".heartbeats", beats, "messages/s");
     print(name + ".heartbeat_bytes", beats * static_cast<double>(beat),
@@ -268,7 +273,7 @@
         measure_writer(budget, 5);
         measure_writer(budget, 1'600);
     }
-    for (std::size_t const n : {5U, 9U, 18U})
+    for (std::size_t const n : {5U, 9U, 18U, 36U})
     {
         measure_messages(n);
     }
