ownership: Keep an isolated process from taking the cell

With the guard the units that it owned are taken over once. A first form of it let four more units stand still, because the others fall silent one by one; hence the shorter time in is_isolated.

--- a/libraries/ownership/tenure.cpp
+++ b/libraries/ownership/tenure.cpp
@@ -93,6 +93,7 @@
     }
     else if (auto const* taken = std::get_if<claim>(&it))
     {
+        m_peers[taken->incarnation].wrote = now;
         note_change(taken->unit, done, now);
     }
     else if (auto const* given = std::get_if<release>(&it))
@@ -174,7 +175,9 @@
 actions tenure::heard(heartbeat const& it, base::instant now)
 {
     auto& known = m_peers[it.incarnation];
-    known = {it.instance, std::max(known.heard, now), it.leaving};
+    known.instance = it.instance;
+    known.heard = std::max(known.heard, now);
+    known.leaving = it.leaving;
     return {};
 }
 
--- a/libraries/ownership/tenure.hpp
+++ b/libraries/ownership/tenure.hpp
@@ -73,6 +73,9 @@
     /// Longer, where this process hears less than half of the others and may
     /// itself be the one that is cut off.
     base::duration isolated_after{std::chrono::milliseconds{4'000}};
+    /// With fewer others than this, hearing none says nothing about who is cut
+    /// off.
+    std::size_t fewest_to_be_isolated{2};
     /// How long the process wanted first for a unit may leave it unclaimed.
     base::duration claim_patience{std::chrono::milliseconds{600}};
     /// A stopping process takes part for this long, so that the others, who
@@ -256,6 +259,8 @@
     {
         std::string instance;
         base::instant heard{};
+        /// When a record of this process was last read.
+        base::instant wrote{};
         bool leaving{false};
 
         friend auto operator<=>(peer const&, peer const&) = default;
@@ -313,6 +318,8 @@
     [[nodiscard]] bool is_suspected(std::string const& incarnation,
                                     base::instant now) const;
     [[nodiscard]] base::duration suspicion_time(base::instant now) const;
+    [[nodiscard]] bool is_isolated(base::instant now) const;
+    [[nodiscard]] bool is_cut_off(base::instant now) const;
     void choose_watched();
     void tell_silent(base::instant now, actions& out);
     [[nodiscard]] unit_counts counts() const;
--- a/libraries/ownership/tenure_plan.cpp
+++ b/libraries/ownership/tenure_plan.cpp
@@ -88,7 +88,7 @@
                          m_scanned_live == alive;
     // When all start at once, the first to join would take every unit.
     auto const is_early = now - m_joined_at < m_options.suspect_after;
-    if (is_same || is_early || !is_member())
+    if (is_same || is_early || !is_member() || is_cut_off(now))
     {
         return;
     }
--- a/libraries/ownership/tenure_view.cpp
+++ b/libraries/ownership/tenure_view.cpp
@@ -73,18 +73,47 @@
     return now - last <= within;
 }
 
-/// Guards against a process whose own network is cut taking every unit of the
-/// cell: it hears nobody, and so waits longer than those it does not hear.
-base::duration tenure::suspicion_time(base::instant now) const
+/// The others fall silent one by one, as their beats are not in step. Heard is
+/// therefore who was heard well within the time after which the first of them
+/// is suspected; otherwise that one's units would be claimed before this
+/// process finds that it hears nobody.
+bool tenure::is_isolated(base::instant now) const
 {
     auto const others = m_watched.size();
+    auto const lately = m_options.suspect_after * 2 / 3;
     std::size_t heard = 0;
     for (auto const& it : m_watched)
     {
-        heard += is_heard(it, now, m_options.suspect_after) ? 1 : 0;
+        heard += is_heard(it, now, lately) ? 1 : 0;
     }
-    auto const is_isolated = others >= 2 && heard * 2 < others;
-    return is_isolated ? m_options.isolated_after : m_options.suspect_after;
+    return others >= m_options.fewest_to_be_isolated && heard * 2 < others;
+}
+
+base::duration tenure::suspicion_time(base::instant now) const
+{
+    return is_isolated(now) ? m_options.isolated_after
+                            : m_options.suspect_after;
+}
+
+/// Guards against a process whose own network is cut, but not its way to the
+/// log, taking every unit of the cell: each would stand still until its claim
+/// is active, again and again. The others, who live, have claimed its units by
+/// the time that it may claim theirs, and it has read so. One that owned
+/// nothing cannot tell, and waits until the platform's list drops the others.
+bool tenure::is_cut_off(base::instant now) const
+{
+    if (!is_isolated(now))
+    {
+        return false;
+    }
+    auto const has_claimed = [&](std::string const& incarnation)
+    {
+        auto const it = m_peers.find(incarnation);
+        return it != m_peers.end() &&
+               it->second.wrote > it->second.heard + m_options.suspect_after;
+    };
+    return m_active_from.empty() ||
+           std::any_of(m_watched.begin(), m_watched.end(), has_claimed);
 }
 
 /// Two watchers have to say so, because one may itself be the one that is cut
--- a/tests/ownership/cell.cpp
+++ b/tests/ownership/cell.cpp
@@ -63,6 +63,11 @@
     m_log_up = is_up;
 }
 
+void cell::cut(std::size_t i, bool is_cut)
+{
+    m_nodes[i].cut = is_cut;
+}
+
 std::set<std::string> cell::list() const
 {
     std::set<std::string> names;
@@ -87,17 +92,17 @@
         }
         else if (auto const* ask = std::get_if<send_vouch_request>(&it))
         {
-            m_letters.push_back({ask->to, it});
+            m_letters.push_back({i, ask->to, it});
             ++m_vouch_messages;
         }
         else if (auto const* answer = std::get_if<send_vouch_answer>(&it))
         {
-            m_letters.push_back({answer->to, it});
+            m_letters.push_back({i, answer->to, it});
             ++m_vouch_messages;
         }
         else if (auto const* word = std::get_if<send_suspicion>(&it))
         {
-            m_letters.push_back({word->to, it});
+            m_letters.push_back({i, word->to, it});
         }
         else
         {
@@ -135,7 +140,8 @@
         for (std::size_t i = 0; i < m_nodes.size(); ++i)
         {
             auto& node = m_nodes[i];
-            if (node.instance != it.to || !node.alive || node.paused)
+            auto const is_lost = node.cut || m_nodes[it.from].cut;
+            if (node.instance != it.to || !node.alive || node.paused || is_lost)
             {
                 continue;
             }
@@ -177,7 +183,7 @@
             if (targets.contains(other.instance))
             {
                 ++m_heartbeats;
-                if (other.alive && !other.paused)
+                if (other.alive && !other.paused && !other.cut && !node.cut)
                 {
                     perform(to,
                             other.it->heard(node.it->own_heartbeat(), m_now));
@@ -276,6 +282,13 @@
     return longest;
 }
 
+std::size_t cell::units_with_gap(base::duration longer_than) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_gaps.begin(), m_gaps.end(),
+                      [&](auto const& it) { return it.second > longer_than; }));
+}
+
 void cell::reset_gaps()
 {
     m_gaps.clear();
--- a/tests/ownership/cell.hpp
+++ b/tests/ownership/cell.hpp
@@ -43,6 +43,8 @@
     void pause(std::size_t i, bool paused);
     void stop(std::size_t i);
     void set_log(bool is_up);
+    /// Cuts the instance off from the others, not from the log.
+    void cut(std::size_t i, bool is_cut);
 
     [[nodiscard]] base::instant now() const noexcept
     {
@@ -71,6 +73,7 @@
     /// The longest time that a unit has been without an owner that may act,
     /// since `reset_gaps`.
     [[nodiscard]] base::duration longest_gap() const;
+    [[nodiscard]] std::size_t units_with_gap(base::duration longer_than) const;
     void reset_gaps();
     /// Moments at which two processes might have acted for one unit.
     [[nodiscard]] std::size_t conflicts() const noexcept
@@ -85,6 +88,10 @@
     {
         return m_heartbeats;
     }
+    [[nodiscard]] record const& entry(std::size_t i) const
+    {
+        return m_log[i];
+    }
     [[nodiscard]] std::size_t log_entries() const noexcept
     {
         return m_log.size();
@@ -97,6 +104,7 @@
         std::string instance;
         bool alive{true};
         bool paused{false};
+        bool cut{false};
         int starts{1};
         std::int64_t next{0};
         /// The list shows it until then, if it is not alive.
@@ -111,6 +119,7 @@
     };
     struct letter
     {
+        std::size_t from{0};
         std::string to;
         action message;
     };
--- a/tests/ownership/tenure_test.cpp
+++ b/tests/ownership/tenure_test.cpp
@@ -97,6 +97,40 @@
     BOOST_TEST(it.longest_gap() == base::duration{});
 }
 
+// Something between an entry and the others has lost its connections, but it
+// reaches the log. It hears nobody, takes all for dead and claims every rack
+// and shard: the whole cell stands still until the claims are active.
+BOOST_AUTO_TEST_CASE(an_isolated_process_takes_nothing)
+{
+    auto it = settled_cell();
+    it.cut(0, true);
+    auto const lost = it.acted_on_by(0);
+    it.run(1min);
+    BOOST_TEST(it.acted_on_by(0).empty());
+    BOOST_TEST(it.acted_on() == it.units().size());
+    // One takeover of its units; of the others, some are moved, none stood
+    // still.
+    BOOST_TEST(base::seconds_of(it.longest_gap()) <= 5);
+    BOOST_TEST(it.units_with_gap(1s) == lost.size());
+    it.cut(0, false);
+    it.run(10s);
+    BOOST_TEST(it.acted_on() == it.units().size());
+    BOOST_TEST(it.conflicts() == 0U);
+}
+
+// Most instances die at once. The rest hear less than half of the cell, as if
+// they were cut off, but nobody claims their units, so they go on.
+BOOST_AUTO_TEST_CASE(the_loss_of_most_is_taken_over)
+{
+    auto it = settled_cell({.instances = 5, .units = 20});
+    it.kill(0);
+    it.kill(1);
+    it.kill(2);
+    it.run(8s);
+    BOOST_TEST(it.acted_on() == it.units().size());
+    BOOST_TEST(it.conflicts() == 0U);
+}
+
 // An operator announces that an instance will be replaced. Calls and jobs must
 // not notice: each unit has its next owner before the old one is gone.
 BOOST_AUTO_TEST_CASE(a_planned_stop_leaves_no_gap)
--- a/tests/ownership/world.cpp
+++ b/tests/ownership/world.cpp
@@ -22,6 +22,7 @@
     // No heartbeats: each process claims as soon as a tick lets it.
     it.suspect_after = {};
     it.isolated_after = {};
+    it.fewest_to_be_isolated = 100;
     it.claim_patience = {};
     it.leave_after = {};
     it.move_every = s_never;
