--- a/tests/ownership/cell.cpp
+++ b/tests/ownership/cell.cpp
@@ -63,6 +63,11 @@
     m_log_up = is_up;
 }
 
+void cell::cut(std::size_t i, bool is_cut)
+{
+    m_nodes[i].cut = is_cut;
+}
+
 std::set<std::string> cell::list() const
 {
     std::set<std::string> names;
@@ -87,14 +92,18 @@
         }
         else if (auto const* ask = std::get_if<send_vouch_request>(&it))
         {
-            m_letters.push_back({ask->to, it});
+            m_letters.push_back({i, ask->to, it});
             ++m_vouch_messages;
         }
         else if (auto const* answer = std::get_if<send_vouch_answer>(&it))
         {
-            m_letters.push_back({answer->to, it});
+            m_letters.push_back({i, answer->to, it});
             ++m_vouch_messages;
         }
+        else if (auto const* word = std::get_if<send_suspicion>(&it))
+        {
+            m_letters.push_back({i, word->to, it});
+        }
         else
         {
             perform(i, m_nodes[i].it->listed(list(), m_now));
@@ -131,7 +140,8 @@
         for (std::size_t i = 0; i < m_nodes.size(); ++i)
         {
             auto& node = m_nodes[i];
-            if (node.instance != it.to || !node.alive || node.paused)
+            auto const is_lost = node.cut || m_nodes[it.from].cut;
+            if (node.instance != it.to || !node.alive || node.paused || is_lost)
             {
                 continue;
             }
@@ -140,6 +150,11 @@
                 perform(i, node.it->vouch_asked(ask->message, m_now));
                 continue;
             }
+            if (auto const* word = std::get_if<send_suspicion>(&it.message))
+            {
+                node.it->suspected(word->message, m_now);
+                continue;
+            }
             auto const& answer = std::get<send_vouch_answer>(it.message);
             perform(i, node.it->vouch_answered(answer.message, m_now));
         }
@@ -161,12 +176,18 @@
     }
     if (every(m_settings.beat_every, i))
     {
+        auto const targets = node.it->heartbeat_targets();
         for (std::size_t to = 0; to < m_nodes.size(); ++to)
         {
-            if (to != i && m_nodes[to].alive && !m_nodes[to].paused)
+            auto& other = m_nodes[to];
+            if (targets.contains(other.instance))
             {
-                perform(to,
-                        m_nodes[to].it->heard(node.it->own_heartbeat(), m_now));
+                ++m_heartbeats;
+                if (other.alive && !other.paused && !other.cut && !node.cut)
+                {
+                    perform(to,
+                            other.it->heard(node.it->own_heartbeat(), m_now));
+                }
             }
         }
         perform(i, node.it->listed(list(), m_now));
@@ -261,6 +282,13 @@
     return longest;
 }
 
+std::size_t cell::units_with_gap(base::duration longer_than) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_gaps.begin(), m_gaps.end(),
+                      [&](auto const& it) { return it.second > longer_than; }));
+}
+
 void cell::reset_gaps()
 {
     m_gaps.clear();
--- a/tests/ownership/tenure_test.cpp
+++ b/tests/ownership/tenure_test.cpp
@@ -64,6 +64,73 @@
     BOOST_TEST(it.conflicts() == 0U);
 }
 
+// A cell of many instances, where none hears all the others: a crash has to be
+// noticed by its watchers and told to the rest.
+BOOST_AUTO_TEST_CASE(a_crash_is_noticed_by_watchers)
+{
+    auto it = settled_cell({.instances = 24, .zones = 4, .units = 72});
+    BOOST_TEST(it.at(3).heartbeat_targets().size() == 8U);
+    it.kill(3);
+    it.run(8s);
+    BOOST_TEST(it.acted_on() == it.units().size());
+    BOOST_TEST_MESSAGE(
+        "takeover with watchers_s=" << base::seconds_of(it.longest_gap()));
+    BOOST_TEST(base::seconds_of(it.longest_gap()) <= 5);
+    BOOST_TEST(it.conflicts() == 0U);
+}
+
+// A watcher is cut off from those that it watches and calls them all dead. Its
+// word alone must not move their units.
+BOOST_AUTO_TEST_CASE(one_watchers_word_is_not_enough)
+{
+    auto it = settled_cell({.instances = 24, .zones = 4, .units = 72});
+    auto const told = it.at(0).own_heartbeat().incarnation;
+    for (int n = 0; n < 20; ++n)
+    {
+        for (std::size_t i = 1; i < it.size(); ++i)
+        {
+            it.at(i).suspected({told, it.at(5).own_heartbeat().incarnation},
+                               it.now());
+        }
+        it.run(250ms);
+    }
+    BOOST_TEST(it.longest_gap() == base::duration{});
+}
+
+// Something between an entry and the others has lost its connections, but it
+// reaches the log. It hears nobody, takes all for dead and claims every rack
+// and shard: the whole cell stands still until the claims are active.
+BOOST_AUTO_TEST_CASE(an_isolated_process_takes_nothing)
+{
+    auto it = settled_cell();
+    it.cut(0, true);
+    auto const lost = it.acted_on_by(0);
+    it.run(1min);
+    BOOST_TEST(it.acted_on_by(0).empty());
+    BOOST_TEST(it.acted_on() == it.units().size());
+    // One takeover of its units; of the others, some are moved, none stood
+    // still.
+    BOOST_TEST(base::seconds_of(it.longest_gap()) <= 5);
+    BOOST_TEST(it.units_with_gap(1s) == lost.size());
+    it.cut(0, false);
+    it.run(10s);
+    BOOST_TEST(it.acted_on() == it.units().size());
+    BOOST_TEST(it.conflicts() == 0U);
+}
+
+// Most instances die at once. The rest hear less than half of the cell, as if
+// they were cut off, but nobody claims their units, so they go on.
+BOOST_AUTO_TEST_CASE(the_loss_of_most_is_taken_over)
+{
+    auto it = settled_cell({.instances = 5, .units = 20});
+    it.kill(0);
+    it.kill(1);
+    it.kill(2);
+    it.run(8s);
+    BOOST_TEST(it.acted_on() == it.units().size());
+    BOOST_TEST(it.conflicts() == 0U);
+}
+
 // An operator announces that an instance will be replaced. Calls and jobs must
 // not notice: each unit has its next owner before the old one is gone.
 BOOST_AUTO_TEST_CASE(a_planned_stop_leaves_no_gap)
