--- a/libraries/placement/estimator.cpp
+++ b/libraries/placement/estimator.cpp
@@ -114,8 +114,9 @@
                        model::resources const& largest) const
 {
     estimate result;
-    auto cores = s_unknown_factor;
-    auto memory = s_unknown_factor;
+    double cores = 1;
+    double memory = 1;
+    auto margin = s_unknown_factor;
     result.run_s = request.declared_run_s;
     auto const found = m_histories.find(key_of(request));
     if (found != m_histories.end() && found->second.count > 0)
@@ -123,17 +124,23 @@
         auto const& it = found->second;
         auto const n =
             static_cast<double>(std::min<std::size_t>(it.count, s_kept));
-        auto const margin = 1 + std::max(s_least_margin, s_first_margin / n);
-        cores = it.largest_cores * margin;
-        memory = it.largest_memory * margin;
+        margin = 1 + std::max(s_least_margin, s_first_margin / n);
+        cores = it.largest_cores;
+        memory = it.largest_memory;
         result.run_s = request.declared_run_s * it.long_run;
-        result.confidence = 1 - 1 / n;
+        result.confidence = n / (n + 1);
     }
-    auto const& declared = request.declared;
-    result.peak = {
-        std::min(scaled(declared.millicores, cores), largest.millicores),
-        std::min(scaled(declared.memory_mb, memory), largest.memory_mb),
-        declared.accelerators};
+    auto const planned = [&](double by) -> model::resources
+    {
+        auto const& declared = request.declared;
+        return {std::min(scaled(declared.millicores, cores * by),
+                         largest.millicores),
+                std::min(scaled(declared.memory_mb, memory * by),
+                         largest.memory_mb),
+                declared.accelerators};
+    };
+    result.peak = planned(margin);
+    result.least = planned(1);
     return result;
 }
 
--- a/libraries/placement/estimator.hpp
+++ b/libraries/placement/estimator.hpp
@@ -17,6 +17,8 @@
 {
     /// What to plan for it; at most what the largest worker holds.
     model::resources peak;
+    /// The same without the room above what was seen, or was declared.
+    model::resources least;
     /// A run time that few will exceed; the declaration before anything else
     /// is known.
     double run_s{0};
--- a/libraries/placement/group_ledger_hold.cpp
+++ b/libraries/placement/group_ledger_hold.cpp
@@ -53,6 +53,8 @@
     candidate seen;
     seen.total = it.listed.capacity;
     seen.free = free_for(it, request.attempt);
+    seen.failed_here = std::find(request.avoid.begin(), request.avoid.end(),
+                                 it.listed.id) != request.avoid.end();
     if (request.kind == model::job_kind::service)
     {
         seen.same_here = static_cast<std::int32_t>(std::count_if(
--- a/libraries/placement/group_table.cpp
+++ b/libraries/placement/group_table.cpp
@@ -147,6 +147,9 @@
         candidate seen;
         seen.total = m_rooms[index].total;
         seen.free = m_rooms[index].free;
+        seen.failed_here =
+            !job.failed_groups.empty() &&
+            job.failed_groups.contains(static_cast<std::int32_t>(index));
         if (spread)
         {
             for (auto const& [group, n] : job.spread)
--- a/libraries/placement/hold.hpp
+++ b/libraries/placement/hold.hpp
@@ -8,6 +8,7 @@
 #include <compare>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace berylhill::placement
 {
@@ -28,6 +29,8 @@
     /// How long it will most likely run at most; 0 where nobody knows.
     double expected_run_s{0};
     std::string command;
+    /// Workers on which the job failed; others are taken where there are any.
+    std::vector<std::string> avoid;
     /// An urgent request that finds no room may have others checkpointed.
     bool may_preempt{false};
 
--- a/libraries/placement/job_queue_decide.cpp
+++ b/libraries/placement/job_queue_decide.cpp
@@ -161,11 +161,11 @@
     auto const found = m_estimator.of(request, m_groups.largest_worker());
     it.need = found.peak;
     it.run_s = found.run_s;
-    // The room above a declaration that nothing is known of must not keep a job
-    // waiting for ever that was accepted as declared.
-    if (found.confidence <= 0 && !can_ever_fit(*it.jobs.front(), it.need))
+    // The room above what is known must not keep a job waiting for ever that
+    // was accepted without it.
+    if (!can_ever_fit(*it.jobs.front(), it.need))
     {
-        it.need = request.declared;
+        it.need = found.least;
     }
 }
 
@@ -179,7 +179,7 @@
     auto const urgent = job.request.urgent == model::urgency::urgent;
     return (need * together).fits_in(contract.quota) &&
            (!urgent || (need * together).fits_in(contract.urgent_quota)) &&
-           m_groups.slots_when_empty(need) >= together;
+           (batch || m_groups.slots_when_empty(need) >= together);
 }
 
 double job_queue::order_key(contract_account const& account,
@@ -358,6 +358,7 @@
     request.need = it.planned;
     request.expected_run_s = it.expected_run_s;
     request.command = job.request.command;
+    request.avoid.assign(job.failed_on.begin(), job.failed_on.end());
     return found;
 }
 
--- a/libraries/placement/job_queue_events.cpp
+++ b/libraries/placement/job_queue_events.cpp
@@ -267,6 +267,7 @@
     it.failures += 1;
     job->failures_in_row += 1;
     job->failed_on.insert(end.worker);
+    job->failed_groups.insert(it.group);
     if (job->request.safety == model::rerun::at_most_once)
     {
         return close(*job, model::job_state::failed,
--- a/libraries/placement/job_queue_reserve.cpp
+++ b/libraries/placement/job_queue_reserve.cpp
@@ -186,6 +186,12 @@
             continue;
         }
         account.refund(it);
+        if (!account.allows(need, 1))
+        {
+            // More is known to be needed than the contract has left.
+            account.charge(it);
+            continue;
+        }
         it.planned = need;
         account.charge(it);
         to.resizes.push_back(
--- a/libraries/placement/job_record.hpp
+++ b/libraries/placement/job_record.hpp
@@ -74,6 +74,7 @@
     base::instant blocked_since{base::instant::max()};
     base::instant not_before{};
     std::set<std::string> failed_on;
+    std::set<std::int32_t> failed_groups;
     /// Running tasks by group, for spreading services.
     std::map<std::int32_t, std::int32_t> spread;
 };
--- a/libraries/placement/policy.cpp
+++ b/libraries/placement/policy.cpp
@@ -42,21 +42,23 @@
     constexpr double rack_weight = 1e3;
     auto const spread = it.same_in_zone * zone_weight +
                         it.same_in_rack * rack_weight + it.same_here;
-    return {spread, -left_after(it, need)};
+    return {it.failed_here, spread, -left_after(it, need)};
 }
 
 rank batch_policy::rank_of(candidate const& it,
                            model::resources const& need) const
 {
     auto const idle = need.accelerators == 0 && it.total.accelerators > 0;
-    return {idle ? s_idle_accelerator_cost : 0, left_after(it, need)};
+    return {it.failed_here, idle ? s_idle_accelerator_cost : 0,
+            left_after(it, need)};
 }
 
 rank gang_policy::rank_of(candidate const& it,
                           model::resources const& need) const
 {
     auto const idle = need.accelerators == 0 && it.total.accelerators > 0;
-    return {idle ? s_idle_accelerator_cost : 0, -left_after(it, need)};
+    return {it.failed_here, idle ? s_idle_accelerator_cost : 0,
+            -left_after(it, need)};
 }
 
 policy const& policy_for(model::job_kind kind,
--- a/libraries/placement/policy.hpp
+++ b/libraries/placement/policy.hpp
@@ -21,11 +21,15 @@
     std::int32_t same_here{0};
     std::int32_t same_in_rack{0};
     std::int32_t same_in_zone{0};
+    /// The job failed here before.
+    bool failed_here{false};
 };
 
 /// How well a candidate suits; less is better.
 struct rank
 {
+    /// Places where the job failed come last.
+    bool failed_here{false};
     double spread{0};
     double fit{0};
 
--- /dev/null
+++ b/tests/placement/ledger_test.cpp
@@ -0,0 +1,321 @@
+#include "fake_cell.hpp"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <array>
+
+using namespace berylhill;
+using namespace berylhill::placement_test;
+using placement::hold_state;
+using placement::ledger_action_kind;
+
+namespace
+{
+
+constexpr base::duration s_span{2'000'000};
+
+base::instant at(double seconds)
+{
+    return base::instant{base::from_seconds(seconds)};
+}
+
+placement::hold_request hold_of(std::string const& job,
+                                std::string const& name,
+                                model::resources const& need)
+{
+    placement::hold_request it;
+    it.attempt = {{job, 0}, 1};
+    it.contract = "kitakaze";
+    it.name = name;
+    it.need = need;
+    return it;
+}
+
+placement::group_ledger ledger_with(std::int32_t workers)
+{
+    placement::group_ledger ledger{"rack-a", "sapporo-a", "rack-a"};
+    for (std::int32_t n = 0; n < workers; ++n)
+    {
+        model::endpoint it;
+        it.id = "w-" + std::to_string(n);
+        it.capacity = {4'000, 8'192, 0};
+        ledger.set_worker(it, at(0));
+    }
+    return ledger;
+}
+
+/// Holds and commits; the worker chosen, or nothing.
+std::string start(placement::group_ledger& ledger,
+                  placement::hold_request const& request,
+                  base::instant now)
+{
+    auto const found = ledger.hold(request, now + s_span, now);
+    if (found.answer.state != hold_state::held)
+    {
+        return {};
+    }
+    BOOST_REQUIRE(ledger.commit(request.attempt, now).has_value());
+    return found.answer.worker;
+}
+
+platform::running_task running_of(placement::hold_request const& it,
+                                  model::resources const& used)
+{
+    return {it.attempt, it.contract, it.name, it.need, used};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ledger)
+
+namespace
+{
+
+struct hold_case
+{
+    char const* what;
+    model::resources need;
+    hold_state answer;
+};
+
+std::ostream& operator<<(std::ostream& out, hold_case const& it)
+{
+    return out << it.what;
+}
+
+std::array const s_holds{
+    hold_case{"what fits", {2'000, 1'024, 0}, hold_state::held},
+    hold_case{"larger than what is left", {3'000, 1'024, 0}, hold_state::full},
+    hold_case{"more cores than any", {5'000, 1, 0}, hold_state::never_fits},
+    hold_case{"more memory than any", {1, 9'000, 0}, hold_state::never_fits},
+    hold_case{"no accelerator here", {1, 1, 1}, hold_state::never_fits},
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(a_hold_is_answered_exactly, s_holds, it)
+{
+    auto ledger = ledger_with(1);
+    ledger.hold(hold_of("first", "daily", {2'000, 1'024, 0}), at(2), at(0));
+    auto const found =
+        ledger.hold(hold_of("job", "daily", it.need), at(2), at(0));
+    BOOST_CHECK(found.answer.state == it.answer);
+}
+
+// An owner asks for holds and dies before it commits. Its room must not be
+// lost: the hold ends by itself, a commit that comes later starts nothing, and
+// the next job gets the room.
+BOOST_AUTO_TEST_CASE(a_hold_ends_by_itself_and_cannot_be_committed_later)
+{
+    auto ledger = ledger_with(1);
+    auto const lost = hold_of("lost", "daily", {4'000, 1'024, 0});
+    auto const next = hold_of("next", "daily", {4'000, 1'024, 0});
+    ledger.hold(lost, at(2), at(0));
+    BOOST_CHECK(ledger.hold(next, at(3), at(1)).answer.state ==
+                hold_state::full);
+    BOOST_CHECK(!ledger.commit(lost.attempt, at(2)).has_value());
+    BOOST_CHECK(ledger.expire(at(2)).empty());
+    BOOST_TEST(start(ledger, next, at(2)) == "w-0");
+}
+
+// The answer to a hold is lost and the owner asks again. The room must be
+// counted once, and a repeat after the start must not start a second time.
+BOOST_AUTO_TEST_CASE(a_repeated_hold_counts_once)
+{
+    auto ledger = ledger_with(1);
+    auto const it = hold_of("job", "daily", {3'000, 1'024, 0});
+    BOOST_TEST(start(ledger, it, at(0)) == "w-0");
+    auto const again = ledger.hold(it, at(3), at(1)).answer;
+    BOOST_CHECK(again.state == hold_state::repeated);
+    BOOST_TEST(again.worker == "w-0");
+    BOOST_CHECK(!ledger.commit(it.attempt, at(1)).has_value());
+    BOOST_TEST(ledger.accounts().front().planned.millicores == 3'000);
+}
+
+// A task is told to stop, and the worker takes a while. Its room is not free
+// before the worker says that it has ended, or two tasks would share it.
+BOOST_AUTO_TEST_CASE(a_stopped_task_keeps_its_room_until_it_has_ended)
+{
+    auto ledger = ledger_with(1);
+    auto const first = hold_of("first", "daily", {4'000, 1'024, 0});
+    auto const next = hold_of("next", "daily", {4'000, 1'024, 0});
+    start(ledger, first, at(0));
+    auto const actions = ledger.release(first.attempt, at(1));
+    BOOST_REQUIRE(actions.size() == 1U);
+    BOOST_CHECK(actions.front().kind == ledger_action_kind::stop);
+    BOOST_CHECK(ledger.hold(next, at(3), at(1)).answer.state ==
+                hold_state::full);
+    ledger.finished(first.attempt, model::task_end::stopped, at(2));
+    BOOST_TEST(start(ledger, next, at(2)) == "w-0");
+}
+
+// A planned stop of a worker is announced: it must get nothing new from that
+// instant on, while what it runs stays counted.
+BOOST_AUTO_TEST_CASE(a_leaving_worker_gets_nothing_new)
+{
+    auto ledger = ledger_with(2);
+    model::endpoint it;
+    it.id = "w-0";
+    it.capacity = {4'000, 8'192, 0};
+    it.state = model::listed_state::leaving;
+    ledger.set_worker(it, at(1));
+    for (std::int32_t n = 0; n < 4; ++n)
+    {
+        auto const job = "job-" + std::to_string(n);
+        BOOST_TEST(start(ledger, hold_of(job, "daily", {1'000, 1, 0}), at(1)) ==
+                   "w-1");
+    }
+    BOOST_CHECK(
+        ledger.hold(hold_of("job-5", "daily", {1'000, 1, 0}), at(3), at(1))
+            .answer.state == hold_state::full);
+}
+
+// A report says twice what was declared, and reports come late. First the task
+// is throttled; when the memory still grows to the worker's end, the cheapest
+// task is checkpointed and not an urgent one, before the worker is full.
+BOOST_AUTO_TEST_CASE(growing_use_is_throttled_then_checkpointed)
+{
+    auto ledger = ledger_with(1);
+    auto grows = hold_of("grows", "monthly", {1'000, 2'048, 0});
+    auto urgent = hold_of("urgent", "check", {1'000, 2'048, 0});
+    urgent.urgent = model::urgency::urgent;
+    start(ledger, urgent, at(0));
+    start(ledger, grows, at(1));
+    auto const first = ledger.observe("w-0",
+                                      {running_of(grows, {1'500, 6'500, 0}),
+                                       running_of(urgent, {1'000, 1'024, 0})},
+                                      at(3));
+    BOOST_REQUIRE(first.size() == 1U);
+    BOOST_CHECK(first.front().kind == ledger_action_kind::throttle);
+    BOOST_CHECK(first.front().attempt == grows.attempt);
+    BOOST_TEST(first.front().share < 1);
+    BOOST_CHECK(
+        ledger.hold(hold_of("next", "daily", {1'000, 1'024, 0}), at(6), at(4))
+            .answer.state == hold_state::full);
+    auto const second = ledger.observe("w-0",
+                                       {running_of(grows, {700, 6'900, 0}),
+                                        running_of(urgent, {1'000, 1'024, 0})},
+                                       at(5));
+    BOOST_REQUIRE(second.size() == 1U);
+    BOOST_CHECK(second.front().kind == ledger_action_kind::checkpoint);
+    BOOST_CHECK(second.front().attempt == grows.attempt);
+}
+
+// A worker process restarts on its machine and its tasks are gone: they are in
+// no report any more and no end ever comes for them.
+BOOST_AUTO_TEST_CASE(a_task_that_is_in_no_report_any_more_is_lost)
+{
+    auto ledger = ledger_with(1);
+    auto const it = hold_of("job", "daily", {4'000, 1'024, 0});
+    start(ledger, it, at(0));
+    BOOST_CHECK(ledger.observe("w-0", {}, at(1)).empty());
+    ledger.observe("w-0", {running_of(it, {1, 1, 0})}, at(2));
+    auto const actions = ledger.observe("w-0", {}, at(3));
+    BOOST_REQUIRE(actions.size() == 1U);
+    BOOST_CHECK(actions.front().kind == ledger_action_kind::lost);
+    BOOST_TEST(ledger.digest().free.millicores == 4'000);
+}
+
+// A new owner takes a group over and finds tasks running. They count, also
+// where they are more than the worker holds, and nothing is placed on top.
+BOOST_AUTO_TEST_CASE(what_is_found_on_takeover_is_counted)
+{
+    auto ledger = ledger_with(1);
+    auto const found = hold_of("found", "daily", {5'000, 1'024, 0});
+    ledger.adopt("w-0", running_of(found, {1, 1, 0}), at(0));
+    BOOST_CHECK(ledger.hold(hold_of("next", "daily", {1, 1, 0}), at(3), at(1))
+                    .answer.state == hold_state::full);
+    BOOST_TEST(ledger.worker_of(found.attempt) == "w-0");
+}
+
+// One worker fails everything within a moment, is therefore always the emptiest
+// and draws every job to itself. It is set aside, probed after a while with one
+// task, and taken back when that one succeeds.
+BOOST_AUTO_TEST_CASE(a_worker_that_fails_everything_is_set_aside)
+{
+    auto ledger = ledger_with(2);
+    ledger.set_cell_failure_rate(0.05);
+    std::int32_t on_bad = 0;
+    double now = 0;
+    for (std::int32_t n = 0; n < 60; ++n, now += 0.1)
+    {
+        auto const name = "name-" + std::to_string(n % 6);
+        auto const it =
+            hold_of("job-" + std::to_string(n), name, {1'000, 1, 0});
+        auto const worker = start(ledger, it, at(now));
+        BOOST_REQUIRE(!worker.empty());
+        auto const bad = worker == "w-0";
+        on_bad += bad ? 1 : 0;
+        ledger.finished(it.attempt,
+                        bad ? model::task_end::failed
+                            : model::task_end::succeeded,
+                        at(now));
+    }
+    BOOST_TEST(on_bad > 2);
+    BOOST_TEST(on_bad < 20);
+    BOOST_CHECK(ledger.accounts().front().state ==
+                placement::health::quarantined);
+    now += 60;
+    auto const probe = hold_of("probe", "name-1", {1'000, 1, 0});
+    auto const other = hold_of("other", "name-1", {1'000, 1, 0});
+    BOOST_TEST(start(ledger, probe, at(now)) == "w-0");
+    BOOST_TEST(start(ledger, other, at(now)) == "w-1");
+    ledger.finished(probe.attempt, model::task_end::succeeded, at(now + 1));
+    BOOST_CHECK(ledger.accounts().front().state == placement::health::good);
+}
+
+// One job fails wherever it runs. The workers must not be blamed for it, or a
+// crash loop of one customer would take the whole rack from all others.
+BOOST_AUTO_TEST_CASE(a_job_that_fails_everywhere_sets_no_worker_aside)
+{
+    auto ledger = ledger_with(3);
+    ledger.set_cell_failure_rate(0.05);
+    for (std::int32_t n = 0; n < 60; ++n)
+    {
+        auto it = hold_of("job-" + std::to_string(n), "crashes", {3'000, 1, 0});
+        it.avoid = {"w-" + std::to_string(n % 3),
+                    "w-" + std::to_string((n + 1) % 3)};
+        BOOST_TEST(start(ledger, it, at(n)) ==
+                   "w-" + std::to_string((n + 2) % 3));
+        ledger.finished(it.attempt, model::task_end::failed, at(n));
+    }
+    for (auto const& it : ledger.accounts())
+    {
+        BOOST_CHECK(it.state == placement::health::good);
+    }
+}
+
+// Urgent work arrives while the rack is full of a customer's batch tasks that
+// may be moved. The youngest is checkpointed, and the room that it leaves goes
+// to the urgent task and to nobody who asks in between.
+BOOST_AUTO_TEST_CASE(urgent_work_gets_the_room_that_was_made_for_it)
+{
+    auto ledger = ledger_with(1);
+    auto old = hold_of("old", "monthly", {2'000, 1'024, 0});
+    auto young = hold_of("young", "monthly", {2'000, 1'024, 0});
+    old.preempted = model::preemption::by_checkpoint;
+    young.preempted = model::preemption::by_checkpoint;
+    start(ledger, old, at(0));
+    start(ledger, young, at(10));
+    ledger.observe("w-0",
+                   {running_of(old, {1, 1, 0}), running_of(young, {1, 1, 0})},
+                   at(11));
+    auto urgent = hold_of("race", "race", {2'000, 1'024, 0});
+    urgent.urgent = model::urgency::urgent;
+    urgent.may_preempt = true;
+    auto const asked = ledger.hold(urgent, at(14), at(12));
+    BOOST_CHECK(asked.answer.state == hold_state::preempting);
+    BOOST_REQUIRE(asked.actions.size() == 1U);
+    BOOST_CHECK(asked.actions.front().attempt == young.attempt);
+    ledger.finished(young.attempt, model::task_end::checkpointed, at(12.5));
+    auto const between = hold_of("between", "daily", {2'000, 1'024, 0});
+    BOOST_CHECK(ledger.hold(between, at(15), at(12.5)).answer.state ==
+                hold_state::full);
+    urgent.attempt.number = 2;
+    BOOST_TEST(start(ledger, urgent, at(12.6)) == "w-0");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/placement/queue_test.cpp
@@ -0,0 +1,324 @@
+#include "fake_cell.hpp"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <set>
+
+using namespace berylhill;
+using namespace berylhill::placement_test;
+
+namespace
+{
+
+void submit(fake_cell& cell,
+            std::string const& id,
+            model::job_request const& request)
+{
+    auto const taken = base::capture(
+        [&] { return cell.queue().submit(id, request, cell.now); });
+    BOOST_REQUIRE(taken.has_value());
+}
+
+std::int64_t running_of(fake_cell const& cell, std::string const& contract)
+{
+    return std::count_if(cell.running.begin(), cell.running.end(),
+                         [&](auto const& it)
+                         { return it.first.task.job.starts_with(contract); });
+}
+
+/// Workers of 16 cores and two contracts without narrow limits.
+fake_cell cell_of(std::int32_t workers)
+{
+    fake_cell cell;
+    for (std::int32_t n = 0; n < workers; ++n)
+    {
+        auto const group =
+            "rack-" + std::string(1, static_cast<char>('a' + n % 4));
+        cell.add_worker(group, "w-" + std::to_string(n), {16'000, 65'536, 0});
+    }
+    cell.add_contract(wide_contract("kitakaze"));
+    cell.add_contract(wide_contract("cantabrica"));
+    cell.step();
+    return cell;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(queue)
+
+namespace
+{
+
+struct impossible_case
+{
+    char const* says;
+    model::job_kind kind;
+    std::int32_t tasks;
+    model::resources declared;
+};
+
+std::ostream& operator<<(std::ostream& out, impossible_case const& it)
+{
+    return out << it.says;
+}
+
+std::array const s_impossible{
+    impossible_case{
+        "no worker is large enough", model::job_kind::batch, 1, {17'000, 1, 0}},
+    impossible_case{
+        "no worker is large enough", model::job_kind::batch, 1, {1, 1, 1}},
+    impossible_case{
+        "quota is too small", model::job_kind::service, 10, {11'000, 1, 0}},
+    impossible_case{"tasks at once", model::job_kind::gang, 51, {1, 1, 0}},
+    impossible_case{"all workers together are too small",
+                    model::job_kind::gang,
+                    9,
+                    {9'000, 1, 0}},
+    impossible_case{"needs a task", model::job_kind::batch, 0, {1, 1, 0}},
+};
+
+} // namespace
+
+// A secretary submits a job that no worker could ever run. Accepted, it would
+// wait for ever and look like a slow day; it is refused with the reason.
+BOOST_DATA_TEST_CASE(what_can_never_run_is_refused, s_impossible, it)
+{
+    auto cell = cell_of(8);
+    auto narrow = wide_contract("narrow");
+    narrow.quota = {100'000, 1'000'000, 10};
+    narrow.tasks_at_once = 50;
+    cell.add_contract(narrow);
+    auto request = request_of("narrow", "job", it.declared);
+    request.kind = it.kind;
+    request.tasks = it.tasks;
+    auto const taken = base::capture(
+        [&] { return cell.queue().submit("job", request, cell.now); });
+    BOOST_REQUIRE(!taken.has_value());
+    BOOST_CHECK(taken.error().code == base::failure_code::invalid);
+    BOOST_TEST(taken.error().message.find(it.says) != std::string::npos);
+}
+
+// A large job is first in the queue and fits nowhere now. The small ones behind
+// it must start all the same.
+BOOST_AUTO_TEST_CASE(what_fits_nowhere_now_blocks_nobody)
+{
+    auto cell = cell_of(1);
+    submit(cell, "kitakaze-0", request_of("kitakaze", "half", {8'000, 1, 0}));
+    cell.step();
+    submit(cell, "kitakaze-1", request_of("kitakaze", "whole", {16'000, 1, 0}));
+    cell.advance(1);
+    submit(cell, "kitakaze-2", request_of("kitakaze", "small", {1'000, 1, 0}));
+    cell.step();
+    BOOST_TEST(cell.running.size() == 2U);
+}
+
+// A worker is gone with its tasks. An idempotent task runs again under a higher
+// number, and a late result of the first attempt changes nothing; a task that
+// may run only once is not run again, and its job says that nobody knows.
+BOOST_AUTO_TEST_CASE(a_lapsed_attempt_is_placed_again_under_a_new_number)
+{
+    auto cell = cell_of(1);
+    submit(cell, "kitakaze-1", request_of("kitakaze", "daily", {1'000, 1, 0}));
+    auto once = request_of("kitakaze", "once", {1'000, 1, 0});
+    once.safety = model::rerun::at_most_once;
+    submit(cell, "kitakaze-2", once);
+    cell.step();
+    auto const all = cell.running;
+    for (auto const& [attempt, group] : all)
+    {
+        cell.end(attempt, model::task_end::lapsed);
+    }
+    cell.step();
+    BOOST_REQUIRE(cell.running.size() == 1U);
+    auto const again = cell.running.begin()->first;
+    BOOST_TEST(again.number == 2);
+    BOOST_CHECK(cell.outcomes.at("kitakaze-2") ==
+                model::job_state::outcome_unknown);
+    auto const late = model::attempt_id{again.task, 1};
+    cell.queue().finished({late, model::task_end::succeeded, "w", {}, 1, {}},
+                          cell.now);
+    BOOST_TEST(!cell.outcomes.contains("kitakaze-1"));
+    cell.end(again, model::task_end::succeeded);
+    BOOST_CHECK(cell.outcomes.at("kitakaze-1") == model::job_state::succeeded);
+}
+
+// A job is cancelled while its start is on its way. The start's answer arrives
+// afterwards: the task must be stopped, not forgotten while it runs.
+BOOST_AUTO_TEST_CASE(a_start_that_crosses_a_cancellation_is_stopped)
+{
+    auto cell = cell_of(1);
+    submit(cell, "kitakaze-1", request_of("kitakaze", "daily", {1'000, 1, 0}));
+    auto const order = cell.queue().decide(cell.now, 1).holds.at(0);
+    auto const cancelled = cell.queue().cancel("kitakaze-1", cell.now);
+    BOOST_TEST(cancelled.releases.size() == 1U);
+    BOOST_CHECK(cancelled.outcomes.at(0).state == model::job_state::cancelled);
+    auto const late =
+        cell.queue().started(order.request.attempt, order.group, cell.now);
+    BOOST_REQUIRE(late.releases.size() == 1U);
+    BOOST_CHECK(late.releases.at(0).attempt == order.request.attempt);
+    BOOST_TEST(cell.queue().used_by("kitakaze").millicores == 0);
+}
+
+// Ten thousand cancellations arrive within a second. The others must still be
+// placed in their order, none of the cancelled may start, and the sums of the
+// contract must be right afterwards.
+BOOST_AUTO_TEST_CASE(a_wave_of_cancellations_leaves_the_queue_right)
+{
+    auto cell = cell_of(8);
+    auto const request = request_of("kitakaze", "daily", {1'000, 1, 0});
+    constexpr std::int32_t jobs = 20'000;
+    for (std::int32_t n = 0; n < jobs; ++n)
+    {
+        submit(cell, "kitakaze-" + std::to_string(n), request);
+        cell.advance(0.0001);
+    }
+    cell.step();
+    auto const before = std::chrono::steady_clock::now();
+    for (std::int32_t n = 0; n < jobs; n += 2)
+    {
+        cell.carry_out(
+            0, cell.queue().cancel("kitakaze-" + std::to_string(n), cell.now));
+    }
+    BOOST_CHECK(std::chrono::steady_clock::now() - before <
+                std::chrono::seconds{5});
+    cell.step();
+    std::int32_t last = 0;
+    while (!cell.running.empty())
+    {
+        auto const all = cell.running;
+        for (auto const& [attempt, group] : all)
+        {
+            auto const n = std::stoi(attempt.task.job.substr(9));
+            BOOST_REQUIRE(n % 2 == 1);
+            last = std::max(last, n);
+            cell.end(attempt, model::task_end::succeeded);
+        }
+        cell.step();
+    }
+    BOOST_TEST(last == jobs - 1);
+    BOOST_TEST(cell.outcomes.size() == static_cast<std::size_t>(jobs));
+    BOOST_TEST(cell.queue().jobs() == 0U);
+    BOOST_TEST(cell.queue().used_by("kitakaze").millicores == 0);
+}
+
+// One customer's reports fill the whole cell. Another's first jobs must not
+// wait behind thousands of them: who uses least of its share is next.
+BOOST_AUTO_TEST_CASE(contracts_share_by_weight)
+{
+    auto cell = cell_of(8);
+    auto heavy = wide_contract("cantabrica");
+    heavy.weight = 3;
+    cell.add_contract(heavy);
+    for (std::int32_t n = 0; n < 200; ++n)
+    {
+        for (auto const* it : {"kitakaze", "cantabrica"})
+        {
+            submit(cell, std::string{it} + "-" + std::to_string(n),
+                   request_of(it, "daily", {1'000, 1, 0}));
+        }
+    }
+    cell.step();
+    auto const light = running_of(cell, "kitakaze");
+    BOOST_TEST(running_of(cell, "cantabrica") >= light * 3 - 2);
+    BOOST_TEST(running_of(cell, "cantabrica") <= light * 3 + 3);
+}
+
+// A report turns out to need more than its like did so far, while its contract
+// is used to the full. What runs is planned anew, but never so that the
+// contract would use more than its quota.
+BOOST_AUTO_TEST_CASE(planning_anew_stays_within_the_quota)
+{
+    auto cell = cell_of(4);
+    auto narrow = wide_contract("kitakaze");
+    narrow.quota = {6'000, 60'000, 0};
+    cell.add_contract(narrow);
+    auto const request = request_of("kitakaze", "monthly", {1'000, 1'024, 0});
+    cell.true_peaks["monthly"] = {500, 512, 0};
+    for (std::int32_t n = 0; n < 40; ++n)
+    {
+        submit(cell, "kitakaze-" + std::to_string(n), request);
+    }
+    for (std::int32_t n = 0; n < 20; ++n)
+    {
+        cell.step();
+        BOOST_TEST(cell.queue().used_by("kitakaze").fits_in(narrow.quota));
+        cell.end(cell.running.begin()->first, model::task_end::succeeded);
+        cell.true_peaks["monthly"] = {1'400, 1'400, 0};
+        cell.advance(1);
+    }
+    BOOST_TEST(cell.nothing_overfull());
+}
+
+// Race results are urgent and come while the queue is long. Within the quota
+// they start first; beyond it they are normal work, and normal work starts too.
+BOOST_AUTO_TEST_CASE(urgent_work_goes_first_within_its_quota)
+{
+    auto cell = cell_of(1);
+    auto narrow = wide_contract("cantabrica");
+    narrow.urgent_quota = {5'000, 100'000, 0};
+    cell.add_contract(narrow);
+    for (std::int32_t n = 0; n < 30; ++n)
+    {
+        submit(cell, "kitakaze-" + std::to_string(n),
+               request_of("kitakaze", "daily", {1'000, 1, 0}));
+    }
+    cell.advance(1);
+    auto urgent = request_of("cantabrica", "race", {1'000, 1, 0});
+    urgent.urgent = model::urgency::urgent;
+    for (std::int32_t n = 0; n < 10; ++n)
+    {
+        submit(cell, "cantabrica-" + std::to_string(n), urgent);
+    }
+    cell.carry_out(0, cell.queue().decide(cell.now, 3));
+    BOOST_TEST(running_of(cell, "cantabrica") == 3);
+    cell.step();
+    BOOST_TEST(running_of(cell, "kitakaze") >= 4);
+}
+
+// A job crashes at once wherever it starts. It is tried again ever more slowly
+// and, when several workers have failed it, it is given up with the reason; a
+// service is never given up, since it has to run.
+BOOST_AUTO_TEST_CASE(a_crash_loop_backs_off_and_ends)
+{
+    auto cell = cell_of(4);
+    submit(cell, "kitakaze-1", request_of("kitakaze", "crash", {9'000, 1, 0}));
+    std::int32_t starts = 0;
+    for (std::int32_t n = 0; n < 4'000 && cell.outcomes.empty(); ++n)
+    {
+        cell.step();
+        auto const all = cell.running;
+        for (auto const& [attempt, group] : all)
+        {
+            starts += 1;
+            cell.end(attempt, model::task_end::failed);
+        }
+        cell.advance(0.1);
+    }
+    BOOST_TEST(starts <= 12);
+    BOOST_CHECK(cell.outcomes.at("kitakaze-1") == model::job_state::failed);
+}
+
+// A service has a task in each of two zones; one zone goes dark. With both
+// tasks in one zone the app's check would have stopped answering.
+BOOST_AUTO_TEST_CASE(a_service_spreads_over_zones)
+{
+    auto cell = cell_of(8);
+    auto request = request_of("kitakaze", "report", {1'000, 1, 0});
+    request.kind = model::job_kind::service;
+    request.tasks = 4;
+    submit(cell, "kitakaze-1", request);
+    cell.step();
+    std::set<std::string> groups;
+    for (auto const& [attempt, group] : cell.running)
+    {
+        groups.insert(group);
+    }
+    BOOST_TEST(groups.size() == 4U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/utilities/bench/bench_cell.cpp
+++ b/utilities/bench/bench_cell.cpp
@@ -79,7 +79,7 @@
     auto const n = name(m_random);
     it.name = "name-" + std::to_string(n);
     it.declared = s_declared;
-    it.declared.millicores += n * 50;
+    it.declared.millicores += std::int64_t{n} * 50;
     m_last_job = "job-" + std::to_string(m_next++);
     auto const taken =
         base::capture([&] { return m_queue.submit(m_last_job, it, m_now); });
--- a/utilities/bench/placement_replay.cpp
+++ b/utilities/bench/placement_replay.cpp
@@ -26,7 +26,8 @@
     print_figure(prefix + ".waiting_99th", it.waiting.at(0.99), "s");
     for (auto const& [kind, waiting] : it.waiting_by_kind)
     {
-        auto const part = prefix + '.' + kind;
+        auto part = prefix;
+        part.append(".").append(kind);
         print_figure(part + ".waiting_median", waiting.at(0.5), "s");
         print_figure(part + ".waiting_99th", waiting.at(0.99), "s");
     }
