placement: Ask a gang's groups for room that is there for certain

A digest's free room is in pieces, so a group may hold up to one task a worker less than its sum promises; a gang that asked just enough groups by the sums was refused, gave back and asked the same groups again. Failing first: running_of(cell, "job-1") == 3 has failed [0 != 3]. A gang that was refused also counts as blocked now, so that room is kept for it after its patience.

--- a/libraries/placement/job_queue_gang.cpp
+++ b/libraries/placement/job_queue_gang.cpp
@@ -45,14 +45,24 @@
     // The fewest groups: those with the most slots.
     std::sort(offers.begin(), offers.end(),
               [](auto const& a, auto const& b) { return a.slots > b.slots; });
-    std::int64_t enough = 0;
-    auto const last = std::find_if(offers.begin(), offers.end(),
-                                   [&](auto const& each)
-                                   {
-                                       enough += each.slots;
-                                       return enough >= wanted;
-                                   });
-    offers.erase(last + 1, offers.end());
+    // A group's room is in pieces, one a worker, and each may hold one task
+    // less than its share promises. So many groups are asked that their pieces
+    // are enough for certain, in so far as there are such; those at the end are
+    // asked only when it turns out to be needed.
+    std::int64_t certain = 0;
+    auto const last =
+        std::find_if(offers.begin(), offers.end(),
+                     [&](auto const& each)
+                     {
+                         auto const pieces =
+                             m_groups.digest_of(each.group).workers - 1;
+                         certain += std::max(each.slots - pieces, 1);
+                         return certain >= wanted;
+                     });
+    if (last != offers.end())
+    {
+        offers.erase(last + 1, offers.end());
+    }
     std::sort(offers.begin(), offers.end(),
               [&](auto const& a, auto const& b) {
                   return m_groups.name_of(a.group) > m_groups.name_of(b.group);
@@ -146,6 +156,7 @@
                                                             longest};
     job->not_before = now + base::from_seconds(spread(m_random));
     wake_at(job, -1, job->not_before);
+    note_blocked(job, now);
     return actions;
 }
 
--- a/libraries/placement/job_queue_reserve.cpp
+++ b/libraries/placement/job_queue_reserve.cpp
@@ -44,7 +44,7 @@
 void job_queue::reserve_if_due(base::instant now, queue_actions& to)
 {
     auto const job = std::exchange(m_longest_blocked, nullptr);
-    if (job == nullptr)
+    if (job == nullptr || model::is_final(job->state))
     {
         return;
     }
--- a/tests/placement/gang_test.cpp
+++ b/tests/placement/gang_test.cpp
@@ -86,6 +86,26 @@
     BOOST_CHECK(cell.outcomes.at("job-1") == model::job_state::succeeded);
 }
 
+// A rack's free room is in pieces: its digest promises three tasks, its two
+// workers take one each. The third would fit into the next rack, but the gang
+// asked the first rack alone, gave back and asked it again, for ever.
+BOOST_AUTO_TEST_CASE(room_in_pieces_does_not_keep_a_gang_waiting)
+{
+    fake_cell cell;
+    cell.add_worker("rack-a", "w-1", {2'400, 8'192, 0});
+    cell.add_worker("rack-a", "w-2", {2'400, 8'192, 0});
+    cell.add_worker("rack-b", "w-3", {1'600, 8'192, 0});
+    cell.add_contract(wide_contract("cantabrica"));
+    cell.step();
+    submit(cell, 0, "job-1", gang_of(3, {1'000, 1'024, 0}));
+    for (std::int32_t n = 0; n < 20; ++n)
+    {
+        cell.step();
+        cell.advance(1);
+    }
+    BOOST_TEST(running_of(cell, "job-1") == 3);
+}
+
 // Two reissues arrive at two owners in the same instant; each needs more than
 // half of the fleet. If each kept what it got and waited for the rest, neither
 // club would ever see its ratings.
