entry: Pass suspicions of watchers on between entries

Cause: the tenure now hears of silent processes from their watchers as well. Before: the new action had no carrier. Conclusion: what an entry sends while nothing fails stays as it was.

--- a/libraries/entry/peer_api.cpp
+++ b/libraries/entry/peer_api.cpp
@@ -147,6 +147,13 @@
 
 void peer_api::add_ownership()
 {
+    m_methods["ownership.suspicion"] =
+        [this](Json::Value const& it) -> base::result<Json::Value>
+    {
+        BOOST_LEAF_AUTO(value, ownership::suspicion_from(it));
+        caf::anon_send(m_node.ownership, suspicion_heard{value});
+        return Json::Value{Json::objectValue};
+    };
     m_methods["ownership.vouch_request"] =
         [this](Json::Value const& it) -> base::result<Json::Value>
     {
