--- a/libraries/entry/entry.cpp
+++ b/libraries/entry/entry.cpp
@@ -3,6 +3,7 @@
 #include <base/log.hpp>
 #include <entry/call_api.hpp>
 #include <entry/call_front.hpp>
+#include <entry/configuration_keeper.hpp>
 #include <entry/contract_api.hpp>
 #include <entry/entry_node.hpp>
 #include <entry/job_api.hpp>
@@ -206,6 +207,7 @@
                {"incarnation", self.incarnation}});
     wait_for_stop(self);
     hand_over(self);
+    record_own_stop(self);
     http.stop();
     peers.stop();
     self.handed_over = true;
@@ -230,6 +232,9 @@
     std::signal(SIGPIPE, SIG_IGN);
     caf::actor_system_config config;
     config.set("scheduler.max-threads", s_actor_threads);
+    // Work stealing looks for work all the time: an idle entry then spends
+    // five times its budget of a core.
+    config.set("scheduler.policy", caf::atom("sharing"));
     caf::actor_system system{config};
     entry_node self{settings, system};
     auto const ended = base::capture([&] { return serve(self); });
--- a/libraries/ownership/tenure.cpp
+++ b/libraries/ownership/tenure.cpp
@@ -33,6 +33,7 @@
         fold(offset, it, now);
     }
     m_table.read_through(next);
+    choose_watched();
     if (!fresh_as_of)
     {
         return {};
@@ -82,12 +83,17 @@
             m_active_from.clear();
             m_left = true;
         }
+        if (joined->incarnation == m_options.incarnation)
+        {
+            m_joined_at = now;
+        }
         auto& known = m_peers[joined->incarnation];
         known.instance = joined->instance;
         known.heard = std::max(known.heard, now);
     }
     else if (auto const* taken = std::get_if<claim>(&it))
     {
+        m_peers[taken->incarnation].wrote = now;
         note_change(taken->unit, done, now);
     }
     else if (auto const* given = std::get_if<release>(&it))
@@ -169,10 +175,17 @@
 actions tenure::heard(heartbeat const& it, base::instant now)
 {
     auto& known = m_peers[it.incarnation];
-    known = {it.instance, std::max(known.heard, now), it.leaving};
+    known.instance = it.instance;
+    known.heard = std::max(known.heard, now);
+    known.leaving = it.leaving;
     return {};
 }
 
+void tenure::suspected(suspicion const& it, base::instant now)
+{
+    m_suspected[it.silent][it.from] = now;
+}
+
 actions tenure::vouch_asked(vouch_request const& it, base::instant)
 {
     vouch_answer answer{m_options.incarnation, m_options.instance, it.round,
@@ -220,8 +233,8 @@
 {
     auto const log_is_late = m_log_right_until - now < m_options.right / 2;
     auto const is_asking =
-        m_round && now - m_round->started < m_options.right / 2;
-    auto const is_settled = m_vouched_until - now > m_options.right * 3 / 4;
+        m_round && now - m_round->started < m_options.right / 4;
+    auto const is_settled = m_vouched_until - now > m_options.right / 2;
     if (!log_is_late || is_asking || is_settled || m_active_from.empty() ||
         !is_member())
     {
@@ -287,7 +300,8 @@
             return false;
         }
     }
-    return std::all_of(m_listed.begin(), m_listed.end(), has_answered);
+    return m_options.rules.dropped == dropped_rule::is_exempt ||
+           std::all_of(m_listed.begin(), m_listed.end(), has_answered);
 }
 
 void tenure::finish_round()
--- /dev/null
+++ b/libraries/ownership/tenure_view.cpp
@@ -0,0 +1,263 @@
+/// Who takes part, as a tenure sees it, and its own part in that.
+#include <ownership/tenure.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace berylhill::ownership
+{
+
+void tenure::take_part(base::instant, actions& out)
+{
+    if (is_member() || has_pending<join>())
+    {
+        return;
+    }
+    append(join{m_options.incarnation, m_options.instance, m_options.zone},
+           out);
+}
+
+void tenure::publish_seen(actions& out)
+{
+    if (!is_member() || has_pending<seen>())
+    {
+        return;
+    }
+    auto const& own = m_table.members().at(m_options.incarnation);
+    auto const is_unknown = [&](auto const& it)
+    {
+        return it.second.joined > own.seen;
+    };
+    if (std::any_of(m_table.members().begin(), m_table.members().end(),
+                    is_unknown))
+    {
+        append(seen{m_options.incarnation, m_table.next()}, out);
+    }
+}
+
+void tenure::remove_dropped(base::instant now, actions& out)
+{
+    if (!is_member() || has_pending<removal>())
+    {
+        return;
+    }
+    for (auto const& [incarnation, it] : m_table.members())
+    {
+        auto const was_dropped = m_ever_listed.contains(it.instance) &&
+                                 !m_listed.contains(it.instance);
+        if (incarnation == m_options.incarnation || !was_dropped ||
+            is_heard(incarnation, now, m_options.isolated_after) ||
+            !is_first(incarnation, now))
+        {
+            continue;
+        }
+        append(removal{incarnation}, out);
+        return;
+    }
+}
+
+bool tenure::is_heard(std::string const& incarnation,
+                      base::instant now,
+                      base::duration within) const
+{
+    if (incarnation == m_options.incarnation)
+    {
+        return true;
+    }
+    if (!m_watched.contains(incarnation))
+    {
+        return !is_suspected(incarnation, now);
+    }
+    auto const it = m_peers.find(incarnation);
+    auto const last = it == m_peers.end() ? m_started : it->second.heard;
+    return now - last <= within;
+}
+
+/// The others fall silent one by one, as their beats are not in step. Heard is
+/// therefore who was heard well within the time after which the first of them
+/// is suspected; otherwise that one's units would be claimed before this
+/// process finds that it hears nobody.
+bool tenure::is_isolated(base::instant now) const
+{
+    auto const others = m_watched.size();
+    auto const lately = m_options.suspect_after * 2 / 3;
+    std::size_t heard = 0;
+    for (auto const& it : m_watched)
+    {
+        heard += is_heard(it, now, lately) ? 1 : 0;
+    }
+    return others >= m_options.fewest_to_be_isolated && heard * 2 < others;
+}
+
+base::duration tenure::suspicion_time(base::instant now) const
+{
+    return is_isolated(now) ? m_options.isolated_after
+                            : m_options.suspect_after;
+}
+
+/// Guards against a process whose own network is cut, but not its way to the
+/// log, taking every unit of the cell: each would stand still until its claim
+/// is active, again and again. The others, who live, have claimed its units by
+/// the time that it may claim theirs, and it has read so. One that owned
+/// nothing cannot tell, and waits until the platform's list drops the others.
+bool tenure::is_cut_off(base::instant now) const
+{
+    if (!is_isolated(now))
+    {
+        return false;
+    }
+    auto const has_claimed = [&](std::string const& incarnation)
+    {
+        auto const it = m_peers.find(incarnation);
+        return it != m_peers.end() &&
+               it->second.wrote > it->second.heard + m_options.suspect_after;
+    };
+    return m_active_from.empty() ||
+           std::any_of(m_watched.begin(), m_watched.end(), has_claimed);
+}
+
+/// Two watchers have to say so, because one may itself be the one that is cut
+/// off.
+bool tenure::is_suspected(std::string const& incarnation,
+                          base::instant now) const
+{
+    auto const said = m_suspected.find(incarnation);
+    if (said == m_suspected.end())
+    {
+        return false;
+    }
+    auto const is_recent = [&](auto const& it)
+    {
+        return now - it.second <= 2 * m_options.suspicion_every;
+    };
+    return std::count_if(said->second.begin(), said->second.end(), is_recent) >=
+           2;
+}
+
+void tenure::choose_watched()
+{
+    std::vector<candidate> all;
+    all.reserve(m_table.members().size());
+    for (auto const& [incarnation, it] : m_table.members())
+    {
+        all.push_back({incarnation, it.instance, it.zone});
+    }
+    // Costs the square of the members' number, so only when they change.
+    if (all == m_watch_chosen_of)
+    {
+        return;
+    }
+    m_watched.clear();
+    m_watchers.clear();
+    for (auto const& it : all)
+    {
+        for (auto const& watcher : watchers_of(it, all, m_options.watchers))
+        {
+            if (watcher.incarnation == m_options.incarnation)
+            {
+                m_watched.insert(it.incarnation);
+            }
+            if (it.incarnation == m_options.incarnation)
+            {
+                m_watchers.insert(watcher.instance);
+            }
+        }
+    }
+    std::erase_if(m_suspected, [&](auto const& it)
+                  { return !m_table.members().contains(it.first); });
+    m_watch_chosen_of = std::move(all);
+}
+
+std::set<std::string> tenure::heartbeat_targets() const
+{
+    if (!m_stopping && is_member())
+    {
+        return m_watchers;
+    }
+    // All have to know who leaves, and who is not a member yet.
+    std::set<std::string> all = m_listed;
+    for (auto const& [incarnation, it] : m_table.members())
+    {
+        all.insert(it.instance);
+    }
+    all.erase(m_options.instance);
+    return all;
+}
+
+void tenure::tell_silent(base::instant now, actions& out)
+{
+    auto const hears_all = m_watched.size() + 1 >= m_table.members().size();
+    if (hears_all || now - m_last_told < m_options.suspicion_every)
+    {
+        return;
+    }
+    m_last_told = now;
+    for (auto const& silent : m_watched)
+    {
+        if (is_heard(silent, now, m_options.suspect_after))
+        {
+            continue;
+        }
+        for (auto const& [incarnation, it] : m_table.members())
+        {
+            if (incarnation != m_options.incarnation && incarnation != silent)
+            {
+                out.emplace_back(send_suspicion{
+                    it.instance, {m_options.incarnation, silent}});
+            }
+        }
+    }
+}
+
+std::vector<candidate> tenure::live(base::instant now) const
+{
+    auto const within = suspicion_time(now);
+    std::vector<candidate> found;
+    for (auto const& [incarnation, it] : m_table.members())
+    {
+        if (is_heard(incarnation, now, within))
+        {
+            found.push_back({incarnation, it.instance, it.zone});
+        }
+    }
+    return found;
+}
+
+/// Who may be given a unit. Only processes on the platform's list, which is
+/// what `all_listed_answered` rests on.
+std::vector<candidate> tenure::takers(base::instant now) const
+{
+    auto found = live(now);
+    std::erase_if(found,
+                  [&](candidate const& it)
+                  {
+                      auto const known = m_peers.find(it.incarnation);
+                      auto const is_leaving =
+                          it.incarnation == m_options.incarnation
+                              ? m_stopping
+                              : known != m_peers.end() && known->second.leaving;
+                      return is_leaving || !m_listed.contains(it.instance);
+                  });
+    return found;
+}
+
+bool tenure::is_first(std::string const& what, base::instant now) const
+{
+    auto const order = wanted_order(what, live(now));
+    return !order.empty() && order.front() == m_options.incarnation;
+}
+
+unit_counts tenure::counts() const
+{
+    unit_counts load;
+    for (auto const& [name, it] : m_table.units())
+    {
+        if (!it.released && m_units.contains(name))
+        {
+            ++load[it.incarnation];
+        }
+    }
+    return load;
+}
+
+} // namespace berylhill::ownership
--- a/libraries/placement/job_queue_decide.cpp
+++ b/libraries/placement/job_queue_decide.cpp
@@ -62,9 +62,7 @@
     for (std::size_t n = 0; n < m_accounts.size(); ++n)
     {
         auto const& it = *m_accounts[n];
-        auto const wants = std::any_of(it.active.begin(), it.active.end(),
-                                       [&](auto const& each)
-                                       { return !urgent || each->urgent; });
+        auto const wants = urgent ? it.active_urgent > 0 : !it.active.empty();
         if (wants)
         {
             all.push_back({it.weighted_share(m_groups.total()),
@@ -78,10 +76,7 @@
 {
     queue_actions actions;
     wake_due(now);
-    if (m_replan)
-    {
-        replan(actions);
-    }
+    replan(actions);
     m_round += 1;
     auto urgent = turns_of(true);
     auto normal = turns_of(false);
@@ -166,11 +161,11 @@
     auto const found = m_estimator.of(request, m_groups.largest_worker());
     it.need = found.peak;
     it.run_s = found.run_s;
-    // The room above a declaration that nothing is known of must not keep a job
-    // waiting for ever that was accepted as declared.
-    if (found.confidence <= 0 && !can_ever_fit(*it.jobs.front(), it.need))
+    // The room above what is known must not keep a job waiting for ever that
+    // was accepted without it.
+    if (!can_ever_fit(*it.jobs.front(), it.need))
     {
-        it.need = request.declared;
+        it.need = found.least;
     }
 }
 
@@ -184,7 +179,7 @@
     auto const urgent = job.request.urgent == model::urgency::urgent;
     return (need * together).fits_in(contract.quota) &&
            (!urgent || (need * together).fits_in(contract.urgent_quota)) &&
-           m_groups.slots_when_empty(need) >= together;
+           (batch || m_groups.slots_when_empty(need) >= together);
 }
 
 double job_queue::order_key(contract_account const& account,
@@ -209,18 +204,25 @@
     return key;
 }
 
-work_class*
-job_queue::next_class(contract_account& account, bool urgent, base::instant now)
+void job_queue::sweep(contract_account& account)
 {
-    work_class* best = nullptr;
-    auto best_key = std::numeric_limits<double>::infinity();
     std::erase_if(account.active,
-                  [this](auto const& each)
+                  [&](auto const& each)
                   {
                       drop_dead_front(*each);
                       each->active = !each->jobs.empty();
+                      account.active_urgent -=
+                          !each->active && each->urgent ? 1 : 0;
                       return !each->active;
                   });
+}
+
+work_class*
+job_queue::next_class(contract_account& account, bool urgent, base::instant now)
+{
+    work_class* best = nullptr;
+    auto best_key = std::numeric_limits<double>::infinity();
+    sweep(account);
     for (auto const& each : account.active)
     {
         auto& it = *each;
@@ -281,7 +283,7 @@
     auto const& account = account_of(*job);
     auto const& by =
         policy_for(job->request.kind, account.contract().preferred);
-    auto& task = job->tasks[static_cast<std::size_t>(job->waiting.front())];
+    auto& task = job->tasks[static_cast<std::size_t>(job->waiting.back())];
     auto preempt = task.claimed_group >= 0;
     auto group = preempt ? task.claimed_group
                          : m_groups.choose(*job, it.need, it.run_s, now, by);
@@ -295,8 +297,8 @@
     {
         return false;
     }
-    auto const index = job->waiting.front();
-    job->waiting.pop_front();
+    auto const index = job->waiting.back();
+    job->waiting.pop_back();
     m_waiting_tasks -= 1;
     // What may run only once is committed after its intent is in the log.
     auto const mode = job->request.safety == model::rerun::at_most_once
@@ -356,6 +358,7 @@
     request.need = it.planned;
     request.expected_run_s = it.expected_run_s;
     request.command = job.request.command;
+    request.avoid.assign(job.failed_on.begin(), job.failed_on.end());
     return found;
 }
 
--- a/libraries/placement/job_queue_events.cpp
+++ b/libraries/placement/job_queue_events.cpp
@@ -207,8 +207,7 @@
     case model::task_end::succeeded:
         if (m_estimator.learn(job->id, job->request, end.peak, end.run_s))
         {
-            job->of_class->replan = true;
-            m_replan = true;
+            note_learnt(job->of_class);
         }
         if (job->request.kind == model::job_kind::service)
         {
@@ -268,6 +267,7 @@
     it.failures += 1;
     job->failures_in_row += 1;
     job->failed_on.insert(end.worker);
+    job->failed_groups.insert(it.group);
     if (job->request.safety == model::rerun::at_most_once)
     {
         return close(*job, model::job_state::failed,
--- a/libraries/placement/job_queue_gang.cpp
+++ b/libraries/placement/job_queue_gang.cpp
@@ -45,17 +45,27 @@
     // The fewest groups: those with the most slots.
     std::sort(offers.begin(), offers.end(),
               [](auto const& a, auto const& b) { return a.slots > b.slots; });
-    std::int64_t enough = 0;
-    auto const last = std::find_if(offers.begin(), offers.end(),
-                                   [&](auto const& each)
-                                   {
-                                       enough += each.slots;
-                                       return enough >= wanted;
-                                   });
-    offers.erase(last + 1, offers.end());
+    // A group's room is in pieces, one a worker, and each may hold one task
+    // less than its share promises. So many groups are asked that their pieces
+    // are enough for certain, in so far as there are such; those at the end are
+    // asked only when it turns out to be needed.
+    std::int64_t certain = 0;
+    auto const last =
+        std::find_if(offers.begin(), offers.end(),
+                     [&](auto const& each)
+                     {
+                         auto const pieces =
+                             m_groups.digest_of(each.group).workers - 1;
+                         certain += std::max(each.slots - pieces, 1);
+                         return certain >= wanted;
+                     });
+    if (last != offers.end())
+    {
+        offers.erase(last + 1, offers.end());
+    }
     std::sort(offers.begin(), offers.end(),
               [&](auto const& a, auto const& b) {
-                  return m_groups.name_of(a.group) < m_groups.name_of(b.group);
+                  return m_groups.name_of(a.group) > m_groups.name_of(b.group);
               });
     job->to_ask.clear();
     for (auto const& each : offers)
@@ -75,14 +85,14 @@
     auto const& it = *job->of_class;
     while (!job->to_ask.empty() && !job->waiting.empty())
     {
-        auto const group = job->to_ask.front();
-        job->to_ask.pop_front();
+        auto const group = job->to_ask.back();
+        job->to_ask.pop_back();
         auto n = m_groups.slots(group, *job, it.need, it.run_s, now);
         auto const asked = n > 0;
         while (n-- > 0 && !job->waiting.empty())
         {
-            auto const index = job->waiting.front();
-            job->waiting.pop_front();
+            auto const index = job->waiting.back();
+            job->waiting.pop_back();
             m_waiting_tasks -= 1;
             job->ordered += 1;
             order(job, index, group, hold_mode::hold, false, actions);
@@ -146,6 +156,7 @@
                                                             longest};
     job->not_before = now + base::from_seconds(spread(m_random));
     wake_at(job, -1, job->not_before);
+    note_blocked(job, now);
     return actions;
 }
 
--- a/libraries/scenario/cell.hpp
+++ b/libraries/scenario/cell.hpp
@@ -69,6 +69,9 @@
     /// What the stand-ins have written down. Fails with `invalid`.
     [[nodiscard]] base::result<timeline> history() const;
 
+    /// Of the entries that live, in their order.
+    [[nodiscard]] std::vector<int> process_ids() const;
+
     [[nodiscard]] int entry_count() const noexcept
     {
         return m_options.entries;
@@ -92,6 +95,8 @@
 
     [[nodiscard]] base::result<base::done> start_stand_ins();
     [[nodiscard]] Json::Value settings_of(int entry) const;
+    [[nodiscard]] base::result<base::done>
+    announce_stop(entry_address const& it);
     entry_process& process_of(int entry);
     void note_end(entry_process& it, base::duration most);
     void note_fault(std::string const& entry, char const* name);
