--- a/libraries/api/operator_documents.cpp
+++ b/libraries/api/operator_documents.cpp
@@ -154,6 +154,7 @@
                           "no contract " + name + " is known");
     }
     Json::Value out{Json::objectValue};
+    out["name"] = name;
     out["history"] = Json::Value{Json::arrayValue};
     for (auto const& item : items)
     {
--- a/tests/api/openapi.cpp
+++ b/tests/api/openapi.cpp
@@ -53,13 +53,6 @@
     return *it;
 }
 
-Json::Value const& follow(Json::Value const& document, Json::Value const& it)
-{
-    return it.isObject() && it.isMember("$ref")
-               ? resolve(document, it["$ref"].asString())
-               : it;
-}
-
 void find_dangling(Json::Value const& document,
                    Json::Value const& it,
                    std::vector<std::string>& into)
@@ -93,6 +86,25 @@
     return document;
 }
 
+Json::Value const& resolve_reference(Json::Value const& document,
+                                     Json::Value const& it)
+{
+    return it.isObject() && it.isMember("$ref")
+               ? resolve(document, it["$ref"].asString())
+               : it;
+}
+
+Json::Value const& schema_of(Json::Value const& document,
+                             operation const& it,
+                             std::string const& status,
+                             std::string const& type)
+{
+    auto const& answer = resolve_reference(
+        document,
+        document["paths"][it.path][lower(it.method)]["responses"][status]);
+    return resolve_reference(document, answer["content"][type]["schema"]);
+}
+
 std::vector<operation> operations_of(Json::Value const& document)
 {
     std::vector<operation> out;
@@ -121,11 +133,7 @@
                                              operation const& it,
                                              std::string const& status)
 {
-    auto const& answer = follow(
-        document,
-        document["paths"][it.path][lower(it.method)]["responses"][status]);
-    auto const& schema =
-        follow(document, answer["content"]["application/json"]["schema"]);
+    auto const& schema = schema_of(document, it, status, "application/json");
     std::vector<std::string> out;
     for (auto const& name : schema["required"])
     {
--- a/tests/api/openapi.hpp
+++ b/tests/api/openapi.hpp
@@ -31,6 +31,16 @@
 [[nodiscard]] std::vector<std::string> statuses_of(Json::Value const& document,
                                                    operation const& it);
 
+/// What a `$ref` leads to; the value itself where it is none.
+[[nodiscard]] Json::Value const& resolve_reference(Json::Value const& document,
+                                                   Json::Value const& it);
+
+/// The schema of an answer's body of this type; null where there is none.
+[[nodiscard]] Json::Value const& schema_of(Json::Value const& document,
+                                           operation const& it,
+                                           std::string const& status,
+                                           std::string const& type);
+
 /// The members which the schema of this answer requires; empty where the
 /// answer has no JSON schema.
 [[nodiscard]] std::vector<std::string>
