--- a/tests/api/openapi_schema.cpp
+++ b/tests/api/openapi_schema.cpp
@@ -52,14 +52,17 @@
     {
         if (!value.isMember(it.asString()))
         {
-            found.push_back(pointer + "/" + it.asString() + " is missing");
+            found.push_back(pointer);
+            found.back().append("/").append(it.asString()).append(
+                " is missing");
         }
     }
     auto const& properties = schema["properties"];
     auto const& others = schema["additionalProperties"];
     for (auto const& it : value.getMemberNames())
     {
-        auto const inner = pointer + "/" + it;
+        auto inner = pointer;
+        inner.append("/").append(it);
         if (properties.isMember(it))
         {
             add(found, mismatches(document, properties[it], value[it], inner));
--- a/tests/conformance/probe.cpp
+++ b/tests/conformance/probe.cpp
@@ -85,7 +85,8 @@
     }
     for (auto const& line : mismatches(m_document, schema, body.value()))
     {
-        note(it, status + ": " + line);
+        auto what = status;
+        note(it, what.append(": ").append(line));
     }
 }
 
