entry: Let the dispatcher decide on attempts, resends and hedges

Ruled out: a thread that waits in its own attempt for idempotent calls, since a hedge's answer would then wait for the first attempt's. Also here: an entry that cannot listen ends before its first actor. Conclusion: one place decides, and idempotent calls hedge.

--- a/libraries/entry/call_front.cpp
+++ b/libraries/entry/call_front.cpp
@@ -19,59 +19,9 @@
 
 using base::failure_code;
 
-constexpr double s_retry_s = 1;
-/// The way back from the owner, left over from the caller's deadline.
 constexpr base::duration s_take_over_wait = std::chrono::seconds{2};
 constexpr base::duration s_home_limit = std::chrono::milliseconds{500};
-constexpr base::duration s_hand_over_pause = std::chrono::milliseconds{20};
-constexpr base::duration s_way_back = std::chrono::milliseconds{20};
-
-calls::refusal
-not_run(calls::refusal_code code, std::string reason, double retry_after_s)
-{
-    return {calls::ran::not_run, code, std::move(reason), retry_after_s};
-}
-
-calls::attempt_end end_of(calls::call_outcome const& it)
-{
-    if (it.is_answer())
-    {
-        return calls::attempt_end::answered;
-    }
-    if (it.why().work == calls::ran::unknown)
-    {
-        return calls::attempt_end::timed_out;
-    }
-    return it.why().code == calls::refusal_code::minion_refused
-               ? calls::attempt_end::minion_refused
-               : calls::attempt_end::owner_refused;
-}
-
-calls::attempt_end end_of(base::failure const& it)
-{
-    auto const surely_not_run = it.code == failure_code::unavailable ||
-                                it.code == failure_code::superseded ||
-                                it.code == failure_code::refused;
-    return surely_not_run ? calls::attempt_end::not_sent
-                          : calls::attempt_end::owner_lost;
-}
-
-calls::refusal refusal_of(base::failure const& it)
-{
-    if (end_of(it) == calls::attempt_end::not_sent)
-    {
-        return not_run(calls::refusal_code::no_minion, it.message, s_retry_s);
-    }
-    return {calls::ran::unknown, calls::refusal_code::outcome_unknown,
-            it.message, s_retry_s};
-}
-
-calls::call_outcome unknown_refusal(calls::call_outcome const& last)
-{
-    return calls::refusal{calls::ran::unknown,
-                          calls::refusal_code::outcome_unknown,
-                          last.is_answer() ? "" : last.why().reason, s_retry_s};
-}
+constexpr base::duration s_look_again = std::chrono::milliseconds{20};
 
 } // namespace
 
@@ -80,15 +30,13 @@
     , m_keys{self}
     , m_admission{self.incarnation, calls::admission_settings{},
                   calls::generator{fresh_seed()}}
-    , m_router{calls::router_settings{}, calls::generator{fresh_seed()}}
-    , m_budget{calls::retry_settings{}, calls::generator{fresh_seed()}}
+    , m_board{self}
 {
 }
 
 void call_front::heard(calls::group_digest const& it)
 {
-    std::lock_guard const lock{m_mutex};
-    m_router.heard(it, m_node.clock.now());
+    m_board.heard(it);
 }
 
 void call_front::heard(calls::entry_demand const& it)
@@ -112,7 +60,6 @@
     std::lock_guard const lock{m_mutex};
     take_contracts(now);
     m_admission.set_live(std::move(live), now);
-    m_router.expire(now);
     return m_admission.report(now);
 }
 
@@ -136,7 +83,6 @@
         if (!contracts->contains(it))
         {
             m_admission.remove_contract(it);
-            m_budget.remove_contract(it);
         }
     }
     m_known = std::move(names);
@@ -301,74 +247,22 @@
 calls::call_outcome call_front::try_groups(incoming_call const& it,
                                            std::int32_t& resends)
 {
-    std::vector<std::string> tried;
-    auto earlier = calls::ran::not_run;
-    calls::call_outcome last =
-        not_run(calls::refusal_code::no_minion,
-                "no minion of " + it.service + " takes calls now", s_retry_s);
-    {
-        std::lock_guard const lock{m_mutex};
-        m_budget.first_attempt(it.contract);
-    }
-    auto wanted = calls::wanted_room::any;
-    for (std::int32_t number = 1;; ++number)
-    {
-        auto const to =
-            number == 1 ? wait_for_group(it) : choose(it, tried, wanted);
-        if (!to)
-        {
-            return last;
-        }
-        auto const done = try_group(it, *to, number);
-        note(*to, done);
-        last = done.outcome;
-        switch (calls::attempt_rules::after(done.end, it.safety, earlier,
-                                            room_for(it, done.end, number)))
-        {
-        case calls::next_step::deliver:
-        case calls::next_step::refuse_not_run:
-            return last;
-        case calls::next_step::refuse_unknown:
-            return unknown_refusal(last);
-        case calls::next_step::resend:
-            break;
-        }
-        if (!calls::attempt_rules::surely_not_run(done.end))
-        {
-            earlier = calls::ran::unknown;
-        }
-        if (done.end != calls::attempt_end::not_sent)
-        {
-            // A group that is changing hands may be asked again.
-            tried.push_back(to->group);
-        }
-        resends += 1;
-        wanted = done.end == calls::attempt_end::owner_refused
-                     ? calls::wanted_room::short_queue
-                     : calls::wanted_room::any;
-    }
+    wait_for_group(it);
+    return m_board.run(it, resends);
 }
 
 /// A service whose minions the platform lists, and of which no group has an
 /// owner yet, is being taken over, or this process has just begun: that takes
 /// a moment, and a refusal would send the caller away from work that can be
 /// done. For a service without minions there is nothing to wait for.
-std::optional<calls::route> call_front::wait_for_group(incoming_call const& it)
+void call_front::wait_for_group(incoming_call const& it)
 {
     auto const until =
         std::min(m_node.clock.now() + s_take_over_wait, it.deadline);
-    for (;;)
+    while (!m_board.knows(it.service) && has_minions(it.service) &&
+           m_node.clock.now() + s_look_again < until)
     {
-        if (auto to = choose(it, {}, calls::wanted_room::any))
-        {
-            return to;
-        }
-        if (m_node.clock.now() + s_hand_over_pause >= until ||
-            !has_minions(it.service))
-        {
-            return std::nullopt;
-        }
-        std::this_thread::sleep_for(s_hand_over_pause);
+        std::this_thread::sleep_for(s_look_again);
     }
 }
 
@@ -384,105 +278,4 @@
                        });
 }
 
-std::optional<calls::route>
-call_front::choose(incoming_call const& it,
-                   std::vector<std::string> const& tried,
-                   calls::wanted_room room)
-{
-    std::lock_guard const lock{m_mutex};
-    return m_router.choose(it.service, tried, room, m_node.clock.now());
-}
-
-calls::resend_room call_front::room_for(incoming_call const& it,
-                                        calls::attempt_end end,
-                                        std::int32_t number)
-{
-    if (end == calls::attempt_end::answered)
-    {
-        return calls::resend_room::none;
-    }
-    if (end == calls::attempt_end::not_sent)
-    {
-        // No minion saw the attempt, so it costs none of the retry budget:
-        // the group is changing hands, which takes no longer than this.
-        if (m_node.clock.now() + s_hand_over_pause + s_way_back >= it.deadline)
-        {
-            return calls::resend_room::none;
-        }
-        std::this_thread::sleep_for(s_hand_over_pause);
-        return calls::resend_room::left;
-    }
-    base::duration pause{0};
-    {
-        std::lock_guard const lock{m_mutex};
-        auto const now = m_node.clock.now();
-        if (number >= m_budget.settings().most_attempts ||
-            !m_budget.has(it.contract))
-        {
-            return calls::resend_room::none;
-        }
-        pause = m_budget.back_off(number);
-        if (now + pause + s_way_back >= it.deadline ||
-            !m_budget.take(it.contract))
-        {
-            return calls::resend_room::none;
-        }
-    }
-    std::this_thread::sleep_for(pause);
-    return calls::resend_room::left;
-}
-
-call_front::attempt call_front::try_group(incoming_call const& it,
-                                          calls::route const& to,
-                                          std::int32_t number)
-{
-    auto const left = it.deadline - m_node.clock.now() - s_way_back;
-    if (left <= base::duration::zero())
-    {
-        return {calls::attempt_end::not_sent,
-                not_run(calls::refusal_code::deadline_too_short,
-                        "no time left before the deadline", s_retry_s)};
-    }
-    auto const contract = m_node.configuration.contract(it.contract);
-    Json::Value message{Json::objectValue};
-    message["unit"] = to.group;
-    message["request_id"] = number == 1
-                                ? it.request_id
-                                : it.request_id + "." + std::to_string(number);
-    message["contract"] = it.contract;
-    message["weight"] = contract ? contract->weight : 1.0;
-    message["deadline_us"] = Json::Int64{left.count()};
-    message["safety"] = std::string{model::name_of(it.safety)};
-    message["method"] = it.method;
-    message["target"] = it.target;
-    message["content_type"] = it.content_type;
-    message["body"] = to_base64(it.body);
-    message["traceparent"] = it.traceparent;
-    auto const answer = base::capture(
-        [&]() -> base::result<calls::call_outcome>
-        {
-            BOOST_LEAF_AUTO(value, call_unit(m_node, to.group, "minions.call",
-                                             message, left));
-            return call_outcome_from(value);
-        });
-    if (!answer)
-    {
-        return {end_of(answer.error()), refusal_of(answer.error())};
-    }
-    return {end_of(answer.value()), answer.value()};
-}
-
-void call_front::note(calls::route const& to, attempt const& it)
-{
-    std::lock_guard const lock{m_mutex};
-    if (it.end == calls::attempt_end::owner_refused)
-    {
-        m_router.refused(to.group);
-    }
-    if (it.end == calls::attempt_end::owner_lost)
-    {
-        m_router.forget(to.group);
-    }
-}
-
 } // namespace berylhill::entry
--- a/libraries/entry/call_front.hpp
+++ b/libraries/entry/call_front.hpp
@@ -1,10 +1,8 @@
 #pragma once
 
 #include <calls/admission.hpp>
-#include <calls/attempt_rules.hpp>
 #include <calls/call_outcome.hpp>
-#include <calls/retry_budget.hpp>
-#include <calls/router.hpp>
+#include <entry/call_board.hpp>
 #include <entry/call_keys.hpp>
 
 #include <base/time.hpp>
@@ -69,13 +67,6 @@
     }
 
 private:
-    /// One attempt's end, and what to answer if it is the last.
-    struct attempt
-    {
-        calls::attempt_end end{calls::attempt_end::not_sent};
-        calls::call_outcome outcome;
-    };
-
     void take_contracts(base::instant now);
     [[nodiscard]] std::optional<calls::refusal> admit(incoming_call const& it,
                                                       std::string& home);
@@ -91,29 +82,16 @@
                                                   std::int32_t& resends);
     [[nodiscard]] calls::call_outcome try_groups(incoming_call const& it,
                                                  std::int32_t& resends);
-    [[nodiscard]] attempt try_group(incoming_call const& it,
-                                    calls::route const& to,
-                                    std::int32_t number);
-    [[nodiscard]] std::optional<calls::route>
-    wait_for_group(incoming_call const& it);
+    void wait_for_group(incoming_call const& it);
     [[nodiscard]] bool has_minions(std::string const& service) const;
-    [[nodiscard]] std::optional<calls::route>
-    choose(incoming_call const& it,
-           std::vector<std::string> const& tried,
-           calls::wanted_room room);
-    [[nodiscard]] calls::resend_room room_for(incoming_call const& it,
-                                              calls::attempt_end end,
-                                              std::int32_t number);
-    void note(calls::route const& to, attempt const& it);
 
     entry_node& m_node;
     call_keys m_keys;
     std::mutex m_mutex;
     calls::admission m_admission;
-    calls::router m_router;
-    calls::retry_budget m_budget;
     std::shared_ptr<void const> m_contracts_seen;
     std::vector<std::string> m_known;
+    call_board m_board;
 };
 
 } // namespace berylhill::entry
--- a/libraries/entry/entry.cpp
+++ b/libraries/entry/entry.cpp
@@ -101,7 +101,7 @@
     http_front(http_front const&) = delete;
     http_front& operator=(http_front const&) = delete;
 
-    [[nodiscard]] base::result<base::done> start(std::string const& address)
+    [[nodiscard]] base::result<base::done> bind(std::string const& address)
     {
         BOOST_LEAF_AUTO(at, parse(address));
         if (!m_server.bind_to_port(at.host.c_str(), at.port))
@@ -109,11 +109,16 @@
             return base::fail(base::failure_code::unavailable,
                               "cannot listen at " + address);
         }
+        return base::done{};
+    }
+
+    /// Precondition: `bind` has succeeded.
+    void start()
+    {
         m_thread = std::jthread{[this]
                                 {
                                     m_server.listen_after_bind();
                                 }};
-        return base::done{};
     }
 
     /// Finishes the requests that were begun.
@@ -194,13 +199,16 @@
         peers.add(it.first, it.second);
     }
     self.http_address = self.settings.listen.http;
+    // All that can fail comes before the first actor, which would have to be
+    // stopped again.
+    http_front http{self};
+    BOOST_LEAF_CHECK(http.bind(self.settings.listen.http));
     BOOST_LEAF_ASSIGN(self.peer_address,
                       peers.start(self.settings.listen.peer));
     self.membership = self.system.spawn<membership_actor>(self);
     self.ownership = self.system.spawn<ownership_actor>(self);
     follow_streams(self);
-    http_front http{self};
-    BOOST_LEAF_CHECK(http.start(self.settings.listen.http));
+    http.start();
     base::log(base::log_level::info, "entry_started",
               {{"http", self.http_address},
                {"peer", self.peer_address},
@@ -217,6 +225,7 @@
     self.system.await_all_actors_done();
     self.worker_io.join();
     self.peer_io.join();
+    self.call_io.join();
     leave_list(self);
     return base::done{};
 }
--- a/libraries/entry/entry_node.cpp
+++ b/libraries/entry/entry_node.cpp
@@ -56,6 +56,7 @@
     , minions{http}
     , worker_io{threads(given.limits.worker_threads)}
     , peer_io{threads(given.limits.peer_threads)}
+    , call_io{threads(given.limits.minion_threads)}
     , system{actors}
     , writers{actors, log, clock, incarnation, writer_options(given)}
     , owned{tenure_options(given, incarnation), clock.now()}
--- a/libraries/entry/entry_node.hpp
+++ b/libraries/entry/entry_node.hpp
@@ -66,6 +66,8 @@
     /// heartbeats between entries waiting.
     io_pool worker_io;
     io_pool peer_io;
+    /// For attempts at calls, each of which takes as long as its minion.
+    io_pool call_io;
     caf::actor_system& system;
     log_writers writers;
     rights owned;
--- a/libraries/entry/peer_api.cpp
+++ b/libraries/entry/peer_api.cpp
@@ -91,6 +91,15 @@
             return work_left(m_node, it);
         };
     }
+    m_methods["minions.give_up"] =
+        [this](Json::Value const& it) -> base::result<Json::Value>
+    {
+        if (auto const group = m_node.units.find(unit_in(it)))
+        {
+            caf::anon_send(*group, call_given_up{it["request_id"].asString()});
+        }
+        return Json::Value{Json::objectValue};
+    };
     m_methods["calls.admit"] = [this](Json::Value const& it)
     {
         return m_node.calls->admit_for(it);
