--- a/libraries/placement/job_queue.cpp
+++ b/libraries/placement/job_queue.cpp
@@ -183,7 +183,9 @@
     m_jobs.emplace(id, job);
     account_of(*job).jobs += 1;
     job->of_class = class_of(*job);
-    job->of_class->members.insert(job.get());
+    auto& members = job->of_class->members;
+    job->member_at = members.size();
+    members.push_back(job.get());
     enqueue(job);
     return job;
 }
@@ -304,7 +306,10 @@
     {
         job.of_class->dead += 1;
     }
-    job.of_class->members.erase(&job);
+    auto& members = job.of_class->members;
+    members[job.member_at] = members.back();
+    members[job.member_at]->member_at = job.member_at;
+    members.pop_back();
     drop_reservation(job.id);
     actions.outcomes.push_back({job.id, state, std::move(detail)});
     m_jobs.erase(job.id);
--- a/libraries/placement/job_record.hpp
+++ b/libraries/placement/job_record.hpp
@@ -9,7 +9,6 @@
 #include <memory>
 #include <set>
 #include <string>
-#include <unordered_set>
 #include <vector>
 
 namespace berylhill::placement
@@ -52,6 +51,8 @@
     model::job_request request;
     std::int32_t account{-1};
     std::shared_ptr<work_class> of_class;
+    /// Where it stands in `of_class->members`.
+    std::size_t member_at{0};
     base::instant accepted_at{};
     base::instant deadline{base::instant::max()};
     model::job_state state{model::job_state::queued};
@@ -95,8 +96,9 @@
     /// its plan was last looked up.
     std::uint64_t failed_round{0};
     std::uint64_t planned_round{0};
-    /// All its jobs without an outcome, waiting or not.
-    std::unordered_set<job_record*> members;
+    /// All its jobs without an outcome, waiting or not, in an order that does
+    /// not hang on addresses: the same events give the same decisions.
+    std::vector<job_record*> members;
     /// More is known since its running tasks were planned.
     bool replan{false};
     /// It stands among its contract's active classes.
--- a/tests/placement/invariant_test.cpp
+++ b/tests/placement/invariant_test.cpp
@@ -8,6 +8,7 @@
 
 #include <iterator>
 #include <set>
+#include <vector>
 
 using namespace berylhill;
 using namespace berylhill::placement_test;
@@ -209,4 +210,40 @@
     it.drain();
 }
 
+// A recorded trace is replayed to see why a job went where it did. Decisions
+// that hang on addresses in memory go another way in each run: what runs was
+// planned anew in the order of its jobs' addresses.
+BOOST_AUTO_TEST_CASE(the_same_events_give_the_same_decisions)
+{
+    std::vector<std::vector<model::attempt_id>> resized(2);
+    std::vector<std::string> moved;
+    for (auto& order : resized)
+    {
+        fake_cell cell;
+        cell.add_worker("rack-a", "w-1", {64'000, 65'536, 0});
+        cell.add_contract(wide_contract("kitakaze"));
+        cell.step();
+        for (std::int32_t n = 0; n < 40; ++n)
+        {
+            auto const id = "job-" + std::to_string(n);
+            auto const request =
+                request_of("kitakaze", "daily", {1'000, 1'024, 0});
+            auto const taken = base::capture(
+                [&] { return cell.queue().submit(id, request, cell.now); });
+            BOOST_REQUIRE(taken.has_value());
+            // The second run's jobs lie elsewhere.
+            moved.emplace_back(order.size() + n * moved.size() % 1'000, 'x');
+        }
+        cell.step();
+        cell.true_peaks["daily"] = {500, 512, 0};
+        cell.end(cell.running.begin()->first, model::task_end::succeeded);
+        for (auto const& it : cell.queue().decide(cell.now, 1).resizes)
+        {
+            order.push_back(it.attempt);
+        }
+    }
+    BOOST_TEST(resized[0].size() > 20U);
+    BOOST_CHECK(resized[0] == resized[1]);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
