--- a/libraries/api/operator_documents.cpp
+++ b/libraries/api/operator_documents.cpp
@@ -194,14 +194,17 @@
 
 Json::Value stop_document(configuration::planned_stop const& it,
                           stop_phase phase,
-                          std::int64_t work_left)
+                          std::optional<std::int64_t> work_left)
 {
     Json::Value out{Json::objectValue};
     out["kind"] = std::string{stop_kind_name(it.kind)};
     out["id"] = it.endpoint;
     out["operator"] = it.operator_name;
     out["state"] = std::string{name_of(phase)};
-    out["work_left"] = Json::Int64{work_left};
+    if (work_left)
+    {
+        out["work_left"] = Json::Int64{*work_left};
+    }
     return out;
 }
 
--- a/libraries/api/operator_documents.hpp
+++ b/libraries/api/operator_documents.hpp
@@ -5,6 +5,7 @@
 #include <json/value.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -44,9 +45,10 @@
 
 [[nodiscard]] std::string_view name_of(stop_phase it) noexcept;
 
-/// `GET /v1/stops/{kind}/{id}`, and the answer to an announcement.
+/// `GET /v1/stops/{kind}/{id}`, and the answer to an announcement, where it is
+/// not known yet how much work is left.
 [[nodiscard]] Json::Value stop_document(configuration::planned_stop const& it,
                                         stop_phase phase,
-                                        std::int64_t work_left);
+                                        std::optional<std::int64_t> work_left);
 
 } // namespace berylhill::api
--- a/tests/api/openapi_schema.cpp
+++ b/tests/api/openapi_schema.cpp
@@ -53,8 +53,10 @@
         if (!value.isMember(it.asString()))
         {
             found.push_back(pointer);
-            found.back().append("/").append(it.asString()).append(
-                " is missing");
+            found.back()
+                .append("/")
+                .append(it.asString())
+                .append(" is missing");
         }
     }
     auto const& properties = schema["properties"];
