--- a/libraries/entry/contract_api.cpp
+++ b/libraries/entry/contract_api.cpp
@@ -2,6 +2,7 @@
 
 #include <base/hash.hpp>
 #include <base/log.hpp>
+#include <calls/admission.hpp>
 #include <configuration/change.hpp>
 #include <configuration/member_change.hpp>
 #include <entry/entry_node.hpp>
@@ -135,6 +136,9 @@
         std::this_thread::sleep_for(s_look_again);
         reached = spread_of(self, offset);
     }
+    // A limit that was raised, or is new, is used only once every entry must
+    // have heard of it.
+    std::this_thread::sleep_for(calls::admission_settings{}.settle);
     Json::Value out{Json::objectValue};
     out["offset"] = Json::Int64{offset};
     out["in_force"] = names_json(reached.in_force);
