ownership: Carry suspicions between entries

The entry process hands the new message to its peers. A false alarm of the compiler under the address sanitizer (an uninitialised value inside LEAF) went away with a load that returns an outcome.

--- a/libraries/entry/messages.hpp
+++ b/libraries/entry/messages.hpp
@@ -55,6 +55,11 @@
     ownership::heartbeat value;
 };
 
+struct suspicion_heard
+{
+    ownership::suspicion value;
+};
+
 struct vouch_asked
 {
     ownership::vouch_request value;
@@ -233,6 +238,7 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(berylhill::entry::ownership_page)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(berylhill::entry::ownership_append_ended)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(berylhill::entry::heartbeat_heard)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(berylhill::entry::suspicion_heard)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(berylhill::entry::vouch_asked)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(berylhill::entry::vouch_answered)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(berylhill::entry::entries_listed)
--- a/libraries/entry/ownership_actor.cpp
+++ b/libraries/entry/ownership_actor.cpp
@@ -62,6 +62,11 @@
             change([&](auto& it, base::instant now)
                    { return it.heard(message.value, now); });
         },
+        [change](suspicion_heard const& message)
+        {
+            change([&](auto& it, base::instant now)
+                   { return it.suspected(message.value, now); });
+        },
         [change](vouch_asked const& message)
         {
             change([&](auto& it, base::instant now)
@@ -161,6 +166,12 @@
                      ownership::to_json(it.message));
 }
 
+void ownership_actor::perform(ownership::send_suspicion const& it)
+{
+    send_to_instance(it.to, "ownership.suspicion",
+                     ownership::to_json(it.message));
+}
+
 void ownership_actor::perform(ownership::fetch_list const&)
 {
     caf::anon_send(m_node.membership, ownership::fetch_list{});
--- a/libraries/entry/ownership_actor.hpp
+++ b/libraries/entry/ownership_actor.hpp
@@ -25,6 +25,7 @@
     void perform(ownership::append_entry const& it);
     void perform(ownership::send_vouch_request const& it);
     void perform(ownership::send_vouch_answer const& it);
+    void perform(ownership::send_suspicion const& it);
     void perform(ownership::fetch_list const& it);
     void send_to_instance(std::string const& instance,
                           std::string const& method,
--- a/libraries/entry/peer_api.cpp
+++ b/libraries/entry/peer_api.cpp
@@ -154,6 +154,13 @@
         caf::anon_send(m_node.ownership, vouch_asked{value});
         return Json::Value{Json::objectValue};
     };
+    m_methods["ownership.suspicion"] =
+        [this](Json::Value const& it) -> base::result<Json::Value>
+    {
+        BOOST_LEAF_AUTO(value, ownership::suspicion_from(it));
+        caf::anon_send(m_node.ownership, suspicion_heard{value});
+        return Json::Value{Json::objectValue};
+    };
     m_methods["ownership.vouch_answer"] =
         [this](Json::Value const& it) -> base::result<Json::Value>
     {
--- a/libraries/ownership/claim_table.cpp
+++ b/libraries/ownership/claim_table.cpp
@@ -178,7 +178,7 @@
     {
         return {};
     }
-    auto const loaded = base::capture([&] { return load(it.table); });
+    auto const loaded = load(it.table);
     if (!loaded.has_value())
     {
         base::log(base::log_level::warning, "snapshot_skipped",
@@ -215,9 +215,14 @@
     return {m_next, model::text_of(table)};
 }
 
-base::result<base::done> claim_table::load(std::string const& text)
+base::outcome<base::done> claim_table::load(std::string const& text)
 {
-    BOOST_LEAF_AUTO(table, model::parse_json(text));
+    auto const parsed = base::capture([&] { return model::parse_json(text); });
+    if (!parsed.has_value())
+    {
+        return parsed.error();
+    }
+    auto const& table = parsed.value();
     std::map<std::string, owner> units;
     std::map<std::string, member> members;
     try
@@ -238,7 +243,7 @@
     catch (Json::Exception const& it)
     {
         // The library throws where a value has another type.
-        return base::fail(base::failure_code::invalid, it.what());
+        return base::failure{base::failure_code::invalid, it.what(), 0};
     }
     m_units = std::move(units);
     m_members = std::move(members);
--- a/libraries/ownership/claim_table.hpp
+++ b/libraries/ownership/claim_table.hpp
@@ -128,7 +128,7 @@
     applied take(std::int64_t offset, snapshot const& it);
     [[nodiscard]] bool knows_claimer(owner const& current,
                                      member const& claimer) const;
-    [[nodiscard]] base::result<base::done> load(std::string const& text);
+    [[nodiscard]] base::outcome<base::done> load(std::string const& text);
 
     joiner_rule m_joiners;
     bool m_complete{true};
--- a/libraries/ownership/tenure.cpp
+++ b/libraries/ownership/tenure.cpp
@@ -181,9 +181,10 @@
     return {};
 }
 
-void tenure::suspected(suspicion const& it, base::instant now)
+actions tenure::suspected(suspicion const& it, base::instant now)
 {
     m_suspected[it.silent][it.from] = now;
+    return {};
 }
 
 actions tenure::vouch_asked(vouch_request const& it, base::instant)
--- a/libraries/ownership/tenure.hpp
+++ b/libraries/ownership/tenure.hpp
@@ -190,7 +190,7 @@
     [[nodiscard]] actions heard(heartbeat const& it, base::instant now);
 
     /// A watcher does not hear a process.
-    void suspected(suspicion const& it, base::instant now);
+    [[nodiscard]] actions suspected(suspicion const& it, base::instant now);
 
     /// The instances that get `own_heartbeat` about every 300 ms.
     [[nodiscard]] std::set<std::string> heartbeat_targets() const;
--- a/tests/ownership/cell.cpp
+++ b/tests/ownership/cell.cpp
@@ -152,7 +152,7 @@
             }
             if (auto const* word = std::get_if<send_suspicion>(&it.message))
             {
-                node.it->suspected(word->message, m_now);
+                perform(i, node.it->suspected(word->message, m_now));
                 continue;
             }
             auto const& answer = std::get<send_vouch_answer>(it.message);
--- a/tests/ownership/tenure_test.cpp
+++ b/tests/ownership/tenure_test.cpp
@@ -89,8 +89,8 @@
     {
         for (std::size_t i = 1; i < it.size(); ++i)
         {
-            it.at(i).suspected({told, it.at(5).own_heartbeat().incarnation},
-                               it.now());
+            (void)it.at(i).suspected(
+                {told, it.at(5).own_heartbeat().incarnation}, it.now());
         }
         it.run(250ms);
     }
--- a/utilities/state_bench/main.cpp
+++ b/utilities/state_bench/main.cpp
@@ -153,8 +153,8 @@
     // One owner falls silent: its units are planned anew.
     now += std::chrono::seconds{2};
     hear_all(it, instances, 1, now);
-    it.suspected({incarnation(2), incarnation(1)}, now);
-    it.suspected({incarnation(3), incarnation(1)}, now);
+    (void)it.suspected({incarnation(2), incarnation(1)}, now);
+    (void)it.suspected({incarnation(3), incarnation(1)}, now);
     start = stopwatch::now();
     auto const actions = it.log_read({}, units + instances, now, now);
     print(name + ".one_dead", us_since(start), "us");
