entry: Send a group's digest with each answer

Before: digests with heartbeats only. Conclusion: the router knows a group's queue as of its last answer.

--- a/libraries/entry/call_board.cpp
+++ b/libraries/entry/call_board.cpp
@@ -168,11 +168,26 @@
             BOOST_LEAF_AUTO(value,
                             call_unit(m_node, it.to.group, "minions.call",
                                       message_of(*call, it, left), left));
+            take_digest(value);
             return call_outcome_from(value);
         });
     attempt_ended(it, answer);
 }
 
+void call_board::take_digest(Json::Value const& answer)
+{
+    if (!answer.isMember("digest"))
+    {
+        return;
+    }
+    auto const digest =
+        base::capture([&] { return minion_digest_from(answer["digest"]); });
+    if (digest)
+    {
+        heard(digest.value());
+    }
+}
+
 void call_board::attempt_ended(calls::send_to_owner const& it,
                                base::outcome<calls::call_outcome> const& answer)
 {
--- a/libraries/entry/call_board.hpp
+++ b/libraries/entry/call_board.hpp
@@ -5,6 +5,8 @@
 
 #include <base/time.hpp>
 
+#include <json/value.h>
+
 #include <condition_variable>
 #include <cstdint>
 #include <deque>
@@ -63,6 +65,7 @@
     void begin(waiting const& from, calls::send_to_owner const& it);
     void attempt(std::shared_ptr<incoming_call const> const& call,
                  calls::send_to_owner const& it);
+    void take_digest(Json::Value const& answer);
     void attempt_ended(calls::send_to_owner const& it,
                        base::outcome<calls::call_outcome> const& answer);
 
--- a/libraries/entry/minion_call.cpp
+++ b/libraries/entry/minion_call.cpp
@@ -135,8 +135,10 @@
 
 } // namespace
 
-base::result<Json::Value> serve_minion_call(entry_node& self,
-                                            Json::Value const& parameters)
+namespace
+{
+
+base::result<Json::Value> serve(entry_node& self, Json::Value const& parameters)
 {
     BOOST_LEAF_AUTO(it, asked_from(self, parameters));
     auto const group = self.units.find(it.unit);
@@ -157,4 +159,20 @@
     return send_once(self, *group, it, std::get<call_granted>(step));
 }
 
+} // namespace
+
+/// Each answer carries the group's digest: what gossip says of a loaded group
+/// is old by the time it comes.
+base::result<Json::Value> serve_minion_call(entry_node& self,
+                                            Json::Value const& parameters)
+{
+    BOOST_LEAF_AUTO(answer, serve(self, parameters));
+    auto const unit = parameters["unit"].asString();
+    if (auto const digest = self.digests.minion_group(unit))
+    {
+        answer["digest"] = to_json(*digest);
+    }
+    return answer;
+}
+
 } // namespace berylhill::entry
--- a/libraries/entry/minion_group_actor.cpp
+++ b/libraries/entry/minion_group_actor.cpp
@@ -74,12 +74,17 @@
     auto const now = m_node.clock.now();
     take_list(now);
     perform(m_ledger.expire(now));
+    publish(now);
+    plan_expiry();
+}
+
+void minion_group_actor::publish(base::instant now)
+{
     auto digest = m_ledger.digest(now);
     digest.owner = m_node.incarnation;
     digest.epoch = m_epoch;
     digest.sequence = ++m_sequence;
     m_node.digests.set(m_unit, std::move(digest));
-    plan_expiry();
 }
 
 void minion_group_actor::take_list(base::instant now)
@@ -144,6 +149,7 @@
     {
         perform(m_ledger.answered(it.request_id, *it.end, now));
     }
+    publish(now);
     plan_expiry();
 }
 
--- a/libraries/entry/minion_group_actor.hpp
+++ b/libraries/entry/minion_group_actor.hpp
@@ -30,6 +30,7 @@
 
     void tick();
     void take_list(base::instant now);
+    void publish(base::instant now);
     void offer(call_offered const& it);
     void finish(call_finished const& it);
     void give_work_left(work_left_asked const& it);
--- a/libraries/entry/ownership_actor.cpp
+++ b/libraries/entry/ownership_actor.cpp
@@ -64,12 +64,8 @@
         },
         [change](suspicion_heard const& message)
         {
-            change(
-                [&](auto& it, base::instant now)
-                {
-                    it.suspected(message.value, now);
-                    return ownership::actions{};
-                });
+            change([&](auto& it, base::instant now)
+                   { return it.suspected(message.value, now); });
         },
         [change](vouch_asked const& message)
         {
--- a/libraries/entry/view.hpp
+++ b/libraries/entry/view.hpp
@@ -96,6 +96,18 @@
         m_minions.erase(unit);
     }
 
+    [[nodiscard]] std::optional<calls::group_digest>
+    minion_group(std::string const& unit) const
+    {
+        std::lock_guard const lock{m_mutex};
+        auto const it = m_minions.find(unit);
+        if (it == m_minions.end())
+        {
+            return std::nullopt;
+        }
+        return it->second;
+    }
+
     [[nodiscard]] std::map<std::string, worker_group_view> workers() const
     {
         std::lock_guard const lock{m_mutex};
