--- a/libraries/entry/peer_api.cpp
+++ b/libraries/entry/peer_api.cpp
@@ -91,6 +91,15 @@
             return work_left(m_node, it);
         };
     }
+    m_methods["minions.give_up"] =
+        [this](Json::Value const& it) -> base::result<Json::Value>
+    {
+        if (auto const group = m_node.units.find(unit_in(it)))
+        {
+            caf::anon_send(*group, call_given_up{it["request_id"].asString()});
+        }
+        return Json::Value{Json::objectValue};
+    };
     m_methods["calls.admit"] = [this](Json::Value const& it)
     {
         return m_node.calls->admit_for(it);
@@ -147,6 +156,13 @@
 
 void peer_api::add_ownership()
 {
+    m_methods["ownership.suspicion"] =
+        [this](Json::Value const& it) -> base::result<Json::Value>
+    {
+        BOOST_LEAF_AUTO(value, ownership::suspicion_from(it));
+        caf::anon_send(m_node.ownership, suspicion_heard{value});
+        return Json::Value{Json::objectValue};
+    };
     m_methods["ownership.vouch_request"] =
         [this](Json::Value const& it) -> base::result<Json::Value>
     {
@@ -154,6 +170,13 @@
         caf::anon_send(m_node.ownership, vouch_asked{value});
         return Json::Value{Json::objectValue};
     };
+    m_methods["ownership.suspicion"] =
+        [this](Json::Value const& it) -> base::result<Json::Value>
+    {
+        BOOST_LEAF_AUTO(value, ownership::suspicion_from(it));
+        caf::anon_send(m_node.ownership, suspicion_heard{value});
+        return Json::Value{Json::objectValue};
+    };
     m_methods["ownership.vouch_answer"] =
         [this](Json::Value const& it) -> base::result<Json::Value>
     {
--- a/libraries/ownership/tenure.cpp
+++ b/libraries/ownership/tenure.cpp
@@ -33,6 +33,7 @@
         fold(offset, it, now);
     }
     m_table.read_through(next);
+    choose_watched();
     if (!fresh_as_of)
     {
         return {};
@@ -92,6 +93,7 @@
     }
     else if (auto const* taken = std::get_if<claim>(&it))
     {
+        m_peers[taken->incarnation].wrote = now;
         note_change(taken->unit, done, now);
     }
     else if (auto const* given = std::get_if<release>(&it))
@@ -173,7 +175,15 @@
 actions tenure::heard(heartbeat const& it, base::instant now)
 {
     auto& known = m_peers[it.incarnation];
-    known = {it.instance, std::max(known.heard, now), it.leaving};
+    known.instance = it.instance;
+    known.heard = std::max(known.heard, now);
+    known.leaving = it.leaving;
+    return {};
+}
+
+actions tenure::suspected(suspicion const& it, base::instant now)
+{
+    m_suspected[it.silent][it.from] = now;
     return {};
 }
 
@@ -224,8 +234,8 @@
 {
     auto const log_is_late = m_log_right_until - now < m_options.right / 2;
     auto const is_asking =
-        m_round && now - m_round->started < m_options.right / 2;
-    auto const is_settled = m_vouched_until - now > m_options.right * 3 / 4;
+        m_round && now - m_round->started < m_options.right / 4;
+    auto const is_settled = m_vouched_until - now > m_options.right / 2;
     if (!log_is_late || is_asking || is_settled || m_active_from.empty() ||
         !is_member())
     {
--- a/libraries/placement/job_queue_reserve.cpp
+++ b/libraries/placement/job_queue_reserve.cpp
@@ -44,7 +44,7 @@
 void job_queue::reserve_if_due(base::instant now, queue_actions& to)
 {
     auto const job = std::exchange(m_longest_blocked, nullptr);
-    if (job == nullptr)
+    if (job == nullptr || model::is_final(job->state))
     {
         return;
     }
@@ -186,6 +186,12 @@
             continue;
         }
         account.refund(it);
+        if (!account.allows(need, 1))
+        {
+            // More is known to be needed than the contract has left.
+            account.charge(it);
+            continue;
+        }
         it.planned = need;
         account.charge(it);
         to.resizes.push_back(
--- a/tests/ownership/world.cpp
+++ b/tests/ownership/world.cpp
@@ -22,6 +22,7 @@
     // No heartbeats: each process claims as soon as a tick lets it.
     it.suspect_after = {};
     it.isolated_after = {};
+    it.fewest_to_be_isolated = 100;
     it.claim_patience = {};
     it.leave_after = {};
     it.move_every = s_never;
@@ -105,8 +106,11 @@
             m_letters.push_back({answer->to, answer->to, answer->message.round,
                                  answer->message});
         }
-        else if (m_bounds.deaths)
+        else if (std::holds_alternative<fetch_list>(it) && m_bounds.deaths)
         {
+            // An older fetch is of no use to the round that has begun.
+            std::erase_if(m_fetches,
+                          [&](fetch const& old) { return old.process == i; });
             m_fetches.push_back({i, m_now});
         }
     }
