jobs: Tell an attempt that never started from one that may have run

Ruled out: dropping the intents when a rack refuses, as the order that is still under way at the hand-over stays in doubt. Before: every intent without an end or a running attempt was in doubt. Conclusion: a hand-over does not put jobs in doubt while their racks stay.

--- a/libraries/entry/job_shard_actor.cpp
+++ b/libraries/entry/job_shard_actor.cpp
@@ -205,7 +205,7 @@
         send();
         return;
     }
-    append(jobs::intent{attempt},
+    append(jobs::intent{attempt, it.group, epoch_of_group(it.group)},
            [this, attempt, send](base::outcome<stream::position> const& ended)
            {
                if (ended)
@@ -218,6 +218,12 @@
            });
 }
 
+std::int64_t job_shard_actor::epoch_of_group(std::string const& group) const
+{
+    auto const it = m_group_epochs.find(group);
+    return it == m_group_epochs.end() ? -1 : it->second;
+}
+
 void job_shard_actor::end_job(placement::job_outcome const& it)
 {
     jobs::ended const record{it.job, it.state, it.detail,
--- a/libraries/entry/job_shard_actor.hpp
+++ b/libraries/entry/job_shard_actor.hpp
@@ -78,8 +78,8 @@
     void restore(std::string const& job,
                  jobs::job_entry const& entry,
                  base::instant now);
-    [[nodiscard]] bool may_have_run(std::string const& job,
-                                    jobs::job_entry const& entry) const;
+    [[nodiscard]] bool may_have_run(jobs::job_entry const& entry) const;
+    [[nodiscard]] bool is_counted(model::attempt_id const& attempt) const;
     void reconcile(std::string const& group, group_inventory const& it);
 
     // Requests (job_shard_requests.cpp).
@@ -100,6 +100,7 @@
     void decide(base::instant now);
     void run(placement::queue_actions const& todo);
     void send_hold(placement::hold_order const& it);
+    [[nodiscard]] std::int64_t epoch_of_group(std::string const& group) const;
     void end_job(placement::job_outcome const& it);
     void flush();
     void flush(std::string const& group, group_outbox& outbox);
--- a/libraries/entry/job_shard_recovery.cpp
+++ b/libraries/entry/job_shard_recovery.cpp
@@ -8,6 +8,7 @@
 
 #include <caf/all.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <thread>
 #include <utility>
@@ -235,7 +236,7 @@
         // Accepted by this owner while it was collecting.
         return;
     }
-    if (may_have_run(job, entry))
+    if (may_have_run(entry))
     {
         end_job({job, model::job_state::outcome_unknown,
                  "an attempt that must not run twice may have run"});
@@ -250,23 +251,20 @@
     }
 }
 
-/// A task with an intent that neither is done nor runs: nobody can say whether
-/// it ran, so it must not run again.
-bool job_shard_actor::may_have_run(std::string const& job,
-                                   jobs::job_entry const& entry) const
+/// A task with an intent that neither is done nor runs. Where the rack's owner
+/// is the one that the order went to, it would know of the attempt had it ever
+/// been started, and it refuses the order from now on. Otherwise nobody can say
+/// whether it ran, so it must not run again.
+bool job_shard_actor::may_have_run(jobs::job_entry const& entry) const
 {
-    for (auto const& intent : entry.intents)
+    for (auto const& it : entry.intents)
     {
-        auto found = entry.done.contains(intent.first);
-        model::attempt_id const attempt{{job, intent.first}, intent.second};
-        for (auto const& it : m_inventories)
-        {
-            for (auto const& counted : it.second.attempts)
-            {
-                found = found || counted.attempt == attempt;
-            }
-        }
-        if (!found)
+        auto const& intent = it.second;
+        auto const rack = m_inventories.find(intent.group);
+        auto const same_owner = rack != m_inventories.end() &&
+                                rack->second.epoch == intent.group_epoch;
+        if (!entry.done.contains(it.first) && !same_owner &&
+            !is_counted(intent.attempt))
         {
             return true;
         }
@@ -274,6 +272,19 @@
     return false;
 }
 
+bool job_shard_actor::is_counted(model::attempt_id const& attempt) const
+{
+    return std::any_of(m_inventories.begin(), m_inventories.end(),
+                       [&](auto const& it)
+                       {
+                           return std::any_of(
+                               it.second.attempts.begin(),
+                               it.second.attempts.end(),
+                               [&](auto const& counted)
+                               { return counted.attempt == attempt; });
+                       });
+}
+
 /// The rack has a new owner. An attempt that its former owner had taken and
 /// that is not in the new one's inventory does not run and never will.
 void job_shard_actor::reconcile(std::string const& group,
--- a/libraries/jobs/book.cpp
+++ b/libraries/jobs/book.cpp
@@ -51,7 +51,7 @@
     auto const found = m_jobs.find(it.attempt.task.job);
     if (found != m_jobs.end())
     {
-        found->second.intents[it.attempt.task.index] = it.attempt.number;
+        found->second.intents[it.attempt.task.index] = it;
     }
 }
 
@@ -87,9 +87,9 @@
     entry.request = it.request;
     entry.accepted_at_us = it.accepted_at_us;
     entry.done.insert(it.done.begin(), it.done.end());
-    for (auto const& attempt : it.intents)
+    for (auto const& one : it.intents)
     {
-        entry.intents[attempt.task.index] = attempt.number;
+        entry.intents[one.attempt.task.index] = one;
     }
     entry.state = it.state;
     entry.detail = it.detail;
@@ -158,9 +158,9 @@
         it.request = entry.request;
         it.accepted_at_us = entry.accepted_at_us;
         it.done.assign(entry.done.begin(), entry.done.end());
-        for (auto const& [index, number] : entry.intents)
+        for (auto const& one : entry.intents)
         {
-            it.intents.push_back({{job, index}, number});
+            it.intents.push_back(one.second);
         }
         it.state = entry.state;
         it.detail = entry.detail;
--- a/libraries/jobs/book.hpp
+++ b/libraries/jobs/book.hpp
@@ -20,7 +20,7 @@
     std::int64_t accepted_at_us{0};
     std::set<std::int32_t> done;
     /// By task index: the newest attempt that may have been sent.
-    std::map<std::int32_t, std::int32_t> intents;
+    std::map<std::int32_t, intent> intents;
     model::job_state state{model::job_state::queued};
     std::string detail;
     std::int64_t ended_at_us{0};
--- a/libraries/jobs/record.cpp
+++ b/libraries/jobs/record.cpp
@@ -29,9 +29,23 @@
     return out;
 }
 
-Json::Value body_of(intent const& it)
+Json::Value intent_json(intent const& it)
 {
     auto out = to_json(it.attempt);
+    out["group"] = it.group;
+    out["group_epoch"] = Json::Int64{it.group_epoch};
+    return out;
+}
+
+base::result<intent> intent_of(Json::Value const& it)
+{
+    BOOST_LEAF_AUTO(attempt, model::attempt_id_from(it));
+    return intent{attempt, it["group"].asString(), it["group_epoch"].asInt64()};
+}
+
+Json::Value body_of(intent const& it)
+{
+    auto out = intent_json(it);
     out["kind"] = "intent";
     return out;
 }
@@ -70,9 +84,9 @@
         out["done"].append(n);
     }
     out["intents"] = Json::Value{Json::arrayValue};
-    for (auto const& attempt : it.intents)
+    for (auto const& one : it.intents)
     {
-        out["intents"].append(to_json(attempt));
+        out["intents"].append(intent_json(one));
     }
     return out;
 }
@@ -90,8 +104,8 @@
 
 base::result<record> intent_from(Json::Value const& it)
 {
-    BOOST_LEAF_AUTO(attempt, model::attempt_id_from(it));
-    return intent{attempt};
+    BOOST_LEAF_AUTO(value, intent_of(it));
+    return value;
 }
 
 base::result<record> task_done_from(Json::Value const& it)
@@ -122,9 +136,9 @@
     {
         out.done.push_back(n.asInt());
     }
-    for (auto const& attempt : it["intents"])
+    for (auto const& one : it["intents"])
     {
-        BOOST_LEAF_AUTO(value, model::attempt_id_from(attempt));
+        BOOST_LEAF_AUTO(value, intent_of(one));
         out.intents.push_back(value);
     }
     return out;
--- a/libraries/jobs/record.hpp
+++ b/libraries/jobs/record.hpp
@@ -41,10 +41,15 @@
     friend bool operator==(accepted const&, accepted const&) = default;
 };
 
-/// An attempt that must not run twice is about to be sent.
+/// An attempt that must not run twice is about to be sent to a rack's owner.
 struct intent
 {
     model::attempt_id attempt;
+    /// The rack, and its owner's epoch as far as is known. While that owner
+    /// lasts, its inventory names every attempt that it ever started and whose
+    /// end is not in the log.
+    std::string group;
+    std::int64_t group_epoch{-1};
 
     friend bool operator==(intent const&, intent const&) = default;
 };
@@ -75,7 +80,7 @@
     model::job_request request;
     std::int64_t accepted_at_us{0};
     std::vector<std::int32_t> done;
-    std::vector<model::attempt_id> intents;
+    std::vector<intent> intents;
     model::job_state state{model::job_state::queued};
     std::string detail;
     std::int64_t ended_at_us{0};
--- a/tests/jobs/book_test.cpp
+++ b/tests/jobs/book_test.cpp
@@ -35,14 +35,14 @@
     std::array const records{
         at(7, jobs::opened{"entry-1", 3}),
         at(7, jobs::accepted{"j0-1", request("k"), 12}),
-        at(7, jobs::intent{{{"j0-1", 2}, 5}}),
+        at(7, jobs::intent{{{"j0-1", 2}, 5}, "workers/a/r1", 12}),
         at(7, jobs::task_done{{"j0-1", 1}}),
         at(7, jobs::ended{"j0-1", model::job_state::failed, "why", 99}),
         at(7, jobs::kept{"j0-2",
                          request(),
                          5,
                          {0, 2},
-                         {{{"j0-2", 1}, 4}},
+                         {{{{"j0-2", 1}, 4}, "workers/a/r2", 3}},
                          model::job_state::running,
                          "",
                          0}),
@@ -99,7 +99,8 @@
     before.apply(at(1, jobs::opened{"entry-1", 1}));
     before.apply(at(1, jobs::accepted{"j0-1", request("k"), 1}));
     before.apply(at(1, jobs::task_done{{"j0-1", 2}}));
-    before.apply(at(1, jobs::intent{{{"j0-1", 0}, 10'001}}));
+    before.apply(
+        at(1, jobs::intent{{{"j0-1", 0}, 10'001}, "workers/a/r1", 12}));
     before.apply(at(1, jobs::accepted{"j0-2", request(), 4}));
     before.apply(
         at(1, jobs::ended{"j0-2", model::job_state::succeeded, "", 9}));
