placement: Free the waiting jobs of an owner that ends

Waiting jobs and their class own each other, so an owner that handed its jobs over kept their memory (found by the address sanitizer: detected memory leaks). The tests' fake cell also used a key after erasing it.

--- a/libraries/placement/contract_account.cpp
+++ b/libraries/placement/contract_account.cpp
@@ -24,6 +24,14 @@
 {
 }
 
+contract_account::~contract_account()
+{
+    for (auto const& it : active)
+    {
+        it->jobs.clear();
+    }
+}
+
 void contract_account::set_contract(model::contract it)
 {
     m_contract = std::move(it);
--- a/libraries/placement/contract_account.hpp
+++ b/libraries/placement/contract_account.hpp
@@ -18,6 +18,10 @@
 {
 public:
     explicit contract_account(model::contract it);
+    contract_account(contract_account const&) = delete;
+    contract_account& operator=(contract_account const&) = delete;
+    /// Waiting jobs and their class own each other; this ends it.
+    ~contract_account();
 
     [[nodiscard]] model::contract const& contract() const noexcept
     {
--- a/tests/placement/fake_cell.cpp
+++ b/tests/placement/fake_cell.cpp
@@ -154,7 +154,8 @@
     }
 }
 
-void fake_cell::end(model::attempt_id const& attempt, model::task_end how)
+// The attempt is a copy: callers pass keys of `running`, which end here.
+void fake_cell::end(model::attempt_id attempt, model::task_end how)
 {
     auto const it = running.find(attempt);
     if (it == running.end())
--- a/tests/placement/fake_cell.hpp
+++ b/tests/placement/fake_cell.hpp
@@ -30,7 +30,7 @@
         now += base::from_seconds(seconds);
     }
     /// Ends one running attempt.
-    void end(model::attempt_id const& attempt, model::task_end how);
+    void end(model::attempt_id attempt, model::task_end how);
     /// Carries out what a queue asked for.
     void carry_out(std::size_t queue, placement::queue_actions actions);
     /// Only the first step of that: returns what the queue asked for next.
