entry: Carry new plans, mend the operators' answers, beat less when idle

Cause: plans that the queue makes anew were dropped at the entry; an apply ignored the operator's own id, so a repeat after a lost answer lost against itself, and contracts were read without the schema's checks; job answers lacked tasks_failed and started_at_us.

--- a/libraries/entry/contract_api.cpp
+++ b/libraries/entry/contract_api.cpp
@@ -1,18 +1,19 @@
 #include <entry/contract_api.hpp>
 
+#include <api/operator_documents.hpp>
+#include <api/stop_kind.hpp>
 #include <base/hash.hpp>
 #include <base/log.hpp>
 #include <calls/admission.hpp>
 #include <configuration/change.hpp>
-#include <configuration/member_change.hpp>
 #include <entry/entry_node.hpp>
 #include <entry/http_problem.hpp>
 #include <entry/reply.hpp>
 #include <entry/stop_progress.hpp>
-#include <model/json.hpp>
 
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <thread>
@@ -56,27 +57,10 @@
 base::result<configuration::apply_change> apply_from(entry_node& self,
                                                      std::string const& body)
 {
-    BOOST_LEAF_AUTO(json, model::parse_json(body));
-    if (!json.isObject() || !json["contracts"].isArray() ||
-        !json["based_on"].isInt64() || !json["operator"].isString())
+    BOOST_LEAF_AUTO(out, api::apply_change_from(body, self.clock.wall_us()));
+    if (out.id.empty())
     {
-        return base::fail(failure_code::invalid,
-                          "an object with based_on, operator and contracts "
-                          "was expected");
-    }
-    configuration::apply_change out;
-    out.id = base::random_id();
-    out.based_on = json["based_on"].asInt64();
-    out.operator_name = json["operator"].asString();
-    out.at_us = self.clock.wall_us();
-    for (auto const& it : json["contracts"])
-    {
-        BOOST_LEAF_AUTO(contract, model::contract_from(it));
-        out.contracts.push_back(std::move(contract));
-    }
-    for (auto const& it : json["remove"])
-    {
-        out.removed.push_back(it.asString());
+        out.id = base::random_id();
     }
     return out;
 }
@@ -149,12 +133,10 @@
 void answer_conflicts(httplib::Response& to,
                       configuration::apply_verdict const& verdict)
 {
-    std::string detail;
-    for (auto const& it : verdict.conflicts)
-    {
-        detail += configuration::text_of(it);
-    }
-    answer_failure(to, {failure_code::conflict, detail, 0}, "/v1/contracts");
+    calls::problem out;
+    out.status = 409;
+    out.body = api::conflict_body(verdict);
+    answer_problem(to, out);
 }
 
 void apply(entry_node& self,
@@ -170,7 +152,8 @@
     }
     auto const written =
         base::capture([&] { return append(self, change.value()); });
-    if (!written)
+    // An answer that was lost says nothing; the record may still be read back.
+    if (!written && written.error().code != failure_code::outcome_unknown)
     {
         answer_failure(to, written.error(), request.path);
         return;
@@ -201,72 +184,26 @@
 
 void list(entry_node& self, httplib::Response& to)
 {
-    auto const state = self.configuration.state();
-    Json::Value out{Json::objectValue};
-    out["offset"] = Json::Int64{state.offset()};
-    out["contracts"] = Json::Value{Json::arrayValue};
-    for (auto const& it : state.contracts())
-    {
-        Json::Value one{Json::objectValue};
-        one["version"] = Json::Int64{it.version};
-        one["operator"] = it.operator_name;
-        one["at_us"] = Json::Int64{it.at_us};
-        one["contract"] = model::to_json(it.contract);
-        out["contracts"].append(one);
-    }
-    answer_json(to, out, 200);
+    answer_json(to, api::contracts_document(self.configuration.state()), 200);
 }
 
 void history(entry_node& self, std::string const& name, httplib::Response& to)
 {
-    auto const state = self.configuration.state();
-    Json::Value out{Json::objectValue};
-    out["name"] = name;
-    out["history"] = Json::Value{Json::arrayValue};
-    for (auto const& it : state.history_of(name))
+    auto const out = base::capture(
+        [&]
+        { return api::history_document(self.configuration.state(), name); });
+    if (!out)
     {
-        Json::Value one{Json::objectValue};
-        one["event"] = std::string{configuration::name_of(it.event)};
-        one["version"] = Json::Int64{it.version};
-        one["operator"] = it.operator_name;
-        one["at_us"] = Json::Int64{it.at_us};
-        one["changes"] = Json::Value{Json::arrayValue};
-        for (auto const& member : it.members)
-        {
-            one["changes"].append(configuration::text_of(member));
-        }
-        out["history"].append(one);
-    }
-    if (out["history"].empty())
-    {
-        answer_failure(to, {failure_code::not_found, "no contract " + name, 0},
-                       name);
+        answer_failure(to, out.error(), name);
         return;
     }
-    answer_json(to, out, 200);
-}
-
-base::result<model::endpoint_kind> kind_from(std::string const& text)
-{
-    // Operators say instance for an entry of ours, as the brief does.
-    return model::enum_from<model::endpoint_kind>(text == "instance" ? "entry"
-                                                                     : text);
+    answer_json(to, out.value(), 200);
 }
 
 base::result<configuration::stop_change> stop_from(entry_node& self,
                                                    std::string const& body)
 {
-    BOOST_LEAF_AUTO(json, model::parse_json(body));
-    if (!json.isObject() || !json["kind"].isString() || !json["id"].isString())
-    {
-        return base::fail(failure_code::invalid,
-                          "an object with kind and id was expected");
-    }
-    configuration::stop_change out;
-    BOOST_LEAF_ASSIGN(out.kind, kind_from(json["kind"].asString()));
-    out.endpoint = json["id"].asString();
-    out.operator_name = json["operator"].asString();
-    out.at_us = self.clock.wall_us();
+    BOOST_LEAF_AUTO(out, api::stop_change_from(body, self.clock.wall_us()));
     for (auto const& it : self.view.get()->endpoints)
     {
         if (it.kind == out.kind && it.id == out.endpoint)
@@ -275,28 +212,32 @@
         }
     }
     return base::fail(failure_code::not_found,
-                      "no " + json["kind"].asString() + " " + out.endpoint);
+                      "no " + std::string{api::stop_kind_name(out.kind)} + " " +
+                          out.endpoint);
 }
 
 void announce(entry_node& self,
               httplib::Request const& request,
               httplib::Response& to)
 {
-    auto const offset = base::capture(
-        [&]() -> base::result<std::int64_t>
+    auto const announced = base::capture(
+        [&]() -> base::result<configuration::planned_stop>
         {
             BOOST_LEAF_AUTO(change, stop_from(self, request.body));
-            return append(self, change);
+            BOOST_LEAF_AUTO(offset, append(self, change));
+            return configuration::planned_stop{
+                change.kind, change.endpoint, change.operator_name,
+                offset,      change.at_us,    false};
         });
-    if (!offset)
+    if (!announced)
     {
-        answer_failure(to, offset.error(), request.path);
+        answer_failure(to, announced.error(), request.path);
         return;
     }
-    Json::Value out{Json::objectValue};
-    out["offset"] = Json::Int64{offset.value()};
-    out["state"] = "announced";
-    answer_json(to, out, 202);
+    answer_json(to,
+                api::stop_document(announced.value(),
+                                   api::stop_phase::announced, std::nullopt),
+                202);
 }
 
 void show_stop(entry_node& self,
@@ -307,7 +248,7 @@
     auto const progress = base::capture(
         [&]() -> base::result<Json::Value>
         {
-            BOOST_LEAF_AUTO(endpoint_kind, kind_from(kind));
+            BOOST_LEAF_AUTO(endpoint_kind, api::stop_kind_from(kind));
             return stop_progress(self, endpoint_kind, id);
         });
     if (!progress)
--- a/libraries/entry/job_shard_actor.cpp
+++ b/libraries/entry/job_shard_actor.cpp
@@ -183,6 +183,10 @@
         m_outboxes[it.group].waiting.reservations.push_back(
             {it.job, it.frees_at - now, it.until - now});
     }
+    for (auto const& it : todo.resizes)
+    {
+        m_outboxes[it.group].waiting.resizes.push_back(it);
+    }
     for (auto const& it : todo.outcomes)
     {
         end_job(it);
@@ -318,6 +322,8 @@
             run(m_queue->held(one.attempt, group, now));
             break;
         case order_state::started:
+            m_started_at_us.try_emplace(one.attempt.task.job,
+                                        m_node.clock.wall_us());
             run(m_queue->started(one.attempt, group, now));
             break;
         case order_state::refused:
--- a/libraries/entry/job_shard_actor.hpp
+++ b/libraries/entry/job_shard_actor.hpp
@@ -134,6 +134,8 @@
     std::map<std::string, std::int64_t> m_group_epochs;
     std::map<std::string, group_inventory> m_inventories;
     std::set<std::string> m_asked;
+    /// When this owner saw a job's first task start, for people.
+    std::map<std::string, std::int64_t> m_started_at_us;
     std::vector<waiter> m_waiters;
     std::set<std::pair<std::string, std::string>> m_keys_pending;
     std::uint64_t m_last_ticket{0};
--- a/libraries/entry/job_shard_log.cpp
+++ b/libraries/entry/job_shard_log.cpp
@@ -190,6 +190,8 @@
     }
     m_age_at = now + s_age_every;
     auto const contracts = m_node.configuration.contracts();
+    std::erase_if(m_started_at_us, [this](auto const& it)
+                  { return m_book.find(it.first) == nullptr; });
     m_book.age_out(m_node.clock.wall_us(),
                    [&](std::string const& name)
                    {
--- a/libraries/entry/job_shard_requests.cpp
+++ b/libraries/entry/job_shard_requests.cpp
@@ -115,7 +115,11 @@
     out["tasks"] = entry.request.tasks;
     out["tasks_running"] = view ? view->running : 0;
     out["tasks_done"] = static_cast<Json::Int64>(entry.done.size());
+    out["tasks_failed"] = view ? view->failed : 0;
     out["accepted_at_us"] = Json::Int64{entry.accepted_at_us};
+    auto const started = m_started_at_us.find(job);
+    out["started_at_us"] =
+        Json::Int64{started == m_started_at_us.end() ? 0 : started->second};
     out["ended_at_us"] = Json::Int64{entry.ended_at_us};
     out["reason"] = entry.detail;
     return out;
--- a/libraries/entry/membership_actor.cpp
+++ b/libraries/entry/membership_actor.cpp
@@ -24,6 +24,8 @@
 /// Digests travel when they change, and all of them every so many heartbeats,
 /// for peers that missed some.
 constexpr std::uint64_t s_all_digests_every = 10;
+/// The router takes a digest of minions for stale after 3 s.
+constexpr std::uint64_t s_same_digest_every = 4;
 
 } // namespace
 
@@ -169,6 +171,23 @@
     return out;
 }
 
+/// Whether a group's digest says something that peers have not heard. The
+/// sequence always rises and says nothing by itself, but a digest that is not
+/// repeated for long counts as stale.
+bool membership_actor::is_news(std::string const& unit,
+                               calls::group_digest const& it)
+{
+    auto& sent = m_sent_minions[unit];
+    auto same = it;
+    same.sequence = sent.sequence;
+    if (same == sent && m_beats % s_same_digest_every != 0)
+    {
+        return false;
+    }
+    sent = it;
+    return true;
+}
+
 void membership_actor::send_heartbeats()
 {
     auto message = own_heartbeat(m_node);
@@ -177,7 +196,10 @@
     for (auto const& it : m_node.digests.minions())
     {
         m_node.calls->heard(it.second);
-        message["minions"].append(to_json(it.second));
+        if (is_news(it.first, it.second))
+        {
+            message["minions"].append(to_json(it.second));
+        }
     }
     message["demand"] = to_json(m_node.calls->report());
     auto const self = caf::actor_cast<caf::actor>(this);
--- a/libraries/entry/membership_actor.hpp
+++ b/libraries/entry/membership_actor.hpp
@@ -35,12 +35,15 @@
     void publish();
     [[nodiscard]] std::set<std::string> units() const;
     [[nodiscard]] Json::Value digests_json();
+    [[nodiscard]] bool is_news(std::string const& unit,
+                               calls::group_digest const& it);
 
     entry_node& m_node;
     std::vector<model::endpoint> m_listed;
     std::map<std::string, peer> m_peers;
     std::map<std::string, worker_group_view> m_worker_groups;
     std::map<std::string, Json::Value> m_sent_digests;
+    std::map<std::string, calls::group_digest> m_sent_minions;
     std::uint64_t m_beats{0};
     bool m_fetching{false};
     configuration_keeper m_keeper;
--- a/libraries/entry/operator_api.cpp
+++ b/libraries/entry/operator_api.cpp
@@ -59,6 +59,7 @@
     out["zone"] = self.settings.zone;
     out["side"] = self.settings.side;
     out["configuration_offset"] = Json::Int64{self.configuration.offset()};
+    out["configuration_complete"] = self.configuration.state().complete();
     out["units"] = units_json(self);
     out["peers"] = peers_json(self);
     Json::Value queues{Json::objectValue};
--- a/libraries/entry/stop_progress.cpp
+++ b/libraries/entry/stop_progress.cpp
@@ -1,5 +1,6 @@
 #include <entry/stop_progress.hpp>
 
+#include <api/operator_documents.hpp>
 #include <entry/entry_node.hpp>
 #include <entry/unit.hpp>
 #include <entry/unit_client.hpp>
@@ -28,14 +29,6 @@
     return std::nullopt;
 }
 
-Json::Value progress_json(std::string const& state, std::int64_t work_left)
-{
-    Json::Value out{Json::objectValue};
-    out["state"] = state;
-    out["work_left"] = Json::Int64{work_left};
-    return out;
-}
-
 } // namespace
 
 base::result<Json::Value> stop_progress(entry_node& self,
@@ -51,11 +44,11 @@
     auto const endpoint = listed(self, kind, id);
     if (!endpoint)
     {
-        return progress_json("done", 0);
+        return api::stop_document(*announced, api::stop_phase::done, 0);
     }
     if (kind == model::endpoint_kind::entry)
     {
-        return progress_json("draining", 1);
+        return api::stop_document(*announced, api::stop_phase::draining, 1);
     }
     Json::Value message{Json::objectValue};
     message["unit"] = unit_of(*endpoint);
@@ -66,7 +59,9 @@
     BOOST_LEAF_AUTO(answer, call_unit_until(self, unit_of(*endpoint), method,
                                             message, s_limit, repeat::always));
     auto const left = answer["work_left"].asInt64();
-    return progress_json(left == 0 ? "done" : "draining", left);
+    auto const phase =
+        left == 0 ? api::stop_phase::done : api::stop_phase::draining;
+    return api::stop_document(*announced, phase, left);
 }
 
 } // namespace berylhill::entry
--- a/libraries/entry/worker_group_actor.cpp
+++ b/libraries/entry/worker_group_actor.cpp
@@ -19,6 +19,8 @@
 
 constexpr base::duration s_end_by_themselves = std::chrono::seconds{3};
 constexpr std::int32_t s_checkpoints_at_once = 4;
+/// A worker that has not answered for this many heartbeats counts as silent.
+constexpr std::int32_t s_quiet_heartbeats = 5;
 constexpr auto s_tick = std::chrono::milliseconds{100};
 
 std::string zone_of(std::string const& unit)
@@ -207,9 +209,8 @@
 /// worker has stopped them whether or not it can be reached.
 void worker_group_actor::look_for_lapses(base::instant now)
 {
-    auto const quiet =
-        2 * base::from_seconds(m_node.settings.workers.heartbeat_s) +
-        base::from_seconds(m_node.settings.workers.timeout_s);
+    auto const quiet = s_quiet_heartbeats *
+                       base::from_seconds(m_node.settings.workers.heartbeat_s);
     for (auto& it : m_workers)
     {
         auto const answered = it.second.lease.answered_at();
--- a/libraries/entry/worker_group_actor.hpp
+++ b/libraries/entry/worker_group_actor.hpp
@@ -79,6 +79,7 @@
 
     // Exchanges with workers (worker_group_exchange.cpp).
     void exchange_due(base::instant now);
+    [[nodiscard]] bool runs_anything(std::string const& worker) const;
     void exchange(std::string const& worker, worker_state& it);
     void take_answer(exchange_ended const& it);
     void take_finished(std::string const& worker,
--- a/libraries/entry/worker_group_exchange.cpp
+++ b/libraries/entry/worker_group_exchange.cpp
@@ -17,6 +17,9 @@
 namespace
 {
 
+/// A worker without tasks has no lease to renew; it is asked this many
+/// heartbeats apart, which a lease outlasts.
+constexpr std::int32_t s_idle_heartbeats = 3;
 constexpr base::duration s_report_limit = std::chrono::seconds{3};
 constexpr base::duration s_report_pause = std::chrono::milliseconds{500};
 
@@ -54,7 +57,8 @@
     }
     auto const now = m_node.clock.now();
     it.exchanging = true;
-    it.due = now + base::from_seconds(m_node.settings.workers.heartbeat_s);
+    it.due = now + base::from_seconds(m_node.settings.workers.heartbeat_s) *
+                       (runs_anything(worker) ? 1 : s_idle_heartbeats);
     auto const until = it.lease.renew_until();
     auto const request = std::make_shared<platform::worker_request const>(
         it.outbox.request(m_epoch, until));
@@ -87,6 +91,13 @@
         });
 }
 
+bool worker_group_actor::runs_anything(std::string const& worker) const
+{
+    return std::any_of(m_attempts.begin(), m_attempts.end(),
+                       [&](auto const& it)
+                       { return it.second.worker == worker; });
+}
+
 void worker_group_actor::take_answer(exchange_ended const& it)
 {
     auto const found = m_workers.find(it.worker);
--- a/libraries/placement/job_queue.cpp
+++ b/libraries/placement/job_queue.cpp
@@ -341,6 +341,8 @@
         view.waiting += task.phase == task_phase::waiting ? 1 : 0;
         view.running += task.phase == task_phase::running ? 1 : 0;
         view.done += task.phase == task_phase::done ? 1 : 0;
+        view.failed +=
+            task.failures > 0 && task.phase != task_phase::done ? 1 : 0;
     }
     return view;
 }
--- a/libraries/placement/job_queue.hpp
+++ b/libraries/placement/job_queue.hpp
@@ -44,6 +44,8 @@
     std::int32_t waiting{0};
     std::int32_t running{0};
     std::int32_t done{0};
+    /// Tasks that failed at least once and are not done.
+    std::int32_t failed{0};
 };
 
 /// The state of a job owner: the jobs of some contracts, which of their tasks
--- a/libraries/scenario/api_client.cpp
+++ b/libraries/scenario/api_client.cpp
@@ -257,6 +257,7 @@
     body["based_on"] = Json::Int64{based_on};
     body["operator"] = who;
     body["contracts"] = contracts;
+    body["remove"] = Json::Value{Json::arrayValue};
     std::string entry;
     BOOST_LEAF_AUTO(
         reply, send(post("/v1/contracts/apply", body), s_apply_timeout, entry));
