--- a/libraries/entry/entry.cpp
+++ b/libraries/entry/entry.cpp
@@ -104,7 +104,7 @@
     [[nodiscard]] base::result<base::done> bind(std::string const& address)
     {
         BOOST_LEAF_AUTO(at, parse(address));
-        if (!m_server.bind_to_port(at.host.c_str(), at.port))
+        if (!m_server.bind_to_port(at.host, at.port))
         {
             return base::fail(base::failure_code::unavailable,
                               "cannot listen at " + address);
--- a/libraries/entry/minion_call.cpp
+++ b/libraries/entry/minion_call.cpp
@@ -18,6 +18,8 @@
 
 using base::failure_code;
 
+constexpr double s_least_weight = 0.001;
+
 /// What the request asks for, as it came from the calling entry.
 struct asked
 {
@@ -32,7 +34,10 @@
     out.unit = it["unit"].asString();
     out.call.request_id = it["request_id"].asString();
     out.call.contract = it["contract"].asString();
-    out.call.weight = it["weight"].asDouble();
+    // The queue divides by it. A contract that came into the log past the
+    // checks of its interface must not end the process that owns the group.
+    auto const weight = it["weight"].asDouble();
+    out.call.weight = weight > 0 ? weight : s_least_weight;
     out.call.deadline =
         self.clock.now() + base::duration{it["deadline_us"].asInt64()};
     BOOST_LEAF_ASSIGN(out.call.safety,
--- a/libraries/model/json.hpp
+++ b/libraries/model/json.hpp
@@ -4,6 +4,7 @@
 #include <model/contract.hpp>
 #include <model/endpoint.hpp>
 #include <model/job.hpp>
+#include <model/names.hpp>
 
 #include <json/value.h>
 
@@ -15,20 +16,6 @@
 namespace berylhill::model
 {
 
-[[nodiscard]] std::string_view name_of(job_kind it) noexcept;
-[[nodiscard]] std::string_view name_of(urgency it) noexcept;
-[[nodiscard]] std::string_view name_of(rerun it) noexcept;
-[[nodiscard]] std::string_view name_of(task_end it) noexcept;
-[[nodiscard]] std::string_view name_of(job_state it) noexcept;
-[[nodiscard]] std::string_view name_of(endpoint_kind it) noexcept;
-[[nodiscard]] std::string_view name_of(listed_state it) noexcept;
-[[nodiscard]] std::string_view name_of(preemption it) noexcept;
-[[nodiscard]] std::string_view name_of(preference it) noexcept;
-
-/// The enumerator with this name, for every enum above; fails with `invalid`.
-template <class Enum>
-[[nodiscard]] base::result<Enum> enum_from(std::string_view name);
-
 [[nodiscard]] Json::Value to_json(resources const& it);
 [[nodiscard]] Json::Value to_json(contract const& it);
 [[nodiscard]] Json::Value to_json(job_request const& it);
--- a/libraries/rpc/server.cpp
+++ b/libraries/rpc/server.cpp
@@ -114,9 +114,17 @@
         {
             break;
         }
-        auto const response = m_protocol.handle(request.value());
+        // The library throws for a request nested too deep, and an exception
+        // that leaves a thread ends the process.
+        auto const response =
+            base::capture([&]() -> base::result<std::string>
+                          { return m_protocol.handle(request.value()); });
+        if (!response)
+        {
+            break;
+        }
         auto const written = base::capture(
-            [&] { return it.socket.write(response, s_write_limit); });
+            [&] { return it.socket.write(response.value(), s_write_limit); });
         if (!written)
         {
             break;
--- a/libraries/scenario/cell.cpp
+++ b/libraries/scenario/cell.cpp
@@ -231,7 +231,7 @@
 base::result<base::done> cell::announce_stop(entry_address const& it)
 {
     Json::Value body;
-    body["kind"] = "entry";
+    body["kind"] = "instance";
     body["id"] = it.name;
     body["operator"] = "scenario";
     platform::http_request const request{
--- a/tests/rpc/channel_test.cpp
+++ b/tests/rpc/channel_test.cpp
@@ -128,4 +128,29 @@
     BOOST_CHECK(it.error().code == base::failure_code::outcome_unknown);
 }
 
+// Somebody sends an entry a frame of brackets. The JSON library throws where
+// they nest too deep; the exception left the connection's thread, and the whole
+// entry ended with all that it owned.
+BOOST_AUTO_TEST_CASE(a_frame_nested_too_deep_costs_its_connection_only)
+{
+    rpc::server server;
+    auto const address = started(server);
+    auto socket = base::capture(
+        [&] { return rpc::frame_socket::connect(address, s_patience); });
+    BOOST_REQUIRE(socket.has_value());
+    auto const sent = base::capture(
+        [&] {
+            return socket.value().write(std::string(100'000, '['), s_patience);
+        });
+    BOOST_REQUIRE(sent.has_value());
+    auto const answer =
+        base::capture([&] { return socket.value().read(s_patience); });
+    static_cast<void>(answer);
+    rpc::channel_pool pool;
+    Json::Value const none{Json::objectValue};
+    auto const it = base::capture(
+        [&] { return pool.call(address, "echo", none, s_patience); });
+    BOOST_CHECK(it.has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
