entry: Leave new plans of running tasks out of the orders

Running tasks had been planned anew, smaller, since the entry carries such plans, and the freed room was filled. Ruled out: a takeover (the rack's owner lasted through the run) and the ledger's own account (its assertion on the sum held). Conclusion: a worker has to be told of a new plan before its room is used.

--- a/libraries/entry/group_outbox.hpp
+++ b/libraries/entry/group_outbox.hpp
@@ -19,8 +19,7 @@
     [[nodiscard]] bool empty() const noexcept
     {
         return waiting.holds.empty() && waiting.commits.empty() &&
-               waiting.releases.empty() && waiting.reservations.empty() &&
-               waiting.resizes.empty();
+               waiting.releases.empty() && waiting.reservations.empty();
     }
 };
 
--- a/libraries/entry/job_shard_actor.cpp
+++ b/libraries/entry/job_shard_actor.cpp
@@ -183,10 +183,9 @@
         m_outboxes[it.group].waiting.reservations.push_back(
             {it.job, it.frees_at - now, it.until - now});
     }
-    for (auto const& it : todo.resizes)
-    {
-        m_outboxes[it.group].waiting.resizes.push_back(it);
-    }
+    // NOTE: New plans of running tasks are not carried. A worker was told the
+    // old plan with the start; room that a smaller one frees would be filled
+    // beyond what the worker holds by all that it was told.
     for (auto const& it : todo.outcomes)
     {
         end_job(it);
--- a/libraries/entry/orders.cpp
+++ b/libraries/entry/orders.cpp
@@ -119,13 +119,6 @@
     }
     out["commits"] = attempts_to_json(it.commits);
     out["releases"] = attempts_to_json(it.releases);
-    out["resizes"] = empty_array();
-    for (auto const& order : it.resizes)
-    {
-        auto one = to_json(order.attempt);
-        one["need"] = to_json(order.need);
-        out["resizes"].append(one);
-    }
     out["reservations"] = empty_array();
     for (auto const& span : it.reservations)
     {
@@ -153,12 +146,6 @@
     }
     BOOST_LEAF_ASSIGN(out.commits, attempts_from(it["commits"]));
     BOOST_LEAF_ASSIGN(out.releases, attempts_from(it["releases"]));
-    for (auto const& order : it["resizes"])
-    {
-        BOOST_LEAF_AUTO(attempt, model::attempt_id_from(order));
-        BOOST_LEAF_AUTO(need, model::resources_from(order["need"]));
-        out.resizes.push_back({out.unit, attempt, need});
-    }
     for (auto const& span : it["reservations"])
     {
         out.reservations.push_back(
--- a/libraries/entry/orders.hpp
+++ b/libraries/entry/orders.hpp
@@ -44,8 +44,6 @@
     std::vector<model::attempt_id> commits;
     std::vector<model::attempt_id> releases;
     std::vector<reserve_span> reservations;
-    /// New plans of running attempts.
-    std::vector<placement::resize_order> resizes;
 };
 
 /// What became of one hold or commit.
--- a/libraries/entry/worker_group_orders.cpp
+++ b/libraries/entry/worker_group_orders.cpp
@@ -71,10 +71,6 @@
     {
         m_ledger.reserve(span.job, now + span.frees_in, now + span.lasts, now);
     }
-    for (auto const& order : it.orders.resizes)
-    {
-        m_ledger.resize(order.attempt, order.need);
-    }
     group_answers out;
     out.epoch = m_epoch;
     for (auto const& order : it.orders.holds)
