entry: Forget a group whose owner cannot be reached

The last digest of the dead owner says that its group is idle, so the router chose it before all others, and the refused connection did not make the dispatcher forget it. Ruled out: the queue of the other groups, which answered other calls at the same time.

--- a/libraries/entry/call_board.cpp
+++ b/libraries/entry/call_board.cpp
@@ -27,9 +27,10 @@
     {
         return calls::attempt_end::owner_moved;
     }
-    return it.code == failure_code::unavailable
-               ? calls::attempt_end::not_sent
-               : calls::attempt_end::owner_lost;
+    auto const surely_not_sent = it.code == failure_code::unavailable ||
+                                 it.code == failure_code::refused;
+    return surely_not_sent ? calls::attempt_end::not_sent
+                           : calls::attempt_end::owner_lost;
 }
 
 calls::attempt_report
@@ -162,7 +163,7 @@
         {
             if (left <= base::duration::zero())
             {
-                return base::fail(failure_code::unavailable,
+                return base::fail(failure_code::refused,
                                   "no time left before the deadline");
             }
             BOOST_LEAF_AUTO(value,
@@ -198,8 +199,11 @@
         waiter->second->outcomes.insert_or_assign(it.attempt.request_id,
                                                   answer.value());
     }
-    if (!answer && end_of(answer.error()) != calls::attempt_end::not_sent)
+    if (!answer && answer.error().code != failure_code::refused)
     {
+        // A dead owner's last digest says that its group is idle, so it would
+        // be chosen before all others until the call's deadline. The group is
+        // known again by its next owner's digest.
         m_dispatcher.forget(it.to.group);
     }
     perform(m_dispatcher.attempt_ended(report_of(it.attempt.request_id, answer),
