--- a/libraries/base/log.cpp
+++ b/libraries/base/log.cpp
@@ -1,5 +1,7 @@
 #include <base/log.hpp>
 
+#include <base/log_appender.hpp>
+
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
@@ -104,10 +106,17 @@
 }
 
 void start_log(std::string_view instance, log_level least)
+{
+    start_log_to(log4cplus::SharedAppenderPtr{new log4cplus::ConsoleAppender{
+                     true, true}},
+                 instance, least);
+}
+
+void start_log_to(log4cplus::SharedAppenderPtr const& appender,
+                  std::string_view instance,
+                  log_level least)
 {
     static log4cplus::Initializer s_library;
-    auto appender = log4cplus::SharedAppenderPtr{
-        new log4cplus::ConsoleAppender{true, true}};
     auto const pattern =
         "time=%D{%Y-%m-%dT%H:%M:%S.%qZ} level=%p instance=" + quoted(instance) +
         " %m%n";
--- /dev/null
+++ b/libraries/cell/adapter.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <cell/advice_link.hpp>
+#include <cell/documents.hpp>
+#include <cell/instance_link.hpp>
+#include <cell/job_protocol.hpp>
+#include <cell/keyed_log.hpp>
+#include <network/http_client.hpp>
+#include <settings/cell_settings.hpp>
+
+#include <functional>
+#include <memory>
+
+namespace berylhill::cell
+{
+
+/// All that a process of the cell asks of the platform below it.
+struct adapter
+{
+    /// The cell's own records.
+    std::unique_ptr<keyed_log> cell;
+    /// What the operator writes.
+    std::unique_ptr<keyed_log> operators;
+    /// What the instances write of themselves.
+    std::unique_ptr<keyed_log> instances;
+    std::unique_ptr<instance_link> orders;
+    std::unique_ptr<advice_link> advice;
+    std::unique_ptr<documents> reader;
+    std::unique_ptr<job_protocol> jobs;
+};
+
+using adapter_maker = std::function<adapter(network::http_client&,
+                                            settings::cell_settings const&)>;
+
+} // namespace berylhill::cell
--- /dev/null
+++ b/libraries/cell/call_router.hpp
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <base/time.hpp>
+#include <cell/job_call.hpp>
+#include <cell/ownership.hpp>
+#include <cell/peer_client.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+
+namespace berylhill::cell
+{
+
+/// Brings each call of a client to the owner, wherever that is, and goes on
+/// to the next owner when one is lost meanwhile: the calls may arrive twice.
+/// Lives on the event loop.
+class call_router
+{
+public:
+    /// The owner of this process; null while it does not own.
+    using local_function =
+        std::function<bool(job_call const&, job_answer_handler const&)>;
+
+    call_router(boost::asio::io_context& loop,
+                base::clock const& clock,
+                peer_client& peers,
+                ownership const& owner,
+                local_function local);
+
+    /// `done` is called once, before the client's patience is over.
+    void call(job_call it, job_answer_handler done);
+
+    /// Calls that wait for an owner or its answer.
+    [[nodiscard]] std::size_t under_way() const noexcept
+    {
+        return m_under_way;
+    }
+
+private:
+    struct trip;
+    using trip_pointer = std::shared_ptr<trip>;
+
+    void go(trip_pointer const& it);
+    void returned(trip_pointer const& it, peer_result<job_answer> const& end);
+    void retry(trip_pointer const& it);
+    void finish(trip_pointer const& it, job_answer const& answer);
+
+    boost::asio::io_context& m_loop;
+    base::clock const& m_clock;
+    peer_client& m_peers;
+    ownership const& m_owner;
+    local_function m_local;
+    std::size_t m_under_way{0};
+};
+
+} // namespace berylhill::cell
--- /dev/null
+++ b/libraries/cell/cell_owner.hpp
@@ -0,0 +1,146 @@
+#pragma once
+
+#include <cell/advice_desk.hpp>
+#include <cell/documents.hpp>
+#include <cell/instance_link.hpp>
+#include <cell/job_call.hpp>
+#include <cell/log_follower.hpp>
+#include <cell/sure_append.hpp>
+#include <scheduler/scheduler.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace berylhill::cell
+{
+
+/// What an owner works with; all outlive it.
+struct owner_parts
+{
+    boost::asio::io_context* loop{nullptr};
+    base::clock const* clock{nullptr};
+    keyed_log* cell{nullptr};
+    keyed_log* instances{nullptr};
+    instance_link* orders{nullptr};
+    advice_desk* advice{nullptr};
+    documents const* reader{nullptr};
+    scheduler::decision_log* log{nullptr};
+    store_latency* latency{nullptr};
+};
+
+/// The owner's part of a process, from its claim until it loses or gives up
+/// its right: joins the decisions to the store and the instances. Lives on
+/// the event loop.
+class cell_owner
+{
+public:
+    /// Called at most once, when another owner has been seen.
+    using deposed_handler = std::function<void(char const* why)>;
+
+    /// `token` is the claim's; `next` the offset that follows it; `records`
+    /// the newest ones before the claim.
+    cell_owner(owner_parts parts,
+               scheduler::policy rules,
+               workload::cell_configuration const& configuration,
+               std::map<std::string, std::string> const& records,
+               std::uint64_t token,
+               std::uint64_t next,
+               deposed_handler deposed);
+    cell_owner(cell_owner const&) = delete;
+    cell_owner& operator=(cell_owner const&) = delete;
+
+    /// Callers that wait are answered.
+    ~cell_owner();
+
+    void set_configuration(workload::cell_configuration const& it);
+
+    /// `done` is called once, from within or later.
+    void call(job_call const& it, job_answer_handler done);
+
+    /// Gives the right up: nothing new is decided; `done` is called when what
+    /// is being stored is stored, or `limit` later.
+    void release(base::duration limit, std::function<void()> done);
+
+    [[nodiscard]] std::uint64_t token() const noexcept
+    {
+        return m_token;
+    }
+
+    /// How long the store has not taken what should be stored.
+    [[nodiscard]] base::duration store_stuck() const
+    {
+        return m_append.stuck_for();
+    }
+
+    [[nodiscard]] scheduler::scheduler const& decisions() const noexcept
+    {
+        return m_decisions;
+    }
+
+private:
+    /// A client that waits for a batch.
+    struct waiter
+    {
+        job_answer_handler done;
+        base::instant until;
+        /// What it is told when the batch is stored.
+        job_answer answer;
+    };
+
+    struct hold_loop
+    {
+        bool asking{false};
+        bool after_batch{false};
+        base::instant next{};
+    };
+
+    void submit(job_call const& it, job_answer_handler done);
+    void cancel(job_call const& it, job_answer_handler done);
+    void wait_for_batch(job_answer answer,
+                        base::duration patience,
+                        job_answer_handler done);
+    [[nodiscard]] bool refuses() const;
+    void soon();
+    void work();
+    void commit();
+    void stored(std::size_t records);
+    void carry_out(std::vector<scheduler::order> const& orders);
+    void send(scheduler::start_order const& it);
+    void send(scheduler::stop_order const& it);
+    void send(scheduler::advice_order const& it);
+    void hold_all();
+    void hold(std::string const& id, hold_loop& loop);
+    void held(std::string const& id, hold_result it, base::instant sent_at);
+    [[nodiscard]] order_target target(std::string const& id) const;
+    void instance_changed(std::string const& key, std::string const& value);
+    void every_tick();
+    void expire(std::vector<waiter>& among);
+    void deposed(char const* why);
+
+    owner_parts m_parts;
+    scheduler::scheduler m_decisions;
+    std::uint64_t m_token;
+    std::uint64_t m_next;
+    deposed_handler m_deposed;
+    sure_append m_append;
+    log_follower m_instances;
+    boost::asio::steady_timer m_tick;
+    std::shared_ptr<bool> m_alive{std::make_shared<bool>(true)};
+    std::map<std::string, hold_loop> m_holds;
+    std::vector<waiter> m_waiting;
+    std::vector<waiter> m_in_flight;
+    std::function<void()> m_released;
+    base::instant m_release_by{};
+    bool m_scheduled{false};
+    bool m_releasing{false};
+    bool m_lost{false};
+};
+
+} // namespace berylhill::cell
--- /dev/null
+++ b/libraries/cell/instance_link.hpp
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <base/time.hpp>
+#include <network/socket_address.hpp>
+#include <scheduler/orders.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace berylhill::cell
+{
+
+/// Whom an order goes to, and under whose right. A value.
+struct order_target
+{
+    network::socket_address address;
+    /// The life of the instance that is meant.
+    std::string instance;
+    /// The owner's token; instances refuse lower ones than they have seen.
+    std::uint64_t token{0};
+
+    friend bool operator==(order_target const&, order_target const&) = default;
+};
+
+struct start_result
+{
+    scheduler::start_answer answer{scheduler::start_answer::unanswered};
+    /// The instance's clock in milliseconds; 0 where it was not told.
+    std::int64_t clock_ms{0};
+};
+
+enum class order_end : std::uint8_t
+{
+    done,
+    fenced,
+    other_incarnation,
+    refused,
+    unanswered,
+};
+
+struct hold_result
+{
+    order_end end{order_end::unanswered};
+    /// Without the times, which the caller knows.
+    scheduler::hold_report report;
+};
+
+using start_handler = std::function<void(start_result const&)>;
+using order_handler = std::function<void(order_end)>;
+using hold_handler = std::function<void(hold_result)>;
+
+/// Orders to the instances that run tasks. Handlers are called once each, on
+/// the event loop, `timeout` after the call at the latest.
+class instance_link
+{
+public:
+    instance_link() = default;
+    instance_link(instance_link const&) = delete;
+    instance_link& operator=(instance_link const&) = delete;
+    virtual ~instance_link() = default;
+
+    virtual void start(order_target const& to,
+                       scheduler::start_order const& it,
+                       base::duration timeout,
+                       start_handler handler) = 0;
+    virtual void stop(order_target const& to,
+                      scheduler::attempt_name const& it,
+                      base::duration timeout,
+                      order_handler handler) = 0;
+    virtual void hold(order_target const& to,
+                      scheduler::hold_order const& it,
+                      base::duration timeout,
+                      hold_handler handler) = 0;
+};
+
+} // namespace berylhill::cell
--- /dev/null
+++ b/libraries/cell/job_call.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <base/time.hpp>
+#include <scheduler/job.hpp>
+#include <workload/job_spec.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace berylhill::cell
+{
+
+enum class job_call_kind : std::uint8_t
+{
+    submit,
+    status,
+    cancel,
+    pending,
+};
+
+/// What a client asks about jobs. A value.
+struct job_call
+{
+    job_call_kind kind{job_call_kind::status};
+    std::string queue;
+    workload::job_id job;
+    /// Of a submission.
+    workload::job_spec spec;
+    /// How long the client waits for the answer.
+    base::duration patience{0};
+
+    friend bool operator==(job_call const&, job_call const&) = default;
+};
+
+enum class job_answer_kind : std::uint8_t
+{
+    /// Stored; or, of a cancellation, in force.
+    accepted,
+    /// The job's phase follows.
+    phase,
+    /// A number of jobs follows.
+    pending,
+    /// No such job exists.
+    unknown_job,
+    /// Not accepted, and never will be; the client may come back.
+    refused,
+    /// Whether it was accepted is not known.
+    outcome_unknown,
+};
+
+/// What a client is told. A value.
+struct job_answer
+{
+    job_answer_kind kind{job_answer_kind::refused};
+    scheduler::job_phase phase{scheduler::job_phase::queued};
+    std::size_t pending{0};
+    /// Of a refusal: when it is worth coming back.
+    base::duration retry_after{0};
+
+    friend bool operator==(job_answer const&, job_answer const&) = default;
+};
+
+using job_answer_handler = std::function<void(job_answer const&)>;
+
+} // namespace berylhill::cell
--- /dev/null
+++ b/libraries/cell/keyed_log.hpp
@@ -0,0 +1,111 @@
+#pragma once
+
+#include <base/time.hpp>
+#include <scheduler/record.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace berylhill::cell
+{
+
+/// A record of a keyed log with its offset; an empty value drops the key.
+struct log_entry
+{
+    std::uint64_t offset{0};
+    std::string key;
+    std::string value;
+
+    friend bool operator==(log_entry const&, log_entry const&) = default;
+};
+
+enum class append_end : std::uint8_t
+{
+    stored,
+    /// The log does not end where the caller said.
+    conflict,
+    /// The store says that nothing was done.
+    refused,
+    /// The store is full.
+    full,
+    /// It may be stored, now or later.
+    unanswered,
+};
+
+struct append_result
+{
+    append_end end{append_end::unanswered};
+    /// Of the first record, where it is stored.
+    std::uint64_t offset{0};
+    /// Where the log ends, where that is known.
+    std::uint64_t log_end{0};
+
+    friend bool operator==(append_result const&,
+                           append_result const&) = default;
+};
+
+enum class read_end : std::uint8_t
+{
+    read,
+    /// Records from there on have been deleted.
+    trimmed,
+    failed,
+};
+
+struct read_result
+{
+    read_end end{read_end::failed};
+    std::uint64_t log_end{0};
+    std::vector<log_entry> entries;
+
+    friend bool operator==(read_result const&, read_result const&) = default;
+};
+
+struct newest_result
+{
+    bool answered{false};
+    std::uint64_t log_end{0};
+    /// More follow after the last key.
+    bool truncated{false};
+    std::vector<log_entry> entries;
+
+    friend bool operator==(newest_result const&,
+                           newest_result const&) = default;
+};
+
+using append_handler = std::function<void(append_result const&)>;
+using read_handler = std::function<void(read_result)>;
+using newest_handler = std::function<void(newest_result)>;
+
+/// One log of the platform's store that keeps the newest record of each key.
+/// Handlers are called once each, on the event loop, `timeout` after the call
+/// at the latest and never from within it.
+class keyed_log
+{
+public:
+    keyed_log() = default;
+    keyed_log(keyed_log const&) = delete;
+    keyed_log& operator=(keyed_log const&) = delete;
+    virtual ~keyed_log() = default;
+
+    /// Appends all records or none, only where the log ends at `at`.
+    virtual void append(std::uint64_t at,
+                        std::vector<scheduler::record> const& records,
+                        base::duration timeout,
+                        append_handler handler) = 0;
+
+    /// Reads from an offset on; waits up to `wait` for a first record.
+    virtual void read(std::uint64_t from,
+                      base::duration wait,
+                      base::duration timeout,
+                      read_handler handler) = 0;
+
+    /// The newest record of each key after `after`; a part of them.
+    virtual void newest(std::string const& after,
+                        base::duration timeout,
+                        newest_handler handler) = 0;
+};
+
+} // namespace berylhill::cell
--- /dev/null
+++ b/libraries/cell/log_follower.cpp
@@ -0,0 +1,248 @@
+#include <cell/log_follower.hpp>
+
+#include <base/log.hpp>
+
+#include <utility>
+
+namespace berylhill::cell
+{
+
+namespace
+{
+
+/// Until a page of the newest records is given up. A page holds up to 1 MB.
+constexpr auto page_timeout = std::chrono::milliseconds{1'000};
+
+} // namespace
+
+log_follower::log_follower(boost::asio::io_context& loop,
+                           base::clock const& clock,
+                           keyed_log& log,
+                           std::string name,
+                           follow_pace pace)
+    : m_loop{loop}
+    , m_clock{clock}
+    , m_log{log}
+    , m_name{std::move(name)}
+    , m_pace{pace}
+    , m_timer{loop}
+{
+}
+
+log_follower::~log_follower()
+{
+    ++*m_generation;
+}
+
+void log_follower::start()
+{
+    ++*m_generation;
+    m_timer.cancel();
+    m_running = true;
+    m_ready = false;
+    m_first_page = true;
+    m_pages.clear();
+    read_newest({});
+}
+
+void log_follower::stop()
+{
+    ++*m_generation;
+    m_timer.cancel();
+    m_running = false;
+    m_ready = false;
+    m_known.clear();
+    m_pages.clear();
+    m_catching_up = nullptr;
+}
+
+void log_follower::catch_up(std::function<void(bool)> done)
+{
+    if (!m_running || !m_ready)
+    {
+        done(false);
+        return;
+    }
+    ++*m_generation;
+    m_timer.cancel();
+    m_catching_up = std::move(done);
+    read_tail(base::duration{0});
+}
+
+void log_follower::read_newest(std::string const& after)
+{
+    m_log.newest(
+        after, page_timeout,
+        [this, alive = m_generation, mine = *m_generation](newest_result it)
+        {
+            if (*alive == mine)
+            {
+                newest_read(std::move(it));
+            }
+        });
+}
+
+void log_follower::newest_read(newest_result it)
+{
+    if (!it.answered)
+    {
+        failed("newest");
+        after(m_pace.retry, [this] { start(); });
+        return;
+    }
+    if (m_first_page)
+    {
+        // Pages are read one after the other while the log grows; what comes
+        // meanwhile is read again from here.
+        m_first_page = false;
+        m_pages_from = it.log_end;
+    }
+    auto const last =
+        it.entries.empty() ? std::string{} : it.entries.back().key;
+    for (auto& entry : it.entries)
+    {
+        auto key = entry.key;
+        m_pages.insert_or_assign(std::move(key), std::move(entry));
+    }
+    if (it.truncated && !last.empty())
+    {
+        read_newest(last);
+        return;
+    }
+    finish_newest();
+}
+
+void log_follower::finish_newest()
+{
+    auto const gone = std::exchange(m_known, {});
+    for (auto const& key : gone)
+    {
+        if (!m_pages.contains(key) && m_on_change)
+        {
+            m_on_change(key, {});
+        }
+    }
+    for (auto const& [key, entry] : std::exchange(m_pages, {}))
+    {
+        apply(entry);
+    }
+    m_next = m_pages_from;
+    m_ready = true;
+    succeeded();
+    read_tail(base::duration{0});
+}
+
+void log_follower::read_tail(base::duration wait)
+{
+    m_log.read(
+        m_next, wait, wait + m_pace.slack,
+        [this, alive = m_generation, mine = *m_generation](read_result it)
+        {
+            if (*alive == mine)
+            {
+                tail_read(std::move(it));
+            }
+        });
+}
+
+void log_follower::tail_read(read_result it)
+{
+    auto const done = std::exchange(m_catching_up, nullptr);
+    if (it.end == read_end::trimmed)
+    {
+        base::log(base::log_level::info, "log_trimmed",
+                  {{"log", m_name}, {"next", m_next}});
+        start();
+        if (done)
+        {
+            done(false);
+        }
+        return;
+    }
+    if (it.end == read_end::failed)
+    {
+        failed("read");
+        after(m_pace.retry, [this] { read_tail(m_pace.wait); });
+        if (done)
+        {
+            done(false);
+        }
+        return;
+    }
+    for (auto const& entry : it.entries)
+    {
+        if (entry.offset >= m_next)
+        {
+            apply(entry);
+            m_next = entry.offset + 1;
+        }
+    }
+    auto const behind = m_next < it.log_end;
+    auto const generation = *m_generation;
+    succeeded();
+    if (*m_generation == generation && m_running)
+    {
+        auto const wait = behind ? base::duration{0} : m_pace.wait;
+        auto const pause = behind ? base::duration{0} : m_pace.pause;
+        after(pause, [this, wait] { read_tail(wait); });
+    }
+    if (done)
+    {
+        done(!behind);
+    }
+}
+
+void log_follower::after(base::duration pause, std::function<void()> what)
+{
+    m_timer.expires_after(pause);
+    m_timer.async_wait(
+        [alive = m_generation, mine = *m_generation,
+         what = std::move(what)](auto ec)
+        {
+            if (!ec && *alive == mine)
+            {
+                what();
+            }
+        });
+}
+
+void log_follower::failed(char const* what)
+{
+    if (!std::exchange(m_lost, true))
+    {
+        base::log(base::log_level::warning, "log_lost",
+                  {{"log", m_name}, {"call", what}, {"next", m_next}});
+    }
+}
+
+void log_follower::succeeded()
+{
+    m_last_read = m_clock.now();
+    if (std::exchange(m_lost, false))
+    {
+        base::log(base::log_level::info, "log_regained",
+                  {{"log", m_name}, {"next", m_next}});
+    }
+    if (m_on_caught_up)
+    {
+        m_on_caught_up();
+    }
+}
+
+void log_follower::apply(log_entry const& it)
+{
+    if (it.value.empty())
+    {
+        m_known.erase(it.key);
+    }
+    else
+    {
+        m_known.insert(it.key);
+    }
+    if (m_on_change)
+    {
+        m_on_change(it.key, it.value);
+    }
+}
+
+} // namespace berylhill::cell
--- /dev/null
+++ b/libraries/cell/log_follower.hpp
@@ -0,0 +1,129 @@
+#pragma once
+
+#include <base/time.hpp>
+#include <cell/keyed_log.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace berylhill::cell
+{
+
+/// How a log is followed. A value.
+struct follow_pace
+{
+    /// How long a read waits at the store for a record.
+    base::duration wait{std::chrono::milliseconds{1'000}};
+    /// Between the end of a read and the next.
+    base::duration pause{std::chrono::milliseconds{50}};
+    /// Added to `wait` before a read is given up.
+    base::duration slack{std::chrono::milliseconds{400}};
+    /// After a failed read.
+    base::duration retry{std::chrono::milliseconds{150}};
+};
+
+/// Keeps up with the newest record of each key of a log: reads them all once,
+/// then what is appended; begins anew when the store has dropped what it
+/// needs. Lives on the event loop.
+class log_follower
+{
+public:
+    /// One change: the key and its new value, empty where it was dropped.
+    using change_handler =
+        std::function<void(std::string const& key, std::string const& value)>;
+    /// Told after each successful read, when its changes are through.
+    using caught_up_handler = std::function<void()>;
+
+    log_follower(boost::asio::io_context& loop,
+                 base::clock const& clock,
+                 keyed_log& log,
+                 std::string name,
+                 follow_pace pace);
+    log_follower(log_follower const&) = delete;
+    log_follower& operator=(log_follower const&) = delete;
+    ~log_follower();
+
+    void on_change(change_handler it)
+    {
+        m_on_change = std::move(it);
+    }
+
+    void on_caught_up(caught_up_handler it)
+    {
+        m_on_caught_up = std::move(it);
+    }
+
+    /// Begins, or begins anew from the newest records.
+    void start();
+
+    /// Forgets that it was following; pending reads are ignored.
+    void stop();
+
+    /// Reads without waiting at the store, then calls `done` with whether the
+    /// read succeeded; the usual reads go on afterwards.
+    void catch_up(std::function<void(bool)> done);
+
+    /// All records were read at least once since `start`.
+    [[nodiscard]] bool ready() const noexcept
+    {
+        return m_ready;
+    }
+
+    /// The offset that follows the last record read.
+    [[nodiscard]] std::uint64_t next_offset() const noexcept
+    {
+        return m_next;
+    }
+
+    /// When the store last answered.
+    [[nodiscard]] base::instant last_read() const noexcept
+    {
+        return m_last_read;
+    }
+
+private:
+    void read_newest(std::string const& after);
+    void newest_read(newest_result it);
+    void finish_newest();
+    void read_tail(base::duration wait);
+    void tail_read(read_result it);
+    void after(base::duration pause, std::function<void()> what);
+    void failed(char const* what);
+    void succeeded();
+    void apply(log_entry const& it);
+
+    boost::asio::io_context& m_loop;
+    base::clock const& m_clock;
+    keyed_log& m_log;
+    std::string m_name;
+    follow_pace m_pace;
+    boost::asio::steady_timer m_timer;
+    change_handler m_on_change;
+    caught_up_handler m_on_caught_up;
+    std::function<void(bool)> m_catching_up;
+    /// Bumped by `start`, `stop` and `catch_up`: answers to earlier reads are
+    /// ignored.
+    std::shared_ptr<std::uint64_t> m_generation{
+        std::make_shared<std::uint64_t>(0)};
+    std::uint64_t m_next{0};
+    bool m_running{false};
+    bool m_ready{false};
+    bool m_lost{false};
+    base::instant m_last_read{};
+    /// While all records are read: those seen so far, and where the log ended
+    /// before.
+    std::map<std::string, log_entry> m_pages;
+    std::uint64_t m_pages_from{0};
+    bool m_first_page{true};
+    /// Keys told to the owner and not dropped since.
+    std::set<std::string> m_known;
+};
+
+} // namespace berylhill::cell
--- /dev/null
+++ b/libraries/cell/node.cpp
@@ -0,0 +1,457 @@
+#include <cell/node.hpp>
+
+#include <base/buffered_log.hpp>
+#include <base/log.hpp>
+#include <settings/cell_schema.hpp>
+
+#include <boost/asio/post.hpp>
+
+#include <random>
+#include <utility>
+
+namespace berylhill::cell
+{
+
+namespace
+{
+
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_unavailable = 503;
+
+/// Between two flushes of the log.
+constexpr auto log_pause = std::chrono::milliseconds{20};
+
+/// How long after SIGTERM callers may still be sent here: the platform takes
+/// an instance out after two probes, a second apart.
+constexpr base::duration out_of_rotation = std::chrono::milliseconds{2'500};
+
+/// The process ends this long before it would be ended by force.
+constexpr base::duration stop_margin = std::chrono::milliseconds{800};
+
+/// Between two looks whether all callers have their answers.
+constexpr auto drain_pause = std::chrono::milliseconds{50};
+
+/// Until a right that is given up has to be free: an append under way.
+constexpr base::duration release_limit = std::chrono::milliseconds{500};
+
+/// A lease is this much shorter than the longest that an instance grants.
+constexpr base::duration lease_margin = std::chrono::milliseconds{500};
+
+/// The configuration has to be in force within seconds, also when a
+/// connection to the store goes silent.
+constexpr follow_pace operators_pace{
+    std::chrono::milliseconds{700}, std::chrono::milliseconds{20},
+    std::chrono::milliseconds{350}, std::chrono::milliseconds{120}};
+
+/// Descriptors kept for connections to others than callers.
+constexpr std::int64_t own_descriptors = 800;
+
+/// Memory that a waiting connection of a caller may need: a request and its
+/// answer.
+constexpr std::int64_t connection_kb = 32;
+
+std::string new_incarnation()
+{
+    std::random_device source;
+    return std::to_string(source()) + std::to_string(source());
+}
+
+network::socket_address address_of(std::string const& text)
+{
+    // The settings were checked when they were read.
+    auto const read =
+        base::capture([&] { return network::parse_socket_address(text); });
+    return read ? read.value() : network::socket_address{};
+}
+
+} // namespace
+
+class node::decisions_to_log final : public scheduler::decision_log
+{
+public:
+    void write(base::log_level level,
+               std::string_view event,
+               std::initializer_list<base::log_field> fields) override
+    {
+        base::log(level, event, fields);
+    }
+};
+
+node::node(settings::cell_settings settings,
+           std::string settings_path,
+           adapter_maker const& make)
+    : m_settings{std::move(settings)}
+    , m_settings_path{std::move(settings_path)}
+    , m_client{m_loop, {}}
+    , m_adapter{make(m_client, m_settings)}
+    , m_log{std::make_unique<decisions_to_log>()}
+    , m_peers{m_client}
+    , m_ownership{m_loop,
+                  m_clock,
+                  *m_adapter.cell,
+                  m_peers,
+                  m_latency,
+                  {m_settings.instance, address_of(m_settings.listen.peer)},
+                  new_incarnation(),
+                  *this}
+    , m_peer_service{m_loop, m_clock, *this}
+    , m_advice{m_clock, *m_adapter.advice, m_peers,
+               [this]
+               {
+                   return m_peer_service.watchers();
+               }}
+    , m_router{m_loop, m_clock, m_peers, m_ownership,
+               [this](job_call const& it, job_answer_handler const& done)
+               {
+                   if (!m_owner)
+                   {
+                       return false;
+                   }
+                   m_owner->call(it, done);
+                   return true;
+               }}
+    , m_operators{m_loop, m_clock, *m_adapter.operators, "operators",
+                  operators_pace}
+    , m_callers{m_loop,
+                [this](auto it, auto answer)
+                {
+                    take_job_call(it, std::move(answer));
+                }}
+    , m_readiness{m_loop,
+                  [this](auto const&, auto answer)
+                  {
+                      take_readiness(answer);
+                  }}
+    , m_peer_server{m_loop,
+                    [this](auto it, auto answer)
+                    {
+                        m_peer_service.handle(it, std::move(answer));
+                    }}
+    , m_metrics_server{m_loop,
+                       [this](auto const&, auto answer)
+                       {
+                           take_metrics(answer);
+                       }}
+    , m_signals{m_loop, SIGTERM, SIGINT, SIGHUP}
+    , m_stop_timer{m_loop}
+    , m_log_timer{m_loop}
+{
+    m_operators.on_change([this](auto const& key, auto const& value)
+                          { configuration_changed(key, value); });
+}
+
+node::~node() = default;
+
+base::result<void> node::listen()
+{
+    BOOST_LEAF_CHECK(m_peer_server.listen(address_of(m_settings.listen.peer)));
+    BOOST_LEAF_CHECK(
+        m_readiness.listen(address_of(m_settings.listen.readiness)));
+    BOOST_LEAF_CHECK(
+        m_metrics_server.listen(address_of(m_settings.listen.metrics)));
+    BOOST_LEAF_CHECK(m_callers.listen(address_of(m_settings.listen.callers)));
+    return {};
+}
+
+base::result<void> node::run()
+{
+    BOOST_LEAF_CHECK(listen());
+    base::log(base::log_level::info, "process_started",
+              {{"zone", m_settings.zone},
+               {"callers", m_settings.listen.callers},
+               {"peer", m_settings.listen.peer},
+               {"store", m_settings.platform.store}});
+    apply_limits();
+    await_signals();
+    flush_logs();
+    m_operators.start();
+    m_ownership.start();
+    m_loop.run();
+    base::log(base::log_level::info, "process_stopped", {});
+    base::flush_log();
+    return {};
+}
+
+scheduler::policy node::policy() const
+{
+    scheduler::policy out;
+    auto const longest =
+        std::chrono::milliseconds{m_settings.bounds.longest_lease_ms};
+    out.lease = std::min<base::duration>(out.lease, longest - lease_margin);
+    out.status_kept = base::from_seconds(m_settings.bounds.status_kept_s) +
+                      std::chrono::seconds{5};
+    return out;
+}
+
+void node::began(std::map<std::string, std::string> const& records,
+                 std::uint64_t token,
+                 std::uint64_t next)
+{
+    auto const parts = owner_parts{&m_loop,
+                                   &m_clock,
+                                   m_adapter.cell.get(),
+                                   m_adapter.instances.get(),
+                                   m_adapter.orders.get(),
+                                   &m_advice,
+                                   m_adapter.reader.get(),
+                                   m_log.get(),
+                                   &m_latency};
+    m_owner = std::make_unique<cell_owner>(
+        parts, policy(), m_configuration, records, token, next,
+        [this](char const* why) { m_ownership.deposed(why); });
+    m_peer_service.wake();
+}
+
+void node::ended()
+{
+    m_owner.reset();
+    m_peer_service.wake();
+}
+
+watch_answer node::view() const
+{
+    watch_answer out;
+    out.owns = m_owner != nullptr && !m_stopping;
+    out.leaving = m_stopping && m_owner == nullptr;
+    out.owner = m_ownership.owner();
+    out.owner_heard = m_ownership.owner_heard();
+    if (m_owner)
+    {
+        out.store_stuck = m_owner->store_stuck();
+        out.peers = m_peer_service.watchers();
+    }
+    return out;
+}
+
+void node::heard_of(owner_view const& it)
+{
+    m_ownership.heard_of(it);
+}
+
+bool node::owns() const
+{
+    return m_owner != nullptr;
+}
+
+void node::call_owner(job_call const& it, job_answer_handler done)
+{
+    m_owner->call(it, std::move(done));
+}
+
+void node::advise(advice_question const& it, advice_handler done)
+{
+    auto const name = base::capture(
+        [&] { return workload::parse_task_name(it.step + ".0"); });
+    if (!name)
+    {
+        done({});
+        return;
+    }
+    m_adapter.advice->ask(name.value().of, it.instances, it.timeout,
+                          std::move(done));
+}
+
+void node::take_job_call(network::http_request const& it,
+                         network::responder answer)
+{
+    if (m_configuration.version == 0)
+    {
+        // What is configured is not known yet: neither "no such queue" nor
+        // "no such job" would be true.
+        answer({status_unavailable, {{"Retry-After", "1"}}, {}});
+        return;
+    }
+    auto decoded = m_adapter.jobs->decode(it, m_configuration);
+    if (auto* const response = std::get_if<network::http_response>(&decoded);
+        response != nullptr)
+    {
+        answer(std::move(*response));
+        return;
+    }
+    auto call = std::get<job_call>(std::move(decoded));
+    m_router.call(
+        call,
+        [this, call, answer = std::move(answer)](job_answer const& end)
+        {
+            if (end.kind == job_answer_kind::refused ||
+                end.kind == job_answer_kind::outcome_unknown)
+            {
+                base::log(base::log_level::info, "call_failed",
+                          {{"job", text_of(call.job)},
+                           {"call", static_cast<int>(call.kind)},
+                           {"answer", static_cast<int>(end.kind)},
+                           {"token", m_ownership.owner().token}});
+            }
+            answer(m_adapter.jobs->encode(call, end));
+        });
+}
+
+bool node::ready() const
+{
+    return !m_stopping && m_configuration.version != 0 &&
+           m_ownership.owner_heard();
+}
+
+void node::take_readiness(network::responder const& answer)
+{
+    auto const now = ready();
+    if (std::exchange(m_was_ready, now) != now)
+    {
+        base::log(base::log_level::info, "readiness_changed",
+                  {{"ready", now ? 1 : 0},
+                   {"version", m_configuration.version},
+                   {"owner_heard", m_ownership.owner_heard() ? 1 : 0}});
+    }
+    answer({now ? status_ok : status_unavailable, {}, {}});
+}
+
+void node::take_metrics(network::responder const& answer)
+{
+    answer({status_ok, {}, m_metrics.text(), "text/plain; version=0.0.4"});
+}
+
+void node::configuration_changed(std::string const& key,
+                                 std::string const& value)
+{
+    if (value.empty())
+    {
+        return;
+    }
+    auto const read = base::capture(
+        [&] { return m_adapter.reader->configuration(key, value); });
+    if (!read)
+    {
+        base::log(base::log_level::error, "configuration_unreadable",
+                  {{"key", key}, {"error", read.error().message}});
+        return;
+    }
+    if (!read.value() || read.value()->version <= m_configuration.version)
+    {
+        // Records may be read again; an older version never comes back.
+        return;
+    }
+    m_configuration = *read.value();
+    base::log(base::log_level::info, "configuration_in_force",
+              {{"version", m_configuration.version},
+               {"queues", std::uint64_t{m_configuration.queues.size()}}});
+    apply_limits();
+    if (m_owner)
+    {
+        m_owner->set_configuration(m_configuration);
+    }
+}
+
+void node::apply_limits()
+{
+    auto const& asked = m_configuration.limits;
+    auto const by_descriptors = std::max<std::int64_t>(
+        64, m_settings.limits.descriptors - own_descriptors);
+    // A quarter of the memory at most goes to connections of callers.
+    auto const by_memory =
+        m_settings.limits.memory_mb * 1'024 / 4 / connection_kb;
+    network::server_limits limits;
+    limits.header_bytes = asked.header_bytes;
+    limits.body_bytes = asked.body_bytes;
+    limits.request_time = asked.header_time;
+    limits.idle_time = asked.idle_time;
+    limits.connections =
+        static_cast<std::size_t>(std::min(by_descriptors, by_memory));
+    m_callers.set_limits(limits);
+}
+
+void node::await_signals()
+{
+    m_signals.async_wait(
+        [this](auto ec, int signal)
+        {
+            if (ec)
+            {
+                return;
+            }
+            if (signal == SIGHUP)
+            {
+                reload();
+            }
+            else
+            {
+                stop();
+            }
+            await_signals();
+        });
+}
+
+void node::reload()
+{
+    base::findings found;
+    auto const read = settings::load_cell_settings(m_settings_path, found);
+    if (!found.empty())
+    {
+        base::log(base::log_level::error, "settings_refused",
+                  {{"findings", found.text()}});
+        return;
+    }
+    m_settings.bounds = read.bounds;
+    m_settings.limits = read.limits;
+    apply_limits();
+    base::log(base::log_level::info, "settings_reloaded", {});
+}
+
+/// The right goes first, so that a successor starts at once; then callers are
+/// served until the platform sends no more.
+void node::stop()
+{
+    if (std::exchange(m_stopping, true))
+    {
+        return;
+    }
+    base::log(base::log_level::info, "process_stopping",
+              {{"owner", m_owner ? 1 : 0}});
+    m_stop_at = m_clock.now() +
+                std::min(out_of_rotation,
+                         base::from_seconds(m_settings.bounds.stop_grace_s) -
+                             stop_margin);
+    if (m_owner)
+    {
+        m_owner->release(release_limit,
+                         [this]
+                         {
+                             boost::asio::post(m_loop,
+                                               [this]
+                                               {
+                                                   m_ownership.leave();
+                                                   ended();
+                                               });
+                         });
+    }
+    else
+    {
+        m_ownership.leave();
+    }
+    drain();
+}
+
+void node::drain()
+{
+    auto const now = m_clock.now();
+    auto const by_force = m_stop_at + stop_margin;
+    if (now >= m_stop_at)
+    {
+        m_callers.set_closing();
+        if (m_callers.unanswered() == 0 || now >= by_force)
+        {
+            m_loop.stop();
+            return;
+        }
+    }
+    m_stop_timer.expires_after(drain_pause);
+    m_stop_timer.async_wait([this](auto) { drain(); });
+}
+
+void node::flush_logs()
+{
+    base::flush_log();
+    m_log_timer.expires_after(log_pause);
+    m_log_timer.async_wait([this](auto) { flush_logs(); });
+}
+
+} // namespace berylhill::cell
--- /dev/null
+++ b/libraries/cell/node.hpp
@@ -0,0 +1,97 @@
+#pragma once
+
+#include <cell/adapter.hpp>
+#include <cell/advice_desk.hpp>
+#include <cell/call_router.hpp>
+#include <cell/cell_owner.hpp>
+#include <cell/ownership.hpp>
+#include <cell/peer_service.hpp>
+#include <network/http_server.hpp>
+#include <telemetry/metrics.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+#include <string>
+
+namespace berylhill::cell
+{
+
+/// One process of a cell: takes the calls of clients, watches the owner, and
+/// owns the work when its turn comes. One thread does it all.
+class node final : public ownership::listener, public peer_service::backend
+{
+public:
+    node(settings::cell_settings settings,
+         std::string settings_path,
+         adapter_maker const& make);
+    ~node() override;
+
+    /// Runs until SIGTERM has been followed to its end. Fails with
+    /// `unavailable` where an address cannot be bound.
+    [[nodiscard]] base::result<void> run();
+
+    // ownership::listener
+    void began(std::map<std::string, std::string> const& records,
+               std::uint64_t token,
+               std::uint64_t next) override;
+    void ended() override;
+
+    // peer_service::backend
+    [[nodiscard]] watch_answer view() const override;
+    void heard_of(owner_view const& it) override;
+    [[nodiscard]] bool owns() const override;
+    void call_owner(job_call const& it, job_answer_handler done) override;
+    void advise(advice_question const& it, advice_handler done) override;
+
+private:
+    [[nodiscard]] scheduler::policy policy() const;
+    void take_job_call(network::http_request const& it,
+                       network::responder answer);
+    void take_readiness(network::responder const& answer);
+    void take_metrics(network::responder const& answer);
+    [[nodiscard]] bool ready() const;
+    void configuration_changed(std::string const& key,
+                               std::string const& value);
+    void apply_limits();
+    void await_signals();
+    void reload();
+    void stop();
+    void drain();
+    void flush_logs();
+    [[nodiscard]] base::result<void> listen();
+
+    class decisions_to_log;
+
+    settings::cell_settings m_settings;
+    std::string m_settings_path;
+    base::system_clock m_clock;
+    boost::asio::io_context m_loop;
+    network::http_client m_client;
+    adapter m_adapter;
+    std::unique_ptr<decisions_to_log> m_log;
+    store_latency m_latency;
+    peer_client m_peers;
+    ownership m_ownership;
+    peer_service m_peer_service;
+    advice_desk m_advice;
+    call_router m_router;
+    log_follower m_operators;
+    network::http_server m_callers;
+    network::http_server m_readiness;
+    network::http_server m_peer_server;
+    network::http_server m_metrics_server;
+    boost::asio::signal_set m_signals;
+    boost::asio::steady_timer m_stop_timer;
+    boost::asio::steady_timer m_log_timer;
+    telemetry::metrics m_metrics;
+    workload::cell_configuration m_configuration;
+    std::unique_ptr<cell_owner> m_owner;
+    base::instant m_stop_at{};
+    bool m_stopping{false};
+    bool m_was_ready{false};
+};
+
+} // namespace berylhill::cell
--- /dev/null
+++ b/libraries/cell/ownership.hpp
@@ -0,0 +1,152 @@
+#pragma once
+
+#include <base/time.hpp>
+#include <cell/log_follower.hpp>
+#include <cell/peer_client.hpp>
+#include <cell/replica.hpp>
+#include <cell/sure_append.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace berylhill::cell
+{
+
+/// What the process does about ownership at the moment.
+enum class ownership_state : std::uint8_t
+{
+    /// The log has not been read yet.
+    starting,
+    watching,
+    /// The owner gave no answer; the others are asked.
+    suspecting,
+    claiming,
+    owning,
+    /// The process ends: it claims nothing any more.
+    leaving,
+};
+
+/// Finds the owner of the cell's work, watches it, and claims the work when
+/// it is gone. A claim is a record at the end of the cell's log, so of two
+/// claims one wins; the winner's token, the offset of its claim plus one, is
+/// above that of all owners before. A needless claim costs a change of owner
+/// but nothing that must hold, so suspicion may be quick.
+///
+/// Lives on the event loop.
+class ownership
+{
+public:
+    /// What becoming the owner means to the rest of the process.
+    class listener
+    {
+    public:
+        listener() = default;
+        listener(listener const&) = delete;
+        listener& operator=(listener const&) = delete;
+        virtual ~listener() = default;
+
+        /// This process owns the work. `next` is the offset that follows its
+        /// claim.
+        virtual void began(std::map<std::string, std::string> const& records,
+                           std::uint64_t token,
+                           std::uint64_t next) = 0;
+
+        /// It owns it no longer.
+        virtual void ended() = 0;
+    };
+
+    ownership(boost::asio::io_context& loop,
+              base::clock const& clock,
+              keyed_log& cell,
+              peer_client& peers,
+              store_latency& latency,
+              peer self,
+              std::string incarnation,
+              listener& told);
+    ownership(ownership const&) = delete;
+    ownership& operator=(ownership const&) = delete;
+    ~ownership();
+
+    void start();
+
+    /// The right was lost to another owner.
+    void deposed(char const* why);
+
+    /// Another process tells who owns.
+    void heard_of(owner_view const& it);
+
+    /// The process ends; the right, if it has it, was given up.
+    void leave();
+
+    [[nodiscard]] ownership_state state() const noexcept
+    {
+        return m_state;
+    }
+
+    [[nodiscard]] owner_view const& owner() const noexcept
+    {
+        return m_owner;
+    }
+
+    /// The owner answered the last watch.
+    [[nodiscard]] bool owner_heard() const noexcept
+    {
+        return m_state == ownership_state::owning || m_heard;
+    }
+
+    /// The others, as the owner names them.
+    [[nodiscard]] std::vector<peer> const& peers() const noexcept
+    {
+        return m_peers;
+    }
+
+    [[nodiscard]] replica const& records() const noexcept
+    {
+        return m_replica;
+    }
+
+private:
+    void log_read();
+    void adopt(owner_view const& it);
+    void watch(base::duration wait);
+    void watched(peer_result<watch_answer> const& it, base::duration wait);
+    void lost(char const* why);
+    void suspect();
+    void suspected();
+    void claim(char const* why);
+    void claim_now();
+    void claimed(sure_end it, owner_view const& mine, std::uint64_t at);
+    void again(base::duration pause, std::function<void()> what);
+    [[nodiscard]] base::duration claim_delay() const;
+
+    boost::asio::io_context& m_loop;
+    base::clock const& m_clock;
+    peer_client& m_peer_client;
+    peer m_self;
+    std::string m_incarnation;
+    listener& m_told;
+    log_follower m_follower;
+    sure_append m_append;
+    boost::asio::steady_timer m_timer;
+    /// Bumped on each change of state: what was under way before is ignored.
+    std::shared_ptr<std::uint64_t> m_generation{
+        std::make_shared<std::uint64_t>(0)};
+    replica m_replica;
+    ownership_state m_state{ownership_state::starting};
+    owner_view m_owner;
+    std::vector<peer> m_peers;
+    bool m_heard{false};
+    std::uint32_t m_failures{0};
+    std::uint32_t m_isolated{0};
+    std::size_t m_open_questions{0};
+    bool m_others_hear{false};
+    bool m_others_answer{false};
+};
+
+} // namespace berylhill::cell
--- /dev/null
+++ b/libraries/cell/peer_client.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <cell/advice_link.hpp>
+#include <cell/job_call.hpp>
+#include <cell/peer_messages.hpp>
+#include <network/http_client.hpp>
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace berylhill::cell
+{
+
+/// How a call to another process ended; the answer where there is one.
+template <class Answer>
+struct peer_result
+{
+    network::call_end end{network::call_end::not_sent};
+    /// Nothing listens there.
+    bool refused{false};
+    std::optional<Answer> answer;
+};
+
+/// Calls from one process of the cell to another. Handlers are called once
+/// each, on the event loop.
+class peer_client
+{
+public:
+    explicit peer_client(network::http_client& client);
+
+    /// Asks who owns the work; the other side answers after `wait`, or as
+    /// soon as it leaves.
+    void watch(network::socket_address const& to,
+               peer const& self,
+               base::duration wait,
+               base::duration timeout,
+               std::function<void(peer_result<watch_answer>)> done);
+
+    /// Tells of a new owner; nothing is expected back.
+    void announce(network::socket_address const& to, owner_view const& it);
+
+    void call(network::socket_address const& to,
+              job_call const& it,
+              base::duration timeout,
+              std::function<void(peer_result<job_answer>)> done);
+
+    void advise(network::socket_address const& to,
+                workload::step_name const& step,
+                std::vector<std::string> const& instances,
+                base::duration timeout,
+                advice_handler done);
+
+private:
+    void send(network::socket_address const& to,
+              std::string target,
+              std::string body,
+              base::duration timeout,
+              network::call_handler done);
+
+    network::http_client& m_client;
+};
+
+} // namespace berylhill::cell
--- /dev/null
+++ b/libraries/cell/peer_messages.cpp
@@ -0,0 +1,231 @@
+#include <cell/peer_messages.hpp>
+
+#include <json_codec/reader.hpp>
+#include <scheduler/record.hpp>
+
+namespace berylhill::cell
+{
+
+namespace
+{
+
+namespace json = boost::json;
+
+base::duration micros(json::value const& it, std::string_view name)
+{
+    return base::duration{json_codec::number_or(it, name)};
+}
+
+/// An address that is empty where it cannot be read.
+network::socket_address address_in(json::value const& it, std::string_view name)
+{
+    auto const text = json_codec::text_or(it, name);
+    auto const read =
+        base::capture([&] { return network::parse_socket_address(text); });
+    return read ? read.value() : network::socket_address{};
+}
+
+json::object object_of(owner_view const& it)
+{
+    return {{"token", it.token},
+            {"instance", it.instance},
+            {"address", text_of(it.address)},
+            {"incarnation", it.incarnation}};
+}
+
+owner_view owner_in(json::value const& it)
+{
+    return {static_cast<std::uint64_t>(json_codec::number_or(it, "token")),
+            json_codec::text_or(it, "instance"), address_in(it, "address"),
+            json_codec::text_or(it, "incarnation")};
+}
+
+json::object object_of(peer const& it)
+{
+    return {{"instance", it.instance}, {"address", text_of(it.address)}};
+}
+
+peer peer_in(json::value const& it)
+{
+    return {json_codec::text_or(it, "instance"), address_in(it, "address")};
+}
+
+template <class Enum>
+base::result<Enum>
+enum_in(json::value const& it, std::string_view name, Enum last)
+{
+    auto const n = json_codec::number_or(it, name, -1);
+    if (n < 0 || n > static_cast<std::int64_t>(last))
+    {
+        return base::fail(base::failure_code::invalid,
+                          "no valid member " + std::string{name});
+    }
+    return static_cast<Enum>(n);
+}
+
+} // namespace
+
+std::string text_of(owner_view const& it)
+{
+    return json::serialize(object_of(it));
+}
+
+base::result<owner_view> parse_owner(std::string_view text)
+{
+    BOOST_LEAF_AUTO(root, json_codec::parse(text));
+    return owner_in(root);
+}
+
+std::string text_of(watch_answer const& it)
+{
+    json::array peers;
+    for (auto const& entry : it.peers)
+    {
+        peers.emplace_back(object_of(entry));
+    }
+    return json::serialize(json::object{{"owns", it.owns},
+                                        {"leaving", it.leaving},
+                                        {"store_stuck", it.store_stuck.count()},
+                                        {"owner", object_of(it.owner)},
+                                        {"owner_heard", it.owner_heard},
+                                        {"peers", std::move(peers)}});
+}
+
+base::result<watch_answer> parse_watch(std::string_view text)
+{
+    BOOST_LEAF_AUTO(root, json_codec::parse(text));
+    watch_answer out;
+    out.owns = json_codec::flag_or(root, "owns");
+    out.leaving = json_codec::flag_or(root, "leaving");
+    out.store_stuck = micros(root, "store_stuck");
+    out.owner_heard = json_codec::flag_or(root, "owner_heard");
+    if (auto const* const owner = json_codec::member(root, "owner");
+        owner != nullptr)
+    {
+        out.owner = owner_in(*owner);
+    }
+    for (auto const& it : json_codec::array_or_empty(root, "peers"))
+    {
+        out.peers.push_back(peer_in(it));
+    }
+    return out;
+}
+
+std::string text_of(peer const& it)
+{
+    return json::serialize(object_of(it));
+}
+
+base::result<peer> parse_peer(std::string_view text)
+{
+    BOOST_LEAF_AUTO(root, json_codec::parse(text));
+    return peer_in(root);
+}
+
+std::string text_of(job_call const& it)
+{
+    json::object out{{"kind", static_cast<int>(it.kind)},
+                     {"queue", it.queue},
+                     {"job", text_of(it.job)},
+                     {"patience", it.patience.count()}};
+    if (it.kind == job_call_kind::submit)
+    {
+        out["spec"] =
+            scheduler::spec_value(scheduler::job{it.spec, 0, base::instant{}});
+    }
+    return json::serialize(out);
+}
+
+base::result<job_call> parse_job_call(std::string_view text)
+{
+    BOOST_LEAF_AUTO(root, json_codec::parse(text));
+    job_call out;
+    BOOST_LEAF_ASSIGN(out.kind, enum_in(root, "kind", job_call_kind::pending));
+    out.queue = json_codec::text_or(root, "queue");
+    BOOST_LEAF_ASSIGN(out.job,
+                      workload::parse_job_id(json_codec::text_or(root, "job")));
+    out.patience = micros(root, "patience");
+    if (out.kind == job_call_kind::submit)
+    {
+        BOOST_LEAF_AUTO(spec, scheduler::parse_spec_value(
+                                  out.job, json_codec::text_or(root, "spec")));
+        out.spec = std::move(spec.spec);
+    }
+    return out;
+}
+
+std::string text_of(job_answer const& it)
+{
+    return json::serialize(
+        json::object{{"kind", static_cast<int>(it.kind)},
+                     {"phase", static_cast<int>(it.phase)},
+                     {"pending", it.pending},
+                     {"retry_after", it.retry_after.count()}});
+}
+
+base::result<job_answer> parse_job_answer(std::string_view text)
+{
+    BOOST_LEAF_AUTO(root, json_codec::parse(text));
+    job_answer out;
+    BOOST_LEAF_ASSIGN(out.kind,
+                      enum_in(root, "kind", job_answer_kind::outcome_unknown));
+    BOOST_LEAF_ASSIGN(out.phase,
+                      enum_in(root, "phase", scheduler::job_phase::cancelled));
+    out.pending =
+        static_cast<std::size_t>(json_codec::number_or(root, "pending"));
+    out.retry_after = micros(root, "retry_after");
+    return out;
+}
+
+std::string text_of(advice_question const& it)
+{
+    return json::serialize(json::object{
+        {"step", it.step},
+        {"instances", json::array(it.instances.begin(), it.instances.end())},
+        {"timeout", it.timeout.count()}});
+}
+
+base::result<advice_question> parse_advice_question(std::string_view text)
+{
+    BOOST_LEAF_AUTO(root, json_codec::parse(text));
+    advice_question out;
+    out.step = json_codec::text_or(root, "step");
+    for (auto const& it : json_codec::array_or_empty(root, "instances"))
+    {
+        out.instances.push_back(json_codec::as_text(it));
+    }
+    out.timeout = micros(root, "timeout");
+    return out;
+}
+
+std::string text_of(advice_result const& it)
+{
+    json::array rows;
+    for (auto const& entry : it.allowed)
+    {
+        rows.emplace_back(json::array{entry.instance, entry.ticket});
+    }
+    return json::serialize(json::object{{"answered", it.answered},
+                                        {"allowed", std::move(rows)},
+                                        {"validity", it.validity.count()}});
+}
+
+base::result<advice_result> parse_advice_result(std::string_view text)
+{
+    BOOST_LEAF_AUTO(root, json_codec::parse(text));
+    advice_result out;
+    out.answered = json_codec::flag_or(root, "answered");
+    out.validity = micros(root, "validity");
+    for (auto const& it : json_codec::array_or_empty(root, "allowed"))
+    {
+        auto const* const row = it.if_array();
+        if (row != nullptr && row->size() == 2)
+        {
+            out.allowed.push_back({json_codec::as_text((*row)[0]),
+                                   json_codec::as_text((*row)[1])});
+        }
+    }
+    return out;
+}
+
+} // namespace berylhill::cell
--- /dev/null
+++ b/libraries/cell/peer_messages.hpp
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <base/result.hpp>
+#include <cell/advice_link.hpp>
+#include <cell/job_call.hpp>
+#include <cell/peer.hpp>
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace berylhill::cell
+{
+
+/// What an owner, or one who knows it, says of itself. A value.
+struct watch_answer
+{
+    /// The process asked is the owner.
+    bool owns{false};
+    /// It gives its right up now: a successor may claim at once.
+    bool leaving{false};
+    /// How long it has been unable to write to the store.
+    base::duration store_stuck{0};
+    /// The owner that it knows.
+    owner_view owner;
+    /// It heard from that owner, and has not lost it since.
+    bool owner_heard{false};
+    /// The processes that watch the owner.
+    std::vector<peer> peers;
+
+    friend bool operator==(watch_answer const&, watch_answer const&) = default;
+};
+
+/// The bodies of the calls between the processes of a cell, in JSON. Each
+/// `parse` fails with `invalid`.
+[[nodiscard]] std::string text_of(owner_view const& it);
+[[nodiscard]] base::result<owner_view> parse_owner(std::string_view text);
+
+[[nodiscard]] std::string text_of(watch_answer const& it);
+[[nodiscard]] base::result<watch_answer> parse_watch(std::string_view text);
+
+[[nodiscard]] std::string text_of(peer const& it);
+[[nodiscard]] base::result<peer> parse_peer(std::string_view text);
+
+[[nodiscard]] std::string text_of(job_call const& it);
+[[nodiscard]] base::result<job_call> parse_job_call(std::string_view text);
+
+[[nodiscard]] std::string text_of(job_answer const& it);
+[[nodiscard]] base::result<job_answer> parse_job_answer(std::string_view text);
+
+/// A question for advice that one process puts for another. A value.
+struct advice_question
+{
+    std::string step;
+    std::vector<std::string> instances;
+    base::duration timeout{0};
+
+    friend bool operator==(advice_question const&,
+                           advice_question const&) = default;
+};
+
+[[nodiscard]] std::string text_of(advice_question const& it);
+[[nodiscard]] base::result<advice_question>
+parse_advice_question(std::string_view text);
+
+[[nodiscard]] std::string text_of(advice_result const& it);
+[[nodiscard]] base::result<advice_result>
+parse_advice_result(std::string_view text);
+
+} // namespace berylhill::cell
--- /dev/null
+++ b/libraries/cell/peer_service.cpp
@@ -0,0 +1,222 @@
+#include <cell/peer_service.hpp>
+
+#include <base/log.hpp>
+#include <cell/peer_paths.hpp>
+
+#include <charconv>
+#include <utility>
+
+namespace berylhill::cell
+{
+
+namespace
+{
+
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_bad_request = 400;
+constexpr unsigned status_not_found = 404;
+constexpr unsigned status_conflict = 409;
+
+/// A process that has not asked for so long is not counted among those that
+/// live: some of its watches.
+constexpr base::duration watcher_kept = std::chrono::milliseconds{1'200};
+
+/// Between two looks at open watches.
+constexpr base::duration tick = std::chrono::milliseconds{25};
+
+/// No watch is kept open longer, whatever is asked.
+constexpr base::duration longest_watch = std::chrono::seconds{2};
+
+base::duration wait_in(std::string_view target)
+{
+    constexpr std::string_view name = "?wait_us=";
+    auto const at = target.find(name);
+    if (at == std::string_view::npos)
+    {
+        return base::duration{0};
+    }
+    auto const digits = target.substr(at + name.size());
+    std::int64_t out = 0;
+    auto const read =
+        std::from_chars(digits.data(), digits.data() + digits.size(), out);
+    if (read.ec != std::errc{} || out < 0)
+    {
+        return base::duration{0};
+    }
+    return std::min(longest_watch, base::duration{out});
+}
+
+void refuse(network::responder const& answer, base::failure const& why)
+{
+    base::log(base::log_level::warning, "peer_call_unreadable",
+              {{"error", why.message}});
+    answer({status_bad_request, {}, {}});
+}
+
+} // namespace
+
+peer_service::peer_service(boost::asio::io_context& loop,
+                           base::clock const& clock,
+                           backend& behind)
+    : m_loop{loop}
+    , m_clock{clock}
+    , m_behind{behind}
+    , m_timer{loop}
+{
+    every_tick();
+}
+
+peer_service::~peer_service()
+{
+    m_timer.cancel();
+}
+
+void peer_service::handle(network::http_request const& it,
+                          network::responder answer)
+{
+    auto const path =
+        std::string_view{it.target}.substr(0, it.target.find('?'));
+    if (path == peer_paths::watch)
+    {
+        watch(it, std::move(answer));
+        return;
+    }
+    if (path == peer_paths::job)
+    {
+        job(it, std::move(answer));
+        return;
+    }
+    if (path == peer_paths::advise)
+    {
+        advise(it, std::move(answer));
+        return;
+    }
+    if (path == peer_paths::owner)
+    {
+        owner(it, std::move(answer));
+        return;
+    }
+    answer({status_not_found, {}, {}});
+}
+
+void peer_service::watch(network::http_request const& it,
+                         network::responder answer)
+{
+    auto const from = base::capture([&] { return parse_peer(it.body); });
+    if (!from)
+    {
+        refuse(answer, from.error());
+        return;
+    }
+    auto const now = m_clock.now();
+    m_seen[from.value()] = now;
+    auto const wait = wait_in(it.target);
+    if (wait.count() == 0 || !m_behind.owns())
+    {
+        answer(watch_response());
+        return;
+    }
+    m_watches.push_back({std::move(answer), now + wait});
+}
+
+void peer_service::job(network::http_request const& it,
+                       network::responder answer)
+{
+    if (!m_behind.owns())
+    {
+        answer({status_conflict, {}, {}});
+        return;
+    }
+    auto const call = base::capture([&] { return parse_job_call(it.body); });
+    if (!call)
+    {
+        refuse(answer, call.error());
+        return;
+    }
+    m_behind.call_owner(call.value(),
+                        [answer = std::move(answer)](job_answer const& end) {
+                            answer({status_ok, {}, text_of(end)});
+                        });
+}
+
+void peer_service::advise(network::http_request const& it,
+                          network::responder answer)
+{
+    auto const question =
+        base::capture([&] { return parse_advice_question(it.body); });
+    if (!question)
+    {
+        refuse(answer, question.error());
+        return;
+    }
+    m_behind.advise(question.value(),
+                    [answer = std::move(answer)](advice_result const& end) {
+                        answer({status_ok, {}, text_of(end)});
+                    });
+}
+
+void peer_service::owner(network::http_request const& it,
+                         network::responder answer)
+{
+    auto const read = base::capture([&] { return parse_owner(it.body); });
+    if (!read)
+    {
+        refuse(answer, read.error());
+        return;
+    }
+    answer({status_ok, {}, "{}"});
+    m_behind.heard_of(read.value());
+}
+
+network::http_response peer_service::watch_response() const
+{
+    return {status_ok, {}, text_of(m_behind.view())};
+}
+
+void peer_service::wake()
+{
+    auto const open = std::exchange(m_watches, {});
+    for (auto const& it : open)
+    {
+        it.answer(watch_response());
+    }
+}
+
+std::vector<peer> peer_service::watchers() const
+{
+    auto const now = m_clock.now();
+    std::vector<peer> out;
+    for (auto const& [it, seen] : m_seen)
+    {
+        if (now - seen < watcher_kept)
+        {
+            out.push_back(it);
+        }
+    }
+    return out;
+}
+
+void peer_service::every_tick()
+{
+    m_timer.expires_after(tick);
+    m_timer.async_wait(
+        [this](auto ec)
+        {
+            if (ec)
+            {
+                return;
+            }
+            auto const now = m_clock.now();
+            while (!m_watches.empty() && now >= m_watches.front().until)
+            {
+                auto const it = std::move(m_watches.front());
+                m_watches.pop_front();
+                it.answer(watch_response());
+            }
+            std::erase_if(m_seen, [&](auto const& it)
+                          { return now - it.second > 10 * watcher_kept; });
+            every_tick();
+        });
+}
+
+} // namespace berylhill::cell
--- /dev/null
+++ b/libraries/cell/peer_service.hpp
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <base/time.hpp>
+#include <cell/advice_link.hpp>
+#include <cell/job_call.hpp>
+#include <cell/ownership.hpp>
+#include <cell/peer_messages.hpp>
+#include <network/http_server.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <list>
+#include <map>
+#include <vector>
+
+namespace berylhill::cell
+{
+
+/// Answers the other processes of the cell. Lives on the event loop.
+class peer_service
+{
+public:
+    /// What it asks the rest of the process.
+    class backend
+    {
+    public:
+        backend() = default;
+        backend(backend const&) = delete;
+        backend& operator=(backend const&) = delete;
+        virtual ~backend() = default;
+
+        [[nodiscard]] virtual watch_answer view() const = 0;
+        virtual void heard_of(owner_view const& it) = 0;
+        [[nodiscard]] virtual bool owns() const = 0;
+        /// Precondition: `owns()`.
+        virtual void call_owner(job_call const& it,
+                                job_answer_handler done) = 0;
+        virtual void advise(advice_question const& it, advice_handler done) = 0;
+    };
+
+    peer_service(boost::asio::io_context& loop,
+                 base::clock const& clock,
+                 backend& behind);
+    peer_service(peer_service const&) = delete;
+    peer_service& operator=(peer_service const&) = delete;
+    ~peer_service();
+
+    void handle(network::http_request const& it, network::responder answer);
+
+    /// Answers all open watches now: something has changed.
+    void wake();
+
+    /// The processes that watch this one now.
+    [[nodiscard]] std::vector<peer> watchers() const;
+
+private:
+    struct open_watch
+    {
+        network::responder answer;
+        base::instant until;
+    };
+
+    void watch(network::http_request const& it, network::responder answer);
+    void job(network::http_request const& it, network::responder answer);
+    void advise(network::http_request const& it, network::responder answer);
+    void owner(network::http_request const& it, network::responder answer);
+    [[nodiscard]] network::http_response watch_response() const;
+    void every_tick();
+
+    boost::asio::io_context& m_loop;
+    base::clock const& m_clock;
+    backend& m_behind;
+    boost::asio::steady_timer m_timer;
+    std::list<open_watch> m_watches;
+    std::map<peer, base::instant> m_seen;
+};
+
+} // namespace berylhill::cell
--- /dev/null
+++ b/libraries/cell/replica.cpp
@@ -0,0 +1,54 @@
+#include <cell/replica.hpp>
+
+#include <base/log.hpp>
+#include <cell/peer_messages.hpp>
+#include <scheduler/record.hpp>
+
+namespace berylhill::cell
+{
+
+void replica::set(std::string const& key, std::string const& value)
+{
+    if (value.empty())
+    {
+        m_records.erase(key);
+        return;
+    }
+    m_records.insert_or_assign(key, value);
+}
+
+owner_view replica::owner() const
+{
+    auto const at = m_records.find(owner_key);
+    if (at == m_records.end())
+    {
+        return {};
+    }
+    auto const read = base::capture([&] { return parse_owner(at->second); });
+    if (!read)
+    {
+        base::log(base::log_level::error, "claim_unreadable",
+                  {{"error", read.error().message}});
+        return {};
+    }
+    return read.value();
+}
+
+std::optional<scheduler::job_phase>
+replica::final_phase(workload::job_id it) const
+{
+    auto const at = m_records.find(scheduler::state_key(it));
+    if (at == m_records.end())
+    {
+        return std::nullopt;
+    }
+    auto const read =
+        base::capture([&] { return scheduler::parse_phase(at->second); });
+    if (!read || !scheduler::finished(read.value()))
+    {
+        return std::nullopt;
+    }
+    return read.value();
+}
+
+} // namespace berylhill::cell
--- /dev/null
+++ b/libraries/cell/sure_append.cpp
@@ -0,0 +1,208 @@
+#include <cell/sure_append.hpp>
+
+#include <base/log.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace berylhill::cell
+{
+
+namespace
+{
+
+/// An append takes some milliseconds; a lost answer costs at least this.
+constexpr base::duration shortest_timeout = std::chrono::milliseconds{100};
+
+/// A store that is slow, not silent, answers within it.
+constexpr base::duration longest_timeout = std::chrono::milliseconds{3'000};
+
+/// A timeout is this many times the mean; a store seldom takes longer.
+constexpr int timeout_factor = 8;
+
+/// Weight of the newest measurement in the mean, as a divisor.
+constexpr int mean_weight = 8;
+
+/// After a refusal, doubled with each up to the limit: the store counts and
+/// prices refused calls.
+constexpr base::duration first_pause = std::chrono::milliseconds{40};
+constexpr base::duration longest_pause = std::chrono::milliseconds{400};
+
+/// Until a look at the log is given up.
+constexpr base::duration look_timeout = std::chrono::milliseconds{500};
+
+base::duration doubled(base::duration it, std::uint32_t times)
+{
+    constexpr std::uint32_t most = 10;
+    return it * (1U << std::min(times, most));
+}
+
+} // namespace
+
+void store_latency::measured(base::duration it)
+{
+    m_mean += (it - m_mean) / mean_weight;
+}
+
+base::duration store_latency::timeout(std::uint32_t tries) const
+{
+    auto const first = std::max(shortest_timeout, m_mean * timeout_factor);
+    return std::min(longest_timeout, doubled(first, tries));
+}
+
+sure_append::sure_append(boost::asio::io_context& loop,
+                         base::clock const& clock,
+                         keyed_log& log,
+                         store_latency& latency)
+    : m_clock{clock}
+    , m_log{log}
+    , m_latency{latency}
+    , m_timer{loop}
+{
+}
+
+sure_append::~sure_append()
+{
+    ++*m_generation;
+}
+
+void sure_append::begin(std::uint64_t at,
+                        std::vector<scheduler::record> records,
+                        base::duration limit,
+                        handler done)
+{
+    m_busy = true;
+    m_at = at;
+    m_records = std::move(records);
+    m_limit = limit;
+    m_began = m_clock.now();
+    m_tries = 0;
+    m_done = std::move(done);
+    send();
+}
+
+base::duration sure_append::stuck_for() const
+{
+    return m_busy ? m_clock.now() - m_began : base::duration{0};
+}
+
+void sure_append::send()
+{
+    if (m_limit.count() != 0 && m_clock.now() - m_began > m_limit)
+    {
+        finish(sure_end::unknown);
+        return;
+    }
+    auto const sent_at = m_clock.now();
+    m_log.append(m_at, m_records, m_latency.timeout(m_tries),
+                 [this, alive = m_generation, mine = *m_generation,
+                  sent_at](append_result const& it)
+                 {
+                     if (*alive == mine)
+                     {
+                         answered(it, sent_at);
+                     }
+                 });
+}
+
+void sure_append::answered(append_result const& it, base::instant sent_at)
+{
+    ++m_tries;
+    if (it.end != append_end::unanswered)
+    {
+        m_latency.measured(m_clock.now() - sent_at);
+    }
+    switch (it.end)
+    {
+    case append_end::stored:
+        finish(sure_end::stored);
+        return;
+    case append_end::conflict:
+        look();
+        return;
+    case append_end::unanswered:
+        base::log(base::log_level::warning, "append_unanswered",
+                  {{"at", m_at}, {"tries", m_tries}});
+        send();
+        return;
+    case append_end::refused:
+    case append_end::full:
+        if (m_tries == 1 || it.end == append_end::full)
+        {
+            base::log(
+                base::log_level::warning, "append_refused",
+                {{"at", m_at}, {"full", it.end == append_end::full ? 1 : 0}});
+        }
+        again(std::min(longest_pause, doubled(first_pause, m_tries - 1)),
+              [this] { send(); });
+        return;
+    }
+}
+
+void sure_append::look()
+{
+    m_log.read(m_at, base::duration{0}, look_timeout,
+               [this, alive = m_generation,
+                mine = *m_generation](read_result const& it)
+               {
+                   if (*alive == mine)
+                   {
+                       looked(it);
+                   }
+               });
+}
+
+void sure_append::looked(read_result const& it)
+{
+    if (it.end == read_end::trimmed)
+    {
+        // The store dropped its history: the records stand or fall by the
+        // newest of their keys, and another writer's claim would be newer.
+        finish(sure_end::unknown);
+        return;
+    }
+    if (it.end == read_end::failed)
+    {
+        if (m_limit.count() != 0 && m_clock.now() - m_began > m_limit)
+        {
+            finish(sure_end::unknown);
+            return;
+        }
+        again(first_pause, [this] { look(); });
+        return;
+    }
+    if (it.entries.empty())
+    {
+        again(first_pause, [this] { send(); });
+        return;
+    }
+    auto const& first = it.entries.front();
+    auto const ours = first.offset == m_at &&
+                      first.key == m_records.front().key &&
+                      first.value == m_records.front().value;
+    finish(ours ? sure_end::stored : sure_end::overtaken);
+}
+
+void sure_append::again(base::duration pause, std::function<void()> what)
+{
+    m_timer.expires_after(pause);
+    m_timer.async_wait(
+        [alive = m_generation, mine = *m_generation,
+         what = std::move(what)](auto ec)
+        {
+            if (!ec && *alive == mine)
+            {
+                what();
+            }
+        });
+}
+
+void sure_append::finish(sure_end it)
+{
+    m_busy = false;
+    m_records.clear();
+    auto const done = std::exchange(m_done, nullptr);
+    done(it);
+}
+
+} // namespace berylhill::cell
--- /dev/null
+++ b/libraries/cell/sure_append.hpp
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <base/time.hpp>
+#include <cell/keyed_log.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace berylhill::cell
+{
+
+/// How long the store takes at the moment; the time given to the next call
+/// follows from it. Not thread-safe.
+class store_latency
+{
+public:
+    void measured(base::duration it);
+
+    /// Until an append is taken as unanswered, for the n-th try of it.
+    [[nodiscard]] base::duration timeout(std::uint32_t tries) const;
+
+private:
+    base::duration m_mean{std::chrono::milliseconds{20}};
+};
+
+enum class sure_end : std::uint8_t
+{
+    stored,
+    /// Another writer's record stands where these should.
+    overtaken,
+    /// Given up; whether it is stored is not known.
+    unknown,
+};
+
+/// Appends records at one offset and goes on until it is certain what became
+/// of them. An append without an answer is repeated at the same offset: the
+/// store takes only one of them. Where the log has moved on, the record at
+/// the offset shows whose append it was.
+///
+/// One append at a time. Lives on the event loop.
+class sure_append
+{
+public:
+    using handler = std::function<void(sure_end)>;
+
+    sure_append(boost::asio::io_context& loop,
+                base::clock const& clock,
+                keyed_log& log,
+                store_latency& latency);
+    sure_append(sure_append const&) = delete;
+    sure_append& operator=(sure_append const&) = delete;
+    ~sure_append();
+
+    /// Precondition: none is under way; `records` is not empty. `limit` 0:
+    /// never given up.
+    void begin(std::uint64_t at,
+               std::vector<scheduler::record> records,
+               base::duration limit,
+               handler done);
+
+    [[nodiscard]] bool busy() const noexcept
+    {
+        return m_busy;
+    }
+
+    /// For how long the append under way has had no success; 0 where none is
+    /// under way.
+    [[nodiscard]] base::duration stuck_for() const;
+
+private:
+    void send();
+    void answered(append_result const& it, base::instant sent_at);
+    void look();
+    void looked(read_result const& it);
+    void again(base::duration pause, std::function<void()> what);
+    void finish(sure_end it);
+
+    base::clock const& m_clock;
+    keyed_log& m_log;
+    store_latency& m_latency;
+    boost::asio::steady_timer m_timer;
+    std::shared_ptr<std::uint64_t> m_generation{
+        std::make_shared<std::uint64_t>(0)};
+    std::uint64_t m_at{0};
+    std::vector<scheduler::record> m_records;
+    base::duration m_limit{0};
+    base::instant m_began{};
+    std::uint32_t m_tries{0};
+    bool m_busy{false};
+    handler m_done;
+};
+
+} // namespace berylhill::cell
--- a/libraries/command/run.cpp
+++ b/libraries/command/run.cpp
@@ -16,6 +16,7 @@
 {
     subcommand_list all;
     all.push_back(make_entry_command());
+    all.push_back(make_cell_command());
     all.push_back(make_check_command());
     all.push_back(make_contract_command());
     all.push_back(make_stop_command());
--- a/libraries/command/subcommand.hpp
+++ b/libraries/command/subcommand.hpp
@@ -3,6 +3,7 @@
 #include <command/entry_client.hpp>
 #include <command/exit_code.hpp>
 
+#include <settings/cell_settings.hpp>
 #include <settings/entry_settings.hpp>
 
 #include <cxxopts.hpp>
@@ -20,12 +21,18 @@
 /// Given by `main`, so that the command line does not depend on the server.
 using entry_runner = std::function<int(settings::entry_settings const&)>;
 
+/// Runs a process of a cell until it is told to stop; returns the process's
+/// exit status. The path is that of the settings, for reloads.
+using cell_runner =
+    std::function<int(settings::cell_settings const&, std::string const& path)>;
+
 /// What a subcommand works with.
 struct command_context
 {
     std::ostream& out;
     std::ostream& err;
     entry_runner run_entry;
+    cell_runner run_cell{};
 };
 
 /// One subcommand of `berylhill`.
@@ -78,6 +85,7 @@
 [[nodiscard]] std::string time_cell(Json::Value const& it, char const* name);
 
 [[nodiscard]] std::unique_ptr<subcommand> make_entry_command();
+[[nodiscard]] std::unique_ptr<subcommand> make_cell_command();
 [[nodiscard]] std::unique_ptr<subcommand> make_check_command();
 [[nodiscard]] std::unique_ptr<subcommand> make_contract_command();
 [[nodiscard]] std::unique_ptr<subcommand> make_stop_command();
--- /dev/null
+++ b/libraries/network/http_client.cpp
@@ -0,0 +1,267 @@
+#include <network/http_client.hpp>
+
+#include <network/beast_fields.hpp>
+#include <network/socket_options.hpp>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+namespace berylhill::network
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+class http_client::connection
+{
+public:
+    explicit connection(asio::io_context& loop)
+        : socket{loop}
+    {
+    }
+
+    tcp::socket socket;
+    boost::beast::flat_buffer buf;
+};
+
+/// One call: takes or opens a connection, sends, reads, and reports once.
+class http_client::exchange : public std::enable_shared_from_this<exchange>
+{
+public:
+    exchange(http_client& owner,
+             socket_address to,
+             http_request const& request,
+             call_handler handler)
+        : m_owner{owner}
+        , m_to{std::move(to)}
+        , m_timer{owner.m_loop}
+        , m_handler{std::move(handler)}
+    {
+        fill(request);
+    }
+
+    void start(base::duration timeout)
+    {
+        m_timer.expires_after(timeout);
+        m_timer.async_wait(
+            [self = shared_from_this()](auto ec)
+            {
+                if (!ec)
+                {
+                    self->time_out();
+                }
+            });
+        m_connection = m_owner.take(m_to);
+        if (m_connection)
+        {
+            m_reused = true;
+            send();
+            return;
+        }
+        open();
+    }
+
+private:
+    void fill(http_request const& from)
+    {
+        m_request.version(11);
+        m_request.method(verb_of(from.method));
+        m_request.target(from.target);
+        m_request.set(http::field::host, text_of(m_to));
+        for (auto const& it : from.fields)
+        {
+            m_request.set(it.name, it.value);
+        }
+        if (!from.content_type.empty())
+        {
+            m_request.set(http::field::content_type, from.content_type);
+        }
+        m_request.body() = from.body;
+        m_request.prepare_payload();
+    }
+
+    void open()
+    {
+        m_reused = false;
+        m_connection = std::make_unique<connection>(m_owner.m_loop);
+        ++m_owner.m_opened;
+        boost::system::error_code ec;
+        auto const address = asio::ip::make_address_v4(m_to.host, ec);
+        if (ec)
+        {
+            asio::post(m_owner.m_loop,
+                       [self = shared_from_this()] {
+                           self->finish({call_end::not_sent, {}, false});
+                       });
+            return;
+        }
+        m_connection->socket.async_connect(
+            tcp::endpoint{address, m_to.port},
+            [self = shared_from_this()](auto failed) { self->opened(failed); });
+    }
+
+    void opened(boost::system::error_code ec)
+    {
+        if (m_finished)
+        {
+            return;
+        }
+        if (ec)
+        {
+            finish({call_end::not_sent,
+                    {},
+                    ec == asio::error::connection_refused});
+            return;
+        }
+        set_call_options(m_connection->socket);
+        send();
+    }
+
+    void send()
+    {
+        m_sent = true;
+        http::async_write(m_connection->socket, m_request,
+                          [self = shared_from_this()](auto ec, std::size_t)
+                          { self->written(ec); });
+    }
+
+    void written(boost::system::error_code ec)
+    {
+        if (m_finished)
+        {
+            return;
+        }
+        if (ec)
+        {
+            broken();
+            return;
+        }
+        m_parser.emplace();
+        m_parser->body_limit(m_owner.m_limits.body_bytes);
+        http::async_read(m_connection->socket, m_connection->buf, *m_parser,
+                         [self = shared_from_this()](auto failed, std::size_t)
+                         { self->read(failed); });
+    }
+
+    void read(boost::system::error_code ec)
+    {
+        if (m_finished)
+        {
+            return;
+        }
+        if (ec)
+        {
+            broken();
+            return;
+        }
+        auto const keep = m_parser->get().keep_alive();
+        auto answer = response_of(m_parser->release());
+        if (keep)
+        {
+            m_owner.give_back(m_to, std::move(m_connection));
+        }
+        finish({call_end::answered, std::move(answer), false});
+    }
+
+    /// An idle connection that the other side had closed breaks on its first
+    /// use; the request then goes out once more on a new one.
+    void broken()
+    {
+        auto const nothing_read = !m_parser || !m_parser->got_some();
+        if (m_reused && nothing_read)
+        {
+            m_parser.reset();
+            m_owner.forget(m_to);
+            open();
+            return;
+        }
+        finish({call_end::unanswered, {}, false});
+    }
+
+    /// The other connections to the address went the same way, so they are
+    /// not trusted either: a silent link answers on none of them.
+    void time_out()
+    {
+        m_owner.forget(m_to);
+        finish({m_sent ? call_end::unanswered : call_end::not_sent, {}, false});
+    }
+
+    void finish(call_result result)
+    {
+        if (m_finished)
+        {
+            return;
+        }
+        m_finished = true;
+        m_timer.cancel();
+        if (m_connection)
+        {
+            boost::system::error_code ec;
+            m_connection->socket.close(ec);
+        }
+        auto const handler = std::move(m_handler);
+        m_handler = nullptr;
+        handler(result);
+    }
+
+    http_client& m_owner;
+    socket_address m_to;
+    asio::steady_timer m_timer;
+    call_handler m_handler;
+    http::request<http::string_body> m_request;
+    std::optional<http::response_parser<http::string_body>> m_parser;
+    std::unique_ptr<connection> m_connection;
+    bool m_reused{false};
+    bool m_sent{false};
+    bool m_finished{false};
+};
+
+http_client::http_client(asio::io_context& loop, client_limits limits)
+    : m_loop{loop}
+    , m_limits{limits}
+{
+}
+
+http_client::~http_client() = default;
+
+void http_client::call(socket_address const& to,
+                       http_request request,
+                       base::duration timeout,
+                       call_handler handler)
+{
+    std::make_shared<exchange>(*this, to, request, std::move(handler))
+        ->start(timeout);
+}
+
+std::unique_ptr<http_client::connection>
+http_client::take(socket_address const& to)
+{
+    auto const it = m_idle.find(to);
+    if (it == m_idle.end() || it->second.empty())
+    {
+        return nullptr;
+    }
+    auto last = std::move(it->second.back());
+    it->second.pop_back();
+    return last;
+}
+
+void http_client::give_back(socket_address const& to,
+                            std::unique_ptr<connection> it)
+{
+    auto& idle = m_idle[to];
+    if (idle.size() < m_limits.idle_per_address)
+    {
+        idle.push_back(std::move(it));
+    }
+}
+
+void http_client::forget(socket_address const& to)
+{
+    m_idle.erase(to);
+}
+
+} // namespace berylhill::network
--- /dev/null
+++ b/libraries/network/http_client.hpp
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <base/time.hpp>
+#include <network/http_message.hpp>
+#include <network/socket_address.hpp>
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace berylhill::network
+{
+
+/// How a call ended.
+enum class call_end : std::uint8_t
+{
+    /// The response is whole.
+    answered,
+    /// Surely no byte of the request reached the other side.
+    not_sent,
+    /// The request may have been carried out.
+    unanswered,
+};
+
+/// The end of a call and, where it was answered, the response. A value.
+struct call_result
+{
+    call_end end{call_end::not_sent};
+    http_response response;
+    /// The connection was refused: nothing listens at the address.
+    bool refused{false};
+
+    friend bool operator==(call_result const&, call_result const&) = default;
+};
+
+using call_handler = std::function<void(call_result const&)>;
+
+/// Limits of the connections to other processes.
+struct client_limits
+{
+    /// Idle connections kept for each address.
+    std::size_t idle_per_address{4};
+    /// A larger response counts as no answer.
+    std::size_t body_bytes{8 * 1024 * 1024};
+};
+
+/// HTTP/1.1 calls over connections that are kept open. All members run on the
+/// thread of the event loop; handlers are called on it, never from `call`
+/// itself.
+class http_client
+{
+public:
+    http_client(boost::asio::io_context& loop, client_limits limits);
+    http_client(http_client const&) = delete;
+    http_client& operator=(http_client const&) = delete;
+    ~http_client();
+
+    /// Sends the request and calls `handler` exactly once, `timeout` later at
+    /// the latest. A request on a reused connection that breaks before any
+    /// byte of the response is sent once more on a new one: the caller sends
+    /// only requests that may arrive twice.
+    void call(socket_address const& to,
+              http_request request,
+              base::duration timeout,
+              call_handler handler);
+
+    /// Connections opened so far.
+    [[nodiscard]] std::uint64_t connections_opened() const noexcept
+    {
+        return m_opened;
+    }
+
+private:
+    class connection;
+    class exchange;
+    friend class exchange;
+
+    using idle_connections = std::vector<std::unique_ptr<connection>>;
+
+    [[nodiscard]] std::unique_ptr<connection> take(socket_address const& to);
+    void give_back(socket_address const& to, std::unique_ptr<connection> it);
+    void forget(socket_address const& to);
+
+    boost::asio::io_context& m_loop;
+    client_limits m_limits;
+    std::map<socket_address, idle_connections> m_idle;
+    std::uint64_t m_opened{0};
+};
+
+} // namespace berylhill::network
--- /dev/null
+++ b/libraries/network/http_message.cpp
@@ -0,0 +1,21 @@
+#include <network/http_message.hpp>
+
+#include <boost/beast/core/string.hpp>
+
+namespace berylhill::network
+{
+
+std::string field_of(std::vector<http_field> const& fields,
+                     std::string const& name)
+{
+    for (auto const& it : fields)
+    {
+        if (boost::beast::iequals(it.name, name))
+        {
+            return it.value;
+        }
+    }
+    return {};
+}
+
+} // namespace berylhill::network
--- /dev/null
+++ b/libraries/scheduler/decision_log.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <base/log.hpp>
+
+#include <initializer_list>
+#include <string_view>
+
+namespace berylhill::scheduler
+{
+
+/// Where decisions are written for people to read afterwards.
+class decision_log
+{
+public:
+    decision_log() = default;
+    decision_log(decision_log const&) = delete;
+    decision_log& operator=(decision_log const&) = delete;
+    virtual ~decision_log() = default;
+
+    /// One line. Never blocks.
+    virtual void write(base::log_level level,
+                       std::string_view event,
+                       std::initializer_list<base::log_field> fields) = 0;
+};
+
+} // namespace berylhill::scheduler
--- /dev/null
+++ b/libraries/scheduler/instance.cpp
@@ -0,0 +1,103 @@
+#include <scheduler/instance.hpp>
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace berylhill::scheduler
+{
+
+namespace
+{
+
+/// An instance names its kind first and its rack second.
+constexpr std::size_t rack_label = 1;
+
+std::int64_t milliseconds_of(base::duration it)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(it).count();
+}
+
+} // namespace
+
+instance::instance(std::string id, base::instant lease_end)
+    : m_lease_end{lease_end}
+{
+    m_info.id = std::move(id);
+}
+
+void instance::list(instance_info it)
+{
+    m_info = std::move(it);
+    m_rack = m_info.labels.size() > rack_label ? m_info.labels[rack_label]
+                                               : std::string{};
+    m_listed = true;
+}
+
+void instance::heard(base::instant at, std::int64_t clock_ms)
+{
+    if (m_clock_read_at && clock_ms < m_clock_ms)
+    {
+        return;
+    }
+    m_clock_read_at = at;
+    m_clock_ms = clock_ms;
+}
+
+void instance::reported(base::instant at, std::int64_t clock_ms)
+{
+    heard(at, clock_ms);
+    m_fenced = true;
+    m_reachable = true;
+}
+
+std::int64_t instance::grant(base::instant now, policy const& rules)
+{
+    if (!m_clock_read_at)
+    {
+        return 0;
+    }
+    auto const since = now - *m_clock_read_at;
+    auto const until = m_clock_ms + milliseconds_of(since + rules.lease);
+    // The instance read its clock before we did, so by ours the lease lapses
+    // no later than this, however slow its clock is.
+    auto const length = static_cast<double>((since + rules.lease).count()) /
+                        (1.0 - rules.slow_clock_share);
+    auto const end = *m_clock_read_at +
+                     base::duration{static_cast<std::int64_t>(length)} +
+                     rules.lapse_margin;
+    m_lease_end = std::max(m_lease_end, end);
+    return until;
+}
+
+attempt& instance::add(attempt_name const& name, attempt it)
+{
+    m_used += it.need;
+    auto const [at, added] = m_attempts.emplace(name, std::move(it));
+    assert(added);
+    return at->second;
+}
+
+void instance::remove(attempt_name const& name)
+{
+    auto const it = m_attempts.find(name);
+    if (it == m_attempts.end())
+    {
+        return;
+    }
+    m_used -= it->second.need;
+    m_attempts.erase(it);
+}
+
+attempt* instance::find(attempt_name const& name)
+{
+    auto const it = m_attempts.find(name);
+    return it == m_attempts.end() ? nullptr : &it->second;
+}
+
+bool instance::has_label(std::string const& label) const
+{
+    return std::ranges::find(m_info.labels, label) != m_info.labels.end();
+}
+
+} // namespace berylhill::scheduler
--- /dev/null
+++ b/libraries/scheduler/instance_book.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <scheduler/instance.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace berylhill::scheduler
+{
+
+/// All instances that are listed, or on which something may still run. Not
+/// thread-safe; references stay valid until `forget_idle`.
+class instance_book
+{
+public:
+    using instance_map = std::map<std::string, std::unique_ptr<instance>>;
+
+    /// `former_lease_end`: when leases granted before this book was made have
+    /// surely lapsed.
+    explicit instance_book(base::instant former_lease_end)
+        : m_former_lease_end{former_lease_end}
+    {
+    }
+
+    /// The platform's list names it; made where it is not known.
+    void list(instance_info it);
+
+    /// The platform's list no longer names it.
+    void unlist(std::string const& id);
+
+    /// The instance, made where it is not known: a former owner may have
+    /// placed work there.
+    [[nodiscard]] instance& get(std::string const& id);
+
+    /// Null where it is not known.
+    [[nodiscard]] instance* find(std::string const& id);
+
+    [[nodiscard]] instance_map& all() noexcept
+    {
+        return m_instances;
+    }
+
+    [[nodiscard]] instance_map const& all() const noexcept
+    {
+        return m_instances;
+    }
+
+    /// Drops those that are not listed and hold nothing.
+    void forget_idle();
+
+private:
+    instance_map m_instances;
+    base::instant m_former_lease_end;
+};
+
+} // namespace berylhill::scheduler
--- /dev/null
+++ b/libraries/scheduler/job.cpp
@@ -0,0 +1,105 @@
+#include <scheduler/job.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace berylhill::scheduler
+{
+
+namespace
+{
+
+base::duration estimate_of(workload::step_spec const& it)
+{
+    return std::chrono::milliseconds{it.estimate_ms};
+}
+
+/// For each step, its own estimate and the longest of those that wait for it.
+/// Steps may name later steps, so it goes on until nothing changes; a job
+/// whose steps wait in a circle is refused before it gets here.
+std::vector<base::duration>
+chains_of(std::vector<workload::step_spec> const& steps)
+{
+    std::vector<base::duration> out(steps.size());
+    for (std::size_t round = 0; round < steps.size(); ++round)
+    {
+        for (std::size_t n = 0; n < steps.size(); ++n)
+        {
+            out[n] = std::max(out[n], estimate_of(steps[n]));
+            for (auto const before : steps[n].after)
+            {
+                out[before] =
+                    std::max(out[before], estimate_of(steps[before]) + out[n]);
+            }
+        }
+    }
+    return out;
+}
+
+} // namespace
+
+bool occurrence::complete() const noexcept
+{
+    return std::ranges::all_of(steps,
+                               [](step const& it) { return it.complete(); });
+}
+
+job::job(workload::job_spec spec, std::int64_t accepted, base::instant now)
+    : accepted_ms{accepted}
+    , accepted_at{now}
+    , m_spec{std::move(spec)}
+    , m_chains{chains_of(m_spec.steps)}
+{
+    for (auto const it : m_chains)
+    {
+        m_longest = std::max(m_longest, it);
+    }
+}
+
+occurrence& job::open_occurrence(std::uint32_t number, base::instant due)
+{
+    auto& out = occurrences[number];
+    out.due = due;
+    out.steps.resize(m_spec.steps.size());
+    for (std::size_t n = 0; n < out.steps.size(); ++n)
+    {
+        out.steps[n].tasks.resize(m_spec.steps[n].tasks);
+        out.steps[n].waiting = m_spec.steps[n].tasks;
+    }
+    return out;
+}
+
+step* job::find(workload::step_name const& it)
+{
+    auto const at = occurrences.find(it.occurrence);
+    if (at == occurrences.end() || it.step >= at->second.steps.size())
+    {
+        return nullptr;
+    }
+    return &at->second.steps[it.step];
+}
+
+bool job::ready(occurrence const& in, std::uint32_t number) const
+{
+    return std::ranges::all_of(m_spec.steps[number].after, [&](std::uint32_t it)
+                               { return in.steps[it].complete(); });
+}
+
+bool job::complete() const
+{
+    if (occurrences.size() < occurrences_in_all())
+    {
+        return false;
+    }
+    return std::ranges::all_of(occurrences, [](auto const& it)
+                               { return it.second.complete(); });
+}
+
+void job::shed()
+{
+    m_spec.payload.clear();
+    m_spec.payload.shrink_to_fit();
+    occurrences.clear();
+}
+
+} // namespace berylhill::scheduler
--- /dev/null
+++ b/libraries/scheduler/job_book.cpp
@@ -0,0 +1,185 @@
+#include <scheduler/job_book.hpp>
+
+#include <cassert>
+#include <utility>
+
+namespace berylhill::scheduler
+{
+
+job& job_book::add(workload::job_spec spec,
+                   std::int64_t accepted_ms,
+                   base::instant now)
+{
+    auto const id = spec.id;
+    auto made = std::make_unique<job>(std::move(spec), accepted_ms, now);
+    auto const [at, added] = m_jobs.emplace(id, std::move(made));
+    assert(added);
+    m_new.insert(id);
+    count_pending(*at->second, 1);
+    return *at->second;
+}
+
+job* job_book::find(workload::job_id it)
+{
+    auto const at = m_jobs.find(it);
+    return at == m_jobs.end() ? nullptr : at->second.get();
+}
+
+job const* job_book::find(workload::job_id it) const
+{
+    auto const at = m_jobs.find(it);
+    return at == m_jobs.end() ? nullptr : at->second.get();
+}
+
+void job_book::drop(workload::job_id it)
+{
+    auto const at = m_jobs.find(it);
+    if (at == m_jobs.end())
+    {
+        return;
+    }
+    std::erase_if(m_finished,
+                  [&](auto const& entry) { return entry.second == it; });
+    m_jobs.erase(at);
+    m_changed.erase(it);
+    m_dropped.insert(it);
+}
+
+job_book::changes job_book::take_changes()
+{
+    changes out;
+    for (auto const id : m_new)
+    {
+        auto const& it = *m_jobs.at(id);
+        if (!finished(it.phase))
+        {
+            out.records.push_back({spec_key(id), spec_value(it)});
+        }
+        out.jobs.push_back(id);
+    }
+    for (auto const id : m_changed)
+    {
+        auto const& it = *m_jobs.at(id);
+        out.records.push_back({state_key(id), state_value(it)});
+        if (finished(it.phase))
+        {
+            out.records.push_back({spec_key(id), {}});
+        }
+        if (!m_new.contains(id))
+        {
+            out.jobs.push_back(id);
+        }
+    }
+    for (auto const id : m_dropped)
+    {
+        out.records.push_back({state_key(id), {}});
+    }
+    m_new.clear();
+    m_changed.clear();
+    m_dropped.clear();
+    return out;
+}
+
+void job_book::refresh_ready(job const& it)
+{
+    auto const id = it.spec().id;
+    for (auto const& [number, occurrence] : it.occurrences)
+    {
+        for (std::uint32_t n = 0; n < occurrence.steps.size(); ++n)
+        {
+            auto const name = workload::step_name{id, number, n};
+            auto const open = !finished(it.phase) &&
+                              occurrence.steps[n].waiting > 0 &&
+                              it.ready(occurrence, n);
+            if (open)
+            {
+                m_ready.insert(name);
+            }
+            else
+            {
+                m_ready.erase(name);
+            }
+        }
+    }
+}
+
+std::size_t job_book::pending(std::string const& queue) const
+{
+    auto const at = m_pending.find(queue);
+    return at == m_pending.end() || at->second < 0
+               ? 0
+               : static_cast<std::size_t>(at->second);
+}
+
+void job_book::set_begun(job& it)
+{
+    if (it.begun)
+    {
+        return;
+    }
+    it.begun = true;
+    count_pending(it, -1);
+}
+
+void job_book::finish(job& it, job_phase phase, base::instant now)
+{
+    auto const id = it.spec().id;
+    if (!it.begun)
+    {
+        count_pending(it, -1);
+    }
+    auto const from = m_ready.lower_bound(workload::step_name{id, 0, 0});
+    auto to = from;
+    while (to != m_ready.end() && to->job == id)
+    {
+        ++to;
+    }
+    m_ready.erase(from, to);
+    it.phase = phase;
+    it.finished_at = now;
+    it.shed();
+    m_finished.emplace(now, id);
+    touch(id);
+}
+
+void job_book::restored(job const& it)
+{
+    auto const id = it.spec().id;
+    m_new.erase(id);
+    m_changed.erase(id);
+    if (it.begun || finished(it.phase))
+    {
+        count_pending(it, -1);
+    }
+    if (finished(it.phase))
+    {
+        m_finished.emplace(it.finished_at, id);
+        return;
+    }
+    refresh_ready(it);
+}
+
+std::vector<workload::job_id> job_book::finished_before(base::instant it) const
+{
+    std::vector<workload::job_id> out;
+    for (auto const& [at, id] : m_finished)
+    {
+        if (at >= it)
+        {
+            break;
+        }
+        out.push_back(id);
+    }
+    return out;
+}
+
+void job_book::count_pending(job const& it, std::ptrdiff_t by)
+{
+    // A job with times waits for them, not for room.
+    if (it.spec().repeats.count == 0)
+    {
+        m_pending[it.spec().queue] += by;
+    }
+}
+
+} // namespace berylhill::scheduler
--- /dev/null
+++ b/libraries/scheduler/scheduler.cpp
@@ -0,0 +1,293 @@
+#include <scheduler/scheduler.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace berylhill::scheduler
+{
+
+namespace
+{
+
+/// How long after a takeover a lease of a former owner may still run.
+base::instant former_lease_end(policy const& rules, base::instant now)
+{
+    auto const length = static_cast<double>(rules.lease.count()) /
+                        (1.0 - rules.slow_clock_share);
+    return now + base::duration{static_cast<std::int64_t>(length)} +
+           rules.lapse_margin + rules.former_owner_margin;
+}
+
+/// When a job was accepted, on our clock. The time of day may have jumped, so
+/// the result is never in the future.
+base::instant
+instant_of(std::int64_t accepted_ms, std::int64_t wall_ms, base::instant now)
+{
+    auto const ago = std::chrono::milliseconds{
+        std::max<std::int64_t>(0, wall_ms - accepted_ms)};
+    return now - ago;
+}
+
+} // namespace
+
+scheduler::scheduler(policy rules, decision_log& log, base::instant now)
+    : m_rules{rules}
+    , m_log{&log}
+    , m_instances{former_lease_end(rules, now)}
+{
+}
+
+void scheduler::restore(std::map<std::string, std::string> const& records,
+                        std::int64_t wall_ms,
+                        base::instant now)
+{
+    for (auto const& [key, value] : records)
+    {
+        auto const what = parse_record_key(key);
+        if (what.kind != record_kind::spec)
+        {
+            continue;
+        }
+        auto const read =
+            base::capture([&] { return parse_spec_value(what.job, value); });
+        if (!read)
+        {
+            m_log->write(base::log_level::error, "record_unreadable",
+                         {{"key", key}, {"error", read.error().message}});
+            continue;
+        }
+        auto const accepted = read.value().accepted_ms;
+        auto& job = m_jobs.add(read.value().spec, accepted,
+                               instant_of(accepted, wall_ms, now));
+        job.stored = true;
+    }
+    for (auto const& [key, value] : records)
+    {
+        auto const what = parse_record_key(key);
+        if (what.kind != record_kind::state)
+        {
+            continue;
+        }
+        auto* job = m_jobs.find(what.job);
+        if (job == nullptr)
+        {
+            // Only the state of a finished job is kept.
+            job = &m_jobs.add({what.job, {}, {}, {}, {}}, wall_ms, now);
+            job->stored = true;
+        }
+        auto const read = base::capture(
+            [&]() -> base::result<base::done>
+            {
+                BOOST_LEAF_CHECK(read_state_value(value, now, *job));
+                return base::done{};
+            });
+        if (!read)
+        {
+            m_log->write(base::log_level::error, "record_unreadable",
+                         {{"key", key}, {"error", read.error().message}});
+        }
+        job->finished_at = now;
+    }
+    for (auto const& [id, job] : m_jobs.all())
+    {
+        if (!finished(job->phase) && job->occurrences.empty() &&
+            job->spec().repeats.count == 0)
+        {
+            job->open_occurrence(0, job->accepted_at);
+        }
+        m_jobs.restored(*job);
+        for (auto const& [number, occurrence] : job->occurrences)
+        {
+            for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s)
+            {
+                auto const& tasks = occurrence.steps[s].tasks;
+                for (std::uint32_t n = 0; n < tasks.size(); ++n)
+                {
+                    if (tasks[n].phase != task_phase::placed)
+                    {
+                        continue;
+                    }
+                    attempt made;
+                    made.state = attempt_state::inherited;
+                    made.need = job->spec().steps[s].counted_need();
+                    made.checkpoint = tasks[n].checkpoint;
+                    made.settled_at = now;
+                    m_instances.get(tasks[n].instance)
+                        .add({{{id, number, s}, n}, tasks[n].run}, made);
+                }
+            }
+        }
+    }
+}
+
+void scheduler::set_configuration(workload::cell_configuration const& it)
+{
+    for (auto const& queue : it.queues)
+    {
+        m_queues[queue.name] = queue;
+    }
+}
+
+submission scheduler::submit(workload::job_spec it,
+                             std::int64_t wall_ms,
+                             base::instant now)
+{
+    if (auto const* const known = m_jobs.find(it.id); known != nullptr)
+    {
+        return known->stored ? submission::stored_before
+                             : submission::taken_before;
+    }
+    auto const repeats = it.repeats.count != 0;
+    auto& job = m_jobs.add(std::move(it), wall_ms, now);
+    if (!repeats)
+    {
+        job.open_occurrence(0, now);
+    }
+    m_jobs.refresh_ready(job);
+    return submission::taken;
+}
+
+cancellation scheduler::cancel(workload::job_id it, base::instant now)
+{
+    auto* const job = m_jobs.find(it);
+    if (job == nullptr)
+    {
+        return cancellation::unknown;
+    }
+    if (finished(job->phase))
+    {
+        return finished(job->stored_phase) ? cancellation::finished_before
+                                           : cancellation::taken;
+    }
+    finish(*job, job_phase::cancelled, now);
+    return cancellation::taken;
+}
+
+std::optional<job_phase> scheduler::phase_of(workload::job_id it) const
+{
+    auto const* const job = m_jobs.find(it);
+    if (job == nullptr || !job->stored)
+    {
+        return std::nullopt;
+    }
+    return job->stored_phase;
+}
+
+std::size_t scheduler::pending(std::string const& queue) const
+{
+    return m_jobs.pending(queue);
+}
+
+void scheduler::list(instance_info it, base::instant now)
+{
+    auto const* const known = m_instances.find(it.id);
+    auto const fresh = known == nullptr || !known->listed();
+    if (fresh || known->info().draining != it.draining)
+    {
+        m_log->write(base::log_level::info, "instance_listed",
+                     {{"id", it.id},
+                      {"address", it.address},
+                      {"zone", it.zone},
+                      {"draining", it.draining ? 1 : 0}});
+    }
+    if (fresh)
+    {
+        // An address belongs to one machine: whoever had it before is gone.
+        for (auto const& [id, other] : m_instances.all())
+        {
+            if (id != it.id && other->info().address == it.address)
+            {
+                gone(id, now);
+            }
+        }
+    }
+    m_instances.list(std::move(it));
+}
+
+void scheduler::unlist(std::string const& id, base::instant)
+{
+    auto* const it = m_instances.find(id);
+    if (it == nullptr || !it->listed())
+    {
+        return;
+    }
+    it->unlist();
+    m_log->write(
+        base::log_level::info, "instance_unlisted",
+        {{"id", id}, {"attempts", std::uint64_t{it->attempts().size()}}});
+}
+
+void scheduler::gone(std::string const& id, base::instant now)
+{
+    auto* const it = m_instances.find(id);
+    if (it == nullptr)
+    {
+        return;
+    }
+    m_log->write(
+        base::log_level::info, "instance_gone",
+        {{"id", id}, {"attempts", std::uint64_t{it->attempts().size()}}});
+    it->unlist();
+    it->set_unreachable();
+    void_attempts(*it, now);
+}
+
+std::vector<order> scheduler::take_orders()
+{
+    return std::exchange(m_orders, {});
+}
+
+std::vector<record> scheduler::take_batch(base::instant now)
+{
+    auto changes = m_jobs.take_changes();
+    for (auto const id : changes.jobs)
+    {
+        m_open.jobs.emplace_back(id, m_jobs.find(id)->phase);
+    }
+    m_in_flight = std::exchange(m_open, {});
+    if (changes.records.empty())
+    {
+        batch_stored(now);
+    }
+    return std::move(changes.records);
+}
+
+void scheduler::batch_stored(base::instant now)
+{
+    auto const batch = std::exchange(m_in_flight, std::nullopt);
+    if (!batch)
+    {
+        return;
+    }
+    for (auto const& [id, phase] : batch->jobs)
+    {
+        if (auto* const job = m_jobs.find(id); job != nullptr)
+        {
+            job->stored = true;
+            job->stored_phase = phase;
+        }
+    }
+    for (auto const& [id, n] : batch->seen_ends)
+    {
+        if (auto* const it = m_instances.find(id); it != nullptr)
+        {
+            it->set_seen_end(n);
+        }
+    }
+    for (auto const& it : batch->starts)
+    {
+        release_start(it, now);
+    }
+    for (auto const& it : batch->stops)
+    {
+        m_orders.emplace_back(it);
+    }
+}
+
+bool scheduler::batch_open() const noexcept
+{
+    return m_jobs.anything_changed() || !m_open.starts.empty() ||
+           !m_open.stops.empty() || !m_open.seen_ends.empty();
+}
+
+} // namespace berylhill::scheduler
--- /dev/null
+++ b/libraries/scheduler/scheduler.hpp
@@ -0,0 +1,271 @@
+#pragma once
+
+#include <scheduler/decision_log.hpp>
+#include <scheduler/instance_book.hpp>
+#include <scheduler/job_book.hpp>
+#include <scheduler/orders.hpp>
+#include <scheduler/placement.hpp>
+#include <scheduler/policy.hpp>
+#include <workload/cell_configuration.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace berylhill::scheduler
+{
+
+/// What became of a submission.
+enum class submission : std::uint8_t
+{
+    /// New; it counts once the open batch is stored.
+    taken,
+    /// Known, and not stored yet.
+    taken_before,
+    /// Known and stored.
+    stored_before,
+};
+
+/// What became of a cancellation.
+enum class cancellation : std::uint8_t
+{
+    unknown,
+    /// It counts once the open batch is stored.
+    taken,
+    /// The job has its final phase and that is stored.
+    finished_before,
+};
+
+/// Figures for the metrics. A value.
+struct scheduler_counts
+{
+    std::uint64_t starts{0};
+    std::uint64_t ends_done{0};
+    std::uint64_t ends_failed{0};
+    std::uint64_t ends_other{0};
+    std::uint64_t preempted{0};
+
+    friend bool operator==(scheduler_counts const&,
+                           scheduler_counts const&) = default;
+};
+
+/// The owner's decisions: which task starts where, what is stored before it
+/// leaves, what an answer or a silence means. It knows no clock, socket or
+/// log: time comes with each event, orders and records are fetched.
+///
+/// A start leaves only after the record that names it is stored, and an end
+/// is acknowledged to its instance only after it is stored; so a successor
+/// that reads the log and fences the instances misses neither.
+///
+/// Not thread-safe.
+class scheduler
+{
+public:
+    scheduler(policy rules, decision_log& log, base::instant now);
+
+    /// Fills a new scheduler from the newest records. Unreadable ones are
+    /// logged and left out.
+    void restore(std::map<std::string, std::string> const& records,
+                 std::int64_t wall_ms,
+                 base::instant now);
+
+    void set_configuration(workload::cell_configuration const& it);
+
+    void set_rules(policy it)
+    {
+        m_rules = it;
+    }
+
+    // What callers ask.
+
+    /// Precondition: the job is valid and its queue is configured.
+    submission
+    submit(workload::job_spec it, std::int64_t wall_ms, base::instant now);
+    cancellation cancel(workload::job_id it, base::instant now);
+    /// The stored phase; nothing where no such job is stored.
+    [[nodiscard]] std::optional<job_phase> phase_of(workload::job_id it) const;
+    [[nodiscard]] std::size_t pending(std::string const& queue) const;
+
+    // What is known of instances.
+
+    void list(instance_info it, base::instant now);
+    void unlist(std::string const& id, base::instant now);
+    /// Nothing of it runs any more: another life answers at its address.
+    void gone(std::string const& id, base::instant now);
+    [[nodiscard]] hold_order next_hold(std::string const& id,
+                                       base::instant now);
+    void reported(hold_report const& it);
+    void silent(std::string const& id, base::instant now);
+    void start_answered(std::string const& id,
+                        attempt_name const& name,
+                        start_answer answer,
+                        std::int64_t clock_ms,
+                        base::instant now);
+    void stop_answered(std::string const& id,
+                       attempt_name const& name,
+                       bool answered,
+                       base::instant now);
+    void advised(workload::step_name const& of,
+                 std::vector<std::string> const& asked,
+                 std::vector<permission> const& allowed,
+                 base::duration validity,
+                 base::instant now);
+    void advice_failed(workload::step_name const& of, base::instant now);
+
+    // What the process does next.
+
+    /// Time passed: retries, lapses, times of repeating jobs.
+    void tick(std::int64_t wall_ms, base::instant now);
+    /// Places what can start.
+    void decide(base::instant now);
+    /// The orders decided since the last call.
+    [[nodiscard]] std::vector<order> take_orders();
+    /// What has to be stored before the next orders and answers; the batch
+    /// before must have been reported as stored. Nothing where there is
+    /// nothing to store.
+    [[nodiscard]] std::vector<record> take_batch(base::instant now);
+    /// The batch taken last is stored.
+    void batch_stored(base::instant now);
+    /// Anything waits for the next batch.
+    [[nodiscard]] bool batch_open() const noexcept;
+
+    [[nodiscard]] scheduler_counts const& counts() const noexcept
+    {
+        return m_counts;
+    }
+
+    [[nodiscard]] instance_book const& instances() const noexcept
+    {
+        return m_instances;
+    }
+
+    [[nodiscard]] job_book const& jobs() const noexcept
+    {
+        return m_jobs;
+    }
+
+private:
+    /// What a batch holds back until it is stored.
+    struct gate
+    {
+        std::vector<start_order> starts;
+        std::vector<stop_order> stops;
+        std::map<std::string, std::uint64_t> seen_ends;
+        /// The jobs written, and the phase that each is written with.
+        std::vector<std::pair<workload::job_id, job_phase>> jobs;
+    };
+
+    /// A ready step with what its turn depends on.
+    struct turn
+    {
+        /// 0: can be in time; 1: late, worth something; 2: worth nothing.
+        int tier{0};
+        /// The latest start that is in time.
+        base::instant latest_start;
+        workload::step_name name;
+
+        friend auto operator<=>(turn const&, turn const&) = default;
+    };
+
+    // scheduler_ends.cpp
+    void attempt_ended(instance& at,
+                       attempt_name const& name,
+                       end_reason reason,
+                       std::string const& checkpoint,
+                       base::instant now);
+    void task_done(job& of, step& in, task& it);
+    void gang_done(step& in);
+    void task_failed(job& of,
+                     attempt_name const& name,
+                     step& in,
+                     task& it,
+                     base::instant now);
+    void task_waits(step& in, task& it);
+    void stop_gang(workload::step_name const& of, step& in, base::instant now);
+    void after_change(job& of, base::instant now);
+    void finish(job& of, job_phase phase, base::instant now);
+    void stop_all(workload::job_id of, base::instant now);
+    void want_stop(instance& at,
+                   attempt_name const& name,
+                   attempt& it,
+                   base::instant now);
+    void void_attempts(instance& at, base::instant now);
+    void note_health(instance& at, end_reason reason, base::instant now);
+    void read_running(instance& at, hold_report const& it);
+    void read_ended(instance& at, hold_report const& it);
+    void drop_missing(instance& at, hold_report const& it);
+    void note_begun(workload::job_id of);
+    [[nodiscard]] std::uint32_t attempts_allowed(job const& of) const;
+
+    // scheduler_orders.cpp
+    void retry(instance& at, base::instant now);
+    void send_again(instance& at,
+                    attempt_name const& name,
+                    attempt& it,
+                    base::instant now);
+    void refused(instance& at,
+                 attempt_name const& name,
+                 attempt& it,
+                 base::instant now);
+    void release_start(start_order it, base::instant now);
+    void open_due_occurrences(std::int64_t wall_ms, base::instant now);
+
+    // scheduler_decide.cpp
+    [[nodiscard]] std::vector<turn> turns(base::instant now);
+    void decide_step(turn const& it, base::instant now);
+    void decide_gang(job& of,
+                     turn const& it,
+                     std::vector<candidate> const& from,
+                     base::instant now);
+    void decide_tasks(job& of,
+                      turn const& it,
+                      std::vector<candidate> const& from,
+                      base::instant now);
+    void reserve(workload::step_spec const& spec, std::vector<candidate> from);
+    [[nodiscard]] workload::queue_spec const* queue_of(job const& it) const;
+    [[nodiscard]] bool eligible(instance const& it,
+                                workload::step_spec const& spec,
+                                workload::queue_spec const& queue,
+                                base::instant now) const;
+    void place(job& of,
+               workload::task_name const& name,
+               std::string const& on,
+               std::uint32_t run,
+               base::instant now);
+    [[nodiscard]] std::vector<candidate>
+    candidates(job& of,
+               workload::step_name const& name,
+               workload::queue_spec const& queue,
+               base::instant now);
+    [[nodiscard]] bool has_ticket(advice_state const& known,
+                                  std::string const& id,
+                                  base::instant now) const;
+    void ask_advice(job& of,
+                    workload::step_name const& name,
+                    workload::queue_spec const& queue,
+                    base::instant now);
+    [[nodiscard]] std::uint32_t tasks_on(workload::step_name const& of,
+                                         step const& in,
+                                         std::string const& instance) const;
+
+    policy m_rules;
+    decision_log* m_log;
+    /// All queues seen in any configuration: the jobs of one that was taken
+    /// out still run under its last rules.
+    std::map<std::string, workload::queue_spec> m_queues;
+    instance_book m_instances;
+    job_book m_jobs;
+    std::vector<order> m_orders;
+    gate m_open;
+    std::optional<gate> m_in_flight;
+    /// Instances kept free for gangs that wait, during one round.
+    std::set<std::string> m_reserved;
+    std::size_t m_reserving_gangs{0};
+    scheduler_counts m_counts;
+};
+
+} // namespace berylhill::scheduler
--- /dev/null
+++ b/libraries/scheduler/scheduler_orders.cpp
@@ -0,0 +1,266 @@
+#include <scheduler/scheduler.hpp>
+
+#include <algorithm>
+
+namespace berylhill::scheduler
+{
+
+void scheduler::start_answered(std::string const& id,
+                               attempt_name const& name,
+                               start_answer answer,
+                               std::int64_t clock_ms,
+                               base::instant now)
+{
+    auto* const at = m_instances.find(id);
+    if (at == nullptr)
+    {
+        return;
+    }
+    if (clock_ms != 0)
+    {
+        at->heard(now, clock_ms);
+    }
+    auto* const it = at->find(name);
+    if (it == nullptr)
+    {
+        return;
+    }
+    switch (answer)
+    {
+    case start_answer::running:
+        it->settled_at = now;
+        it->began_at = now;
+        it->progressed_at = now;
+        it->state = attempt_state::running;
+        if (!it->stop_wanted)
+        {
+            it->next_try.reset();
+        }
+        note_begun(name.task.of.job);
+        return;
+    case start_answer::outdated:
+        it->settled_at = now;
+        it->next_try.reset();
+        return;
+    case start_answer::other_incarnation:
+        gone(id, now);
+        return;
+    case start_answer::unanswered:
+        it->unanswered = true;
+        return;
+    case start_answer::no_ticket:
+        if (auto* const job = m_jobs.find(name.task.of.job); job != nullptr)
+        {
+            if (auto* const in = job->find(name.task.of); in != nullptr)
+            {
+                in->advice.allowed[id] = {};
+            }
+        }
+        refused(*at, name, *it, now);
+        return;
+    case start_answer::turned_away:
+    case start_answer::fenced:
+    case start_answer::lease_passed:
+    case start_answer::no_room:
+    case start_answer::invalid:
+        // A refusal says that our view of the instance is off; the pause
+        // keeps the task from going back to it until a report has come.
+        at->pause(now + m_rules.turned_away_pause);
+        refused(*at, name, *it, now);
+        return;
+    }
+}
+
+/// The order was not carried out. An earlier one of the same attempt that got
+/// no answer still may be, so it has to be stopped first.
+void scheduler::refused(instance& at,
+                        attempt_name const& name,
+                        attempt& it,
+                        base::instant now)
+{
+    m_log->write(base::log_level::info, "start_refused",
+                 {{"task", text_of(name.task)},
+                  {"run", name.run},
+                  {"instance", at.info().id},
+                  {"earlier_unanswered", it.unanswered ? 1 : 0}});
+    if (it.unanswered || it.state == attempt_state::running)
+    {
+        if (!it.stop_wanted)
+        {
+            want_stop(at, name, it, now);
+        }
+        return;
+    }
+    attempt_ended(at, name, end_reason::stopped, {}, now);
+}
+
+void scheduler::stop_answered(std::string const& id,
+                              attempt_name const& name,
+                              bool answered,
+                              base::instant now)
+{
+    auto* const at = m_instances.find(id);
+    auto* const it = at == nullptr ? nullptr : at->find(name);
+    if (it == nullptr || !answered)
+    {
+        return;
+    }
+    it->settled_at = now;
+    it->next_try.reset();
+}
+
+void scheduler::advised(workload::step_name const& of,
+                        std::vector<std::string> const& asked,
+                        std::vector<permission> const& allowed,
+                        base::duration validity,
+                        base::instant now)
+{
+    auto* const job = m_jobs.find(of.job);
+    auto* const in = job == nullptr ? nullptr : job->find(of);
+    if (in == nullptr)
+    {
+        return;
+    }
+    auto& known = in->advice;
+    known.asking = false;
+    known.refused.insert(asked.begin(), asked.end());
+    for (auto const& it : allowed)
+    {
+        known.refused.erase(it.instance);
+        known.allowed[it.instance] = {it.ticket, now + validity};
+    }
+    m_log->write(base::log_level::info, "advice_read",
+                 {{"step", text_of(of)},
+                  {"asked", std::uint64_t{asked.size()}},
+                  {"allowed", std::uint64_t{allowed.size()}}});
+}
+
+void scheduler::advice_failed(workload::step_name const& of, base::instant now)
+{
+    auto* const job = m_jobs.find(of.job);
+    auto* const in = job == nullptr ? nullptr : job->find(of);
+    if (in == nullptr)
+    {
+        return;
+    }
+    in->advice.asking = false;
+    in->advice.next_ask = now + m_rules.advice_retry;
+}
+
+hold_order scheduler::next_hold(std::string const& id, base::instant now)
+{
+    auto* const it = m_instances.find(id);
+    hold_order out;
+    out.instance = id;
+    if (it == nullptr)
+    {
+        return out;
+    }
+    out.seen_end = it->seen_end();
+    out.until_ms = it->attempts().empty() ? 0 : it->grant(now, m_rules);
+    out.wait =
+        it->fenced() && it->reachable() ? m_rules.hold_wait : base::duration{0};
+    return out;
+}
+
+void scheduler::release_start(start_order it, base::instant now)
+{
+    auto* const at = m_instances.find(it.instance);
+    auto* const found = at == nullptr ? nullptr : at->find(it.attempt);
+    if (found == nullptr)
+    {
+        return;
+    }
+    if (found->stop_wanted)
+    {
+        // It was given up before anything left: nothing to be stopped.
+        attempt_ended(*at, it.attempt, end_reason::stopped, {}, now);
+        return;
+    }
+    found->state = attempt_state::sent;
+    found->next_try = now + m_rules.order_retry;
+    it.until_ms = at->grant(now, m_rules);
+    ++m_counts.starts;
+    m_orders.emplace_back(std::move(it));
+}
+
+void scheduler::tick(std::int64_t wall_ms, base::instant now)
+{
+    for (auto const& [id, at] : m_instances.all())
+    {
+        if (!at->attempts().empty() && now > at->lease_end())
+        {
+            m_log->write(base::log_level::warning, "leases_lapsed",
+                         {{"instance", id},
+                          {"attempts", std::uint64_t{at->attempts().size()}}});
+            void_attempts(*at, now);
+        }
+        retry(*at, now);
+    }
+    m_instances.forget_idle();
+    open_due_occurrences(wall_ms, now);
+    for (auto const id : m_jobs.finished_before(now - m_rules.status_kept))
+    {
+        m_jobs.drop(id);
+    }
+}
+
+void scheduler::retry(instance& at, base::instant now)
+{
+    for (auto& [name, it] : at.attempts())
+    {
+        if (it.next_try && now >= *it.next_try)
+        {
+            send_again(at, name, it, now);
+        }
+    }
+}
+
+/// Orders may be sent any number of times: the run's number makes the repeats
+/// harmless.
+void scheduler::send_again(instance& at,
+                           attempt_name const& name,
+                           attempt& it,
+                           base::instant now)
+{
+    ++it.tries;
+    auto const pause = m_rules.order_retry * (1U << std::min(it.tries, 8U));
+    it.next_try = now + std::min(pause, m_rules.order_retry_limit);
+    if (it.stop_wanted)
+    {
+        m_orders.emplace_back(stop_order{at.info().id, name});
+        return;
+    }
+    auto const* const job = m_jobs.find(name.task.of.job);
+    if (job == nullptr)
+    {
+        return;
+    }
+    auto const& spec = job->spec();
+    m_orders.emplace_back(start_order{at.info().id, name, spec.payload,
+                                      it.checkpoint, it.ticket,
+                                      at.grant(now, m_rules)});
+}
+
+void scheduler::open_due_occurrences(std::int64_t wall_ms, base::instant now)
+{
+    for (auto const& [id, job] : m_jobs.all())
+    {
+        auto const& repeats = job->spec().repeats;
+        if (finished(job->phase) || repeats.count == 0)
+        {
+            continue;
+        }
+        auto const next = static_cast<std::uint32_t>(job->occurrences.size());
+        if (next >= repeats.count ||
+            wall_ms < repeats.first_ms + next * repeats.interval_ms)
+        {
+            continue;
+        }
+        job->open_occurrence(next, now);
+        m_jobs.touch(id);
+        m_jobs.refresh_ready(*job);
+    }
+}
+
+} // namespace berylhill::scheduler
--- /dev/null
+++ b/libraries/settings/cell_schema.cpp
@@ -0,0 +1,162 @@
+#include <settings/cell_schema.hpp>
+
+#include <settings/file.hpp>
+#include <settings/schema.hpp>
+
+namespace berylhill::settings
+{
+
+namespace
+{
+
+/// An address that may be left out.
+class optional_address_kind final : public value_kind<std::string>
+{
+public:
+    [[nodiscard]] std::string name() const override
+    {
+        return m_address->name() + ", or empty";
+    }
+
+    void read(located_value const& from,
+              std::string& into,
+              base::findings& found) const override
+    {
+        if (from.json().isString() && from.json().asString().empty())
+        {
+            into.clear();
+            return;
+        }
+        m_address->read(from, into, found);
+    }
+
+    [[nodiscard]] Json::Value write(std::string const& it) const override
+    {
+        return m_address->write(it);
+    }
+
+private:
+    kind_pointer<std::string> m_address{address()};
+};
+
+kind_pointer<std::string> optional_address()
+{
+    return std::make_shared<optional_address_kind>();
+}
+
+constexpr std::size_t longest_name = 200;
+
+kind_pointer<cell_listen_settings> listen_kind()
+{
+    using section = cell_listen_settings;
+    auto it = std::make_shared<schema<section>>();
+    it->add({"callers", "", "For clients.", presence::required},
+            &section::callers, address());
+    it->add({"readiness", "", "For the platform's probes.", presence::required},
+            &section::readiness, address());
+    it->add({"peer", "", "For the other processes of the cell.",
+             presence::required},
+            &section::peer, address());
+    it->add(
+        {"metrics", "", "For those who collect metrics.", presence::required},
+        &section::metrics, address());
+    return it;
+}
+
+kind_pointer<cell_platform_settings> platform_kind()
+{
+    using section = cell_platform_settings;
+    auto it = std::make_shared<schema<section>>();
+    it->add({"store", "", "The log service.", presence::required},
+            &section::store, address());
+    it->add({"advice", "",
+             "The service that knows which instances a queue may use."},
+            &section::advice, optional_address());
+    it->add({"machines", "", "The service that moves and services machines."},
+            &section::machines, optional_address());
+    return it;
+}
+
+kind_pointer<cell_bound_settings> bounds_kind()
+{
+    using section = cell_bound_settings;
+    constexpr double day_s = 86'400;
+    auto it = std::make_shared<schema<section>>();
+    it->add({"longest_lease_ms", "ms",
+             "The longest lease that an instance grants."},
+            &section::longest_lease_ms, integer(1'000, 3'600'000));
+    it->add({"stop_grace_s", "s",
+             "From SIGTERM until the process is ended by force."},
+            &section::stop_grace_s, number(0.5, day_s));
+    it->add({"status_kept_s", "s",
+             "How long the state of a finished job can be asked for."},
+            &section::status_kept_s, number(1, day_s));
+    it->add({"configuration_ms", "ms",
+             "From an accepted configuration until it is in force."},
+            &section::configuration_ms, integer(100, 3'600'000));
+    return it;
+}
+
+kind_pointer<cell_limit_settings> limits_kind()
+{
+    using section = cell_limit_settings;
+    auto it = std::make_shared<schema<section>>();
+    it->add({"memory_mb", "MB", "More ends the process."}, &section::memory_mb,
+            integer(16, 1'048'576));
+    it->add({"descriptors", "", "Files and sockets together."},
+            &section::descriptors, integer(64, 10'000'000));
+    return it;
+}
+
+kind_pointer<cell_settings> make_schema()
+{
+    using enum base::log_level;
+    using section = cell_settings;
+    auto it = std::make_shared<schema<section>>();
+    it->add({"instance", "", "The name of this instance.", presence::required},
+            &section::instance, text(longest_name));
+    it->add({"zone", "", "Its availability zone.", presence::required},
+            &section::zone, text(longest_name));
+    it->add({"listen", "", "Where it accepts connections.", presence::required},
+            &section::listen, listen_kind());
+    it->add({"platform", "", "The platform's services.", presence::required},
+            &section::platform, platform_kind());
+    it->add({"bounds", "", "What the platform promises or demands."},
+            &section::bounds, bounds_kind());
+    it->add({"limits", "", "What the machine gives."}, &section::limits,
+            limits_kind());
+    it->add({"log_level", "", "The least level that is written."},
+            &section::log_level,
+            choice<base::log_level>({{debug, "debug"},
+                                     {info, "info"},
+                                     {warning, "warning"},
+                                     {error, "error"}}));
+    return it;
+}
+
+} // namespace
+
+value_kind<cell_settings> const& cell_schema()
+{
+    static auto const s_schema = make_schema();
+    return *s_schema;
+}
+
+cell_settings load_cell_settings(std::string const& path, base::findings& found)
+{
+    cell_settings out;
+    auto const text = base::capture([&] { return read_file(path); });
+    if (!text)
+    {
+        found.add({path, 0, {}, text.error().message});
+        return out;
+    }
+    document const parsed{path, text.value(), found};
+    if (parsed.readable())
+    {
+        cell_schema().read(parsed.root(), out, found);
+    }
+    return out;
+}
+
+} // namespace berylhill::settings
--- /dev/null
+++ b/libraries/settings/cell_settings.hpp
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <base/log.hpp>
+
+#include <cstdint>
+#include <string>
+
+namespace berylhill::settings
+{
+
+/// Where a process of the cell accepts connections, `IP:port`.
+struct cell_listen_settings
+{
+    std::string callers;
+    std::string readiness;
+    std::string peer;
+    std::string metrics;
+
+    friend bool operator==(cell_listen_settings const&,
+                           cell_listen_settings const&) = default;
+};
+
+/// The services of the platform, `IP:port`; empty where there is none.
+struct cell_platform_settings
+{
+    std::string store;
+    std::string advice;
+    std::string machines;
+
+    friend bool operator==(cell_platform_settings const&,
+                           cell_platform_settings const&) = default;
+};
+
+/// Times that the operators of the platform promise or demand.
+struct cell_bound_settings
+{
+    /// The longest lease that an instance grants.
+    std::int64_t longest_lease_ms{10'000};
+    /// From the request to stop until the process is ended by force.
+    double stop_grace_s{6};
+    /// How long the state of a finished job can be asked for.
+    double status_kept_s{120};
+    /// From an accepted configuration until it is in force everywhere.
+    std::int64_t configuration_ms{2'000};
+
+    friend bool operator==(cell_bound_settings const&,
+                           cell_bound_settings const&) = default;
+};
+
+/// What the machine gives the process.
+struct cell_limit_settings
+{
+    std::int64_t memory_mb{256};
+    std::int64_t descriptors{4'096};
+
+    friend bool operator==(cell_limit_settings const&,
+                           cell_limit_settings const&) = default;
+};
+
+/// What one process of a cell is told by its settings file. A value.
+struct cell_settings
+{
+    std::string instance;
+    std::string zone;
+    cell_listen_settings listen;
+    cell_platform_settings platform;
+    cell_bound_settings bounds;
+    cell_limit_settings limits;
+    base::log_level log_level{base::log_level::info};
+
+    friend bool operator==(cell_settings const&,
+                           cell_settings const&) = default;
+};
+
+} // namespace berylhill::settings
--- /dev/null
+++ b/libraries/workload/cell_configuration.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <workload/queue_spec.hpp>
+
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+namespace berylhill::workload
+{
+
+/// What the operator has put in force. A value.
+struct cell_configuration
+{
+    /// 0: none was read yet.
+    std::int64_t version{0};
+    std::vector<queue_spec> queues;
+    std::vector<service_spec> services;
+    request_limits limits;
+
+    friend bool operator==(cell_configuration const&,
+                           cell_configuration const&) = default;
+
+    /// The queue of the longest prefix of `path` at this host; null where
+    /// there is none. Valid as long as the configuration.
+    [[nodiscard]] queue_spec const* queue_of(std::string_view host,
+                                             std::string_view path) const;
+
+    [[nodiscard]] queue_spec const* queue_named(std::string_view name) const;
+
+    [[nodiscard]] service_spec const*
+    service_named(std::string_view name) const;
+};
+
+} // namespace berylhill::workload
--- /dev/null
+++ b/libraries/workload/validation.cpp
@@ -0,0 +1,98 @@
+#include <workload/validation.hpp>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+namespace berylhill::workload
+{
+
+namespace
+{
+
+constexpr char const* source = "request";
+
+void check_step(step_spec const& it,
+                std::size_t number,
+                std::size_t steps,
+                base::findings& found)
+{
+    auto const place = "/steps/" + std::to_string(number);
+    auto const wrong = [&](char const* member, char const* message)
+    {
+        found.add({source, 0, place + member, message});
+    };
+    if (it.tasks == 0 || it.tasks > most_tasks)
+    {
+        wrong("/tasks", "from 1 to 10000 tasks");
+    }
+    if (it.need.cpu_millis < 0 || it.need.memory_mb < 0 || it.need.gpus < 0)
+    {
+        wrong("", "a size below 0");
+    }
+    if (it.estimate_ms < 0)
+    {
+        wrong("/estimate", "below 0");
+    }
+    for (auto const before : it.after)
+    {
+        if (before >= steps)
+        {
+            wrong("/after", "no such step");
+        }
+    }
+}
+
+/// Takes away steps that wait for none of the others until none is left; what
+/// stays waits in a circle.
+bool has_circle(std::vector<step_spec> const& steps)
+{
+    std::vector<bool> taken(steps.size(), false);
+    auto left = steps.size();
+    for (auto moved = true; moved;)
+    {
+        moved = false;
+        for (std::size_t n = 0; n < steps.size(); ++n)
+        {
+            if (!taken[n] &&
+                std::ranges::all_of(steps[n].after, [&](std::uint32_t it)
+                                    { return taken[it]; }))
+            {
+                taken[n] = true;
+                moved = true;
+                --left;
+            }
+        }
+    }
+    return left != 0;
+}
+
+} // namespace
+
+base::findings check(job_spec const& it)
+{
+    base::findings out;
+    if (it.payload.size() > longest_payload)
+    {
+        out.add({source, 0, "/payload", "longer than 4000 bytes"});
+    }
+    if (it.steps.empty())
+    {
+        out.add({source, 0, "/steps", "at least one step"});
+    }
+    for (std::size_t n = 0; n < it.steps.size(); ++n)
+    {
+        check_step(it.steps[n], n, it.steps.size(), out);
+    }
+    if (it.repeats.count != 0 && it.repeats.interval_ms < 0)
+    {
+        out.add({source, 0, "/repeats", "an interval below 0"});
+    }
+    if (out.empty() && has_circle(it.steps))
+    {
+        out.add({source, 0, "/steps", "steps that wait for each other"});
+    }
+    return out;
+}
+
+} // namespace berylhill::workload
--- a/meta/install-dependencies.sh
+++ b/meta/install-dependencies.sh
@@ -5,7 +5,7 @@
 packages=(
     clang-format clang-tidy cmake curl g++ ninja-build
     libasan8 libtsan2 libubsan1
-    libbenchmark-dev libboost1.81-dev libboost-test1.81-dev
+    libbenchmark-dev libboost1.81-dev libboost-json1.81-dev libboost-test1.81-dev
     libcaf-dev libcpp-httplib-dev libcxxopts-dev
     libjsoncpp-dev libjsonrpccpp-dev liblog4cplus-dev
     libopentracing-dev libssl-dev libxxhash-dev zlib1g-dev libbrotli-dev
