--- a/libraries/cell/call_router.cpp
+++ b/libraries/cell/call_router.cpp
@@ -78,7 +78,7 @@
 void call_router::go(trip_pointer const& it)
 {
     if (m_local(it->call,
-                [this, it](job_answer const& answer) { finish(it, answer); }))
+                [this, it](job_answer const& answer) { given(it, answer); }))
     {
         return;
     }
@@ -104,7 +104,22 @@
         retry(it);
         return;
     }
-    finish(it, *end.answer);
+    given(it, *end.answer);
+}
+
+/// An owner that loses or gives up its right sends its callers on to the next
+/// one.
+void call_router::given(trip_pointer const& it, job_answer const& answer)
+{
+    if (answer.kind == job_answer_kind::not_owner ||
+        answer.kind == job_answer_kind::interrupted)
+    {
+        it->maybe_done =
+            it->maybe_done || answer.kind == job_answer_kind::interrupted;
+        retry(it);
+        return;
+    }
+    finish(it, answer);
 }
 
 void call_router::retry(trip_pointer const& it)
--- a/libraries/cell/call_router.hpp
+++ b/libraries/cell/call_router.hpp
@@ -46,6 +46,7 @@
 
     void go(trip_pointer const& it);
     void returned(trip_pointer const& it, peer_result<job_answer> const& end);
+    void given(trip_pointer const& it, job_answer const& answer);
     void retry(trip_pointer const& it);
     void finish(trip_pointer const& it, job_answer const& answer);
 
--- a/libraries/cell/cell_owner.cpp
+++ b/libraries/cell/cell_owner.cpp
@@ -80,14 +80,14 @@
 cell_owner::~cell_owner()
 {
     *m_alive = false;
-    // What was never sent to the store is surely not accepted.
+    // What was never sent to the store is surely not done.
     for (auto const& it : m_waiting)
     {
-        it.done({job_answer_kind::refused, {}, 0, retry_after});
+        it.done({job_answer_kind::not_owner, {}, 0, {}});
     }
     for (auto const& it : m_in_flight)
     {
-        it.done({job_answer_kind::outcome_unknown, {}, 0, {}});
+        it.done({job_answer_kind::interrupted, {}, 0, {}});
     }
 }
 
@@ -97,13 +97,13 @@
     soon();
 }
 
-bool cell_owner::refuses() const
-{
-    return m_releasing || m_lost || store_stuck() > stuck_limit;
-}
-
 void cell_owner::call(job_call const& it, job_answer_handler done)
 {
+    if (m_releasing || m_lost)
+    {
+        done({job_answer_kind::not_owner, {}, 0, {}});
+        return;
+    }
     switch (it.kind)
     {
     case job_call_kind::submit:
@@ -133,7 +133,7 @@
         done({job_answer_kind::accepted, *phase, 0, {}});
         return;
     }
-    if (refuses())
+    if (store_stuck() > stuck_limit)
     {
         done({job_answer_kind::refused, {}, 0, retry_after});
         return;
@@ -154,7 +154,7 @@
 
 void cell_owner::cancel(job_call const& it, job_answer_handler done)
 {
-    if (refuses())
+    if (store_stuck() > stuck_limit)
     {
         done({job_answer_kind::refused, {}, 0, retry_after});
         return;
--- a/libraries/cell/cell_owner.hpp
+++ b/libraries/cell/cell_owner.hpp
@@ -106,7 +106,6 @@
     void wait_for_batch(job_answer answer,
                         base::duration patience,
                         job_answer_handler done);
-    [[nodiscard]] bool refuses() const;
     void soon();
     void work();
     void commit();
--- a/libraries/cell/job_call.hpp
+++ b/libraries/cell/job_call.hpp
@@ -48,6 +48,10 @@
     refused,
     /// Whether it was accepted is not known.
     outcome_unknown,
+    /// Between processes: the one asked owns no longer and has done nothing.
+    not_owner,
+    /// Between processes: it lost its right, and may have done it.
+    interrupted,
 };
 
 /// What a client is told. A value.
--- a/libraries/cell/ownership.cpp
+++ b/libraries/cell/ownership.cpp
@@ -127,8 +127,7 @@
     base::log(base::log_level::info, "owner_seen",
               {{"owner", it.instance}, {"token", it.token}});
     if (m_state == ownership_state::owning ||
-        m_state == ownership_state::starting ||
-        m_state == ownership_state::leaving)
+        m_state == ownership_state::starting)
     {
         return;
     }
@@ -320,8 +319,14 @@
 
 void ownership::claim(char const* why)
 {
-    if (m_state == ownership_state::leaving)
+    if (m_leaving)
     {
+        again(claim_retry,
+              [this]
+              {
+                  m_state = ownership_state::starting;
+                  m_follower.start();
+              });
         return;
     }
     ++*m_generation;
@@ -385,8 +390,11 @@
         }
         return;
     }
-    if (m_state == ownership_state::leaving || m_owner.token > claimant.token)
+    if (m_leaving || m_owner.token > claimant.token)
     {
+        // The next one that misses an owner claims after this token.
+        m_state = ownership_state::starting;
+        m_follower.start();
         return;
     }
     ++*m_generation;
@@ -430,15 +438,16 @@
 
 void ownership::leave()
 {
-    auto const owned = m_state == ownership_state::owning;
-    ++*m_generation;
-    m_state = ownership_state::leaving;
-    m_heard = false;
-    if (owned)
+    m_leaving = true;
+    if (m_state != ownership_state::owning &&
+        m_state != ownership_state::claiming)
     {
-        // Callers that still come are passed on to the next owner.
-        m_follower.start();
+        return;
     }
+    ++*m_generation;
+    m_state = ownership_state::starting;
+    m_heard = false;
+    m_follower.start();
 }
 
 void ownership::again(base::duration pause, std::function<void()> what)
--- a/libraries/cell/ownership.hpp
+++ b/libraries/cell/ownership.hpp
@@ -28,8 +28,6 @@
     suspecting,
     claiming,
     owning,
-    /// The process ends: it claims nothing any more.
-    leaving,
 };
 
 /// Finds the owner of the cell's work, watches it, and claims the work when
@@ -81,7 +79,8 @@
     /// Another process tells who owns.
     void heard_of(owner_view const& it);
 
-    /// The process ends; the right, if it has it, was given up.
+    /// The process ends; the right, if it has it, was given up. It goes on
+    /// watching, for callers that still come, and claims nothing any more.
     void leave();
 
     [[nodiscard]] ownership_state state() const noexcept
@@ -142,6 +141,7 @@
     owner_view m_owner;
     std::vector<peer> m_peers;
     bool m_heard{false};
+    bool m_leaving{false};
     std::uint32_t m_failures{0};
     std::uint32_t m_isolated{0};
     std::size_t m_open_questions{0};
--- a/libraries/cell/peer_messages.cpp
+++ b/libraries/cell/peer_messages.cpp
@@ -168,7 +168,7 @@
     BOOST_LEAF_AUTO(root, json_codec::parse(text));
     job_answer out;
     BOOST_LEAF_ASSIGN(out.kind,
-                      enum_in(root, "kind", job_answer_kind::outcome_unknown));
+                      enum_in(root, "kind", job_answer_kind::interrupted));
     BOOST_LEAF_ASSIGN(out.phase,
                       enum_in(root, "phase", scheduler::job_phase::cancelled));
     out.pending =
