--- a/libraries/scheduler/scheduler_orders.cpp
+++ b/libraries/scheduler/scheduler_orders.cpp
@@ -231,6 +231,11 @@
         m_orders.emplace_back(stop_order{at.info().id, name});
         return;
     }
+    if (!at.reachable())
+    {
+        // As with holds: an order carries a lease.
+        return;
+    }
     auto const* const job = m_jobs.find(name.task.of.job);
     if (job == nullptr)
     {
