scheduler: Let leases of silent instances lapse, and only those

Besides, a lapse gave up starts that were planned and had never been sent.

Ruled out: the takeover (the new owner reached and listed the instance).

--- a/libraries/scheduler/instance.cpp
+++ b/libraries/scheduler/instance.cpp
@@ -95,6 +95,13 @@
     return it == m_attempts.end() ? nullptr : &it->second;
 }
 
+bool instance::holds_sent() const
+{
+    return std::ranges::any_of(
+        m_attempts, [](auto const& it)
+        { return it.second.state != attempt_state::planned; });
+}
+
 bool instance::has_label(std::string const& label) const
 {
     return std::ranges::find(m_info.labels, label) != m_info.labels.end();
--- a/libraries/scheduler/instance.hpp
+++ b/libraries/scheduler/instance.hpp
@@ -162,6 +162,9 @@
         return m_attempts;
     }
 
+    /// Some attempt may be running: not all are merely planned.
+    [[nodiscard]] bool holds_sent() const;
+
     /// Ends up to this number are stored.
     [[nodiscard]] std::uint64_t seen_end() const noexcept
     {
--- a/libraries/scheduler/scheduler.cpp
+++ b/libraries/scheduler/scheduler.cpp
@@ -204,7 +204,7 @@
     m_instances.list(std::move(it));
 }
 
-void scheduler::unlist(std::string const& id, base::instant)
+void scheduler::unlist(std::string const& id, base::instant now)
 {
     auto* const it = m_instances.find(id);
     if (it == nullptr || !it->listed())
@@ -212,9 +212,10 @@
         return;
     }
     it->unlist();
-    m_log->write(
-        base::log_level::info, "instance_unlisted",
-        {{"id", id}, {"attempts", std::uint64_t{it->attempts().size()}}});
+    m_log->write(base::log_level::info, "instance_unlisted",
+                 {{"id", id},
+                  {"attempts", std::uint64_t{it->attempts().size()}},
+                  {"lease_left_s", base::seconds_of(it->lease_end() - now)}});
 }
 
 void scheduler::gone(std::string const& id, base::instant now)
@@ -230,6 +231,11 @@
     it->unlist();
     it->set_unreachable();
     void_attempts(*it, now);
+    for (auto& [name, planned] : it->attempts())
+    {
+        // Given up when its batch is stored, before anything leaves.
+        planned.stop_wanted = true;
+    }
 }
 
 std::vector<order> scheduler::take_orders()
--- a/libraries/scheduler/scheduler_ends.cpp
+++ b/libraries/scheduler/scheduler_ends.cpp
@@ -158,7 +158,7 @@
     }
 }
 
-void scheduler::silent(std::string const& id, base::instant)
+void scheduler::silent(std::string const& id, base::instant now)
 {
     auto* const it = m_instances.find(id);
     if (it == nullptr || !it->reachable())
@@ -166,9 +166,10 @@
         return;
     }
     it->set_unreachable();
-    m_log->write(
-        base::log_level::warning, "instance_unreachable",
-        {{"id", id}, {"attempts", std::uint64_t{it->attempts().size()}}});
+    m_log->write(base::log_level::warning, "instance_unreachable",
+                 {{"id", id},
+                  {"attempts", std::uint64_t{it->attempts().size()}},
+                  {"lease_left_s", base::seconds_of(it->lease_end() - now)}});
 }
 
 /// Takes an instance out of use that fails what it starts. A task's own fault
@@ -394,19 +395,17 @@
     m_open.stops.push_back({at.info().id, name});
 }
 
-/// Nothing on the instance runs any more, or can still begin. What has not
-/// been sent yet goes the same way when its batch is stored.
+/// Nothing that was sent to the instance runs any more, or can still begin.
+/// What has not been sent carries a lease of its own when it is.
 void scheduler::void_attempts(instance& at, base::instant now)
 {
     std::vector<attempt_name> names;
     for (auto const& [name, it] : at.attempts())
     {
-        if (it.state == attempt_state::planned)
+        if (it.state != attempt_state::planned)
         {
-            at.find(name)->stop_wanted = true;
-            continue;
+            names.push_back(name);
         }
-        names.push_back(name);
     }
     for (auto const& name : names)
     {
--- a/libraries/scheduler/scheduler_orders.cpp
+++ b/libraries/scheduler/scheduler_orders.cpp
@@ -157,9 +157,15 @@
         return out;
     }
     out.seen_end = it->seen_end();
+    if (!it->fenced() || !it->reachable())
+    {
+        // No lease is granted to an instance that gives no answer, or its
+        // leases would never be known to have lapsed, and what it held when
+        // it died would wait for ever.
+        return out;
+    }
     out.until_ms = it->attempts().empty() ? 0 : it->grant(now, m_rules);
-    out.wait =
-        it->fenced() && it->reachable() ? m_rules.hold_wait : base::duration{0};
+    out.wait = m_rules.hold_wait;
     return out;
 }
 
@@ -188,7 +194,7 @@
 {
     for (auto const& [id, at] : m_instances.all())
     {
-        if (!at->attempts().empty() && now > at->lease_end())
+        if (at->holds_sent() && now > at->lease_end())
         {
             m_log->write(base::log_level::warning, "leases_lapsed",
                          {{"instance", id},
