--- a/libraries/scheduler/instance.cpp
+++ b/libraries/scheduler/instance.cpp
@@ -73,6 +73,7 @@
 attempt& instance::add(attempt_name const& name, attempt it)
 {
     m_used += it.need;
+    m_unknown_needs += it.need_known ? 0 : 1;
     auto const [at, added] = m_attempts.emplace(name, std::move(it));
     assert(added);
     return at->second;
@@ -86,6 +87,7 @@
         return;
     }
     m_used -= it->second.need;
+    m_unknown_needs -= it->second.need_known ? 0 : 1;
     m_attempts.erase(it);
 }
 
--- a/libraries/scheduler/instance.hpp
+++ b/libraries/scheduler/instance.hpp
@@ -48,6 +48,9 @@
 {
     attempt_state state{attempt_state::planned};
     workload::resources need;
+    /// An attempt of a job that has finished may be found running: what it
+    /// takes is then not known any more.
+    bool need_known{true};
     std::string ticket;
     bool stop_wanted{false};
     /// An order without an answer may be carried out later.
@@ -129,7 +132,7 @@
     [[nodiscard]] bool usable(base::instant now) const noexcept
     {
         return m_listed && m_fenced && m_reachable && !m_info.draining &&
-               now >= m_paused_until;
+               m_unknown_needs == 0 && now >= m_paused_until;
     }
 
     void pause(base::instant until)
@@ -194,6 +197,9 @@
     bool m_fenced{false};
     bool m_reachable{false};
     workload::resources m_used;
+    /// Attempts whose need is not known: nothing is added beside them, or the
+    /// instance could get more than it holds.
+    std::size_t m_unknown_needs{0};
     std::map<attempt_name, attempt> m_attempts;
     std::uint64_t m_seen_end{0};
     std::optional<base::instant> m_clock_read_at;
--- a/libraries/scheduler/scheduler_ends.cpp
+++ b/libraries/scheduler/scheduler_ends.cpp
@@ -78,8 +78,7 @@
             }
             else
             {
-                // What it takes is not known; it is gone in a moment.
-                at.pause(it.read_at + m_rules.turned_away_pause);
+                stray.need_known = false;
             }
             stray.settled_at = it.sent_at;
             auto& added = at.add(row.attempt, stray);
