scheduler: Believe only an answer that an instance is gone; random runs

Only the answer of another life says so now.

What: tests/scheduler, a cell on a virtual clock whose owners change, instances crash and are cut off, orders are lost, late and doubled, and whose store goes away.

--- a/libraries/network/http_client.hpp
+++ b/libraries/network/http_client.hpp
@@ -45,7 +45,7 @@
     /// Idle connections kept for each address.
     std::size_t idle_per_address{4};
     /// A larger response counts as no answer.
-    std::size_t body_bytes{8 * 1024 * 1024};
+    std::size_t body_bytes{std::size_t{8} * 1024 * 1024};
 };
 
 /// HTTP/1.1 calls over connections that are kept open. All members run on the
--- a/libraries/scheduler/scheduler.cpp
+++ b/libraries/scheduler/scheduler.cpp
@@ -178,7 +178,7 @@
     return m_jobs.pending(queue);
 }
 
-void scheduler::list(instance_info it, base::instant now)
+void scheduler::list(instance_info it, base::instant)
 {
     auto const* const known = m_instances.find(it.id);
     auto const fresh = known == nullptr || !known->listed();
@@ -190,17 +190,8 @@
                       {"zone", it.zone},
                       {"draining", it.draining ? 1 : 0}});
     }
-    if (fresh)
-    {
-        // An address belongs to one machine: whoever had it before is gone.
-        for (auto const& [id, other] : m_instances.all())
-        {
-            if (id != it.id && other->info().address == it.address)
-            {
-                gone(id, now);
-            }
-        }
-    }
+    // Two lives may be listed at one address, the one before still for
+    // seconds, in any order; which of them lives only an answer tells.
     m_instances.list(std::move(it));
 }
 
--- /dev/null
+++ b/tests/scheduler/random_test.cpp
@@ -0,0 +1,99 @@
+#include "world.hpp"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <cstdlib>
+#include <ostream>
+#include <string>
+
+using namespace berylhill;
+using namespace berylhill::scheduler_test;
+
+namespace
+{
+
+constexpr base::duration trouble = std::chrono::seconds{20};
+constexpr base::duration calm = std::chrono::seconds{120};
+
+/// Seeds of a usual run; `BERYLHILL_SEEDS` asks for more by hand, and
+/// `BERYLHILL_FIRST_SEED` repeats one.
+constexpr std::uint64_t usual_seeds = 100;
+
+/// Within so many seeds a planted fault has to be found.
+constexpr std::uint64_t seeds_to_find = 1'000;
+
+std::uint64_t number_from(char const* variable, std::uint64_t otherwise)
+{
+    auto const* const text = std::getenv(variable);
+    return text == nullptr ? otherwise : std::stoull(text);
+}
+
+std::vector<std::string> run(std::uint64_t seed, planted fault)
+{
+    world it{seed, {}, fault};
+    return it.run(trouble, calm);
+}
+
+struct planted_case
+{
+    char const* name;
+    planted fault;
+};
+
+std::ostream& operator<<(std::ostream& to, planted_case const& it)
+{
+    return to << it.name;
+}
+
+planted_case const planted_cases[] = {
+    {"a batch counts as stored when it is sent", planted::believe_unstored},
+    {"instances take orders of any token", planted::no_fence},
+    {"leases are not waited for", planted::no_wait_for_lapse},
+    {"a report counts as asked for when read", planted::trust_old_reports},
+    {"appends are not conditional", planted::append_anywhere},
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(random_runs)
+
+/// Owners change, instances crash and are cut off, orders are lost and carried
+/// out seconds late, the store goes away. Nothing may run twice, begin too
+/// early, exceed an instance or be lost.
+BOOST_AUTO_TEST_CASE(promises_hold_under_random_failures)
+{
+    auto const first = number_from("BERYLHILL_FIRST_SEED", 1);
+    auto const seeds = number_from("BERYLHILL_SEEDS", usual_seeds);
+    std::uint64_t starts = 0;
+    std::uint64_t takeovers = 0;
+    for (auto seed = first; seed < first + seeds; ++seed)
+    {
+        world it{seed, {}, planted::nothing};
+        auto const broken = it.run(trouble, calm);
+        starts += it.starts();
+        takeovers += it.takeovers();
+        for (auto const& what : broken)
+        {
+            BOOST_ERROR("seed " << seed << ": " << what);
+        }
+    }
+    BOOST_TEST_MESSAGE(seeds << " seeds, " << starts << " starts, "
+                             << takeovers << " takeovers");
+}
+
+/// With a guard taken out, the same runs find what it is for.
+BOOST_DATA_TEST_CASE(planted_faults_are_found,
+                     boost::unit_test::data::make(planted_cases))
+{
+    std::uint64_t seed = 1;
+    while (seed <= seeds_to_find && run(seed, sample.fault).empty())
+    {
+        ++seed;
+    }
+    BOOST_TEST(seed <= seeds_to_find, sample.name << " was not found");
+    BOOST_TEST_MESSAGE(sample.name << ": found by seed " << seed);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/scheduler/world.cpp
@@ -0,0 +1,219 @@
+#include "world.hpp"
+
+#include <utility>
+
+namespace berylhill::scheduler_test
+{
+
+namespace
+{
+
+constexpr int instances = 6;
+constexpr base::duration moment = std::chrono::milliseconds{100};
+
+/// Two queues: one for anything, one whose instances are advised.
+workload::cell_configuration configuration()
+{
+    workload::cell_configuration out;
+    out.version = 1;
+    workload::queue_spec plain;
+    plain.name = "plain";
+    plain.service = "svc";
+    plain.attempts = 3;
+    plain.stretch = 2;
+    plain.target_latency = std::chrono::milliseconds{500};
+    auto advised = plain;
+    advised.name = "advised";
+    advised.attempts = 2;
+    advised.advice = workload::advice_spec{std::chrono::milliseconds{20},
+                                           std::chrono::milliseconds{1},
+                                           std::chrono::milliseconds{2'000}};
+    out.queues = {plain, advised};
+    return out;
+}
+
+} // namespace
+
+world::world(std::uint64_t seed, roughness rough, planted fault)
+    : m_random{seed}
+    , m_rough{rough}
+    , m_fault{fault}
+    , m_configuration{configuration()}
+    , m_now{std::chrono::seconds{1'000}}
+    , m_log{[this] { return base::seconds_of(m_now.time_since_epoch()); }}
+{
+    if (fault == planted::no_wait_for_lapse)
+    {
+        m_rules.lapse_margin = -m_rules.lease;
+        m_rules.former_owner_margin = base::duration{0};
+    }
+    for (int n = 0; n < instances; ++n)
+    {
+        add_instance("a" + std::to_string(n));
+    }
+}
+
+void world::after(base::duration pause, std::function<void()> what)
+{
+    m_events.emplace(std::pair{m_now + pause, m_sequence++}, std::move(what));
+}
+
+bool world::chance(double p)
+{
+    return std::uniform_real_distribution<>{0, 1}(m_random) < p;
+}
+
+std::int64_t world::between(std::int64_t a, std::int64_t b)
+{
+    return std::uniform_int_distribution<std::int64_t>{a, b}(m_random);
+}
+
+base::duration world::hop()
+{
+    return base::duration{between(200, 3'000)};
+}
+
+void world::broken(std::string what)
+{
+    m_broken.push_back(std::to_string(m_now.time_since_epoch().count()) + ": " +
+                       std::move(what));
+}
+
+std::vector<std::string> world::run(base::duration trouble, base::duration calm)
+{
+    take_over();
+    every_moment();
+    auto const troubled = m_now + trouble;
+    auto const until = troubled + calm;
+    while (!m_events.empty() && m_now < until && m_broken.empty())
+    {
+        auto const first = m_events.begin();
+        m_now = first->first.first;
+        auto const what = std::move(first->second);
+        m_events.erase(first);
+        what();
+        if (m_trouble && m_now >= troubled)
+        {
+            m_trouble = false;
+            m_store_up = true;
+            for (auto const& [id, it] : m_instances)
+            {
+                it->cut = false;
+            }
+            take_over();
+        }
+        if (!m_trouble && all_ended())
+        {
+            break;
+        }
+    }
+    if (m_broken.empty())
+    {
+        check_ends(m_broken);
+    }
+    return m_broken;
+}
+
+void world::every_moment()
+{
+    lapse_leases();
+    if (m_trouble)
+    {
+        if (chance(0.6))
+        {
+            submit_something();
+        }
+        if (chance(0.03))
+        {
+            cancel_something();
+        }
+        if (chance(m_rough.owner_change))
+        {
+            take_over();
+        }
+        if (chance(m_rough.store_down) && m_store_up)
+        {
+            m_store_up = false;
+            after(std::chrono::milliseconds{between(300, 4'000)},
+                  [this] { m_store_up = true; });
+        }
+        std::vector<fake_instance*> up;
+        for (auto const& [id, it] : m_instances)
+        {
+            if (it->up && !it->cut)
+            {
+                up.push_back(it.get());
+            }
+        }
+        if (!up.empty())
+        {
+            auto& any = *up[static_cast<std::size_t>(
+                between(0, static_cast<std::int64_t>(up.size()) - 1))];
+            if (chance(m_rough.crash))
+            {
+                crash(any);
+            }
+            else if (chance(m_rough.cut))
+            {
+                cut(any);
+            }
+        }
+    }
+    after(moment, [this] { every_moment(); });
+}
+
+void world::submit_something()
+{
+    if (!m_owner || !m_owner->alive)
+    {
+        return;
+    }
+    workload::job_spec spec;
+    spec.id = {m_next_job++};
+    auto const advised = chance(0.3);
+    spec.queue = advised ? "advised" : "plain";
+    spec.payload = "payload " + text_of(spec.id);
+    auto const steps = between(1, 3);
+    for (std::int64_t n = 0; n < steps; ++n)
+    {
+        workload::step_spec step;
+        step.tasks = static_cast<std::uint32_t>(between(1, 5));
+        step.need = {between(1, 4) * 1'000, between(1, 4) * 1'000, 0};
+        step.estimate_ms = between(100, 2'500);
+        step.gang = chance(0.3);
+        if (step.gang)
+        {
+            // Any single instance can hold it, so that it can always run.
+            step.need = {1'000, 1'000, 0};
+        }
+        step.checkpoints = chance(0.3);
+        if (!step.gang && chance(0.2))
+        {
+            step.most_per_instance = 2;
+        }
+        if (n > 0 && chance(0.8))
+        {
+            step.after = {static_cast<std::uint32_t>(n - 1)};
+        }
+        spec.steps.push_back(step);
+    }
+    m_submitted.emplace(spec.id, spec);
+    m_owner->decisions->submit(spec, 0, m_now);
+    pump(m_owner);
+}
+
+void world::cancel_something()
+{
+    if (!m_owner || !m_owner->alive || m_accepted.empty())
+    {
+        return;
+    }
+    auto it = m_accepted.begin();
+    std::advance(it, between(0, static_cast<std::int64_t>(
+                                    m_accepted.size()) - 1));
+    m_cancelled.insert(*it);
+    m_owner->decisions->cancel(*it, m_now);
+    pump(m_owner);
+}
+
+} // namespace berylhill::scheduler_test
--- /dev/null
+++ b/tests/scheduler/world.hpp
@@ -0,0 +1,222 @@
+#pragma once
+
+#include "trace_log.hpp"
+
+#include <scheduler/scheduler.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace berylhill::scheduler_test
+{
+
+/// A guard that a run takes out, to see that the checks find what it is for.
+enum class planted : std::uint8_t
+{
+    nothing,
+    /// A batch counts as stored when it is sent.
+    believe_unstored,
+    /// Instances take orders of any token.
+    no_fence,
+    /// Leases are taken to have lapsed long before they have.
+    no_wait_for_lapse,
+    /// A report counts as asked for when it was read.
+    trust_old_reports,
+    /// An append is not conditional: former owners go on writing.
+    append_anywhere,
+};
+
+/// How rough a run is.
+struct roughness
+{
+    /// Shares of orders whose request or answer is lost, and that are carried
+    /// out seconds later.
+    double lose{0.04};
+    double late{0.03};
+    /// For each tenth of a second.
+    double owner_change{0.02};
+    double crash{0.01};
+    double cut{0.015};
+    double store_down{0.01};
+};
+
+/// A cell on a virtual clock: instances that keep what the platform's pages
+/// say of them, a log with conditional appends, one owner after the other,
+/// former owners that go on for a while, and a network that loses, delays,
+/// doubles and reorders. It checks what must always hold while it runs.
+class world
+{
+public:
+    world(std::uint64_t seed, roughness rough, planted fault);
+
+    /// Runs for so long with trouble, then without until everything has
+    /// ended or `calm` has passed. Returns what was broken; empty where
+    /// nothing was.
+    [[nodiscard]] std::vector<std::string> run(base::duration trouble,
+                                               base::duration calm);
+
+    [[nodiscard]] std::uint64_t starts() const noexcept
+    {
+        return m_starts;
+    }
+
+    [[nodiscard]] std::uint64_t takeovers() const noexcept
+    {
+        return m_takeovers;
+    }
+
+private:
+    struct running_task
+    {
+        base::instant present_at{};
+        bool at_work{false};
+    };
+
+    struct fake_end
+    {
+        scheduler::ended_row row;
+        base::instant at{};
+        /// Of the instance, then: an end counts as acknowledged only if the
+        /// lease has not lapsed since.
+        std::uint64_t lapses{0};
+    };
+
+    /// What the platform's pages say of one life of an instance.
+    struct fake_instance
+    {
+        std::string id;
+        std::string address;
+        workload::resources capacity;
+        bool up{true};
+        bool cut{false};
+        std::uint64_t token{0};
+        double clock_rate{1};
+        base::instant born{};
+        std::int64_t until_ms{0};
+        std::map<scheduler::attempt_name, running_task> running;
+        std::vector<fake_end> ended;
+        std::uint64_t next_end{1};
+        std::map<workload::task_name, std::uint32_t> highest;
+        /// How often its lease has lapsed.
+        std::uint64_t lapses{0};
+    };
+
+    struct owner
+    {
+        std::uint64_t token{0};
+        std::uint64_t next{0};
+        std::unique_ptr<scheduler::scheduler> decisions;
+        bool alive{true};
+        bool appending{false};
+        std::map<std::string, base::instant> hold_after;
+    };
+
+    using owner_pointer = std::shared_ptr<owner>;
+    using owner_handler = std::function<void(owner&)>;
+
+    void after(base::duration pause, std::function<void()> what);
+    [[nodiscard]] bool chance(double p);
+    [[nodiscard]] std::int64_t between(std::int64_t a, std::int64_t b);
+    [[nodiscard]] base::duration hop();
+    void broken(std::string what);
+
+    // world_platform.cpp
+    void add_instance(std::string address);
+    void crash(fake_instance& it);
+    void cut(fake_instance& it);
+    void announce(fake_instance const& it, bool listed);
+    [[nodiscard]] std::int64_t clock_of(fake_instance const& it) const;
+    [[nodiscard]] fake_instance* at_address(std::string const& address);
+    scheduler::start_answer begin(fake_instance& at,
+                                  std::uint64_t token,
+                                  scheduler::start_order const& it);
+    void stop(fake_instance& at,
+              std::uint64_t token,
+              scheduler::attempt_name const& name);
+    void end(fake_instance& at,
+             scheduler::attempt_name const& name,
+             scheduler::end_reason reason);
+    void gang_begins(scheduler::attempt_name const& of);
+    void gang_ends(scheduler::attempt_name const& of,
+                   fake_instance const* by,
+                   scheduler::end_reason reason);
+    void list_end(fake_instance& at,
+                  scheduler::attempt_name const& name,
+                  scheduler::end_reason reason);
+    void lapse_leases();
+    [[nodiscard]] workload::step_spec const*
+    spec_of(workload::step_name const& it) const;
+    [[nodiscard]] std::uint32_t
+    members_present(scheduler::attempt_name const& of) const;
+    [[nodiscard]] base::duration work_of(workload::step_spec const& it);
+    void finish_later(fake_instance& at, scheduler::attempt_name const& name);
+
+    // world_checks.cpp
+    void check_start(fake_instance const& at, scheduler::start_order const& it);
+    void note_seen(fake_instance& at, std::uint64_t seen);
+    void check_ends(std::vector<std::string>& into) const;
+    [[nodiscard]] bool all_ended() const;
+
+    // world_owner.cpp
+    void take_over();
+    void pump(owner_pointer const& it);
+    void every_tick(owner_pointer const& it);
+    void append(owner_pointer const& it,
+                std::vector<scheduler::record> const& records);
+    void arrive(owner_pointer const& it,
+                std::uint64_t at,
+                std::vector<scheduler::record> const& records,
+                bool answered);
+    void send(owner_pointer const& by, scheduler::start_order const& it);
+    void send(owner_pointer const& by, scheduler::stop_order const& it);
+    void send(owner_pointer const& by, scheduler::advice_order const& it);
+    void hold(owner_pointer const& by, std::string const& id);
+    void fenced(owner_pointer const& by);
+    void submit_something();
+    void cancel_something();
+    void every_moment();
+
+    std::mt19937_64 m_random;
+    roughness m_rough;
+    planted m_fault;
+    scheduler::policy m_rules;
+    workload::cell_configuration m_configuration;
+    base::instant m_now{};
+    trace_log m_log;
+    std::uint64_t m_sequence{0};
+    std::map<std::pair<base::instant, std::uint64_t>, std::function<void()>>
+        m_events;
+    std::map<std::string, std::unique_ptr<fake_instance>> m_instances;
+    std::set<std::string> m_listed;
+    /// The cell's log: the newest of each key, and who wrote each offset.
+    std::map<std::string, std::string> m_newest;
+    std::vector<std::uint64_t> m_writers;
+    bool m_store_up{true};
+    owner_pointer m_owner;
+    std::vector<owner_pointer> m_owners;
+    std::map<workload::job_id, workload::job_spec> m_submitted;
+    std::set<workload::job_id> m_accepted;
+    std::set<workload::job_id> m_cancelled;
+    /// Tasks with an end `done` on some instance, and those of which such an
+    /// end was acknowledged.
+    std::set<workload::task_name> m_done;
+    std::set<workload::task_name> m_done_seen;
+    std::map<workload::task_name, base::instant> m_last_start;
+    std::map<workload::step_name, std::set<std::uint32_t>> m_failed_runs;
+    std::vector<std::string> m_broken;
+    std::uint64_t m_next_job{1};
+    std::uint64_t m_next_instance{1};
+    std::uint64_t m_next_address{1};
+    std::uint64_t m_starts{0};
+    std::uint64_t m_takeovers{0};
+    bool m_trouble{true};
+};
+
+} // namespace berylhill::scheduler_test
--- /dev/null
+++ b/tests/scheduler/world_checks.cpp
@@ -0,0 +1,141 @@
+#include "world.hpp"
+
+namespace berylhill::scheduler_test
+{
+
+void world::check_start(fake_instance const& at,
+                        scheduler::start_order const& it)
+{
+    auto const name = text_of(it.attempt.task);
+    auto const* const spec = spec_of(it.attempt.task.of);
+    if (spec == nullptr || it.payload != "payload " +
+                                             text_of(it.attempt.task.of.job))
+    {
+        broken("a start that nobody asked for: " + name);
+        return;
+    }
+    workload::resources used;
+    std::uint32_t of_step = 0;
+    for (auto const& [other, running] : at.running)
+    {
+        auto const* const known = spec_of(other.task.of);
+        used += known->counted_need();
+        of_step += other.task.of == it.attempt.task.of ? 1 : 0;
+    }
+    if (!fits(used + spec->counted_need(), at.capacity))
+    {
+        broken("more than it holds: " + at.id + " gets " + name);
+    }
+    if (spec->most_per_instance != 0 && of_step >= spec->most_per_instance)
+    {
+        broken("too many of a step on " + at.id + ": " + name);
+    }
+    for (auto const& [id, other] : m_instances)
+    {
+        for (auto const& [running, state] : other->running)
+        {
+            if (running.task == it.attempt.task && other->up)
+            {
+                broken("in two places: " + name + " on " + at.id + " and " +
+                       id);
+            }
+        }
+    }
+    if (m_done_seen.contains(it.attempt.task))
+    {
+        broken("again after its end was acknowledged: " + name);
+    }
+    auto const& job = m_submitted.at(it.attempt.task.of.job);
+    for (auto const before : spec->after)
+    {
+        for (std::uint32_t n = 0; n < job.steps[before].tasks; ++n)
+        {
+            auto earlier = it.attempt.task;
+            earlier.of.step = before;
+            earlier.index = n;
+            if (!m_done.contains(earlier) && !job.steps[before].gang)
+            {
+                broken("too early: " + name + " before " + text_of(earlier));
+            }
+        }
+    }
+}
+
+void world::note_seen(fake_instance& at, std::uint64_t seen)
+{
+    std::erase_if(at.ended,
+                  [&](fake_end const& it)
+                  {
+                      if (it.row.number > seen)
+                      {
+                          return false;
+                      }
+                      auto const& task = it.row.attempt.task;
+                      if (it.row.reason == scheduler::end_reason::done &&
+                          it.lapses == at.lapses)
+                      {
+                          m_done_seen.insert(task);
+                          if (m_last_start[task] > it.at)
+                          {
+                              broken("again after an end that is "
+                                     "acknowledged later: " +
+                                     text_of(task));
+                          }
+                      }
+                      return true;
+                  });
+}
+
+bool world::all_ended() const
+{
+    for (auto const id : m_accepted)
+    {
+        auto const phase = m_owner->decisions->phase_of(id);
+        if (!phase || !finished(*phase))
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+void world::check_ends(std::vector<std::string>& into) const
+{
+    for (auto const id : m_accepted)
+    {
+        auto const phase = m_owner->decisions->phase_of(id);
+        if (!phase)
+        {
+            into.push_back("lost: " + text_of(id));
+            continue;
+        }
+        if (!finished(*phase))
+        {
+            into.push_back("never ended: " + text_of(id));
+            continue;
+        }
+        if (*phase == scheduler::job_phase::cancelled &&
+            !m_cancelled.contains(id))
+        {
+            into.push_back("cancelled by nobody: " + text_of(id));
+        }
+        if (*phase != scheduler::job_phase::completed)
+        {
+            continue;
+        }
+        auto const& spec = m_submitted.at(id);
+        for (std::uint32_t s = 0; s < spec.steps.size(); ++s)
+        {
+            for (std::uint32_t n = 0; n < spec.steps[s].tasks; ++n)
+            {
+                auto const task = workload::task_name{{id, 0, s}, n};
+                if (!m_done.contains(task) && !spec.steps[s].gang)
+                {
+                    into.push_back("completed without " + text_of(task));
+                }
+            }
+        }
+    }
+}
+
+} // namespace berylhill::scheduler_test
--- /dev/null
+++ b/tests/scheduler/world_owner.cpp
@@ -0,0 +1,416 @@
+#include "world.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace berylhill::scheduler_test
+{
+
+using scheduler::start_answer;
+
+namespace
+{
+
+constexpr base::duration tick = std::chrono::milliseconds{25};
+constexpr base::duration answer_timeout = std::chrono::milliseconds{400};
+constexpr base::duration hold_pause = std::chrono::milliseconds{60};
+
+} // namespace
+
+/// The former owner does not know it yet, and goes on.
+void world::take_over()
+{
+    if (!m_store_up)
+    {
+        return;
+    }
+    ++m_takeovers;
+    auto made = std::make_shared<owner>();
+    m_writers.push_back(0);
+    made->token = m_writers.size();
+    m_writers.back() = made->token;
+    made->next = m_writers.size();
+    made->decisions =
+        std::make_unique<scheduler::scheduler>(m_rules, m_log, m_now);
+    made->decisions->set_configuration(m_configuration);
+    made->decisions->restore(m_newest, 0, m_now);
+    m_log.write(base::log_level::debug, "world_takeover",
+                {{"token", made->token}});
+    if (m_owner && chance(0.5))
+    {
+        m_owner->alive = false;
+    }
+    m_owner = made;
+    m_owners.push_back(made);
+    for (auto const& id : m_listed)
+    {
+        auto const& it = *m_instances.at(id);
+        made->decisions->list({it.id, "svc", it.address, "zone", it.capacity,
+                               {"kind", "rack"}, false},
+                              m_now);
+    }
+    every_tick(made);
+}
+
+void world::every_tick(owner_pointer const& it)
+{
+    if (!it->alive)
+    {
+        return;
+    }
+    it->decisions->tick(0, m_now);
+    pump(it);
+    after(tick, [this, it] { every_tick(it); });
+}
+
+void world::fenced(owner_pointer const& by)
+{
+    by->alive = false;
+}
+
+void world::pump(owner_pointer const& it)
+{
+    if (!it->alive)
+    {
+        return;
+    }
+    it->decisions->decide(m_now);
+    for (auto const& order : it->decisions->take_orders())
+    {
+        std::visit([&](auto const& each) { send(it, each); }, order);
+    }
+    if (!it->appending && it->decisions->batch_open())
+    {
+        auto const records = it->decisions->take_batch(m_now);
+        if (!records.empty())
+        {
+            it->appending = true;
+            if (m_fault == planted::believe_unstored)
+            {
+                it->decisions->batch_stored(m_now);
+            }
+            append(it, records);
+        }
+    }
+    for (auto const& [id, at] : it->decisions->instances().all())
+    {
+        auto& next = it->hold_after[id];
+        if (m_now >= next && !at->info().address.empty())
+        {
+            next = m_now + std::chrono::hours{1};
+            hold(it, id);
+        }
+    }
+}
+
+void world::append(owner_pointer const& it,
+                   std::vector<scheduler::record> const& records)
+{
+    if (!it->alive)
+    {
+        return;
+    }
+    if (chance(m_trouble ? m_rough.lose : 0))
+    {
+        // Its answer is lost; it may be carried out seconds later.
+        auto const pause = std::chrono::milliseconds{between(0, 3'000)};
+        after(chance(0.5) ? hop() : pause,
+              [this, it, records, at = it->next]
+              { arrive(it, at, records, false); });
+        after(answer_timeout,
+              [this, it, records]
+              {
+                  if (it->appending)
+                  {
+                      append(it, records);
+                  }
+              });
+        return;
+    }
+    after(hop(), [this, it, records, at = it->next]
+          { arrive(it, at, records, true); });
+}
+
+void world::arrive(owner_pointer const& it,
+                   std::uint64_t at,
+                   std::vector<scheduler::record> const& records,
+                   bool answered)
+{
+    if (!m_store_up)
+    {
+        if (answered)
+        {
+            after(std::chrono::milliseconds{50},
+                  [this, it, records] { append(it, records); });
+        }
+        return;
+    }
+    auto const fits = at == m_writers.size() ||
+                      m_fault == planted::append_anywhere;
+    // A late arrival of a batch that is stored finds the log further on.
+    auto const mine = at < m_writers.size() && m_writers[at] == it->token;
+    if (fits)
+    {
+        m_writers.insert(m_writers.end(), records.size(), it->token);
+        for (auto const& record : records)
+        {
+            if (record.value.empty())
+            {
+                m_newest.erase(record.key);
+            }
+            else
+            {
+                m_newest[record.key] = record.value;
+            }
+        }
+    }
+    if (!answered)
+    {
+        return;
+    }
+    after(hop(),
+          [this, it, n = records.size(), stored = fits || mine]
+          {
+              if (!it->alive || !it->appending)
+              {
+                  return;
+              }
+              if (!stored)
+              {
+                  fenced(it);
+                  return;
+              }
+              it->appending = false;
+              it->next += n;
+              if (m_fault == planted::append_anywhere)
+              {
+                  it->next = m_writers.size();
+              }
+              if (m_fault != planted::believe_unstored)
+              {
+                  it->decisions->batch_stored(m_now);
+              }
+              for (auto const& [id, spec] : m_submitted)
+              {
+                  if (it->decisions->phase_of(id))
+                  {
+                      m_accepted.insert(id);
+                  }
+              }
+              for (auto& [id, next] : it->hold_after)
+              {
+                  next = std::min(next, m_now + hold_pause);
+              }
+              pump(it);
+          });
+}
+
+void world::send(owner_pointer const& by, scheduler::start_order const& it)
+{
+    auto const answer = [this, by, it](start_answer end, std::int64_t clock)
+    {
+        if (!by->alive)
+        {
+            return;
+        }
+        if (end == start_answer::fenced)
+        {
+            fenced(by);
+            return;
+        }
+        by->decisions->start_answered(it.instance, it.attempt, end, clock,
+                                      m_now);
+        pump(by);
+    };
+    auto const* const known = by->decisions->instances().all().contains(
+                                  it.instance)
+                                  ? by->decisions->instances()
+                                        .all()
+                                        .at(it.instance)
+                                        .get()
+                                  : nullptr;
+    auto const address = known == nullptr ? "" : known->info().address;
+    auto const late = m_trouble && chance(m_rough.late);
+    auto const lost = m_trouble && chance(m_rough.lose);
+    auto const pause =
+        late ? std::chrono::milliseconds{between(2'000, 12'000)} : hop();
+    auto const quiet = late || lost;
+    if (quiet)
+    {
+        after(answer_timeout,
+              [answer] { answer(start_answer::unanswered, 0); });
+    }
+    if (lost && chance(0.5))
+    {
+        return;
+    }
+    after(pause,
+          [this, by, it, answer, address, quiet]
+          {
+              auto* const at = at_address(address);
+              if (at == nullptr || at->cut)
+              {
+                  if (!quiet)
+                  {
+                      after(answer_timeout, [answer]
+                            { answer(start_answer::unanswered, 0); });
+                  }
+                  return;
+              }
+              auto const end = at->id != it.instance
+                                   ? start_answer::other_incarnation
+                                   : begin(*at, by->token, it);
+              auto const clock = clock_of(*at);
+              if (!quiet)
+              {
+                  after(hop(), [answer, end, clock] { answer(end, clock); });
+              }
+          });
+}
+
+void world::send(owner_pointer const& by, scheduler::stop_order const& it)
+{
+    auto const lost = m_trouble && chance(m_rough.lose);
+    after(hop(),
+          [this, by, it, lost]
+          {
+              auto const at = m_instances.find(it.instance);
+              auto const reached = at != m_instances.end() && at->second->up &&
+                                   !at->second->cut;
+              auto const fence = reached && by->token < at->second->token &&
+                                 m_fault != planted::no_fence;
+              if (reached)
+              {
+                  stop(*at->second, by->token, it.attempt);
+              }
+              after(hop(),
+                    [this, by, it, answered = reached && !lost, fence]
+                    {
+                        if (!by->alive)
+                        {
+                            return;
+                        }
+                        if (fence)
+                        {
+                            fenced(by);
+                            return;
+                        }
+                        by->decisions->stop_answered(it.instance, it.attempt,
+                                                     answered, m_now);
+                        pump(by);
+                    });
+          });
+}
+
+void world::send(owner_pointer const& by, scheduler::advice_order const& it)
+{
+    after(it.expected,
+          [this, by, it, failed = m_trouble && chance(m_rough.lose)]
+          {
+              if (!by->alive)
+              {
+                  return;
+              }
+              if (failed)
+              {
+                  by->decisions->advice_failed(it.step, m_now);
+                  return;
+              }
+              std::vector<scheduler::permission> allowed;
+              for (auto const& id : it.instances)
+              {
+                  // Which ones are allowed never changes.
+                  if (std::hash<std::string>{}(id + text_of(it.step)) % 4 != 0)
+                  {
+                      allowed.push_back({id, "t"});
+                  }
+              }
+              by->decisions->advised(it.step, it.instances, allowed,
+                                     std::chrono::milliseconds{2'000}, m_now);
+              pump(by);
+          });
+}
+
+void world::hold(owner_pointer const& by, std::string const& id)
+{
+    auto const order = by->decisions->next_hold(id, m_now);
+    auto const sent_at = m_now;
+    auto const address =
+        by->decisions->instances().all().at(id)->info().address;
+    auto const lost = m_trouble && chance(m_rough.lose);
+    auto const again = [this, by, id](base::duration pause)
+    { by->hold_after[id] = m_now + pause; };
+    after(hop(),
+          [this, by, id, order, sent_at, address, lost, again]
+          {
+              auto* const at = at_address(address);
+              if (at == nullptr || at->cut || (lost && chance(0.5)))
+              {
+                  after(answer_timeout,
+                        [this, by, id, again]
+                        {
+                            if (by->alive)
+                            {
+                                by->decisions->silent(id, m_now);
+                                again(hold_pause);
+                                pump(by);
+                            }
+                        });
+                  return;
+              }
+              if (at->id != id)
+              {
+                  if (by->alive)
+                  {
+                      by->decisions->gone(id, m_now);
+                      again(hold_pause);
+                      pump(by);
+                  }
+                  return;
+              }
+              if (by->token < at->token && m_fault != planted::no_fence)
+              {
+                  fenced(by);
+                  return;
+              }
+              at->token = std::max(at->token, by->token);
+              at->until_ms = std::max(at->until_ms, order.until_ms);
+              note_seen(*at, order.seen_end);
+              scheduler::hold_report report;
+              report.instance = id;
+              report.sent_at = sent_at;
+              report.clock_ms = clock_of(*at);
+              for (auto const& [name, running] : at->running)
+              {
+                  report.running.push_back({name, {}, 50});
+              }
+              for (auto const& end : at->ended)
+              {
+                  report.ended.push_back(end.row);
+              }
+              after(lost ? answer_timeout : hop(),
+                    [this, by, id, report, again, lost]() mutable
+                    {
+                        if (!by->alive)
+                        {
+                            return;
+                        }
+                        again(hold_pause);
+                        if (lost)
+                        {
+                            by->decisions->silent(id, m_now);
+                            pump(by);
+                            return;
+                        }
+                        report.read_at = m_now;
+                        if (m_fault == planted::trust_old_reports)
+                        {
+                            report.sent_at = m_now;
+                        }
+                        by->decisions->reported(report);
+                        pump(by);
+                    });
+          });
+}
+
+} // namespace berylhill::scheduler_test
--- /dev/null
+++ b/tests/scheduler/world_platform.cpp
@@ -0,0 +1,375 @@
+#include "world.hpp"
+
+#include <algorithm>
+
+namespace berylhill::scheduler_test
+{
+
+using scheduler::attempt_name;
+using scheduler::end_reason;
+using scheduler::start_answer;
+
+namespace
+{
+
+constexpr base::duration gang_wait = std::chrono::seconds{3};
+constexpr base::duration listed_for = std::chrono::milliseconds{4'500};
+
+} // namespace
+
+void world::add_instance(std::string address)
+{
+    auto made = std::make_unique<fake_instance>();
+    made->id = "i-" + std::to_string(m_next_instance++);
+    made->address = std::move(address);
+    made->capacity = {8'000, 8'000, 0};
+    made->clock_rate = chance(0.5) ? 1.0 : 0.98;
+    made->born = m_now;
+    auto const& it = *made;
+    m_instances.emplace(made->id, std::move(made));
+    announce(it, true);
+}
+
+void world::announce(fake_instance const& it, bool listed)
+{
+    if (listed)
+    {
+        m_listed.insert(it.id);
+    }
+    else
+    {
+        m_listed.erase(it.id);
+    }
+    for (auto const& each : m_owners)
+    {
+        if (!each->alive)
+        {
+            continue;
+        }
+        if (listed)
+        {
+            each->decisions->list({it.id, "svc", it.address, "zone",
+                                   it.capacity, {"kind", "rack"}, false},
+                                  m_now);
+        }
+        else
+        {
+            each->decisions->unlist(it.id, m_now);
+        }
+    }
+}
+
+/// Everything that ran there is gone; another life comes at the same address
+/// or at a new one.
+void world::crash(fake_instance& it)
+{
+    it.up = false;
+    std::vector<attempt_name> lost;
+    for (auto const& [name, running] : it.running)
+    {
+        lost.push_back(name);
+    }
+    it.running.clear();
+    for (auto const& name : lost)
+    {
+        gang_ends(name, &it, end_reason::broken);
+    }
+    auto const id = it.id;
+    auto const address =
+        chance(0.6) ? it.address : "b" + std::to_string(m_next_address++);
+    after(listed_for,
+          [this, id] { announce(*m_instances.at(id), false); });
+    after(std::chrono::milliseconds{between(500, 5'000)},
+          [this, address] { add_instance(address); });
+}
+
+void world::cut(fake_instance& it)
+{
+    it.cut = true;
+    auto const id = it.id;
+    auto const length = std::chrono::milliseconds{between(300, 14'000)};
+    if (length > listed_for)
+    {
+        after(listed_for,
+              [this, id]
+              {
+                  if (m_instances.at(id)->cut)
+                  {
+                      announce(*m_instances.at(id), false);
+                  }
+              });
+    }
+    after(length,
+          [this, id]
+          {
+              auto& healed = *m_instances.at(id);
+              healed.cut = false;
+              if (healed.up)
+              {
+                  announce(healed, true);
+              }
+          });
+}
+
+std::int64_t world::clock_of(fake_instance const& it) const
+{
+    constexpr std::int64_t first_reading = 5'000;
+    auto const age = static_cast<double>((m_now - it.born).count()) / 1'000;
+    return first_reading + static_cast<std::int64_t>(age * it.clock_rate);
+}
+
+world::fake_instance* world::at_address(std::string const& address)
+{
+    for (auto const& [id, it] : m_instances)
+    {
+        if (it->up && it->address == address)
+        {
+            return it.get();
+        }
+    }
+    return nullptr;
+}
+
+workload::step_spec const* world::spec_of(workload::step_name const& it) const
+{
+    auto const at = m_submitted.find(it.job);
+    return at == m_submitted.end() || it.step >= at->second.steps.size()
+               ? nullptr
+               : &at->second.steps[it.step];
+}
+
+start_answer world::begin(fake_instance& at,
+                          std::uint64_t token,
+                          scheduler::start_order const& it)
+{
+    if (token < at.token && m_fault != planted::no_fence)
+    {
+        return start_answer::fenced;
+    }
+    at.token = std::max(at.token, token);
+    if (at.running.contains(it.attempt))
+    {
+        return start_answer::running;
+    }
+    auto const clock = clock_of(at);
+    if (it.until_ms <= clock)
+    {
+        return start_answer::lease_passed;
+    }
+    at.until_ms = std::max(at.until_ms, it.until_ms);
+    auto const highest = at.highest.find(it.attempt.task);
+    if (highest != at.highest.end() && it.attempt.run <= highest->second)
+    {
+        return start_answer::outdated;
+    }
+    check_start(at, it);
+    m_last_start[it.attempt.task] = m_now;
+    m_log.write(base::log_level::debug, "world_start",
+                {{"task", text_of(it.attempt.task)},
+                 {"run", it.attempt.run},
+                 {"on", at.id},
+                 {"token", token},
+                 {"until", it.until_ms - clock}});
+    ++m_starts;
+    at.running[it.attempt].present_at = m_now;
+    auto const* const spec = spec_of(it.attempt.task.of);
+    if (spec != nullptr && spec->gang)
+    {
+        gang_begins(it.attempt);
+        auto const id = at.id;
+        auto const name = it.attempt;
+        after(gang_wait,
+              [this, id, name]
+              {
+                  auto& then = *m_instances.at(id);
+                  auto const found = then.running.find(name);
+                  if (found != then.running.end() && !found->second.at_work)
+                  {
+                      end(then, name, end_reason::alone);
+                  }
+              });
+        return start_answer::running;
+    }
+    finish_later(at, it.attempt);
+    return start_answer::running;
+}
+
+base::duration world::work_of(workload::step_spec const& it)
+{
+    return std::chrono::milliseconds{
+        std::max<std::int64_t>(20, it.estimate_ms * between(50, 200) / 100)};
+}
+
+void world::finish_later(fake_instance& at, attempt_name const& name)
+{
+    auto const* const spec = spec_of(name.task.of);
+    at.running[name].at_work = true;
+    auto const reason = chance(0.08) ? end_reason::failed : end_reason::done;
+    auto const id = at.id;
+    after(spec == nullptr ? base::duration{0} : work_of(*spec),
+          [this, id, name, reason]
+          {
+              auto& then = *m_instances.at(id);
+              if (then.running.contains(name))
+              {
+                  end(then, name, reason);
+              }
+          });
+}
+
+std::uint32_t world::members_present(attempt_name const& of) const
+{
+    std::uint32_t out = 0;
+    for (auto const& [id, it] : m_instances)
+    {
+        for (auto const& [name, running] : it->running)
+        {
+            out += name.task.of == of.task.of && name.run == of.run ? 1 : 0;
+        }
+    }
+    return out;
+}
+
+/// When all members of a run are there, they go to work and end together.
+void world::gang_begins(attempt_name const& of)
+{
+    auto const* const spec = spec_of(of.task.of);
+    if (members_present(of) < spec->tasks)
+    {
+        return;
+    }
+    for (auto const& [id, it] : m_instances)
+    {
+        for (auto& [name, running] : it->running)
+        {
+            if (name.task.of == of.task.of && name.run == of.run)
+            {
+                running.at_work = true;
+            }
+        }
+    }
+    auto const reason = chance(0.08) ? end_reason::failed : end_reason::done;
+    after(work_of(*spec),
+          [this, of, reason]
+          {
+              if (members_present(of) == spec_of(of.task.of)->tasks)
+              {
+                  gang_ends(of, nullptr, reason);
+              }
+          });
+}
+
+/// One member's end ends the others: all `done`, or one `failed` and the
+/// others `broken`.
+void world::gang_ends(attempt_name const& of,
+                      fake_instance const* by,
+                      end_reason reason)
+{
+    auto const* const spec = spec_of(of.task.of);
+    if (spec == nullptr || !spec->gang)
+    {
+        return;
+    }
+    for (auto const& [id, it] : m_instances)
+    {
+        if (it.get() == by && reason != end_reason::done)
+        {
+            continue;
+        }
+        std::vector<attempt_name> members;
+        for (auto const& [name, running] : it->running)
+        {
+            if (name.task.of == of.task.of && name.run == of.run &&
+                running.at_work)
+            {
+                members.push_back(name);
+            }
+        }
+        for (auto const& name : members)
+        {
+            list_end(*it, name, reason);
+            if (reason == end_reason::failed)
+            {
+                m_failed_runs[name.task.of].insert(name.run);
+                reason = end_reason::broken;
+            }
+        }
+    }
+}
+
+void world::list_end(fake_instance& at,
+                     attempt_name const& name,
+                     end_reason reason)
+{
+    m_log.write(base::log_level::debug, "world_end",
+                {{"task", text_of(name.task)},
+                 {"run", name.run},
+                 {"on", at.id},
+                 {"reason", static_cast<int>(reason)}});
+    at.running.erase(name);
+    auto& highest = at.highest[name.task];
+    highest = std::max(highest, name.run);
+    at.ended.push_back(
+        {{at.next_end++, name, reason, {}}, m_now, at.lapses});
+    if (reason == end_reason::done)
+    {
+        m_done.insert(name.task);
+    }
+}
+
+void world::end(fake_instance& at, attempt_name const& name, end_reason reason)
+{
+    auto const* const spec = spec_of(name.task.of);
+    auto const at_work = at.running.at(name).at_work;
+    list_end(at, name, reason);
+    if (spec != nullptr && spec->gang && at_work)
+    {
+        gang_ends(name, nullptr, end_reason::broken);
+    }
+}
+
+void world::stop(fake_instance& at,
+                 std::uint64_t token,
+                 attempt_name const& name)
+{
+    if (token < at.token && m_fault != planted::no_fence)
+    {
+        return;
+    }
+    at.token = std::max(at.token, token);
+    auto& highest = at.highest[name.task];
+    highest = std::max(highest, name.run);
+    if (!at.running.contains(name))
+    {
+        return;
+    }
+    auto const id = at.id;
+    after(std::chrono::milliseconds{between(10, 900)},
+          [this, id, name]
+          {
+              auto& then = *m_instances.at(id);
+              if (then.running.contains(name))
+              {
+                  end(then, name, end_reason::stopped);
+              }
+          });
+}
+
+void world::lapse_leases()
+{
+    for (auto const& [id, it] : m_instances)
+    {
+        if (!it->up || it->until_ms == 0 || clock_of(*it) < it->until_ms)
+        {
+            continue;
+        }
+        it->until_ms = 0;
+        ++it->lapses;
+        while (!it->running.empty())
+        {
+            end(*it, it->running.begin()->first, end_reason::lease_lapsed);
+        }
+    }
+}
+
+} // namespace berylhill::scheduler_test
