--- a/libraries/cell/cell_owner.cpp
+++ b/libraries/cell/cell_owner.cpp
@@ -13,7 +13,7 @@
 {
 
 /// Between two looks at what time brings: retries, lapses, waiting clients.
-constexpr base::duration tick = std::chrono::milliseconds{25};
+constexpr base::duration tick = std::chrono::milliseconds{10};
 
 /// Until a start without an answer counts as unanswered. An instance answers
 /// in milliseconds; the decision is repeated, so this only costs time.
@@ -27,8 +27,12 @@
 constexpr base::duration hold_retry = std::chrono::milliseconds{200};
 
 /// When the store has taken nothing for so long, new work is refused at once:
-/// it would only wait, and other processes may reach the store.
-constexpr base::duration stuck_limit = std::chrono::milliseconds{700};
+/// it would only wait. Above what a slow store takes for one append.
+constexpr base::duration stuck_limit = std::chrono::milliseconds{600};
+
+/// How long a batch may gather. An answer to a short question for advice
+/// takes about as long, so most jobs come with their first starts in it.
+constexpr base::duration batch_linger = std::chrono::milliseconds{20};
 
 /// When a client that is refused should come back: about as long as a store
 /// that was slow for a moment, or a change of owner, takes.
@@ -40,7 +44,9 @@
     std::chrono::milliseconds{500}, std::chrono::milliseconds{250},
     std::chrono::milliseconds{400}, std::chrono::milliseconds{150}};
 
-/// A client that can wait long is still told before it asks again.
+/// A client is not held for more than this share of its time: whoever asks
+/// again may find the store back.
+constexpr int patience_share = 2;
 constexpr base::duration longest_wait = std::chrono::milliseconds{2'500};
 
 std::int64_t wall_ms(base::clock const& it)
@@ -148,8 +154,7 @@
                             {"queue", it.spec.queue},
                             {"steps", std::uint64_t{it.spec.steps.size()}}});
     }
-    wait_for_batch({job_answer_kind::accepted, {}, 0, {}}, it.patience,
-                   std::move(done));
+    wait_for_batch(it, std::move(done));
 }
 
 void cell_owner::cancel(job_call const& it, job_answer_handler done)
@@ -170,19 +175,52 @@
         done({job_answer_kind::accepted, {}, 0, {}});
         return;
     }
-    wait_for_batch({job_answer_kind::accepted, {}, 0, {}}, it.patience,
-                   std::move(done));
+    wait_for_batch(it, std::move(done));
 }
 
-void cell_owner::wait_for_batch(job_answer answer,
-                                base::duration patience,
-                                job_answer_handler done)
+void cell_owner::wait_for_batch(job_call const& of, job_answer_handler done)
 {
-    auto const until = m_parts.clock->now() + std::min(patience, longest_wait);
-    m_waiting.push_back({std::move(done), until, answer});
+    auto const until = m_parts.clock->now() +
+                       std::min(of.patience / patience_share, longest_wait);
+    auto const submitted =
+        of.kind == job_call_kind::submit ? of.job : workload::job_id{};
+    m_waiting.push_back({std::move(done),
+                         submitted,
+                         until,
+                         {job_answer_kind::accepted, {}, 0, {}}});
     soon();
 }
 
+/// While the store takes nothing, those whose submission has not been sent to
+/// it are told at once that it does not run.
+void cell_owner::refuse_unsent()
+{
+    std::vector<waiter> refused;
+    std::erase_if(m_waiting,
+                  [&](waiter& it)
+                  {
+                      if (it.submitted.number == 0 ||
+                          !m_decisions.withdraw(it.submitted))
+                      {
+                          return false;
+                      }
+                      refused.push_back(std::move(it));
+                      return true;
+                  });
+    for (auto const& it : refused)
+    {
+        it.done({job_answer_kind::refused, {}, 0, retry_after});
+    }
+}
+
+/// A batch without anything that somebody waits for gathers for a moment: a
+/// new job then comes with its first starts, and several ends come together.
+bool cell_owner::lingers(base::instant now) const
+{
+    return m_open_since && now - *m_open_since < batch_linger &&
+           !m_decisions.batch_urgent();
+}
+
 /// Several events that come together lead to one round of decisions and one
 /// batch.
 void cell_owner::soon()
@@ -231,7 +269,17 @@
         }
         return;
     }
-    if (!m_decisions.batch_open())
+    auto const now = m_parts.clock->now();
+    if (m_decisions.batch_open())
+    {
+        m_open_since = m_open_since.value_or(now);
+        if (lingers(now))
+        {
+            return;
+        }
+        m_open_since.reset();
+    }
+    else
     {
         // A client may wait for a batch that is already stored.
         auto const done = std::exchange(m_waiting, {});
@@ -242,7 +290,7 @@
         return;
     }
     m_in_flight = std::exchange(m_waiting, {});
-    auto records = m_decisions.take_batch(m_parts.clock->now());
+    auto records = m_decisions.take_batch(now);
     if (records.empty())
     {
         stored(0);
@@ -480,6 +528,10 @@
             }
             auto const now = m_parts.clock->now();
             m_decisions.tick(wall_ms(*m_parts.clock), now);
+            if (store_stuck() > stuck_limit)
+            {
+                refuse_unsent();
+            }
             expire(m_waiting);
             expire(m_in_flight);
             if (m_released && now > m_release_by)
--- a/libraries/cell/cell_owner.hpp
+++ b/libraries/cell/cell_owner.hpp
@@ -15,6 +15,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -89,6 +90,8 @@
     struct waiter
     {
         job_answer_handler done;
+        /// What it submitted; 0 where it did not.
+        workload::job_id submitted;
         base::instant until;
         /// What it is told when the batch is stored.
         job_answer answer;
@@ -103,9 +106,9 @@
 
     void submit(job_call const& it, job_answer_handler done);
     void cancel(job_call const& it, job_answer_handler done);
-    void wait_for_batch(job_answer answer,
-                        base::duration patience,
-                        job_answer_handler done);
+    void wait_for_batch(job_call const& of, job_answer_handler done);
+    void refuse_unsent();
+    [[nodiscard]] bool lingers(base::instant now) const;
     void soon();
     void work();
     void commit();
@@ -133,6 +136,8 @@
     boost::asio::steady_timer m_tick;
     std::shared_ptr<bool> m_alive{std::make_shared<bool>(true)};
     std::map<std::string, hold_loop> m_holds;
+    /// When the open batch got its first content.
+    std::optional<base::instant> m_open_since;
     std::vector<waiter> m_waiting;
     std::vector<waiter> m_in_flight;
     std::function<void()> m_released;
--- a/libraries/scheduler/job_book.cpp
+++ b/libraries/scheduler/job_book.cpp
@@ -45,6 +45,24 @@
     m_dropped.insert(it);
 }
 
+bool job_book::withdraw(workload::job_id it)
+{
+    auto const at = m_jobs.find(it);
+    if (at == m_jobs.end() || !m_new.contains(it))
+    {
+        return false;
+    }
+    count_pending(*at->second, finished(at->second->phase) ? 0 : -1);
+    std::erase_if(m_ready, [&](workload::step_name const& name)
+                  { return name.job == it; });
+    std::erase_if(m_finished,
+                  [&](auto const& entry) { return entry.second == it; });
+    m_new.erase(it);
+    m_changed.erase(it);
+    m_jobs.erase(at);
+    return true;
+}
+
 job_book::changes job_book::take_changes()
 {
     changes out;
--- a/libraries/scheduler/job_book.hpp
+++ b/libraries/scheduler/job_book.hpp
@@ -37,6 +37,10 @@
         return m_jobs;
     }
 
+    /// Forgets a job of which nothing has been written. Returns whether it
+    /// did: false where a batch has been taken since it was added.
+    bool withdraw(workload::job_id it);
+
     /// Its state has to be written.
     void touch(workload::job_id it)
     {
--- a/libraries/scheduler/scheduler.cpp
+++ b/libraries/scheduler/scheduler.cpp
@@ -147,6 +147,25 @@
     return submission::taken;
 }
 
+bool scheduler::withdraw(workload::job_id it)
+{
+    if (!m_jobs.withdraw(it))
+    {
+        return false;
+    }
+    std::erase_if(m_open.starts,
+                  [&](start_order const& entry)
+                  {
+                      if (entry.attempt.task.of.job != it)
+                      {
+                          return false;
+                      }
+                      m_instances.get(entry.instance).remove(entry.attempt);
+                      return true;
+                  });
+    return true;
+}
+
 cancellation scheduler::cancel(workload::job_id it, base::instant now)
 {
     auto* const job = m_jobs.find(it);
@@ -242,6 +261,7 @@
         m_open.jobs.emplace_back(id, m_jobs.find(id)->phase);
     }
     m_in_flight = std::exchange(m_open, {});
+    m_finished = false;
     if (changes.records.empty())
     {
         batch_stored(now);
--- a/libraries/scheduler/scheduler.hpp
+++ b/libraries/scheduler/scheduler.hpp
@@ -85,6 +85,9 @@
     /// Precondition: the job is valid and its queue is configured.
     submission
     submit(workload::job_spec it, std::int64_t wall_ms, base::instant now);
+    /// Takes a submission back of which nothing has left this process: it
+    /// never runs. Returns false where it may be stored.
+    bool withdraw(workload::job_id it);
     cancellation cancel(workload::job_id it, base::instant now);
     /// The stored phase; nothing where no such job is stored.
     [[nodiscard]] std::optional<job_phase> phase_of(workload::job_id it) const;
@@ -132,6 +135,12 @@
     void batch_stored(base::instant now);
     /// Anything waits for the next batch.
     [[nodiscard]] bool batch_open() const noexcept;
+    /// Starts wait for the next batch, or something else that somebody waits
+    /// for; without it a batch may gather for some milliseconds.
+    [[nodiscard]] bool batch_urgent() const noexcept
+    {
+        return !m_open.starts.empty() || !m_open.stops.empty() || m_finished;
+    }
 
     [[nodiscard]] scheduler_counts const& counts() const noexcept
     {
@@ -262,6 +271,8 @@
     std::vector<order> m_orders;
     gate m_open;
     std::optional<gate> m_in_flight;
+    /// A job has finished since the last batch.
+    bool m_finished{false};
     /// Instances kept free for gangs that wait, during one round.
     std::set<std::string> m_reserved;
     std::size_t m_reserving_gangs{0};
--- a/libraries/scheduler/scheduler_ends.cpp
+++ b/libraries/scheduler/scheduler_ends.cpp
@@ -354,6 +354,7 @@
 {
     auto const id = of.spec().id;
     auto const took = now - of.accepted_at;
+    m_finished = true;
     m_jobs.finish(of, phase, now);
     m_log->write(base::log_level::info, "job_finished",
                  {{"job", text_of(id)},
