cell: Look less often, keep fewer connections to instances

A look that followed a report with ends left before these were stored, and was answered at once with the same ones; each start opened a connection where others were under way.

Now a look waits for its batch, and an instance gets three connections at most.

--- a/libraries/cell/adapter.hpp
+++ b/libraries/cell/adapter.hpp
@@ -29,7 +29,8 @@
     std::unique_ptr<job_protocol> jobs;
 };
 
-using adapter_maker = std::function<adapter(network::http_client&,
+using adapter_maker = std::function<adapter(network::http_client& services,
+                                            network::http_client& instances,
                                             settings::cell_settings const&)>;
 
 } // namespace berylhill::cell
--- a/libraries/cell/cell_owner.cpp
+++ b/libraries/cell/cell_owner.cpp
@@ -290,10 +290,11 @@
         return;
     }
     m_in_flight = std::exchange(m_waiting, {});
+    ++m_batches_taken;
     auto records = m_decisions.take_batch(now);
     if (records.empty())
     {
-        stored(0);
+        stored();
         return;
     }
     auto const n = records.size();
@@ -309,21 +310,18 @@
                        }
                        m_next += n;
                        m_decisions.batch_stored(m_parts.clock->now());
-                       stored(n);
+                       stored();
                    });
 }
 
-void cell_owner::stored(std::size_t)
+void cell_owner::stored()
 {
+    m_batches_stored = m_batches_taken;
     auto const done = std::exchange(m_in_flight, {});
     for (auto const& it : done)
     {
         it.done(it.answer);
     }
-    for (auto& [id, loop] : m_holds)
-    {
-        loop.after_batch = false;
-    }
     carry_out(m_decisions.take_orders());
     soon();
 }
@@ -432,7 +430,8 @@
             continue;
         }
         auto& loop = m_holds[id];
-        if (!loop.asking && !loop.after_batch && now >= loop.next)
+        if (!loop.asking && loop.after_batch <= m_batches_stored &&
+            now >= loop.next)
         {
             hold(id, loop);
         }
@@ -474,9 +473,7 @@
         it.report.instance = id;
         it.report.sent_at = sent_at;
         it.report.read_at = now;
-        // The next question must say that these ends are stored, or the
-        // instance answers it at once with the same ones.
-        loop.after_batch = !it.report.ended.empty();
+        loop.after_batch = it.report.ended.empty() ? 0 : m_batches_taken + 1;
         m_decisions.reported(it.report);
         break;
     case order_end::fenced:
--- a/libraries/cell/cell_owner.hpp
+++ b/libraries/cell/cell_owner.hpp
@@ -100,7 +100,10 @@
     struct hold_loop
     {
         bool asking{false};
-        bool after_batch{false};
+        /// The batch that has to be stored first: the next question says that
+        /// the ends of the last report are, or the instance would answer it
+        /// at once with the same ones.
+        std::uint64_t after_batch{0};
         base::instant next{};
     };
 
@@ -112,7 +115,7 @@
     void soon();
     void work();
     void commit();
-    void stored(std::size_t records);
+    void stored();
     void carry_out(std::vector<scheduler::order> const& orders);
     void send(scheduler::start_order const& it);
     void send(scheduler::stop_order const& it);
@@ -136,6 +139,8 @@
     boost::asio::steady_timer m_tick;
     std::shared_ptr<bool> m_alive{std::make_shared<bool>(true)};
     std::map<std::string, hold_loop> m_holds;
+    std::uint64_t m_batches_taken{0};
+    std::uint64_t m_batches_stored{0};
     /// When the open batch got its first content.
     std::optional<base::instant> m_open_since;
     std::vector<waiter> m_waiting;
--- a/libraries/cell/node.cpp
+++ b/libraries/cell/node.cpp
@@ -43,6 +43,11 @@
     std::chrono::milliseconds{700}, std::chrono::milliseconds{20},
     std::chrono::milliseconds{350}, std::chrono::milliseconds{120}};
 
+/// Connections to one instance: one that waits for an end, and two for orders,
+/// so that one order without an answer does not hold up the next. Instances
+/// bound and price their connections.
+constexpr std::size_t order_connections = 3;
+
 /// Descriptors kept for connections to others than callers.
 constexpr std::int64_t own_descriptors = 800;
 
@@ -83,7 +88,8 @@
     : m_settings{std::move(settings)}
     , m_settings_path{std::move(settings_path)}
     , m_client{m_loop, {}}
-    , m_adapter{make(m_client, m_settings)}
+    , m_order_client{m_loop, {order_connections, order_connections}}
+    , m_adapter{make(m_client, m_order_client, m_settings)}
     , m_log{std::make_unique<decisions_to_log>()}
     , m_peers{m_client}
     , m_ownership{m_loop,
--- a/libraries/cell/node.hpp
+++ b/libraries/cell/node.hpp
@@ -69,7 +69,10 @@
     std::string m_settings_path;
     base::system_clock m_clock;
     boost::asio::io_context m_loop;
+    /// For the store, the advice service and the other processes.
     network::http_client m_client;
+    /// For the instances that run tasks.
+    network::http_client m_order_client;
     adapter m_adapter;
     std::unique_ptr<decisions_to_log> m_log;
     store_latency m_latency;
--- a/libraries/network/http_client.cpp
+++ b/libraries/network/http_client.cpp
@@ -54,6 +54,22 @@
                     self->time_out();
                 }
             });
+        m_owner.begin(shared_from_this());
+    }
+
+    [[nodiscard]] socket_address const& to() const noexcept
+    {
+        return m_to;
+    }
+
+    [[nodiscard]] bool finished() const noexcept
+    {
+        return m_finished;
+    }
+
+    void connect()
+    {
+        m_running = true;
         m_connection = m_owner.take(m_to);
         if (m_connection)
         {
@@ -204,6 +220,10 @@
         }
         auto const handler = std::move(m_handler);
         m_handler = nullptr;
+        if (m_running)
+        {
+            m_owner.ended(m_to);
+        }
         handler(result);
     }
 
@@ -214,6 +234,7 @@
     http::request<http::string_body> m_request;
     std::optional<http::response_parser<http::string_body>> m_parser;
     std::unique_ptr<connection> m_connection;
+    bool m_running{false};
     bool m_reused{false};
     bool m_sent{false};
     bool m_finished{false};
@@ -236,6 +257,38 @@
         ->start(timeout);
 }
 
+void http_client::begin(std::shared_ptr<exchange> const& it)
+{
+    auto& running = m_running[it->to()];
+    if (running >= m_limits.in_use_per_address)
+    {
+        m_waiting[it->to()].push_back(it);
+        return;
+    }
+    ++running;
+    it->connect();
+}
+
+void http_client::ended(socket_address const& to)
+{
+    auto const waiting = m_waiting.find(to);
+    while (waiting != m_waiting.end() && !waiting->second.empty())
+    {
+        auto const next = waiting->second.front().lock();
+        waiting->second.pop_front();
+        if (next && !next->finished())
+        {
+            next->connect();
+            return;
+        }
+    }
+    m_waiting.erase(to);
+    if (auto const at = m_running.find(to); --at->second == 0)
+    {
+        m_running.erase(at);
+    }
+}
+
 std::unique_ptr<http_client::connection>
 http_client::take(socket_address const& to)
 {
--- a/libraries/network/http_client.hpp
+++ b/libraries/network/http_client.hpp
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <cstddef>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -44,6 +45,8 @@
 {
     /// Idle connections kept for each address.
     std::size_t idle_per_address{4};
+    /// Connections in use for each address; further calls wait for one.
+    std::size_t in_use_per_address{64};
     /// A larger response counts as no answer.
     std::size_t body_bytes{std::size_t{8} * 1024 * 1024};
 };
@@ -81,6 +84,10 @@
 
     using idle_connections = std::vector<std::unique_ptr<connection>>;
 
+    /// Begins, now or when a connection to the address is free.
+    void begin(std::shared_ptr<exchange> const& it);
+    /// The exchange needs its connection no longer.
+    void ended(socket_address const& to);
     [[nodiscard]] std::unique_ptr<connection> take(socket_address const& to);
     void give_back(socket_address const& to, std::unique_ptr<connection> it);
     void forget(socket_address const& to);
@@ -88,6 +95,9 @@
     boost::asio::io_context& m_loop;
     client_limits m_limits;
     std::map<socket_address, idle_connections> m_idle;
+    /// By address: how many exchanges run, and those that wait.
+    std::map<socket_address, std::size_t> m_running;
+    std::map<socket_address, std::deque<std::weak_ptr<exchange>>> m_waiting;
     std::uint64_t m_opened{0};
 };
 
