--- /dev/null
+++ b/tests/network/http_test.cpp
@@ -0,0 +1,134 @@
+#include "server_fixture.hpp"
+
+#include <boost/asio/write.hpp>
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <ostream>
+
+using namespace berylhill;
+using namespace berylhill::network_test;
+using network::call_end;
+
+namespace
+{
+
+network::http_request post(std::string body)
+{
+    return {
+        network::http_method::post, "/x", {}, std::move(body), "text/plain"};
+}
+
+struct raw_case
+{
+    char const* name;
+    std::string bytes;
+    /// What the answer begins with; empty: closed without one.
+    std::string answer;
+};
+
+std::ostream& operator<<(std::ostream& to, raw_case const& it)
+{
+    return to << it.name;
+}
+
+raw_case const raw_cases[] = {
+    {"a length below 0",
+     "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: -1\r\n\r\n",
+     "HTTP/1.1 400"},
+    {"a length beyond all limits",
+     "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999999\r\n\r\n",
+     "HTTP/1.1 413"},
+    {"not HTTP", "hello\r\n\r\n", "HTTP/1.1 400"},
+    {"headers without end",
+     "GET / HTTP/1.1\r\nA: " + std::string(5'000, 'a') + "\r\n",
+     "HTTP/1.1 431"},
+    {"a whole request", "GET / HTTP/1.1\r\nHost: a\r\n\r\n", "HTTP/1.1 200"},
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(http, server_fixture)
+
+BOOST_AUTO_TEST_CASE(a_request_is_answered_on_a_kept_connection)
+{
+    BOOST_REQUIRE(listening);
+    for (int n = 0; n < 3; ++n)
+    {
+        auto const end = call(post("body"));
+        BOOST_REQUIRE(end.has_value());
+        BOOST_TEST((end->end == call_end::answered));
+        BOOST_TEST(end->response.body == "body");
+    }
+    BOOST_TEST(client.connections_opened() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_refused_connection_is_known_not_to_have_been_sent)
+{
+    server.stop_listening();
+    auto const end = call(post("body"));
+    BOOST_REQUIRE(end.has_value());
+    BOOST_TEST((end->end == call_end::not_sent));
+    BOOST_TEST(end->refused);
+}
+
+BOOST_AUTO_TEST_CASE(a_request_without_an_answer_ends_in_time)
+{
+    hold = true;
+    auto const end = call(post("body"), std::chrono::milliseconds{100});
+    BOOST_REQUIRE(end.has_value());
+    BOOST_TEST((end->end == call_end::unanswered));
+    BOOST_TEST(requests == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(an_idle_connection_that_was_closed_is_opened_again)
+{
+    BOOST_REQUIRE(call(post("one")).has_value());
+    run_until([&] { return server.connections() == 0; });
+    auto const end = call(post("two"));
+    BOOST_REQUIRE(end.has_value());
+    BOOST_TEST((end->end == call_end::answered));
+    BOOST_TEST(client.connections_opened() == 2U);
+}
+
+BOOST_DATA_TEST_CASE(bytes_that_are_no_request_are_refused_at_once,
+                     boost::unit_test::data::make(raw_cases))
+{
+    auto const answer = raw(sample.bytes);
+    BOOST_TEST(answer.substr(0, sample.answer.size()) == sample.answer);
+}
+
+/// A caller that sends a byte now and then, or nothing, would hold its
+/// connection for ever; with enough of them nobody else got in.
+BOOST_AUTO_TEST_CASE(a_request_that_does_not_come_is_not_waited_for)
+{
+    boost::asio::ip::tcp::socket socket{loop};
+    socket.connect(
+        {boost::asio::ip::make_address_v4(address.host), address.port});
+    boost::asio::write(socket, boost::asio::buffer(std::string{"POST / HT"}));
+    BOOST_TEST(run_until([&] { return server.connections() == 1; }));
+    BOOST_TEST(run_until([&] { return server.connections() == 0; }));
+}
+
+BOOST_AUTO_TEST_CASE(calls_to_one_address_share_its_connections)
+{
+    network::http_client narrow{loop, {2, 2}};
+    hold = true;
+    std::size_t ended = 0;
+    for (int n = 0; n < 4; ++n)
+    {
+        narrow.call(address, post("body"), std::chrono::seconds{3},
+                    [&](auto const&) { ++ended; });
+    }
+    BOOST_TEST(run_until([&] { return held.size() == 2; }));
+    hold = false;
+    for (auto const& it : held)
+    {
+        it({200, {}, {}});
+    }
+    BOOST_TEST(run_until([&] { return ended == 4; }));
+    BOOST_TEST(narrow.connections_opened() == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/platform_adapter/job_requests_test.cpp
@@ -0,0 +1,149 @@
+#include <platform/job_requests.hpp>
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <ostream>
+
+using namespace berylhill;
+
+namespace
+{
+
+workload::cell_configuration configuration()
+{
+    workload::cell_configuration out;
+    workload::queue_spec queue;
+    queue.name = "q";
+    queue.host = "h.example";
+    queue.path_prefix = "/q/";
+    queue.timeout = std::chrono::seconds{3};
+    out.queues = {queue};
+    return out;
+}
+
+constexpr char const* good_path = "/q/5c0e7a21d94b36f8";
+
+struct request_case
+{
+    char const* name;
+    network::http_method method;
+    std::string path;
+    std::string body;
+    /// 0: it makes a call.
+    unsigned status;
+};
+
+std::ostream& operator<<(std::ostream& to, request_case const& it)
+{
+    return to << it.name;
+}
+
+constexpr auto post = network::http_method::post;
+constexpr auto get = network::http_method::get;
+
+std::string with_steps(std::string const& steps)
+{
+    return R"({"taskSpec":"t","steps":)" + steps + "}";
+}
+
+request_case const request_cases[] = {
+    {"a job", post, good_path, with_steps(R"([{"count":1,"cpu":500}])"), 0},
+    {"unknown fields are ignored", post, good_path,
+     R"({"new":1,"taskSpec":"t","steps":[{"count":1,"newer":{}}]})", 0},
+    {"its state", get, good_path, "", 0},
+    {"the queue", get, "/q/", "", 0},
+    {"a path that no queue has", get, "/p/5c0e7a21d94b36f8", "", 404},
+    {"an id that is none", get, "/q/5c0e7a21d94b36", "", 400},
+    {"an id in capitals", post, "/q/5C0E7A21D94B36F8",
+     with_steps(R"([{"count":1}])"), 400},
+    {"not JSON", post, good_path, "{", 400},
+    {"cut", post, good_path, R"({"taskSpec":"t","steps":[{"count":1)", 400},
+    {"no steps", post, good_path, with_steps("[]"), 400},
+    {"no payload", post, good_path, R"({"steps":[{"count":1}]})", 400},
+    {"a payload that is too long", post, good_path,
+     R"({"taskSpec":")" + std::string(4'001, 'x') +
+         R"(","steps":[{"count":1}]})",
+     400},
+    {"no tasks", post, good_path, with_steps(R"([{"cpu":1}])"), 400},
+    {"a size below 0", post, good_path, with_steps(R"([{"count":1,"cpu":-5}])"),
+     400},
+    {"a step that waits for itself", post, good_path,
+     with_steps(R"([{"count":1,"after":[0]}])"), 400},
+    {"steps that wait for each other", post, good_path,
+     with_steps(R"([{"count":1,"after":[1]},{"count":1,"after":[0]}])"), 400},
+    {"a step that waits for none", post, good_path,
+     with_steps(R"([{"count":1,"after":[7]}])"), 400},
+    {"an absurd count", post, good_path,
+     with_steps(R"([{"count":99999999999}])"), 400},
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(job_requests)
+
+BOOST_DATA_TEST_CASE(each_request_makes_a_call_or_is_refused_at_once,
+                     boost::unit_test::data::make(request_cases))
+{
+    network::http_request const request{sample.method,
+                                        sample.path,
+                                        {{"Host", "h.example"}},
+                                        sample.body,
+                                        "application/json"};
+    auto const end = platform::job_requests{}.decode(request, configuration());
+    auto const* const refused = std::get_if<network::http_response>(&end);
+    BOOST_TEST((refused == nullptr ? 0U : refused->status) == sample.status);
+}
+
+BOOST_AUTO_TEST_CASE(a_job_is_decoded_whole)
+{
+    network::http_request const request{
+        post,
+        good_path,
+        {{"Host", "h.example:80"}, {"X-Deadline-Ms", "1500"}},
+        R"({"taskSpec":"t","steps":[{"count":4,"cpu":500,"memMb":256,"gpu":1,
+            "estimateMs":900,"affinity":"r1","requirements":"a",
+            "antiAffinity":2,"checkpointing":true,"gang":true,
+            "sameRack":true,"allowDuplicates":true,"longRunning":true,
+            "image":"im","targetMs":7,"fills":true,"mayMiss":3},
+            {"count":1,"after":[0]}],
+            "repeatCount":2,"firstMs":10,"intervalMs":20})",
+        "application/json"};
+    auto const end = platform::job_requests{}.decode(request, configuration());
+    auto const* const call = std::get_if<cell::job_call>(&end);
+    BOOST_REQUIRE(call != nullptr);
+    BOOST_TEST((call->patience == std::chrono::milliseconds{1'500}));
+    workload::step_spec step;
+    step.tasks = 4;
+    step.need = {500, 256, 1};
+    step.estimate_ms = 900;
+    step.near_rack = "r1";
+    step.requirement = "a";
+    step.most_per_instance = 2;
+    step.checkpoints = true;
+    step.gang = true;
+    step.same_rack = true;
+    step.copies_allowed = true;
+    step.lasting = true;
+    step.image = "im";
+    step.target_ms = 7;
+    step.fills = true;
+    step.may_miss = 3;
+    BOOST_TEST((call->spec.steps.at(0) == step));
+    BOOST_TEST((call->spec.steps.at(1).after == std::vector<std::uint32_t>{0}));
+    BOOST_TEST((call->spec.repeats == workload::repetition{2, 10, 20}));
+}
+
+BOOST_AUTO_TEST_CASE(a_refusal_says_when_to_come_back)
+{
+    auto const it =
+        platform::job_requests{}.encode({}, {cell::job_answer_kind::refused,
+                                             {},
+                                             0,
+                                             std::chrono::milliseconds{1'200}});
+    BOOST_TEST(it.status == 503U);
+    BOOST_TEST(network::field_of(it.fields, "retry-after") == "2");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/scheduler/bench_owner.hpp
+++ b/tests/scheduler/bench_owner.hpp
@@ -18,7 +18,10 @@
 {
 public:
     explicit bench_owner(std::map<std::string, std::string> const& stored = {})
-        : m_log{[] { return 0.0; }}
+        : m_log{[]
+                {
+                    return 0.0;
+                }}
         , decisions{rules(), m_log, now}
     {
         workload::cell_configuration configuration;
--- a/tests/scheduler/owner_test.cpp
+++ b/tests/scheduler/owner_test.cpp
@@ -146,8 +146,7 @@
 {
     bench_owner it;
     it.list("a");
-    auto const stray =
-        scheduler::attempt_name{{{{9}, 0, 0}, 0}, 1};
+    auto const stray = scheduler::attempt_name{{{{9}, 0, 0}, 0}, 1};
     it.report("a", {{stray, {}, 10}});
     it.decisions.submit(bench_owner::job(1, 1), 0, it.now);
     BOOST_TEST(it.starts().empty());
