cell: Take a batch back that the store refused

Cause: a client whose job was in a batch that the store kept refusing was told after 1.5 s that the outcome is unknown, though the store says that nothing was done. The batch goes back, and its clients hear at once that it does not run.

With it: the whole path as a test, three real processes against stand-ins that speak the platform's protocol; the owner is killed, frozen, stopped, all are killed, the store goes away.

--- a/libraries/cell/cell_owner.cpp
+++ b/libraries/cell/cell_owner.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace berylhill::cell
@@ -30,6 +32,10 @@
 /// it would only wait. Above what a slow store takes for one append.
 constexpr base::duration stuck_limit = std::chrono::milliseconds{600};
 
+/// Between two tries to store while the store refuses: it counts and prices
+/// the calls that it refuses.
+constexpr base::duration append_pause = std::chrono::milliseconds{200};
+
 /// How long a batch may gather. An answer to a short question for advice
 /// takes about as long, so most jobs come with their first starts in it.
 constexpr base::duration batch_linger = std::chrono::milliseconds{20};
@@ -213,6 +219,22 @@
     }
 }
 
+/// A store that refuses has surely not stored the batch: what is in it goes
+/// back, so that its clients can be told.
+void cell_owner::give_up_batch()
+{
+    if (!m_append.take_back())
+    {
+        return;
+    }
+    m_decisions.batch_returned();
+    m_waiting.insert(m_waiting.begin(),
+                     std::make_move_iterator(m_in_flight.begin()),
+                     std::make_move_iterator(m_in_flight.end()));
+    m_in_flight.clear();
+    m_next_append = m_parts.clock->now() + append_pause;
+}
+
 /// A batch without anything that somebody waits for gathers for a moment: a
 /// new job then comes with its first starts, and several ends come together.
 bool cell_owner::lingers(base::instant now) const
@@ -257,7 +279,7 @@
 
 void cell_owner::commit()
 {
-    if (m_append.busy() || m_lost)
+    if (m_append.busy() || m_lost || m_parts.clock->now() < m_next_append)
     {
         return;
     }
@@ -298,6 +320,7 @@
         return;
     }
     auto const n = records.size();
+    m_wanting_since = m_wanting_since.value_or(now);
     m_append.begin(m_next, std::move(records), base::duration{0},
                    [this, n](sure_end end)
                    {
@@ -317,6 +340,7 @@
 void cell_owner::stored()
 {
     m_batches_stored = m_batches_taken;
+    m_wanting_since.reset();
     auto const done = std::exchange(m_in_flight, {});
     for (auto const& it : done)
     {
@@ -527,6 +551,7 @@
             m_decisions.tick(wall_ms(*m_parts.clock), now);
             if (store_stuck() > stuck_limit)
             {
+                give_up_batch();
                 refuse_unsent();
             }
             expire(m_waiting);
--- a/libraries/cell/cell_owner.hpp
+++ b/libraries/cell/cell_owner.hpp
@@ -77,7 +77,8 @@
     /// How long the store has not taken what should be stored.
     [[nodiscard]] base::duration store_stuck() const
     {
-        return m_append.stuck_for();
+        return m_wanting_since ? m_parts.clock->now() - *m_wanting_since
+                               : base::duration{0};
     }
 
     [[nodiscard]] scheduler::scheduler const& decisions() const noexcept
@@ -111,6 +112,7 @@
     void cancel(job_call const& it, job_answer_handler done);
     void wait_for_batch(job_call const& of, job_answer_handler done);
     void refuse_unsent();
+    void give_up_batch();
     [[nodiscard]] bool lingers(base::instant now) const;
     void soon();
     void work();
@@ -143,6 +145,10 @@
     std::uint64_t m_batches_stored{0};
     /// When the open batch got its first content.
     std::optional<base::instant> m_open_since;
+    /// Since when something should be stored and is not.
+    std::optional<base::instant> m_wanting_since;
+    /// The store is left alone until then.
+    base::instant m_next_append{};
     std::vector<waiter> m_waiting;
     std::vector<waiter> m_in_flight;
     std::function<void()> m_released;
--- a/libraries/cell/sure_append.cpp
+++ b/libraries/cell/sure_append.cpp
@@ -77,13 +77,23 @@
     m_limit = limit;
     m_began = m_clock.now();
     m_tries = 0;
+    m_maybe_stored = false;
     m_done = std::move(done);
     send();
 }
 
-base::duration sure_append::stuck_for() const
+bool sure_append::take_back()
 {
-    return m_busy ? m_clock.now() - m_began : base::duration{0};
+    if (!m_busy || m_awaiting || m_maybe_stored)
+    {
+        return false;
+    }
+    ++*m_generation;
+    m_timer.cancel();
+    m_busy = false;
+    m_records.clear();
+    m_done = nullptr;
+    return true;
 }
 
 void sure_append::send()
@@ -94,6 +104,7 @@
         return;
     }
     auto const sent_at = m_clock.now();
+    m_awaiting = true;
     m_log.append(m_at, m_records, m_latency.timeout(m_tries),
                  [this, alive = m_generation, mine = *m_generation,
                   sent_at](append_result const& it)
@@ -108,6 +119,7 @@
 void sure_append::answered(append_result const& it, base::instant sent_at)
 {
     ++m_tries;
+    m_awaiting = false;
     if (it.end != append_end::unanswered)
     {
         m_latency.measured(m_clock.now() - sent_at);
@@ -118,9 +130,11 @@
         finish(sure_end::stored);
         return;
     case append_end::conflict:
+        m_maybe_stored = true;
         look();
         return;
     case append_end::unanswered:
+        m_maybe_stored = true;
         base::log(base::log_level::warning, "append_unanswered",
                   {{"at", m_at}, {"tries", m_tries}});
         send();
--- a/libraries/cell/sure_append.hpp
+++ b/libraries/cell/sure_append.hpp
@@ -68,9 +68,10 @@
         return m_busy;
     }
 
-    /// For how long the append under way has had no success; 0 where none is
-    /// under way.
-    [[nodiscard]] base::duration stuck_for() const;
+    /// Takes an append back that is surely not stored: all its tries were
+    /// refused, and none is under way. `done` is then never called. Returns
+    /// false, and changes nothing, where it may be stored.
+    bool take_back();
 
 private:
     void send();
@@ -91,6 +92,9 @@
     base::duration m_limit{0};
     base::instant m_began{};
     std::uint32_t m_tries{0};
+    /// A try had no answer: it may be stored, now or later.
+    bool m_maybe_stored{false};
+    bool m_awaiting{false};
     bool m_busy{false};
     handler m_done;
 };
--- a/libraries/scheduler/job_book.cpp
+++ b/libraries/scheduler/job_book.cpp
@@ -91,6 +91,7 @@
     for (auto const id : m_dropped)
     {
         out.records.push_back({state_key(id), {}});
+        out.dropped.push_back(id);
     }
     m_new.clear();
     m_changed.clear();
@@ -98,6 +99,25 @@
     return out;
 }
 
+void job_book::put_back(std::vector<workload::job_id> const& changed,
+                        std::vector<workload::job_id> const& dropped)
+{
+    for (auto const id : changed)
+    {
+        auto const* const it = find(id);
+        if (it == nullptr)
+        {
+            continue;
+        }
+        m_changed.insert(id);
+        if (!it->stored)
+        {
+            m_new.insert(id);
+        }
+    }
+    m_dropped.insert(dropped.begin(), dropped.end());
+}
+
 void job_book::refresh_ready(job const& it)
 {
     auto const id = it.spec().id;
--- a/libraries/scheduler/job_book.hpp
+++ b/libraries/scheduler/job_book.hpp
@@ -58,9 +58,14 @@
     {
         std::vector<record> records;
         std::vector<workload::job_id> jobs;
+        std::vector<workload::job_id> dropped;
     };
     [[nodiscard]] changes take_changes();
 
+    /// What was taken last has not been written, and has to be.
+    void put_back(std::vector<workload::job_id> const& changed,
+                  std::vector<workload::job_id> const& dropped);
+
     /// Steps with waiting tasks whose turn has come.
     [[nodiscard]] std::set<workload::step_name> const& ready() const noexcept
     {
--- a/libraries/scheduler/scheduler.cpp
+++ b/libraries/scheduler/scheduler.cpp
@@ -48,8 +48,8 @@
         {
             continue;
         }
-        auto const read =
-            base::capture([&] { return parse_spec_value(what.job, value); });
+        auto const read = base::capture(
+            [&, &text = value] { return parse_spec_value(what.job, text); });
         if (!read)
         {
             m_log->write(base::log_level::error, "record_unreadable",
@@ -76,9 +76,9 @@
             job->stored = true;
         }
         auto const read = base::capture(
-            [&]() -> base::result<base::done>
+            [&, &text = value]() -> base::result<base::done>
             {
-                BOOST_LEAF_CHECK(read_state_value(value, now, *job));
+                BOOST_LEAF_CHECK(read_state_value(text, now, *job));
                 return base::done{};
             });
         if (!read)
@@ -260,6 +260,7 @@
     {
         m_open.jobs.emplace_back(id, m_jobs.find(id)->phase);
     }
+    m_open.dropped = std::move(changes.dropped);
     m_in_flight = std::exchange(m_open, {});
     m_finished = false;
     if (changes.records.empty())
@@ -269,6 +270,30 @@
     return std::move(changes.records);
 }
 
+void scheduler::batch_returned()
+{
+    auto batch = std::exchange(m_in_flight, std::nullopt);
+    if (!batch)
+    {
+        return;
+    }
+    std::vector<workload::job_id> changed;
+    for (auto const& [id, phase] : batch->jobs)
+    {
+        changed.push_back(id);
+    }
+    m_jobs.put_back(changed, batch->dropped);
+    m_open.starts.insert(m_open.starts.begin(), batch->starts.begin(),
+                         batch->starts.end());
+    m_open.stops.insert(m_open.stops.begin(), batch->stops.begin(),
+                        batch->stops.end());
+    for (auto const& [id, n] : batch->seen_ends)
+    {
+        auto& seen = m_open.seen_ends[id];
+        seen = std::max(seen, n);
+    }
+}
+
 void scheduler::batch_stored(base::instant now)
 {
     auto const batch = std::exchange(m_in_flight, std::nullopt);
--- a/libraries/scheduler/scheduler.hpp
+++ b/libraries/scheduler/scheduler.hpp
@@ -133,6 +133,9 @@
     [[nodiscard]] std::vector<record> take_batch(base::instant now);
     /// The batch taken last is stored.
     void batch_stored(base::instant now);
+    /// The batch taken last is surely not stored: what is in it goes into the
+    /// next one.
+    void batch_returned();
     /// Anything waits for the next batch.
     [[nodiscard]] bool batch_open() const noexcept;
     /// Starts wait for the next batch, or something else that somebody waits
@@ -166,6 +169,7 @@
         std::map<std::string, std::uint64_t> seen_ends;
         /// The jobs written, and the phase that each is written with.
         std::vector<std::pair<workload::job_id, job_phase>> jobs;
+        std::vector<workload::job_id> dropped;
     };
 
     /// A ready step with what its turn depends on.
--- a/services/berylhill/main.cpp
+++ b/services/berylhill/main.cpp
@@ -15,7 +15,7 @@
 {
 
 /// Lines of the log that wait for their reader; more are left out.
-constexpr std::size_t log_buffer_bytes = 1024 * 1024;
+constexpr std::size_t log_buffer_bytes = std::size_t{1'024} * 1'024;
 
 int run_cell(settings::cell_settings const& settings, std::string const& path)
 {
--- /dev/null
+++ b/tests/platform_adapter/cell_fixture.cpp
@@ -0,0 +1,189 @@
+#include "cell_fixture.hpp"
+
+#include <cell/peer_messages.hpp>
+#include <cell/peer_paths.hpp>
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <fstream>
+#include <unistd.h>
+
+namespace berylhill::platform_test
+{
+
+namespace
+{
+
+constexpr std::uint16_t ports_per_process = 4;
+constexpr std::size_t instance_count = 2;
+constexpr std::chrono::milliseconds work{150};
+
+constexpr char const* configuration = R"({"version":1,"routes":[{"name":"q",
+    "hostname":"h","pathPrefix":"/q/","timeoutMs":3000,"targetLatencyMs":500,
+    "priority":0,"service":"svc","attempts":2,"stretch":2}],
+    "services":[{"name":"svc"}],"limits":{}})";
+
+/// A run of free ports; others on the machine may take one before it is used,
+/// which the start of the process then shows.
+std::uint16_t free_ports(std::uint16_t wanted)
+{
+    using boost::asio::ip::tcp;
+    boost::asio::io_context loop;
+    for (std::uint16_t first =
+             static_cast<std::uint16_t>(20'000 + ::getpid() % 20'000);
+         ; first = static_cast<std::uint16_t>(first + wanted))
+    {
+        try
+        {
+            std::vector<tcp::acceptor> held;
+            for (std::uint16_t n = 0; n < wanted; ++n)
+            {
+                held.emplace_back(
+                    loop,
+                    tcp::endpoint{boost::asio::ip::make_address_v4("127.0.0.1"),
+                                  static_cast<std::uint16_t>(first + n)});
+            }
+            return first;
+        }
+        catch (boost::system::system_error const&)
+        {
+            // Taken by somebody; the next run of ports is tried.
+            continue;
+        }
+    }
+}
+
+network::socket_address local(std::size_t port)
+{
+    return {"127.0.0.1", static_cast<std::uint16_t>(port)};
+}
+
+std::string job_path(std::uint64_t id)
+{
+    return "/q/" + text_of(workload::job_id{id});
+}
+
+} // namespace
+
+cell_fixture::cell_fixture()
+    : m_first_port{free_ports(ports_per_process * processes + 1 +
+                              instance_count)}
+    , m_folder{std::filesystem::temp_directory_path() /
+               ("berylhill-cell-" + std::to_string(::getpid()) + "-" +
+                std::to_string(m_first_port))}
+{
+    std::filesystem::create_directories(m_folder);
+    auto port = std::size_t{m_first_port} + ports_per_process * processes;
+    store = std::make_unique<store_stand_in>(loop, local(port++));
+    store->put("keyed.op", "config", configuration);
+    for (std::size_t n = 0; n < instance_count; ++n)
+    {
+        instances.push_back(std::make_unique<instance_stand_in>(
+            loop, local(port++), "i-" + std::to_string(n), work,
+            [this](std::string const& task) { ++started[task]; }));
+        store->put("keyed.servers", instances.back()->id(),
+                   instances.back()->heartbeat());
+    }
+    cells.resize(processes);
+    for (std::size_t n = 0; n < processes; ++n)
+    {
+        start_process(n);
+    }
+}
+
+cell_fixture::~cell_fixture()
+{
+    cells.clear();
+    std::error_code ec;
+    std::filesystem::remove_all(m_folder, ec);
+}
+
+void cell_fixture::start_process(std::size_t n)
+{
+    auto const first = std::size_t{m_first_port} + n * ports_per_process;
+    auto const name = "cell-" + std::to_string(n);
+    auto const path = m_folder / (name + ".json");
+    auto const store_port =
+        std::size_t{m_first_port} + ports_per_process * processes;
+    std::ofstream{path} << R"({"instance":")" << name
+                        << R"(","zone":"a","listen":{"callers":")"
+                        << text_of(local(first)) << R"(","readiness":")"
+                        << text_of(local(first + 1)) << R"(","peer":")"
+                        << text_of(local(first + 2)) << R"(","metrics":")"
+                        << text_of(local(first + 3))
+                        << R"("},"platform":{"store":")"
+                        << text_of(local(store_port))
+                        << R"("},"bounds":{"stop_grace_s":3}})";
+    cells[n] = std::make_unique<process>(
+        std::vector<std::string>{BERYLHILL_BINARY, "cell", "--settings",
+                                 path.string()},
+        (m_folder / (name + ".log")).string());
+}
+
+network::http_response cell_fixture::ask(std::uint16_t port,
+                                         network::http_request it)
+{
+    std::optional<network::call_result> out;
+    m_client.call(local(port), std::move(it), std::chrono::seconds{3},
+                  [&](network::call_result const& end) { out = end; });
+    run_until([&] { return out.has_value(); });
+    return out ? out->response : network::http_response{};
+}
+
+unsigned cell_fixture::call(std::size_t process,
+                            network::http_method method,
+                            std::string const& path,
+                            std::string const& body)
+{
+    auto const end = ask(
+        static_cast<std::uint16_t>(m_first_port + process * ports_per_process),
+        {method, path, {{"Host", "h"}}, body, "application/json"});
+    m_last_body = end.body;
+    return end.status;
+}
+
+unsigned cell_fixture::submit(std::size_t process, std::uint64_t id)
+{
+    return call(process, network::http_method::post, job_path(id),
+                R"({"taskSpec":"t","steps":[{"count":2,"cpu":500,
+                    "memMb":100,"estimateMs":150},
+                    {"count":1,"cpu":500,"memMb":100,"estimateMs":150,
+                    "after":[0]}]})");
+}
+
+bool cell_fixture::completed(std::size_t process, std::uint64_t id)
+{
+    return call(process, network::http_method::get, job_path(id)) == 200 &&
+           m_last_body.find("completed") != std::string::npos;
+}
+
+bool cell_fixture::ready(std::size_t process)
+{
+    return ask(static_cast<std::uint16_t>(m_first_port +
+                                          process * ports_per_process + 1),
+               {network::http_method::get, "/api/readiness", {}, {}, {}})
+               .status == 200;
+}
+
+std::optional<std::size_t> cell_fixture::owner()
+{
+    for (std::size_t n = 0; n < processes; ++n)
+    {
+        auto const end = ask(static_cast<std::uint16_t>(
+                                 m_first_port + n * ports_per_process + 2),
+                             {network::http_method::post,
+                              std::string{cell::peer_paths::watch},
+                              {},
+                              cell::text_of(cell::peer{"test", local(1)}),
+                              "application/json"});
+        auto const view =
+            base::capture([&] { return cell::parse_watch(end.body); });
+        if (view && view.value().owns)
+        {
+            return n;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace berylhill::platform_test
--- /dev/null
+++ b/tests/platform_adapter/cell_fixture.hpp
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "stand_ins/instance_stand_in.hpp"
+#include "stand_ins/process.hpp"
+#include "stand_ins/store_stand_in.hpp"
+
+#include <network/http_client.hpp>
+
+#include <filesystem>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace berylhill::platform_test
+{
+
+/// A cell of three real processes on loopback, with stand-ins for the store
+/// and two instances. The test runs the loop.
+class cell_fixture
+{
+public:
+    static constexpr std::size_t processes = 3;
+
+    cell_fixture();
+    ~cell_fixture();
+
+    /// Runs the loop until `done`, for `limit` at most; whether it was done.
+    template <class Done>
+    bool run_until(Done done,
+                   std::chrono::seconds limit = std::chrono::seconds{30})
+    {
+        auto const end = std::chrono::steady_clock::now() + limit;
+        while (!done() && std::chrono::steady_clock::now() < end)
+        {
+            loop.restart();
+            loop.run_for(std::chrono::milliseconds{5});
+        }
+        return done();
+    }
+
+    void start_process(std::size_t n);
+
+    /// The status of a call to one of the processes; 0 without an answer.
+    unsigned call(std::size_t process,
+                  network::http_method method,
+                  std::string const& path,
+                  std::string const& body = {});
+
+    [[nodiscard]] std::string const& last_body() const noexcept
+    {
+        return m_last_body;
+    }
+
+    unsigned submit(std::size_t process, std::uint64_t id);
+    [[nodiscard]] bool completed(std::size_t process, std::uint64_t id);
+    [[nodiscard]] bool ready(std::size_t process);
+
+    /// The process that owns the work; nothing while none does.
+    [[nodiscard]] std::optional<std::size_t> owner();
+
+    boost::asio::io_context loop;
+    std::unique_ptr<store_stand_in> store;
+    std::vector<std::unique_ptr<instance_stand_in>> instances;
+    std::vector<std::unique_ptr<process>> cells;
+    /// How often each task began.
+    std::map<std::string, int> started;
+
+private:
+    [[nodiscard]] network::http_response ask(std::uint16_t port,
+                                             network::http_request it);
+
+    network::http_client m_client{loop, {}};
+    std::uint16_t m_first_port{0};
+    std::filesystem::path m_folder;
+    std::string m_last_body;
+};
+
+} // namespace berylhill::platform_test
--- /dev/null
+++ b/tests/platform_adapter/stand_ins/instance_stand_in.cpp
@@ -0,0 +1,203 @@
+#include "instance_stand_in.hpp"
+
+#include <stdexcept>
+#include <utility>
+
+namespace berylhill::platform_test
+{
+
+namespace
+{
+
+namespace json = boost::json;
+
+network::http_response conflict(std::int64_t clock_ms, char const* reason)
+{
+    return {409,
+            {},
+            json::serialize(
+                json::object{{"clockMs", clock_ms}, {"reason", reason}})};
+}
+
+} // namespace
+
+instance_stand_in::instance_stand_in(boost::asio::io_context& loop,
+                                     network::socket_address const& at,
+                                     std::string id,
+                                     std::chrono::milliseconds work,
+                                     start_handler started)
+    : m_address{at}
+    , m_id{std::move(id)}
+    , m_work{work}
+    , m_started{std::move(started)}
+    , m_timer{loop}
+    , m_server{loop, [this](auto const& it, auto answer)
+               {
+                   handle(it, answer);
+               }}
+{
+    network::server_limits limits;
+    limits.idle_time = std::chrono::seconds{60};
+    m_server.set_limits(limits);
+    auto const end = base::capture(
+        [&]() -> base::result<base::done>
+        {
+            BOOST_LEAF_CHECK(m_server.listen(at));
+            return base::done{};
+        });
+    if (!end)
+    {
+        throw std::runtime_error{end.error().message};
+    }
+    every_tick();
+}
+
+std::string instance_stand_in::heartbeat() const
+{
+    return json::serialize(json::object{
+        {"service", "svc"},
+        {"address", text_of(m_address)},
+        {"zone", "a"},
+        {"state", "ready"},
+        {"capacity", json::object{{"cpu", 8'000}, {"memMb", 8'000}}},
+        {"labels", json::array{"k", "r"}}});
+}
+
+std::int64_t instance_stand_in::clock_ms() const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               std::chrono::steady_clock::now().time_since_epoch())
+        .count();
+}
+
+void instance_stand_in::handle(network::http_request const& it,
+                               network::responder const& answer)
+{
+    if (network::field_of(it.fields, "X-Target-Instance") != m_id)
+    {
+        answer({421, {}, {}});
+        return;
+    }
+    auto const body = base::capture([&] { return json_codec::parse(it.body); });
+    if (!body)
+    {
+        answer({400, {}, {}});
+        return;
+    }
+    auto const token = json_codec::number_or(body.value(), "fencingToken");
+    if (token < m_token)
+    {
+        answer(conflict(clock_ms(), "fence"));
+        return;
+    }
+    m_token = token;
+    if (it.target == "/api/run-start")
+    {
+        start(body.value(), answer);
+    }
+    else if (it.target == "/api/hold")
+    {
+        hold(body.value(), answer);
+    }
+    else
+    {
+        answer(
+            {200, {}, json::serialize(json::object{{"clockMs", clock_ms()}})});
+    }
+}
+
+void instance_stand_in::start(json::value const& it,
+                              network::responder const& answer)
+{
+    auto const task = json_codec::text_or(it, "task");
+    auto const run = json_codec::number_or(it, "run");
+    auto const known = m_running.find(task);
+    if (known == m_running.end())
+    {
+        if (run <= m_highest[task])
+        {
+            answer(conflict(clock_ms(), "old"));
+            return;
+        }
+        m_running[task] = {run, std::chrono::steady_clock::now() + m_work};
+        m_started(task);
+    }
+    m_until_ms = std::max(m_until_ms, json_codec::number_or(it, "untilMs"));
+    answer({200, {}, json::serialize(json::object{{"clockMs", clock_ms()}})});
+}
+
+void instance_stand_in::hold(json::value const& it,
+                             network::responder const& answer)
+{
+    auto const seen = json_codec::number_or(it, "seenUpto");
+    std::erase_if(m_ended, [&](json::array const& row)
+                  { return row[0].as_int64() <= seen; });
+    m_until_ms = std::max(m_until_ms, json_codec::number_or(it, "untilMs"));
+    auto const wait = json_codec::number_or(it, "waitMs");
+    if (wait == 0 || !m_ended.empty())
+    {
+        answer(report());
+        return;
+    }
+    m_waiting.push_back({answer, std::chrono::steady_clock::now() +
+                                     std::chrono::milliseconds{wait}});
+}
+
+network::http_response instance_stand_in::report() const
+{
+    json::array running;
+    for (auto const& [task, it] : m_running)
+    {
+        running.emplace_back(json::array{task, it.number, "", 50});
+    }
+    json::array ended;
+    for (auto const& it : m_ended)
+    {
+        ended.emplace_back(it);
+    }
+    return {200,
+            {},
+            json::serialize(json::object{{"clockMs", clock_ms()},
+                                         {"running", std::move(running)},
+                                         {"ended", std::move(ended)}})};
+}
+
+void instance_stand_in::every_tick()
+{
+    auto const now = std::chrono::steady_clock::now();
+    auto const lapsed = m_until_ms != 0 && clock_ms() >= m_until_ms;
+    for (auto it = m_running.begin(); it != m_running.end();)
+    {
+        if (!lapsed && now < it->second.ends)
+        {
+            ++it;
+            continue;
+        }
+        m_highest[it->first] = it->second.number;
+        m_ended.push_back({m_next_end++, it->first, it->second.number,
+                           lapsed ? "lapsed" : "done", ""});
+        it = m_running.erase(it);
+    }
+    std::vector<waiting_hold> still;
+    for (auto& it : std::exchange(m_waiting, {}))
+    {
+        if (m_ended.empty() && now < it.until)
+        {
+            still.push_back(std::move(it));
+            continue;
+        }
+        it.answer(report());
+    }
+    m_waiting = std::move(still);
+    m_timer.expires_after(std::chrono::milliseconds{5});
+    m_timer.async_wait(
+        [this](auto ec)
+        {
+            if (!ec)
+            {
+                every_tick();
+            }
+        });
+}
+
+} // namespace berylhill::platform_test
--- /dev/null
+++ b/tests/platform_adapter/stand_ins/store_stand_in.cpp
@@ -0,0 +1,216 @@
+#include "store_stand_in.hpp"
+
+#include "query.hpp"
+
+#include <json_codec/reader.hpp>
+
+#include <openssl/evp.h>
+
+#include <stdexcept>
+
+namespace berylhill::platform_test
+{
+
+namespace
+{
+
+namespace json = boost::json;
+
+std::string big_endian(std::uint64_t it, int bytes)
+{
+    std::string out;
+    for (int n = bytes - 1; n >= 0; --n)
+    {
+        out += static_cast<char>(it >> (8 * n) & 0xFFU);
+    }
+    return out;
+}
+
+std::string base64(std::string const& it)
+{
+    std::string out((it.size() + 2) / 3 * 4 + 1, '\0');
+    auto const n =
+        EVP_EncodeBlock(reinterpret_cast<unsigned char*>(out.data()),
+                        reinterpret_cast<unsigned char const*>(it.data()),
+                        static_cast<int>(it.size()));
+    out.resize(static_cast<std::size_t>(n));
+    return out;
+}
+
+network::http_response json_answer(unsigned status, json::object const& it)
+{
+    return {status, {}, json::serialize(it)};
+}
+
+} // namespace
+
+store_stand_in::store_stand_in(boost::asio::io_context& loop,
+                               network::socket_address const& at)
+    : m_timer{loop}
+    , m_server{loop, [this](auto const& it, auto answer)
+               {
+                   handle(it, std::move(answer));
+               }}
+{
+    network::server_limits limits;
+    limits.idle_time = std::chrono::seconds{60};
+    m_server.set_limits(limits);
+    auto const end = base::capture(
+        [&]() -> base::result<base::done>
+        {
+            BOOST_LEAF_CHECK(m_server.listen(at));
+            return base::done{};
+        });
+    if (!end)
+    {
+        throw std::runtime_error{end.error().message};
+    }
+    every_tick();
+}
+
+void store_stand_in::put(std::string const& topic,
+                         std::string const& key,
+                         std::string const& value)
+{
+    m_topics[topic].push_back({key, value});
+    wake();
+}
+
+void store_stand_in::handle(network::http_request const& it,
+                            network::responder answer)
+{
+    if (m_down)
+    {
+        answer({503, {}, {}});
+        return;
+    }
+    auto const topic = query_value(it.target, "topic");
+    auto const path = it.target.substr(0, it.target.find('?'));
+    if (path == "/api/log-append")
+    {
+        append(topic, it.target, it.body, answer);
+        return;
+    }
+    if (path == "/api/log-newest")
+    {
+        newest(topic, answer);
+        return;
+    }
+    if (path != "/api/log-read")
+    {
+        answer({404, {}, {}});
+        return;
+    }
+    auto const from =
+        static_cast<std::size_t>(std::stoul(query_value(it.target, "from")));
+    auto const wait = query_value(it.target, "waitMs");
+    if (wait.empty() || from < m_topics[topic].size())
+    {
+        answer(read(topic, from));
+        return;
+    }
+    m_waiting.push_back({topic, from, std::move(answer),
+                         std::chrono::steady_clock::now() +
+                             std::chrono::milliseconds{std::stol(wait)}});
+}
+
+void store_stand_in::append(std::string const& topic,
+                            std::string const& target,
+                            std::string const& body,
+                            network::responder const& answer)
+{
+    ++m_appends;
+    auto& log = m_topics[topic];
+    auto const at = query_value(target, "at");
+    if (!at.empty() && std::stoul(at) != log.size())
+    {
+        answer(json_answer(412, {{"end", log.size()}}));
+        return;
+    }
+    auto const first = log.size();
+    std::string_view rest{body};
+    while (rest.size() >= 4)
+    {
+        std::size_t length = 0;
+        for (std::size_t n = 0; n < 4; ++n)
+        {
+            length = length << 8 | static_cast<unsigned char>(rest[n]);
+        }
+        auto const record = rest.substr(4, length);
+        auto const key = static_cast<unsigned char>(record[0]);
+        log.push_back({std::string{record.substr(1, key)},
+                       std::string{record.substr(1 + key)}});
+        rest.remove_prefix(4 + length);
+    }
+    answer(json_answer(200, {{"offset", first}, {"end", log.size()}}));
+    wake();
+}
+
+void store_stand_in::newest(std::string const& topic,
+                            network::responder const& answer)
+{
+    auto const& log = m_topics[topic];
+    std::map<std::string, std::size_t> last;
+    for (std::size_t n = 0; n < log.size(); ++n)
+    {
+        last[log[n].key] = n;
+    }
+    json::array items;
+    for (auto const& [key, n] : last)
+    {
+        if (!log[n].value.empty())
+        {
+            items.emplace_back(json::object{
+                {"key", key}, {"value", base64(log[n].value)}, {"offset", n}});
+        }
+    }
+    answer(json_answer(200, {{"items", std::move(items)},
+                             {"truncated", false},
+                             {"end", log.size()}}));
+}
+
+network::http_response store_stand_in::read(std::string const& topic,
+                                            std::size_t from) const
+{
+    auto const at = m_topics.find(topic);
+    auto const& log = at == m_topics.end() ? std::vector<entry>{} : at->second;
+    auto body = big_endian(log.size(), 8) + big_endian(0, 8);
+    for (auto n = from; n < log.size(); ++n)
+    {
+        auto const& it = log[n];
+        body += big_endian(1 + it.key.size() + it.value.size(), 4);
+        body += big_endian(it.key.size(), 1) + it.key + it.value;
+    }
+    return {200, {}, body, "application/octet-stream"};
+}
+
+void store_stand_in::wake()
+{
+    auto const now = std::chrono::steady_clock::now();
+    for (auto it = m_waiting.begin(); it != m_waiting.end();)
+    {
+        if (it->from < m_topics[it->topic].size() || now >= it->until)
+        {
+            it->answer(read(it->topic, it->from));
+            it = m_waiting.erase(it);
+            continue;
+        }
+        ++it;
+    }
+}
+
+void store_stand_in::every_tick()
+{
+    m_timer.expires_after(std::chrono::milliseconds{10});
+    m_timer.async_wait(
+        [this](auto ec)
+        {
+            if (!ec)
+            {
+                wake();
+                every_tick();
+            }
+        });
+}
+
+} // namespace berylhill::platform_test
--- /dev/null
+++ b/tests/platform_adapter/stand_ins/store_stand_in.hpp
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <network/http_server.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <list>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace berylhill::platform_test
+{
+
+/// A small store that speaks the platform's protocol: keyed topics of one
+/// partition, conditional appends, reads that wait. Lives on the test's loop.
+class store_stand_in
+{
+public:
+    store_stand_in(boost::asio::io_context& loop,
+                   network::socket_address const& at);
+
+    /// Writes a record as the operator or an instance does.
+    void put(std::string const& topic,
+             std::string const& key,
+             std::string const& value);
+
+    /// Refuses all calls while it is down.
+    void set_down(bool it)
+    {
+        m_down = it;
+    }
+
+    [[nodiscard]] std::size_t appends() const noexcept
+    {
+        return m_appends;
+    }
+
+private:
+    struct entry
+    {
+        std::string key;
+        std::string value;
+    };
+
+    struct waiting_read
+    {
+        std::string topic;
+        std::size_t from{0};
+        network::responder answer;
+        std::chrono::steady_clock::time_point until;
+    };
+
+    void handle(network::http_request const& it, network::responder answer);
+    void append(std::string const& topic,
+                std::string const& target,
+                std::string const& body,
+                network::responder const& answer);
+    void newest(std::string const& topic, network::responder const& answer);
+    [[nodiscard]] network::http_response read(std::string const& topic,
+                                              std::size_t from) const;
+    void wake();
+    void every_tick();
+
+    boost::asio::steady_timer m_timer;
+    network::http_server m_server;
+    std::map<std::string, std::vector<entry>> m_topics;
+    std::list<waiting_read> m_waiting;
+    std::size_t m_appends{0};
+    bool m_down{false};
+};
+
+} // namespace berylhill::platform_test
--- /dev/null
+++ b/tests/platform_adapter/whole_path_test.cpp
@@ -0,0 +1,153 @@
+#include "cell_fixture.hpp"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <csignal>
+#include <ostream>
+
+using namespace berylhill;
+using namespace berylhill::platform_test;
+
+namespace
+{
+
+struct loss_case
+{
+    char const* name;
+    int signal;
+};
+
+std::ostream& operator<<(std::ostream& to, loss_case const& it)
+{
+    return to << it.name;
+}
+
+loss_case const loss_cases[] = {
+    {"it is killed", SIGKILL},
+    {"it is stopped for maintenance", SIGTERM},
+    {"it freezes", SIGSTOP},
+};
+
+bool all_ready(cell_fixture& it)
+{
+    return it.run_until([&]
+                        { return it.ready(0) && it.ready(1) && it.ready(2); });
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(whole_path, cell_fixture)
+
+BOOST_AUTO_TEST_CASE(jobs_go_through_any_process)
+{
+    BOOST_REQUIRE(all_ready(*this));
+    for (std::uint64_t id = 1; id <= 6; ++id)
+    {
+        BOOST_TEST(submit(id % processes, id) == 200U);
+    }
+    // The same again is the same job.
+    BOOST_TEST(submit(0, 1) == 200U);
+    for (std::uint64_t id = 1; id <= 6; ++id)
+    {
+        BOOST_TEST(
+            run_until([&] { return completed((id + 1) % processes, id); }));
+    }
+    BOOST_TEST(started.size() == 18U);
+    for (auto const& [task, n] : started)
+    {
+        BOOST_TEST(n == 1, task);
+    }
+    BOOST_TEST(call(0, network::http_method::get, "/q/00000000000000ff") ==
+               410U);
+    BOOST_TEST(call(0, network::http_method::get, "/none/") == 404U);
+    BOOST_TEST(call(0, network::http_method::get, "/q/") == 200U);
+    BOOST_TEST(last_body() == R"({"pending":0})");
+    BOOST_TEST(call(1, network::http_method::remove, "/q/0000000000000001") ==
+               200U);
+}
+
+/// A user whose job was accepted sees it completed once, whatever becomes of
+/// the process that owns the work: another claims it, asks the instances what
+/// runs, and goes on.
+BOOST_DATA_TEST_CASE(work_goes_on_when_its_owner_is_lost,
+                     boost::unit_test::data::make(loss_cases))
+{
+    BOOST_REQUIRE(all_ready(*this));
+    auto const first = owner();
+    BOOST_REQUIRE(first.has_value());
+    auto const other = (*first + 1) % processes;
+    for (std::uint64_t id = 1; id <= 4; ++id)
+    {
+        BOOST_TEST(submit(other, id) == 200U);
+    }
+    cells[*first]->signal(sample.signal);
+    BOOST_TEST(run_until([&] { return submit(other, 5) == 200U; }));
+    for (std::uint64_t id = 1; id <= 5; ++id)
+    {
+        BOOST_TEST(run_until([&] { return completed(other, id); }));
+    }
+    for (auto const& [task, n] : started)
+    {
+        BOOST_TEST(n == 1, task);
+    }
+    if (sample.signal == SIGTERM)
+    {
+        BOOST_TEST(run_until([&] { return cells[*first]->ended(); }));
+        BOOST_TEST(cells[*first]->status() == 0);
+    }
+    cells[*first]->signal(SIGCONT);
+}
+
+/// A user's job that was accepted before all processes were killed at once is
+/// completed after they are back: nothing but the store remembers it.
+BOOST_AUTO_TEST_CASE(accepted_work_outlives_all_processes)
+{
+    BOOST_REQUIRE(all_ready(*this));
+    for (std::uint64_t id = 1; id <= 3; ++id)
+    {
+        BOOST_TEST(submit(0, id) == 200U);
+    }
+    for (auto const& it : cells)
+    {
+        it->signal(SIGKILL);
+    }
+    BOOST_TEST(run_until(
+        [&] {
+            return cells[0]->ended() && cells[1]->ended() && cells[2]->ended();
+        }));
+    for (std::size_t n = 0; n < processes; ++n)
+    {
+        start_process(n);
+    }
+    BOOST_REQUIRE(all_ready(*this));
+    for (std::uint64_t id = 1; id <= 3; ++id)
+    {
+        BOOST_TEST(run_until([&] { return completed(1, id); }));
+    }
+    for (auto const& [task, n] : started)
+    {
+        BOOST_TEST(n == 1, task);
+    }
+}
+
+/// A user is told at once, and truthfully, that a job does not run while the
+/// store takes nothing, and can hand it in when it is back.
+BOOST_AUTO_TEST_CASE(while_the_store_is_down_new_work_is_refused)
+{
+    BOOST_REQUIRE(all_ready(*this));
+    BOOST_TEST(submit(0, 1) == 200U);
+    BOOST_TEST(run_until([&] { return completed(0, 1); }));
+    store->set_down(true);
+    for (std::size_t n = 0; n < 4; ++n)
+    {
+        BOOST_TEST(submit(n % processes, 2) == 503U);
+    }
+    BOOST_TEST(started.size() == 3U);
+    store->set_down(false);
+    BOOST_TEST(run_until([&] { return submit(1, 2) == 200U; }));
+    BOOST_TEST(run_until([&] { return completed(2, 2); }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/scheduler/owner_test.cpp
+++ b/tests/scheduler/owner_test.cpp
@@ -171,6 +171,41 @@
     BOOST_TEST(!it.decisions.withdraw({2}));
 }
 
+/// A user is told that the outcome of a job is not known though the store
+/// refused it. The store answers that nothing was done, so the batch goes back,
+/// and with it the decisions that waited for it.
+BOOST_AUTO_TEST_CASE(a_batch_that_was_refused_is_written_again)
+{
+    bench_owner it;
+    it.list("a");
+    it.report("a");
+    it.decisions.submit(bench_owner::job(1, 1), 0, it.now);
+    BOOST_TEST(it.decide().empty());
+    auto const refused = it.decisions.take_batch(it.now);
+    BOOST_TEST(!it.decisions.withdraw({1}));
+    it.decisions.batch_returned();
+    BOOST_TEST(!it.decisions.phase_of({1}).has_value());
+    BOOST_TEST(it.decisions.batch_open());
+    BOOST_TEST((it.decisions.take_batch(it.now) == refused));
+    it.decisions.batch_returned();
+    BOOST_TEST(count_of<scheduler::start_order>(it.store()) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_refused_submission_can_be_taken_back)
+{
+    bench_owner it;
+    it.list("a");
+    it.report("a");
+    it.decisions.submit(bench_owner::job(1, 1), 0, it.now);
+    BOOST_TEST(it.decide().empty());
+    BOOST_TEST(!it.decisions.take_batch(it.now).empty());
+    it.decisions.batch_returned();
+    BOOST_TEST(it.decisions.withdraw({1}));
+    BOOST_TEST(it.store().empty());
+    it.decisions.submit(bench_owner::job(2, 4), 0, it.now);
+    BOOST_TEST(it.starts().size() == 4U);
+}
+
 namespace
 {
 
--- a/tests/scheduler/world_checks.cpp
+++ b/tests/scheduler/world_checks.cpp
@@ -36,8 +36,10 @@
         {
             if (running.task == it.attempt.task && other->up)
             {
-                broken("in two places: " + name + " on " + at.id + " and " +
-                       id);
+                auto what = "in two places: " + name;
+                what += " on " + at.id;
+                what += " and " + id;
+                broken(what);
             }
         }
     }
