--- a/libraries/cell/log_follower.hpp
+++ b/libraries/cell/log_follower.hpp
@@ -70,6 +70,12 @@
     /// read succeeded; the usual reads go on afterwards.
     void catch_up(std::function<void(bool)> done);
 
+    /// Started, and not stopped since.
+    [[nodiscard]] bool running() const noexcept
+    {
+        return m_running;
+    }
+
     /// All records were read at least once since `start`.
     [[nodiscard]] bool ready() const noexcept
     {
--- a/libraries/cell/ownership.cpp
+++ b/libraries/cell/ownership.cpp
@@ -37,6 +37,10 @@
 /// the log, or announced, when the next one looks.
 constexpr base::duration claim_step = std::chrono::milliseconds{25};
 
+/// So many processes are ready to take the work over at once: one, and one
+/// more for the case that both it and the owner are lost.
+constexpr std::int64_t standbys = 2;
+
 /// Until a claim is given up, to look again at who owns.
 constexpr base::duration claim_limit = std::chrono::milliseconds{2'000};
 
@@ -198,6 +202,7 @@
     m_isolated = 0;
     m_heard = true;
     m_peers = answer.peers;
+    follow_or_not();
     if (answer.leaving)
     {
         claim("owner_leaves");
@@ -287,17 +292,20 @@
         claim("owner_and_others_lost");
         return;
     }
-    again(suspect_pause,
-          [this]
-          {
-              m_state = ownership_state::watching;
-              m_failures = 1;
-              watch(base::duration{0});
-          });
+    again(suspect_pause, [this] { look_again(); });
 }
 
-/// The others of the cell, in an order that all agree on, wait their turn.
-base::duration ownership::claim_delay() const
+/// Asks the owner once more; without an answer it is lost again at once.
+void ownership::look_again()
+{
+    m_state = ownership_state::watching;
+    m_failures = 1;
+    watch(base::duration{0});
+}
+
+/// How many of the others come before this process when the owner is lost, in
+/// an order that all agree on.
+std::int64_t ownership::turn() const
 {
     std::int64_t before = 0;
     for (auto const& it : m_peers)
@@ -314,7 +322,29 @@
         before = static_cast<std::int64_t>(
             std::hash<std::string>{}(m_self.instance) % turns);
     }
-    return claim_step * before;
+    return before;
+}
+
+base::duration ownership::claim_delay() const
+{
+    return claim_step * turn();
+}
+
+/// Only those whose turn comes first keep up with the log, or reading it would
+/// cost each process the whole cell's traffic; the others read it anew if they
+/// ever have to claim.
+void ownership::follow_or_not()
+{
+    auto const wanted = turn() < standbys;
+    if (wanted && !m_follower.running())
+    {
+        m_follower.start();
+    }
+    if (!wanted && m_follower.running())
+    {
+        m_follower.stop();
+        m_replica.clear();
+    }
 }
 
 void ownership::claim(char const* why)
@@ -331,6 +361,11 @@
     }
     ++*m_generation;
     m_state = ownership_state::claiming;
+    m_claim_began = m_clock.now();
+    if (!m_follower.running())
+    {
+        m_follower.start();
+    }
     base::log(base::log_level::info, "claim_begins",
               {{"why", why},
                {"former", m_owner.instance},
@@ -340,6 +375,16 @@
 
 void ownership::claim_now()
 {
+    if (!m_follower.ready())
+    {
+        if (m_clock.now() - m_claim_began > claim_limit)
+        {
+            look_again();
+            return;
+        }
+        again(claim_step, [this] { claim_now(); });
+        return;
+    }
     m_follower.catch_up(
         [this, alive = m_generation, mine = *m_generation](bool up_to_date)
         {
@@ -350,13 +395,7 @@
             }
             if (!up_to_date)
             {
-                again(claim_retry,
-                      [this]
-                      {
-                          m_state = ownership_state::watching;
-                          m_failures = 1;
-                          watch(base::duration{0});
-                      });
+                again(claim_retry, [this] { look_again(); });
                 return;
             }
             if (m_append.busy())
--- a/libraries/cell/ownership.hpp
+++ b/libraries/cell/ownership.hpp
@@ -118,11 +118,14 @@
     void lost(char const* why);
     void suspect();
     void suspected();
+    void look_again();
     void claim(char const* why);
     void claim_now();
     void claimed(sure_end it, owner_view const& mine, std::uint64_t at);
     void again(base::duration pause, std::function<void()> what);
+    [[nodiscard]] std::int64_t turn() const;
     [[nodiscard]] base::duration claim_delay() const;
+    void follow_or_not();
 
     boost::asio::io_context& m_loop;
     base::clock const& m_clock;
@@ -142,6 +145,7 @@
     std::vector<peer> m_peers;
     bool m_heard{false};
     bool m_leaving{false};
+    base::instant m_claim_began{};
     std::uint32_t m_failures{0};
     std::uint32_t m_isolated{0};
     std::size_t m_open_questions{0};
--- a/libraries/scheduler/policy.hpp
+++ b/libraries/scheduler/policy.hpp
@@ -41,6 +41,13 @@
     base::duration quarantine{std::chrono::seconds{4}};
     /// An instance that turned an order away unread is left alone so long.
     base::duration turned_away_pause{std::chrono::milliseconds{500}};
+    /// A gang whose latest start is nearer than this takes the place of work
+    /// that can wait and that goes on from where it was stopped: a stop takes
+    /// up to a second.
+    base::duration preempt_before{std::chrono::milliseconds{2'500}};
+    /// Work that has less time than this left is not stopped for another's
+    /// sake.
+    base::duration preempt_slack{std::chrono::milliseconds{3'000}};
     /// How long the state of a finished job can be asked for.
     base::duration status_kept{std::chrono::seconds{120}};
 
--- a/libraries/scheduler/scheduler.hpp
+++ b/libraries/scheduler/scheduler.hpp
@@ -239,6 +239,17 @@
                       std::vector<candidate> const& from,
                       base::instant now);
     void reserve(workload::step_spec const& spec, std::vector<candidate> from);
+
+    // scheduler_preempt.cpp
+    struct offer;
+    void preempt(job& of,
+                 turn const& it,
+                 std::vector<candidate> const& from,
+                 base::instant now);
+    [[nodiscard]] offer
+    offer_of(instance& at, std::int32_t priority, base::instant now);
+    [[nodiscard]] bool
+    can_wait(attempt_name const& name, std::int32_t than, base::instant now);
     [[nodiscard]] workload::queue_spec const* queue_of(job const& it) const;
     [[nodiscard]] bool eligible(instance const& it,
                                 workload::step_spec const& spec,
--- a/libraries/scheduler/scheduler_decide.cpp
+++ b/libraries/scheduler/scheduler_decide.cpp
@@ -1,4 +1,5 @@
 #include <scheduler/scheduler.hpp>
+#include <scheduler/timing.hpp>
 
 #include <algorithm>
 
@@ -20,10 +21,6 @@
 /// them come free in time.
 constexpr double reserve_factor = 1.5;
 
-/// Work is worth less when late, and nothing after this many times its
-/// objective.
-constexpr int worthless_after = 3;
-
 } // namespace
 
 workload::queue_spec const* scheduler::queue_of(job const& it) const
@@ -56,19 +53,11 @@
         {
             continue;
         }
-        auto const begin = of->spec().repeats.count == 0
-                               ? of->accepted_at
-                               : of->occurrences.at(name.occurrence).due;
-        auto const objective =
-            base::duration{static_cast<std::int64_t>(
-                queue->stretch *
-                static_cast<double>(of->longest_chain().count()))} +
-            queue->target_latency;
-        auto const rest = of->chain_from(name.step);
-        auto const latest = begin + objective - rest;
-        auto const last_worth = begin + worthless_after * objective - rest;
-        auto const tier = now <= latest ? 0 : now <= last_worth ? 1 : 2;
-        out.push_back({tier, latest, name});
+        auto const until = timing_of(*of, name, *queue);
+        auto const tier = now <= until.latest_start ? 0
+                          : now <= until.last_start ? 1
+                                                    : 2;
+        out.push_back({tier, until.latest_start, name});
     }
     std::ranges::sort(out);
     return out;
@@ -199,6 +188,7 @@
     auto const chosen = choose_for_gang(spec, from, may_spread);
     if (chosen.empty())
     {
+        preempt(of, it, from, now);
         reserve(spec, from);
         return;
     }
--- /dev/null
+++ b/libraries/scheduler/scheduler_preempt.cpp
@@ -0,0 +1,126 @@
+#include <scheduler/scheduler.hpp>
+#include <scheduler/timing.hpp>
+
+#include <algorithm>
+
+namespace berylhill::scheduler
+{
+
+/// An attempt that may be stopped for more urgent work: it is less urgent,
+/// goes on from where it was stopped, and its job has time left.
+bool scheduler::can_wait(attempt_name const& name,
+                         std::int32_t than,
+                         base::instant now)
+{
+    auto const* const of = m_jobs.find(name.task.of.job);
+    if (of == nullptr || finished(of->phase))
+    {
+        return false;
+    }
+    auto const* const queue = queue_of(*of);
+    auto const& spec = of->spec_of(name.task.of);
+    if (queue == nullptr || queue->priority <= than || !spec.checkpoints ||
+        spec.gang || spec.lasting)
+    {
+        return false;
+    }
+    auto const until = timing_of(*of, name.task.of, *queue);
+    return until.latest_start - now > m_rules.preempt_slack;
+}
+
+/// What an instance offers a gang once work that can wait has been stopped.
+struct scheduler::offer
+{
+    instance* at{nullptr};
+    /// Room that is free, or comes free by stops under way.
+    workload::resources room;
+    std::vector<std::pair<attempt_name, workload::resources>> victims;
+};
+
+scheduler::offer
+scheduler::offer_of(instance& at, std::int32_t priority, base::instant now)
+{
+    offer out{&at, at.room(), {}};
+    for (auto const& [name, it] : at.attempts())
+    {
+        if (it.stop_wanted)
+        {
+            out.room += it.need;
+        }
+        else if (it.state == attempt_state::running &&
+                 can_wait(name, priority, now))
+        {
+            out.victims.emplace_back(name, it.need);
+        }
+    }
+    std::ranges::sort(out.victims, std::ranges::greater{},
+                      [](auto const& it) { return it.second.cpu_millis; });
+    return out;
+}
+
+/// A gang that would be late takes the place of work that can wait, on as few
+/// instances as it needs. Nothing is stopped unless that makes room for the
+/// whole gang.
+void scheduler::preempt(job& of,
+                        turn const& it,
+                        std::vector<candidate> const& from,
+                        base::instant now)
+{
+    auto const& spec = of.spec_of(it.name);
+    auto const priority = queue_of(of)->priority;
+    if (it.tier > 1 || now < it.latest_start - m_rules.preempt_before)
+    {
+        return;
+    }
+    std::vector<offer> offers;
+    for (auto const& each : from)
+    {
+        if (!m_reserved.contains(each.instance))
+        {
+            offers.push_back(
+                offer_of(m_instances.get(each.instance), priority, now));
+        }
+    }
+    std::ranges::sort(offers, std::ranges::greater{},
+                      [](offer const& each) { return each.room.cpu_millis; });
+    std::uint32_t slots = 0;
+    std::vector<std::pair<instance*, attempt_name>> stopped;
+    std::vector<std::string> chosen;
+    for (auto& each : offers)
+    {
+        if (slots >= spec.tasks)
+        {
+            break;
+        }
+        auto here = slots_in(spec, each.room, 0);
+        for (auto const& [name, need] : each.victims)
+        {
+            if (slots + here >= spec.tasks)
+            {
+                break;
+            }
+            each.room += need;
+            stopped.emplace_back(each.at, name);
+            here = slots_in(spec, each.room, 0);
+        }
+        slots += here;
+        chosen.push_back(each.at->info().id);
+    }
+    if (slots < spec.tasks)
+    {
+        return;
+    }
+    m_reserved.insert(chosen.begin(), chosen.end());
+    for (auto const& [at, name] : stopped)
+    {
+        ++m_counts.preempted;
+        m_log->write(base::log_level::info, "attempt_preempted",
+                     {{"task", text_of(name.task)},
+                      {"run", name.run},
+                      {"instance", at->info().id},
+                      {"for", text_of(it.name)}});
+        want_stop(*at, name, *at->find(name), now);
+    }
+}
+
+} // namespace berylhill::scheduler
