--- a/libraries/cell/cell_owner.cpp
+++ b/libraries/cell/cell_owner.cpp
@@ -147,6 +147,7 @@
     }
     if (store_stuck() > stuck_limit)
     {
+        log_refusal(it.job);
         done({job_answer_kind::refused, {}, 0, retry_after});
         return;
     }
@@ -167,6 +168,7 @@
 {
     if (store_stuck() > stuck_limit)
     {
+        log_refusal(it.job);
         done({job_answer_kind::refused, {}, 0, retry_after});
         return;
     }
@@ -215,10 +217,20 @@
                   });
     for (auto const& it : refused)
     {
+        log_refusal(it.submitted);
         it.done({job_answer_kind::refused, {}, 0, retry_after});
     }
 }
 
+void cell_owner::log_refusal(workload::job_id it) const
+{
+    m_parts.log->write(base::log_level::info, "job_refused",
+                       {{"job", text_of(it)},
+                        {"why", "store_stuck"},
+                        {"stuck_s", base::seconds_of(store_stuck())},
+                        {"token", m_token}});
+}
+
 /// A store that refuses has surely not stored the batch: what is in it goes
 /// back, so that its clients can be told.
 void cell_owner::give_up_batch()
--- a/libraries/cell/cell_owner.hpp
+++ b/libraries/cell/cell_owner.hpp
@@ -113,6 +113,7 @@
     void wait_for_batch(job_call const& of, job_answer_handler done);
     void refuse_unsent();
     void give_up_batch();
+    void log_refusal(workload::job_id it) const;
     [[nodiscard]] bool lingers(base::instant now) const;
     void soon();
     void work();
--- a/libraries/cell/job_call.hpp
+++ b/libraries/cell/job_call.hpp
@@ -20,6 +20,9 @@
     pending,
 };
 
+/// For logs and metrics.
+[[nodiscard]] char const* name_of(job_call_kind it);
+
 /// What a client asks about jobs. A value.
 struct job_call
 {
@@ -54,6 +57,9 @@
     interrupted,
 };
 
+/// For logs and metrics.
+[[nodiscard]] char const* name_of(job_answer_kind it);
+
 /// What a client is told. A value.
 struct job_answer
 {
--- a/libraries/cell/node.cpp
+++ b/libraries/cell/node.cpp
@@ -275,21 +275,34 @@
         return;
     }
     auto call = std::get<job_call>(std::move(decoded));
-    m_router.call(
-        call,
-        [this, call, answer = std::move(answer)](job_answer const& end)
-        {
-            if (end.kind == job_answer_kind::refused ||
-                end.kind == job_answer_kind::outcome_unknown)
-            {
-                base::log(base::log_level::info, "call_failed",
-                          {{"job", text_of(call.job)},
-                           {"call", static_cast<int>(call.kind)},
-                           {"answer", static_cast<int>(end.kind)},
-                           {"token", m_ownership.owner().token}});
-            }
-            answer(m_adapter.jobs->encode(call, end));
-        });
+    m_router.call(call,
+                  [this, call, begun = m_clock.now(),
+                   answer = std::move(answer)](job_answer const& end)
+                  {
+                      note_answer(call, end, m_clock.now() - begun);
+                      answer(m_adapter.jobs->encode(call, end));
+                  });
+}
+
+void node::note_answer(job_call const& call,
+                       job_answer const& end,
+                       base::duration took)
+{
+    m_metrics.answered(call.kind, end.kind, took);
+    if (end.kind != job_answer_kind::refused &&
+        end.kind != job_answer_kind::outcome_unknown)
+    {
+        return;
+    }
+    base::log(base::log_level::info, "call_failed",
+              {{"job", text_of(call.job)},
+               {"call", name_of(call.kind)},
+               {"end", name_of(end.kind)},
+               {"took_s", base::seconds_of(took)},
+               {"retry_after_s", base::seconds_of(end.retry_after)},
+               {"owner", m_ownership.owner().instance},
+               {"token", m_ownership.owner().token},
+               {"owner_heard", m_ownership.owner_heard() ? 1 : 0}});
 }
 
 bool node::ready() const
@@ -313,7 +326,19 @@
 
 void node::take_metrics(network::responder const& answer)
 {
-    answer({status_ok, {}, m_metrics.text(), "text/plain; version=0.0.4"});
+    node_metrics::readings now;
+    now.owns = owns();
+    now.ready = ready();
+    now.token = m_ownership.owner().token;
+    now.configuration_version = m_configuration.version;
+    now.connections = m_callers.connections();
+    now.order_connections_opened = m_order_client.connections_opened();
+    if (m_owner)
+    {
+        now.decisions = &m_owner->decisions();
+        now.store_stuck = m_owner->store_stuck();
+    }
+    answer({status_ok, {}, m_metrics.text(now), "text/plain; version=0.0.4"});
 }
 
 void node::configuration_changed(std::string const& key,
--- a/libraries/cell/node.hpp
+++ b/libraries/cell/node.hpp
@@ -4,10 +4,10 @@
 #include <cell/advice_desk.hpp>
 #include <cell/call_router.hpp>
 #include <cell/cell_owner.hpp>
+#include <cell/node_metrics.hpp>
 #include <cell/ownership.hpp>
 #include <cell/peer_service.hpp>
 #include <network/http_server.hpp>
-#include <telemetry/metrics.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -50,6 +50,9 @@
     [[nodiscard]] scheduler::policy policy() const;
     void take_job_call(network::http_request const& it,
                        network::responder answer);
+    void note_answer(job_call const& call,
+                     job_answer const& end,
+                     base::duration took);
     void take_readiness(network::responder const& answer);
     void take_metrics(network::responder const& answer);
     [[nodiscard]] bool ready() const;
@@ -89,7 +92,7 @@
     boost::asio::signal_set m_signals;
     boost::asio::steady_timer m_stop_timer;
     boost::asio::steady_timer m_log_timer;
-    telemetry::metrics m_metrics;
+    node_metrics m_metrics;
     workload::cell_configuration m_configuration;
     std::unique_ptr<cell_owner> m_owner;
     base::instant m_stop_at{};
--- /dev/null
+++ b/libraries/cell/node_metrics.cpp
@@ -0,0 +1,103 @@
+#include <cell/node_metrics.hpp>
+
+#include <base/buffered_log.hpp>
+
+namespace berylhill::cell
+{
+
+node_metrics::node_metrics()
+{
+    // Made now, so that the first scrape shows them all.
+    for (auto const kind : {job_call_kind::submit, job_call_kind::status,
+                            job_call_kind::cancel, job_call_kind::pending})
+    {
+        (void)m_metrics.latency("berylhill_cell_call_seconds",
+                                "From a client's call to its answer.",
+                                {{"call", name_of(kind)}});
+    }
+}
+
+void node_metrics::answered(job_call_kind kind,
+                            job_answer_kind end,
+                            base::duration took)
+{
+    m_metrics
+        .counter("berylhill_cell_calls_total", "Calls of clients by their end.",
+                 {{"call", name_of(kind)}, {"end", name_of(end)}})
+        .add();
+    m_metrics
+        .latency("berylhill_cell_call_seconds",
+                 "From a client's call to its answer.",
+                 {{"call", name_of(kind)}})
+        .record(took);
+}
+
+void node_metrics::read_decisions(scheduler::scheduler const& it)
+{
+    auto const set = [&](char const* name, char const* help, double value)
+    {
+        m_metrics.gauge(name, help).set(value);
+    };
+    auto const& counts = it.counts();
+    set("berylhill_cell_starts", "Tasks started by this owner.",
+        static_cast<double>(counts.starts));
+    set("berylhill_cell_ends_done", "Attempts that ended done.",
+        static_cast<double>(counts.ends_done));
+    set("berylhill_cell_ends_failed", "Attempts that ended failed.",
+        static_cast<double>(counts.ends_failed));
+    set("berylhill_cell_ends_other", "Attempts that were stopped or lapsed.",
+        static_cast<double>(counts.ends_other));
+    set("berylhill_cell_preempted", "Attempts stopped for more urgent work.",
+        static_cast<double>(counts.preempted));
+    set("berylhill_cell_jobs", "Jobs known, finished ones included.",
+        static_cast<double>(it.jobs().all().size()));
+    set("berylhill_cell_steps_waiting", "Steps with tasks that wait.",
+        static_cast<double>(it.jobs().ready().size()));
+    std::size_t reachable = 0;
+    for (auto const& [id, at] : it.instances().all())
+    {
+        reachable += at->listed() && at->reachable() ? 1 : 0;
+    }
+    set("berylhill_cell_instances", "Instances listed or holding work.",
+        static_cast<double>(it.instances().all().size()));
+    set("berylhill_cell_instances_reachable",
+        "Listed instances that gave an answer.",
+        static_cast<double>(reachable));
+}
+
+std::string node_metrics::text(readings const& it)
+{
+    auto const set = [&](char const* name, char const* help, double value)
+    {
+        m_metrics.gauge(name, help).set(value);
+    };
+    set("berylhill_cell_owns", "1 while this process owns the work.",
+        it.owns ? 1 : 0);
+    set("berylhill_cell_ready", "1 while it reports itself ready.",
+        it.ready ? 1 : 0);
+    set("berylhill_cell_owner_token", "The token of the owner it knows.",
+        static_cast<double>(it.token));
+    set("berylhill_cell_configuration_version", "The version in force.",
+        static_cast<double>(it.configuration_version));
+    set("berylhill_cell_connections", "Open connections of callers.",
+        static_cast<double>(it.connections));
+    set("berylhill_cell_order_connections_opened",
+        "Connections opened to instances.",
+        static_cast<double>(it.order_connections_opened));
+    set("berylhill_cell_store_stuck_seconds",
+        "For how long the store has not taken what should be stored.",
+        base::seconds_of(it.store_stuck));
+    auto const log = base::buffered_log_counts();
+    set("berylhill_cell_log_lines", "Lines of the log.",
+        static_cast<double>(log.lines));
+    set("berylhill_cell_log_dropped",
+        "Lines left out because the reader did not keep up.",
+        static_cast<double>(log.dropped));
+    if (it.decisions != nullptr)
+    {
+        read_decisions(*it.decisions);
+    }
+    return m_metrics.text();
+}
+
+} // namespace berylhill::cell
--- /dev/null
+++ b/libraries/cell/node_metrics.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <cell/job_call.hpp>
+#include <scheduler/scheduler.hpp>
+#include <telemetry/metrics.hpp>
+
+#include <cstddef>
+#include <string>
+
+namespace berylhill::cell
+{
+
+/// The metrics of one process, in Prometheus's text format; named in
+/// docs/TELEMETRY.md. Not thread-safe.
+class node_metrics
+{
+public:
+    node_metrics();
+
+    /// A call of a client was answered.
+    void answered(job_call_kind kind, job_answer_kind end, base::duration took);
+
+    /// What changes slowly, read before each time the text is asked for.
+    struct readings
+    {
+        bool owns{false};
+        bool ready{false};
+        std::uint64_t token{0};
+        std::int64_t configuration_version{0};
+        std::size_t connections{0};
+        std::uint64_t order_connections_opened{0};
+        /// Null while this process does not own.
+        scheduler::scheduler const* decisions{nullptr};
+        base::duration store_stuck{0};
+    };
+
+    [[nodiscard]] std::string text(readings const& it);
+
+private:
+    void read_decisions(scheduler::scheduler const& it);
+
+    telemetry::metrics m_metrics;
+};
+
+} // namespace berylhill::cell
--- a/libraries/command/check_command.cpp
+++ b/libraries/command/check_command.cpp
@@ -1,6 +1,7 @@
 #include <command/subcommand.hpp>
 #include <command/table.hpp>
 
+#include <settings/cell_schema.hpp>
 #include <settings/contract_files.hpp>
 #include <settings/contract_schema.hpp>
 #include <settings/entry_schema.hpp>
@@ -53,13 +54,15 @@
     {
         Json::Value all{Json::objectValue};
         all["entry"] = json_of(settings::entry_reference());
+        all["cell"] = json_of(settings::cell_reference());
         all["contract"] = json_of(settings::contract_reference());
         all["job"] = json_of(settings::job_reference());
         out << model::text_of(all) << '\n';
         return;
     }
     out << "Entry settings\n\n"
-        << text_of(settings::entry_reference()) << "\nContract\n\n"
+        << text_of(settings::entry_reference()) << "\nCell settings\n\n"
+        << text_of(settings::cell_reference()) << "\nContract\n\n"
         << text_of(settings::contract_reference()) << "\nJob\n\n"
         << text_of(settings::job_reference());
 }
@@ -130,6 +133,7 @@
             return cxxopts::value<std::vector<std::string>>();
         };
         add("settings", "An entry's settings file.", files(), "FILE");
+        add("cell", "A settings file of a cell's process.", files(), "FILE");
         add("contracts", "A directory of contract files.", files(), "DIR");
         add("job", "A job file.", files(), "FILE");
         add("defaults", "Show every member with its default and meaning.");
@@ -147,12 +151,13 @@
             return exit_code::done;
         }
         if (given(options, "settings").empty() &&
+            given(options, "cell").empty() &&
             given(options, "contracts").empty() &&
             given(options, "job").empty())
         {
             return base::fail(base::failure_code::invalid,
-                              "nothing to check: give --settings, --contracts, "
-                              "--job or --defaults");
+                              "nothing to check: give --settings, --cell, "
+                              "--contracts, --job or --defaults");
         }
         return report(collect(options), options, context);
     }
@@ -165,6 +170,10 @@
         {
             (void)settings::load_entry_settings(it, found);
         }
+        for (auto const& it : given(options, "cell"))
+        {
+            (void)settings::load_cell_settings(it, found);
+        }
         for (auto const& it : given(options, "contracts"))
         {
             (void)settings::read_contract_directory(it, found);
--- a/libraries/command/run.cpp
+++ b/libraries/command/run.cpp
@@ -26,6 +26,7 @@
     all.push_back(make_call_command());
     all.push_back(make_status_command());
     all.push_back(make_trace_command());
+    all.push_back(make_explain_command());
     return all;
 }
 
--- a/libraries/command/subcommand.hpp
+++ b/libraries/command/subcommand.hpp
@@ -95,5 +95,6 @@
 [[nodiscard]] std::unique_ptr<subcommand> make_call_command();
 [[nodiscard]] std::unique_ptr<subcommand> make_status_command();
 [[nodiscard]] std::unique_ptr<subcommand> make_trace_command();
+[[nodiscard]] std::unique_ptr<subcommand> make_explain_command();
 
 } // namespace berylhill::command
--- /dev/null
+++ b/libraries/command/time_line.cpp
@@ -0,0 +1,158 @@
+#include <command/time_line.hpp>
+
+#include <algorithm>
+#include <array>
+#include <string_view>
+
+namespace berylhill::command
+{
+
+namespace
+{
+
+struct event_text
+{
+    std::string_view event;
+    std::string_view meaning;
+};
+
+/// What the events of a job mean.
+constexpr std::array job_events{
+    event_text{"job_taken", "the owner took the job; it counts once stored"},
+    event_text{"job_refused", "the owner refused it: it does not run"},
+    event_text{"call_failed", "a client was turned away or not told"},
+    event_text{"advice_read", "the advice service answered for a step"},
+    event_text{"task_placed", "a task was given an instance"},
+    event_text{"start_refused", "the instance did not start the task"},
+    event_text{"attempt_ended", "a start of a task ended"},
+    event_text{"attempt_not_there", "a start was not found where it was sent"},
+    event_text{"attempt_preempted", "a task was stopped for more urgent work"},
+    event_text{"stray_attempt", "a task ran that should not, and is stopped"},
+    event_text{"job_finished", "the job reached its final state"},
+};
+
+/// Events of the cell that hold up every job.
+constexpr std::array cell_events{
+    event_text{"owner_lost", "a process lost sight of the owner"},
+    event_text{"claim_begins", "a process claims the work"},
+    event_text{"claim_won", "a new owner"},
+    event_text{"right_lost", "the owner lost its right"},
+    event_text{"append_unanswered", "the store gave no answer to a write"},
+    event_text{"append_refused", "the store refused a write"},
+    event_text{"log_lost", "a log of the store cannot be read"},
+    event_text{"log_regained", "a log of the store can be read again"},
+    event_text{"process_started", "a process began"},
+    event_text{"process_stopping", "a process was told to stop"},
+};
+
+template <std::size_t N>
+std::string_view meaning_in(std::array<event_text, N> const& all,
+                            std::string const& event)
+{
+    for (auto const& it : all)
+    {
+        if (it.event == event)
+        {
+            return it.meaning;
+        }
+    }
+    return {};
+}
+
+bool names(log_line const& it, std::string const& job)
+{
+    return std::ranges::any_of(it.members, [&](log_member const& member)
+                               { return member.value.starts_with(job); });
+}
+
+} // namespace
+
+std::vector<log_line> time_line_of(std::string const& job,
+                                   std::vector<log_line> lines)
+{
+    std::ranges::stable_sort(lines, {}, &log_line::time);
+    auto const own = [&](log_line const& it)
+    {
+        return names(it, job);
+    };
+    auto const first = std::ranges::find_if(lines, own);
+    auto const last = std::find_if(lines.rbegin(), lines.rend(), own).base();
+    std::vector<log_line> out;
+    for (auto it = first; it < last; ++it)
+    {
+        if (own(*it) || !meaning_in(cell_events, it->event).empty())
+        {
+            out.push_back(*it);
+        }
+    }
+    return out;
+}
+
+std::string text_of(log_line const& it)
+{
+    auto meaning = meaning_in(job_events, it.event);
+    if (meaning.empty())
+    {
+        meaning = meaning_in(cell_events, it.event);
+    }
+    auto out = it.time + "  " + it.instance + "  " + it.event;
+    if (!meaning.empty())
+    {
+        out += " (";
+        out += meaning;
+        out += ")";
+    }
+    for (auto const& member : it.members)
+    {
+        out += " ";
+        out += member.key;
+        out += "=";
+        out += member.value;
+    }
+    return out;
+}
+
+std::string cause_in(std::vector<log_line> const& it)
+{
+    auto const last_of = [&](std::string_view event) -> log_line const*
+    {
+        auto const found = std::find_if(it.rbegin(), it.rend(),
+                                        [&](log_line const& line)
+                                        { return line.event == event; });
+        return found == it.rend() ? nullptr : &*found;
+    };
+    if (auto const* const end = last_of("job_finished"); end != nullptr)
+    {
+        auto const phase = end->value_of("phase");
+        auto out = "It is " + phase + ", " + end->value_of("took_s") +
+                   " s after it was accepted";
+        auto const* const failed = last_of("attempt_ended");
+        if (phase == "failed" && failed != nullptr)
+        {
+            out += ": the last start that ended so was " +
+                   failed->value_of("task") + " on " +
+                   failed->value_of("instance");
+        }
+        return out + ".";
+    }
+    if (auto const* const refused = last_of("job_refused"); refused != nullptr)
+    {
+        return "It was refused, since the store had taken nothing for " +
+               refused->value_of("stuck_s") + " s; it did not run.";
+    }
+    if (last_of("task_placed") != nullptr)
+    {
+        return "It has begun and not ended.";
+    }
+    if (last_of("advice_read") != nullptr)
+    {
+        return "It waits: no instance with leave has had room for it.";
+    }
+    if (last_of("call_failed") != nullptr)
+    {
+        return "No owner could be reached while its client waited.";
+    }
+    return "The lines do not tell.";
+}
+
+} // namespace berylhill::command
--- a/libraries/scheduler/job.cpp
+++ b/libraries/scheduler/job.cpp
@@ -38,6 +38,24 @@
 
 } // namespace
 
+char const* name_of(job_phase it)
+{
+    switch (it)
+    {
+    case job_phase::queued:
+        return "queued";
+    case job_phase::running:
+        return "running";
+    case job_phase::completed:
+        return "completed";
+    case job_phase::failed:
+        return "failed";
+    case job_phase::cancelled:
+        return "cancelled";
+    }
+    return "other";
+}
+
 bool occurrence::complete() const noexcept
 {
     return std::ranges::all_of(steps,
--- a/libraries/scheduler/job.hpp
+++ b/libraries/scheduler/job.hpp
@@ -29,6 +29,9 @@
            it == job_phase::cancelled;
 }
 
+/// For logs.
+[[nodiscard]] char const* name_of(job_phase it);
+
 enum class task_phase : std::uint8_t
 {
     waiting,
--- a/libraries/scheduler/scheduler_ends.cpp
+++ b/libraries/scheduler/scheduler_ends.cpp
@@ -358,7 +358,7 @@
     m_jobs.finish(of, phase, now);
     m_log->write(base::log_level::info, "job_finished",
                  {{"job", text_of(id)},
-                  {"phase", static_cast<int>(phase)},
+                  {"phase", name_of(phase)},
                   {"took_s", base::seconds_of(took)}});
     stop_all(id, now);
 }
--- a/libraries/settings/reference.cpp
+++ b/libraries/settings/reference.cpp
@@ -1,5 +1,6 @@
 #include <settings/reference.hpp>
 
+#include <settings/cell_schema.hpp>
 #include <settings/contract_schema.hpp>
 #include <settings/entry_schema.hpp>
 
@@ -24,6 +25,11 @@
     return describe(entry_schema());
 }
 
+std::vector<field_description> cell_reference()
+{
+    return describe(cell_schema());
+}
+
 std::vector<field_description> contract_reference()
 {
     return describe(contract_schema());
@@ -50,6 +56,7 @@
 std::string markdown_reference()
 {
     return "## Entry settings\n\n" + markdown_of(entry_reference()) +
+           "\n## Cell settings\n\n" + markdown_of(cell_reference()) +
            "\n## Contract\n\n" + markdown_of(contract_reference()) +
            "\n## Job\n\n" + markdown_of(job_reference());
 }
--- a/libraries/settings/reference.hpp
+++ b/libraries/settings/reference.hpp
@@ -10,6 +10,7 @@
 
 /// One line for each member of an entry's settings, a contract and a job.
 [[nodiscard]] std::vector<field_description> entry_reference();
+[[nodiscard]] std::vector<field_description> cell_reference();
 [[nodiscard]] std::vector<field_description> contract_reference();
 [[nodiscard]] std::vector<field_description> job_reference();
 
