network: Never call a request unsent that broke after it was sent

A batch that the store had taken could then be taken back and written anew. Besides, the look at an offset compared one record of the batch only.

The test for it failed first.

--- a/libraries/cell/sure_append.cpp
+++ b/libraries/cell/sure_append.cpp
@@ -190,11 +190,24 @@
         again(first_pause, [this] { send(); });
         return;
     }
-    auto const& first = it.entries.front();
-    auto const ours = first.offset == m_at &&
-                      first.key == m_records.front().key &&
-                      first.value == m_records.front().value;
-    finish(ours ? sure_end::stored : sure_end::overtaken);
+    finish(stands_at(it) ? sure_end::stored : sure_end::overtaken);
+}
+
+/// All of the records have to be there: a batch that was written anew may
+/// begin as the one before did.
+bool sure_append::stands_at(read_result const& it) const
+{
+    auto const n = std::min(it.entries.size(), m_records.size());
+    for (std::size_t i = 0; i < n; ++i)
+    {
+        auto const& found = it.entries[i];
+        if (found.offset != m_at + i || found.key != m_records[i].key ||
+            found.value != m_records[i].value)
+        {
+            return false;
+        }
+    }
+    return true;
 }
 
 void sure_append::again(base::duration pause, std::function<void()> what)
--- a/libraries/cell/sure_append.hpp
+++ b/libraries/cell/sure_append.hpp
@@ -78,6 +78,7 @@
     void answered(append_result const& it, base::instant sent_at);
     void look();
     void looked(read_result const& it);
+    [[nodiscard]] bool stands_at(read_result const& it) const;
     void again(base::duration pause, std::function<void()> what);
     void finish(sure_end it);
 
--- a/libraries/network/http_client.cpp
+++ b/libraries/network/http_client.cpp
@@ -127,7 +127,8 @@
         }
         if (ec)
         {
-            finish({call_end::not_sent,
+            // On a connection that broke the request may have arrived before.
+            finish({m_sent ? call_end::unanswered : call_end::not_sent,
                     {},
                     ec == asio::error::connection_refused});
             return;
--- a/libraries/network/http_server.cpp
+++ b/libraries/network/http_server.cpp
@@ -263,6 +263,15 @@
     m_acceptor.close(ec);
 }
 
+void http_server::close_connections()
+{
+    auto const all = m_sessions;
+    for (auto const& it : all)
+    {
+        it->close();
+    }
+}
+
 void http_server::accept()
 {
     m_acceptor.async_accept(
--- a/libraries/network/http_server.hpp
+++ b/libraries/network/http_server.hpp
@@ -62,6 +62,9 @@
     /// Closes the listening socket.
     void stop_listening();
 
+    /// Breaks all connections, whatever they are at.
+    void close_connections();
+
     /// Requests read and not yet answered.
     [[nodiscard]] std::size_t unanswered() const noexcept
     {
--- a/tests/network/http_test.cpp
+++ b/tests/network/http_test.cpp
@@ -92,6 +92,23 @@
     BOOST_TEST(client.connections_opened() == 2U);
 }
 
+/// A user is told that a job does not run, and it runs. The request goes out
+/// on a kept connection, which breaks before the answer; nothing listens any
+/// more for the second try, and the first one was forgotten.
+BOOST_AUTO_TEST_CASE(a_request_that_may_have_arrived_is_not_called_unsent)
+{
+    BOOST_REQUIRE(call(post("one")).has_value());
+    hold = true;
+    std::optional<network::call_result> end;
+    client.call(address, post("two"), std::chrono::seconds{3},
+                [&](network::call_result const& it) { end = it; });
+    BOOST_TEST(run_until([&] { return held.size() == 1; }));
+    server.stop_listening();
+    server.close_connections();
+    BOOST_TEST(run_until([&] { return end.has_value(); }));
+    BOOST_TEST((end->end == call_end::unanswered));
+}
+
 BOOST_DATA_TEST_CASE(bytes_that_are_no_request_are_refused_at_once,
                      boost::unit_test::data::make(raw_cases))
 {
