cell: Tests of appends and followers; a log that ends before our offset

An append at an offset beyond the log's end was repeated for ever: the owner's view of the log is wrong then, and it gives its right up.

--- a/libraries/cell/sure_append.cpp
+++ b/libraries/cell/sure_append.cpp
@@ -131,6 +131,13 @@
         return;
     case append_end::conflict:
         m_maybe_stored = true;
+        if (it.log_end < m_at)
+        {
+            // Ours is not the log that the store has: nothing that was
+            // believed of it holds.
+            finish(sure_end::overtaken);
+            return;
+        }
         look();
         return;
     case append_end::unanswered:
--- /dev/null
+++ b/tests/cell/fake_log.hpp
@@ -0,0 +1,156 @@
+#pragma once
+
+#include <cell/keyed_log.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+
+#include <deque>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace berylhill::cell_test
+{
+
+/// What the fake does with the next append.
+enum class fate : std::uint8_t
+{
+    store,
+    /// Stores it and says nothing.
+    store_silently,
+    /// Says nothing; `deliver_late` stores it if its offset still fits.
+    delay,
+    refuse,
+};
+
+/// A keyed log in memory. Lives on the test's loop.
+class fake_log final : public cell::keyed_log
+{
+public:
+    explicit fake_log(boost::asio::io_context& loop)
+        : m_loop{loop}
+    {
+    }
+
+    void append(std::uint64_t at,
+                std::vector<scheduler::record> const& records,
+                base::duration,
+                cell::append_handler handler) override
+    {
+        ++appends;
+        auto const next = fates.empty() ? fate::store : fates.front();
+        if (!fates.empty())
+        {
+            fates.pop_front();
+        }
+        cell::append_result out;
+        if (next == fate::refuse)
+        {
+            out.end = cell::append_end::refused;
+        }
+        else if (next == fate::delay)
+        {
+            m_late.emplace_back(at, records);
+            out.end = cell::append_end::unanswered;
+        }
+        else if (at != log.size())
+        {
+            out.end = cell::append_end::conflict;
+            out.log_end = log.size();
+        }
+        else
+        {
+            put(records);
+            out.end = next == fate::store ? cell::append_end::stored
+                                          : cell::append_end::unanswered;
+        }
+        boost::asio::post(m_loop, [handler = std::move(handler), out]
+                          { handler(out); });
+    }
+
+    void read(std::uint64_t from,
+              base::duration,
+              base::duration,
+              cell::read_handler handler) override
+    {
+        ++reads;
+        cell::read_result out;
+        out.end = from < first ? cell::read_end::trimmed : cell::read_end::read;
+        out.log_end = log.size();
+        for (auto n = from; n < log.size() && from >= first; ++n)
+        {
+            out.entries.push_back({n, log[n].key, log[n].value});
+        }
+        boost::asio::post(m_loop, [handler = std::move(handler),
+                                   out = std::move(out)] { handler(out); });
+    }
+
+    void newest(std::string const& after,
+                base::duration,
+                cell::newest_handler handler) override
+    {
+        std::map<std::string, std::uint64_t> last;
+        for (std::uint64_t n = 0; n < log.size(); ++n)
+        {
+            last[log[n].key] = n;
+        }
+        cell::newest_result out;
+        out.answered = true;
+        out.log_end = log.size();
+        for (auto const& [key, n] : last)
+        {
+            if (key <= after || log[n].value.empty())
+            {
+                continue;
+            }
+            if (out.entries.size() == page)
+            {
+                out.truncated = true;
+                break;
+            }
+            out.entries.push_back({n, key, log[n].value});
+        }
+        boost::asio::post(
+            m_loop,
+            [this, handler = std::move(handler), out = std::move(out)]
+            {
+                // The log goes on between the pages.
+                put(std::exchange(between_pages, {}));
+                handler(out);
+            });
+    }
+
+    void put(std::vector<scheduler::record> const& records)
+    {
+        log.insert(log.end(), records.begin(), records.end());
+    }
+
+    /// Carries out the appends that were delayed, where they still fit.
+    void deliver_late()
+    {
+        for (auto const& [at, records] : std::exchange(m_late, {}))
+        {
+            if (at == log.size())
+            {
+                put(records);
+            }
+        }
+    }
+
+    std::vector<scheduler::record> log;
+    std::uint64_t first{0};
+    std::size_t page{500};
+    std::vector<scheduler::record> between_pages;
+    std::deque<fate> fates;
+    std::size_t appends{0};
+    std::size_t reads{0};
+
+private:
+    boost::asio::io_context& m_loop;
+    std::vector<std::pair<std::uint64_t, std::vector<scheduler::record>>>
+        m_late;
+};
+
+} // namespace berylhill::cell_test
--- /dev/null
+++ b/tests/cell/log_follower_test.cpp
@@ -0,0 +1,115 @@
+#include "fake_log.hpp"
+
+#include <cell/log_follower.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+#include <optional>
+#include <string>
+
+using namespace berylhill;
+using namespace berylhill::cell_test;
+
+namespace
+{
+
+struct fixture
+{
+    fixture()
+    {
+        follower.on_change(
+            [this](std::string const& key, std::string const& value)
+            {
+                if (value.empty())
+                {
+                    seen.erase(key);
+                    return;
+                }
+                seen[key] = value;
+            });
+    }
+
+    void run(int moments = 20)
+    {
+        for (int n = 0; n < moments; ++n)
+        {
+            loop.restart();
+            loop.run_for(std::chrono::milliseconds{5});
+        }
+    }
+
+    boost::asio::io_context loop;
+    base::system_clock clock;
+    fake_log log{loop};
+    cell::log_follower follower{
+        loop,
+        clock,
+        log,
+        "test",
+        {base::duration{0}, std::chrono::milliseconds{5},
+         std::chrono::milliseconds{100}, std::chrono::milliseconds{5}}};
+    std::map<std::string, std::string> seen;
+};
+
+using map = std::map<std::string, std::string>;
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(log_follower, fixture)
+
+BOOST_AUTO_TEST_CASE(it_keeps_up_with_the_newest_of_each_key)
+{
+    log.put({{"a", "1"}, {"b", "1"}, {"a", "2"}});
+    follower.start();
+    run();
+    BOOST_TEST((seen == map{{"a", "2"}, {"b", "1"}}));
+    log.put({{"b", {}}, {"c", "1"}});
+    run();
+    BOOST_TEST((seen == map{{"a", "2"}, {"c", "1"}}));
+    BOOST_TEST(follower.next_offset() == 5U);
+}
+
+/// A user's job that was accepted is unknown to the next owner. It was written
+/// while the records were read page by page, under a key that had passed.
+BOOST_AUTO_TEST_CASE(what_is_written_between_pages_is_read_too)
+{
+    log.page = 1;
+    log.put({{"a", "1"}, {"b", "1"}, {"c", "1"}});
+    log.between_pages = {{"a", "2"}, {"aa", "1"}, {"c", {}}};
+    follower.start();
+    run();
+    BOOST_TEST((seen == map{{"a", "2"}, {"aa", "1"}, {"b", "1"}}));
+}
+
+BOOST_AUTO_TEST_CASE(a_dropped_history_is_read_anew)
+{
+    log.put({{"a", "1"}, {"b", "1"}});
+    follower.start();
+    run();
+    log.put({{"a", {}}, {"c", "1"}});
+    log.first = 4;
+    run();
+    BOOST_TEST((seen == map{{"b", "1"}, {"c", "1"}}));
+}
+
+BOOST_AUTO_TEST_CASE(catching_up_says_when_the_end_is_reached)
+{
+    log.put({{"a", "1"}});
+    follower.start();
+    run();
+    log.put({{"b", "1"}});
+    std::optional<bool> done;
+    follower.catch_up([&](bool it) { done = it; });
+    run();
+    BOOST_REQUIRE(done.has_value());
+    BOOST_TEST(*done);
+    BOOST_TEST(follower.next_offset() == 2U);
+    follower.stop();
+    done.reset();
+    follower.catch_up([&](bool it) { done = it; });
+    BOOST_REQUIRE(done.has_value());
+    BOOST_TEST(!*done);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/cell/sure_append_test.cpp
@@ -0,0 +1,143 @@
+#include "fake_log.hpp"
+
+#include <cell/sure_append.hpp>
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <optional>
+#include <ostream>
+
+using namespace berylhill;
+using namespace berylhill::cell_test;
+using cell::sure_end;
+
+namespace
+{
+
+using record_list = std::vector<scheduler::record>;
+
+record_list const ours{{"a", "1"}, {"b", "2"}};
+
+struct append_case
+{
+    char const* name;
+    /// What others have written from our offset on.
+    record_list others;
+    std::vector<fate> fates;
+    std::uint64_t at;
+    sure_end end;
+};
+
+std::ostream& operator<<(std::ostream& to, append_case const& it)
+{
+    return to << it.name;
+}
+
+append_case const cases[] = {
+    {"stored at once", {}, {}, 0, sure_end::stored},
+    {"stored without an answer",
+     {},
+     {fate::store_silently},
+     0,
+     sure_end::stored},
+    {"refused, then stored",
+     {},
+     {fate::refuse, fate::refuse},
+     0,
+     sure_end::stored},
+    {"lost, then stored", {}, {fate::delay}, 0, sure_end::stored},
+    {"another writer was first", {{"owner", "x"}}, {}, 0, sure_end::overtaken},
+    {"another batch that begins alike",
+     {{"a", "1"}, {"b", "other"}},
+     {},
+     0,
+     sure_end::overtaken},
+    {"the log ends before our offset", {}, {}, 7, sure_end::overtaken},
+};
+
+struct fixture
+{
+    boost::asio::io_context loop;
+    base::system_clock clock;
+    fake_log log{loop};
+    cell::store_latency latency;
+    cell::sure_append append{loop, clock, log, latency};
+    std::optional<sure_end> end;
+
+    void begin(std::uint64_t at, base::duration limit = {})
+    {
+        append.begin(at, ours, limit, [this](sure_end it) { end = it; });
+    }
+
+    void run()
+    {
+        for (int n = 0; n < 400 && !end; ++n)
+        {
+            loop.restart();
+            loop.run_for(std::chrono::milliseconds{5});
+        }
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(sure_append, fixture)
+
+BOOST_DATA_TEST_CASE(what_became_of_an_append_is_certain,
+                     boost::unit_test::data::make(cases))
+{
+    log.put(sample.others);
+    log.fates.assign(sample.fates.begin(), sample.fates.end());
+    begin(sample.at);
+    run();
+    BOOST_REQUIRE(end.has_value());
+    BOOST_TEST((*end == sample.end));
+    log.deliver_late();
+    if (sample.end == sure_end::stored)
+    {
+        // Once, however often it was sent.
+        BOOST_TEST((log.log == ours));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_refused_append_can_be_taken_back)
+{
+    log.fates.assign(1'000, fate::refuse);
+    begin(0);
+    loop.run_for(std::chrono::milliseconds{20});
+    BOOST_TEST(append.take_back());
+    BOOST_TEST(!append.busy());
+    log.fates.clear();
+    run();
+    BOOST_TEST(!end.has_value());
+    BOOST_TEST(log.log.empty());
+}
+
+/// A user is told that a job does not run, and it runs: the store gave no
+/// answer to the first try and refused the next ones, and only these counted.
+BOOST_AUTO_TEST_CASE(an_append_that_may_be_stored_cannot_be_taken_back)
+{
+    log.fates.push_back(fate::delay);
+    log.fates.insert(log.fates.end(), 1'000, fate::refuse);
+    begin(0);
+    loop.run_for(std::chrono::milliseconds{20});
+    BOOST_TEST(!append.take_back());
+    log.deliver_late();
+    log.fates.clear();
+    run();
+    BOOST_REQUIRE(end.has_value());
+    BOOST_TEST((*end == sure_end::stored));
+}
+
+BOOST_AUTO_TEST_CASE(a_claim_is_given_up_in_time)
+{
+    log.fates.assign(1'000, fate::refuse);
+    begin(0, std::chrono::milliseconds{100});
+    run();
+    BOOST_REQUIRE(end.has_value());
+    BOOST_TEST((*end == sure_end::unknown));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
