--- a/libraries/cell/cell_owner.cpp
+++ b/libraries/cell/cell_owner.cpp
@@ -239,6 +239,7 @@
     {
         return;
     }
+    m_given_up = true;
     m_decisions.batch_returned();
     m_waiting.insert(m_waiting.begin(),
                      std::make_move_iterator(m_in_flight.begin()),
@@ -353,6 +354,7 @@
 {
     m_batches_stored = m_batches_taken;
     m_wanting_since.reset();
+    m_given_up = false;
     auto const done = std::exchange(m_in_flight, {});
     for (auto const& it : done)
     {
--- a/libraries/cell/cell_owner.hpp
+++ b/libraries/cell/cell_owner.hpp
@@ -81,6 +81,12 @@
                                : base::duration{0};
     }
 
+    /// The store answers, and takes nothing from this process.
+    [[nodiscard]] bool store_refuses() const noexcept
+    {
+        return m_given_up || m_append.refused();
+    }
+
     [[nodiscard]] scheduler::scheduler const& decisions() const noexcept
     {
         return m_decisions;
@@ -148,6 +154,8 @@
     std::optional<base::instant> m_open_since;
     /// Since when something should be stored and is not.
     std::optional<base::instant> m_wanting_since;
+    /// A batch was taken back, and none has been stored since.
+    bool m_given_up{false};
     /// The store is left alone until then.
     base::instant m_next_append{};
     std::vector<waiter> m_waiting;
--- a/libraries/cell/node.cpp
+++ b/libraries/cell/node.cpp
@@ -224,6 +224,7 @@
     if (m_owner)
     {
         out.store_stuck = m_owner->store_stuck();
+        out.store_refuses = m_owner->store_refuses();
         out.peers = m_peer_service.watchers();
     }
     return out;
--- a/libraries/cell/ownership.cpp
+++ b/libraries/cell/ownership.cpp
@@ -48,8 +48,10 @@
 constexpr base::duration claim_retry = std::chrono::milliseconds{150};
 
 /// An owner whose store has taken nothing for so long is replaced by a
-/// process that reaches the store.
+/// process that reaches the store. A slow store takes up to half a second for
+/// an append; one that refuses says at once that it will not.
 constexpr base::duration owner_stuck = std::chrono::milliseconds{900};
+constexpr base::duration owner_refused = std::chrono::milliseconds{200};
 
 /// Own reads of the store that are older say nothing about reaching it.
 constexpr base::duration own_read_age = std::chrono::milliseconds{1'200};
@@ -208,7 +210,8 @@
         claim("owner_leaves");
         return;
     }
-    if (answer.store_stuck > owner_stuck &&
+    auto const limit = answer.store_refuses ? owner_refused : owner_stuck;
+    if (answer.store_stuck > limit &&
         m_clock.now() - m_follower.last_read() < own_read_age)
     {
         claim("owner_without_store");
--- a/libraries/cell/peer_messages.cpp
+++ b/libraries/cell/peer_messages.cpp
@@ -86,6 +86,7 @@
     return json::serialize(json::object{{"owns", it.owns},
                                         {"leaving", it.leaving},
                                         {"store_stuck", it.store_stuck.count()},
+                                        {"store_refuses", it.store_refuses},
                                         {"owner", object_of(it.owner)},
                                         {"owner_heard", it.owner_heard},
                                         {"peers", std::move(peers)}});
@@ -98,6 +99,7 @@
     out.owns = json_codec::flag_or(root, "owns");
     out.leaving = json_codec::flag_or(root, "leaving");
     out.store_stuck = micros(root, "store_stuck");
+    out.store_refuses = json_codec::flag_or(root, "store_refuses");
     out.owner_heard = json_codec::flag_or(root, "owner_heard");
     if (auto const* const owner = json_codec::member(root, "owner");
         owner != nullptr)
--- a/libraries/cell/peer_messages.hpp
+++ b/libraries/cell/peer_messages.hpp
@@ -21,6 +21,8 @@
     bool leaving{false};
     /// How long it has been unable to write to the store.
     base::duration store_stuck{0};
+    /// The store answers it, and takes nothing.
+    bool store_refuses{false};
     /// The owner that it knows.
     owner_view owner;
     /// It heard from that owner, and has not lost it since.
--- a/libraries/cell/sure_append.cpp
+++ b/libraries/cell/sure_append.cpp
@@ -77,6 +77,7 @@
     m_limit = limit;
     m_began = m_clock.now();
     m_tries = 0;
+    m_refusals = 0;
     m_maybe_stored = false;
     m_done = std::move(done);
     send();
@@ -148,6 +149,7 @@
         return;
     case append_end::refused:
     case append_end::full:
+        ++m_refusals;
         if (m_tries == 1 || it.end == append_end::full)
         {
             base::log(
--- a/libraries/cell/sure_append.hpp
+++ b/libraries/cell/sure_append.hpp
@@ -68,6 +68,12 @@
         return m_busy;
     }
 
+    /// The store has refused the append under way more than once.
+    [[nodiscard]] bool refused() const noexcept
+    {
+        return m_busy && m_refusals > 1;
+    }
+
     /// Takes an append back that is surely not stored: all its tries were
     /// refused, and none is under way. `done` is then never called. Returns
     /// false, and changes nothing, where it may be stored.
@@ -93,6 +99,7 @@
     base::duration m_limit{0};
     base::instant m_began{};
     std::uint32_t m_tries{0};
+    std::uint32_t m_refusals{0};
     /// A try had no answer: it may be stored, now or later.
     bool m_maybe_stored{false};
     bool m_awaiting{false};
