cell: Leave a store that is just back to the owner

The owner gets as long as the standby has been served, and asks a silent store again every 0.8 s at the latest.

--- a/libraries/cell/log_follower.cpp
+++ b/libraries/cell/log_follower.cpp
@@ -220,6 +220,7 @@
     m_last_read = m_clock.now();
     if (std::exchange(m_lost, false))
     {
+        m_answered_since = m_last_read;
         base::log(base::log_level::info, "log_regained",
                   {{"log", m_name}, {"next", m_next}});
     }
--- a/libraries/cell/log_follower.hpp
+++ b/libraries/cell/log_follower.hpp
@@ -88,6 +88,12 @@
         return m_next;
     }
 
+    /// Since when the store has answered every read.
+    [[nodiscard]] base::instant answered_since() const noexcept
+    {
+        return m_answered_since;
+    }
+
     /// When the store last answered.
     [[nodiscard]] base::instant last_read() const noexcept
     {
@@ -123,6 +129,7 @@
     bool m_ready{false};
     bool m_lost{false};
     base::instant m_last_read{};
+    base::instant m_answered_since{};
     /// While all records are read: those seen so far, and where the log ended
     /// before.
     std::map<std::string, log_entry> m_pages;
--- a/libraries/cell/ownership.cpp
+++ b/libraries/cell/ownership.cpp
@@ -211,8 +211,12 @@
         return;
     }
     auto const limit = answer.store_refuses ? owner_refused : owner_stuck;
+    auto const now = m_clock.now();
+    // A store that is just back serves whoever asks first: the owner gets as
+    // long as this process has been served.
     if (answer.store_stuck > limit &&
-        m_clock.now() - m_follower.last_read() < own_read_age)
+        now - m_follower.last_read() < own_read_age &&
+        now - m_follower.answered_since() > limit)
     {
         claim("owner_without_store");
         return;
--- a/libraries/cell/sure_append.cpp
+++ b/libraries/cell/sure_append.cpp
@@ -14,8 +14,9 @@
 /// An append takes some milliseconds; a lost answer costs at least this.
 constexpr base::duration shortest_timeout = std::chrono::milliseconds{100};
 
-/// A store that is slow, not silent, answers within it.
-constexpr base::duration longest_timeout = std::chrono::milliseconds{3'000};
+/// A store that is slow, not silent, answers within it; one that was silent is
+/// asked again so soon after it is back.
+constexpr base::duration longest_timeout = std::chrono::milliseconds{800};
 
 /// A timeout is this many times the mean; a store seldom takes longer.
 constexpr int timeout_factor = 8;
