--- a/libraries/cell/advice_desk.hpp
+++ b/libraries/cell/advice_desk.hpp
@@ -41,6 +41,7 @@
     };
 
     [[nodiscard]] peer const* choose(std::vector<peer> const& others,
+                                     base::duration expected,
                                      base::instant now);
 
     base::clock const& m_clock;
--- a/libraries/cell/node.cpp
+++ b/libraries/cell/node.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
 #include <random>
 #include <utility>
 
@@ -48,6 +49,9 @@
 /// bound and price their connections.
 constexpr std::size_t order_connections = 3;
 
+/// By then the other processes watch a new owner.
+constexpr base::duration peers_found = std::chrono::seconds{1};
+
 /// Descriptors kept for connections to others than callers.
 constexpr std::int64_t own_descriptors = 800;
 
@@ -104,7 +108,7 @@
     , m_advice{m_clock, *m_adapter.advice, m_peers,
                [this]
                {
-                   return m_peer_service.watchers();
+                   return others();
                }}
     , m_router{m_loop, m_clock, m_peers, m_ownership,
                [this](job_call const& it, job_answer_handler const& done)
@@ -193,6 +197,7 @@
                  std::uint64_t token,
                  std::uint64_t next)
 {
+    m_owns_since = m_clock.now();
     auto const parts = owner_parts{&m_loop,
                                    &m_clock,
                                    m_adapter.cell.get(),
@@ -214,6 +219,27 @@
     m_peer_service.wake();
 }
 
+/// The processes that live now. Those that watched the former owner take some
+/// tenths of a second to find this one; until then they are taken as it named
+/// them, or all questions for advice would queue up on this machine.
+std::vector<peer> node::others() const
+{
+    auto out = m_peer_service.watchers();
+    if (m_clock.now() - m_owns_since > peers_found)
+    {
+        return out;
+    }
+    auto const self = address_of(m_settings.listen.peer);
+    for (auto const& it : m_ownership.peers())
+    {
+        if (it.address != self && std::ranges::find(out, it) == out.end())
+        {
+            out.push_back(it);
+        }
+    }
+    return out;
+}
+
 watch_answer node::view() const
 {
     watch_answer out;
--- a/libraries/cell/node.hpp
+++ b/libraries/cell/node.hpp
@@ -54,6 +54,7 @@
                      job_answer const& end,
                      base::duration took);
     void take_readiness(network::responder const& answer);
+    [[nodiscard]] std::vector<peer> others() const;
     void take_metrics(network::responder const& answer);
     [[nodiscard]] bool ready() const;
     void configuration_changed(std::string const& key,
@@ -95,6 +96,7 @@
     node_metrics m_metrics;
     workload::cell_configuration m_configuration;
     std::unique_ptr<cell_owner> m_owner;
+    base::instant m_owns_since{};
     base::instant m_stop_at{};
     bool m_stopping{false};
     bool m_was_ready{false};
