cell: Split the owner, ownership and the process by what they do

One copy of the address of checked settings and of the time after which a client comes back. No behaviour is changed.

--- a/libraries/cell/call_router.cpp
+++ b/libraries/cell/call_router.cpp
@@ -17,8 +17,6 @@
 /// A change of owner takes about a second; a client is not kept longer, and
 /// is told when to come back.
 constexpr base::duration longest_trip = std::chrono::milliseconds{1'500};
-constexpr base::duration retry_after = std::chrono::milliseconds{1'000};
-
 /// Between two looks for an owner.
 constexpr base::duration retry_pause = std::chrono::milliseconds{40};
 
@@ -132,9 +130,10 @@
     }
     auto const changes = it->call.kind == job_call_kind::submit ||
                          it->call.kind == job_call_kind::cancel;
-    finish(it, it->maybe_done && changes
-                   ? job_answer{job_answer_kind::outcome_unknown, {}, 0, {}}
-                   : job_answer{job_answer_kind::refused, {}, 0, retry_after});
+    finish(it,
+           it->maybe_done && changes
+               ? job_answer{job_answer_kind::outcome_unknown, {}, 0, {}}
+               : job_answer{job_answer_kind::refused, {}, 0, come_back_after});
 }
 
 void call_router::finish(trip_pointer const& it, job_answer const& answer)
--- /dev/null
+++ b/libraries/cell/cell_owner_batch.cpp
@@ -0,0 +1,194 @@
+#include <cell/cell_owner.hpp>
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace berylhill::cell
+{
+
+namespace
+{
+
+/// Between two tries to store while the store refuses: it counts and prices
+/// the calls that it refuses.
+constexpr base::duration append_pause = std::chrono::milliseconds{200};
+
+/// How long a batch may gather. An answer to a short question for advice
+/// takes about as long, so most jobs come with their first starts in it.
+constexpr base::duration batch_linger = std::chrono::milliseconds{20};
+
+/// A client is not held for more than this share of its time: whoever asks
+/// again may find the store back.
+constexpr int patience_share = 2;
+constexpr base::duration longest_wait = std::chrono::milliseconds{2'500};
+
+} // namespace
+
+void cell_owner::wait_for_batch(job_call const& of, job_answer_handler done)
+{
+    auto const until = m_parts.clock->now() +
+                       std::min(of.patience / patience_share, longest_wait);
+    auto const submitted =
+        of.kind == job_call_kind::submit ? of.job : workload::job_id{};
+    m_waiting.push_back({std::move(done),
+                         submitted,
+                         until,
+                         {job_answer_kind::accepted, {}, 0, {}}});
+    soon();
+}
+
+/// While the store takes nothing, those whose submission has not been sent to
+/// it are told at once that it does not run.
+void cell_owner::refuse_unsent()
+{
+    std::vector<waiter> refused;
+    std::erase_if(m_waiting,
+                  [&](waiter& it)
+                  {
+                      if (it.submitted.number == 0 ||
+                          !m_decisions.withdraw(it.submitted))
+                      {
+                          return false;
+                      }
+                      refused.push_back(std::move(it));
+                      return true;
+                  });
+    for (auto const& it : refused)
+    {
+        log_refusal(it.submitted);
+        it.done({job_answer_kind::refused, {}, 0, come_back_after});
+    }
+}
+
+void cell_owner::log_refusal(workload::job_id it) const
+{
+    m_parts.log->write(base::log_level::info, "job_refused",
+                       {{"job", text_of(it)},
+                        {"why", "store_stuck"},
+                        {"stuck_s", base::seconds_of(store_stuck())},
+                        {"token", m_token}});
+}
+
+/// A store that refuses has surely not stored the batch: what is in it goes
+/// back, so that its clients can be told.
+void cell_owner::give_up_batch()
+{
+    if (!m_append.take_back())
+    {
+        return;
+    }
+    m_given_up = true;
+    m_decisions.batch_returned();
+    m_waiting.insert(m_waiting.begin(),
+                     std::make_move_iterator(m_in_flight.begin()),
+                     std::make_move_iterator(m_in_flight.end()));
+    m_in_flight.clear();
+    m_next_append = m_parts.clock->now() + append_pause;
+}
+
+/// A batch without anything that somebody waits for gathers for a moment: a
+/// new job then comes with its first starts, and several ends come together.
+bool cell_owner::lingers(base::instant now) const
+{
+    return m_open_since && now - *m_open_since < batch_linger &&
+           !m_decisions.batch_urgent();
+}
+
+void cell_owner::commit()
+{
+    if (m_append.busy() || m_lost || m_parts.clock->now() < m_next_append)
+    {
+        return;
+    }
+    if (m_releasing)
+    {
+        if (m_released)
+        {
+            std::exchange(m_released, nullptr)();
+        }
+        return;
+    }
+    auto const now = m_parts.clock->now();
+    if (m_decisions.batch_open())
+    {
+        m_open_since = m_open_since.value_or(now);
+        if (lingers(now))
+        {
+            return;
+        }
+        m_open_since.reset();
+    }
+    else
+    {
+        // A client may wait for a batch that is already stored.
+        auto const done = std::exchange(m_waiting, {});
+        for (auto const& it : done)
+        {
+            it.done(it.answer);
+        }
+        return;
+    }
+    m_in_flight = std::exchange(m_waiting, {});
+    ++m_batches_taken;
+    auto records = m_decisions.take_batch(now);
+    if (records.empty())
+    {
+        stored();
+        return;
+    }
+    auto const n = records.size();
+    m_wanting_since = m_wanting_since.value_or(now);
+    m_append.begin(m_next, std::move(records), base::duration{0},
+                   [this, n](sure_end end)
+                   {
+                       if (end != sure_end::stored)
+                       {
+                           deposed(end == sure_end::overtaken
+                                       ? "log_overtaken"
+                                       : "log_history_lost");
+                           return;
+                       }
+                       m_next += n;
+                       m_decisions.batch_stored(m_parts.clock->now());
+                       stored();
+                   });
+}
+
+void cell_owner::stored()
+{
+    m_batches_stored = m_batches_taken;
+    m_wanting_since.reset();
+    m_given_up = false;
+    auto const done = std::exchange(m_in_flight, {});
+    for (auto const& it : done)
+    {
+        it.done(it.answer);
+    }
+    carry_out(m_decisions.take_orders());
+    soon();
+}
+
+/// A client whose time is nearly over hears that the outcome is not known,
+/// and asks again.
+void cell_owner::expire(std::vector<waiter>& among)
+{
+    auto const now = m_parts.clock->now();
+    std::vector<waiter> over;
+    std::erase_if(among,
+                  [&](waiter& it)
+                  {
+                      if (now < it.until)
+                      {
+                          return false;
+                      }
+                      over.push_back(std::move(it));
+                      return true;
+                  });
+    for (auto const& it : over)
+    {
+        it.done({job_answer_kind::outcome_unknown, {}, 0, {}});
+    }
+}
+
+} // namespace berylhill::cell
--- /dev/null
+++ b/libraries/cell/cell_owner_orders.cpp
@@ -0,0 +1,187 @@
+#include <cell/cell_owner.hpp>
+
+#include <utility>
+
+namespace berylhill::cell
+{
+
+namespace
+{
+
+/// Until a start without an answer counts as unanswered. An instance answers
+/// in milliseconds; the decision is repeated, so this only costs time.
+constexpr base::duration start_timeout = std::chrono::milliseconds{400};
+constexpr base::duration stop_timeout = std::chrono::milliseconds{600};
+
+/// Added to the time that an instance may wait before it answers a hold.
+constexpr base::duration hold_slack = std::chrono::milliseconds{400};
+
+/// Between two tries to reach an instance that does not answer.
+constexpr base::duration hold_retry = std::chrono::milliseconds{200};
+
+} // namespace
+
+void cell_owner::carry_out(std::vector<scheduler::order> const& orders)
+{
+    for (auto const& it : orders)
+    {
+        std::visit([this](auto const& each) { send(each); }, it);
+    }
+}
+
+order_target cell_owner::target(std::string const& id) const
+{
+    auto const& all = m_decisions.instances().all();
+    auto const at = all.find(id);
+    if (at == all.end())
+    {
+        return {};
+    }
+    return {network::address_or_empty(at->second->info().address), id, m_token};
+}
+
+void cell_owner::send(scheduler::start_order const& it)
+{
+    m_parts.orders->start(
+        target(it.instance), it, start_timeout,
+        [this, alive = m_alive, id = it.instance,
+         name = it.attempt](start_result const& result)
+        {
+            if (!*alive || m_lost)
+            {
+                return;
+            }
+            if (result.answer == scheduler::start_answer::fenced)
+            {
+                deposed("start_fenced");
+                return;
+            }
+            m_decisions.start_answered(id, name, result.answer, result.clock_ms,
+                                       m_parts.clock->now());
+            soon();
+        });
+}
+
+void cell_owner::send(scheduler::stop_order const& it)
+{
+    m_parts.orders->stop(target(it.instance), it.attempt, stop_timeout,
+                         [this, alive = m_alive, id = it.instance,
+                          name = it.attempt](order_end end)
+                         {
+                             if (!*alive || m_lost)
+                             {
+                                 return;
+                             }
+                             if (end == order_end::fenced)
+                             {
+                                 deposed("stop_fenced");
+                                 return;
+                             }
+                             auto const now = m_parts.clock->now();
+                             if (end == order_end::other_incarnation)
+                             {
+                                 m_decisions.gone(id, now);
+                             }
+                             m_decisions.stop_answered(
+                                 id, name, end == order_end::done, now);
+                             soon();
+                         });
+}
+
+void cell_owner::send(scheduler::advice_order const& it)
+{
+    m_parts.advice->ask(it,
+                        [this, alive = m_alive, step = it.step,
+                         asked = it.instances](advice_result const& result)
+                        {
+                            if (!*alive || m_lost)
+                            {
+                                return;
+                            }
+                            auto const now = m_parts.clock->now();
+                            if (result.answered)
+                            {
+                                m_decisions.advised(step, asked, result.allowed,
+                                                    result.validity, now);
+                            }
+                            else
+                            {
+                                m_decisions.advice_failed(step, now);
+                            }
+                            soon();
+                        });
+}
+
+void cell_owner::hold_all()
+{
+    auto const now = m_parts.clock->now();
+    for (auto const& [id, at] : m_decisions.instances().all())
+    {
+        if (at->info().address.empty())
+        {
+            continue;
+        }
+        auto& loop = m_holds[id];
+        if (!loop.asking && loop.after_batch <= m_batches_stored &&
+            now >= loop.next)
+        {
+            hold(id, loop);
+        }
+    }
+    std::erase_if(m_holds,
+                  [&](auto const& it)
+                  {
+                      return !it.second.asking &&
+                             !m_decisions.instances().all().contains(it.first);
+                  });
+}
+
+void cell_owner::hold(std::string const& id, hold_loop& loop)
+{
+    auto const now = m_parts.clock->now();
+    auto const order = m_decisions.next_hold(id, now);
+    loop.asking = true;
+    m_parts.orders->hold(target(id), order, order.wait + hold_slack,
+                         [this, alive = m_alive, id, now](hold_result it)
+                         {
+                             if (*alive && !m_lost)
+                             {
+                                 held(id, std::move(it), now);
+                             }
+                         });
+}
+
+void cell_owner::held(std::string const& id,
+                      hold_result it,
+                      base::instant sent_at)
+{
+    auto const now = m_parts.clock->now();
+    auto& loop = m_holds[id];
+    loop.asking = false;
+    loop.next = now;
+    switch (it.end)
+    {
+    case order_end::done:
+        it.report.instance = id;
+        it.report.sent_at = sent_at;
+        it.report.read_at = now;
+        loop.after_batch = it.report.ended.empty() ? 0 : m_batches_taken + 1;
+        m_decisions.reported(it.report);
+        break;
+    case order_end::fenced:
+        deposed("hold_fenced");
+        return;
+    case order_end::other_incarnation:
+        m_decisions.gone(id, now);
+        loop.next = now + hold_retry;
+        break;
+    case order_end::refused:
+    case order_end::unanswered:
+        m_decisions.silent(id, now);
+        loop.next = now + hold_retry;
+        break;
+    }
+    soon();
+}
+
+} // namespace berylhill::cell
--- a/libraries/cell/job_call.hpp
+++ b/libraries/cell/job_call.hpp
@@ -60,6 +60,11 @@
 /// For logs and metrics.
 [[nodiscard]] char const* name_of(job_answer_kind it);
 
+/// When a client that is refused should come back: about as long as a change
+/// of owner, or a store that was slow for a moment, takes.
+inline constexpr base::duration come_back_after =
+    std::chrono::milliseconds{1'000};
+
 /// What a client is told. A value.
 struct job_answer
 {
--- a/libraries/cell/node.cpp
+++ b/libraries/cell/node.cpp
@@ -16,9 +16,6 @@
 namespace
 {
 
-constexpr unsigned status_ok = 200;
-constexpr unsigned status_unavailable = 503;
-
 /// Between two flushes of the log.
 constexpr auto log_pause = std::chrono::milliseconds{20};
 
@@ -49,9 +46,6 @@
 /// bound and price their connections.
 constexpr std::size_t order_connections = 3;
 
-/// By then the other processes watch a new owner.
-constexpr base::duration peers_found = std::chrono::seconds{1};
-
 /// Descriptors kept for connections to others than callers.
 constexpr std::int64_t own_descriptors = 800;
 
@@ -65,14 +59,6 @@
     return std::to_string(source()) + std::to_string(source());
 }
 
-network::socket_address address_of(std::string const& text)
-{
-    // The settings were checked when they were read.
-    auto const read =
-        base::capture([&] { return network::parse_socket_address(text); });
-    return read ? read.value() : network::socket_address{};
-}
-
 } // namespace
 
 class node::decisions_to_log final : public scheduler::decision_log
@@ -101,7 +87,8 @@
                   *m_adapter.cell,
                   m_peers,
                   m_latency,
-                  {m_settings.instance, address_of(m_settings.listen.peer)},
+                  {m_settings.instance,
+                   network::address_or_empty(m_settings.listen.peer)},
                   new_incarnation(),
                   *this}
     , m_peer_service{m_loop, m_clock, *this}
@@ -154,12 +141,14 @@
 
 base::result<void> node::listen()
 {
-    BOOST_LEAF_CHECK(m_peer_server.listen(address_of(m_settings.listen.peer)));
+    BOOST_LEAF_CHECK(m_peer_server.listen(
+        network::address_or_empty(m_settings.listen.peer)));
+    BOOST_LEAF_CHECK(m_readiness.listen(
+        network::address_or_empty(m_settings.listen.readiness)));
+    BOOST_LEAF_CHECK(m_metrics_server.listen(
+        network::address_or_empty(m_settings.listen.metrics)));
     BOOST_LEAF_CHECK(
-        m_readiness.listen(address_of(m_settings.listen.readiness)));
-    BOOST_LEAF_CHECK(
-        m_metrics_server.listen(address_of(m_settings.listen.metrics)));
-    BOOST_LEAF_CHECK(m_callers.listen(address_of(m_settings.listen.callers)));
+        m_callers.listen(network::address_or_empty(m_settings.listen.callers)));
     return {};
 }
 
@@ -219,155 +208,6 @@
     m_peer_service.wake();
 }
 
-/// The processes that live now. Those that watched the former owner take some
-/// tenths of a second to find this one; until then they are taken as it named
-/// them, or all questions for advice would queue up on this machine.
-std::vector<peer> node::others() const
-{
-    auto out = m_peer_service.watchers();
-    if (m_clock.now() - m_owns_since > peers_found)
-    {
-        return out;
-    }
-    auto const self = address_of(m_settings.listen.peer);
-    for (auto const& it : m_ownership.peers())
-    {
-        if (it.address != self && std::ranges::find(out, it) == out.end())
-        {
-            out.push_back(it);
-        }
-    }
-    return out;
-}
-
-watch_answer node::view() const
-{
-    watch_answer out;
-    out.owns = m_owner != nullptr && !m_stopping;
-    out.leaving = m_stopping && m_owner == nullptr;
-    out.owner = m_ownership.owner();
-    out.owner_heard = m_ownership.owner_heard();
-    if (m_owner)
-    {
-        out.store_stuck = m_owner->store_stuck();
-        out.store_refuses = m_owner->store_refuses();
-        out.peers = m_peer_service.watchers();
-    }
-    return out;
-}
-
-void node::heard_of(owner_view const& it)
-{
-    m_ownership.heard_of(it);
-}
-
-bool node::owns() const
-{
-    return m_owner != nullptr;
-}
-
-void node::call_owner(job_call const& it, job_answer_handler done)
-{
-    m_owner->call(it, std::move(done));
-}
-
-void node::advise(advice_question const& it, advice_handler done)
-{
-    auto const name = base::capture(
-        [&] { return workload::parse_task_name(it.step + ".0"); });
-    if (!name)
-    {
-        done({});
-        return;
-    }
-    m_adapter.advice->ask(name.value().of, it.instances, it.timeout,
-                          std::move(done));
-}
-
-void node::take_job_call(network::http_request const& it,
-                         network::responder answer)
-{
-    if (m_configuration.version == 0)
-    {
-        // What is configured is not known yet: neither "no such queue" nor
-        // "no such job" would be true.
-        answer({status_unavailable, {{"Retry-After", "1"}}, {}});
-        return;
-    }
-    auto decoded = m_adapter.jobs->decode(it, m_configuration);
-    if (auto* const response = std::get_if<network::http_response>(&decoded);
-        response != nullptr)
-    {
-        answer(std::move(*response));
-        return;
-    }
-    auto call = std::get<job_call>(std::move(decoded));
-    m_router.call(call,
-                  [this, call, begun = m_clock.now(),
-                   answer = std::move(answer)](job_answer const& end)
-                  {
-                      note_answer(call, end, m_clock.now() - begun);
-                      answer(m_adapter.jobs->encode(call, end));
-                  });
-}
-
-void node::note_answer(job_call const& call,
-                       job_answer const& end,
-                       base::duration took)
-{
-    m_metrics.answered(call.kind, end.kind, took);
-    if (end.kind != job_answer_kind::refused &&
-        end.kind != job_answer_kind::outcome_unknown)
-    {
-        return;
-    }
-    base::log(base::log_level::info, "call_failed",
-              {{"job", text_of(call.job)},
-               {"call", name_of(call.kind)},
-               {"end", name_of(end.kind)},
-               {"took_s", base::seconds_of(took)},
-               {"retry_after_s", base::seconds_of(end.retry_after)},
-               {"owner", m_ownership.owner().instance},
-               {"token", m_ownership.owner().token},
-               {"owner_heard", m_ownership.owner_heard() ? 1 : 0}});
-}
-
-bool node::ready() const
-{
-    return !m_stopping && m_configuration.version != 0 &&
-           m_ownership.owner_heard();
-}
-
-void node::take_readiness(network::responder const& answer)
-{
-    auto const now = ready();
-    if (std::exchange(m_was_ready, now) != now)
-    {
-        base::log(base::log_level::info, "readiness_changed",
-                  {{"ready", now ? 1 : 0},
-                   {"version", m_configuration.version},
-                   {"owner_heard", m_ownership.owner_heard() ? 1 : 0}});
-    }
-    answer({now ? status_ok : status_unavailable, {}, {}});
-}
-
-void node::take_metrics(network::responder const& answer)
-{
-    node_metrics::readings now;
-    now.owns = owns();
-    now.ready = ready();
-    now.token = m_ownership.owner().token;
-    now.configuration_version = m_configuration.version;
-    now.connections = m_callers.connections();
-    now.order_connections_opened = m_order_client.connections_opened();
-    if (m_owner)
-    {
-        now.decisions = &m_owner->decisions();
-        now.store_stuck = m_owner->store_stuck();
-    }
-    answer({status_ok, {}, m_metrics.text(now), "text/plain; version=0.0.4"});
-}
-
 void node::configuration_changed(std::string const& key,
                                  std::string const& value)
 {
--- /dev/null
+++ b/libraries/cell/ownership_claim.cpp
@@ -0,0 +1,166 @@
+#include <cell/ownership.hpp>
+
+#include <base/log.hpp>
+
+#include <set>
+#include <utility>
+
+namespace berylhill::cell
+{
+
+namespace
+{
+
+/// Successors claim one after the other, so that the first one's claim is in
+/// the log, or announced, when the next one looks.
+constexpr base::duration claim_step = std::chrono::milliseconds{25};
+
+/// Until a claim is given up, to look again at who owns.
+constexpr base::duration claim_limit = std::chrono::milliseconds{2'000};
+
+/// After a claim that could not be made.
+constexpr base::duration claim_retry = std::chrono::milliseconds{150};
+
+} // namespace
+
+/// How many of the others come before this process when the owner is lost, in
+/// an order that all agree on.
+std::int64_t ownership::turn() const
+{
+    std::int64_t before = 0;
+    for (auto const& it : m_peers)
+    {
+        if (it.address != m_owner.address && it.address < m_self.address)
+        {
+            ++before;
+        }
+    }
+    if (m_peers.empty())
+    {
+        // Nobody has named the others yet: spread by name.
+        constexpr std::size_t turns = 8;
+        before = static_cast<std::int64_t>(
+            std::hash<std::string>{}(m_self.instance) % turns);
+    }
+    return before;
+}
+
+base::duration ownership::claim_delay() const
+{
+    return claim_step * turn();
+}
+
+void ownership::claim(char const* why)
+{
+    if (m_leaving)
+    {
+        again(claim_retry,
+              [this]
+              {
+                  m_state = ownership_state::starting;
+                  m_follower.start();
+              });
+        return;
+    }
+    ++*m_generation;
+    m_state = ownership_state::claiming;
+    m_claim_began = m_clock.now();
+    if (!m_follower.running())
+    {
+        m_follower.start();
+    }
+    base::log(base::log_level::info, "claim_begins",
+              {{"why", why},
+               {"former", m_owner.instance},
+               {"former_token", m_owner.token}});
+    again(claim_delay(), [this] { claim_now(); });
+}
+
+void ownership::claim_now()
+{
+    if (!m_follower.ready())
+    {
+        if (m_clock.now() - m_claim_began > claim_limit)
+        {
+            look_again();
+            return;
+        }
+        again(claim_step, [this] { claim_now(); });
+        return;
+    }
+    m_follower.catch_up(
+        [this, alive = m_generation, mine = *m_generation](bool up_to_date)
+        {
+            // A claim seen meanwhile has changed the state.
+            if (*alive != mine)
+            {
+                return;
+            }
+            if (!up_to_date)
+            {
+                again(claim_retry, [this] { look_again(); });
+                return;
+            }
+            if (m_append.busy())
+            {
+                // A claim that was overtaken is still being resolved.
+                again(claim_retry, [this] { claim_now(); });
+                return;
+            }
+            auto const at = m_follower.next_offset();
+            auto const claimant = owner_view{at + 1, m_self.instance,
+                                             m_self.address, m_incarnation};
+            m_append.begin(at, {{owner_key, text_of(claimant)}}, claim_limit,
+                           [this, claimant, at](sure_end it)
+                           { claimed(it, claimant, at); });
+        });
+}
+
+void ownership::claimed(sure_end it,
+                        owner_view const& claimant,
+                        std::uint64_t at)
+{
+    if (it != sure_end::stored)
+    {
+        base::log(base::log_level::info, "claim_failed",
+                  {{"token", claimant.token},
+                   {"overtaken", it == sure_end::overtaken ? 1 : 0}});
+        if (m_state == ownership_state::claiming)
+        {
+            m_state = ownership_state::starting;
+            m_follower.start();
+        }
+        return;
+    }
+    if (m_leaving || m_owner.token > claimant.token)
+    {
+        // The next one that misses an owner claims after this token.
+        m_state = ownership_state::starting;
+        m_follower.start();
+        return;
+    }
+    ++*m_generation;
+    m_state = ownership_state::owning;
+    auto const former = std::exchange(m_owner, claimant);
+    m_isolated = 0;
+    m_replica.set(owner_key, text_of(claimant));
+    m_follower.stop();
+    base::log(base::log_level::info, "claim_won",
+              {{"token", claimant.token},
+               {"records", std::uint64_t{m_replica.records().size()}}});
+    m_told.began(m_replica.records(), claimant.token, at + 1);
+    m_replica.clear();
+    std::set<network::socket_address> told{former.address};
+    for (auto const& other : m_peers)
+    {
+        told.insert(other.address);
+    }
+    told.erase(m_self.address);
+    told.erase(network::socket_address{});
+    for (auto const& other : told)
+    {
+        m_peer_client.announce(other, claimant);
+    }
+}
+
+} // namespace berylhill::cell
--- /dev/null
+++ b/libraries/cell/ownership_watch.cpp
@@ -0,0 +1,222 @@
+#include <cell/ownership.hpp>
+
+#include <base/log.hpp>
+
+#include <utility>
+
+namespace berylhill::cell
+{
+
+namespace
+{
+
+/// How long the owner keeps a watch open before it answers. Shorter finds a
+/// silent owner sooner; each costs the owner a message.
+constexpr base::duration watch_wait = std::chrono::milliseconds{250};
+
+/// Added to it before the owner counts as silent: above a pause of the
+/// owner's processor, which comes in tenths of a second.
+constexpr base::duration watch_slack = std::chrono::milliseconds{300};
+
+/// Until a second, short question to an owner that gave no answer is given
+/// up, and the questions to the others.
+constexpr base::duration probe_timeout = std::chrono::milliseconds{200};
+
+/// Between two rounds of suspicion.
+constexpr base::duration suspect_pause = std::chrono::milliseconds{100};
+
+/// A process that reaches none of the others is likely cut off itself; it
+/// claims only after so many rounds.
+constexpr std::uint32_t isolated_rounds = 8;
+
+/// How many others are asked whether they hear the owner.
+constexpr std::size_t others_asked = 5;
+
+/// So many processes are ready to take the work over at once: one, and one
+/// more for the case that both it and the owner are lost.
+constexpr std::int64_t standbys = 2;
+
+/// An owner whose store has taken nothing for so long is replaced by a
+/// process that reaches the store. A slow store takes up to half a second for
+/// an append; one that refuses says at once that it will not.
+constexpr base::duration owner_stuck = std::chrono::milliseconds{900};
+constexpr base::duration owner_refused = std::chrono::milliseconds{200};
+
+/// Own reads of the store that are older say nothing about reaching it.
+constexpr base::duration own_read_age = std::chrono::milliseconds{1'200};
+
+} // namespace
+
+void ownership::watch(base::duration wait)
+{
+    m_peer_client.watch(m_owner.address, m_self, wait,
+                        wait +
+                            (wait.count() == 0 ? probe_timeout : watch_slack),
+                        [this, alive = m_generation, mine = *m_generation,
+                         wait](peer_result<watch_answer> const& it)
+                        {
+                            if (*alive == mine)
+                            {
+                                watched(it, wait);
+                            }
+                        });
+}
+
+void ownership::watched(peer_result<watch_answer> const& it, base::duration)
+{
+    if (!it.answer)
+    {
+        // One question may be lost with its connection; a second one on a
+        // fresh connection tells.
+        if (++m_failures < 2)
+        {
+            watch(base::duration{0});
+            return;
+        }
+        lost(it.refused ? "refused" : "silent");
+        return;
+    }
+    auto const& answer = *it.answer;
+    if (!answer.owns || answer.owner.incarnation != m_owner.incarnation)
+    {
+        if (answer.owner.token > m_owner.token)
+        {
+            adopt(answer.owner);
+            return;
+        }
+        if (answer.leaving)
+        {
+            claim("owner_leaves");
+            return;
+        }
+        lost("restarted");
+        return;
+    }
+    m_failures = 0;
+    m_isolated = 0;
+    m_heard = true;
+    m_peers = answer.peers;
+    follow_or_not();
+    if (answer.leaving)
+    {
+        claim("owner_leaves");
+        return;
+    }
+    auto const limit = answer.store_refuses ? owner_refused : owner_stuck;
+    auto const now = m_clock.now();
+    // A store that is just back serves whoever asks first: the owner gets as
+    // long as this process has been served.
+    if (answer.store_stuck > limit &&
+        now - m_follower.last_read() < own_read_age &&
+        now - m_follower.answered_since() > limit)
+    {
+        claim("owner_without_store");
+        return;
+    }
+    watch(watch_wait);
+}
+
+void ownership::lost(char const* why)
+{
+    m_heard = false;
+    base::log(
+        base::log_level::warning, "owner_lost",
+        {{"owner", m_owner.instance}, {"token", m_owner.token}, {"why", why}});
+    m_state = ownership_state::suspecting;
+    suspect();
+}
+
+void ownership::suspect()
+{
+    ++*m_generation;
+    m_others_hear = false;
+    m_others_answer = false;
+    m_open_questions = 0;
+    std::vector<peer> asked;
+    for (auto const& it : m_peers)
+    {
+        if (it.address != m_self.address && it.address != m_owner.address &&
+            asked.size() < others_asked)
+        {
+            asked.push_back(it);
+        }
+    }
+    if (asked.empty())
+    {
+        claim("owner_lost");
+        return;
+    }
+    m_open_questions = asked.size();
+    for (auto const& it : asked)
+    {
+        m_peer_client.watch(
+            it.address, m_self, base::duration{0}, probe_timeout,
+            [this, alive = m_generation,
+             mine = *m_generation](peer_result<watch_answer> const& result)
+            {
+                if (*alive != mine)
+                {
+                    return;
+                }
+                if (result.answer)
+                {
+                    m_others_answer = true;
+                    if (result.answer->owner.token > m_owner.token)
+                    {
+                        adopt(result.answer->owner);
+                        return;
+                    }
+                    m_others_hear =
+                        m_others_hear ||
+                        (result.answer->owner_heard &&
+                         result.answer->owner.token == m_owner.token);
+                }
+                if (--m_open_questions == 0)
+                {
+                    suspected();
+                }
+            });
+    }
+}
+
+void ownership::suspected()
+{
+    if (m_others_answer && !m_others_hear)
+    {
+        claim("owner_lost");
+        return;
+    }
+    if (!m_others_answer && ++m_isolated >= isolated_rounds)
+    {
+        claim("owner_and_others_lost");
+        return;
+    }
+    again(suspect_pause, [this] { look_again(); });
+}
+
+/// Asks the owner once more; without an answer it is lost again at once.
+void ownership::look_again()
+{
+    m_state = ownership_state::watching;
+    m_failures = 1;
+    watch(base::duration{0});
+}
+
+/// Only those whose turn comes first keep up with the log, or reading it would
+/// cost each process the whole cell's traffic; the others read it anew if they
+/// ever have to claim.
+void ownership::follow_or_not()
+{
+    auto const wanted = turn() < standbys;
+    if (wanted && !m_follower.running())
+    {
+        m_follower.start();
+    }
+    if (!wanted && m_follower.running())
+    {
+        m_follower.stop();
+        m_replica.clear();
+    }
+}
+
+} // namespace berylhill::cell
--- a/libraries/cell/peer_messages.cpp
+++ b/libraries/cell/peer_messages.cpp
@@ -16,13 +16,9 @@
     return base::duration{json_codec::number_or(it, name)};
 }
 
-/// An address that is empty where it cannot be read.
 network::socket_address address_in(json::value const& it, std::string_view name)
 {
-    auto const text = json_codec::text_or(it, name);
-    auto const read =
-        base::capture([&] { return network::parse_socket_address(text); });
-    return read ? read.value() : network::socket_address{};
+    return network::address_or_empty(json_codec::text_or(it, name));
 }
 
 json::object object_of(owner_view const& it)
--- a/libraries/network/socket_address.cpp
+++ b/libraries/network/socket_address.cpp
@@ -30,6 +30,12 @@
     return socket_address{std::move(host), port};
 }
 
+socket_address address_or_empty(std::string_view text)
+{
+    auto const read = base::capture([&] { return parse_socket_address(text); });
+    return read ? read.value() : socket_address{};
+}
+
 std::string text_of(socket_address const& it)
 {
     return it.host + ":" + std::to_string(it.port);
--- a/libraries/network/socket_address.hpp
+++ b/libraries/network/socket_address.hpp
@@ -24,6 +24,10 @@
 [[nodiscard]] base::result<socket_address>
 parse_socket_address(std::string_view text);
 
+/// The same for text that was checked before, or that names a service which
+/// may be missing: empty where it cannot be read, so that calls to it fail.
+[[nodiscard]] socket_address address_or_empty(std::string_view text);
+
 /// `IP:port`.
 [[nodiscard]] std::string text_of(socket_address const& it);
 
--- /dev/null
+++ b/libraries/scheduler/scheduler_reports.cpp
@@ -0,0 +1,174 @@
+#include <scheduler/scheduler.hpp>
+
+#include <algorithm>
+#include <set>
+
+namespace berylhill::scheduler
+{
+
+namespace
+{
+
+/// A report lists at most so many ends; a full one may lack some.
+constexpr std::size_t ends_per_report = 500;
+
+} // namespace
+
+void scheduler::reported(hold_report const& it)
+{
+    auto* const at = m_instances.find(it.instance);
+    if (at == nullptr)
+    {
+        return;
+    }
+    if (!at->fenced() || !at->reachable())
+    {
+        m_log->write(base::log_level::info, "instance_reached",
+                     {{"id", it.instance},
+                      {"running", std::uint64_t{it.running.size()}},
+                      {"ended", std::uint64_t{it.ended.size()}}});
+    }
+    at->reported(it.read_at, it.clock_ms);
+    read_running(*at, it);
+    read_ended(*at, it);
+    drop_missing(*at, it);
+}
+
+/// An attempt that the owner does not want there is stopped, whoever started
+/// it: an order of a cancelled job, or of a former owner, that was carried
+/// out late.
+void scheduler::read_running(instance& at, hold_report const& it)
+{
+    for (auto const& row : it.running)
+    {
+        auto* const known = at.find(row.attempt);
+        if (known == nullptr)
+        {
+            m_log->write(base::log_level::warning, "stray_attempt",
+                         {{"task", text_of(row.attempt.task)},
+                          {"run", row.attempt.run},
+                          {"instance", it.instance}});
+            attempt stray;
+            stray.state = attempt_state::running;
+            auto* const job = m_jobs.find(row.attempt.task.of.job);
+            if (job != nullptr &&
+                row.attempt.task.of.step < job->spec().steps.size())
+            {
+                stray.need = job->spec_of(row.attempt.task.of).counted_need();
+            }
+            else
+            {
+                stray.need_known = false;
+            }
+            stray.settled_at = it.sent_at;
+            auto& added = at.add(row.attempt, stray);
+            want_stop(at, row.attempt, added, it.read_at);
+            continue;
+        }
+        if (known->state != attempt_state::running)
+        {
+            known->state = attempt_state::running;
+            known->began_at = it.read_at;
+            known->progressed_at = it.read_at;
+            known->settled_at = it.sent_at;
+            if (!known->stop_wanted)
+            {
+                known->next_try.reset();
+            }
+            note_begun(row.attempt.task.of.job);
+        }
+        if (row.percent > known->percent)
+        {
+            known->percent = row.percent;
+            known->progressed_at = it.read_at;
+        }
+        known->checkpoint = row.checkpoint;
+    }
+}
+
+void scheduler::read_ended(instance& at, hold_report const& it)
+{
+    for (auto const& row : it.ended)
+    {
+        if (row.number <= at.seen_end())
+        {
+            continue;
+        }
+        auto& seen = m_open.seen_ends[it.instance];
+        if (row.number <= seen)
+        {
+            continue;
+        }
+        seen = row.number;
+        note_health(at, row.reason, it.read_at);
+        attempt_ended(at, row.attempt, row.reason, row.checkpoint, it.read_at);
+    }
+}
+
+/// What was settled before the report was asked for and is not in it has left
+/// without an end: it never began, or its lease lapsed.
+void scheduler::drop_missing(instance& at, hold_report const& it)
+{
+    if (it.ended.size() >= ends_per_report)
+    {
+        return;
+    }
+    std::set<attempt_name> named;
+    for (auto const& row : it.running)
+    {
+        named.insert(row.attempt);
+    }
+    std::vector<attempt_name> missing;
+    for (auto const& [name, known] : at.attempts())
+    {
+        if (known.settled_at && *known.settled_at < it.sent_at &&
+            !named.contains(name))
+        {
+            missing.push_back(name);
+        }
+    }
+    for (auto const& name : missing)
+    {
+        m_log->write(base::log_level::info, "attempt_not_there",
+                     {{"task", text_of(name.task)},
+                      {"run", name.run},
+                      {"instance", it.instance}});
+        attempt_ended(at, name, end_reason::lease_lapsed, {}, it.read_at);
+    }
+}
+
+void scheduler::silent(std::string const& id, base::instant now)
+{
+    auto* const it = m_instances.find(id);
+    if (it == nullptr || !it->reachable())
+    {
+        return;
+    }
+    it->set_unreachable();
+    m_log->write(base::log_level::warning, "instance_unreachable",
+                 {{"id", id},
+                  {"attempts", std::uint64_t{it->attempts().size()}},
+                  {"lease_left_s", base::seconds_of(it->lease_end() - now)}});
+}
+
+/// Takes an instance out of use that fails what it starts. A task's own fault
+/// rarely fails several of its neighbours in a row.
+void scheduler::note_health(instance& at, end_reason reason, base::instant now)
+{
+    if (reason == end_reason::done)
+    {
+        at.failures_in_a_row = 0;
+        return;
+    }
+    if (reason != end_reason::failed ||
+        ++at.failures_in_a_row < m_rules.failures_to_quarantine)
+    {
+        return;
+    }
+    at.failures_in_a_row = 0;
+    at.pause(now + m_rules.quarantine);
+    m_log->write(base::log_level::warning, "instance_quarantined",
+                 {{"id", at.info().id}});
+}
+
+} // namespace berylhill::scheduler
