--- a/tests/platform_adapter/stand_ins/process.cpp
+++ b/tests/platform_adapter/stand_ins/process.cpp
@@ -15,6 +15,7 @@
                  std::string const& log)
 {
     std::vector<char*> words;
+    words.reserve(arguments.size() + 1);
     for (auto const& it : arguments)
     {
         words.push_back(const_cast<char*>(it.c_str()));
