scheduler: Ask for advice only where its answer can be used

Now a step keeps its tickets with their instances, asks only about instances with room, a gang once for what it may use and again when its room is there; the choice of what is kept free for a gang stays; rounds are 3 ms apart; finished and repeating jobs are found without a walk over all jobs.

--- a/libraries/cell/cell_owner.cpp
+++ b/libraries/cell/cell_owner.cpp
@@ -16,6 +16,11 @@
 /// Between two looks at what time brings: retries, lapses, waiting clients.
 constexpr base::duration tick = std::chrono::milliseconds{10};
 
+/// Between two rounds of decisions. A round costs the owner the more the more
+/// steps wait, and events come by the thousand a second in a large cell; a
+/// start waits half of this longer on average.
+constexpr base::duration round_pause = std::chrono::milliseconds{3};
+
 /// When the store has taken nothing for so long, new work is refused at once:
 /// it would only wait. Above what a slow store takes for one append.
 constexpr base::duration stuck_limit = std::chrono::milliseconds{600};
@@ -50,6 +55,7 @@
     , m_instances{*parts.loop, *parts.clock, *parts.instances, "instances",
                   instances_pace}
     , m_tick{*parts.loop}
+    , m_round{*parts.loop}
 {
     m_decisions.set_configuration(configuration);
     m_decisions.restore(records, wall_ms(*parts.clock), parts.clock->now());
@@ -165,15 +171,23 @@
     {
         return;
     }
-    boost::asio::post(*m_parts.loop,
-                      [this, alive = m_alive]
-                      {
-                          if (*alive)
-                          {
-                              m_scheduled = false;
-                              work();
-                          }
-                      });
+    auto const round = [this, alive = m_alive]
+    {
+        if (*alive)
+        {
+            m_scheduled = false;
+            work();
+        }
+    };
+    auto const now = m_parts.clock->now();
+    auto const at = m_last_round + round_pause;
+    if (now >= at)
+    {
+        boost::asio::post(*m_parts.loop, round);
+        return;
+    }
+    m_round.expires_after(at - now);
+    m_round.async_wait([round](auto) { round(); });
 }
 
 void cell_owner::work()
@@ -182,6 +196,7 @@
     {
         return;
     }
+    m_last_round = m_parts.clock->now();
     if (!m_releasing)
     {
         m_decisions.decide(m_parts.clock->now());
@@ -239,7 +254,7 @@
                     return;
                 }
             }
-            work();
+            soon();
             every_tick();
         });
 }
--- a/libraries/cell/cell_owner.hpp
+++ b/libraries/cell/cell_owner.hpp
@@ -146,6 +146,8 @@
     sure_append m_append;
     log_follower m_instances;
     boost::asio::steady_timer m_tick;
+    boost::asio::steady_timer m_round;
+    base::instant m_last_round{};
     std::shared_ptr<bool> m_alive{std::make_shared<bool>(true)};
     std::map<std::string, hold_loop> m_holds;
     std::uint64_t m_batches_taken{0};
--- a/libraries/scheduler/instance.cpp
+++ b/libraries/scheduler/instance.cpp
@@ -70,6 +70,19 @@
     return until;
 }
 
+workload::resources instance::room_soon() const
+{
+    auto out = room();
+    for (auto const& [name, it] : m_attempts)
+    {
+        if (it.stop_wanted)
+        {
+            out += it.need;
+        }
+    }
+    return out;
+}
+
 attempt& instance::add(attempt_name const& name, attempt it)
 {
     m_used += it.need;
--- a/libraries/scheduler/instance.hpp
+++ b/libraries/scheduler/instance.hpp
@@ -146,6 +146,9 @@
         return m_info.capacity - m_used;
     }
 
+    /// `room`, once the stops under way are done.
+    [[nodiscard]] workload::resources room_soon() const;
+
     /// Precondition: not known yet.
     attempt& add(attempt_name const& name, attempt it);
 
--- a/libraries/scheduler/instance_book.cpp
+++ b/libraries/scheduler/instance_book.cpp
@@ -24,7 +24,7 @@
     auto& at = m_instances[id];
     if (!at)
     {
-        at = std::make_unique<instance>(id, m_former_lease_end);
+        at = std::make_shared<instance>(id, m_former_lease_end);
     }
     return *at;
 }
@@ -35,6 +35,13 @@
     return at == m_instances.end() ? nullptr : at->second.get();
 }
 
+std::shared_ptr<instance const>
+instance_book::share(std::string const& id) const
+{
+    auto const at = m_instances.find(id);
+    return at == m_instances.end() ? nullptr : at->second;
+}
+
 void instance_book::forget_idle()
 {
     std::erase_if(
--- a/libraries/scheduler/instance_book.hpp
+++ b/libraries/scheduler/instance_book.hpp
@@ -15,7 +15,7 @@
 class instance_book
 {
 public:
-    using instance_map = std::map<std::string, std::unique_ptr<instance>>;
+    using instance_map = std::map<std::string, std::shared_ptr<instance>>;
 
     /// `former_lease_end`: when leases granted before this book was made have
     /// surely lapsed.
@@ -37,6 +37,11 @@
     /// Null where it is not known.
     [[nodiscard]] instance* find(std::string const& id);
 
+    /// As `find`, for those who keep it: the object outlives its entry here,
+    /// and is then not listed.
+    [[nodiscard]] std::shared_ptr<instance const>
+    share(std::string const& id) const;
+
     [[nodiscard]] instance_map& all() noexcept
     {
         return m_instances;
--- a/libraries/scheduler/job.hpp
+++ b/libraries/scheduler/job.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -55,12 +56,18 @@
     friend bool operator==(task const&, task const&) = default;
 };
 
+class instance;
+
 /// What the advice service has said of a step. Which instances are allowed
 /// never changes; tickets lapse.
 struct advice_state
 {
     struct ticket
     {
+        /// Kept here since a step looks at all its tickets in each round of
+        /// decisions: to find each by its name took a third of the owner's
+        /// time at 350 instances.
+        std::shared_ptr<instance const> at;
         std::string text;
         base::instant until{};
     };
@@ -81,6 +88,10 @@
     std::uint32_t gang_failures{0};
     std::uint32_t gang_failed_run{0};
     advice_state advice;
+    /// Of a gang that waits: instances that are kept free for it.
+    std::vector<std::string> reserved;
+    /// When the log next says why it waits.
+    base::instant next_report{};
 
     [[nodiscard]] bool complete() const noexcept
     {
--- a/libraries/scheduler/job_book.cpp
+++ b/libraries/scheduler/job_book.cpp
@@ -1,6 +1,7 @@
 #include <scheduler/job_book.hpp>
 
 #include <cassert>
+#include <iterator>
 #include <utility>
 
 namespace berylhill::scheduler
@@ -15,6 +16,10 @@
     auto const [at, added] = m_jobs.emplace(id, std::move(made));
     assert(added);
     m_new.insert(id);
+    if (at->second->spec().repeats.count != 0)
+    {
+        m_repeating.insert(id);
+    }
     count_pending(*at->second, 1);
     return *at->second;
 }
@@ -38,8 +43,8 @@
     {
         return;
     }
-    std::erase_if(m_finished,
-                  [&](auto const& entry) { return entry.second == it; });
+    forget_finished(*at->second);
+    m_repeating.erase(it);
     m_jobs.erase(at);
     m_changed.erase(it);
     m_dropped.insert(it);
@@ -55,14 +60,23 @@
     count_pending(*at->second, finished(at->second->phase) ? 0 : -1);
     std::erase_if(m_ready, [&](workload::step_name const& name)
                   { return name.job == it; });
-    std::erase_if(m_finished,
-                  [&](auto const& entry) { return entry.second == it; });
+    forget_finished(*at->second);
+    m_repeating.erase(it);
     m_new.erase(it);
     m_changed.erase(it);
     m_jobs.erase(at);
     return true;
 }
 
+void job_book::forget_finished(job const& it)
+{
+    auto [at, end] = m_finished.equal_range(it.finished_at);
+    while (at != end)
+    {
+        at = at->second == it.spec().id ? m_finished.erase(at) : std::next(at);
+    }
+}
+
 job_book::changes job_book::take_changes()
 {
     changes out;
@@ -173,6 +187,7 @@
         ++to;
     }
     m_ready.erase(from, to);
+    m_repeating.erase(id);
     it.phase = phase;
     it.finished_at = now;
     it.shed();
@@ -191,6 +206,7 @@
     }
     if (finished(it.phase))
     {
+        m_repeating.erase(id);
         m_finished.emplace(it.finished_at, id);
         return;
     }
--- a/libraries/scheduler/job_book.hpp
+++ b/libraries/scheduler/job_book.hpp
@@ -72,6 +72,18 @@
         return m_ready;
     }
 
+    /// Jobs with times of which not all have come.
+    [[nodiscard]] std::set<workload::job_id> const& repeating() const noexcept
+    {
+        return m_repeating;
+    }
+
+    /// All times of the job have come.
+    void set_all_opened(workload::job_id it)
+    {
+        m_repeating.erase(it);
+    }
+
     /// Call after any change to a job's steps.
     void refresh_ready(job const& it);
 
@@ -92,6 +104,7 @@
     finished_before(base::instant it) const;
 
 private:
+    void forget_finished(job const& it);
     void count_pending(job const& it, std::ptrdiff_t by);
 
     job_map m_jobs;
@@ -99,6 +112,7 @@
     std::set<workload::job_id> m_new;
     std::set<workload::job_id> m_dropped;
     std::set<workload::step_name> m_ready;
+    std::set<workload::job_id> m_repeating;
     std::map<std::string, std::ptrdiff_t> m_pending;
     std::multimap<base::instant, workload::job_id> m_finished;
 };
--- a/libraries/scheduler/placement.cpp
+++ b/libraries/scheduler/placement.cpp
@@ -67,15 +67,15 @@
 }
 
 /// The rack with room for all tasks that is left with least of it.
-std::optional<std::string> best_rack(workload::step_spec const& step,
+std::optional<std::string_view> best_rack(workload::step_spec const& step,
                                      std::vector<candidate> const& from)
 {
-    std::map<std::string, std::uint32_t> slots;
+    std::map<std::string_view, std::uint32_t> slots;
     for (auto const& it : from)
     {
         slots[it.rack] += slots_in(step, it.room, it.tasks_here);
     }
-    std::optional<std::string> best;
+    std::optional<std::string_view> best;
     for (auto const& [rack, n] : slots)
     {
         if (n >= step.tasks && (!best || n < slots[*best]))
--- a/libraries/scheduler/placement.hpp
+++ b/libraries/scheduler/placement.hpp
@@ -5,7 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <string>
+#include <string_view>
 #include <vector>
 
 namespace berylhill::scheduler
@@ -14,8 +14,9 @@
 /// An instance that may take tasks of a step. A value.
 struct candidate
 {
-    std::string instance;
-    std::string rack;
+    /// Both belong to the instance, which outlives the candidate.
+    std::string_view instance;
+    std::string_view rack;
     workload::resources room;
     workload::resources capacity;
     /// Tasks of the step that are there already.
--- a/libraries/scheduler/scheduler.hpp
+++ b/libraries/scheduler/scheduler.hpp
@@ -53,6 +53,10 @@
                            scheduler_counts const&) = default;
 };
 
+/// A gang keeps this many times the slots that it needs, since not all of
+/// them come free in time.
+inline constexpr double gang_reserve_factor = 1.5;
+
 /// The owner's decisions: which task starts where, what is stored before it
 /// leaves, what an answer or a silence means. It knows no clock, socket or
 /// log: time comes with each event, orders and records are fetched.
@@ -238,11 +242,21 @@
                       turn const& it,
                       std::vector<candidate> const& from,
                       base::instant now);
-    void reserve(workload::step_spec const& spec, std::vector<candidate> from);
 
     // scheduler_preempt.cpp
     struct offer;
-    void preempt(job& of,
+    void keep_room(job& of, turn const& it, base::instant now);
+    void report_waiting_gang(turn const& it,
+                             workload::step_spec const& spec,
+                             step& in,
+                             std::vector<candidate> const& from,
+                             base::instant now);
+    static void fill_reserve(workload::step_spec const& spec,
+                             step& in,
+                             std::vector<candidate> from);
+    [[nodiscard]] std::vector<candidate> future_candidates(
+        job& of, workload::step_name const& name, base::instant now) const;
+    bool preempt(job& of,
                  turn const& it,
                  std::vector<candidate> const& from,
                  base::instant now);
@@ -264,17 +278,37 @@
     candidates(job& of,
                workload::step_name const& name,
                workload::queue_spec const& queue,
-               base::instant now);
-    [[nodiscard]] bool has_ticket(advice_state const& known,
-                                  std::string const& id,
-                                  base::instant now) const;
+               base::instant now) const;
+    [[nodiscard]] candidate candidate_of(instance const& it,
+                                         workload::step_name const& name,
+                                         workload::step_spec const& spec) const;
+    [[nodiscard]] bool open_to(instance const& it,
+                               workload::step_spec const& spec) const;
+
+    // scheduler_advice.cpp
+    [[nodiscard]] bool holds(advice_state::ticket const& it,
+                             base::instant now) const;
+    [[nodiscard]] double& allowed_share(std::string const& queue);
+    [[nodiscard]] std::size_t
+    most_named(workload::step_spec const& spec,
+               workload::queue_spec const& queue) const;
+    [[nodiscard]] std::vector<instance const*>
+    task_question(job& of,
+                  workload::step_name const& name,
+                  workload::queue_spec const& queue,
+                  base::instant now);
+    [[nodiscard]] std::vector<instance const*>
+    gang_question(job& of,
+                  workload::step_name const& name,
+                  workload::queue_spec const& queue,
+                  base::instant now);
     void ask_advice(job& of,
                     workload::step_name const& name,
                     workload::queue_spec const& queue,
                     base::instant now);
     [[nodiscard]] std::uint32_t tasks_on(workload::step_name const& of,
-                                         step const& in,
-                                         std::string const& instance) const;
+                                         workload::step_spec const& spec,
+                                         instance const& at) const;
 
     policy m_rules;
     decision_log* m_log;
@@ -289,8 +323,11 @@
     /// A job has finished since the last batch.
     bool m_finished{false};
     /// Instances kept free for gangs that wait, during one round.
-    std::set<std::string> m_reserved;
-    std::size_t m_reserving_gangs{0};
+    std::set<std::string, std::less<>> m_reserved;
+    /// A late gang has instances kept free, during one round.
+    bool m_late_reserving{false};
+    /// By queue: which share of the instances its policy allows.
+    std::map<std::string, double> m_allowed_shares;
     scheduler_counts m_counts;
 };
 
--- /dev/null
+++ b/libraries/scheduler/scheduler_advice.cpp
@@ -0,0 +1,275 @@
+#include <scheduler/scheduler.hpp>
+
+#include <algorithm>
+
+namespace berylhill::scheduler
+{
+
+namespace
+{
+
+/// Until a step for which there was nothing to ask is looked at again.
+constexpr base::duration look_again = std::chrono::milliseconds{20};
+
+/// The share of the instances that a policy allows, while nothing is known
+/// of a queue's.
+constexpr double unknown_share = 0.5;
+
+/// The weight of the newest answer in a queue's share of allowed instances.
+constexpr double newest_weight = 0.1;
+
+/// A question names instances with room for this many times the tasks that
+/// wait: others ask about the same ones, and the first to start gets the room.
+constexpr double spare_room = 3.0;
+
+/// Even a single task has so many to choose from, or it would not fit well.
+constexpr std::size_t least_named = 12;
+
+/// A gang asks anew once the instances that it may use have this many times
+/// the slots that it needs, since a slot may go while the question is out.
+constexpr double gang_margin = 1.0;
+
+} // namespace
+
+bool scheduler::holds(advice_state::ticket const& it, base::instant now) const
+{
+    return it.at != nullptr && now + m_rules.ticket_margin < it.until;
+}
+
+double& scheduler::allowed_share(std::string const& queue)
+{
+    return m_allowed_shares.try_emplace(queue, unknown_share).first->second;
+}
+
+void scheduler::advised(workload::step_name const& of,
+                        std::vector<std::string> const& asked,
+                        std::vector<permission> const& allowed,
+                        base::duration validity,
+                        base::instant now)
+{
+    auto* const job = m_jobs.find(of.job);
+    auto* const in = job == nullptr ? nullptr : job->find(of);
+    if (in == nullptr)
+    {
+        return;
+    }
+    auto& known = in->advice;
+    known.asking = false;
+    auto const first = known.allowed.empty() && known.refused.empty();
+    known.refused.insert(asked.begin(), asked.end());
+    for (auto const& it : allowed)
+    {
+        known.refused.erase(it.instance);
+        known.allowed[it.instance] = {m_instances.share(it.instance), it.ticket,
+                                      now + validity};
+    }
+    if (first && !asked.empty())
+    {
+        auto& share = allowed_share(job->spec().queue);
+        auto const seen = static_cast<double>(allowed.size()) /
+                          static_cast<double>(asked.size());
+        share += newest_weight * (seen - share);
+    }
+    m_log->write(base::log_level::info, "advice_read",
+                 {{"step", text_of(of)},
+                  {"asked", std::uint64_t{asked.size()}},
+                  {"allowed", std::uint64_t{allowed.size()}}});
+}
+
+void scheduler::advice_failed(workload::step_name const& of, base::instant now)
+{
+    auto* const job = m_jobs.find(of.job);
+    auto* const in = job == nullptr ? nullptr : job->find(of);
+    if (in == nullptr)
+    {
+        return;
+    }
+    in->advice.asking = false;
+    in->advice.next_ask = now + m_rules.advice_retry;
+}
+
+/// How many instances a question may name: naming more costs little until the
+/// time for the names reaches that of the decision.
+std::size_t scheduler::most_named(workload::step_spec const& spec,
+                                  workload::queue_spec const& queue) const
+{
+    auto const& costs = *queue.advice;
+    if (costs.per_instance.count() <= 0)
+    {
+        return m_rules.advice_instances;
+    }
+    auto const n = costs.decision / costs.per_instance;
+    return std::min(
+        m_rules.advice_instances,
+        static_cast<std::size_t>(std::max<std::int64_t>(n, spec.tasks)));
+}
+
+/// Asks about instances whose leave is not known or has lapsed, unless those
+/// with leave have room enough. The service answers one question at a time
+/// for each machine, so only questions whose answer can be used are asked:
+/// under a load that fills the cell, questions of steps without room would
+/// hold up those of urgent work for seconds.
+void scheduler::ask_advice(job& of,
+                           workload::step_name const& name,
+                           workload::queue_spec const& queue,
+                           base::instant now)
+{
+    auto& known = of.find(name)->advice;
+    if (known.asking || now < known.next_ask)
+    {
+        return;
+    }
+    auto const& spec = of.spec_of(name);
+    auto const named = spec.gang ? gang_question(of, name, queue, now)
+                                 : task_question(of, name, queue, now);
+    if (named.empty())
+    {
+        known.next_ask = now + look_again;
+        return;
+    }
+    advice_order out;
+    out.step = name;
+    out.priority = queue.priority;
+    for (auto const* const it : named)
+    {
+        out.instances.push_back(it->info().id);
+    }
+    out.expected = queue.advice->decision +
+                   queue.advice->per_instance *
+                       static_cast<std::int64_t>(out.instances.size());
+    known.asking = true;
+    m_orders.emplace_back(std::move(out));
+}
+
+/// Instances with room that are worth asking about for single tasks, those
+/// with most room first; none where leave for room enough is there.
+std::vector<instance const*>
+scheduler::task_question(job& of,
+                         workload::step_name const& name,
+                         workload::queue_spec const& queue,
+                         base::instant now)
+{
+    auto const& spec = of.spec_of(name);
+    auto const& in = *of.find(name);
+    auto const& known = in.advice;
+    auto usable = std::uint32_t{0};
+    std::vector<instance const*> open;
+    for (auto const& [id, at] : m_instances.all())
+    {
+        if (!eligible(*at, spec, queue, now) || !open_to(*at, spec) ||
+            known.refused.contains(id))
+        {
+            continue;
+        }
+        auto const slots = slots_in(spec, at->room(), 0);
+        if (auto const it = known.allowed.find(id);
+            it != known.allowed.end() && holds(it->second, now))
+        {
+            usable += slots;
+            continue;
+        }
+        if (slots > 0)
+        {
+            open.push_back(at.get());
+        }
+    }
+    if (usable >= in.waiting)
+    {
+        return {};
+    }
+    std::ranges::sort(open, std::ranges::greater{},
+                      [](instance const* it) { return it->room().cpu_millis; });
+    auto const share = allowed_share(queue.name);
+    auto const wanted = spare_room * in.waiting;
+    auto const most = most_named(spec, queue);
+    auto expected = 0.0;
+    std::vector<instance const*> out;
+    for (auto const* const it : open)
+    {
+        if (out.size() >= most ||
+            (out.size() >= least_named && expected >= wanted))
+        {
+            break;
+        }
+        auto const sure = known.allowed.contains(it->info().id);
+        expected += slots_in(spec, it->room(), 0) * (sure ? 1.0 : share);
+        out.push_back(it);
+    }
+    return out;
+}
+
+/// A gang first asks which instances it may ever use, and again about others
+/// when those that it knows are full and others are not. Once it knows enough
+/// of them, it asks only for new tickets, when their room holds it or will do
+/// so when the stops under way are done: a stop takes as long as an answer.
+std::vector<instance const*>
+scheduler::gang_question(job& of,
+                         workload::step_name const& name,
+                         workload::queue_spec const& queue,
+                         base::instant now)
+{
+    auto const& spec = of.spec_of(name);
+    auto const& in = *of.find(name);
+    auto const& known = in.advice;
+    auto could_hold = std::uint32_t{0};
+    auto unknown_slots = std::uint32_t{0};
+    auto holds_soon = std::uint32_t{0};
+    std::vector<instance const*> unknown;
+    std::vector<instance const*> lapsed;
+    for (auto const& [id, at] : m_instances.all())
+    {
+        if (!eligible(*at, spec, queue, now) || known.refused.contains(id))
+        {
+            continue;
+        }
+        auto const it = known.allowed.find(id);
+        if (it == known.allowed.end())
+        {
+            unknown.push_back(at.get());
+            unknown_slots +=
+                open_to(*at, spec) ? slots_in(spec, at->room(), 0) : 0;
+            continue;
+        }
+        could_hold += slots_in(spec, at->info().capacity, 0);
+        auto const own = std::ranges::find(in.reserved, id) != in.reserved.end();
+        auto const slots = own || open_to(*at, spec)
+                               ? slots_in(spec, at->room_soon(), 0)
+                               : 0;
+        holds_soon += slots;
+        if (slots > 0 && !holds(it->second, now))
+        {
+            lapsed.push_back(at.get());
+        }
+    }
+    auto const by_room = [](instance const* it)
+    { return it->room().cpu_millis; };
+    auto const enough = gang_reserve_factor * spec.tasks;
+    auto const expected =
+        holds_soon + unknown_slots * allowed_share(queue.name);
+    auto const elsewhere = holds_soon < spec.tasks && expected >= enough;
+    if ((could_hold < enough || elsewhere) && !unknown.empty())
+    {
+        std::ranges::sort(unknown, std::ranges::greater{}, by_room);
+        unknown.resize(std::min(unknown.size(), most_named(spec, queue)));
+        return unknown;
+    }
+    if (holds_soon < gang_margin * spec.tasks)
+    {
+        return {};
+    }
+    std::ranges::sort(lapsed, std::ranges::greater{}, by_room);
+    auto slots = 0.0;
+    std::vector<instance const*> out;
+    for (auto const* const it : lapsed)
+    {
+        if (slots >= enough || out.size() >= m_rules.advice_instances)
+        {
+            break;
+        }
+        slots += slots_in(spec, it->room_soon(), 0);
+        out.push_back(it);
+    }
+    return out;
+}
+
+} // namespace berylhill::scheduler
--- a/libraries/scheduler/scheduler_decide.cpp
+++ b/libraries/scheduler/scheduler_decide.cpp
@@ -9,18 +9,10 @@
 namespace
 {
 
-/// So many waiting gangs keep instances free at a time. More of them would
-/// empty the cell faster than they can use it.
-constexpr std::size_t most_reserving_gangs = 2;
-
 /// Tasks as short as this may use instances that are kept free: they are gone
 /// before the gang's room has come together.
 constexpr auto short_task = std::chrono::milliseconds{1'000};
 
-/// A gang keeps this many times the slots that it needs, since not all of
-/// them come free in time.
-constexpr double reserve_factor = 1.5;
-
 } // namespace
 
 workload::queue_spec const* scheduler::queue_of(job const& it) const
@@ -32,7 +24,7 @@
 void scheduler::decide(base::instant now)
 {
     m_reserved.clear();
-    m_reserving_gangs = 0;
+    m_late_reserving = false;
     for (auto const& it : turns(now))
     {
         decide_step(it, now);
@@ -97,47 +89,67 @@
            workload::fits(spec.counted_need(), it.info().capacity);
 }
 
-bool scheduler::has_ticket(advice_state const& known,
-                           std::string const& id,
-                           base::instant now) const
+candidate scheduler::candidate_of(instance const& it,
+                                  workload::step_name const& name,
+                                  workload::step_spec const& spec) const
 {
-    auto const at = known.allowed.find(id);
-    return at != known.allowed.end() &&
-           now + m_rules.ticket_margin < at->second.until;
+    auto const here =
+        spec.most_per_instance == 0 ? 0 : tasks_on(name, spec, it);
+    return {it.info().id, it.rack(), it.room(), it.info().capacity, here};
 }
 
+/// Where tasks of the step may start now: instances that can be used, with
+/// leave where the queue asks for it, and not kept free for another gang.
 std::vector<candidate> scheduler::candidates(job& of,
                                              workload::step_name const& name,
                                              workload::queue_spec const& queue,
-                                             base::instant now)
+                                             base::instant now) const
 {
     auto const& spec = of.spec_of(name);
-    auto const& in = *of.find(name);
     std::vector<candidate> out;
-    for (auto const& [id, at] : m_instances.all())
+    auto const take = [&](instance const& it)
     {
-        if (!eligible(*at, spec, queue, now) ||
-            (queue.advice && !has_ticket(in.advice, id, now)))
+        if (eligible(it, spec, queue, now) && open_to(it, spec))
         {
-            continue;
+            out.push_back(candidate_of(it, name, spec));
+        }
+    };
+    if (!queue.advice)
+    {
+        for (auto const& [id, at] : m_instances.all())
+        {
+            take(*at);
+        }
+        return out;
+    }
+    for (auto const& [id, ticket] : of.find(name)->advice.allowed)
+    {
+        if (holds(ticket, now))
+        {
+            take(*ticket.at);
         }
-        out.push_back(
-            {id, at->rack(), at->room(), at->info().capacity,
-             spec.most_per_instance == 0 ? 0 : tasks_on(name, in, id)});
     }
     return out;
 }
 
+/// Instances that are kept free for a gang take short tasks only.
+bool scheduler::open_to(instance const& it,
+                        workload::step_spec const& spec) const
+{
+    auto const passing =
+        !spec.gang && std::chrono::milliseconds{spec.estimate_ms} <= short_task;
+    return passing || !m_reserved.contains(it.info().id);
+}
+
 std::uint32_t scheduler::tasks_on(workload::step_name const& of,
-                                  step const& in,
-                                  std::string const& id) const
+                                  workload::step_spec const& spec,
+                                  instance const& at) const
 {
     // The ledger counts attempts that are being stopped as well.
-    auto const& all = m_instances.all().at(id)->attempts();
+    auto const& all = at.attempts();
     std::uint32_t n = 0;
     auto it = all.lower_bound(attempt_name{{of, 0}, 0});
-    for (; it != all.end() && it->first.task.of == of && n < in.tasks.size();
-         ++it)
+    for (; it != all.end() && it->first.task.of == of && n < spec.tasks; ++it)
     {
         ++n;
     }
@@ -150,16 +162,8 @@
                              base::instant now)
 {
     auto const& spec = of.spec_of(it.name);
-    auto const passing =
-        std::chrono::milliseconds{spec.estimate_ms} <= short_task;
-    auto usable = from;
-    if (!passing)
-    {
-        std::erase_if(usable, [&](candidate const& entry)
-                      { return m_reserved.contains(entry.instance); });
-    }
     auto& in = *of.find(it.name);
-    auto const chosen = choose_for_tasks(spec, in.waiting, usable);
+    auto const chosen = choose_for_tasks(spec, in.waiting, from);
     auto next = chosen.begin();
     for (std::uint32_t n = 0; n < in.tasks.size() && next != chosen.end(); ++n)
     {
@@ -167,8 +171,8 @@
         {
             continue;
         }
-        place(of, {it.name, n}, usable[*next].instance, in.tasks[n].run + 1,
-              now);
+        place(of, {it.name, n}, std::string{from[*next].instance},
+              in.tasks[n].run + 1, now);
         ++next;
     }
     if (!chosen.empty())
@@ -188,10 +192,10 @@
     auto const chosen = choose_for_gang(spec, from, may_spread);
     if (chosen.empty())
     {
-        preempt(of, it, from, now);
-        reserve(spec, from);
+        keep_room(of, it, now);
         return;
     }
+    in.reserved.clear();
     std::uint32_t run = 0;
     std::string checkpoint;
     for (auto const& task : in.tasks)
@@ -204,36 +208,12 @@
     for (std::uint32_t n = 0; n < in.tasks.size(); ++n)
     {
         in.tasks[n].checkpoint = checkpoint;
-        place(of, {it.name, n}, from[chosen[n]].instance, run + 1, now);
+        place(of, {it.name, n}, std::string{from[chosen[n]].instance}, run + 1,
+              now);
     }
     m_jobs.refresh_ready(of);
 }
 
-/// Keeps the emptiest instances that it may use free for a gang that waits,
-/// or smaller tasks would take each slot as it comes free.
-void scheduler::reserve(workload::step_spec const& spec,
-                        std::vector<candidate> from)
-{
-    if (m_reserving_gangs >= most_reserving_gangs || from.empty())
-    {
-        return;
-    }
-    ++m_reserving_gangs;
-    std::ranges::sort(from, std::ranges::greater{},
-                      [](candidate const& it) { return it.room.cpu_millis; });
-    auto const wanted = static_cast<double>(spec.tasks) * reserve_factor;
-    auto slots = 0.0;
-    for (auto const& it : from)
-    {
-        if (slots >= wanted)
-        {
-            break;
-        }
-        slots += slots_in(spec, it.capacity, 0);
-        m_reserved.insert(it.instance);
-    }
-}
-
 void scheduler::place(job& of,
                       workload::task_name const& name,
                       std::string const& on,
@@ -267,61 +247,4 @@
                   {"waited_s", base::seconds_of(now - of.accepted_at)}});
 }
 
-/// Asks about instances whose leave is not known or has lapsed, unless those
-/// with leave have room enough. Naming more of them costs little until the
-/// time for the names reaches that of the decision.
-void scheduler::ask_advice(job& of,
-                           workload::step_name const& name,
-                           workload::queue_spec const& queue,
-                           base::instant now)
-{
-    auto const& spec = of.spec_of(name);
-    auto& known = of.find(name)->advice;
-    if (known.asking || now < known.next_ask)
-    {
-        return;
-    }
-    auto slots = std::uint32_t{0};
-    std::vector<instance const*> open;
-    for (auto const& [id, at] : m_instances.all())
-    {
-        if (!eligible(*at, spec, queue, now) || known.refused.contains(id))
-        {
-            continue;
-        }
-        if (has_ticket(known, id, now))
-        {
-            slots += slots_in(spec, at->room(), 0);
-            continue;
-        }
-        open.push_back(at.get());
-    }
-    if (open.empty() || slots >= of.find(name)->waiting)
-    {
-        return;
-    }
-    std::ranges::sort(open, std::ranges::greater{},
-                      [](instance const* it) { return it->room().cpu_millis; });
-    auto const& costs = *queue.advice;
-    auto most = m_rules.advice_instances;
-    if (costs.per_instance.count() > 0)
-    {
-        auto const n = costs.decision / costs.per_instance;
-        most = std::min(most, static_cast<std::size_t>(
-                                  std::max<std::int64_t>(n, spec.tasks)));
-    }
-    advice_order out;
-    out.step = name;
-    out.priority = queue.priority;
-    for (std::size_t n = 0; n < open.size() && n < most; ++n)
-    {
-        out.instances.push_back(open[n]->info().id);
-    }
-    out.expected =
-        costs.decision +
-        costs.per_instance * static_cast<std::int64_t>(out.instances.size());
-    known.asking = true;
-    m_orders.emplace_back(std::move(out));
-}
-
 } // namespace berylhill::scheduler
--- a/libraries/scheduler/scheduler_orders.cpp
+++ b/libraries/scheduler/scheduler_orders.cpp
@@ -53,7 +53,7 @@
         {
             if (auto* const in = job->find(name.task.of); in != nullptr)
             {
-                in->advice.allowed[id] = {};
+                in->advice.allowed[id].until = {};
             }
         }
         refused(*at, name, *it, now);
@@ -109,44 +109,6 @@
     it->next_try.reset();
 }
 
-void scheduler::advised(workload::step_name const& of,
-                        std::vector<std::string> const& asked,
-                        std::vector<permission> const& allowed,
-                        base::duration validity,
-                        base::instant now)
-{
-    auto* const job = m_jobs.find(of.job);
-    auto* const in = job == nullptr ? nullptr : job->find(of);
-    if (in == nullptr)
-    {
-        return;
-    }
-    auto& known = in->advice;
-    known.asking = false;
-    known.refused.insert(asked.begin(), asked.end());
-    for (auto const& it : allowed)
-    {
-        known.refused.erase(it.instance);
-        known.allowed[it.instance] = {it.ticket, now + validity};
-    }
-    m_log->write(base::log_level::info, "advice_read",
-                 {{"step", text_of(of)},
-                  {"asked", std::uint64_t{asked.size()}},
-                  {"allowed", std::uint64_t{allowed.size()}}});
-}
-
-void scheduler::advice_failed(workload::step_name const& of, base::instant now)
-{
-    auto* const job = m_jobs.find(of.job);
-    auto* const in = job == nullptr ? nullptr : job->find(of);
-    if (in == nullptr)
-    {
-        return;
-    }
-    in->advice.asking = false;
-    in->advice.next_ask = now + m_rules.advice_retry;
-}
-
 hold_order scheduler::next_hold(std::string const& id, base::instant now)
 {
     auto* const it = m_instances.find(id);
@@ -255,16 +217,18 @@
 
 void scheduler::open_due_occurrences(std::int64_t wall_ms, base::instant now)
 {
-    for (auto const& [id, job] : m_jobs.all())
+    std::vector<workload::job_id> complete;
+    for (auto const id : m_jobs.repeating())
     {
+        auto* const job = m_jobs.find(id);
         auto const& repeats = job->spec().repeats;
-        if (finished(job->phase) || repeats.count == 0)
+        auto const next = static_cast<std::uint32_t>(job->occurrences.size());
+        if (next >= repeats.count)
         {
+            complete.push_back(id);
             continue;
         }
-        auto const next = static_cast<std::uint32_t>(job->occurrences.size());
-        if (next >= repeats.count ||
-            wall_ms < repeats.first_ms + next * repeats.interval_ms)
+        if (wall_ms < repeats.first_ms + next * repeats.interval_ms)
         {
             continue;
         }
@@ -272,6 +236,10 @@
         m_jobs.touch(id);
         m_jobs.refresh_ready(*job);
     }
+    for (auto const id : complete)
+    {
+        m_jobs.set_all_opened(id);
+    }
 }
 
 } // namespace berylhill::scheduler
--- a/libraries/scheduler/scheduler_preempt.cpp
+++ b/libraries/scheduler/scheduler_preempt.cpp
@@ -2,10 +2,141 @@
 #include <scheduler/timing.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace berylhill::scheduler
 {
 
+namespace
+{
+
+/// So much of the cell at most is kept free for gangs that wait. More would
+/// empty it faster than they can use it.
+constexpr double most_reserved = 0.25;
+
+/// Between two lines that say what a gang waits for.
+constexpr base::duration gang_report_pause = std::chrono::seconds{1};
+
+} // namespace
+
+/// Keeps instances free for a gang that waits, or smaller tasks would take
+/// each slot as it comes free. The choice stays until the gang starts: one
+/// made anew each time would follow the emptiest instances around, and never
+/// bring a gang's slots together.
+void scheduler::keep_room(job& of, turn const& it, base::instant now)
+{
+    auto const& spec = of.spec_of(it.name);
+    auto& in = *of.find(it.name);
+    auto const most =
+        most_reserved * static_cast<double>(m_instances.all().size());
+    // Of the gangs that are late one at a time: parts of room kept for several
+    // of them would be of use to none.
+    auto const later = it.tier > 0 && std::exchange(m_late_reserving, true);
+    if (later || static_cast<double>(m_reserved.size()) >= most)
+    {
+        in.reserved.clear();
+        report_waiting_gang(it, spec, in, {}, now);
+        return;
+    }
+    auto const from = future_candidates(of, it.name, now);
+    auto const known = [&](std::string const& id)
+    {
+        return std::ranges::any_of(from, [&](candidate const& entry)
+                                   { return entry.instance == id; });
+    };
+    std::erase_if(in.reserved,
+                  [&](std::string const& id) { return !known(id); });
+    if (!preempt(of, it, from, now))
+    {
+        fill_reserve(spec, in, from);
+    }
+    m_reserved.insert(in.reserved.begin(), in.reserved.end());
+    report_waiting_gang(it, spec, in, from, now);
+}
+
+/// What a gang waits for, so that one that never starts can be explained.
+void scheduler::report_waiting_gang(turn const& it,
+                                    workload::step_spec const& spec,
+                                    step& in,
+                                    std::vector<candidate> const& from,
+                                    base::instant now)
+{
+    if (now < in.next_report)
+    {
+        return;
+    }
+    in.next_report = now + gang_report_pause;
+    std::uint32_t slots = 0;
+    for (auto const& each : from)
+    {
+        slots += slots_in(spec, each.room, 0);
+    }
+    m_log->write(base::log_level::info, "gang_waits",
+                 {{"step", text_of(it.name)},
+                  {"tasks", std::uint64_t{spec.tasks}},
+                  {"slots_free", std::uint64_t{slots}},
+                  {"instances", std::uint64_t{from.size()}},
+                  {"allowed", std::uint64_t{in.advice.allowed.size()}},
+                  {"refused", std::uint64_t{in.advice.refused.size()}},
+                  {"kept_free", std::uint64_t{in.reserved.size()}},
+                  {"asking", in.advice.asking ? 1 : 0},
+                  {"late_s", base::seconds_of(now - it.latest_start)}});
+}
+
+/// The emptiest instances first, until their slots would hold the gang and
+/// some more, since not all come free in time.
+void scheduler::fill_reserve(workload::step_spec const& spec,
+                             step& in,
+                             std::vector<candidate> from)
+{
+    auto const wanted = spec.tasks * gang_reserve_factor;
+    auto slots = 0.0;
+    for (auto const& it : from)
+    {
+        if (std::ranges::find(in.reserved, it.instance) != in.reserved.end())
+        {
+            slots += slots_in(spec, it.capacity, 0);
+        }
+    }
+    std::ranges::sort(from, std::ranges::greater{},
+                      [](candidate const& it) { return it.room.cpu_millis; });
+    for (auto const& it : from)
+    {
+        if (slots >= wanted)
+        {
+            return;
+        }
+        if (std::ranges::find(in.reserved, it.instance) != in.reserved.end())
+        {
+            continue;
+        }
+        slots += slots_in(spec, it.capacity, 0);
+        in.reserved.emplace_back(it.instance);
+    }
+}
+
+/// As `candidates`, also where leave is known and its ticket has lapsed.
+std::vector<candidate> scheduler::future_candidates(
+    job& of, workload::step_name const& name, base::instant now) const
+{
+    auto const& queue = *queue_of(of);
+    if (!queue.advice)
+    {
+        return candidates(of, name, queue, now);
+    }
+    auto const& spec = of.spec_of(name);
+    std::vector<candidate> out;
+    for (auto const& [id, ticket] : of.find(name)->advice.allowed)
+    {
+        if (ticket.at != nullptr && eligible(*ticket.at, spec, queue, now) &&
+            open_to(*ticket.at, spec))
+        {
+            out.push_back(candidate_of(*ticket.at, name, spec));
+        }
+    }
+    return out;
+}
+
 /// An attempt that may be stopped for more urgent work: it is less urgent,
 /// goes on from where it was stopped, and its job has time left.
 bool scheduler::can_wait(attempt_name const& name,
@@ -60,8 +191,9 @@
 
 /// A gang that would be late takes the place of work that can wait, on as few
 /// instances as it needs. Nothing is stopped unless that makes room for the
-/// whole gang.
-void scheduler::preempt(job& of,
+/// whole gang. Returns whether the gang has its room now, or will have it when
+/// the stops under way are done.
+bool scheduler::preempt(job& of,
                         turn const& it,
                         std::vector<candidate> const& from,
                         base::instant now)
@@ -70,16 +202,13 @@
     auto const priority = queue_of(of)->priority;
     if (it.tier > 1 || now < it.latest_start - m_rules.preempt_before)
     {
-        return;
+        return false;
     }
     std::vector<offer> offers;
     for (auto const& each : from)
     {
-        if (!m_reserved.contains(each.instance))
-        {
-            offers.push_back(
-                offer_of(m_instances.get(each.instance), priority, now));
-        }
+        offers.push_back(offer_of(m_instances.get(std::string{each.instance}),
+                                  priority, now));
     }
     std::ranges::sort(offers, std::ranges::greater{},
                       [](offer const& each) { return each.room.cpu_millis; });
@@ -108,9 +237,9 @@
     }
     if (slots < spec.tasks)
     {
-        return;
+        return false;
     }
-    m_reserved.insert(chosen.begin(), chosen.end());
+    of.find(it.name)->reserved = std::move(chosen);
     for (auto const& [at, name] : stopped)
     {
         ++m_counts.preempted;
@@ -121,6 +250,7 @@
                       {"for", text_of(it.name)}});
         want_stop(*at, name, *at->find(name), now);
     }
+    return true;
 }
 
 } // namespace berylhill::scheduler
