cell: Own the work where there is most processor time, read large answers in one go

Now: peers name their processor time, the larger claim first, an owner hands on to a much larger one or when its event loop is late; a large body gets its room before it is read, reads of logs are bounded; those who do not follow the log read it when their turn to claim comes. Instances are known by number in the decisions, and a gang's kept room is chosen every 30 ms.

--- a/libraries/cell/cell_owner.cpp
+++ b/libraries/cell/cell_owner.cpp
@@ -29,7 +29,7 @@
 /// read.
 constexpr follow_pace instances_pace{
     std::chrono::milliseconds{500}, std::chrono::milliseconds{250},
-    std::chrono::milliseconds{400}, std::chrono::milliseconds{150}};
+    std::chrono::milliseconds{700}, std::chrono::milliseconds{100}};
 
 std::int64_t wall_ms(base::clock const& it)
 {
--- a/libraries/cell/keyed_log.hpp
+++ b/libraries/cell/keyed_log.hpp
@@ -54,11 +54,29 @@
     failed,
 };
 
+/// What is read of a log. A value.
+struct read_question
+{
+    /// The first offset.
+    std::uint64_t from{0};
+    /// How long the store may wait for a first record.
+    base::duration wait{0};
+    /// How much an answer may hold; a single larger record comes alone.
+    std::size_t most_bytes{0};
+    /// Until the call is given up.
+    base::duration timeout{0};
+
+    friend bool operator==(read_question const&,
+                           read_question const&) = default;
+};
+
 struct read_result
 {
     read_end end{read_end::failed};
     std::uint64_t log_end{0};
     std::vector<log_entry> entries;
+    /// Of the answer, for logs; 0: there was none.
+    unsigned status{0};
 
     friend bool operator==(read_result const&, read_result const&) = default;
 };
@@ -96,11 +114,7 @@
                         base::duration timeout,
                         append_handler handler) = 0;
 
-    /// Reads from an offset on; waits up to `wait` for a first record.
-    virtual void read(std::uint64_t from,
-                      base::duration wait,
-                      base::duration timeout,
-                      read_handler handler) = 0;
+    virtual void read(read_question const& it, read_handler handler) = 0;
 
     /// The newest record of each key after `after`; a part of them.
     virtual void newest(std::string const& after,
--- a/libraries/cell/log_follower.cpp
+++ b/libraries/cell/log_follower.cpp
@@ -86,7 +86,7 @@
 {
     if (!it.answered)
     {
-        failed("newest");
+        failed("newest", 0);
         after(m_pace.retry, [this] { start(); });
         return;
     }
@@ -135,7 +135,7 @@
 void log_follower::read_tail(base::duration wait)
 {
     m_log.read(
-        m_next, wait, wait + m_pace.slack,
+        {m_next, wait, m_pace.most_bytes, wait + m_pace.slack},
         [this, alive = m_generation, mine = *m_generation](read_result it)
         {
             if (*alive == mine)
@@ -147,7 +147,7 @@
 
 void log_follower::tail_read(read_result it)
 {
-    auto const done = std::exchange(m_catching_up, nullptr);
+    auto done = std::exchange(m_catching_up, nullptr);
     if (it.end == read_end::trimmed)
     {
         base::log(base::log_level::info, "log_trimmed",
@@ -161,7 +161,7 @@
     }
     if (it.end == read_end::failed)
     {
-        failed("read");
+        failed("read", it.status);
         after(m_pace.retry, [this] { read_tail(m_pace.wait); });
         if (done)
         {
@@ -180,6 +180,12 @@
     auto const behind = m_next < it.log_end;
     auto const generation = *m_generation;
     succeeded();
+    if (behind && done && *m_generation == generation)
+    {
+        m_catching_up = std::move(done);
+        read_tail(base::duration{0});
+        return;
+    }
     if (*m_generation == generation && m_running)
     {
         auto const wait = behind ? base::duration{0} : m_pace.wait;
@@ -206,12 +212,15 @@
         });
 }
 
-void log_follower::failed(char const* what)
+void log_follower::failed(char const* what, unsigned status)
 {
     if (!std::exchange(m_lost, true))
     {
         base::log(base::log_level::warning, "log_lost",
-                  {{"log", m_name}, {"call", what}, {"next", m_next}});
+                  {{"log", m_name},
+                   {"call", what},
+                   {"status", std::uint64_t{status}},
+                   {"next", m_next}});
     }
 }
 
--- a/libraries/cell/log_follower.hpp
+++ b/libraries/cell/log_follower.hpp
@@ -27,6 +27,10 @@
     base::duration slack{std::chrono::milliseconds{400}};
     /// After a failed read.
     base::duration retry{std::chrono::milliseconds{150}};
+    /// What one read brings at most. A large answer takes several turns of
+    /// the event loop, and where the processor is short it misses its
+    /// deadline each time, while what there is to read grows.
+    std::size_t most_bytes{std::size_t{128} * 1024};
 };
 
 /// Keeps up with the newest record of each key of a log: reads them all once,
@@ -107,7 +111,7 @@
     void read_tail(base::duration wait);
     void tail_read(read_result it);
     void after(base::duration pause, std::function<void()> what);
-    void failed(char const* what);
+    void failed(char const* what, unsigned status);
     void succeeded();
     void apply(log_entry const& it);
 
--- /dev/null
+++ b/libraries/cell/loop_lag.cpp
@@ -0,0 +1,53 @@
+#include <cell/loop_lag.hpp>
+
+#include <algorithm>
+
+namespace berylhill::cell
+{
+
+namespace
+{
+
+/// Between two measurements.
+constexpr base::duration pause = std::chrono::milliseconds{40};
+
+/// A single pause of the whole machine counts as this much at most: it is
+/// over when it is seen.
+constexpr base::duration longest_counted = std::chrono::milliseconds{800};
+
+/// The weight of the newest one: 20 of them are most of the average.
+constexpr int newest_share = 20;
+
+} // namespace
+
+loop_lag::loop_lag(boost::asio::io_context& loop, base::clock const& clock)
+    : m_clock{clock}
+    , m_timer{loop}
+{
+    measure();
+}
+
+loop_lag::~loop_lag()
+{
+    m_timer.cancel();
+}
+
+void loop_lag::measure()
+{
+    auto const due = m_clock.now() + pause;
+    m_timer.expires_after(pause);
+    m_timer.async_wait(
+        [this, due](auto ec)
+        {
+            if (ec)
+            {
+                return;
+            }
+            auto const late = std::clamp(m_clock.now() - due, base::duration{0},
+                                         longest_counted);
+            m_average += (late - m_average) / newest_share;
+            measure();
+        });
+}
+
+} // namespace berylhill::cell
--- a/libraries/cell/node.hpp
+++ b/libraries/cell/node.hpp
@@ -4,6 +4,7 @@
 #include <cell/advice_desk.hpp>
 #include <cell/call_router.hpp>
 #include <cell/cell_owner.hpp>
+#include <cell/loop_lag.hpp>
 #include <cell/node_metrics.hpp>
 #include <cell/ownership.hpp>
 #include <cell/peer_service.hpp>
@@ -62,6 +63,8 @@
     void apply_limits();
     void await_signals();
     void reload();
+    void watch_load();
+    void yield(char const* why);
     void stop();
     void drain();
     void flush_logs();
@@ -93,12 +96,16 @@
     boost::asio::signal_set m_signals;
     boost::asio::steady_timer m_stop_timer;
     boost::asio::steady_timer m_log_timer;
+    boost::asio::steady_timer m_load_timer;
+    loop_lag m_lag;
     node_metrics m_metrics;
     workload::cell_configuration m_configuration;
     std::unique_ptr<cell_owner> m_owner;
     base::instant m_owns_since{};
     base::instant m_stop_at{};
     bool m_stopping{false};
+    /// The right is being handed to another process.
+    bool m_yielding{false};
     bool m_was_ready{false};
 };
 
--- a/libraries/cell/node_answers.cpp
+++ b/libraries/cell/node_answers.cpp
@@ -44,7 +44,7 @@
 {
     watch_answer out;
     out.owns = m_owner != nullptr && !m_stopping;
-    out.leaving = m_stopping && m_owner == nullptr;
+    out.leaving = (m_stopping || m_yielding) && m_owner == nullptr;
     out.owner = m_ownership.owner();
     out.owner_heard = m_ownership.owner_heard();
     if (m_owner)
--- a/libraries/cell/ownership.cpp
+++ b/libraries/cell/ownership.cpp
@@ -124,6 +124,20 @@
     m_follower.start();
 }
 
+void ownership::yield(base::duration rest)
+{
+    ++*m_generation;
+    m_state = ownership_state::watching;
+    m_heard = false;
+    // A successor announces itself, which ends the rest.
+    again(rest,
+          [this]
+          {
+              m_state = ownership_state::starting;
+              m_follower.start();
+          });
+}
+
 void ownership::leave()
 {
     m_leaving = true;
--- a/libraries/cell/ownership.hpp
+++ b/libraries/cell/ownership.hpp
@@ -30,6 +30,10 @@
     owning,
 };
 
+/// So many processes are ready to take the work over at once: one, and one
+/// more for the case that both it and the owner are lost.
+inline constexpr std::int64_t standbys = 2;
+
 /// Finds the owner of the cell's work, watches it, and claims the work when
 /// it is gone. A claim is a record at the end of the cell's log, so of two
 /// claims one wins; the winner's token, the offset of its claim plus one, is
@@ -79,6 +83,10 @@
     /// Another process tells who owns.
     void heard_of(owner_view const& it);
 
+    /// The right was given up for another process to take; this one claims
+    /// nothing for `rest`. Precondition: it owned.
+    void yield(base::duration rest);
+
     /// The process ends; the right, if it has it, was given up. It goes on
     /// watching, for callers that still come, and claims nothing any more.
     void leave();
--- a/libraries/cell/ownership_claim.cpp
+++ b/libraries/cell/ownership_claim.cpp
@@ -2,6 +2,7 @@
 
 #include <base/log.hpp>
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -15,6 +16,16 @@
 /// the log, or announced, when the next one looks.
 constexpr base::duration claim_step = std::chrono::milliseconds{25};
 
+/// Those who do not follow the log wait longer for each other: they read all
+/// of it before they claim, and dozens that do so at once slow down the one
+/// that wins.
+constexpr base::duration late_claim_step = std::chrono::milliseconds{150};
+
+/// While the others are not known, an instance this small lets larger ones
+/// claim first.
+constexpr std::int64_t small_millicores = 200;
+constexpr base::duration small_delay = std::chrono::milliseconds{250};
+
 /// Until a claim is given up, to look again at who owns.
 constexpr base::duration claim_limit = std::chrono::milliseconds{2'000};
 
@@ -30,7 +41,7 @@
     std::int64_t before = 0;
     for (auto const& it : m_peers)
     {
-        if (it.address != m_owner.address && it.address < m_self.address)
+        if (it.address != m_owner.address && comes_before(it, m_self))
         {
             ++before;
         }
@@ -47,7 +58,16 @@
 
 base::duration ownership::claim_delay() const
 {
-    return claim_step * turn();
+    auto const before = turn();
+    auto const early = std::min(before, standbys);
+    auto const out = claim_step * early + late_claim_step * (before - early);
+    if (m_peers.empty())
+    {
+        return claim_step * before + (m_self.millicores < small_millicores
+                                          ? small_delay
+                                          : base::duration{0});
+    }
+    return out;
 }
 
 void ownership::claim(char const* why)
@@ -64,16 +84,22 @@
     }
     ++*m_generation;
     m_state = ownership_state::claiming;
-    m_claim_began = m_clock.now();
-    if (!m_follower.running())
-    {
-        m_follower.start();
-    }
     base::log(base::log_level::info, "claim_begins",
               {{"why", why},
                {"former", m_owner.instance},
                {"former_token", m_owner.token}});
-    again(claim_delay(), [this] { claim_now(); });
+    // Those who do not follow the log begin to read it when their turn comes:
+    // dozens that did so at once would hold up the one that claims first.
+    again(claim_delay(),
+          [this]
+          {
+              m_claim_began = m_clock.now();
+              if (!m_follower.running())
+              {
+                  m_follower.start();
+              }
+              claim_now();
+          });
 }
 
 void ownership::claim_now()
--- a/libraries/cell/ownership_watch.cpp
+++ b/libraries/cell/ownership_watch.cpp
@@ -32,10 +32,6 @@
 /// How many others are asked whether they hear the owner.
 constexpr std::size_t others_asked = 5;
 
-/// So many processes are ready to take the work over at once: one, and one
-/// more for the case that both it and the owner are lost.
-constexpr std::int64_t standbys = 2;
-
 /// An owner whose store has taken nothing for so long is replaced by a
 /// process that reaches the store. A slow store takes up to half a second for
 /// an append; one that refuses says at once that it will not.
--- a/libraries/cell/peer.hpp
+++ b/libraries/cell/peer.hpp
@@ -27,8 +27,22 @@
 {
     std::string instance;
     network::socket_address address;
+    /// Processor time that it may use, in thousandths of a core.
+    std::int64_t millicores{0};
 
     friend auto operator<=>(peer const&, peer const&) = default;
 };
 
+/// Whether `it` takes the work over before `other`: where there is more
+/// processor time, since the owner of a large cell needs more than a small
+/// instance has; of equals by address, so that all agree.
+[[nodiscard]] inline bool comes_before(peer const& it, peer const& other)
+{
+    if (it.millicores != other.millicores)
+    {
+        return it.millicores > other.millicores;
+    }
+    return it.address < other.address;
+}
+
 } // namespace berylhill::cell
--- a/libraries/cell/peer_messages.cpp
+++ b/libraries/cell/peer_messages.cpp
@@ -38,12 +38,15 @@
 
 json::object object_of(peer const& it)
 {
-    return {{"instance", it.instance}, {"address", text_of(it.address)}};
+    return {{"instance", it.instance},
+            {"address", text_of(it.address)},
+            {"millicores", it.millicores}};
 }
 
 peer peer_in(json::value const& it)
 {
-    return {json_codec::text_or(it, "instance"), address_in(it, "address")};
+    return {json_codec::text_or(it, "instance"), address_in(it, "address"),
+            json_codec::number_or(it, "millicores")};
 }
 
 template <class Enum>
--- a/libraries/cell/sure_append.cpp
+++ b/libraries/cell/sure_append.cpp
@@ -29,6 +29,10 @@
 constexpr base::duration first_pause = std::chrono::milliseconds{40};
 constexpr base::duration longest_pause = std::chrono::milliseconds{400};
 
+/// What a look at the records at an offset brings at most: above the largest
+/// batch, whose records it compares.
+constexpr std::size_t look_bytes = std::size_t{1024} * 1024;
+
 /// Until a look at the log is given up.
 constexpr base::duration look_timeout = std::chrono::milliseconds{500};
 
@@ -165,7 +169,7 @@
 
 void sure_append::look()
 {
-    m_log.read(m_at, base::duration{0}, look_timeout,
+    m_log.read({m_at, base::duration{0}, look_bytes, look_timeout},
                [this, alive = m_generation,
                 mine = *m_generation](read_result const& it)
                {
--- /dev/null
+++ b/libraries/cell/yield_rule.cpp
@@ -0,0 +1,56 @@
+#include <cell/yield_rule.hpp>
+
+#include <algorithm>
+
+namespace berylhill::cell
+{
+
+namespace
+{
+
+/// By then the others have found this owner.
+constexpr base::duration settled = std::chrono::milliseconds{1'500};
+
+/// A change is worth its price where another instance has this many times the
+/// processor time.
+constexpr double much_larger = 1.5;
+
+/// Above what a processor that is paused in tenths of a second shows under a
+/// load that it carries.
+constexpr base::duration too_late = std::chrono::milliseconds{120};
+
+} // namespace
+
+char const* name_of(yield_reason it)
+{
+    switch (it)
+    {
+    case yield_reason::none:
+        return "none";
+    case yield_reason::larger_instance:
+        return "larger_instance";
+    case yield_reason::overloaded:
+        return "overloaded";
+    }
+    return "other";
+}
+
+yield_reason should_yield(owner_load const& it)
+{
+    if (it.owned_for < settled || it.others.empty())
+    {
+        return yield_reason::none;
+    }
+    auto const largest =
+        std::ranges::max(it.others, {}, &peer::millicores).millicores;
+    if (static_cast<double>(largest) >=
+        much_larger * static_cast<double>(it.millicores))
+    {
+        return yield_reason::larger_instance;
+    }
+    return it.lag > too_late && largest >= it.millicores
+               ? yield_reason::overloaded
+               : yield_reason::none;
+}
+
+} // namespace berylhill::cell
--- a/libraries/network/http_client.cpp
+++ b/libraries/network/http_client.cpp
@@ -8,6 +8,8 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
+
 namespace berylhill::network
 {
 
@@ -15,6 +17,18 @@
 namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
 
+namespace
+{
+
+/// A body up to this size comes in with few reads as it is.
+constexpr std::uint64_t small_body = 2'048;
+
+/// What one read of a large body brings at most, and what a connection that
+/// has had one keeps as its buffer.
+constexpr std::uint64_t largest_read = std::uint64_t{64} * 1024;
+
+} // namespace
+
 class http_client::connection
 {
 public:
@@ -158,6 +172,33 @@
         }
         m_parser.emplace();
         m_parser->body_limit(m_owner.m_limits.body_bytes);
+        http::async_read_header(
+            m_connection->socket, m_connection->buf, *m_parser,
+            [self = shared_from_this()](auto failed, std::size_t)
+            { self->header_read(failed); });
+    }
+
+    /// Room is made for a large body before it is read. Beast reads no more
+    /// at a time than the buffer has room for, half a kilobyte at first: a
+    /// page of a log took hundreds of turns of the event loop, and missed its
+    /// deadline each time where the loop was busy.
+    void header_read(boost::system::error_code ec)
+    {
+        if (m_finished)
+        {
+            return;
+        }
+        if (ec)
+        {
+            broken();
+            return;
+        }
+        auto const length = m_parser->content_length();
+        if (length && *length > small_body)
+        {
+            m_connection->buf.reserve(static_cast<std::size_t>(
+                std::min<std::uint64_t>(*length, largest_read)));
+        }
         http::async_read(m_connection->socket, m_connection->buf, *m_parser,
                          [self = shared_from_this()](auto failed, std::size_t)
                          { self->read(failed); });
--- a/libraries/scheduler/instance.cpp
+++ b/libraries/scheduler/instance.cpp
@@ -20,8 +20,11 @@
 
 } // namespace
 
-instance::instance(std::string id, base::instant lease_end)
-    : m_lease_end{lease_end}
+instance::instance(std::string id,
+                   base::instant lease_end,
+                   std::uint32_t number)
+    : m_number{number}
+    , m_lease_end{lease_end}
 {
     m_info.id = std::move(id);
 }
--- a/libraries/scheduler/instance.hpp
+++ b/libraries/scheduler/instance.hpp
@@ -74,8 +74,14 @@
 {
 public:
     /// `lease_end` is when leases granted by former owners have surely
-    /// lapsed.
-    instance(std::string id, base::instant lease_end);
+    /// lapsed; `number` is unique among the instances of one book.
+    instance(std::string id, base::instant lease_end, std::uint32_t number = 0);
+
+    /// Stands for its name where names are compared often.
+    [[nodiscard]] std::uint32_t number() const noexcept
+    {
+        return m_number;
+    }
 
     [[nodiscard]] instance_info const& info() const noexcept
     {
@@ -192,9 +198,12 @@
 
     /// Failures of tasks since the last success.
     std::uint32_t failures_in_a_row{0};
+    /// The round of decisions in which it was last kept free for a gang.
+    std::uint64_t kept_free_in{0};
 
 private:
     instance_info m_info;
+    std::uint32_t m_number;
     std::string m_rack;
     bool m_listed{false};
     bool m_fenced{false};
--- a/libraries/scheduler/instance_book.cpp
+++ b/libraries/scheduler/instance_book.cpp
@@ -24,7 +24,8 @@
     auto& at = m_instances[id];
     if (!at)
     {
-        at = std::make_shared<instance>(id, m_former_lease_end);
+        at =
+            std::make_shared<instance>(id, m_former_lease_end, ++m_last_number);
     }
     return *at;
 }
@@ -35,8 +36,7 @@
     return at == m_instances.end() ? nullptr : at->second.get();
 }
 
-std::shared_ptr<instance const>
-instance_book::share(std::string const& id) const
+std::shared_ptr<instance> instance_book::share(std::string_view id) const
 {
     auto const at = m_instances.find(id);
     return at == m_instances.end() ? nullptr : at->second;
--- a/libraries/scheduler/instance_book.hpp
+++ b/libraries/scheduler/instance_book.hpp
@@ -2,9 +2,12 @@
 
 #include <scheduler/instance.hpp>
 
+#include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace berylhill::scheduler
@@ -15,7 +18,8 @@
 class instance_book
 {
 public:
-    using instance_map = std::map<std::string, std::shared_ptr<instance>>;
+    using instance_map =
+        std::map<std::string, std::shared_ptr<instance>, std::less<>>;
 
     /// `former_lease_end`: when leases granted before this book was made have
     /// surely lapsed.
@@ -39,8 +43,7 @@
 
     /// As `find`, for those who keep it: the object outlives its entry here,
     /// and is then not listed.
-    [[nodiscard]] std::shared_ptr<instance const>
-    share(std::string const& id) const;
+    [[nodiscard]] std::shared_ptr<instance> share(std::string_view id) const;
 
     [[nodiscard]] instance_map& all() noexcept
     {
@@ -58,6 +61,7 @@
 private:
     instance_map m_instances;
     base::instant m_former_lease_end;
+    std::uint32_t m_last_number{0};
 };
 
 } // namespace berylhill::scheduler
--- a/libraries/scheduler/job.hpp
+++ b/libraries/scheduler/job.hpp
@@ -8,8 +8,9 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
+#include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace berylhill::scheduler
@@ -74,8 +75,9 @@
 
     bool asking{false};
     base::instant next_ask{};
-    std::map<std::string, ticket> allowed;
-    std::set<std::string> refused;
+    /// By the number of the instance.
+    std::unordered_map<std::uint32_t, ticket> allowed;
+    std::unordered_set<std::uint32_t> refused;
 };
 
 /// The tasks of one step of one occurrence.
@@ -89,7 +91,9 @@
     std::uint32_t gang_failed_run{0};
     advice_state advice;
     /// Of a gang that waits: instances that are kept free for it.
-    std::vector<std::string> reserved;
+    std::vector<std::shared_ptr<instance>> reserved;
+    /// Until then what it has kept free stays as it is.
+    base::instant next_look{};
     /// When the log next says why it waits.
     base::instant next_report{};
 
--- a/libraries/scheduler/placement.cpp
+++ b/libraries/scheduler/placement.cpp
@@ -68,7 +68,7 @@
 
 /// The rack with room for all tasks that is left with least of it.
 std::optional<std::string_view> best_rack(workload::step_spec const& step,
-                                     std::vector<candidate> const& from)
+                                          std::vector<candidate> const& from)
 {
     std::map<std::string_view, std::uint32_t> slots;
     for (auto const& it : from)
--- a/libraries/scheduler/scheduler.hpp
+++ b/libraries/scheduler/scheduler.hpp
@@ -251,9 +251,10 @@
                              step& in,
                              std::vector<candidate> const& from,
                              base::instant now);
-    static void fill_reserve(workload::step_spec const& spec,
-                             step& in,
-                             std::vector<candidate> from);
+    void choose_reserve(job& of, turn const& it, step& in, base::instant now);
+    void fill_reserve(workload::step_spec const& spec,
+                      step& in,
+                      std::vector<candidate> from) const;
     [[nodiscard]] std::vector<candidate> future_candidates(
         job& of, workload::step_name const& name, base::instant now) const;
     bool preempt(job& of,
@@ -322,8 +323,10 @@
     std::optional<gate> m_in_flight;
     /// A job has finished since the last batch.
     bool m_finished{false};
-    /// Instances kept free for gangs that wait, during one round.
-    std::set<std::string, std::less<>> m_reserved;
+    /// How many instances are kept free for gangs that wait, in this round.
+    std::size_t m_kept_free{0};
+    /// Counts the rounds of decisions.
+    std::uint64_t m_round{0};
     /// A late gang has instances kept free, during one round.
     bool m_late_reserving{false};
     /// By queue: which share of the instances its policy allows.
--- a/libraries/scheduler/scheduler_advice.cpp
+++ b/libraries/scheduler/scheduler_advice.cpp
@@ -8,8 +8,10 @@
 namespace
 {
 
-/// Until a step for which there was nothing to ask is looked at again.
+/// Until a step for which there was nothing to ask is looked at again. A gang
+/// waits for seconds, and its look costs more.
 constexpr base::duration look_again = std::chrono::milliseconds{20};
+constexpr base::duration gang_look_again = std::chrono::milliseconds{100};
 
 /// The share of the instances that a policy allows, while nothing is known
 /// of a queue's.
@@ -56,12 +58,20 @@
     auto& known = in->advice;
     known.asking = false;
     auto const first = known.allowed.empty() && known.refused.empty();
-    known.refused.insert(asked.begin(), asked.end());
+    for (auto const& id : asked)
+    {
+        if (auto const* const at = m_instances.find(id); at != nullptr)
+        {
+            known.refused.insert(at->number());
+        }
+    }
     for (auto const& it : allowed)
     {
-        known.refused.erase(it.instance);
-        known.allowed[it.instance] = {m_instances.share(it.instance), it.ticket,
-                                      now + validity};
+        if (auto const at = m_instances.share(it.instance); at != nullptr)
+        {
+            known.refused.erase(at->number());
+            known.allowed[at->number()] = {at, it.ticket, now + validity};
+        }
     }
     if (first && !asked.empty())
     {
@@ -124,7 +134,7 @@
                                  : task_question(of, name, queue, now);
     if (named.empty())
     {
-        known.next_ask = now + look_again;
+        known.next_ask = now + (spec.gang ? gang_look_again : look_again);
         return;
     }
     advice_order out;
@@ -157,12 +167,12 @@
     for (auto const& [id, at] : m_instances.all())
     {
         if (!eligible(*at, spec, queue, now) || !open_to(*at, spec) ||
-            known.refused.contains(id))
+            known.refused.contains(at->number()))
         {
             continue;
         }
         auto const slots = slots_in(spec, at->room(), 0);
-        if (auto const it = known.allowed.find(id);
+        if (auto const it = known.allowed.find(at->number());
             it != known.allowed.end() && holds(it->second, now))
         {
             usable += slots;
@@ -191,7 +201,7 @@
         {
             break;
         }
-        auto const sure = known.allowed.contains(it->info().id);
+        auto const sure = known.allowed.contains(it->number());
         expected += slots_in(spec, it->room(), 0) * (sure ? 1.0 : share);
         out.push_back(it);
     }
@@ -218,11 +228,12 @@
     std::vector<instance const*> lapsed;
     for (auto const& [id, at] : m_instances.all())
     {
-        if (!eligible(*at, spec, queue, now) || known.refused.contains(id))
+        if (!eligible(*at, spec, queue, now) ||
+            known.refused.contains(at->number()))
         {
             continue;
         }
-        auto const it = known.allowed.find(id);
+        auto const it = known.allowed.find(at->number());
         if (it == known.allowed.end())
         {
             unknown.push_back(at.get());
@@ -231,10 +242,10 @@
             continue;
         }
         could_hold += slots_in(spec, at->info().capacity, 0);
-        auto const own = std::ranges::find(in.reserved, id) != in.reserved.end();
-        auto const slots = own || open_to(*at, spec)
-                               ? slots_in(spec, at->room_soon(), 0)
-                               : 0;
+        auto const own =
+            std::ranges::find(in.reserved, at) != in.reserved.end();
+        auto const slots =
+            own || open_to(*at, spec) ? slots_in(spec, at->room_soon(), 0) : 0;
         holds_soon += slots;
         if (slots > 0 && !holds(it->second, now))
         {
@@ -242,7 +253,9 @@
         }
     }
     auto const by_room = [](instance const* it)
-    { return it->room().cpu_millis; };
+    {
+        return it->room().cpu_millis;
+    };
     auto const enough = gang_reserve_factor * spec.tasks;
     auto const expected =
         holds_soon + unknown_slots * allowed_share(queue.name);
--- a/libraries/scheduler/scheduler_decide.cpp
+++ b/libraries/scheduler/scheduler_decide.cpp
@@ -23,7 +23,8 @@
 
 void scheduler::decide(base::instant now)
 {
-    m_reserved.clear();
+    ++m_round;
+    m_kept_free = 0;
     m_late_reserving = false;
     for (auto const& it : turns(now))
     {
@@ -138,7 +139,7 @@
 {
     auto const passing =
         !spec.gang && std::chrono::milliseconds{spec.estimate_ms} <= short_task;
-    return passing || !m_reserved.contains(it.info().id);
+    return passing || it.kept_free_in != m_round;
 }
 
 std::uint32_t scheduler::tasks_on(workload::step_name const& of,
@@ -226,17 +227,18 @@
     it.run = run;
     it.instance = on;
     --in.waiting;
+    auto& where = m_instances.get(on);
     attempt made;
     made.need = of.spec_of(name.of).counted_need();
     made.checkpoint = it.checkpoint;
     made.began_at = now;
-    if (auto const at = in.advice.allowed.find(on);
+    if (auto const at = in.advice.allowed.find(where.number());
         at != in.advice.allowed.end())
     {
         made.ticket = at->second.text;
     }
     auto const named = attempt_name{name, run};
-    m_instances.get(on).add(named, made);
+    where.add(named, made);
     m_jobs.touch(of.spec().id);
     m_open.starts.push_back(
         {on, named, of.spec().payload, made.checkpoint, made.ticket, 0});
--- a/libraries/scheduler/scheduler_orders.cpp
+++ b/libraries/scheduler/scheduler_orders.cpp
@@ -53,7 +53,7 @@
         {
             if (auto* const in = job->find(name.task.of); in != nullptr)
             {
-                in->advice.allowed[id].until = {};
+                in->advice.allowed.erase(at->number());
             }
         }
         refused(*at, name, *it, now);
--- a/libraries/scheduler/scheduler_preempt.cpp
+++ b/libraries/scheduler/scheduler_preempt.cpp
@@ -14,6 +14,10 @@
 /// empty it faster than they can use it.
 constexpr double most_reserved = 0.25;
 
+/// Between two looks at what is kept free for a gang. With a hundred gangs that
+/// wait, a look at each in each round would take all of the owner's time.
+constexpr base::duration reserve_pause = std::chrono::milliseconds{30};
+
 /// Between two lines that say what a gang waits for.
 constexpr base::duration gang_report_pause = std::chrono::seconds{1};
 
@@ -32,25 +36,42 @@
     // Of the gangs that are late one at a time: parts of room kept for several
     // of them would be of use to none.
     auto const later = it.tier > 0 && std::exchange(m_late_reserving, true);
-    if (later || static_cast<double>(m_reserved.size()) >= most)
+    if (later || static_cast<double>(m_kept_free) >= most)
     {
         in.reserved.clear();
         report_waiting_gang(it, spec, in, {}, now);
         return;
     }
-    auto const from = future_candidates(of, it.name, now);
-    auto const known = [&](std::string const& id)
+    if (now >= in.next_look)
+    {
+        in.next_look = now + reserve_pause;
+        choose_reserve(of, it, in, now);
+    }
+    for (auto const& at : in.reserved)
     {
-        return std::ranges::any_of(from, [&](candidate const& entry)
-                                   { return entry.instance == id; });
-    };
+        at->kept_free_in = m_round;
+    }
+    m_kept_free += in.reserved.size();
+}
+
+void scheduler::choose_reserve(job& of,
+                               turn const& it,
+                               step& in,
+                               base::instant now)
+{
+    auto const& spec = of.spec_of(it.name);
+    auto const from = future_candidates(of, it.name, now);
     std::erase_if(in.reserved,
-                  [&](std::string const& id) { return !known(id); });
+                  [&](std::shared_ptr<instance> const& at)
+                  {
+                      return std::ranges::none_of(
+                          from, [&](candidate const& entry)
+                          { return entry.instance == at->info().id; });
+                  });
     if (!preempt(of, it, from, now))
     {
         fill_reserve(spec, in, from);
     }
-    m_reserved.insert(in.reserved.begin(), in.reserved.end());
     report_waiting_gang(it, spec, in, from, now);
 }
 
@@ -87,16 +108,13 @@
 /// some more, since not all come free in time.
 void scheduler::fill_reserve(workload::step_spec const& spec,
                              step& in,
-                             std::vector<candidate> from)
+                             std::vector<candidate> from) const
 {
     auto const wanted = spec.tasks * gang_reserve_factor;
     auto slots = 0.0;
-    for (auto const& it : from)
+    for (auto const& at : in.reserved)
     {
-        if (std::ranges::find(in.reserved, it.instance) != in.reserved.end())
-        {
-            slots += slots_in(spec, it.capacity, 0);
-        }
+        slots += slots_in(spec, at->info().capacity, 0);
     }
     std::ranges::sort(from, std::ranges::greater{},
                       [](candidate const& it) { return it.room.cpu_millis; });
@@ -106,12 +124,12 @@
         {
             return;
         }
-        if (std::ranges::find(in.reserved, it.instance) != in.reserved.end())
+        auto at = m_instances.share(it.instance);
+        if (std::ranges::find(in.reserved, at) == in.reserved.end())
         {
-            continue;
+            slots += slots_in(spec, it.capacity, 0);
+            in.reserved.push_back(std::move(at));
         }
-        slots += slots_in(spec, it.capacity, 0);
-        in.reserved.emplace_back(it.instance);
     }
 }
 
@@ -214,7 +232,7 @@
                       [](offer const& each) { return each.room.cpu_millis; });
     std::uint32_t slots = 0;
     std::vector<std::pair<instance*, attempt_name>> stopped;
-    std::vector<std::string> chosen;
+    std::vector<std::shared_ptr<instance>> chosen;
     for (auto& each : offers)
     {
         if (slots >= spec.tasks)
@@ -233,7 +251,7 @@
             here = slots_in(spec, each.room, 0);
         }
         slots += here;
-        chosen.push_back(each.at->info().id);
+        chosen.push_back(m_instances.share(each.at->info().id));
     }
     if (slots < spec.tasks)
     {
--- a/libraries/settings/cell_schema.cpp
+++ b/libraries/settings/cell_schema.cpp
@@ -105,6 +105,10 @@
             integer(16, 1'048'576));
     it->add({"descriptors", "", "Files and sockets together."},
             &section::descriptors, integer(64, 10'000'000));
+    constexpr double most_cores = 4'096;
+    it->add({"cores", "cores",
+             "Processor time; the work is owned where there is most of it."},
+            &section::cores, number(0.01, most_cores));
     return it;
 }
 
--- a/libraries/settings/cell_settings.hpp
+++ b/libraries/settings/cell_settings.hpp
@@ -52,6 +52,8 @@
 {
     std::int64_t memory_mb{256};
     std::int64_t descriptors{4'096};
+    /// The share of a processor that the process may use.
+    double cores{0.25};
 
     friend bool operator==(cell_limit_settings const&,
                            cell_limit_settings const&) = default;
--- a/tests/cell/fake_log.hpp
+++ b/tests/cell/fake_log.hpp
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <string>
@@ -70,17 +71,23 @@
                           { handler(out); });
     }
 
-    void read(std::uint64_t from,
-              base::duration,
-              base::duration,
+    void read(cell::read_question const& it,
               cell::read_handler handler) override
     {
         ++reads;
+        auto const from = it.from;
         cell::read_result out;
         out.end = from < first ? cell::read_end::trimmed : cell::read_end::read;
         out.log_end = log.size();
+        std::size_t bytes = 0;
         for (auto n = from; n < log.size() && from >= first; ++n)
         {
+            bytes += log[n].key.size() + log[n].value.size();
+            if (bytes > it.most_bytes && !out.entries.empty())
+            {
+                break;
+            }
+            largest_read = std::max(largest_read, bytes);
             out.entries.push_back({n, log[n].key, log[n].value});
         }
         boost::asio::post(m_loop, [handler = std::move(handler),
@@ -145,6 +152,8 @@
     std::vector<scheduler::record> between_pages;
     std::deque<fate> fates;
     std::size_t appends{0};
+    /// The most that one read brought, bytes of keys and values.
+    std::size_t largest_read{0};
     std::size_t reads{0};
 
 private:
--- a/tests/cell/log_follower_test.cpp
+++ b/tests/cell/log_follower_test.cpp
@@ -112,4 +112,40 @@
     BOOST_TEST(!*done);
 }
 
+/// Tasks go on being started on instances that leave. The owner's processor
+/// was short, an answer with all that it had missed came in too many pieces
+/// for its deadline, and each later one was larger.
+BOOST_AUTO_TEST_CASE(a_long_backlog_is_read_in_small_parts)
+{
+    follower.start();
+    run();
+    std::size_t const size = 50'000;
+    for (char key = 'a'; key <= 'h'; ++key)
+    {
+        log.put({{std::string(1, key), std::string(size, 'x')}});
+    }
+    run(60);
+    BOOST_TEST(seen.size() == 8U);
+    BOOST_TEST(log.largest_read <= std::size_t{128} * 1024);
+}
+
+/// A claim after the loss of an owner is put off again and again: the log is
+/// longer than one read, and a read that ends before the end of the log was
+/// taken for one that fails.
+BOOST_AUTO_TEST_CASE(catching_up_reads_on_until_the_end)
+{
+    follower.start();
+    run();
+    for (char key = 'a'; key <= 'h'; ++key)
+    {
+        log.put({{std::string(1, key), std::string(50'000, 'x')}});
+    }
+    std::optional<bool> done;
+    follower.catch_up([&](bool it) { done = it; });
+    run();
+    BOOST_REQUIRE(done.has_value());
+    BOOST_TEST(*done);
+    BOOST_TEST(follower.next_offset() == 8U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/cell/yield_rule_test.cpp
@@ -0,0 +1,101 @@
+#include <cell/yield_rule.hpp>
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <ostream>
+#include <vector>
+
+using namespace berylhill;
+using cell::owner_load;
+using cell::yield_reason;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+
+struct yield_case
+{
+    char const* story;
+    owner_load load;
+    yield_reason expected;
+};
+
+std::ostream& operator<<(std::ostream& to, yield_case const& it)
+{
+    return to << it.story;
+}
+
+cell::peer peer_with(std::int64_t millicores)
+{
+    return {"other", {"10.0.0.2", 7'700}, millicores};
+}
+
+std::vector<yield_case> const cases{
+    {"alone, it goes on however late it is",
+     {120, seconds{9}, seconds{2}, {}},
+     yield_reason::none},
+    {"an instance with four times the processor takes over",
+     {120, seconds{9}, milliseconds{1}, {peer_with(500)}},
+     yield_reason::larger_instance},
+    {"a little more processor is not worth a change",
+     {400, seconds{9}, milliseconds{1}, {peer_with(500)}},
+     yield_reason::none},
+    {"one that has just begun goes on",
+     {120, seconds{1}, seconds{2}, {peer_with(500)}},
+     yield_reason::none},
+    {"one that cannot keep up hands on to an equal",
+     {250, seconds{9}, milliseconds{400}, {peer_with(250)}},
+     yield_reason::overloaded},
+    {"a smaller one would keep up still less",
+     {500, seconds{9}, milliseconds{400}, {peer_with(120)}},
+     yield_reason::none},
+    {"pauses of a tenth of a second are no overload",
+     {250, seconds{9}, milliseconds{60}, {peer_with(250)}},
+     yield_reason::none},
+};
+
+struct order_case
+{
+    cell::peer it;
+    cell::peer other;
+    bool before;
+};
+
+std::ostream& operator<<(std::ostream& to, order_case const& it)
+{
+    return to << it.it.millicores << " before " << it.other.millicores << ": "
+              << it.before;
+}
+
+std::vector<order_case> const orders{
+    {{"a", {"10.0.0.9", 1}, 500}, {"b", {"10.0.0.1", 1}, 120}, true},
+    {{"a", {"10.0.0.1", 1}, 120}, {"b", {"10.0.0.9", 1}, 500}, false},
+    {{"a", {"10.0.0.1", 1}, 250}, {"b", {"10.0.0.2", 1}, 250}, true},
+    {{"a", {"10.0.0.1", 1}, 250}, {"b", {"10.0.0.1", 1}, 250}, false},
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(yield_rule)
+
+/// Users of a cell whose machines are unlike wait for seconds. Its owner runs
+/// on a small one, answers late, is taken for lost, and the next small one
+/// takes over.
+BOOST_DATA_TEST_CASE(an_owner_hands_on_what_it_cannot_carry,
+                     boost::unit_test::data::make(cases),
+                     it)
+{
+    BOOST_TEST((should_yield(it.load) == it.expected));
+}
+
+BOOST_DATA_TEST_CASE(those_with_more_processor_time_come_first,
+                     boost::unit_test::data::make(orders),
+                     it)
+{
+    BOOST_TEST(comes_before(it.it, it.other) == it.before);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
