--- a/libraries/scheduler/scheduler_advice.cpp
+++ b/libraries/scheduler/scheduler_advice.cpp
@@ -27,6 +27,11 @@
 /// Even a single task has so many to choose from, or it would not fit well.
 constexpr std::size_t least_named = 12;
 
+/// A gang's first question names instances whose room, by the share that its
+/// queue's policy allows, holds it so many times over.
+constexpr double gang_spare = 2.0;
+constexpr std::size_t least_named_for_gang = 24;
+
 /// A gang asks anew once the instances that it may use have this many times
 /// the slots that it needs, since a slot may go while the question is out.
 constexpr double gang_margin = 1.0;
@@ -265,7 +270,16 @@
     if ((could_hold < enough || elsewhere) && !unknown.empty())
     {
         std::ranges::sort(unknown, std::ranges::greater{}, by_room);
-        unknown.resize(std::min(unknown.size(), most_named(spec, queue)));
+        auto const share = allowed_share(queue.name);
+        auto hoped = 0.0;
+        auto n = std::size_t{0};
+        while (n < std::min(unknown.size(), m_rules.advice_instances) &&
+               (n < least_named_for_gang || hoped < gang_spare * spec.tasks))
+        {
+            hoped += share * slots_in(spec, unknown[n]->room(), 0);
+            ++n;
+        }
+        unknown.resize(n);
         return unknown;
     }
     if (holds_soon < gang_margin * spec.tasks)
