soak: Play random faults against real processes and check the promises

utilities/soak: seeds give plans of overlapping faults (kills, stops, freezes, reloads, all at once; links that are silent, one-way, slow, reset; a store that is down or loses answers; instances that crash; configurations), callers that keep their connections, and a ledger of what callers and instances see. Clocks are not harmed: the process uses the time of day for repeating jobs only, and the machine's clock is not ours to set.

Stand-ins stop tasks, restart, lose answers; a signal to a process that was waited for goes nowhere.

--- a/libraries/cell/sure_append.cpp
+++ b/libraries/cell/sure_append.cpp
@@ -3,6 +3,7 @@
 #include <base/log.hpp>
 
 #include <algorithm>
+#include <bit>
 #include <utility>
 
 namespace berylhill::cell
@@ -29,6 +30,11 @@
 constexpr base::duration first_pause = std::chrono::milliseconds{40};
 constexpr base::duration longest_pause = std::chrono::milliseconds{400};
 
+/// Between an append without an answer and the next try, doubled up to the
+/// limit; the time that was waited for the answer counts.
+constexpr base::duration first_repeat_pause = std::chrono::milliseconds{5};
+constexpr base::duration longest_repeat_pause = std::chrono::milliseconds{100};
+
 /// What a look at the records at an offset brings at most: above the largest
 /// batch, whose records it compares.
 constexpr std::size_t look_bytes = std::size_t{1024} * 1024;
@@ -148,9 +154,12 @@
         return;
     case append_end::unanswered:
         m_maybe_stored = true;
-        base::log(base::log_level::warning, "append_unanswered",
-                  {{"at", m_at}, {"tries", m_tries}});
-        send();
+        if (std::has_single_bit(m_tries))
+        {
+            base::log(base::log_level::warning, "append_unanswered",
+                      {{"at", m_at}, {"tries", m_tries}});
+        }
+        repeat(sent_at);
         return;
     case append_end::refused:
     case append_end::full:
@@ -167,6 +176,16 @@
     }
 }
 
+/// A connection that is reset at once costs no time, so a store that resets
+/// all of them would be asked three hundred times a second.
+void sure_append::repeat(base::instant sent_at)
+{
+    auto const pause =
+        std::min(longest_repeat_pause, doubled(first_repeat_pause, m_tries));
+    auto const took = m_clock.now() - sent_at;
+    again(std::max(base::duration{0}, pause - took), [this] { send(); });
+}
+
 void sure_append::look()
 {
     m_log.read({m_at, base::duration{0}, look_bytes, look_timeout},
--- a/libraries/cell/sure_append.hpp
+++ b/libraries/cell/sure_append.hpp
@@ -82,6 +82,7 @@
 private:
     void send();
     void answered(append_result const& it, base::instant sent_at);
+    void repeat(base::instant sent_at);
     void look();
     void looked(read_result const& it);
     [[nodiscard]] bool stands_at(read_result const& it) const;
--- a/tests/cell/sure_append_test.cpp
+++ b/tests/cell/sure_append_test.cpp
@@ -131,6 +131,18 @@
     BOOST_TEST((*end == sure_end::stored));
 }
 
+/// A store whose connections are reset at once gets three hundred appends a
+/// second of one owner, and counts them all.
+BOOST_AUTO_TEST_CASE(a_store_that_resets_is_not_asked_all_the_time)
+{
+    log.fates.assign(1'000, fate::delay);
+    begin(0);
+    loop.run_for(std::chrono::milliseconds{300});
+    // After 10, 20, 40, 80 and then each 100 ms.
+    BOOST_TEST(log.appends <= 7);
+    BOOST_TEST(log.appends >= 4);
+}
+
 BOOST_AUTO_TEST_CASE(a_claim_is_given_up_in_time)
 {
     log.fates.assign(1'000, fate::refuse);
--- a/tests/platform_adapter/cell_fixture.cpp
+++ b/tests/platform_adapter/cell_fixture.cpp
@@ -1,11 +1,11 @@
 #include "cell_fixture.hpp"
 
+#include "stand_ins/cell_process.hpp"
+#include "stand_ins/ports.hpp"
+
 #include <cell/peer_messages.hpp>
 #include <cell/peer_paths.hpp>
 
-#include <boost/asio/ip/tcp.hpp>
-
-#include <fstream>
 #include <unistd.h>
 
 namespace berylhill::platform_test
@@ -14,7 +14,6 @@
 namespace
 {
 
-constexpr std::uint16_t ports_per_process = 4;
 constexpr std::size_t instance_count = 2;
 constexpr std::chrono::milliseconds work{150};
 
@@ -23,41 +22,6 @@
     "priority":0,"service":"svc","attempts":2,"stretch":2}],
     "services":[{"name":"svc"}],"limits":{}})";
 
-/// A run of free ports; others on the machine may take one before it is used,
-/// which the start of the process then shows.
-std::uint16_t free_ports(std::uint16_t wanted)
-{
-    using boost::asio::ip::tcp;
-    boost::asio::io_context loop;
-    for (std::uint16_t first =
-             static_cast<std::uint16_t>(20'000 + ::getpid() % 20'000);
-         ; first = static_cast<std::uint16_t>(first + wanted))
-    {
-        try
-        {
-            std::vector<tcp::acceptor> held;
-            for (std::uint16_t n = 0; n < wanted; ++n)
-            {
-                held.emplace_back(
-                    loop,
-                    tcp::endpoint{boost::asio::ip::make_address_v4("127.0.0.1"),
-                                  static_cast<std::uint16_t>(first + n)});
-            }
-            return first;
-        }
-        catch (boost::system::system_error const&)
-        {
-            // Taken by somebody; the next run of ports is tried.
-            continue;
-        }
-    }
-}
-
-network::socket_address local(std::size_t port)
-{
-    return {"127.0.0.1", static_cast<std::uint16_t>(port)};
-}
-
 std::string job_path(std::uint64_t id)
 {
     return "/q/" + text_of(workload::job_id{id});
@@ -66,8 +30,8 @@
 } // namespace
 
 cell_fixture::cell_fixture()
-    : m_first_port{free_ports(ports_per_process * processes + 1 +
-                              instance_count)}
+    : m_first_port{free_ports(static_cast<std::uint16_t>(
+          ports_per_process * processes + 1 + instance_count))}
     , m_folder{std::filesystem::temp_directory_path() /
                ("berylhill-cell-" + std::to_string(::getpid()) + "-" +
                 std::to_string(m_first_port))}
@@ -100,24 +64,10 @@
 
 void cell_fixture::start_process(std::size_t n)
 {
-    auto const first = std::size_t{m_first_port} + n * ports_per_process;
-    auto const name = "cell-" + std::to_string(n);
-    auto const path = m_folder / (name + ".json");
-    auto const store_port =
-        std::size_t{m_first_port} + ports_per_process * processes;
-    std::ofstream{path} << R"({"instance":")" << name
-                        << R"(","zone":"a","listen":{"callers":")"
-                        << text_of(local(first)) << R"(","readiness":")"
-                        << text_of(local(first + 1)) << R"(","peer":")"
-                        << text_of(local(first + 2)) << R"(","metrics":")"
-                        << text_of(local(first + 3))
-                        << R"("},"platform":{"store":")"
-                        << text_of(local(store_port))
-                        << R"("},"bounds":{"stop_grace_s":3}})";
-    cells[n] = std::make_unique<process>(
-        std::vector<std::string>{BERYLHILL_BINARY, "cell", "--settings",
-                                 path.string()},
-        (m_folder / (name + ".log")).string());
+    cells[n] =
+        start({BERYLHILL_BINARY, m_folder, "cell-" + std::to_string(n),
+               m_first_port + n * ports_per_process,
+               std::size_t{m_first_port} + ports_per_process * processes});
 }
 
 network::http_response cell_fixture::ask(std::uint16_t port,
--- /dev/null
+++ b/tests/platform_adapter/stand_ins/cell_process.cpp
@@ -0,0 +1,44 @@
+#include "cell_process.hpp"
+
+#include "ports.hpp"
+
+#include <fstream>
+
+namespace berylhill::platform_test
+{
+
+namespace
+{
+
+std::filesystem::path settings_path(cell_process const& it)
+{
+    return it.folder / (it.name + ".json");
+}
+
+} // namespace
+
+void write_settings(cell_process const& it)
+{
+    auto const address = [&](std::size_t n)
+    {
+        return text_of(local(it.first_port + n));
+    };
+    std::ofstream{settings_path(it)}
+        << R"({"instance":")" << it.name
+        << R"(","zone":"a","listen":{"callers":")" << address(0)
+        << R"(","readiness":")" << address(1) << R"(","peer":")" << address(2)
+        << R"(","metrics":")" << address(3) << R"("},"platform":{"store":")"
+        << text_of(local(it.store_port))
+        << R"("},"bounds":{"stop_grace_s":3}})";
+}
+
+std::unique_ptr<process> start(cell_process const& it)
+{
+    write_settings(it);
+    return std::make_unique<process>(
+        std::vector<std::string>{it.binary, "cell", "--settings",
+                                 settings_path(it).string()},
+        (it.folder / (it.name + ".log")).string());
+}
+
+} // namespace berylhill::platform_test
--- /dev/null
+++ b/tests/platform_adapter/stand_ins/cell_process.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "process.hpp"
+
+#include <cstddef>
+#include <filesystem>
+#include <memory>
+#include <string>
+
+namespace berylhill::platform_test
+{
+
+/// How a process of a cell is started. A value.
+struct cell_process
+{
+    std::string binary;
+    std::filesystem::path folder;
+    std::string name;
+    /// The first of four ports: callers, readiness, peers, metrics.
+    std::size_t first_port{0};
+    std::size_t store_port{0};
+};
+
+/// Ports that a process listens at.
+inline constexpr std::size_t ports_per_process = 4;
+
+/// Writes its settings file.
+void write_settings(cell_process const& it);
+
+/// Writes its settings and starts it; its output goes to a file beside them.
+[[nodiscard]] std::unique_ptr<process> start(cell_process const& it);
+
+} // namespace berylhill::platform_test
--- a/tests/platform_adapter/stand_ins/instance_stand_in.cpp
+++ b/tests/platform_adapter/stand_ins/instance_stand_in.cpp
@@ -52,14 +52,15 @@
     every_tick();
 }
 
-std::string instance_stand_in::heartbeat() const
+std::string
+instance_stand_in::heartbeat(network::socket_address const& reached_at) const
 {
     return json::serialize(json::object{
         {"service", "svc"},
-        {"address", text_of(m_address)},
+        {"address", text_of(reached_at)},
         {"zone", "a"},
         {"state", "ready"},
-        {"capacity", json::object{{"cpu", 8'000}, {"memMb", 8'000}}},
+        {"capacity", json::object{{"cpu", cpu_millis}, {"memMb", 8'000}}},
         {"labels", json::array{"k", "r"}}});
 }
 
@@ -95,15 +96,67 @@
     {
         start(body.value(), answer);
     }
+    else if (it.target == "/api/run-stop")
+    {
+        stop(body.value(), answer);
+    }
     else if (it.target == "/api/hold")
     {
         hold(body.value(), answer);
     }
     else
     {
-        answer(
-            {200, {}, json::serialize(json::object{{"clockMs", clock_ms()}})});
+        answer({404, {}, {}});
+    }
+}
+
+void instance_stand_in::stop(json::value const& it,
+                             network::responder const& answer)
+{
+    auto const task = json_codec::text_or(it, "task");
+    auto const run = json_codec::number_or(it, "run");
+    auto const known = m_running.find(task);
+    if (known != m_running.end() && known->second.number <= run)
+    {
+        end(task, known->second.number, "stopped");
+        m_running.erase(known);
+    }
+    // A start of this run that comes later is refused.
+    m_highest[task] = std::max(m_highest[task], run);
+    answer({200, {}, json::serialize(json::object{{"clockMs", clock_ms()}})});
+}
+
+void instance_stand_in::end(std::string const& task,
+                            std::int64_t run,
+                            char const* how)
+{
+    m_highest[task] = std::max(m_highest[task], run);
+    m_ended.push_back({m_next_end++, task, run, how, ""});
+    if (m_on_end)
+    {
+        m_on_end(task, how);
+    }
+}
+
+void instance_stand_in::restart(std::string id)
+{
+    m_id = std::move(id);
+    m_token = 0;
+    m_until_ms = 0;
+    m_running.clear();
+    m_highest.clear();
+    m_ended.clear();
+    m_next_end = 1;
+}
+
+std::vector<std::string> instance_stand_in::running() const
+{
+    std::vector<std::string> out;
+    for (auto const& [task, it] : m_running)
+    {
+        out.push_back(task);
     }
+    return out;
 }
 
 void instance_stand_in::start(json::value const& it,
@@ -173,9 +226,7 @@
             ++it;
             continue;
         }
-        m_highest[it->first] = it->second.number;
-        m_ended.push_back({m_next_end++, it->first, it->second.number,
-                           lapsed ? "lapsed" : "done", ""});
+        end(it->first, it->second.number, lapsed ? "lapsed" : "done");
         it = m_running.erase(it);
     }
     std::vector<waiting_hold> still;
--- a/tests/platform_adapter/stand_ins/instance_stand_in.hpp
+++ b/tests/platform_adapter/stand_ins/instance_stand_in.hpp
@@ -22,6 +22,9 @@
 class instance_stand_in
 {
 public:
+    /// What it says of its room, in thousandths of a core.
+    static constexpr std::int64_t cpu_millis = 8'000;
+
     /// Told of each task that begins.
     using start_handler = std::function<void(std::string const& task)>;
 
@@ -31,13 +34,35 @@
                       std::chrono::milliseconds work,
                       start_handler started);
 
+    /// Told of each task that ends here, and how; not of those that a crash
+    /// ends.
+    using end_handler =
+        std::function<void(std::string const& task, std::string const& how)>;
+    void on_end(end_handler it)
+    {
+        m_on_end = std::move(it);
+    }
+
+    /// Crashes and is back at once under another id: nothing runs, nothing is
+    /// known.
+    void restart(std::string id);
+
+    /// The tasks that run now.
+    [[nodiscard]] std::vector<std::string> running() const;
+
     [[nodiscard]] std::string const& id() const noexcept
     {
         return m_id;
     }
 
-    /// What it writes of itself into the store.
-    [[nodiscard]] std::string heartbeat() const;
+    /// What it writes of itself into the store; `reached_at` stands for its
+    /// own address where something lies between.
+    [[nodiscard]] std::string heartbeat() const
+    {
+        return heartbeat(m_address);
+    }
+    [[nodiscard]] std::string
+    heartbeat(network::socket_address const& reached_at) const;
 
 private:
     struct running_task
@@ -55,7 +80,9 @@
     void handle(network::http_request const& it,
                 network::responder const& answer);
     void start(boost::json::value const& it, network::responder const& answer);
+    void stop(boost::json::value const& it, network::responder const& answer);
     void hold(boost::json::value const& it, network::responder const& answer);
+    void end(std::string const& task, std::int64_t run, char const* how);
     [[nodiscard]] std::int64_t clock_ms() const;
     [[nodiscard]] network::http_response report() const;
     void every_tick();
@@ -64,6 +91,7 @@
     std::string m_id;
     std::chrono::milliseconds m_work;
     start_handler m_started;
+    end_handler m_on_end;
     boost::asio::steady_timer m_timer;
     network::http_server m_server;
     std::int64_t m_token{0};
--- a/tests/platform_adapter/stand_ins/process.cpp
+++ b/tests/platform_adapter/stand_ins/process.cpp
@@ -46,7 +46,11 @@
 
 void process::signal(int number) const
 {
-    ::kill(m_id, number);
+    // Once it has been waited for, its number may be another process's.
+    if (!m_ended)
+    {
+        ::kill(m_id, number);
+    }
 }
 
 bool process::ended()
--- a/tests/platform_adapter/stand_ins/store_stand_in.cpp
+++ b/tests/platform_adapter/stand_ins/store_stand_in.cpp
@@ -142,7 +142,16 @@
                        std::string{record.substr(1 + key)}});
         rest.remove_prefix(4 + length);
     }
-    answer(json_answer(200, {{"offset", first}, {"end", log.size()}}));
+    m_lost_sum += m_lost_share;
+    if (m_lost_sum >= 1)
+    {
+        m_lost_sum -= 1;
+        m_lost.push_back(answer);
+    }
+    else
+    {
+        answer(json_answer(200, {{"offset", first}, {"end", log.size()}}));
+    }
     wake();
 }
 
--- a/tests/platform_adapter/stand_ins/store_stand_in.hpp
+++ b/tests/platform_adapter/stand_ins/store_stand_in.hpp
@@ -33,6 +33,12 @@
         m_down = it;
     }
 
+    /// Carries out this share of the appends without an answer.
+    void set_lost_share(double it)
+    {
+        m_lost_share = it;
+    }
+
     [[nodiscard]] std::size_t appends() const noexcept
     {
         return m_appends;
@@ -70,6 +76,10 @@
     std::list<waiting_read> m_waiting;
     std::size_t m_appends{0};
     bool m_down{false};
+    double m_lost_share{0};
+    double m_lost_sum{0};
+    /// Answers that are never given.
+    std::vector<network::responder> m_lost;
 };
 
 } // namespace berylhill::platform_test
--- /dev/null
+++ b/utilities/soak/cell.cpp
@@ -0,0 +1,305 @@
+#include <soak/cell.hpp>
+
+#include <stand_ins/ports.hpp>
+
+#include <csignal>
+#include <utility>
+
+namespace berylhill::soak
+{
+
+namespace
+{
+
+using platform_test::local;
+
+constexpr std::chrono::milliseconds task_time{250};
+
+/// The grace time of the settings and a little for a busy machine.
+constexpr std::chrono::seconds longest_stop{6};
+
+/// The share of appends without an answer while the store loses them.
+constexpr double lost_share = 0.4;
+
+std::string route(std::string const& name)
+{
+    return R"({"name":")" + name + R"(","hostname":"h","pathPrefix":"/)" +
+           name + R"(/","timeoutMs":3000,"targetLatencyMs":500,"priority":0,)" +
+           R"("service":"svc","attempts":2,"stretch":2})";
+}
+
+} // namespace
+
+cell::cell(boost::asio::io_context& loop,
+           std::string binary,
+           std::filesystem::path folder,
+           cell_size size,
+           ledger& seen)
+    : m_loop{loop}
+    , m_seen{seen}
+{
+    using platform_test::ports_per_process;
+    auto const links = 2;
+    auto const wanted =
+        size.processes * (ports_per_process + links) + size.instances * 2 + 1;
+    std::size_t port =
+        platform_test::free_ports(static_cast<std::uint16_t>(wanted));
+    auto const store = local(port++);
+    m_store = std::make_unique<platform_test::store_stand_in>(loop, store);
+    configure();
+    for (std::size_t n = 0; n < size.instances; ++n)
+    {
+        auto const id = "i-" + std::to_string(n);
+        auto const at = local(port++);
+        worker made;
+        made.reached_at = local(port++);
+        made.link = std::make_unique<fault_link>(loop, made.reached_at, at);
+        m_workers.push_back(std::move(made));
+        auto& it = m_workers.back();
+        it.instance = std::make_unique<platform_test::instance_stand_in>(
+            loop, at, id, task_time,
+            [this, n](std::string const& task)
+            { m_seen.started(m_workers[n].instance->id(), task); });
+        it.instance->on_end(
+            [this, n](std::string const& task, std::string const& how)
+            { m_seen.ended(m_workers[n].instance->id(), task, how); });
+        m_store->put("keyed.servers", id,
+                     it.instance->heartbeat(it.reached_at));
+    }
+    for (std::size_t n = 0; n < size.processes; ++n)
+    {
+        member it;
+        auto const store_link = local(port++);
+        it.callers = local(port++);
+        it.how = {binary, folder, "cell-" + std::to_string(n), port,
+                  store_link.port};
+        it.to_store = std::make_unique<fault_link>(loop, store_link, store);
+        it.from_callers =
+            std::make_unique<fault_link>(loop, it.callers, local(port));
+        port += ports_per_process;
+        it.process = platform_test::start(it.how);
+        m_processes.push_back(std::move(it));
+    }
+}
+
+cell::~cell() = default;
+
+/// Each version adds a queue and takes the one before it out; `q` stays.
+void cell::configure()
+{
+    ++m_version;
+    auto routes = route("q");
+    if (m_version > 1)
+    {
+        routes += "," + route(added_queue().substr(1, 2));
+    }
+    m_store->put("keyed.op", "config",
+                 R"({"version":)" + std::to_string(m_version) +
+                     R"(,"routes":[)" + routes +
+                     R"(],"services":[{"name":"svc"}],"limits":{}})");
+}
+
+std::string cell::added_queue() const
+{
+    constexpr int first_letter = 'a';
+    constexpr int letters = 26;
+    return m_version < 2
+               ? std::string{}
+               : std::string{"/x"} +
+                     static_cast<char>(first_letter + m_version % letters) +
+                     "/";
+}
+
+std::string cell::removed_queue() const
+{
+    constexpr int first_letter = 'a';
+    constexpr int letters = 26;
+    return m_version < 3 ? std::string{}
+                         : std::string{"/x"} +
+                               static_cast<char>(first_letter +
+                                                 (m_version - 1) % letters) +
+                               "/";
+}
+
+network::socket_address cell::callers_of(std::size_t process) const
+{
+    return m_processes[process].callers;
+}
+
+void cell::stop(member& it, int signal, bool must_exit_well)
+{
+    if (it.stopping)
+    {
+        // A process that was asked to end may still be killed.
+        it.must_exit_well = it.must_exit_well && must_exit_well;
+        it.process->signal(signal);
+        return;
+    }
+    it.stopping = true;
+    it.must_exit_well = must_exit_well;
+    it.asked_at = std::chrono::steady_clock::now();
+    it.process->signal(signal);
+}
+
+void cell::crash(worker& it)
+{
+    auto const before = it.instance->id();
+    auto const after =
+        before.substr(0, before.find('+')) + "+" + std::to_string(++m_crashes);
+    m_seen.crashed(before);
+    it.instance->restart(after);
+    it.link->reset();
+    m_store->put("keyed.servers", after, it.instance->heartbeat(it.reached_at));
+}
+
+void cell::begin(fault const& it)
+{
+    auto& at = m_processes[it.target % m_processes.size()];
+    auto& near = m_workers[it.target % m_workers.size()];
+    switch (it.kind)
+    {
+    case fault_kind::kill:
+        at.held = true;
+        stop(at, SIGKILL, false);
+        return;
+    case fault_kind::terminate:
+        stop(at, SIGTERM, true);
+        return;
+    case fault_kind::freeze:
+        at.must_exit_well = false;
+        at.process->signal(SIGSTOP);
+        return;
+    case fault_kind::kill_all:
+        for (auto& each : m_processes)
+        {
+            stop(each, SIGKILL, false);
+        }
+        return;
+    case fault_kind::reload:
+        platform_test::write_settings(at.how);
+        if (!at.process->ended())
+        {
+            at.process->signal(SIGHUP);
+        }
+        return;
+    case fault_kind::store_link_silent:
+        at.to_store->set(link_state::silent);
+        return;
+    case fault_kind::store_link_answers_lost:
+        at.to_store->set(link_state::answers_lost);
+        return;
+    case fault_kind::store_link_slow:
+        at.to_store->set(link_state::slow);
+        return;
+    case fault_kind::store_link_reset:
+        at.to_store->set(link_state::refusing);
+        at.to_store->reset();
+        return;
+    case fault_kind::instance_link_silent:
+        near.link->set(link_state::silent);
+        return;
+    case fault_kind::instance_link_reset:
+        near.link->reset();
+        return;
+    case fault_kind::caller_link_reset:
+        at.from_callers->reset();
+        return;
+    case fault_kind::store_down:
+        m_store->set_down(true);
+        return;
+    case fault_kind::store_loses_answers:
+        m_store->set_lost_share(lost_share);
+        return;
+    case fault_kind::instance_crash:
+        crash(near);
+        return;
+    case fault_kind::change_configuration:
+        configure();
+        return;
+    }
+}
+
+void cell::end(fault const& it)
+{
+    auto& at = m_processes[it.target % m_processes.size()];
+    auto& near = m_workers[it.target % m_workers.size()];
+    switch (it.kind)
+    {
+    case fault_kind::kill:
+        at.held = false;
+        return;
+    case fault_kind::freeze:
+        at.process->signal(SIGCONT);
+        return;
+    case fault_kind::store_link_silent:
+    case fault_kind::store_link_answers_lost:
+    case fault_kind::store_link_slow:
+    case fault_kind::store_link_reset:
+        at.to_store->set(link_state::open);
+        return;
+    case fault_kind::instance_link_silent:
+        near.link->set(link_state::open);
+        return;
+    case fault_kind::store_down:
+        m_store->set_down(false);
+        return;
+    case fault_kind::store_loses_answers:
+        m_store->set_lost_share(0);
+        return;
+    default:
+        return;
+    }
+}
+
+void cell::look_after_processes()
+{
+    auto const now = std::chrono::steady_clock::now();
+    for (auto& it : m_processes)
+    {
+        if (!it.process->ended())
+        {
+            if (it.must_exit_well && now - it.asked_at > longest_stop)
+            {
+                m_seen.found(it.how.name + " does not end when it is asked to");
+                it.must_exit_well = false;
+                it.process->signal(SIGKILL);
+            }
+            continue;
+        }
+        if (!it.stopping)
+        {
+            m_seen.found(it.how.name + " ended by itself, status " +
+                         std::to_string(it.process->status()));
+        }
+        if (it.must_exit_well && it.process->status() != 0)
+        {
+            m_seen.found(it.how.name + " was asked to end: status " +
+                         std::to_string(it.process->status()));
+        }
+        it.must_exit_well = false;
+        if (!it.held)
+        {
+            it.stopping = false;
+            it.process = platform_test::start(it.how);
+        }
+    }
+}
+
+void cell::heal()
+{
+    m_store->set_down(false);
+    m_store->set_lost_share(0);
+    for (auto& it : m_processes)
+    {
+        it.held = false;
+        it.process->signal(SIGCONT);
+        it.to_store->set(link_state::open);
+        it.from_callers->set(link_state::open);
+    }
+    for (auto& it : m_workers)
+    {
+        it.link->set(link_state::open);
+    }
+}
+
+} // namespace berylhill::soak
--- /dev/null
+++ b/utilities/soak/cell.hpp
@@ -0,0 +1,106 @@
+#pragma once
+
+#include <soak/fault_link.hpp>
+#include <soak/ledger.hpp>
+#include <soak/plan.hpp>
+#include <stand_ins/cell_process.hpp>
+#include <stand_ins/instance_stand_in.hpp>
+#include <stand_ins/store_stand_in.hpp>
+
+#include <boost/asio/io_context.hpp>
+
+#include <filesystem>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace berylhill::soak
+{
+
+/// The size of a run. A value.
+struct cell_size
+{
+    std::size_t processes{5};
+    std::size_t instances{6};
+
+    friend bool operator==(cell_size const&, cell_size const&) = default;
+};
+
+/// Real processes of a cell with stand-ins around them and links between, all
+/// on loopback. Ends only what it started. Lives on the event loop.
+class cell
+{
+public:
+    /// Tasks of `task_cpu` that an instance holds.
+    static constexpr std::int64_t task_cpu = 3'000;
+    static constexpr std::size_t room = static_cast<std::size_t>(
+        platform_test::instance_stand_in::cpu_millis / task_cpu);
+
+    cell(boost::asio::io_context& loop,
+         std::string binary,
+         std::filesystem::path folder,
+         cell_size size,
+         ledger& seen);
+    cell(cell const&) = delete;
+    cell& operator=(cell const&) = delete;
+    ~cell();
+
+    void begin(fault const& it);
+    void end(fault const& it);
+
+    /// Starts processes again that were ended, and looks for those that ended
+    /// by themselves.
+    void look_after_processes();
+
+    /// Ends all faults.
+    void heal();
+
+    /// Where callers reach a process: its link.
+    [[nodiscard]] network::socket_address callers_of(std::size_t process) const;
+
+    [[nodiscard]] std::size_t processes() const noexcept
+    {
+        return m_processes.size();
+    }
+
+    /// The prefix of the queue that the newest configuration added, and of
+    /// one that it took out; empty before the first change.
+    [[nodiscard]] std::string added_queue() const;
+    [[nodiscard]] std::string removed_queue() const;
+
+private:
+    struct member
+    {
+        platform_test::cell_process how;
+        std::unique_ptr<platform_test::process> process;
+        std::unique_ptr<fault_link> to_store;
+        std::unique_ptr<fault_link> from_callers;
+        network::socket_address callers;
+        /// Ended by us, or asked to end.
+        bool stopping{false};
+        bool must_exit_well{false};
+        bool held{false};
+        ledger::instant asked_at;
+    };
+
+    struct worker
+    {
+        std::unique_ptr<platform_test::instance_stand_in> instance;
+        std::unique_ptr<fault_link> link;
+        network::socket_address reached_at;
+    };
+
+    void stop(member& it, int signal, bool must_exit_well);
+    void crash(worker& it);
+    void configure();
+
+    boost::asio::io_context& m_loop;
+    ledger& m_seen;
+    std::unique_ptr<platform_test::store_stand_in> m_store;
+    std::vector<member> m_processes;
+    std::vector<worker> m_workers;
+    int m_version{0};
+    int m_crashes{0};
+};
+
+} // namespace berylhill::soak
--- /dev/null
+++ b/utilities/soak/client.cpp
@@ -0,0 +1,197 @@
+#include <soak/client.hpp>
+
+#include <json_codec/reader.hpp>
+#include <workload/job_id.hpp>
+
+#include <utility>
+
+namespace berylhill::soak
+{
+
+namespace
+{
+
+constexpr unsigned status_ok = 200;
+constexpr unsigned too_many = 429;
+constexpr unsigned unavailable = 503;
+constexpr unsigned gone = 410;
+
+constexpr std::chrono::seconds deadline{3};
+constexpr std::chrono::milliseconds look_pause{120};
+constexpr std::chrono::milliseconds retry_pause{250};
+
+/// A client gives a job up that was refused so often.
+constexpr int most_refusals = 4;
+
+/// One job in so many is cancelled.
+constexpr std::uint64_t cancel_one_in = 7;
+
+std::string job_body()
+{
+    auto const step = [](int tasks, char const* after)
+    {
+        return R"({"count":)" + std::to_string(tasks) + R"(,"cpu":)" +
+               std::to_string(cell::task_cpu) +
+               R"(,"memMb":100,"estimateMs":250)" + after + "}";
+    };
+    return R"({"taskSpec":"t","steps":[)" + step(2, "") + "," +
+           step(1, R"(,"after":[0])") + "]}";
+}
+
+} // namespace
+
+std::vector<std::vector<std::string>> client::task_names()
+{
+    return {{"0.0.0", "0.0.1"}, {"0.1.0"}};
+}
+
+client::client(boost::asio::io_context& loop,
+               cell const& at,
+               ledger& seen,
+               std::uint64_t seed)
+    : m_cell{at}
+    , m_seen{seen}
+    , m_random{seed}
+    , m_client{loop, {}}
+    , m_timer{loop}
+{
+}
+
+client::~client() = default;
+
+void client::start()
+{
+    next_job();
+}
+
+std::uint64_t client::draw(std::uint64_t below)
+{
+    return std::uniform_int_distribution<std::uint64_t>{0, below - 1}(m_random);
+}
+
+void client::next_job()
+{
+    if (m_finishing)
+    {
+        m_idle = true;
+        return;
+    }
+    m_job = text_of(workload::job_id{m_random()});
+    m_refusals = 0;
+    m_maybe_taken = false;
+    m_accepted = false;
+    m_cancels = draw(cancel_one_in) == 0;
+    submit();
+}
+
+void client::call(network::http_method method, std::string body, handler done)
+{
+    auto const to = m_cell.callers_of(draw(m_cell.processes()));
+    m_client.call(to,
+                  {method,
+                   "/q/" + m_job,
+                   {{"Host", "h"}},
+                   std::move(body),
+                   "application/json"},
+                  deadline, std::move(done));
+}
+
+void client::later(std::chrono::milliseconds pause, void (client::*what)())
+{
+    m_timer.expires_after(pause);
+    m_timer.async_wait(
+        [this, what](auto ec)
+        {
+            if (!ec)
+            {
+                (this->*what)();
+            }
+        });
+}
+
+void client::submit()
+{
+    call(network::http_method::post, job_body(),
+         [this](auto const& it) { submitted(it); });
+}
+
+void client::submitted(network::call_result const& it)
+{
+    auto const answered = it.end == network::call_end::answered;
+    auto const status = answered ? it.response.status : 0U;
+    m_seen.submit_answered(m_job, status, std::chrono::steady_clock::now());
+    if (status == status_ok)
+    {
+        m_accepted = true;
+        later(look_pause, m_cancels ? &client::cancel : &client::look);
+        return;
+    }
+    if (status == too_many || status == unavailable)
+    {
+        ++m_refusals;
+        if (m_refusals >= most_refusals && !m_maybe_taken)
+        {
+            next_job();
+            return;
+        }
+    }
+    else
+    {
+        // Whether it was taken is not known: the same again tells.
+        m_maybe_taken = true;
+    }
+    later(retry_pause, &client::submit);
+}
+
+void client::cancel()
+{
+    m_seen.cancel_sent(m_job);
+    call(network::http_method::remove, {},
+         [this](network::call_result const& it)
+         {
+             auto const done = it.end == network::call_end::answered &&
+                               (it.response.status == status_ok ||
+                                it.response.status == gone);
+             later(done ? look_pause : retry_pause,
+                   done ? &client::look : &client::cancel);
+         });
+}
+
+void client::look()
+{
+    call(network::http_method::get, {}, [this](auto const& it) { looked(it); });
+}
+
+void client::looked(network::call_result const& it)
+{
+    auto const now = std::chrono::steady_clock::now();
+    if (it.end != network::call_end::answered ||
+        it.response.status != status_ok)
+    {
+        if (it.end == network::call_end::answered && it.response.status == gone)
+        {
+            m_seen.unknown(m_job, now);
+        }
+        later(retry_pause, &client::look);
+        return;
+    }
+    auto const body =
+        base::capture([&] { return json_codec::parse(it.response.body); });
+    if (!body)
+    {
+        m_seen.found("job " + m_job +
+                     " got no whole answer: " + it.response.body);
+        later(retry_pause, &client::look);
+        return;
+    }
+    auto const state = json_codec::text_or(body.value(), "state");
+    m_seen.shown(m_job, state, now);
+    if (state == "completed" || state == "cancelled" || state == "failed")
+    {
+        next_job();
+        return;
+    }
+    later(look_pause, &client::look);
+}
+
+} // namespace berylhill::soak
--- /dev/null
+++ b/utilities/soak/fault_link.cpp
@@ -0,0 +1,202 @@
+#include <soak/fault_link.hpp>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+
+namespace berylhill::soak
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+/// By how much a slow link holds each piece up.
+constexpr std::chrono::milliseconds slow_by{150};
+
+tcp::endpoint endpoint_of(network::socket_address const& it)
+{
+    return {asio::ip::make_address_v4(it.host), it.port};
+}
+
+} // namespace
+
+class fault_link::connection : public std::enable_shared_from_this<connection>
+{
+public:
+    connection(asio::io_context& loop, tcp::socket caller, link_state state)
+        : m_caller{std::move(caller)}
+        , m_called{loop}
+        , m_asked{loop}
+        , m_answered{loop}
+        , m_state{state}
+    {
+    }
+
+    void start(tcp::endpoint const& to)
+    {
+        m_called.async_connect(to,
+                               [self = shared_from_this()](auto ec)
+                               {
+                                   if (ec)
+                                   {
+                                       self->reset();
+                                       return;
+                                   }
+                                   self->pump(self->m_caller, self->m_called,
+                                              self->m_asked, false);
+                                   self->pump(self->m_called, self->m_caller,
+                                              self->m_answered, true);
+                               });
+    }
+
+    void set(link_state it)
+    {
+        if (m_state != link_state::silent)
+        {
+            m_state = it;
+        }
+    }
+
+    void reset()
+    {
+        boost::system::error_code ec;
+        for (auto* const it : {&m_caller, &m_called})
+        {
+            it->set_option(asio::socket_base::linger{true, 0}, ec);
+            it->close(ec);
+        }
+    }
+
+private:
+    struct direction
+    {
+        explicit direction(asio::io_context& loop)
+            : timer{loop}
+        {
+        }
+
+        std::array<char, 16'384> buf{};
+        asio::steady_timer timer;
+    };
+
+    void pump(tcp::socket& from, tcp::socket& to, direction& by, bool is_answer)
+    {
+        from.async_read_some(
+            asio::buffer(by.buf),
+            [self = shared_from_this(), &from, &to, &by,
+             is_answer](auto ec, std::size_t n)
+            {
+                if (ec)
+                {
+                    self->reset();
+                    return;
+                }
+                if (self->m_state == link_state::silent ||
+                    (is_answer && self->m_state == link_state::answers_lost))
+                {
+                    self->m_state = link_state::silent;
+                    self->pump(from, to, by, is_answer);
+                    return;
+                }
+                by.timer.expires_after(self->m_state == link_state::slow
+                                           ? slow_by
+                                           : std::chrono::milliseconds{0});
+                by.timer.async_wait(
+                    [self, &from, &to, &by, is_answer, n](auto)
+                    { self->pass(from, to, by, is_answer, n); });
+            });
+    }
+
+    void pass(tcp::socket& from,
+              tcp::socket& to,
+              direction& by,
+              bool is_answer,
+              std::size_t n)
+    {
+        asio::async_write(to, asio::buffer(by.buf, n),
+                          [self = shared_from_this(), &from, &to, &by,
+                           is_answer](auto ec, std::size_t)
+                          {
+                              if (ec)
+                              {
+                                  self->reset();
+                                  return;
+                              }
+                              self->pump(from, to, by, is_answer);
+                          });
+    }
+
+    tcp::socket m_caller;
+    tcp::socket m_called;
+    direction m_asked;
+    direction m_answered;
+    link_state m_state;
+};
+
+fault_link::fault_link(asio::io_context& loop,
+                       network::socket_address const& from,
+                       network::socket_address const& to)
+    : m_loop{loop}
+    , m_acceptor{loop, endpoint_of(from)}
+    , m_to{endpoint_of(to)}
+{
+    accept();
+}
+
+fault_link::~fault_link()
+{
+    reset();
+}
+
+void fault_link::set(link_state it)
+{
+    m_state = it;
+    for (auto const& known : m_connections)
+    {
+        if (auto const at = known.lock())
+        {
+            at->set(it);
+        }
+    }
+}
+
+void fault_link::reset()
+{
+    for (auto const& known : m_connections)
+    {
+        if (auto const at = known.lock())
+        {
+            at->reset();
+        }
+    }
+    m_connections.clear();
+}
+
+void fault_link::accept()
+{
+    m_acceptor.async_accept(
+        [this](auto ec, tcp::socket socket)
+        {
+            if (ec == asio::error::operation_aborted)
+            {
+                return;
+            }
+            if (!ec && m_state != link_state::refusing)
+            {
+                auto const it = std::make_shared<connection>(
+                    m_loop, std::move(socket), m_state);
+                std::erase_if(m_connections, [](auto const& known)
+                              { return known.expired(); });
+                m_connections.push_back(it);
+                it->start(m_to);
+            }
+            accept();
+        });
+}
+
+} // namespace berylhill::soak
--- /dev/null
+++ b/utilities/soak/fault_link.hpp
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <network/socket_address.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <list>
+#include <memory>
+
+namespace berylhill::soak
+{
+
+/// What a link does to the bytes that cross it.
+enum class link_state : std::uint8_t
+{
+    open,
+    /// Nothing crosses; nothing is reset.
+    silent,
+    /// What is asked arrives, what is answered does not.
+    answers_lost,
+    /// Bytes arrive later.
+    slow,
+    /// New connections are closed at once.
+    refusing,
+};
+
+/// A loopback proxy between two processes that can harm what crosses it. Lives
+/// on the event loop.
+class fault_link
+{
+public:
+    /// Listens at `from` and connects to `to`. Throws where it cannot listen.
+    fault_link(boost::asio::io_context& loop,
+               network::socket_address const& from,
+               network::socket_address const& to);
+    fault_link(fault_link const&) = delete;
+    fault_link& operator=(fault_link const&) = delete;
+    ~fault_link();
+
+    /// Connections that were silent stay so after the link is open again:
+    /// something between has lost track of them.
+    void set(link_state it);
+
+    /// Resets all open connections.
+    void reset();
+
+private:
+    class connection;
+
+    void accept();
+
+    boost::asio::io_context& m_loop;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    boost::asio::ip::tcp::endpoint m_to;
+    link_state m_state{link_state::open};
+    std::list<std::weak_ptr<connection>> m_connections;
+};
+
+} // namespace berylhill::soak
--- /dev/null
+++ b/utilities/soak/ledger.cpp
@@ -0,0 +1,213 @@
+#include <soak/ledger.hpp>
+
+#include <algorithm>
+
+namespace berylhill::soak
+{
+
+namespace
+{
+
+/// From an acceptance until every process that answers has to know the job.
+constexpr std::chrono::seconds visible_after{3};
+
+std::string job_of(std::string const& task)
+{
+    return task.substr(0, task.find('.'));
+}
+
+bool is_final(std::string const& state)
+{
+    return state == "completed" || state == "failed" || state == "cancelled";
+}
+
+} // namespace
+
+ledger::ledger(std::size_t room, std::vector<std::vector<std::string>> steps)
+    : m_room{room}
+    , m_steps{std::move(steps)}
+{
+}
+
+void ledger::started(std::string const& instance, std::string const& name)
+{
+    ++m_starts;
+    auto& it = m_tasks[name];
+    auto& of = m_jobs[job_of(name)];
+    of.begun = true;
+    if (!it.running_on.empty())
+    {
+        found("task " + name + " runs on " + *it.running_on.begin() + " and " +
+              instance);
+    }
+    if (!it.done_on.empty() && of.state == "completed")
+    {
+        found("task " + name + " starts after its job was completed");
+    }
+    check_order(name);
+    it.running_on.insert(instance);
+    auto& here = m_running[instance];
+    here.insert(name);
+    if (here.size() > m_room)
+    {
+        found(instance + " holds " + std::to_string(here.size()) + " tasks");
+    }
+}
+
+void ledger::check_order(std::string const& name)
+{
+    auto const job = job_of(name);
+    auto const rest = name.substr(job.size() + 1);
+    for (std::size_t n = 0; n < m_steps.size(); ++n)
+    {
+        if (std::ranges::find(m_steps[n], rest) == m_steps[n].end())
+        {
+            continue;
+        }
+        for (std::size_t before = 0; before < n; ++before)
+        {
+            if (!step_done(job, before))
+            {
+                found("task " + name + " starts before the step before it");
+            }
+        }
+        return;
+    }
+    found("task " + name + " is of no job that was handed in");
+}
+
+bool ledger::step_done(std::string const& job, std::size_t step)
+{
+    return std::ranges::all_of(m_steps[step], [&](std::string const& it)
+                               { return m_tasks[job + "." + it].ever_done; });
+}
+
+void ledger::ended(std::string const& instance,
+                   std::string const& name,
+                   std::string const& how)
+{
+    auto& it = m_tasks[name];
+    it.running_on.erase(instance);
+    m_running[instance].erase(name);
+    if (how == "done")
+    {
+        it.done_on = instance;
+        it.ever_done = true;
+    }
+}
+
+/// What ran there runs no longer; ends that nobody has read are lost.
+void ledger::crashed(std::string const& instance)
+{
+    for (auto const& name : m_running[instance])
+    {
+        m_tasks[name].running_on.erase(instance);
+    }
+    m_running.erase(instance);
+    for (auto& [name, it] : m_tasks)
+    {
+        if (it.done_on == instance)
+        {
+            it.done_on.clear();
+        }
+    }
+}
+
+void ledger::submit_answered(std::string const& id,
+                             unsigned status,
+                             instant now)
+{
+    auto& it = m_jobs[id];
+    constexpr unsigned too_many = 429;
+    constexpr unsigned unavailable = 503;
+    constexpr unsigned not_found = 404;
+    if (status >= 200 && status < 300)
+    {
+        if (!it.accepted)
+        {
+            ++m_accepted_jobs;
+            it.accepted_at = now;
+        }
+        it.accepted = true;
+    }
+    else if (status != too_many && status != unavailable && status != not_found)
+    {
+        it.maybe_accepted = true;
+    }
+}
+
+void ledger::cancel_sent(std::string const& id)
+{
+    m_jobs[id].cancel_sent = true;
+}
+
+void ledger::shown(std::string const& id, std::string const& state, instant)
+{
+    auto& it = m_jobs[id];
+    if (is_final(it.state) && state != it.state)
+    {
+        found("job " + id + " was " + it.state + " and is " + state);
+    }
+    it.state = state;
+    if (state == "failed")
+    {
+        found("job " + id + " is said to have failed");
+    }
+    if (state == "cancelled" && !it.cancel_sent)
+    {
+        found("job " + id + " is cancelled and nobody asked for it");
+    }
+    if (state != "completed")
+    {
+        return;
+    }
+    for (std::size_t n = 0; n < m_steps.size(); ++n)
+    {
+        if (!step_done(id, n))
+        {
+            found("job " + id + " is completed without step " +
+                  std::to_string(n));
+        }
+    }
+}
+
+void ledger::unknown(std::string const& id, instant now)
+{
+    auto const& it = m_jobs[id];
+    if (it.accepted && !it.cancel_sent && now - it.accepted_at > visible_after)
+    {
+        found("job " + id + " was accepted and is unknown");
+    }
+}
+
+void ledger::found(std::string what)
+{
+    m_findings.push_back(std::move(what));
+}
+
+void ledger::finish()
+{
+    for (auto const& [id, it] : m_jobs)
+    {
+        if (it.accepted && !is_final(it.state))
+        {
+            found("job " + id + " was accepted and has not ended: " + it.state);
+        }
+        if (it.begun && !it.accepted && !it.maybe_accepted)
+        {
+            found("job " + id + " ran, and every attempt was refused");
+        }
+    }
+    for (auto const& [instance, tasks] : m_running)
+    {
+        for (auto const& name : tasks)
+        {
+            if (is_final(m_jobs[job_of(name)].state))
+            {
+                found("task " + name + " runs on after its job's end");
+            }
+        }
+    }
+}
+
+} // namespace berylhill::soak
--- /dev/null
+++ b/utilities/soak/ledger.hpp
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace berylhill::soak
+{
+
+/// What callers and instances saw, held against what the product promises.
+/// Findings are collected; the first of each kind of breach says enough. Pure:
+/// time comes with each event. Not thread-safe.
+class ledger
+{
+public:
+    using instant = std::chrono::steady_clock::time_point;
+
+    /// `room`: how many tasks an instance holds; `tasks`: names of the tasks
+    /// of a job after `JOB.`, in the order of their steps.
+    ledger(std::size_t room, std::vector<std::vector<std::string>> steps);
+
+    // What instances saw.
+    void started(std::string const& instance, std::string const& task);
+    void ended(std::string const& instance,
+               std::string const& task,
+               std::string const& how);
+    void crashed(std::string const& instance);
+
+    // What callers saw.
+    void submit_answered(std::string const& job, unsigned status, instant now);
+    void cancel_sent(std::string const& job);
+    void shown(std::string const& job, std::string const& state, instant now);
+    void unknown(std::string const& job, instant now);
+
+    /// Something else that must not be.
+    void found(std::string what);
+
+    /// All faults are over for long enough.
+    void finish();
+
+    [[nodiscard]] std::vector<std::string> const& findings() const noexcept
+    {
+        return m_findings;
+    }
+
+    [[nodiscard]] std::size_t accepted() const noexcept
+    {
+        return m_accepted_jobs;
+    }
+
+    [[nodiscard]] std::size_t starts() const noexcept
+    {
+        return m_starts;
+    }
+
+private:
+    struct job_seen
+    {
+        bool accepted{false};
+        instant accepted_at;
+        /// Some attempt to hand it in may have been taken.
+        bool maybe_accepted{false};
+        bool cancel_sent{false};
+        bool begun{false};
+        std::string state;
+    };
+
+    struct task_seen
+    {
+        std::set<std::string> running_on;
+        /// Where it ended `done`; empty: nowhere that still stands.
+        std::string done_on;
+        bool ever_done{false};
+    };
+
+    [[nodiscard]] bool step_done(std::string const& job, std::size_t step);
+    void check_order(std::string const& name);
+
+    std::size_t m_room;
+    std::vector<std::vector<std::string>> m_steps;
+    std::map<std::string, job_seen> m_jobs;
+    std::map<std::string, task_seen> m_tasks;
+    std::map<std::string, std::set<std::string>> m_running;
+    std::vector<std::string> m_findings;
+    std::size_t m_accepted_jobs{0};
+    std::size_t m_starts{0};
+};
+
+} // namespace berylhill::soak
--- /dev/null
+++ b/utilities/soak/main.cpp
@@ -0,0 +1,130 @@
+#include <soak/run.hpp>
+
+#include <cxxopts.hpp>
+
+#include <unistd.h>
+
+#include <iostream>
+
+using namespace berylhill;
+
+namespace
+{
+
+constexpr int s_held = 0;
+constexpr int s_broken = 1;
+constexpr int s_bad_input = 2;
+
+/// Output of a run that held is of no use to anybody.
+constexpr std::size_t most_findings_shown = 8;
+
+cxxopts::Options make_options()
+{
+    cxxopts::Options options{
+        "soak", "Plays random faults against real processes of a cell on "
+                "loopback and checks what callers and instances see.\n"
+                "Example: soak --first 7 --seeds 1"};
+    auto add = options.add_options();
+    add("binary", "",
+        cxxopts::value<std::string>()->default_value(
+            "build/release/bin/berylhill"));
+    add("directory", "for settings and outputs; kept where a seed broke",
+        cxxopts::value<std::string>()->default_value(
+            std::filesystem::temp_directory_path() /
+            ("berylhill-soak-" + std::to_string(::getpid()))));
+    add("first", "the first seed",
+        cxxopts::value<std::uint64_t>()->default_value("1"));
+    add("seeds", "how many",
+        cxxopts::value<std::uint64_t>()->default_value("1"));
+    add("processes", "of the cell",
+        cxxopts::value<std::size_t>()->default_value("5"));
+    add("instances", "that run tasks",
+        cxxopts::value<std::size_t>()->default_value("6"));
+    add("clients", "", cxxopts::value<std::size_t>()->default_value("8"));
+    add("plan", "print the faults of each seed, and play none");
+    add("help", "");
+    return options;
+}
+
+void print_plan(std::uint64_t seed, std::chrono::milliseconds length)
+{
+    for (auto const& it : soak::plan_of(seed, length))
+    {
+        std::cout << "seed " << seed << " at " << it.at.count() << " ms for "
+                  << it.length.count() << " ms: " << name_of(it.kind)
+                  << " target " << it.target << '\n';
+    }
+}
+
+/// Whether the seed held.
+bool play_seed(soak::run_settings& settings,
+               std::filesystem::path const& directory)
+{
+    settings.folder = directory / std::to_string(settings.seed);
+    std::filesystem::create_directories(settings.folder);
+    auto const end = soak::play(settings);
+    std::cout << "seed " << settings.seed << ' '
+              << (end.findings.empty() ? "held" : "BROKE") << " accepted "
+              << end.accepted << " starts " << end.starts << std::endl;
+    for (std::size_t n = 0;
+         n < std::min(end.findings.size(), most_findings_shown); ++n)
+    {
+        std::cout << "  " << end.findings[n] << '\n';
+    }
+    if (end.findings.empty())
+    {
+        std::error_code ec;
+        std::filesystem::remove_all(settings.folder, ec);
+        return true;
+    }
+    std::cout << "  logs: " << settings.folder.string() << std::endl;
+    return false;
+}
+
+int run(cxxopts::ParseResult const& given)
+{
+    soak::run_settings settings;
+    settings.binary = given["binary"].as<std::string>();
+    settings.size = {given["processes"].as<std::size_t>(),
+                     given["instances"].as<std::size_t>()};
+    settings.clients = given["clients"].as<std::size_t>();
+    auto const first = given["first"].as<std::uint64_t>();
+    auto const seeds = given["seeds"].as<std::uint64_t>();
+    std::uint64_t held = 0;
+    for (auto seed = first; seed < first + seeds; ++seed)
+    {
+        if (given.count("plan") != 0)
+        {
+            print_plan(seed, settings.length);
+            ++held;
+            continue;
+        }
+        settings.seed = seed;
+        held +=
+            play_seed(settings, given["directory"].as<std::string>()) ? 1 : 0;
+    }
+    std::cout << held << " passed, " << seeds - held << " failed" << std::endl;
+    return held == seeds ? s_held : s_broken;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    auto options = make_options();
+    try
+    {
+        auto const given = options.parse(argc, argv);
+        if (given.count("help") != 0)
+        {
+            std::cout << options.help();
+            return s_held;
+        }
+        return run(given);
+    }
+    catch (cxxopts::exceptions::exception const& it)
+    {
+        std::cerr << it.what() << '\n';
+        return s_bad_input;
+    }
+}
--- /dev/null
+++ b/utilities/soak/plan.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <chrono>
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace berylhill::soak
+{
+
+/// What goes wrong.
+enum class fault_kind : std::uint8_t
+{
+    kill,
+    /// SIGTERM, and a new start when the process has ended.
+    terminate,
+    freeze,
+    kill_all,
+    reload,
+    store_link_silent,
+    store_link_answers_lost,
+    store_link_slow,
+    store_link_reset,
+    instance_link_silent,
+    instance_link_reset,
+    caller_link_reset,
+    store_down,
+    store_loses_answers,
+    instance_crash,
+    change_configuration,
+};
+
+/// How many kinds there are.
+inline constexpr std::size_t fault_kinds = 16;
+
+/// For the printed plan.
+[[nodiscard]] std::string name_of(fault_kind it);
+
+/// A fault of a plan. A value.
+struct fault
+{
+    std::chrono::milliseconds at{0};
+    std::chrono::milliseconds length{0};
+    fault_kind kind{fault_kind::kill};
+    /// Which process, link or instance; taken modulo their number.
+    std::size_t target{0};
+
+    friend auto operator<=>(fault const&, fault const&) = default;
+};
+
+/// The faults of a seed in the order of time; they may overlap and come in
+/// series. Pure: the same seed gives the same plan.
+[[nodiscard]] std::vector<fault> plan_of(std::uint64_t seed,
+                                         std::chrono::milliseconds length);
+
+} // namespace berylhill::soak
--- /dev/null
+++ b/utilities/soak/run.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <soak/cell.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <filesystem>
+#include <string>
+#include <vector>
+
+namespace berylhill::soak
+{
+
+/// What a run needs. A value.
+struct run_settings
+{
+    std::string binary;
+    /// Settings and outputs of the processes; kept where something was found.
+    std::filesystem::path folder;
+    cell_size size;
+    std::size_t clients{8};
+    /// How long faults begin.
+    std::chrono::milliseconds length{std::chrono::seconds{8}};
+    std::uint64_t seed{1};
+};
+
+/// What a run saw. A value.
+struct run_end
+{
+    std::vector<std::string> findings;
+    std::size_t accepted{0};
+    std::size_t starts{0};
+};
+
+/// Plays the faults of a seed against real processes.
+[[nodiscard]] run_end play(run_settings const& it);
+
+} // namespace berylhill::soak
