scheduler: Move work off instances that leave, and send them nothing

The list says how long an instance stays at least; work that goes on from where it was stopped leaves 1.5 s before, other work at once where it surely would not end there.

What is kept free for a gang is chosen anew when it gets advice (found by its test).

--- a/libraries/scheduler/instance.cpp
+++ b/libraries/scheduler/instance.cpp
@@ -29,9 +29,14 @@
     m_info.id = std::move(id);
 }
 
-void instance::list(instance_info it)
+void instance::list(instance_info it, base::instant now)
 {
     m_info = std::move(it);
+    m_leaves_at.reset();
+    if (m_info.draining && m_info.stays_for)
+    {
+        m_leaves_at = now + *m_info.stays_for;
+    }
     m_rack = m_info.labels.size() > rack_label ? m_info.labels[rack_label]
                                                : std::string{};
     m_listed = true;
--- a/libraries/scheduler/instance.hpp
+++ b/libraries/scheduler/instance.hpp
@@ -25,6 +25,8 @@
     /// Its kind and its rack.
     std::vector<std::string> labels;
     bool draining{false};
+    /// Of one that drains: how long it stays at least.
+    std::optional<base::duration> stays_for;
 
     friend bool operator==(instance_info const&,
                            instance_info const&) = default;
@@ -94,7 +96,13 @@
     }
 
     /// The platform's list names it, with this.
-    void list(instance_info it);
+    void list(instance_info it, base::instant now);
+
+    /// When it leaves at the earliest; nothing while it does not drain.
+    [[nodiscard]] std::optional<base::instant> leaves_at() const noexcept
+    {
+        return m_leaves_at;
+    }
 
     /// The platform's list no longer names it.
     void unlist()
@@ -205,6 +213,7 @@
     instance_info m_info;
     std::uint32_t m_number;
     std::string m_rack;
+    std::optional<base::instant> m_leaves_at;
     bool m_listed{false};
     bool m_fenced{false};
     bool m_reachable{false};
--- a/libraries/scheduler/instance_book.cpp
+++ b/libraries/scheduler/instance_book.cpp
@@ -5,10 +5,10 @@
 namespace berylhill::scheduler
 {
 
-void instance_book::list(instance_info it)
+void instance_book::list(instance_info it, base::instant now)
 {
     auto& known = get(it.id);
-    known.list(std::move(it));
+    known.list(std::move(it), now);
 }
 
 void instance_book::unlist(std::string const& id)
--- a/libraries/scheduler/instance_book.hpp
+++ b/libraries/scheduler/instance_book.hpp
@@ -29,7 +29,7 @@
     }
 
     /// The platform's list names it; made where it is not known.
-    void list(instance_info it);
+    void list(instance_info it, base::instant now);
 
     /// The platform's list no longer names it.
     void unlist(std::string const& id);
--- a/libraries/scheduler/policy.hpp
+++ b/libraries/scheduler/policy.hpp
@@ -48,6 +48,10 @@
     /// Work that has less time than this left is not stopped for another's
     /// sake.
     base::duration preempt_slack{std::chrono::milliseconds{3'000}};
+    /// An attempt that goes on from where it was stopped leaves an instance so
+    /// long before this goes: a stop takes up to a second, and its end has to
+    /// be read.
+    base::duration leave_before{std::chrono::milliseconds{1'500}};
     /// How long the state of a finished job can be asked for.
     base::duration status_kept{std::chrono::seconds{120}};
 
--- a/libraries/scheduler/scheduler.cpp
+++ b/libraries/scheduler/scheduler.cpp
@@ -197,7 +197,7 @@
     return m_jobs.pending(queue);
 }
 
-void scheduler::list(instance_info it, base::instant)
+void scheduler::list(instance_info it, base::instant now)
 {
     auto const* const known = m_instances.find(it.id);
     auto const fresh = known == nullptr || !known->listed();
@@ -211,7 +211,7 @@
     }
     // Two lives may be listed at one address, the one before still for
     // seconds, in any order; which of them lives only an answer tells.
-    m_instances.list(std::move(it));
+    m_instances.list(std::move(it), now);
 }
 
 void scheduler::unlist(std::string const& id, base::instant now)
--- a/libraries/scheduler/scheduler.hpp
+++ b/libraries/scheduler/scheduler.hpp
@@ -48,6 +48,7 @@
     std::uint64_t ends_failed{0};
     std::uint64_t ends_other{0};
     std::uint64_t preempted{0};
+    std::uint64_t evacuated{0};
 
     friend bool operator==(scheduler_counts const&,
                            scheduler_counts const&) = default;
@@ -231,6 +232,16 @@
     void release_start(start_order it, base::instant now);
     void open_due_occurrences(std::int64_t wall_ms, base::instant now);
 
+    // scheduler_leave.cpp
+    void leave_instances(base::instant now);
+    [[nodiscard]] bool should_leave(attempt const& it,
+                                    workload::step_spec const& spec,
+                                    base::duration stays,
+                                    base::instant now) const;
+    [[nodiscard]] base::duration time_left(attempt const& it,
+                                           workload::step_spec const& spec,
+                                           base::instant now) const;
+
     // scheduler_decide.cpp
     [[nodiscard]] std::vector<turn> turns(base::instant now);
     void decide_step(turn const& it, base::instant now);
@@ -331,6 +342,7 @@
     bool m_late_reserving{false};
     /// By queue: which share of the instances its policy allows.
     std::map<std::string, double> m_allowed_shares;
+    base::instant m_next_leave_look{};
     scheduler_counts m_counts;
 };
 
--- a/libraries/scheduler/scheduler_advice.cpp
+++ b/libraries/scheduler/scheduler_advice.cpp
@@ -62,6 +62,7 @@
     }
     auto& known = in->advice;
     known.asking = false;
+    in->next_look = {};
     auto const first = known.allowed.empty() && known.refused.empty();
     for (auto const& id : asked)
     {
--- /dev/null
+++ b/libraries/scheduler/scheduler_leave.cpp
@@ -0,0 +1,97 @@
+#include <scheduler/scheduler.hpp>
+
+#include <algorithm>
+
+namespace berylhill::scheduler
+{
+
+namespace
+{
+
+/// Between two looks at what runs on instances that leave.
+constexpr base::duration look_pause = std::chrono::milliseconds{100};
+
+/// Progress below this share says little of the time that is left.
+constexpr int least_percent = 5;
+constexpr int whole_percent = 100;
+
+/// Added to the time that an attempt seems to need.
+constexpr base::duration end_slack = std::chrono::milliseconds{300};
+
+} // namespace
+
+/// How long the attempt goes on, by its progress, or by the client's estimate
+/// while there is none.
+base::duration scheduler::time_left(attempt const& it,
+                                    workload::step_spec const& spec,
+                                    base::instant now) const
+{
+    auto const ran = now - it.began_at;
+    if (it.percent >= least_percent)
+    {
+        auto const to_progress = it.progressed_at - it.began_at;
+        auto const whole = to_progress * whole_percent / it.percent;
+        return std::max(base::duration{0}, whole - ran);
+    }
+    return std::max(base::duration{0},
+                    std::chrono::milliseconds{spec.estimate_ms} - ran);
+}
+
+/// Whether an attempt on an instance that leaves is better stopped now. What
+/// is left there when the instance goes ends without a word: its work is
+/// lost, and its successor has to wait until its lease has lapsed, 8 s.
+bool scheduler::should_leave(attempt const& it,
+                             workload::step_spec const& spec,
+                             base::duration stays,
+                             base::instant now) const
+{
+    if (spec.checkpoints || spec.lasting)
+    {
+        return stays < m_rules.leave_before &&
+               (spec.lasting || time_left(it, spec, now) + end_slack > stays);
+    }
+    // It begins anew elsewhere, so the sooner the better, but only where it
+    // surely would not end here.
+    return it.percent >= least_percent &&
+           time_left(it, spec, now) > stays + m_rules.leave_before;
+}
+
+void scheduler::leave_instances(base::instant now)
+{
+    if (now < m_next_leave_look)
+    {
+        return;
+    }
+    m_next_leave_look = now + look_pause;
+    for (auto const& [id, at] : m_instances.all())
+    {
+        if (!at->leaves_at() || !at->reachable())
+        {
+            continue;
+        }
+        auto const stays = *at->leaves_at() - now;
+        for (auto& [name, it] : at->attempts())
+        {
+            auto* const of = m_jobs.find(name.task.of.job);
+            if (of == nullptr || finished(of->phase) || it.stop_wanted ||
+                it.state != attempt_state::running)
+            {
+                continue;
+            }
+            if (!should_leave(it, of->spec_of(name.task.of), stays, now))
+            {
+                continue;
+            }
+            ++m_counts.evacuated;
+            m_log->write(base::log_level::info, "attempt_leaves",
+                         {{"task", text_of(name.task)},
+                          {"run", name.run},
+                          {"instance", id},
+                          {"percent", it.percent},
+                          {"instance_stays_s", base::seconds_of(stays)}});
+            want_stop(*at, name, it, now);
+        }
+    }
+}
+
+} // namespace berylhill::scheduler
--- a/libraries/scheduler/scheduler_orders.cpp
+++ b/libraries/scheduler/scheduler_orders.cpp
@@ -139,9 +139,11 @@
     {
         return;
     }
-    if (found->stop_wanted)
+    if (found->stop_wanted || at->info().draining || !at->listed())
     {
-        // It was given up before anything left: nothing to be stopped.
+        // It was given up before anything left, or the instance began to
+        // leave while the record was being stored, which takes seconds while
+        // the store is away: nothing has to be stopped.
         attempt_ended(*at, it.attempt, end_reason::stopped, {}, now);
         return;
     }
@@ -165,6 +167,7 @@
         }
         retry(*at, now);
     }
+    leave_instances(now);
     m_instances.forget_idle();
     open_due_occurrences(wall_ms, now);
     for (auto const id : m_jobs.finished_before(now - m_rules.status_kept))
@@ -204,6 +207,12 @@
         // As with holds: an order carries a lease.
         return;
     }
+    if (at.info().draining)
+    {
+        // The order may not have been carried out; it must not be now.
+        want_stop(at, name, it, now);
+        return;
+    }
     auto const* const job = m_jobs.find(name.task.of.job);
     if (job == nullptr)
     {
--- a/libraries/scheduler/scheduler_preempt.cpp
+++ b/libraries/scheduler/scheduler_preempt.cpp
@@ -223,6 +223,7 @@
         return false;
     }
     std::vector<offer> offers;
+    offers.reserve(from.size());
     for (auto const& each : from)
     {
         offers.push_back(offer_of(m_instances.get(std::string{each.instance}),
--- a/tests/platform_adapter/cell_fixture.cpp
+++ b/tests/platform_adapter/cell_fixture.cpp
@@ -30,8 +30,10 @@
 } // namespace
 
 cell_fixture::cell_fixture()
-    : m_first_port{free_ports(static_cast<std::uint16_t>(
-          ports_per_process * processes + 1 + instance_count))}
+    : m_first_port{free_ports(
+          port_range::tests,
+          static_cast<std::uint16_t>(ports_per_process * processes + 1 +
+                                     instance_count))}
     , m_folder{std::filesystem::temp_directory_path() /
                ("berylhill-cell-" + std::to_string(::getpid()) + "-" +
                 std::to_string(m_first_port))}
--- a/tests/platform_adapter/stand_ins/ports.cpp
+++ b/tests/platform_adapter/stand_ins/ports.cpp
@@ -10,13 +10,15 @@
 namespace berylhill::platform_test
 {
 
-std::uint16_t free_ports(std::uint16_t wanted)
+std::uint16_t free_ports(port_range from, std::uint16_t wanted)
 {
     using boost::asio::ip::tcp;
     boost::asio::io_context loop;
-    constexpr int lowest = 20'000;
-    for (auto first = static_cast<std::uint16_t>(lowest + ::getpid() % lowest);;
-         first = static_cast<std::uint16_t>(first + wanted))
+    constexpr int slots = 60;
+    constexpr int slot_size = 100;
+    auto const slot = ::getpid() % slots * slot_size;
+    for (auto first = static_cast<std::uint16_t>(static_cast<int>(from) + slot);
+         ; first = static_cast<std::uint16_t>(first + wanted))
     {
         try
         {
--- /dev/null
+++ b/tests/scheduler/advice_test.cpp
@@ -0,0 +1,214 @@
+#include "bench_owner.hpp"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <ostream>
+
+using namespace berylhill;
+using namespace berylhill::scheduler_test;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+constexpr std::chrono::seconds validity{2};
+
+/// A cell of equal instances with four cores each, and a queue whose policy
+/// has to be asked for.
+struct advised_cell : bench_owner
+{
+    explicit advised_cell(std::size_t instances)
+    {
+        workload::cell_configuration configuration;
+        workload::queue_spec queue;
+        queue.name = "q";
+        queue.service = "svc";
+        queue.attempts = 2;
+        queue.stretch = 2;
+        queue.target_latency = std::chrono::seconds{20};
+        queue.advice =
+            workload::advice_spec{milliseconds{560}, milliseconds{8}, validity};
+        configuration.queues = {queue};
+        queue.name = "free";
+        queue.advice.reset();
+        configuration.queues.push_back(queue);
+        decisions.set_configuration(configuration);
+        for (std::size_t n = 0; n < instances; ++n)
+        {
+            list(name(n));
+            report(name(n));
+        }
+    }
+
+    static std::string name(std::size_t n)
+    {
+        return "i-" + std::to_string(n);
+    }
+
+    /// Takes all room of the instances in the range.
+    void fill(std::size_t instances)
+    {
+        auto job =
+            bench_owner::job(900, static_cast<std::uint32_t>(instances), 4'000);
+        job.queue = "free";
+        job.steps[0].estimate_ms = 5'000;
+        decisions.submit(job, 0, now);
+        for (auto const& it : starts())
+        {
+            confirm(it);
+        }
+    }
+
+    std::vector<scheduler::advice_order> questions()
+    {
+        std::vector<scheduler::advice_order> out;
+        for (auto const& it : decide())
+        {
+            if (auto const* const question =
+                    std::get_if<scheduler::advice_order>(&it);
+                question != nullptr)
+            {
+                out.push_back(*question);
+            }
+        }
+        return out;
+    }
+
+    /// Allows the first `n` of those named.
+    void answer(scheduler::advice_order const& it, std::size_t n)
+    {
+        std::vector<scheduler::permission> allowed;
+        for (std::size_t i = 0; i < std::min(n, it.instances.size()); ++i)
+        {
+            allowed.push_back({it.instances[i], "t"});
+        }
+        decisions.advised(it.step, it.instances, allowed, validity, now);
+    }
+};
+
+workload::job_spec gang(std::uint64_t id, std::uint32_t tasks)
+{
+    auto out = bench_owner::job(id, tasks, 2'000);
+    out.steps[0].gang = true;
+    out.steps[0].estimate_ms = 5'000;
+    return out;
+}
+
+struct size_case
+{
+    char const* story;
+    std::uint32_t tasks;
+    bool is_gang;
+    std::size_t full;
+    /// 0: nothing is asked.
+    std::size_t named;
+};
+
+std::ostream& operator<<(std::ostream& to, size_case const& it)
+{
+    return to << it.story;
+}
+
+size_case const sizes[] = {
+    {"one task names a few to choose from", 1, false, 0, 12},
+    {"many tasks name what holds them three times", 40, false, 0, 60},
+    {"never more than take as long as the decision", 50, false, 0, 70},
+    {"a full cell is not asked about", 1, false, 80, 0},
+    {"of a nearly full one those with room", 1, false, 77, 3},
+    {"a small gang names a few", 6, true, 0, 24},
+    {"a large gang names what it needs", 40, true, 0, 80},
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(advice)
+
+/// Urgent work waits for seconds though there is room for it. The steps for
+/// which there is none ask the policy service again and again about the whole
+/// cell, and it answers one question at a time.
+BOOST_DATA_TEST_CASE(only_what_can_be_used_is_asked,
+                     boost::unit_test::data::make(sizes))
+{
+    advised_cell it{80};
+    if (sample.full > 0)
+    {
+        it.fill(sample.full);
+    }
+    auto const job = sample.is_gang ? gang(1, sample.tasks)
+                                    : bench_owner::job(1, sample.tasks);
+    it.decisions.submit(job, 0, it.now);
+    auto const asked = it.questions();
+    if (sample.named == 0)
+    {
+        BOOST_TEST(asked.empty());
+        return;
+    }
+    BOOST_REQUIRE(asked.size() == 1U);
+    BOOST_TEST(asked[0].instances.size() == sample.named);
+    // While the answer is out nothing else is asked.
+    it.advance(milliseconds{50});
+    BOOST_TEST(it.questions().empty());
+}
+
+/// A gang waits for room. While it does, its tickets lapse; it asks for new
+/// ones when its room is there, and only where it may go.
+BOOST_AUTO_TEST_CASE(a_gang_asks_anew_when_its_room_is_there)
+{
+    advised_cell it{10};
+    it.fill(10);
+    it.decisions.submit(gang(1, 4), 0, it.now);
+    auto const first = it.questions();
+    BOOST_REQUIRE(first.size() == 1U);
+    BOOST_TEST(first[0].instances.size() == 10U);
+    it.answer(first[0], 6);
+    it.advance(validity + milliseconds{500});
+    BOOST_TEST(it.questions().empty());
+    for (auto const& id : first[0].instances)
+    {
+        std::vector<scheduler::ended_row> ended;
+        for (auto const& [name, attempt] :
+             it.decisions.instances().all().at(id)->attempts())
+        {
+            ended.push_back({1, name, scheduler::end_reason::done, {}});
+        }
+        it.report(id, {}, ended);
+    }
+    it.advance(milliseconds{200});
+    auto const second = it.questions();
+    BOOST_REQUIRE(second.size() == 1U);
+    BOOST_TEST(second[0].instances.size() <= 6U);
+    for (auto const& id : second[0].instances)
+    {
+        auto const at = std::ranges::find(first[0].instances, id);
+        BOOST_TEST((at - first[0].instances.begin() < 6));
+    }
+    it.answer(second[0], 6);
+    BOOST_TEST(it.starts().size() == 4U);
+}
+
+/// A gang comes late in a cell that is never quite empty: each slot that came
+/// free went to longer work before the others did.
+BOOST_AUTO_TEST_CASE(what_is_kept_free_for_a_gang_stays_so)
+{
+    advised_cell it{8};
+    it.fill(7);
+    it.decisions.submit(gang(1, 4), 0, it.now);
+    auto const asked = it.questions();
+    BOOST_REQUIRE(asked.size() == 1U);
+    it.answer(asked[0], 8);
+    BOOST_TEST(it.starts().empty());
+    auto later = bench_owner::job(2, 1);
+    later.queue = "free";
+    later.steps[0].estimate_ms = 5'000;
+    it.decisions.submit(later, 0, it.now);
+    BOOST_TEST(it.starts().empty());
+    auto passing = bench_owner::job(3, 1);
+    passing.queue = "free";
+    passing.steps[0].estimate_ms = 500;
+    it.decisions.submit(passing, 0, it.now);
+    BOOST_TEST(it.starts().size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/scheduler/bench_owner.hpp
+++ b/tests/scheduler/bench_owner.hpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -56,9 +57,14 @@
         return out;
     }
 
-    void list(std::string const& id, std::string const& address = {})
+    /// `stays_for`: it drains, and goes after that.
+    void list(std::string const& id,
+              std::string const& address = {},
+              std::optional<base::duration> stays_for = std::nullopt)
     {
         scheduler::instance_info info;
+        info.draining = stays_for.has_value();
+        info.stays_for = stays_for;
         info.id = id;
         info.service = "svc";
         info.address = address.empty() ? id : address;
--- a/tests/scheduler/random_test.cpp
+++ b/tests/scheduler/random_test.cpp
@@ -30,12 +30,34 @@
     return text == nullptr ? otherwise : std::stoull(text);
 }
 
+/// Of these, with instances that leave: each run takes as long as another.
+constexpr std::uint64_t usual_leaving_seeds = 50;
+
 std::vector<std::string> run(std::uint64_t seed, planted fault)
 {
     world it{seed, {}, fault};
     return it.run(trouble, calm);
 }
 
+void play(std::uint64_t first, std::uint64_t seeds, roughness rough)
+{
+    std::uint64_t starts = 0;
+    std::uint64_t takeovers = 0;
+    for (auto seed = first; seed < first + seeds; ++seed)
+    {
+        world it{seed, rough, planted::nothing};
+        auto const broken = it.run(trouble, calm);
+        starts += it.starts();
+        takeovers += it.takeovers();
+        for (auto const& what : broken)
+        {
+            BOOST_ERROR("seed " << seed << ": " << what);
+        }
+    }
+    BOOST_TEST_MESSAGE(seeds << " seeds from " << first << ", " << starts
+                             << " starts, " << takeovers << " takeovers");
+}
+
 struct planted_case
 {
     char const* name;
@@ -66,21 +88,18 @@
 {
     auto const first = number_from("BERYLHILL_FIRST_SEED", 1);
     auto const seeds = number_from("BERYLHILL_SEEDS", usual_seeds);
-    std::uint64_t starts = 0;
-    std::uint64_t takeovers = 0;
-    for (auto seed = first; seed < first + seeds; ++seed)
-    {
-        world it{seed, {}, planted::nothing};
-        auto const broken = it.run(trouble, calm);
-        starts += it.starts();
-        takeovers += it.takeovers();
-        for (auto const& what : broken)
-        {
-            BOOST_ERROR("seed " << seed << ": " << what);
-        }
-    }
-    BOOST_TEST_MESSAGE(seeds << " seeds, " << starts << " starts, " << takeovers
-                             << " takeovers");
+    play(first, seeds, {});
+}
+
+/// As before, and instances say that they leave and go seconds later: nothing
+/// is sent to them then, and what runs there is moved or goes on elsewhere.
+BOOST_AUTO_TEST_CASE(promises_hold_while_instances_leave)
+{
+    auto const first = number_from("BERYLHILL_FIRST_SEED", 1);
+    auto const seeds = number_from("BERYLHILL_SEEDS", usual_leaving_seeds);
+    roughness rough;
+    rough.drain = 0.02;
+    play(first, seeds, rough);
 }
 
 /// With a guard taken out, the same runs find what it is for.
--- a/tests/scheduler/world.cpp
+++ b/tests/scheduler/world.cpp
@@ -36,6 +36,7 @@
 
 world::world(std::uint64_t seed, roughness rough, planted fault)
     : m_random{seed}
+    , m_drain_random{seed}
     , m_rough{rough}
     , m_fault{fault}
     , m_configuration{configuration()}
@@ -160,6 +161,12 @@
             {
                 cut(any);
             }
+            else if (!any.drains_since && m_rough.drain > 0 &&
+                     std::uniform_real_distribution<>{0, 1}(m_drain_random) <
+                         m_rough.drain)
+            {
+                drain(any);
+            }
         }
     }
     after(moment, [this] { every_moment(); });
--- a/tests/scheduler/world.hpp
+++ b/tests/scheduler/world.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -45,6 +46,8 @@
     double crash{0.01};
     double cut{0.015};
     double store_down{0.01};
+    /// Instances that say that they leave.
+    double drain{0};
 };
 
 /// A cell on a virtual clock: instances that keep what the platform's pages
@@ -96,6 +99,10 @@
         workload::resources capacity;
         bool up{true};
         bool cut{false};
+        /// Since when it says that it leaves, and when it does at the
+        /// earliest.
+        std::optional<base::instant> drains_since;
+        base::instant leaves_at{};
         std::uint64_t token{0};
         double clock_rate{1};
         base::instant born{};
@@ -129,7 +136,10 @@
 
     // world_platform.cpp
     void add_instance(std::string address);
+    [[nodiscard]] scheduler::instance_info
+    info_of(fake_instance const& it) const;
     void crash(fake_instance& it);
+    void drain(fake_instance& it);
     void cut(fake_instance& it);
     void announce(fake_instance const& it, bool listed);
     [[nodiscard]] std::int64_t clock_of(fake_instance const& it) const;
@@ -184,6 +194,8 @@
     void every_moment();
 
     std::mt19937_64 m_random;
+    /// By itself, so that a seed means the same with and without it.
+    std::mt19937_64 m_drain_random;
     roughness m_rough;
     planted m_fault;
     scheduler::policy m_rules;
--- a/tests/scheduler/world_owner.cpp
+++ b/tests/scheduler/world_owner.cpp
@@ -45,14 +45,7 @@
     for (auto const& id : m_listed)
     {
         auto const& it = *m_instances.at(id);
-        made->decisions->list({it.id,
-                               "svc",
-                               it.address,
-                               "zone",
-                               it.capacity,
-                               {"kind", "rack"},
-                               false},
-                              m_now);
+        made->decisions->list(info_of(it), m_now);
     }
     every_tick(made);
 }
@@ -211,6 +204,16 @@
 
 void world::send(owner_pointer const& by, scheduler::start_order const& it)
 {
+    // The list is read at once here, so nothing but what was being stored is
+    // sent to an instance that says that it leaves.
+    constexpr base::duration storing = std::chrono::seconds{2};
+    auto const& target = *m_instances.at(it.instance);
+    if (by->alive && target.drains_since &&
+        m_now - *target.drains_since > storing && m_store_up)
+    {
+        broken("start of " + text_of(it.attempt.task) + " sent to " +
+               it.instance + ", which leaves");
+    }
     auto const answer = [this, by, it](start_answer end, std::int64_t clock)
     {
         if (!by->alive)
--- a/tests/scheduler/world_platform.cpp
+++ b/tests/scheduler/world_platform.cpp
@@ -48,14 +48,7 @@
         }
         if (listed)
         {
-            each->decisions->list({it.id,
-                                   "svc",
-                                   it.address,
-                                   "zone",
-                                   it.capacity,
-                                   {"kind", "rack"},
-                                   false},
-                                  m_now);
+            each->decisions->list(info_of(it), m_now);
         }
         else
         {
@@ -64,6 +57,44 @@
     }
 }
 
+scheduler::instance_info world::info_of(fake_instance const& it) const
+{
+    scheduler::instance_info out;
+    out.id = it.id;
+    out.service = "svc";
+    out.address = it.address;
+    out.zone = "zone";
+    out.capacity = it.capacity;
+    out.labels = {"kind", "rack"};
+    out.draining = it.drains_since.has_value();
+    if (out.draining)
+    {
+        out.stays_for = std::max(base::duration{0}, it.leaves_at - m_now);
+    }
+    return out;
+}
+
+/// It says that it leaves, goes on for a while, and goes.
+void world::drain(fake_instance& it)
+{
+    auto const between_ms = [this](std::int64_t a, std::int64_t b)
+    {
+        return std::chrono::milliseconds{
+            std::uniform_int_distribution<std::int64_t>{a, b}(m_drain_random)};
+    };
+    it.drains_since = m_now;
+    it.leaves_at = m_now + between_ms(1'500, 6'000);
+    announce(it, true);
+    after(it.leaves_at - m_now + between_ms(0, 3'000),
+          [this, id = it.id]
+          {
+              if (auto& leaving = *m_instances.at(id); leaving.up)
+              {
+                  crash(leaving);
+              }
+          });
+}
+
 /// Everything that ran there is gone; another life comes at the same address
 /// or at a new one.
 void world::crash(fake_instance& it)
--- a/utilities/soak/cell.cpp
+++ b/utilities/soak/cell.cpp
@@ -42,8 +42,8 @@
     auto const links = 2;
     auto const wanted =
         size.processes * (ports_per_process + links) + size.instances * 2 + 1;
-    std::size_t port =
-        platform_test::free_ports(static_cast<std::uint16_t>(wanted));
+    std::size_t port = platform_test::free_ports(
+        platform_test::port_range::soak, static_cast<std::uint16_t>(wanted));
     auto const store = local(port++);
     m_store = std::make_unique<platform_test::store_stand_in>(loop, store);
     configure();
