--- a/libraries/cell/cell_owner_batch.cpp
+++ b/libraries/cell/cell_owner_batch.cpp
@@ -16,7 +16,11 @@
 
 /// How long a batch may gather. An answer to a short question for advice
 /// takes about as long, so most jobs come with their first starts in it.
-constexpr base::duration batch_linger = std::chrono::milliseconds{20};
+constexpr base::duration batch_linger = std::chrono::milliseconds{30};
+
+/// With starts in it, or something else that somebody waits for. The most
+/// urgent work has half a second to start.
+constexpr base::duration urgent_linger = std::chrono::milliseconds{10};
 
 /// A client is not held for more than this share of its time: whoever asks
 /// again may find the store back.
@@ -91,8 +95,9 @@
 /// new job then comes with its first starts, and several ends come together.
 bool cell_owner::lingers(base::instant now) const
 {
-    return m_open_since && now - *m_open_since < batch_linger &&
-           !m_decisions.batch_urgent();
+    auto const limit =
+        m_decisions.batch_urgent() ? urgent_linger : batch_linger;
+    return m_open_since && now - *m_open_since < limit;
 }
 
 void cell_owner::commit()
