tests: A log that nobody reads holds up nothing; the buffer keeps its bound

A process whose standard output is a full pipe answers 90 more jobs, and the line buffer drops and counts what exceeds its bound.

--- a/tests/platform_adapter/cell_fixture.cpp
+++ b/tests/platform_adapter/cell_fixture.cpp
@@ -8,6 +8,8 @@
 
 #include <unistd.h>
 
+#include <csignal>
+
 namespace berylhill::platform_test
 {
 
@@ -72,6 +74,12 @@
                std::size_t{m_first_port} + ports_per_process * processes});
 }
 
+void cell_fixture::stop_process(std::size_t n)
+{
+    cells[n]->signal(SIGKILL);
+    run_until([&] { return cells[n]->ended(); });
+}
+
 network::http_response cell_fixture::ask(std::uint16_t port,
                                          network::http_request it)
 {
--- a/tests/platform_adapter/cell_fixture.hpp
+++ b/tests/platform_adapter/cell_fixture.hpp
@@ -43,6 +43,15 @@
 
     void start_process(std::size_t n);
 
+    /// Kills it and waits until it has ended.
+    void stop_process(std::size_t n);
+
+    /// Where its output goes.
+    [[nodiscard]] std::filesystem::path log_path(std::size_t n) const
+    {
+        return m_folder / ("cell-" + std::to_string(n) + ".log");
+    }
+
     /// The status of a call to one of the processes; 0 without an answer.
     unsigned call(std::size_t process,
                   network::http_method method,
--- a/tests/platform_adapter/whole_path_test.cpp
+++ b/tests/platform_adapter/whole_path_test.cpp
@@ -4,7 +4,13 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <fcntl.h>
+#include <sys/ioctl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
 #include <csignal>
+#include <filesystem>
 #include <ostream>
 
 using namespace berylhill;
@@ -150,4 +156,47 @@
     BOOST_TEST(run_until([&] { return completed(2, 2); }));
 }
 
+/// A user gets no answer any more from a process that is well. Whoever reads
+/// its log has stopped reading, the pipe is full, and the process waits in a
+/// write.
+BOOST_AUTO_TEST_CASE(a_log_that_nobody_reads_holds_up_nothing)
+{
+    BOOST_REQUIRE(all_ready(*this));
+    stop_process(0);
+    auto const pipe = log_path(0);
+    std::filesystem::remove(pipe);
+    BOOST_REQUIRE(::mkfifo(pipe.c_str(), 0600) == 0);
+    auto const reader = ::open(pipe.c_str(), O_RDONLY | O_NONBLOCK);
+    BOOST_REQUIRE(reader >= 0);
+    start_process(0);
+    BOOST_REQUIRE(all_ready(*this));
+    stop_process(1);
+    stop_process(2);
+    BOOST_REQUIRE(run_until([&] { return owner() == 0; }));
+    auto const waiting = [&]
+    {
+        int n = 0;
+        BOOST_REQUIRE(::ioctl(reader, FIONREAD, &n) == 0);
+        return n;
+    };
+    // Each job writes some ten lines of 150 bytes; a pipe holds up to 64 kB.
+    constexpr std::uint64_t jobs = 90;
+    for (std::uint64_t id = 1; id <= jobs; ++id)
+    {
+        BOOST_TEST(submit(0, id) == 200U);
+    }
+    BOOST_TEST(run_until([&] { return completed(0, jobs); }));
+    auto const full = waiting();
+    for (std::uint64_t id = jobs + 1; id <= 2 * jobs; ++id)
+    {
+        BOOST_TEST(submit(0, id) == 200U);
+    }
+    BOOST_TEST(run_until([&] { return completed(0, 2 * jobs); }));
+    // What was written since had no room in the pipe.
+    constexpr int half_a_pipe = 32'768;
+    BOOST_TEST(full > half_a_pipe);
+    BOOST_TEST(waiting() == full);
+    ::close(reader);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
