scheduler, cell, tests: Split what had grown, keep wire names with the stand-ins

A gang's question is a view of the cell and a rule; watching the owner's load is a file of its own; the test world's failures and orders too. The soak takes the job's and the configuration's documents from the stand-ins, as the whole-path test does: one copy of each. No behaviour is changed but that a gang's first question counts room that stops under way will free.

--- a/libraries/cell/node.cpp
+++ b/libraries/cell/node.cpp
@@ -2,7 +2,6 @@
 
 #include <base/buffered_log.hpp>
 #include <base/log.hpp>
-#include <cell/yield_rule.hpp>
 #include <settings/cell_schema.hpp>
 
 #include <boost/asio/post.hpp>
@@ -30,9 +29,6 @@
 /// Between two looks whether all callers have their answers.
 constexpr auto drain_pause = std::chrono::milliseconds{50};
 
-/// Until a right that is given up has to be free: an append under way.
-constexpr base::duration release_limit = std::chrono::milliseconds{500};
-
 /// A lease is this much shorter than the longest that an instance grants.
 constexpr base::duration lease_margin = std::chrono::milliseconds{500};
 
@@ -54,19 +50,6 @@
 /// answer.
 constexpr std::int64_t connection_kb = 32;
 
-/// Between two looks whether the owner's work should move.
-constexpr auto load_pause = std::chrono::milliseconds{250};
-
-/// A process that handed its work on takes none for so long, or it would come
-/// back to an instance that cannot carry it.
-constexpr base::duration yield_rest = std::chrono::seconds{5};
-
-std::int64_t millicores_of(settings::cell_limit_settings const& it)
-{
-    constexpr double per_core = 1'000;
-    return static_cast<std::int64_t>(it.cores * per_core);
-}
-
 std::string new_incarnation()
 {
     std::random_device source;
@@ -103,7 +86,7 @@
                   m_latency,
                   {m_settings.instance,
                    network::address_or_empty(m_settings.listen.peer),
-                   millicores_of(m_settings.limits)},
+                   m_settings.limits.millicores()},
                   new_incarnation(),
                   *this}
     , m_peer_service{m_loop, m_clock, *this}
@@ -313,46 +296,6 @@
     base::log(base::log_level::info, "settings_reloaded", {});
 }
 
-void node::watch_load()
-{
-    if (m_owner && !m_stopping && !m_yielding)
-    {
-        auto const why = should_yield(
-            {millicores_of(m_settings.limits), m_clock.now() - m_owns_since,
-             m_lag.average(), m_peer_service.watchers()});
-        if (why != yield_reason::none)
-        {
-            yield(name_of(why));
-        }
-    }
-    m_load_timer.expires_after(load_pause);
-    m_load_timer.async_wait([this](auto) { watch_load(); });
-}
-
-/// Hands the work to another process, as at a planned stop.
-void node::yield(char const* why)
-{
-    m_yielding = true;
-    base::log(base::log_level::info, "owner_yields",
-              {{"why", why},
-               {"lag_s", base::seconds_of(m_lag.average())},
-               {"cores", m_settings.limits.cores}});
-    m_owner->release(release_limit,
-                     [this]
-                     {
-                         boost::asio::post(m_loop,
-                                           [this]
-                                           {
-                                               if (m_owner)
-                                               {
-                                                   m_ownership.yield(
-                                                       yield_rest);
-                                                   ended();
-                                               }
-                                           });
-                     });
-}
-
 /// The right goes first, so that a successor starts at once; then callers are
 /// served until the platform sends no more.
 void node::stop()
--- a/libraries/cell/node.hpp
+++ b/libraries/cell/node.hpp
@@ -20,6 +20,9 @@
 namespace berylhill::cell
 {
 
+/// Until a right that is given up has to be free: an append under way.
+inline constexpr base::duration release_limit = std::chrono::milliseconds{500};
+
 /// One process of a cell: takes the calls of clients, watches the owner, and
 /// owns the work when its turn comes. One thread does it all.
 class node final : public ownership::listener, public peer_service::backend
--- /dev/null
+++ b/libraries/cell/node_load.cpp
@@ -0,0 +1,63 @@
+#include <cell/node.hpp>
+
+#include <base/log.hpp>
+#include <cell/yield_rule.hpp>
+
+#include <boost/asio/post.hpp>
+
+namespace berylhill::cell
+{
+
+namespace
+{
+
+/// Between two looks whether the owner's work should move.
+constexpr auto load_pause = std::chrono::milliseconds{250};
+
+/// A process that handed its work on takes none for so long, or it would come
+/// back to an instance that cannot carry it.
+constexpr base::duration yield_rest = std::chrono::seconds{5};
+
+} // namespace
+
+void node::watch_load()
+{
+    if (m_owner && !m_stopping && !m_yielding)
+    {
+        auto const why = should_yield(
+            {m_settings.limits.millicores(), m_clock.now() - m_owns_since,
+             m_lag.average(), m_peer_service.watchers()});
+        if (why != yield_reason::none)
+        {
+            yield(name_of(why));
+        }
+    }
+    m_load_timer.expires_after(load_pause);
+    m_load_timer.async_wait([this](auto) { watch_load(); });
+}
+
+/// Hands the work to another process, as at a planned stop.
+void node::yield(char const* why)
+{
+    m_yielding = true;
+    base::log(base::log_level::info, "owner_yields",
+              {{"why", why},
+               {"lag_s", base::seconds_of(m_lag.average())},
+               {"cores", m_settings.limits.cores}});
+    m_owner->release(release_limit,
+                     [this]
+                     {
+                         boost::asio::post(m_loop,
+                                           [this]
+                                           {
+                                               if (m_owner)
+                                               {
+                                                   m_ownership.yield(
+                                                       yield_rest);
+                                                   ended();
+                                               }
+                                           });
+                     });
+}
+
+} // namespace berylhill::cell
--- a/libraries/scheduler/scheduler.hpp
+++ b/libraries/scheduler/scheduler.hpp
@@ -314,6 +314,22 @@
                   workload::step_name const& name,
                   workload::queue_spec const& queue,
                   base::instant now);
+    struct gang_view;
+    [[nodiscard]] gang_view view_of(job& of,
+                                    workload::step_name const& name,
+                                    workload::queue_spec const& queue,
+                                    base::instant now) const;
+    [[nodiscard]] std::vector<instance const*>
+    first_that_hold(std::vector<instance const*> const& from,
+                    workload::step_spec const& spec,
+                    double share,
+                    double wanted,
+                    std::size_t at_least) const;
+    [[nodiscard]] bool may_allow(instance const& it,
+                                 workload::step_spec const& spec,
+                                 workload::queue_spec const& queue,
+                                 advice_state const& known,
+                                 base::instant now) const;
     void ask_advice(job& of,
                     turn const& at,
                     workload::queue_spec const& queue,
--- a/libraries/scheduler/scheduler_advice.cpp
+++ b/libraries/scheduler/scheduler_advice.cpp
@@ -32,10 +32,6 @@
 constexpr double gang_spare = 2.0;
 constexpr std::size_t least_named_for_gang = 24;
 
-/// A gang asks anew once the instances that it may use have this many times
-/// the slots that it needs, since a slot may go while the question is out.
-constexpr double gang_margin = 1.0;
-
 } // namespace
 
 bool scheduler::holds(advice_state::ticket const& it, base::instant now) const
@@ -174,8 +170,7 @@
     std::vector<instance const*> open;
     for (auto const& [id, at] : m_instances.all())
     {
-        if (!eligible(*at, spec, queue, now) || !open_to(*at, spec) ||
-            known.refused.contains(at->number()))
+        if (!open_to(*at, spec) || !may_allow(*at, spec, queue, known, now))
         {
             continue;
         }
@@ -216,90 +211,122 @@
     return out;
 }
 
-/// A gang first asks which instances it may ever use, and again about others
-/// when those that it knows are full and others are not. Once it knows enough
-/// of them, it asks only for new tickets, when their room holds it or will do
-/// so when the stops under way are done: a stop takes as long as an answer.
-std::vector<instance const*>
-scheduler::gang_question(job& of,
-                         workload::step_name const& name,
-                         workload::queue_spec const& queue,
-                         base::instant now)
+/// What a gang knows of the cell's instances.
+struct scheduler::gang_view
 {
-    auto const& spec = of.spec_of(name);
-    auto const& in = *of.find(name);
-    auto const& known = in.advice;
-    auto could_hold = std::uint32_t{0};
-    auto unknown_slots = std::uint32_t{0};
-    auto holds_soon = std::uint32_t{0};
+    /// Slots of empty instances that it may use, and of their room, with that
+    /// of stops under way.
+    std::uint32_t could_hold{0};
+    std::uint32_t holds_soon{0};
+    /// Slots in the room of instances that it has not asked about.
+    std::uint32_t unknown_slots{0};
     std::vector<instance const*> unknown;
+    /// Those with room that it may use, whose tickets have lapsed.
     std::vector<instance const*> lapsed;
+};
+
+scheduler::gang_view scheduler::view_of(job& of,
+                                        workload::step_name const& name,
+                                        workload::queue_spec const& queue,
+                                        base::instant now) const
+{
+    auto const& spec = of.spec_of(name);
+    auto const& in = *of.find(name);
+    gang_view out;
     for (auto const& [id, at] : m_instances.all())
     {
-        if (!eligible(*at, spec, queue, now) ||
-            known.refused.contains(at->number()))
+        if (!may_allow(*at, spec, queue, in.advice, now))
         {
             continue;
         }
-        auto const it = known.allowed.find(at->number());
-        if (it == known.allowed.end())
+        auto const own =
+            std::ranges::find(in.reserved, at) != in.reserved.end();
+        auto const open = own || open_to(*at, spec);
+        auto const it = in.advice.allowed.find(at->number());
+        if (it == in.advice.allowed.end())
         {
-            unknown.push_back(at.get());
-            unknown_slots +=
-                open_to(*at, spec) ? slots_in(spec, at->room(), 0) : 0;
+            out.unknown.push_back(at.get());
+            out.unknown_slots += open ? slots_in(spec, at->room(), 0) : 0;
             continue;
         }
-        could_hold += slots_in(spec, at->info().capacity, 0);
-        auto const own =
-            std::ranges::find(in.reserved, at) != in.reserved.end();
-        auto const slots =
-            own || open_to(*at, spec) ? slots_in(spec, at->room_soon(), 0) : 0;
-        holds_soon += slots;
+        out.could_hold += slots_in(spec, at->info().capacity, 0);
+        auto const slots = open ? slots_in(spec, at->room_soon(), 0) : 0;
+        out.holds_soon += slots;
         if (slots > 0 && !holds(it->second, now))
         {
-            lapsed.push_back(at.get());
+            out.lapsed.push_back(at.get());
         }
     }
     auto const by_room = [](instance const* it)
     {
         return it->room().cpu_millis;
     };
-    auto const enough = gang_reserve_factor * spec.tasks;
-    auto const expected =
-        holds_soon + unknown_slots * allowed_share(queue.name);
-    auto const elsewhere = holds_soon < spec.tasks && expected >= enough;
-    if ((could_hold < enough || elsewhere) && !unknown.empty())
+    std::ranges::sort(out.unknown, std::ranges::greater{}, by_room);
+    std::ranges::sort(out.lapsed, std::ranges::greater{}, by_room);
+    return out;
+}
+
+/// A gang first asks which instances it may ever use, and again about others
+/// when those that it knows are full and others are not. Once it knows enough
+/// of them, it asks only for new tickets, when their room holds it or will do
+/// so when the stops under way are done: a stop takes as long as an answer.
+std::vector<instance const*>
+scheduler::gang_question(job& of,
+                         workload::step_name const& name,
+                         workload::queue_spec const& queue,
+                         base::instant now)
+{
+    auto const tasks = of.spec_of(name).tasks;
+    auto const seen = view_of(of, name, queue, now);
+    auto const enough = gang_reserve_factor * tasks;
+    auto const share = allowed_share(queue.name);
+    auto const expected = seen.holds_soon + seen.unknown_slots * share;
+    auto const elsewhere = seen.holds_soon < tasks && expected >= enough;
+    if ((seen.could_hold < enough || elsewhere) && !seen.unknown.empty())
     {
-        std::ranges::sort(unknown, std::ranges::greater{}, by_room);
-        auto const share = allowed_share(queue.name);
-        auto hoped = 0.0;
-        auto n = std::size_t{0};
-        while (n < std::min(unknown.size(), m_rules.advice_instances) &&
-               (n < least_named_for_gang || hoped < gang_spare * spec.tasks))
-        {
-            hoped += share * slots_in(spec, unknown[n]->room(), 0);
-            ++n;
-        }
-        unknown.resize(n);
-        return unknown;
+        return first_that_hold(seen.unknown, of.spec_of(name), share,
+                               gang_spare * tasks, least_named_for_gang);
     }
-    if (holds_soon < gang_margin * spec.tasks)
+    if (seen.holds_soon < tasks)
     {
         return {};
     }
-    std::ranges::sort(lapsed, std::ranges::greater{}, by_room);
+    return first_that_hold(seen.lapsed, of.spec_of(name), 1.0, enough, 0);
+}
+
+/// As many from the front as are expected to have `wanted` slots, but
+/// `at_least`, where `share` of them may be used.
+std::vector<instance const*>
+scheduler::first_that_hold(std::vector<instance const*> const& from,
+                           workload::step_spec const& spec,
+                           double share,
+                           double wanted,
+                           std::size_t at_least) const
+{
     auto slots = 0.0;
     std::vector<instance const*> out;
-    for (auto const* const it : lapsed)
+    for (auto const* const it : from)
     {
-        if (slots >= enough || out.size() >= m_rules.advice_instances)
+        if (out.size() >= m_rules.advice_instances ||
+            (out.size() >= at_least && slots >= wanted))
         {
             break;
         }
-        slots += slots_in(spec, it->room_soon(), 0);
+        slots += share * slots_in(spec, it->room_soon(), 0);
         out.push_back(it);
     }
     return out;
 }
 
+/// An instance that could run the step, and that the service has not refused.
+bool scheduler::may_allow(instance const& it,
+                          workload::step_spec const& spec,
+                          workload::queue_spec const& queue,
+                          advice_state const& known,
+                          base::instant now) const
+{
+    return eligible(it, spec, queue, now) &&
+           !known.refused.contains(it.number());
+}
+
 } // namespace berylhill::scheduler
--- a/libraries/settings/cell_settings.hpp
+++ b/libraries/settings/cell_settings.hpp
@@ -55,6 +55,12 @@
     /// The share of a processor that the process may use.
     double cores{0.25};
 
+    [[nodiscard]] std::int64_t millicores() const
+    {
+        constexpr double per_core = 1'000;
+        return static_cast<std::int64_t>(cores * per_core);
+    }
+
     friend bool operator==(cell_limit_settings const&,
                            cell_limit_settings const&) = default;
 };
--- a/tests/platform_adapter/cell_fixture.cpp
+++ b/tests/platform_adapter/cell_fixture.cpp
@@ -1,6 +1,7 @@
 #include "cell_fixture.hpp"
 
 #include "stand_ins/cell_process.hpp"
+#include "stand_ins/documents.hpp"
 #include "stand_ins/ports.hpp"
 
 #include <cell/peer_messages.hpp>
@@ -19,11 +20,6 @@
 constexpr std::size_t instance_count = 2;
 constexpr std::chrono::milliseconds work{150};
 
-constexpr char const* configuration = R"({"version":1,"routes":[{"name":"q",
-    "hostname":"h","pathPrefix":"/q/","timeoutMs":3000,"targetLatencyMs":500,
-    "priority":0,"service":"svc","attempts":2,"stretch":2}],
-    "services":[{"name":"svc"}],"limits":{}})";
-
 std::string job_path(std::uint64_t id)
 {
     return "/q/" + text_of(workload::job_id{id});
@@ -43,13 +39,14 @@
     std::filesystem::create_directories(m_folder);
     auto port = std::size_t{m_first_port} + ports_per_process * processes;
     store = std::make_unique<store_stand_in>(loop, local(port++));
-    store->put("keyed.op", "config", configuration);
+    store->put(operators_topic, configuration_key,
+               configuration_document(1, {"q"}));
     for (std::size_t n = 0; n < instance_count; ++n)
     {
         instances.push_back(std::make_unique<instance_stand_in>(
             loop, local(port++), "i-" + std::to_string(n), work,
             [this](std::string const& task) { ++started[task]; }));
-        store->put("keyed.servers", instances.back()->id(),
+        store->put(instances_topic, instances.back()->id(),
                    instances.back()->heartbeat());
     }
     cells.resize(processes);
@@ -105,10 +102,7 @@
 unsigned cell_fixture::submit(std::size_t process, std::uint64_t id)
 {
     return call(process, network::http_method::post, job_path(id),
-                R"({"taskSpec":"t","steps":[{"count":2,"cpu":500,
-                    "memMb":100,"estimateMs":150},
-                    {"count":1,"cpu":500,"memMb":100,"estimateMs":150,
-                    "after":[0]}]})");
+                job_document(500, work.count()));
 }
 
 bool cell_fixture::completed(std::size_t process, std::uint64_t id)
--- /dev/null
+++ b/tests/platform_adapter/stand_ins/documents.cpp
@@ -0,0 +1,48 @@
+#include "documents.hpp"
+
+#include <boost/json.hpp>
+
+namespace berylhill::platform_test
+{
+
+namespace json = boost::json;
+
+std::string configuration_document(int version,
+                                   std::vector<std::string> const& queues)
+{
+    json::array routes;
+    for (auto const& name : queues)
+    {
+        routes.emplace_back(json::object{{"name", name},
+                                         {"hostname", "h"},
+                                         {"pathPrefix", "/" + name + "/"},
+                                         {"timeoutMs", 3'000},
+                                         {"targetLatencyMs", 500},
+                                         {"priority", 0},
+                                         {"service", "svc"},
+                                         {"attempts", 2},
+                                         {"stretch", 2}});
+    }
+    return json::serialize(
+        json::object{{"version", version},
+                     {"routes", std::move(routes)},
+                     {"services", json::array{json::object{{"name", "svc"}}}},
+                     {"limits", json::object{}}});
+}
+
+std::string job_document(std::int64_t cpu_millis, std::int64_t estimate_ms)
+{
+    auto const step = [&](int tasks)
+    {
+        return json::object{{"count", tasks},
+                            {"cpu", cpu_millis},
+                            {"memMb", 100},
+                            {"estimateMs", estimate_ms}};
+    };
+    auto second = step(1);
+    second["after"] = json::array{0};
+    return json::serialize(json::object{
+        {"taskSpec", "t"}, {"steps", json::array{step(2), std::move(second)}}});
+}
+
+} // namespace berylhill::platform_test
--- /dev/null
+++ b/tests/platform_adapter/stand_ins/documents.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace berylhill::platform_test
+{
+
+/// The topics that the operator and the instances write to.
+inline constexpr char const* operators_topic = "keyed.op";
+inline constexpr char const* instances_topic = "keyed.servers";
+inline constexpr char const* configuration_key = "config";
+
+/// The configuration as the operator writes it: a queue below `/NAME/` of host
+/// `h` for each name.
+[[nodiscard]] std::string
+configuration_document(int version, std::vector<std::string> const& queues);
+
+/// A job of two steps as a client hands it in: two tasks, and one after them.
+[[nodiscard]] std::string job_document(std::int64_t cpu_millis,
+                                       std::int64_t estimate_ms);
+
+} // namespace berylhill::platform_test
--- /dev/null
+++ b/tests/scheduler/world_failures.cpp
@@ -0,0 +1,148 @@
+#include "world.hpp"
+
+#include <algorithm>
+
+namespace berylhill::scheduler_test
+{
+
+using scheduler::attempt_name;
+using scheduler::end_reason;
+
+namespace
+{
+
+/// An instance that is silent stays in the list for so long.
+constexpr base::duration listed_for = std::chrono::milliseconds{4'500};
+
+} // namespace
+
+void world::add_instance(std::string address)
+{
+    auto made = std::make_unique<fake_instance>();
+    made->id = "i-" + std::to_string(m_next_instance++);
+    made->address = std::move(address);
+    made->capacity = {8'000, 8'000, 0};
+    made->clock_rate = chance(0.5) ? 1.0 : 0.98;
+    made->born = m_now;
+    auto const& it = *made;
+    m_instances.emplace(made->id, std::move(made));
+    announce(it, true);
+}
+
+void world::announce(fake_instance const& it, bool listed)
+{
+    if (listed)
+    {
+        m_listed.insert(it.id);
+    }
+    else
+    {
+        m_listed.erase(it.id);
+    }
+    for (auto const& each : m_owners)
+    {
+        if (!each->alive)
+        {
+            continue;
+        }
+        if (listed)
+        {
+            each->decisions->list(info_of(it), m_now);
+        }
+        else
+        {
+            each->decisions->unlist(it.id, m_now);
+        }
+    }
+}
+
+scheduler::instance_info world::info_of(fake_instance const& it) const
+{
+    scheduler::instance_info out;
+    out.id = it.id;
+    out.service = "svc";
+    out.address = it.address;
+    out.zone = "zone";
+    out.capacity = it.capacity;
+    out.labels = {"kind", "rack"};
+    out.draining = it.drains_since.has_value();
+    if (out.draining)
+    {
+        out.stays_for = std::max(base::duration{0}, it.leaves_at - m_now);
+    }
+    return out;
+}
+
+/// It says that it leaves, goes on for a while, and goes.
+void world::drain(fake_instance& it)
+{
+    auto const between_ms = [this](std::int64_t a, std::int64_t b)
+    {
+        return std::chrono::milliseconds{
+            std::uniform_int_distribution<std::int64_t>{a, b}(m_drain_random)};
+    };
+    it.drains_since = m_now;
+    it.leaves_at = m_now + between_ms(1'500, 6'000);
+    announce(it, true);
+    after(it.leaves_at - m_now + between_ms(0, 3'000),
+          [this, id = it.id]
+          {
+              if (auto& leaving = *m_instances.at(id); leaving.up)
+              {
+                  crash(leaving);
+              }
+          });
+}
+
+/// Everything that ran there is gone; another life comes at the same address
+/// or at a new one.
+void world::crash(fake_instance& it)
+{
+    it.up = false;
+    std::vector<attempt_name> lost;
+    for (auto const& [name, running] : it.running)
+    {
+        lost.push_back(name);
+    }
+    it.running.clear();
+    for (auto const& name : lost)
+    {
+        gang_ends(name, &it, end_reason::broken);
+    }
+    auto const id = it.id;
+    auto const address =
+        chance(0.6) ? it.address : "b" + std::to_string(m_next_address++);
+    after(listed_for, [this, id] { announce(*m_instances.at(id), false); });
+    after(std::chrono::milliseconds{between(500, 5'000)},
+          [this, address] { add_instance(address); });
+}
+
+void world::cut(fake_instance& it)
+{
+    it.cut = true;
+    auto const id = it.id;
+    auto const length = std::chrono::milliseconds{between(300, 14'000)};
+    if (length > listed_for)
+    {
+        after(listed_for,
+              [this, id]
+              {
+                  if (m_instances.at(id)->cut)
+                  {
+                      announce(*m_instances.at(id), false);
+                  }
+              });
+    }
+    after(length,
+          [this, id]
+          {
+              auto& healed = *m_instances.at(id);
+              healed.cut = false;
+              if (healed.up)
+              {
+                  announce(healed, true);
+              }
+          });
+}
+
+} // namespace berylhill::scheduler_test
--- /dev/null
+++ b/tests/scheduler/world_orders.cpp
@@ -0,0 +1,241 @@
+#include "world.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace berylhill::scheduler_test
+{
+
+using scheduler::start_answer;
+
+namespace
+{
+
+constexpr base::duration answer_timeout = std::chrono::milliseconds{400};
+constexpr base::duration hold_pause = std::chrono::milliseconds{60};
+
+} // namespace
+
+void world::send(owner_pointer const& by, scheduler::start_order const& it)
+{
+    // The list is read at once here, so nothing but what was being stored is
+    // sent to an instance that says that it leaves.
+    constexpr base::duration storing = std::chrono::seconds{2};
+    auto const& target = *m_instances.at(it.instance);
+    if (by->alive && target.drains_since &&
+        m_now - *target.drains_since > storing && m_store_up)
+    {
+        broken("start of " + text_of(it.attempt.task) + " sent to " +
+               it.instance + ", which leaves");
+    }
+    auto const answer = [this, by, it](start_answer end, std::int64_t clock)
+    {
+        if (!by->alive)
+        {
+            return;
+        }
+        if (end == start_answer::fenced)
+        {
+            fenced(by);
+            return;
+        }
+        by->decisions->start_answered(it.instance, it.attempt, end, clock,
+                                      m_now);
+        pump(by);
+    };
+    auto const* const known =
+        by->decisions->instances().all().contains(it.instance)
+            ? by->decisions->instances().all().at(it.instance).get()
+            : nullptr;
+    auto const address = known == nullptr ? "" : known->info().address;
+    auto const late = m_trouble && chance(m_rough.late);
+    auto const lost = m_trouble && chance(m_rough.lose);
+    auto const pause =
+        late ? std::chrono::milliseconds{between(2'000, 12'000)} : hop();
+    auto const quiet = late || lost;
+    if (quiet)
+    {
+        after(answer_timeout,
+              [answer] { answer(start_answer::unanswered, 0); });
+    }
+    if (lost && chance(0.5))
+    {
+        return;
+    }
+    after(pause,
+          [this, by, it, answer, address, quiet]
+          {
+              auto* const at = at_address(address);
+              if (at == nullptr || at->cut)
+              {
+                  if (!quiet)
+                  {
+                      after(answer_timeout,
+                            [answer] { answer(start_answer::unanswered, 0); });
+                  }
+                  return;
+              }
+              auto const end = at->id != it.instance
+                                   ? start_answer::other_incarnation
+                                   : begin(*at, by->token, it);
+              auto const clock = clock_of(*at);
+              if (!quiet)
+              {
+                  after(hop(), [answer, end, clock] { answer(end, clock); });
+              }
+          });
+}
+
+void world::send(owner_pointer const& by, scheduler::stop_order const& it)
+{
+    auto const lost = m_trouble && chance(m_rough.lose);
+    after(hop(),
+          [this, by, it, lost]
+          {
+              auto const at = m_instances.find(it.instance);
+              auto const reached =
+                  at != m_instances.end() && at->second->up && !at->second->cut;
+              auto const fence = reached && by->token < at->second->token &&
+                                 m_fault != planted::no_fence;
+              if (reached)
+              {
+                  stop(*at->second, by->token, it.attempt);
+              }
+              after(hop(),
+                    [this, by, it, answered = reached && !lost, fence]
+                    {
+                        if (!by->alive)
+                        {
+                            return;
+                        }
+                        if (fence)
+                        {
+                            fenced(by);
+                            return;
+                        }
+                        by->decisions->stop_answered(it.instance, it.attempt,
+                                                     answered, m_now);
+                        pump(by);
+                    });
+          });
+}
+
+void world::send(owner_pointer const& by, scheduler::advice_order const& it)
+{
+    after(it.expected,
+          [this, by, it, failed = m_trouble && chance(m_rough.lose)]
+          {
+              if (!by->alive)
+              {
+                  return;
+              }
+              if (failed)
+              {
+                  by->decisions->advice_failed(it.step, m_now);
+                  return;
+              }
+              std::vector<scheduler::permission> allowed;
+              for (auto const& id : it.instances)
+              {
+                  // Which ones are allowed never changes.
+                  constexpr unsigned well_mixed_bits = 33;
+                  auto const hash =
+                      std::hash<std::string>{}(id + text_of(it.step));
+                  // Some instance is always allowed, so that steps can run.
+                  auto const always = (id.back() - '0') % 2 == 0;
+                  if (always || (hash >> well_mixed_bits) % 4 != 0)
+                  {
+                      allowed.push_back({id, "t"});
+                  }
+              }
+              by->decisions->advised(it.step, it.instances, allowed,
+                                     std::chrono::milliseconds{2'000}, m_now);
+              pump(by);
+          });
+}
+
+void world::hold(owner_pointer const& by, std::string const& id)
+{
+    auto const order = by->decisions->next_hold(id, m_now);
+    auto const sent_at = m_now;
+    auto const address =
+        by->decisions->instances().all().at(id)->info().address;
+    auto const lost = m_trouble && chance(m_rough.lose);
+    auto const again = [this, by, id](base::duration pause)
+    {
+        by->hold_after[id] = m_now + pause;
+    };
+    after(hop(),
+          [this, by, id, order, sent_at, address, lost, again]
+          {
+              auto* const at = at_address(address);
+              if (at == nullptr || at->cut || (lost && chance(0.5)))
+              {
+                  after(answer_timeout,
+                        [this, by, id, again]
+                        {
+                            if (by->alive)
+                            {
+                                by->decisions->silent(id, m_now);
+                                again(hold_pause);
+                                pump(by);
+                            }
+                        });
+                  return;
+              }
+              if (at->id != id)
+              {
+                  if (by->alive)
+                  {
+                      by->decisions->gone(id, m_now);
+                      again(hold_pause);
+                      pump(by);
+                  }
+                  return;
+              }
+              if (by->token < at->token && m_fault != planted::no_fence)
+              {
+                  fenced(by);
+                  return;
+              }
+              at->token = std::max(at->token, by->token);
+              at->until_ms = std::max(at->until_ms, order.until_ms);
+              note_seen(*at, order.seen_end);
+              scheduler::hold_report report;
+              report.instance = id;
+              report.sent_at = sent_at;
+              report.clock_ms = clock_of(*at);
+              for (auto const& [name, running] : at->running)
+              {
+                  report.running.push_back({name, {}, 50});
+              }
+              for (auto const& end : at->ended)
+              {
+                  report.ended.push_back(end.row);
+              }
+              after(lost ? answer_timeout : hop(),
+                    [this, by, id, report, again, lost]() mutable
+                    {
+                        if (!by->alive)
+                        {
+                            return;
+                        }
+                        again(hold_pause);
+                        if (lost)
+                        {
+                            by->decisions->silent(id, m_now);
+                            pump(by);
+                            return;
+                        }
+                        report.read_at = m_now;
+                        if (m_fault == planted::trust_old_reports)
+                        {
+                            report.sent_at = m_now;
+                        }
+                        by->decisions->reported(report);
+                        pump(by);
+                    });
+          });
+}
+
+} // namespace berylhill::scheduler_test
--- a/utilities/soak/cell.cpp
+++ b/utilities/soak/cell.cpp
@@ -1,5 +1,6 @@
 #include <soak/cell.hpp>
 
+#include <stand_ins/documents.hpp>
 #include <stand_ins/ports.hpp>
 
 #include <csignal>
@@ -13,19 +14,18 @@
 
 using platform_test::local;
 
-constexpr std::chrono::milliseconds task_time{250};
-
 /// The grace time of the settings and a little for a busy machine.
 constexpr std::chrono::seconds longest_stop{6};
 
 /// The share of appends without an answer while the store loses them.
 constexpr double lost_share = 0.4;
 
-std::string route(std::string const& name)
+/// The prefix of the queue that a version adds.
+std::string queue_of(int version)
 {
-    return R"({"name":")" + name + R"(","hostname":"h","pathPrefix":"/)" +
-           name + R"(/","timeoutMs":3000,"targetLatencyMs":500,"priority":0,)" +
-           R"("service":"svc","attempts":2,"stretch":2})";
+    constexpr char first_letter = 'a';
+    constexpr int letters = 26;
+    return {'/', 'x', static_cast<char>(first_letter + version % letters), '/'};
 }
 
 } // namespace
@@ -63,7 +63,7 @@
         it.instance->on_end(
             [this, n](std::string const& task, std::string const& how)
             { m_seen.ended(m_workers[n].instance->id(), task, how); });
-        m_store->put("keyed.servers", id,
+        m_store->put(platform_test::instances_topic, id,
                      it.instance->heartbeat(it.reached_at));
     }
     for (std::size_t n = 0; n < size.processes; ++n)
@@ -88,37 +88,24 @@
 void cell::configure()
 {
     ++m_version;
-    auto routes = route("q");
+    std::vector<std::string> queues{"q"};
     if (m_version > 1)
     {
-        routes += "," + route(added_queue().substr(1, 2));
+        queues.push_back(added_queue().substr(1, 2));
     }
-    m_store->put("keyed.op", "config",
-                 R"({"version":)" + std::to_string(m_version) +
-                     R"(,"routes":[)" + routes +
-                     R"(],"services":[{"name":"svc"}],"limits":{}})");
+    m_store->put(platform_test::operators_topic,
+                 platform_test::configuration_key,
+                 platform_test::configuration_document(m_version, queues));
 }
 
 std::string cell::added_queue() const
 {
-    constexpr int first_letter = 'a';
-    constexpr int letters = 26;
-    return m_version < 2
-               ? std::string{}
-               : std::string{"/x"} +
-                     static_cast<char>(first_letter + m_version % letters) +
-                     "/";
+    return m_version < 2 ? std::string{} : queue_of(m_version);
 }
 
 std::string cell::removed_queue() const
 {
-    constexpr int first_letter = 'a';
-    constexpr int letters = 26;
-    return m_version < 3 ? std::string{}
-                         : std::string{"/x"} +
-                               static_cast<char>(first_letter +
-                                                 (m_version - 1) % letters) +
-                               "/";
+    return m_version < 3 ? std::string{} : queue_of(m_version - 1);
 }
 
 network::socket_address cell::callers_of(std::size_t process) const
@@ -149,7 +136,8 @@
     m_seen.crashed(before);
     it.instance->restart(after);
     it.link->reset();
-    m_store->put("keyed.servers", after, it.instance->heartbeat(it.reached_at));
+    m_store->put(platform_test::instances_topic, after,
+                 it.instance->heartbeat(it.reached_at));
 }
 
 void cell::begin(fault const& it)
--- a/utilities/soak/cell.hpp
+++ b/utilities/soak/cell.hpp
@@ -33,6 +33,7 @@
 public:
     /// Tasks of `task_cpu` that an instance holds.
     static constexpr std::int64_t task_cpu = 3'000;
+    static constexpr std::chrono::milliseconds task_time{250};
     static constexpr std::size_t room = static_cast<std::size_t>(
         platform_test::instance_stand_in::cpu_millis / task_cpu);
 
--- a/utilities/soak/client.cpp
+++ b/utilities/soak/client.cpp
@@ -1,6 +1,7 @@
 #include <soak/client.hpp>
 
 #include <json_codec/reader.hpp>
+#include <stand_ins/documents.hpp>
 #include <workload/job_id.hpp>
 
 #include <utility>
@@ -26,18 +27,6 @@
 /// One job in so many is cancelled.
 constexpr std::uint64_t cancel_one_in = 7;
 
-std::string job_body()
-{
-    auto const step = [](int tasks, char const* after)
-    {
-        return R"({"count":)" + std::to_string(tasks) + R"(,"cpu":)" +
-               std::to_string(cell::task_cpu) +
-               R"(,"memMb":100,"estimateMs":250)" + after + "}";
-    };
-    return R"({"taskSpec":"t","steps":[)" + step(2, "") + "," +
-           step(1, R"(,"after":[0])") + "]}";
-}
-
 } // namespace
 
 std::vector<std::vector<std::string>> client::task_names()
@@ -111,7 +100,8 @@
 
 void client::submit()
 {
-    call(network::http_method::post, job_body(),
+    call(network::http_method::post,
+         platform_test::job_document(cell::task_cpu, cell::task_time.count()),
          [this](auto const& it) { submitted(it); });
 }
 
