platform_adapter, cell: Take no other writer's entry for an instance

An end that is named again until it is stored counts once (owner/an_end_that_is_named_again_counts_once); when an instance is asked next is a pure class, hold_turn. Appends over 0.2 s are named in the log.

--- a/libraries/cell/cell_owner.hpp
+++ b/libraries/cell/cell_owner.hpp
@@ -3,6 +3,7 @@
 #include <cell/advice_desk.hpp>
 #include <cell/batch_waiters.hpp>
 #include <cell/documents.hpp>
+#include <cell/hold_turn.hpp>
 #include <cell/instance_link.hpp>
 #include <cell/job_call.hpp>
 #include <cell/log_follower.hpp>
@@ -94,16 +95,6 @@
     }
 
 private:
-    struct hold_loop
-    {
-        bool asking{false};
-        /// The batch that has to be stored first: the next question says that
-        /// the ends of the last report are, or the instance would answer it
-        /// at once with the same ones.
-        std::uint64_t after_batch{0};
-        base::instant next{};
-    };
-
     void submit(job_call const& it, job_answer_handler done);
     void cancel(job_call const& it, job_answer_handler done);
     void wait_for_batch(job_call const& of, job_answer_handler done);
@@ -120,7 +111,7 @@
     void send(scheduler::stop_order const& it);
     void send(scheduler::advice_order const& it);
     void hold_all();
-    void hold(std::string const& id, hold_loop& loop);
+    void hold(std::string const& id, hold_turn& turn);
     void held(std::string const& id, hold_result it, base::instant sent_at);
     [[nodiscard]] order_target target(std::string const& id) const;
     void instance_changed(std::string const& key, std::string const& value);
@@ -140,7 +131,7 @@
     boost::asio::steady_timer m_round;
     base::instant m_last_round{};
     std::shared_ptr<bool> m_alive{std::make_shared<bool>(true)};
-    std::map<std::string, hold_loop> m_holds;
+    std::map<std::string, hold_turn> m_holds;
     std::uint64_t m_batches_taken{0};
     std::uint64_t m_batches_stored{0};
     /// When the open batch got its first content.
--- a/libraries/cell/cell_owner_orders.cpp
+++ b/libraries/cell/cell_owner_orders.cpp
@@ -16,9 +16,6 @@
 /// Added to the time that an instance may wait before it answers a hold.
 constexpr base::duration hold_slack = std::chrono::milliseconds{400};
 
-/// Between two tries to reach an instance that does not answer.
-constexpr base::duration hold_retry = std::chrono::milliseconds{200};
-
 } // namespace
 
 void cell_owner::carry_out(std::vector<scheduler::order> const& orders)
@@ -117,30 +114,32 @@
     auto const now = m_parts.clock->now();
     for (auto const& [id, at] : m_decisions.instances().all())
     {
-        if (at->info().address.empty())
+        if (at->info().address.empty() ||
+            !m_decisions.serves(at->info().service))
         {
+            // What is listed under a service that no queue goes to may be
+            // another's entry, at an address that is not to be called.
             continue;
         }
-        auto& loop = m_holds[id];
-        if (!loop.asking && loop.after_batch <= m_batches_stored &&
-            now >= loop.next)
+        auto& turn = m_holds[id];
+        if (turn.due(now, m_batches_stored))
         {
-            hold(id, loop);
+            hold(id, turn);
         }
     }
     std::erase_if(m_holds,
                   [&](auto const& it)
                   {
-                      return !it.second.asking &&
+                      return !it.second.asking() &&
                              !m_decisions.instances().all().contains(it.first);
                   });
 }
 
-void cell_owner::hold(std::string const& id, hold_loop& loop)
+void cell_owner::hold(std::string const& id, hold_turn& turn)
 {
     auto const now = m_parts.clock->now();
     auto const order = m_decisions.next_hold(id, now);
-    loop.asking = true;
+    turn.asked();
     m_parts.orders->hold(target(id), order, order.wait + hold_slack,
                          [this, alive = m_alive, id, now](hold_result it)
                          {
@@ -156,16 +155,14 @@
                       base::instant sent_at)
 {
     auto const now = m_parts.clock->now();
-    auto& loop = m_holds[id];
-    loop.asking = false;
-    loop.next = now;
+    auto& turn = m_holds[id];
     switch (it.end)
     {
     case order_end::done:
         it.report.instance = id;
         it.report.sent_at = sent_at;
         it.report.read_at = now;
-        loop.after_batch = it.report.ended.empty() ? 0 : m_batches_taken + 1;
+        turn.reported(now, it.report.ended.empty() ? 0 : m_batches_taken + 1);
         m_decisions.reported(it.report);
         break;
     case order_end::fenced:
@@ -173,12 +170,12 @@
         return;
     case order_end::other_incarnation:
         m_decisions.gone(id, now);
-        loop.next = now + hold_retry;
+        turn.failed(now);
         break;
     case order_end::refused:
     case order_end::unanswered:
         m_decisions.silent(id, now);
-        loop.next = now + hold_retry;
+        turn.failed(now);
         break;
     }
     soon();
--- /dev/null
+++ b/libraries/cell/hold_turn.cpp
@@ -0,0 +1,32 @@
+#include <cell/hold_turn.hpp>
+
+namespace berylhill::cell
+{
+
+namespace
+{
+
+/// Between two tries to reach an instance that does not answer.
+constexpr base::duration retry_pause = std::chrono::milliseconds{200};
+
+} // namespace
+
+bool hold_turn::due(base::instant now, std::uint64_t stored) const
+{
+    return !m_asking && now >= m_next && m_batch <= stored;
+}
+
+void hold_turn::reported(base::instant now, std::uint64_t batch)
+{
+    m_asking = false;
+    m_batch = batch;
+    m_next = now;
+}
+
+void hold_turn::failed(base::instant now)
+{
+    m_asking = false;
+    m_next = now + retry_pause;
+}
+
+} // namespace berylhill::cell
--- a/libraries/cell/sure_append.cpp
+++ b/libraries/cell/sure_append.cpp
@@ -50,6 +50,19 @@
 /// Until a look at the log is given up.
 constexpr base::duration look_timeout = std::chrono::milliseconds{500};
 
+/// An append that takes longer is named in the log: what waited for it is late.
+constexpr base::duration slow_append = std::chrono::milliseconds{200};
+
+std::uint64_t bytes_of(std::vector<scheduler::record> const& records)
+{
+    std::uint64_t out = 0;
+    for (auto const& it : records)
+    {
+        out += it.key.size() + it.value.size();
+    }
+    return out;
+}
+
 base::duration doubled(base::duration it, std::uint32_t times)
 {
     constexpr std::uint32_t most = 10;
@@ -298,6 +311,17 @@
 
 void sure_append::finish(sure_end it)
 {
+    auto const took = m_clock.now() - m_began;
+    if (took > slow_append)
+    {
+        base::log(base::log_level::info, "append_slow",
+                  {{"at", m_at},
+                   {"records", std::uint64_t{m_records.size()}},
+                   {"bytes", bytes_of(m_records)},
+                   {"tries", m_tries},
+                   {"stored", it == sure_end::stored ? 1 : 0},
+                   {"took_s", base::seconds_of(took)}});
+    }
     // What other tries still bring is of no interest.
     ++*m_generation;
     m_timer.cancel();
--- a/libraries/scheduler/scheduler.cpp
+++ b/libraries/scheduler/scheduler.cpp
@@ -128,6 +128,12 @@
     }
 }
 
+bool scheduler::serves(std::string const& service) const
+{
+    return std::ranges::any_of(m_queues, [&](auto const& it)
+                               { return it.second.service == service; });
+}
+
 submission scheduler::submit(workload::job_spec it,
                              std::int64_t wall_ms,
                              base::instant now)
--- a/libraries/scheduler/scheduler.hpp
+++ b/libraries/scheduler/scheduler.hpp
@@ -104,6 +104,8 @@
     void unlist(std::string const& id, base::instant now);
     /// Nothing of it runs any more: another life answers at its address.
     void gone(std::string const& id, base::instant now);
+    /// Some configuration has sent a queue to the service.
+    [[nodiscard]] bool serves(std::string const& service) const;
     [[nodiscard]] hold_order next_hold(std::string const& id,
                                        base::instant now);
     void reported(hold_report const& it);
@@ -215,6 +217,7 @@
     void note_health(instance& at, end_reason reason, base::instant now);
     void read_running(instance& at, hold_report const& it);
     void read_ended(instance& at, hold_report const& it);
+    [[nodiscard]] std::uint64_t taken_end(instance const& at) const;
     void drop_missing(instance& at, hold_report const& it);
     void note_begun(workload::job_id of);
     [[nodiscard]] std::uint32_t attempts_allowed(job const& of) const;
--- a/libraries/scheduler/scheduler_reports.cpp
+++ b/libraries/scheduler/scheduler_reports.cpp
@@ -90,21 +90,37 @@
 {
     for (auto const& row : it.ended)
     {
-        if (row.number <= at.seen_end())
+        if (row.number <= taken_end(at))
         {
             continue;
         }
-        auto& seen = m_open.seen_ends[it.instance];
-        if (row.number <= seen)
-        {
-            continue;
-        }
-        seen = row.number;
+        m_open.seen_ends[it.instance] = row.number;
         note_health(at, row.reason, it.read_at);
         attempt_ended(at, row.attempt, row.reason, row.checkpoint, it.read_at);
     }
 }
 
+/// The last end of the instance that was taken note of, whether that is stored
+/// or not: until it is, the instance goes on naming it.
+std::uint64_t scheduler::taken_end(instance const& at) const
+{
+    auto out = at.seen_end();
+    auto const note = [&](gate const& in)
+    {
+        if (auto const it = in.seen_ends.find(at.info().id);
+            it != in.seen_ends.end())
+        {
+            out = std::max(out, it->second);
+        }
+    };
+    note(m_open);
+    if (m_in_flight)
+    {
+        note(*m_in_flight);
+    }
+    return out;
+}
+
 /// What was settled before the report was asked for and is not in it has left
 /// without an end: it never began, or its lease lapsed.
 void scheduler::drop_missing(instance& at, hold_report const& it)
--- a/tests/platform_adapter/cell_fixture.cpp
+++ b/tests/platform_adapter/cell_fixture.cpp
@@ -30,7 +30,7 @@
 cell_fixture::cell_fixture()
     : m_first_port{free_ports(
           port_range::tests,
-          static_cast<std::uint16_t>(ports_per_process * processes + 1 +
+          static_cast<std::uint16_t>(ports_per_process * processes + 2 +
                                      instance_count))}
     , m_folder{std::filesystem::temp_directory_path() /
                ("berylhill-cell-" + std::to_string(::getpid()) + "-" +
@@ -49,6 +49,7 @@
         store->put(instances_topic, instances.back()->id(),
                    instances.back()->heartbeat());
     }
+    m_spare = local(port++);
     cells.resize(processes);
     for (std::size_t n = 0; n < processes; ++n)
     {
--- a/tests/platform_adapter/cell_fixture.hpp
+++ b/tests/platform_adapter/cell_fixture.hpp
@@ -67,6 +67,12 @@
     [[nodiscard]] bool completed(std::size_t process, std::uint64_t id);
     [[nodiscard]] bool ready(std::size_t process);
 
+    /// An address that nothing of the cell listens at.
+    [[nodiscard]] network::socket_address const& spare_address() const noexcept
+    {
+        return m_spare;
+    }
+
     /// The process that owns the work; nothing while none does.
     [[nodiscard]] std::optional<std::size_t> owner();
 
@@ -78,6 +84,7 @@
     std::map<std::string, int> started;
 
 private:
+    network::socket_address m_spare;
     [[nodiscard]] network::http_response ask(std::uint16_t port,
                                              network::http_request it);
 
--- a/tests/platform_adapter/stand_ins/instance_stand_in.cpp
+++ b/tests/platform_adapter/stand_ins/instance_stand_in.cpp
@@ -59,8 +59,13 @@
         {"service", "svc"},
         {"address", text_of(reached_at)},
         {"zone", "a"},
+        {"version", "v1"},
+        {"slots", 8},
         {"state", "ready"},
-        {"capacity", json::object{{"cpu", cpu_millis}, {"memMb", 8'000}}},
+        {"coldLeftMs", 0},
+        {"sequence", 1},
+        {"capacity",
+         json::object{{"cpu", cpu_millis}, {"memMb", 8'000}, {"gpu", 0}}},
         {"labels", json::array{"k", "r"}}});
 }
 
--- a/tests/platform_adapter/whole_path_test.cpp
+++ b/tests/platform_adapter/whole_path_test.cpp
@@ -1,4 +1,5 @@
 #include "cell_fixture.hpp"
+#include "stand_ins/documents.hpp"
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
@@ -156,6 +157,45 @@
     BOOST_TEST(run_until([&] { return completed(2, 2); }));
 }
 
+/// Somebody's program is called again and again by the cell, and a user's job
+/// waits for it. Another writer has put entries among those of the instances:
+/// of an unknown service or state, with members missing, and no JSON at all.
+BOOST_AUTO_TEST_CASE(entries_of_another_writer_name_no_instance)
+{
+    std::size_t calls = 0;
+    network::http_server stranger{loop, [&](auto const&, auto answer)
+                                  {
+                                      ++calls;
+                                      answer({200, {}, "{}"});
+                                  }};
+    auto const& at = spare_address();
+    BOOST_REQUIRE(base::capture(
+        [&]() -> base::result<base::done>
+        {
+            BOOST_LEAF_CHECK(stranger.listen(at));
+            return base::done{};
+        }));
+    auto const good = instances.front()->heartbeat(at);
+    auto const with = [&](std::string const& from, std::string const& to)
+    {
+        auto out = good;
+        out.replace(out.find(from), from.size(), to);
+        return out;
+    };
+    store->put(instances_topic, "i-state", with("\"ready\"", "\"paused\""));
+    store->put(instances_topic, "i-service", with("\"svc\"", "\"other\""));
+    store->put(instances_topic, "i-missing", with("\"zone\":\"a\",", ""));
+    store->put(instances_topic, "i-type", with("\"slots\":8", "\"slots\":[]"));
+    store->put(instances_topic, "i-bytes", "\xff\x01{" + good);
+    BOOST_REQUIRE(all_ready(*this));
+    for (std::uint64_t id = 1; id <= 8; ++id)
+    {
+        BOOST_TEST(submit(id % processes, id) == 200U);
+        BOOST_TEST(run_until([&] { return completed(0, id); }));
+    }
+    BOOST_TEST(calls == 0U);
+}
+
 /// A user gets no answer any more from a process that is well. Whoever reads
 /// its log has stopped reading, the pipe is full, and the process waits in a
 /// write.
--- a/tests/scheduler/owner_test.cpp
+++ b/tests/scheduler/owner_test.cpp
@@ -291,4 +291,27 @@
     BOOST_TEST(it.decisions.pending("q") == 1U);
 }
 
+/// An instance that works well is taken out of use. The store is slow; until an
+/// end is stored the instance names it in each report, and one failure counted
+/// as three in a row.
+BOOST_AUTO_TEST_CASE(an_end_that_is_named_again_counts_once)
+{
+    bench_owner it;
+    it.list("a");
+    it.report("a");
+    it.decisions.submit(bench_owner::job(1, 1), 0, it.now);
+    auto const start = it.starts().at(0);
+    it.confirm(start);
+    it.advance(second);
+    auto const end = end_of(1, start, end_reason::failed);
+    it.report("a", {}, {end});
+    auto const batch = it.decisions.take_batch(it.now);
+    BOOST_TEST(!batch.empty());
+    it.report("a", {}, {end});
+    it.report("a", {}, {end});
+    BOOST_TEST(!it.decisions.batch_open());
+    BOOST_TEST(it.decisions.counts().ends_failed == 1U);
+    BOOST_TEST(it.decisions.instances().all().at("a")->usable(it.now));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
