--- a/libraries/cell/sure_append.cpp
+++ b/libraries/cell/sure_append.cpp
@@ -23,15 +23,12 @@
 /// The patience is this many times the mean; a store seldom takes longer.
 constexpr int patience_factor = 8;
 
-/// Until a try is given up. A store whose appends take 240 ms is not silent: it
-/// was taken for that while each try was given up when the next one was sent,
-/// and all new work was refused for a second.
+/// Until a try is given up; up to seven are listened to at a time. A store
+/// whose appends take 240 ms is not silent: it was taken for that while each
+/// try was given up when the next one was sent, and all new work was refused
+/// for a second.
 constexpr base::duration answer_timeout = std::chrono::milliseconds{2'000};
 
-/// Tries that are listened to at a time; a silent store is asked no more often
-/// than one of them ends.
-constexpr std::uint32_t most_awaited = 4;
-
 /// Weight of the newest measurement in the mean, as a divisor.
 constexpr int mean_weight = 8;
 
@@ -170,12 +167,7 @@
         base::log(base::log_level::warning, "append_unanswered",
                   {{"at", m_at}, {"tries", m_tries}});
     }
-    if (m_awaiting < most_awaited || over())
-    {
-        send();
-        return;
-    }
-    again(m_latency.patience(m_tries), [this] { overdue(); });
+    send();
 }
 
 void sure_append::answered(append_result const& it, base::instant sent_at)
--- a/tests/cell/fake_log.hpp
+++ b/tests/cell/fake_log.hpp
@@ -25,6 +25,8 @@
     store_silently,
     /// Says nothing; `deliver_late` stores it if its offset still fits.
     delay,
+    /// Loses it, and says nothing until the caller's timeout.
+    silent,
     /// Takes `slow_time` for it, one append at a time, and then answers; the
     /// caller hears nothing from its own timeout on.
     slow,
@@ -51,6 +53,11 @@
         {
             fates.pop_front();
         }
+        if (next == fate::silent)
+        {
+            time_out(timeout, std::move(handler));
+            return;
+        }
         if (next == fate::slow)
         {
             append_slowly(at, records, timeout, std::move(handler));
@@ -197,12 +204,18 @@
             });
         if (!heard)
         {
-            auto const end =
-                std::make_shared<boost::asio::steady_timer>(m_loop, timeout);
-            end->async_wait([end, handler](auto) { handler({}); });
+            time_out(timeout, std::move(handler));
         }
     }
 
+    void time_out(base::duration timeout, cell::append_handler handler)
+    {
+        auto const end =
+            std::make_shared<boost::asio::steady_timer>(m_loop, timeout);
+        end->async_wait([end, handler = std::move(handler)](auto)
+                        { handler({}); });
+    }
+
     boost::asio::io_context& m_loop;
     /// What the appends under way take in all.
     base::duration m_queue{0};
--- a/tests/cell/sure_append_test.cpp
+++ b/tests/cell/sure_append_test.cpp
@@ -147,6 +147,21 @@
     BOOST_TEST((log.log == ours));
 }
 
+/// Users are refused for two seconds though the store is back. It was silent,
+/// and a new try was sent only when one of four that were lost had ended.
+BOOST_AUTO_TEST_CASE(a_store_that_was_silent_is_asked_soon_after_it_is_back)
+{
+    log.fates.assign(1'000, fate::silent);
+    begin(0);
+    loop.run_for(std::chrono::milliseconds{1'300});
+    log.fates.clear();
+    auto const back = clock.now();
+    run();
+    BOOST_REQUIRE(end.has_value());
+    BOOST_TEST((*end == sure_end::stored));
+    BOOST_TEST(base::seconds_of(clock.now() - back) < 0.9);
+}
+
 /// A store whose connections are reset at once gets three hundred appends a
 /// second of one owner, and counts them all.
 BOOST_AUTO_TEST_CASE(a_store_that_resets_is_not_asked_all_the_time)
