scheduler: Plan gangs by forecast, ask for advice within a budget

Now - a gang is planned on the instances whose slots for it are free together first, by progress and by run times learnt by queue; work that ends before fills in; a gang with a plan asks for the tickets of its plan only, when they will be needed; - its first questions go out at once, as many as hold it twelve times; more are asked while its plan is late and machines have time to spare (advice_budget), or it has no plan at all; - questions go out by when they are needed, and none is put off for longer than 16 times what it takes, in place of by priority; - a round of decisions looks at 20,000 instances at most and goes on where it left off; the owner's rounds take a third of its loop at most.

--- a/libraries/cell/advice_desk.hpp
+++ b/libraries/cell/advice_desk.hpp
@@ -29,6 +29,12 @@
                 peer_client& peers,
                 peers_function others);
 
+    /// How many machines can ask now, this one included.
+    [[nodiscard]] std::size_t machines() const
+    {
+        return m_others().size() + 1;
+    }
+
     /// `done` is called once, on the event loop.
     void ask(scheduler::advice_order const& it, handler done);
 
--- a/libraries/cell/advice_queue.cpp
+++ b/libraries/cell/advice_queue.cpp
@@ -1,5 +1,7 @@
 #include <cell/advice_queue.hpp>
 
+#include <scheduler/advice_budget.hpp>
+
 #include <algorithm>
 
 namespace berylhill::cell
@@ -11,10 +13,6 @@
 /// A machine that gave no answer is not asked for so long.
 constexpr base::duration avoid_for = std::chrono::milliseconds{1'500};
 
-/// A question that takes longer than this counts as long. Those for urgent
-/// work take some 13 ms, the others 140 to 1,100 ms.
-constexpr base::duration short_question = std::chrono::milliseconds{50};
-
 /// So many short questions may be under way at a machine, so that the service
 /// has the next one when it is done with the first. A long one is alone.
 constexpr std::size_t most_short = 2;
@@ -32,8 +30,8 @@
 void advice_queue::add(std::uint64_t question,
                        scheduler::advice_order const& order)
 {
-    m_waiting.emplace(turn{order.expected > short_question, order.late,
-                           order.priority, question},
+    m_waiting.emplace(turn{order.expected > scheduler::short_question,
+                           order.late, order.needed_by, question},
                       order.expected);
 }
 
--- a/libraries/cell/advice_queue.hpp
+++ b/libraries/cell/advice_queue.hpp
@@ -56,7 +56,7 @@
     {
         bool takes_long{false};
         bool late{false};
-        std::int32_t priority{0};
+        base::instant needed_by{};
         std::uint64_t question{0};
 
         friend auto operator<=>(turn const&, turn const&) = default;
--- a/libraries/cell/cell_owner.cpp
+++ b/libraries/cell/cell_owner.cpp
@@ -16,11 +16,6 @@
 /// Between two looks at what time brings: retries, lapses, waiting clients.
 constexpr base::duration tick = std::chrono::milliseconds{10};
 
-/// Between two rounds of decisions. A round costs the owner the more the more
-/// steps wait, and events come by the thousand a second in a large cell; a
-/// start waits half of this longer on average.
-constexpr base::duration round_pause = std::chrono::milliseconds{3};
-
 /// When the store has taken nothing for so long, new work is refused at once:
 /// it would only wait. Above what a slow store takes for one append.
 constexpr base::duration stuck_limit = std::chrono::milliseconds{600};
@@ -180,7 +175,7 @@
         }
     };
     auto const now = m_parts.clock->now();
-    auto const at = m_last_round + round_pause;
+    auto const at = m_pace.next();
     if (now >= at)
     {
         boost::asio::post(*m_parts.loop, round);
@@ -196,14 +191,20 @@
     {
         return;
     }
-    m_last_round = m_parts.clock->now();
+    auto const now = m_parts.clock->now();
+    m_pace.began(now);
     if (!m_releasing)
     {
-        m_decisions.decide(m_parts.clock->now());
+        m_decisions.decide(now);
     }
     carry_out(m_decisions.take_orders());
     commit();
     hold_all();
+    m_pace.ended(m_parts.clock->now());
+    if (!m_decisions.decided_all())
+    {
+        soon();
+    }
 }
 
 void cell_owner::instance_changed(std::string const& key,
@@ -238,6 +239,7 @@
                 return;
             }
             auto const now = m_parts.clock->now();
+            m_decisions.set_advice_machines(m_parts.advice->machines());
             m_decisions.tick(wall_ms(*m_parts.clock), now);
             if (store_stuck() > stuck_limit)
             {
--- a/libraries/cell/cell_owner.hpp
+++ b/libraries/cell/cell_owner.hpp
@@ -7,6 +7,7 @@
 #include <cell/instance_link.hpp>
 #include <cell/job_call.hpp>
 #include <cell/log_follower.hpp>
+#include <cell/round_pace.hpp>
 #include <cell/sure_append.hpp>
 #include <scheduler/scheduler.hpp>
 
@@ -129,7 +130,7 @@
     log_follower m_instances;
     boost::asio::steady_timer m_tick;
     boost::asio::steady_timer m_round;
-    base::instant m_last_round{};
+    round_pace m_pace;
     std::shared_ptr<bool> m_alive{std::make_shared<bool>(true)};
     std::map<std::string, hold_turn> m_holds;
     std::uint64_t m_batches_taken{0};
--- a/libraries/cell/cell_owner_orders.cpp
+++ b/libraries/cell/cell_owner_orders.cpp
@@ -103,7 +103,7 @@
                             }
                             else
                             {
-                                m_decisions.advice_failed(step, now);
+                                m_decisions.advice_failed(step, asked, now);
                             }
                             soon();
                         });
--- /dev/null
+++ b/libraries/scheduler/advice_budget.cpp
@@ -0,0 +1,47 @@
+#include <scheduler/advice_budget.hpp>
+
+namespace berylhill::scheduler
+{
+
+namespace
+{
+
+/// The share of the machines that long questions may take before what only
+/// adds to knowledge is left out. The rest is for short questions, and for
+/// those that some work needs to start at all.
+constexpr double most_busy = 0.7;
+
+} // namespace
+
+void advice_budget::asked(workload::step_name const& of,
+                          base::duration expected)
+{
+    if (expected > short_question)
+    {
+        ++m_long;
+        ++m_open[of];
+    }
+}
+
+void advice_budget::ended(workload::step_name const& of)
+{
+    auto const it = m_open.find(of);
+    if (it == m_open.end())
+    {
+        return;
+    }
+    --m_long;
+    if (--it->second == 0)
+    {
+        m_open.erase(it);
+    }
+}
+
+std::size_t advice_budget::spare() const
+{
+    auto const most =
+        static_cast<std::size_t>(most_busy * static_cast<double>(m_machines));
+    return m_long < most ? most - m_long : 0;
+}
+
+} // namespace berylhill::scheduler
--- a/libraries/scheduler/instance.hpp
+++ b/libraries/scheduler/instance.hpp
@@ -208,6 +208,8 @@
     std::uint32_t failures_in_a_row{0};
     /// The round of decisions in which it was last kept free for a gang.
     std::uint64_t kept_free_in{0};
+    /// Until when, as that gang is planned.
+    base::instant kept_free_until{};
 
 private:
     instance_info m_info;
--- a/libraries/scheduler/job.cpp
+++ b/libraries/scheduler/job.cpp
@@ -9,27 +9,34 @@
 namespace
 {
 
-base::duration estimate_of(workload::step_spec const& it)
+/// What the client estimated for each step.
+std::vector<base::duration>
+estimates_of(std::vector<workload::step_spec> const& steps)
 {
-    return std::chrono::milliseconds{it.estimate_ms};
+    std::vector<base::duration> out;
+    for (auto const& it : steps)
+    {
+        out.emplace_back(std::chrono::milliseconds{it.estimate_ms});
+    }
+    return out;
 }
 
-/// For each step, its own estimate and the longest of those that wait for it.
+/// For each step, its own time and the longest of those that wait for it.
 /// Steps may name later steps, so it goes on until nothing changes; a job
 /// whose steps wait in a circle is refused before it gets here.
 std::vector<base::duration>
-chains_of(std::vector<workload::step_spec> const& steps)
+chains_of(std::vector<workload::step_spec> const& steps,
+          std::vector<base::duration> const& times)
 {
     std::vector<base::duration> out(steps.size());
     for (std::size_t round = 0; round < steps.size(); ++round)
     {
         for (std::size_t n = 0; n < steps.size(); ++n)
         {
-            out[n] = std::max(out[n], estimate_of(steps[n]));
+            out[n] = std::max(out[n], times[n]);
             for (auto const before : steps[n].after)
             {
-                out[before] =
-                    std::max(out[before], estimate_of(steps[before]) + out[n]);
+                out[before] = std::max(out[before], times[before] + out[n]);
             }
         }
     }
@@ -66,11 +73,17 @@
     : accepted_ms{accepted}
     , accepted_at{now}
     , m_spec{std::move(spec)}
-    , m_chains{chains_of(m_spec.steps)}
 {
-    for (auto const it : m_chains)
+    set_work(estimates_of(m_spec.steps));
+}
+
+void job::set_work(std::vector<base::duration> const& it)
+{
+    m_chains = chains_of(m_spec.steps, it);
+    m_longest = base::duration{0};
+    for (auto const chain : m_chains)
     {
-        m_longest = std::max(m_longest, it);
+        m_longest = std::max(m_longest, chain);
     }
 }
 
--- a/libraries/scheduler/job.hpp
+++ b/libraries/scheduler/job.hpp
@@ -73,7 +73,9 @@
         base::instant until{};
     };
 
-    bool asking{false};
+    /// Questions without an answer yet, and the instances that they name.
+    std::uint32_t asking{0};
+    std::unordered_set<std::uint32_t> asked;
     base::instant next_ask{};
     /// By the number of the instance.
     std::unordered_map<std::uint32_t, ticket> allowed;
@@ -90,9 +92,13 @@
     std::uint32_t gang_failures{0};
     std::uint32_t gang_failed_run{0};
     advice_state advice;
-    /// Of a gang that waits: instances that are kept free for it.
+    /// Of a gang that waits: the instances it is planned on, when its slots
+    /// there are expected to be free together, and whether they are kept free
+    /// for it meanwhile.
     std::vector<std::shared_ptr<instance>> reserved;
-    /// Until then what it has kept free stays as it is.
+    std::optional<base::instant> planned_start;
+    bool keeps_room{false};
+    /// Until then its plan stays as it is.
     base::instant next_look{};
     /// When the log next says why it waits.
     base::instant next_report{};
@@ -154,8 +160,8 @@
         return m_spec.repeats.count == 0 ? 1 : m_spec.repeats.count;
     }
 
-    /// Work still to be done from this step on along the longest chain, by
-    /// the client's estimates.
+    /// Work still to be done from this step on along the longest chain, as it
+    /// is expected.
     [[nodiscard]] base::duration chain_from(std::uint32_t step) const
     {
         return m_chains[step];
@@ -166,6 +172,10 @@
         return m_longest;
     }
 
+    /// Sets how long a task of each step is expected to work, in place of the
+    /// client's estimates. Precondition: one time a step.
+    void set_work(std::vector<base::duration> const& it);
+
     /// Forgets what only unfinished jobs need.
     void shed();
 
--- a/libraries/scheduler/orders.hpp
+++ b/libraries/scheduler/orders.hpp
@@ -53,7 +53,8 @@
     std::vector<std::string> instances;
     /// How long the service needs for it.
     base::duration expected{0};
-    std::int32_t priority{0};
+    /// When the step has to start to be in time.
+    base::instant needed_by{};
     /// Its job can no longer be in time.
     bool late{false};
 
--- a/libraries/scheduler/scheduler.cpp
+++ b/libraries/scheduler/scheduler.cpp
@@ -145,6 +145,7 @@
     }
     auto const repeats = it.repeats.count != 0;
     auto& job = m_jobs.add(std::move(it), wall_ms, now);
+    expect_work(job);
     if (!repeats)
     {
         job.open_occurrence(0, now);
@@ -153,6 +154,18 @@
     return submission::taken;
 }
 
+/// Sets the job's times by what tasks of its queue have taken.
+void scheduler::expect_work(job& of) const
+{
+    std::vector<base::duration> times;
+    for (auto const& it : of.spec().steps)
+    {
+        times.push_back(m_run_times.work(
+            of.spec().queue, std::chrono::milliseconds{it.estimate_ms}));
+    }
+    of.set_work(times);
+}
+
 bool scheduler::withdraw(workload::job_id it)
 {
     if (!m_jobs.withdraw(it))
--- a/libraries/scheduler/scheduler.hpp
+++ b/libraries/scheduler/scheduler.hpp
@@ -1,11 +1,14 @@
 #pragma once
 
+#include <scheduler/advice_budget.hpp>
 #include <scheduler/decision_log.hpp>
+#include <scheduler/gang_plan.hpp>
 #include <scheduler/instance_book.hpp>
 #include <scheduler/job_book.hpp>
 #include <scheduler/orders.hpp>
 #include <scheduler/placement.hpp>
 #include <scheduler/policy.hpp>
+#include <scheduler/run_times.hpp>
 #include <workload/cell_configuration.hpp>
 
 #include <cstdint>
@@ -85,6 +88,12 @@
         m_rules = it;
     }
 
+    /// How many machines can ask for advice now, each one question at a time.
+    void set_advice_machines(std::size_t n)
+    {
+        m_budget.set_machines(n);
+    }
+
     // What callers ask.
 
     /// Precondition: the job is valid and its queue is configured.
@@ -124,14 +133,23 @@
                  std::vector<permission> const& allowed,
                  base::duration validity,
                  base::instant now);
-    void advice_failed(workload::step_name const& of, base::instant now);
+    void advice_failed(workload::step_name const& of,
+                       std::vector<std::string> const& asked,
+                       base::instant now);
 
     // What the process does next.
 
     /// Time passed: retries, lapses, times of repeating jobs.
     void tick(std::int64_t wall_ms, base::instant now);
-    /// Places what can start.
+    /// Places what can start. A round looks at a bounded number of instances;
+    /// where that does not do for all steps, the next one goes on with the
+    /// rest.
     void decide(base::instant now);
+    /// The last round got to the end of the steps.
+    [[nodiscard]] bool decided_all() const noexcept
+    {
+        return !m_left_off;
+    }
     /// The orders decided since the last call.
     [[nodiscard]] std::vector<order> take_orders();
     /// What has to be stored before the next orders and answers; the batch
@@ -191,7 +209,13 @@
         friend auto operator<=>(turn const&, turn const&) = default;
     };
 
+    void expect_work(job& of) const;
+
     // scheduler_ends.cpp
+    void note_run_time(job const& of,
+                       attempt_name const& name,
+                       attempt const& it,
+                       base::instant now);
     void attempt_ended(instance& at,
                        attempt_name const& name,
                        end_reason reason,
@@ -238,10 +262,12 @@
     // scheduler_leave.cpp
     void leave_instances(base::instant now);
     [[nodiscard]] bool should_leave(attempt const& it,
+                                    job const& of,
                                     workload::step_spec const& spec,
                                     base::duration stays,
                                     base::instant now) const;
     [[nodiscard]] base::duration time_left(attempt const& it,
+                                           job const& of,
                                            workload::step_spec const& spec,
                                            base::instant now) const;
 
@@ -263,18 +289,13 @@
     void report_waiting_gang(turn const& it,
                              workload::step_spec const& spec,
                              step& in,
-                             std::vector<candidate> const& from,
                              base::instant now);
-    void choose_reserve(job& of, turn const& it, step& in, base::instant now);
-    void fill_reserve(workload::step_spec const& spec,
-                      step& in,
-                      std::vector<candidate> from) const;
-    [[nodiscard]] std::vector<candidate> future_candidates(
+    void plan(job& of, turn const& it, step& in, base::instant now);
+    [[nodiscard]] std::vector<std::shared_ptr<instance>> usable_later(
         job& of, workload::step_name const& name, base::instant now) const;
-    bool preempt(job& of,
-                 turn const& it,
-                 std::vector<candidate> const& from,
-                 base::instant now);
+    [[nodiscard]] coming_room room_to_come(instance const& at,
+                                           base::instant now) const;
+    bool preempt(job& of, turn const& it, base::instant now);
     [[nodiscard]] offer
     offer_of(instance& at, std::int32_t priority, base::instant now);
     [[nodiscard]] bool
@@ -298,7 +319,8 @@
                                          workload::step_name const& name,
                                          workload::step_spec const& spec) const;
     [[nodiscard]] bool open_to(instance const& it,
-                               workload::step_spec const& spec) const;
+                               workload::step_spec const& spec,
+                               base::instant now) const;
 
     // scheduler_advice.cpp
     [[nodiscard]] bool holds(advice_state::ticket const& it,
@@ -314,20 +336,21 @@
                   base::instant now);
     [[nodiscard]] std::vector<instance const*>
     gang_question(job& of,
-                  workload::step_name const& name,
+                  turn const& at,
                   workload::queue_spec const& queue,
                   base::instant now);
-    struct gang_view;
-    [[nodiscard]] gang_view view_of(job& of,
-                                    workload::step_name const& name,
-                                    workload::queue_spec const& queue,
-                                    base::instant now) const;
     [[nodiscard]] std::vector<instance const*>
-    first_that_hold(std::vector<instance const*> const& from,
-                    workload::step_spec const& spec,
-                    double share,
-                    double wanted,
-                    std::size_t at_least) const;
+    not_asked(job& of,
+              workload::step_name const& name,
+              workload::queue_spec const& queue,
+              base::instant now) const;
+    [[nodiscard]] std::vector<instance const*> lapsing(step const& in,
+                                                       base::instant now) const;
+    [[nodiscard]] std::vector<instance const*>
+    first_question(job& of,
+                   workload::step_name const& name,
+                   workload::queue_spec const& queue,
+                   base::instant now);
     [[nodiscard]] bool may_allow(instance const& it,
                                  workload::step_spec const& spec,
                                  workload::queue_spec const& queue,
@@ -337,6 +360,11 @@
                     turn const& at,
                     workload::queue_spec const& queue,
                     base::instant now);
+    void send_question(advice_state& known,
+                       turn const& at,
+                       workload::queue_spec const& queue,
+                       std::vector<instance const*> const& named,
+                       base::instant now);
     [[nodiscard]] std::uint32_t tasks_on(workload::step_name const& of,
                                          workload::step_spec const& spec,
                                          instance const& at) const;
@@ -355,13 +383,20 @@
     bool m_finished{false};
     /// How many instances are kept free for gangs that wait, in this round.
     std::size_t m_kept_free{0};
-    /// Counts the rounds of decisions.
+    /// Counts the rounds of decisions; those that go on with the one before
+    /// not.
     std::uint64_t m_round{0};
+    /// After which step a round ended that did not get to the end.
+    std::optional<turn> m_left_off;
+    /// How many instances were looked at in this round.
+    std::size_t m_looks{0};
     /// A late gang has instances kept free, during one round.
     bool m_late_reserving{false};
     /// By queue: which share of the instances its policy allows.
     std::map<std::string, double> m_allowed_shares;
     base::instant m_next_leave_look{};
+    advice_budget m_budget;
+    run_times m_run_times;
     scheduler_counts m_counts;
 };
 
--- a/libraries/scheduler/scheduler_advice.cpp
+++ b/libraries/scheduler/scheduler_advice.cpp
@@ -27,10 +27,10 @@
 /// Even a single task has so many to choose from, or it would not fit well.
 constexpr std::size_t least_named = 12;
 
-/// A gang's first question names instances whose room, by the share that its
-/// queue's policy allows, holds it so many times over.
-constexpr double gang_spare = 2.0;
-constexpr std::size_t least_named_for_gang = 24;
+/// A question waits at most so many times as long as it takes for others that
+/// are needed sooner: the many short ones of work with time to spare would
+/// otherwise all wait for the few long ones of gangs, until it is late too.
+constexpr int most_patience = 16;
 
 } // namespace
 
@@ -50,6 +50,7 @@
                         base::duration validity,
                         base::instant now)
 {
+    m_budget.ended(of);
     auto* const job = m_jobs.find(of.job);
     auto* const in = job == nullptr ? nullptr : job->find(of);
     if (in == nullptr)
@@ -57,13 +58,16 @@
         return;
     }
     auto& known = in->advice;
-    known.asking = false;
+    --known.asking;
     in->next_look = {};
+    known.next_ask = {};
     auto const first = known.allowed.empty() && known.refused.empty();
     for (auto const& id : asked)
     {
         if (auto const* const at = m_instances.find(id); at != nullptr)
         {
+            known.asked.erase(at->number());
+            known.allowed.erase(at->number());
             known.refused.insert(at->number());
         }
     }
@@ -88,15 +92,25 @@
                   {"allowed", std::uint64_t{allowed.size()}}});
 }
 
-void scheduler::advice_failed(workload::step_name const& of, base::instant now)
+void scheduler::advice_failed(workload::step_name const& of,
+                              std::vector<std::string> const& asked,
+                              base::instant now)
 {
+    m_budget.ended(of);
     auto* const job = m_jobs.find(of.job);
     auto* const in = job == nullptr ? nullptr : job->find(of);
     if (in == nullptr)
     {
         return;
     }
-    in->advice.asking = false;
+    --in->advice.asking;
+    for (auto const& id : asked)
+    {
+        if (auto const* const at = m_instances.find(id); at != nullptr)
+        {
+            in->advice.asked.erase(at->number());
+        }
+    }
     in->advice.next_ask = now + m_rules.advice_retry;
 }
 
@@ -128,30 +142,54 @@
 {
     auto const& name = at.name;
     auto& known = of.find(name)->advice;
-    if (known.asking || now < known.next_ask)
+    auto const& spec = of.spec_of(name);
+    if (now < known.next_ask || (known.asking > 0 && !spec.gang))
     {
         return;
     }
-    auto const& spec = of.spec_of(name);
-    auto const named = spec.gang ? gang_question(of, name, queue, now)
+    m_looks += m_instances.all().size();
+    auto const named = spec.gang ? gang_question(of, at, queue, now)
                                  : task_question(of, name, queue, now);
     if (named.empty())
     {
         known.next_ask = now + (spec.gang ? gang_look_again : look_again);
         return;
     }
+    auto const most = m_rules.advice_instances;
+    auto const questions = (named.size() + most - 1) / most;
+    for (std::size_t n = 0; n < questions; ++n)
+    {
+        // Of equal size, so that the answers come together.
+        auto const first = named.size() * n / questions;
+        auto const last = named.size() * (n + 1) / questions;
+        send_question(known, at, queue,
+                      {named.begin() + static_cast<std::ptrdiff_t>(first),
+                       named.begin() + static_cast<std::ptrdiff_t>(last)},
+                      now);
+    }
+}
+
+void scheduler::send_question(advice_state& known,
+                              turn const& at,
+                              workload::queue_spec const& queue,
+                              std::vector<instance const*> const& named,
+                              base::instant now)
+{
     advice_order out;
-    out.step = name;
-    out.priority = queue.priority;
+    out.step = at.name;
     out.late = at.tier > 0;
     for (auto const* const it : named)
     {
         out.instances.push_back(it->info().id);
+        known.asked.insert(it->number());
     }
     out.expected = queue.advice->decision +
                    queue.advice->per_instance *
                        static_cast<std::int64_t>(out.instances.size());
-    known.asking = true;
+    out.needed_by =
+        std::min(at.latest_start, now + most_patience * out.expected);
+    ++known.asking;
+    m_budget.asked(at.name, out.expected);
     m_orders.emplace_back(std::move(out));
 }
 
@@ -170,7 +208,8 @@
     std::vector<instance const*> open;
     for (auto const& [id, at] : m_instances.all())
     {
-        if (!open_to(*at, spec) || !may_allow(*at, spec, queue, known, now))
+        if (!open_to(*at, spec, now) ||
+            !may_allow(*at, spec, queue, known, now))
         {
             continue;
         }
@@ -211,113 +250,6 @@
     return out;
 }
 
-/// What a gang knows of the cell's instances.
-struct scheduler::gang_view
-{
-    /// Slots of empty instances that it may use, and of their room, with that
-    /// of stops under way.
-    std::uint32_t could_hold{0};
-    std::uint32_t holds_soon{0};
-    /// Slots in the room of instances that it has not asked about.
-    std::uint32_t unknown_slots{0};
-    std::vector<instance const*> unknown;
-    /// Those with room that it may use, whose tickets have lapsed.
-    std::vector<instance const*> lapsed;
-};
-
-scheduler::gang_view scheduler::view_of(job& of,
-                                        workload::step_name const& name,
-                                        workload::queue_spec const& queue,
-                                        base::instant now) const
-{
-    auto const& spec = of.spec_of(name);
-    auto const& in = *of.find(name);
-    gang_view out;
-    for (auto const& [id, at] : m_instances.all())
-    {
-        if (!may_allow(*at, spec, queue, in.advice, now))
-        {
-            continue;
-        }
-        auto const own =
-            std::ranges::find(in.reserved, at) != in.reserved.end();
-        auto const open = own || open_to(*at, spec);
-        auto const it = in.advice.allowed.find(at->number());
-        if (it == in.advice.allowed.end())
-        {
-            out.unknown.push_back(at.get());
-            out.unknown_slots += open ? slots_in(spec, at->room(), 0) : 0;
-            continue;
-        }
-        out.could_hold += slots_in(spec, at->info().capacity, 0);
-        auto const slots = open ? slots_in(spec, at->room_soon(), 0) : 0;
-        out.holds_soon += slots;
-        if (slots > 0 && !holds(it->second, now))
-        {
-            out.lapsed.push_back(at.get());
-        }
-    }
-    auto const by_room = [](instance const* it)
-    {
-        return it->room().cpu_millis;
-    };
-    std::ranges::sort(out.unknown, std::ranges::greater{}, by_room);
-    std::ranges::sort(out.lapsed, std::ranges::greater{}, by_room);
-    return out;
-}
-
-/// A gang first asks which instances it may ever use, and again about others
-/// when those that it knows are full and others are not. Once it knows enough
-/// of them, it asks only for new tickets, when their room holds it or will do
-/// so when the stops under way are done: a stop takes as long as an answer.
-std::vector<instance const*>
-scheduler::gang_question(job& of,
-                         workload::step_name const& name,
-                         workload::queue_spec const& queue,
-                         base::instant now)
-{
-    auto const tasks = of.spec_of(name).tasks;
-    auto const seen = view_of(of, name, queue, now);
-    auto const enough = gang_reserve_factor * tasks;
-    auto const share = allowed_share(queue.name);
-    auto const expected = seen.holds_soon + seen.unknown_slots * share;
-    auto const elsewhere = seen.holds_soon < tasks && expected >= enough;
-    if ((seen.could_hold < enough || elsewhere) && !seen.unknown.empty())
-    {
-        return first_that_hold(seen.unknown, of.spec_of(name), share,
-                               gang_spare * tasks, least_named_for_gang);
-    }
-    if (seen.holds_soon < tasks)
-    {
-        return {};
-    }
-    return first_that_hold(seen.lapsed, of.spec_of(name), 1.0, enough, 0);
-}
-
-/// As many from the front as are expected to have `wanted` slots, but
-/// `at_least`, where `share` of them may be used.
-std::vector<instance const*>
-scheduler::first_that_hold(std::vector<instance const*> const& from,
-                           workload::step_spec const& spec,
-                           double share,
-                           double wanted,
-                           std::size_t at_least) const
-{
-    auto slots = 0.0;
-    std::vector<instance const*> out;
-    for (auto const* const it : from)
-    {
-        if (out.size() >= m_rules.advice_instances ||
-            (out.size() >= at_least && slots >= wanted))
-        {
-            break;
-        }
-        slots += share * slots_in(spec, it->room_soon(), 0);
-        out.push_back(it);
-    }
-    return out;
-}
-
 /// An instance that could run the step, and that the service has not refused.
 bool scheduler::may_allow(instance const& it,
                           workload::step_spec const& spec,
--- a/libraries/scheduler/scheduler_decide.cpp
+++ b/libraries/scheduler/scheduler_decide.cpp
@@ -13,6 +13,12 @@
 /// before the gang's room has come together.
 constexpr auto short_task = std::chrono::milliseconds{1'000};
 
+/// How many instances a round looks at, at most: each takes some 50 ns, and
+/// callers wait for the round to end, whose answers need milliseconds. Answers
+/// hundreds of gangs that wait at once after a burst, each of which may use
+/// hundreds of instances.
+constexpr std::size_t most_looks = 20'000;
+
 } // namespace
 
 workload::queue_spec const* scheduler::queue_of(job const& it) const
@@ -23,12 +29,25 @@
 
 void scheduler::decide(base::instant now)
 {
-    ++m_round;
-    m_kept_free = 0;
-    m_late_reserving = false;
-    for (auto const& it : turns(now))
+    if (!m_left_off)
     {
-        decide_step(it, now);
+        ++m_round;
+        m_kept_free = 0;
+        m_late_reserving = false;
+    }
+    auto const all = turns(now);
+    auto it =
+        m_left_off ? std::ranges::upper_bound(all, *m_left_off) : all.begin();
+    m_left_off.reset();
+    m_looks = 0;
+    for (; it != all.end(); ++it)
+    {
+        decide_step(*it, now);
+        if (m_looks > most_looks)
+        {
+            m_left_off = *it;
+            return;
+        }
     }
 }
 
@@ -66,6 +85,8 @@
         return;
     }
     auto const from = candidates(of, it.name, queue, now);
+    m_looks += queue.advice ? of.find(it.name)->advice.allowed.size()
+                            : m_instances.all().size();
     if (spec.gang)
     {
         decide_gang(of, it, from, now);
@@ -110,7 +131,7 @@
     std::vector<candidate> out;
     auto const take = [&](instance const& it)
     {
-        if (eligible(it, spec, queue, now) && open_to(it, spec))
+        if (eligible(it, spec, queue, now) && open_to(it, spec, now))
         {
             out.push_back(candidate_of(it, name, spec));
         }
@@ -135,11 +156,16 @@
 
 /// Instances that are kept free for a gang take short tasks only.
 bool scheduler::open_to(instance const& it,
-                        workload::step_spec const& spec) const
+                        workload::step_spec const& spec,
+                        base::instant now) const
 {
-    auto const passing =
-        !spec.gang && std::chrono::milliseconds{spec.estimate_ms} <= short_task;
-    return passing || it.kept_free_in != m_round;
+    if (it.kept_free_in != m_round)
+    {
+        return true;
+    }
+    auto const takes = std::chrono::milliseconds{spec.estimate_ms};
+    return !spec.gang &&
+           (takes <= short_task || now + takes <= it.kept_free_until);
 }
 
 std::uint32_t scheduler::tasks_on(workload::step_name const& of,
--- a/libraries/scheduler/scheduler_ends.cpp
+++ b/libraries/scheduler/scheduler_ends.cpp
@@ -31,6 +31,23 @@
 
 } // namespace
 
+/// One task of a step is enough: its others have the same estimate, and those
+/// of a gang end together.
+void scheduler::note_run_time(job const& of,
+                              attempt_name const& name,
+                              attempt const& it,
+                              base::instant now)
+{
+    auto const& spec = of.spec_of(name.task.of);
+    if (name.task.index == 0 && it.state == attempt_state::running &&
+        it.checkpoint.empty() && !spec.lasting)
+    {
+        m_run_times.ended(of.spec().queue,
+                          std::chrono::milliseconds{spec.estimate_ms},
+                          now - it.began_at);
+    }
+}
+
 void scheduler::attempt_ended(instance& at,
                               attempt_name const& name,
                               end_reason reason,
@@ -38,6 +55,7 @@
                               base::instant now)
 {
     auto const* const known = at.find(name);
+    auto const was = known != nullptr ? std::optional{*known} : std::nullopt;
     auto const saved =
         checkpoint.empty() && known != nullptr ? known->checkpoint : checkpoint;
     at.remove(name);
@@ -54,6 +72,10 @@
     {
         return;
     }
+    if (reason == end_reason::done && was)
+    {
+        note_run_time(*of, name, *was, now);
+    }
     m_log->write(base::log_level::info, "attempt_ended",
                  {{"task", text_of(name.task)},
                   {"run", name.run},
--- a/libraries/scheduler/scheduler_leave.cpp
+++ b/libraries/scheduler/scheduler_leave.cpp
@@ -23,6 +23,7 @@
 /// How long the attempt goes on, by its progress, or by the client's estimate
 /// while there is none.
 base::duration scheduler::time_left(attempt const& it,
+                                    job const& of,
                                     workload::step_spec const& spec,
                                     base::instant now) const
 {
@@ -33,14 +34,16 @@
         auto const whole = to_progress * whole_percent / it.percent;
         return std::max(base::duration{0}, whole - ran);
     }
-    return std::max(base::duration{0},
-                    std::chrono::milliseconds{spec.estimate_ms} - ran);
+    auto const estimate = std::chrono::milliseconds{spec.estimate_ms};
+    auto const whole = m_run_times.run_time(of.spec().queue, estimate);
+    return std::max(base::duration{0}, whole - ran);
 }
 
 /// Whether an attempt on an instance that leaves is better stopped now. What
 /// is left there when the instance goes ends without a word: its work is
 /// lost, and its successor has to wait until its lease has lapsed, 8 s.
 bool scheduler::should_leave(attempt const& it,
+                             job const& of,
                              workload::step_spec const& spec,
                              base::duration stays,
                              base::instant now) const
@@ -48,12 +51,13 @@
     if (spec.checkpoints || spec.lasting)
     {
         return stays < m_rules.leave_before &&
-               (spec.lasting || time_left(it, spec, now) + end_slack > stays);
+               (spec.lasting ||
+                time_left(it, of, spec, now) + end_slack > stays);
     }
     // It begins anew elsewhere, so the sooner the better, but only where it
     // surely would not end here.
     return it.percent >= least_percent &&
-           time_left(it, spec, now) > stays + m_rules.leave_before;
+           time_left(it, of, spec, now) > stays + m_rules.leave_before;
 }
 
 void scheduler::leave_instances(base::instant now)
@@ -78,7 +82,7 @@
             {
                 continue;
             }
-            if (!should_leave(it, of->spec_of(name.task.of), stays, now))
+            if (!should_leave(it, *of, of->spec_of(name.task.of), stays, now))
             {
                 continue;
             }
