--- /dev/null
+++ b/utilities/cell_replay/replay.cpp
@@ -0,0 +1,539 @@
+#include <cell_replay/replay.hpp>
+
+#include <base/hash.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <utility>
+
+namespace berylhill::cell_replay
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+/// One way to an instance or to another machine.
+constexpr base::duration way{milliseconds{2}};
+/// To another machine, which asks for advice, and back.
+constexpr base::duration way_to_advice{milliseconds{8}};
+constexpr base::duration stop_takes{milliseconds{100}};
+/// As the process has them (libraries/cell).
+constexpr base::duration round_pause{milliseconds{3}};
+constexpr base::duration tick_pause{milliseconds{10}};
+constexpr base::duration linger{milliseconds{30}};
+constexpr base::duration urgent_linger{milliseconds{10}};
+/// Until an end is read, between two looks at an instance.
+constexpr base::duration hold_pause{milliseconds{20}};
+/// Clients ask for a job's end so often.
+constexpr base::duration look_pause{milliseconds{50}};
+/// After the last arrival jobs may still end.
+constexpr double finish_s = 14;
+constexpr double largest_share = 0.1;
+
+double seconds_since(base::instant from, base::instant to)
+{
+    return base::seconds_of(to - from);
+}
+
+base::duration span_of(double seconds)
+{
+    return std::chrono::duration_cast<base::duration>(
+        std::chrono::duration<double>{seconds});
+}
+
+/// A number from 0 to 1 that depends on the name alone.
+double chance_of(std::string const& name)
+{
+    constexpr std::uint64_t steps = 1'000'003;
+    return static_cast<double>(base::hash_of(name) % steps) /
+           static_cast<double>(steps);
+}
+
+/// How much longer or shorter than its step's others a task takes.
+double unevenness(workload::task_name const& it)
+{
+    constexpr double spread = 0.3;
+    return 1 - spread / 2 + spread * chance_of(text_of(it));
+}
+
+std::string instance_name(std::uint32_t number, std::uint32_t life)
+{
+    return "i-" + std::to_string(number) + '-' + std::to_string(life);
+}
+
+} // namespace
+
+replay::replay(cell_load const& load, std::vector<drawn_job> const& jobs)
+    : m_load{load}
+    , m_jobs{jobs}
+    , m_start{m_time.now()}
+    , m_decisions{{}, m_log, m_start}
+{
+    workload::cell_configuration configuration;
+    for (auto const& it : load.kinds)
+    {
+        configuration.queues.push_back(it.queue);
+    }
+    m_decisions.set_configuration(configuration);
+    m_decisions.restore({}, 0, m_time.now());
+    for (std::uint32_t n = 1; n < load.machines; ++n)
+    {
+        m_peers.push_back({{}, {"10.0.0.1", static_cast<std::uint16_t>(n)}, 0});
+    }
+    m_decisions.set_advice_machines(load.machines);
+}
+
+replay_figures replay::run()
+{
+    for (std::uint32_t n = 0; n < m_load.instances; ++n)
+    {
+        list_instance(n, 0);
+    }
+    auto const leaving =
+        static_cast<std::uint32_t>(m_load.leaving_share * m_load.instances);
+    for (std::uint32_t n = 0; n < leaving; ++n)
+    {
+        auto const at_s = m_load.leaving.at_s +
+                          m_load.leaving.for_s * n / std::max(1U, leaving);
+        m_time.after(span_of(at_s), [this, n] { leave(n); });
+    }
+    submit_all();
+    tick();
+    look_for_ends();
+    m_time.run_until(m_time.now() + span_of(m_load.seconds + finish_s));
+    add_credits();
+    m_figures.cores_used /= m_load.seconds;
+    return std::move(m_figures);
+}
+
+void replay::add_credits()
+{
+    std::map<std::size_t, std::vector<drawn_job const*>> by_kind;
+    for (auto const& it : m_jobs)
+    {
+        by_kind[it.kind].push_back(&it);
+    }
+    for (auto& [kind, jobs] : by_kind)
+    {
+        auto mean = 0.0;
+        for (auto const* const it : jobs)
+        {
+            mean += it->work / static_cast<double>(jobs.size());
+        }
+        std::ranges::sort(jobs, std::ranges::greater{}, &drawn_job::work);
+        auto const largest = static_cast<std::size_t>(
+            std::ceil(largest_share * static_cast<double>(jobs.size())));
+        for (std::size_t n = 0; n < jobs.size(); ++n)
+        {
+            add_credit(*jobs[n], mean, n < largest);
+        }
+    }
+}
+
+/// A job is worth more the more work it is, as its users see it: 0.3 of the
+/// kind's worth and 0.7 by its work, four times at most.
+void replay::add_credit(drawn_job const& job, double mean_work, bool largest)
+{
+    constexpr double fixed = 0.3;
+    constexpr double most = 4;
+    constexpr int worthless_after = 3;
+    auto const& kind = m_load.kinds[job.kind];
+    auto& it = m_figures.kinds[kind.queue.name];
+    auto const size =
+        std::min(most, fixed + (1 - fixed) * job.work / mean_work);
+    auto earned = 0.0;
+    if (auto const at = m_completed.find(job.spec.id.number);
+        at != m_completed.end())
+    {
+        auto const took = at->second - m_start - job.arrives;
+        earned = took <= job.objective                     ? kind.worth
+                 : took <= worthless_after * job.objective ? kind.late_worth
+                                                           : 0;
+    }
+    it.owed += size * kind.worth;
+    it.earned += size * earned;
+    it.largest_owed += largest ? size * kind.worth : 0;
+    it.largest_earned += largest ? size * earned : 0;
+}
+
+void replay::list_instance(std::uint32_t number, std::uint32_t life)
+{
+    scheduler::instance_info info;
+    info.id = instance_name(number, life);
+    info.service = "service";
+    info.address = "a-" + std::to_string(number);
+    info.capacity = m_load.capacity;
+    info.labels = {"kind", "rack-" + std::to_string(number / m_load.rack)};
+    m_instances[info.id] = std::make_unique<replayed_instance>(
+        info.id, m_load.speeds[number % m_load.speeds.size()]);
+    m_decisions.list(info, m_time.now());
+    hold(info.id);
+}
+
+void replay::leave(std::uint32_t number)
+{
+    // What runs there ends when it goes.
+    auto const id = instance_name(number, 0);
+    constexpr base::duration notice{milliseconds{6'000}};
+    auto info = m_decisions.instances().all().at(id)->info();
+    info.draining = true;
+    info.stays_for = notice;
+    m_decisions.list(info, m_time.now());
+    m_time.after(notice,
+                 [this, id, number]
+                 {
+                     m_decisions.gone(id, m_time.now());
+                     m_instances.erase(id);
+                     list_instance(number, 1);
+                     soon();
+                 });
+    soon();
+}
+
+void replay::submit_all()
+{
+    for (auto const& it : m_jobs)
+    {
+        m_time.after(it.arrives,
+                     [this, &it]
+                     {
+                         m_decisions.submit(it.spec, 0, m_time.now());
+                         m_unfinished.push_back(it.spec.id.number);
+                         soon();
+                     });
+    }
+}
+
+void replay::tick()
+{
+    m_decisions.tick(0, m_time.now());
+    soon();
+    m_time.after(tick_pause, [this] { tick(); });
+}
+
+void replay::soon()
+{
+    if (std::exchange(m_round_due, true))
+    {
+        return;
+    }
+    m_time.after(round_pause,
+                 [this]
+                 {
+                     m_round_due = false;
+                     round();
+                 });
+}
+
+void replay::round()
+{
+    auto const began = std::chrono::steady_clock::now();
+    m_decisions.decide(m_time.now());
+    std::chrono::duration<double> const took =
+        std::chrono::steady_clock::now() - began;
+    constexpr double us_per_s = 1e6;
+    m_figures.rounds.add(took.count() * us_per_s);
+    m_figures.rounds_s += took.count();
+    carry_out(m_decisions.take_orders());
+    store();
+}
+
+base::duration replay::append_time() const
+{
+    auto const now_s = seconds_since(m_start, m_time.now());
+    auto const& slow = m_load.slow_store;
+    return now_s >= slow.at_s && now_s < slow.at_s + slow.for_s
+               ? m_load.slow_append
+               : m_load.append;
+}
+
+void replay::store()
+{
+    if (m_appending || !m_decisions.batch_open())
+    {
+        return;
+    }
+    m_appending = true;
+    m_time.after(m_decisions.batch_urgent() ? urgent_linger : linger,
+                 [this]
+                 {
+                     std::ignore = m_decisions.take_batch(m_time.now());
+                     m_time.after(append_time(),
+                                  [this]
+                                  {
+                                      m_appending = false;
+                                      m_decisions.batch_stored(m_time.now());
+                                      carry_out(m_decisions.take_orders());
+                                      soon();
+                                  });
+                 });
+}
+
+void replay::carry_out(std::vector<scheduler::order> const& orders)
+{
+    for (auto const& it : orders)
+    {
+        std::visit([this](auto const& each) { send(each); }, it);
+    }
+}
+
+void replay::send(scheduler::start_order const& it)
+{
+    m_time.after(way,
+                 [this, it]
+                 {
+                     auto const at = m_instances.find(it.instance);
+                     if (at == m_instances.end())
+                     {
+                         return;
+                     }
+                     if (at->second->start(it, m_time.now()))
+                     {
+                         ++m_figures.starts;
+                         begin(it.attempt, *at->second);
+                     }
+                     m_time.after(
+                         way,
+                         [this, it]
+                         {
+                             m_decisions.start_answered(
+                                 it.instance, it.attempt,
+                                 scheduler::start_answer::running,
+                                 m_time.now().time_since_epoch().count() /
+                                     1'000,
+                                 m_time.now());
+                         });
+                 });
+}
+
+void replay::begin(scheduler::attempt_name const& it, replayed_instance& at)
+{
+    auto const& job = job_of(it);
+    auto const& step = job.spec.steps[it.task.of.step];
+    if (!step.gang)
+    {
+        work(it, at);
+        return;
+    }
+    if (++m_present[it.task.of][it.run] < step.tasks)
+    {
+        return;
+    }
+    // All are there: they work, and end together.
+    for (auto const& [id, each] : m_instances)
+    {
+        for (auto const& [name, run] : each->running())
+        {
+            if (name.task.of == it.task.of && name.run == it.run)
+            {
+                work(name, *each);
+            }
+        }
+    }
+}
+
+/// Has the task end when its work is done.
+void replay::work(scheduler::attempt_name const& it, replayed_instance& at)
+{
+    auto const& job = job_of(it);
+    auto const& step = job.spec.steps[it.task.of.step];
+    auto speed = at.speed();
+    auto uneven = unevenness(it.task);
+    if (step.gang)
+    {
+        // As fast as the slowest of them.
+        speed = std::ranges::min(m_load.speeds);
+        uneven = 1;
+    }
+    auto const saved = at.running().at(it).saved_s;
+    auto const takes = span_of(
+        std::max(0.0, (job.work_s[it.task.of.step] * uneven - saved) / speed));
+    at.set_to_work(it, takes, m_time.now());
+    auto const fails = m_load.kinds[job.kind].fail_share;
+    // The members of a gang fail together.
+    auto const named = step.gang ? text_of(it.task.of) : text_of(it.task);
+    auto const reason = chance_of(named + std::to_string(it.run)) < fails
+                            ? scheduler::end_reason::failed
+                            : scheduler::end_reason::done;
+    m_time.after(takes,
+                 [this, it, id = at.id(), reason] { ended(it, id, reason); });
+}
+
+void replay::ended(scheduler::attempt_name const& it,
+                   std::string const& id,
+                   scheduler::end_reason reason)
+{
+    auto const at = m_instances.find(id);
+    if (at == m_instances.end())
+    {
+        return;
+    }
+    auto const& instance = *at->second;
+    std::string checkpoint;
+    auto const found = instance.running().find(it);
+    if (found != instance.running().end() &&
+        reason == scheduler::end_reason::stopped &&
+        job_of(it).spec.steps[it.task.of.step].checkpoints)
+    {
+        auto const worked = seconds_since(found->second.began, m_time.now());
+        checkpoint =
+            std::to_string(found->second.saved_s + worked * instance.speed());
+    }
+    auto const run = at->second->end(it, reason, checkpoint);
+    if (!run)
+    {
+        return;
+    }
+    m_figures.cores_used += core_seconds(*run);
+    if (m_holds[id].waiting)
+    {
+        report(id, m_holds[id].turn);
+    }
+}
+
+double replay::core_seconds(replayed_instance::run const& it) const
+{
+    constexpr double millis = 1'000;
+    auto const& step = job_of(it.attempt).spec.steps[it.attempt.task.of.step];
+    return seconds_since(it.began, m_time.now()) *
+           static_cast<double>(step.need.cpu_millis) / millis;
+}
+
+void replay::send(scheduler::stop_order const& it)
+{
+    m_time.after(stop_takes,
+                 [this, it]
+                 {
+                     auto const at = m_instances.find(it.instance);
+                     if (at == m_instances.end())
+                     {
+                         return;
+                     }
+                     m_figures.stops +=
+                         at->second->running().contains(it.attempt) ? 1 : 0;
+                     ended(it.attempt, it.instance,
+                           scheduler::end_reason::stopped);
+                     m_decisions.stop_answered(it.instance, it.attempt, true,
+                                               m_time.now());
+                     soon();
+                 });
+}
+
+void replay::send(scheduler::advice_order const& it)
+{
+    auto const number = ++m_last_question;
+    m_queue.add(number, it);
+    m_questions.emplace(number, it);
+    serve_advice();
+}
+
+void replay::serve_advice()
+{
+    while (auto const it = m_queue.next(m_peers, m_time.now()))
+    {
+        auto const& order = m_questions.at(it->question);
+        ++m_figures.questions;
+        m_figures.advice_s += base::seconds_of(order.expected);
+        m_asked_by.emplace(it->question, it->machine);
+        m_time.after(order.expected + way_to_advice,
+                     [this, number = it->question] { answer_advice(number); });
+    }
+}
+
+void replay::answer_advice(std::uint64_t question)
+{
+    auto const order = m_questions.extract(question).mapped();
+    m_queue.ended(m_asked_by.extract(question).mapped(), true, m_time.now());
+    auto const& job = m_jobs[order.step.job.number - 1];
+    auto const& kind = m_load.kinds[job.kind];
+    std::vector<scheduler::permission> allowed;
+    for (auto const& id : order.instances)
+    {
+        if (chance_of(text_of(order.step) + id) < kind.allowed_share)
+        {
+            allowed.push_back({id, "t"});
+        }
+    }
+    m_decisions.advised(order.step, order.instances, allowed,
+                        kind.queue.advice->validity, m_time.now());
+    serve_advice();
+    soon();
+}
+
+void replay::hold(std::string const& id)
+{
+    if (!m_instances.contains(id))
+    {
+        m_holds.erase(id);
+        return;
+    }
+    auto const order = m_decisions.next_hold(id, m_time.now());
+    m_time.after(way,
+                 [this, id, order]
+                 {
+                     auto const at = m_instances.find(id);
+                     if (at == m_instances.end())
+                     {
+                         return;
+                     }
+                     at->second->acknowledge(order.seen_end);
+                     auto& turn = m_holds[id];
+                     turn.waiting = true;
+                     ++turn.turn;
+                     if (at->second->listed_ends() || order.wait.count() == 0)
+                     {
+                         report(id, turn.turn);
+                         return;
+                     }
+                     m_time.after(order.wait,
+                                  [this, id, n = turn.turn] { report(id, n); });
+                 });
+}
+
+void replay::report(std::string const& id, std::uint64_t turn)
+{
+    auto& known = m_holds[id];
+    if (!known.waiting || known.turn != turn || !m_instances.contains(id))
+    {
+        return;
+    }
+    known.waiting = false;
+    auto it = m_instances.at(id)->report(m_time.now());
+    m_time.after(way,
+                 [this, id, it = std::move(it)]() mutable
+                 {
+                     it.read_at = m_time.now();
+                     m_decisions.reported(it);
+                     soon();
+                     m_time.after(hold_pause, [this, id] { hold(id); });
+                 });
+}
+
+drawn_job const& replay::job_of(scheduler::attempt_name const& it) const
+{
+    return m_jobs[it.task.of.job.number - 1];
+}
+
+void replay::look_for_ends()
+{
+    std::erase_if(m_unfinished,
+                  [this](std::uint64_t id)
+                  {
+                      auto const phase = m_decisions.phase_of({id});
+                      if (!phase || !scheduler::finished(*phase))
+                      {
+                          return false;
+                      }
+                      if (*phase == scheduler::job_phase::completed)
+                      {
+                          m_completed[id] = m_time.now();
+                      }
+                      return true;
+                  });
+    m_time.after(look_pause, [this] { look_for_ends(); });
+}
+
+} // namespace berylhill::cell_replay
