--- a/libraries/scheduler/job.cpp
+++ b/libraries/scheduler/job.cpp
@@ -14,6 +14,7 @@
 estimates_of(std::vector<workload::step_spec> const& steps)
 {
     std::vector<base::duration> out;
+    out.reserve(steps.size());
     for (auto const& it : steps)
     {
         out.emplace_back(std::chrono::milliseconds{it.estimate_ms});
--- a/libraries/scheduler/scheduler_gang_advice.cpp
+++ b/libraries/scheduler/scheduler_gang_advice.cpp
@@ -95,7 +95,7 @@
         return known.asking > 0 ? std::vector<instance const*>{}
                                 : first_question(of, at.name, queue, now);
     }
-    auto const tickets = lapsing(in, now);
+    auto tickets = lapsing(in, now);
     auto const answered = now + time_for(costs, tickets.size()) + ask_ahead;
     // Room that nobody keeps is taken by others before it is there.
     auto const start_by = in.keeps_room ? answered : now;
--- a/utilities/bench/scheduler_replay.cpp
+++ b/utilities/bench/scheduler_replay.cpp
@@ -40,7 +40,8 @@
                 sum += value;
             }
             auto const [least, most] = std::ranges::minmax(it.values);
-            auto const full = prefix + '.' + name;
+            auto full = prefix;
+            full.append(1, '.').append(name);
             print_figure(full, sum / static_cast<double>(it.values.size()),
                          it.unit);
             print_figure(full + ".spread", most - least, it.unit);
