--- a/libraries/scheduler/advice_budget.hpp
+++ b/libraries/scheduler/advice_budget.hpp
@@ -38,11 +38,6 @@
     /// How many long questions may be added now that none has to wait for.
     [[nodiscard]] std::size_t spare() const;
 
-    [[nodiscard]] std::size_t long_questions() const noexcept
-    {
-        return m_long;
-    }
-
 private:
     std::size_t m_machines{1};
     std::size_t m_long{0};
--- a/libraries/scheduler/job.hpp
+++ b/libraries/scheduler/job.hpp
@@ -68,7 +68,7 @@
         /// Kept here since a step looks at all its tickets in each round of
         /// decisions: to find each by its name took a third of the owner's
         /// time at 350 instances.
-        std::shared_ptr<instance const> at;
+        std::shared_ptr<instance> at;
         std::string text;
         base::instant until{};
     };
--- /dev/null
+++ b/libraries/scheduler/outcomes.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <cstdint>
+
+namespace berylhill::scheduler
+{
+
+/// What became of a submission.
+enum class submission : std::uint8_t
+{
+    /// New; it counts once the open batch is stored.
+    taken,
+    /// Known, and not stored yet.
+    taken_before,
+    /// Known and stored.
+    stored_before,
+};
+
+/// What became of a cancellation.
+enum class cancellation : std::uint8_t
+{
+    unknown,
+    /// It counts once the open batch is stored.
+    taken,
+    /// The job has its final phase and that is stored.
+    finished_before,
+};
+
+/// Figures for the metrics. A value.
+struct scheduler_counts
+{
+    std::uint64_t starts{0};
+    std::uint64_t ends_done{0};
+    std::uint64_t ends_failed{0};
+    std::uint64_t ends_other{0};
+    std::uint64_t preempted{0};
+    std::uint64_t evacuated{0};
+
+    friend bool operator==(scheduler_counts const&,
+                           scheduler_counts const&) = default;
+};
+
+} // namespace berylhill::scheduler
--- a/libraries/scheduler/policy.hpp
+++ b/libraries/scheduler/policy.hpp
@@ -45,6 +45,9 @@
     /// that can wait and that goes on from where it was stopped: a stop takes
     /// up to a second.
     base::duration preempt_before{std::chrono::milliseconds{2'500}};
+    /// Until the room of an attempt that is being stopped is free: the stop and
+    /// the way of its end.
+    base::duration stop_takes{std::chrono::milliseconds{200}};
     /// Work that has less time than this left is not stopped for another's
     /// sake.
     base::duration preempt_slack{std::chrono::milliseconds{3'000}};
--- a/libraries/scheduler/scheduler.hpp
+++ b/libraries/scheduler/scheduler.hpp
@@ -6,6 +6,7 @@
 #include <scheduler/instance_book.hpp>
 #include <scheduler/job_book.hpp>
 #include <scheduler/orders.hpp>
+#include <scheduler/outcomes.hpp>
 #include <scheduler/placement.hpp>
 #include <scheduler/policy.hpp>
 #include <scheduler/run_times.hpp>
@@ -22,45 +23,6 @@
 namespace berylhill::scheduler
 {
 
-/// What became of a submission.
-enum class submission : std::uint8_t
-{
-    /// New; it counts once the open batch is stored.
-    taken,
-    /// Known, and not stored yet.
-    taken_before,
-    /// Known and stored.
-    stored_before,
-};
-
-/// What became of a cancellation.
-enum class cancellation : std::uint8_t
-{
-    unknown,
-    /// It counts once the open batch is stored.
-    taken,
-    /// The job has its final phase and that is stored.
-    finished_before,
-};
-
-/// Figures for the metrics. A value.
-struct scheduler_counts
-{
-    std::uint64_t starts{0};
-    std::uint64_t ends_done{0};
-    std::uint64_t ends_failed{0};
-    std::uint64_t ends_other{0};
-    std::uint64_t preempted{0};
-    std::uint64_t evacuated{0};
-
-    friend bool operator==(scheduler_counts const&,
-                           scheduler_counts const&) = default;
-};
-
-/// A gang keeps this many times the slots that it needs, since not all of
-/// them come free in time.
-inline constexpr double gang_reserve_factor = 1.5;
-
 /// The owner's decisions: which task starts where, what is stored before it
 /// leaves, what an answer or a silence means. It knows no clock, socket or
 /// log: time comes with each event, orders and records are fetched.
@@ -283,8 +245,7 @@
                       std::vector<candidate> const& from,
                       base::instant now);
 
-    // scheduler_preempt.cpp
-    struct offer;
+    // scheduler_gang_plan.cpp
     void keep_room(job& of, turn const& it, base::instant now);
     void report_waiting_gang(turn const& it,
                              workload::step_spec const& spec,
@@ -295,6 +256,9 @@
         job& of, workload::step_name const& name, base::instant now) const;
     [[nodiscard]] coming_room room_to_come(instance const& at,
                                            base::instant now) const;
+
+    // scheduler_preempt.cpp
+    struct offer;
     bool preempt(job& of, turn const& it, base::instant now);
     [[nodiscard]] offer
     offer_of(instance& at, std::int32_t priority, base::instant now);
--- /dev/null
+++ b/libraries/scheduler/scheduler_gang_plan.cpp
@@ -0,0 +1,190 @@
+#include <scheduler/scheduler.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace berylhill::scheduler
+{
+
+namespace
+{
+
+/// So much of the cell at most is kept free for gangs that wait. More would
+/// empty it faster than they can use it.
+constexpr double most_reserved = 0.25;
+
+/// A gang is planned on this many times the slots that it needs, since not all
+/// of them come free in time.
+constexpr double reserve_factor = 1.5;
+
+/// An instance that a plan is made on costs as much as so many that are looked
+/// at for a start: its attempts are looked at one by one.
+constexpr std::size_t looks_to_plan = 8;
+
+/// An attempt that should have ended by now is expected to end in this time.
+constexpr base::duration overdue_ends_in = std::chrono::milliseconds{100};
+
+/// Between two plans of a gang. With a hundred gangs that wait, one for each
+/// in each round would take all of the owner's time.
+constexpr base::duration plan_pause = std::chrono::milliseconds{30};
+
+/// Between two lines that say what a gang waits for.
+constexpr base::duration gang_report_pause = std::chrono::seconds{1};
+
+} // namespace
+
+/// Keeps the instances of a gang's plan free for it, or smaller tasks would
+/// take each slot as it comes free.
+void scheduler::keep_room(job& of, turn const& it, base::instant now)
+{
+    auto& in = *of.find(it.name);
+    auto const most =
+        most_reserved * static_cast<double>(m_instances.all().size());
+    // Of the gangs that are late one at a time: parts of room kept for several
+    // of them would be of use to none.
+    auto const later = it.tier > 0 && std::exchange(m_late_reserving, true);
+    in.keeps_room = !later && static_cast<double>(m_kept_free) < most;
+    if (now >= in.next_look)
+    {
+        in.next_look = now + plan_pause;
+        if (!in.keeps_room || !preempt(of, it, now))
+        {
+            plan(of, it, in, now);
+        }
+        report_waiting_gang(it, of.spec_of(it.name), in, now);
+    }
+    if (!in.keeps_room)
+    {
+        return;
+    }
+    for (auto const& at : in.reserved)
+    {
+        at->kept_free_in = m_round;
+        at->kept_free_until = in.planned_start.value_or(now);
+    }
+    m_kept_free += in.reserved.size();
+}
+
+/// Plans the gang on the instances whose slots for it are free together first,
+/// and some more, since not all come free in time.
+void scheduler::plan(job& of, turn const& it, step& in, base::instant now)
+{
+    auto const& spec = of.spec_of(it.name);
+    auto const usable = usable_later(of, it.name, now);
+    m_looks += looks_to_plan * usable.size();
+    std::vector<coming_room> from;
+    from.reserve(usable.size());
+    for (auto const& at : usable)
+    {
+        from.push_back(room_to_come(*at, now));
+        from.back().planned_before =
+            std::ranges::find(in.reserved, at) != in.reserved.end();
+    }
+    auto const slots =
+        static_cast<std::uint32_t>(std::ceil(reserve_factor * spec.tasks));
+    auto plan = plan_gang(spec, slots, from, now);
+    if (!plan)
+    {
+        // What it knows, and may know for good, holds it just so.
+        plan = plan_gang(spec, spec.tasks, from, now);
+    }
+    in.reserved.clear();
+    in.planned_start.reset();
+    if (!plan)
+    {
+        return;
+    }
+    in.planned_start = plan->start;
+    for (auto const n : plan->instances)
+    {
+        in.reserved.push_back(usable[n]);
+    }
+}
+
+/// What a gang waits for, so that one that never starts can be explained.
+void scheduler::report_waiting_gang(turn const& it,
+                                    workload::step_spec const& spec,
+                                    step& in,
+                                    base::instant now)
+{
+    if (now < in.next_report)
+    {
+        return;
+    }
+    in.next_report = now + gang_report_pause;
+    std::uint32_t slots = 0;
+    for (auto const& at : in.reserved)
+    {
+        slots += slots_in(spec, at->room(), 0);
+    }
+    auto const starts_in =
+        in.planned_start ? base::seconds_of(*in.planned_start - now) : -1;
+    m_log->write(base::log_level::info, "gang_waits",
+                 {{"step", text_of(it.name)},
+                  {"tasks", std::uint64_t{spec.tasks}},
+                  {"slots_free", std::uint64_t{slots}},
+                  {"starts_in_s", starts_in},
+                  {"allowed", std::uint64_t{in.advice.allowed.size()}},
+                  {"refused", std::uint64_t{in.advice.refused.size()}},
+                  {"kept_free", std::uint64_t{in.reserved.size()}},
+                  {"asking", std::uint64_t{in.advice.asking}},
+                  {"late_s", base::seconds_of(now - it.latest_start)}});
+}
+
+/// Instances that a gang may use, with or without a ticket.
+std::vector<std::shared_ptr<instance>> scheduler::usable_later(
+    job& of, workload::step_name const& name, base::instant now) const
+{
+    auto const& queue = *queue_of(of);
+    auto const& spec = of.spec_of(name);
+    std::vector<std::shared_ptr<instance>> out;
+    auto const take = [&](std::shared_ptr<instance> const& at)
+    {
+        if (at != nullptr && eligible(*at, spec, queue, now) &&
+            open_to(*at, spec, now))
+        {
+            out.push_back(at);
+        }
+    };
+    if (!queue.advice)
+    {
+        for (auto const& [id, at] : m_instances.all())
+        {
+            take(at);
+        }
+        return out;
+    }
+    for (auto const& [number, ticket] : of.find(name)->advice.allowed)
+    {
+        take(ticket.at);
+    }
+    return out;
+}
+
+/// What the instance has free, and will have as its attempts end.
+coming_room scheduler::room_to_come(instance const& at, base::instant now) const
+{
+    coming_room out;
+    out.room = at.room();
+    for (auto const& [name, it] : at.attempts())
+    {
+        auto const* const of = m_jobs.find(name.task.of.job);
+        if (it.stop_wanted || of == nullptr || finished(of->phase))
+        {
+            out.ends.emplace_back(now + m_rules.stop_takes, it.need);
+            continue;
+        }
+        auto const& spec = of->spec_of(name.task.of);
+        if (spec.lasting)
+        {
+            continue;
+        }
+        auto const left =
+            std::max(time_left(it, *of, spec, now), overdue_ends_in);
+        out.ends.emplace_back(now + left, it.need);
+    }
+    return out;
+}
+
+} // namespace berylhill::scheduler
