scheduler: Ask for a gang's tickets once at a time

Now a gang has one question for tickets under way; one whose room nobody keeps asks with time to spare only.

Test: advice/a_gang_asks_for_tickets_once_at_a_time, failing before.

--- a/libraries/scheduler/scheduler_gang_advice.cpp
+++ b/libraries/scheduler/scheduler_gang_advice.cpp
@@ -95,21 +95,27 @@
         return known.asking > 0 ? std::vector<instance const*>{}
                                 : first_question(of, at.name, queue, now);
     }
-    auto tickets = lapsing(in, now);
+    auto const most = m_rules.advice_instances;
+    auto const spare =
+        m_budget.spare() > 0 || time_for(costs, most) <= short_question;
+    // One question for tickets at a time: a plan changes with each report,
+    // and a question for each change held up all others' for seconds. Room
+    // that nobody keeps may be taken before the answer is there, so it is
+    // asked for at once, and with time to spare only.
+    auto const renewing = std::ranges::any_of(
+        known.asked, [&](auto n) { return known.allowed.contains(n); });
+    auto tickets = renewing ? std::vector<instance const*>{} : lapsing(in, now);
     auto const answered = now + time_for(costs, tickets.size()) + ask_ahead;
-    // Room that nobody keeps is taken by others before it is there.
     auto const start_by = in.keeps_room ? answered : now;
-    if (!tickets.empty() && *in.planned_start <= start_by)
+    if (!tickets.empty() && *in.planned_start <= start_by &&
+        (in.keeps_room || spare))
     {
         return tickets;
     }
     auto const in_time =
         in.planned_start && *in.planned_start < at.latest_start;
-    auto const most = m_rules.advice_instances;
     // Without a plan it can't start on what it knows at all.
     auto const needed = !in.planned_start && known.asking == 0;
-    auto const spare =
-        m_budget.spare() > 0 || time_for(costs, most) <= short_question;
     if (in_time || known.asking >= most_beside || !(needed || spare))
     {
         return {};
--- a/tests/scheduler/advice_test.cpp
+++ b/tests/scheduler/advice_test.cpp
@@ -63,11 +63,12 @@
         }
     }
 
-    /// What runs anywhere ends.
-    void end_all()
+    /// What runs on the named instances ends.
+    void end_on(std::set<std::string> const& ids)
     {
-        for (auto const& [id, at] : decisions.instances().all())
+        for (auto const& id : ids)
         {
+            auto const& at = decisions.instances().all().at(id);
             std::vector<scheduler::ended_row> ended;
             for (auto const& [name, attempt] : at->attempts())
             {
@@ -79,6 +80,17 @@
         }
     }
 
+    /// What runs anywhere ends.
+    void end_all()
+    {
+        std::set<std::string> all;
+        for (auto const& [id, at] : decisions.instances().all())
+        {
+            all.insert(id);
+        }
+        end_on(all);
+    }
+
     std::vector<scheduler::advice_order> questions()
     {
         std::vector<scheduler::advice_order> out;
@@ -378,6 +390,38 @@
     BOOST_TEST(it.starts().size() == 2U);
 }
 
+/// Users' jobs are not begun for seconds in a cell with room: its gangs ask for
+/// tickets anew with each change of their plans, up to 14 questions of a gang
+/// lie at the service of advice at once, and all others wait behind them.
+BOOST_AUTO_TEST_CASE(a_gang_asks_for_tickets_once_at_a_time)
+{
+    advised_cell it{40};
+    it.decisions.set_advice_machines(100);
+    it.fill(40);
+    it.decisions.submit(gang(1, 4), 0, it.now);
+    auto const first = it.questions();
+    BOOST_REQUIRE(first.size() == 1U);
+    it.answer(first[0], 20);
+    it.advance(validity + milliseconds{500});
+    auto const& known = first[0].instances;
+    it.end_on({known.begin(), known.begin() + 4});
+    it.advance(milliseconds{200});
+    auto const tickets = it.questions();
+    BOOST_REQUIRE(tickets.size() == 1U);
+    // Its plan changes: that room is taken, and other room is there.
+    auto passing = bench_owner::job(901, 4, 4'000);
+    passing.queue = "free";
+    passing.steps[0].estimate_ms = 900;
+    it.decisions.submit(passing, 0, it.now);
+    BOOST_REQUIRE(it.starts().size() == 4U);
+    it.end_on({known.begin() + 4, known.begin() + 8});
+    it.advance(milliseconds{200});
+    BOOST_TEST(it.questions().empty());
+    it.answer(tickets[0], tickets[0].instances.size());
+    it.advance(milliseconds{200});
+    BOOST_TEST(it.questions().size() == 1U);
+}
+
 /// Batch work waits for its tickets until it is late too: its questions have
 /// time, and so those of gangs always went before.
 BOOST_AUTO_TEST_CASE(a_question_with_time_to_spare_is_not_put_off_for_good)
