scheduler: Close a question although an instance that it named has gone

Cause, found by reading the change: an instance that goes while a question names it is not found when the answer comes, so its number stayed among those asked about; a gang that may use it seemed to have a question for tickets under way for good, and asked no more. Now what was asked is forgotten with the last question.

Test: advice/an_instance_that_goes_does_not_keep_its_question_open, failing before.

--- a/libraries/scheduler/scheduler.hpp
+++ b/libraries/scheduler/scheduler.hpp
@@ -324,6 +324,8 @@
                     turn const& at,
                     workload::queue_spec const& queue,
                     base::instant now);
+    void question_ended(advice_state& known,
+                        std::vector<std::string> const& asked);
     void send_question(advice_state& known,
                        turn const& at,
                        workload::queue_spec const& queue,
--- a/libraries/scheduler/scheduler_advice.cpp
+++ b/libraries/scheduler/scheduler_advice.cpp
@@ -58,7 +58,7 @@
         return;
     }
     auto& known = in->advice;
-    --known.asking;
+    question_ended(known, asked);
     in->next_look = {};
     known.next_ask = {};
     auto const first = known.allowed.empty() && known.refused.empty();
@@ -66,7 +66,6 @@
     {
         if (auto const* const at = m_instances.find(id); at != nullptr)
         {
-            known.asked.erase(at->number());
             known.allowed.erase(at->number());
             known.refused.insert(at->number());
         }
@@ -103,15 +102,27 @@
     {
         return;
     }
-    --in->advice.asking;
+    question_ended(in->advice, asked);
+    in->advice.next_ask = now + m_rules.advice_retry;
+}
+
+/// What the question named is not asked about any more. An instance that went
+/// meanwhile is not known by its name; with the last question it goes too, or
+/// the step would wait for an answer about it for good.
+void scheduler::question_ended(advice_state& known,
+                               std::vector<std::string> const& asked)
+{
     for (auto const& id : asked)
     {
         if (auto const* const at = m_instances.find(id); at != nullptr)
         {
-            in->advice.asked.erase(at->number());
+            known.asked.erase(at->number());
         }
     }
-    in->advice.next_ask = now + m_rules.advice_retry;
+    if (--known.asking == 0)
+    {
+        known.asked.clear();
+    }
 }
 
 /// How many instances a question may name: naming more costs little until the
--- a/tests/scheduler/advice_test.cpp
+++ b/tests/scheduler/advice_test.cpp
@@ -7,6 +7,7 @@
 #include <ostream>
 #include <set>
 #include <string>
+#include <tuple>
 
 using namespace berylhill;
 using namespace berylhill::scheduler_test;
@@ -422,6 +423,35 @@
     BOOST_TEST(it.questions().size() == 1U);
 }
 
+/// A user's report never starts though its gang has room: an instance went
+/// while a question for tickets named it, and that question seemed to be under
+/// way for good.
+BOOST_AUTO_TEST_CASE(an_instance_that_goes_does_not_keep_its_question_open)
+{
+    advised_cell it{40};
+    it.decisions.set_advice_machines(100);
+    it.fill(40);
+    it.decisions.submit(gang(1, 4), 0, it.now);
+    auto const first = it.questions();
+    BOOST_REQUIRE(first.size() == 1U);
+    it.answer(first[0], 20);
+    it.advance(validity + milliseconds{500});
+    auto const& known = first[0].instances;
+    it.end_on({known.begin(), known.begin() + 4});
+    it.advance(milliseconds{200});
+    auto const tickets = it.questions();
+    BOOST_REQUIRE(tickets.size() == 1U);
+    auto const gone = tickets[0].instances.front();
+    std::ignore = it.store();
+    it.decisions.gone(gone, it.now);
+    it.decisions.tick(0, it.now);
+    BOOST_REQUIRE(!it.decisions.instances().all().contains(gone));
+    it.answer(tickets[0], 0);
+    it.end_all();
+    it.advance(milliseconds{200});
+    BOOST_TEST(it.questions().size() == 1U);
+}
+
 /// Batch work waits for its tickets until it is late too: its questions have
 /// time, and so those of gangs always went before.
 BOOST_AUTO_TEST_CASE(a_question_with_time_to_spare_is_not_put_off_for_good)
