--- a/utilities/cell_replay/replay.cpp
+++ b/utilities/cell_replay/replay.cpp
@@ -1,6 +1,6 @@
 #include <cell_replay/replay.hpp>
 
-#include <base/hash.hpp>
+#include <cell_replay/replay_time.hpp>
 
 #include <algorithm>
 #include <chrono>
@@ -15,8 +15,6 @@
 
 using std::chrono::milliseconds;
 
-/// One way to an instance or to another machine.
-constexpr base::duration way{milliseconds{2}};
 /// To another machine, which asks for advice, and back.
 constexpr base::duration way_to_advice{milliseconds{8}};
 constexpr base::duration stop_takes{milliseconds{100}};
@@ -25,40 +23,12 @@
 constexpr base::duration tick_pause{milliseconds{10}};
 constexpr base::duration linger{milliseconds{30}};
 constexpr base::duration urgent_linger{milliseconds{10}};
-/// Until an end is read, between two looks at an instance.
-constexpr base::duration hold_pause{milliseconds{20}};
 /// Clients ask for a job's end so often.
 constexpr base::duration look_pause{milliseconds{50}};
 /// After the last arrival jobs may still end.
 constexpr double finish_s = 14;
 constexpr double largest_share = 0.1;
 
-double seconds_since(base::instant from, base::instant to)
-{
-    return base::seconds_of(to - from);
-}
-
-base::duration span_of(double seconds)
-{
-    return std::chrono::duration_cast<base::duration>(
-        std::chrono::duration<double>{seconds});
-}
-
-/// A number from 0 to 1 that depends on the name alone.
-double chance_of(std::string const& name)
-{
-    constexpr std::uint64_t steps = 1'000'003;
-    return static_cast<double>(base::hash_of(name) % steps) /
-           static_cast<double>(steps);
-}
-
-/// How much longer or shorter than its step's others a task takes.
-double unevenness(workload::task_name const& it)
-{
-    constexpr double spread = 0.3;
-    return 1 - spread / 2 + spread * chance_of(text_of(it));
-}
-
 std::string instance_name(std::uint32_t number, std::uint32_t life)
 {
     return "i-" + std::to_string(number) + '-' + std::to_string(life);
@@ -309,99 +279,6 @@
                  });
 }
 
-void replay::begin(scheduler::attempt_name const& it, replayed_instance& at)
-{
-    auto const& job = job_of(it);
-    auto const& step = job.spec.steps[it.task.of.step];
-    if (!step.gang)
-    {
-        work(it, at);
-        return;
-    }
-    if (++m_present[it.task.of][it.run] < step.tasks)
-    {
-        return;
-    }
-    // All are there: they work, and end together.
-    for (auto const& [id, each] : m_instances)
-    {
-        for (auto const& [name, run] : each->running())
-        {
-            if (name.task.of == it.task.of && name.run == it.run)
-            {
-                work(name, *each);
-            }
-        }
-    }
-}
-
-/// Has the task end when its work is done.
-void replay::work(scheduler::attempt_name const& it, replayed_instance& at)
-{
-    auto const& job = job_of(it);
-    auto const& step = job.spec.steps[it.task.of.step];
-    auto speed = at.speed();
-    auto uneven = unevenness(it.task);
-    if (step.gang)
-    {
-        // As fast as the slowest of them.
-        speed = std::ranges::min(m_load.speeds);
-        uneven = 1;
-    }
-    auto const saved = at.running().at(it).saved_s;
-    auto const takes = span_of(
-        std::max(0.0, (job.work_s[it.task.of.step] * uneven - saved) / speed));
-    at.set_to_work(it, takes, m_time.now());
-    auto const fails = m_load.kinds[job.kind].fail_share;
-    // The members of a gang fail together.
-    auto const named = step.gang ? text_of(it.task.of) : text_of(it.task);
-    auto const reason = chance_of(named + std::to_string(it.run)) < fails
-                            ? scheduler::end_reason::failed
-                            : scheduler::end_reason::done;
-    m_time.after(takes,
-                 [this, it, id = at.id(), reason] { ended(it, id, reason); });
-}
-
-void replay::ended(scheduler::attempt_name const& it,
-                   std::string const& id,
-                   scheduler::end_reason reason)
-{
-    auto const at = m_instances.find(id);
-    if (at == m_instances.end())
-    {
-        return;
-    }
-    auto const& instance = *at->second;
-    std::string checkpoint;
-    auto const found = instance.running().find(it);
-    if (found != instance.running().end() &&
-        reason == scheduler::end_reason::stopped &&
-        job_of(it).spec.steps[it.task.of.step].checkpoints)
-    {
-        auto const worked = seconds_since(found->second.began, m_time.now());
-        checkpoint =
-            std::to_string(found->second.saved_s + worked * instance.speed());
-    }
-    auto const run = at->second->end(it, reason, checkpoint);
-    if (!run)
-    {
-        return;
-    }
-    m_figures.cores_used += core_seconds(*run);
-    if (m_holds[id].waiting)
-    {
-        report(id, m_holds[id].turn);
-    }
-}
-
-double replay::core_seconds(replayed_instance::run const& it) const
-{
-    constexpr double millis = 1'000;
-    auto const& step = job_of(it.attempt).spec.steps[it.attempt.task.of.step];
-    return seconds_since(it.began, m_time.now()) *
-           static_cast<double>(step.need.cpu_millis) / millis;
-}
-
 void replay::send(scheduler::stop_order const& it)
 {
     m_time.after(stop_takes,
@@ -463,55 +340,6 @@
     soon();
 }
 
-void replay::hold(std::string const& id)
-{
-    if (!m_instances.contains(id))
-    {
-        m_holds.erase(id);
-        return;
-    }
-    auto const order = m_decisions.next_hold(id, m_time.now());
-    m_time.after(way,
-                 [this, id, order]
-                 {
-                     auto const at = m_instances.find(id);
-                     if (at == m_instances.end())
-                     {
-                         return;
-                     }
-                     at->second->acknowledge(order.seen_end);
-                     auto& turn = m_holds[id];
-                     turn.waiting = true;
-                     ++turn.turn;
-                     if (at->second->listed_ends() || order.wait.count() == 0)
-                     {
-                         report(id, turn.turn);
-                         return;
-                     }
-                     m_time.after(order.wait,
-                                  [this, id, n = turn.turn] { report(id, n); });
-                 });
-}
-
-void replay::report(std::string const& id, std::uint64_t turn)
-{
-    auto& known = m_holds[id];
-    if (!known.waiting || known.turn != turn || !m_instances.contains(id))
-    {
-        return;
-    }
-    known.waiting = false;
-    auto it = m_instances.at(id)->report(m_time.now());
-    m_time.after(way,
-                 [this, id, it = std::move(it)]() mutable
-                 {
-                     it.read_at = m_time.now();
-                     m_decisions.reported(it);
-                     soon();
-                     m_time.after(hold_pause, [this, id] { hold(id); });
-                 });
-}
-
 drawn_job const& replay::job_of(scheduler::attempt_name const& it) const
 {
     return m_jobs[it.task.of.job.number - 1];
