--- a/meta/berylhill.sh
+++ b/meta/berylhill.sh
@@ -29,7 +29,18 @@
 run_tests() {
     local preset=${1:-release}
     build "$preset"
-    ctest --preset "$preset" -j "${BERYLHILL_JOBS:-4}"
+    ctest --preset "$preset" -j "${BERYLHILL_JOBS:-4}" || only_known_red "$preset"
+}
+
+# Whether every test that failed is listed in KNOWN-RED.txt; prints these.
+only_known_red() {
+    local failed name
+    failed=$(cut -d: -f2 "build/$1/Testing/Temporary/LastTestsFailed.log") || return 1
+    [ -n "$failed" ] || return 1
+    for name in $failed; do
+        grep "^$name |" KNOWN-RED.txt || return 1
+    done
+    echo "failed and known to be red: $(echo $failed)"
 }
 
 format() {
