--- a/tests/scheduler/gang_advice_test.cpp
+++ b/tests/scheduler/gang_advice_test.cpp
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 #include <tuple>
+#include <vector>
 
 using namespace berylhill;
 using namespace berylhill::scheduler_test;
@@ -39,6 +40,31 @@
      false},
 };
 
+/// A full cell in which a gang knows 20 instances; four of them have come
+/// free, and its question for their tickets is under way.
+struct tickets_asked_for : advised_cell
+{
+    tickets_asked_for()
+        : advised_cell{40}
+    {
+        decisions.set_advice_machines(100);
+        fill(40);
+        decisions.submit(gang(1, 4), 0, now);
+        auto const first = questions();
+        BOOST_REQUIRE(first.size() == 1U);
+        answer(first[0], 20);
+        advance(validity + milliseconds{500});
+        known = first[0].instances;
+        end_on({known.begin(), known.begin() + 4});
+        advance(milliseconds{200});
+        tickets = questions();
+        BOOST_REQUIRE(tickets.size() == 1U);
+    }
+
+    std::vector<std::string> known;
+    std::vector<scheduler::advice_order> tickets;
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(gang_advice)
@@ -167,19 +193,9 @@
 /// lie at the service of advice at once, and all others wait behind them.
 BOOST_AUTO_TEST_CASE(a_gang_asks_for_tickets_once_at_a_time)
 {
-    advised_cell it{40};
-    it.decisions.set_advice_machines(100);
-    it.fill(40);
-    it.decisions.submit(gang(1, 4), 0, it.now);
-    auto const first = it.questions();
-    BOOST_REQUIRE(first.size() == 1U);
-    it.answer(first[0], 20);
-    it.advance(validity + milliseconds{500});
-    auto const& known = first[0].instances;
-    it.end_on({known.begin(), known.begin() + 4});
-    it.advance(milliseconds{200});
-    auto const tickets = it.questions();
-    BOOST_REQUIRE(tickets.size() == 1U);
+    tickets_asked_for it;
+    auto const& known = it.known;
+    auto const& tickets = it.tickets;
     // Its plan changes: that room is taken, and other room is there.
     auto passing = bench_owner::job(901, 4, 4'000);
     passing.queue = "free";
@@ -199,19 +215,8 @@
 /// way for good.
 BOOST_AUTO_TEST_CASE(an_instance_that_goes_does_not_keep_its_question_open)
 {
-    advised_cell it{40};
-    it.decisions.set_advice_machines(100);
-    it.fill(40);
-    it.decisions.submit(gang(1, 4), 0, it.now);
-    auto const first = it.questions();
-    BOOST_REQUIRE(first.size() == 1U);
-    it.answer(first[0], 20);
-    it.advance(validity + milliseconds{500});
-    auto const& known = first[0].instances;
-    it.end_on({known.begin(), known.begin() + 4});
-    it.advance(milliseconds{200});
-    auto const tickets = it.questions();
-    BOOST_REQUIRE(tickets.size() == 1U);
+    tickets_asked_for it;
+    auto const& tickets = it.tickets;
     auto const gone = tickets[0].instances.front();
     std::ignore = it.store();
     it.decisions.gone(gone, it.now);
