cell_replay: Keep the load patterns beside the replay, not among the samples

The demo had not been run after the folder was added.

Ruled out: letting the demo pass over folders without a fleet; a customer's folder with a wrong name would then be left out without a word.

Before: demo exits 2.

--- a/utilities/bench/scheduler_replay.cpp
+++ b/utilities/bench/scheduler_replay.cpp
@@ -16,7 +16,7 @@
 namespace
 {
 
-constexpr char const* s_loads = "samples/loads";
+constexpr char const* s_loads = "utilities/cell_replay/loads";
 constexpr std::array<std::uint64_t, 3> s_seeds{1, 2, 3};
 
 /// Means and the spread over seeds, by figure.
