cell: Look for due questions only among instances without one

Cause: the owner walked all instances in each round of decisions, up to 333 a second, with a look-up by name each, to find the few to ask again; at 3,000 instances that is a million look-ups a second.

hold_list keeps those without a question under way apart.

--- a/libraries/cell/cell_owner.cpp
+++ b/libraries/cell/cell_owner.cpp
@@ -226,6 +226,7 @@
         return;
     }
     m_decisions.list(read.value(), now);
+    m_holds.add(id);
 }
 
 void cell_owner::every_tick()
--- a/libraries/cell/cell_owner.hpp
+++ b/libraries/cell/cell_owner.hpp
@@ -3,7 +3,7 @@
 #include <cell/advice_desk.hpp>
 #include <cell/batch_waiters.hpp>
 #include <cell/documents.hpp>
-#include <cell/hold_turn.hpp>
+#include <cell/hold_list.hpp>
 #include <cell/instance_link.hpp>
 #include <cell/job_call.hpp>
 #include <cell/log_follower.hpp>
@@ -112,7 +112,8 @@
     void send(scheduler::stop_order const& it);
     void send(scheduler::advice_order const& it);
     void hold_all();
-    void hold(std::string const& id, hold_turn& turn);
+    void hold(std::string const& id);
+    [[nodiscard]] hold_list::standing standing_of(std::string const& id) const;
     void held(std::string const& id, hold_result it, base::instant sent_at);
     [[nodiscard]] order_target target(std::string const& id) const;
     void instance_changed(std::string const& key, std::string const& value);
@@ -132,7 +133,7 @@
     boost::asio::steady_timer m_round;
     round_pace m_pace;
     std::shared_ptr<bool> m_alive{std::make_shared<bool>(true)};
-    std::map<std::string, hold_turn> m_holds;
+    hold_list m_holds;
     std::uint64_t m_batches_taken{0};
     std::uint64_t m_batches_stored{0};
     /// When the open batch got its first content.
--- a/libraries/cell/cell_owner_orders.cpp
+++ b/libraries/cell/cell_owner_orders.cpp
@@ -109,37 +109,37 @@
                         });
 }
 
+hold_list::standing cell_owner::standing_of(std::string const& id) const
+{
+    auto const& all = m_decisions.instances().all();
+    auto const at = all.find(id);
+    if (at == all.end())
+    {
+        return hold_list::standing::gone;
+    }
+    // What is listed under a service that no queue goes to may be another's
+    // entry, at an address that is not to be called.
+    auto const& info = at->second->info();
+    return !info.address.empty() && m_decisions.serves(info.service)
+               ? hold_list::standing::callable
+               : hold_list::standing::not_callable;
+}
+
 void cell_owner::hold_all()
 {
     auto const now = m_parts.clock->now();
-    for (auto const& [id, at] : m_decisions.instances().all())
+    for (auto const& id :
+         m_holds.take_due(now, m_batches_stored,
+                          [this](auto const& it) { return standing_of(it); }))
     {
-        if (at->info().address.empty() ||
-            !m_decisions.serves(at->info().service))
-        {
-            // What is listed under a service that no queue goes to may be
-            // another's entry, at an address that is not to be called.
-            continue;
-        }
-        auto& turn = m_holds[id];
-        if (turn.due(now, m_batches_stored))
-        {
-            hold(id, turn);
-        }
+        hold(id);
     }
-    std::erase_if(m_holds,
-                  [&](auto const& it)
-                  {
-                      return !it.second.asking() &&
-                             !m_decisions.instances().all().contains(it.first);
-                  });
 }
 
-void cell_owner::hold(std::string const& id, hold_turn& turn)
+void cell_owner::hold(std::string const& id)
 {
     auto const now = m_parts.clock->now();
     auto const order = m_decisions.next_hold(id, now);
-    turn.asked();
     m_parts.orders->hold(target(id), order, order.wait + hold_slack,
                          [this, alive = m_alive, id, now](hold_result it)
                          {
@@ -155,14 +155,14 @@
                       base::instant sent_at)
 {
     auto const now = m_parts.clock->now();
-    auto& turn = m_holds[id];
     switch (it.end)
     {
     case order_end::done:
         it.report.instance = id;
         it.report.sent_at = sent_at;
         it.report.read_at = now;
-        turn.reported(now, it.report.ended.empty() ? 0 : m_batches_taken + 1);
+        m_holds.reported(id, now,
+                         it.report.ended.empty() ? 0 : m_batches_taken + 1);
         m_decisions.reported(it.report);
         break;
     case order_end::fenced:
@@ -170,12 +170,12 @@
         return;
     case order_end::other_incarnation:
         m_decisions.gone(id, now);
-        turn.failed(now);
+        m_holds.failed(id, now);
         break;
     case order_end::refused:
     case order_end::unanswered:
         m_decisions.silent(id, now);
-        turn.failed(now);
+        m_holds.failed(id, now);
         break;
     }
     soon();
--- /dev/null
+++ b/libraries/cell/hold_list.cpp
@@ -0,0 +1,56 @@
+#include <cell/hold_list.hpp>
+
+namespace berylhill::cell
+{
+
+void hold_list::add(std::string const& id)
+{
+    if (m_turns.try_emplace(id).second)
+    {
+        m_idle.insert(id);
+    }
+}
+
+std::vector<std::string>
+hold_list::take_due(base::instant now,
+                    std::uint64_t stored,
+                    standing_function const& standing_of)
+{
+    std::vector<std::string> out;
+    for (auto it = m_idle.begin(); it != m_idle.end();)
+    {
+        auto const is = standing_of(*it);
+        if (is == standing::gone)
+        {
+            m_turns.erase(*it);
+            it = m_idle.erase(it);
+            continue;
+        }
+        auto& turn = m_turns.at(*it);
+        if (is == standing::not_callable || !turn.due(now, stored))
+        {
+            ++it;
+            continue;
+        }
+        turn.asked();
+        out.push_back(*it);
+        it = m_idle.erase(it);
+    }
+    return out;
+}
+
+void hold_list::reported(std::string const& id,
+                         base::instant now,
+                         std::uint64_t batch)
+{
+    m_turns.at(id).reported(now, batch);
+    m_idle.insert(id);
+}
+
+void hold_list::failed(std::string const& id, base::instant now)
+{
+    m_turns.at(id).failed(now);
+    m_idle.insert(id);
+}
+
+} // namespace berylhill::cell
