cell: Name the other processes in a watch's answer only where they changed

Cause: each process watches the owner four times a second, and each answer named all processes: bytes and JSON with the square of their number. At 100 machines that was nearly all of the owner's 2.4 MB/s; at 300 it needs 27 MB/s, above what links of 20 to 200 Mbit/s carry, and half of the owner's processor.

peer_list: the whole list to the two standbys, the first 64 of the succession to the others, and only where the digest that the asker names is another one. Above 100 processes those that do not stand by ask more slowly, so the owner answers some 400 watches a second at most.

--- a/libraries/cell/node_answers.cpp
+++ b/libraries/cell/node_answers.cpp
@@ -51,7 +51,6 @@
     {
         out.store_stuck = m_owner->store_stuck();
         out.store_refuses = m_owner->store_refuses();
-        out.peers = m_peer_service.watchers();
     }
     return out;
 }
--- a/libraries/cell/ownership.hpp
+++ b/libraries/cell/ownership.hpp
@@ -4,6 +4,7 @@
 #include <cell/log_follower.hpp>
 #include <cell/owner_lookup.hpp>
 #include <cell/peer_client.hpp>
+#include <cell/peer_list.hpp>
 #include <cell/replica.hpp>
 #include <cell/sure_append.hpp>
 
@@ -31,10 +32,6 @@
     owning,
 };
 
-/// So many processes are ready to take the work over at once: one, and one
-/// more for the case that both it and the owner are lost.
-inline constexpr std::int64_t standbys = 2;
-
 /// Finds the owner of the cell's work, watches it, and claims the work when
 /// it is gone. A claim is a record at the end of the cell's log, so of two
 /// claims one wins; the winner's token, the offset of its claim plus one, is
@@ -108,10 +105,10 @@
         return m_state == ownership_state::owning || m_heard;
     }
 
-    /// The others, as the owner names them.
+    /// The others, as the owner names them: to the standbys all.
     [[nodiscard]] std::vector<peer> const& peers() const noexcept
     {
-        return m_peers;
+        return m_peers.peers;
     }
 
     [[nodiscard]] replica const& records() const noexcept
@@ -135,6 +132,7 @@
     void claimed(sure_end it, owner_view const& mine, std::uint64_t at);
     void again(base::duration pause, std::function<void()> what);
     [[nodiscard]] std::int64_t turn() const;
+    [[nodiscard]] base::duration pace() const;
     [[nodiscard]] base::duration claim_delay() const;
     void follow_or_not();
 
@@ -154,7 +152,9 @@
     replica m_replica;
     ownership_state m_state{ownership_state::starting};
     owner_view m_owner;
-    std::vector<peer> m_peers;
+    named_peers m_peers;
+    /// How many processes watch the owner.
+    std::size_t m_watchers{0};
     bool m_heard{false};
     bool m_leaving{false};
     base::instant m_claim_began{};
--- a/libraries/cell/ownership_claim.cpp
+++ b/libraries/cell/ownership_claim.cpp
@@ -38,22 +38,20 @@
 /// an order that all agree on.
 std::int64_t ownership::turn() const
 {
-    std::int64_t before = 0;
-    for (auto const& it : m_peers)
-    {
-        if (it.address != m_owner.address && comes_before(it, m_self))
-        {
-            ++before;
-        }
-    }
-    if (m_peers.empty())
-    {
-        // Nobody has named the others yet: spread by name.
-        constexpr std::size_t turns = 8;
-        before = static_cast<std::int64_t>(
-            std::hash<std::string>{}(m_self.instance) % turns);
-    }
-    return before;
+    auto const& named = m_peers.peers;
+    auto const before = std::ranges::count_if(
+        named, [this](auto const& it)
+        { return it.address != m_owner.address && comes_before(it, m_self); });
+    // Those that nobody has named yet, and those that come after all that are
+    // named, are spread by name.
+    constexpr std::size_t first_turns = 8;
+    auto const unnamed =
+        named.empty() ? first_turns
+        : before == std::ssize(named) && m_watchers > named.size()
+            ? m_watchers - named.size()
+            : 1;
+    return before + static_cast<std::int64_t>(
+                        std::hash<std::string>{}(m_self.instance) % unnamed);
 }
 
 base::duration ownership::claim_delay() const
@@ -61,7 +59,7 @@
     auto const before = turn();
     auto const early = std::min(before, standbys);
     auto const out = claim_step * early + late_claim_step * (before - early);
-    if (m_peers.empty())
+    if (m_peers.peers.empty())
     {
         return claim_step * before + (m_self.millicores < small_millicores
                                           ? small_delay
@@ -194,7 +192,7 @@
     m_told.began(m_replica.records(), claimant.token, at + 1);
     m_replica.clear();
     std::set<network::socket_address> told{former.address};
-    for (auto const& other : m_peers)
+    for (auto const& other : m_peers.peers)
     {
         told.insert(other.address);
     }
--- a/libraries/cell/ownership_watch.cpp
+++ b/libraries/cell/ownership_watch.cpp
@@ -10,12 +10,9 @@
 namespace
 {
 
-/// How long the owner keeps a watch open before it answers. Shorter finds a
-/// silent owner sooner; each costs the owner a message.
-constexpr base::duration watch_wait = std::chrono::milliseconds{250};
-
-/// Added to it before the owner counts as silent: above a pause of the
-/// owner's processor, which comes in tenths of a second.
+/// Added to the time that a watch is kept open before the owner counts as
+/// silent: above a pause of the owner's processor, which comes in tenths of a
+/// second.
 constexpr base::duration watch_slack = std::chrono::milliseconds{300};
 
 /// Until a second, short question to an owner that gave no answer is given
@@ -45,7 +42,7 @@
 
 void ownership::watch(base::duration wait)
 {
-    m_peer_client.watch(m_owner.address, m_self, wait,
+    m_peer_client.watch(m_owner.address, {m_self, m_peers.digest}, wait,
                         wait +
                             (wait.count() == 0 ? probe_timeout : watch_slack),
                         [this, alive = m_generation, mine = *m_generation,
@@ -91,7 +88,12 @@
     m_failures = 0;
     m_isolated = 0;
     m_heard = true;
-    m_peers = answer.peers;
+    m_watchers = answer.watchers;
+    // Without a digest it is a process of a version that names all each time.
+    if (answer.peers.digest != m_peers.digest || answer.peers.digest == 0)
+    {
+        m_peers = answer.peers;
+    }
     follow_or_not();
     if (answer.leaving)
     {
@@ -109,7 +111,13 @@
         claim("owner_without_store");
         return;
     }
-    watch(watch_wait);
+    watch(pace());
+}
+
+/// A standby finds a silent owner soonest, in cells of any size.
+base::duration ownership::pace() const
+{
+    return watch_wait(turn() < standbys ? 0 : m_watchers);
 }
 
 void ownership::lost(char const* why)
@@ -129,7 +137,7 @@
     m_others_answer = false;
     m_open_questions = 0;
     std::vector<peer> asked;
-    for (auto const& it : m_peers)
+    for (auto const& it : m_peers.peers)
     {
         if (it.address != m_self.address && it.address != m_owner.address &&
             asked.size() < others_asked)
@@ -146,7 +154,7 @@
     for (auto const& it : asked)
     {
         m_peer_client.watch(
-            it.address, m_self, base::duration{0}, probe_timeout,
+            it.address, {m_self, 0}, base::duration{0}, probe_timeout,
             [this, alive = m_generation,
              mine = *m_generation](peer_result<watch_answer> const& result)
             {
--- a/libraries/cell/peer_client.cpp
+++ b/libraries/cell/peer_client.cpp
@@ -67,14 +67,14 @@
 }
 
 void peer_client::watch(network::socket_address const& to,
-                        peer const& self,
+                        watch_question const& question,
                         base::duration wait,
                         base::duration timeout,
                         std::function<void(peer_result<watch_answer>)> done)
 {
     auto const target = std::string{peer_paths::watch} +
                         "?wait_us=" + std::to_string(wait.count());
-    send(to, target, text_of(self), timeout,
+    send(to, target, text_of(question), timeout,
          [done = std::move(done)](network::call_result const& it)
          { done(read_answer<watch_answer>(it, parse_watch)); });
 }
--- a/libraries/cell/peer_client.hpp
+++ b/libraries/cell/peer_client.hpp
@@ -33,7 +33,7 @@
     /// Asks who owns the work; the other side answers after `wait`, or as
     /// soon as it leaves.
     void watch(network::socket_address const& to,
-               peer const& self,
+               watch_question const& question,
                base::duration wait,
                base::duration timeout,
                std::function<void(peer_result<watch_answer>)> done);
--- a/libraries/cell/peer_messages.cpp
+++ b/libraries/cell/peer_messages.cpp
@@ -78,7 +78,7 @@
 std::string text_of(watch_answer const& it)
 {
     json::array peers;
-    for (auto const& entry : it.peers)
+    for (auto const& entry : it.peers.peers)
     {
         peers.emplace_back(object_of(entry));
     }
@@ -88,6 +88,8 @@
                                         {"store_refuses", it.store_refuses},
                                         {"owner", object_of(it.owner)},
                                         {"owner_heard", it.owner_heard},
+                                        {"watchers", it.watchers},
+                                        {"digest", it.peers.digest},
                                         {"peers", std::move(peers)}});
 }
 
@@ -107,20 +109,26 @@
     }
     for (auto const& it : json_codec::array_or_empty(root, "peers"))
     {
-        out.peers.push_back(peer_in(it));
+        out.peers.peers.push_back(peer_in(it));
     }
+    out.peers.digest = json_codec::number_or(root, "digest");
+    out.watchers = static_cast<std::size_t>(
+        json_codec::number_or(root, "watchers", std::ssize(out.peers.peers)));
     return out;
 }
 
-std::string text_of(peer const& it)
+/// The members of the asker stand beside the digest.
+std::string text_of(watch_question const& it)
 {
-    return json::serialize(object_of(it));
+    auto out = object_of(it.from);
+    out["known"] = it.known;
+    return json::serialize(out);
 }
 
-base::result<peer> parse_peer(std::string_view text)
+base::result<watch_question> parse_watch_question(std::string_view text)
 {
     BOOST_LEAF_AUTO(root, json_codec::parse(text));
-    return peer_in(root);
+    return watch_question{peer_in(root), json_codec::number_or(root, "known")};
 }
 
 std::string text_of(job_call const& it)
--- a/libraries/cell/peer_messages.hpp
+++ b/libraries/cell/peer_messages.hpp
@@ -3,7 +3,7 @@
 #include <base/result.hpp>
 #include <cell/advice_link.hpp>
 #include <cell/job_call.hpp>
-#include <cell/peer.hpp>
+#include <cell/peer_list.hpp>
 
 #include <string>
 #include <string_view>
@@ -27,8 +27,11 @@
     owner_view owner;
     /// It heard from that owner, and has not lost it since.
     bool owner_heard{false};
-    /// The processes that watch the owner.
-    std::vector<peer> peers;
+    /// How many processes watch the owner.
+    std::size_t watchers{0};
+    /// Of these, what the asker is to know; without the processes where it
+    /// knows them.
+    named_peers peers;
 
     friend bool operator==(watch_answer const&, watch_answer const&) = default;
 };
@@ -41,8 +44,20 @@
 [[nodiscard]] std::string text_of(watch_answer const& it);
 [[nodiscard]] base::result<watch_answer> parse_watch(std::string_view text);
 
-[[nodiscard]] std::string text_of(peer const& it);
-[[nodiscard]] base::result<peer> parse_peer(std::string_view text);
+/// The question that a watch answer answers. A value.
+struct watch_question
+{
+    peer from;
+    /// The digest of the peers that it knows.
+    std::int64_t known{0};
+
+    friend bool operator==(watch_question const&,
+                           watch_question const&) = default;
+};
+
+[[nodiscard]] std::string text_of(watch_question const& it);
+[[nodiscard]] base::result<watch_question>
+parse_watch_question(std::string_view text);
 
 [[nodiscard]] std::string text_of(job_call const& it);
 [[nodiscard]] base::result<job_call> parse_job_call(std::string_view text);
--- a/libraries/cell/peer_service.cpp
+++ b/libraries/cell/peer_service.cpp
@@ -21,6 +21,9 @@
 /// live: some of its watches.
 constexpr base::duration watcher_kept = std::chrono::milliseconds{1'200};
 
+/// Between two looks at who watches.
+constexpr base::duration list_pause = std::chrono::milliseconds{250};
+
 /// Between two looks at open watches.
 constexpr base::duration tick = std::chrono::milliseconds{25};
 
@@ -102,21 +105,22 @@
 void peer_service::watch(network::http_request const& it,
                          network::responder answer)
 {
-    auto const from = base::capture([&] { return parse_peer(it.body); });
+    auto const from =
+        base::capture([&] { return parse_watch_question(it.body); });
     if (!from)
     {
         refuse(answer, from.error());
         return;
     }
     auto const now = m_clock.now();
-    m_seen[from.value()] = now;
+    m_seen[from.value().from] = now;
     auto const wait = wait_in(it.target);
     if (wait.count() == 0 || !m_behind.owns())
     {
-        answer(watch_response());
+        answer(watch_response(from.value()));
         return;
     }
-    m_watches.push_back({std::move(answer), now + wait});
+    m_watches.push_back({std::move(answer), now + wait, from.value()});
 }
 
 void peer_service::job(network::http_request const& it,
@@ -168,9 +172,37 @@
     m_behind.heard_of(read.value());
 }
 
-network::http_response peer_service::watch_response() const
+network::http_response peer_service::watch_response(watch_question const& to)
+{
+    auto out = m_behind.view();
+    if (m_behind.owns())
+    {
+        look_who_watches();
+        out.watchers = m_list.size();
+        auto const& named = m_list.known_to(to.from);
+        out.peers.digest = named.digest;
+        if (named.digest != to.known)
+        {
+            out.peers = named;
+        }
+    }
+    return {status_ok, {}, text_of(out)};
+}
+
+void peer_service::look_who_watches()
+{
+    auto const now = m_clock.now();
+    if (now >= m_next_list)
+    {
+        m_next_list = now + list_pause;
+        m_list.set(watchers());
+    }
+}
+
+/// After which a process that has not asked is not counted.
+base::duration peer_service::kept() const
 {
-    return {status_ok, {}, text_of(m_behind.view())};
+    return watcher_kept + watch_wait(m_seen.size()) - watch_wait(0);
 }
 
 void peer_service::wake()
@@ -178,17 +210,18 @@
     auto const open = std::exchange(m_watches, {});
     for (auto const& it : open)
     {
-        it.answer(watch_response());
+        it.answer(watch_response(it.from));
     }
 }
 
 std::vector<peer> peer_service::watchers() const
 {
     auto const now = m_clock.now();
+    auto const longest = kept();
     std::vector<peer> out;
     for (auto const& [it, seen] : m_seen)
     {
-        if (now - seen < watcher_kept)
+        if (now - seen < longest)
         {
             out.push_back(it);
         }
@@ -211,7 +244,7 @@
             {
                 auto const it = std::move(m_watches.front());
                 m_watches.pop_front();
-                it.answer(watch_response());
+                it.answer(watch_response(it.from));
             }
             std::erase_if(m_seen, [&](auto const& it)
                           { return now - it.second > 10 * watcher_kept; });
--- a/libraries/cell/peer_service.hpp
+++ b/libraries/cell/peer_service.hpp
@@ -60,13 +60,17 @@
     {
         network::responder answer;
         base::instant until;
+        watch_question from;
     };
 
     void watch(network::http_request const& it, network::responder answer);
     void job(network::http_request const& it, network::responder answer);
     void advise(network::http_request const& it, network::responder answer);
     void owner(network::http_request const& it, network::responder answer);
-    [[nodiscard]] network::http_response watch_response() const;
+    [[nodiscard]] network::http_response
+    watch_response(watch_question const& to);
+    void look_who_watches();
+    [[nodiscard]] base::duration kept() const;
     void every_tick();
 
     boost::asio::io_context& m_loop;
@@ -75,6 +79,8 @@
     boost::asio::steady_timer m_timer;
     std::list<open_watch> m_watches;
     std::map<peer, base::instant> m_seen;
+    peer_list m_list;
+    base::instant m_next_list{};
 };
 
 } // namespace berylhill::cell
