cell: Rest between looks at instances that hold nothing

Cause: each instance is asked again once its last question is answered, every second; at 3,000 instances that is 3,000 calls a second, of some 60 us each, though most of them hold nothing. Only those that hold something are asked without a pause now; the others in turn, 600 a second, four seconds apart at most, and at once when a start is sent there. Below 600 instances nothing changes.

--- a/libraries/cell/cell_owner_orders.cpp
+++ b/libraries/cell/cell_owner_orders.cpp
@@ -39,6 +39,7 @@
 
 void cell_owner::send(scheduler::start_order const& it)
 {
+    m_holds.wake(it.instance);
     m_parts.orders->start(
         target(it.instance), it, start_timeout,
         [this, alive = m_alive, id = it.instance,
@@ -161,9 +162,10 @@
         it.report.instance = id;
         it.report.sent_at = sent_at;
         it.report.read_at = now;
-        m_holds.reported(id, now,
-                         it.report.ended.empty() ? 0 : m_batches_taken + 1);
         m_decisions.reported(it.report);
+        m_holds.reported(id, now,
+                         it.report.ended.empty() ? 0 : m_batches_taken + 1,
+                         m_decisions.hold_rest(id));
         break;
     case order_end::fenced:
         deposed("hold_fenced");
--- a/libraries/cell/hold_list.cpp
+++ b/libraries/cell/hold_list.cpp
@@ -41,9 +41,10 @@
 
 void hold_list::reported(std::string const& id,
                          base::instant now,
-                         std::uint64_t batch)
+                         std::uint64_t batch,
+                         base::duration rest)
 {
-    m_turns.at(id).reported(now, batch);
+    m_turns.at(id).reported(now, batch, rest);
     m_idle.insert(id);
 }
 
@@ -53,4 +54,12 @@
     m_idle.insert(id);
 }
 
+void hold_list::wake(std::string const& id)
+{
+    if (auto const it = m_turns.find(id); it != m_turns.end())
+    {
+        it->second.wake();
+    }
+}
+
 } // namespace berylhill::cell
--- a/libraries/cell/hold_list.hpp
+++ b/libraries/cell/hold_list.hpp
@@ -43,13 +43,20 @@
              standing_function const& standing_of);
 
     /// It reported; `batch` is the one that holds the ends it listed, 0 where
-    /// it listed none. Precondition: it was taken.
-    void
-    reported(std::string const& id, base::instant now, std::uint64_t batch);
+    /// it listed none. The next question is due `rest` later, or when it is
+    /// woken. Precondition: it was taken.
+    void reported(std::string const& id,
+                  base::instant now,
+                  std::uint64_t batch,
+                  base::duration rest = base::duration{0});
 
     /// It gave no report. Precondition: it was taken.
     void failed(std::string const& id, base::instant now);
 
+    /// Something is to be heard from it, also while it rests. Does nothing
+    /// where it is not known.
+    void wake(std::string const& id);
+
 private:
     std::map<std::string, hold_turn> m_turns;
     /// Those without a question under way.
--- a/libraries/cell/hold_turn.cpp
+++ b/libraries/cell/hold_turn.cpp
@@ -16,11 +16,13 @@
     return !m_asking && now >= m_next && m_batch <= stored;
 }
 
-void hold_turn::reported(base::instant now, std::uint64_t batch)
+void hold_turn::reported(base::instant now,
+                         std::uint64_t batch,
+                         base::duration rest)
 {
     m_asking = false;
     m_batch = batch;
-    m_next = now;
+    m_next = now + rest;
 }
 
 void hold_turn::failed(base::instant now)
--- a/libraries/cell/hold_turn.hpp
+++ b/libraries/cell/hold_turn.hpp
@@ -30,12 +30,20 @@
     }
 
     /// It reported; `batch` is the one that holds the ends it listed, 0 where
-    /// it listed none.
-    void reported(base::instant now, std::uint64_t batch);
+    /// it listed none. The next question is due `rest` later.
+    void reported(base::instant now,
+                  std::uint64_t batch,
+                  base::duration rest = base::duration{0});
 
     /// It gave no report.
     void failed(base::instant now);
 
+    /// Something is to be heard from it: a rest is over.
+    void wake() noexcept
+    {
+        m_next = {};
+    }
+
 private:
     bool m_asking{false};
     std::uint64_t m_batch{0};
--- a/libraries/scheduler/scheduler.hpp
+++ b/libraries/scheduler/scheduler.hpp
@@ -79,6 +79,8 @@
     [[nodiscard]] bool serves(std::string const& service) const;
     [[nodiscard]] hold_order next_hold(std::string const& id,
                                        base::instant now);
+    /// How long the instance need not be asked, unless a start is sent to it.
+    [[nodiscard]] base::duration hold_rest(std::string const& id) const;
     void reported(hold_report const& it);
     void silent(std::string const& id, base::instant now);
     void start_answered(std::string const& id,
@@ -293,6 +295,10 @@
     [[nodiscard]] std::size_t
     most_named(workload::step_spec const& spec,
                workload::queue_spec const& queue) const;
+    [[nodiscard]] std::uint32_t slots_allowed(job& of,
+                                              workload::step_name const& name,
+                                              workload::queue_spec const& queue,
+                                              base::instant now) const;
     [[nodiscard]] std::vector<instance const*>
     task_question(job& of,
                   workload::step_name const& name,
@@ -307,7 +313,7 @@
     not_asked(job& of,
               workload::step_name const& name,
               workload::queue_spec const& queue,
-              base::instant now) const;
+              base::instant now);
     [[nodiscard]] std::vector<instance const*> lapsing(step const& in,
                                                        base::instant now) const;
     [[nodiscard]] std::vector<instance const*>
@@ -335,6 +341,11 @@
                                          workload::step_spec const& spec,
                                          instance const& at) const;
 
+    /// How many instances that fit are weighed for a question at most. Answers
+    /// a cell of thousands, where the best of so many is as good as the best
+    /// of all, and a question would cost most of a millisecond.
+    static constexpr std::size_t most_weighed = 600;
+
     policy m_rules;
     decision_log* m_log;
     /// All queues seen in any configuration: the jobs of one that was taken
--- a/libraries/scheduler/scheduler_orders.cpp
+++ b/libraries/scheduler/scheduler_orders.cpp
@@ -5,6 +5,18 @@
 namespace berylhill::scheduler
 {
 
+namespace
+{
+
+/// How many instances that hold nothing are looked at: 3% of a core.
+constexpr double idle_looks_per_s = 600.0;
+
+/// An instance is looked at so often at least: the list of instances drops one
+/// that is gone within some seconds too.
+constexpr base::duration longest_rest = std::chrono::milliseconds{4'000};
+
+} // namespace
+
 void scheduler::start_answered(std::string const& id,
                                attempt_name const& name,
                                start_answer answer,
@@ -131,6 +143,23 @@
     return out;
 }
 
+/// In a cell of thousands most instances hold nothing, and each look at one
+/// costs the owner some 60 us: they are looked at in turn, so many a second.
+/// One that goes silent meanwhile shows it at the next start there.
+base::duration scheduler::hold_rest(std::string const& id) const
+{
+    auto const& all = m_instances.all();
+    auto const at = all.find(id);
+    if (at == all.end() || !at->second->attempts().empty())
+    {
+        return base::duration{0};
+    }
+    auto const all_looked_at =
+        base::from_seconds(static_cast<double>(all.size()) / idle_looks_per_s);
+    return std::clamp<base::duration>(all_looked_at - m_rules.hold_wait,
+                                      base::duration{0}, longest_rest);
+}
+
 void scheduler::release_start(start_order it, base::instant now)
 {
     auto* const at = m_instances.find(it.instance);
