scheduler, cell: Weigh a bounded number of instances for a question

600 instances that fit are weighed, the next question goes on after them; up to 600 nothing changes. The names are copied every 50 ms at most, and the queue keeps pointers to its machines.

--- a/libraries/cell/advice_desk.cpp
+++ b/libraries/cell/advice_desk.cpp
@@ -13,6 +13,10 @@
 constexpr base::duration answer_slack = std::chrono::milliseconds{300};
 constexpr int expected_factor = 2;
 
+/// How long the other processes are taken to be the same: hundreds of
+/// questions a second need not copy hundreds of names each.
+constexpr base::duration others_kept = std::chrono::milliseconds{50};
+
 } // namespace
 
 advice_desk::advice_desk(base::clock const& clock,
@@ -26,6 +30,22 @@
 {
 }
 
+std::vector<peer> const& advice_desk::others()
+{
+    auto const now = m_clock.now();
+    if (now >= m_known_until)
+    {
+        m_known = m_others();
+        m_known_until = now + others_kept;
+    }
+    return m_known;
+}
+
+std::size_t advice_desk::machines()
+{
+    return others().size() + 1;
+}
+
 void advice_desk::ask(scheduler::advice_order const& it, handler done)
 {
     auto const number = ++m_last_number;
@@ -40,9 +60,8 @@
     {
         return;
     }
-    auto const others = m_others();
     auto const now = m_clock.now();
-    while (auto const it = m_queue.next(others, now))
+    while (auto const it = m_queue.next(others(), now))
     {
         send(*it);
     }
--- a/libraries/cell/advice_desk.hpp
+++ b/libraries/cell/advice_desk.hpp
@@ -30,10 +30,7 @@
                 peers_function others);
 
     /// How many machines can ask now, this one included.
-    [[nodiscard]] std::size_t machines() const
-    {
-        return m_others().size() + 1;
-    }
+    [[nodiscard]] std::size_t machines();
 
     /// `done` is called once, on the event loop.
     void ask(scheduler::advice_order const& it, handler done);
@@ -45,6 +42,8 @@
         handler done;
     };
 
+    /// The other processes that live now, or did a moment ago.
+    [[nodiscard]] std::vector<peer> const& others();
     void send_next();
     void send(advice_queue::assignment const& it);
     void answered(advice_queue::assignment const& it,
@@ -55,6 +54,8 @@
     peer_client& m_peers;
     peers_function m_others;
     advice_queue m_queue;
+    std::vector<peer> m_known;
+    base::instant m_known_until{};
     std::uint64_t m_last_number{0};
     std::map<std::uint64_t, question> m_questions;
 };
--- a/libraries/cell/advice_queue.cpp
+++ b/libraries/cell/advice_queue.cpp
@@ -42,21 +42,35 @@
     return now >= it.avoid_until && it.asking < (takes_long ? 1 : most_short);
 }
 
-/// The machine that asks least; of equals the first.
-std::optional<network::socket_address>
-advice_queue::choose(std::vector<network::socket_address> const& machines,
-                     bool takes_long,
-                     base::instant now)
+/// This machine comes first: it costs no way to another one.
+void advice_queue::set_machines(std::vector<peer> const& others)
 {
-    std::optional<network::socket_address> best;
+    if (!m_order.empty() && others == m_others)
+    {
+        return;
+    }
+    m_others = others;
+    m_order.clear();
+    m_order.push_back(&*m_machines.try_emplace({}).first);
+    for (auto const& it : others)
+    {
+        m_order.push_back(&*m_machines.try_emplace(it.address).first);
+    }
+}
+
+/// The machine that asks least; of equals the first. Null: none is free.
+advice_queue::known_machine*
+advice_queue::choose(std::size_t from, bool takes_long, base::instant now) const
+{
+    known_machine* best = nullptr;
     auto least = most_short;
-    for (auto const& it : machines)
+    for (auto n = from; n < m_order.size(); ++n)
     {
-        auto const& known = m_machines[it];
-        if (is_free(known, takes_long, now) && known.asking < least)
+        auto const& it = m_order[n]->second;
+        if (is_free(it, takes_long, now) && it.asking < least)
         {
-            best = it;
-            least = known.asking;
+            best = m_order[n];
+            least = it.asking;
         }
     }
     return best;
@@ -69,19 +83,12 @@
     {
         return std::nullopt;
     }
-    // This machine comes first: it costs no way to another one.
-    std::vector<network::socket_address> all{network::socket_address{}};
-    for (auto const& it : others)
-    {
-        all.push_back(it.address);
-    }
+    set_machines(others);
     auto kept = std::size_t{0};
-    if (all.size() >= least_to_keep)
+    if (m_order.size() >= least_to_keep)
     {
-        kept = std::max(least_kept, all.size() / kept_for_short);
+        kept = std::max(least_kept, m_order.size() / kept_for_short);
     }
-    std::vector<network::socket_address> const for_long{
-        all.begin() + static_cast<std::ptrdiff_t>(kept), all.end()};
     auto const first_long = std::ranges::find_if(
         m_waiting, [](auto const& it) { return it.first.takes_long; });
     for (auto const at : {m_waiting.begin(), first_long})
@@ -91,17 +98,17 @@
             continue;
         }
         auto const takes_long = at->first.takes_long;
-        auto to = choose(takes_long ? for_long : all, takes_long, now);
-        if (!to && m_asking == 0)
+        auto* to = choose(takes_long ? kept : 0, takes_long, now);
+        if (to == nullptr && m_asking == 0)
         {
             // All are avoided: better to try than to wait for nothing.
-            to = network::socket_address{};
+            to = m_order.front();
         }
-        if (to)
+        if (to != nullptr)
         {
-            assignment const out{at->first.question, *to};
+            assignment const out{at->first.question, to->first};
             m_waiting.erase(at);
-            ++m_machines[*to].asking;
+            ++to->second.asking;
             ++m_asking;
             return out;
         }
--- a/libraries/cell/advice_queue.hpp
+++ b/libraries/cell/advice_queue.hpp
@@ -70,13 +70,19 @@
 
     [[nodiscard]] bool
     is_free(machine const& it, bool takes_long, base::instant now) const;
-    [[nodiscard]] std::optional<network::socket_address>
-    choose(std::vector<network::socket_address> const& machines,
-           bool takes_long,
-           base::instant now);
+    using machines = std::map<network::socket_address, machine>;
+    using known_machine = machines::value_type;
+
+    void set_machines(std::vector<peer> const& others);
+    [[nodiscard]] known_machine*
+    choose(std::size_t from, bool takes_long, base::instant now) const;
 
     std::map<turn, base::duration> m_waiting;
-    std::map<network::socket_address, machine> m_machines;
+    machines m_machines;
+    std::vector<peer> m_others;
+    /// Those that live now, in the order in which they are asked. Looked at
+    /// for each question, so they are not looked up by name.
+    std::vector<known_machine*> m_order;
     std::size_t m_asking{0};
 };
 
--- a/libraries/scheduler/instance_book.cpp
+++ b/libraries/scheduler/instance_book.cpp
@@ -1,5 +1,6 @@
 #include <scheduler/instance_book.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace berylhill::scheduler
@@ -42,6 +43,34 @@
     return at == m_instances.end() ? nullptr : at->second;
 }
 
+std::vector<instance const*>
+instance_book::roomiest(std::size_t most,
+                        std::function<bool(instance const&)> const& fits)
+{
+    std::vector<instance const*> out;
+    auto it = m_instances.size() > most ? m_instances.upper_bound(m_looked_at)
+                                        : m_instances.begin();
+    for (std::size_t n = 0; n < m_instances.size() && out.size() < most; ++n)
+    {
+        if (it == m_instances.end())
+        {
+            it = m_instances.begin();
+        }
+        if (fits(*it->second))
+        {
+            out.push_back(it->second.get());
+        }
+        if (out.size() == most)
+        {
+            m_looked_at = it->first;
+        }
+        ++it;
+    }
+    std::ranges::sort(out, std::ranges::greater{},
+                      [](instance const* at) { return at->room().cpu_millis; });
+    return out;
+}
+
 void instance_book::forget_idle()
 {
     std::erase_if(
--- a/libraries/scheduler/instance_book.hpp
+++ b/libraries/scheduler/instance_book.hpp
@@ -55,6 +55,12 @@
         return m_instances;
     }
 
+    /// So many at most of those that `fits` takes, with most processor time
+    /// free first. Where there are more, the next call goes on with others.
+    [[nodiscard]] std::vector<instance const*>
+    roomiest(std::size_t most,
+             std::function<bool(instance const&)> const& fits);
+
     /// Drops those that are not listed and hold nothing.
     void forget_idle();
 
@@ -62,6 +68,8 @@
     instance_map m_instances;
     base::instant m_former_lease_end;
     std::uint32_t m_last_number{0};
+    /// Which one was last looked at by `roomiest`.
+    std::string m_looked_at;
 };
 
 } // namespace berylhill::scheduler
--- a/libraries/scheduler/scheduler_advice.cpp
+++ b/libraries/scheduler/scheduler_advice.cpp
@@ -158,7 +158,7 @@
     {
         return;
     }
-    m_looks += m_instances.all().size();
+    m_looks += std::min(m_instances.all().size(), most_weighed);
     auto const named = spec.gang ? gang_question(of, at, queue, now)
                                  : task_question(of, name, queue, now);
     if (named.empty())
@@ -204,6 +204,25 @@
     m_orders.emplace_back(std::move(out));
 }
 
+/// How many more tasks of the step the instances with leave can take now.
+std::uint32_t scheduler::slots_allowed(job& of,
+                                       workload::step_name const& name,
+                                       workload::queue_spec const& queue,
+                                       base::instant now) const
+{
+    auto const& spec = of.spec_of(name);
+    auto out = std::uint32_t{0};
+    for (auto const& [number, ticket] : of.find(name)->advice.allowed)
+    {
+        if (holds(ticket, now) && open_to(*ticket.at, spec, now) &&
+            eligible(*ticket.at, spec, queue, now))
+        {
+            out += slots_in(spec, ticket.at->room(), 0);
+        }
+    }
+    return out;
+}
+
 /// Instances with room that are worth asking about for single tasks, those
 /// with most room first; none where leave for room enough is there.
 std::vector<instance const*>
@@ -215,33 +234,23 @@
     auto const& spec = of.spec_of(name);
     auto const& in = *of.find(name);
     auto const& known = in.advice;
-    auto usable = std::uint32_t{0};
-    std::vector<instance const*> open;
-    for (auto const& [id, at] : m_instances.all())
-    {
-        if (!open_to(*at, spec, now) ||
-            !may_allow(*at, spec, queue, known, now))
-        {
-            continue;
-        }
-        auto const slots = slots_in(spec, at->room(), 0);
-        if (auto const it = known.allowed.find(at->number());
-            it != known.allowed.end() && holds(it->second, now))
-        {
-            usable += slots;
-            continue;
-        }
-        if (slots > 0)
-        {
-            open.push_back(at.get());
-        }
-    }
-    if (usable >= in.waiting)
+    if (slots_allowed(of, name, queue, now) >= in.waiting)
     {
         return {};
     }
-    std::ranges::sort(open, std::ranges::greater{},
-                      [](instance const* it) { return it->room().cpu_millis; });
+    auto const open = m_instances.roomiest(
+        most_weighed,
+        [&](instance const& it)
+        {
+            if (!open_to(it, spec, now) ||
+                !may_allow(it, spec, queue, known, now) ||
+                slots_in(spec, it.room(), 0) == 0)
+            {
+                return false;
+            }
+            auto const at = known.allowed.find(it.number());
+            return at == known.allowed.end() || !holds(at->second, now);
+        });
     auto const share = allowed_share(queue.name);
     auto const wanted = spare_room * in.waiting;
     auto const most = most_named(spec, queue);
--- a/libraries/scheduler/scheduler_gang_advice.cpp
+++ b/libraries/scheduler/scheduler_gang_advice.cpp
@@ -35,23 +35,18 @@
 scheduler::not_asked(job& of,
                      workload::step_name const& name,
                      workload::queue_spec const& queue,
-                     base::instant now) const
+                     base::instant now)
 {
     auto const& spec = of.spec_of(name);
     auto const& known = of.find(name)->advice;
-    std::vector<instance const*> out;
-    for (auto const& [id, at] : m_instances.all())
-    {
-        if (!known.allowed.contains(at->number()) &&
-            !known.asked.contains(at->number()) &&
-            may_allow(*at, spec, queue, known, now))
+    return m_instances.roomiest(
+        most_weighed,
+        [&](instance const& it)
         {
-            out.push_back(at.get());
-        }
-    }
-    std::ranges::sort(out, std::ranges::greater{},
-                      [](instance const* it) { return it->room().cpu_millis; });
-    return out;
+            return !known.allowed.contains(it.number()) &&
+                   !known.asked.contains(it.number()) &&
+                   may_allow(it, spec, queue, known, now);
+        });
 }
 
 /// Instances of the gang's plan whose tickets lapse before it starts.
