network: Close the longest idle connections above a limit for all addresses

Cause: connections were bounded for each address only; an owner of 3,000 instances held 7,792 of them, as many as its descriptors allow (4,100 to 8,192), and further calls, also those to the store, found none.

A client closes those longest idle while more than a limit are open; half of the descriptors for calls to instances.

--- a/libraries/cell/node.cpp
+++ b/libraries/cell/node.cpp
@@ -43,6 +43,18 @@
 /// bound and price their connections.
 constexpr std::size_t order_connections = 3;
 
+/// While connections to instances take more than this share of the
+/// descriptors, idle ones are closed; the rest is left to callers, the other
+/// processes and the store.
+constexpr std::int64_t order_share = 2;
+
+network::client_limits order_limits(std::int64_t descriptors)
+{
+    network::client_limits out{order_connections, order_connections};
+    out.open_with_idle = static_cast<std::size_t>(descriptors / order_share);
+    return out;
+}
+
 /// Descriptors kept for connections to others than callers.
 constexpr std::int64_t own_descriptors = 800;
 
@@ -75,7 +87,7 @@
     : m_settings{std::move(settings)}
     , m_settings_path{std::move(settings_path)}
     , m_client{m_loop, {}}
-    , m_order_client{m_loop, {order_connections, order_connections}}
+    , m_order_client{m_loop, order_limits(m_settings.limits.descriptors)}
     , m_adapter{make(m_client, m_order_client, m_settings)}
     , m_log{std::make_unique<decisions_to_log>()}
     , m_peers{m_client}
--- a/libraries/network/http_client.cpp
+++ b/libraries/network/http_client.cpp
@@ -32,13 +32,28 @@
 class http_client::connection
 {
 public:
-    explicit connection(asio::io_context& loop)
+    connection(asio::io_context& loop, std::shared_ptr<std::size_t> open)
         : socket{loop}
+        , m_open{std::move(open)}
     {
+        ++*m_open;
+    }
+
+    connection(connection const&) = delete;
+    connection& operator=(connection const&) = delete;
+
+    ~connection()
+    {
+        --*m_open;
     }
 
     tcp::socket socket;
     boost::beast::flat_buffer buf;
+    /// Its place among the idle ones, while it is one.
+    std::list<socket_address>::const_iterator idle_at;
+
+private:
+    std::shared_ptr<std::size_t> m_open;
 };
 
 /// One call: takes or opens a connection, sends, reads, and reports once.
@@ -116,8 +131,10 @@
     void open()
     {
         m_reused = false;
-        m_connection = std::make_unique<connection>(m_owner.m_loop);
+        m_connection =
+            std::make_unique<connection>(m_owner.m_loop, m_owner.m_open);
         ++m_owner.m_opened;
+        m_owner.close_idle();
         boost::system::error_code ec;
         auto const address = asio::ip::make_address_v4(m_to.host, ec);
         if (ec)
@@ -341,6 +358,7 @@
     }
     auto last = std::move(it->second.back());
     it->second.pop_back();
+    forget_idle_of(*last);
     return last;
 }
 
@@ -350,13 +368,43 @@
     auto& idle = m_idle[to];
     if (idle.size() < m_limits.idle_per_address)
     {
+        it->idle_at = m_idle_order.insert(m_idle_order.end(), to);
         idle.push_back(std::move(it));
+        close_idle();
     }
 }
 
 void http_client::forget(socket_address const& to)
 {
-    m_idle.erase(to);
+    auto const known = m_idle.extract(to);
+    if (known)
+    {
+        for (auto const& it : known.mapped())
+        {
+            forget_idle_of(*it);
+        }
+    }
+}
+
+void http_client::forget_idle_of(connection const& it)
+{
+    m_idle_order.erase(it.idle_at);
+}
+
+/// Of one address the last one used is taken first, so its first is the one
+/// that has been idle longest.
+void http_client::close_idle()
+{
+    while (*m_open > m_limits.open_with_idle && !m_idle_order.empty())
+    {
+        auto const at = m_idle.find(m_idle_order.front());
+        m_idle_order.pop_front();
+        at->second.erase(at->second.begin());
+        if (at->second.empty())
+        {
+            m_idle.erase(at);
+        }
+    }
 }
 
 } // namespace berylhill::network
--- a/libraries/network/http_client.hpp
+++ b/libraries/network/http_client.hpp
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <deque>
 #include <functional>
+#include <list>
 #include <map>
 #include <memory>
 #include <vector>
@@ -47,6 +48,10 @@
     std::size_t idle_per_address{4};
     /// Connections in use for each address; further calls wait for one.
     std::size_t in_use_per_address{64};
+    /// While more connections than this are open, those longest idle are
+    /// closed. A process that calls thousands of addresses would otherwise
+    /// run out of descriptors, and then reach none of them.
+    std::size_t open_with_idle{4'096};
     /// A larger response counts as no answer.
     std::size_t body_bytes{std::size_t{8} * 1024 * 1024};
 };
@@ -91,6 +96,9 @@
     [[nodiscard]] std::unique_ptr<connection> take(socket_address const& to);
     void give_back(socket_address const& to, std::unique_ptr<connection> it);
     void forget(socket_address const& to);
+    /// Closes idle connections until no more than the limit are open.
+    void close_idle();
+    void forget_idle_of(connection const& it);
 
     boost::asio::io_context& m_loop;
     client_limits m_limits;
@@ -99,6 +107,10 @@
     std::map<socket_address, std::size_t> m_running;
     std::map<socket_address, std::deque<std::weak_ptr<exchange>>> m_waiting;
     std::uint64_t m_opened{0};
+    /// All that are open, idle or in use; connections may outlive the client.
+    std::shared_ptr<std::size_t> m_open{std::make_shared<std::size_t>(0)};
+    /// The addresses of the idle connections, the longest idle first.
+    std::list<socket_address> m_idle_order;
 };
 
 } // namespace berylhill::network
--- a/tests/network/http_test.cpp
+++ b/tests/network/http_test.cpp
@@ -128,6 +128,51 @@
     BOOST_TEST(run_until([&] { return server.connections() == 0; }));
 }
 
+/// An owner of thousands of instances reaches none of them any more: idle
+/// connections to each have used up its descriptors. So the one that has been
+/// idle longest goes when there are more than the limit.
+BOOST_AUTO_TEST_CASE(idle_connections_make_room_for_new_ones)
+{
+    network::client_limits limits;
+    limits.open_with_idle = 2;
+    network::http_client few{loop, limits};
+    std::vector<std::unique_ptr<network::http_server>> servers;
+    std::vector<network::socket_address> at;
+    for (int n = 0; n < 3; ++n)
+    {
+        servers.push_back(std::make_unique<network::http_server>(
+            loop,
+            [](auto const&, auto answer) {
+                answer({200, {}, {}});
+            }));
+        at.emplace_back("127.0.0.1", free_port());
+        BOOST_TEST_REQUIRE(base::capture(
+                               [&]() -> base::result<base::done>
+                               {
+                                   BOOST_LEAF_CHECK(
+                                       servers.back()->listen(at.back()));
+                                   return base::done{};
+                               })
+                               .has_value());
+    }
+    auto const opened_after = [&](std::size_t to)
+    {
+        auto answered = false;
+        few.call(at[to], {network::http_method::get, "/", {}, {}, {}},
+                 std::chrono::seconds{2},
+                 [&](network::call_result const& end)
+                 { answered = end.end == network::call_end::answered; });
+        BOOST_TEST(run_until([&] { return answered; }));
+        return few.connections_opened();
+    };
+    BOOST_TEST(opened_after(0) == 1U);
+    BOOST_TEST(opened_after(1) == 2U);
+    BOOST_TEST(opened_after(2) == 3U);
+    BOOST_TEST(opened_after(1) == 3U);
+    BOOST_TEST(opened_after(2) == 3U);
+    BOOST_TEST(opened_after(0) == 4U);
+}
+
 BOOST_AUTO_TEST_CASE(calls_to_one_address_share_its_connections)
 {
     network::http_client narrow{loop, {2, 2}};
