network, cell: Take waiting connections together; be patient with a busy owner

Cause, by the processes' log lines at 300 machines: after the loss of an owner a machine that had just started took the next one for lost within 0.4 s, claimed its work, was taken for lost in turn, and so on for 15 s. The owner did not answer in time for two reasons. It took in connections one at a time, each behind all handlers that were due: some 300 processes that come at once waited for seconds. And it asked all 3,000 instances in one round.

- http_server takes up to 64 connections that wait, at once (test: 18 connections with one handler; one before).
- A round asks 100 instances at most, first those where work runs (test).
- A process that knows no others asks a silent owner for 1.8 s, longer each time, before it claims; it claimed after 0.4 s (tests: a busy owner isn't replaced, which failed before; a silent one is).

--- a/libraries/cell/cell_owner_orders.cpp
+++ b/libraries/cell/cell_owner_orders.cpp
@@ -16,6 +16,10 @@
 /// Added to the time that an instance may wait before it answers a hold.
 constexpr base::duration hold_slack = std::chrono::milliseconds{400};
 
+/// How many instances a round asks: each takes some 60 us, and between two
+/// rounds others have the loop for twice as long.
+constexpr std::size_t most_holds = 100;
+
 } // namespace
 
 void cell_owner::carry_out(std::vector<scheduler::order> const& orders)
@@ -121,20 +125,27 @@
     // What is listed under a service that no queue goes to may be another's
     // entry, at an address that is not to be called.
     auto const& info = at->second->info();
-    return !info.address.empty() && m_decisions.serves(info.service)
-               ? hold_list::standing::callable
-               : hold_list::standing::not_callable;
+    if (info.address.empty() || !m_decisions.serves(info.service))
+    {
+        return hold_list::standing::not_callable;
+    }
+    return at->second->attempts().empty() ? hold_list::standing::callable
+                                          : hold_list::standing::holds_work;
 }
 
 void cell_owner::hold_all()
 {
-    auto const now = m_parts.clock->now();
-    for (auto const& id :
-         m_holds.take_due(now, m_batches_stored,
-                          [this](auto const& it) { return standing_of(it); }))
+    auto const due =
+        m_holds.take_due(m_parts.clock->now(), m_batches_stored, most_holds,
+                         [this](auto const& it) { return standing_of(it); });
+    for (auto const& id : due)
     {
         hold(id);
     }
+    if (due.size() == most_holds)
+    {
+        soon();
+    }
 }
 
 void cell_owner::hold(std::string const& id)
--- a/libraries/cell/hold_list.cpp
+++ b/libraries/cell/hold_list.cpp
@@ -1,5 +1,7 @@
 #include <cell/hold_list.hpp>
 
+#include <algorithm>
+
 namespace berylhill::cell
 {
 
@@ -14,10 +16,12 @@
 std::vector<std::string>
 hold_list::take_due(base::instant now,
                     std::uint64_t stored,
+                    std::size_t most,
                     standing_function const& standing_of)
 {
+    std::vector<std::string> first;
     std::vector<std::string> out;
-    for (auto it = m_idle.begin(); it != m_idle.end();)
+    for (auto it = m_idle.begin(); it != m_idle.end() && first.size() < most;)
     {
         auto const is = standing_of(*it);
         if (is == standing::gone)
@@ -26,15 +30,18 @@
             it = m_idle.erase(it);
             continue;
         }
-        auto& turn = m_turns.at(*it);
-        if (is == standing::not_callable || !turn.due(now, stored))
+        if (is != standing::not_callable && m_turns.at(*it).due(now, stored))
         {
-            ++it;
-            continue;
+            (is == standing::holds_work ? first : out).push_back(*it);
         }
-        turn.asked();
-        out.push_back(*it);
-        it = m_idle.erase(it);
+        ++it;
+    }
+    out.insert(out.begin(), first.begin(), first.end());
+    out.resize(std::min(out.size(), most));
+    for (auto const& id : out)
+    {
+        m_turns.at(id).asked();
+        m_idle.erase(id);
     }
     return out;
 }
--- a/libraries/cell/hold_list.hpp
+++ b/libraries/cell/hold_list.hpp
@@ -24,6 +24,8 @@
     {
         /// It may be asked.
         callable,
+        /// As `callable`, and before the others: work there is to be heard of.
+        holds_work,
         /// Not now; it may be later.
         not_callable,
         /// It is not known any more.
@@ -35,11 +37,14 @@
     /// The instance is listed; does nothing where it was before.
     void add(std::string const& id);
 
-    /// Those whose question is due, which are then taken as asked. `stored`
-    /// batches have been stored so far. Forgets those that are gone.
+    /// Those whose question is due, so many at most, which are then taken as
+    /// asked. `stored` batches have been stored so far. Forgets those that are
+    /// gone. A new owner asks all instances, and at thousands of them would
+    /// answer nobody else meanwhile: the others took it for lost.
     [[nodiscard]] std::vector<std::string>
     take_due(base::instant now,
              std::uint64_t stored,
+             std::size_t most,
              standing_function const& standing_of);
 
     /// It reported; `batch` is the one that holds the ends it listed, 0 where
--- a/libraries/cell/ownership.hpp
+++ b/libraries/cell/ownership.hpp
@@ -32,6 +32,20 @@
     owning,
 };
 
+/// How an owner that was watched was lost.
+enum class owner_loss : std::uint8_t
+{
+    /// Nothing listens at its address.
+    refused,
+    /// Another life answers there.
+    restarted,
+    /// No answer: it is gone, cut off or overloaded.
+    silent,
+};
+
+/// For logs.
+[[nodiscard]] char const* name_of(owner_loss it);
+
 /// Finds the owner of the cell's work, watches it, and claims the work when
 /// it is gone. A claim is a record at the end of the cell's log, so of two
 /// claims one wins; the winner's token, the offset of its claim plus one, is
@@ -122,8 +136,10 @@
     void adopt(owner_view const& it);
     void watch(base::duration wait);
     void watched(peer_result<watch_answer> const& it, base::duration wait);
-    void lost(char const* why);
-    void suspect();
+    void lost(owner_loss why);
+    void suspect(owner_loss why);
+    void suspect_alone();
+    [[nodiscard]] base::duration probe_limit() const;
     void suspected();
     void look_again();
     void claim(char const* why);
--- a/libraries/cell/ownership_watch.cpp
+++ b/libraries/cell/ownership_watch.cpp
@@ -2,6 +2,7 @@
 
 #include <base/log.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace berylhill::cell
@@ -26,6 +27,9 @@
 /// claims only after so many rounds.
 constexpr std::uint32_t isolated_rounds = 8;
 
+/// One that knows no others claims after so many, which take 1.8 s.
+constexpr std::uint32_t alone_rounds = 3;
+
 /// How many others are asked whether they hear the owner.
 constexpr std::size_t others_asked = 5;
 
@@ -40,11 +44,25 @@
 
 } // namespace
 
+char const* name_of(owner_loss it)
+{
+    switch (it)
+    {
+    case owner_loss::refused:
+        return "refused";
+    case owner_loss::restarted:
+        return "restarted";
+    case owner_loss::silent:
+        return "silent";
+    }
+    return "other";
+}
+
 void ownership::watch(base::duration wait)
 {
     m_peer_client.watch(m_owner.address, {m_self, m_peers.digest}, wait,
                         wait +
-                            (wait.count() == 0 ? probe_timeout : watch_slack),
+                            (wait.count() == 0 ? probe_limit() : watch_slack),
                         [this, alive = m_generation, mine = *m_generation,
                          wait](peer_result<watch_answer> const& it)
                         {
@@ -66,7 +84,7 @@
             watch(base::duration{0});
             return;
         }
-        lost(it.refused ? "refused" : "silent");
+        lost(it.refused ? owner_loss::refused : owner_loss::silent);
         return;
     }
     auto const& answer = *it.answer;
@@ -82,7 +100,7 @@
             claim("owner_leaves");
             return;
         }
-        lost("restarted");
+        lost(owner_loss::restarted);
         return;
     }
     m_failures = 0;
@@ -120,17 +138,18 @@
     return watch_wait(turn() < standbys ? 0 : m_watchers);
 }
 
-void ownership::lost(char const* why)
+void ownership::lost(owner_loss why)
 {
     m_heard = false;
-    base::log(
-        base::log_level::warning, "owner_lost",
-        {{"owner", m_owner.instance}, {"token", m_owner.token}, {"why", why}});
+    base::log(base::log_level::warning, "owner_lost",
+              {{"owner", m_owner.instance},
+               {"token", m_owner.token},
+               {"why", name_of(why)}});
     m_state = ownership_state::suspecting;
-    suspect();
+    suspect(why);
 }
 
-void ownership::suspect()
+void ownership::suspect(owner_loss why)
 {
     ++*m_generation;
     m_others_hear = false;
@@ -145,6 +164,11 @@
             asked.push_back(it);
         }
     }
+    if (asked.empty() && why == owner_loss::silent)
+    {
+        suspect_alone();
+        return;
+    }
     if (asked.empty())
     {
         claim("owner_lost");
@@ -183,6 +207,24 @@
     }
 }
 
+/// A process that has just started knows nobody else to ask. An owner that
+/// took over a moment ago asks thousands of instances and may answer late; so
+/// it is asked again, for longer each time, before its work is claimed.
+void ownership::suspect_alone()
+{
+    if (++m_isolated >= alone_rounds)
+    {
+        claim("owner_lost");
+        return;
+    }
+    again(suspect_pause, [this] { look_again(); });
+}
+
+base::duration ownership::probe_limit() const
+{
+    return probe_timeout * (1U << std::min(m_isolated, alone_rounds));
+}
+
 void ownership::suspected()
 {
     if (m_others_answer && !m_others_hear)
--- a/libraries/network/http_server.cpp
+++ b/libraries/network/http_server.cpp
@@ -25,6 +25,10 @@
 /// without it spins.
 constexpr auto accept_pause = std::chrono::milliseconds{100};
 
+/// Connections taken at once, beside the one that was waited for: each takes
+/// some 20 us.
+constexpr std::size_t most_accepted = 64;
+
 } // namespace
 
 class http_server::session : public std::enable_shared_from_this<session>
@@ -242,6 +246,10 @@
     {
         m_acceptor.listen(listen_backlog, ec);
     }
+    if (!ec)
+    {
+        m_acceptor.non_blocking(true, ec);
+    }
     if (ec)
     {
         return base::fail(base::failure_code::unavailable,
@@ -290,15 +298,40 @@
                 timer->async_wait([this, timer](auto) { accept(); });
                 return;
             }
-            if (m_sessions.size() < m_limits.connections)
-            {
-                auto const it =
-                    std::make_shared<session>(*this, std::move(socket));
-                m_sessions.insert(it);
-                it->read();
-            }
+            serve(std::move(socket));
+            accept_more();
             accept();
         });
 }
 
+/// Takes those that wait already: one at a time behind all that is due, a
+/// busy process took seconds to answer hundreds that had lost their server and
+/// came to it at once.
+void http_server::accept_more()
+{
+    for (std::size_t n = 0; n < most_accepted; ++n)
+    {
+        boost::system::error_code ec;
+        tcp::socket socket{m_loop};
+        m_acceptor.accept(socket, ec);
+        if (ec)
+        {
+            // Nothing waits, or the next asynchronous one says what fails.
+            return;
+        }
+        serve(std::move(socket));
+    }
+}
+
+void http_server::serve(tcp::socket socket)
+{
+    if (m_sessions.size() >= m_limits.connections)
+    {
+        return;
+    }
+    auto const it = std::make_shared<session>(*this, std::move(socket));
+    m_sessions.insert(it);
+    it->read();
+}
+
 } // namespace berylhill::network
--- a/libraries/network/http_server.hpp
+++ b/libraries/network/http_server.hpp
@@ -81,6 +81,8 @@
     friend class session;
 
     void accept();
+    void accept_more();
+    void serve(boost::asio::ip::tcp::socket socket);
 
     boost::asio::io_context& m_loop;
     boost::asio::ip::tcp::acceptor m_acceptor;
--- a/tests/cell/ownership_test.cpp
+++ b/tests/cell/ownership_test.cpp
@@ -2,7 +2,10 @@
 
 #include <cell/ownership.hpp>
 #include <network/http_client.hpp>
+#include <network/http_server.hpp>
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <chrono>
@@ -44,7 +47,16 @@
         log.put({{cell::owner_key, cell::text_of(claim)}});
     }
 
+    static std::uint16_t free_port()
+    {
+        boost::asio::io_context own;
+        boost::asio::ip::tcp::acceptor acceptor{
+            own, {boost::asio::ip::make_address_v4("127.0.0.1"), 0}};
+        return acceptor.local_endpoint().port();
+    }
+
     boost::asio::io_context loop;
+    std::vector<network::responder> held;
     base::system_clock clock;
     fake_log log{loop};
     network::http_client http{loop, {}};
@@ -77,4 +89,62 @@
     BOOST_TEST(owner.owner().instance == "large");
 }
 
+/// In a cell of thousands of instances one machine restarts, and all users
+/// wait for seconds: a new owner, busy with all instances, answers after
+/// 0.3 s; the process that has just started knows nobody else to ask, takes
+/// the owner for lost and claims its work, and so on with the next one.
+BOOST_AUTO_TEST_CASE(a_busy_owner_is_not_replaced_by_one_that_just_started)
+{
+    cell::owner_view const claim{2, "large", {"127.0.0.1", free_port()}, "it"};
+    fill(1, claim);
+    network::http_server busy{
+        loop, [&](auto const&, network::responder answer)
+        {
+            auto timer = std::make_shared<boost::asio::steady_timer>(
+                loop, std::chrono::milliseconds{300});
+            timer->async_wait(
+                [timer, claim, answer = std::move(answer)](auto)
+                {
+                    cell::watch_answer out;
+                    out.owns = true;
+                    out.owner = claim;
+                    answer({200, {}, cell::text_of(out)});
+                });
+        }};
+    BOOST_TEST_REQUIRE(base::capture(
+                           [&]() -> base::result<base::done>
+                           {
+                               BOOST_LEAF_CHECK(busy.listen(claim.address));
+                               return base::done{};
+                           })
+                           .has_value());
+    auto const before = log.appends;
+    owner.start();
+    run(std::chrono::milliseconds{1'500});
+    BOOST_TEST(owner.owner_heard());
+    BOOST_TEST(log.appends == before);
+}
+
+/// Nothing answers at all: the work is claimed, within two seconds.
+BOOST_AUTO_TEST_CASE(a_silent_owner_is_replaced_by_one_that_knows_no_others)
+{
+    cell::owner_view const claim{2, "large", {"127.0.0.1", free_port()}, "it"};
+    fill(1, claim);
+    network::http_server silent{loop, [&](auto const&, auto answer)
+                                {
+                                    held.push_back(std::move(answer));
+                                }};
+    BOOST_TEST_REQUIRE(base::capture(
+                           [&]() -> base::result<base::done>
+                           {
+                               BOOST_LEAF_CHECK(silent.listen(claim.address));
+                               return base::done{};
+                           })
+                           .has_value());
+    owner.start();
+    run(std::chrono::milliseconds{3'000});
+    BOOST_TEST(owner.owner().instance == "small");
+    BOOST_TEST((owner.state() == cell::ownership_state::owning));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/network/http_test.cpp
+++ b/tests/network/http_test.cpp
@@ -128,6 +128,26 @@
     BOOST_TEST(run_until([&] { return server.connections() == 0; }));
 }
 
+/// An owner is lost, and hundreds of processes come to the next one at once;
+/// it is busy, and takes them in one at a time behind all else, so the last of
+/// them take it for lost too. Those that wait are taken together.
+BOOST_AUTO_TEST_CASE(connections_that_wait_are_taken_together)
+{
+    using boost::asio::ip::tcp;
+    constexpr std::size_t waiting = 18;
+    std::vector<std::unique_ptr<tcp::socket>> clients;
+    for (std::size_t n = 0; n < waiting; ++n)
+    {
+        clients.push_back(std::make_unique<tcp::socket>(loop));
+        clients.back()->connect(
+            {boost::asio::ip::make_address_v4(address.host), address.port});
+    }
+    loop.restart();
+    // One handler runs: that of the first connection.
+    BOOST_TEST(loop.run_one_for(std::chrono::seconds{2}) == 1U);
+    BOOST_TEST(server.connections() == waiting);
+}
+
 /// An owner of thousands of instances reaches none of them any more: idle
 /// connections to each have used up its descriptors. So the one that has been
 /// idle longest goes when there are more than the limit.
