scheduler: Count only the answers to questions that are open

Cause: a job that the store was away for is refused and comes again under its name; the question for advice of its first time is answered later, and was counted with those of its second time. Seen in the log: job_taken, job_refused three times, job_taken, two answers that name the same 71, and then no question more.

A step keeps what each open question names; an answer that matches none of them still tells what is allowed, and counts for nothing. The test failed first.

Why it was not seen before isn't known; it needs the first question to be answered after the job came again.

--- a/libraries/scheduler/job.hpp
+++ b/libraries/scheduler/job.hpp
@@ -73,8 +73,9 @@
         base::instant until{};
     };
 
-    /// Questions without an answer yet, and the instances that they name.
-    std::uint32_t asking{0};
+    /// Questions without an answer yet: which instances each names.
+    std::vector<std::vector<std::string>> open;
+    /// The instances that they name.
     std::unordered_set<std::uint32_t> asked;
     base::instant next_ask{};
     /// By the number of the instance.
--- a/libraries/scheduler/scheduler_advice.cpp
+++ b/libraries/scheduler/scheduler_advice.cpp
@@ -109,9 +109,19 @@
 /// What the question named is not asked about any more. An instance that went
 /// meanwhile is not known by its name; with the last question it goes too, or
 /// the step would wait for an answer about it for good.
+///
+/// A job that was refused and came again gets the answers to the questions of
+/// its first time too. They say nothing of those that are open now: counted
+/// with these, the step would seem to have one open for good.
 void scheduler::question_ended(advice_state& known,
                                std::vector<std::string> const& asked)
 {
+    auto const open = std::ranges::find(known.open, asked);
+    if (open == known.open.end())
+    {
+        return;
+    }
+    known.open.erase(open);
     for (auto const& id : asked)
     {
         if (auto const* const at = m_instances.find(id); at != nullptr)
@@ -119,7 +129,7 @@
             known.asked.erase(at->number());
         }
     }
-    if (--known.asking == 0)
+    if (known.open.empty())
     {
         known.asked.clear();
     }
@@ -154,7 +164,7 @@
     auto const& name = at.name;
     auto& known = of.find(name)->advice;
     auto const& spec = of.spec_of(name);
-    if (now < known.next_ask || (known.asking > 0 && !spec.gang))
+    if (now < known.next_ask || (!known.open.empty() && !spec.gang))
     {
         return;
     }
@@ -199,7 +209,7 @@
                        static_cast<std::int64_t>(out.instances.size());
     out.needed_by =
         std::min(at.latest_start, now + most_patience * out.expected);
-    ++known.asking;
+    known.open.push_back(out.instances);
     m_budget.asked(at.name, out.expected);
     m_orders.emplace_back(std::move(out));
 }
--- a/libraries/scheduler/scheduler_gang_advice.cpp
+++ b/libraries/scheduler/scheduler_gang_advice.cpp
@@ -16,7 +16,7 @@
 constexpr std::size_t least_named_for_gang = 24;
 
 /// So many questions of one gang are under way at once, beyond the first ones.
-constexpr std::uint32_t most_beside = 3;
+constexpr std::size_t most_beside = 3;
 
 /// A gang asks for the tickets of its plan so long before an answer would be
 /// just in time.
@@ -87,8 +87,8 @@
     auto const& costs = *queue.advice;
     if (known.allowed.empty() && known.refused.empty())
     {
-        return known.asking > 0 ? std::vector<instance const*>{}
-                                : first_question(of, at.name, queue, now);
+        return !known.open.empty() ? std::vector<instance const*>{}
+                                   : first_question(of, at.name, queue, now);
     }
     auto const most = m_rules.advice_instances;
     auto const spare =
@@ -110,8 +110,8 @@
     auto const in_time =
         in.planned_start && *in.planned_start < at.latest_start;
     // Without a plan it can't start on what it knows at all.
-    auto const needed = !in.planned_start && known.asking == 0;
-    if (in_time || known.asking >= most_beside || !(needed || spare))
+    auto const needed = !in.planned_start && known.open.empty();
+    if (in_time || known.open.size() >= most_beside || !(needed || spare))
     {
         return {};
     }
--- a/libraries/scheduler/scheduler_gang_plan.cpp
+++ b/libraries/scheduler/scheduler_gang_plan.cpp
@@ -128,7 +128,7 @@
                   {"allowed", std::uint64_t{in.advice.allowed.size()}},
                   {"refused", std::uint64_t{in.advice.refused.size()}},
                   {"kept_free", std::uint64_t{in.reserved.size()}},
-                  {"asking", std::uint64_t{in.advice.asking}},
+                  {"asking", std::uint64_t{in.advice.open.size()}},
                   {"late_s", base::seconds_of(now - it.latest_start)}});
 }
 
--- a/tests/network/http_test.cpp
+++ b/tests/network/http_test.cpp
@@ -165,7 +165,7 @@
             [](auto const&, auto answer) {
                 answer({200, {}, {}});
             }));
-        at.emplace_back("127.0.0.1", free_port());
+        at.push_back({"127.0.0.1", free_port()});
         BOOST_TEST_REQUIRE(base::capture(
                                [&]() -> base::result<base::done>
                                {
--- a/tests/scheduler/advice_test.cpp
+++ b/tests/scheduler/advice_test.cpp
@@ -174,4 +174,24 @@
     BOOST_TEST(asked.size() == gangs);
 }
 
+/// A user's job never goes on though there is room. The store was away when it
+/// came, so it was refused, and it came again; the question of its first time
+/// is answered now. Counted with those of its second time, a question seemed
+/// to be open for good, and nothing was asked any more.
+BOOST_AUTO_TEST_CASE(an_answer_of_a_refused_time_does_not_stop_the_questions)
+{
+    advised_cell it{80};
+    it.decisions.submit(bench_owner::job(1, 4), 0, it.now);
+    auto const first = it.questions();
+    BOOST_REQUIRE(first.size() == 1U);
+    BOOST_REQUIRE(it.decisions.withdraw({1}));
+    it.decisions.submit(bench_owner::job(1, 4), 0, it.now);
+    auto const second = it.questions();
+    BOOST_REQUIRE(second.size() == 1U);
+    it.answer(first[0], 0);
+    it.answer(second[0], 0);
+    it.advance(milliseconds{200});
+    BOOST_TEST(it.questions().size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
