--- a/utilities/cell_replay/cell_load.hpp
+++ b/utilities/cell_replay/cell_load.hpp
@@ -67,7 +67,8 @@
     friend bool operator==(load_trouble const&, load_trouble const&) = default;
 };
 
-/// A load pattern of one cell. A value; read from a file of `utilities/cell_replay/loads`.
+/// A load pattern of one cell. A value; read from a file of
+/// `utilities/cell_replay/loads`.
 struct cell_load
 {
     std::string name;
