--- a/libraries/cell/ownership.cpp
+++ b/libraries/cell/ownership.cpp
@@ -106,6 +106,7 @@
     m_owner = it;
     m_heard = false;
     m_failures = 0;
+    m_alone = 0;
     base::log(base::log_level::info, "owner_seen",
               {{"owner", it.instance}, {"token", it.token}});
     if (m_state == ownership_state::owning ||
--- a/libraries/cell/ownership.hpp
+++ b/libraries/cell/ownership.hpp
@@ -175,7 +175,10 @@
     bool m_leaving{false};
     base::instant m_claim_began{};
     std::uint32_t m_failures{0};
+    /// Rounds in which none of the others answered.
     std::uint32_t m_isolated{0};
+    /// Rounds in which it knew no others to ask.
+    std::uint32_t m_alone{0};
     std::size_t m_open_questions{0};
     bool m_others_hear{false};
     bool m_others_answer{false};
--- a/libraries/cell/ownership_claim.cpp
+++ b/libraries/cell/ownership_claim.cpp
@@ -184,6 +184,7 @@
     m_state = ownership_state::owning;
     auto const former = std::exchange(m_owner, claimant);
     m_isolated = 0;
+    m_alone = 0;
     m_replica.set(owner_key, text_of(claimant));
     m_follower.stop();
     base::log(base::log_level::info, "claim_won",
--- a/libraries/cell/ownership_watch.cpp
+++ b/libraries/cell/ownership_watch.cpp
@@ -105,6 +105,7 @@
     }
     m_failures = 0;
     m_isolated = 0;
+    m_alone = 0;
     m_heard = true;
     m_watchers = answer.watchers;
     // Without a digest it is a process of a version that names all each time.
@@ -212,7 +213,7 @@
 /// it is asked again, for longer each time, before its work is claimed.
 void ownership::suspect_alone()
 {
-    if (++m_isolated >= alone_rounds)
+    if (++m_alone >= alone_rounds)
     {
         claim("owner_lost");
         return;
@@ -222,7 +223,7 @@
 
 base::duration ownership::probe_limit() const
 {
-    return probe_timeout * (1U << std::min(m_isolated, alone_rounds));
+    return probe_timeout * (1U << std::min(m_alone, alone_rounds));
 }
 
 void ownership::suspected()
--- /dev/null
+++ b/tests/scheduler/instance_book_test.cpp
@@ -0,0 +1,71 @@
+#include <scheduler/instance_book.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+#include <set>
+#include <string>
+
+using namespace berylhill;
+
+namespace
+{
+
+constexpr std::size_t instances = 3'000;
+constexpr std::size_t most = 600;
+
+struct fixture
+{
+    fixture()
+    {
+        for (std::size_t n = 0; n < instances; ++n)
+        {
+            scheduler::instance_info info;
+            info.id = "i-" + std::to_string(n);
+            info.capacity.cpu_millis = static_cast<std::int64_t>(n % 7);
+            book.list(info, {});
+        }
+    }
+
+    scheduler::instance_book book{{}};
+    std::size_t looks{0};
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(instance_book, fixture)
+
+/// In a cell of 3,000 instances the owner weighed all of them for each
+/// question, some hundred a second, and was late for all else.
+BOOST_AUTO_TEST_CASE(a_question_weighs_some_and_the_next_one_others)
+{
+    std::set<std::string> seen;
+    for (std::size_t n = 0; n < instances / most; ++n)
+    {
+        looks = 0;
+        auto const found = book.roomiest(most,
+                                         [&](auto const&)
+                                         {
+                                             ++looks;
+                                             return true;
+                                         });
+        BOOST_TEST(looks == most);
+        BOOST_TEST(found.front()->room().cpu_millis == 6);
+        BOOST_TEST(found.back()->room().cpu_millis == 0);
+        for (auto const* const it : found)
+        {
+            seen.insert(it->info().id);
+        }
+    }
+    BOOST_TEST(seen.size() == instances);
+}
+
+/// Few may run the step, and all of these are found.
+BOOST_AUTO_TEST_CASE(those_that_fit_are_found_wherever_they_are)
+{
+    auto const found = book.roomiest(
+        most, [](auto const& it)
+        { return it.info().id == "i-2" || it.info().id == "i-9"; });
+    BOOST_TEST(found.size() == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
