--- a/tests/cell/peer_list_test.cpp
+++ b/tests/cell/peer_list_test.cpp
@@ -26,6 +26,7 @@
 std::vector<cell::peer> processes(int count)
 {
     std::vector<cell::peer> out;
+    out.reserve(static_cast<std::size_t>(count));
     for (int n = 0; n < count; ++n)
     {
         out.push_back(process(n, 100 + n));
