--- a/libraries/cell/cell_owner_orders.cpp
+++ b/libraries/cell/cell_owner_orders.cpp
@@ -16,8 +16,9 @@
 /// Added to the time that an instance may wait before it answers a hold.
 constexpr base::duration hold_slack = std::chrono::milliseconds{400};
 
-/// How many instances a round asks: each takes some 60 us, and between two
-/// rounds others have the loop for twice as long.
+/// How many instances a round asks: a small part of a cell of thousands, so
+/// that a new owner also answers those who watch it; between two rounds others
+/// have the loop for twice as long.
 constexpr std::size_t most_holds = 100;
 
 } // namespace
--- a/libraries/cell/peer_list.hpp
+++ b/libraries/cell/peer_list.hpp
@@ -31,8 +31,8 @@
 
 /// The processes that watch the owner, as it names them to each of them. The
 /// load that this answers: hundreds of processes that ask four times a second;
-/// all of them named in each answer grew with the square of their number, and
-/// took the owner's link and half of its processor at 300. So a list is sent
+/// with all of them named in each answer, the bytes grew with the square of
+/// their number, beyond what an owner's link carries. So a list is sent
 /// only where it has changed: to the standbys the whole of it, since they work
 /// with it when they take over, to the others the first of the succession.
 /// Pure. Not thread-safe.
--- a/libraries/network/http_server.cpp
+++ b/libraries/network/http_server.cpp
@@ -25,8 +25,8 @@
 /// without it spins.
 constexpr auto accept_pause = std::chrono::milliseconds{100};
 
-/// Connections taken at once, beside the one that was waited for: each takes
-/// some 20 us.
+/// Connections taken at once, beside the one that was waited for: enough for
+/// hundreds in a few turns, and requests of others wait for so many at most.
 constexpr std::size_t most_accepted = 64;
 
 } // namespace
--- a/libraries/scheduler/scheduler.hpp
+++ b/libraries/scheduler/scheduler.hpp
@@ -343,7 +343,7 @@
 
     /// How many instances that fit are weighed for a question at most. Answers
     /// a cell of thousands, where the best of so many is as good as the best
-    /// of all, and a question would cost most of a millisecond.
+    /// of all, and a question need not cost a walk over the cell.
     static constexpr std::size_t most_weighed = 600;
 
     policy m_rules;
--- a/libraries/scheduler/scheduler_orders.cpp
+++ b/libraries/scheduler/scheduler_orders.cpp
@@ -8,7 +8,8 @@
 namespace
 {
 
-/// How many instances that hold nothing are looked at: 3% of a core.
+/// How many instances that hold nothing are looked at: as many as a cell of
+/// some hundred has, each of which is looked at once a second.
 constexpr double idle_looks_per_s = 600.0;
 
 /// An instance is looked at so often at least: the list of instances drops one
@@ -143,9 +144,10 @@
     return out;
 }
 
-/// In a cell of thousands most instances hold nothing, and each look at one
-/// costs the owner some 60 us: they are looked at in turn, so many a second.
-/// One that goes silent meanwhile shows it at the next start there.
+/// In a cell of thousands most instances hold nothing, and a look at each of
+/// them every second costs the owner more than its work: they are looked at in
+/// turn, so many a second. One that goes silent meanwhile shows it at the next
+/// start there.
 base::duration scheduler::hold_rest(std::string const& id) const
 {
     auto const& all = m_instances.all();
--- a/tests/cell/ownership_test.cpp
+++ b/tests/cell/ownership_test.cpp
@@ -47,6 +47,18 @@
         log.put({{cell::owner_key, cell::text_of(claim)}});
     }
 
+    static bool listens(network::http_server& it,
+                        network::socket_address const& at)
+    {
+        return base::capture(
+                   [&]() -> base::result<base::done>
+                   {
+                       BOOST_LEAF_CHECK(it.listen(at));
+                       return base::done{};
+                   })
+            .has_value();
+    }
+
     static std::uint16_t free_port()
     {
         boost::asio::io_context own;
@@ -111,13 +123,7 @@
                     answer({200, {}, cell::text_of(out)});
                 });
         }};
-    BOOST_TEST_REQUIRE(base::capture(
-                           [&]() -> base::result<base::done>
-                           {
-                               BOOST_LEAF_CHECK(busy.listen(claim.address));
-                               return base::done{};
-                           })
-                           .has_value());
+    BOOST_TEST_REQUIRE(listens(busy, claim.address));
     auto const before = log.appends;
     owner.start();
     run(std::chrono::milliseconds{1'500});
@@ -134,13 +140,7 @@
                                 {
                                     held.push_back(std::move(answer));
                                 }};
-    BOOST_TEST_REQUIRE(base::capture(
-                           [&]() -> base::result<base::done>
-                           {
-                               BOOST_LEAF_CHECK(silent.listen(claim.address));
-                               return base::done{};
-                           })
-                           .has_value());
+    BOOST_TEST_REQUIRE(listens(silent, claim.address));
     owner.start();
     run(std::chrono::milliseconds{3'000});
     BOOST_TEST(owner.owner().instance == "small");
