--- a/libraries/cell/call_router.cpp
+++ b/libraries/cell/call_router.cpp
@@ -59,9 +59,12 @@
 {
     if (it.kind == job_call_kind::status)
     {
-        if (auto const phase = m_owner.records().final_phase(it.job); phase)
+        if (auto const end = m_owner.records().end_of(it.job); end)
         {
-            done({job_answer_kind::phase, *phase, 0, {}});
+            auto const kind = may_use(it.account, end->account)
+                                  ? job_answer_kind::phase
+                                  : job_answer_kind::forbidden;
+            done({kind, end->phase, 0, {}});
             return;
         }
     }
--- a/libraries/cell/cell_owner.cpp
+++ b/libraries/cell/cell_owner.cpp
@@ -88,6 +88,12 @@
         done({job_answer_kind::not_owner, {}, 0, {}});
         return;
     }
+    if (auto const of = m_decisions.account_of(it.job);
+        of && !may_use(it.account, *of))
+    {
+        done({job_answer_kind::forbidden, {}, 0, {}});
+        return;
+    }
     switch (it.kind)
     {
     case job_call_kind::submit:
@@ -126,11 +132,17 @@
     auto const now = m_parts.clock->now();
     auto const taken =
         m_decisions.submit(it.spec, wall_ms(*m_parts.clock), now);
+    if (taken == scheduler::submission::over_cap)
+    {
+        done({job_answer_kind::over_cap, {}, 0, {}});
+        return;
+    }
     if (taken == scheduler::submission::taken)
     {
         m_parts.log->write(base::log_level::info, "job_taken",
                            {{"job", text_of(it.job)},
                             {"queue", it.spec.queue},
+                            {"account", it.spec.account},
                             {"steps", std::uint64_t{it.spec.steps.size()}}});
     }
     wait_for_batch(it, std::move(done));
--- a/libraries/cell/job_call.cpp
+++ b/libraries/cell/job_call.cpp
@@ -29,6 +29,10 @@
         return "answered";
     case job_answer_kind::unknown_job:
         return "unknown_job";
+    case job_answer_kind::forbidden:
+        return "forbidden";
+    case job_answer_kind::over_cap:
+        return "over_cap";
     case job_answer_kind::refused:
         return "refused";
     case job_answer_kind::outcome_unknown:
--- a/libraries/cell/job_call.hpp
+++ b/libraries/cell/job_call.hpp
@@ -28,6 +28,9 @@
 {
     job_call_kind kind{job_call_kind::status};
     std::string queue;
+    /// The client account of the caller; empty where the queue asks for no
+    /// key.
+    std::string account;
     workload::job_id job;
     /// Of a submission.
     workload::job_spec spec;
@@ -47,6 +50,11 @@
     pending,
     /// No such job exists.
     unknown_job,
+    /// The job belongs to another client account; nothing was done.
+    forbidden,
+    /// Not accepted, and never will be: it needs more than its client account
+    /// may ever have running.
+    over_cap,
     /// Not accepted, and never will be; the client may come back.
     refused,
     /// Whether it was accepted is not known.
@@ -77,6 +85,15 @@
     friend bool operator==(job_answer const&, job_answer const&) = default;
 };
 
+/// Whether a caller of one client account may see and cancel a job of another.
+/// Jobs of callers without a key belong to nobody, and queues that ask for no
+/// key are open to all.
+[[nodiscard]] inline bool may_use(std::string const& caller,
+                                  std::string const& owner)
+{
+    return caller.empty() || owner.empty() || caller == owner;
+}
+
 using job_answer_handler = std::function<void(job_answer const&)>;
 
 } // namespace berylhill::cell
--- a/libraries/cell/node.cpp
+++ b/libraries/cell/node.cpp
@@ -55,6 +55,9 @@
     return out;
 }
 
+/// Until a question for another process's configuration is given up.
+constexpr base::duration fetch_timeout = std::chrono::milliseconds{600};
+
 /// Descriptors kept for connections to others than callers.
 constexpr std::int64_t own_descriptors = 800;
 
@@ -147,6 +150,7 @@
 {
     m_operators.on_change([this](auto const& key, auto const& value)
                           { configuration_changed(key, value); });
+    m_operators.on_caught_up([this] { m_spread.read_store(m_clock.now()); });
 }
 
 node::~node() = default;
@@ -192,6 +196,10 @@
     out.lease = std::min<base::duration>(out.lease, longest - lease_margin);
     out.status_kept = base::from_seconds(m_settings.bounds.status_kept_s) +
                       std::chrono::seconds{5};
+    auto const& ways = m_settings.decisions;
+    out.shares = static_cast<scheduler::share_rule>(ways.shares);
+    out.full_lead = base::from_seconds(ways.full_lead_s);
+    out.count_advice = ways.count_advice;
     return out;
 }
 
@@ -243,6 +251,8 @@
         return;
     }
     m_configuration = *read.value();
+    m_configuration_record = {key, value};
+    report_unclear_accounts();
     base::log(base::log_level::info, "configuration_in_force",
               {{"version", m_configuration.version},
                {"queues", std::uint64_t{m_configuration.queues.size()}}});
@@ -253,6 +263,59 @@
     }
 }
 
+void node::report_unclear_accounts() const
+{
+    if (!m_configuration.accounts)
+    {
+        return;
+    }
+    auto const found = workload::check(*m_configuration.accounts);
+    if (!found.empty())
+    {
+        base::log(
+            base::log_level::warning, "accounts_unclear",
+            {{"version", m_configuration.version}, {"findings", found.text()}});
+    }
+}
+
+configuration_age node::configuration_here() const
+{
+    return {m_configuration.version, m_spread.age(m_clock.now())};
+}
+
+configuration_record node::configuration() const
+{
+    return m_configuration_record;
+}
+
+void node::heard_of(configuration_age const& it,
+                    network::socket_address const& from)
+{
+    if (m_spread.heard(it, m_configuration.version, m_clock.now()))
+    {
+        fetch_configuration(from);
+    }
+}
+
+void node::fetch_configuration(network::socket_address const& from)
+{
+    m_peers.configuration(
+        from, fetch_timeout,
+        [this, from](peer_result<configuration_record> const& it)
+        {
+            m_spread.fetched();
+            if (!it.answer)
+            {
+                base::log(base::log_level::warning, "configuration_unfetched",
+                          {{"peer", text_of(from)}});
+                return;
+            }
+            base::log(base::log_level::info, "configuration_fetched",
+                      {{"peer", text_of(from)}});
+            configuration_changed(it.answer->key, it.answer->value);
+        });
+}
+
 void node::apply_limits()
 {
     auto const& asked = m_configuration.limits;
--- a/libraries/cell/node.hpp
+++ b/libraries/cell/node.hpp
@@ -4,6 +4,7 @@
 #include <cell/advice_desk.hpp>
 #include <cell/call_router.hpp>
 #include <cell/cell_owner.hpp>
+#include <cell/configuration_spread.hpp>
 #include <cell/loop_lag.hpp>
 #include <cell/node_metrics.hpp>
 #include <cell/ownership.hpp>
@@ -42,10 +43,15 @@
                std::uint64_t token,
                std::uint64_t next) override;
     void ended() override;
+    [[nodiscard]] configuration_age configuration_here() const override;
+    /// Also of peer_service::backend.
+    void heard_of(configuration_age const& it,
+                  network::socket_address const& from) override;
 
     // peer_service::backend
     [[nodiscard]] watch_answer view() const override;
     void heard_of(owner_view const& it) override;
+    [[nodiscard]] configuration_record configuration() const override;
     [[nodiscard]] bool owns() const override;
     void call_owner(job_call const& it, job_answer_handler done) override;
     void advise(advice_question const& it, advice_handler done) override;
@@ -57,12 +63,18 @@
     void note_answer(job_call const& call,
                      job_answer const& end,
                      base::duration took);
+    void refuse(std::string const& target,
+                refused_request it,
+                network::responder const& answer);
+    [[nodiscard]] bool sure_of_configuration() const;
+    void fetch_configuration(network::socket_address const& from);
     void take_readiness(network::responder const& answer);
     [[nodiscard]] std::vector<peer> others() const;
     void take_metrics(network::responder const& answer);
     [[nodiscard]] bool ready() const;
     void configuration_changed(std::string const& key,
                                std::string const& value);
+    void report_unclear_accounts() const;
     void apply_limits();
     void await_signals();
     void reload();
@@ -103,6 +115,9 @@
     loop_lag m_lag;
     node_metrics m_metrics;
     workload::cell_configuration m_configuration;
+    /// As it was read, for processes that the store turns away.
+    configuration_record m_configuration_record;
+    configuration_spread m_spread;
     std::unique_ptr<cell_owner> m_owner;
     base::instant m_owns_since{};
     base::instant m_stop_at{};
--- a/libraries/cell/node_answers.cpp
+++ b/libraries/cell/node_answers.cpp
@@ -14,6 +14,10 @@
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_unavailable = 503;
 
+/// What was the newest when the store or another process answered may be this
+/// much older when its answer is read.
+constexpr base::duration confirmation_delay = std::chrono::milliseconds{300};
+
 /// By then the other processes watch a new owner.
 constexpr base::duration peers_found = std::chrono::seconds{1};
 
@@ -47,6 +51,7 @@
     out.leaving = (m_stopping || m_yielding) && m_owner == nullptr;
     out.owner = m_ownership.owner();
     out.owner_heard = m_ownership.owner_heard();
+    out.configuration = configuration_here();
     if (m_owner)
     {
         out.store_stuck = m_owner->store_stuck();
@@ -94,10 +99,10 @@
         return;
     }
     auto decoded = m_adapter.jobs->decode(it, m_configuration);
-    if (auto* const response = std::get_if<network::http_response>(&decoded);
-        response != nullptr)
+    if (auto* const refused = std::get_if<refused_request>(&decoded);
+        refused != nullptr)
     {
-        answer(std::move(*response));
+        refuse(it.target, std::move(*refused), answer);
         return;
     }
     auto call = std::get<job_call>(std::move(decoded));
@@ -110,6 +115,35 @@
                   });
 }
 
+/// A newer version may allow what the one here does not. A process that can't
+/// tell says so, and neither that a key is unknown nor that a queue is.
+void node::refuse(std::string const& target,
+                  refused_request it,
+                  network::responder const& answer)
+{
+    if (it.ground == refusal_ground::configuration && !sure_of_configuration())
+    {
+        it.response = {status_unavailable, {{"Retry-After", "1"}}, {}};
+    }
+    m_metrics.denied(it.response.status);
+    base::log(base::log_level::info, "request_denied",
+              {{"target", target},
+               {"status", it.response.status},
+               {"key_digest", it.key_digest},
+               {"version", m_configuration.version},
+               {"age_s", base::seconds_of(m_spread.age(m_clock.now()))}});
+    answer(std::move(it.response));
+}
+
+/// Any version that is newer than the one here was accepted since that was
+/// last known to be the newest, and has a certain time to be in force.
+bool node::sure_of_configuration() const
+{
+    auto const demanded =
+        std::chrono::milliseconds{m_settings.bounds.configuration_ms};
+    return m_spread.age(m_clock.now()) < demanded - confirmation_delay;
+}
+
 void node::note_answer(job_call const& call,
                        job_answer const& end,
                        base::duration took)
--- a/libraries/cell/node_metrics.cpp
+++ b/libraries/cell/node_metrics.cpp
@@ -32,6 +32,15 @@
         .record(took);
 }
 
+void node_metrics::denied(unsigned status)
+{
+    m_metrics
+        .counter("berylhill_cell_denied_total",
+                 "Requests that make no call, by status.",
+                 {{"status", std::to_string(status)}})
+        .add();
+}
+
 void node_metrics::read_decisions(scheduler::scheduler const& it)
 {
     auto const set = [&](char const* name, char const* help, double value)
--- a/libraries/cell/node_metrics.hpp
+++ b/libraries/cell/node_metrics.hpp
@@ -20,6 +20,9 @@
     /// A call of a client was answered.
     void answered(job_call_kind kind, job_answer_kind end, base::duration took);
 
+    /// A request that makes no call was answered with this status.
+    void denied(unsigned status);
+
     /// What changes slowly, read before each time the text is asked for.
     struct readings
     {
--- a/libraries/cell/ownership.hpp
+++ b/libraries/cell/ownership.hpp
@@ -73,6 +73,13 @@
 
         /// It owns it no longer.
         virtual void ended() = 0;
+
+        /// The configuration that this process has.
+        [[nodiscard]] virtual configuration_age configuration_here() const = 0;
+
+        /// The process at this address has this configuration.
+        virtual void heard_of(configuration_age const& it,
+                              network::socket_address const& from) = 0;
     };
 
     ownership(boost::asio::io_context& loop,
--- a/libraries/cell/ownership_watch.cpp
+++ b/libraries/cell/ownership_watch.cpp
@@ -60,17 +60,17 @@
 
 void ownership::watch(base::duration wait)
 {
-    m_peer_client.watch(m_owner.address, {m_self, m_peers.digest}, wait,
-                        wait +
-                            (wait.count() == 0 ? probe_limit() : watch_slack),
-                        [this, alive = m_generation, mine = *m_generation,
-                         wait](peer_result<watch_answer> const& it)
-                        {
-                            if (*alive == mine)
-                            {
-                                watched(it, wait);
-                            }
-                        });
+    m_peer_client.watch(
+        m_owner.address, {m_self, m_peers.digest, m_told.configuration_here()},
+        wait, wait + (wait.count() == 0 ? probe_limit() : watch_slack),
+        [this, alive = m_generation, mine = *m_generation,
+         wait](peer_result<watch_answer> const& it)
+        {
+            if (*alive == mine)
+            {
+                watched(it, wait);
+            }
+        });
 }
 
 void ownership::watched(peer_result<watch_answer> const& it, base::duration)
@@ -88,6 +88,7 @@
         return;
     }
     auto const& answer = *it.answer;
+    m_told.heard_of(answer.configuration, m_owner.address);
     if (!answer.owns || answer.owner.incarnation != m_owner.incarnation)
     {
         if (answer.owner.token > m_owner.token)
@@ -179,8 +180,9 @@
     for (auto const& it : asked)
     {
         m_peer_client.watch(
-            it.address, {m_self, 0}, base::duration{0}, probe_timeout,
-            [this, alive = m_generation,
+            it.address, {m_self, 0, m_told.configuration_here()},
+            base::duration{0}, probe_timeout,
+            [this, from = it.address, alive = m_generation,
              mine = *m_generation](peer_result<watch_answer> const& result)
             {
                 if (*alive != mine)
@@ -189,6 +191,7 @@
                 }
                 if (result.answer)
                 {
+                    m_told.heard_of(result.answer->configuration, from);
                     m_others_answer = true;
                     if (result.answer->owner.token > m_owner.token)
                     {
--- a/libraries/cell/peer_client.cpp
+++ b/libraries/cell/peer_client.cpp
@@ -93,6 +93,16 @@
          });
 }
 
+void peer_client::configuration(
+    network::socket_address const& to,
+    base::duration timeout,
+    std::function<void(peer_result<configuration_record>)> done)
+{
+    send(to, std::string{peer_paths::configuration}, "{}", timeout,
+         [done = std::move(done)](network::call_result const& it)
+         { done(read_answer<configuration_record>(it, parse_configuration)); });
+}
+
 void peer_client::call(network::socket_address const& to,
                        job_call const& it,
                        base::duration timeout,
--- a/libraries/cell/peer_client.hpp
+++ b/libraries/cell/peer_client.hpp
@@ -41,6 +41,12 @@
     /// Tells of a new owner; nothing is expected back.
     void announce(network::socket_address const& to, owner_view const& it);
 
+    /// Asks for the configuration that the other process has.
+    void
+    configuration(network::socket_address const& to,
+                  base::duration timeout,
+                  std::function<void(peer_result<configuration_record>)> done);
+
     void call(network::socket_address const& to,
               job_call const& it,
               base::duration timeout,
--- a/libraries/cell/peer_messages.cpp
+++ b/libraries/cell/peer_messages.cpp
@@ -49,6 +49,22 @@
             json_codec::number_or(it, "millicores")};
 }
 
+json::array array_of(configuration_age const& it)
+{
+    return {it.version, it.age.count()};
+}
+
+/// Empty from a process of a version that names none.
+configuration_age configuration_in(json::value const& it)
+{
+    auto const& row = json_codec::array_or_empty(it, "configuration");
+    return row.size() == 2
+               ? configuration_age{json_codec::as_number(row[0]),
+                                   base::duration{
+                                       json_codec::as_number(row[1])}}
+               : configuration_age{};
+}
+
 template <class Enum>
 base::result<Enum>
 enum_in(json::value const& it, std::string_view name, Enum last)
@@ -82,15 +98,17 @@
     {
         peers.emplace_back(object_of(entry));
     }
-    return json::serialize(json::object{{"owns", it.owns},
-                                        {"leaving", it.leaving},
-                                        {"store_stuck", it.store_stuck.count()},
-                                        {"store_refuses", it.store_refuses},
-                                        {"owner", object_of(it.owner)},
-                                        {"owner_heard", it.owner_heard},
-                                        {"watchers", it.watchers},
-                                        {"digest", it.peers.digest},
-                                        {"peers", std::move(peers)}});
+    return json::serialize(
+        json::object{{"owns", it.owns},
+                     {"leaving", it.leaving},
+                     {"store_stuck", it.store_stuck.count()},
+                     {"store_refuses", it.store_refuses},
+                     {"owner", object_of(it.owner)},
+                     {"owner_heard", it.owner_heard},
+                     {"watchers", it.watchers},
+                     {"digest", it.peers.digest},
+                     {"configuration", array_of(it.configuration)},
+                     {"peers", std::move(peers)}});
 }
 
 base::result<watch_answer> parse_watch(std::string_view text)
@@ -112,6 +130,7 @@
         out.peers.peers.push_back(peer_in(it));
     }
     out.peers.digest = json_codec::number_or(root, "digest");
+    out.configuration = configuration_in(root);
     out.watchers = static_cast<std::size_t>(
         json_codec::number_or(root, "watchers", std::ssize(out.peers.peers)));
     return out;
@@ -122,19 +141,34 @@
 {
     auto out = object_of(it.from);
     out["known"] = it.known;
+    out["configuration"] = array_of(it.configuration);
     return json::serialize(out);
 }
 
 base::result<watch_question> parse_watch_question(std::string_view text)
 {
     BOOST_LEAF_AUTO(root, json_codec::parse(text));
-    return watch_question{peer_in(root), json_codec::number_or(root, "known")};
+    return watch_question{peer_in(root), json_codec::number_or(root, "known"),
+                          configuration_in(root)};
+}
+
+std::string text_of(configuration_record const& it)
+{
+    return json::serialize(json::object{{"key", it.key}, {"value", it.value}});
+}
+
+base::result<configuration_record> parse_configuration(std::string_view text)
+{
+    BOOST_LEAF_AUTO(root, json_codec::parse(text));
+    return configuration_record{json_codec::text_or(root, "key"),
+                                json_codec::text_or(root, "value")};
 }
 
 std::string text_of(job_call const& it)
 {
     json::object out{{"kind", static_cast<int>(it.kind)},
                      {"queue", it.queue},
+                     {"account", it.account},
                      {"job", text_of(it.job)},
                      {"patience", it.patience.count()}};
     if (it.kind == job_call_kind::submit)
@@ -151,6 +185,7 @@
     job_call out;
     BOOST_LEAF_ASSIGN(out.kind, enum_in(root, "kind", job_call_kind::pending));
     out.queue = json_codec::text_or(root, "queue");
+    out.account = json_codec::text_or(root, "account");
     BOOST_LEAF_ASSIGN(out.job,
                       workload::parse_job_id(json_codec::text_or(root, "job")));
     out.patience = micros(root, "patience");
--- a/libraries/cell/peer_messages.hpp
+++ b/libraries/cell/peer_messages.hpp
@@ -2,6 +2,7 @@
 
 #include <base/result.hpp>
 #include <cell/advice_link.hpp>
+#include <cell/configuration_state.hpp>
 #include <cell/job_call.hpp>
 #include <cell/peer_list.hpp>
 
@@ -32,6 +33,7 @@
     /// Of these, what the asker is to know; without the processes where it
     /// knows them.
     named_peers peers;
+    configuration_age configuration;
 
     friend bool operator==(watch_answer const&, watch_answer const&) = default;
 };
@@ -50,6 +52,7 @@
     peer from;
     /// The digest of the peers that it knows.
     std::int64_t known{0};
+    configuration_age configuration;
 
     friend bool operator==(watch_question const&,
                            watch_question const&) = default;
@@ -59,6 +62,10 @@
 [[nodiscard]] base::result<watch_question>
 parse_watch_question(std::string_view text);
 
+[[nodiscard]] std::string text_of(configuration_record const& it);
+[[nodiscard]] base::result<configuration_record>
+parse_configuration(std::string_view text);
+
 [[nodiscard]] std::string text_of(job_call const& it);
 [[nodiscard]] base::result<job_call> parse_job_call(std::string_view text);
 
--- a/libraries/cell/peer_paths.hpp
+++ b/libraries/cell/peer_paths.hpp
@@ -9,6 +9,7 @@
 inline constexpr std::string_view watch = "/v1/peer/watch";
 inline constexpr std::string_view owner = "/v1/peer/owner";
 inline constexpr std::string_view job = "/v1/peer/job";
+inline constexpr std::string_view configuration = "/v1/peer/configuration";
 inline constexpr std::string_view advise = "/v1/peer/advise";
 
 } // namespace berylhill::cell::peer_paths
--- a/libraries/cell/peer_service.cpp
+++ b/libraries/cell/peer_service.cpp
@@ -94,6 +94,11 @@
         advise(it, std::move(answer));
         return;
     }
+    if (path == peer_paths::configuration)
+    {
+        answer({status_ok, {}, text_of(m_behind.configuration())});
+        return;
+    }
     if (path == peer_paths::owner)
     {
         owner(it, std::move(answer));
@@ -114,6 +119,7 @@
     }
     auto const now = m_clock.now();
     m_seen[from.value().from] = now;
+    m_behind.heard_of(from.value().configuration, from.value().from.address);
     auto const wait = wait_in(it.target);
     if (wait.count() == 0 || !m_behind.owns())
     {
--- a/libraries/cell/peer_service.hpp
+++ b/libraries/cell/peer_service.hpp
@@ -33,6 +33,10 @@
 
         [[nodiscard]] virtual watch_answer view() const = 0;
         virtual void heard_of(owner_view const& it) = 0;
+        /// The process at this address has this configuration.
+        virtual void heard_of(configuration_age const& it,
+                              network::socket_address const& from) = 0;
+        [[nodiscard]] virtual configuration_record configuration() const = 0;
         [[nodiscard]] virtual bool owns() const = 0;
         /// Precondition: `owns()`.
         virtual void call_owner(job_call const& it,
--- a/libraries/cell/replica.cpp
+++ b/libraries/cell/replica.cpp
@@ -25,8 +25,7 @@
     return claim_of(at->second);
 }
 
-std::optional<scheduler::job_phase>
-replica::final_phase(workload::job_id it) const
+std::optional<scheduler::stored_end> replica::end_of(workload::job_id it) const
 {
     auto const at = m_records.find(scheduler::state_key(it));
     if (at == m_records.end())
@@ -34,8 +33,8 @@
         return std::nullopt;
     }
     auto const read =
-        base::capture([&] { return scheduler::parse_phase(at->second); });
-    if (!read || !scheduler::finished(read.value()))
+        base::capture([&] { return scheduler::parse_end(it, at->second); });
+    if (!read || !scheduler::finished(read.value().phase))
     {
         return std::nullopt;
     }
--- a/libraries/cell/replica.hpp
+++ b/libraries/cell/replica.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <cell/owner_lookup.hpp>
-#include <scheduler/job.hpp>
+#include <scheduler/record.hpp>
 
 #include <map>
 #include <optional>
@@ -26,10 +26,10 @@
     /// The owner of the newest claim; the token is 0 where there is none.
     [[nodiscard]] owner_view owner() const;
 
-    /// The phase of a job, where its record says that it is final: nothing
-    /// that comes later changes it.
-    [[nodiscard]] std::optional<scheduler::job_phase>
-    final_phase(workload::job_id it) const;
+    /// How a job has ended, where its record says that it has: nothing that
+    /// comes later changes it.
+    [[nodiscard]] std::optional<scheduler::stored_end>
+    end_of(workload::job_id it) const;
 
     [[nodiscard]] std::map<std::string, std::string> const&
     records() const noexcept
--- a/libraries/network/http_message.hpp
+++ b/libraries/network/http_message.hpp
@@ -55,4 +55,8 @@
 [[nodiscard]] std::string field_of(std::vector<http_field> const& fields,
                                    std::string const& name);
 
+/// The values of all fields of this name, compared without case.
+[[nodiscard]] std::vector<std::string>
+fields_named(std::vector<http_field> const& fields, std::string const& name);
+
 } // namespace berylhill::network
--- a/libraries/scheduler/instance.cpp
+++ b/libraries/scheduler/instance.cpp
@@ -22,8 +22,10 @@
 
 instance::instance(std::string id,
                    base::instant lease_end,
-                   std::uint32_t number)
+                   std::uint32_t number,
+                   account_ledger* ledger)
     : m_number{number}
+    , m_ledger{ledger}
     , m_lease_end{lease_end}
 {
     m_info.id = std::move(id);
@@ -94,6 +96,10 @@
 attempt& instance::add(attempt_name const& name, attempt it)
 {
     m_used += it.need;
+    if (m_ledger != nullptr && !it.account.empty())
+    {
+        m_ledger->add(it.account, it.of_cap);
+    }
     m_unknown_needs += it.need_known ? 0 : 1;
     auto const [at, added] = m_attempts.emplace(name, std::move(it));
     assert(added);
@@ -108,6 +114,10 @@
         return;
     }
     m_used -= it->second.need;
+    if (m_ledger != nullptr && !it->second.account.empty())
+    {
+        m_ledger->remove(it->second.account, it->second.of_cap);
+    }
     m_unknown_needs -= it->second.need_known ? 0 : 1;
     m_attempts.erase(it);
 }
--- a/libraries/scheduler/instance.hpp
+++ b/libraries/scheduler/instance.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <scheduler/account_ledger.hpp>
 #include <scheduler/orders.hpp>
 #include <scheduler/policy.hpp>
 #include <workload/resources.hpp>
@@ -53,6 +54,10 @@
     /// An attempt of a job that has finished may be found running: what it
     /// takes is then not known any more.
     bool need_known{true};
+    /// What it takes of its client account's cap, and the account; empty: it
+    /// belongs to none.
+    workload::resources of_cap;
+    std::string account;
     std::string ticket;
     bool stop_wanted{false};
     /// An order without an answer may be carried out later.
@@ -76,8 +81,13 @@
 {
 public:
     /// `lease_end` is when leases granted by former owners have surely
-    /// lapsed; `number` is unique among the instances of one book.
-    instance(std::string id, base::instant lease_end, std::uint32_t number = 0);
+    /// lapsed; `number` is unique among the instances of one book. What its
+    /// attempts take is counted in `ledger` too, which outlives it; null: in
+    /// none.
+    instance(std::string id,
+             base::instant lease_end,
+             std::uint32_t number = 0,
+             account_ledger* ledger = nullptr);
 
     /// Stands for its name where names are compared often.
     [[nodiscard]] std::uint32_t number() const noexcept
@@ -214,6 +224,7 @@
 private:
     instance_info m_info;
     std::uint32_t m_number;
+    account_ledger* m_ledger;
     std::string m_rack;
     std::optional<base::instant> m_leaves_at;
     bool m_listed{false};
--- a/libraries/scheduler/instance_book.cpp
+++ b/libraries/scheduler/instance_book.cpp
@@ -25,8 +25,8 @@
     auto& at = m_instances[id];
     if (!at)
     {
-        at =
-            std::make_shared<instance>(id, m_former_lease_end, ++m_last_number);
+        at = std::make_shared<instance>(id, m_former_lease_end, ++m_last_number,
+                                        m_accounts.get());
     }
     return *at;
 }
--- a/libraries/scheduler/instance_book.hpp
+++ b/libraries/scheduler/instance_book.hpp
@@ -28,6 +28,17 @@
     {
     }
 
+    /// What the client accounts have running on all instances.
+    [[nodiscard]] account_ledger& accounts() noexcept
+    {
+        return *m_accounts;
+    }
+
+    [[nodiscard]] account_ledger const& accounts() const noexcept
+    {
+        return *m_accounts;
+    }
+
     /// The platform's list names it; made where it is not known.
     void list(instance_info it, base::instant now);
 
@@ -65,6 +76,9 @@
     void forget_idle();
 
 private:
+    /// Before the instances, which count in it to their end.
+    std::unique_ptr<account_ledger> m_accounts{
+        std::make_unique<account_ledger>()};
     instance_map m_instances;
     base::instant m_former_lease_end;
     std::uint32_t m_last_number{0};
--- a/libraries/scheduler/job.cpp
+++ b/libraries/scheduler/job.cpp
@@ -75,14 +75,19 @@
     , accepted_at{now}
     , m_spec{std::move(spec)}
 {
-    set_work(estimates_of(m_spec.steps));
+    set_work(estimates_of(m_spec.steps), base::duration{0});
 }
 
-void job::set_work(std::vector<base::duration> const& it)
+void job::set_work(std::vector<base::duration> const& it, base::duration asking)
 {
     m_chains = chains_of(m_spec.steps, it);
+    auto with_questions = it;
+    for (auto& each : with_questions)
+    {
+        each += asking;
+    }
     m_longest = base::duration{0};
-    for (auto const chain : m_chains)
+    for (auto const chain : chains_of(m_spec.steps, with_questions))
     {
         m_longest = std::max(m_longest, chain);
     }
@@ -127,8 +132,32 @@
                                { return it.second.complete(); });
 }
 
+void job::note_leftovers()
+{
+    for (auto const& [number, in] : occurrences)
+    {
+        for (std::uint32_t s = 0; s < in.steps.size(); ++s)
+        {
+            auto const& spec = m_spec.steps[s];
+            auto const& tasks = in.steps[s].tasks;
+            for (std::uint32_t n = 0; n < tasks.size(); ++n)
+            {
+                if (tasks[n].phase == task_phase::placed)
+                {
+                    leftovers.push_back(
+                        {{{{m_spec.id, number, s}, n}, tasks[n].run},
+                         tasks[n].instance,
+                         spec.counted_need(),
+                         spec.need});
+                }
+            }
+        }
+    }
+}
+
 void job::shed()
 {
+    note_leftovers();
     m_spec.payload.clear();
     m_spec.payload.shrink_to_fit();
     occurrences.clear();
--- a/libraries/scheduler/job.hpp
+++ b/libraries/scheduler/job.hpp
@@ -34,6 +34,13 @@
 /// For logs.
 [[nodiscard]] char const* name_of(job_phase it);
 
+/// Whether a client account is owed a job, or has handed in more than that.
+enum class share_standing : std::uint8_t
+{
+    owed,
+    beyond,
+};
+
 enum class task_phase : std::uint8_t
 {
     waiting,
@@ -126,6 +133,17 @@
     [[nodiscard]] bool complete() const noexcept;
 };
 
+/// An attempt that may still be running when its job has finished. A value.
+struct leftover
+{
+    attempt_name attempt;
+    std::string instance;
+    workload::resources need;
+    workload::resources of_cap;
+
+    friend bool operator==(leftover const&, leftover const&) = default;
+};
+
 /// A job and how far it is. Not thread-safe.
 class job
 {
@@ -168,18 +186,24 @@
         return m_chains[step];
     }
 
+    /// The longest chain of work, with a question for advice a step.
     [[nodiscard]] base::duration longest_chain() const noexcept
     {
         return m_longest;
     }
 
     /// Sets how long a task of each step is expected to work, in place of the
-    /// client's estimates. Precondition: one time a step.
-    void set_work(std::vector<base::duration> const& it);
+    /// client's estimates, and how long a step's question for advice takes.
+    /// Precondition: one time a step.
+    void set_work(std::vector<base::duration> const& it, base::duration asking);
 
-    /// Forgets what only unfinished jobs need.
+    /// Forgets what only unfinished jobs need, and notes what may still run.
     void shed();
 
+    /// Its client account is owed it; others wait for all that is owed.
+    share_standing standing{share_standing::owed};
+    /// It is known that it can't be in time.
+    bool late{false};
     job_phase phase{job_phase::queued};
     /// What has been stored, and so what may be told.
     job_phase stored_phase{job_phase::queued};
@@ -192,8 +216,15 @@
     /// When its phase became final.
     base::instant finished_at{};
     std::map<std::uint32_t, occurrence> occurrences;
+    /// Of a finished job. A successor counts them until they have surely
+    /// ended, though it knows nothing else of the job.
+    std::vector<leftover> leftovers;
+    /// When its phase became final: milliseconds since 1970.
+    std::int64_t finished_ms{0};
 
 private:
+    void note_leftovers();
+
     workload::job_spec m_spec;
     std::vector<base::duration> m_chains;
     base::duration m_longest{0};
--- a/libraries/scheduler/outcomes.hpp
+++ b/libraries/scheduler/outcomes.hpp
@@ -14,6 +14,8 @@
     taken_before,
     /// Known and stored.
     stored_before,
+    /// Not taken: it needs more than its account may ever have running.
+    over_cap,
 };
 
 /// What became of a cancellation.
--- a/libraries/scheduler/record.cpp
+++ b/libraries/scheduler/record.cpp
@@ -228,6 +228,37 @@
     return {};
 }
 
+/// `[occurrence, step, index, run, instance, cores, memory, accelerators,
+/// cores of the cap]`
+json::array leftover_row(leftover const& it)
+{
+    auto const& task = it.attempt.task;
+    return {task.of.occurrence, task.of.step, task.index,
+            it.attempt.run,     it.instance,  it.need.cpu_millis,
+            it.need.memory_mb,  it.need.gpus, it.of_cap.cpu_millis};
+}
+
+base::result<leftover> leftover_in(workload::job_id id, json::value const& row)
+{
+    auto const* const it = row.if_array();
+    constexpr std::size_t members = 9;
+    if (it == nullptr || it->size() != members)
+    {
+        return base::fail(unreadable("leftover"));
+    }
+    auto const small_at = [&](std::size_t n)
+    {
+        return static_cast<std::uint32_t>(at_or(*it, n));
+    };
+    leftover out;
+    out.attempt = {{{id, small_at(0), small_at(1)}, small_at(2)}, small_at(3)};
+    out.instance = text_at(*it, 4);
+    out.need = {at_or(*it, 5), at_or(*it, 6), at_or(*it, 7)};
+    out.of_cap = out.need;
+    out.of_cap.cpu_millis = at_or(*it, 8);
+    return out;
+}
+
 base::result<job_phase> phase_in(json::value const& it)
 {
     auto const number = json_codec::number_or(it, "p", -1);
@@ -282,6 +313,14 @@
                      {"a", it.accepted_ms},
                      {"p", spec.payload},
                      {"s", std::move(steps)}};
+    if (!spec.account.empty())
+    {
+        out["u"] = spec.account;
+    }
+    if (it.standing == share_standing::beyond)
+    {
+        out["b"] = 1;
+    }
     if (spec.repeats.count != 0)
     {
         out["r"] = json::array{spec.repeats.count, spec.repeats.first_ms,
@@ -297,8 +336,12 @@
     stored_spec out;
     out.spec.id = id;
     out.spec.queue = json_codec::text_or(root, "q");
+    out.spec.account = json_codec::text_or(root, "u");
     out.spec.payload = json_codec::text_or(root, "p");
     out.accepted_ms = json_codec::number_or(root, "a");
+    out.standing = json_codec::number_or(root, "b") == 0
+                       ? share_standing::owed
+                       : share_standing::beyond;
     for (auto const& it : json_codec::array_or_empty(root, "s"))
     {
         out.spec.steps.push_back(parse_step(it));
@@ -319,6 +362,21 @@
     {
         out["b"] = 1;
     }
+    // The job's own record goes when it has finished.
+    if (finished(it.phase) && !it.spec().account.empty())
+    {
+        out["u"] = it.spec().account;
+    }
+    if (!it.leftovers.empty())
+    {
+        json::array rows;
+        for (auto const& each : it.leftovers)
+        {
+            rows.emplace_back(leftover_row(each));
+        }
+        out["w"] = std::move(rows);
+        out["f"] = it.finished_ms;
+    }
     if (!finished(it.phase))
     {
         json::array rows;
@@ -346,10 +404,18 @@
     return {};
 }
 
-base::result<job_phase> parse_phase(std::string_view value)
+base::result<stored_end> parse_end(workload::job_id id, std::string_view value)
 {
     BOOST_LEAF_AUTO(root, json_codec::parse(value));
-    return phase_in(root);
+    BOOST_LEAF_AUTO(phase, phase_in(root));
+    stored_end out{phase, json_codec::text_or(root, "u"), {}, 0};
+    for (auto const& row : json_codec::array_or_empty(root, "w"))
+    {
+        BOOST_LEAF_AUTO(it, leftover_in(id, row));
+        out.leftovers.push_back(std::move(it));
+    }
+    out.finished_ms = json_codec::number_or(root, "f");
+    return out;
 }
 
 } // namespace berylhill::scheduler
--- a/libraries/scheduler/record.hpp
+++ b/libraries/scheduler/record.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace berylhill::scheduler
 {
@@ -50,6 +51,7 @@
 {
     workload::job_spec spec;
     std::int64_t accepted_ms{0};
+    share_standing standing{share_standing::owed};
 };
 
 /// Fails with `invalid`.
@@ -66,7 +68,22 @@
 [[nodiscard]] base::result<void>
 read_state_value(std::string_view value, base::instant now, job& into);
 
-/// The phase alone; for those who only answer questions.
-[[nodiscard]] base::result<job_phase> parse_phase(std::string_view value);
+/// How a job stands, for those who only answer questions. A value.
+struct stored_end
+{
+    job_phase phase{job_phase::queued};
+    /// The client account of a finished job; empty: none.
+    std::string account;
+    /// Of a finished job: what may still run, and when it finished in
+    /// milliseconds since 1970.
+    std::vector<leftover> leftovers;
+    std::int64_t finished_ms{0};
+
+    friend bool operator==(stored_end const&, stored_end const&) = default;
+};
+
+/// Fails with `invalid`.
+[[nodiscard]] base::result<stored_end> parse_end(workload::job_id id,
+                                                 std::string_view value);
 
 } // namespace berylhill::scheduler
--- a/libraries/scheduler/scheduler.cpp
+++ b/libraries/scheduler/scheduler.cpp
@@ -18,15 +18,9 @@
            rules.lapse_margin + rules.former_owner_margin;
 }
 
-/// When a job was accepted, on our clock. The time of day may have jumped, so
-/// the result is never in the future.
-base::instant
-instant_of(std::int64_t accepted_ms, std::int64_t wall_ms, base::instant now)
-{
-    auto const ago = std::chrono::milliseconds{
-        std::max<std::int64_t>(0, wall_ms - accepted_ms)};
-    return now - ago;
-}
+/// A job's objective grants each of its steps a question for advice that names
+/// so many instances.
+constexpr int named_in_objective = 30;
 
 } // namespace
 
@@ -34,98 +28,51 @@
     : m_rules{rules}
     , m_log{&log}
     , m_instances{former_lease_end(rules, now)}
+    , m_levels{rules.full_lead}
 {
 }
 
-void scheduler::restore(std::map<std::string, std::string> const& records,
-                        std::int64_t wall_ms,
-                        base::instant now)
+void scheduler::set_configuration(workload::cell_configuration const& it)
 {
-    for (auto const& [key, value] : records)
-    {
-        auto const what = parse_record_key(key);
-        if (what.kind != record_kind::spec)
-        {
-            continue;
-        }
-        auto const read = base::capture(
-            [&, &text = value] { return parse_spec_value(what.job, text); });
-        if (!read)
-        {
-            m_log->write(base::log_level::error, "record_unreadable",
-                         {{"key", key}, {"error", read.error().message}});
-            continue;
-        }
-        auto const accepted = read.value().accepted_ms;
-        auto& job = m_jobs.add(read.value().spec, accepted,
-                               instant_of(accepted, wall_ms, now));
-        job.stored = true;
-    }
-    for (auto const& [key, value] : records)
+    for (auto const& queue : it.queues)
     {
-        auto const what = parse_record_key(key);
-        if (what.kind != record_kind::state)
-        {
-            continue;
-        }
-        auto* job = m_jobs.find(what.job);
-        if (job == nullptr)
-        {
-            // Only the state of a finished job is kept.
-            job = &m_jobs.add({what.job, {}, {}, {}, {}}, wall_ms, now);
-            job->stored = true;
-        }
-        auto const read = base::capture(
-            [&, &text = value]() -> base::result<base::done>
-            {
-                BOOST_LEAF_CHECK(read_state_value(text, now, *job));
-                return base::done{};
-            });
-        if (!read)
-        {
-            m_log->write(base::log_level::error, "record_unreadable",
-                         {{"key", key}, {"error", read.error().message}});
-        }
-        job->finished_at = now;
+        m_queues[queue.name] = queue;
     }
-    for (auto const& [id, job] : m_jobs.all())
+    if (it.accounts)
     {
-        if (!finished(job->phase) && job->occurrences.empty() &&
-            job->spec().repeats.count == 0)
-        {
-            job->open_occurrence(0, job->accepted_at);
-        }
-        m_jobs.restored(*job);
-        for (auto const& [number, occurrence] : job->occurrences)
-        {
-            for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s)
-            {
-                auto const& tasks = occurrence.steps[s].tasks;
-                for (std::uint32_t n = 0; n < tasks.size(); ++n)
-                {
-                    if (tasks[n].phase != task_phase::placed)
-                    {
-                        continue;
-                    }
-                    attempt made;
-                    made.state = attempt_state::inherited;
-                    made.need = job->spec().steps[s].counted_need();
-                    made.checkpoint = tasks[n].checkpoint;
-                    made.settled_at = now;
-                    m_instances.get(tasks[n].instance)
-                        .add({{{id, number, s}, n}, tasks[n].run}, made);
-                }
-            }
-        }
+        m_instances.accounts().set_accounts(it.accounts->all());
+        m_shares.set_accounts(it.accounts->all());
     }
 }
 
-void scheduler::set_configuration(workload::cell_configuration const& it)
+std::optional<std::string> scheduler::account_of(workload::job_id it) const
 {
-    for (auto const& queue : it.queues)
-    {
-        m_queues[queue.name] = queue;
-    }
+    auto const* const job = m_jobs.find(it);
+    return job == nullptr ? std::nullopt : std::optional{job->spec().account};
+}
+
+/// An attempt of a step's task, with what it takes.
+attempt scheduler::attempt_of(job const& of, workload::step_name const& name)
+{
+    auto const& spec = of.spec_of(name);
+    attempt out;
+    out.need = spec.counted_need();
+    out.of_cap = spec.need;
+    out.account = of.spec().account;
+    return out;
+}
+
+/// Whether every task could run if its account had nothing else running, and
+/// every gang whole.
+bool scheduler::within_cap(workload::job_spec const& it) const
+{
+    return std::ranges::all_of(it.steps,
+                               [&](workload::step_spec const& step)
+                               {
+                                   return m_instances.accounts().can_hold(
+                                       it.account, step.need,
+                                       step.gang ? step.tasks : 1);
+                               });
 }
 
 bool scheduler::serves(std::string const& service) const
@@ -143,8 +90,16 @@
         return known->stored ? submission::stored_before
                              : submission::taken_before;
     }
+    if (!within_cap(it))
+    {
+        m_log->write(base::log_level::info, "job_over_cap",
+                     {{"job", text_of(it.id)}, {"account", it.account}});
+        return submission::over_cap;
+    }
     auto const repeats = it.repeats.count != 0;
+    auto const owed = m_shares.take(it.account, now);
     auto& job = m_jobs.add(std::move(it), wall_ms, now);
+    job.standing = owed ? share_standing::owed : share_standing::beyond;
     expect_work(job);
     if (!repeats)
     {
@@ -163,7 +118,13 @@
         times.push_back(m_run_times.work(
             of.spec().queue, std::chrono::milliseconds{it.estimate_ms}));
     }
-    of.set_work(times);
+    auto const* const queue = queue_of(of);
+    auto const asking =
+        queue != nullptr && queue->advice
+            ? queue->advice->decision +
+                  named_in_objective * queue->advice->per_instance
+            : base::duration{0};
+    of.set_work(times, m_rules.count_advice ? asking : base::duration{0});
 }
 
 bool scheduler::withdraw(workload::job_id it)
--- a/libraries/scheduler/scheduler.hpp
+++ b/libraries/scheduler/scheduler.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <scheduler/account_shares.hpp>
 #include <scheduler/advice_budget.hpp>
 #include <scheduler/decision_log.hpp>
 #include <scheduler/gang_plan.hpp>
@@ -9,6 +10,7 @@
 #include <scheduler/outcomes.hpp>
 #include <scheduler/placement.hpp>
 #include <scheduler/policy.hpp>
+#include <scheduler/queue_levels.hpp>
 #include <scheduler/run_times.hpp>
 #include <workload/cell_configuration.hpp>
 
@@ -16,6 +18,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -45,6 +48,11 @@
 
     void set_configuration(workload::cell_configuration const& it);
 
+    /// The client account of a job, empty where it has none; nothing where no
+    /// such job is known.
+    [[nodiscard]] std::optional<std::string>
+    account_of(workload::job_id it) const;
+
     void set_rules(policy it)
     {
         m_rules = it;
@@ -161,12 +169,23 @@
         std::vector<workload::job_id> dropped;
     };
 
+    /// What comes first, whatever its deadline.
+    enum class turn_tier : std::uint8_t
+    {
+        in_time,
+        /// Late, and worth something.
+        late,
+        /// More than its client account is owed.
+        beyond_share,
+        worthless,
+    };
+
     /// A ready step with what its turn depends on.
     struct turn
     {
-        /// 0: can be in time; 1: late, worth something; 2: worth nothing.
-        int tier{0};
-        /// The latest start that is in time.
+        turn_tier tier{turn_tier::in_time};
+        /// The latest start that is in time, less the lead of its queue.
+        base::instant turn_at;
         base::instant latest_start;
         workload::step_name name;
 
@@ -174,6 +193,20 @@
     };
 
     void expect_work(job& of) const;
+    [[nodiscard]] static attempt attempt_of(job const& of,
+                                            workload::step_name const& name);
+    [[nodiscard]] bool within_cap(workload::job_spec const& it) const;
+
+    // scheduler_restore.cpp
+    void
+    restore_spec(workload::job_id id, record const& from, base::instant now);
+    void
+    restore_state(workload::job_id id, record const& from, base::instant now);
+    job& restore_finished(workload::job_id id,
+                          record const& from,
+                          base::instant now);
+    void inherit_attempts(job const& of, base::instant now);
+    void report_unreadable(record const& it, base::failure const& why) const;
 
     // scheduler_ends.cpp
     void note_run_time(job const& of,
@@ -237,13 +270,17 @@
 
     // scheduler_decide.cpp
     [[nodiscard]] std::vector<turn> turns(base::instant now);
+    [[nodiscard]] bool beyond_share(job const& of) const;
+    void note_late(job& of, base::instant now);
     void decide_step(turn const& it, base::instant now);
     void decide_gang(job& of,
                      turn const& it,
                      std::vector<candidate> const& from,
                      base::instant now);
+    [[nodiscard]] std::uint32_t account_room(job& of, turn const& it);
     void decide_tasks(job& of,
                       turn const& it,
+                      std::uint32_t most,
                       std::vector<candidate> const& from,
                       base::instant now);
 
@@ -351,7 +388,10 @@
     /// All queues seen in any configuration: the jobs of one that was taken
     /// out still run under its last rules.
     std::map<std::string, workload::queue_spec> m_queues;
+    /// The time of day, milliseconds since 1970, at the last event that told.
+    std::int64_t m_wall_ms{0};
     instance_book m_instances;
+    account_shares m_shares;
     job_book m_jobs;
     std::vector<order> m_orders;
     gate m_open;
@@ -374,6 +414,9 @@
     base::instant m_next_leave_look{};
     advice_budget m_budget;
     run_times m_run_times;
+    queue_levels m_levels;
+    /// Client accounts whose room is kept for a gang of theirs, in this round.
+    std::set<std::string, std::less<>> m_accounts_kept;
     scheduler_counts m_counts;
 };
 
--- a/libraries/scheduler/scheduler_advice.cpp
+++ b/libraries/scheduler/scheduler_advice.cpp
@@ -198,7 +198,7 @@
 {
     advice_order out;
     out.step = at.name;
-    out.late = at.tier > 0;
+    out.late = at.tier != turn_tier::in_time;
     for (auto const* const it : named)
     {
         out.instances.push_back(it->info().id);
--- a/libraries/scheduler/scheduler_decide.cpp
+++ b/libraries/scheduler/scheduler_decide.cpp
@@ -2,6 +2,7 @@
 #include <scheduler/timing.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace berylhill::scheduler
 {
@@ -34,6 +35,16 @@
         ++m_round;
         m_kept_free = 0;
         m_late_reserving = false;
+        m_accounts_kept.clear();
+        if (m_rules.shares == share_rule::dominant_share)
+        {
+            workload::resources all;
+            for (auto const& [id, at] : m_instances.all())
+            {
+                all += at->info().capacity;
+            }
+            m_shares.set_capacity(all);
+        }
     }
     auto const all = turns(now);
     auto it =
@@ -66,15 +77,46 @@
             continue;
         }
         auto const until = timing_of(*of, name, *queue);
-        auto const tier = now <= until.latest_start ? 0
-                          : now <= until.last_start ? 1
-                                                    : 2;
-        out.push_back({tier, until.latest_start, name});
+        auto const tier = now > until.last_start     ? turn_tier::worthless
+                          : beyond_share(*of)        ? turn_tier::beyond_share
+                          : now > until.latest_start ? turn_tier::late
+                                                     : turn_tier::in_time;
+        if (now > until.latest_start)
+        {
+            note_late(*of, now);
+        }
+        out.push_back({tier,
+                       until.latest_start - m_levels.lead(of->spec().queue),
+                       until.latest_start, name});
     }
     std::ranges::sort(out);
     return out;
 }
 
+/// Its client account has handed in, or has running, more than it is owed.
+bool scheduler::beyond_share(job const& of) const
+{
+    switch (m_rules.shares)
+    {
+    case share_rule::none:
+        return false;
+    case share_rule::owed_rate:
+        return of.standing == share_standing::beyond;
+    case share_rule::dominant_share:
+        return m_shares.above(of.spec().account, m_instances.accounts());
+    }
+    return false;
+}
+
+/// A job that can't be in time any more counts once.
+void scheduler::note_late(job& of, base::instant now)
+{
+    if (!std::exchange(of.late, true) && of.standing == share_standing::owed)
+    {
+        m_levels.note(of.spec().queue, false, now);
+    }
+}
+
 void scheduler::decide_step(turn const& it, base::instant now)
 {
     auto& of = *m_jobs.find(it.name.job);
@@ -84,6 +126,11 @@
     {
         return;
     }
+    auto const account = account_room(of, it);
+    if (account == 0)
+    {
+        return;
+    }
     auto const from = candidates(of, it.name, queue, now);
     m_looks += queue.advice ? of.find(it.name)->advice.allowed.size()
                             : m_instances.all().size();
@@ -93,7 +140,7 @@
     }
     else
     {
-        decide_tasks(of, it, from, now);
+        decide_tasks(of, it, account, from, now);
     }
     if (queue.advice && of.find(it.name)->waiting > 0)
     {
@@ -101,6 +148,34 @@
     }
 }
 
+/// How many of the step's tasks that wait its client account may start now.
+/// A gang needs room for all; while it waits for that, later turns of its
+/// account start nothing, or they would take each part as it comes free. One
+/// that is worth nothing any more holds up no others for room that lies idle.
+std::uint32_t scheduler::account_room(job& of, turn const& it)
+{
+    auto const& account = of.spec().account;
+    auto const& spec = of.spec_of(it.name);
+    if (m_accounts_kept.contains(account))
+    {
+        return 0;
+    }
+    auto const waiting = of.find(it.name)->waiting;
+    auto const out =
+        m_instances.accounts().room_for(account, spec.need, waiting);
+    if (!spec.gang || out == waiting)
+    {
+        return out;
+    }
+    auto const& accounts = m_instances.accounts();
+    if (accounts.can_hold(account, spec.need, waiting) &&
+        (it.tier != turn_tier::worthless || accounts.half_used(account)))
+    {
+        m_accounts_kept.insert(account);
+    }
+    return 0;
+}
+
 bool scheduler::eligible(instance const& it,
                          workload::step_spec const& spec,
                          workload::queue_spec const& queue,
@@ -185,12 +260,13 @@
 
 void scheduler::decide_tasks(job& of,
                              turn const& it,
+                             std::uint32_t most,
                              std::vector<candidate> const& from,
                              base::instant now)
 {
     auto const& spec = of.spec_of(it.name);
     auto& in = *of.find(it.name);
-    auto const chosen = choose_for_tasks(spec, in.waiting, from);
+    auto const chosen = choose_for_tasks(spec, most, from);
     auto next = chosen.begin();
     for (std::uint32_t n = 0; n < in.tasks.size() && next != chosen.end(); ++n)
     {
@@ -254,8 +330,7 @@
     it.instance = on;
     --in.waiting;
     auto& where = m_instances.get(on);
-    attempt made;
-    made.need = of.spec_of(name.of).counted_need();
+    auto made = attempt_of(of, name.of);
     made.checkpoint = it.checkpoint;
     made.began_at = now;
     if (auto const at = in.advice.allowed.find(where.number());
--- a/libraries/scheduler/scheduler_gang_plan.cpp
+++ b/libraries/scheduler/scheduler_gang_plan.cpp
@@ -43,7 +43,8 @@
         most_reserved * static_cast<double>(m_instances.all().size());
     // Of the gangs that are late one at a time: parts of room kept for several
     // of them would be of use to none.
-    auto const later = it.tier > 0 && std::exchange(m_late_reserving, true);
+    auto const later =
+        it.tier != turn_tier::in_time && std::exchange(m_late_reserving, true);
     in.keeps_room = !later && static_cast<double>(m_kept_free) < most;
     if (now >= in.next_look)
     {
--- a/libraries/scheduler/scheduler_orders.cpp
+++ b/libraries/scheduler/scheduler_orders.cpp
@@ -187,6 +187,7 @@
 
 void scheduler::tick(std::int64_t wall_ms, base::instant now)
 {
+    m_wall_ms = wall_ms;
     for (auto const& [id, at] : m_instances.all())
     {
         if (at->holds_sent() && now > at->lease_end())
--- a/libraries/scheduler/scheduler_preempt.cpp
+++ b/libraries/scheduler/scheduler_preempt.cpp
@@ -67,7 +67,8 @@
 {
     auto const& spec = of.spec_of(it.name);
     auto const priority = queue_of(of)->priority;
-    if (it.tier > 1 || now < it.latest_start - m_rules.preempt_before)
+    if (it.tier > turn_tier::late ||
+        now < it.latest_start - m_rules.preempt_before)
     {
         return false;
     }
--- a/libraries/scheduler/scheduler_reports.cpp
+++ b/libraries/scheduler/scheduler_reports.cpp
@@ -48,18 +48,14 @@
                          {{"task", text_of(row.attempt.task)},
                           {"run", row.attempt.run},
                           {"instance", it.instance}});
-            attempt stray;
-            stray.state = attempt_state::running;
             auto* const job = m_jobs.find(row.attempt.task.of.job);
-            if (job != nullptr &&
-                row.attempt.task.of.step < job->spec().steps.size())
-            {
-                stray.need = job->spec_of(row.attempt.task.of).counted_need();
-            }
-            else
-            {
-                stray.need_known = false;
-            }
+            auto const known_need =
+                job != nullptr &&
+                row.attempt.task.of.step < job->spec().steps.size();
+            auto stray =
+                known_need ? attempt_of(*job, row.attempt.task.of) : attempt{};
+            stray.need_known = known_need;
+            stray.state = attempt_state::running;
             stray.settled_at = it.sent_at;
             auto& added = at.add(row.attempt, stray);
             want_stop(at, row.attempt, added, it.read_at);
--- a/libraries/workload/cell_configuration.hpp
+++ b/libraries/workload/cell_configuration.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <workload/account_table.hpp>
 #include <workload/queue_spec.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -17,6 +19,8 @@
     std::vector<queue_spec> queues;
     std::vector<service_spec> services;
     request_limits limits;
+    /// The client accounts; nothing where callers need no key.
+    std::optional<account_table> accounts;
 
     friend bool operator==(cell_configuration const&,
                            cell_configuration const&) = default;
--- a/libraries/workload/job_spec.hpp
+++ b/libraries/workload/job_spec.hpp
@@ -28,6 +28,8 @@
     job_id id;
     /// The name of the queue that took it.
     std::string queue;
+    /// The client account that it belongs to; empty: none.
+    std::string account;
     /// Passed to every task unread.
     std::string payload;
     std::vector<step_spec> steps;
--- a/libraries/workload/queue_spec.hpp
+++ b/libraries/workload/queue_spec.hpp
@@ -19,6 +19,14 @@
     friend bool operator==(advice_spec const&, advice_spec const&) = default;
 };
 
+/// Whether the callers of a queue have to show a key of a client account,
+/// where there are accounts.
+enum class caller_check : std::uint8_t
+{
+    key,
+    none,
+};
+
 /// One queue of the configuration in force. A value.
 struct queue_spec
 {
@@ -38,6 +46,7 @@
     /// A job's objective is this many times its longest chain of work.
     double stretch{1};
     std::optional<advice_spec> advice;
+    caller_check callers{caller_check::key};
 
     friend bool operator==(queue_spec const&, queue_spec const&) = default;
 };
--- a/tests/cell/ownership_test.cpp
+++ b/tests/cell/ownership_test.cpp
@@ -19,6 +19,16 @@
 
 struct quiet_listener final : cell::ownership::listener
 {
+    [[nodiscard]] cell::configuration_age configuration_here() const override
+    {
+        return {};
+    }
+
+    void heard_of(cell::configuration_age const&,
+                  network::socket_address const&) override
+    {
+    }
+
     void began(std::map<std::string, std::string> const&,
                std::uint64_t,
                std::uint64_t) override
--- a/tests/cell/peer_list_test.cpp
+++ b/tests/cell/peer_list_test.cpp
@@ -123,7 +123,7 @@
     BOOST_REQUIRE(old.has_value());
     BOOST_TEST(old.value().from.instance == "a");
     BOOST_TEST(old.value().known == 0);
-    cell::watch_question const now{process(1, 100), 77};
+    cell::watch_question const now{process(1, 100), 77, {3, base::duration{5}}};
     auto const read = base::capture(
         [&] { return cell::parse_watch_question(cell::text_of(now)); });
     BOOST_TEST((read.has_value() && read.value() == now));
--- a/tests/platform_adapter/cell_fixture.cpp
+++ b/tests/platform_adapter/cell_fixture.cpp
@@ -64,12 +64,21 @@
     std::filesystem::remove_all(m_folder, ec);
 }
 
+std::uint16_t cell_fixture::store_port() const
+{
+    return static_cast<std::uint16_t>(m_first_port +
+                                      ports_per_process * processes);
+}
+
 void cell_fixture::start_process(std::size_t n)
 {
-    cells[n] =
-        start({BERYLHILL_BINARY, m_folder, "cell-" + std::to_string(n),
-               m_first_port + n * ports_per_process,
-               std::size_t{m_first_port} + ports_per_process * processes});
+    start_process(n, store_port());
+}
+
+void cell_fixture::start_process(std::size_t n, std::uint16_t store_port)
+{
+    cells[n] = start({BERYLHILL_BINARY, m_folder, "cell-" + std::to_string(n),
+                      m_first_port + n * ports_per_process, store_port});
 }
 
 void cell_fixture::stop_process(std::size_t n)
@@ -93,9 +102,14 @@
                             std::string const& path,
                             std::string const& body)
 {
+    std::vector<network::http_field> fields{{"Host", "h"}};
+    if (!m_key.empty())
+    {
+        fields.push_back({"X-Key", m_key});
+    }
     auto const end = ask(
         static_cast<std::uint16_t>(m_first_port + process * ports_per_process),
-        {method, path, {{"Host", "h"}}, body, "application/json"});
+        {method, path, std::move(fields), body, "application/json"});
     m_last_body = end.body;
     return end.status;
 }
@@ -130,7 +144,7 @@
                 {network::http_method::post,
                  std::string{cell::peer_paths::watch},
                  {},
-                 cell::text_of(cell::watch_question{{"test", local(1)}}),
+                 cell::text_of(cell::watch_question{{"test", local(1)}, 0, {}}),
                  "application/json"});
         auto const view =
             base::capture([&] { return cell::parse_watch(end.body); });
--- a/tests/platform_adapter/cell_fixture.hpp
+++ b/tests/platform_adapter/cell_fixture.hpp
@@ -43,6 +43,11 @@
 
     void start_process(std::size_t n);
 
+    /// As above; the process finds the store at this port.
+    void start_process(std::size_t n, std::uint16_t store_port);
+
+    [[nodiscard]] std::uint16_t store_port() const;
+
     /// Kills it and waits until it has ended.
     void stop_process(std::size_t n);
 
@@ -58,6 +63,12 @@
                   std::string const& path,
                   std::string const& body = {});
 
+    /// The key of a client account that callers show from now on; empty: none.
+    void set_key(std::string it)
+    {
+        m_key = std::move(it);
+    }
+
     [[nodiscard]] std::string const& last_body() const noexcept
     {
         return m_last_body;
@@ -92,6 +103,7 @@
     std::uint16_t m_first_port{0};
     std::filesystem::path m_folder;
     std::string m_last_body;
+    std::string m_key;
 };
 
 } // namespace berylhill::platform_test
--- a/tests/platform_adapter/job_requests_test.cpp
+++ b/tests/platform_adapter/job_requests_test.cpp
@@ -92,8 +92,9 @@
                                         sample.body,
                                         "application/json"};
     auto const end = platform::job_requests{}.decode(request, configuration());
-    auto const* const refused = std::get_if<network::http_response>(&end);
-    BOOST_TEST((refused == nullptr ? 0U : refused->status) == sample.status);
+    auto const* const refused = std::get_if<cell::refused_request>(&end);
+    BOOST_TEST((refused == nullptr ? 0U : refused->response.status) ==
+               sample.status);
 }
 
 BOOST_AUTO_TEST_CASE(a_job_is_decoded_whole)
--- a/tests/platform_adapter/stand_ins/documents.cpp
+++ b/tests/platform_adapter/stand_ins/documents.cpp
@@ -30,6 +30,24 @@
                      {"limits", json::object{}}});
 }
 
+std::string configuration_document(int version,
+                                   std::vector<std::string> const& queues,
+                                   std::vector<account_keys> const& accounts)
+{
+    auto out = json::parse(configuration_document(version, queues));
+    json::array rows;
+    for (auto const& it : accounts)
+    {
+        rows.emplace_back(json::object{
+            {"name", it.account},
+            {"apiKeys", json::array(it.keys.begin(), it.keys.end())},
+            {"weight", 10},
+            {"cap", json::object{}}});
+    }
+    out.as_object()["tenants"] = std::move(rows);
+    return json::serialize(out);
+}
+
 std::string job_document(std::int64_t cpu_millis, std::int64_t estimate_ms)
 {
     auto const step = [&](int tasks)
--- a/tests/platform_adapter/stand_ins/documents.hpp
+++ b/tests/platform_adapter/stand_ins/documents.hpp
@@ -17,6 +17,21 @@
 [[nodiscard]] std::string
 configuration_document(int version, std::vector<std::string> const& queues);
 
+/// A client account of a configuration, and its keys. A value.
+struct account_keys
+{
+    std::string account;
+    std::vector<std::string> keys;
+
+    friend bool operator==(account_keys const&, account_keys const&) = default;
+};
+
+/// As above, with client accounts.
+[[nodiscard]] std::string
+configuration_document(int version,
+                       std::vector<std::string> const& queues,
+                       std::vector<account_keys> const& accounts);
+
 /// A job of two steps as a client hands it in: two tasks, and one after them.
 [[nodiscard]] std::string job_document(std::int64_t cpu_millis,
                                        std::int64_t estimate_ms);
--- /dev/null
+++ b/tests/scheduler/account_cap_test.cpp
@@ -0,0 +1,163 @@
+#include "bench_owner.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace berylhill;
+using namespace berylhill::scheduler_test;
+using scheduler::end_reason;
+
+namespace
+{
+
+workload::cell_configuration with_cap(workload::resources const& cap)
+{
+    workload::cell_configuration out;
+    workload::queue_spec queue;
+    queue.name = "q";
+    queue.service = "svc";
+    queue.attempts = 2;
+    queue.stretch = 2;
+    out.queues = {queue};
+    out.accounts =
+        workload::account_table{{{"small", {}, 0, cap}, {"large", {}, 0, {}}}};
+    return out;
+}
+
+workload::job_spec job_of(std::string account,
+                          std::uint64_t id,
+                          std::uint32_t tasks,
+                          std::int64_t cpu = 1'000)
+{
+    auto out = bench_owner::job(id, tasks, cpu);
+    out.account = std::move(account);
+    return out;
+}
+
+/// Two instances of four cores, and an account that may use three.
+struct capped_cell : bench_owner
+{
+    explicit capped_cell(std::map<std::string, std::string> const& stored = {})
+        : bench_owner{stored}
+    {
+        decisions.set_configuration(with_cap({3'000, 0, 0}));
+        for (auto const* const id : {"a", "b"})
+        {
+            list(id);
+            report(id);
+        }
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(account_cap)
+
+/// An account runs more than it may: a step is wider than its cap.
+BOOST_AUTO_TEST_CASE(a_step_wider_than_the_cap_runs_in_waves)
+{
+    capped_cell it;
+    it.decisions.submit(job_of("small", 1, 5), 0, it.now);
+    auto const first = it.starts();
+    BOOST_REQUIRE(first.size() == 3U);
+    it.confirm(first[0]);
+    BOOST_TEST(it.starts().empty());
+    it.report(first[0].instance, {},
+              {{1, first[0].attempt, end_reason::done, {}}});
+    BOOST_TEST(it.starts().size() == 1U);
+    it.decisions.submit(job_of("large", 2, 4), 0, it.now);
+    BOOST_TEST(it.starts().size() == 4U);
+}
+
+/// An account runs more than it may: a cancelled job's tasks still run while
+/// its next job starts.
+BOOST_AUTO_TEST_CASE(what_is_being_stopped_still_counts)
+{
+    capped_cell it;
+    it.decisions.submit(job_of("small", 1, 3), 0, it.now);
+    auto const first = it.starts();
+    BOOST_REQUIRE(first.size() == 3U);
+    for (auto const& each : first)
+    {
+        it.confirm(each);
+    }
+    it.decisions.cancel({1}, it.now);
+    it.decisions.submit(job_of("small", 2, 1), 0, it.now);
+    BOOST_TEST(it.starts().empty());
+    it.report(first[0].instance, {},
+              {{1, first[0].attempt, end_reason::stopped, {}}});
+    BOOST_TEST(it.starts().size() == 1U);
+}
+
+/// An account runs more than it may after a change of owner: the new one does
+/// not know yet what the former one's orders have begun.
+BOOST_AUTO_TEST_CASE(what_a_former_owner_ordered_counts)
+{
+    capped_cell former;
+    former.decisions.submit(job_of("small", 1, 3), 0, former.now);
+    BOOST_REQUIRE(former.starts().size() == 3U);
+
+    bench_owner it{former.records};
+    it.decisions.set_configuration(with_cap({3'000, 0, 0}));
+    it.list("c");
+    it.report("c");
+    it.decisions.submit(job_of("small", 2, 1), 0, it.now);
+    BOOST_TEST(it.starts().empty());
+}
+
+/// An account goes on above a cap that was lowered: its cap is that of the
+/// newest configuration, whatever ran before.
+BOOST_AUTO_TEST_CASE(nothing_starts_above_a_cap_that_was_lowered)
+{
+    capped_cell it;
+    it.decisions.submit(job_of("small", 1, 5), 0, it.now);
+    auto const first = it.starts();
+    BOOST_REQUIRE(first.size() == 3U);
+    it.decisions.set_configuration(with_cap({2'000, 0, 0}));
+    it.report(first[0].instance, {},
+              {{1, first[0].attempt, end_reason::done, {}}});
+    BOOST_TEST(it.starts().empty());
+    it.decisions.set_configuration(with_cap({4'000, 0, 0}));
+    BOOST_TEST(it.starts().size() == 2U);
+}
+
+/// A gang of an account at its cap never starts: each task that ends makes
+/// room that a smaller job of the account takes.
+BOOST_AUTO_TEST_CASE(a_gang_gets_the_room_of_its_account_whole)
+{
+    capped_cell it;
+    it.decisions.submit(job_of("small", 1, 1), 0, it.now);
+    auto const first = it.starts();
+    BOOST_REQUIRE(first.size() == 1U);
+    auto gang = job_of("small", 2, 3);
+    gang.steps[0].gang = true;
+    it.decisions.submit(gang, 0, it.now);
+    BOOST_TEST(it.starts().empty());
+    it.advance(std::chrono::milliseconds{10});
+    it.decisions.submit(job_of("small", 3, 1), 0, it.now);
+    BOOST_TEST(it.starts().empty());
+    it.report(first[0].instance, {},
+              {{1, first[0].attempt, end_reason::done, {}}});
+    auto const next = it.starts();
+    BOOST_REQUIRE(next.size() == 3U);
+    BOOST_TEST((next[0].attempt.task.of.job == workload::job_id{2}));
+}
+
+/// A caller waits in vain for a job that can never start: it needs more at
+/// once than its account may ever have running.
+BOOST_AUTO_TEST_CASE(what_can_never_fit_the_cap_is_refused)
+{
+    capped_cell it;
+    auto gang = job_of("small", 1, 4);
+    BOOST_TEST(
+        (it.decisions.submit(gang, 0, it.now) == scheduler::submission::taken));
+    gang.id = {2};
+    gang.steps[0].gang = true;
+    BOOST_TEST((it.decisions.submit(gang, 0, it.now) ==
+                scheduler::submission::over_cap));
+    BOOST_TEST((it.decisions.submit(job_of("small", 3, 1, 3'500), 0, it.now) ==
+                scheduler::submission::over_cap));
+    BOOST_TEST((it.decisions.submit(job_of("large", 4, 1, 3'500), 0, it.now) ==
+                scheduler::submission::taken));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/scheduler/random_test.cpp
+++ b/tests/scheduler/random_test.cpp
@@ -16,6 +16,8 @@
 
 constexpr base::duration trouble = std::chrono::seconds{20};
 constexpr base::duration calm = std::chrono::seconds{120};
+/// Two or three tasks at a time do the work of a whole cell.
+constexpr base::duration calm_under_a_cap = std::chrono::seconds{400};
 
 /// Seeds of a usual run; `BERYLHILL_SEEDS` asks for more by hand, and
 /// `BERYLHILL_FIRST_SEED` repeats one.
@@ -35,6 +37,7 @@
 
 /// And of these.
 constexpr std::uint64_t usual_late_seeds = 50;
+constexpr std::uint64_t usual_capped_seeds = 100;
 
 roughness const late_and_frozen{.drain = 0.01,
                                 .freeze = 0.7,
@@ -42,21 +45,42 @@
                                 .twice = 0.3,
                                 .cancel_new = 0.2};
 
+roughness const capped_accounts{.drain = 0.01,
+                                .freeze = 0.7,
+                                .late_append = 0.05,
+                                .cancel_new = 0.1,
+                                .capped = 0.2};
+
+roughness rough_for(planted fault)
+{
+    switch (fault)
+    {
+    case planted::refuse_one_client:
+        return late_and_frozen;
+    case planted::no_caps:
+        return capped_accounts;
+    default:
+        return {};
+    }
+}
+
 std::vector<std::string> run(std::uint64_t seed, planted fault)
 {
-    auto const late = fault == planted::refuse_one_client;
-    world it{seed, late ? late_and_frozen : roughness{}, fault};
+    world it{seed, rough_for(fault), fault};
     return it.run(trouble, calm);
 }
 
-void play(std::uint64_t first, std::uint64_t seeds, roughness rough)
+void play(std::uint64_t first,
+          std::uint64_t seeds,
+          roughness rough,
+          base::duration quiet = calm)
 {
     std::uint64_t starts = 0;
     std::uint64_t takeovers = 0;
     for (auto seed = first; seed < first + seeds; ++seed)
     {
         world it{seed, rough, planted::nothing};
-        auto const broken = it.run(trouble, calm);
+        auto const broken = it.run(trouble, quiet);
         starts += it.starts();
         takeovers += it.takeovers();
         for (auto const& what : broken)
@@ -86,6 +110,7 @@
     {"a report counts as asked for when read", planted::trust_old_reports},
     {"appends are not conditional", planted::append_anywhere},
     {"one client of two is refused", planted::refuse_one_client},
+    {"client accounts have no cap", planted::no_caps},
 };
 
 } // namespace
@@ -124,6 +149,15 @@
     play(first, seeds, late_and_frozen);
 }
 
+/// As before, with a client account whose cap is lowered and raised: no start
+/// brings it above its cap, whoever ordered what it runs and when.
+BOOST_AUTO_TEST_CASE(no_account_gets_more_than_its_cap)
+{
+    auto const first = number_from("BERYLHILL_FIRST_SEED", 1);
+    auto const seeds = number_from("BERYLHILL_SEEDS", usual_capped_seeds);
+    play(first, seeds, capped_accounts, calm_under_a_cap);
+}
+
 /// With a guard taken out, the same runs find what it is for.
 BOOST_DATA_TEST_CASE(planted_faults_are_found,
                      boost::unit_test::data::make(planted_cases))
--- a/tests/scheduler/record_test.cpp
+++ b/tests/scheduler/record_test.cpp
@@ -14,6 +14,7 @@
     workload::job_spec out;
     out.id = {0x00ab};
     out.queue = "q";
+    out.account = "team";
     out.payload = "a \"payload\"\n";
     workload::step_spec step;
     step.tasks = 3;
@@ -55,6 +56,44 @@
     BOOST_TEST(read.value().accepted_ms == 77);
 }
 
+/// What an account has handed in beyond what it is owed counts as owed after a
+/// change of owner.
+BOOST_AUTO_TEST_CASE(a_standing_comes_back)
+{
+    auto const spec = full_spec();
+    for (auto const standing :
+         {scheduler::share_standing::owed, scheduler::share_standing::beyond})
+    {
+        scheduler::job it{spec, 77, base::instant{}};
+        it.standing = standing;
+        auto const read =
+            base::capture([&, text = scheduler::spec_value(it)]
+                          { return scheduler::parse_spec_value({1}, text); });
+        BOOST_REQUIRE(read.has_value());
+        BOOST_TEST((read.value().standing == standing));
+    }
+}
+
+/// Any account may see how a job ended, once its own record is gone.
+BOOST_AUTO_TEST_CASE(the_end_of_a_job_names_its_account)
+{
+    scheduler::job it{full_spec(), 77, base::instant{}};
+    it.phase = scheduler::job_phase::completed;
+    it.leftovers = {{{{{{0x00ab}, 1, 2}, 3}, 4}, "i", {5, 6, 7}, {8, 6, 7}}};
+    it.finished_ms = 9;
+    auto const read =
+        base::capture([text = scheduler::state_value(it)]
+                      { return scheduler::parse_end({0x00ab}, text); });
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST(
+        (read.value() == scheduler::stored_end{scheduler::job_phase::completed,
+                                               "team", it.leftovers, 9}));
+    auto const before =
+        base::capture([] { return scheduler::parse_end({1}, R"({"p":2})"); });
+    BOOST_REQUIRE(before.has_value());
+    BOOST_TEST(before.value().account.empty());
+}
+
 BOOST_AUTO_TEST_CASE(a_state_comes_back_whole)
 {
     auto const spec = full_spec();
--- a/tests/scheduler/world.cpp
+++ b/tests/scheduler/world.cpp
@@ -33,6 +33,13 @@
     return out;
 }
 
+/// Two accounts, one of which may use so many cores.
+void set_cap(workload::cell_configuration& in, std::int64_t cpu_millis)
+{
+    in.accounts = workload::account_table{
+        {{"capped", {}, 0, {cpu_millis, 0, 0}}, {"other", {}, 0, {}}}};
+}
+
 } // namespace
 
 world::world(std::uint64_t seed, roughness rough, planted fault)
@@ -41,6 +48,7 @@
     , m_freeze_random{seed}
     , m_late_random{seed}
     , m_twice_random{seed}
+    , m_cap_random{seed}
     , m_rough{rough}
     , m_fault{fault}
     , m_configuration{configuration()}
@@ -50,6 +58,12 @@
                 return base::seconds_of(m_now.time_since_epoch());
             }}
 {
+    if (rough.capped > 0 && fault != planted::no_caps)
+    {
+        set_cap(m_configuration, largest_cap_millis);
+    }
+    // Nothing is forgotten before the end.
+    m_rules.status_kept = std::chrono::hours{1};
     if (fault == planted::no_wait_for_lapse)
     {
         m_rules.lapse_margin = -m_rules.lease;
@@ -109,6 +123,10 @@
         {
             m_trouble = false;
             m_store_up = true;
+            if (m_configuration.accounts)
+            {
+                set_cap(m_configuration, largest_cap_millis);
+            }
             for (auto const& [id, it] : m_instances)
             {
                 it->cut = false;
@@ -145,6 +163,11 @@
         {
             take_over();
         }
+        if (m_fault != planted::no_caps &&
+            chance(m_cap_random, m_rough.capped / 20))
+        {
+            change_cap();
+        }
         if (chance(m_rough.store_down) && m_store_up)
         {
             m_store_up = false;
@@ -180,6 +203,15 @@
     after(moment, [this] { every_moment(); });
 }
 
+/// The operator changes a cap: to less than may run, or back.
+void world::change_cap()
+{
+    auto const now = m_configuration.accounts->all()[0].cap.cpu_millis;
+    set_cap(m_configuration, now == largest_cap_millis ? smallest_cap_millis
+                                                       : largest_cap_millis);
+    m_owner->decisions->set_configuration(m_configuration);
+}
+
 void world::submit_something()
 {
     if (!m_owner || !m_owner->alive)
@@ -215,6 +247,10 @@
         }
         spec.steps.push_back(step);
     }
+    if (chance(m_cap_random, m_rough.capped))
+    {
+        spec.account = "capped";
+    }
     m_submitted.emplace(spec.id, spec);
     hand_in(spec);
     if (chance(m_twice_random, m_rough.twice))
--- a/tests/scheduler/world.hpp
+++ b/tests/scheduler/world.hpp
@@ -35,8 +35,14 @@
     append_anywhere,
     /// Of two clients that hand one job in only the first is refused.
     refuse_one_client,
+    /// Client accounts have no cap.
+    no_caps,
 };
 
+/// What an account with a cap may use, as the operator changes it.
+inline constexpr std::int64_t largest_cap_millis = 7'000;
+inline constexpr std::int64_t smallest_cap_millis = 5'000;
+
 /// How rough a run is.
 struct roughness
 {
@@ -60,6 +66,8 @@
     double twice{0};
     /// Jobs that are cancelled within their first second.
     double cancel_new{0};
+    /// Jobs of a client account with a cap; the cap changes meanwhile.
+    double capped{0};
 };
 
 /// A cell on a virtual clock: instances that keep what the platform's pages
@@ -187,6 +195,8 @@
 
     // world_checks.cpp
     void check_start(fake_instance const& at, scheduler::start_order const& it);
+    void check_cap(workload::job_spec const& job,
+                   workload::step_spec const& step);
     void note_seen(fake_instance& at, std::uint64_t seen);
     void check_ends(std::vector<std::string>& into) const;
     [[nodiscard]] bool all_ended() const;
@@ -216,6 +226,7 @@
     void cancel_something();
     void cancel(workload::job_id it);
     void every_moment();
+    void change_cap();
 
     std::mt19937_64 m_random;
     /// By itself, so that a seed means the same with and without it.
@@ -223,6 +234,7 @@
     std::mt19937_64 m_freeze_random;
     std::mt19937_64 m_late_random;
     std::mt19937_64 m_twice_random;
+    std::mt19937_64 m_cap_random;
     roughness m_rough;
     planted m_fault;
     scheduler::policy m_rules;
--- a/tests/scheduler/world_checks.cpp
+++ b/tests/scheduler/world_checks.cpp
@@ -52,6 +52,7 @@
     {
         broken("a refused job starts: " + name);
     }
+    check_cap(job, *spec);
     m_begun.insert(job.id);
     for (auto const before : spec->after)
     {
@@ -68,6 +69,31 @@
     }
 }
 
+/// Counted from what the instances run. Caps change, and the largest counts.
+void world::check_cap(workload::job_spec const& job,
+                      workload::step_spec const& step)
+{
+    if (job.account != "capped")
+    {
+        return;
+    }
+    auto used = step.need.cpu_millis;
+    for (auto const& [id, at] : m_instances)
+    {
+        for (auto const& [running, state] : at->running)
+        {
+            auto const& other = m_submitted.at(running.task.of.job);
+            used += at->up && other.account == job.account
+                        ? spec_of(running.task.of)->need.cpu_millis
+                        : 0;
+        }
+    }
+    if (used > largest_cap_millis)
+    {
+        broken("an account above its cap: " + std::to_string(used));
+    }
+}
+
 void world::note_seen(fake_instance& at, std::uint64_t seen)
 {
     std::erase_if(at.ended,
--- a/tests/scheduler/world_orders.cpp
+++ b/tests/scheduler/world_orders.cpp
@@ -19,14 +19,18 @@
 void world::send(owner_pointer const& by, scheduler::start_order const& it)
 {
     // The list is read at once here, so nothing but what was being stored is
-    // sent to an instance that says that it leaves.
+    // sent to an instance that says that it leaves; but for what a former
+    // owner had decided before it stood still, which the instance refuses.
     constexpr base::duration storing = std::chrono::seconds{2};
     auto const& target = *m_instances.at(it.instance);
-    if (by->alive && target.drains_since &&
+    auto const stood_still = by != m_owner && target.drains_since &&
+                             by->frozen_until > *target.drains_since;
+    if (by->alive && !stood_still && target.drains_since &&
         m_now - *target.drains_since > storing && m_store_up)
     {
         broken("start of " + text_of(it.attempt.task) + " sent to " +
-               it.instance + ", which leaves");
+               it.instance + ", which leaves, by the owner of token " +
+               std::to_string(by->token));
     }
     auto const answer = [this, by, it](start_answer end, std::int64_t clock)
     {
