cell: Refuse no work behind a store that is merely slow

Now the store counts as stuck after three times what an append takes, 0.9 s at least and 1.6 s at most, after 0.6 s where it refuses; and a client waits for its own record until its time is over, as long as the owner is heard. Ruled out: changes of owner (none in that time).

Test: whole_path/a_slow_store_takes_all_new_work, 5 of 6 refused before.

--- a/libraries/cell/call_router.cpp
+++ b/libraries/cell/call_router.cpp
@@ -14,14 +14,14 @@
 /// A client is answered this much before its time is over.
 constexpr base::duration answer_margin = std::chrono::milliseconds{150};
 
-/// A change of owner takes about a second; a client is not kept longer, and
-/// is told when to come back.
-constexpr base::duration longest_trip = std::chrono::milliseconds{1'500};
+/// A change of owner takes about a second; a client of which no owner has
+/// heard is not kept longer, and is told when to come back.
+constexpr base::duration longest_search = std::chrono::milliseconds{1'500};
 /// Between two looks for an owner.
 constexpr base::duration retry_pause = std::chrono::milliseconds{40};
 
-/// Until an owner that was reached counts as silent.
-constexpr base::duration owner_timeout = std::chrono::milliseconds{1'000};
+/// Between two looks whether the owner that was asked still owns.
+constexpr base::duration owner_look = std::chrono::milliseconds{50};
 
 } // namespace
 
@@ -37,9 +37,16 @@
     job_call call;
     job_answer_handler done;
     boost::asio::steady_timer timer;
-    base::instant until{};
+    /// Until an owner is searched for that no owner has heard of it.
+    base::instant search_until{};
+    /// Until the client is answered.
+    base::instant answer_by{};
     /// An owner may have acted on it.
     bool maybe_done{false};
+    /// Counts the questions to owners: answers to those given up are late.
+    std::uint32_t asked{0};
+    /// The token of the owner asked last.
+    std::uint64_t asked_token{0};
 };
 
 call_router::call_router(boost::asio::io_context& loop,
@@ -70,34 +77,82 @@
     }
     auto const made =
         std::make_shared<trip>(m_loop, std::move(it), std::move(done));
-    made->until = m_clock.now() +
-                  std::min(longest_trip, made->call.patience - answer_margin);
+    auto const now = m_clock.now();
+    made->answer_by = now + made->call.patience - answer_margin;
+    made->search_until = std::min(now + longest_search, made->answer_by);
     ++m_under_way;
     go(made);
 }
 
 void call_router::go(trip_pointer const& it)
 {
-    if (m_local(it->call,
+    auto const left = it->answer_by - m_clock.now();
+    it->call.patience = left;
+    if (left.count() > 0 &&
+        m_local(it->call,
                 [this, it](job_answer const& answer) { given(it, answer); }))
     {
         return;
     }
-    auto const left = it->until - m_clock.now();
     if (left.count() <= 0 || m_owner.owner().token == 0 ||
         !m_owner.owner_heard())
     {
         retry(it);
         return;
     }
+    it->asked_token = m_owner.owner().token;
+    ++it->asked;
     m_peers.call(
-        m_owner.owner().address, it->call, std::min(left, owner_timeout),
-        [this, it](peer_result<job_answer> const& end) { returned(it, end); });
+        m_owner.owner().address, it->call, left,
+        [this, it, n = it->asked](peer_result<job_answer> const& end)
+        { returned(it, n, end); });
+    watch_owner(it, it->asked);
+}
+
+/// A store that is slow keeps an owner from answering for a second and more. An
+/// owner that is lost does not answer at all: the others find that out sooner
+/// than any client's time is over.
+void call_router::watch_owner(trip_pointer const& it, std::uint32_t asked)
+{
+    it->timer.expires_after(owner_look);
+    it->timer.async_wait(
+        [this, it, asked](auto ec)
+        {
+            if (ec || !it->done || it->asked != asked)
+            {
+                return;
+            }
+            if (m_owner.owner_heard() &&
+                m_owner.owner().token == it->asked_token)
+            {
+                watch_owner(it, asked);
+                return;
+            }
+            ++it->asked;
+            it->maybe_done = true;
+            retry(it);
+        });
 }
 
 void call_router::returned(trip_pointer const& it,
+                           std::uint32_t asked,
                            peer_result<job_answer> const& end)
 {
+    if (!it->done)
+    {
+        return;
+    }
+    if (it->asked != asked)
+    {
+        // That owner was given up; what it accepted stands all the same.
+        if (end.answer && end.answer->kind == job_answer_kind::accepted)
+        {
+            finish(it, *end.answer);
+        }
+        return;
+    }
+    ++it->asked;
+    it->timer.cancel();
     if (!end.answer)
     {
         it->maybe_done =
@@ -125,10 +180,18 @@
 
 void call_router::retry(trip_pointer const& it)
 {
-    if (m_clock.now() + retry_pause < it->until)
+    auto const until = it->maybe_done ? it->answer_by : it->search_until;
+    if (m_clock.now() + retry_pause < until)
     {
         it->timer.expires_after(retry_pause);
-        it->timer.async_wait([this, it](auto) { go(it); });
+        it->timer.async_wait(
+            [this, it](auto)
+            {
+                if (it->done)
+                {
+                    go(it);
+                }
+            });
         return;
     }
     auto const changes = it->call.kind == job_call_kind::submit ||
@@ -141,6 +204,10 @@
 
 void call_router::finish(trip_pointer const& it, job_answer const& answer)
 {
+    if (!it->done)
+    {
+        return;
+    }
     auto given = answer;
     if (given.kind == job_answer_kind::refused && it->maybe_done)
     {
--- a/libraries/cell/call_router.hpp
+++ b/libraries/cell/call_router.hpp
@@ -45,7 +45,10 @@
     using trip_pointer = std::shared_ptr<trip>;
 
     void go(trip_pointer const& it);
-    void returned(trip_pointer const& it, peer_result<job_answer> const& end);
+    void watch_owner(trip_pointer const& it, std::uint32_t asked);
+    void returned(trip_pointer const& it,
+                  std::uint32_t asked,
+                  peer_result<job_answer> const& end);
     void given(trip_pointer const& it, job_answer const& answer);
     void retry(trip_pointer const& it);
     void finish(trip_pointer const& it, job_answer const& answer);
--- a/libraries/cell/cell_owner.cpp
+++ b/libraries/cell/cell_owner.cpp
@@ -16,9 +16,8 @@
 /// Between two looks at what time brings: retries, lapses, waiting clients.
 constexpr base::duration tick = std::chrono::milliseconds{10};
 
-/// When the store has taken nothing for so long, new work is refused at once:
-/// it would only wait. Above what a slow store takes for one append.
-constexpr base::duration stuck_limit = std::chrono::milliseconds{600};
+/// When the store has refused everything for so long, new work is refused too.
+constexpr base::duration refused_limit = std::chrono::milliseconds{600};
 
 /// The list of instances changes each heartbeat; this bounds how often it is
 /// read.
@@ -81,6 +80,12 @@
     soon();
 }
 
+bool cell_owner::takes_nothing() const
+{
+    return store_stuck() > (store_refuses() ? refused_limit
+                                            : m_parts.latency->stuck_limit());
+}
+
 void cell_owner::call(job_call const& it, job_answer_handler done)
 {
     if (m_releasing || m_lost)
@@ -123,7 +128,7 @@
         done({job_answer_kind::accepted, *phase, 0, {}});
         return;
     }
-    if (store_stuck() > stuck_limit)
+    if (takes_nothing())
     {
         log_refusal(it.job);
         done({job_answer_kind::refused, {}, 0, come_back_after});
@@ -150,7 +155,7 @@
 
 void cell_owner::cancel(job_call const& it, job_answer_handler done)
 {
-    if (store_stuck() > stuck_limit)
+    if (takes_nothing())
     {
         log_refusal(it.job);
         done({job_answer_kind::refused, {}, 0, come_back_after});
@@ -254,7 +259,7 @@
             auto const now = m_parts.clock->now();
             m_decisions.set_advice_machines(m_parts.advice->machines());
             m_decisions.tick(wall_ms(*m_parts.clock), now);
-            if (store_stuck() > stuck_limit)
+            if (takes_nothing())
             {
                 give_up_batch();
                 refuse_unsent();
--- a/libraries/cell/cell_owner.hpp
+++ b/libraries/cell/cell_owner.hpp
@@ -84,6 +84,10 @@
                                : base::duration{0};
     }
 
+    /// The store has taken nothing for longer than it takes when it is merely
+    /// slow: new work would only wait.
+    [[nodiscard]] bool takes_nothing() const;
+
     /// The store answers, and takes nothing from this process.
     [[nodiscard]] bool store_refuses() const noexcept
     {
--- a/libraries/cell/cell_owner_batch.cpp
+++ b/libraries/cell/cell_owner_batch.cpp
@@ -21,17 +21,15 @@
 /// urgent work has half a second to start.
 constexpr base::duration urgent_linger = std::chrono::milliseconds{10};
 
-/// A client is not held for more than this share of its time: whoever asks
-/// again may find the store back.
-constexpr int patience_share = 2;
-constexpr base::duration longest_wait = std::chrono::milliseconds{2'500};
+/// A client whose submission may be stored hears that the outcome is not known
+/// so long before its time is over: it has no use for that any sooner.
+constexpr base::duration answer_margin = std::chrono::milliseconds{100};
 
 } // namespace
 
 void cell_owner::wait_for_batch(job_call const& of, job_answer_handler done)
 {
-    auto const until = m_parts.clock->now() +
-                       std::min(of.patience / patience_share, longest_wait);
+    auto const until = m_parts.clock->now() + of.patience - answer_margin;
     auto const submitted =
         of.kind == job_call_kind::submit ? of.job : workload::job_id{};
     m_waiting.add({std::move(done), submitted, until});
--- a/libraries/cell/sure_append.cpp
+++ b/libraries/cell/sure_append.cpp
@@ -49,6 +49,12 @@
 /// Until a look at the log is given up.
 constexpr base::duration look_timeout = std::chrono::milliseconds{500};
 
+/// Above what a store that was quick until now takes for its first slow
+/// append, and below what clients wait.
+constexpr base::duration least_stuck_limit = std::chrono::milliseconds{900};
+constexpr base::duration most_stuck_limit = std::chrono::milliseconds{1'600};
+constexpr int stuck_factor = 3;
+
 /// An append that takes longer is named in the log: what waited for it is late.
 constexpr base::duration slow_append = std::chrono::milliseconds{200};
 
@@ -81,6 +87,12 @@
     return std::min(most_patience, doubled(first, tries));
 }
 
+base::duration store_latency::stuck_limit() const
+{
+    return std::clamp<base::duration>(stuck_factor * m_mean, least_stuck_limit,
+                                      most_stuck_limit);
+}
+
 sure_append::sure_append(boost::asio::io_context& loop,
                          base::clock const& clock,
                          keyed_log& log,
--- a/libraries/cell/sure_append.hpp
+++ b/libraries/cell/sure_append.hpp
@@ -24,6 +24,12 @@
     /// Until an append is sent again, after so many tries before.
     [[nodiscard]] base::duration patience(std::uint32_t tries) const;
 
+    /// How long an append may take until the store counts as stuck: what waits
+    /// for it is then refused, and so is all new work. A store that is merely
+    /// slow takes each append in about the same time, and refusing what waits
+    /// behind one would refuse nearly all.
+    [[nodiscard]] base::duration stuck_limit() const;
+
 private:
     base::duration m_mean{std::chrono::milliseconds{20}};
 };
--- a/tests/platform_adapter/cell_fixture.cpp
+++ b/tests/platform_adapter/cell_fixture.cpp
@@ -97,19 +97,43 @@
     return out ? out->response : network::http_response{};
 }
 
-unsigned cell_fixture::call(std::size_t process,
-                            network::http_method method,
-                            std::string const& path,
-                            std::string const& body)
+network::http_request cell_fixture::request(network::http_method method,
+                                            std::string const& path,
+                                            std::string const& body) const
 {
     std::vector<network::http_field> fields{{"Host", "h"}};
     if (!m_key.empty())
     {
         fields.push_back({"X-Key", m_key});
     }
+    return {method, path, std::move(fields), body, "application/json"};
+}
+
+void cell_fixture::submit_beside(std::size_t process,
+                                 std::uint64_t id,
+                                 std::optional<unsigned>& status)
+{
+    m_client.call(
+        local(m_first_port + process * ports_per_process),
+        request(network::http_method::post, job_path(id),
+                job_document(500, work.count())),
+        std::chrono::seconds{5},
+        [&status](network::call_result const& end)
+        {
+            status = end.end == network::call_end::answered
+                         ? end.response.status
+                         : 0U;
+        });
+}
+
+unsigned cell_fixture::call(std::size_t process,
+                            network::http_method method,
+                            std::string const& path,
+                            std::string const& body)
+{
     auto const end = ask(
         static_cast<std::uint16_t>(m_first_port + process * ports_per_process),
-        {method, path, std::move(fields), body, "application/json"});
+        request(method, path, body));
     m_last_body = end.body;
     return end.status;
 }
--- a/tests/platform_adapter/cell_fixture.hpp
+++ b/tests/platform_adapter/cell_fixture.hpp
@@ -30,7 +30,7 @@
     /// Runs the loop until `done`, for `limit` at most; whether it was done.
     template <class Done>
     bool run_until(Done done,
-                   std::chrono::seconds limit = std::chrono::seconds{30})
+                   std::chrono::milliseconds limit = std::chrono::seconds{30})
     {
         auto const end = std::chrono::steady_clock::now() + limit;
         while (!done() && std::chrono::steady_clock::now() < end)
@@ -75,6 +75,12 @@
     }
 
     unsigned submit(std::size_t process, std::uint64_t id);
+
+    /// Submits without waiting; `status` is set when the answer is there, to 0
+    /// where there is none.
+    void submit_beside(std::size_t process,
+                       std::uint64_t id,
+                       std::optional<unsigned>& status);
     [[nodiscard]] bool completed(std::size_t process, std::uint64_t id);
     [[nodiscard]] bool ready(std::size_t process);
 
@@ -96,6 +102,9 @@
 
 private:
     network::socket_address m_spare;
+    [[nodiscard]] network::http_request request(network::http_method method,
+                                                std::string const& path,
+                                                std::string const& body) const;
     [[nodiscard]] network::http_response ask(std::uint16_t port,
                                              network::http_request it);
 
--- a/tests/platform_adapter/stand_ins/store_stand_in.cpp
+++ b/tests/platform_adapter/stand_ins/store_stand_in.cpp
@@ -124,7 +124,7 @@
     auto const at = query_value(target, "at");
     if (!at.empty() && std::stoul(at) != log.size())
     {
-        answer(json_answer(412, {{"end", log.size()}}));
+        answer_append(answer, json_answer(412, {{"end", log.size()}}));
         return;
     }
     auto const first = log.size();
@@ -150,11 +150,34 @@
     }
     else
     {
-        answer(json_answer(200, {{"offset", first}, {"end", log.size()}}));
+        answer_append(answer, json_answer(200, {{"offset", first},
+                                                {"end", log.size()}}));
     }
     wake();
 }
 
+void store_stand_in::answer_append(network::responder const& answer,
+                                   network::http_response response)
+{
+    if (m_append_delay.count() == 0)
+    {
+        answer(std::move(response));
+        return;
+    }
+    m_late.push_back({answer, std::move(response),
+                      std::chrono::steady_clock::now() + m_append_delay});
+}
+
+void store_stand_in::answer_late()
+{
+    auto const now = std::chrono::steady_clock::now();
+    while (!m_late.empty() && now >= m_late.front().at)
+    {
+        m_late.front().answer(std::move(m_late.front().response));
+        m_late.pop_front();
+    }
+}
+
 void store_stand_in::newest(std::string const& topic,
                             network::responder const& answer)
 {
@@ -216,7 +239,8 @@
         {
             if (!ec)
             {
-                wake();
+                answer_late();
+            wake();
                 every_tick();
             }
         });
--- a/tests/platform_adapter/stand_ins/store_stand_in.hpp
+++ b/tests/platform_adapter/stand_ins/store_stand_in.hpp
@@ -39,6 +39,12 @@
         m_lost_share = it;
     }
 
+    /// Answers appends so much later.
+    void set_append_delay(std::chrono::milliseconds it)
+    {
+        m_append_delay = it;
+    }
+
     [[nodiscard]] std::size_t appends() const noexcept
     {
         return m_appends;
@@ -67,13 +73,25 @@
     void newest(std::string const& topic, network::responder const& answer);
     [[nodiscard]] network::http_response read(std::string const& topic,
                                               std::size_t from) const;
+    void answer_append(network::responder const& answer,
+                       network::http_response response);
     void wake();
+    void answer_late();
     void every_tick();
 
     boost::asio::steady_timer m_timer;
     network::http_server m_server;
     std::map<std::string, std::vector<entry>> m_topics;
     std::list<waiting_read> m_waiting;
+    struct late_answer
+    {
+        network::responder answer;
+        network::http_response response;
+        std::chrono::steady_clock::time_point at;
+    };
+
+    std::list<late_answer> m_late;
+    std::chrono::milliseconds m_append_delay{0};
     std::size_t m_appends{0};
     bool m_down{false};
     double m_lost_share{0};
--- a/tests/platform_adapter/whole_path_test.cpp
+++ b/tests/platform_adapter/whole_path_test.cpp
@@ -10,6 +10,8 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <array>
 #include <csignal>
 #include <filesystem>
 #include <ostream>
@@ -157,6 +159,29 @@
     BOOST_TEST(run_until([&] { return completed(2, 2); }));
 }
 
+/// Users are refused though the store takes all that is sent to it: it is
+/// slow, and who waits behind an append under way was refused for that.
+BOOST_AUTO_TEST_CASE(a_slow_store_takes_all_new_work)
+{
+    BOOST_REQUIRE(all_ready(*this));
+    store->set_append_delay(std::chrono::milliseconds{800});
+    std::array<std::optional<unsigned>, 6> ends;
+    for (std::size_t n = 0; n < ends.size(); ++n)
+    {
+        submit_beside(n % processes, n + 1, ends[n]);
+        run_until([] { return false; }, std::chrono::milliseconds{150});
+    }
+    BOOST_TEST(run_until(
+        [&] {
+            return std::ranges::all_of(
+                ends, [](auto const& it) { return it.has_value(); });
+        }));
+    for (auto const& it : ends)
+    {
+        BOOST_TEST((it == 200U));
+    }
+}
+
 /// Somebody's program is called again and again by the cell, and a user's job
 /// waits for it. Another writer has put entries among those of the instances:
 /// of an unknown service or state, with members missing, and no JSON at all.
