scheduler: Give steps their turn by how long such steps wait

Cause: turns and questions for advice went by latest starts alone. A gang asks twice or more before it starts, 1.3 s each, and then waits for room; on a cell whose machines' time for advice is all used it asked too late and paid for all others.

Now a step's turn, and when its question is needed, come earlier than its latest start by three times what steps of its queue lately waited, more for wider ones.

--- a/libraries/cell/call_router.cpp
+++ b/libraries/cell/call_router.cpp
@@ -102,10 +102,9 @@
     }
     it->asked_token = m_owner.owner().token;
     ++it->asked;
-    m_peers.call(
-        m_owner.owner().address, it->call, left,
-        [this, it, n = it->asked](peer_result<job_answer> const& end)
-        { returned(it, n, end); });
+    m_peers.call(m_owner.owner().address, it->call, left,
+                 [this, it, n = it->asked](peer_result<job_answer> const& end)
+                 { returned(it, n, end); });
     watch_owner(it, it->asked);
 }
 
--- a/libraries/cell/cell_owner.cpp
+++ b/libraries/cell/cell_owner.cpp
@@ -82,8 +82,8 @@
 
 bool cell_owner::takes_nothing() const
 {
-    return store_stuck() > (store_refuses() ? refused_limit
-                                            : m_parts.latency->stuck_limit());
+    return store_stuck() >
+           (store_refuses() ? refused_limit : m_parts.latency->stuck_limit());
 }
 
 void cell_owner::call(job_call const& it, job_answer_handler done)
--- a/libraries/cell/node.cpp
+++ b/libraries/cell/node.cpp
@@ -198,8 +198,6 @@
                       std::chrono::seconds{5};
     auto const& ways = m_settings.decisions;
     out.shares = static_cast<scheduler::share_rule>(ways.shares);
-    out.full_lead = base::from_seconds(ways.full_lead_s);
-    out.count_advice = ways.count_advice;
     return out;
 }
 
--- a/libraries/scheduler/job.cpp
+++ b/libraries/scheduler/job.cpp
@@ -75,19 +75,14 @@
     , accepted_at{now}
     , m_spec{std::move(spec)}
 {
-    set_work(estimates_of(m_spec.steps), base::duration{0});
+    set_work(estimates_of(m_spec.steps));
 }
 
-void job::set_work(std::vector<base::duration> const& it, base::duration asking)
+void job::set_work(std::vector<base::duration> const& it)
 {
     m_chains = chains_of(m_spec.steps, it);
-    auto with_questions = it;
-    for (auto& each : with_questions)
-    {
-        each += asking;
-    }
     m_longest = base::duration{0};
-    for (auto const chain : chains_of(m_spec.steps, with_questions))
+    for (auto const chain : m_chains)
     {
         m_longest = std::max(m_longest, chain);
     }
--- a/libraries/scheduler/job.hpp
+++ b/libraries/scheduler/job.hpp
@@ -100,6 +100,10 @@
     std::uint32_t gang_failures{0};
     std::uint32_t gang_failed_run{0};
     advice_state advice;
+    /// Since when it could start.
+    std::optional<base::instant> waits_since;
+    /// How long it waited has been counted.
+    bool wait_noted{false};
     /// Of a gang that waits: the instances it is planned on, when its slots
     /// there are expected to be free together, and whether they are kept free
     /// for it meanwhile.
@@ -186,24 +190,20 @@
         return m_chains[step];
     }
 
-    /// The longest chain of work, with a question for advice a step.
     [[nodiscard]] base::duration longest_chain() const noexcept
     {
         return m_longest;
     }
 
     /// Sets how long a task of each step is expected to work, in place of the
-    /// client's estimates, and how long a step's question for advice takes.
-    /// Precondition: one time a step.
-    void set_work(std::vector<base::duration> const& it, base::duration asking);
+    /// client's estimates. Precondition: one time a step.
+    void set_work(std::vector<base::duration> const& it);
 
     /// Forgets what only unfinished jobs need, and notes what may still run.
     void shed();
 
     /// Its client account is owed it; others wait for all that is owed.
     share_standing standing{share_standing::owed};
-    /// It is known that it can't be in time.
-    bool late{false};
     job_phase phase{job_phase::queued};
     /// What has been stored, and so what may be told.
     job_phase stored_phase{job_phase::queued};
--- a/libraries/scheduler/policy.hpp
+++ b/libraries/scheduler/policy.hpp
@@ -66,10 +66,6 @@
     /// long before this goes: a stop takes up to a second, and its end has to
     /// be read.
     base::duration leave_before{std::chrono::milliseconds{1'500}};
-    /// The lead of a queue whose jobs were all late over one whose jobs were
-    /// all in time; 0: queues have no lead.
-    base::duration full_lead{0};
-    bool count_advice{false};
     share_rule shares{share_rule::owed_rate};
     /// How long the state of a finished job can be asked for.
     base::duration status_kept{std::chrono::seconds{120}};
--- a/libraries/scheduler/scheduler.cpp
+++ b/libraries/scheduler/scheduler.cpp
@@ -18,17 +18,12 @@
            rules.lapse_margin + rules.former_owner_margin;
 }
 
-/// A job's objective grants each of its steps a question for advice that names
-/// so many instances.
-constexpr int named_in_objective = 30;
-
 } // namespace
 
 scheduler::scheduler(policy rules, decision_log& log, base::instant now)
     : m_rules{rules}
     , m_log{&log}
     , m_instances{former_lease_end(rules, now)}
-    , m_levels{rules.full_lead}
 {
 }
 
@@ -118,13 +113,7 @@
         times.push_back(m_run_times.work(
             of.spec().queue, std::chrono::milliseconds{it.estimate_ms}));
     }
-    auto const* const queue = queue_of(of);
-    auto const asking =
-        queue != nullptr && queue->advice
-            ? queue->advice->decision +
-                  named_in_objective * queue->advice->per_instance
-            : base::duration{0};
-    of.set_work(times, m_rules.count_advice ? asking : base::duration{0});
+    of.set_work(times);
 }
 
 bool scheduler::withdraw(workload::job_id it)
--- a/libraries/scheduler/scheduler.hpp
+++ b/libraries/scheduler/scheduler.hpp
@@ -10,8 +10,8 @@
 #include <scheduler/outcomes.hpp>
 #include <scheduler/placement.hpp>
 #include <scheduler/policy.hpp>
-#include <scheduler/queue_levels.hpp>
 #include <scheduler/run_times.hpp>
+#include <scheduler/start_waits.hpp>
 #include <workload/cell_configuration.hpp>
 
 #include <cstdint>
@@ -184,7 +184,7 @@
     struct turn
     {
         turn_tier tier{turn_tier::in_time};
-        /// The latest start that is in time, less the lead of its queue.
+        /// The latest start that is in time, less what has to be done before.
         base::instant turn_at;
         base::instant latest_start;
         workload::step_name name;
@@ -271,7 +271,11 @@
     // scheduler_decide.cpp
     [[nodiscard]] std::vector<turn> turns(base::instant now);
     [[nodiscard]] bool beyond_share(job const& of) const;
-    void note_late(job& of, base::instant now);
+    void note_ready(job const& of,
+                    workload::step_name const& name,
+                    step& in,
+                    base::instant now);
+    void note_wait(job const& of, step& in, base::instant now);
     void decide_step(turn const& it, base::instant now);
     void decide_gang(job& of,
                      turn const& it,
@@ -414,7 +418,7 @@
     base::instant m_next_leave_look{};
     advice_budget m_budget;
     run_times m_run_times;
-    queue_levels m_levels;
+    start_waits m_waits;
     /// Client accounts whose room is kept for a gang of theirs, in this round.
     std::set<std::string, std::less<>> m_accounts_kept;
     scheduler_counts m_counts;
--- a/libraries/scheduler/scheduler_advice.cpp
+++ b/libraries/scheduler/scheduler_advice.cpp
@@ -207,8 +207,7 @@
     out.expected = queue.advice->decision +
                    queue.advice->per_instance *
                        static_cast<std::int64_t>(out.instances.size());
-    out.needed_by =
-        std::min(at.latest_start, now + most_patience * out.expected);
+    out.needed_by = std::min(at.turn_at, now + most_patience * out.expected);
     known.open.push_back(out.instances);
     m_budget.asked(at.name, out.expected);
     m_orders.emplace_back(std::move(out));
--- a/libraries/scheduler/scheduler_decide.cpp
+++ b/libraries/scheduler/scheduler_decide.cpp
@@ -81,13 +81,16 @@
                           : beyond_share(*of)        ? turn_tier::beyond_share
                           : now > until.latest_start ? turn_tier::late
                                                      : turn_tier::in_time;
+        auto& in = *of->find(name);
+        note_ready(*of, name, in, now);
         if (now > until.latest_start)
         {
-            note_late(*of, now);
+            note_wait(*of, in, now);
         }
-        out.push_back({tier,
-                       until.latest_start - m_levels.lead(of->spec().queue),
-                       until.latest_start, name});
+        auto const lead =
+            m_waits.lead(of->spec().queue, of->spec_of(name).tasks);
+        out.push_back(
+            {tier, until.latest_start - lead, until.latest_start, name});
     }
     std::ranges::sort(out);
     return out;
@@ -108,12 +111,25 @@
     return false;
 }
 
-/// A job that can't be in time any more counts once.
-void scheduler::note_late(job& of, base::instant now)
+void scheduler::note_ready(job const& of,
+                           workload::step_name const& name,
+                           step& in,
+                           base::instant now)
 {
-    if (!std::exchange(of.late, true) && of.standing == share_standing::owed)
+    if (!in.waits_since)
     {
-        m_levels.note(of.spec().queue, false, now);
+        in.waits_since = now;
+        m_waits.ready(of.spec().queue, of.spec_of(name).tasks, now);
+    }
+}
+
+/// Each step counts once: when it starts, or can't be in time any more.
+void scheduler::note_wait(job const& of, step& in, base::instant now)
+{
+    if (in.waits_since && !std::exchange(in.wait_noted, true) &&
+        of.standing == share_standing::owed)
+    {
+        m_waits.waited(of.spec().queue, now - *in.waits_since, now);
     }
 }
 
@@ -280,6 +296,7 @@
     }
     if (!chosen.empty())
     {
+        note_wait(of, in, now);
         m_jobs.refresh_ready(of);
     }
 }
@@ -298,6 +315,7 @@
         keep_room(of, it, now);
         return;
     }
+    note_wait(of, in, now);
     in.reserved.clear();
     std::uint32_t run = 0;
     std::string checkpoint;
--- a/libraries/scheduler/scheduler_ends.cpp
+++ b/libraries/scheduler/scheduler_ends.cpp
@@ -217,11 +217,6 @@
     auto const id = of.spec().id;
     auto const took = now - of.accepted_at;
     m_finished = true;
-    if (phase != job_phase::cancelled && !of.late &&
-        of.standing == share_standing::owed)
-    {
-        m_levels.note(of.spec().queue, true, now);
-    }
     of.finished_ms = m_wall_ms;
     m_jobs.finish(of, phase, now);
     m_log->write(base::log_level::info, "job_finished",
--- a/libraries/settings/cell_schema.cpp
+++ b/libraries/settings/cell_schema.cpp
@@ -122,13 +122,6 @@
             choice<scheduler_shares>({{none, "none"},
                                       {owed_rate, "owed_rate"},
                                       {dominant_share, "dominant_share"}}));
-    constexpr double most_lead_s = 600;
-    it->add({"full_lead_s", "s",
-             "The lead of a queue that is served late over one that is not."},
-            &section::full_lead_s, number(0, most_lead_s));
-    it->add({"count_advice", "", "Objectives grant time for advice."},
-            &section::count_advice,
-            choice<bool>({{false, "no"}, {true, "yes"}}));
     return it;
 }
 
--- a/libraries/settings/cell_settings.hpp
+++ b/libraries/settings/cell_settings.hpp
@@ -77,10 +77,6 @@
 struct cell_decision_settings
 {
     scheduler_shares shares{scheduler_shares::owed_rate};
-    /// The lead of a queue whose jobs were all late over one whose jobs were
-    /// all in time.
-    double full_lead_s{0};
-    bool count_advice{false};
 
     friend bool operator==(cell_decision_settings const&,
                            cell_decision_settings const&) = default;
--- a/tests/platform_adapter/cell_fixture.cpp
+++ b/tests/platform_adapter/cell_fixture.cpp
@@ -113,17 +113,16 @@
                                  std::uint64_t id,
                                  std::optional<unsigned>& status)
 {
-    m_client.call(
-        local(m_first_port + process * ports_per_process),
-        request(network::http_method::post, job_path(id),
-                job_document(500, work.count())),
-        std::chrono::seconds{5},
-        [&status](network::call_result const& end)
-        {
-            status = end.end == network::call_end::answered
-                         ? end.response.status
-                         : 0U;
-        });
+    m_client.call(local(m_first_port + process * ports_per_process),
+                  request(network::http_method::post, job_path(id),
+                          job_document(500, work.count())),
+                  std::chrono::seconds{5},
+                  [&status](network::call_result const& end)
+                  {
+                      status = end.end == network::call_end::answered
+                                   ? end.response.status
+                                   : 0U;
+                  });
 }
 
 unsigned cell_fixture::call(std::size_t process,
--- a/tests/platform_adapter/stand_ins/store_stand_in.cpp
+++ b/tests/platform_adapter/stand_ins/store_stand_in.cpp
@@ -150,8 +150,8 @@
     }
     else
     {
-        answer_append(answer, json_answer(200, {{"offset", first},
-                                                {"end", log.size()}}));
+        answer_append(
+            answer, json_answer(200, {{"offset", first}, {"end", log.size()}}));
     }
     wake();
 }
@@ -240,7 +240,7 @@
             if (!ec)
             {
                 answer_late();
-            wake();
+                wake();
                 every_tick();
             }
         });
--- a/tests/platform_adapter/whole_path_test.cpp
+++ b/tests/platform_adapter/whole_path_test.cpp
@@ -172,9 +172,10 @@
         run_until([] { return false; }, std::chrono::milliseconds{150});
     }
     BOOST_TEST(run_until(
-        [&] {
-            return std::ranges::all_of(
-                ends, [](auto const& it) { return it.has_value(); });
+        [&]
+        {
+            return std::ranges::all_of(ends, [](auto const& it)
+                                       { return it.has_value(); });
         }));
     for (auto const& it : ends)
     {
--- a/utilities/cell_replay/replay.cpp
+++ b/utilities/cell_replay/replay.cpp
@@ -36,11 +36,13 @@
 
 } // namespace
 
-replay::replay(cell_load const& load, std::vector<drawn_job> const& jobs)
+replay::replay(cell_load const& load,
+               std::vector<drawn_job> const& jobs,
+               scheduler::policy rules)
     : m_load{load}
     , m_jobs{jobs}
     , m_start{m_time.now()}
-    , m_decisions{{}, m_log, m_start}
+    , m_decisions{rules, m_log, m_start}
 {
     workload::cell_configuration configuration;
     for (auto const& it : load.kinds)
--- a/utilities/cell_replay/replay.hpp
+++ b/utilities/cell_replay/replay.hpp
@@ -52,8 +52,10 @@
 class replay
 {
 public:
-    /// Both outlive it.
-    replay(cell_load const& load, std::vector<drawn_job> const& jobs);
+    /// Load and jobs outlive it.
+    replay(cell_load const& load,
+           std::vector<drawn_job> const& jobs,
+           scheduler::policy rules = {});
 
     [[nodiscard]] replay_figures run();
 
