scheduler, settings, cell, command: Keep the rate that an account is owed, and explain caps

Of the three ways to share a full cell two go, with the settings that chose between them.

New lines for a 401, a 403, a cap that holds work up and a job that is over it; explain reads them (three cases).

--- a/libraries/cell/cell_owner.cpp
+++ b/libraries/cell/cell_owner.cpp
@@ -96,6 +96,10 @@
     if (auto const of = m_decisions.account_of(it.job);
         of && !may_use(it.account, *of))
     {
+        m_parts.log->write(base::log_level::info, "call_forbidden",
+                           {{"job", text_of(it.job)},
+                            {"call", name_of(it.kind)},
+                            {"account", it.account}});
         done({job_answer_kind::forbidden, {}, 0, {}});
         return;
     }
--- a/libraries/cell/node.cpp
+++ b/libraries/cell/node.cpp
@@ -196,8 +196,6 @@
     out.lease = std::min<base::duration>(out.lease, longest - lease_margin);
     out.status_kept = base::from_seconds(m_settings.bounds.status_kept_s) +
                       std::chrono::seconds{5};
-    auto const& ways = m_settings.decisions;
-    out.shares = static_cast<scheduler::share_rule>(ways.shares);
     return out;
 }
 
--- a/libraries/cell/node_answers.cpp
+++ b/libraries/cell/node_answers.cpp
@@ -21,6 +21,13 @@
 /// By then the other processes watch a new owner.
 constexpr base::duration peers_found = std::chrono::seconds{1};
 
+/// What a path names last: a job, where it names one.
+std::string_view last_segment(std::string_view target)
+{
+    auto const path = target.substr(0, target.find('?'));
+    return path.substr(path.rfind('/') + 1);
+}
+
 } // namespace
 
 /// The processes that live now. Those that watched the former owner take some
@@ -127,7 +134,7 @@
     }
     m_metrics.denied(it.response.status);
     base::log(base::log_level::info, "request_denied",
-              {{"target", target},
+              {{"job", last_segment(target)},
                {"status", it.response.status},
                {"key_digest", it.key_digest},
                {"version", m_configuration.version},
--- a/libraries/command/time_line.cpp
+++ b/libraries/command/time_line.cpp
@@ -20,6 +20,10 @@
 constexpr std::array job_events{
     event_text{"job_taken", "the owner took the job; it counts once stored"},
     event_text{"job_refused", "the owner refused it: it does not run"},
+    event_text{"job_over_cap", "it needs more than its account may run"},
+    event_text{"call_forbidden", "the caller's account is not the job's"},
+    event_text{"request_denied", "the configuration allows no such request"},
+    event_text{"account_at_cap", "its account runs as much as it may"},
     event_text{"call_failed", "a client was turned away or not told"},
     event_text{"advice_read", "the advice service answered for a step"},
     event_text{"task_placed", "a task was given an instance"},
@@ -140,10 +144,27 @@
         return "It was refused, since the store had taken nothing for " +
                refused->value_of("stuck_s") + " s; it did not run.";
     }
+    if (auto const* const capped = last_of("job_over_cap"); capped != nullptr)
+    {
+        return "It was refused: it needs more than account " +
+               capped->value_of("account") + " may have running.";
+    }
+    if (auto const* const denied = last_of("request_denied");
+        denied != nullptr && last_of("job_taken") == nullptr)
+    {
+        return "It was answered " + denied->value_of("status") +
+               " by version " + denied->value_of("version") +
+               " of the configuration.";
+    }
     if (last_of("task_placed") != nullptr)
     {
         return "It has begun and not ended.";
     }
+    if (auto const* const waits = last_of("account_at_cap"); waits != nullptr)
+    {
+        return "It waits: account " + waits->value_of("account") +
+               " has as much running as it may.";
+    }
     if (last_of("advice_read") != nullptr)
     {
         return "It waits: no instance with leave has had room for it.";
--- a/libraries/scheduler/account_shares.cpp
+++ b/libraries/scheduler/account_shares.cpp
@@ -14,12 +14,6 @@
 /// Also the smallest account may hand so many in at once: jobs come by chance.
 constexpr double least_burst = 4;
 
-double share_of(std::int64_t used, std::int64_t all)
-{
-    return all <= 0 ? 0.0
-                    : static_cast<double>(used) / static_cast<double>(all);
-}
-
 double most_tokens(double weight)
 {
     return std::max(least_burst, burst_s * weight);
@@ -32,7 +26,6 @@
     for (auto const& account : it)
     {
         auto const [at, added] = m_buckets.try_emplace(account.name);
-        m_weights += account.weight - at->second.weight;
         at->second.weight = account.weight;
         if (added)
         {
@@ -41,22 +34,6 @@
     }
 }
 
-bool account_shares::above(std::string_view account,
-                           account_ledger const& running) const
-{
-    auto const at = m_buckets.find(account);
-    if (at == m_buckets.end() || at->second.weight <= 0 || m_weights <= 0)
-    {
-        return false;
-    }
-    auto const used = running.used(account);
-    auto const dominant =
-        std::max({share_of(used.cpu_millis, m_capacity.cpu_millis),
-                  share_of(used.memory_mb, m_capacity.memory_mb),
-                  share_of(used.gpus, m_capacity.gpus)});
-    return dominant > at->second.weight / m_weights;
-}
-
 bool account_shares::take(std::string_view account, base::instant now)
 {
     auto const at = m_buckets.find(account);
--- a/libraries/scheduler/account_shares.hpp
+++ b/libraries/scheduler/account_shares.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <base/time.hpp>
-#include <scheduler/account_ledger.hpp>
 #include <workload/account_spec.hpp>
 
 #include <functional>
@@ -30,17 +29,6 @@
     /// it. One without a weight is owed all.
     [[nodiscard]] bool take(std::string_view account, base::instant now);
 
-    /// How much all instances hold together.
-    void set_capacity(workload::resources const& it)
-    {
-        m_capacity = it;
-    }
-
-    /// The account has a larger share of the cell's most used resource than
-    /// its weight is of all weights.
-    [[nodiscard]] bool above(std::string_view account,
-                             account_ledger const& running) const;
-
 private:
     struct bucket
     {
@@ -49,8 +37,6 @@
         base::instant filled_at{};
     };
 
-    workload::resources m_capacity;
-    double m_weights{0};
     std::map<std::string, bucket, std::less<>> m_buckets;
 };
 
--- a/libraries/scheduler/policy.hpp
+++ b/libraries/scheduler/policy.hpp
@@ -7,17 +7,6 @@
 namespace berylhill::scheduler
 {
 
-/// How client accounts share a cell that is full.
-enum class share_rule : std::uint8_t
-{
-    /// Not at all: by deadlines alone.
-    none,
-    /// What an account hands in beyond its weight, in jobs a second, waits.
-    owed_rate,
-    /// An account that has more running than its weight's share waits.
-    dominant_share,
-};
-
 /// Times and limits of the decisions. A value; the bounds come from the
 /// settings, the others have their reason here.
 struct policy
@@ -66,7 +55,6 @@
     /// long before this goes: a stop takes up to a second, and its end has to
     /// be read.
     base::duration leave_before{std::chrono::milliseconds{1'500}};
-    share_rule shares{share_rule::owed_rate};
     /// How long the state of a finished job can be asked for.
     base::duration status_kept{std::chrono::seconds{120}};
 
--- a/libraries/scheduler/scheduler.hpp
+++ b/libraries/scheduler/scheduler.hpp
@@ -270,7 +270,6 @@
 
     // scheduler_decide.cpp
     [[nodiscard]] std::vector<turn> turns(base::instant now);
-    [[nodiscard]] bool beyond_share(job const& of) const;
     void note_ready(job const& of,
                     workload::step_name const& name,
                     step& in,
@@ -282,6 +281,7 @@
                      std::vector<candidate> const& from,
                      base::instant now);
     [[nodiscard]] std::uint32_t account_room(job& of, turn const& it);
+    void report_at_cap(job const& of, turn const& it, base::instant now);
     void decide_tasks(job& of,
                       turn const& it,
                       std::uint32_t most,
@@ -421,6 +421,8 @@
     start_waits m_waits;
     /// Client accounts whose room is kept for a gang of theirs, in this round.
     std::set<std::string, std::less<>> m_accounts_kept;
+    /// By account: when it may next be said that it is at its cap.
+    std::map<std::string, base::instant> m_cap_reports;
     scheduler_counts m_counts;
 };
 
--- a/libraries/scheduler/scheduler_decide.cpp
+++ b/libraries/scheduler/scheduler_decide.cpp
@@ -14,6 +14,9 @@
 /// before the gang's room has come together.
 constexpr auto short_task = std::chrono::milliseconds{1'000};
 
+/// Between two lines that say that an account is at its cap.
+constexpr base::duration cap_report_pause = std::chrono::seconds{1};
+
 /// How many instances a round looks at, at most: each takes some 50 ns, and
 /// callers wait for the round to end, whose answers need milliseconds. Answers
 /// hundreds of gangs that wait at once after a burst, each of which may use
@@ -36,15 +39,6 @@
         m_kept_free = 0;
         m_late_reserving = false;
         m_accounts_kept.clear();
-        if (m_rules.shares == share_rule::dominant_share)
-        {
-            workload::resources all;
-            for (auto const& [id, at] : m_instances.all())
-            {
-                all += at->info().capacity;
-            }
-            m_shares.set_capacity(all);
-        }
     }
     auto const all = turns(now);
     auto it =
@@ -77,8 +71,9 @@
             continue;
         }
         auto const until = timing_of(*of, name, *queue);
-        auto const tier = now > until.last_start     ? turn_tier::worthless
-                          : beyond_share(*of)        ? turn_tier::beyond_share
+        auto const tier = now > until.last_start ? turn_tier::worthless
+                          : of->standing == share_standing::beyond
+                              ? turn_tier::beyond_share
                           : now > until.latest_start ? turn_tier::late
                                                      : turn_tier::in_time;
         auto& in = *of->find(name);
@@ -96,21 +91,6 @@
     return out;
 }
 
-/// Its client account has handed in, or has running, more than it is owed.
-bool scheduler::beyond_share(job const& of) const
-{
-    switch (m_rules.shares)
-    {
-    case share_rule::none:
-        return false;
-    case share_rule::owed_rate:
-        return of.standing == share_standing::beyond;
-    case share_rule::dominant_share:
-        return m_shares.above(of.spec().account, m_instances.accounts());
-    }
-    return false;
-}
-
 void scheduler::note_ready(job const& of,
                            workload::step_name const& name,
                            step& in,
@@ -145,6 +125,7 @@
     auto const account = account_room(of, it);
     if (account == 0)
     {
+        report_at_cap(of, it, now);
         return;
     }
     auto const from = candidates(of, it.name, queue, now);
@@ -274,6 +255,30 @@
     return n;
 }
 
+/// What an account's work waits for, so that it can be explained.
+void scheduler::report_at_cap(job const& of, turn const& it, base::instant now)
+{
+    auto const& account = of.spec().account;
+    auto& next = m_cap_reports[account];
+    if (now < next)
+    {
+        return;
+    }
+    next = now + cap_report_pause;
+    auto const& accounts = m_instances.accounts();
+    auto const cap = accounts.cap(account);
+    auto const used = accounts.used(account);
+    m_log->write(base::log_level::info, "account_at_cap",
+                 {{"step", text_of(it.name)},
+                  {"account", account},
+                  {"cpu_millis", used.cpu_millis},
+                  {"cpu_millis_cap", cap.cpu_millis},
+                  {"memory_mb", used.memory_mb},
+                  {"memory_mb_cap", cap.memory_mb},
+                  {"gpus", used.gpus},
+                  {"gpus_cap", cap.gpus}});
+}
+
 void scheduler::decide_tasks(job& of,
                              turn const& it,
                              std::uint32_t most,
--- a/libraries/settings/cell_schema.cpp
+++ b/libraries/settings/cell_schema.cpp
@@ -112,19 +112,6 @@
     return it;
 }
 
-kind_pointer<cell_decision_settings> decisions_kind()
-{
-    using section = cell_decision_settings;
-    using enum scheduler_shares;
-    auto it = std::make_shared<schema<section>>();
-    it->add({"shares", "", "How client accounts share a full cell."},
-            &section::shares,
-            choice<scheduler_shares>({{none, "none"},
-                                      {owed_rate, "owed_rate"},
-                                      {dominant_share, "dominant_share"}}));
-    return it;
-}
-
 kind_pointer<cell_settings> make_schema()
 {
     using enum base::log_level;
@@ -142,8 +129,6 @@
             &section::bounds, bounds_kind());
     it->add({"limits", "", "What the machine gives."}, &section::limits,
             limits_kind());
-    it->add({"decisions", "", "Ways of deciding."}, &section::decisions,
-            decisions_kind());
     it->add({"log_level", "", "The least level that is written."},
             &section::log_level,
             choice<base::log_level>({{debug, "debug"},
--- a/libraries/settings/cell_settings.hpp
+++ b/libraries/settings/cell_settings.hpp
@@ -8,14 +8,6 @@
 namespace berylhill::settings
 {
 
-/// How client accounts share a cell that is full.
-enum class scheduler_shares : std::uint8_t
-{
-    none,
-    owed_rate,
-    dominant_share,
-};
-
 /// Where a process of the cell accepts connections, `IP:port`.
 struct cell_listen_settings
 {
@@ -73,15 +65,6 @@
                            cell_limit_settings const&) = default;
 };
 
-/// Ways of deciding that an operator chooses between.
-struct cell_decision_settings
-{
-    scheduler_shares shares{scheduler_shares::owed_rate};
-
-    friend bool operator==(cell_decision_settings const&,
-                           cell_decision_settings const&) = default;
-};
-
 /// What one process of a cell is told by its settings file. A value.
 struct cell_settings
 {
@@ -91,7 +74,6 @@
     cell_platform_settings platform;
     cell_bound_settings bounds;
     cell_limit_settings limits;
-    cell_decision_settings decisions;
     base::log_level log_level{base::log_level::info};
 
     friend bool operator==(cell_settings const&,
--- a/tests/command/explain_test.cpp
+++ b/tests/command/explain_test.cpp
@@ -43,6 +43,20 @@
               std::string{"job_refused job="} + job +
                   " why=store_stuck stuck_s=0.9"),
      "refused, since the store had taken nothing for 0.9 s"},
+    {"more than its account may have",
+     line(1, std::string{"job_over_cap job="} + job + " account=team"),
+     "needs more than account team may have running"},
+    {"waits for its account's cap",
+     line(1, std::string{"job_taken job="} + job + " account=team") +
+         line(2,
+              std::string{"account_at_cap step="} + job +
+                  ".0.0 account=team cpu_millis=9 cpu_millis_cap=9"),
+     "account team has as much running as it may"},
+    {"a key that nobody has",
+     line(1,
+          std::string{"request_denied job="} + job +
+              " status=401 key_digest=7 version=5 age_s=0.1"),
+     "answered 401 by version 5"},
     {"failed after a takeover",
      line(1, std::string{"job_taken job="} + job) +
          line(2, "claim_won token=9 records=4") +
