scheduler, command, docs: Say of a lost attempt whether it began, for how long it ran, what ran beside it

Another life at the address is instance_crashed now (instance_left where the instance had said so), and attempt_lost gives what tells a task that crashes its instances from those beside it. A gauge counts lost attempts. No decision changes: whatever is lost waits again, as before. A change of an instance's capacity is a line.

--- a/libraries/cell/node_metrics.cpp
+++ b/libraries/cell/node_metrics.cpp
@@ -56,6 +56,9 @@
         static_cast<double>(counts.ends_failed));
     set("berylhill_cell_ends_other", "Attempts that were stopped or lapsed.",
         static_cast<double>(counts.ends_other));
+    set("berylhill_cell_ends_lost",
+        "Attempts whose instance was lost or gave no answer.",
+        static_cast<double>(counts.ends_lost));
     set("berylhill_cell_preempted", "Attempts stopped for more urgent work.",
         static_cast<double>(counts.preempted));
     set("berylhill_cell_jobs", "Jobs known, finished ones included.",
--- a/libraries/command/time_line.cpp
+++ b/libraries/command/time_line.cpp
@@ -29,6 +29,7 @@
     event_text{"task_placed", "a task was given an instance"},
     event_text{"start_refused", "the instance did not start the task"},
     event_text{"attempt_ended", "a start of a task ended"},
+    event_text{"attempt_lost", "its instance was lost or gave no answer"},
     event_text{"attempt_not_there", "a start was not found where it was sent"},
     event_text{"attempt_preempted", "a task was stopped for more urgent work"},
     event_text{"stray_attempt", "a task ran that should not, and is stopped"},
--- a/libraries/scheduler/instance.hpp
+++ b/libraries/scheduler/instance.hpp
@@ -5,6 +5,7 @@
 #include <scheduler/policy.hpp>
 #include <workload/resources.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -73,6 +74,16 @@
     int percent{0};
     /// When `percent` last rose.
     base::instant progressed_at{};
+    /// When its instance last said that it runs.
+    base::instant seen_at{};
+
+    /// For how long it is known to have run.
+    [[nodiscard]] base::duration seen_work() const noexcept
+    {
+        return state == attempt_state::running
+                   ? std::max(base::duration{0}, seen_at - began_at)
+                   : base::duration{0};
+    }
 };
 
 /// What the owner knows of one instance, and the only count of its room.
--- a/libraries/scheduler/orders.hpp
+++ b/libraries/scheduler/orders.hpp
@@ -109,6 +109,11 @@
     broken,
     /// The other members of the gang did not come.
     alone,
+    /// Another life answers at the address of its instance, which had not said
+    /// that it leaves. No instance reports this or the next.
+    instance_crashed,
+    /// The same, of an instance that had said that it leaves.
+    instance_left,
 };
 
 /// An attempt that runs on an instance. A value.
--- a/libraries/scheduler/outcomes.hpp
+++ b/libraries/scheduler/outcomes.hpp
@@ -35,6 +35,8 @@
     std::uint64_t ends_done{0};
     std::uint64_t ends_failed{0};
     std::uint64_t ends_other{0};
+    /// Attempts of which no instance said how they ended.
+    std::uint64_t ends_lost{0};
     std::uint64_t preempted{0};
     std::uint64_t evacuated{0};
 
--- a/libraries/scheduler/scheduler.cpp
+++ b/libraries/scheduler/scheduler.cpp
@@ -178,6 +178,18 @@
                       {"zone", it.zone},
                       {"draining", it.draining ? 1 : 0}});
     }
+    else if (known->info().capacity != it.capacity)
+    {
+        auto const& before = known->info().capacity;
+        m_log->write(base::log_level::info, "instance_capacity",
+                     {{"id", it.id},
+                      {"cpu_millis", it.capacity.cpu_millis},
+                      {"cpu_millis_before", before.cpu_millis},
+                      {"memory_mb", it.capacity.memory_mb},
+                      {"memory_mb_before", before.memory_mb},
+                      {"gpus", it.capacity.gpus},
+                      {"gpus_before", before.gpus}});
+    }
     // Two lives may be listed at one address, the one before still for
     // seconds, in any order; which of them lives only an answer tells.
     m_instances.list(std::move(it), now);
@@ -207,9 +219,11 @@
     m_log->write(
         base::log_level::info, "instance_gone",
         {{"id", id}, {"attempts", std::uint64_t{it->attempts().size()}}});
+    auto const reason = it->info().draining ? end_reason::instance_left
+                                            : end_reason::instance_crashed;
     it->unlist();
     it->set_unreachable();
-    void_attempts(*it, now);
+    void_attempts(*it, reason, now);
     for (auto& [name, planned] : it->attempts())
     {
         // Given up when its batch is stored, before anything leaves.
--- a/libraries/scheduler/scheduler.hpp
+++ b/libraries/scheduler/scheduler.hpp
@@ -234,7 +234,11 @@
                    attempt_name const& name,
                    attempt& it,
                    base::instant now);
-    void void_attempts(instance& at, base::instant now);
+    void void_attempts(instance& at, end_reason reason, base::instant now);
+    void report_lost(instance const& at,
+                     attempt_name const& name,
+                     attempt const& it,
+                     end_reason reason) const;
     void note_health(instance& at, end_reason reason, base::instant now);
     void read_running(instance& at, hold_report const& it);
     void read_ended(instance& at, hold_report const& it);
--- a/libraries/scheduler/scheduler_ends.cpp
+++ b/libraries/scheduler/scheduler_ends.cpp
@@ -25,10 +25,22 @@
         return "broken";
     case end_reason::alone:
         return "alone";
+    case end_reason::instance_crashed:
+        return "instance_crashed";
+    case end_reason::instance_left:
+        return "instance_left";
     }
     return "unknown";
 }
 
+/// The instance has not said how the attempt ended.
+bool lost(end_reason it)
+{
+    return it == end_reason::lease_lapsed ||
+           it == end_reason::instance_crashed ||
+           it == end_reason::instance_left;
+}
+
 } // namespace
 
 /// One task of a step is enough: its others have the same estimate, and those
@@ -58,6 +70,11 @@
     auto const was = known != nullptr ? std::optional{*known} : std::nullopt;
     auto const saved =
         checkpoint.empty() && known != nullptr ? known->checkpoint : checkpoint;
+    if (was && lost(reason))
+    {
+        ++m_counts.ends_lost;
+        report_lost(at, name, *was, reason);
+    }
     at.remove(name);
     auto* const of = m_jobs.find(name.task.of.job);
     auto* const in = of == nullptr ? nullptr : of->find(name.task.of);
@@ -120,6 +137,23 @@
     after_change(*of, now);
 }
 
+/// What tells a task that crashes its instances from one that was beside it,
+/// and either from an order that was never carried out.
+void scheduler::report_lost(instance const& at,
+                            attempt_name const& name,
+                            attempt const& it,
+                            end_reason reason) const
+{
+    m_log->write(base::log_level::info, "attempt_lost",
+                 {{"task", text_of(name.task)},
+                  {"run", name.run},
+                  {"instance", at.info().id},
+                  {"reason", text_of(reason)},
+                  {"began", it.state == attempt_state::running ? 1 : 0},
+                  {"worked_s", base::seconds_of(it.seen_work())},
+                  {"beside", std::uint64_t{at.attempts().size() - 1}}});
+}
+
 void scheduler::task_done(job&, step& in, task& it)
 {
     it.phase = task_phase::done;
@@ -260,7 +294,9 @@
 
 /// Nothing that was sent to the instance runs any more, or can still begin.
 /// What has not been sent carries a lease of its own when it is.
-void scheduler::void_attempts(instance& at, base::instant now)
+void scheduler::void_attempts(instance& at,
+                              end_reason reason,
+                              base::instant now)
 {
     std::vector<attempt_name> names;
     for (auto const& [name, it] : at.attempts())
@@ -272,7 +308,7 @@
     }
     for (auto const& name : names)
     {
-        attempt_ended(at, name, end_reason::lease_lapsed, {}, now);
+        attempt_ended(at, name, reason, {}, now);
     }
 }
 
--- a/libraries/scheduler/scheduler_orders.cpp
+++ b/libraries/scheduler/scheduler_orders.cpp
@@ -195,7 +195,7 @@
             m_log->write(base::log_level::warning, "leases_lapsed",
                          {{"instance", id},
                           {"attempts", std::uint64_t{at->attempts().size()}}});
-            void_attempts(*at, now);
+            void_attempts(*at, end_reason::lease_lapsed, now);
         }
         retry(*at, now);
     }
--- a/libraries/scheduler/scheduler_reports.cpp
+++ b/libraries/scheduler/scheduler_reports.cpp
@@ -73,6 +73,7 @@
             }
             note_begun(row.attempt.task.of.job);
         }
+        known->seen_at = it.read_at;
         if (row.percent > known->percent)
         {
             known->percent = row.percent;
