scheduler: Give up a task under which instance after instance is lost

Cause: only an end that an instance reports as failed counted against a task. One whose instance was lost went back to waiting like a task that had been beside it; no count, so no bound, within one owner's life as well as across owners. Class: retries without a bound, for an outcome that is put down to the environment although the task itself may cause it.

Now each task counts the instances lost under it (loss_count, stored with it, so a new owner goes on). It is given up, and its job failed, after three that surely crashed within 0.5 s of its start, or five lost in whatever way: orders that got no answer, a crash later on, an instance that never came back. So no such task has more than five starts, and a harmless one is not failed for a rolling crash: an instance that had said that it leaves counts nothing, nor an order that met another life, and 5 s at work clear the count, for tasks that last too. Tasks lost together were placed together again, best fit first, and would have shared the count of the one that is to blame: a step under which instances were lost now goes where no other job's such task is, and where most is free.

--- a/libraries/cell/node_metrics.cpp
+++ b/libraries/cell/node_metrics.cpp
@@ -59,6 +59,9 @@
     set("berylhill_cell_ends_lost",
         "Attempts whose instance was lost or gave no answer.",
         static_cast<double>(counts.ends_lost));
+    set("berylhill_cell_tasks_given_up",
+        "Tasks not started again: instances were lost under them.",
+        static_cast<double>(counts.tasks_given_up));
     set("berylhill_cell_preempted", "Attempts stopped for more urgent work.",
         static_cast<double>(counts.preempted));
     set("berylhill_cell_jobs", "Jobs known, finished ones included.",
--- a/libraries/command/time_line.cpp
+++ b/libraries/command/time_line.cpp
@@ -30,6 +30,7 @@
     event_text{"start_refused", "the instance did not start the task"},
     event_text{"attempt_ended", "a start of a task ended"},
     event_text{"attempt_lost", "its instance was lost or gave no answer"},
+    event_text{"task_given_up", "instance after instance was lost under it"},
     event_text{"attempt_not_there", "a start was not found where it was sent"},
     event_text{"attempt_preempted", "a task was stopped for more urgent work"},
     event_text{"stray_attempt", "a task ran that should not, and is stopped"},
@@ -132,6 +133,13 @@
         auto out = "It is " + phase + ", " + end->value_of("took_s") +
                    " s after it was accepted";
         auto const* const failed = last_of("attempt_ended");
+        if (auto const* const lost = last_of("task_given_up"); lost != nullptr)
+        {
+            return out + ": " + lost->value_of("instances_lost") +
+                   " instances were lost under " + lost->value_of("task") +
+                   ", " + lost->value_of("at_its_start") +
+                   " of them crashed as they started it.";
+        }
         if (phase == "failed" && failed != nullptr)
         {
             out += ": the last start that ended so was " +
--- a/libraries/scheduler/instance.cpp
+++ b/libraries/scheduler/instance.cpp
@@ -135,6 +135,13 @@
         { return it.second.state != attempt_state::planned; });
 }
 
+std::uint32_t instance::suspects_beside(workload::job_id it) const
+{
+    return static_cast<std::uint32_t>(std::ranges::count_if(
+        m_attempts, [it](auto const& each)
+        { return each.second.suspect && each.first.task.of.job != it; }));
+}
+
 bool instance::has_label(std::string const& label) const
 {
     return std::ranges::find(m_info.labels, label) != m_info.labels.end();
--- a/libraries/scheduler/instance.hpp
+++ b/libraries/scheduler/instance.hpp
@@ -63,6 +63,8 @@
     bool stop_wanted{false};
     /// An order without an answer may be carried out later.
     bool unanswered{false};
+    /// Instances were lost under its task before.
+    bool suspect{false};
     std::uint32_t tries{0};
     /// When the next order is sent, while one is needed.
     std::optional<base::instant> next_try;
@@ -217,6 +219,9 @@
         m_seen_end = std::max(m_seen_end, n);
     }
 
+    /// Attempts of other jobs under whose tasks instances were lost before.
+    [[nodiscard]] std::uint32_t suspects_beside(workload::job_id it) const;
+
     [[nodiscard]] bool has_label(std::string const& label) const;
 
     /// The label that names its rack; empty where it has none.
--- a/libraries/scheduler/job.hpp
+++ b/libraries/scheduler/job.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <base/time.hpp>
+#include <scheduler/loss_count.hpp>
 #include <scheduler/orders.hpp>
 #include <workload/job_spec.hpp>
 
@@ -60,6 +61,7 @@
     std::string checkpoint;
     /// Where the last start was placed.
     std::string instance;
+    loss_count lost;
 
     friend bool operator==(task const&, task const&) = default;
 };
--- a/libraries/scheduler/orders.hpp
+++ b/libraries/scheduler/orders.hpp
@@ -110,10 +110,12 @@
     /// The other members of the gang did not come.
     alone,
     /// Another life answers at the address of its instance, which had not said
-    /// that it leaves. No instance reports this or the next.
+    /// that it leaves. No instance reports this or the next two.
     instance_crashed,
     /// The same, of an instance that had said that it leaves.
     instance_left,
+    /// Its instance gave no answer until its lease had lapsed.
+    instance_silent,
 };
 
 /// An attempt that runs on an instance. A value.
--- a/libraries/scheduler/outcomes.hpp
+++ b/libraries/scheduler/outcomes.hpp
@@ -37,6 +37,9 @@
     std::uint64_t ends_other{0};
     /// Attempts of which no instance said how they ended.
     std::uint64_t ends_lost{0};
+    /// Tasks that are not started again, since instance after instance was
+    /// lost under them.
+    std::uint64_t tasks_given_up{0};
     std::uint64_t preempted{0};
     std::uint64_t evacuated{0};
 
--- a/libraries/scheduler/placement.cpp
+++ b/libraries/scheduler/placement.cpp
@@ -25,12 +25,26 @@
            share(left.memory_mb, it.capacity.memory_mb);
 }
 
-/// Tasks that fill get what others leave, so they go where most is left.
-double filler_score(candidate const& it)
+/// For tasks that go where most is left: those that fill get what others
+/// leave, and suspects harm fewest there.
+double roomiest_score(candidate const& it)
 {
     return -share(it.room.cpu_millis, it.capacity.cpu_millis);
 }
 
+double score_of(workload::step_spec const& step, candidate const& it, fit by)
+{
+    // More than any difference in fit; the second more than the first, since
+    // elsewhere a task takes several times as long.
+    constexpr double beside_penalty = 5;
+    constexpr double far_penalty = 10;
+    auto const far = !step.near_rack.empty() && it.rack != step.near_rack;
+    auto const roomiest = step.fills || by == fit::apart;
+    return (roomiest ? roomiest_score(it) : left_over(it, step.need)) +
+           (it.suspects_here > 0 ? beside_penalty : 0) +
+           (far ? far_penalty : 0);
+}
+
 bool has_place(workload::step_spec const& step, candidate const& it)
 {
     return workload::fits(step.counted_need(), it.room) &&
@@ -39,7 +53,8 @@
 }
 
 std::optional<std::size_t> best_of(workload::step_spec const& step,
-                                   std::vector<candidate> const& from)
+                                   std::vector<candidate> const& from,
+                                   fit by)
 {
     std::optional<std::size_t> best;
     auto best_score = std::numeric_limits<double>::max();
@@ -50,13 +65,7 @@
         {
             continue;
         }
-        // More than any difference in fit: elsewhere a task takes several
-        // times as long.
-        constexpr double far_penalty = 10;
-        auto const far = !step.near_rack.empty() && it.rack != step.near_rack;
-        auto const score =
-            (step.fills ? filler_score(it) : left_over(it, step.need)) +
-            (far ? far_penalty : 0);
+        auto const score = score_of(step, it, by);
         if (score < best_score)
         {
             best_score = score;
@@ -115,12 +124,13 @@
 
 std::vector<std::size_t> choose_for_tasks(workload::step_spec const& step,
                                           std::uint32_t count,
-                                          std::vector<candidate> from)
+                                          std::vector<candidate> from,
+                                          fit by)
 {
     std::vector<std::size_t> out;
     while (out.size() < count)
     {
-        auto const best = best_of(step, from);
+        auto const best = best_of(step, from, by);
         if (!best)
         {
             break;
@@ -134,7 +144,8 @@
 
 std::vector<std::size_t> choose_for_gang(workload::step_spec const& step,
                                          std::vector<candidate> const& from,
-                                         bool may_spread)
+                                         bool may_spread,
+                                         fit by)
 {
     auto const rack = step.same_rack ? best_rack(step, from) : std::nullopt;
     if (step.same_rack && !rack && !may_spread)
@@ -152,7 +163,7 @@
             }
         }
     }
-    auto out = choose_for_tasks(step, step.tasks, std::move(usable));
+    auto out = choose_for_tasks(step, step.tasks, std::move(usable), by);
     if (out.size() < step.tasks)
     {
         out.clear();
--- a/libraries/scheduler/placement.hpp
+++ b/libraries/scheduler/placement.hpp
@@ -21,18 +21,33 @@
     workload::resources capacity;
     /// Tasks of the step that are there already.
     std::uint32_t tasks_here{0};
+    /// Tasks of other jobs there under which instances were lost before.
+    /// Looked up for a step that has such tasks itself.
+    std::uint32_t suspects_here{0};
 
     friend bool operator==(candidate const&, candidate const&) = default;
 };
 
-/// Chooses instances for up to `count` tasks of a step, best fit first: the
-/// instance that is left with least room takes the task, so that room for
-/// large tasks stays in one piece. Near the step's data before elsewhere.
-/// Returns an index of `from` for each task that has a place.
+/// What an instance is chosen by.
+enum class fit : std::uint8_t
+{
+    /// The one that is left with least room takes the task, so that room for
+    /// large tasks stays in one piece.
+    tight,
+    /// Instances were lost under a task of the step: apart from such tasks of
+    /// other jobs, or those that were lost together would be so again and one
+    /// be taken for the other; then where it harms fewest.
+    apart,
+};
+
+/// Chooses instances for up to `count` tasks of a step, best fit first. Near
+/// the step's data before elsewhere. Returns an index of `from` for each task
+/// that has a place.
 [[nodiscard]] std::vector<std::size_t>
 choose_for_tasks(workload::step_spec const& step,
                  std::uint32_t count,
-                 std::vector<candidate> from);
+                 std::vector<candidate> from,
+                 fit by = fit::tight);
 
 /// Chooses instances for all tasks of a gang, or none. A gang that is slow
 /// across racks is put on one rack where one has room for it; it goes across
@@ -41,7 +56,8 @@
 [[nodiscard]] std::vector<std::size_t>
 choose_for_gang(workload::step_spec const& step,
                 std::vector<candidate> const& from,
-                bool may_spread);
+                bool may_spread,
+                fit by = fit::tight);
 
 /// How many tasks of the step fit into the room.
 [[nodiscard]] std::uint32_t slots_in(workload::step_spec const& step,
--- a/libraries/scheduler/policy.hpp
+++ b/libraries/scheduler/policy.hpp
@@ -39,6 +39,16 @@
     /// out of use; a failure by a task's own fault rarely repeats there.
     std::uint32_t failures_to_quarantine{3};
     base::duration quarantine{std::chrono::seconds{4}};
+    /// So many instances that crashed just after they had started a task make
+    /// sure that the task is the cause, though now and then another was.
+    std::uint32_t crashes_to_give_up{3};
+    /// So many lost under it for whatever reason do too: most of its orders
+    /// may have got no answer, or its instances may come back elsewhere.
+    std::uint32_t losses_to_give_up{5};
+    /// An instance that crashes later than this was not crashed by the start.
+    base::duration start_work{std::chrono::milliseconds{500}};
+    /// Work that was seen for so long crashes nothing.
+    base::duration harmless_work{std::chrono::seconds{5}};
     /// An instance that turned an order away unread is left alone so long.
     base::duration turned_away_pause{std::chrono::milliseconds{500}};
     /// A gang whose latest start is nearer than this takes the place of work
--- a/libraries/scheduler/record.cpp
+++ b/libraries/scheduler/record.cpp
@@ -108,8 +108,8 @@
     return out;
 }
 
-/// `[index, phase, run, failures, instance, checkpoint]`, shortened from the
-/// end where a member holds nothing.
+/// `[index, phase, run, failures, instance, checkpoint, instances lost, lost
+/// at its start]`, shortened from the end where a member holds nothing.
 json::array task_row(std::uint32_t index, task const& it)
 {
     json::array out{index, static_cast<std::int64_t>(it.phase)};
@@ -121,10 +121,15 @@
     out.emplace_back(it.failures);
     out.emplace_back(it.phase == task_phase::placed ? it.instance
                                                     : std::string{});
-    if (!it.checkpoint.empty())
+    if (!it.checkpoint.empty() || it.lost.suspect())
     {
         out.emplace_back(it.checkpoint);
     }
+    if (it.lost.suspect())
+    {
+        out.emplace_back(it.lost.losses());
+        out.emplace_back(it.lost.at_start());
+    }
     return out;
 }
 
@@ -182,6 +187,8 @@
     to.failures = static_cast<std::uint32_t>(at_or(*it, 3));
     to.instance = text_at(*it, 4);
     to.checkpoint = text_at(*it, 5);
+    to.lost = {static_cast<std::uint32_t>(at_or(*it, 6)),
+               static_cast<std::uint32_t>(at_or(*it, 7))};
     return {};
 }
 
--- a/libraries/scheduler/scheduler.hpp
+++ b/libraries/scheduler/scheduler.hpp
@@ -225,6 +225,10 @@
                      step& in,
                      task& it,
                      base::instant now);
+    void give_up(job& of,
+                 attempt_name const& name,
+                 task const& it,
+                 base::instant now);
     void task_waits(step& in, task& it);
     void stop_gang(workload::step_name const& of, step& in, base::instant now);
     void after_change(job& of, base::instant now);
@@ -328,7 +332,9 @@
                base::instant now) const;
     [[nodiscard]] candidate candidate_of(instance const& it,
                                          workload::step_name const& name,
-                                         workload::step_spec const& spec) const;
+                                         workload::step_spec const& spec,
+                                         fit by) const;
+    [[nodiscard]] static fit fit_for(step const& in);
     [[nodiscard]] bool open_to(instance const& it,
                                workload::step_spec const& spec,
                                base::instant now) const;
--- a/libraries/scheduler/scheduler_decide.cpp
+++ b/libraries/scheduler/scheduler_decide.cpp
@@ -185,11 +185,23 @@
 
 candidate scheduler::candidate_of(instance const& it,
                                   workload::step_name const& name,
-                                  workload::step_spec const& spec) const
+                                  workload::step_spec const& spec,
+                                  fit by) const
 {
     auto const here =
         spec.most_per_instance == 0 ? 0 : tasks_on(name, spec, it);
-    return {it.info().id, it.rack(), it.room(), it.info().capacity, here};
+    auto const suspects = by == fit::apart ? it.suspects_beside(name.job) : 0;
+    return {it.info().id,       it.rack(), it.room(),
+            it.info().capacity, here,      suspects};
+}
+
+/// A step with a task under which instances were lost is kept apart whole.
+fit scheduler::fit_for(step const& in)
+{
+    return std::ranges::any_of(in.tasks,
+                               [](task const& it) { return it.lost.suspect(); })
+               ? fit::apart
+               : fit::tight;
 }
 
 /// Where tasks of the step may start now: instances that can be used, with
@@ -200,12 +212,13 @@
                                              base::instant now) const
 {
     auto const& spec = of.spec_of(name);
+    auto const by = fit_for(*of.find(name));
     std::vector<candidate> out;
     auto const take = [&](instance const& it)
     {
         if (eligible(it, spec, queue, now) && open_to(it, spec, now))
         {
-            out.push_back(candidate_of(it, name, spec));
+            out.push_back(candidate_of(it, name, spec, by));
         }
     };
     if (!queue.advice)
@@ -287,7 +300,7 @@
 {
     auto const& spec = of.spec_of(it.name);
     auto& in = *of.find(it.name);
-    auto const chosen = choose_for_tasks(spec, most, from);
+    auto const chosen = choose_for_tasks(spec, most, from, fit_for(in));
     auto next = chosen.begin();
     for (std::uint32_t n = 0; n < in.tasks.size() && next != chosen.end(); ++n)
     {
@@ -314,7 +327,7 @@
     auto const& spec = of.spec_of(it.name);
     auto& in = *of.find(it.name);
     auto const may_spread = now > it.latest_start;
-    auto const chosen = choose_for_gang(spec, from, may_spread);
+    auto const chosen = choose_for_gang(spec, from, may_spread, fit_for(in));
     if (chosen.empty())
     {
         keep_room(of, it, now);
@@ -355,6 +368,7 @@
     auto& where = m_instances.get(on);
     auto made = attempt_of(of, name.of);
     made.checkpoint = it.checkpoint;
+    made.suspect = it.lost.suspect();
     made.began_at = now;
     if (auto const at = in.advice.allowed.find(where.number());
         at != in.advice.allowed.end())
--- a/libraries/scheduler/scheduler_ends.cpp
+++ b/libraries/scheduler/scheduler_ends.cpp
@@ -29,18 +29,12 @@
         return "instance_crashed";
     case end_reason::instance_left:
         return "instance_left";
+    case end_reason::instance_silent:
+        return "instance_silent";
     }
     return "unknown";
 }
 
-/// The instance has not said how the attempt ended.
-bool lost(end_reason it)
-{
-    return it == end_reason::lease_lapsed ||
-           it == end_reason::instance_crashed ||
-           it == end_reason::instance_left;
-}
-
 } // namespace
 
 /// One task of a step is enough: its others have the same estimate, and those
@@ -70,7 +64,7 @@
     auto const was = known != nullptr ? std::optional{*known} : std::nullopt;
     auto const saved =
         checkpoint.empty() && known != nullptr ? known->checkpoint : checkpoint;
-    if (was && lost(reason))
+    if (was && instance_lost(reason))
     {
         ++m_counts.ends_lost;
         report_lost(at, name, *was, reason);
@@ -98,6 +92,11 @@
                   {"run", name.run},
                   {"instance", at.info().id},
                   {"reason", text_of(reason)}});
+    if (was)
+    {
+        auto const began = was->state == attempt_state::running;
+        it.lost = it.lost.after({reason, began, was->seen_work()}, m_rules);
+    }
     auto const& spec = of->spec_of(name.task.of);
     if (!saved.empty() && spec.checkpoints)
     {
@@ -124,6 +123,10 @@
     {
         ++m_counts.ends_other;
         task_waits(*in, it);
+        if (instance_lost(reason) && it.lost.given_up(m_rules))
+        {
+            give_up(*of, name, it, now);
+        }
     }
     if (finished(of->phase))
     {
@@ -202,6 +205,22 @@
     }
 }
 
+/// Also of a task that lasts: without a bound it would take instance after
+/// instance from all others.
+void scheduler::give_up(job& of,
+                        attempt_name const& name,
+                        task const& it,
+                        base::instant now)
+{
+    ++m_counts.tasks_given_up;
+    m_log->write(base::log_level::warning, "task_given_up",
+                 {{"task", text_of(name.task)},
+                  {"run", name.run},
+                  {"instances_lost", it.lost.losses()},
+                  {"at_its_start", it.lost.at_start()}});
+    finish(of, job_phase::failed, now);
+}
+
 void scheduler::task_waits(step& in, task& it)
 {
     it.phase = task_phase::waiting;
--- a/libraries/scheduler/scheduler_orders.cpp
+++ b/libraries/scheduler/scheduler_orders.cpp
@@ -56,6 +56,11 @@
         it->next_try.reset();
         return;
     case start_answer::other_incarnation:
+        if (it->state == attempt_state::sent && it->tries == 0)
+        {
+            // Its only order met another life: it has never begun.
+            attempt_ended(*at, name, end_reason::stopped, {}, now);
+        }
         gone(id, now);
         return;
     case start_answer::unanswered:
@@ -195,7 +200,7 @@
             m_log->write(base::log_level::warning, "leases_lapsed",
                          {{"instance", id},
                           {"attempts", std::uint64_t{at->attempts().size()}}});
-            void_attempts(*at, end_reason::lease_lapsed, now);
+            void_attempts(*at, end_reason::instance_silent, now);
         }
         retry(*at, now);
     }
--- a/libraries/scheduler/scheduler_restore.cpp
+++ b/libraries/scheduler/scheduler_restore.cpp
@@ -159,6 +159,7 @@
                 auto made = attempt_of(of, {id, number, s});
                 made.state = attempt_state::inherited;
                 made.checkpoint = tasks[n].checkpoint;
+                made.suspect = tasks[n].lost.suspect();
                 made.settled_at = now;
                 m_instances.get(tasks[n].instance)
                     .add({{{id, number, s}, n}, tasks[n].run}, made);
--- a/tests/scheduler/crash_limit_test.cpp
+++ b/tests/scheduler/crash_limit_test.cpp
@@ -69,6 +69,55 @@
      true},
 };
 
+struct harmless_case
+{
+    char const* story;
+    scheduler::ended_attempt end;
+    std::uint32_t times;
+    /// What comes after it, and whether the task is given up then.
+    scheduler::ended_attempt then;
+    bool given_up;
+};
+
+std::ostream& operator<<(std::ostream& to, harmless_case const& it)
+{
+    return to << it.story;
+}
+
+using scheduler::end_reason;
+
+constexpr scheduler::ended_attempt crashed{end_reason::instance_crashed, true,
+                                           milliseconds{20}};
+constexpr scheduler::ended_attempt crashed_later{end_reason::instance_crashed,
+                                                 true, milliseconds{1'500}};
+constexpr scheduler::ended_attempt crashed_long_after{
+    end_reason::instance_crashed, true, milliseconds{6'000}};
+constexpr scheduler::ended_attempt never_answered{
+    end_reason::instance_crashed, false, {}};
+constexpr scheduler::ended_attempt left{end_reason::instance_left, true, {}};
+constexpr scheduler::ended_attempt silent{end_reason::instance_silent, true,
+                                          milliseconds{1'500}};
+constexpr scheduler::ended_attempt failed{end_reason::failed, true,
+                                          milliseconds{100}};
+constexpr scheduler::ended_attempt lapsed{end_reason::lease_lapsed, true,
+                                          milliseconds{100}};
+constexpr scheduler::ended_attempt stopped_long_after{end_reason::stopped, true,
+                                                      milliseconds{6'000}};
+
+harmless_case const harmless_cases[] = {
+    {"two crashes may be another's", crashed, 2, crashed, true},
+    {"crashes in the midst of its work", crashed_later, 4, crashed_later, true},
+    {"crashes long after its start", crashed_long_after, 50, crashed, false},
+    {"orders without an answer", never_answered, 4, never_answered, true},
+    {"instances that leave", left, 50, crashed, false},
+    {"instances out of reach", silent, 4, silent, true},
+    {"its own failures", failed, 50, crashed, false},
+    {"leases that lapsed on an instance that lives", lapsed, 50, crashed,
+     false},
+    {"work for long clears it", crashed, 2, crashed_long_after, false},
+    {"also where it was stopped", crashed, 2, stopped_long_after, false},
+};
+
 workload::job_spec job_of(crash_case const& it)
 {
     auto out = bench_owner::job(1, it.tasks);
@@ -149,4 +198,93 @@
     BOOST_TEST((it->decisions.phase_of({1}) == job_phase::failed));
 }
 
+/// A job that can be done is shown as failed, since instances were lost beside
+/// it, before it or long after its start.
+BOOST_DATA_TEST_CASE(a_task_that_crashes_nothing_is_not_given_up,
+                     boost::unit_test::data::make(harmless_cases))
+{
+    scheduler::policy const rules;
+    scheduler::loss_count it;
+    for (std::uint32_t n = 0; n < sample.times; ++n)
+    {
+        it = it.after(sample.end, rules);
+    }
+    BOOST_TEST(!it.given_up(rules));
+    it = it.after(sample.then, rules);
+    BOOST_TEST(it.given_up(rules) == sample.given_up);
+}
+
+/// The count of a task is lost with its owner, or a harmless task is given up
+/// by one that reads a count of nothing.
+BOOST_AUTO_TEST_CASE(a_new_owner_goes_on_counting)
+{
+    auto it = std::make_unique<bench_owner>();
+    it->decisions.submit(bench_owner::job(1, 2), 0, it->now);
+    it->list("a");
+    it->report("a");
+    auto const starts = it->starts();
+    BOOST_REQUIRE(starts.size() == 2U);
+    it->confirm(starts[0]);
+    lose(it, "a", loss::another_life);
+    bench_owner next{it->records};
+    auto const& tasks =
+        next.decisions.jobs().all().at({1})->occurrences.at(0).steps[0].tasks;
+    BOOST_TEST((tasks[0].lost == scheduler::loss_count{1, 1}));
+    BOOST_TEST((tasks[1].lost == scheduler::loss_count{1, 0}));
+}
+
+/// Two jobs lose an instance together, start together again, and lose the next
+/// one: both are given up for what one of them does.
+BOOST_AUTO_TEST_CASE(jobs_that_lost_an_instance_together_start_apart)
+{
+    auto it = std::make_unique<bench_owner>();
+    it->list("full");
+    it->report("full");
+    it->decisions.submit(bench_owner::job(9, 4), 0, it->now);
+    auto const others = it->starts();
+    BOOST_REQUIRE(others.size() == 4U);
+    for (auto const& start : others)
+    {
+        it->confirm(start);
+    }
+    it->decisions.submit(bench_owner::job(1, 1), 0, it->now);
+    it->decisions.submit(bench_owner::job(2, 1), 0, it->now);
+    it->list("a");
+    it->report("a");
+    for (auto const& start : it->starts())
+    {
+        BOOST_TEST(start.instance == "a");
+        it->confirm(start);
+    }
+    lose(it, "a", loss::another_life);
+    // Both would go to the empty one by their room.
+    it->list("empty");
+    it->report("empty");
+    it->advance(milliseconds{10});
+    it->report("full",
+               {{others[2].attempt, {}, 10}, {others[3].attempt, {}, 10}},
+               {{1, others[0].attempt, end_reason::done, {}},
+                {2, others[1].attempt, end_reason::done, {}}});
+    auto const again = it->starts();
+    BOOST_REQUIRE(again.size() == 2U);
+    BOOST_TEST(again[0].instance == "empty");
+    BOOST_TEST(again[1].instance == "full");
+}
+
+/// The only order to an instance that had just crashed meets its next life:
+/// that it was lost under the task is not true.
+BOOST_AUTO_TEST_CASE(a_start_that_met_another_life_counts_nothing)
+{
+    auto it = std::make_unique<bench_owner>();
+    it->decisions.submit(bench_owner::job(1, 1), 0, it->now);
+    it->list("a");
+    it->report("a");
+    auto const start = it->starts().at(0);
+    it->decisions.start_answered(start.instance, start.attempt,
+                                 scheduler::start_answer::other_incarnation, 0,
+                                 it->now);
+    auto const& job = *it->decisions.jobs().all().at({1});
+    BOOST_TEST(!job.occurrences.at(0).steps[0].tasks[0].lost.suspect());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
