scheduler: Send no start to an instance that has shrunk below what is planned there

A start that was decided before and waited for its record (seconds, while the store is away), and an order without an answer that was sent again, went out whatever the instance had left. Found by reading, shown by capacity_changes/*: 8 checks in 4 of 8 cases failed before, none after. Same class as LIMIT's older guard for instances that leave: what was decided is checked again when it leaves, against what the instance says now. An order that may still be carried out late there is stopped, so that it is rejected. New decisions already go by the capacity listed last.

--- a/libraries/scheduler/instance.hpp
+++ b/libraries/scheduler/instance.hpp
@@ -183,6 +183,12 @@
         return m_info.capacity - m_used;
     }
 
+    /// More may be running than it holds: it has shrunk.
+    [[nodiscard]] bool overfull() const noexcept
+    {
+        return !workload::fits({}, room());
+    }
+
     /// `room`, once the stops under way are done.
     [[nodiscard]] workload::resources room_soon() const;
 
--- a/libraries/scheduler/scheduler_orders.cpp
+++ b/libraries/scheduler/scheduler_orders.cpp
@@ -175,11 +175,12 @@
     {
         return;
     }
-    if (found->stop_wanted || at->info().draining || !at->listed())
+    if (found->stop_wanted || at->info().draining || !at->listed() ||
+        at->overfull())
     {
         // It was given up before anything left, or the instance began to
-        // leave while the record was being stored, which takes seconds while
-        // the store is away: nothing has to be stopped.
+        // leave or shrank while the record was being stored, which takes
+        // seconds while the store is away: nothing has to be stopped.
         attempt_ended(*at, it.attempt, end_reason::stopped, {}, now);
         return;
     }
@@ -244,7 +245,7 @@
         // As with holds: an order carries a lease.
         return;
     }
-    if (at.info().draining)
+    if (at.info().draining || at.overfull())
     {
         // The order may not have been carried out; it must not be now.
         want_stop(at, name, it, now);
