scheduler tests: Random runs with tasks that crash their instances and capacities that change

One job in 17 has a task that crashes what starts it within 20 ms, answered or not; instances shrink to 1 to 7 of 8 cores and back.

--- a/tests/scheduler/random_test.cpp
+++ b/tests/scheduler/random_test.cpp
@@ -38,6 +38,7 @@
 /// And of these.
 constexpr std::uint64_t usual_late_seeds = 50;
 constexpr std::uint64_t usual_capped_seeds = 100;
+constexpr std::uint64_t usual_crash_seeds = 50;
 
 roughness const late_and_frozen{.drain = 0.01,
                                 .freeze = 0.7,
@@ -51,6 +52,13 @@
                                 .cancel_new = 0.1,
                                 .capped = 0.2};
 
+roughness const crashing_tasks{.drain = 0.01,
+                               .freeze = 0.7,
+                               .late_append = 0.05,
+                               .cancel_new = 0.1,
+                               .crashers = 0.06,
+                               .resize = 0.1};
+
 roughness rough_for(planted fault)
 {
     switch (fault)
@@ -59,6 +67,10 @@
         return late_and_frozen;
     case planted::no_caps:
         return capped_accounts;
+    case planted::never_give_up:
+    case planted::give_up_at_once:
+    case planted::trust_old_capacity:
+        return crashing_tasks;
     default:
         return {};
     }
@@ -111,6 +123,10 @@
     {"appends are not conditional", planted::append_anywhere},
     {"one client of two is refused", planted::refuse_one_client},
     {"client accounts have no cap", planted::no_caps},
+    {"a task that crashes instances is never given up", planted::never_give_up},
+    {"a task is given up with the first instance lost",
+     planted::give_up_at_once},
+    {"changes of capacity are not heeded", planted::trust_old_capacity},
 };
 
 } // namespace
@@ -158,6 +174,16 @@
     play(first, seeds, capped_accounts, calm_under_a_cap);
 }
 
+/// As before, with tasks that crash each instance that starts them, and
+/// instances that shrink and grow: no such task starts for ever, no other job
+/// fails for it, and no start goes where there is no room for it.
+BOOST_AUTO_TEST_CASE(promises_hold_with_tasks_that_crash_their_instances)
+{
+    auto const first = number_from("BERYLHILL_FIRST_SEED", 1);
+    auto const seeds = number_from("BERYLHILL_SEEDS", usual_crash_seeds);
+    play(first, seeds, crashing_tasks);
+}
+
 /// With a guard taken out, the same runs find what it is for.
 BOOST_DATA_TEST_CASE(planted_faults_are_found,
                      boost::unit_test::data::make(planted_cases))
--- a/tests/scheduler/world.cpp
+++ b/tests/scheduler/world.cpp
@@ -49,6 +49,8 @@
     , m_late_random{seed}
     , m_twice_random{seed}
     , m_cap_random{seed}
+    , m_crash_random{seed}
+    , m_resize_random{seed}
     , m_rough{rough}
     , m_fault{fault}
     , m_configuration{configuration()}
@@ -69,6 +71,16 @@
         m_rules.lapse_margin = -m_rules.lease;
         m_rules.former_owner_margin = base::duration{0};
     }
+    constexpr std::uint32_t never = 1'000'000;
+    if (fault == planted::never_give_up)
+    {
+        m_rules.crashes_to_give_up = never;
+        m_rules.losses_to_give_up = never;
+    }
+    if (fault == planted::give_up_at_once)
+    {
+        m_rules.losses_to_give_up = 1;
+    }
     for (int n = 0; n < instances; ++n)
     {
         add_instance("a" + std::to_string(n));
@@ -130,6 +142,7 @@
             for (auto const& [id, it] : m_instances)
             {
                 it->cut = false;
+                set_capacity(*it, whole_instance);
             }
             take_over();
         }
@@ -198,6 +211,10 @@
             {
                 drain(any);
             }
+            else if (chance(m_resize_random, m_rough.resize))
+            {
+                resize(any);
+            }
         }
     }
     after(moment, [this] { every_moment(); });
@@ -251,6 +268,10 @@
     {
         spec.account = "capped";
     }
+    if (chance(m_crash_random, m_rough.crashers))
+    {
+        m_crashers.insert({{spec.id, 0, 0}, 0});
+    }
     m_submitted.emplace(spec.id, spec);
     hand_in(spec);
     if (chance(m_twice_random, m_rough.twice))
--- a/tests/scheduler/world.hpp
+++ b/tests/scheduler/world.hpp
@@ -37,12 +37,21 @@
     refuse_one_client,
     /// Client accounts have no cap.
     no_caps,
+    /// However many instances are lost under a task, it starts again.
+    never_give_up,
+    /// A task is given up with the first instance that is lost under it.
+    give_up_at_once,
+    /// Owners learn of no change of capacity.
+    trust_old_capacity,
 };
 
 /// What an account with a cap may use, as the operator changes it.
 inline constexpr std::int64_t largest_cap_millis = 7'000;
 inline constexpr std::int64_t smallest_cap_millis = 5'000;
 
+/// What an instance has while its capacity is whole.
+inline constexpr workload::resources whole_instance{8'000, 8'000, 0};
+
 /// How rough a run is.
 struct roughness
 {
@@ -68,6 +77,10 @@
     double cancel_new{0};
     /// Jobs of a client account with a cap; the cap changes meanwhile.
     double capped{0};
+    /// Jobs with a task that crashes each instance that starts it.
+    double crashers{0};
+    /// Instances whose capacity changes.
+    double resize{0};
 };
 
 /// A cell on a virtual clock: instances that keep what the platform's pages
@@ -117,6 +130,8 @@
         std::string id;
         std::string address;
         workload::resources capacity;
+        /// What it was, and until when that counts.
+        std::vector<std::pair<base::instant, workload::resources>> larger;
         bool up{true};
         bool cut{false};
         /// Since when it says that it leaves, and when it does at the
@@ -164,8 +179,20 @@
     [[nodiscard]] scheduler::instance_info
     info_of(fake_instance const& it) const;
     void crash(fake_instance& it);
+    void go(fake_instance& it);
     void drain(fake_instance& it);
     void cut(fake_instance& it);
+
+    // world_crashes.cpp
+    void note_crash(std::vector<scheduler::attempt_name> const& lost);
+    void crash_soon(fake_instance& at, scheduler::attempt_name const& by);
+    void resize(fake_instance& it);
+    void set_capacity(fake_instance& it, workload::resources const& to);
+    void check_room(fake_instance const& at, workload::resources const& used);
+    void check_crashes(workload::task_name const& it);
+    void check_failed(workload::job_id it,
+                      std::vector<std::string>& into) const;
+
     void announce(fake_instance const& it, bool listed);
     [[nodiscard]] std::int64_t clock_of(fake_instance const& it) const;
     [[nodiscard]] fake_instance* at_address(std::string const& address);
@@ -235,6 +262,8 @@
     std::mt19937_64 m_late_random;
     std::mt19937_64 m_twice_random;
     std::mt19937_64 m_cap_random;
+    std::mt19937_64 m_crash_random;
+    std::mt19937_64 m_resize_random;
     roughness m_rough;
     planted m_fault;
     scheduler::policy m_rules;
@@ -265,6 +294,11 @@
     std::set<workload::task_name> m_done_seen;
     std::map<workload::task_name, base::instant> m_last_start;
     std::map<workload::step_name, std::set<std::uint32_t>> m_failed_runs;
+    /// Those that crash what starts them, and how many instances crashed
+    /// under each task, of these or of others.
+    std::set<workload::task_name> m_crashers;
+    std::map<workload::task_name, std::uint32_t> m_crashes;
+    std::map<workload::task_name, std::uint32_t> m_failures;
     std::vector<std::string> m_broken;
     std::uint64_t m_next_job{1};
     std::uint64_t m_next_instance{1};
--- a/tests/scheduler/world_checks.cpp
+++ b/tests/scheduler/world_checks.cpp
@@ -22,10 +22,8 @@
         used += known->counted_need();
         of_step += other.task.of == it.attempt.task.of ? 1 : 0;
     }
-    if (!fits(used + spec->counted_need(), at.capacity))
-    {
-        broken("more than it holds: " + at.id + " gets " + name);
-    }
+    check_room(at, used + spec->counted_need());
+    check_crashes(it.attempt.task);
     if (spec->most_per_instance != 0 && of_step >= spec->most_per_instance)
     {
         broken("too many of a step on " + at.id + ": " + name);
@@ -177,6 +175,10 @@
         {
             into.push_back("cancelled by nobody: " + text_of(id));
         }
+        if (*phase == scheduler::job_phase::failed)
+        {
+            check_failed(id, into);
+        }
         if (*phase != scheduler::job_phase::completed)
         {
             continue;
--- a/tests/scheduler/world_failures.cpp
+++ b/tests/scheduler/world_failures.cpp
@@ -21,7 +21,7 @@
     auto made = std::make_unique<fake_instance>();
     made->id = "i-" + std::to_string(m_next_instance++);
     made->address = std::move(address);
-    made->capacity = {8'000, 8'000, 0};
+    made->capacity = whole_instance;
     made->clock_rate = chance(0.5) ? 1.0 : 0.98;
     made->born = m_now;
     auto const& it = *made;
@@ -89,14 +89,25 @@
           {
               if (auto& leaving = *m_instances.at(id); leaving.up)
               {
-                  crash(leaving);
+                  go(leaving);
               }
           });
 }
 
+void world::crash(fake_instance& it)
+{
+    std::vector<attempt_name> lost;
+    for (auto const& [name, running] : it.running)
+    {
+        lost.push_back(name);
+    }
+    note_crash(lost);
+    go(it);
+}
+
 /// Everything that ran there is gone; another life comes at the same address
 /// or at a new one.
-void world::crash(fake_instance& it)
+void world::go(fake_instance& it)
 {
     it.up = false;
     std::vector<attempt_name> lost;
--- a/tests/scheduler/world_platform.cpp
+++ b/tests/scheduler/world_platform.cpp
@@ -80,6 +80,7 @@
     auto const* const spec = spec_of(it.attempt.task.of);
     if (spec != nullptr && spec->gang)
     {
+        crash_soon(at, it.attempt);
         gang_begins(it.attempt);
         auto const id = at.id;
         auto const name = it.attempt;
@@ -95,6 +96,7 @@
               });
         return start_answer::running;
     }
+    crash_soon(at, it.attempt);
     finish_later(at, it.attempt);
     return start_answer::running;
 }
@@ -219,6 +221,10 @@
     {
         m_done.insert(name.task);
     }
+    if (reason == end_reason::failed)
+    {
+        ++m_failures[name.task];
+    }
 }
 
 void world::end(fake_instance& at, attempt_name const& name, end_reason reason)
