placement: Give up a task under which worker after worker lapses

Five workers in a row, each lost within a minute of the task's start there, now close the job as failed; a longer run clears the count, so a service outlives any number of lost workers.

--- a/libraries/placement/job_queue.hpp
+++ b/libraries/placement/job_queue.hpp
@@ -244,6 +244,8 @@
                               std::int32_t index,
                               attempt_end const& it,
                               base::instant now);
+    queue_actions
+    task_lapsed(job_pointer const& job, std::int32_t index, base::instant now);
     queue_actions run_again(job_pointer const& job,
                             std::int32_t index,
                             base::instant at,
--- a/libraries/placement/job_queue_events.cpp
+++ b/libraries/placement/job_queue_events.cpp
@@ -13,6 +13,10 @@
 constexpr std::int16_t s_most_failures = 5;
 constexpr std::size_t s_distinct_workers = 3;
 constexpr std::int16_t s_far_too_many_failures = 12;
+/// So many workers lost under one task in a row make it the likely cause; one
+/// that had run for this long lost its worker for another reason.
+constexpr std::int16_t s_most_lapses = 5;
+constexpr base::duration s_harmless_run{60'000'000};
 constexpr double s_first_back_off_s = 1;
 constexpr double s_longest_back_off_s = 300;
 constexpr std::int32_t s_most_doublings = 9;
@@ -228,7 +232,7 @@
     case model::task_end::lapsed:
         if (!once)
         {
-            return run_again(job, index, now, now);
+            return task_lapsed(job, index, now);
         }
         break;
     case model::task_end::unknown:
@@ -298,6 +302,25 @@
                      now);
 }
 
+/// Without a bound a task that crashes its workers takes one after the other
+/// from all others.
+queue_actions job_queue::task_lapsed(job_pointer const& job,
+                                     std::int32_t index,
+                                     base::instant now)
+{
+    auto& it = job->tasks[static_cast<std::size_t>(index)];
+    it.lapses = now - it.since < s_harmless_run
+                    ? static_cast<std::int16_t>(it.lapses + 1)
+                    : std::int16_t{0};
+    if (it.lapses >= s_most_lapses)
+    {
+        return close(*job, model::job_state::failed,
+                     "task " + std::to_string(index) + " lost " +
+                         std::to_string(it.lapses) + " workers in a row");
+    }
+    return run_again(job, index, now, now);
+}
+
 queue_actions job_queue::run_again(job_pointer const& job,
                                    std::int32_t index,
                                    base::instant at,
--- a/libraries/placement/job_record.hpp
+++ b/libraries/placement/job_record.hpp
@@ -37,6 +37,8 @@
     bool charged{false};
     bool urgent{false};
     std::int16_t failures{0};
+    /// Workers lost under it in a row, each soon after it had started there.
+    std::int16_t lapses{0};
     /// Where room is being made for it by preemption, or -1.
     std::int32_t claimed_group{-1};
     model::resources planned;
--- a/tests/placement/queue_test.cpp
+++ b/tests/placement/queue_test.cpp
@@ -147,6 +147,46 @@
     BOOST_CHECK(cell.outcomes.at("kitakaze-1") == model::job_state::succeeded);
 }
 
+// A task takes worker after worker down with it, and all others' work there.
+BOOST_AUTO_TEST_CASE(a_task_that_loses_every_worker_is_given_up)
+{
+    constexpr int most_starts = 5;
+    constexpr int rounds = 12;
+    auto cell = cell_of(4);
+    submit(cell, "kitakaze-1", request_of("kitakaze", "daily", {1'000, 1, 0}));
+    int starts = 0;
+    for (int n = 0; n < rounds; ++n)
+    {
+        cell.step();
+        if (cell.running.empty())
+        {
+            break;
+        }
+        ++starts;
+        cell.advance(3);
+        cell.end(cell.running.begin()->first, model::task_end::lapsed);
+    }
+    BOOST_TEST(starts == most_starts);
+    BOOST_CHECK(cell.outcomes.at("kitakaze-1") == model::job_state::failed);
+}
+
+// A service loses its worker now and then, for months.
+BOOST_AUTO_TEST_CASE(a_task_that_ran_for_long_is_not_given_up_for_lost_workers)
+{
+    constexpr int losses = 20;
+    constexpr double long_run_s = 120;
+    auto cell = cell_of(4);
+    submit(cell, "kitakaze-1", request_of("kitakaze", "daily", {1'000, 1, 0}));
+    for (int n = 0; n < losses; ++n)
+    {
+        cell.step();
+        BOOST_REQUIRE(cell.running.size() == 1U);
+        cell.advance(long_run_s);
+        cell.end(cell.running.begin()->first, model::task_end::lapsed);
+    }
+    BOOST_TEST(!cell.outcomes.contains("kitakaze-1"));
+}
+
 // A job is cancelled while its start is on its way. The start's answer arrives
 // afterwards: the task must be stopped, not forgotten while it runs.
 BOOST_AUTO_TEST_CASE(a_start_that_crosses_a_cancellation_is_stopped)
