--- a/tests/command/explain_test.cpp
+++ b/tests/command/explain_test.cpp
@@ -67,6 +67,15 @@
               std::string{"job_finished job="} + job +
                   " phase=failed took_s=3"),
      "claim_won (a new owner) token=9"},
+    {"given up for the instances lost under it",
+     line(1, std::string{"job_taken job="} + job) +
+         line(2,
+              std::string{"task_given_up task="} + job +
+                  ".0.0.0 run=3 instances_lost=3 at_its_start=3") +
+         line(3,
+              std::string{"job_finished job="} + job +
+                  " phase=failed took_s=9"),
+     "3 instances were lost under"},
     {"a gang that never started",
      line(1, std::string{"job_taken job="} + job) +
          line(2,
--- a/tests/platform_adapter/stand_ins/instance_stand_in.cpp
+++ b/tests/platform_adapter/stand_ins/instance_stand_in.cpp
@@ -65,7 +65,7 @@
         {"coldLeftMs", 0},
         {"sequence", 1},
         {"capacity",
-         json::object{{"cpu", cpu_millis}, {"memMb", 8'000}, {"gpu", 0}}},
+         json::object{{"cpu", m_cpu_millis}, {"memMb", 8'000}, {"gpu", 0}}},
         {"labels", json::array{"k", "r"}}});
 }
 
--- a/tests/platform_adapter/stand_ins/instance_stand_in.hpp
+++ b/tests/platform_adapter/stand_ins/instance_stand_in.hpp
@@ -22,7 +22,7 @@
 class instance_stand_in
 {
 public:
-    /// What it says of its room, in thousandths of a core.
+    /// What it says of its room while that is whole, in thousandths of a core.
     static constexpr std::int64_t cpu_millis = 8'000;
 
     /// Told of each task that begins.
@@ -47,6 +47,12 @@
     /// known.
     void restart(std::string id);
 
+    /// Its room from now on, in thousandths of a core; also after a crash.
+    void set_cpu(std::int64_t millis)
+    {
+        m_cpu_millis = millis;
+    }
+
     /// The tasks that run now.
     [[nodiscard]] std::vector<std::string> running() const;
 
@@ -94,6 +100,7 @@
     end_handler m_on_end;
     boost::asio::steady_timer m_timer;
     network::http_server m_server;
+    std::int64_t m_cpu_millis{cpu_millis};
     std::int64_t m_token{0};
     std::int64_t m_until_ms{0};
     std::map<std::string, running_task> m_running;
--- a/tests/soak/ledger_test.cpp
+++ b/tests/soak/ledger_test.cpp
@@ -95,6 +95,48 @@
          it.started("i-0", "k.0.0.0");
      },
      "holds 3 tasks"},
+    {"a small instance gets more than it holds",
+     [](ledger& it)
+     {
+         accept(it);
+         it.room_changed("i-0", 1);
+         it.started("i-0", "j.0.0.0");
+         it.started("i-0", "j.0.0.1");
+     },
+     "holds 2 tasks"},
+    {"a task that crashes its instances starts a sixth time",
+     [](ledger& it)
+     {
+         accept(it);
+         it.crashes_its_instances("j.0.0.0");
+         for (int n = 0; n < 6; ++n)
+         {
+             it.started("i-0", "j.0.0.0");
+             it.crashed("i-0");
+         }
+     },
+     "starts after 5 instances"},
+    {"a job is given up after two crashes under its task",
+     [](ledger& it)
+     {
+         accept(it);
+         for (int n = 0; n < 2; ++n)
+         {
+             it.started("i-0", "j.0.0.0");
+             it.crashed("i-0");
+         }
+         it.shown("j", "failed", start);
+     },
+     ""},
+    {"a job is given up after one crash",
+     [](ledger& it)
+     {
+         accept(it);
+         it.started("i-0", "j.0.0.0");
+         it.crashed("i-0");
+         it.shown("j", "failed", start);
+     },
+     "is said to have failed"},
     {"a step starts before the one before it is done",
      [](ledger& it)
      {
--- a/utilities/soak/cell.cpp
+++ b/utilities/soak/cell.cpp
@@ -17,6 +17,20 @@
 /// The grace time of the settings and a little for a busy machine.
 constexpr std::chrono::seconds longest_stop{6};
 
+/// Of instances that are not steady: between two that shrink first, from a
+/// change of room to the next, and how long what an instance had still counts.
+constexpr std::chrono::milliseconds resize_step{600};
+constexpr std::chrono::milliseconds resize_pause{6'500};
+constexpr std::chrono::milliseconds shrunk_slack{4'500};
+
+/// How many tasks a small instance holds.
+constexpr std::size_t small_room = 1;
+
+/// The first task of a job whose id ends so, and how long after its start its
+/// instance crashes.
+constexpr std::string_view crashing_task_suffix = "0.0.0.0";
+constexpr std::chrono::milliseconds crash_pause{5};
+
 /// The share of appends without an answer while the store loses them.
 constexpr double lost_share = 0.4;
 
@@ -37,6 +51,7 @@
            ledger& seen)
     : m_loop{loop}
     , m_seen{seen}
+    , m_kind{size.kind}
 {
     using platform_test::ports_per_process;
     auto const links = 2;
@@ -59,7 +74,9 @@
         it.instance = std::make_unique<platform_test::instance_stand_in>(
             loop, at, id, task_time,
             [this, n](std::string const& task)
-            { m_seen.started(m_workers[n].instance->id(), task); });
+            { started(m_workers[n], task); });
+        it.resizes_at =
+            std::chrono::steady_clock::now() + resize_step * (n + 1);
         it.instance->on_end(
             [this, n](std::string const& task, std::string const& how)
             { m_seen.ended(m_workers[n].instance->id(), task, how); });
@@ -136,10 +153,76 @@
     m_seen.crashed(before);
     it.instance->restart(after);
     it.link->reset();
-    m_store->put(platform_test::instances_topic, after,
+    it.crashes_at.reset();
+    if (it.small_counts)
+    {
+        m_seen.room_changed(after, small_room);
+    }
+    announce(it);
+}
+
+void cell::announce(worker& it)
+{
+    m_store->put(platform_test::instances_topic, it.instance->id(),
                  it.instance->heartbeat(it.reached_at));
 }
 
+/// A task that crashes its instances does so when the start has been answered,
+/// or just before.
+void cell::started(worker& it, std::string const& task)
+{
+    m_seen.started(it.instance->id(), task);
+    if (m_kind == instance_kind::steady ||
+        !task.ends_with(crashing_task_suffix))
+    {
+        return;
+    }
+    m_seen.crashes_its_instances(task);
+    it.crashes_at = std::chrono::steady_clock::now() + crash_pause;
+}
+
+/// It shrinks to room for one task, and is whole again later.
+void cell::resize(worker& it, ledger::instant now)
+{
+    it.resizes_at = now + resize_pause;
+    auto const shrinks = !it.small_since;
+    it.small_since = shrinks ? std::optional{now} : std::nullopt;
+    it.small_counts = false;
+    it.instance->set_cpu(
+        shrinks ? task_cpu : platform_test::instance_stand_in::cpu_millis);
+    if (!shrinks)
+    {
+        m_seen.room_changed(it.instance->id(), room);
+    }
+    announce(it);
+}
+
+void cell::look_after_instances()
+{
+    if (m_kind == instance_kind::steady)
+    {
+        return;
+    }
+    auto const now = std::chrono::steady_clock::now();
+    for (auto& it : m_workers)
+    {
+        if (it.crashes_at && now >= *it.crashes_at)
+        {
+            crash(it);
+        }
+        if (!m_healed && now >= it.resizes_at)
+        {
+            resize(it, now);
+        }
+        if (it.small_since && !it.small_counts &&
+            now - *it.small_since > shrunk_slack)
+        {
+            it.small_counts = true;
+            m_seen.room_changed(it.instance->id(), small_room);
+        }
+    }
+}
+
 void cell::begin(fault const& it)
 {
     auto& at = m_processes[it.target % m_processes.size()];
@@ -287,7 +370,12 @@
     for (auto& it : m_workers)
     {
         it.link->set(link_state::open);
+        if (it.small_since)
+        {
+            resize(it, std::chrono::steady_clock::now());
+        }
     }
+    m_healed = true;
 }
 
 } // namespace berylhill::soak
--- a/utilities/soak/cell.hpp
+++ b/utilities/soak/cell.hpp
@@ -11,17 +11,28 @@
 
 #include <filesystem>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace berylhill::soak
 {
 
-/// The size of a run. A value.
+/// What instances do of themselves.
+enum class instance_kind : std::uint8_t
+{
+    steady,
+    /// One job in 16 has a task that crashes what starts it, and instances
+    /// shrink and grow.
+    unsteady,
+};
+
+/// The size of a run, and what its instances are like. A value.
 struct cell_size
 {
     std::size_t processes{5};
     std::size_t instances{6};
+    instance_kind kind{instance_kind::steady};
 
     friend bool operator==(cell_size const&, cell_size const&) = default;
 };
@@ -53,6 +64,9 @@
     /// by themselves.
     void look_after_processes();
 
+    /// What instances do of themselves, when its time has come.
+    void look_after_instances();
+
     /// Ends all faults.
     void heal();
 
@@ -89,19 +103,30 @@
         std::unique_ptr<platform_test::instance_stand_in> instance;
         std::unique_ptr<fault_link> link;
         network::socket_address reached_at;
+        /// When it crashes by what it has started.
+        std::optional<ledger::instant> crashes_at;
+        /// When it shrinks or grows next, and since when it is small.
+        ledger::instant resizes_at;
+        std::optional<ledger::instant> small_since;
+        bool small_counts{false};
     };
 
     void stop(member& it, int signal, bool must_exit_well);
     void crash(worker& it);
+    void started(worker& it, std::string const& task);
+    void resize(worker& it, ledger::instant now);
+    void announce(worker& it);
     void configure();
 
     boost::asio::io_context& m_loop;
     ledger& m_seen;
+    instance_kind m_kind;
     std::unique_ptr<platform_test::store_stand_in> m_store;
     std::vector<member> m_processes;
     std::vector<worker> m_workers;
     int m_version{0};
     int m_crashes{0};
+    bool m_healed{false};
 };
 
 } // namespace berylhill::soak
--- a/utilities/soak/ledger.cpp
+++ b/utilities/soak/ledger.cpp
@@ -45,15 +45,54 @@
         found("task " + name + " starts after its job was completed");
     }
     check_order(name);
+    check_crashes(name, it);
     it.running_on.insert(instance);
     auto& here = m_running[instance];
     here.insert(name);
-    if (here.size() > m_room)
+    if (here.size() > room_of(instance))
     {
         found(instance + " holds " + std::to_string(here.size()) + " tasks");
     }
 }
 
+void ledger::check_crashes(std::string const& name, task_seen const& it)
+{
+    // Three may crash under a task, and two starts more are allowed.
+    constexpr std::size_t crashes_under_a_start = 4;
+    if (it.crashes_its_instances && it.crashes > crashes_under_a_start)
+    {
+        found("task " + name + " starts after " + std::to_string(it.crashes) +
+              " instances have crashed under it");
+    }
+}
+
+void ledger::crashes_its_instances(std::string const& task)
+{
+    m_tasks[task].crashes_its_instances = true;
+}
+
+void ledger::room_changed(std::string const& instance, std::size_t room)
+{
+    m_rooms[instance] = room;
+}
+
+std::size_t ledger::room_of(std::string const& instance) const
+{
+    auto const at = m_rooms.find(instance);
+    return at == m_rooms.end() ? m_room : at->second;
+}
+
+/// A task under which two instances have crashed may be given up.
+bool ledger::may_fail(std::string const& job) const
+{
+    constexpr std::size_t crashes_to_fail = 2;
+    return std::ranges::any_of(m_tasks,
+                               [&](auto const& it) {
+                                   return job_of(it.first) == job &&
+                                          it.second.crashes >= crashes_to_fail;
+                               });
+}
+
 void ledger::check_order(std::string const& name)
 {
     auto const job = job_of(name);
@@ -102,6 +141,7 @@
     for (auto const& name : m_running[instance])
     {
         m_tasks[name].running_on.erase(instance);
+        ++m_tasks[name].crashes;
     }
     m_running.erase(instance);
     for (auto& [name, it] : m_tasks)
@@ -149,7 +189,7 @@
         found("job " + id + " was " + it.state + " and is " + state);
     }
     it.state = state;
-    if (state == "failed")
+    if (state == "failed" && !may_fail(id))
     {
         found("job " + id + " is said to have failed");
     }
--- a/utilities/soak/ledger.hpp
+++ b/utilities/soak/ledger.hpp
@@ -28,6 +28,10 @@
                std::string const& task,
                std::string const& how);
     void crashed(std::string const& instance);
+    /// The task crashes each instance that starts it.
+    void crashes_its_instances(std::string const& task);
+    /// What counts as the room of an instance from now on.
+    void room_changed(std::string const& instance, std::size_t room);
 
     // What callers saw.
     void submit_answered(std::string const& job, unsigned status, instant now);
@@ -74,16 +78,24 @@
         /// Where it ended `done`; empty: nowhere that still stands.
         std::string done_on;
         bool ever_done{false};
+        /// Instances that crashed while it ran there.
+        std::size_t crashes{0};
+        bool crashes_its_instances{false};
     };
 
     [[nodiscard]] bool step_done(std::string const& job, std::size_t step);
     void check_order(std::string const& name);
+    void check_crashes(std::string const& name, task_seen const& it);
+    [[nodiscard]] std::size_t room_of(std::string const& instance) const;
+    [[nodiscard]] bool may_fail(std::string const& job) const;
 
     std::size_t m_room;
     std::vector<std::vector<std::string>> m_steps;
     std::map<std::string, job_seen> m_jobs;
     std::map<std::string, task_seen> m_tasks;
     std::map<std::string, std::set<std::string>> m_running;
+    /// Of instances whose room has changed.
+    std::map<std::string, std::size_t> m_rooms;
     std::vector<std::string> m_findings;
     std::size_t m_accepted_jobs{0};
     std::size_t m_starts{0};
--- a/utilities/soak/main.cpp
+++ b/utilities/soak/main.cpp
@@ -41,6 +41,8 @@
     add("instances", "that run tasks",
         cxxopts::value<std::size_t>()->default_value("6"));
     add("clients", "", cxxopts::value<std::size_t>()->default_value("8"));
+    add("unsteady", "tasks that crash their instances, and instances that "
+                    "shrink and grow");
     add("plan", "print the faults of each seed, and play none");
     add("help", "");
     return options;
@@ -86,7 +88,10 @@
     soak::run_settings settings;
     settings.binary = given["binary"].as<std::string>();
     settings.size = {given["processes"].as<std::size_t>(),
-                     given["instances"].as<std::size_t>()};
+                     given["instances"].as<std::size_t>(),
+                     given.count("unsteady") != 0
+                         ? soak::instance_kind::unsteady
+                         : soak::instance_kind::steady};
     settings.clients = given["clients"].as<std::size_t>();
     auto const first = given["first"].as<std::uint64_t>();
     auto const seeds = given["seeds"].as<std::uint64_t>();
--- a/utilities/soak/run.cpp
+++ b/utilities/soak/run.cpp
@@ -92,6 +92,7 @@
             m_loop.restart();
             m_loop.run_for(std::chrono::milliseconds{10});
             m_cell.look_after_processes();
+            m_cell.look_after_instances();
         }
     }
 
