scheduler, cell: Send starts again without waiting for the list of instances

It held starts whose record had taken over 2 s until the list had been read within 2 s, against a case that was never seen. Under a store that is merely slow both take that long, and such starts were decided anew again and again.

--- a/libraries/cell/cell_owner.cpp
+++ b/libraries/cell/cell_owner.cpp
@@ -55,12 +55,7 @@
     m_decisions.restore(records, wall_ms(*parts.clock), parts.clock->now());
     m_instances.on_change([this](auto const& key, auto const& value)
                           { instance_changed(key, value); });
-    m_instances.on_caught_up(
-        [this]
-        {
-            m_decisions.list_read(m_parts.clock->now());
-            soon();
-        });
+    m_instances.on_caught_up([this] { soon(); });
     m_instances.start();
     every_tick();
 }
--- a/libraries/scheduler/policy.hpp
+++ b/libraries/scheduler/policy.hpp
@@ -39,9 +39,6 @@
     /// out of use; a failure by a task's own fault rarely repeats there.
     std::uint32_t failures_to_quarantine{3};
     base::duration quarantine{std::chrono::seconds{4}};
-    /// A start that waited longer than this for its record does not leave
-    /// before the list of instances has been read again.
-    base::duration list_trusted{std::chrono::seconds{2}};
     /// So many instances that crashed just after they had started a task make
     /// sure that the task is the cause, though now and then another was.
     std::uint32_t crashes_to_give_up{3};
--- a/libraries/scheduler/scheduler.hpp
+++ b/libraries/scheduler/scheduler.hpp
@@ -81,11 +81,6 @@
 
     void list(instance_info it, base::instant now);
     void unlist(std::string const& id, base::instant now);
-    /// All that the platform's list said until now has been told.
-    void list_read(base::instant now)
-    {
-        m_list_read = now;
-    }
     /// Nothing of it runs any more: another life answers at its address.
     void gone(std::string const& id, base::instant now);
     /// Some configuration has sent a queue to the service.
@@ -267,9 +262,6 @@
                  attempt& it,
                  base::instant now);
     void release_start(start_order it, base::instant now);
-    [[nodiscard]] bool outdated(attempt const& planned,
-                                instance const& at,
-                                base::instant now) const;
     void open_due_occurrences(std::int64_t wall_ms, base::instant now);
 
     // scheduler_leave.cpp
@@ -413,8 +405,6 @@
     /// The time of day, milliseconds since 1970, at the last event that told.
     std::int64_t m_wall_ms{0};
     instance_book m_instances;
-    /// When the platform's list was last read.
-    base::instant m_list_read{};
     account_shares m_shares;
     job_book m_jobs;
     std::vector<order> m_orders;
--- a/libraries/scheduler/scheduler_orders.cpp
+++ b/libraries/scheduler/scheduler_orders.cpp
@@ -167,19 +167,6 @@
                                       base::duration{0}, longest_rest);
 }
 
-/// The instance began to leave, or shrank, while the record of the start was
-/// being stored. That takes seconds while the store is away; the list is then
-/// away too, and a start may be stored again before it is read again.
-bool scheduler::outdated(attempt const& planned,
-                         instance const& at,
-                         base::instant now) const
-{
-    auto const waited = now - planned.began_at;
-    auto const unread = now - m_list_read;
-    return at.info().draining || !at.listed() || at.overfull() ||
-           std::min(waited, unread) > m_rules.list_trusted;
-}
-
 void scheduler::release_start(start_order it, base::instant now)
 {
     auto* const at = m_instances.find(it.instance);
@@ -188,9 +175,12 @@
     {
         return;
     }
-    if (found->stop_wanted || outdated(*found, *at, now))
+    if (found->stop_wanted || at->info().draining || !at->listed() ||
+        at->overfull())
     {
-        // Nothing has left, so nothing has to be stopped.
+        // It was given up before anything left, or the instance began to
+        // leave or shrank while the record was being stored, which takes
+        // seconds while the store is away: nothing has to be stopped.
         attempt_ended(*at, it.attempt, end_reason::stopped, {}, now);
         return;
     }
