--- a/libraries/scheduler/instance.cpp
+++ b/libraries/scheduler/instance.cpp
@@ -33,6 +33,8 @@
 
 void instance::list(instance_info it, base::instant now)
 {
+    m_shrunk =
+        m_listed && (m_shrunk || !workload::fits(m_info.capacity, it.capacity));
     m_info = std::move(it);
     m_leaves_at.reset();
     if (m_info.draining && m_info.stays_for)
--- a/libraries/scheduler/instance.hpp
+++ b/libraries/scheduler/instance.hpp
@@ -183,10 +183,12 @@
         return m_info.capacity - m_used;
     }
 
-    /// More may be running than it holds: it has shrunk.
+    /// It has shrunk, and more may be running than it holds. What is merely
+    /// found running there after a takeover is no reason to take back what
+    /// was decided within its room.
     [[nodiscard]] bool overfull() const noexcept
     {
-        return !workload::fits({}, room());
+        return m_shrunk && !workload::fits({}, room());
     }
 
     /// `room`, once the stops under way are done.
@@ -249,6 +251,7 @@
     account_ledger* m_ledger;
     std::string m_rack;
     std::optional<base::instant> m_leaves_at;
+    bool m_shrunk{false};
     bool m_listed{false};
     bool m_fenced{false};
     bool m_reachable{false};
