--- a/tests/scheduler/capacity_test.cpp
+++ b/tests/scheduler/capacity_test.cpp
@@ -115,4 +115,18 @@
     BOOST_TEST(it.starts().size() == 1U);
 }
 
+/// After a takeover starts are taken back again and again, since attempts that
+/// are found running count as if their instance had shrunk.
+BOOST_AUTO_TEST_CASE(an_attempt_that_is_found_takes_no_start_back)
+{
+    bench_owner it;
+    it.list("a");
+    it.report("a");
+    it.decisions.submit(bench_owner::job(1, 1, 4'000), 0, it.now);
+    BOOST_TEST(it.decide().empty());
+    it.decisions.submit(bench_owner::job(2, 1), 0, it.now);
+    it.report("a", {{{{{{2}, 0, 0}, 0}, 7}, {}, 10}});
+    BOOST_TEST(count_of<scheduler::start_order>(it.store()) == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
