cell, network: Say how large a read was, how far it came, and which version serves a call

Now log_lost names the bytes that had come and the time waited, and comes again with the second, fourth and later failures; configuration_in_force its source, size and time to decode; configuration_behind a newer version heard of; and call_by_old_configuration each call that is served by a version that may not be the newest. Two gauges: the newest version known, and since when the one in force was known to be the newest.

--- a/libraries/cell/configuration_spread.cpp
+++ b/libraries/cell/configuration_spread.cpp
@@ -37,6 +37,7 @@
     {
         return false;
     }
+    m_newest = std::max(m_newest, it.version);
     m_behind_since = m_behind_since.value_or(now);
     auto const reads_itself = age(now) < recent_read;
     if (m_fetching || (reads_itself && now - *m_behind_since < read_takes))
@@ -47,6 +48,19 @@
     return true;
 }
 
+void configuration_spread::has(std::int64_t version)
+{
+    if (version >= m_newest)
+    {
+        m_behind_since.reset();
+    }
+}
+
+base::duration configuration_spread::behind(base::instant now) const
+{
+    return m_behind_since ? now - *m_behind_since : base::duration{0};
+}
+
 base::duration configuration_spread::age(base::instant now) const
 {
     return m_confirmed_at ? now - *m_confirmed_at : unconfirmed;
--- a/libraries/cell/configuration_spread.hpp
+++ b/libraries/cell/configuration_spread.hpp
@@ -37,6 +37,18 @@
         m_fetching = false;
     }
 
+    /// This process has this version now.
+    void has(std::int64_t version);
+
+    /// The newest version that another process has named.
+    [[nodiscard]] std::int64_t newest() const noexcept
+    {
+        return m_newest;
+    }
+
+    /// How long this process has known of a newer version than its own.
+    [[nodiscard]] base::duration behind(base::instant now) const;
+
     /// How long ago what this process has was known to be the newest.
     [[nodiscard]] base::duration age(base::instant now) const;
 
@@ -46,6 +58,7 @@
     std::optional<base::instant> m_confirmed_at;
     /// Since when a newer version is known to exist.
     std::optional<base::instant> m_behind_since;
+    std::int64_t m_newest{0};
     bool m_fetching{false};
 };
 
--- a/libraries/cell/keyed_log.hpp
+++ b/libraries/cell/keyed_log.hpp
@@ -77,6 +77,8 @@
     std::vector<log_entry> entries;
     /// Of the answer, for logs; 0: there was none.
     unsigned status{0};
+    /// Of an answer that did not come whole: its bytes that came.
+    std::uint64_t received{0};
 
     friend bool operator==(read_result const&, read_result const&) = default;
 };
@@ -88,6 +90,8 @@
     /// More follow after the last key.
     bool truncated{false};
     std::vector<log_entry> entries;
+    /// Of an answer that did not come whole: its bytes that came.
+    std::uint64_t received{0};
 
     friend bool operator==(newest_result const&,
                            newest_result const&) = default;
--- a/libraries/cell/log_follower.cpp
+++ b/libraries/cell/log_follower.cpp
@@ -3,6 +3,7 @@
 #include <base/log.hpp>
 
 #include <algorithm>
+#include <bit>
 #include <utility>
 
 namespace berylhill::cell
@@ -77,6 +78,7 @@
 
 void log_follower::read_newest(std::string const& after)
 {
+    m_asked_at = m_clock.now();
     m_log.newest(
         after, m_page_timeout,
         [this, alive = m_generation, mine = *m_generation](newest_result it)
@@ -92,7 +94,7 @@
 {
     if (!it.answered)
     {
-        failed("newest", 0);
+        failed("newest", 0, it.received);
         m_page_timeout = std::min(2 * m_page_timeout, page_timeout_limit);
         after(m_pace.retry, [this] { start(); });
         return;
@@ -142,6 +144,7 @@
 
 void log_follower::read_tail(base::duration wait)
 {
+    m_asked_at = m_clock.now();
     m_log.read(
         {m_next, wait, m_pace.most_bytes, wait + m_pace.slack},
         [this, alive = m_generation, mine = *m_generation](read_result it)
@@ -169,7 +172,7 @@
     }
     if (it.end == read_end::failed)
     {
-        failed("read", it.status);
+        failed("read", it.status, it.received);
         after(m_pace.retry, [this] { read_tail(m_pace.wait); });
         if (done)
         {
@@ -220,26 +223,33 @@
         });
 }
 
-void log_follower::failed(char const* what, unsigned status)
+/// Written for the first failure in a row, the second, the fourth and so on:
+/// what is lost for long is named again, in few lines.
+void log_follower::failed(char const* what,
+                          unsigned status,
+                          std::uint64_t received)
 {
-    if (!std::exchange(m_lost, true))
+    if (std::has_single_bit(++m_failures))
     {
         base::log(base::log_level::warning, "log_lost",
                   {{"log", m_name},
                    {"call", what},
                    {"status", std::uint64_t{status}},
-                   {"next", m_next}});
+                   {"next", m_next},
+                   {"failures", m_failures},
+                   {"received", received},
+                   {"waited_s", base::seconds_of(m_clock.now() - m_asked_at)}});
     }
 }
 
 void log_follower::succeeded()
 {
     m_last_read = m_clock.now();
-    if (std::exchange(m_lost, false))
+    if (auto const failures = std::exchange(m_failures, 0); failures > 0)
     {
         m_answered_since = m_last_read;
         base::log(base::log_level::info, "log_regained",
-                  {{"log", m_name}, {"next", m_next}});
+                  {{"log", m_name}, {"next", m_next}, {"failures", failures}});
     }
     if (m_on_caught_up)
     {
--- a/libraries/cell/log_follower.hpp
+++ b/libraries/cell/log_follower.hpp
@@ -111,7 +111,7 @@
     void read_tail(base::duration wait);
     void tail_read(read_result it);
     void after(base::duration pause, std::function<void()> what);
-    void failed(char const* what, unsigned status);
+    void failed(char const* what, unsigned status, std::uint64_t received);
     void succeeded();
     void apply(log_entry const& it);
 
@@ -131,7 +131,9 @@
     std::uint64_t m_next{0};
     bool m_running{false};
     bool m_ready{false};
-    bool m_lost{false};
+    /// Reads that have failed since the last that succeeded.
+    std::uint64_t m_failures{0};
+    base::instant m_asked_at{};
     base::instant m_last_read{};
     base::instant m_answered_since{};
     /// While all records are read: those seen so far, and where the log ended
--- a/libraries/cell/node.cpp
+++ b/libraries/cell/node.cpp
@@ -146,7 +146,7 @@
     , m_lag{m_loop, m_clock}
 {
     m_operators.on_change([this](auto const& key, auto const& value)
-                          { configuration_changed(key, value); });
+                          { configuration_changed(key, value, "store"); });
     m_operators.on_caught_up([this] { m_spread.read_store(m_clock.now()); });
 }
 
--- a/libraries/cell/node.hpp
+++ b/libraries/cell/node.hpp
@@ -73,7 +73,9 @@
     void take_metrics(network::responder const& answer);
     [[nodiscard]] bool ready() const;
     void configuration_changed(std::string const& key,
-                               std::string const& value);
+                               std::string const& value,
+                               char const* source);
+    void note_old_configuration(job_call const& it) const;
     void report_unclear_accounts() const;
     void apply_limits();
     void await_signals();
--- a/libraries/cell/node_answers.cpp
+++ b/libraries/cell/node_answers.cpp
@@ -113,6 +113,7 @@
         return;
     }
     auto call = std::get<job_call>(std::move(decoded));
+    note_old_configuration(call);
     m_router.call(call,
                   [this, call, begun = m_clock.now(),
                    answer = std::move(answer)](job_answer const& end)
@@ -151,6 +152,24 @@
     return m_spread.age(m_clock.now()) < demanded - confirmation_delay;
 }
 
+/// Says of a call that is served by which version, where that may not be the
+/// newest.
+void node::note_old_configuration(job_call const& it) const
+{
+    auto const newest = m_spread.newest();
+    if (sure_of_configuration() && newest <= m_configuration.version)
+    {
+        return;
+    }
+    base::log(base::log_level::info, "call_by_old_configuration",
+              {{"job", text_of(it.job)},
+               {"call", name_of(it.kind)},
+               {"queue", it.queue},
+               {"version", m_configuration.version},
+               {"newest", newest},
+               {"age_s", base::seconds_of(m_spread.age(m_clock.now()))}});
+}
+
 void node::note_answer(job_call const& call,
                        job_answer const& end,
                        base::duration took)
@@ -198,6 +217,9 @@
     now.ready = ready();
     now.token = m_ownership.owner().token;
     now.configuration_version = m_configuration.version;
+    now.newest_configuration =
+        std::max(m_spread.newest(), m_configuration.version);
+    now.configuration_age = m_spread.age(m_clock.now());
     now.connections = m_callers.connections();
     now.order_connections_opened = m_order_client.connections_opened();
     if (m_owner)
--- a/libraries/cell/node_configuration.cpp
+++ b/libraries/cell/node_configuration.cpp
@@ -14,12 +14,14 @@
 } // namespace
 
 void node::configuration_changed(std::string const& key,
-                                 std::string const& value)
+                                 std::string const& value,
+                                 char const* source)
 {
     if (value.empty())
     {
         return;
     }
+    auto const begun = m_clock.now();
     auto const read = base::capture(
         [&] { return m_adapter.reader->configuration(key, value); });
     if (!read)
@@ -38,7 +40,12 @@
     report_unclear_accounts();
     base::log(base::log_level::info, "configuration_in_force",
               {{"version", m_configuration.version},
-               {"queues", std::uint64_t{m_configuration.queues.size()}}});
+               {"queues", std::uint64_t{m_configuration.queues.size()}},
+               {"source", source},
+               {"bytes", std::uint64_t{value.size()}},
+               {"decoded_s", base::seconds_of(m_clock.now() - begun)},
+               {"behind_s", base::seconds_of(m_spread.behind(m_clock.now()))}});
+    m_spread.has(m_configuration.version);
     apply_limits();
     if (m_owner)
     {
@@ -74,7 +81,18 @@
 void node::heard_of(configuration_age const& it,
                     network::socket_address const& from)
 {
-    if (m_spread.heard(it, m_configuration.version, m_clock.now()))
+    auto const known = m_spread.newest();
+    auto const fetches =
+        m_spread.heard(it, m_configuration.version, m_clock.now());
+    if (m_spread.newest() > known)
+    {
+        base::log(base::log_level::info, "configuration_behind",
+                  {{"version", m_configuration.version},
+                   {"newest", m_spread.newest()},
+                   {"peer", text_of(from)},
+                   {"age_s", base::seconds_of(m_spread.age(m_clock.now()))}});
+    }
+    if (fetches)
     {
         fetch_configuration(from);
     }
@@ -90,12 +108,10 @@
             if (!it.answer)
             {
                 base::log(base::log_level::warning, "configuration_unfetched",
-                          {{"peer", text_of(from)}});
+                          {{"peer", text_of(from)}, {"received", it.received}});
                 return;
             }
-            base::log(base::log_level::info, "configuration_fetched",
-                      {{"peer", text_of(from)}});
-            configuration_changed(it.answer->key, it.answer->value);
+            configuration_changed(it.answer->key, it.answer->value, "peer");
         });
 }
 
--- a/libraries/cell/node_metrics.cpp
+++ b/libraries/cell/node_metrics.cpp
@@ -94,6 +94,11 @@
         static_cast<double>(it.token));
     set("berylhill_cell_configuration_version", "The version in force.",
         static_cast<double>(it.configuration_version));
+    set("berylhill_cell_configuration_newest", "The newest version heard of.",
+        static_cast<double>(it.newest_configuration));
+    set("berylhill_cell_configuration_age_seconds",
+        "Since the version in force was known to be the newest.",
+        base::seconds_of(it.configuration_age));
     set("berylhill_cell_connections", "Open connections of callers.",
         static_cast<double>(it.connections));
     set("berylhill_cell_order_connections_opened",
--- a/libraries/cell/node_metrics.hpp
+++ b/libraries/cell/node_metrics.hpp
@@ -30,6 +30,10 @@
         bool ready{false};
         std::uint64_t token{0};
         std::int64_t configuration_version{0};
+        /// That this process knows of.
+        std::int64_t newest_configuration{0};
+        /// Since its version was known to be the newest.
+        base::duration configuration_age{0};
         std::size_t connections{0};
         std::uint64_t order_connections_opened{0};
         /// Null while this process does not own.
--- a/libraries/cell/peer_client.cpp
+++ b/libraries/cell/peer_client.cpp
@@ -22,7 +22,7 @@
 template <class Answer, class Parse>
 peer_result<Answer> read_answer(network::call_result const& it, Parse parse)
 {
-    peer_result<Answer> out{it.end, it.refused, std::nullopt};
+    peer_result<Answer> out{it.end, it.refused, std::nullopt, it.received};
     if (it.end != network::call_end::answered)
     {
         return out;
--- a/libraries/cell/peer_client.hpp
+++ b/libraries/cell/peer_client.hpp
@@ -21,6 +21,8 @@
     /// Nothing listens there.
     bool refused{false};
     std::optional<Answer> answer;
+    /// Bytes that came of an answer that isn't whole.
+    std::uint64_t received{0};
 };
 
 /// Calls from one process of the cell to another. Handlers are called once
--- a/libraries/network/http_client.cpp
+++ b/libraries/network/http_client.cpp
@@ -264,6 +264,17 @@
         finish({m_sent ? call_end::unanswered : call_end::not_sent, {}, false});
     }
 
+    [[nodiscard]] std::uint64_t received() const
+    {
+        if (!m_parser || !m_parser->is_header_done())
+        {
+            return 0;
+        }
+        auto const length = m_parser->content_length();
+        auto const left = m_parser->content_length_remaining();
+        return length && left ? *length - *left : 0;
+    }
+
     void finish(call_result result)
     {
         if (m_finished)
@@ -271,6 +282,10 @@
             return;
         }
         m_finished = true;
+        if (result.end == call_end::unanswered)
+        {
+            result.received = received();
+        }
         m_timer.cancel();
         if (m_connection)
         {
--- a/libraries/network/http_client.hpp
+++ b/libraries/network/http_client.hpp
@@ -35,6 +35,8 @@
     http_response response;
     /// The connection was refused: nothing listens at the address.
     bool refused{false};
+    /// Bytes of the body that came, also where the response isn't whole.
+    std::uint64_t received{0};
 
     friend bool operator==(call_result const&, call_result const&) = default;
 };
