--- a/tests/platform_adapter/cell_fixture.cpp
+++ b/tests/platform_adapter/cell_fixture.cpp
@@ -31,7 +31,7 @@
     : m_first_port{free_ports(
           port_range::tests,
           static_cast<std::uint16_t>(ports_per_process * processes + 2 +
-                                     instance_count))}
+                                     instance_count + processes))}
     , m_folder{std::filesystem::temp_directory_path() /
                ("berylhill-cell-" + std::to_string(::getpid()) + "-" +
                 std::to_string(m_first_port))}
@@ -50,6 +50,7 @@
                    instances.back()->heartbeat());
     }
     m_spare = local(port++);
+    m_first_link = static_cast<std::uint16_t>(port);
     cells.resize(processes);
     for (std::size_t n = 0; n < processes; ++n)
     {
--- a/tests/platform_adapter/cell_fixture.hpp
+++ b/tests/platform_adapter/cell_fixture.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "stand_ins/instance_stand_in.hpp"
+#include "stand_ins/ports.hpp"
 #include "stand_ins/process.hpp"
 #include "stand_ins/store_stand_in.hpp"
 
@@ -90,6 +91,12 @@
         return m_spare;
     }
 
+    /// The same, one for each process, for a link of its own.
+    [[nodiscard]] network::socket_address link_address(std::size_t n) const
+    {
+        return local(m_first_link + n);
+    }
+
     /// The process that owns the work; nothing while none does.
     [[nodiscard]] std::optional<std::size_t> owner();
 
@@ -110,6 +117,7 @@
 
     network::http_client m_client{loop, {}};
     std::uint16_t m_first_port{0};
+    std::uint16_t m_first_link{0};
     std::filesystem::path m_folder;
     std::string m_last_body;
     std::string m_key;
--- a/utilities/soak/fault_link.cpp
+++ b/tests/platform_adapter/stand_ins/fault_link.cpp
@@ -1,12 +1,13 @@
-#include <soak/fault_link.hpp>
+#include "fault_link.hpp"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <array>
 
-namespace berylhill::soak
+namespace berylhill::platform_test
 {
 
 namespace
@@ -28,11 +29,15 @@
 class fault_link::connection : public std::enable_shared_from_this<connection>
 {
 public:
-    connection(asio::io_context& loop, tcp::socket caller, link_state state)
+    connection(asio::io_context& loop,
+               tcp::socket caller,
+               link_state state,
+               std::shared_ptr<answers> answered)
         : m_caller{std::move(caller)}
         , m_called{loop}
         , m_asked{loop}
         , m_answered{loop}
+        , m_answers{std::move(answered)}
         , m_state{state}
     {
     }
@@ -103,15 +108,23 @@
                     self->pump(from, to, by, is_answer);
                     return;
                 }
-                by.timer.expires_after(self->m_state == link_state::slow
-                                           ? slow_by
-                                           : std::chrono::milliseconds{0});
+                by.timer.expires_at(self->arrival(n, is_answer));
                 by.timer.async_wait(
                     [self, &from, &to, &by, is_answer, n](auto)
                     { self->pass(from, to, by, is_answer, n); });
             });
     }
 
+    [[nodiscard]] std::chrono::steady_clock::time_point
+    arrival(std::size_t bytes, bool is_answer)
+    {
+        auto const late = m_state == link_state::slow
+                              ? slow_by
+                              : std::chrono::milliseconds{0};
+        auto const now = std::chrono::steady_clock::now();
+        return late + (is_answer ? m_answers->carry(bytes) : now);
+    }
+
     void pass(tcp::socket& from,
               tcp::socket& to,
               direction& by,
@@ -135,9 +148,25 @@
     tcp::socket m_called;
     direction m_asked;
     direction m_answered;
+    std::shared_ptr<answers> m_answers;
     link_state m_state;
 };
 
+std::chrono::steady_clock::time_point
+fault_link::answers::carry(std::size_t bytes)
+{
+    crossed += bytes;
+    auto const now = std::chrono::steady_clock::now();
+    if (bytes_per_s == 0)
+    {
+        return now;
+    }
+    constexpr std::size_t us_per_s = 1'000'000;
+    busy_until = std::max(busy_until, now) +
+                 std::chrono::microseconds{bytes * us_per_s / bytes_per_s};
+    return busy_until;
+}
+
 fault_link::fault_link(asio::io_context& loop,
                        network::socket_address const& from,
                        network::socket_address const& to)
@@ -189,7 +218,7 @@
             if (!ec && m_state != link_state::refusing)
             {
                 auto const it = std::make_shared<connection>(
-                    m_loop, std::move(socket), m_state);
+                    m_loop, std::move(socket), m_state, m_answers);
                 std::erase_if(m_connections, [](auto const& known)
                               { return known.expired(); });
                 m_connections.push_back(it);
@@ -199,4 +228,4 @@
         });
 }
 
-} // namespace berylhill::soak
+} // namespace berylhill::platform_test
--- a/utilities/soak/fault_link.hpp
+++ b/tests/platform_adapter/stand_ins/fault_link.hpp
@@ -6,11 +6,12 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <list>
 #include <memory>
 
-namespace berylhill::soak
+namespace berylhill::platform_test
 {
 
 /// What a link does to the bytes that cross it.
@@ -44,19 +45,46 @@
     /// something between has lost track of them.
     void set(link_state it);
 
+    /// What all connections together carry of answers, bytes a second; 0: any
+    /// amount at once.
+    void set_rate(std::size_t bytes_per_s)
+    {
+        m_answers->bytes_per_s = bytes_per_s;
+    }
+
+    /// Bytes of answers that have crossed it.
+    [[nodiscard]] std::size_t answered() const noexcept
+    {
+        return m_answers->crossed;
+    }
+
     /// Resets all open connections.
     void reset();
 
 private:
     class connection;
 
+    /// What crosses the link towards those who ask, over all connections.
+    struct answers
+    {
+        std::size_t bytes_per_s{0};
+        std::size_t crossed{0};
+        /// Until when the link carries what has been given to it.
+        std::chrono::steady_clock::time_point busy_until{};
+
+        /// Until when it carries so many more bytes.
+        [[nodiscard]] std::chrono::steady_clock::time_point
+        carry(std::size_t bytes);
+    };
+
     void accept();
 
     boost::asio::io_context& m_loop;
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::ip::tcp::endpoint m_to;
     link_state m_state{link_state::open};
+    std::shared_ptr<answers> m_answers{std::make_shared<answers>()};
     std::list<std::weak_ptr<connection>> m_connections;
 };
 
-} // namespace berylhill::soak
+} // namespace berylhill::platform_test
--- a/tests/platform_adapter/stand_ins/store_stand_in.cpp
+++ b/tests/platform_adapter/stand_ins/store_stand_in.cpp
@@ -16,6 +16,11 @@
 
 namespace json = boost::json;
 
+constexpr std::size_t kilobyte = 1'024;
+
+/// What a read brings at most where it does not say.
+constexpr std::size_t usual_kb = 1'024;
+
 std::string big_endian(std::uint64_t it, int bytes)
 {
     std::string out;
@@ -104,12 +109,15 @@
     auto const from =
         static_cast<std::size_t>(std::stoul(query_value(it.target, "from")));
     auto const wait = query_value(it.target, "waitMs");
+    auto const most_kb = query_value(it.target, "maxKb");
+    auto const most_bytes =
+        kilobyte * (most_kb.empty() ? usual_kb : std::stoul(most_kb));
     if (wait.empty() || from < m_topics[topic].size())
     {
-        answer(read(topic, from));
+        answer_after(m_read_delay, answer, read(topic, from, most_bytes));
         return;
     }
-    m_waiting.push_back({topic, from, std::move(answer),
+    m_waiting.push_back({topic, from, most_bytes, std::move(answer),
                          std::chrono::steady_clock::now() +
                              std::chrono::milliseconds{std::stol(wait)}});
 }
@@ -124,7 +132,8 @@
     auto const at = query_value(target, "at");
     if (!at.empty() && std::stoul(at) != log.size())
     {
-        answer_append(answer, json_answer(412, {{"end", log.size()}}));
+        answer_after(m_append_delay, answer,
+                     json_answer(412, {{"end", log.size()}}));
         return;
     }
     auto const first = log.size();
@@ -150,31 +159,38 @@
     }
     else
     {
-        answer_append(
-            answer, json_answer(200, {{"offset", first}, {"end", log.size()}}));
+        answer_after(
+            m_append_delay, answer,
+            json_answer(200, {{"offset", first}, {"end", log.size()}}));
     }
     wake();
 }
 
-void store_stand_in::answer_append(network::responder const& answer,
-                                   network::http_response response)
+void store_stand_in::answer_after(std::chrono::milliseconds delay,
+                                  network::responder const& answer,
+                                  network::http_response response)
 {
-    if (m_append_delay.count() == 0)
+    if (delay.count() == 0)
     {
         answer(std::move(response));
         return;
     }
     m_late.push_back({answer, std::move(response),
-                      std::chrono::steady_clock::now() + m_append_delay});
+                      std::chrono::steady_clock::now() + delay});
 }
 
 void store_stand_in::answer_late()
 {
     auto const now = std::chrono::steady_clock::now();
-    while (!m_late.empty() && now >= m_late.front().at)
+    for (auto it = m_late.begin(); it != m_late.end();)
     {
-        m_late.front().answer(std::move(m_late.front().response));
-        m_late.pop_front();
+        if (now < it->at)
+        {
+            ++it;
+            continue;
+        }
+        it->answer(std::move(it->response));
+        it = m_late.erase(it);
     }
 }
 
@@ -196,20 +212,28 @@
                 {"key", key}, {"value", base64(log[n].value)}, {"offset", n}});
         }
     }
-    answer(json_answer(200, {{"items", std::move(items)},
-                             {"truncated", false},
-                             {"end", log.size()}}));
+    answer_after(m_read_delay, answer,
+                 json_answer(200, {{"items", std::move(items)},
+                                   {"truncated", false},
+                                   {"end", log.size()}}));
 }
 
 network::http_response store_stand_in::read(std::string const& topic,
-                                            std::size_t from) const
+                                            std::size_t from,
+                                            std::size_t most_bytes) const
 {
     auto const at = m_topics.find(topic);
     auto const& log = at == m_topics.end() ? std::vector<entry>{} : at->second;
     auto body = big_endian(log.size(), 8) + big_endian(0, 8);
+    std::size_t bytes = 0;
     for (auto n = from; n < log.size(); ++n)
     {
         auto const& it = log[n];
+        bytes += it.key.size() + it.value.size();
+        if (bytes > most_bytes && (n > from || m_strict_size))
+        {
+            break;
+        }
         body += big_endian(1 + it.key.size() + it.value.size(), 4);
         body += big_endian(it.key.size(), 1) + it.key + it.value;
     }
@@ -223,7 +247,8 @@
     {
         if (it->from < m_topics[it->topic].size() || now >= it->until)
         {
-            it->answer(read(it->topic, it->from));
+            answer_after(m_read_delay, it->answer,
+                         read(it->topic, it->from, it->most_bytes));
             it = m_waiting.erase(it);
             continue;
         }
--- a/tests/platform_adapter/stand_ins/store_stand_in.hpp
+++ b/tests/platform_adapter/stand_ins/store_stand_in.hpp
@@ -45,6 +45,19 @@
         m_append_delay = it;
     }
 
+    /// Answers reads so much later.
+    void set_read_delay(std::chrono::milliseconds it)
+    {
+        m_read_delay = it;
+    }
+
+    /// From now on a read brings nothing where its first record is larger than
+    /// what was asked for; before, that record comes alone.
+    void set_strict_size()
+    {
+        m_strict_size = true;
+    }
+
     [[nodiscard]] std::size_t appends() const noexcept
     {
         return m_appends;
@@ -61,6 +74,7 @@
     {
         std::string topic;
         std::size_t from{0};
+        std::size_t most_bytes{0};
         network::responder answer;
         std::chrono::steady_clock::time_point until;
     };
@@ -72,9 +86,12 @@
                 network::responder const& answer);
     void newest(std::string const& topic, network::responder const& answer);
     [[nodiscard]] network::http_response read(std::string const& topic,
-                                              std::size_t from) const;
-    void answer_append(network::responder const& answer,
-                       network::http_response response);
+                                              std::size_t from,
+                                              std::size_t most_bytes) const;
+    /// Now, or `delay` later.
+    void answer_after(std::chrono::milliseconds delay,
+                      network::responder const& answer,
+                      network::http_response response);
     void wake();
     void answer_late();
     void every_tick();
@@ -92,6 +109,8 @@
 
     std::list<late_answer> m_late;
     std::chrono::milliseconds m_append_delay{0};
+    std::chrono::milliseconds m_read_delay{0};
+    bool m_strict_size{false};
     std::size_t m_appends{0};
     bool m_down{false};
     double m_lost_share{0};
--- a/utilities/soak/cell.cpp
+++ b/utilities/soak/cell.cpp
@@ -12,6 +12,8 @@
 namespace
 {
 
+using platform_test::fault_link;
+using platform_test::link_state;
 using platform_test::local;
 
 /// The grace time of the settings and a little for a busy machine.
--- a/utilities/soak/cell.hpp
+++ b/utilities/soak/cell.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <soak/fault_link.hpp>
 #include <soak/ledger.hpp>
 #include <soak/plan.hpp>
 #include <stand_ins/cell_process.hpp>
+#include <stand_ins/fault_link.hpp>
 #include <stand_ins/instance_stand_in.hpp>
 #include <stand_ins/store_stand_in.hpp>
 
@@ -88,8 +88,8 @@
     {
         platform_test::cell_process how;
         std::unique_ptr<platform_test::process> process;
-        std::unique_ptr<fault_link> to_store;
-        std::unique_ptr<fault_link> from_callers;
+        std::unique_ptr<platform_test::fault_link> to_store;
+        std::unique_ptr<platform_test::fault_link> from_callers;
         network::socket_address callers;
         /// Ended by us, or asked to end.
         bool stopping{false};
@@ -101,7 +101,7 @@
     struct worker
     {
         std::unique_ptr<platform_test::instance_stand_in> instance;
-        std::unique_ptr<fault_link> link;
+        std::unique_ptr<platform_test::fault_link> link;
         network::socket_address reached_at;
         /// When it crashes by what it has started.
         std::optional<ledger::instant> crashes_at;
