cell, network: Read a log for as long as its answer keeps coming, and ask again beside what is slow

What callers saw: a route that had been taken out was served for good by some processes (the users' CONFIG). Class: a try that failed for want of time comes again with the same patience.

Now a response may be waited for until it begins, and then for as long as bytes keep coming (call_patience); a silent connection is noticed by the stall. A question without an answer is put again on a new connection while the earlier ones are listened to, unless an answer has begun (sure_read); what a store takes is remembered, so that a slow one isn't asked several times each time. A read that brings nothing of a record larger than what it asked for asks for more. The same cause elsewhere, mended here: pages of the newest records, the look for the owner's claim (400 ms each time), the look at an offset after an append (500 ms each time), catching up before a claim (0.4 s each time).

The older test of a page given twice the time meets a store that begins late now, since a page that keeps coming is not given up any more; that has a test of its own.

--- a/libraries/cell/keyed_log.hpp
+++ b/libraries/cell/keyed_log.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <base/time.hpp>
+#include <network/http_client.hpp>
 #include <scheduler/record.hpp>
 
 #include <cstdint>
@@ -51,7 +52,10 @@
     read,
     /// Records from there on have been deleted.
     trimmed,
+    /// Nothing was read.
     failed,
+    /// The store took the question, and no whole answer came in time.
+    unanswered,
 };
 
 /// What is read of a log. A value.
@@ -64,7 +68,7 @@
     /// How much an answer may hold; a single larger record comes alone.
     std::size_t most_bytes{0};
     /// Until the call is given up.
-    base::duration timeout{0};
+    network::call_patience patience{base::duration{0}};
 
     friend bool operator==(read_question const&,
                            read_question const&) = default;
@@ -102,8 +106,8 @@
 using newest_handler = std::function<void(newest_result)>;
 
 /// One log of the platform's store that keeps the newest record of each key.
-/// Handlers are called once each, on the event loop, `timeout` after the call
-/// at the latest and never from within it.
+/// Handlers are called once each, on the event loop, when the patience is over
+/// at the latest and never from within the call.
 class keyed_log
 {
 public:
@@ -118,11 +122,12 @@
                         base::duration timeout,
                         append_handler handler) = 0;
 
-    virtual void read(read_question const& it, read_handler handler) = 0;
+    virtual network::call_handle read(read_question const& it,
+                                      read_handler handler) = 0;
 
     /// The newest record of each key after `after`; a part of them.
     virtual void newest(std::string const& after,
-                        base::duration timeout,
+                        network::call_patience const& patience,
                         newest_handler handler) = 0;
 };
 
--- a/libraries/cell/log_follower.cpp
+++ b/libraries/cell/log_follower.cpp
@@ -12,13 +12,27 @@
 namespace
 {
 
-/// Until a page of the newest records is given up. A page holds up to 1 MB,
-/// which takes the slowest links more than a second: each page that does not
-/// come is given twice the time, up to the limit. A silent connection costs
-/// the first time only.
+/// Until a page of the newest records has begun to come; each that does not is
+/// given twice the time, up to the limit. A silent connection costs the first
+/// time only.
 constexpr base::duration page_timeout = std::chrono::milliseconds{1'000};
 constexpr base::duration page_timeout_limit = std::chrono::milliseconds{4'000};
 
+/// A page of which so long no byte comes lies on a silent connection.
+constexpr base::duration page_stall = std::chrono::seconds{1};
+
+/// Until it is given up to catch up, if no answer has begun; each time without
+/// one is given twice as long.
+constexpr base::duration least_catch_up_limit = std::chrono::milliseconds{400};
+
+/// Where what was read was so long under way, what has come since is asked for
+/// without a wait: until then nobody can say that this is the newest.
+constexpr base::duration longest_as_of = std::chrono::milliseconds{500};
+
+/// A record that a read of so much does not bring is read with the newest
+/// records.
+constexpr std::size_t largest_read = std::size_t{4} * 1024 * 1024;
+
 } // namespace
 
 log_follower::log_follower(boost::asio::io_context& loop,
@@ -32,7 +46,10 @@
     , m_name{std::move(name)}
     , m_pace{pace}
     , m_timer{loop}
+    , m_read{loop, clock, log, m_name, pace.slack}
+    , m_most_bytes{pace.most_bytes}
     , m_page_timeout{page_timeout}
+    , m_catch_up_limit{least_catch_up_limit}
 {
 }
 
@@ -45,6 +62,7 @@
 {
     ++*m_generation;
     m_timer.cancel();
+    m_read.cancel();
     m_running = true;
     m_ready = false;
     m_first_page = true;
@@ -56,6 +74,7 @@
 {
     ++*m_generation;
     m_timer.cancel();
+    m_read.cancel();
     m_running = false;
     m_ready = false;
     m_known.clear();
@@ -73,14 +92,14 @@
     ++*m_generation;
     m_timer.cancel();
     m_catching_up = std::move(done);
-    read_tail(base::duration{0});
+    read_tail(base::duration{0}, m_catch_up_limit);
 }
 
 void log_follower::read_newest(std::string const& after)
 {
     m_asked_at = m_clock.now();
     m_log.newest(
-        after, m_page_timeout,
+        after, {m_page_timeout, page_stall},
         [this, alive = m_generation, mine = *m_generation](newest_result it)
         {
             if (*alive == mine)
@@ -142,24 +161,31 @@
     read_tail(base::duration{0});
 }
 
-void log_follower::read_tail(base::duration wait)
+void log_follower::read_tail(base::duration wait, base::duration limit)
 {
     m_asked_at = m_clock.now();
-    m_log.read(
-        {m_next, wait, m_pace.most_bytes, wait + m_pace.slack},
-        [this, alive = m_generation, mine = *m_generation](read_result it)
-        {
-            if (*alive == mine)
-            {
-                tail_read(std::move(it));
-            }
-        });
+    m_read.begin({m_next, wait, m_most_bytes, limit},
+                 [this](read_outcome it) { tail_read(std::move(it)); });
 }
 
-void log_follower::tail_read(read_result it)
+void log_follower::skip_to(std::uint64_t offset)
+{
+    if (!m_running || !m_ready || m_catching_up || offset <= m_next)
+    {
+        return;
+    }
+    ++*m_generation;
+    m_timer.cancel();
+    m_next = offset;
+    m_most_bytes = m_pace.most_bytes;
+    read_tail(m_pace.wait);
+}
+
+void log_follower::tail_read(read_outcome it)
 {
     auto done = std::exchange(m_catching_up, nullptr);
-    if (it.end == read_end::trimmed)
+    auto& result = it.result;
+    if (result.end == read_end::trimmed)
     {
         base::log(base::log_level::info, "log_trimmed",
                   {{"log", m_name}, {"next", m_next}});
@@ -170,17 +196,20 @@
         }
         return;
     }
-    if (it.end == read_end::failed)
+    if (result.end != read_end::read)
     {
-        failed("read", it.status, it.received);
+        failed("read", result.status, result.received);
         after(m_pace.retry, [this] { read_tail(m_pace.wait); });
         if (done)
         {
+            m_catch_up_limit = std::min(2 * m_catch_up_limit, longest_begin);
             done(false);
         }
         return;
     }
-    for (auto const& entry : it.entries)
+    m_catch_up_limit = least_catch_up_limit;
+    auto const before = m_next;
+    for (auto const& entry : result.entries)
     {
         if (entry.offset >= m_next)
         {
@@ -188,27 +217,71 @@
             m_next = entry.offset + 1;
         }
     }
-    auto const behind = m_next < it.log_end;
+    auto const behind = m_next < result.log_end;
     auto const generation = *m_generation;
     succeeded();
-    if (behind && done && *m_generation == generation)
+    if (!behind)
+    {
+        end_reached(it.as_of);
+    }
+    if (*m_generation != generation || !m_running)
+    {
+        if (done)
+        {
+            done(!behind);
+        }
+        return;
+    }
+    if (behind && m_next == before)
     {
         m_catching_up = std::move(done);
-        read_tail(base::duration{0});
+        read_larger();
         return;
     }
-    if (*m_generation == generation && m_running)
+    m_most_bytes = m_pace.most_bytes;
+    if (behind && done)
     {
-        auto const wait = behind ? base::duration{0} : m_pace.wait;
-        auto const pause = behind ? base::duration{0} : m_pace.pause;
-        after(pause, [this, wait] { read_tail(wait); });
+        m_catching_up = std::move(done);
+        read_tail(base::duration{0}, m_catch_up_limit);
+        return;
     }
+    auto const stale = m_clock.now() - it.as_of > longest_as_of;
+    auto const wait = behind || stale ? base::duration{0} : m_pace.wait;
+    auto const pause = behind ? base::duration{0} : m_pace.pause;
+    after(pause, [this, wait] { read_tail(wait); });
     if (done)
     {
         done(!behind);
     }
 }
 
+/// There is more, and the read brought nothing: its first record is larger
+/// than what was asked for.
+void log_follower::read_larger()
+{
+    if (m_most_bytes >= largest_read)
+    {
+        m_most_bytes = m_pace.most_bytes;
+        auto const done = std::exchange(m_catching_up, nullptr);
+        after(m_pace.retry, [this] { start(); });
+        if (done)
+        {
+            done(false);
+        }
+        return;
+    }
+    m_most_bytes *= 2;
+    read_tail(base::duration{0});
+}
+
+void log_follower::end_reached(base::instant as_of)
+{
+    if (m_on_end_reached)
+    {
+        m_on_end_reached(as_of);
+    }
+}
+
 void log_follower::after(base::duration pause, std::function<void()> what)
 {
     m_timer.expires_after(pause);
--- a/libraries/cell/log_follower.hpp
+++ b/libraries/cell/log_follower.hpp
@@ -2,6 +2,7 @@
 
 #include <base/time.hpp>
 #include <cell/keyed_log.hpp>
+#include <cell/sure_read.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -23,13 +24,12 @@
     base::duration wait{std::chrono::milliseconds{1'000}};
     /// Between the end of a read and the next.
     base::duration pause{std::chrono::milliseconds{50}};
-    /// Added to `wait` before a read is given up.
+    /// Added to `wait` before a read is overdue.
     base::duration slack{std::chrono::milliseconds{400}};
     /// After a failed read.
     base::duration retry{std::chrono::milliseconds{150}};
-    /// What one read brings at most. A large answer takes several turns of
-    /// the event loop, and where the processor is short it misses its
-    /// deadline each time, while what there is to read grows.
+    /// What one read brings at most, but for a single larger record: a
+    /// backlog is worked off in parts, and others have their turns between.
     std::size_t most_bytes{std::size_t{128} * 1024};
 };
 
@@ -44,6 +44,9 @@
         std::function<void(std::string const& key, std::string const& value)>;
     /// Told after each successful read, when its changes are through.
     using caught_up_handler = std::function<void()>;
+    /// Told when a read has reached the end of the log: since when, at the
+    /// latest, the changes told were all that there were.
+    using end_reached_handler = std::function<void(base::instant as_of)>;
 
     log_follower(boost::asio::io_context& loop,
                  base::clock const& clock,
@@ -64,6 +67,11 @@
         m_on_caught_up = std::move(it);
     }
 
+    void on_end_reached(end_reached_handler it)
+    {
+        m_on_end_reached = std::move(it);
+    }
+
     /// Begins, or begins anew from the newest records.
     void start();
 
@@ -74,6 +82,10 @@
     /// read succeeded; the usual reads go on afterwards.
     void catch_up(std::function<void(bool)> done);
 
+    /// What comes before `offset` has become known by another way; nothing
+    /// where it was read already. A read of it that is under way ends.
+    void skip_to(std::uint64_t offset);
+
     /// Started, and not stopped since.
     [[nodiscard]] bool running() const noexcept
     {
@@ -108,8 +120,10 @@
     void read_newest(std::string const& after);
     void newest_read(newest_result it);
     void finish_newest();
-    void read_tail(base::duration wait);
-    void tail_read(read_result it);
+    void read_tail(base::duration wait, base::duration limit = longest_begin);
+    void tail_read(read_outcome it);
+    void read_larger();
+    void end_reached(base::instant as_of);
     void after(base::duration pause, std::function<void()> what);
     void failed(char const* what, unsigned status, std::uint64_t received);
     void succeeded();
@@ -121,14 +135,18 @@
     std::string m_name;
     follow_pace m_pace;
     boost::asio::steady_timer m_timer;
+    sure_read m_read;
     change_handler m_on_change;
     caught_up_handler m_on_caught_up;
+    end_reached_handler m_on_end_reached;
     std::function<void(bool)> m_catching_up;
     /// Bumped by `start`, `stop` and `catch_up`: answers to earlier reads are
     /// ignored.
     std::shared_ptr<std::uint64_t> m_generation{
         std::make_shared<std::uint64_t>(0)};
     std::uint64_t m_next{0};
+    /// What the next read brings at most.
+    std::size_t m_most_bytes;
     bool m_running{false};
     bool m_ready{false};
     /// Reads that have failed since the last that succeeded.
@@ -143,6 +161,7 @@
     bool m_first_page{true};
     /// How long the next page is waited for.
     base::duration m_page_timeout;
+    base::duration m_catch_up_limit;
     /// Keys told to the owner and not dropped since.
     std::set<std::string> m_known;
 };
--- a/libraries/cell/owner_lookup.cpp
+++ b/libraries/cell/owner_lookup.cpp
@@ -12,8 +12,13 @@
 namespace
 {
 
-/// Until a look is given up: one record and its way, twice.
+/// Until a look has begun to be answered: one record and its way, twice. Each
+/// without an answer is given twice the time, up to the limit.
 constexpr base::duration look_timeout = std::chrono::milliseconds{400};
+constexpr base::duration look_timeout_limit = std::chrono::milliseconds{1'600};
+
+/// An answer of which so long no byte comes lies on a silent connection.
+constexpr base::duration look_stall = std::chrono::milliseconds{400};
 
 } // namespace
 
@@ -31,6 +36,7 @@
 
 owner_lookup::owner_lookup(keyed_log& cell)
     : m_cell{cell}
+    , m_patience{look_timeout}
 {
 }
 
@@ -47,7 +53,7 @@
 
 void owner_lookup::read_after(std::string const& key, handler done)
 {
-    m_cell.newest(key, look_timeout,
+    m_cell.newest(key, {m_patience, look_stall},
                   [this, alive = m_generation, mine = *m_generation,
                    done = std::move(done)](newest_result const& it)
                   {
@@ -57,9 +63,12 @@
                       }
                       if (!it.answered)
                       {
+                          m_patience =
+                              std::min(2 * m_patience, look_timeout_limit);
                           done(std::nullopt);
                           return;
                       }
+                      m_patience = look_timeout;
                       auto const at = std::ranges::find(it.entries, owner_key,
                                                         &log_entry::key);
                       if (at != it.entries.end())
--- a/libraries/cell/owner_lookup.hpp
+++ b/libraries/cell/owner_lookup.hpp
@@ -51,6 +51,8 @@
     void read_after(std::string const& key, handler done);
 
     keyed_log& m_cell;
+    /// How long the next look is waited for.
+    base::duration m_patience;
     std::shared_ptr<std::uint64_t> m_generation{
         std::make_shared<std::uint64_t>(0)};
 };
--- a/libraries/cell/sure_append.cpp
+++ b/libraries/cell/sure_append.cpp
@@ -46,8 +46,13 @@
 /// batch, whose records it compares.
 constexpr std::size_t look_bytes = std::size_t{1024} * 1024;
 
-/// Until a look at the log is given up.
+/// Until a look at the log has begun to be answered; each without an answer is
+/// given twice the time, up to the limit.
 constexpr base::duration look_timeout = std::chrono::milliseconds{500};
+constexpr base::duration look_timeout_limit = std::chrono::milliseconds{2'000};
+
+/// A look of which so long no byte comes lies on a silent connection.
+constexpr base::duration look_stall = std::chrono::milliseconds{500};
 
 /// Above what a store that was quick until now takes for its first slow
 /// append, and below what clients wait.
@@ -124,6 +129,7 @@
     m_began = m_clock.now();
     m_tries = 0;
     m_refusals = 0;
+    m_looks = 0;
     m_maybe_stored = false;
     m_done = std::move(done);
     send();
@@ -245,7 +251,9 @@
 
 void sure_append::look()
 {
-    m_log.read({m_at, base::duration{0}, look_bytes, look_timeout},
+    auto const patience =
+        std::min(look_timeout_limit, doubled(look_timeout, m_looks++));
+    m_log.read({m_at, base::duration{0}, look_bytes, {patience, look_stall}},
                [this, alive = m_generation,
                 mine = *m_generation](read_result const& it)
                {
@@ -265,7 +273,7 @@
         finish(sure_end::unknown);
         return;
     }
-    if (it.end == read_end::failed)
+    if (it.end != read_end::read)
     {
         if (over())
         {
--- a/libraries/cell/sure_append.hpp
+++ b/libraries/cell/sure_append.hpp
@@ -111,6 +111,8 @@
     base::instant m_began{};
     std::uint32_t m_tries{0};
     std::uint32_t m_refusals{0};
+    /// Looks at what stands at the offset.
+    std::uint32_t m_looks{0};
     /// A try had no answer: it may be stored, now or later.
     bool m_maybe_stored{false};
     /// Tries whose answer may still come.
--- a/libraries/network/http_client.cpp
+++ b/libraries/network/http_client.cpp
@@ -57,7 +57,9 @@
 };
 
 /// One call: takes or opens a connection, sends, reads, and reports once.
-class http_client::exchange : public std::enable_shared_from_this<exchange>
+class http_client::exchange final
+    : public call_under_way,
+      public std::enable_shared_from_this<exchange>
 {
 public:
     exchange(http_client& owner,
@@ -72,20 +74,31 @@
         fill(request);
     }
 
-    void start(base::duration timeout)
+    void start(call_patience const& patience)
     {
-        m_timer.expires_after(timeout);
-        m_timer.async_wait(
-            [self = shared_from_this()](auto ec)
-            {
-                if (!ec)
-                {
-                    self->time_out();
-                }
-            });
+        m_stall = patience.stall;
+        if (patience.on_new_connection)
+        {
+            m_owner.forget(m_to);
+        }
+        wait(patience.begin);
         m_owner.begin(shared_from_this());
     }
 
+    [[nodiscard]] bool begun() const override
+    {
+        return m_parser && m_parser->is_header_done();
+    }
+
+    void break_off() override
+    {
+        if (!m_finished)
+        {
+            m_handler = nullptr;
+            finish({});
+        }
+    }
+
     [[nodiscard]] socket_address const& to() const noexcept
     {
         return m_to;
@@ -110,6 +123,19 @@
     }
 
 private:
+    void wait(base::duration limit)
+    {
+        m_timer.expires_after(limit);
+        m_timer.async_wait(
+            [self = shared_from_this()](auto ec)
+            {
+                if (!ec)
+                {
+                    self->time_out();
+                }
+            });
+    }
+
     void fill(http_request const& from)
     {
         m_request.version(11);
@@ -216,9 +242,39 @@
             m_connection->buf.reserve(static_cast<std::size_t>(
                 std::min<std::uint64_t>(*length, largest_read)));
         }
-        http::async_read(m_connection->socket, m_connection->buf, *m_parser,
-                         [self = shared_from_this()](auto failed, std::size_t)
-                         { self->read(failed); });
+        m_parser->eager(true);
+        read_on();
+    }
+
+    void read_on()
+    {
+        if (m_stall.count() == 0 || m_parser->is_done())
+        {
+            http::async_read(
+                m_connection->socket, m_connection->buf, *m_parser,
+                [self = shared_from_this()](auto failed, std::size_t)
+                { self->read(failed); });
+            return;
+        }
+        wait(m_stall);
+        http::async_read_some(
+            m_connection->socket, m_connection->buf, *m_parser,
+            [self = shared_from_this()](auto failed, std::size_t)
+            { self->piece_read(failed); });
+    }
+
+    void piece_read(boost::system::error_code ec)
+    {
+        if (m_finished)
+        {
+            return;
+        }
+        if (ec)
+        {
+            broken();
+            return;
+        }
+        read_on();
     }
 
     void read(boost::system::error_code ec)
@@ -266,7 +322,7 @@
 
     [[nodiscard]] std::uint64_t received() const
     {
-        if (!m_parser || !m_parser->is_header_done())
+        if (!begun())
         {
             return 0;
         }
@@ -298,12 +354,16 @@
         {
             m_owner.ended(m_to);
         }
-        handler(result);
+        if (handler)
+        {
+            handler(result);
+        }
     }
 
     http_client& m_owner;
     socket_address m_to;
     asio::steady_timer m_timer;
+    base::duration m_stall{0};
     call_handler m_handler;
     http::request<http::string_body> m_request;
     std::optional<http::response_parser<http::string_body>> m_parser;
@@ -322,13 +382,15 @@
 
 http_client::~http_client() = default;
 
-void http_client::call(socket_address const& to,
-                       http_request request,
-                       base::duration timeout,
-                       call_handler handler)
+call_handle http_client::call(socket_address const& to,
+                              http_request request,
+                              call_patience const& patience,
+                              call_handler handler)
 {
-    std::make_shared<exchange>(*this, to, request, std::move(handler))
-        ->start(timeout);
+    auto const made =
+        std::make_shared<exchange>(*this, to, request, std::move(handler));
+    made->start(patience);
+    return made;
 }
 
 void http_client::begin(std::shared_ptr<exchange> const& it)
--- a/libraries/network/http_client.hpp
+++ b/libraries/network/http_client.hpp
@@ -43,6 +43,56 @@
 
 using call_handler = std::function<void(call_result const&)>;
 
+/// How long a call is waited for. A value.
+struct call_patience
+{
+    /// All of the response within `whole`.
+    template <class Rep, class Period>
+    call_patience( // NOLINT(google-explicit-constructor)
+        std::chrono::duration<Rep, Period> whole)
+        : begin{whole}
+    {
+    }
+
+    /// The response begins within `until_begin`, and then no `without_byte`
+    /// passes without a byte of it: a large one takes a slow link as long as
+    /// it takes, and a silent connection is noticed all the same.
+    call_patience(base::duration until_begin, base::duration without_byte)
+        : begin{until_begin}
+        , stall{without_byte}
+    {
+    }
+
+    base::duration begin;
+    /// 0: the whole response within `begin`.
+    base::duration stall{0};
+    /// Idle connections to the address are not trusted, but closed.
+    bool on_new_connection{false};
+
+    friend bool operator==(call_patience const&,
+                           call_patience const&) = default;
+};
+
+/// A call that has not ended. Not thread-safe.
+class call_under_way
+{
+public:
+    call_under_way() = default;
+    call_under_way(call_under_way const&) = delete;
+    call_under_way& operator=(call_under_way const&) = delete;
+    virtual ~call_under_way() = default;
+
+    /// The response has begun to come.
+    [[nodiscard]] virtual bool begun() const = 0;
+
+    /// Closes the connection, so that no more of the response comes; the
+    /// handler is not called any more.
+    virtual void break_off() = 0;
+};
+
+/// The call while it is under way; expired once it has ended.
+using call_handle = std::weak_ptr<call_under_way>;
+
 /// Limits of the connections to other processes.
 struct client_limits
 {
@@ -69,14 +119,15 @@
     http_client& operator=(http_client const&) = delete;
     ~http_client();
 
-    /// Sends the request and calls `handler` exactly once, `timeout` later at
-    /// the latest. A request on a reused connection that breaks before any
-    /// byte of the response is sent once more on a new one: the caller sends
-    /// only requests that may arrive twice.
-    void call(socket_address const& to,
-              http_request request,
-              base::duration timeout,
-              call_handler handler);
+    /// Sends the request and calls `handler` exactly once, when `patience` is
+    /// over at the latest, unless it is broken off. A request on a reused
+    /// connection that breaks before any byte of the response is sent once
+    /// more on a new one: the caller sends only requests that may arrive
+    /// twice.
+    call_handle call(socket_address const& to,
+                     http_request request,
+                     call_patience const& patience,
+                     call_handler handler);
 
     /// Connections opened so far.
     [[nodiscard]] std::uint64_t connections_opened() const noexcept
--- a/tests/cell/fake_log.hpp
+++ b/tests/cell/fake_log.hpp
@@ -88,8 +88,8 @@
                           { handler(out); });
     }
 
-    void read(cell::read_question const& it,
-              cell::read_handler handler) override
+    network::call_handle read(cell::read_question const& it,
+                              cell::read_handler handler) override
     {
         ++reads;
         auto const from = it.from;
@@ -100,19 +100,23 @@
         for (auto n = from; n < log.size() && from >= first; ++n)
         {
             bytes += log[n].key.size() + log[n].value.size();
-            if (bytes > it.most_bytes && !out.entries.empty())
+            if (bytes > it.most_bytes && (strict_size || !out.entries.empty()))
             {
                 break;
             }
             largest_read = std::max(largest_read, bytes);
             out.entries.push_back({n, log[n].key, log[n].value});
         }
-        boost::asio::post(m_loop, [handler = std::move(handler),
-                                   out = std::move(out)] { handler(out); });
+        auto const call = std::make_shared<read_call>(m_loop);
+        auto const silent = std::exchange(silent_reads, 0) > 0;
+        auto const takes = time_on_link(out.entries);
+        call->answer(silent ? 2 * it.patience.begin : read_delay, takes,
+                     it.patience.begin, std::move(out), std::move(handler));
+        return call;
     }
 
     void newest(std::string const& after,
-                base::duration timeout,
+                network::call_patience const& patience,
                 cell::newest_handler handler) override
     {
         std::map<std::string, std::uint64_t> last;
@@ -136,14 +140,17 @@
             }
             out.entries.push_back({n, key, log[n].value});
         }
-        auto const takes = time_on_link(out);
-        if (takes > timeout)
+        auto const takes = page_delay + time_on_link(out.entries);
+        auto const in_time = patience.stall.count() == 0
+                                 ? takes <= patience.begin
+                                 : page_delay <= patience.begin;
+        if (!in_time)
         {
             ++pages_lost;
             out = {};
         }
         auto const end = std::make_shared<boost::asio::steady_timer>(
-            m_loop, std::min(takes, timeout));
+            m_loop, in_time ? takes : patience.begin);
         end->async_wait(
             [this, end, handler = std::move(handler),
              out = std::move(out)](auto)
@@ -186,10 +193,85 @@
     /// What the link of the reading machine carries, bytes a second; 0: any
     /// amount at once.
     std::size_t link_bytes_per_s{0};
+    /// Until a page of the newest records begins to come.
+    base::duration page_delay{0};
     /// Pages that did not come through before the caller gave them up.
     std::size_t pages_lost{0};
 
+    /// Until the answer to a read begins.
+    base::duration read_delay{0};
+    /// The next read is never answered, where it is 1.
+    std::size_t silent_reads{0};
+    /// A read brings no record that is larger than what was asked for.
+    bool strict_size{false};
+
 private:
+    /// A read whose answer is on its way.
+    class read_call final : public network::call_under_way,
+                            public std::enable_shared_from_this<read_call>
+    {
+    public:
+        explicit read_call(boost::asio::io_context& loop)
+            : m_timer{loop}
+        {
+        }
+
+        [[nodiscard]] bool begun() const override
+        {
+            return m_begun;
+        }
+
+        void break_off() override
+        {
+            m_broken_off = true;
+            m_timer.cancel();
+        }
+
+        void answer(base::duration delay,
+                    base::duration takes,
+                    base::duration limit,
+                    cell::read_result it,
+                    cell::read_handler handler)
+        {
+            auto const late = delay > limit;
+            m_timer.expires_after(late ? limit : delay);
+            m_timer.async_wait(
+                [self = shared_from_this(), late, takes, it = std::move(it),
+                 handler = std::move(handler)](auto) mutable
+                {
+                    if (late)
+                    {
+                        it = {};
+                        it.end = cell::read_end::unanswered;
+                    }
+                    self->m_begun = true;
+                    self->finish(late ? base::duration{0} : takes,
+                                 std::move(it), std::move(handler));
+                });
+        }
+
+    private:
+        void finish(base::duration takes,
+                    cell::read_result it,
+                    cell::read_handler handler)
+        {
+            m_timer.expires_after(takes);
+            m_timer.async_wait(
+                [self = shared_from_this(), it = std::move(it),
+                 handler = std::move(handler)](auto)
+                {
+                    if (!self->m_broken_off)
+                    {
+                        handler(it);
+                    }
+                });
+        }
+
+        boost::asio::steady_timer m_timer;
+        bool m_begun{false};
+        bool m_broken_off{false};
+    };
+
     void append_slowly(std::uint64_t at,
                        std::vector<scheduler::record> const& records,
                        base::duration timeout,
@@ -223,14 +305,14 @@
     }
 
     [[nodiscard]] base::duration
-    time_on_link(cell::newest_result const& it) const
+    time_on_link(std::vector<cell::log_entry> const& entries) const
     {
         if (link_bytes_per_s == 0)
         {
             return base::duration{0};
         }
         std::size_t bytes = 0;
-        for (auto const& entry : it.entries)
+        for (auto const& entry : entries)
         {
             bytes += entry.key.size() + entry.value.size();
         }
--- a/tests/cell/log_follower_test.cpp
+++ b/tests/cell/log_follower_test.cpp
@@ -152,14 +152,81 @@
 /// work over: a page of the records takes longer on their links than a read is
 /// given, however often it is read again.
 BOOST_AUTO_TEST_CASE(a_page_that_takes_long_is_given_more_time)
+{
+    log.put({{"a", "1"}});
+    log.page_delay = std::chrono::milliseconds{1'500};
+    follower.start();
+    loop.run_for(std::chrono::seconds{3});
+    BOOST_TEST(follower.ready());
+    BOOST_TEST(log.pages_lost == 1U);
+}
+
+/// The same, where the link is slow: a page that keeps coming is not given up
+/// at all.
+BOOST_AUTO_TEST_CASE(a_page_that_keeps_coming_is_not_given_up)
 {
     constexpr std::size_t bytes = 3'000;
     log.put({{"a", std::string(bytes, 'x')}});
     log.link_bytes_per_s = 2'000;
     follower.start();
-    loop.run_for(std::chrono::seconds{3});
+    loop.run_for(std::chrono::seconds{2});
     BOOST_TEST(follower.ready());
-    BOOST_TEST(log.pages_lost == 1U);
+    BOOST_TEST(log.pages_lost == 0U);
+}
+
+/// A route that was taken out is served for good, and each read says that all
+/// is read: the store gives nothing of a record that is larger than what was
+/// asked for.
+BOOST_AUTO_TEST_CASE(a_record_larger_than_a_read_is_asked_for)
+{
+    std::vector<base::instant> ends;
+    follower.on_end_reached([&](base::instant it) { ends.push_back(it); });
+    log.strict_size = true;
+    follower.start();
+    run();
+    ends.clear();
+    log.put({{"config", std::string(400'000, 'x')}});
+    auto const put_at = clock.now();
+    run();
+    BOOST_TEST(seen.contains("config"));
+    BOOST_REQUIRE(!ends.empty());
+    BOOST_TEST((ends.back() >= put_at));
+}
+
+/// What has come another way is not read again over a slow link.
+BOOST_AUTO_TEST_CASE(a_read_of_what_is_known_is_broken_off)
+{
+    follower.start();
+    run();
+    log.link_bytes_per_s = 100'000;
+    log.put({{"config", std::string(400'000, 'x')}});
+    run();
+    follower.skip_to(1);
+    log.put({{"a", "1"}});
+    run();
+    BOOST_TEST(seen.size() == 1U);
+    BOOST_TEST(seen["a"] == "1");
+    BOOST_TEST(follower.next_offset() == 2U);
+}
+
+/// A version is taken for the newest though a newer one is in the log: a read
+/// that stopped short of the end counted as one that reached it.
+BOOST_AUTO_TEST_CASE(a_read_that_stops_short_has_not_reached_the_end)
+{
+    std::size_t told = 0;
+    follower.on_end_reached(
+        [&](base::instant)
+        {
+            ++told;
+            BOOST_TEST(seen["config"] == "newest");
+        });
+    log.put({{"config", "old"}});
+    log.put({{"other", std::string(200'000, 'x')}, {"config", "newest"}});
+    follower.start();
+    run();
+    BOOST_TEST(told > 0U);
+    log.put({{"config", std::string(200'000, 'y')}, {"config", "newest"}});
+    run();
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/cell/sure_read_test.cpp
@@ -0,0 +1,120 @@
+#include "fake_log.hpp"
+
+#include <cell/sure_read.hpp>
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <optional>
+#include <ostream>
+
+using namespace berylhill;
+using namespace berylhill::cell_test;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+constexpr milliseconds slack{50};
+
+/// 1,400 queues.
+constexpr std::size_t large = 380'000;
+
+struct fixture
+{
+    cell::read_outcome read(base::duration wait = milliseconds{0})
+    {
+        std::optional<cell::read_outcome> out;
+        reader.begin({0, wait, 1'024, cell::longest_begin},
+                     [&](cell::read_outcome it) { out = std::move(it); });
+        auto const end = clock.now() + std::chrono::seconds{6};
+        while (!out && clock.now() < end)
+        {
+            loop.restart();
+            loop.run_for(milliseconds{5});
+        }
+        BOOST_REQUIRE(out.has_value());
+        return *out;
+    }
+
+    boost::asio::io_context loop;
+    base::system_clock clock;
+    fake_log log{loop};
+    cell::sure_read reader{loop, clock, log, "test", slack};
+};
+
+struct slow_case
+{
+    char const* name;
+    std::size_t bytes;
+    std::size_t link_bytes_per_s;
+    milliseconds delay;
+    /// Of the first read and of the second: questions at most.
+    std::size_t first_questions;
+    std::size_t second_questions;
+};
+
+std::ostream& operator<<(std::ostream& to, slow_case const& it)
+{
+    return to << it.name;
+}
+
+slow_case const slow_cases[] = {
+    {"a large record on a slow link", large, 1'000'000, milliseconds{0}, 1, 1},
+    {"a small record, a slow store", 10, 0, milliseconds{400}, 4, 1},
+    {"a large record, both slow", large, 1'000'000, milliseconds{400}, 4, 1},
+    {"nothing slow", 10, 0, milliseconds{0}, 1, 1},
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(sure_read, fixture)
+
+/// A configuration never gets to a machine: a read that takes long is given up
+/// and repeated with the same patience, or is sent again beside itself.
+BOOST_DATA_TEST_CASE(what_takes_long_comes_in_the_end,
+                     boost::unit_test::data::make(slow_cases))
+{
+    log.put({{"config", std::string(sample.bytes, 'x')}});
+    log.link_bytes_per_s = sample.link_bytes_per_s;
+    log.read_delay = sample.delay;
+    BOOST_TEST(read().result.entries.size() == 1U);
+    BOOST_TEST(log.reads <= sample.first_questions);
+    log.reads = 0;
+    BOOST_TEST(read().result.entries.size() == 1U);
+    BOOST_TEST(log.reads <= sample.second_questions);
+}
+
+/// A connection goes silent: the read waits for it as long as for a store that
+/// is away.
+BOOST_AUTO_TEST_CASE(a_silent_connection_costs_one_pause)
+{
+    log.put({{"config", "x"}});
+    log.silent_reads = 1;
+    auto const begun = clock.now();
+    BOOST_TEST(read().result.entries.size() == 1U);
+    BOOST_TEST((clock.now() - begun < milliseconds{500}));
+    BOOST_TEST(log.reads == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_store_that_never_answers_is_given_up)
+{
+    log.read_delay = std::chrono::seconds{60};
+    BOOST_TEST((read().result.end == cell::read_end::unanswered));
+    BOOST_TEST(log.reads == 4U);
+}
+
+/// A version is taken for the newest though a newer one was accepted while the
+/// answer was on its way.
+BOOST_AUTO_TEST_CASE(an_answer_holds_for_the_time_of_its_question)
+{
+    log.put({{"config", "x"}});
+    log.read_delay = milliseconds{30};
+    auto const begun = clock.now();
+    auto const it = read();
+    BOOST_TEST((it.as_of >= begun));
+    BOOST_TEST((it.as_of < begun + milliseconds{25}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
