cell: Serve no call that a newer configuration refuses

What callers saw: 200 by version 8 where version 12 had been in force for seconds. Whatever holds a version up, a process that is behind went on deciding by the old one, and the owner, which answers each call and mostly knows better, took its word.

Now a call names the version it was decided by, where its queue is reached and a hash of its key; an owner with a newer version refuses what that one does (no such queue, or one that has moved; no such key), and logs call_outdated. And a process that has known of a newer version for nearly as long as the operators give it, and hasn't got it, answers 503 and is not ready: another process serves its callers. One that merely can't confirm its version goes on as before: while the store is away nobody can, no newer one is accepted, and stored states are worth an answer.

--- /dev/null
+++ b/libraries/cell/call_check.cpp
@@ -0,0 +1,47 @@
+#include <cell/call_check.hpp>
+
+#include <base/hash.hpp>
+
+#include <algorithm>
+
+namespace berylhill::cell
+{
+
+std::uint64_t place_of(workload::queue_spec const& it)
+{
+    return base::hash_of(it.host + it.path_prefix);
+}
+
+std::uint64_t digest_of_key(std::string_view key)
+{
+    return base::hash_of(key);
+}
+
+call_verdict check(job_call const& it,
+                   workload::cell_configuration const& newer)
+{
+    // A process of an older version of this program names none.
+    if (it.configuration == 0 || it.configuration >= newer.version)
+    {
+        return call_verdict::allowed;
+    }
+    auto const* const queue = newer.queue_named(it.queue);
+    if (queue == nullptr || place_of(*queue) != it.place)
+    {
+        return call_verdict::no_queue;
+    }
+    if (!newer.accounts || queue->callers == workload::caller_check::none)
+    {
+        return call_verdict::allowed;
+    }
+    auto const& all = newer.accounts->all();
+    auto const account =
+        std::ranges::find(all, it.account, &workload::account_spec::name);
+    auto const known =
+        account != all.end() &&
+        std::ranges::any_of(account->keys, [&](auto const& key)
+                            { return digest_of_key(key) == it.key; });
+    return known ? call_verdict::allowed : call_verdict::no_key;
+}
+
+} // namespace berylhill::cell
--- a/libraries/cell/job_call.hpp
+++ b/libraries/cell/job_call.hpp
@@ -31,6 +31,12 @@
     /// The client account of the caller; empty where the queue asks for no
     /// key.
     std::string account;
+    /// The version of the configuration that it was decided by; 0: not named.
+    std::int64_t configuration{0};
+    /// Where the queue is reached by that version: `place_of`.
+    std::uint64_t place{0};
+    /// A hash of the key that the caller showed.
+    std::uint64_t key{0};
     workload::job_id job;
     /// Of a submission.
     workload::job_spec spec;
@@ -63,6 +69,10 @@
     not_owner,
     /// Between processes: it lost its right, and may have done it.
     interrupted,
+    /// A newer configuration than the call was decided by has no such queue,
+    /// or the account has no such key; nothing was done.
+    no_queue,
+    no_key,
 };
 
 /// For logs and metrics.
--- a/libraries/cell/node.cpp
+++ b/libraries/cell/node.cpp
@@ -114,7 +114,7 @@
                    {
                        return false;
                    }
-                   m_owner->call(it, done);
+                   call_owner(it, done);
                    return true;
                }}
     , m_operators{m_loop, m_clock, *m_adapter.operators, "operators",
--- a/libraries/cell/node.hpp
+++ b/libraries/cell/node.hpp
@@ -72,6 +72,8 @@
     [[nodiscard]] std::vector<peer> others() const;
     void take_metrics(network::responder const& answer);
     [[nodiscard]] bool ready() const;
+    [[nodiscard]] bool configuration_overdue() const;
+    void note_newest(std::int64_t known, network::socket_address const& from);
     void configuration_changed(std::string const& key,
                                std::string const& value,
                                char const* source);
--- a/libraries/cell/node_answers.cpp
+++ b/libraries/cell/node_answers.cpp
@@ -1,6 +1,7 @@
 #include <cell/node.hpp>
 
 #include <base/log.hpp>
+#include <cell/call_check.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -18,6 +19,9 @@
 /// much older when its answer is read.
 constexpr base::duration confirmation_delay = std::chrono::milliseconds{300};
 
+/// A newer version may have been accepted so long before it was heard of.
+constexpr base::duration hearing_delay = std::chrono::milliseconds{1'000};
+
 /// By then the other processes watch a new owner.
 constexpr base::duration peers_found = std::chrono::seconds{1};
 
@@ -79,7 +83,23 @@
 
 void node::call_owner(job_call const& it, job_answer_handler done)
 {
-    m_owner->call(it, std::move(done));
+    auto const verdict = check(it, m_configuration);
+    if (verdict == call_verdict::allowed)
+    {
+        m_owner->call(it, std::move(done));
+        return;
+    }
+    auto const end = verdict == call_verdict::no_queue
+                         ? job_answer_kind::no_queue
+                         : job_answer_kind::no_key;
+    base::log(base::log_level::info, "call_outdated",
+              {{"job", text_of(it.job)},
+               {"call", name_of(it.kind)},
+               {"queue", it.queue},
+               {"end", name_of(end)},
+               {"decided_by", it.configuration},
+               {"version", m_configuration.version}});
+    done({end, {}, 0, {}});
 }
 
 void node::advise(advice_question const& it, advice_handler done)
@@ -98,7 +118,7 @@
 void node::take_job_call(network::http_request const& it,
                          network::responder answer)
 {
-    if (m_configuration.version == 0)
+    if (m_configuration.version == 0 || configuration_overdue())
     {
         // What is configured is not known yet: neither "no such queue" nor
         // "no such job" would be true.
@@ -157,6 +177,15 @@
 void node::note_old_configuration(job_call const& it) const
 {
     auto const newest = m_spread.newest();
+/// A newer version is known for so long that it has to be in force now, and
+/// has not come.
+bool node::configuration_overdue() const
+{
+    auto const demanded =
+        std::chrono::milliseconds{m_settings.bounds.configuration_ms};
+    return m_spread.behind(m_clock.now()) > demanded - hearing_delay;
+}
+
     if (sure_of_configuration() && newest <= m_configuration.version)
     {
         return;
@@ -194,7 +223,7 @@
 bool node::ready() const
 {
     return !m_stopping && m_configuration.version != 0 &&
-           m_ownership.owner_heard();
+           !configuration_overdue() && m_ownership.owner_heard();
 }
 
 void node::take_readiness(network::responder const& answer)
--- a/libraries/cell/peer_messages.cpp
+++ b/libraries/cell/peer_messages.cpp
@@ -171,6 +171,9 @@
                      {"account", it.account},
                      {"job", text_of(it.job)},
                      {"patience", it.patience.count()}};
+                     {"configuration", it.configuration},
+                     {"place", it.place},
+                     {"key", it.key},
     if (it.kind == job_call_kind::submit)
     {
         out["spec"] =
@@ -188,6 +191,10 @@
     out.account = json_codec::text_or(root, "account");
     BOOST_LEAF_ASSIGN(out.job,
                       workload::parse_job_id(json_codec::text_or(root, "job")));
+    out.configuration = json_codec::number_or(root, "configuration");
+    out.place =
+        static_cast<std::uint64_t>(json_codec::number_or(root, "place"));
+    out.key = static_cast<std::uint64_t>(json_codec::number_or(root, "key"));
     out.patience = micros(root, "patience");
     if (out.kind == job_call_kind::submit)
     {
@@ -211,8 +218,7 @@
 {
     BOOST_LEAF_AUTO(root, json_codec::parse(text));
     job_answer out;
-    BOOST_LEAF_ASSIGN(out.kind,
-                      enum_in(root, "kind", job_answer_kind::interrupted));
+    BOOST_LEAF_ASSIGN(out.kind, enum_in(root, "kind", job_answer_kind::no_key));
     BOOST_LEAF_ASSIGN(out.phase,
                       enum_in(root, "phase", scheduler::job_phase::cancelled));
     out.pending =
