cell: Confirm a version only by what was asked for after it

What callers saw: 404 for routes that were there, and 200 for ones that had gone, by processes that took their version for the newest.

Now a read confirms from the moment its question was sent (or its wait ended), only where it reached the end; an answer between processes from the moment its question was sent; a question confirms nothing. A version that is known to be behind is sure of nothing, and 401 and 404 become 503. A fetch that had no answer is given twice the time.

--- a/libraries/cell/configuration_spread.cpp
+++ b/libraries/cell/configuration_spread.cpp
@@ -13,31 +13,47 @@
 constexpr base::duration recent_read = std::chrono::milliseconds{1'200};
 constexpr base::duration read_takes = std::chrono::milliseconds{200};
 
+/// Until another process has begun to answer with its configuration; each that
+/// does not is given twice the time.
+constexpr base::duration least_fetch_patience = std::chrono::milliseconds{600};
+constexpr base::duration most_fetch_patience = std::chrono::milliseconds{2'400};
+
 /// What was never confirmed is older than any limit.
 constexpr base::duration unconfirmed = std::chrono::hours{1};
 
 } // namespace
 
+configuration_spread::configuration_spread()
+    : m_fetch_patience{least_fetch_patience}
+{
+}
+
 void configuration_spread::confirm(base::instant at)
 {
     m_confirmed_at = std::max(m_confirmed_at.value_or(at), at);
-    m_behind_since.reset();
 }
 
 bool configuration_spread::heard(configuration_age const& it,
+                                 base::instant asked_at,
                                  std::int64_t own,
                                  base::instant now)
 {
     if (it.version == own && own != 0)
     {
-        confirm(now - it.age);
-        return false;
+        confirm(asked_at - it.age);
     }
-    if (it.version <= own)
+    return heard(it.version, own, now);
+}
+
+bool configuration_spread::heard(std::int64_t version,
+                                 std::int64_t own,
+                                 base::instant now)
+{
+    if (version <= own)
     {
         return false;
     }
-    m_newest = std::max(m_newest, it.version);
+    m_newest = std::max(m_newest, version);
     m_behind_since = m_behind_since.value_or(now);
     auto const reads_itself = age(now) < recent_read;
     if (m_fetching || (reads_itself && now - *m_behind_since < read_takes))
@@ -48,6 +64,19 @@
     return true;
 }
 
+void configuration_spread::fetched(fetch_end it)
+{
+    m_fetching = false;
+    if (it == fetch_end::came)
+    {
+        m_fetch_patience = least_fetch_patience;
+    }
+    if (it == fetch_end::failed)
+    {
+        m_fetch_patience = std::min(2 * m_fetch_patience, most_fetch_patience);
+    }
+}
+
 void configuration_spread::has(std::int64_t version)
 {
     if (version >= m_newest)
--- a/libraries/cell/configuration_spread.hpp
+++ b/libraries/cell/configuration_spread.hpp
@@ -8,6 +8,15 @@
 namespace berylhill::cell
 {
 
+enum class fetch_end : std::uint8_t
+{
+    came,
+    /// It was not reached, or has copies enough under way.
+    turned_away,
+    /// No answer, or none that can be read.
+    failed,
+};
+
 /// How the configuration gets to a process that the store turns away: the
 /// version in force travels with the questions and answers between processes,
 /// and whoever is behind fetches it from one that has it.
@@ -20,21 +29,35 @@
 class configuration_spread
 {
 public:
-    /// The store answered a read: what this process has is the newest.
-    void read_store(base::instant now)
+    configuration_spread();
+
+    /// A read reached the end of the operators' log: what this process has was
+    /// the newest then.
+    void read_store(base::instant as_of)
     {
-        confirm(now);
+        confirm(as_of);
     }
 
-    /// Another process has this. Returns whether to fetch it there now.
-    /// Precondition: `own` is the version that this process has.
+    /// Another process has this version, by its question. Returns whether to
+    /// fetch it there now. Precondition: `own` is the version that this
+    /// process has.
     [[nodiscard]] bool
-    heard(configuration_age const& it, std::int64_t own, base::instant now);
+    heard(std::int64_t version, std::int64_t own, base::instant now);
+
+    /// As above, by its answer to a question that was sent at `asked_at`: what
+    /// it says held then, at the earliest.
+    [[nodiscard]] bool heard(configuration_age const& it,
+                             base::instant asked_at,
+                             std::int64_t own,
+                             base::instant now);
+
+    /// A fetch has ended.
+    void fetched(fetch_end it);
 
-    /// A fetch has ended, with or without an answer.
-    void fetched()
+    /// Until a fetch has to have begun to be answered.
+    [[nodiscard]] base::duration fetch_patience() const noexcept
     {
-        m_fetching = false;
+        return m_fetch_patience;
     }
 
     /// This process has this version now.
@@ -60,6 +83,7 @@
     std::optional<base::instant> m_behind_since;
     std::int64_t m_newest{0};
     bool m_fetching{false};
+    base::duration m_fetch_patience;
 };
 
 } // namespace berylhill::cell
--- a/libraries/cell/node.cpp
+++ b/libraries/cell/node.cpp
@@ -147,7 +147,8 @@
 {
     m_operators.on_change([this](auto const& key, auto const& value)
                           { configuration_changed(key, value, "store"); });
-    m_operators.on_caught_up([this] { m_spread.read_store(m_clock.now()); });
+    m_operators.on_end_reached([this](base::instant as_of)
+                               { m_spread.read_store(as_of); });
 }
 
 node::~node() = default;
--- a/libraries/cell/node.hpp
+++ b/libraries/cell/node.hpp
@@ -44,13 +44,15 @@
                std::uint64_t next) override;
     void ended() override;
     [[nodiscard]] configuration_age configuration_here() const override;
-    /// Also of peer_service::backend.
     void heard_of(configuration_age const& it,
+                  base::instant asked_at,
                   network::socket_address const& from) override;
 
     // peer_service::backend
     [[nodiscard]] watch_answer view() const override;
     void heard_of(owner_view const& it) override;
+    void heard_of(std::int64_t version,
+                  network::socket_address const& from) override;
     [[nodiscard]] configuration_record configuration() const override;
     [[nodiscard]] bool owns() const override;
     void call_owner(job_call const& it, job_answer_handler done) override;
@@ -67,13 +69,13 @@
                 refused_request it,
                 network::responder const& answer);
     [[nodiscard]] bool sure_of_configuration() const;
+    [[nodiscard]] bool configuration_overdue() const;
+    void note_newest(std::int64_t known, network::socket_address const& from);
     void fetch_configuration(network::socket_address const& from);
     void take_readiness(network::responder const& answer);
     [[nodiscard]] std::vector<peer> others() const;
     void take_metrics(network::responder const& answer);
     [[nodiscard]] bool ready() const;
-    [[nodiscard]] bool configuration_overdue() const;
-    void note_newest(std::int64_t known, network::socket_address const& from);
     void configuration_changed(std::string const& key,
                                std::string const& value,
                                char const* source);
--- a/libraries/cell/node_answers.cpp
+++ b/libraries/cell/node_answers.cpp
@@ -120,8 +120,9 @@
 {
     if (m_configuration.version == 0 || configuration_overdue())
     {
-        // What is configured is not known yet: neither "no such queue" nor
-        // "no such job" would be true.
+        // What is configured is not known: neither "no such queue" nor "no
+        // such job" would be true, and another process knows.
+        m_metrics.denied(status_unavailable);
         answer({status_unavailable, {{"Retry-After", "1"}}, {}});
         return;
     }
@@ -167,16 +168,15 @@
 /// last known to be the newest, and has a certain time to be in force.
 bool node::sure_of_configuration() const
 {
+    if (m_spread.newest() > m_configuration.version)
+    {
+        return false;
+    }
     auto const demanded =
         std::chrono::milliseconds{m_settings.bounds.configuration_ms};
     return m_spread.age(m_clock.now()) < demanded - confirmation_delay;
 }
 
-/// Says of a call that is served by which version, where that may not be the
-/// newest.
-void node::note_old_configuration(job_call const& it) const
-{
-    auto const newest = m_spread.newest();
 /// A newer version is known for so long that it has to be in force now, and
 /// has not come.
 bool node::configuration_overdue() const
@@ -186,7 +186,11 @@
     return m_spread.behind(m_clock.now()) > demanded - hearing_delay;
 }
 
-    if (sure_of_configuration() && newest <= m_configuration.version)
+/// Says of a call that is served by which version, where that may not be the
+/// newest.
+void node::note_old_configuration(job_call const& it) const
+{
+    if (sure_of_configuration())
     {
         return;
     }
@@ -195,7 +199,7 @@
                {"call", name_of(it.kind)},
                {"queue", it.queue},
                {"version", m_configuration.version},
-               {"newest", newest},
+               {"newest", m_spread.newest()},
                {"age_s", base::seconds_of(m_spread.age(m_clock.now()))}});
 }
 
--- a/libraries/cell/node_configuration.cpp
+++ b/libraries/cell/node_configuration.cpp
@@ -8,8 +8,18 @@
 namespace
 {
 
-/// Until a question for another process's configuration is given up.
-constexpr base::duration fetch_timeout = std::chrono::milliseconds{600};
+/// A copy of which so long no byte comes lies on a silent connection.
+constexpr base::duration copy_stall = std::chrono::seconds{1};
+
+fetch_end end_of(peer_result<configuration_record> const& it)
+{
+    if (it.answer)
+    {
+        return fetch_end::came;
+    }
+    return it.end == network::call_end::not_sent ? fetch_end::turned_away
+                                                 : fetch_end::failed;
+}
 
 } // namespace
 
@@ -79,36 +89,60 @@
 }
 
 void node::heard_of(configuration_age const& it,
+                    base::instant asked_at,
                     network::socket_address const& from)
 {
     auto const known = m_spread.newest();
     auto const fetches =
-        m_spread.heard(it, m_configuration.version, m_clock.now());
-    if (m_spread.newest() > known)
+        m_spread.heard(it, asked_at, m_configuration.version, m_clock.now());
+    note_newest(known, from);
+    if (fetches)
     {
-        base::log(base::log_level::info, "configuration_behind",
-                  {{"version", m_configuration.version},
-                   {"newest", m_spread.newest()},
-                   {"peer", text_of(from)},
-                   {"age_s", base::seconds_of(m_spread.age(m_clock.now()))}});
+        fetch_configuration(from);
     }
+}
+
+void node::heard_of(std::int64_t version, network::socket_address const& from)
+{
+    auto const known = m_spread.newest();
+    auto const fetches =
+        m_spread.heard(version, m_configuration.version, m_clock.now());
+    note_newest(known, from);
     if (fetches)
     {
         fetch_configuration(from);
     }
 }
 
+/// Says that another process has named a newer version than was known before.
+void node::note_newest(std::int64_t known, network::socket_address const& from)
+{
+    if (m_spread.newest() == known)
+    {
+        return;
+    }
+    base::log(base::log_level::info, "configuration_behind",
+              {{"version", m_configuration.version},
+               {"newest", m_spread.newest()},
+               {"peer", text_of(from)},
+               {"age_s", base::seconds_of(m_spread.age(m_clock.now()))}});
+}
+
 void node::fetch_configuration(network::socket_address const& from)
 {
     m_peers.configuration(
-        from, fetch_timeout,
+        from, {m_spread.fetch_patience(), copy_stall},
         [this, from](peer_result<configuration_record> const& it)
         {
-            m_spread.fetched();
-            if (!it.answer)
+            auto const end = end_of(it);
+            m_spread.fetched(end);
+            if (end != fetch_end::came)
             {
-                base::log(base::log_level::warning, "configuration_unfetched",
-                          {{"peer", text_of(from)}, {"received", it.received}});
+                base::log(
+                    base::log_level::info, "configuration_unfetched",
+                    {{"peer", text_of(from)},
+                     {"turned_away", end == fetch_end::turned_away ? 1 : 0},
+                     {"received", it.received}});
                 return;
             }
             configuration_changed(it.answer->key, it.answer->value, "peer");
--- a/libraries/cell/ownership.hpp
+++ b/libraries/cell/ownership.hpp
@@ -77,8 +77,10 @@
         /// The configuration that this process has.
         [[nodiscard]] virtual configuration_age configuration_here() const = 0;
 
-        /// The process at this address has this configuration.
+        /// The process at this address says that it has this configuration, in
+        /// answer to a question that was sent at `asked_at`.
         virtual void heard_of(configuration_age const& it,
+                              base::instant asked_at,
                               network::socket_address const& from) = 0;
     };
 
@@ -142,7 +144,7 @@
     void owner_found(owner_view const& it);
     void adopt(owner_view const& it);
     void watch(base::duration wait);
-    void watched(peer_result<watch_answer> const& it, base::duration wait);
+    void watched(peer_result<watch_answer> const& it, base::instant asked_at);
     void lost(owner_loss why);
     void suspect(owner_loss why);
     void suspect_alone();
--- a/libraries/cell/ownership_watch.cpp
+++ b/libraries/cell/ownership_watch.cpp
@@ -64,16 +64,17 @@
         m_owner.address, {m_self, m_peers.digest, m_told.configuration_here()},
         wait, wait + (wait.count() == 0 ? probe_limit() : watch_slack),
         [this, alive = m_generation, mine = *m_generation,
-         wait](peer_result<watch_answer> const& it)
+         asked_at = m_clock.now()](peer_result<watch_answer> const& it)
         {
             if (*alive == mine)
             {
-                watched(it, wait);
+                watched(it, asked_at);
             }
         });
 }
 
-void ownership::watched(peer_result<watch_answer> const& it, base::duration)
+void ownership::watched(peer_result<watch_answer> const& it,
+                        base::instant asked_at)
 {
     if (!it.answer)
     {
@@ -88,7 +89,7 @@
         return;
     }
     auto const& answer = *it.answer;
-    m_told.heard_of(answer.configuration, m_owner.address);
+    m_told.heard_of(answer.configuration, asked_at, m_owner.address);
     if (!answer.owns || answer.owner.incarnation != m_owner.incarnation)
     {
         if (answer.owner.token > m_owner.token)
@@ -183,7 +184,8 @@
             it.address, {m_self, 0, m_told.configuration_here()},
             base::duration{0}, probe_timeout,
             [this, from = it.address, alive = m_generation,
-             mine = *m_generation](peer_result<watch_answer> const& result)
+             mine = *m_generation,
+             asked_at = m_clock.now()](peer_result<watch_answer> const& result)
             {
                 if (*alive != mine)
                 {
@@ -191,7 +193,8 @@
                 }
                 if (result.answer)
                 {
-                    m_told.heard_of(result.answer->configuration, from);
+                    m_told.heard_of(result.answer->configuration, asked_at,
+                                    from);
                     m_others_answer = true;
                     if (result.answer->owner.token > m_owner.token)
                     {
--- a/libraries/cell/peer_client.cpp
+++ b/libraries/cell/peer_client.cpp
@@ -54,7 +54,7 @@
 void peer_client::send(network::socket_address const& to,
                        std::string target,
                        std::string body,
-                       base::duration timeout,
+                       network::call_patience const& patience,
                        network::call_handler done)
 {
     m_client.call(to,
@@ -63,7 +63,7 @@
                    {},
                    std::move(body),
                    "application/json"},
-                  timeout, std::move(done));
+                  patience, std::move(done));
 }
 
 void peer_client::watch(network::socket_address const& to,
@@ -95,10 +95,10 @@
 
 void peer_client::configuration(
     network::socket_address const& to,
-    base::duration timeout,
+    network::call_patience const& patience,
     std::function<void(peer_result<configuration_record>)> done)
 {
-    send(to, std::string{peer_paths::configuration}, "{}", timeout,
+    send(to, std::string{peer_paths::configuration}, "{}", patience,
          [done = std::move(done)](network::call_result const& it)
          { done(read_answer<configuration_record>(it, parse_configuration)); });
 }
--- a/libraries/cell/peer_client.hpp
+++ b/libraries/cell/peer_client.hpp
@@ -46,7 +46,7 @@
     /// Asks for the configuration that the other process has.
     void
     configuration(network::socket_address const& to,
-                  base::duration timeout,
+                  network::call_patience const& patience,
                   std::function<void(peer_result<configuration_record>)> done);
 
     void call(network::socket_address const& to,
@@ -64,7 +64,7 @@
     void send(network::socket_address const& to,
               std::string target,
               std::string body,
-              base::duration timeout,
+              network::call_patience const& patience,
               network::call_handler done);
 
     network::http_client& m_client;
--- a/libraries/cell/peer_service.cpp
+++ b/libraries/cell/peer_service.cpp
@@ -119,7 +119,8 @@
     }
     auto const now = m_clock.now();
     m_seen[from.value().from] = now;
-    m_behind.heard_of(from.value().configuration, from.value().from.address);
+    m_behind.heard_of(from.value().configuration.version,
+                      from.value().from.address);
     auto const wait = wait_in(it.target);
     if (wait.count() == 0 || !m_behind.owns())
     {
--- a/libraries/cell/peer_service.hpp
+++ b/libraries/cell/peer_service.hpp
@@ -33,8 +33,8 @@
 
         [[nodiscard]] virtual watch_answer view() const = 0;
         virtual void heard_of(owner_view const& it) = 0;
-        /// The process at this address has this configuration.
-        virtual void heard_of(configuration_age const& it,
+        /// The process at this address has this version of the configuration.
+        virtual void heard_of(std::int64_t version,
                               network::socket_address const& from) = 0;
         [[nodiscard]] virtual configuration_record configuration() const = 0;
         [[nodiscard]] virtual bool owns() const = 0;
--- a/tests/cell/configuration_spread_test.cpp
+++ b/tests/cell/configuration_spread_test.cpp
@@ -56,14 +56,14 @@
     now += sample.unread;
     if (sample.known_for.count() > 0)
     {
-        BOOST_TEST(!it.heard({sample.theirs, {}}, own, now));
+        BOOST_TEST(!it.heard(sample.theirs, own, now));
         now += sample.known_for;
     }
-    BOOST_TEST(it.heard({sample.theirs, {}}, own, now) == sample.fetches);
+    BOOST_TEST(it.heard(sample.theirs, own, now) == sample.fetches);
     // One at a time.
-    BOOST_TEST(!it.heard({sample.theirs, {}}, own, now));
-    it.fetched();
-    BOOST_TEST(it.heard({sample.theirs, {}}, own, now) == sample.fetches);
+    BOOST_TEST(!it.heard(sample.theirs, own, now));
+    it.fetched(cell::fetch_end::came);
+    BOOST_TEST(it.heard(sample.theirs, own, now) == sample.fetches);
 }
 
 /// A process that never read the store knows nothing, and one that hears from
@@ -73,10 +73,61 @@
     cell::configuration_spread it;
     base::instant const now{std::chrono::seconds{100}};
     BOOST_TEST((it.age(now) > std::chrono::minutes{1}));
-    BOOST_TEST(!it.heard({own, milliseconds{400}}, own, now));
+    BOOST_TEST(!it.heard({own, milliseconds{400}}, now, own, now));
     BOOST_TEST((it.age(now) == milliseconds{400}));
-    BOOST_TEST(!it.heard({own, milliseconds{900}}, own, now));
+    BOOST_TEST(!it.heard({own, milliseconds{900}}, now, own, now));
     BOOST_TEST((it.age(now) == milliseconds{400}));
 }
 
+/// Two processes that the store turns away keep telling each other that their
+/// version is the newest: the time that an answer was under way was not
+/// counted, so it was younger with each.
+BOOST_AUTO_TEST_CASE(a_version_does_not_grow_younger_between_processes)
+{
+    constexpr milliseconds under_way{300};
+    cell::configuration_spread one;
+    cell::configuration_spread other;
+    base::instant const read_at{std::chrono::seconds{100}};
+    base::instant now = read_at;
+    one.read_store(read_at);
+    for (int n = 0; n < 20; ++n)
+    {
+        auto const asked_at = now;
+        auto const answer = cell::configuration_age{own, one.age(now)};
+        now += under_way;
+        BOOST_TEST(!other.heard(answer, asked_at, own, now));
+        BOOST_TEST((other.age(now) >= now - read_at));
+        std::swap(one, other);
+    }
+}
+
+/// A process that asks others for a newer version is told by each read of its
+/// own, short of that version, to wait for itself.
+BOOST_AUTO_TEST_CASE(a_newer_version_is_not_forgotten_for_a_read)
+{
+    cell::configuration_spread it;
+    base::instant now{std::chrono::seconds{100}};
+    it.read_store(now);
+    BOOST_TEST(!it.heard(own + 1, own, now));
+    now += milliseconds{250};
+    it.read_store(now);
+    BOOST_TEST((it.behind(now) == milliseconds{250}));
+    BOOST_TEST(it.heard(own + 1, own, now));
+    it.has(own + 1);
+    BOOST_TEST((it.behind(now) == milliseconds{0}));
+}
+
+/// A copy that takes an owner longer than usual to begin is never waited for.
+BOOST_AUTO_TEST_CASE(a_fetch_without_an_answer_is_given_more_time)
+{
+    cell::configuration_spread it;
+    auto const first = it.fetch_patience();
+    it.fetched(cell::fetch_end::failed);
+    BOOST_TEST((it.fetch_patience() == 2 * first));
+    it.fetched(cell::fetch_end::turned_away);
+    BOOST_TEST((it.fetch_patience() == 2 * first));
+    it.fetched(cell::fetch_end::came);
+    BOOST_TEST((it.fetch_patience() == first));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/cell/ownership_test.cpp
+++ b/tests/cell/ownership_test.cpp
@@ -25,6 +25,7 @@
     }
 
     void heard_of(cell::configuration_age const&,
+                  base::instant,
                   network::socket_address const&) override
     {
     }
