cell: Give copies of the configuration packed, and in a part of the link

Cause: each process that was behind asked the owner for a copy of some 1.1 MB of escaped JSON, all at once and over and over, each given 0.6 s, which 10 Mbit/s don't carry; beside it its own read of the store took the same link again.

Now a copy is packed (zlib), the owner gives at most a quarter of its link to copies (limits/link_mbps, from the platform's settings) and turns the others away until it has room, and a copy that has come ends the read of the store beside it, which goes on after the copied record. A process of a version that can't unpack gets the text as it is.

--- a/libraries/cell/configuration_state.hpp
+++ b/libraries/cell/configuration_state.hpp
@@ -25,6 +25,8 @@
 {
     std::string key;
     std::string value;
+    /// All records of the operators' log before this offset are older, or it.
+    std::uint64_t next{0};
 
     friend bool operator==(configuration_record const&,
                            configuration_record const&) = default;
--- a/libraries/cell/node.cpp
+++ b/libraries/cell/node.cpp
@@ -62,6 +62,20 @@
 /// answer.
 constexpr std::int64_t connection_kb = 32;
 
+/// Copies of the configuration take this share of the link, in parts of it:
+/// hundreds of processes that ask at once hold up no calls.
+constexpr double copy_share = 4;
+
+/// Bytes of copies that go out at once.
+constexpr std::int64_t copies_at_once = std::int64_t{64} * 1024;
+
+std::int64_t copy_bytes_per_s(double link_mbps)
+{
+    constexpr double bytes_per_megabit = 125'000;
+    return static_cast<std::int64_t>(link_mbps * bytes_per_megabit /
+                                     copy_share);
+}
+
 std::string new_incarnation()
 {
     std::random_device source;
@@ -144,6 +158,7 @@
     , m_log_timer{m_loop}
     , m_load_timer{m_loop}
     , m_lag{m_loop, m_clock}
+    , m_copies{copy_bytes_per_s(m_settings.limits.link_mbps), copies_at_once}
 {
     m_operators.on_change([this](auto const& key, auto const& value)
                           { configuration_changed(key, value, "store"); });
--- a/libraries/cell/node.hpp
+++ b/libraries/cell/node.hpp
@@ -2,6 +2,7 @@
 
 #include <cell/adapter.hpp>
 #include <cell/advice_desk.hpp>
+#include <cell/byte_budget.hpp>
 #include <cell/call_router.hpp>
 #include <cell/cell_owner.hpp>
 #include <cell/configuration_spread.hpp>
@@ -16,6 +17,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace berylhill::cell
@@ -54,6 +56,7 @@
     void heard_of(std::int64_t version,
                   network::socket_address const& from) override;
     [[nodiscard]] configuration_record configuration() const override;
+    [[nodiscard]] std::optional<std::string> packed_configuration() override;
     [[nodiscard]] bool owns() const override;
     void call_owner(job_call const& it, job_answer_handler done) override;
     void advise(advice_question const& it, advice_handler done) override;
@@ -123,6 +126,9 @@
     workload::cell_configuration m_configuration;
     /// As it was read, for processes that the store turns away.
     configuration_record m_configuration_record;
+    /// The same, packed; empty until it is asked for.
+    std::string m_packed_configuration;
+    byte_budget m_copies;
     configuration_spread m_spread;
     std::unique_ptr<cell_owner> m_owner;
     base::instant m_owns_since{};
--- a/libraries/cell/node_configuration.cpp
+++ b/libraries/cell/node_configuration.cpp
@@ -1,6 +1,8 @@
 #include <cell/node.hpp>
 
 #include <base/log.hpp>
+#include <cell/packed_text.hpp>
+#include <cell/peer_messages.hpp>
 
 namespace berylhill::cell
 {
@@ -46,7 +48,8 @@
         return;
     }
     m_configuration = *read.value();
-    m_configuration_record = {key, value};
+    m_configuration_record = {key, value, 0};
+    m_packed_configuration.clear();
     report_unclear_accounts();
     base::log(base::log_level::info, "configuration_in_force",
               {{"version", m_configuration.version},
@@ -85,7 +88,22 @@
 
 configuration_record node::configuration() const
 {
-    return m_configuration_record;
+    auto out = m_configuration_record;
+    out.next = m_operators.next_offset();
+    return out;
+}
+
+std::optional<std::string> node::packed_configuration()
+{
+    if (m_packed_configuration.empty())
+    {
+        m_packed_configuration = packed(text_of(configuration()));
+    }
+    if (!m_copies.take(m_packed_configuration.size(), m_clock.now()))
+    {
+        return std::nullopt;
+    }
+    return m_packed_configuration;
 }
 
 void node::heard_of(configuration_age const& it,
@@ -146,6 +164,7 @@
                 return;
             }
             configuration_changed(it.answer->key, it.answer->value, "peer");
+            m_operators.skip_to(it.answer->next);
         });
 }
 
--- a/libraries/cell/peer_client.cpp
+++ b/libraries/cell/peer_client.cpp
@@ -1,6 +1,7 @@
 #include <cell/peer_client.hpp>
 
 #include <base/log.hpp>
+#include <cell/packed_text.hpp>
 #include <cell/peer_paths.hpp>
 
 #include <utility>
@@ -16,9 +17,22 @@
 /// The other side is not the owner and has done nothing.
 constexpr unsigned status_conflict = 409;
 
+/// It has done nothing now, and may later.
+constexpr unsigned status_busy = 429;
+
 /// Until an announcement is given up; those who miss it learn from the log.
 constexpr base::duration announce_timeout = std::chrono::milliseconds{500};
 
+/// A packed configuration that would take more is not unpacked.
+constexpr std::size_t largest_configuration = std::size_t{16} * 1024 * 1024;
+
+base::result<configuration_record>
+parse_packed_configuration(std::string_view body)
+{
+    BOOST_LEAF_AUTO(text, unpacked(body, largest_configuration));
+    return parse_configuration(text);
+}
+
 template <class Answer, class Parse>
 peer_result<Answer> read_answer(network::call_result const& it, Parse parse)
 {
@@ -27,7 +41,8 @@
     {
         return out;
     }
-    if (it.response.status == status_conflict)
+    if (it.response.status == status_conflict ||
+        it.response.status == status_busy)
     {
         out.end = network::call_end::not_sent;
         return out;
@@ -98,9 +113,23 @@
     network::call_patience const& patience,
     std::function<void(peer_result<configuration_record>)> done)
 {
-    send(to, std::string{peer_paths::configuration}, "{}", patience,
-         [done = std::move(done)](network::call_result const& it)
-         { done(read_answer<configuration_record>(it, parse_configuration)); });
+    m_client.call(to,
+                  {network::http_method::post,
+                   std::string{peer_paths::configuration},
+                   {{peer_paths::accept_encoding, peer_paths::packed_encoding}},
+                   "{}",
+                   "application/json"},
+                  patience,
+                  [done = std::move(done)](network::call_result const& it)
+                  {
+                      auto const is_packed =
+                          network::field_of(it.response.fields,
+                                            peer_paths::content_encoding) ==
+                          peer_paths::packed_encoding;
+                      done(read_answer<configuration_record>(
+                          it, is_packed ? parse_packed_configuration
+                                        : parse_configuration));
+                  });
 }
 
 void peer_client::call(network::socket_address const& to,
--- a/libraries/cell/peer_client.hpp
+++ b/libraries/cell/peer_client.hpp
@@ -43,7 +43,8 @@
     /// Tells of a new owner; nothing is expected back.
     void announce(network::socket_address const& to, owner_view const& it);
 
-    /// Asks for the configuration that the other process has.
+    /// Asks for the configuration that the other process has; `not_sent` also
+    /// where it has copies enough under way.
     void
     configuration(network::socket_address const& to,
                   network::call_patience const& patience,
--- a/libraries/cell/peer_messages.cpp
+++ b/libraries/cell/peer_messages.cpp
@@ -154,14 +154,16 @@
 
 std::string text_of(configuration_record const& it)
 {
-    return json::serialize(json::object{{"key", it.key}, {"value", it.value}});
+    return json::serialize(
+        json::object{{"key", it.key}, {"value", it.value}, {"next", it.next}});
 }
 
 base::result<configuration_record> parse_configuration(std::string_view text)
 {
     BOOST_LEAF_AUTO(root, json_codec::parse(text));
-    return configuration_record{json_codec::text_or(root, "key"),
-                                json_codec::text_or(root, "value")};
+    return configuration_record{
+        json_codec::text_or(root, "key"), json_codec::text_or(root, "value"),
+        static_cast<std::uint64_t>(json_codec::number_or(root, "next"))};
 }
 
 std::string text_of(job_call const& it)
@@ -169,11 +171,11 @@
     json::object out{{"kind", static_cast<int>(it.kind)},
                      {"queue", it.queue},
                      {"account", it.account},
-                     {"job", text_of(it.job)},
-                     {"patience", it.patience.count()}};
                      {"configuration", it.configuration},
                      {"place", it.place},
                      {"key", it.key},
+                     {"job", text_of(it.job)},
+                     {"patience", it.patience.count()}};
     if (it.kind == job_call_kind::submit)
     {
         out["spec"] =
@@ -189,12 +191,12 @@
     BOOST_LEAF_ASSIGN(out.kind, enum_in(root, "kind", job_call_kind::pending));
     out.queue = json_codec::text_or(root, "queue");
     out.account = json_codec::text_or(root, "account");
-    BOOST_LEAF_ASSIGN(out.job,
-                      workload::parse_job_id(json_codec::text_or(root, "job")));
     out.configuration = json_codec::number_or(root, "configuration");
     out.place =
         static_cast<std::uint64_t>(json_codec::number_or(root, "place"));
     out.key = static_cast<std::uint64_t>(json_codec::number_or(root, "key"));
+    BOOST_LEAF_ASSIGN(out.job,
+                      workload::parse_job_id(json_codec::text_or(root, "job")));
     out.patience = micros(root, "patience");
     if (out.kind == job_call_kind::submit)
     {
--- a/libraries/cell/peer_service.cpp
+++ b/libraries/cell/peer_service.cpp
@@ -16,6 +16,7 @@
 constexpr unsigned status_bad_request = 400;
 constexpr unsigned status_not_found = 404;
 constexpr unsigned status_conflict = 409;
+constexpr unsigned status_busy = 429;
 
 /// A process that has not asked for so long is not counted among those that
 /// live: some of its watches.
@@ -96,7 +97,7 @@
     }
     if (path == peer_paths::configuration)
     {
-        answer({status_ok, {}, text_of(m_behind.configuration())});
+        configuration(it, answer);
         return;
     }
     if (path == peer_paths::owner)
@@ -130,6 +131,28 @@
     m_watches.push_back({std::move(answer), now + wait, from.value()});
 }
 
+/// A process of a version that can't unpack gets the text as it is.
+void peer_service::configuration(network::http_request const& it,
+                                 network::responder const& answer)
+{
+    if (network::field_of(it.fields, peer_paths::accept_encoding) !=
+        peer_paths::packed_encoding)
+    {
+        answer({status_ok, {}, text_of(m_behind.configuration())});
+        return;
+    }
+    auto copy = m_behind.packed_configuration();
+    if (!copy)
+    {
+        answer({status_busy, {}, {}});
+        return;
+    }
+    answer({status_ok,
+            {{peer_paths::content_encoding, peer_paths::packed_encoding}},
+            std::move(*copy),
+            "application/octet-stream"});
+}
+
 void peer_service::job(network::http_request const& it,
                        network::responder answer)
 {
--- a/libraries/cell/peer_service.hpp
+++ b/libraries/cell/peer_service.hpp
@@ -13,6 +13,8 @@
 #include <functional>
 #include <list>
 #include <map>
+#include <optional>
+#include <string>
 #include <vector>
 
 namespace berylhill::cell
@@ -37,6 +39,10 @@
         virtual void heard_of(std::int64_t version,
                               network::socket_address const& from) = 0;
         [[nodiscard]] virtual configuration_record configuration() const = 0;
+        /// The same as a packed text; nothing while other copies take what the
+        /// link may carry of them.
+        [[nodiscard]] virtual std::optional<std::string>
+        packed_configuration() = 0;
         [[nodiscard]] virtual bool owns() const = 0;
         /// Precondition: `owns()`.
         virtual void call_owner(job_call const& it,
@@ -68,6 +74,8 @@
     };
 
     void watch(network::http_request const& it, network::responder answer);
+    void configuration(network::http_request const& it,
+                       network::responder const& answer);
     void job(network::http_request const& it, network::responder answer);
     void advise(network::http_request const& it, network::responder answer);
     void owner(network::http_request const& it, network::responder answer);
--- a/libraries/settings/cell_schema.cpp
+++ b/libraries/settings/cell_schema.cpp
@@ -109,6 +109,11 @@
     it->add({"cores", "cores",
              "Processor time; the work is owned where there is most of it."},
             &section::cores, number(0.01, most_cores));
+    constexpr double most_mbps = 10'000'000;
+    it->add({"link_mbps", "Mbit/s",
+             "What the machine's link carries; copies of the configuration for "
+             "other processes take a part of it."},
+            &section::link_mbps, number(0.01, most_mbps));
     return it;
 }
 
--- a/libraries/settings/cell_settings.hpp
+++ b/libraries/settings/cell_settings.hpp
@@ -54,6 +54,8 @@
     std::int64_t descriptors{4'096};
     /// The share of a processor that the process may use.
     double cores{0.25};
+    /// What the machine's own link carries, Mbit/s.
+    double link_mbps{100};
 
     [[nodiscard]] std::int64_t millicores() const
     {
