--- a/tests/scheduler/crash_limit_test.cpp
+++ b/tests/scheduler/crash_limit_test.cpp
@@ -287,4 +287,58 @@
     BOOST_TEST(!job.occurrences.at(0).steps[0].tasks[0].lost.suspect());
 }
 
+/// A gang is neither started again nor ever shown as ended: one member
+/// crashes its instances, and the others end done. One such end stands for
+/// all, whether the loss is known before it or not.
+BOOST_DATA_TEST_CASE(a_gang_whose_other_members_end_done_is_completed,
+                     boost::unit_test::data::make({false, true}))
+{
+    constexpr std::size_t instances = 6;
+    auto it = std::make_unique<bench_owner>();
+    for (std::size_t n = 0; n < instances; ++n)
+    {
+        it->list("i-" + std::to_string(n));
+        it->report("i-" + std::to_string(n));
+    }
+    auto gang = bench_owner::job(1, 3);
+    gang.steps[0].gang = true;
+    it->decisions.submit(gang, 0, it->now);
+    std::uint32_t crashes = 0;
+    while (it->decisions.phase_of({1}) != job_phase::completed)
+    {
+        auto const starts = it->starts();
+        BOOST_REQUIRE(starts.size() == 3U);
+        auto const crashing = starts[0].instance;
+        ++crashes;
+        for (auto const& start : starts)
+        {
+            it->confirm(start);
+        }
+        if (sample)
+        {
+            lose(it, crashing, loss::another_life);
+        }
+        it->advance(std::chrono::seconds{1});
+        for (auto const& start : starts)
+        {
+            if (start.instance != crashing)
+            {
+                it->report(start.instance, {},
+                           {{1, start.attempt, end_reason::done, {}}});
+            }
+        }
+        if (!sample)
+        {
+            lose(it, crashing, loss::another_life);
+        }
+        it->list(crashing + "+");
+        it->report(crashing + "+");
+        (void)it->store();
+    }
+    // Together on one instance at first, and apart once it was lost.
+    BOOST_TEST(crashes == 2U);
+    it->advance(std::chrono::seconds{120});
+    BOOST_TEST(it->starts().empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
