--- /dev/null
+++ b/libraries/network/http_client_connection.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <network/http_client.hpp>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+
+#include <cstddef>
+#include <list>
+#include <memory>
+
+namespace berylhill::network
+{
+
+/// A connection of a client, counted while it is open. Not thread-safe.
+class http_client::connection
+{
+public:
+    connection(boost::asio::io_context& loop, std::shared_ptr<std::size_t> open)
+        : socket{loop}
+        , m_open{std::move(open)}
+    {
+        ++*m_open;
+    }
+
+    connection(connection const&) = delete;
+    connection& operator=(connection const&) = delete;
+
+    ~connection()
+    {
+        --*m_open;
+    }
+
+    boost::asio::ip::tcp::socket socket;
+    boost::beast::flat_buffer buf;
+    /// Its place among the idle ones, while it is one.
+    std::list<socket_address>::const_iterator idle_at;
+
+private:
+    std::shared_ptr<std::size_t> m_open;
+};
+
+} // namespace berylhill::network
