--- a/tests/platform_adapter/configuration_test.cpp
+++ b/tests/platform_adapter/configuration_test.cpp
@@ -56,26 +56,6 @@
      milliseconds{0}, true},
 };
 
-/// Queues `q` and `NAME`, and so many others that the document has `bytes`.
-std::string
-large_document(int version, std::string const& name, std::size_t bytes)
-{
-    std::vector<std::string> queues{"q", name};
-    auto const row = configuration_document(version, {"q", "q"}).size() -
-                     configuration_document(version, {"q"}).size();
-    for (std::size_t n = 0;
-         configuration_document(version, queues).size() < bytes;)
-    {
-        auto const left =
-            bytes - configuration_document(version, queues).size();
-        for (auto const end = n + left / (row + 8) + 1; n < end; ++n)
-        {
-            queues.push_back("idle-" + std::to_string(n));
-        }
-    }
-    return configuration_document(version, queues);
-}
-
 /// The cell with a link of its own from each process to the store.
 struct linked_cell : cell_fixture
 {
@@ -123,7 +103,8 @@
 BOOST_DATA_TEST_CASE(a_configuration_of_any_size_is_soon_in_force,
                      boost::unit_test::data::make(size_cases))
 {
-    store->put(operators_topic, configuration_key, large_document(2, "a", 0));
+    store->put(operators_topic, configuration_key,
+               configuration_document(2, {"q", "a"}));
     BOOST_REQUIRE(run_until([&] { return serve("a", "b"); }));
     for (auto const& it : links)
     {
@@ -135,10 +116,10 @@
         store->set_strict_size();
     }
     store->put(operators_topic, configuration_key,
-               large_document(3, "b", sample.bytes));
+               configuration_document(3, {"q", "b"}, sample.bytes));
     BOOST_TEST(run_until([&] { return serve("b", "a"); }, in_force));
     store->put(operators_topic, configuration_key,
-               large_document(4, "a", sample.bytes));
+               configuration_document(4, {"q", "a"}, sample.bytes));
     BOOST_TEST(run_until([&] { return serve("a", "b"); }, in_force));
 }
 
--- a/tests/platform_adapter/stand_ins/documents.cpp
+++ b/tests/platform_adapter/stand_ins/documents.cpp
@@ -30,6 +30,25 @@
                      {"limits", json::object{}}});
 }
 
+std::string configuration_document(int version,
+                                   std::vector<std::string> const& queues,
+                                   std::size_t bytes)
+{
+    auto const name = [](std::size_t n)
+    {
+        return "other-" + std::to_string(n);
+    };
+    auto all = queues;
+    auto const bare = configuration_document(version, queues).size();
+    all.push_back(name(0));
+    auto const row = configuration_document(version, all).size() - bare;
+    for (std::size_t n = 1; bare + n * row < bytes; ++n)
+    {
+        all.push_back(name(n));
+    }
+    return configuration_document(version, bytes > bare ? all : queues);
+}
+
 std::string configuration_document(int version,
                                    std::vector<std::string> const& queues,
                                    std::vector<account_keys> const& accounts)
--- a/tests/platform_adapter/stand_ins/documents.hpp
+++ b/tests/platform_adapter/stand_ins/documents.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -17,6 +18,10 @@
 [[nodiscard]] std::string
 configuration_document(int version, std::vector<std::string> const& queues);
 
+/// As above, with so many other queues that it has `bytes` at least.
+[[nodiscard]] std::string configuration_document(
+    int version, std::vector<std::string> const& queues, std::size_t bytes);
+
 /// A client account of a configuration, and its keys. A value.
 struct account_keys
 {
--- a/utilities/soak/cell.cpp
+++ b/utilities/soak/cell.cpp
@@ -3,6 +3,7 @@
 #include <stand_ins/documents.hpp>
 #include <stand_ins/ports.hpp>
 
+#include <array>
 #include <csignal>
 #include <utility>
 
@@ -36,6 +37,14 @@
 /// The share of appends without an answer while the store loses them.
 constexpr double lost_share = 0.4;
 
+/// What a link to the store carries where configurations are large, bytes a
+/// second: 2 Mbit/s.
+constexpr std::size_t narrow_link = 250'000;
+
+/// Bytes of large configurations in turn: the largest record that the users'
+/// store takes, a little beside it, and 1,400 queues.
+constexpr std::array<std::size_t, 4> large_sizes{262'144, 0, 380'000, 60'000};
+
 /// The prefix of the queue that a version adds.
 std::string queue_of(int version)
 {
@@ -54,6 +63,7 @@
     : m_loop{loop}
     , m_seen{seen}
     , m_kind{size.kind}
+    , m_configuration{size.configuration}
 {
     using platform_test::ports_per_process;
     auto const links = 2;
@@ -93,6 +103,10 @@
         it.how = {binary, folder, "cell-" + std::to_string(n), port,
                   store_link.port};
         it.to_store = std::make_unique<fault_link>(loop, store_link, store);
+        if (m_configuration == configuration_kind::large)
+        {
+            it.to_store->set_rate(narrow_link);
+        }
         it.from_callers =
             std::make_unique<fault_link>(loop, it.callers, local(port));
         port += ports_per_process;
@@ -112,9 +126,13 @@
     {
         queues.push_back(added_queue().substr(1, 2));
     }
-    m_store->put(platform_test::operators_topic,
-                 platform_test::configuration_key,
-                 platform_test::configuration_document(m_version, queues));
+    auto const bytes = m_configuration == configuration_kind::small
+                           ? std::size_t{0}
+                           : large_sizes[static_cast<std::size_t>(m_version) %
+                                         large_sizes.size()];
+    m_store->put(
+        platform_test::operators_topic, platform_test::configuration_key,
+        platform_test::configuration_document(m_version, queues, bytes));
 }
 
 std::string cell::added_queue() const
--- a/utilities/soak/cell.hpp
+++ b/utilities/soak/cell.hpp
@@ -27,12 +27,21 @@
     unsteady,
 };
 
+/// What operators write.
+enum class configuration_kind : std::uint8_t
+{
+    small,
+    /// As large as the store takes and larger, over links that carry little.
+    large,
+};
+
 /// The size of a run, and what its instances are like. A value.
 struct cell_size
 {
     std::size_t processes{5};
     std::size_t instances{6};
     instance_kind kind{instance_kind::steady};
+    configuration_kind configuration{configuration_kind::small};
 
     friend bool operator==(cell_size const&, cell_size const&) = default;
 };
@@ -121,6 +130,7 @@
     boost::asio::io_context& m_loop;
     ledger& m_seen;
     instance_kind m_kind;
+    configuration_kind m_configuration;
     std::unique_ptr<platform_test::store_stand_in> m_store;
     std::vector<member> m_processes;
     std::vector<worker> m_workers;
--- a/utilities/soak/main.cpp
+++ b/utilities/soak/main.cpp
@@ -43,6 +43,8 @@
     add("clients", "", cxxopts::value<std::size_t>()->default_value("8"));
     add("unsteady", "tasks that crash their instances, and instances that "
                     "shrink and grow");
+    add("large", "configurations as large as the store takes, over links that "
+                 "carry 2 Mbit/s");
     add("plan", "print the faults of each seed, and play none");
     add("help", "");
     return options;
@@ -87,11 +89,13 @@
 {
     soak::run_settings settings;
     settings.binary = given["binary"].as<std::string>();
-    settings.size = {given["processes"].as<std::size_t>(),
-                     given["instances"].as<std::size_t>(),
-                     given.count("unsteady") != 0
-                         ? soak::instance_kind::unsteady
-                         : soak::instance_kind::steady};
+    settings.size = {
+        given["processes"].as<std::size_t>(),
+        given["instances"].as<std::size_t>(),
+        given.count("unsteady") != 0 ? soak::instance_kind::unsteady
+                                     : soak::instance_kind::steady,
+        given.count("large") != 0 ? soak::configuration_kind::large
+                                  : soak::configuration_kind::small};
     settings.clients = given["clients"].as<std::size_t>();
     auto const first = given["first"].as<std::uint64_t>();
     auto const seeds = given["seeds"].as<std::uint64_t>();
