cell: Heed a changed link speed, and say why a process is not ready

A reload took the link speed for copies of the configuration from before; readiness_changed names the newest version heard of and whether it is overdue.

--- a/libraries/cell/node.cpp
+++ b/libraries/cell/node.cpp
@@ -69,11 +69,12 @@
 /// Bytes of copies that go out at once.
 constexpr std::int64_t copies_at_once = std::int64_t{64} * 1024;
 
-std::int64_t copy_bytes_per_s(double link_mbps)
+byte_budget budget_of_copies(double link_mbps)
 {
     constexpr double bytes_per_megabit = 125'000;
-    return static_cast<std::int64_t>(link_mbps * bytes_per_megabit /
-                                     copy_share);
+    return byte_budget{
+        static_cast<std::int64_t>(link_mbps * bytes_per_megabit / copy_share),
+        copies_at_once};
 }
 
 std::string new_incarnation()
@@ -158,7 +159,7 @@
     , m_log_timer{m_loop}
     , m_load_timer{m_loop}
     , m_lag{m_loop, m_clock}
-    , m_copies{copy_bytes_per_s(m_settings.limits.link_mbps), copies_at_once}
+    , m_copies{budget_of_copies(m_settings.limits.link_mbps)}
 {
     m_operators.on_change([this](auto const& key, auto const& value)
                           { configuration_changed(key, value, "store"); });
@@ -290,6 +291,7 @@
     }
     m_settings.bounds = read.bounds;
     m_settings.limits = read.limits;
+    m_copies = budget_of_copies(m_settings.limits.link_mbps);
     apply_limits();
     base::log(base::log_level::info, "settings_reloaded", {});
 }
--- a/libraries/cell/node_answers.cpp
+++ b/libraries/cell/node_answers.cpp
@@ -238,6 +238,8 @@
         base::log(base::log_level::info, "readiness_changed",
                   {{"ready", now ? 1 : 0},
                    {"version", m_configuration.version},
+                   {"newest", m_spread.newest()},
+                   {"overdue", configuration_overdue() ? 1 : 0},
                    {"owner_heard", m_ownership.owner_heard() ? 1 : 0}});
     }
     answer({now ? status_ok : status_unavailable, {}, {}});
