--- a/tests/platform_adapter/stand_ins/fault_link.cpp
+++ b/tests/platform_adapter/stand_ins/fault_link.cpp
@@ -155,7 +155,6 @@
 std::chrono::steady_clock::time_point
 fault_link::answers::carry(std::size_t bytes)
 {
-    crossed += bytes;
     auto const now = std::chrono::steady_clock::now();
     if (bytes_per_s == 0)
     {
--- a/tests/platform_adapter/stand_ins/fault_link.hpp
+++ b/tests/platform_adapter/stand_ins/fault_link.hpp
@@ -52,12 +52,6 @@
         m_answers->bytes_per_s = bytes_per_s;
     }
 
-    /// Bytes of answers that have crossed it.
-    [[nodiscard]] std::size_t answered() const noexcept
-    {
-        return m_answers->crossed;
-    }
-
     /// Resets all open connections.
     void reset();
 
@@ -68,7 +62,6 @@
     struct answers
     {
         std::size_t bytes_per_s{0};
-        std::size_t crossed{0};
         /// Until when the link carries what has been given to it.
         std::chrono::steady_clock::time_point busy_until{};
 
--- a/utilities/soak/cell.cpp
+++ b/utilities/soak/cell.cpp
@@ -41,8 +41,9 @@
 /// second: 2 Mbit/s.
 constexpr std::size_t narrow_link = 250'000;
 
-/// Bytes of large configurations in turn: the largest record that the users'
-/// store takes, a little beside it, and 1,400 queues.
+/// Bytes that configurations have at least, in turn: the largest record that
+/// a store takes, as few as there are, more than a store should take, and what
+/// a read brings whole.
 constexpr std::array<std::size_t, 4> large_sizes{262'144, 0, 380'000, 60'000};
 
 /// The prefix of the queue that a version adds.
