--- a/utilities/soak/cell.cpp
+++ b/utilities/soak/cell.cpp
@@ -41,9 +41,8 @@
 /// second: 2 Mbit/s.
 constexpr std::size_t narrow_link = 250'000;
 
-/// Bytes that configurations have at least, in turn: the largest record that
-/// a store takes, as few as there are, more than a store should take, and what
-/// a read brings whole.
+/// Bytes that configurations have at least, in turn; the first is the largest
+/// record that the store takes.
 constexpr std::array<std::size_t, 4> large_sizes{262'144, 0, 380'000, 60'000};
 
 /// The prefix of the queue that a version adds.
