--- a/utilities/soak/cell.cpp
+++ b/utilities/soak/cell.cpp
@@ -37,8 +37,7 @@
 /// The share of appends without an answer while the store loses them.
 constexpr double lost_share = 0.4;
 
-/// What a link to the store carries where configurations are large, bytes a
-/// second: 2 Mbit/s.
+/// Bytes a second over a link to the store where configurations are large.
 constexpr std::size_t narrow_link = 250'000;
 
 /// Bytes that configurations have at least, in turn; the first is the largest
