scheduler: Log which orders of an attempt may still be carried out

Callers saw tasks run twice. Each time the owner had logged a rejected start (start_refused) with earlier_unanswered=0 and nothing else: not how many orders of the attempt were sent, to which one the answer belonged, whether others were without an answer, what became of a stop, or that an end of an unexpected run was read and ignored. So three hypotheses could not be told apart.

Each start order has a number among those of its attempt, its answer carries that number (start_reply), and start_sends keeps which answers are awaited and which orders got none. New events: start_sent_again, start_unanswered, attempt_found, stop_accepted, stop_refused, stop_unanswered, unexpected_end; start_refused names the order and its answer. No decision changes: the attempt counts as possibly under way exactly when it did before.

--- a/libraries/cell/cell_owner_orders.cpp
+++ b/libraries/cell/cell_owner_orders.cpp
@@ -21,6 +21,22 @@
 /// Between two rounds the event loop serves others for twice as long.
 constexpr std::size_t max_holds_at_once = 100;
 
+scheduler::stop_answer stop_answer_of(order_outcome it)
+{
+    switch (it)
+    {
+    case order_outcome::done:
+        return scheduler::stop_answer::accepted;
+    case order_outcome::refused:
+        return scheduler::stop_answer::rejected;
+    case order_outcome::fenced:
+    case order_outcome::other_incarnation:
+    case order_outcome::unanswered:
+        break;
+    }
+    return scheduler::stop_answer::unanswered;
+}
+
 } // namespace
 
 void cell_owner::send_orders(std::vector<scheduler::order> const& orders)
@@ -47,8 +63,8 @@
     m_holds.wake(it.instance);
     m_parts.orders->start(
         target(it.instance), it, start_timeout,
-        [this, alive = m_alive, id = it.instance,
-         name = it.attempt](start_result const& result)
+        [this, alive = m_alive, id = it.instance, name = it.attempt,
+         send = it.send](start_result const& result)
         {
             if (!*alive || m_lost)
             {
@@ -59,8 +75,9 @@
                 ownership_lost("start_fenced");
                 return;
             }
-            m_decisions.start_answered(id, name, result.answer, result.clock_ms,
-                                       m_parts.clock->now());
+            m_decisions.start_answered(
+                {id, name, send, result.answer, result.clock_ms},
+                m_parts.clock->now());
             schedule_round();
         });
 }
@@ -86,7 +103,7 @@
                                  m_decisions.instance_replaced(id, now);
                              }
                              m_decisions.stop_answered(
-                                 id, name, end == order_outcome::done, now);
+                                 id, name, stop_answer_of(end), now);
                              schedule_round();
                          });
 }
--- a/libraries/scheduler/instance.hpp
+++ b/libraries/scheduler/instance.hpp
@@ -3,6 +3,7 @@
 #include <scheduler/account_ledger.hpp>
 #include <scheduler/orders.hpp>
 #include <scheduler/policy.hpp>
+#include <scheduler/start_sends.hpp>
 #include <workload/resources.hpp>
 
 #include <algorithm>
@@ -63,8 +64,7 @@
     std::string account;
     std::string ticket;
     bool stop_wanted{false};
-    /// An order got no answer and may be carried out later.
-    bool unanswered{false};
+    start_sends sends;
     /// Instances were lost while they ran earlier attempts of the task.
     bool suspect{false};
     std::uint32_t tries{0};
--- a/libraries/scheduler/orders.hpp
+++ b/libraries/scheduler/orders.hpp
@@ -33,6 +33,8 @@
     std::string ticket;
     /// The end of the lease on the instance's own clock, in milliseconds.
     std::int64_t until_ms{0};
+    /// Number of this order among those sent for the attempt; the first is 1.
+    std::uint32_t send{0};
 
     friend bool operator==(start_order const&, start_order const&) = default;
 };
@@ -104,6 +106,32 @@
     unanswered,
 };
 
+/// The answer to one start order. A value.
+struct start_reply
+{
+    std::string instance;
+    attempt_name attempt;
+    /// The number of the order that was answered.
+    std::uint32_t send{0};
+    start_answer answer{start_answer::unanswered};
+    /// The instance's clock in milliseconds; 0 if the answer did not contain
+    /// it.
+    std::int64_t clock_ms{0};
+
+    friend bool operator==(start_reply const&, start_reply const&) = default;
+};
+
+/// The outcome of a stop order.
+enum class stop_answer : std::uint8_t
+{
+    /// The attempt is being stopped, or can no longer begin.
+    accepted,
+    /// The instance rejected the order.
+    rejected,
+    /// No answer was received: the order may be carried out at any time.
+    unanswered,
+};
+
 /// How an attempt ended.
 enum class end_reason : std::uint8_t
 {
--- a/libraries/scheduler/scheduler.hpp
+++ b/libraries/scheduler/scheduler.hpp
@@ -94,14 +94,10 @@
     [[nodiscard]] base::duration hold_interval(std::string const& id) const;
     void hold_answered(hold_report const& it);
     void hold_unanswered(std::string const& id, base::instant now);
-    void start_answered(std::string const& id,
-                        attempt_name const& name,
-                        start_answer answer,
-                        std::int64_t clock_ms,
-                        base::instant now);
+    void start_answered(start_reply const& it, base::instant now);
     void stop_answered(std::string const& id,
                        attempt_name const& name,
-                       bool answered,
+                       stop_answer answer,
                        base::instant now);
     void advice_answered(workload::step_name const& of,
                          std::vector<std::string> const& asked,
@@ -252,6 +248,10 @@
                      attempt_name const& name,
                      attempt const& it,
                      end_reason reason) const;
+    void report_unexpected_end(instance const& at,
+                               attempt_name const& name,
+                               end_reason reason,
+                               task const& it) const;
     void note_health(instance& at, end_reason reason, base::instant now);
     void read_running(instance& at, hold_report const& it);
     void read_ended(instance& at, hold_report const& it);
@@ -267,9 +267,14 @@
                     attempt& it,
                     base::instant now);
     void refused(instance& at,
-                 attempt_name const& name,
+                 start_reply const& reply,
                  attempt& it,
                  base::instant now);
+    void report_sends(base::log_level level,
+                      char const* event,
+                      instance const& at,
+                      attempt_name const& name,
+                      attempt const& it) const;
     void release_start(start_order it, base::instant now);
     void open_due_occurrences(std::int64_t wall_ms, base::instant now);
 
--- a/libraries/scheduler/scheduler_decide.cpp
+++ b/libraries/scheduler/scheduler_decide.cpp
@@ -384,7 +384,7 @@
     where.add(named, made);
     m_jobs.touch(of.spec().id);
     m_next_batch.starts.push_back(
-        {on, named, of.spec().payload, made.checkpoint, made.ticket, 0});
+        {on, named, of.spec().payload, made.checkpoint, made.ticket});
     m_log->write(base::log_level::info, "task_placed",
                  {{"task", text_of(name)},
                   {"run", run},
--- a/libraries/scheduler/scheduler_ends.cpp
+++ b/libraries/scheduler/scheduler_ends.cpp
@@ -81,6 +81,7 @@
                          it.instance == at.info().id;
     if (!current)
     {
+        report_unexpected_end(at, name, reason, it);
         return;
     }
     if (reason == end_reason::done && was)
@@ -157,6 +158,22 @@
                   {"beside", std::uint64_t{at.attempts().size() - 1}}});
 }
 
+/// Logs the end of an attempt that is not the task's current one.
+void scheduler::report_unexpected_end(instance const& at,
+                                      attempt_name const& name,
+                                      end_reason reason,
+                                      task const& it) const
+{
+    m_log->write(base::log_level::warning, "unexpected_end",
+                 {{"task", text_of(name.task)},
+                  {"run", name.run},
+                  {"instance", at.info().id},
+                  {"reason", text_of(reason)},
+                  {"current_run", it.run},
+                  {"current_instance", it.instance},
+                  {"placed", it.phase == task_phase::placed ? 1 : 0}});
+}
+
 void scheduler::task_done(job&, step& in, task& it)
 {
     it.phase = task_phase::done;
--- a/libraries/scheduler/scheduler_orders.cpp
+++ b/libraries/scheduler/scheduler_orders.cpp
@@ -16,29 +16,75 @@
 /// drops a dead instance within some seconds too.
 constexpr base::duration longest_rest = std::chrono::milliseconds{4'000};
 
+char const* text_of(start_answer it)
+{
+    switch (it)
+    {
+    case start_answer::running:
+        return "running";
+    case start_answer::fenced:
+        return "fenced";
+    case start_answer::outdated:
+        return "outdated";
+    case start_answer::lease_passed:
+        return "lease_passed";
+    case start_answer::no_room:
+        return "no_room";
+    case start_answer::no_ticket:
+        return "no_ticket";
+    case start_answer::turned_away:
+        return "turned_away";
+    case start_answer::other_incarnation:
+        return "other_incarnation";
+    case start_answer::invalid:
+        return "invalid";
+    case start_answer::unanswered:
+        return "unanswered";
+    }
+    return "unknown";
+}
+
+char const* event_of(stop_answer it)
+{
+    switch (it)
+    {
+    case stop_answer::accepted:
+        return "stop_accepted";
+    case stop_answer::rejected:
+        return "stop_refused";
+    case stop_answer::unanswered:
+        return "stop_unanswered";
+    }
+    return "stop_unanswered";
+}
+
 } // namespace
 
-void scheduler::start_answered(std::string const& id,
-                               attempt_name const& name,
-                               start_answer answer,
-                               std::int64_t clock_ms,
-                               base::instant now)
+void scheduler::start_answered(start_reply const& reply, base::instant now)
 {
-    auto* const at = m_instances.find(id);
+    auto* const at = m_instances.find(reply.instance);
     if (at == nullptr)
     {
         return;
     }
-    if (clock_ms != 0)
+    if (reply.clock_ms != 0)
     {
-        at->heard(now, clock_ms);
+        at->heard(now, reply.clock_ms);
     }
+    auto const& name = reply.attempt;
     auto* const it = at->find(name);
     if (it == nullptr)
     {
         return;
     }
-    switch (answer)
+    if (reply.answer == start_answer::unanswered)
+    {
+        it->sends.timed_out(reply.send);
+        report_sends(base::log_level::info, "start_unanswered", *at, name, *it);
+        return;
+    }
+    it->sends.answered(reply.send);
+    switch (reply.answer)
     {
     case start_answer::running:
         it->settled_at = now;
@@ -62,10 +108,7 @@
             // begun.
             attempt_ended(*at, name, end_reason::stopped, {}, now);
         }
-        instance_replaced(id, now);
-        return;
-    case start_answer::unanswered:
-        it->unanswered = true;
+        instance_replaced(reply.instance, now);
         return;
     case start_answer::no_ticket:
         if (auto* const job = m_jobs.find(name.task.step.job); job != nullptr)
@@ -75,7 +118,7 @@
                 in->advice.allowed.erase(at->number());
             }
         }
-        refused(*at, name, *it, now);
+        refused(*at, reply, *it, now);
         return;
     case start_answer::turned_away:
     case start_answer::fenced:
@@ -86,7 +129,9 @@
         // the pause keeps the task from being placed there again before the
         // next report.
         at->pause(now + m_rules.turned_away_pause);
-        refused(*at, name, *it, now);
+        refused(*at, reply, *it, now);
+        return;
+    case start_answer::unanswered:
         return;
     }
 }
@@ -95,16 +140,21 @@
 /// no answer, it may still be carried out, so the attempt has to be stopped
 /// first.
 void scheduler::refused(instance& at,
-                        attempt_name const& name,
+                        start_reply const& reply,
                         attempt& it,
                         base::instant now)
 {
+    auto const& name = reply.attempt;
     m_log->write(base::log_level::info, "start_refused",
                  {{"task", text_of(name.task)},
                   {"run", name.run},
                   {"instance", at.info().id},
-                  {"earlier_unanswered", it.unanswered ? 1 : 0}});
-    if (it.unanswered || it.state == attempt_state::running)
+                  {"answer", text_of(reply.answer)},
+                  {"send", reply.send},
+                  {"sent", it.sends.sent()},
+                  {"awaited", it.sends.awaited()},
+                  {"unanswered", it.sends.unanswered()}});
+    if (it.sends.unanswered() > 0 || it.state == attempt_state::running)
     {
         if (!it.stop_wanted)
         {
@@ -115,14 +165,37 @@
     attempt_ended(at, name, end_reason::stopped, {}, now);
 }
 
+/// Logs how many start orders of the attempt were sent and which of them may
+/// still be carried out.
+void scheduler::report_sends(base::log_level level,
+                             char const* event,
+                             instance const& at,
+                             attempt_name const& name,
+                             attempt const& it) const
+{
+    m_log->write(level, event,
+                 {{"task", text_of(name.task)},
+                  {"run", name.run},
+                  {"instance", at.info().id},
+                  {"sent", it.sends.sent()},
+                  {"awaited", it.sends.awaited()},
+                  {"unanswered", it.sends.unanswered()},
+                  {"stop_wanted", it.stop_wanted ? 1 : 0}});
+}
+
 void scheduler::stop_answered(std::string const& id,
                               attempt_name const& name,
-                              bool answered,
+                              stop_answer answer,
                               base::instant now)
 {
     auto* const at = m_instances.find(id);
     auto* const it = at == nullptr ? nullptr : at->find(name);
-    if (it == nullptr || !answered)
+    if (it == nullptr)
+    {
+        return;
+    }
+    report_sends(base::log_level::info, event_of(answer), *at, name, *it);
+    if (answer != stop_answer::accepted)
     {
         return;
     }
@@ -191,6 +264,7 @@
     found->state = attempt_state::sent;
     found->next_try = now + m_rules.order_retry;
     it.until_ms = at->grant(now, m_rules);
+    it.send = found->sends.add();
     ++m_counts.starts;
     m_orders.emplace_back(std::move(it));
 }
@@ -263,7 +337,8 @@
     auto const& spec = job->spec();
     m_orders.emplace_back(start_order{at.info().id, name, spec.payload,
                                       it.checkpoint, it.ticket,
-                                      at.grant(now, m_rules)});
+                                      at.grant(now, m_rules), it.sends.add()});
+    report_sends(base::log_level::info, "start_sent_again", at, name, it);
 }
 
 void scheduler::open_due_occurrences(std::int64_t wall_ms, base::instant now)
--- a/libraries/scheduler/scheduler_reports.cpp
+++ b/libraries/scheduler/scheduler_reports.cpp
@@ -64,6 +64,11 @@
         }
         if (known->state != attempt_state::running)
         {
+            if (known->sends.sent() > 0)
+            {
+                report_sends(base::log_level::info, "attempt_found", at,
+                             row.attempt, *known);
+            }
             known->state = attempt_state::running;
             known->began_at = it.read_at;
             known->progressed_at = it.read_at;
--- a/tests/scheduler/capacity_test.cpp
+++ b/tests/scheduler/capacity_test.cpp
@@ -78,8 +78,7 @@
     it.report("a");
     it.decisions.submit(scheduler_fixture::job(1, 1), 0, it.now);
     auto const start = it.starts().at(0);
-    it.decisions.start_answered("a", start.attempt,
-                                scheduler::start_answer::unanswered, 0, it.now);
+    it.answer(start, scheduler::start_answer::unanswered);
     list(it, {500, 4'000, 0});
     it.advance(milliseconds{300});
     it.decisions.tick(0, it.now);
--- a/tests/scheduler/crash_limit_test.cpp
+++ b/tests/scheduler/crash_limit_test.cpp
@@ -284,9 +284,7 @@
     it->list("a");
     it->report("a");
     auto const start = it->starts().at(0);
-    it->decisions.start_answered(start.instance, start.attempt,
-                                 scheduler::start_answer::other_incarnation, 0,
-                                 it->now);
+    it->answer(start, scheduler::start_answer::other_incarnation);
     auto const& job = *it->decisions.jobs().all().at({1});
     BOOST_TEST(!job.occurrences.at(0).steps[0].tasks[0].lost.suspect());
 }
--- a/tests/scheduler/scheduler_fixture.hpp
+++ b/tests/scheduler/scheduler_fixture.hpp
@@ -129,11 +129,19 @@
         return out;
     }
 
+    /// Delivers the answer to one order.
+    void answer(scheduler::start_order const& it, scheduler::start_answer what)
+    {
+        auto const read = what == scheduler::start_answer::unanswered ||
+                          what == scheduler::start_answer::other_incarnation;
+        decisions.start_answered(
+            {it.instance, it.attempt, it.send, what, read ? 0 : clock_ms()},
+            now);
+    }
+
     void confirm(scheduler::start_order const& it)
     {
-        decisions.start_answered(it.instance, it.attempt,
-                                 scheduler::start_answer::running, clock_ms(),
-                                 now);
+        answer(it, scheduler::start_answer::running);
     }
 
     void advance(base::duration by)
--- a/tests/scheduler/world_orders.cpp
+++ b/tests/scheduler/world_orders.cpp
@@ -44,8 +44,8 @@
             fenced(by);
             return;
         }
-        by->decisions->start_answered(it.instance, it.attempt, end, clock,
-                                      m_now);
+        by->decisions->start_answered(
+            {it.instance, it.attempt, it.send, end, clock}, m_now);
         pump(by);
     };
     auto const* const known =
@@ -118,8 +118,11 @@
                             fenced(by);
                             return;
                         }
-                        by->decisions->stop_answered(it.instance, it.attempt,
-                                                     answered, m_now);
+                        by->decisions->stop_answered(
+                            it.instance, it.attempt,
+                            answered ? scheduler::stop_answer::accepted
+                                     : scheduler::stop_answer::unanswered,
+                            m_now);
                         pump(by);
                     });
           });
--- a/utilities/cell_replay/replay.cpp
+++ b/utilities/cell_replay/replay.cpp
@@ -254,31 +254,31 @@
 
 void replay::send(scheduler::start_order const& it)
 {
-    m_time.after(way,
-                 [this, it]
-                 {
-                     auto const at = m_instances.find(it.instance);
-                     if (at == m_instances.end())
-                     {
-                         return;
-                     }
-                     if (at->second->start(it, m_time.now()))
-                     {
-                         ++m_figures.starts;
-                         begin(it.attempt, *at->second);
-                     }
-                     m_time.after(
-                         way,
-                         [this, it]
-                         {
-                             m_decisions.start_answered(
-                                 it.instance, it.attempt,
-                                 scheduler::start_answer::running,
-                                 m_time.now().time_since_epoch().count() /
-                                     1'000,
-                                 m_time.now());
-                         });
-                 });
+    m_time.after(
+        way,
+        [this, it]
+        {
+            auto const at = m_instances.find(it.instance);
+            if (at == m_instances.end())
+            {
+                return;
+            }
+            if (at->second->start(it, m_time.now()))
+            {
+                ++m_figures.starts;
+                begin(it.attempt, *at->second);
+            }
+            m_time.after(
+                way,
+                [this, it]
+                {
+                    m_decisions.start_answered(
+                        {it.instance, it.attempt, it.send,
+                         scheduler::start_answer::running,
+                         m_time.now().time_since_epoch().count() / 1'000},
+                        m_time.now());
+                });
+        });
 }
 
 void replay::send(scheduler::stop_order const& it)
@@ -295,7 +295,8 @@
                          at->second->running().contains(it.attempt) ? 1 : 0;
                      ended(it.attempt, it.instance,
                            scheduler::end_reason::stopped);
-                     m_decisions.stop_answered(it.instance, it.attempt, true,
+                     m_decisions.stop_answered(it.instance, it.attempt,
+                                               scheduler::stop_answer::accepted,
                                                m_time.now());
                      soon();
                  });
