scheduler: Let a rejected order say nothing of the others

Cause: an order is sent again after 200 ms, while its answer is waited for 400 ms. Only when that wait had ended did the attempt count as possibly begun; a rejection of one order before that dropped the attempt, freed its room and placed the task elsewhere, with another order still on its way.

Now an attempt ends on a rejection only if no order of it is awaited or unanswered. Otherwise it is stopped, and the task waits until the stop is accepted and a report shows the end, or the instance's lease or life is over: after an accepted stop the instance rejects every run up to that one.

--- a/libraries/scheduler/scheduler_orders.cpp
+++ b/libraries/scheduler/scheduler_orders.cpp
@@ -136,9 +136,9 @@
     }
 }
 
-/// The order was not carried out. If an earlier order of the same attempt got
-/// no answer, it may still be carried out, so the attempt has to be stopped
-/// first.
+/// This order was not carried out, which says nothing of the others of the
+/// attempt: while any of them may be, the attempt has to be stopped before the
+/// task can be placed again.
 void scheduler::refused(instance& at,
                         start_reply const& reply,
                         attempt& it,
@@ -154,7 +154,7 @@
                   {"sent", it.sends.sent()},
                   {"awaited", it.sends.awaited()},
                   {"unanswered", it.sends.unanswered()}});
-    if (it.sends.unanswered() > 0 || it.state == attempt_state::running)
+    if (it.sends.any_under_way() || it.state == attempt_state::running)
     {
         if (!it.stop_wanted)
         {
--- a/libraries/scheduler/start_sends.hpp
+++ b/libraries/scheduler/start_sends.hpp
@@ -28,6 +28,13 @@
         return m_sent;
     }
 
+    /// Whether any of the orders may still be carried out, unless the attempt
+    /// is stopped or its lease has expired.
+    [[nodiscard]] bool any_under_way() const noexcept
+    {
+        return !m_awaited.empty() || m_unanswered > 0;
+    }
+
     /// Number of orders whose answers are awaited.
     [[nodiscard]] std::uint32_t awaited() const noexcept
     {
