scheduler: Keep a run that has begun when an older order is rejected

Callers waited for work that was stopped and started anew: answers on several connections overtake each other, and a rejection of one order that was read after the confirmation of another, or after a report of the run, stopped the run.

Cause: a rejection was read as news of the attempt; it says only that this order did nothing. An instance confirms each order of a run that is there, so a rejection is never news of a run that has begun.

--- a/libraries/scheduler/scheduler_orders.cpp
+++ b/libraries/scheduler/scheduler_orders.cpp
@@ -154,7 +154,11 @@
                   {"sent", it.sends.sent()},
                   {"awaited", it.sends.awaited()},
                   {"unanswered", it.sends.unanswered()}});
-    if (it.sends.any_under_way() || it.state == attempt_state::running)
+    if (it.state == attempt_state::running)
+    {
+        return;
+    }
+    if (it.sends.any_under_way())
     {
         if (!it.stop_wanted)
         {
