scheduler: Start no task beside another attempt of it

Cause: whether a task may be started was decided by the task's own record, which names one attempt; the attempts counted on the instances were not looked at. Now the instances count the attempts of each task (attempt_count), whoever ordered them, and no start of a task is decided or sent while another attempt of it counts. A start that was being stored is dropped, one without an answer is stopped. The number of the run found is kept, so that the next start is higher and not rejected as outdated.

--- a/libraries/scheduler/instance.cpp
+++ b/libraries/scheduler/instance.cpp
@@ -23,9 +23,11 @@
 instance::instance(std::string id,
                    base::instant lease_end,
                    std::uint32_t number,
-                   account_ledger* ledger)
+                   account_ledger* ledger,
+                   attempt_count* counts)
     : m_number{number}
     , m_ledger{ledger}
+    , m_counts{counts}
     , m_lease_end{lease_end}
 {
     m_info.id = std::move(id);
@@ -103,6 +105,10 @@
     {
         m_ledger->add(it.account, it.of_cap);
     }
+    if (m_counts != nullptr)
+    {
+        m_counts->add(name.task);
+    }
     m_unknown_needs += it.need_known ? 0 : 1;
     auto const [at, added] = m_attempts.emplace(name, std::move(it));
     assert(added);
@@ -121,6 +127,10 @@
     {
         m_ledger->remove(it->second.account, it->second.of_cap);
     }
+    if (m_counts != nullptr)
+    {
+        m_counts->remove(name.task);
+    }
     m_unknown_needs -= it->second.need_known ? 0 : 1;
     m_attempts.erase(it);
 }
--- a/libraries/scheduler/instance.hpp
+++ b/libraries/scheduler/instance.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <scheduler/account_ledger.hpp>
+#include <scheduler/attempt_count.hpp>
 #include <scheduler/orders.hpp>
 #include <scheduler/policy.hpp>
 #include <scheduler/start_sends.hpp>
@@ -98,12 +99,13 @@
 public:
     /// `lease_end` is the time by which all leases granted by former owners
     /// have certainly expired; `number` is unique among the instances of one
-    /// table. The resources of the instance's attempts are also counted in
-    /// `ledger`, which must outlive the instance and may be null.
+    /// table. The instance's attempts and their resources are also counted in
+    /// `counts` and `ledger`, which must outlive the instance and may be null.
     instance(std::string id,
              base::instant lease_end,
              std::uint32_t number = 0,
-             account_ledger* ledger = nullptr);
+             account_ledger* ledger = nullptr,
+             attempt_count* counts = nullptr);
 
     /// Unique number of the instance, cheaper to compare than its id.
     [[nodiscard]] std::uint32_t number() const noexcept
@@ -255,6 +257,7 @@
     instance_info m_info;
     std::uint32_t m_number;
     account_ledger* m_ledger;
+    attempt_count* m_counts;
     std::string m_rack;
     std::optional<base::instant> m_leaves_at;
     bool m_shrunk{false};
--- a/libraries/scheduler/instance_table.cpp
+++ b/libraries/scheduler/instance_table.cpp
@@ -26,7 +26,7 @@
     if (!at)
     {
         at = std::make_shared<instance>(id, m_former_lease_end, ++m_last_number,
-                                        m_accounts.get());
+                                        m_accounts.get(), m_attempts.get());
     }
     return *at;
 }
--- a/libraries/scheduler/instance_table.hpp
+++ b/libraries/scheduler/instance_table.hpp
@@ -39,6 +39,12 @@
         return *m_accounts;
     }
 
+    /// How many attempts of each task are on all instances.
+    [[nodiscard]] attempt_count const& attempts() const noexcept
+    {
+        return *m_attempts;
+    }
+
     /// Adds or updates an instance from the platform's endpoint list.
     void list(instance_info it, base::instant now);
 
@@ -80,6 +86,8 @@
     /// Declared before the instances, which refer to it in their destructors.
     std::unique_ptr<account_ledger> m_accounts{
         std::make_unique<account_ledger>()};
+    std::unique_ptr<attempt_count> m_attempts{
+        std::make_unique<attempt_count>()};
     instance_map m_instances;
     base::instant m_former_lease_end;
     std::uint32_t m_last_number{0};
--- a/libraries/scheduler/scheduler.cpp
+++ b/libraries/scheduler/scheduler.cpp
@@ -57,6 +57,28 @@
     return out;
 }
 
+/// Returns null if the job is unknown or its details were released.
+task* scheduler::find_task(workload::task_name const& it)
+{
+    auto* const job = m_jobs.find(it.step.job);
+    auto* const in = job == nullptr ? nullptr : job->find(it.step);
+    return in == nullptr || it.index >= in->tasks.size() ? nullptr
+                                                         : &in->tasks[it.index];
+}
+
+/// Whether an attempt of any task of the step may be running anywhere.
+bool scheduler::any_attempt(workload::step_name const& of, step const& in) const
+{
+    for (std::uint32_t n = 0; n < in.tasks.size(); ++n)
+    {
+        if (m_instances.attempts().of({of, n}) > 0)
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
 /// Whether every single task, and every gang as a whole, fits the account's cap
 /// while the account uses nothing else.
 bool scheduler::within_cap(workload::job_spec const& it) const
--- a/libraries/scheduler/scheduler.hpp
+++ b/libraries/scheduler/scheduler.hpp
@@ -200,6 +200,9 @@
     void update_expected_work(job& of) const;
     [[nodiscard]] static attempt attempt_of(job const& of,
                                             workload::step_name const& name);
+    [[nodiscard]] task* find_task(workload::task_name const& it);
+    [[nodiscard]] bool any_attempt(workload::step_name const& of,
+                                   step const& in) const;
     [[nodiscard]] bool within_cap(workload::job_spec const& it) const;
 
     // scheduler_restore.cpp
@@ -254,6 +257,8 @@
                                task const& it) const;
     void note_health(instance& at, end_reason reason, base::instant now);
     void read_running(instance& at, hold_report const& it);
+    void
+    add_stray(instance& at, attempt_name const& name, hold_report const& from);
     void read_ended(instance& at, hold_report const& it);
     [[nodiscard]] std::uint64_t last_processed_end(instance const& at) const;
     void drop_missing(instance& at, hold_report const& it);
@@ -276,6 +281,8 @@
                       attempt_name const& name,
                       attempt const& it) const;
     void release_start(start_order it, base::instant now);
+    [[nodiscard]] bool may_start(instance const& at,
+                                 attempt_name const& name) const;
     void open_due_occurrences(std::int64_t wall_ms, base::instant now);
 
     // scheduler_leave.cpp
--- a/libraries/scheduler/scheduler_decide.cpp
+++ b/libraries/scheduler/scheduler_decide.cpp
@@ -120,7 +120,8 @@
     auto& of = *m_jobs.find(it.name.job);
     auto const& queue = *queue_of(of);
     auto const& spec = of.spec_of(it.name);
-    if (spec.gang && of.find(it.name)->placed() > 0)
+    if (auto const& in = *of.find(it.name);
+        spec.gang && (in.placed() > 0 || any_attempt(it.name, in)))
     {
         return;
     }
@@ -309,7 +310,8 @@
     auto next = chosen.begin();
     for (std::uint32_t n = 0; n < in.tasks.size() && next != chosen.end(); ++n)
     {
-        if (in.tasks[n].phase != task_phase::waiting)
+        if (in.tasks[n].phase != task_phase::waiting ||
+            m_instances.attempts().of({it.name, n}) > 0)
         {
             continue;
         }
--- a/libraries/scheduler/scheduler_orders.cpp
+++ b/libraries/scheduler/scheduler_orders.cpp
@@ -247,6 +247,13 @@
                                       base::duration{0}, longest_rest);
 }
 
+/// Whether a start that was decided may still be sent.
+bool scheduler::may_start(instance const& at, attempt_name const& name) const
+{
+    return !at.info().draining && !at.over_capacity() &&
+           m_instances.attempts().of(name.task) == 1;
+}
+
 void scheduler::release_start(start_order it, base::instant now)
 {
     auto* const at = m_instances.find(it.instance);
@@ -255,13 +262,12 @@
     {
         return;
     }
-    if (found->stop_wanted || at->info().draining || !at->listed() ||
-        at->over_capacity())
+    if (found->stop_wanted || !at->listed() || !may_start(*at, it.attempt))
     {
         // The attempt was cancelled before its order was sent, or the instance
-        // began to leave or lost capacity while the record was being stored,
-        // which takes seconds while the store is unavailable. Nothing has to be
-        // stopped.
+        // began to leave or lost capacity, or another attempt was found, while
+        // the record was being stored, which takes seconds while the store is
+        // unavailable. Nothing has to be stopped.
         attempt_ended(*at, it.attempt, end_reason::stopped, {}, now);
         return;
     }
@@ -326,7 +332,7 @@
         // As with hold requests, an order would grant a lease.
         return;
     }
-    if (at.info().draining || at.over_capacity())
+    if (!may_start(at, name))
     {
         // An order that has not been carried out must not be carried out any
         // more.
--- a/libraries/scheduler/scheduler_reports.cpp
+++ b/libraries/scheduler/scheduler_reports.cpp
@@ -45,21 +45,7 @@
         auto* const known = at.find(row.attempt);
         if (known == nullptr)
         {
-            m_log->write(base::log_level::warning, "stray_attempt",
-                         {{"task", text_of(row.attempt.task)},
-                          {"run", row.attempt.run},
-                          {"instance", it.instance}});
-            auto* const job = m_jobs.find(row.attempt.task.step.job);
-            auto const known_need =
-                job != nullptr &&
-                row.attempt.task.step.step_index < job->spec().steps.size();
-            auto stray = known_need ? attempt_of(*job, row.attempt.task.step)
-                                    : attempt{};
-            stray.need_known = known_need;
-            stray.state = attempt_state::running;
-            stray.settled_at = it.sent_at;
-            auto& added = at.add(row.attempt, stray);
-            want_stop(at, row.attempt, added, it.read_at);
+            add_stray(at, row.attempt, it);
             continue;
         }
         if (known->state != attempt_state::running)
@@ -89,6 +75,33 @@
     }
 }
 
+/// Adds an attempt that was not expected and stops it. Its task is not started
+/// before it has ended, and then with a higher number: an instance rejects runs
+/// that are not higher than one that has ended there.
+void scheduler::add_stray(instance& at,
+                          attempt_name const& name,
+                          hold_report const& from)
+{
+    m_log->write(base::log_level::warning, "stray_attempt",
+                 {{"task", text_of(name.task)},
+                  {"run", name.run},
+                  {"instance", from.instance}});
+    auto* const job = m_jobs.find(name.task.step.job);
+    auto const known_need =
+        job != nullptr && name.task.step.step_index < job->spec().steps.size();
+    auto stray = known_need ? attempt_of(*job, name.task.step) : attempt{};
+    stray.need_known = known_need;
+    stray.state = attempt_state::running;
+    stray.settled_at = from.sent_at;
+    auto& added = at.add(name, stray);
+    want_stop(at, name, added, from.read_at);
+    if (auto* const it = find_task(name.task);
+        it != nullptr && it->phase == task_phase::waiting)
+    {
+        it->run = std::max(it->run, name.run);
+    }
+}
+
 void scheduler::read_ended(instance& at, hold_report const& it)
 {
     for (auto const& row : it.ended)
