scheduler: Count the end of an attempt that was not expected

Callers saw a task start again seconds after it had ended: the end of a run that the owner did not expect was read, acknowledged to the instance, which then forgets it, and ignored (26 of the 43 traced breaks were starts after such an end; one up to 20 s later).

Cause: an end was applied only to the attempt that the task's record names. An end failed counts against the queue's attempts. The job's record changes in the batch whose storing the acknowledgement waits for, so a successor knows it too. Ends of attempts of tasks that are done are no longer logged.

--- a/libraries/scheduler/scheduler.hpp
+++ b/libraries/scheduler/scheduler.hpp
@@ -233,12 +233,24 @@
                      step& in,
                      task& it,
                      base::instant now);
+    void count_failure(job& of,
+                       attempt_name const& name,
+                       step& in,
+                       task& it,
+                       base::instant now);
+    void unexpected_attempt_ended(job& of,
+                                  attempt_name const& name,
+                                  end_reason reason,
+                                  base::instant now);
     void give_up(job& of,
                  attempt_name const& name,
                  task const& it,
                  base::instant now);
     void task_waits(step& in, task& it);
     void stop_gang(workload::step_name const& of, step& in, base::instant now);
+    void stop_current(workload::task_name const& of,
+                      task const& it,
+                      base::instant now);
     void after_change(job& of, base::instant now);
     void finish(job& of, job_phase phase, base::instant now);
     void stop_all(workload::job_id of, base::instant now);
--- a/libraries/scheduler/scheduler_ends.cpp
+++ b/libraries/scheduler/scheduler_ends.cpp
@@ -81,7 +81,11 @@
                          it.instance == at.info().id;
     if (!current)
     {
-        report_unexpected_end(at, name, reason, it);
+        if (it.phase != task_phase::done)
+        {
+            report_unexpected_end(at, name, reason, it);
+            unexpected_attempt_ended(*of, name, reason, now);
+        }
         return;
     }
     if (reason == end_reason::done && was)
@@ -141,6 +145,44 @@
     after_change(*of, now);
 }
 
+/// Applies the end of an attempt that is not the task's current one. The
+/// instance forgets the end once it is acknowledged, so a task that is done
+/// must not start again, and a failure counts.
+void scheduler::unexpected_attempt_ended(job& of,
+                                         attempt_name const& name,
+                                         end_reason reason,
+                                         base::instant now)
+{
+    auto& in = *of.find(name.task.step);
+    auto& it = in.tasks[name.task.index];
+    auto const& spec = of.spec_of(name.task.step);
+    if (spec.long_running)
+    {
+        return;
+    }
+    if (reason == end_reason::failed)
+    {
+        ++m_counts.ends_failed;
+        count_failure(of, name, in, it, now);
+    }
+    if (reason == end_reason::done)
+    {
+        ++m_counts.ends_done;
+        if (spec.gang)
+        {
+            stop_gang(name.task.step, in, now);
+            gang_done(in);
+        }
+        else
+        {
+            stop_current(name.task, it, now);
+            in.waiting -= it.phase == task_phase::waiting ? 1 : 0;
+            task_done(of, in, it);
+        }
+    }
+    after_change(of, now);
+}
+
 /// Logs what is needed to tell a task that crashes its instances from one that
 /// merely ran there, and either from an order that was never carried out.
 void scheduler::report_lost(instance const& at,
@@ -196,12 +238,18 @@
 void scheduler::task_failed(
     job& of, attempt_name const& name, step& in, task& it, base::instant now)
 {
-    auto const& spec = of.spec_of(name.task.step);
     task_waits(in, it);
-    if (spec.long_running)
+    if (!of.spec_of(name.task.step).long_running)
     {
-        return;
+        count_failure(of, name, in, it, now);
     }
+}
+
+/// Fails the job if the task, or the gang as a whole, has no attempts left.
+void scheduler::count_failure(
+    job& of, attempt_name const& name, step& in, task& it, base::instant now)
+{
+    auto const& spec = of.spec_of(name.task.step);
     if (spec.gang)
     {
         if (in.gang_failed_run == name.run)
@@ -252,18 +300,25 @@
 {
     for (std::uint32_t n = 0; n < in.tasks.size(); ++n)
     {
-        auto const& it = in.tasks[n];
-        if (it.phase != task_phase::placed)
-        {
-            continue;
-        }
-        auto const name = attempt_name{{of, n}, it.run};
-        auto* const at = m_instances.find(it.instance);
-        auto* const found = at == nullptr ? nullptr : at->find(name);
-        if (found != nullptr && !found->stop_wanted)
-        {
-            want_stop(*at, name, *found, now);
-        }
+        stop_current({of, n}, in.tasks[n], now);
+    }
+}
+
+/// Stops the current attempt of the task if there is one.
+void scheduler::stop_current(workload::task_name const& of,
+                             task const& it,
+                             base::instant now)
+{
+    if (it.phase != task_phase::placed)
+    {
+        return;
+    }
+    auto const name = attempt_name{of, it.run};
+    auto* const at = m_instances.find(it.instance);
+    auto* const found = at == nullptr ? nullptr : at->find(name);
+    if (found != nullptr && !found->stop_wanted)
+    {
+        want_stop(*at, name, *found, now);
     }
 }
 
