scheduler: Count no failed run that a former owner has counted

The owner had been killed after it had stored a failed run and before the instance knew that the end was stored; the instance reported the end again, to the next owner this was the end of an attempt that was not the current one, and it was counted a second time.

Now such a failure counts only if this owner has known the attempt itself, as one that an instance reported as running. unexpected_runs_that_failed_count reports the two runs before their ends, since that is the case that can be told from a repeated end. An end done needs no such care: it says the same however often it is read.

--- a/libraries/scheduler/scheduler_ends.cpp
+++ b/libraries/scheduler/scheduler_ends.cpp
@@ -84,7 +84,7 @@
         if (it.phase != task_phase::done)
         {
             report_unexpected_end(at, name, reason, it);
-            unexpected_attempt_ended(*of, name, reason, now);
+            unexpected_attempt_ended(*of, name, reason, was.has_value(), now);
         }
         return;
     }
@@ -147,10 +147,13 @@
 
 /// Applies the end of an attempt that is not the task's current one. The
 /// instance forgets the end once it is acknowledged, so a task that is done
-/// must not start again, and a failure counts.
+/// must not start again. A failure counts if this owner knew the attempt:
+/// otherwise a former owner may have counted it, and the instance repeats an
+/// end that was not acknowledged.
 void scheduler::unexpected_attempt_ended(job& of,
                                          attempt_name const& name,
                                          end_reason reason,
+                                         bool known,
                                          base::instant now)
 {
     auto& in = *of.find(name.task.step);
@@ -160,7 +163,7 @@
     {
         return;
     }
-    if (reason == end_reason::failed)
+    if (reason == end_reason::failed && known)
     {
         ++m_counts.ends_failed;
         count_failure(of, name, in, it, now);
--- a/tests/scheduler/start_answers_test.cpp
+++ b/tests/scheduler/start_answers_test.cpp
@@ -268,6 +268,32 @@
     BOOST_TEST(it.starts().empty());
 }
 
+/// Guards against failing a job too early: its former owner died after it had
+/// counted a failed run and before the instance knew that, so the instance
+/// reports the end again.
+BOOST_AUTO_TEST_CASE(a_failed_run_that_a_former_owner_counted_is_not_counted)
+{
+    scheduler_fixture former;
+    former.list("a");
+    former.report("a");
+    former.decisions.submit(scheduler_fixture::job(1, 1), 0, former.now);
+    auto const first = former.starts().at(0);
+    former.confirm(first);
+    former.advance(second);
+    auto const end = scheduler::ended_attempt_report{
+        1, first.attempt, end_reason::failed, {}};
+    former.report("a", {}, {end});
+    auto const again = former.starts().at(0);
+    BOOST_REQUIRE(again.attempt.run == 2U);
+
+    scheduler_fixture it{former.records};
+    it.list("a");
+    it.advance(second);
+    it.report("a", {{again.attempt, {}, 10}}, {end});
+    BOOST_TEST(round_of(it).empty());
+    BOOST_TEST(!finished(it.decisions.phase_of({1}).value()));
+}
+
 /// Guards against more failed runs than the queue allows: those that the owner
 /// did not expect were acknowledged and not counted.
 BOOST_DATA_TEST_CASE(unexpected_runs_that_failed_count,
@@ -277,6 +303,8 @@
     auto& it = cell.it;
     auto next = cell.stray;
     ++next.run;
+    it.report("a", {{cell.stray, {}, 10}, {next, {}, 10}});
+    it.advance(second);
     it.report("a", {},
               {{1, cell.stray, end_reason::failed, {}},
                {2, next, end_reason::failed, {}}});
