scheduler: Assume a lease for an attempt that is found running

Callers could see a task run twice: an unexpected run was counted as ended 10 ms after it had been found, since all leases that this owner and former ones can have granted were over, and the task was started beside it.

Cause: the end of the leases was known from grants only. An attempt that an instance reports as running holds a lease, whoever granted it; now the latest one that can be in force counts from the report on.

--- a/libraries/scheduler/instance.cpp
+++ b/libraries/scheduler/instance.cpp
@@ -85,6 +85,11 @@
     return until;
 }
 
+void instance::assume_lease(base::instant now, policy const& rules)
+{
+    static_cast<void>(grant(now, rules));
+}
+
 workload::resources instance::room_soon() const
 {
     auto out = room();
--- a/libraries/scheduler/instance.hpp
+++ b/libraries/scheduler/instance.hpp
@@ -167,6 +167,10 @@
     /// latest time at which the lease expires.
     [[nodiscard]] std::int64_t grant(base::instant now, policy const& rules);
 
+    /// Records that a lease is in force that was granted by `now` at the
+    /// latest.
+    void assume_lease(base::instant now, policy const& rules);
+
     /// After this time all granted leases have expired.
     [[nodiscard]] base::instant lease_end() const noexcept
     {
--- a/libraries/scheduler/scheduler_reports.cpp
+++ b/libraries/scheduler/scheduler_reports.cpp
@@ -93,6 +93,7 @@
     stray.need_known = known_need;
     stray.state = attempt_state::running;
     stray.settled_at = from.sent_at;
+    at.assume_lease(from.read_at, m_rules);
     auto& added = at.add(name, stray);
     want_stop(at, name, added, from.read_at);
     if (auto* const it = find_task(name.task);
