scheduler: Record attempts that run beside the current one of a task

Callers could see a task run twice, or an account above its cap, after a change of owner: what an owner knew of a run that it had not expected, or of the current run of a task that another run had ended, was in no record. Its successor started the task, or other work of the account, beside it until the instance's first report.

Cause: a task's record names one attempt, the current one. A job's record could list others already, for finished jobs only; now it does so for any job, from the moment such an attempt is found until it has ended, and a successor counts and stops them as it does those of finished jobs.

--- a/libraries/scheduler/job.cpp
+++ b/libraries/scheduler/job.cpp
@@ -129,23 +129,34 @@
                                { return it.second.complete(); });
 }
 
+void job::add_remaining(attempt_name const& name, std::string const& instance)
+{
+    auto const& spec = spec_of(name.task.step);
+    remaining_attempts.push_back(
+        {name, instance, spec.reserved_need(), spec.need});
+}
+
+bool job::remove_remaining(attempt_name const& name,
+                           std::string const& instance)
+{
+    return std::erase_if(
+               remaining_attempts, [&](remaining_attempt const& it)
+               { return it.attempt == name && it.instance == instance; }) > 0;
+}
+
 void job::collect_remaining_attempts()
 {
     for (auto const& [number, in] : occurrences)
     {
         for (std::uint32_t s = 0; s < in.steps.size(); ++s)
         {
-            auto const& spec = m_spec.steps[s];
             auto const& tasks = in.steps[s].tasks;
             for (std::uint32_t n = 0; n < tasks.size(); ++n)
             {
                 if (tasks[n].phase == task_phase::placed)
                 {
-                    remaining_attempts.push_back(
-                        {{{{m_spec.id, number, s}, n}, tasks[n].run},
-                         tasks[n].instance,
-                         spec.reserved_need(),
-                         spec.need});
+                    add_remaining({{{m_spec.id, number, s}, n}, tasks[n].run},
+                                  tasks[n].instance);
                 }
             }
         }
--- a/libraries/scheduler/job.hpp
+++ b/libraries/scheduler/job.hpp
@@ -203,6 +203,15 @@
     /// estimates. Precondition: one duration per step.
     void set_work(std::vector<base::duration> const& it);
 
+    /// Adds an attempt to `remaining_attempts`. Precondition: the job is not
+    /// finished.
+    void add_remaining(attempt_name const& name, std::string const& instance);
+
+    /// Removes an attempt from `remaining_attempts`. Returns whether it was
+    /// there.
+    bool remove_remaining(attempt_name const& name,
+                          std::string const& instance);
+
     /// Releases what only unfinished jobs need and records the attempts that
     /// may still be running.
     void release_details();
@@ -222,9 +231,9 @@
     /// When its phase became final, on the local clock.
     base::instant finished_at{};
     std::map<std::uint32_t, occurrence> occurrences;
-    /// For a finished job, the attempts that may still be running. A successor
-    /// counts their resources until they have certainly ended, although it
-    /// knows nothing else of the job.
+    /// Attempts that may still be running and that no task names as its
+    /// current one: all those of a finished job, and those that were not
+    /// expected or whose task is done. A successor counts and stops them.
     std::vector<remaining_attempt> remaining_attempts;
     /// When its phase became final, in milliseconds since 1970.
     std::int64_t finished_ms{0};
--- a/libraries/scheduler/scheduler.hpp
+++ b/libraries/scheduler/scheduler.hpp
@@ -213,6 +213,7 @@
     job& restore_finished(workload::job_id id,
                           record const& from,
                           base::instant now);
+    void stop_remaining(job const& of, base::instant now);
     void inherit_attempts(job const& of, base::instant now);
     void report_unreadable(record const& it, base::failure const& why) const;
 
@@ -249,6 +250,9 @@
                  base::instant now);
     void task_waits(step& in, task& it);
     void stop_gang(workload::step_name const& of, step& in, base::instant now);
+    void release_current(job& of,
+                         workload::task_name const& name,
+                         base::instant now);
     void stop_current(workload::task_name const& of,
                       task const& it,
                       base::instant now);
--- a/libraries/scheduler/scheduler_ends.cpp
+++ b/libraries/scheduler/scheduler_ends.cpp
@@ -76,6 +76,10 @@
     {
         return;
     }
+    if (of->remove_remaining(name, at.info().id))
+    {
+        m_jobs.touch(name.task.step.job);
+    }
     auto& it = in->tasks[name.task.index];
     auto const current = it.phase == task_phase::placed && it.run == name.run &&
                          it.instance == at.info().id;
@@ -173,12 +177,15 @@
         ++m_counts.ends_done;
         if (spec.gang)
         {
-            stop_gang(name.task.step, in, now);
+            for (std::uint32_t n = 0; n < in.tasks.size(); ++n)
+            {
+                release_current(of, {name.task.step, n}, now);
+            }
             gang_done(in);
         }
         else
         {
-            stop_current(name.task, it, now);
+            release_current(of, name.task, now);
             in.waiting -= it.phase == task_phase::waiting ? 1 : 0;
             task_done(of, in, it);
         }
@@ -186,6 +193,20 @@
     after_change(of, now);
 }
 
+/// Stops the current attempt of a task that is about to be done, and keeps it
+/// recorded until it has ended.
+void scheduler::release_current(job& of,
+                                workload::task_name const& name,
+                                base::instant now)
+{
+    auto const& it = *find_task(name);
+    if (it.phase == task_phase::placed)
+    {
+        of.add_remaining({name, it.run}, it.instance);
+        stop_current(name, it, now);
+    }
+}
+
 /// Logs what is needed to tell a task that crashes its instances from one that
 /// merely ran there, and either from an order that was never carried out.
 void scheduler::report_lost(instance const& at,
--- a/libraries/scheduler/scheduler_reports.cpp
+++ b/libraries/scheduler/scheduler_reports.cpp
@@ -96,11 +96,17 @@
     at.assume_lease(from.read_at, m_rules);
     auto& added = at.add(name, stray);
     want_stop(at, name, added, from.read_at);
-    if (auto* const it = find_task(name.task);
-        it != nullptr && it->phase == task_phase::waiting)
+    auto* const it = find_task(name.task);
+    if (it == nullptr)
+    {
+        return;
+    }
+    if (it->phase == task_phase::waiting)
     {
         it->run = std::max(it->run, name.run);
     }
+    job->add_remaining(name, from.instance);
+    m_jobs.touch(name.task.step.job);
 }
 
 void scheduler::read_ended(instance& at, hold_report const& it)
--- a/libraries/scheduler/scheduler_restore.cpp
+++ b/libraries/scheduler/scheduler_restore.cpp
@@ -57,6 +57,10 @@
         }
         m_jobs.restored(*job);
         inherit_attempts(*job, now);
+        if (!finished(job->phase))
+        {
+            stop_remaining(*job, now);
+        }
     }
 }
 
@@ -126,13 +130,21 @@
     }
     out.remaining_attempts = known.remaining_attempts;
     out.finished_ms = known.finished_ms;
-    for (auto const& it : out.remaining_attempts)
+    stop_remaining(out, now);
+    return out;
+}
+
+/// Counts and stops the attempts that a former owner left running beside the
+/// current ones of the job's tasks.
+void scheduler::stop_remaining(job const& of, base::instant now)
+{
+    for (auto const& it : of.remaining_attempts)
     {
         attempt left;
         left.state = attempt_state::inherited;
         left.need = it.need;
         left.of_cap = it.of_cap;
-        left.account = known.account;
+        left.account = of.spec().account;
         left.settled_at = now;
         auto& at = m_instances.get(it.instance);
         if (at.find(it.attempt) == nullptr)
@@ -140,7 +152,6 @@
             want_stop(at, it.attempt, at.add(it.attempt, left), now);
         }
     }
-    return out;
 }
 
 /// Adds the attempts that a former owner decided. They count as possibly
--- a/libraries/scheduler/state_record.cpp
+++ b/libraries/scheduler/state_record.cpp
@@ -168,6 +168,18 @@
     return out;
 }
 
+base::result<std::vector<remaining_attempt>>
+remaining_in(workload::job_id id, json::value const& root)
+{
+    std::vector<remaining_attempt> out;
+    for (auto const& row : json_codec::array_or_empty(root, "w"))
+    {
+        BOOST_LEAF_AUTO(it, leftover_in(id, row));
+        out.push_back(std::move(it));
+    }
+    return out;
+}
+
 base::result<job_phase> phase_in(json::value const& it)
 {
     auto const number = json_codec::number_or(it, "p", -1);
@@ -226,6 +238,11 @@
     {
         BOOST_LEAF_CHECK(read_occurrence(row, now, into));
     }
+    if (!finished(phase))
+    {
+        BOOST_LEAF_ASSIGN(into.remaining_attempts,
+                          remaining_in(into.spec().id, root));
+    }
     return {};
 }
 
@@ -235,11 +252,7 @@
     BOOST_LEAF_AUTO(root, json_codec::parse(value));
     BOOST_LEAF_AUTO(phase, phase_in(root));
     stored_status out{phase, json_codec::text_or(root, "u"), {}, 0};
-    for (auto const& row : json_codec::array_or_empty(root, "w"))
-    {
-        BOOST_LEAF_AUTO(it, leftover_in(id, row));
-        out.remaining_attempts.push_back(std::move(it));
-    }
+    BOOST_LEAF_ASSIGN(out.remaining_attempts, remaining_in(id, root));
     out.finished_ms = json_codec::number_or(root, "f");
     return out;
 }
