scheduler tests: Ask for as many failures as the queue allows before a job fails

The check of the random runs held with any one failure of the job, so it could not find a failure that is counted twice. An unreadable report of an instance counts as one that lists nothing; a failing test, without a fix.

--- a/tests/platform_adapter/instance_calls_test.cpp
+++ b/tests/platform_adapter/instance_calls_test.cpp
@@ -100,4 +100,59 @@
     server.close_connections();
 }
 
+namespace
+{
+
+struct report_case
+{
+    char const* name;
+    char const* body;
+};
+
+std::ostream& operator<<(std::ostream& to, report_case const& it)
+{
+    return to << it.name;
+}
+
+report_case const unreadable_reports[] = {
+    {"no body", ""},
+    {"not JSON", R"({"clockMs":1,"running":[["0000000000000001.0.0.0",1,"",)"},
+    {"no lists", R"({"clockMs":1})"},
+    {"a list that is none", R"({"clockMs":1,"running":"","ended":[]})"},
+};
+
+} // namespace
+
+/// Guards against running a task twice: a report that could not be read counted
+/// as one of an instance that runs nothing, so all its tasks started elsewhere.
+BOOST_DATA_TEST_CASE(an_unreadable_report_says_nothing_of_what_runs,
+                     boost::unit_test::data::make(unreadable_reports))
+{
+    boost::asio::io_context loop;
+    network::http_server server{
+        loop,
+        [&](network::http_request, network::responder const& answer)
+        { answer({200, {}, sample.body, "application/json"}); }};
+    network::http_client client{loop, {}};
+    network::socket_address const address{
+        "127.0.0.1", network_test::server_fixture::free_port()};
+    BOOST_REQUIRE(base::capture(
+                      [&]() -> base::result<base::done>
+                      {
+                          BOOST_LEAF_CHECK(server.listen(address));
+                          return base::done{};
+                      })
+                      .has_value());
+    platform::instance_calls calls{client};
+    std::optional<cell::order_outcome> end;
+    calls.hold({address, "a", 1}, {}, std::chrono::seconds{2},
+               [&](cell::hold_result const& it) { end = it.outcome; });
+    while (!end && loop.run_one_for(std::chrono::seconds{3}) > 0)
+    {
+    }
+    BOOST_REQUIRE(end.has_value());
+    BOOST_TEST((*end == cell::order_outcome::unanswered));
+    server.close_connections();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/scheduler/world_crashes.cpp
+++ b/tests/scheduler/world_crashes.cpp
@@ -107,15 +107,38 @@
     }
 }
 
-/// Only failures of its tasks or crashes while they ran may fail a job.
+/// Only as many failures of one task or gang as its queue allows, or crashes
+/// while they ran, may fail a job.
 void world::check_failed(workload::job_id it,
                          std::vector<std::string>& into) const
 {
+    auto const& job = m_submitted.at(it);
+    auto const queue = std::ranges::find(m_configuration.queues, job.queue,
+                                         &workload::queue_spec::name);
+    auto const allowed = queue->max_attempts;
     auto const of_job = [it](auto const& each)
     {
         return each.first.step.job == it;
     };
-    auto const failed = std::ranges::any_of(m_failures, of_job);
+    auto const in_gang = [&](workload::step_name const& each)
+    {
+        return job.steps[each.step_index].gang;
+    };
+    auto const failed =
+        std::ranges::any_of(m_failures,
+                            [&](auto const& each)
+                            {
+                                return of_job(each) &&
+                                       !in_gang(each.first.step) &&
+                                       each.second >= allowed;
+                            }) ||
+        std::ranges::any_of(m_failed_runs,
+                            [&](auto const& each)
+                            {
+                                return each.first.job == it &&
+                                       in_gang(each.first) &&
+                                       each.second.size() >= allowed;
+                            });
     auto const crashed = std::ranges::any_of(
         m_crashes, [&](auto const& each)
         { return of_job(each) && each.second >= crashes_to_fail; });
