--- a/tests/scheduler/start_answers_test.cpp
+++ b/tests/scheduler/start_answers_test.cpp
@@ -304,4 +304,22 @@
     BOOST_TEST((it.decisions.phase_of({1}) == job_phase::completed));
 }
 
+/// Guards against restarting a task that crashes its instances for ever: the
+/// loss was not counted, since after a rejection the attempt passed for one with
+/// a single order.
+BOOST_AUTO_TEST_CASE(a_crash_counts_when_an_order_may_have_been_carried_out)
+{
+    sent_twice cell;
+    auto& it = cell.it;
+    it.advance(milliseconds{150});
+    it.answer(cell.first, start_answer::unanswered);
+    it.advance(until_sent_again);
+    it.decisions.tick(0, it.now);
+    auto const third =
+        std::get<scheduler::start_order>(it.decisions.take_orders().at(0));
+    it.answer(cell.second, start_answer::turned_away);
+    it.answer(third, start_answer::other_incarnation);
+    BOOST_TEST(it.decisions.counts().ends_lost == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
