scheduler: Count a crash after a rejection that left another order open

A task that crashes its instances could be started more often than allowed: after a rejected order the tries of the attempt begin anew for its stop, and a later answer of another incarnation then counted as the answer to the only order, so that the loss was not counted. The number of orders sent says it.

--- a/libraries/scheduler/scheduler_orders.cpp
+++ b/libraries/scheduler/scheduler_orders.cpp
@@ -102,7 +102,7 @@
         it->next_try.reset();
         return;
     case start_answer::other_incarnation:
-        if (it->state == attempt_state::sent && it->tries == 0)
+        if (it->state == attempt_state::sent && it->sends.sent() == 1)
         {
             // Its only order reached another incarnation, so it has never
             // begun.
