scheduler tests: Reject part of the orders beside late ones

The random runs never met the fault that started tasks twice (TWICE): no instance rejected a request, orders were late one by one (3%) and stops never, and each answer came within 6 ms, so that no two orders of an attempt were under way when one of them was rejected.

Now, in a new set of rates, some instances at a time reject 20% to 90% of their starts, stops and hold requests for 1 to 6 s and have then done nothing, or reject single starts for want of room or of a ticket. In spells of 1 to 8 s 30% to 70% of the starts and stops get no answer and are carried out 2 to 12 s later; half of the others are delayed up to their timeout in each direction, so that answers overtake each other. Owners change, are suspended or die, instances crash, leave and are cut off beside it. Separate generators: all earlier cases give the same starts and takeovers, and their planted faults are found by the same seeds.

--- a/tests/scheduler/random_test.cpp
+++ b/tests/scheduler/random_test.cpp
@@ -39,6 +39,7 @@
 constexpr std::uint64_t usual_late_seeds = 50;
 constexpr std::uint64_t usual_capped_seeds = 100;
 constexpr std::uint64_t usual_crash_seeds = 50;
+constexpr std::uint64_t usual_rejection_seeds = 50;
 
 fault_rates const late_and_frozen{.drain = 0.01,
                                   .freeze = 0.7,
@@ -59,6 +60,13 @@
                                  .crashers = 0.06,
                                  .resize = 0.1};
 
+fault_rates const rejections_and_late_orders{.drain = 0.01,
+                                             .freeze = 0.7,
+                                             .late_append = 0.05,
+                                             .cancel_new = 0.1,
+                                             .reject = 0.06,
+                                             .late_spell = 0.1};
+
 fault_rates rough_for(planted fault)
 {
     switch (fault)
@@ -71,6 +79,10 @@
     case planted::give_up_at_once:
     case planted::trust_old_capacity:
         return crashing_tasks;
+    case planted::reject_all_sends:
+    case planted::believe_timeouts:
+    case planted::believe_sent_stops:
+        return rejections_and_late_orders;
     default:
         return {};
     }
@@ -89,19 +101,23 @@
 {
     std::uint64_t starts = 0;
     std::uint64_t takeovers = 0;
+    std::uint64_t begun_after_rejection = 0;
     for (auto seed = first; seed < first + seeds; ++seed)
     {
         world it{seed, rough, planted::nothing};
         auto const broken = it.run(trouble, quiet);
         starts += it.starts();
         takeovers += it.takeovers();
+        begun_after_rejection += it.begun_after_rejection();
         for (auto const& what : broken)
         {
             BOOST_ERROR("seed " << seed << ": " << what);
         }
     }
     BOOST_TEST_MESSAGE(seeds << " seeds from " << first << ", " << starts
-                             << " starts, " << takeovers << " takeovers");
+                             << " starts, " << takeovers << " takeovers, "
+                             << begun_after_rejection
+                             << " attempts begun after a rejection");
 }
 
 struct planted_case
@@ -128,6 +144,11 @@
     {"a task is given up after the first instance lost",
      planted::give_up_at_once},
     {"changes of capacity are ignored", planted::trust_old_capacity},
+    {"a rejection counts for all awaited orders", planted::reject_all_sends},
+    {"an order without an answer counts as rejected",
+     planted::believe_timeouts},
+    {"an attempt counts as stopped when the stop is sent",
+     planted::believe_sent_stops},
 };
 
 } // namespace
@@ -185,6 +206,17 @@
     play(first, seeds, crashing_tasks);
 }
 
+/// As before; healthy instances reject part of their requests for seconds, and
+/// in spells most orders are carried out seconds late or answered in another
+/// order than they were sent: a rejected order says nothing of the others of
+/// its attempt.
+BOOST_AUTO_TEST_CASE(invariants_hold_with_rejections_beside_late_orders)
+{
+    auto const first = number_from("BERYLHILL_FIRST_SEED", 1);
+    auto const seeds = number_from("BERYLHILL_SEEDS", usual_rejection_seeds);
+    play(first, seeds, rejections_and_late_orders);
+}
+
 /// With a safeguard removed, the same runs detect the violation that it
 /// prevents.
 BOOST_DATA_TEST_CASE(planted_faults_are_found,
--- a/tests/scheduler/world.cpp
+++ b/tests/scheduler/world.cpp
@@ -51,6 +51,8 @@
     , m_cap_random{seed}
     , m_crash_random{seed}
     , m_resize_random{seed}
+    , m_reject_random{seed}
+    , m_spell_random{seed}
     , m_rough{rough}
     , m_fault{fault}
     , m_configuration{configuration()}
@@ -187,6 +189,15 @@
             after(std::chrono::milliseconds{between(300, 4'000)},
                   [this] { m_store_up = true; });
         }
+        if (chance(m_reject_random, m_rough.reject))
+        {
+            begin_rejections();
+        }
+        if (m_now >= m_spell_until &&
+            chance(m_spell_random, m_rough.late_spell))
+        {
+            begin_late_spell();
+        }
         std::vector<fake_instance*> up;
         for (auto const& [id, it] : m_instances)
         {
--- a/tests/scheduler/world.hpp
+++ b/tests/scheduler/world.hpp
@@ -44,6 +44,12 @@
     give_up_at_once,
     /// Owners are not told about changes of capacity.
     trust_old_capacity,
+    /// The rejection of one order counts for all awaited ones of the attempt.
+    reject_all_sends,
+    /// An order without an answer counts as rejected.
+    believe_timeouts,
+    /// An attempt counts as stopped when the stop is sent.
+    believe_sent_stops,
 };
 
 /// The caps that the operator switches between.
@@ -82,6 +88,11 @@
     double crashers{0};
     /// Instances whose capacity changes.
     double resize{0};
+    /// Healthy instances that reject a share of their requests for seconds.
+    double reject{0};
+    /// Spells of seconds in which most orders are delayed or get no answer and
+    /// are carried out up to 12 s later.
+    double late_spell{0};
 };
 
 /// Simulates a cell on a virtual clock: instances that behave as the platform's
@@ -109,7 +120,23 @@
         return m_takeovers;
     }
 
+    /// Number of attempts that began although another order of theirs had been
+    /// rejected.
+    [[nodiscard]] std::uint64_t begun_after_rejection() const noexcept
+    {
+        return m_begun_after_rejection;
+    }
+
 private:
+    /// The delays that a spell of late orders adds to one order.
+    struct order_delay
+    {
+        base::duration request{0};
+        base::duration answer{0};
+        /// The answer would come too late or never.
+        bool unanswered{false};
+    };
+
     struct running_task
     {
         base::instant present_at{};
@@ -149,6 +176,9 @@
         std::map<workload::task_name, std::uint32_t> highest;
         /// How often its lease has expired.
         std::uint64_t lapses{0};
+        /// The share of its requests that it rejects, and until when.
+        double reject_share{0};
+        base::instant rejects_until{};
     };
 
     struct owner
@@ -163,6 +193,8 @@
         /// Since when its batch has been waiting for the store.
         std::optional<base::instant> stuck_since;
         cell::batch_waiters clients;
+        /// Numbers of the start orders whose answers are awaited.
+        std::map<scheduler::attempt_name, std::set<std::uint32_t>> awaited;
     };
 
     using owner_pointer = std::shared_ptr<owner>;
@@ -230,6 +262,16 @@
     [[nodiscard]] bool all_ended() const;
     void check_pending();
 
+    // world_rejections.cpp
+    void begin_rejections();
+    void begin_late_spell();
+    [[nodiscard]] bool rejects(fake_instance const& it);
+    [[nodiscard]] std::optional<scheduler::start_answer>
+    start_rejection(fake_instance const& at, workload::job_id of);
+    [[nodiscard]] order_delay next_delay(base::duration timeout);
+    void deliver(owner_pointer const& to, scheduler::start_reply it);
+    void note_answer(scheduler::start_reply const& it);
+
     // world_owner.cpp
     void take_over();
     void pump(owner_pointer const& it);
@@ -266,6 +308,8 @@
     std::mt19937_64 m_cap_random;
     std::mt19937_64 m_crash_random;
     std::mt19937_64 m_resize_random;
+    std::mt19937_64 m_reject_random;
+    std::mt19937_64 m_spell_random;
     fault_rates m_rough;
     planted m_fault;
     scheduler::policy m_rules;
@@ -302,6 +346,13 @@
     std::set<workload::task_name> m_crashers;
     std::map<workload::task_name, std::uint32_t> m_crashes;
     std::map<workload::task_name, std::uint32_t> m_failures;
+    /// Attempts with a rejected order.
+    std::set<scheduler::attempt_name> m_rejected;
+    std::uint64_t m_begun_after_rejection{0};
+    /// The share of orders that get no answer in the present spell, and until
+    /// when.
+    double m_spell_share{0};
+    base::instant m_spell_until{};
     std::vector<std::string> m_broken;
     std::uint64_t m_next_job{1};
     std::uint64_t m_next_instance{1};
--- a/tests/scheduler/world_orders.cpp
+++ b/tests/scheduler/world_orders.cpp
@@ -12,6 +12,7 @@
 {
 
 constexpr base::duration answer_timeout = std::chrono::milliseconds{400};
+constexpr base::duration stop_timeout = std::chrono::milliseconds{600};
 constexpr base::duration hold_pause = std::chrono::milliseconds{60};
 
 } // namespace
@@ -35,19 +36,9 @@
     }
     auto const answer = [this, by, it](start_answer end, std::int64_t clock)
     {
-        if (!by->alive)
-        {
-            return;
-        }
-        if (end == start_answer::fenced)
-        {
-            fenced(by);
-            return;
-        }
-        by->decisions->start_answered(
-            {it.instance, it.attempt, it.send, end, clock}, m_now);
-        pump(by);
+        deliver(by, {it.instance, it.attempt, it.send, end, clock});
     };
+    by->awaited[it.attempt].insert(it.send);
     auto const* const known =
         by->decisions->instances().all().contains(it.instance)
             ? by->decisions->instances().all().at(it.instance).get()
@@ -55,9 +46,11 @@
     auto const address = known == nullptr ? "" : known->info().address;
     auto const late = m_trouble && chance(m_rough.late);
     auto const lost = m_trouble && chance(m_rough.lose);
+    auto const delay = next_delay(answer_timeout);
     auto const pause =
-        late ? std::chrono::milliseconds{between(2'000, 12'000)} : hop();
-    auto const quiet = late || lost;
+        delay.request +
+        (late ? std::chrono::milliseconds{between(2'000, 12'000)} : hop());
+    auto const quiet = late || lost || delay.unanswered;
     if (quiet)
     {
         after(answer_timeout,
@@ -68,7 +61,7 @@
         return;
     }
     after(pause,
-          [this, by, it, answer, address, quiet]
+          [this, by, it, answer, address, quiet, delay]
           {
               auto* const at = at_address(address);
               if (at == nullptr || at->cut)
@@ -80,51 +73,72 @@
                   }
                   return;
               }
-              auto const end = at->id != it.instance
+              auto const rejected = rejects(*at);
+              auto const end = rejected ? start_answer::turned_away
+                               : at->id != it.instance
                                    ? start_answer::other_incarnation
                                    : begin(*at, by->token, it);
-              auto const clock = clock_of(*at);
+              auto const clock = rejected ? 0 : clock_of(*at);
               if (!quiet)
               {
-                  after(hop(), [answer, end, clock] { answer(end, clock); });
+                  after(hop() + delay.answer,
+                        [answer, end, clock] { answer(end, clock); });
               }
           });
 }
 
 void world::send(owner_pointer const& by, scheduler::stop_order const& it)
 {
+    using scheduler::stop_answer;
+    auto const answer = [this, by, it](stop_answer end, bool fence)
+    {
+        if (!by->alive)
+        {
+            return;
+        }
+        if (fence)
+        {
+            fenced(by);
+            return;
+        }
+        by->decisions->stop_answered(it.instance, it.attempt, end, m_now);
+        pump(by);
+    };
     auto const lost = m_trouble && chance(m_rough.lose);
-    after(hop(),
-          [this, by, it, lost]
+    auto const delay = next_delay(stop_timeout);
+    if (m_fault == planted::believe_sent_stops)
+    {
+        after(base::duration{0},
+              [answer] { answer(stop_answer::accepted, false); });
+    }
+    if (delay.unanswered)
+    {
+        after(stop_timeout,
+              [answer] { answer(stop_answer::unanswered, false); });
+    }
+    after(hop() + delay.request,
+          [this, by, it, lost, delay, answer]
           {
               auto const at = m_instances.find(it.instance);
               auto const reached =
                   at != m_instances.end() && at->second->up && !at->second->cut;
-              auto const fence = reached && by->token < at->second->token &&
+              auto const rejected = reached && rejects(*at->second);
+              auto const fence = reached && !rejected &&
+                                 by->token < at->second->token &&
                                  m_fault != planted::no_fence;
-              if (reached)
+              if (reached && !rejected)
               {
                   stop(*at->second, by->token, it.attempt);
               }
-              after(hop(),
-                    [this, by, it, answered = reached && !lost, fence]
-                    {
-                        if (!by->alive)
-                        {
-                            return;
-                        }
-                        if (fence)
-                        {
-                            fenced(by);
-                            return;
-                        }
-                        by->decisions->stop_answered(
-                            it.instance, it.attempt,
-                            answered ? scheduler::stop_answer::accepted
-                                     : scheduler::stop_answer::unanswered,
-                            m_now);
-                        pump(by);
-                    });
+              if (delay.unanswered)
+              {
+                  return;
+              }
+              auto const end = !reached || lost ? stop_answer::unanswered
+                               : rejected       ? stop_answer::rejected
+                                                : stop_answer::accepted;
+              after(hop() + delay.answer,
+                    [answer, end, fence] { answer(end, fence); });
           });
 }
 
@@ -192,6 +206,20 @@
                         });
                   return;
               }
+              if (rejects(*at))
+              {
+                  after(hop(),
+                        [this, by, id, again]
+                        {
+                            if (by->alive)
+                            {
+                                by->decisions->hold_unanswered(id, m_now);
+                                again(hold_pause);
+                                pump(by);
+                            }
+                        });
+                  return;
+              }
               if (at->id != id)
               {
                   if (by->alive)
--- a/tests/scheduler/world_platform.cpp
+++ b/tests/scheduler/world_platform.cpp
@@ -67,7 +67,12 @@
     {
         return start_answer::outdated;
     }
+    if (auto const rejection = start_rejection(at, it.attempt.task.step.job))
+    {
+        return *rejection;
+    }
     check_start(at, it);
+    m_begun_after_rejection += m_rejected.contains(it.attempt) ? 1 : 0;
     m_last_start[it.attempt.task] = m_now;
     m_log.write(base::log_level::debug, "world_start",
                 {{"task", text_of(it.attempt.task)},
