scheduler tests: Fail a job only after as many failures as allowed

A single failed run of any task excused a failed job in the random runs, so that a failure that was counted twice, say by an owner and its successor, was not found. Now one task, or one gang, must have failed as often as its queue allows, unless instances crashed under the job.

--- a/tests/scheduler/world_crashes.cpp
+++ b/tests/scheduler/world_crashes.cpp
@@ -107,19 +107,27 @@
     }
 }
 
-/// Only failures of its tasks or crashes while they ran may fail a job.
+/// Only as many failures of one task, or of one gang, as its queue allows or
+/// crashes while its tasks ran may fail a job.
 void world::check_failed(workload::job_id it,
                          std::vector<std::string>& into) const
 {
-    auto const of_job = [it](auto const& each)
-    {
-        return each.first.step.job == it;
-    };
-    auto const failed = std::ranges::any_of(m_failures, of_job);
+    auto const& queue = m_submitted.at(it).queue;
+    auto const of_queue = std::ranges::find(m_configuration.queues, queue,
+                                            &workload::queue_spec::name);
+    auto const allowed = of_queue->max_attempts;
+    auto const failed = std::ranges::any_of(
+        m_failures, [&](auto const& each)
+        { return each.first.step.job == it && each.second >= allowed; });
+    auto const gang_failed = std::ranges::any_of(
+        m_failed_runs, [&](auto const& each)
+        { return each.first.job == it && each.second.size() >= allowed; });
     auto const crashed = std::ranges::any_of(
-        m_crashes, [&](auto const& each)
-        { return of_job(each) && each.second >= crashes_to_fail; });
-    if (!failed && !crashed)
+        m_crashes,
+        [&](auto const& each) {
+            return each.first.step.job == it && each.second >= crashes_to_fail;
+        });
+    if (!failed && !gang_failed && !crashed)
     {
         into.push_back("job failed without cause: " + text_of(it));
     }
