scheduler tests: Hold owners to the ends that were acknowledged

An instance forgets an acknowledged end, so a done end of any run stands for the owner that acknowledged it and its successors, and a failed one counts. The random runs excused a second run whenever the lease of the first had expired since its end, even if that end was read and acknowledged before the second start was sent.

Now no start of a task is sent after an acknowledged end done, or after as many acknowledged failures as its queue allows.

A planted case now prints what was broken.

--- a/tests/scheduler/random_test.cpp
+++ b/tests/scheduler/random_test.cpp
@@ -82,6 +82,7 @@
     case planted::reject_all_sends:
     case planted::believe_timeouts:
     case planted::believe_sent_stops:
+    case planted::lose_unexpected_ends:
         return rejections_and_late_orders;
     default:
         return {};
@@ -149,6 +150,7 @@
      planted::believe_timeouts},
     {"an attempt counts as stopped when the stop is sent",
      planted::believe_sent_stops},
+    {"the outcome of unexpected runs is lost", planted::lose_unexpected_ends},
 };
 
 } // namespace
@@ -222,13 +224,15 @@
 BOOST_DATA_TEST_CASE(planted_faults_are_found,
                      boost::unit_test::data::make(planted_cases))
 {
-    std::uint64_t seed = 1;
-    while (seed <= seeds_to_find && run(seed, sample.fault).empty())
+    std::uint64_t seed = 0;
+    std::vector<std::string> broken;
+    while (broken.empty() && seed < seeds_to_find)
     {
-        ++seed;
+        broken = run(++seed, sample.fault);
     }
-    BOOST_TEST(seed <= seeds_to_find, sample.name << " was not found");
-    BOOST_TEST_MESSAGE(sample.name << ": found by seed " << seed);
+    BOOST_REQUIRE_MESSAGE(!broken.empty(), sample.name << " was not found");
+    BOOST_TEST_MESSAGE(sample.name << ": found by seed " << seed << ": "
+                                   << broken.front());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/scheduler/world.hpp
+++ b/tests/scheduler/world.hpp
@@ -50,6 +50,9 @@
     believe_timeouts,
     /// An attempt counts as stopped when the stop is sent.
     believe_sent_stops,
+    /// The ends of runs that the owner does not expect are acknowledged and
+    /// their outcome is lost.
+    lose_unexpected_ends,
 };
 
 /// The caps that the operator switches between.
@@ -257,7 +260,11 @@
     void check_start(fake_instance const& at, scheduler::start_order const& it);
     void check_cap(workload::job_spec const& job,
                    workload::step_spec const& step);
-    void note_seen(fake_instance& at, std::uint64_t seen);
+    void check_sent(owner const& by, scheduler::start_order const& it);
+    [[nodiscard]] std::uint32_t attempts_allowed(workload::job_id of) const;
+    void note_acknowledged(scheduler::ended_attempt_report const& it,
+                           std::uint64_t token);
+    void note_seen(fake_instance& at, std::uint64_t seen, std::uint64_t token);
     void check_ends(std::vector<std::string>& into) const;
     [[nodiscard]] bool all_ended() const;
     void check_pending();
@@ -271,6 +278,10 @@
     [[nodiscard]] order_delay next_delay(base::duration timeout);
     void deliver(owner_pointer const& to, scheduler::start_reply it);
     void note_answer(scheduler::start_reply const& it);
+    [[nodiscard]] scheduler::ended_attempt_report
+    as_told(owner const& to,
+            std::string const& by,
+            scheduler::ended_attempt_report it) const;
 
     // world_owner.cpp
     void take_over();
@@ -339,6 +350,11 @@
     /// acknowledged.
     std::set<workload::task_name> m_done;
     std::set<workload::task_name> m_done_seen;
+    /// Tasks with an acknowledged end `done` and the runs with an acknowledged
+    /// end `failed`, each with the lowest token that acknowledged it.
+    std::map<workload::task_name, std::uint64_t> m_done_by;
+    std::map<workload::task_name, std::map<std::uint32_t, std::uint64_t>>
+        m_failed_by;
     std::map<workload::task_name, base::instant> m_last_start;
     std::map<workload::step_name, std::set<std::uint32_t>> m_failed_runs;
     /// Tasks that crash the instances that start them, and how many instances
--- a/tests/scheduler/world_checks.cpp
+++ b/tests/scheduler/world_checks.cpp
@@ -1,5 +1,7 @@
 #include "world.hpp"
 
+#include <algorithm>
+
 namespace berylhill::scheduler_test
 {
 
@@ -95,7 +97,60 @@
     }
 }
 
-void world::note_seen(fake_instance& at, std::uint64_t seen)
+/// A done end that is acknowledged by an owner stands for it and its
+/// successors, whichever run it is of; so do as many failures as allowed.
+void world::check_sent(owner const& by, scheduler::start_order const& it)
+{
+    auto const& task = it.attempt.task;
+    if (auto const at = m_done_by.find(task);
+        at != m_done_by.end() && by.token >= at->second)
+    {
+        broken("start sent after an acknowledged end: " + text_of(task));
+    }
+    auto const failed = m_failed_by.find(task);
+    auto const* const spec = spec_of(task.step);
+    if (failed == m_failed_by.end() || spec == nullptr || spec->gang)
+    {
+        return;
+    }
+    auto const known =
+        std::ranges::count_if(failed->second, [&](auto const& each)
+                              { return by.token >= each.second; });
+    if (known >= attempts_allowed(task.step.job))
+    {
+        broken("start sent after " + std::to_string(known) +
+               " acknowledged failures: " + text_of(task));
+    }
+}
+
+std::uint32_t world::attempts_allowed(workload::job_id of) const
+{
+    auto const& queue = m_submitted.at(of).queue;
+    return std::ranges::find(m_configuration.queues, queue,
+                             &workload::queue_spec::name)
+        ->max_attempts;
+}
+
+/// Notes the ends that the owner with this token acknowledges.
+void world::note_acknowledged(scheduler::ended_attempt_report const& it,
+                              std::uint64_t token)
+{
+    if (it.reason == scheduler::end_reason::done)
+    {
+        auto const at = m_done_by.emplace(it.attempt.task, token).first;
+        at->second = std::min(at->second, token);
+    }
+    if (it.reason == scheduler::end_reason::failed)
+    {
+        auto& runs = m_failed_by[it.attempt.task];
+        auto const at = runs.emplace(it.attempt.run, token).first;
+        at->second = std::min(at->second, token);
+    }
+}
+
+void world::note_seen(fake_instance& at,
+                      std::uint64_t seen,
+                      std::uint64_t token)
 {
     std::erase_if(at.ended,
                   [&](fake_end const& it)
@@ -104,6 +159,7 @@
                       {
                           return false;
                       }
+                      note_acknowledged(it.row, token);
                       auto const& task = it.row.attempt.task;
                       if (it.row.reason == scheduler::end_reason::done &&
                           it.lapses == at.lapses)
--- a/tests/scheduler/world_crashes.cpp
+++ b/tests/scheduler/world_crashes.cpp
@@ -112,10 +112,7 @@
 void world::check_failed(workload::job_id it,
                          std::vector<std::string>& into) const
 {
-    auto const& queue = m_submitted.at(it).queue;
-    auto const of_queue = std::ranges::find(m_configuration.queues, queue,
-                                            &workload::queue_spec::name);
-    auto const allowed = of_queue->max_attempts;
+    auto const allowed = attempts_allowed(it);
     auto const failed = std::ranges::any_of(
         m_failures, [&](auto const& each)
         { return each.first.step.job == it && each.second >= allowed; });
--- a/tests/scheduler/world_orders.cpp
+++ b/tests/scheduler/world_orders.cpp
@@ -34,6 +34,7 @@
                it.instance + ", which is leaving, by the owner with token " +
                std::to_string(by->token));
     }
+    check_sent(*by, it);
     auto const answer = [this, by, it](start_answer end, std::int64_t clock)
     {
         deliver(by, {it.instance, it.attempt, it.send, end, clock});
@@ -237,7 +238,7 @@
               }
               at->token = std::max(at->token, by->token);
               at->until_ms = std::max(at->until_ms, order.until_ms);
-              note_seen(*at, order.seen_end);
+              note_seen(*at, order.seen_end, by->token);
               scheduler::hold_report report;
               report.instance = id;
               report.sent_at = sent_at;
@@ -248,7 +249,7 @@
               }
               for (auto const& end : at->ended)
               {
-                  report.ended.push_back(end.row);
+                  report.ended.push_back(as_told(*by, id, end.row));
               }
               after(lost ? answer_timeout : hop(),
                     [this, by, id, report, again, lost]() mutable
--- a/tests/scheduler/world_rejections.cpp
+++ b/tests/scheduler/world_rejections.cpp
@@ -152,4 +152,35 @@
     }
 }
 
+/// The end as it is reported to the owner.
+scheduler::ended_attempt_report
+world::as_told(owner const& to,
+               std::string const& by,
+               scheduler::ended_attempt_report it) const
+{
+    if (m_fault != planted::lose_unexpected_ends)
+    {
+        return it;
+    }
+    auto const& task = it.attempt.task;
+    auto const* const job = to.decisions->jobs().find(task.step.job);
+    if (job == nullptr || !job->occurrences.contains(task.step.occurrence))
+    {
+        return it;
+    }
+    auto const& in = job->occurrences.at(task.step.occurrence);
+    if (task.step.step_index >= in.steps.size())
+    {
+        // The details of a finished job were released.
+        return it;
+    }
+    auto const& known = in.steps[task.step.step_index].tasks.at(task.index);
+    if (known.phase != scheduler::task_phase::placed ||
+        known.run != it.attempt.run || known.instance != by)
+    {
+        it.reason = scheduler::end_reason::stopped;
+    }
+    return it;
+}
+
 } // namespace berylhill::scheduler_test
