network: Tell when a request was sent twice

A caller is told 503 for a job that runs, or the owner is overtaken by its own append.

Cause: the HTTP client sends a request once more where a kept connection breaks before the answer. The first send may have arrived, and the platform says that it may still be carried out later. The store refusing the second send (503, 429, 507) was read as "the batch is not stored", so the batch was taken back and its clients were refused.

Change: `call_result::sent_before` says that an earlier send is open.

--- a/libraries/cell/keyed_log.hpp
+++ b/libraries/cell/keyed_log.hpp
@@ -31,7 +31,8 @@
     refused,
     /// The store is full.
     full,
-    /// No answer: the records may be stored, now or later.
+    /// No answer, or a refusal of a request that was sent twice: the records
+    /// may be stored, now or later.
     unanswered,
 };
 
--- a/libraries/network/http_client.hpp
+++ b/libraries/network/http_client.hpp
@@ -37,6 +37,10 @@
     bool refused{false};
     /// Bytes of the body that came, also where the response isn't whole.
     std::uint64_t received{0};
+    /// The request was sent before, on a connection that broke. That send may
+    /// be carried out at any time; a response to the last one that nothing was
+    /// done doesn't hold for it.
+    bool sent_before{false};
 
     friend bool operator==(call_result const&, call_result const&) = default;
 };
@@ -122,8 +126,8 @@
     /// Sends the request and calls `handler` exactly once, when `patience` is
     /// over at the latest, unless it is broken off. A request on a reused
     /// connection that breaks before any byte of the response is sent once
-    /// more on a new one: the caller sends only requests that may arrive
-    /// twice.
+    /// more on a new one, and the result says so (`sent_before`): the caller
+    /// sends only requests that may arrive twice.
     call_handle call(socket_address const& to,
                      http_request request,
                      call_patience const& patience,
--- a/libraries/network/http_client_exchange.cpp
+++ b/libraries/network/http_client_exchange.cpp
@@ -256,6 +256,7 @@
     auto const nothing_read = !m_parser || !m_parser->got_some();
     if (m_reused && nothing_read)
     {
+        m_sent_before = true;
         m_parser.reset();
         m_owner.forget(m_to);
         open();
@@ -288,6 +289,7 @@
         return;
     }
     m_finished = true;
+    result.sent_before = m_sent_before;
     if (result.end == call_end::unanswered)
     {
         result.received = received();
--- a/libraries/network/http_client_exchange.hpp
+++ b/libraries/network/http_client_exchange.hpp
@@ -80,6 +80,7 @@
     bool m_running{false};
     bool m_reused{false};
     bool m_sent{false};
+    bool m_sent_before{false};
     bool m_finished{false};
 };
 
--- a/tests/network/http_test.cpp
+++ b/tests/network/http_test.cpp
@@ -109,6 +109,26 @@
     BOOST_TEST((end->end == call_end::unanswered));
 }
 
+/// Guards against a refusal of a second send that is taken for the outcome of
+/// both: the first one arrived before its connection broke.
+BOOST_AUTO_TEST_CASE(a_request_that_was_sent_twice_is_reported)
+{
+    auto const first = call(post("one"));
+    BOOST_REQUIRE(first.has_value());
+    BOOST_TEST(!first->sent_before);
+    hold = true;
+    std::optional<network::call_result> end;
+    client.call(address, post("two"), std::chrono::seconds{3},
+                [&](network::call_result const& it) { end = it; });
+    BOOST_TEST(run_until([&] { return held.size() == 1; }));
+    hold = false;
+    server.close_connections();
+    BOOST_TEST(run_until([&] { return end.has_value(); }));
+    BOOST_TEST((end->end == call_end::answered));
+    BOOST_TEST(end->sent_before);
+    BOOST_TEST(requests == 3U);
+}
+
 BOOST_DATA_TEST_CASE(bytes_that_are_no_request_are_refused_at_once,
                      boost::unit_test::data::make(raw_cases))
 {
--- /dev/null
+++ b/tests/platform_adapter/answers_test.cpp
@@ -0,0 +1,164 @@
+#include "stand_ins/ports.hpp"
+
+#include <network/http_client.hpp>
+#include <network/http_server.hpp>
+#include <platform/instance_calls.hpp>
+#include <platform/store_log.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <optional>
+#include <ostream>
+#include <string>
+#include <vector>
+
+using namespace berylhill;
+using namespace berylhill::platform_test;
+using cell::append_outcome;
+using scheduler::start_answer;
+
+namespace
+{
+
+template <class Outcome>
+struct answer_case
+{
+    char const* name;
+    unsigned status;
+    char const* body;
+    Outcome outcome;
+};
+
+template <class Outcome>
+std::ostream& operator<<(std::ostream& to, answer_case<Outcome> const& it)
+{
+    return to << it.name;
+}
+
+answer_case<append_outcome> const repeated_appends[] = {
+    {"unavailable", 503, "", append_outcome::unanswered},
+    {"too many calls", 429, "", append_outcome::unanswered},
+    {"full", 507, "", append_outcome::unanswered},
+    {"stored", 200, R"({"offset":3,"end":4})", append_outcome::stored},
+    {"conflict", 412, R"({"end":4})", append_outcome::conflict},
+};
+
+/// A server that answers all requests the same way or holds them, and a client.
+struct fixture
+{
+    fixture()
+        : server{loop,
+                 [this](network::http_request const&, network::responder answer)
+                 {
+                     ++requests;
+                     if (hold)
+                     {
+                         held.push_back(std::move(answer));
+                         return;
+                     }
+                     answer({status, {}, body, "application/json"});
+                 }}
+        , client{loop, {}}
+        , log{client, address, "keyed.cell"}
+        , orders{client}
+    {
+        network::server_limits limits;
+        limits.body_bytes = 10'000;
+        limits.header_bytes = 2'000;
+        limits.request_time = std::chrono::seconds{2};
+        limits.idle_time = std::chrono::seconds{5};
+        limits.connections = 20;
+        server.set_limits(limits);
+        auto const end = base::capture(
+            [&]() -> base::result<base::done>
+            {
+                BOOST_LEAF_CHECK(server.listen(address));
+                return base::done{};
+            });
+        BOOST_REQUIRE(end.has_value());
+    }
+
+    template <class Done>
+    bool run_until(Done done)
+    {
+        auto const limit =
+            std::chrono::steady_clock::now() + std::chrono::seconds{5};
+        while (!done() && std::chrono::steady_clock::now() < limit)
+        {
+            loop.restart();
+            loop.run_for(std::chrono::milliseconds{5});
+        }
+        return done();
+    }
+
+    /// Leaves a connection open that the next call uses.
+    void open_connection()
+    {
+        auto answered = false;
+        client.call(address, {network::http_method::get, "/", {}, {}, {}},
+                    timeout, [&](auto const&) { answered = true; });
+        BOOST_REQUIRE(run_until([&] { return answered; }));
+    }
+
+    /// The request has arrived, and its connection breaks without an answer;
+    /// further requests are answered as `status` and `body` say.
+    void lose_first_request()
+    {
+        BOOST_REQUIRE(run_until([&] { return held.size() == 1; }));
+        hold = false;
+        server.close_connections();
+    }
+
+    std::optional<append_outcome> append()
+    {
+        auto out = std::make_shared<std::optional<append_outcome>>();
+        log.append(3, {{"key", "value"}}, timeout,
+                   [out](cell::append_result const& it) { *out = it.outcome; });
+        if (hold)
+        {
+            lose_first_request();
+        }
+        run_until([&] { return out->has_value(); });
+        return *out;
+    }
+
+    static constexpr base::duration timeout = std::chrono::seconds{3};
+
+    boost::asio::io_context loop;
+    network::socket_address address{local(free_ports(port_range::tests, 1))};
+    unsigned status{200};
+    std::string body;
+    bool hold{false};
+    std::size_t requests{0};
+    std::vector<network::responder> held;
+    network::http_server server;
+    network::http_client client;
+    platform::store_log log;
+    platform::instance_calls orders;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(answers, fixture)
+
+/// Guards against a job that is refused and runs: the store reset the
+/// connection after an append had arrived, the client sent it again on a new
+/// connection, and the refusal of the second send was taken for the outcome of
+/// both.
+BOOST_DATA_TEST_CASE(a_refusal_of_a_repeated_append_leaves_the_first_open,
+                     boost::unit_test::data::make(repeated_appends))
+{
+    open_connection();
+    hold = true;
+    status = sample.status;
+    body = sample.body;
+    auto const end = append();
+    BOOST_TEST(requests == 3U);
+    BOOST_REQUIRE(end.has_value());
+    BOOST_TEST((*end == sample.outcome));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
