--- a/tests/platform_adapter/answers_test.cpp
+++ b/tests/platform_adapter/answers_test.cpp
@@ -46,6 +46,24 @@
     {"conflict", 412, R"({"end":4})", append_outcome::conflict},
 };
 
+answer_case<start_answer> const repeated_starts[] = {
+    {"running", 200, R"({"clockMs":7})", start_answer::running},
+    {"a newer owner", 409, R"({"clockMs":7,"reason":"fence"})",
+     start_answer::fenced},
+    {"a later run", 409, R"({"clockMs":7,"reason":"old"})",
+     start_answer::outdated},
+    {"lease passed", 409, R"({"clockMs":7,"reason":"late"})",
+     start_answer::unanswered},
+    {"no room", 409, R"({"clockMs":7,"reason":"room"})",
+     start_answer::unanswered},
+    {"no ticket", 409, R"({"clockMs":7,"reason":"ticket"})",
+     start_answer::unanswered},
+    {"another incarnation", 421, "", start_answer::other_incarnation},
+    {"invalid", 400, "", start_answer::invalid},
+    {"too many calls", 429, "", start_answer::unanswered},
+    {"unavailable", 503, "", start_answer::unanswered},
+};
+
 /// A server that answers all requests the same way or holds them, and a client.
 struct fixture
 {
@@ -125,6 +143,22 @@
         return *out;
     }
 
+    std::optional<start_answer> start()
+    {
+        scheduler::start_order order;
+        order.instance = "i-1";
+        order.attempt.run = 1;
+        auto out = std::make_shared<std::optional<start_answer>>();
+        orders.start({address, order.instance, 1}, order, timeout,
+                     [out](cell::start_result const& it) { *out = it.answer; });
+        if (hold)
+        {
+            lose_first_request();
+        }
+        run_until([&] { return out->has_value(); });
+        return *out;
+    }
+
     static constexpr base::duration timeout = std::chrono::seconds{3};
 
     boost::asio::io_context loop;
@@ -161,4 +195,20 @@
     BOOST_TEST((*end == sample.outcome));
 }
 
+/// Guards against a task that runs twice: an instance reset the connection
+/// after an order had arrived and rejected the second send, the task was
+/// started elsewhere, and the first order was carried out late.
+BOOST_DATA_TEST_CASE(a_rejection_of_a_repeated_start_leaves_the_first_open,
+                     boost::unit_test::data::make(repeated_starts))
+{
+    open_connection();
+    hold = true;
+    status = sample.status;
+    body = sample.body;
+    auto const end = start();
+    BOOST_TEST(requests == 3U);
+    BOOST_REQUIRE(end.has_value());
+    BOOST_TEST((*end == sample.outcome));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
