--- a/tests/platform_adapter/answers_test.cpp
+++ b/tests/platform_adapter/answers_test.cpp
@@ -46,6 +46,32 @@
     {"conflict", 412, R"({"end":4})", append_outcome::conflict},
 };
 
+answer_case<start_answer> const starts[] = {
+    {"running", 200, R"({"clockMs":7})", start_answer::running},
+    {"running, without a body", 200, "", start_answer::running},
+    {"a newer owner", 409, R"({"clockMs":7,"reason":"fence"})",
+     start_answer::fenced},
+    {"a later run", 409, R"({"clockMs":7,"reason":"old"})",
+     start_answer::outdated},
+    {"lease passed", 409, R"({"clockMs":7,"reason":"late"})",
+     start_answer::lease_passed},
+    {"no room", 409, R"({"clockMs":7,"reason":"room"})", start_answer::no_room},
+    {"no ticket", 409, R"({"clockMs":7,"reason":"ticket"})",
+     start_answer::no_ticket},
+    {"a reason that is not known", 409, R"({"clockMs":7,"reason":"x"})",
+     start_answer::unanswered},
+    {"no reason", 409, R"({"clockMs":7})", start_answer::unanswered},
+    {"conflict, without a body", 409, "", start_answer::unanswered},
+    {"conflict, cut off", 409, R"({"clockMs":7,"rea)",
+     start_answer::unanswered},
+    {"another incarnation", 421, "", start_answer::other_incarnation},
+    {"invalid", 400, "", start_answer::invalid},
+    {"too many calls", 429, "", start_answer::turned_away},
+    {"unavailable", 503, "", start_answer::turned_away},
+    {"bad gateway", 502, "", start_answer::unanswered},
+    {"gateway timeout", 504, "", start_answer::unanswered},
+};
+
 answer_case<start_answer> const repeated_starts[] = {
     {"running", 200, R"({"clockMs":7})", start_answer::running},
     {"a newer owner", 409, R"({"clockMs":7,"reason":"fence"})",
@@ -195,6 +221,17 @@
     BOOST_TEST((*end == sample.outcome));
 }
 
+/// Guards against an answer that settles more than it says.
+BOOST_DATA_TEST_CASE(start_is_settled_by_what_its_answer_says,
+                     boost::unit_test::data::make(starts))
+{
+    status = sample.status;
+    body = sample.body;
+    auto const end = start();
+    BOOST_REQUIRE(end.has_value());
+    BOOST_TEST((*end == sample.outcome));
+}
+
 /// Guards against a task that runs twice: an instance reset the connection
 /// after an order had arrived and rejected the second send, the task was
 /// started elsewhere, and the first order was carried out late.
