--- a/tests/platform_adapter/answers_test.cpp
+++ b/tests/platform_adapter/answers_test.cpp
@@ -18,6 +18,7 @@
 using namespace berylhill;
 using namespace berylhill::platform_test;
 using cell::append_outcome;
+using cell::order_outcome;
 using scheduler::start_answer;
 
 namespace
@@ -90,6 +91,33 @@
     {"unavailable", 503, "", start_answer::unanswered},
 };
 
+answer_case<order_outcome> const holds[] = {
+    {"both lists", 200,
+     R"({"clockMs":7,"running":[["5c0e7a21d94b36f8.0.1.17",2,"",41]],"ended":[]})",
+     order_outcome::done},
+    {"no lists", 200, R"({"clockMs":7})", order_outcome::done},
+    {"no body", 200, "", order_outcome::unanswered},
+    {"a body that is cut off", 200, R"({"clockMs":7,"running":[["5c0e)",
+     order_outcome::unanswered},
+    {"a body that is no object", 200, "[]", order_outcome::unanswered},
+    {"no clock", 200, R"({"running":[],"ended":[]})",
+     order_outcome::unanswered},
+    {"running is no list", 200, R"({"clockMs":7,"running":"","ended":[]})",
+     order_outcome::unanswered},
+    {"ended is no list", 200, R"({"clockMs":7,"running":[],"ended":{}})",
+     order_outcome::unanswered},
+    {"a row of running is no row", 200,
+     R"({"clockMs":7,"running":["5c0e7a21d94b36f8.0.1.17"],"ended":[]})",
+     order_outcome::unanswered},
+    {"a row of ended is too short", 200,
+     R"({"clockMs":7,"running":[],"ended":[[58,"5c0e7a21d94b36f8.0.1.9"]]})",
+     order_outcome::unanswered},
+    {"a newer owner", 409, R"({"clockMs":7,"reason":"fence"})",
+     order_outcome::fenced},
+    {"another incarnation", 421, "", order_outcome::other_incarnation},
+    {"unavailable", 503, "", order_outcome::refused},
+};
+
 /// A server that answers all requests the same way or holds them, and a client.
 struct fixture
 {
@@ -185,6 +213,15 @@
         return *out;
     }
 
+    std::optional<order_outcome> ask_hold()
+    {
+        auto out = std::make_shared<std::optional<order_outcome>>();
+        orders.hold({address, "i-1", 1}, {"i-1"}, timeout,
+                    [out](cell::hold_result const& it) { *out = it.outcome; });
+        run_until([&] { return out->has_value(); });
+        return *out;
+    }
+
     static constexpr base::duration timeout = std::chrono::seconds{3};
 
     boost::asio::io_context loop;
@@ -248,4 +285,17 @@
     BOOST_TEST((*end == sample.outcome));
 }
 
+/// Guards against tasks that run twice: a report that can't be read was taken
+/// for one of an instance that runs nothing, and all its tasks were started
+/// elsewhere.
+BOOST_DATA_TEST_CASE(a_report_that_is_not_readable_is_no_report,
+                     boost::unit_test::data::make(holds))
+{
+    status = sample.status;
+    body = sample.body;
+    auto const end = ask_hold();
+    BOOST_REQUIRE(end.has_value());
+    BOOST_TEST((*end == sample.outcome));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
