cell: Leave a submission open whose second send was refused

A caller is told 503, or 429 for good, for a job that runs.

Cause: a submission that is passed on to the owner may arrive on a kept connection that breaks, and be sent again by the HTTP client. The answer to that send was told to the caller as the outcome of both: refused, over the account's cap, or "not the owner, nothing was done" until the search for an owner was given up.

Change: `peer_result` says whether the call was sent before; the router then counts it as one that may have been carried out. Such a call is not told as over the cap either, only as accepted or unknown, and the caller repeats it.

Evidence: call_router/a_refusal_of_a_repeated_submission_leaves_the_ first_open failed before the change in 5 of 7 cases (refused, over the cap, not the owner by answer and by status, busy) and passes with it; call_router/a_refusal_of_the_only_send_is_told passes before and after.

--- a/libraries/cell/call_router.cpp
+++ b/libraries/cell/call_router.cpp
@@ -156,10 +156,10 @@
     }
     ++it->asked;
     it->timer.cancel();
+    it->maybe_done = it->maybe_done || end.sent_before ||
+                     end.end == network::call_end::unanswered;
     if (!end.answer)
     {
-        it->maybe_done =
-            it->maybe_done || end.end == network::call_end::unanswered;
         retry(it);
         return;
     }
@@ -214,9 +214,10 @@
         return;
     }
     auto given = answer;
-    if (given.kind == job_answer_kind::refused && it->maybe_done)
+    if (it->maybe_done && (given.kind == job_answer_kind::refused ||
+                           given.kind == job_answer_kind::over_cap))
     {
-        // A former owner may have stored the change.
+        // An earlier send may have been stored, or may still be carried out.
         given.kind = job_answer_kind::outcome_unknown;
     }
     --m_under_way;
--- a/libraries/cell/peer_client.cpp
+++ b/libraries/cell/peer_client.cpp
@@ -38,7 +38,8 @@
 template <class Answer, class Parse>
 peer_result<Answer> read_answer(network::call_result const& it, Parse parse)
 {
-    peer_result<Answer> out{it.end, it.refused, std::nullopt, it.received};
+    peer_result<Answer> out{it.end, it.refused, std::nullopt, it.received,
+                            it.sent_before};
     if (it.end != network::call_end::answered)
     {
         return out;
@@ -46,7 +47,8 @@
     if (it.response.status == status_conflict ||
         it.response.status == status_busy)
     {
-        out.end = network::call_end::not_sent;
+        out.end = it.sent_before ? network::call_end::unanswered
+                                 : network::call_end::not_sent;
         return out;
     }
     auto const read = base::capture([&] { return parse(it.response.body); });
--- a/libraries/cell/peer_client.hpp
+++ b/libraries/cell/peer_client.hpp
@@ -23,6 +23,9 @@
     std::optional<Answer> answer;
     /// Bytes received of an incomplete answer.
     std::uint64_t received{0};
+    /// The call was sent before, on a connection that broke. The other process
+    /// may carry out that send at any time; the answer is to the last one.
+    bool sent_before{false};
 };
 
 /// Client of the other processes of the cell. Each handler is called once, on
--- /dev/null
+++ b/tests/cell/call_router_test.cpp
@@ -0,0 +1,225 @@
+#include "fake_log.hpp"
+
+#include <cell/call_router.hpp>
+#include <cell/ownership.hpp>
+#include <cell/peer_paths.hpp>
+#include <network/http_client.hpp>
+#include <network/http_server.hpp>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <chrono>
+#include <optional>
+#include <ostream>
+#include <string>
+#include <string_view>
+#include <vector>
+
+using namespace berylhill;
+using namespace berylhill::cell_test;
+using cell::job_answer_kind;
+
+namespace
+{
+
+/// An answer of the owner to the second send of a submission; the first one
+/// arrived and has no answer.
+struct repeat_case
+{
+    char const* name;
+    unsigned status;
+    job_answer_kind answer;
+    job_answer_kind told;
+};
+
+std::ostream& operator<<(std::ostream& to, repeat_case const& it)
+{
+    return to << it.name;
+}
+
+repeat_case const cases[] = {
+    {"accepted", 200, job_answer_kind::accepted, job_answer_kind::accepted},
+    {"refused", 200, job_answer_kind::refused,
+     job_answer_kind::outcome_unknown},
+    {"over the cap", 200, job_answer_kind::over_cap,
+     job_answer_kind::outcome_unknown},
+    {"no owner any more, by its answer", 200, job_answer_kind::not_owner,
+     job_answer_kind::outcome_unknown},
+    {"no owner any more, by its status",
+     409,
+     {},
+     job_answer_kind::outcome_unknown},
+    {"busy", 429, {}, job_answer_kind::outcome_unknown},
+    {"not readable", 500, {}, job_answer_kind::outcome_unknown},
+};
+
+struct quiet_listener final : cell::ownership::listener
+{
+    [[nodiscard]] cell::configuration_age configuration_here() const override
+    {
+        return {};
+    }
+
+    void on_configuration_reported(cell::configuration_age const&,
+                                   base::instant,
+                                   network::socket_address const&) override
+    {
+    }
+
+    void began(std::map<std::string, std::string> const&,
+               std::uint64_t,
+               std::uint64_t) override
+    {
+    }
+    void ended() override {}
+};
+
+/// A process that passes calls on to an owner in another process, which holds
+/// the calls or answers them as the case says.
+struct fixture
+{
+    fixture()
+    {
+        network::server_limits limits;
+        limits.body_bytes = 10'000;
+        limits.header_bytes = 2'000;
+        limits.request_time = std::chrono::seconds{2};
+        limits.idle_time = std::chrono::seconds{5};
+        limits.connections = 20;
+        server.set_limits(limits);
+        auto const end = base::capture(
+            [&]() -> base::result<base::done>
+            {
+                BOOST_LEAF_CHECK(server.listen(claim.address));
+                return base::done{};
+            });
+        BOOST_REQUIRE(end.has_value());
+        log.put({{cell::owner_key, cell::text_of(claim)}});
+        owner.start();
+        BOOST_REQUIRE(run_until([&] { return owner.owner_heard(); }));
+    }
+
+    void handle(network::http_request const& it, network::responder answer)
+    {
+        if (it.target.starts_with(cell::peer_paths::watch))
+        {
+            cell::watch_answer out;
+            out.owns = true;
+            out.owner = claim;
+            answer({200, {}, cell::text_of(out)});
+            return;
+        }
+        ++calls;
+        if (hold)
+        {
+            held.push_back(std::move(answer));
+            return;
+        }
+        answer({status, {}, cell::text_of(cell::job_answer{kind, {}, 0, {}})});
+    }
+
+    template <class Done>
+    bool run_until(Done done)
+    {
+        auto const limit =
+            std::chrono::steady_clock::now() + std::chrono::seconds{5};
+        while (!done() && std::chrono::steady_clock::now() < limit)
+        {
+            loop.restart();
+            loop.run_for(std::chrono::milliseconds{5});
+        }
+        return done();
+    }
+
+    void call(cell::job_call_kind what)
+    {
+        cell::job_call it;
+        it.kind = what;
+        it.queue = "a";
+        it.job = {1};
+        it.spec.id = {1};
+        it.spec.queue = "a";
+        it.timeout = std::chrono::milliseconds{700};
+        told.reset();
+        router.call(it,
+                    [this](cell::job_answer const& end) { told = end.kind; });
+    }
+
+    static std::uint16_t free_port()
+    {
+        boost::asio::io_context own;
+        boost::asio::ip::tcp::acceptor acceptor{
+            own, {boost::asio::ip::make_address_v4("127.0.0.1"), 0}};
+        return acceptor.local_endpoint().port();
+    }
+
+    boost::asio::io_context loop;
+    cell::owner_view claim{1, "other", {"127.0.0.1", free_port()}, "it"};
+    bool hold{false};
+    unsigned status{200};
+    job_answer_kind kind{job_answer_kind::accepted};
+    std::size_t calls{0};
+    std::vector<network::responder> held;
+    std::optional<job_answer_kind> told;
+    network::http_server server{loop, [this](auto const& it, auto answer)
+                                {
+                                    handle(it, std::move(answer));
+                                }};
+    base::system_clock clock;
+    fake_log log{loop};
+    network::http_client http{loop, {}};
+    cell::peer_client peers{http};
+    cell::store_latency latency;
+    quiet_listener listener;
+    cell::ownership owner{loop,          clock,
+                          log,           peers,
+                          latency,       {"self", {"127.0.0.1", 1}, 120},
+                          "incarnation", listener};
+    cell::call_router router{loop, clock, peers, owner,
+                             [](auto const&, auto const&)
+                             {
+                                 return false;
+                             }};
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(call_router, fixture)
+
+/// Guards against a job that is refused and runs: a submission arrived on a
+/// connection that broke, was sent again on a new one, and the answer to the
+/// second send was told to the client as the outcome of both.
+BOOST_DATA_TEST_CASE(a_refusal_of_a_repeated_submission_leaves_the_first_open,
+                     boost::unit_test::data::make(cases))
+{
+    call(cell::job_call_kind::status);
+    BOOST_REQUIRE(run_until([&] { return told.has_value(); }));
+    hold = true;
+    status = sample.status;
+    kind = sample.answer;
+    call(cell::job_call_kind::submit);
+    BOOST_REQUIRE(run_until([&] { return held.size() == 1; }));
+    hold = false;
+    server.close_connections();
+    BOOST_REQUIRE(run_until([&] { return told.has_value(); }));
+    BOOST_TEST(calls > 2U);
+    BOOST_TEST((*told == sample.told));
+}
+
+/// A submission that was sent once is refused as its owner says.
+BOOST_AUTO_TEST_CASE(a_refusal_of_the_only_send_is_told)
+{
+    kind = job_answer_kind::refused;
+    call(cell::job_call_kind::submit);
+    BOOST_REQUIRE(run_until([&] { return told.has_value(); }));
+    BOOST_TEST((*told == job_answer_kind::refused));
+    kind = job_answer_kind::over_cap;
+    call(cell::job_call_kind::submit);
+    BOOST_REQUIRE(run_until([&] { return told.has_value(); }));
+    BOOST_TEST((*told == job_answer_kind::over_cap));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
