cell: Refuse no job whose record may be stored

A caller is told 503 for a job that runs.

Cause: while the store gives no answers, the owner refuses all submissions of jobs that are not known to be stored, also those of a job whose append is under way without an answer. Its first client was told that the outcome is unknown, sent the same job again as the platform's page says, and that refusal was final to it.

Change: only unknown jobs are refused at once. The client of a known one waits: it hears of the store's answer, of the refusal of the batch where that is taken back, or that the outcome is unknown.

Evidence: cell_owner/a_job_that_may_be_stored_is_not_refused failed before the change (the second submission had its refusal while the first append was open) and passes with it; cell_owner/a_job_of_a_batch_that_was_taken_back_is_refused passes before and after.

--- a/libraries/cell/cell_owner.cpp
+++ b/libraries/cell/cell_owner.cpp
@@ -134,7 +134,9 @@
         done({job_answer_kind::accepted, *phase, 0, {}});
         return;
     }
-    if (store_blocked())
+    // The record of a known job may be on its way to the store, so its client
+    // waits; if the batch is taken back, all clients of the job are refused.
+    if (store_blocked() && !m_decisions.account_of(it.job))
     {
         log_refusal(it.job);
         done({job_answer_kind::refused, {}, 0, default_retry_after});
--- /dev/null
+++ b/tests/cell/cell_owner_test.cpp
@@ -0,0 +1,210 @@
+#include "fake_log.hpp"
+
+#include <cell/cell_owner.hpp>
+#include <network/http_client.hpp>
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+
+using namespace berylhill;
+using namespace berylhill::cell_test;
+using cell::job_answer_kind;
+
+namespace
+{
+
+class no_instances final : public cell::instance_client
+{
+public:
+    void start(cell::order_target const&,
+               scheduler::start_order const&,
+               base::duration,
+               cell::start_handler) override
+    {
+    }
+    void stop(cell::order_target const&,
+              scheduler::attempt_name const&,
+              base::duration,
+              cell::order_handler) override
+    {
+    }
+    void hold(cell::order_target const&,
+              scheduler::hold_order const&,
+              base::duration,
+              cell::hold_handler) override
+    {
+    }
+};
+
+class no_advice final : public cell::advice_client
+{
+public:
+    void ask(workload::step_name const&,
+             std::vector<std::string> const&,
+             base::duration,
+             cell::advice_handler) override
+    {
+    }
+};
+
+class no_documents final : public cell::documents
+{
+public:
+    [[nodiscard]] base::result<std::optional<workload::cell_configuration>>
+    configuration(std::string_view, std::string_view) const override
+    {
+        return std::optional<workload::cell_configuration>{};
+    }
+    [[nodiscard]] std::string instance_id(std::string_view key) const override
+    {
+        return std::string{key};
+    }
+    [[nodiscard]] base::result<scheduler::instance_info>
+    instance(std::string_view, std::string_view) const override
+    {
+        return scheduler::instance_info{};
+    }
+};
+
+class no_log final : public scheduler::decision_log
+{
+public:
+    void write(base::log_level,
+               std::string_view,
+               std::initializer_list<base::log_field>) override
+    {
+    }
+};
+
+/// An owner whose store gives no answer, so that the first submission may be
+/// stored at any time.
+struct fixture
+{
+    using told = std::shared_ptr<std::optional<job_answer_kind>>;
+
+    fixture()
+    {
+        constexpr std::size_t many = 10'000;
+        log.append_behaviors.assign(many, fate::delay);
+        workload::cell_configuration configuration;
+        configuration.version = 1;
+        auto& queue = configuration.queues.emplace_back();
+        queue.name = "a";
+        queue.service = "service";
+        configuration.services.emplace_back().name = "service";
+        owner = std::make_unique<cell::cell_owner>(
+            cell::owner_parts{&loop, &clock, &log, &listed, &orders, &desk,
+                              &reader, &decisions, &latency},
+            scheduler::policy{}, configuration,
+            std::map<std::string, std::string>{}, 1, 0, [](char const*) {});
+    }
+
+    told submit(std::uint64_t id, base::duration timeout)
+    {
+        cell::job_call it;
+        it.kind = cell::job_call_kind::submit;
+        it.queue = "a";
+        it.job = {id};
+        it.spec.id = {id};
+        it.spec.queue = "a";
+        workload::step_spec step;
+        step.tasks = 1;
+        it.spec.steps.push_back(step);
+        it.timeout = timeout;
+        auto out = std::make_shared<std::optional<job_answer_kind>>();
+        owner->call(it,
+                    [out](cell::job_answer const& end) { *out = end.kind; });
+        return out;
+    }
+
+    template <class Done>
+    bool run_until(Done done)
+    {
+        auto const limit =
+            std::chrono::steady_clock::now() + std::chrono::seconds{5};
+        while (!done() && std::chrono::steady_clock::now() < limit)
+        {
+            loop.restart();
+            loop.run_for(std::chrono::milliseconds{5});
+        }
+        return done();
+    }
+
+    /// Submits the job; its record has been sent to the store, and the client
+    /// has heard that the outcome is unknown.
+    void submit_without_outcome(std::uint64_t id)
+    {
+        auto const first = submit(id, short_timeout);
+        BOOST_REQUIRE(run_until([&] { return first->has_value(); }));
+        BOOST_TEST((**first == job_answer_kind::outcome_unknown));
+        BOOST_TEST(log.appends > 0U);
+    }
+
+    static constexpr base::duration short_timeout =
+        std::chrono::milliseconds{250};
+    static constexpr base::duration long_timeout = std::chrono::seconds{4};
+
+    boost::asio::io_context loop;
+    base::system_clock clock;
+    fake_log log{loop};
+    fake_log listed{loop};
+    network::http_client client{loop, {}};
+    cell::peer_client peers{client};
+    no_instances orders;
+    no_advice advice;
+    cell::advice_dispatcher desk{clock, advice, peers,
+                                 []
+                                 {
+                                     return std::vector<cell::peer>{};
+                                 }};
+    no_documents reader;
+    no_log decisions;
+    cell::store_latency latency;
+    std::unique_ptr<cell::cell_owner> owner;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(cell_owner, fixture)
+
+/// Guards against a job that is refused and runs: the append of a submission
+/// had no answer, its client submitted it again, and the second submission was
+/// refused because the store gave no answers.
+BOOST_AUTO_TEST_CASE(a_job_that_may_be_stored_is_not_refused)
+{
+    submit_without_outcome(1);
+    BOOST_REQUIRE(run_until([&] { return owner->store_blocked(); }));
+    auto const second = submit(1, long_timeout);
+    auto const other = submit(2, long_timeout);
+    BOOST_TEST(run_until([&] { return other->has_value(); }));
+    BOOST_TEST((**other == job_answer_kind::refused));
+    BOOST_TEST(!second->has_value());
+    log.deliver_late();
+    log.append_behaviors.clear();
+    BOOST_REQUIRE(run_until([&] { return second->has_value(); }));
+    BOOST_TEST((**second == job_answer_kind::accepted));
+}
+
+/// Guards against the same fault while the store refuses appends: a batch that
+/// is certainly not stored is taken back, and all its clients are refused.
+BOOST_AUTO_TEST_CASE(a_job_of_a_batch_that_was_taken_back_is_refused)
+{
+    log.append_behaviors.assign(log.append_behaviors.size(), fate::refuse);
+    auto const first = submit(1, long_timeout);
+    BOOST_REQUIRE(run_until([&] { return first->has_value(); }));
+    BOOST_TEST((**first == job_answer_kind::refused));
+    auto const second = submit(1, long_timeout);
+    BOOST_REQUIRE(run_until([&] { return second->has_value(); }));
+    BOOST_TEST((**second == job_answer_kind::refused));
+    log.append_behaviors.clear();
+    run_until([&] { return owner->store_stuck().count() == 0; });
+    BOOST_TEST(log.log.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
