cell: Call a submission undone only where it surely is

A caller is told 503 for a job that runs.

Cause: an owner that loses or releases ownership told the clients that wait for its next batch "not the owner, nothing was done". Among them are clients that sent a job again whose first record is in the batch under way, without an answer. Where no other owner is found in time, the router refuses such a call.

Change: at the end of ownership only submissions that can still be withdrawn count as undone; the others, and those of known jobs during a release, are told as interrupted.

Evidence: cell_owner/a_job_that_may_be_stored_is_interrupted_at_the_end and _at_a_release failed before the change (both: not the owner) and pass with it.

--- a/libraries/cell/batch_waiters.hpp
+++ b/libraries/cell/batch_waiters.hpp
@@ -53,8 +53,9 @@
     /// Returns the clients whose deadline has passed.
     [[nodiscard]] list expire(base::instant now);
 
-    /// Returns the clients whose batch was never sent. Called when ownership
-    /// ends.
+    /// Returns the clients that wait for the next batch. A job that one of them
+    /// submitted may be in an earlier batch, unless `refuse_unsent` has
+    /// returned its clients before. Called when ownership ends.
     [[nodiscard]] list take_unsent();
 
     /// Returns the clients whose batch may be stored. Called when ownership
--- a/libraries/cell/cell_owner.cpp
+++ b/libraries/cell/cell_owner.cpp
@@ -65,11 +65,22 @@
 {
     *m_alive = false;
     // Calls whose records were never sent to the store have certainly not taken
-    // effect.
-    for (auto const& it : m_waiting.take_unsent())
+    // effect. A job that waits for the next batch may be in an earlier one.
+    for (auto const& it :
+         m_waiting.refuse_unsent([this](workload::job_id job)
+                                 { return m_decisions.withdraw(job); }))
     {
         it.done({job_answer_kind::not_owner, {}, 0, {}});
     }
+    for (auto const& it : m_waiting.take_unsent())
+    {
+        auto const submitted = it.submitted_job.number != 0;
+        it.done({submitted ? job_answer_kind::interrupted
+                           : job_answer_kind::not_owner,
+                 {},
+                 0,
+                 {}});
+    }
     for (auto const& it : m_waiting.take_sent())
     {
         it.done({job_answer_kind::interrupted, {}, 0, {}});
@@ -92,7 +103,14 @@
 {
     if (m_releasing || m_lost)
     {
-        done({job_answer_kind::not_owner, {}, 0, {}});
+        // The record of a known job may be on its way to the store.
+        auto const may_be_stored = it.kind == job_call_kind::submit &&
+                                   m_decisions.account_of(it.job).has_value();
+        done({may_be_stored ? job_answer_kind::interrupted
+                            : job_answer_kind::not_owner,
+              {},
+              0,
+              {}});
         return;
     }
     if (auto const of = m_decisions.account_of(it.job);
--- a/tests/cell/cell_owner_test.cpp
+++ b/tests/cell/cell_owner_test.cpp
@@ -207,4 +207,32 @@
     BOOST_TEST(log.log.empty());
 }
 
+/// Guards against a job that is refused and runs: an owner that may have stored
+/// the first submission lost ownership, and told the client of the second one
+/// that it had done nothing.
+BOOST_AUTO_TEST_CASE(a_job_that_may_be_stored_is_interrupted_at_the_end)
+{
+    submit_without_outcome(1);
+    auto const second = submit(1, long_timeout);
+    auto const other = submit(2, long_timeout);
+    owner.reset();
+    BOOST_REQUIRE(second->has_value());
+    BOOST_TEST((**second == job_answer_kind::interrupted));
+    BOOST_REQUIRE(other->has_value());
+    BOOST_TEST((**other == job_answer_kind::not_owner));
+}
+
+/// The same for an owner that is releasing ownership.
+BOOST_AUTO_TEST_CASE(a_job_that_may_be_stored_is_interrupted_at_a_release)
+{
+    submit_without_outcome(1);
+    owner->release(long_timeout, [] {});
+    auto const second = submit(1, long_timeout);
+    auto const other = submit(2, long_timeout);
+    BOOST_REQUIRE(second->has_value());
+    BOOST_TEST((**second == job_answer_kind::interrupted));
+    BOOST_REQUIRE(other->has_value());
+    BOOST_TEST((**other == job_answer_kind::not_owner));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
