network: Check a kept connection before a request is sent on it

An order may count as started by an answer to an older one, and calls end without an outcome although nothing of them was sent.

Cause: a kept connection was used without looking at it. Bytes that the other side had sent beyond an answer, say a second answer to a request, were read as the answer to the next request. One that the other side had closed was written to, so the request counts as sent twice, and a refusal as no outcome.

Change: a connection with bytes to read, or closed by the other side, is not used again. Costs one call of the system for a call on a kept connection.

--- a/libraries/network/http_client.cpp
+++ b/libraries/network/http_client.cpp
@@ -63,14 +63,17 @@
 http_client::take(socket_address const& to)
 {
     auto const it = m_idle.find(to);
-    if (it == m_idle.end() || it->second.empty())
+    while (it != m_idle.end() && !it->second.empty())
     {
-        return nullptr;
+        auto last = std::move(it->second.back());
+        it->second.pop_back();
+        forget_idle_of(*last);
+        if (last->reusable())
+        {
+            return last;
+        }
     }
-    auto last = std::move(it->second.back());
-    it->second.pop_back();
-    forget_idle_of(*last);
-    return last;
+    return nullptr;
 }
 
 void http_client::give_back(socket_address const& to,
--- a/libraries/network/http_client_connection.hpp
+++ b/libraries/network/http_client_connection.hpp
@@ -31,6 +31,11 @@
         --*m_open;
     }
 
+    /// Returns whether a request may be sent on it after an earlier exchange.
+    /// False if the other side has closed it, or has sent more than the answer:
+    /// those bytes would be read as the next one.
+    [[nodiscard]] bool reusable();
+
     boost::asio::ip::tcp::socket socket;
     boost::beast::flat_buffer buf;
     /// Its place among the idle ones, while it is one.
--- a/tests/network/http_test.cpp
+++ b/tests/network/http_test.cpp
@@ -92,6 +92,51 @@
     BOOST_TEST(client.connections_opened() == 2U);
 }
 
+/// Guards against outcomes that are unknown without need: nothing is sent on a
+/// kept connection that is known to be closed.
+BOOST_AUTO_TEST_CASE(nothing_is_sent_on_a_connection_that_was_closed)
+{
+    BOOST_REQUIRE(call(post("one")).has_value());
+    run_until([&] { return server.connections() == 0; });
+    auto const end = call(post("two"));
+    BOOST_REQUIRE(end.has_value());
+    BOOST_TEST((end->end == call_end::answered));
+    BOOST_TEST(!end->sent_before);
+}
+
+/// Guards against an answer to an older request that is taken for the answer
+/// to a newer one: a server answers the first request twice.
+BOOST_AUTO_TEST_CASE(a_second_answer_to_a_request_is_not_read_for_the_next)
+{
+    namespace asio = boost::asio;
+    asio::ip::tcp::acceptor acceptor{
+        loop, {asio::ip::make_address_v4("127.0.0.1"), 0}};
+    network::socket_address const at{"127.0.0.1",
+                                     acceptor.local_endpoint().port()};
+    asio::ip::tcp::socket peer{loop};
+    acceptor.async_accept(
+        peer,
+        [&](auto)
+        {
+            constexpr std::string_view answer =
+                "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold";
+            asio::write(peer, asio::buffer(answer));
+            asio::write(peer, asio::buffer(answer));
+        });
+    std::optional<network::call_result> end;
+    auto const note = [&](network::call_result const& it)
+    {
+        end = it;
+    };
+    client.call(at, post("one"), std::chrono::seconds{2}, note);
+    BOOST_REQUIRE(run_until([&] { return end.has_value(); }));
+    BOOST_TEST(end->response.body == "old");
+    end.reset();
+    client.call(at, post("two"), std::chrono::milliseconds{100}, note);
+    BOOST_REQUIRE(run_until([&] { return end.has_value(); }));
+    BOOST_TEST((end->end == call_end::unanswered));
+}
+
 /// A user is told that a job does not run, and it runs. The request goes out
 /// on a kept connection, which breaks before the answer; nothing listens any
 /// more for the second try, and the first one was forgotten.
