cell tests: Show what holds beside sends that are repeated

Three places where an answer could be read for another send, searched and found to hold: a claim that was given up and is stored while the next one of the same process is under way (one claim counts, with the newest token), two advice requests of one step whose answers overtake each other, and an order to an instance without an address (answered once, as unanswered).

--- a/tests/cell/advice_dispatcher_test.cpp
+++ b/tests/cell/advice_dispatcher_test.cpp
@@ -98,4 +98,25 @@
     BOOST_TEST((std::ranges::adjacent_find(done) == done.end()));
 }
 
+/// Guards against a ticket, or a refusal, that is read for another request of
+/// the same step: the newer request is answered first, the older one refused.
+BOOST_AUTO_TEST_CASE(answers_that_overtake_each_other_reach_their_requests)
+{
+    std::vector<cell::advice_result> told(2);
+    for (std::size_t n = 0; n < told.size(); ++n)
+    {
+        scheduler::advice_order order;
+        order.instances = {"i-" + std::to_string(n)};
+        order.expected = short_time;
+        desk.ask(order, [&told, n](auto const& it) { told[n] = it; });
+    }
+    BOOST_REQUIRE(own.open.size() == told.size());
+    own.open[1].second({true, {{"i-1", "ticket"}}, std::chrono::seconds{1}});
+    own.open[0].second({});
+    BOOST_TEST(!told[0].answered);
+    BOOST_TEST(told[1].answered);
+    BOOST_REQUIRE(told[1].allowed.size() == 1U);
+    BOOST_TEST(told[1].allowed.front().ticket == "ticket");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/cell/ownership_test.cpp
+++ b/tests/cell/ownership_test.cpp
@@ -10,6 +10,7 @@
 
 #include <chrono>
 #include <string>
+#include <vector>
 
 using namespace berylhill;
 using namespace berylhill::cell_test;
@@ -31,11 +32,15 @@
     }
 
     void began(std::map<std::string, std::string> const&,
-               std::uint64_t,
+               std::uint64_t token,
                std::uint64_t) override
     {
+        tokens.push_back(token);
     }
     void ended() override {}
+
+    /// The token of each claim that was won.
+    std::vector<std::uint64_t> tokens;
 };
 
 /// A process that has just started, with a log written by others.
@@ -158,4 +163,22 @@
     BOOST_TEST((owner.state() == cell::ownership_state::owning));
 }
 
+/// Guards against two claims of one process that both count: the first one had
+/// no answer, was given up, and is stored while the second one is under way.
+BOOST_AUTO_TEST_CASE(claim_that_is_stored_late_counts_once)
+{
+    constexpr std::size_t many = 10'000;
+    log.append_behaviors.assign(many, fate::delay);
+    owner.start();
+    // A claim is given up after 2 s.
+    run(std::chrono::milliseconds{2'600});
+    BOOST_TEST((owner.state() == cell::ownership_state::claiming));
+    log.deliver_late();
+    log.append_behaviors.clear();
+    run(std::chrono::milliseconds{1'500});
+    BOOST_TEST((owner.state() == cell::ownership_state::owning));
+    BOOST_TEST(listener.tokens == std::vector<std::uint64_t>{log.log.size()},
+               boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform_adapter/answers_test.cpp
+++ b/tests/platform_adapter/answers_test.cpp
@@ -269,6 +269,25 @@
     BOOST_TEST((*end == sample.outcome));
 }
 
+/// Guards against an order that is never answered: its instance is listed
+/// without an address.
+BOOST_AUTO_TEST_CASE(an_order_without_an_address_is_answered_once)
+{
+    scheduler::start_order order;
+    order.instance = "i-1";
+    std::vector<start_answer> told;
+    orders.start({{}, order.instance, 1}, order, timeout,
+                 [&](cell::start_result const& it)
+                 { told.push_back(it.answer); });
+    BOOST_TEST(told.empty());
+    BOOST_TEST(run_until([&] { return !told.empty(); }));
+    loop.restart();
+    loop.run_for(std::chrono::milliseconds{20});
+    BOOST_REQUIRE(told.size() == 1U);
+    BOOST_TEST((told.front() == start_answer::unanswered));
+    BOOST_TEST(client.connections_opened() == 1U);
+}
+
 /// Guards against a task that runs twice: an instance reset the connection
 /// after an order had arrived and rejected the second send, the task was
 /// started elsewhere, and the first order was carried out late.
