--- a/tests/cell/call_router_test.cpp
+++ b/tests/cell/call_router_test.cpp
@@ -25,8 +25,8 @@
 namespace
 {
 
-/// An answer of the owner to the second send of a submission; the first one
-/// arrived and has no answer.
+/// An answer of the owner to the second send of a submission or cancellation;
+/// the first one arrived and has no answer.
 struct repeat_case
 {
     char const* name;
@@ -192,15 +192,18 @@
 /// Guards against a job that is refused and runs: a submission arrived on a
 /// connection that broke, was sent again on a new one, and the answer to the
 /// second send was told to the client as the outcome of both.
-BOOST_DATA_TEST_CASE(a_refusal_of_a_repeated_submission_leaves_the_first_open,
-                     boost::unit_test::data::make(cases))
+BOOST_DATA_TEST_CASE(a_refusal_of_a_repeated_call_leaves_the_first_open,
+                     boost::unit_test::data::make(cases) *
+                         boost::unit_test::data::make({false, true}),
+                     sample,
+                     cancels)
 {
     call(cell::job_call_kind::status);
     BOOST_REQUIRE(run_until([&] { return told.has_value(); }));
     hold = true;
     status = sample.status;
     kind = sample.answer;
-    call(cell::job_call_kind::submit);
+    call(cancels ? cell::job_call_kind::cancel : cell::job_call_kind::submit);
     BOOST_REQUIRE(run_until([&] { return held.size() == 1; }));
     hold = false;
     server.close_connections();
