platform tests: Print how long a configuration takes to be in force

configuration_path prints the time of both configurations of each case, so that a run that misses the bound can be compared with those that hold. The bound and the checks are unchanged.

--- a/tests/platform_adapter/configuration_test.cpp
+++ b/tests/platform_adapter/configuration_test.cpp
@@ -91,6 +91,19 @@
         return true;
     }
 
+    /// Waits until all serve `now` and refuse `before`; prints the time it
+    /// took.
+    bool in_force_in_time(std::string const& now, std::string const& before)
+    {
+        auto const begun = std::chrono::steady_clock::now();
+        auto const out =
+            run_until([&] { return serve(now, before); }, in_force);
+        auto const took = std::chrono::duration_cast<milliseconds>(
+            std::chrono::steady_clock::now() - begun);
+        BOOST_TEST_MESSAGE("in force after " << took.count() << " ms");
+        return out;
+    }
+
     std::vector<std::unique_ptr<fault_link>> links;
 };
 
@@ -117,10 +130,10 @@
     }
     store->put(operators_topic, configuration_key,
                configuration_document(3, {"q", "b"}, sample.bytes));
-    BOOST_TEST(run_until([&] { return serve("b", "a"); }, in_force));
+    BOOST_TEST(in_force_in_time("b", "a"));
     store->put(operators_topic, configuration_key,
                configuration_document(4, {"q", "a"}, sample.bytes));
-    BOOST_TEST(run_until([&] { return serve("a", "b"); }, in_force));
+    BOOST_TEST(in_force_in_time("a", "b"));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
