--- a/tests/network/http_test.cpp
+++ b/tests/network/http_test.cpp
@@ -92,6 +92,51 @@
     BOOST_TEST(client.connections_opened() == 2U);
 }
 
+/// Guards against outcomes that are unknown without need: nothing is sent on a
+/// kept connection that is known to be closed.
+BOOST_AUTO_TEST_CASE(nothing_is_sent_on_a_connection_that_was_closed)
+{
+    BOOST_REQUIRE(call(post("one")).has_value());
+    run_until([&] { return server.connections() == 0; });
+    auto const end = call(post("two"));
+    BOOST_REQUIRE(end.has_value());
+    BOOST_TEST((end->end == call_end::answered));
+    BOOST_TEST(!end->sent_before);
+}
+
+/// Guards against an answer to an older request that is taken for the answer
+/// to a newer one: a server answers the first request twice.
+BOOST_AUTO_TEST_CASE(a_second_answer_to_a_request_is_not_read_for_the_next)
+{
+    namespace asio = boost::asio;
+    asio::ip::tcp::acceptor acceptor{
+        loop, {asio::ip::make_address_v4("127.0.0.1"), 0}};
+    network::socket_address const at{"127.0.0.1",
+                                     acceptor.local_endpoint().port()};
+    asio::ip::tcp::socket peer{loop};
+    acceptor.async_accept(
+        peer,
+        [&](auto)
+        {
+            constexpr std::string_view answer =
+                "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold";
+            asio::write(peer, asio::buffer(answer));
+            asio::write(peer, asio::buffer(answer));
+        });
+    std::optional<network::call_result> end;
+    auto const note = [&](network::call_result const& it)
+    {
+        end = it;
+    };
+    client.call(at, post("one"), std::chrono::seconds{2}, note);
+    BOOST_REQUIRE(run_until([&] { return end.has_value(); }));
+    BOOST_TEST(end->response.body == "old");
+    end.reset();
+    client.call(at, post("two"), std::chrono::milliseconds{100}, note);
+    BOOST_REQUIRE(run_until([&] { return end.has_value(); }));
+    BOOST_TEST((end->end == call_end::unanswered));
+}
+
 /// A user is told that a job does not run, and it runs. The request goes out
 /// on a kept connection, which breaks before the answer; nothing listens any
 /// more for the second try, and the first one was forgotten.
@@ -109,6 +154,26 @@
     BOOST_TEST((end->end == call_end::unanswered));
 }
 
+/// Guards against a refusal of a second send that is taken for the outcome of
+/// both: the first one arrived before its connection broke.
+BOOST_AUTO_TEST_CASE(a_request_that_was_sent_twice_is_reported)
+{
+    auto const first = call(post("one"));
+    BOOST_REQUIRE(first.has_value());
+    BOOST_TEST(!first->sent_before);
+    hold = true;
+    std::optional<network::call_result> end;
+    client.call(address, post("two"), std::chrono::seconds{3},
+                [&](network::call_result const& it) { end = it; });
+    BOOST_TEST(run_until([&] { return held.size() == 1; }));
+    hold = false;
+    server.close_connections();
+    BOOST_TEST(run_until([&] { return end.has_value(); }));
+    BOOST_TEST((end->end == call_end::answered));
+    BOOST_TEST(end->sent_before);
+    BOOST_TEST(requests == 3U);
+}
+
 BOOST_DATA_TEST_CASE(bytes_that_are_no_request_are_refused_at_once,
                      boost::unit_test::data::make(raw_cases))
 {
