placement: Keep an unanswered start order when its repetition is not taken

A task could run in two places. An order to start that got no answer within 2 s is sent again to the group's owner. Where that send failed for certain (connect timed out, no owner, an owner that still learns what runs), the shard took this as the outcome of both: it forgot the attempt and placed the task elsewhere, while the first send was still to arrive. A cut of the connection of 2 to 3 s is enough: the second connect fails, and the kernel delivers the first request once the cut is over. The attempt's end was then acknowledged and ignored, as the shard no longer knew it.

job_queue keeps whether a send of the current order got no answer. on_not_taken returns the same order then, until the group's owner answers, who knows whether the attempt was started; a refusal by the owner still settles the order. Orders that only hold are given up as before: they start nothing and expire. Where the platform lists no worker of the group any more, nothing can run there and the order is given up too.

--- a/libraries/entry/job_shard_actor.cpp
+++ b/libraries/entry/job_shard_actor.cpp
@@ -26,6 +26,14 @@
 constexpr base::duration s_write_again = std::chrono::milliseconds{300};
 constexpr std::int32_t s_most_decisions = 200;
 
+bool contains_order(placement::queue_actions const& it,
+                    model::attempt_id const& attempt)
+{
+    return std::any_of(it.holds.begin(), it.holds.end(),
+                       [&](auto const& order)
+                       { return order.request.attempt == attempt; });
+}
+
 } // namespace
 
 job_shard_actor::job_shard_actor(caf::actor_config& config,
@@ -335,6 +343,22 @@
     flush();
 }
 
+/// Whether the platform lists a worker of the group; true while it lists
+/// nothing at all, which is a list that has not been read yet.
+bool job_shard_actor::has_workers(std::string const& group) const
+{
+    auto const view = m_node.view.get();
+    return view->endpoints.empty() ||
+           std::any_of(view->endpoints.begin(), view->endpoints.end(),
+                       [&](auto const& it) {
+                           return it.kind == model::endpoint_kind::worker &&
+                                  unit_of(it) == group;
+                       });
+}
+
+/// A send that failed for certain says nothing of an earlier send of the same
+/// order, which may arrive late: the attempt stays with its group until the
+/// group's owner has answered.
 void job_shard_actor::take_no_answer(group_orders const& orders,
                                      base::failure const& why)
 {
@@ -343,16 +367,25 @@
     auto const now = m_node.clock.now();
     auto const surely_not_taken = why.code == base::failure_code::unavailable ||
                                   why.code == base::failure_code::superseded;
+    // The platform has dropped all workers of the group: nothing runs there.
+    auto const gone = surely_not_taken && !has_workers(orders.unit);
     for (auto const& it : orders.holds)
     {
-        if (surely_not_taken)
+        auto const& attempt = it.request.attempt;
+        if (!surely_not_taken)
         {
-            m_placed.erase(it.request.attempt);
-            run(m_queue->on_refused(it.request.attempt,
-                                    placement::hold_state::full, now));
+            run(m_queue->on_unanswered(attempt));
             continue;
         }
-        run(m_queue->on_unanswered(it.request.attempt));
+        auto const next =
+            gone
+                ? m_queue->on_refused(attempt, placement::hold_state::full, now)
+                : m_queue->on_not_taken(attempt, now);
+        if (!contains_order(next, attempt))
+        {
+            m_placed.erase(attempt);
+        }
+        run(next);
     }
     for (auto const& it : orders.commits)
     {
--- a/libraries/entry/job_shard_actor.hpp
+++ b/libraries/entry/job_shard_actor.hpp
@@ -105,6 +105,7 @@
     void flush();
     void flush(std::string const& group, group_outbox& outbox);
     void take_answers(orders_answered const& it);
+    [[nodiscard]] bool has_workers(std::string const& group) const;
     void take_no_answer(group_orders const& orders, base::failure const& why);
 
     // Ends of attempts and the log (job_shard_log.cpp).
--- a/libraries/placement/job_queue.hpp
+++ b/libraries/placement/job_queue.hpp
@@ -118,6 +118,12 @@
     /// The last order for the attempt got no answer. Returns the same order, as
     /// orders are idempotent and the first may have been carried out.
     queue_actions on_unanswered(model::attempt_id const& attempt);
+    /// The last send of the order for the attempt was surely not taken. Where
+    /// an earlier send of a start got no answer, that one may still be carried
+    /// out, and the same order is returned. Otherwise the attempt does not run,
+    /// as after `on_refused`.
+    queue_actions on_not_taken(model::attempt_id const& attempt,
+                               base::instant now);
     queue_actions on_finished(attempt_end const& it, base::instant now);
     /// Records the measured use of a running attempt.
     void on_usage(model::attempt_id const& attempt,
--- a/libraries/placement/job_queue_decide.cpp
+++ b/libraries/placement/job_queue_decide.cpp
@@ -327,6 +327,7 @@
     it.number += 1;
     it.group = group;
     it.phase = task_phase::ordered;
+    it.unanswered = false;
     it.planned = of_class.need;
     it.expected_run_s = static_cast<float>(of_class.run_s);
     it.urgent = of_class.urgent && account.allows_urgent(it.planned, 1);
--- a/libraries/placement/job_queue_events.cpp
+++ b/libraries/placement/job_queue_events.cpp
@@ -175,6 +175,7 @@
     }
     if (it->phase == task_phase::ordered)
     {
+        it->unanswered = true;
         actions.holds.push_back(hold_order_for(*job, attempt.task.index));
     }
     else if (it->phase == task_phase::committed)
@@ -188,6 +189,27 @@
     return actions;
 }
 
+/// Guards against a task in two places: a send that failed for certain tells
+/// nothing of an earlier one. A hold alone starts nothing and expires by
+/// itself, so only an order to start is kept.
+queue_actions job_queue::on_not_taken(model::attempt_id const& attempt,
+                                      base::instant now)
+{
+    auto const job = find(attempt.task.job);
+    auto const* const it = find_current(job, attempt);
+    if (it != nullptr && it->phase == task_phase::ordered && it->unanswered)
+    {
+        auto order = hold_order_for(*job, attempt.task.index);
+        if (order.mode == hold_mode::start)
+        {
+            queue_actions actions;
+            actions.holds.push_back(std::move(order));
+            return actions;
+        }
+    }
+    return on_refused(attempt, hold_state::full, now);
+}
+
 void job_queue::on_usage(model::attempt_id const& attempt,
                          model::resources const& use)
 {
--- a/libraries/placement/job_record.hpp
+++ b/libraries/placement/job_record.hpp
@@ -36,6 +36,9 @@
     /// Whether the task is charged to its contract.
     bool charged{false};
     bool urgent{false};
+    /// Whether a send of the current order got no answer, and no later send of
+    /// it was answered: the order may still be carried out.
+    bool unanswered{false};
     std::int16_t failures{0};
     /// Workers lost in a row, each soon after the task had started there.
     std::int16_t consecutive_losses{0};
