entry: Refuse a shard's orders that arrive after later ones

A task could run in two places, after the cancellation of its job, or again after its end. The owner of a shard gives a message to a rack's owner up after 2 s and sends the next one on a new connection; what the first carried may arrive later than the second, as after a cut, when the kernel repeats the old data with a growing delay while new connections work at once. The rack's owner carried it out all the same: a start after the answer to its repetition ("full", so the shard had placed the task elsewhere), after the release that a cancellation had sent, or after the attempt had ended and its end was in the log.

Each message of a shard's owner to a rack has a number, and order_gate refuses what is not above all that were seen of that owner. So an answer to a message settles all earlier ones, which is what the shard already took it for. A message without a number, of an owner of the former version, is carried out as before.

No run of the whole cell shows the fault or its absence.

--- a/libraries/entry/group_outbox.hpp
+++ b/libraries/entry/group_outbox.hpp
@@ -3,6 +3,8 @@
 #include <base/time.hpp>
 #include <entry/orders.hpp>
 
+#include <cstdint>
+
 namespace berylhill::entry
 {
 
@@ -13,6 +15,8 @@
 {
     group_orders waiting;
     bool under_way{false};
+    /// The number of the last message that was sent.
+    std::int64_t last_number{0};
     /// After a failure nothing is sent before this instant.
     base::instant not_before{};
 
--- a/libraries/entry/job_shard_actor.cpp
+++ b/libraries/entry/job_shard_actor.cpp
@@ -279,6 +279,7 @@
     orders->unit = group;
     orders->shard = m_unit;
     orders->shard_epoch = m_epoch;
+    orders->number = ++outbox.last_number;
     auto const self = caf::actor_cast<caf::actor>(this);
     m_node.peer_io.post(
         [this_node = &m_node, self, unit = m_unit, epoch = m_epoch,
--- a/libraries/entry/orders.cpp
+++ b/libraries/entry/orders.cpp
@@ -112,6 +112,7 @@
     out["unit"] = it.unit;
     out["shard"] = it.shard;
     out["shard_epoch"] = Json::Int64{it.shard_epoch};
+    out["number"] = Json::Int64{it.number};
     out["holds"] = empty_array();
     for (auto const& order : it.holds)
     {
@@ -138,6 +139,7 @@
     out.unit = it["unit"].asString();
     out.shard = it["shard"].asString();
     out.shard_epoch = it["shard_epoch"].asInt64();
+    out.number = it["number"].asInt64();
     for (auto const& order : it["holds"])
     {
         BOOST_LEAF_AUTO(value, order_from(order));
--- a/libraries/entry/orders.hpp
+++ b/libraries/entry/orders.hpp
@@ -40,6 +40,9 @@
     /// epoch below the highest that it has seen of the shard.
     std::string shard;
     std::int64_t shard_epoch{0};
+    /// Rises with each message of this owner of the shard to the rack, from 1
+    /// on. 0 from an owner that does not number its messages.
+    std::int64_t number{0};
     std::vector<placement::hold_order> holds;
     std::vector<model::attempt_id> commits;
     std::vector<model::attempt_id> releases;
--- a/libraries/entry/worker_group_actor.hpp
+++ b/libraries/entry/worker_group_actor.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <entry/messages.hpp>
+#include <entry/order_gate.hpp>
 #include <entry/worker_outbox.hpp>
 #include <lease/inventory_barrier.hpp>
 #include <lease/worker_lease.hpp>
@@ -117,6 +118,7 @@
     std::map<std::string, worker_state> m_workers;
     std::optional<lease::inventory_barrier> m_barrier;
     std::map<std::string, std::int64_t> m_shard_epochs;
+    order_gate m_gate;
     std::map<model::attempt_id, account> m_attempts;
     std::map<model::attempt_id, unreported> m_ends;
     /// Shards that a report is under way to, and when the next may go.
--- a/libraries/entry/worker_group_orders.cpp
+++ b/libraries/entry/worker_group_orders.cpp
@@ -55,6 +55,9 @@
     return std::nullopt;
 }
 
+/// Guards against a task in two places when a message arrives after its sender
+/// has given it up: the sender takes the answer to a later message as an answer
+/// to all earlier ones.
 void worker_group_actor::take_orders(group_orders_asked const& it)
 {
     if (auto why = refusal_of(it.orders.shard, it.orders.shard_epoch))
@@ -62,6 +65,14 @@
         it.answer.set(*why);
         return;
     }
+    auto const& orders = it.orders;
+    if (!m_gate.admit(orders.shard, orders.shard_epoch, orders.number))
+    {
+        it.answer.set(base::failure{
+            failure_code::superseded,
+            "a later message of " + orders.shard + " has arrived", 0});
+        return;
+    }
     auto const now = m_node.clock.now();
     for (auto const& attempt : it.orders.releases)
     {
