entry: Start no attempt again whose end its shard has taken note of

A task that was done could be started again. Where an order to start got no answer, the shard's owner queues the same order again. If the attempt ran and ended meanwhile, the rack's owner reported the end, the shard wrote it to the log and answered, and the rack's owner forgot the attempt. The repetition, in the queue or under way, then met an owner that did not know the attempt and started it anew; the shard stopped it when it read the answer.

The shard drops the queued orders of an attempt when it takes note of its end (group_outbox::forget), and says with its answer how many messages it had sent to the rack by then. The rack's owner keeps the attempt as ended until it has seen a later message (order_gate::ended): up to there one that orders the attempt may be under way, later ones do not order it.

--- a/libraries/entry/group_outbox.hpp
+++ b/libraries/entry/group_outbox.hpp
@@ -4,6 +4,7 @@
 #include <entry/orders.hpp>
 
 #include <cstdint>
+#include <vector>
 
 namespace berylhill::entry
 {
@@ -20,6 +21,14 @@
     /// After a failure nothing is sent before this instant.
     base::instant not_before{};
 
+    /// The attempt has ended: no later message may order its start.
+    void forget(model::attempt_id const& attempt)
+    {
+        std::erase_if(waiting.holds, [&](auto const& it)
+                      { return it.request.attempt == attempt; });
+        std::erase(waiting.commits, attempt);
+    }
+
     [[nodiscard]] bool empty() const noexcept
     {
         return waiting.holds.empty() && waiting.commits.empty() &&
--- a/libraries/entry/job_shard_log.cpp
+++ b/libraries/entry/job_shard_log.cpp
@@ -51,23 +51,27 @@
     }
     struct gathering
     {
-        std::vector<model::attempt_id> taken;
+        ends_answer answer;
         std::size_t left{0};
     };
     auto const all = std::make_shared<gathering>();
     all->left = it.report.ends.size();
     for (auto const& end : it.report.ends)
     {
-        auto const settle = [all, end, answer = it.answer](bool taken)
+        auto const settle = [this, all, end, group = it.report.group,
+                             answer = it.answer](bool taken)
         {
+            auto& outbox = m_outboxes[group];
             if (taken)
             {
-                all->taken.push_back(end.attempt);
+                outbox.forget(end.attempt);
+                all->answer.taken.push_back(end.attempt);
             }
             all->left -= 1;
             if (all->left == 0)
             {
-                answer.set(all->taken);
+                all->answer.orders_sent = outbox.last_number;
+                answer.set(all->answer);
             }
         };
         if (!m_placed.contains(end.attempt))
--- a/libraries/entry/messages.hpp
+++ b/libraries/entry/messages.hpp
@@ -133,7 +133,7 @@
 struct ends_taken
 {
     std::vector<model::attempt_id> reported;
-    base::outcome<std::vector<model::attempt_id>> taken;
+    base::outcome<ends_answer> answer;
 };
 
 // To the actor of a group of minions.
@@ -204,7 +204,7 @@
 struct ends_reported
 {
     ends_report report;
-    reply_promise<std::vector<model::attempt_id>> answer;
+    reply_promise<ends_answer> answer;
 };
 
 struct orders_answered
--- a/libraries/entry/order_gate.hpp
+++ b/libraries/entry/order_gate.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <model/job.hpp>
+
 #include <cstdint>
 #include <map>
 #include <string>
@@ -22,11 +24,25 @@
     bool
     admit(std::string const& shard, std::int64_t epoch, std::int64_t number);
 
+    /// The shard's owner has taken note of the attempt's end when it had sent
+    /// `orders_sent` messages: no later one orders the attempt.
+    void ended(std::string const& shard,
+               model::attempt_id const& attempt,
+               std::int64_t orders_sent);
+
+    /// Whether the attempt is known to have ended. False where no message that
+    /// orders it can be admitted any more.
+    [[nodiscard]] bool has_ended(std::string const& shard,
+                                 model::attempt_id const& attempt) const;
+
 private:
     struct seen
     {
         std::int64_t epoch{0};
         std::int64_t highest{0};
+        /// Attempts that have ended, and the number of the last message that
+        /// may order each.
+        std::map<model::attempt_id, std::int64_t> ended;
     };
 
     std::map<std::string, seen> m_shards;
--- a/libraries/entry/orders.cpp
+++ b/libraries/entry/orders.cpp
@@ -82,8 +82,6 @@
     return Json::Value{Json::arrayValue};
 }
 
-} // namespace
-
 Json::Value attempts_to_json(std::vector<model::attempt_id> const& it)
 {
     auto out = empty_array();
@@ -106,6 +104,8 @@
     return out;
 }
 
+} // namespace
+
 Json::Value to_json(group_orders const& it)
 {
     Json::Value out{Json::objectValue};
@@ -243,4 +243,21 @@
     return out;
 }
 
+Json::Value to_json(ends_answer const& it)
+{
+    Json::Value out{Json::objectValue};
+    out["taken"] = attempts_to_json(it.taken);
+    out["orders_sent"] = Json::Int64{it.orders_sent};
+    return out;
+}
+
+base::result<ends_answer> ends_answer_from(Json::Value const& it)
+{
+    BOOST_LEAF_CHECK(expect_object(it));
+    ends_answer out;
+    BOOST_LEAF_ASSIGN(out.taken, attempts_from(it["taken"]));
+    out.orders_sent = it["orders_sent"].asInt64();
+    return out;
+}
+
 } // namespace berylhill::entry
--- a/libraries/entry/orders.hpp
+++ b/libraries/entry/orders.hpp
@@ -102,6 +102,17 @@
     std::vector<placement::attempt_end> ends;
 };
 
+/// From a shard's owner: the ends of which it has taken note.
+struct ends_answer
+{
+    std::vector<model::attempt_id> taken;
+    /// How many messages with orders this owner had sent to the rack: no later
+    /// one orders any of `taken`.
+    std::int64_t orders_sent{0};
+
+    friend bool operator==(ends_answer const&, ends_answer const&) = default;
+};
+
 [[nodiscard]] Json::Value to_json(group_orders const& it);
 [[nodiscard]] base::result<group_orders>
 group_orders_from(Json::Value const& it);
@@ -117,10 +128,7 @@
 [[nodiscard]] Json::Value to_json(ends_report const& it);
 [[nodiscard]] base::result<ends_report> ends_report_from(Json::Value const& it);
 
-/// The attempts whose ends are in the log.
-[[nodiscard]] Json::Value
-attempts_to_json(std::vector<model::attempt_id> const& it);
-[[nodiscard]] base::result<std::vector<model::attempt_id>>
-attempts_from(Json::Value const& it);
+[[nodiscard]] Json::Value to_json(ends_answer const& it);
+[[nodiscard]] base::result<ends_answer> ends_answer_from(Json::Value const& it);
 
 } // namespace berylhill::entry
--- a/libraries/entry/peer_api.cpp
+++ b/libraries/entry/peer_api.cpp
@@ -221,14 +221,12 @@
         [this](Json::Value const& it) -> base::result<Json::Value>
     {
         BOOST_LEAF_AUTO(report, ends_report_from(it));
-        BOOST_LEAF_AUTO(taken, ask_unit<std::vector<model::attempt_id>>(
-                                   m_node, report.unit, s_answer_limit,
-                                   [&](auto promise) {
-                                       return ends_reported{report, promise};
-                                   }));
-        Json::Value out{Json::objectValue};
-        out["taken"] = attempts_to_json(taken);
-        return out;
+        BOOST_LEAF_AUTO(answer, ask_unit<ends_answer>(
+                                    m_node, report.unit, s_answer_limit,
+                                    [&](auto promise) {
+                                        return ends_reported{report, promise};
+                                    }));
+        return to_json(answer);
     };
     m_methods["jobs.submit"] =
         [this](Json::Value const& it) -> base::result<Json::Value>
--- a/libraries/entry/worker_group_actor.hpp
+++ b/libraries/entry/worker_group_actor.hpp
@@ -100,6 +100,7 @@
     void take_orders(group_orders_asked const& it);
     [[nodiscard]] std::optional<base::failure>
     refusal_of(std::string const& shard, std::int64_t epoch);
+    [[nodiscard]] bool is_over(model::attempt_id const& it) const;
     [[nodiscard]] order_answer take_hold(placement::hold_order const& it,
                                          base::instant now);
     [[nodiscard]] order_answer take_commit(model::attempt_id const& it,
--- a/libraries/entry/worker_group_exchange.cpp
+++ b/libraries/entry/worker_group_exchange.cpp
@@ -271,16 +271,16 @@
                 {
                     reported.push_back(end.attempt);
                 }
-                auto const taken = base::capture(
-                    [&]() -> base::result<std::vector<model::attempt_id>>
+                auto const answer = base::capture(
+                    [&]() -> base::result<ends_answer>
                     {
-                        BOOST_LEAF_AUTO(answer,
+                        BOOST_LEAF_AUTO(value,
                                         call_unit(*this_node, report.unit,
                                                   "jobs.ends", to_json(report),
                                                   s_report_limit));
-                        return attempts_from(answer["taken"]);
+                        return ends_answer_from(value);
                     });
-                caf::anon_send(self, ends_taken{reported, taken});
+                caf::anon_send(self, ends_taken{reported, answer});
             });
     }
 }
@@ -293,14 +293,19 @@
         auto const shard =
             shard_of_job(it.reported.front().task.job).value_or(0);
         m_report_after[jobs_unit(shard)] =
-            it.taken ? now : now + s_report_pause;
+            it.answer ? now : now + s_report_pause;
     }
-    if (!it.taken)
+    if (!it.answer)
     {
         return;
     }
-    for (auto const& attempt : it.taken.value())
+    auto const& answer = it.answer.value();
+    for (auto const& attempt : answer.taken)
     {
+        if (auto const shard = shard_of_job(attempt.task.job))
+        {
+            m_gate.ended(jobs_unit(*shard), attempt, answer.orders_sent);
+        }
         auto const found = m_ends.find(attempt);
         if (found == m_ends.end())
         {
@@ -313,7 +318,7 @@
         }
         m_ends.erase(found);
     }
-    if (!it.taken.value().empty())
+    if (!answer.taken.empty())
     {
         report_ends();
     }
--- a/libraries/entry/worker_group_orders.cpp
+++ b/libraries/entry/worker_group_orders.cpp
@@ -98,6 +98,15 @@
     publish();
 }
 
+/// Whether the attempt has run here to an end, of which its shard may have
+/// taken note already while an order for it was under way.
+bool worker_group_actor::is_over(model::attempt_id const& it) const
+{
+    auto const shard = shard_of_job(it.task.job);
+    return m_ends.contains(it) ||
+           (shard && m_gate.has_ended(jobs_unit(*shard), it));
+}
+
 order_answer worker_group_actor::take_hold(placement::hold_order const& it,
                                            base::instant now)
 {
@@ -114,7 +123,7 @@
                    ? take_commit(attempt, now)
                    : order_answer{attempt, order_state::held, {}};
     }
-    if (m_ends.contains(attempt))
+    if (is_over(attempt))
     {
         return {attempt, order_state::started, {}};
     }
@@ -140,7 +149,7 @@
     {
         return {it, order_state::started, {}};
     }
-    if (m_ends.contains(it))
+    if (is_over(it))
     {
         return {it, order_state::started, {}};
     }
--- a/tests/entry/order_gate_test.cpp
+++ b/tests/entry/order_gate_test.cpp
@@ -1,4 +1,5 @@
 #include <entry/order_gate.hpp>
+#include <model/job.hpp>
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
@@ -78,4 +79,49 @@
                it.admitted);
 }
 
+namespace
+{
+
+struct ended_case
+{
+    char const* name;
+    /// The highest number that was seen before the end.
+    std::int64_t seen;
+    /// The messages that the shard had sent when it took note of the end.
+    std::int64_t orders_sent;
+    /// The message after the end, and whether it must not start the attempt.
+    message next;
+    bool known;
+};
+
+std::ostream& operator<<(std::ostream& out, ended_case const& it)
+{
+    return out << it.name;
+}
+
+std::array const s_ended{
+    ended_case{"one that was under way", 4, 5, {"jobs/0", 3, 5}, true},
+    ended_case{"the last of several under way", 4, 6, {"jobs/0", 3, 6}, true},
+    ended_case{"one sent later", 4, 5, {"jobs/0", 3, 6}, false},
+    ended_case{"nothing was under way", 5, 5, {"jobs/0", 3, 6}, false},
+    ended_case{"another shard's", 4, 5, {"jobs/1", 3, 9}, true},
+    ended_case{"the next owner's", 4, 5, {"jobs/0", 4, 1}, false},
+};
+
+} // namespace
+
+// A repeated order that is under way while the shard takes note of the
+// attempt's end would start a task again that is done.
+BOOST_DATA_TEST_CASE(an_ended_attempt_is_known_while_it_may_be_ordered,
+                     s_ended,
+                     it)
+{
+    model::attempt_id const attempt{{"job-1", 0}, 1};
+    entry::order_gate gate;
+    gate.admit("jobs/0", 3, it.seen);
+    gate.ended("jobs/0", attempt, it.orders_sent);
+    BOOST_TEST(gate.admit(it.next.shard, it.next.epoch, it.next.number));
+    BOOST_TEST(gate.has_ended("jobs/0", attempt) == it.known);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
