entry: Report a submission as unknown when an earlier try got no answer

A caller was told "not run" (503, unavailable, superseded or log_unavailable, or 429) of a job that had been accepted. An owner that accepted the job and was gone afterwards, or a log that took the record and went away, gave such a refusal. A caller that believes it submits the job a second time; docs/API.md calls not_run a promise. The same for a cancellation.

failed_tries keeps whether a try got no answer, and a submission or a cancellation fails with outcome_unknown then (504). For methods that only read the last failure stays the call's. A cancellation that finds no such job after a try without an answer is now unknown instead of "no job", and is not passed on to the other data centre.

--- a/libraries/entry/job_api.cpp
+++ b/libraries/entry/job_api.cpp
@@ -80,7 +80,7 @@
         [&]
         {
             return call_unit_until(self, jobs_unit(shard), "jobs.submit",
-                                   message, s_limit, repeat::always);
+                                   message, s_limit, repeat::same_change);
         });
     span.set("job", message["job"].asString());
     finish(to, answer, 202, message["job"].asString());
@@ -102,7 +102,8 @@
                                           std::string const& unit,
                                           std::string const& method,
                                           Json::Value message,
-                                          base::duration wait)
+                                          base::duration wait,
+                                          repeat when)
 {
     auto const until = self.clock.now() + wait;
     for (;;)
@@ -110,8 +111,8 @@
         auto const left =
             std::clamp(until - self.clock.now(), base::duration{0}, s_one_poll);
         message["wait_us"] = Json::Int64{left.count()};
-        BOOST_LEAF_AUTO(job, call_unit_until(self, unit, method, message,
-                                             s_limit, repeat::always));
+        BOOST_LEAF_AUTO(
+            job, call_unit_until(self, unit, method, message, s_limit, when));
         if (left <= base::duration{0} || is_over(job) || self.stopping)
         {
             return job;
@@ -125,6 +126,7 @@
                std::string const& method,
                httplib::Request const& request,
                base::duration wait,
+               repeat when,
                httplib::Response& to)
 {
     std::string const job = request.matches[1];
@@ -139,7 +141,8 @@
     message["unit"] = unit;
     message["job"] = job;
     auto const answer = base::capture(
-        [&] { return ask_shard_until(self, unit, method, message, wait); });
+        [&]
+        { return ask_shard_until(self, unit, method, message, wait, when); });
     auto const unknown_here =
         !answer && answer.error().code == failure_code::not_found;
     if (unknown_here && forward_to_other_sides(self, request, to))
@@ -174,7 +177,7 @@
             [&]
             {
                 return call_unit_until(self, jobs_unit(n), "jobs.list", message,
-                                       s_limit, repeat::always);
+                                       s_limit, repeat::reading);
             });
         if (!answer)
         {
@@ -200,13 +203,17 @@
                [&self](httplib::Request const& request, httplib::Response& to)
                { list(self, request, to); });
     server.Get(R"(/v1/jobs/([^/]+))",
-               [&self](httplib::Request const& request, httplib::Response& to) {
-                   ask_shard(self, "jobs.show", request, wait_of(request), to);
+               [&self](httplib::Request const& request, httplib::Response& to)
+               {
+                   ask_shard(self, "jobs.show", request, wait_of(request),
+                             repeat::reading, to);
                });
-    server.Post(
-        R"(/v1/jobs/([^/]+)/cancel)",
-        [&self](httplib::Request const& request, httplib::Response& to)
-        { ask_shard(self, "jobs.cancel", request, base::duration{0}, to); });
+    server.Post(R"(/v1/jobs/([^/]+)/cancel)",
+                [&self](httplib::Request const& request, httplib::Response& to)
+                {
+                    ask_shard(self, "jobs.cancel", request, base::duration{0},
+                              repeat::same_change, to);
+                });
 }
 
 } // namespace berylhill::entry
--- a/libraries/entry/stop_progress.cpp
+++ b/libraries/entry/stop_progress.cpp
@@ -57,7 +57,7 @@
                             ? "workers.work_left"
                             : "minions.work_left";
     BOOST_LEAF_AUTO(answer, call_unit_until(self, unit_of(*endpoint), method,
-                                            message, s_limit, repeat::always));
+                                            message, s_limit, repeat::reading));
     auto const left = answer["work_left"].asInt64();
     auto const phase =
         left == 0 ? api::stop_phase::done : api::stop_phase::draining;
--- a/libraries/entry/unit_client.cpp
+++ b/libraries/entry/unit_client.cpp
@@ -1,6 +1,7 @@
 #include <entry/unit_client.hpp>
 
 #include <entry/entry_node.hpp>
+#include <entry/failed_tries.hpp>
 
 #include <algorithm>
 #include <chrono>
@@ -22,7 +23,8 @@
 {
     return code == failure_code::unavailable ||
            code == failure_code::superseded ||
-           (code == failure_code::outcome_unknown && when == repeat::always);
+           (code == failure_code::outcome_unknown &&
+            when != repeat::when_not_run);
 }
 
 } // namespace
@@ -63,6 +65,7 @@
                                           repeat when)
 {
     auto const until = self.clock.now() + timeout;
+    failed_tries tries;
     for (;;)
     {
         auto const left = until - self.clock.now();
@@ -76,10 +79,12 @@
         {
             return it.value();
         }
+        tries.add(it.error());
         if (!worth_another_try(it.error().code, when) ||
             self.clock.now() + s_pause >= until)
         {
-            return base::fail(it.error());
+            return base::fail(when == repeat::same_change ? tries.outcome()
+                                                          : it.error());
         }
         std::this_thread::sleep_for(s_pause);
     }
--- a/libraries/entry/unit_client.hpp
+++ b/libraries/entry/unit_client.hpp
@@ -23,14 +23,22 @@
                                                   Json::Value const& parameters,
                                                   base::duration timeout);
 
-/// The same, again and again while it surely did not run, until `timeout`. For
-/// methods that may run twice, `outcome_unknown` is tried again as well.
+/// After which failures a call is tried again.
 enum class repeat : std::uint8_t
 {
+    /// While it surely did not run.
     when_not_run,
-    always,
+    /// After `outcome_unknown` as well, for methods that change nothing. The
+    /// last failure is the call's.
+    reading,
+    /// After `outcome_unknown` as well, for methods whose change is made once
+    /// however often they run. A later refusal does not turn a try without an
+    /// answer into one that did not run: the call fails with
+    /// `outcome_unknown`.
+    same_change,
 };
 
+/// The same, again and again until `timeout`.
 [[nodiscard]] base::result<Json::Value>
 call_unit_until(entry_node& self,
                 std::string const& unit,
