entry: Expect a start without an answer until its lease is over

A task could run in two places, or again after its end. A request to a worker that gets no answer in time may reach it after later ones, as after a short cut, and the worker takes its starts until their lease is over, up to 10 s. A stop that came in between found nothing to stop and was taken for carried out ("the worker does not know it"), so the shard placed the task elsewhere while the start was under way. And a worker that had run the attempt forgot it with the acknowledgement of its result; the late start then ran it again.

worker_outbox keeps which starts got no answer and until when, on the worker's clock, they are taken. Until a request is answered after that, the attempt's stop is repeated and settles nothing, the ledger keeps what it counts (on_report), and its result is not acknowledged; the worker, which keeps it, takes a repeated start as nothing new. A replaced process of the worker ends the wait, and so does the lease of a silent one, as before. A next owner of the rack needs no such list: the worker refuses the lower epoch. The cost is a stop or an acknowledgement up to one lease later, only where a request with a start got no answer.

--- a/libraries/entry/worker_group_exchange.cpp
+++ b/libraries/entry/worker_group_exchange.cpp
@@ -109,7 +109,14 @@
     state.exchanging = false;
     if (!it.answer)
     {
-        state.outbox.not_taken();
+        if (it.answer.error().code == base::failure_code::outcome_unknown)
+        {
+            state.outbox.unanswered(*it.request);
+        }
+        else
+        {
+            state.outbox.not_taken();
+        }
         base::log(
             base::log_level::debug, "worker_silent",
             {{"worker", it.worker}, {"cause", it.answer.error().message}});
@@ -121,10 +128,15 @@
         answer.incarnation, answer.clock, it.sent_at, it.received_at);
     if (news == lease::answer_status::stale)
     {
+        state.outbox.unanswered(*it.request);
         return;
     }
+    if (news == lease::answer_status::new_process)
+    {
+        state.outbox.process_replaced();
+    }
     state.lapse_seen = false;
-    state.outbox.taken(*it.request);
+    state.outbox.taken(*it.request, answer.clock);
     take_finished(it.worker, answer, now);
     for (auto const& task : answer.running)
     {
@@ -133,7 +145,9 @@
         counted.planned = task.planned;
         counted.at = phase::started;
     }
-    perform(m_ledger.on_report(it.worker, answer.running, now), now);
+    perform(m_ledger.on_report(it.worker, answer.running, now,
+                               state.outbox.late_starts()),
+            now);
     settle_request(it.worker, *it.request, answer, now);
     if (m_barrier)
     {
@@ -152,6 +166,10 @@
 {
     for (auto const& it : answer.finished)
     {
+        if (m_workers.at(worker).outbox.acknowledges(it.attempt))
+        {
+            continue;
+        }
         if (m_ends.contains(it.attempt))
         {
             m_ends.at(it.attempt).kept_by_worker = true;
@@ -165,7 +183,8 @@
 
 /// A start that the worker took and that neither runs nor has ended was lost
 /// with a process of the worker that began anew in between; a stop of what the
-/// worker does not know is a stop of what was never sent.
+/// worker does not know is a stop of what was never sent, unless a start of it
+/// may still come.
 void worker_group_actor::settle_request(std::string const& worker,
                                         platform::worker_request const& request,
                                         platform::worker_answer const& answer,
@@ -185,9 +204,13 @@
     {
         settle(it.attempt, model::task_end::lapsed);
     }
+    auto const late = m_workers.at(worker).outbox.late_starts();
     for (auto const& it : request.stops)
     {
-        settle(it, model::task_end::stopped);
+        if (!late.contains(it))
+        {
+            settle(it, model::task_end::stopped);
+        }
     }
 }
 
--- a/libraries/entry/worker_outbox.cpp
+++ b/libraries/entry/worker_outbox.cpp
@@ -1,5 +1,6 @@
 #include <entry/worker_outbox.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace berylhill::entry
@@ -69,20 +70,32 @@
     {
         out.throttles.push_back({it.first, it.second});
     }
-    out.acknowledged.assign(m_acknowledged.begin(), m_acknowledged.end());
+    for (auto const& it : m_acknowledged)
+    {
+        if (!m_late_starts.contains(it))
+        {
+            out.acknowledged.push_back(it);
+        }
+    }
     m_urgent = false;
     return out;
 }
 
-void worker_outbox::taken(platform::worker_request const& request)
+void worker_outbox::taken(platform::worker_request const& request,
+                          std::int64_t clock)
 {
+    std::erase_if(m_late_starts,
+                  [&](auto const& it) { return it.second <= clock; });
     for (auto const& it : request.starts)
     {
         m_starts.erase(it.attempt);
     }
     for (auto const& it : request.stops)
     {
-        m_stops.erase(it);
+        if (!m_late_starts.contains(it))
+        {
+            m_stops.erase(it);
+        }
     }
     for (auto const& it : request.checkpoints)
     {
@@ -103,4 +116,34 @@
     m_urgent = false;
 }
 
+void worker_outbox::unanswered(platform::worker_request const& request)
+{
+    not_taken();
+    for (auto const& it : request.starts)
+    {
+        auto& lapses_at = m_late_starts[it.attempt];
+        lapses_at = std::max(lapses_at, it.lease_until);
+    }
+}
+
+void worker_outbox::process_replaced()
+{
+    m_late_starts.clear();
+}
+
+std::set<model::attempt_id> worker_outbox::late_starts() const
+{
+    std::set<model::attempt_id> attempts;
+    for (auto const& it : m_late_starts)
+    {
+        attempts.insert(it.first);
+    }
+    return attempts;
+}
+
+bool worker_outbox::acknowledges(model::attempt_id const& it) const
+{
+    return m_acknowledged.contains(it);
+}
+
 } // namespace berylhill::entry
--- a/libraries/entry/worker_outbox.hpp
+++ b/libraries/entry/worker_outbox.hpp
@@ -3,6 +3,7 @@
 #include <base/time.hpp>
 #include <platform/worker_link.hpp>
 
+#include <cstdint>
 #include <map>
 #include <set>
 #include <string>
@@ -12,6 +13,11 @@
 
 /// What is still to be said to one worker. Each item stays until an answer
 /// shows that the worker took it; all may be repeated without harm. A value.
+///
+/// A start in a request without an answer may reach the worker after later
+/// requests, until its lease is over. Up to there a stop of the attempt is
+/// repeated, as it may come before the start, and its result is not
+/// acknowledged, as a worker that has forgotten it would run it again.
 class worker_outbox
 {
 public:
@@ -34,18 +40,35 @@
     [[nodiscard]] platform::worker_request request(std::int64_t epoch,
                                                    std::int64_t renew_until);
 
-    /// The worker answered this request.
-    void taken(platform::worker_request const& request);
+    /// The worker answered this request when its clock read `clock`, in
+    /// microseconds.
+    void taken(platform::worker_request const& request, std::int64_t clock);
 
-    /// No answer came to the last request.
+    /// The last request was surely not taken.
     void not_taken() noexcept;
 
+    /// No answer came to this request, which was the last.
+    void unanswered(platform::worker_request const& request);
+
+    /// The worker's process was replaced: what was sent to the former one
+    /// reaches nobody.
+    void process_replaced();
+
+    /// Attempts of which a start may still reach the worker.
+    [[nodiscard]] std::set<model::attempt_id> late_starts() const;
+
+    /// Whether the attempt's acknowledgement waits to be sent.
+    [[nodiscard]] bool acknowledges(model::attempt_id const& it) const;
+
 private:
     std::map<model::attempt_id, platform::task_start> m_starts;
     std::set<model::attempt_id> m_stops;
     std::set<model::attempt_id> m_checkpoints;
     std::map<model::attempt_id, double> m_throttles;
     std::set<model::attempt_id> m_acknowledged;
+    /// When the last start of an attempt that got no answer lapses, on the
+    /// worker's clock.
+    std::map<model::attempt_id, std::int64_t> m_late_starts;
     bool m_urgent{false};
 };
 
--- a/libraries/placement/group_ledger.cpp
+++ b/libraries/placement/group_ledger.cpp
@@ -164,7 +164,8 @@
 std::vector<ledger_action>
 group_ledger::on_report(std::string const& worker,
                         std::vector<platform::running_task> const& running,
-                        base::instant now)
+                        base::instant now,
+                        std::set<model::attempt_id> const& late_starts)
 {
     advance_time(now);
     auto const found = m_workers.find(worker);
@@ -191,8 +192,10 @@
     for (auto const& it : tasks)
     {
         auto const at = m_tasks.at(it).at;
+        auto const starts_late =
+            at == phase::stopping && late_starts.contains(it);
         if (reported.contains(it) || at == phase::held ||
-            at == phase::committed)
+            at == phase::committed || starts_late)
         {
             continue;
         }
--- a/libraries/placement/group_ledger.hpp
+++ b/libraries/placement/group_ledger.hpp
@@ -108,13 +108,16 @@
                      model::task_end end,
                      base::instant now);
 
-    /// Applies a worker's report of its running tasks. Precondition: the ends
-    /// in the same answer were passed to `on_finished` first, and answers are
-    /// applied in the order of the exchanges.
+    /// Applies a worker's report of its running tasks. Attempts in
+    /// `late_starts`, which may be started yet, are kept though they are not
+    /// reported. Precondition: the ends in the same answer were passed to
+    /// `on_finished` first, and answers are applied in the order of the
+    /// exchanges.
     std::vector<ledger_action>
     on_report(std::string const& worker,
               std::vector<platform::running_task> const& running,
-              base::instant now);
+              base::instant now,
+              std::set<model::attempt_id> const& late_starts = {});
 
     /// Removes expired holds and returns them.
     std::vector<model::attempt_id> expire_holds(base::instant now);
--- a/tests/placement/ledger_test.cpp
+++ b/tests/placement/ledger_test.cpp
@@ -224,6 +224,24 @@
     BOOST_TEST(ledger.digest().free.millicores == 4'000);
 }
 
+// An attempt whose start may arrive yet must not be given up because its stop
+// was answered: it would run beside the next attempt, on capacity that was
+// given away.
+BOOST_AUTO_TEST_CASE(a_stopped_task_that_may_start_late_is_kept)
+{
+    auto ledger = ledger_with(1);
+    auto const it = hold_of("job", "daily", {4'000, 1'024, 0});
+    auto const whole = ledger.digest().free.millicores;
+    start(ledger, it, at(0));
+    ledger.release(it.attempt, at(1));
+    BOOST_CHECK(ledger.on_report("w-0", {}, at(2), {it.attempt}).empty());
+    BOOST_TEST(ledger.digest().free.millicores == whole - 4'000);
+    auto const actions = ledger.on_report("w-0", {}, at(3));
+    BOOST_REQUIRE(actions.size() == 1U);
+    BOOST_CHECK(actions.front().kind == ledger_action_kind::lost);
+    BOOST_TEST(ledger.digest().free.millicores == whole);
+}
+
 // A new owner takes over a group with running tasks. They must be accounted
 // for, even if they exceed the worker's capacity, so that no task is added.
 BOOST_AUTO_TEST_CASE(running_tasks_are_accounted_for_on_takeover)
