entry: Know an unexpected attempt that a rack's next owner counts

A job could stay "running" for ever. A worker that was cut off long enough is given up and its tasks wait to be placed again. When the rack changed hands then and the worker came back with its results, the next owner's inventory had the attempt, and the shard took a task that waited as running with it, but did not note the attempt as one that may run. Its end was then acknowledged and ignored as the end of an attempt that nobody knows, and the task was neither done nor placed again until the shard changed hands.

The attempts that may run are a class of their own, placed_attempts; one that an owner counts is known from then on, after a change of the rack's owner (reconcile) as it was after one of the shard's (restore_all).

test_entry: placed_attempts/an_unexpected_attempt_that_is_counted_is_known failed with an inventory that leaves unknown attempts unknown, as reconcile did; it holds now, with two tests of what did hold.

--- a/libraries/entry/job_shard_actor.cpp
+++ b/libraries/entry/job_shard_actor.cpp
@@ -207,7 +207,7 @@
     auto const& attempt = it.request.attempt;
     auto const send = [this, it]
     {
-        m_placed.try_emplace(it.request.attempt, placed{it.group, -1});
+        m_placed.ordered(it.request.attempt, it.group);
         m_outboxes[it.group].waiting.holds.push_back(it);
     };
     if (it.request.safety == model::rerun::idempotent ||
@@ -319,11 +319,7 @@
     auto const& group = it.orders->unit;
     for (auto const& one : answers.answers)
     {
-        auto const known = m_placed.find(one.attempt);
-        if (known != m_placed.end())
-        {
-            known->second.group_epoch = answers.epoch;
-        }
+        m_placed.answered(one.attempt, answers.epoch);
         switch (one.state)
         {
         case order_state::held:
@@ -335,7 +331,7 @@
             run(m_queue->on_started(one.attempt, group, now));
             break;
         case order_state::refused:
-            m_placed.erase(one.attempt);
+            m_placed.ended(one.attempt);
             run(m_queue->on_refused(one.attempt, one.why, now));
             break;
         }
@@ -384,7 +380,7 @@
                 : m_queue->on_not_taken(attempt, now);
         if (!contains_order(next, attempt))
         {
-            m_placed.erase(attempt);
+            m_placed.ended(attempt);
         }
         run(next);
     }
--- a/libraries/entry/job_shard_actor.hpp
+++ b/libraries/entry/job_shard_actor.hpp
@@ -2,6 +2,7 @@
 
 #include <entry/group_outbox.hpp>
 #include <entry/messages.hpp>
+#include <entry/placed_attempts.hpp>
 #include <jobs/job_table.hpp>
 #include <placement/job_queue.hpp>
 
@@ -59,13 +60,6 @@
         reply_promise<Json::Value> answer;
     };
 
-    /// An attempt that may run, where, and since which epoch of the rack.
-    struct placed
-    {
-        std::string group;
-        std::int64_t group_epoch{-1};
-    };
-
     // Taking the shard over (job_shard_recovery.cpp).
     void start_reading();
     void take_page(stream::reader_page const& page);
@@ -131,7 +125,7 @@
     std::unique_ptr<placement::job_queue> m_queue;
     std::shared_ptr<void const> m_contracts_seen;
     std::map<std::string, group_outbox> m_outboxes;
-    std::map<model::attempt_id, placed> m_placed;
+    placed_attempts m_placed;
     std::map<std::string, std::int64_t> m_group_epochs;
     std::map<std::string, group_inventory> m_inventories;
     std::set<std::string> m_asked;
--- a/libraries/entry/job_shard_log.cpp
+++ b/libraries/entry/job_shard_log.cpp
@@ -89,7 +89,7 @@
             take_success(end, settle);
             continue;
         }
-        m_placed.erase(end.attempt);
+        m_placed.ended(end.attempt);
         run(m_queue->on_finished(end, m_node.clock.now()));
         settle(true);
     }
@@ -101,7 +101,7 @@
     append(jobs::task_done{end.attempt.task},
            [this, end, settle](base::outcome<stream::position> const& ended)
            {
-               if (ended && m_placed.erase(end.attempt) != 0)
+               if (ended && m_placed.ended(end.attempt))
                {
                    run(m_queue->on_finished(end, m_node.clock.now()));
                }
--- a/libraries/entry/job_shard_recovery.cpp
+++ b/libraries/entry/job_shard_recovery.cpp
@@ -219,7 +219,7 @@
             {
                 continue;
             }
-            m_placed[counted.attempt] = {it.first, it.second.epoch};
+            m_placed.counted(counted.attempt, it.first, it.second.epoch);
             run(m_queue->restore_running(counted.attempt, it.first,
                                          counted.planned, now));
         }
@@ -296,26 +296,13 @@
     for (auto const& one : it.attempts)
     {
         counted.insert(one.attempt);
-        auto const known = m_placed.find(one.attempt);
-        if (known != m_placed.end())
+        if (!m_placed.counted(one.attempt, group, it.epoch))
         {
-            known->second.group_epoch = it.epoch;
-            continue;
-        }
-        run(m_queue->restore_running(one.attempt, group, one.planned, now));
-    }
-    std::vector<model::attempt_id> lost;
-    for (auto const& one : m_placed)
-    {
-        if (one.second.group == group && one.second.group_epoch >= 0 &&
-            one.second.group_epoch < it.epoch && !counted.contains(one.first))
-        {
-            lost.push_back(one.first);
+            run(m_queue->restore_running(one.attempt, group, one.planned, now));
         }
     }
-    for (auto const& one : lost)
+    for (auto const& one : m_placed.end_lost(group, it.epoch, counted))
     {
-        m_placed.erase(one);
         run(m_queue->on_finished({one,
                                   model::task_end::lapsed,
                                   "",
