entry: Take note of a success whichever attempt had it

A task could be started again after its success had been acknowledged. A worker that is cut off long enough is given up and its tasks are placed anew; when it comes back with the result "succeeded", the rack's owner reports it, and the shard, which did not expect that attempt any more, acknowledged it without taking note. A task that waited for room was then started again, and so was one whose second run failed or was lost.

A success of an attempt that the shard does not expect is written to the log before it is acknowledged. The task of a batch job that waits is done then (job_queue::on_late_success); one whose next attempt is under way goes on with it and is done when that attempt ends, however it ends. New event: late_success. Tasks of gangs and services are not changed: a gang starts again as a whole, and no success of a service is lasting.

The shard's part is not run by a unit test.

--- a/libraries/entry/job_shard_actor.cpp
+++ b/libraries/entry/job_shard_actor.cpp
@@ -333,6 +333,7 @@
         case order_state::refused:
             m_placed.ended(one.attempt);
             run(m_queue->on_refused(one.attempt, one.why, now));
+            finish_if_done(one.attempt.task);
             break;
         }
     }
@@ -383,6 +384,7 @@
             m_placed.ended(attempt);
         }
         run(next);
+        finish_if_done(attempt.task);
     }
     for (auto const& it : orders.commits)
     {
--- a/libraries/entry/job_shard_actor.hpp
+++ b/libraries/entry/job_shard_actor.hpp
@@ -106,6 +106,11 @@
     void take_ends(ends_reported const& it);
     void take_success(placement::attempt_end const& end,
                       std::function<void(bool)> const& settle);
+    void take_late_success(placement::attempt_end const& end,
+                           std::function<void(bool)> const& settle);
+    void end_attempt(placement::attempt_end const& end);
+    void finish_if_done(model::task_id const& it);
+    [[nodiscard]] bool is_done(model::task_id const& it) const;
     void append(jobs::record const& record, append_done then);
     void append_ended(shard_append_ended const& it);
     void keep_records(base::instant now);
--- a/libraries/entry/job_shard_log.cpp
+++ b/libraries/entry/job_shard_log.cpp
@@ -74,23 +74,32 @@
                 answer.set(all->answer);
             }
         };
+        auto const* const entry = m_book.find(end.attempt.task.job);
+        auto const lasting = end.end == model::task_end::succeeded &&
+                             entry != nullptr &&
+                             entry->request.kind != model::job_kind::service;
         if (!m_placed.contains(end.attempt))
         {
             // A repeat, or the late end of an attempt that was given up.
-            settle(true);
+            auto const news = lasting && !model::is_final(entry->state) &&
+                              !entry->done.contains(end.attempt.task.index);
+            if (news)
+            {
+                take_late_success(end, settle);
+            }
+            else
+            {
+                settle(true);
+            }
             continue;
         }
-        auto const* const entry = m_book.find(end.attempt.task.job);
-        auto const lasting = end.end == model::task_end::succeeded &&
-                             entry != nullptr &&
-                             entry->request.kind != model::job_kind::service;
         if (lasting)
         {
             take_success(end, settle);
             continue;
         }
         m_placed.ended(end.attempt);
-        run(m_queue->on_finished(end, m_node.clock.now()));
+        end_attempt(end);
         settle(true);
     }
 }
@@ -104,11 +113,63 @@
                if (ended && m_placed.ended(end.attempt))
                {
                    run(m_queue->on_finished(end, m_node.clock.now()));
+                   finish_if_done(end.attempt.task);
                }
                settle(ended.has_value());
            });
 }
 
+/// An end that is acknowledged stands for good: a success is in the log before
+/// that, whichever attempt had it.
+void job_shard_actor::take_late_success(placement::attempt_end const& end,
+                                        std::function<void(bool)> const& settle)
+{
+    base::log(base::log_level::info, "late_success",
+              {{"job", end.attempt.task.job},
+               {"index", end.attempt.task.index},
+               {"attempt", end.attempt.number}});
+    append(jobs::task_done{end.attempt.task},
+           [this, end, settle](base::outcome<stream::position> const& ended)
+           {
+               if (ended)
+               {
+                   finish_if_done(end.attempt.task);
+               }
+               settle(ended.has_value());
+           });
+}
+
+/// An attempt has ended, and not as the task's first success.
+void job_shard_actor::end_attempt(placement::attempt_end const& end)
+{
+    auto over = end;
+    if (is_done(end.attempt.task))
+    {
+        // No failure of the task counts any more, and nothing is learnt of it.
+        over.end = model::task_end::checkpointed;
+    }
+    run(m_queue->on_finished(over, m_node.clock.now()));
+    finish_if_done(end.attempt.task);
+}
+
+/// Guards against a start after a success that was taken note of, where another
+/// attempt than the current one had it.
+void job_shard_actor::finish_if_done(model::task_id const& it)
+{
+    if (is_done(it))
+    {
+        run(m_queue->on_late_success(it, m_node.clock.now()));
+    }
+}
+
+/// Whether the log has a success of the task, which is one of a batch job.
+bool job_shard_actor::is_done(model::task_id const& it) const
+{
+    auto const* const entry = m_book.find(it.job);
+    return entry != nullptr && entry->done.contains(it.index) &&
+           entry->request.kind == model::job_kind::batch;
+}
+
 /// `then` is called on this actor when the record is in the log and in the
 /// book, or is known not to be. A record of which nobody knows is left to the
 /// next owner: this one stops.
--- a/libraries/entry/job_shard_recovery.cpp
+++ b/libraries/entry/job_shard_recovery.cpp
@@ -303,13 +303,12 @@
     }
     for (auto const& one : m_placed.end_lost(group, it.epoch, counted))
     {
-        run(m_queue->on_finished({one,
-                                  model::task_end::lapsed,
-                                  "",
-                                  {},
-                                  0,
-                                  "lost with the rack's former owner"},
-                                 now));
+        end_attempt({one,
+                     model::task_end::lapsed,
+                     "",
+                     {},
+                     0,
+                     "lost with the rack's former owner"});
     }
 }
 
--- a/libraries/placement/job_queue.hpp
+++ b/libraries/placement/job_queue.hpp
@@ -125,6 +125,11 @@
     queue_actions on_not_taken(model::attempt_id const& attempt,
                                base::instant now);
     queue_actions on_finished(attempt_end const& it, base::instant now);
+    /// An attempt of the task other than the current one has succeeded. The
+    /// task of a batch job that waits is done then and is not started again. A
+    /// current attempt goes on.
+    queue_actions on_late_success(model::task_id const& task,
+                                  base::instant now);
     /// Records the measured use of a running attempt.
     void on_usage(model::attempt_id const& attempt,
                   model::resources const& use);
--- a/libraries/placement/job_queue_decide.cpp
+++ b/libraries/placement/job_queue_decide.cpp
@@ -51,7 +51,9 @@
         {
             continue;
         }
-        if (index >= 0)
+        // A task that waited out a failure may be done by a late success.
+        if (index >= 0 && job->tasks[static_cast<std::size_t>(index)].phase ==
+                              task_phase::waiting)
         {
             make_waiting(*job, index);
         }
--- a/libraries/placement/job_queue_events.cpp
+++ b/libraries/placement/job_queue_events.cpp
@@ -273,6 +273,25 @@
             " may have run; an at-most-once task is not run again");
 }
 
+queue_actions job_queue::on_late_success(model::task_id const& task,
+                                         base::instant now)
+{
+    auto const job = find(task.job);
+    if (job == nullptr || task.index < 0 || task.index >= job->request.tasks ||
+        job->request.kind != model::job_kind::batch)
+    {
+        return {};
+    }
+    if (job->tasks[static_cast<std::size_t>(task.index)].phase !=
+        task_phase::waiting)
+    {
+        return {};
+    }
+    m_waiting_tasks -=
+        static_cast<std::int64_t>(std::erase(job->waiting, task.index));
+    return task_done(job, task.index, now);
+}
+
 queue_actions job_queue::task_done(job_pointer const& job,
                                    std::int32_t index,
                                    base::instant now)
