calls tests: Show that a refused attempt does not speak for the other

The caller must not be told "not run" while the other may run or may have run. No fault was found: the dispatcher answers unknown in all five such orders of events, and not_run only where both were refused.

test_calls: call_dispatcher/a_refused_attempt_does_not_speak_for_the_other holds.

--- a/tests/calls/call_dispatcher_test.cpp
+++ b/tests/calls/call_dispatcher_test.cpp
@@ -2,10 +2,19 @@
 
 #include <calls/call_dispatcher.hpp>
 
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+#include <array>
+#include <iterator>
+#include <optional>
+#include <ostream>
 #include <set>
 #include <tuple>
+#include <utility>
+#include <vector>
 
 using namespace berylhill;
 using namespace berylhill::calls::testing;
@@ -198,6 +207,79 @@
             .size() == 1U);
 }
 
+namespace
+{
+
+/// How the two attempts of a hedged call end, in order, before its deadline.
+struct hedged_case
+{
+    char const* name;
+    std::vector<std::pair<char const*, attempt_end>> ends;
+    ran told;
+};
+
+std::ostream& operator<<(std::ostream& out, hedged_case const& it)
+{
+    return out << it.name;
+}
+
+std::array const s_hedged{
+    hedged_case{"the hedge is refused, the first stays open",
+                {{"r-1/2", attempt_end::minion_refused}},
+                ran::unknown},
+    hedged_case{"the first is refused, the hedge stays open",
+                {{"r-1/1", attempt_end::owner_refused}},
+                ran::unknown},
+    hedged_case{"the hedge is refused, then the first breaks",
+                {{"r-1/2", attempt_end::minion_refused},
+                 {"r-1/1", attempt_end::connection_lost}},
+                ran::unknown},
+    hedged_case{"the first breaks, then the hedge is refused",
+                {{"r-1/1", attempt_end::owner_lost},
+                 {"r-1/2", attempt_end::minion_refused}},
+                ran::unknown},
+    hedged_case{
+        "the first breaks, then the hedge is not sent",
+        {{"r-1/1", attempt_end::timed_out}, {"r-1/2", attempt_end::not_sent}},
+        ran::unknown},
+    hedged_case{"both are refused",
+                {{"r-1/2", attempt_end::minion_refused},
+                 {"r-1/1", attempt_end::minion_refused}},
+                ran::not_run},
+};
+
+} // namespace
+
+// A refusal of one attempt must not be given to the caller as the outcome of a
+// call of which another attempt may run: a caller that is told "not run" sends
+// it again.
+BOOST_DATA_TEST_CASE(a_refused_attempt_does_not_speak_for_the_other,
+                     s_hedged,
+                     it)
+{
+    auto board = dispatcher();
+    save_up(board, 50);
+    std::ignore = board.start(safe_call("r-1"), "report-svc", at_ms(0));
+    BOOST_REQUIRE(board.expire(at_ms(100)).size() == 1U);
+    // So late that no resend follows.
+    auto const late = at_ms(999);
+    std::vector<calls::refuse_request> told;
+    for (auto const& [attempt, end] : it.ends)
+    {
+        auto const surely = calls::attempt_rules::surely_not_run(end);
+        auto const out = board.attempt_ended(
+            {attempt, end,
+             surely ? std::optional{s_full} : std::optional<calls::refusal>{}},
+            late);
+        std::ranges::copy(only<calls::refuse_request>(out),
+                          std::back_inserter(told));
+    }
+    std::ranges::copy(only<calls::refuse_request>(board.expire(at_ms(1'000))),
+                      std::back_inserter(told));
+    BOOST_REQUIRE(told.size() == 1U);
+    BOOST_CHECK(told[0].why.execution == it.told);
+}
+
 // The owner's process is suspended while it holds the call. The caller gets its
 // answer at its deadline, and the answer says that the call may have run.
 BOOST_AUTO_TEST_CASE(a_silent_owner_is_given_up_on_at_the_deadline)
