entry: Say that a submission is unknown when its shard changes hands

A caller could be told "not run" of a job that had been accepted. An owner of a shard that loses it while a submission or a cancellation is being written to the log ends without an answer, and the waiting thread was told "superseded: nothing ran", though the record may be in the log in time.

ask_unit says for each request whether its effect comes with the answer or may come before it; a submission and a cancellation that lose their owner are outcome_unknown now, which is tried again all the same with the same id, and counts as such when no later try succeeds. Orders to racks are carried out in the step that answers and stay superseded.

test_entry: reply/an_actor_that_ends_without_an_answer failed in its second case with superseded for both; it holds now.

--- a/libraries/entry/peer_api.cpp
+++ b/libraries/entry/peer_api.cpp
@@ -27,18 +27,15 @@
 constexpr base::duration s_answer_limit = std::chrono::seconds{5};
 constexpr base::duration s_longest_poll = std::chrono::seconds{30};
 
-base::failure gone(std::string const& unit)
-{
-    return {failure_code::superseded, unit + " has changed hands", 0};
-}
-
 /// Sends the message that `make` builds around a promise to the unit's actor
-/// and waits for the answer.
+/// and waits for the answer. `reached` says what the message may have begun
+/// where the actor ends without an answer.
 template <class Answer, class Make>
 base::result<Answer> ask_unit(entry_node& self,
                               std::string const& unit,
                               base::duration limit,
-                              Make const& make)
+                              Make const& make,
+                              effect reached = effect::with_answer)
 {
     auto const actor = self.units.find(unit);
     if (!actor)
@@ -47,7 +44,8 @@
                           unit + " is not owned here");
     }
     auto const slot = std::make_shared<reply<Answer>>();
-    caf::anon_send(*actor, make(reply_promise<Answer>{slot, gone(unit)}));
+    caf::anon_send(*actor, make(reply_promise<Answer>{
+                               slot, failure_when_gone(unit, reached)}));
     auto const answer = slot->wait(limit);
     if (!answer)
     {
@@ -237,7 +235,8 @@
             m_node, unit_in(it), s_answer_limit,
             [&](auto promise) {
                 return job_submitted{job, request, promise};
-            });
+            },
+            effect::before_answer);
     };
     m_methods["jobs.show"] =
         [this](Json::Value const& it) -> base::result<Json::Value>
@@ -257,7 +256,8 @@
             m_node, unit_in(it), s_answer_limit + std::chrono::seconds{1},
             [&](auto promise) {
                 return job_cancelled{it["job"].asString(), promise};
-            });
+            },
+            effect::before_answer);
     };
     m_methods["jobs.list"] =
         [this](Json::Value const& it) -> base::result<Json::Value>
--- a/libraries/entry/reply.hpp
+++ b/libraries/entry/reply.hpp
@@ -5,9 +5,11 @@
 
 #include <chrono>
 #include <condition_variable>
+#include <cstdint>
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <string>
 #include <utility>
 
 namespace berylhill::entry
@@ -58,6 +60,24 @@
     bool m_given_up{false};
 };
 
+/// When what an actor is asked for takes effect.
+enum class effect : std::uint8_t
+{
+    with_answer,   ///< In the step that sets the answer.
+    before_answer, ///< In an append, say, of which the answer waits to hear.
+};
+
+/// The failure of a request to a unit's actor that ended without an answer, as
+/// the unit changed hands.
+[[nodiscard]] inline base::failure failure_when_gone(std::string const& unit,
+                                                     effect it)
+{
+    auto const code = it == effect::with_answer
+                          ? base::failure_code::superseded
+                          : base::failure_code::outcome_unknown;
+    return {code, unit + " has changed hands", 0};
+}
+
 /// The actor's end of a `reply`: the last copy that goes without an answer
 /// says that the actor is gone, so that nobody waits for its deadline.
 template <class T>
