--- a/libraries/entry/group_outbox.hpp
+++ b/libraries/entry/group_outbox.hpp
@@ -3,6 +3,9 @@
 #include <base/time.hpp>
 #include <entry/orders.hpp>
 
+#include <cstdint>
+#include <vector>
+
 namespace berylhill::entry
 {
 
@@ -13,9 +16,19 @@
 {
     group_orders waiting;
     bool under_way{false};
+    /// The number of the last message that was sent.
+    std::int64_t last_number{0};
     /// After a failure nothing is sent before this instant.
     base::instant not_before{};
 
+    /// The attempt has ended: no later message may order its start.
+    void forget(model::attempt_id const& attempt)
+    {
+        std::erase_if(waiting.holds, [&](auto const& it)
+                      { return it.request.attempt == attempt; });
+        std::erase(waiting.commits, attempt);
+    }
+
     [[nodiscard]] bool empty() const noexcept
     {
         return waiting.holds.empty() && waiting.commits.empty() &&
--- a/libraries/entry/job_shard_actor.cpp
+++ b/libraries/entry/job_shard_actor.cpp
@@ -26,6 +26,14 @@
 constexpr base::duration s_write_again = std::chrono::milliseconds{300};
 constexpr std::int32_t s_most_decisions = 200;
 
+bool contains_order(placement::queue_actions const& it,
+                    model::attempt_id const& attempt)
+{
+    return std::any_of(it.holds.begin(), it.holds.end(),
+                       [&](auto const& order)
+                       { return order.request.attempt == attempt; });
+}
+
 } // namespace
 
 job_shard_actor::job_shard_actor(caf::actor_config& config,
@@ -199,7 +207,7 @@
     auto const& attempt = it.request.attempt;
     auto const send = [this, it]
     {
-        m_placed.try_emplace(it.request.attempt, placed{it.group, -1});
+        m_placed.ordered(it.request.attempt, it.group);
         m_outboxes[it.group].waiting.holds.push_back(it);
     };
     if (it.request.safety == model::rerun::idempotent ||
@@ -271,6 +279,7 @@
     orders->unit = group;
     orders->shard = m_unit;
     orders->shard_epoch = m_epoch;
+    orders->number = ++outbox.last_number;
     auto const self = caf::actor_cast<caf::actor>(this);
     m_node.peer_io.post(
         [this_node = &m_node, self, unit = m_unit, epoch = m_epoch,
@@ -310,11 +319,7 @@
     auto const& group = it.orders->unit;
     for (auto const& one : answers.answers)
     {
-        auto const known = m_placed.find(one.attempt);
-        if (known != m_placed.end())
-        {
-            known->second.group_epoch = answers.epoch;
-        }
+        m_placed.answered(one.attempt, answers.epoch);
         switch (one.state)
         {
         case order_state::held:
@@ -326,8 +331,9 @@
             run(m_queue->on_started(one.attempt, group, now));
             break;
         case order_state::refused:
-            m_placed.erase(one.attempt);
+            m_placed.ended(one.attempt);
             run(m_queue->on_refused(one.attempt, one.why, now));
+            finish_if_done(one.attempt.task);
             break;
         }
     }
@@ -335,6 +341,22 @@
     flush();
 }
 
+/// Whether the platform lists a worker of the group; true while it lists
+/// nothing at all, which is a list that has not been read yet.
+bool job_shard_actor::has_workers(std::string const& group) const
+{
+    auto const view = m_node.view.get();
+    return view->endpoints.empty() ||
+           std::any_of(view->endpoints.begin(), view->endpoints.end(),
+                       [&](auto const& it) {
+                           return it.kind == model::endpoint_kind::worker &&
+                                  unit_of(it) == group;
+                       });
+}
+
+/// A send that failed for certain says nothing of an earlier send of the same
+/// order, which may arrive late: the attempt stays with its group until the
+/// group's owner has answered.
 void job_shard_actor::take_no_answer(group_orders const& orders,
                                      base::failure const& why)
 {
@@ -343,16 +365,26 @@
     auto const now = m_node.clock.now();
     auto const surely_not_taken = why.code == base::failure_code::unavailable ||
                                   why.code == base::failure_code::superseded;
+    // The platform has dropped all workers of the group: nothing runs there.
+    auto const gone = surely_not_taken && !has_workers(orders.unit);
     for (auto const& it : orders.holds)
     {
-        if (surely_not_taken)
+        auto const& attempt = it.request.attempt;
+        if (!surely_not_taken)
         {
-            m_placed.erase(it.request.attempt);
-            run(m_queue->on_refused(it.request.attempt,
-                                    placement::hold_state::full, now));
+            run(m_queue->on_unanswered(attempt));
             continue;
         }
-        run(m_queue->on_unanswered(it.request.attempt));
+        auto const next =
+            gone
+                ? m_queue->on_refused(attempt, placement::hold_state::full, now)
+                : m_queue->on_not_taken(attempt, now);
+        if (!contains_order(next, attempt))
+        {
+            m_placed.ended(attempt);
+        }
+        run(next);
+        finish_if_done(attempt.task);
     }
     for (auto const& it : orders.commits)
     {
