platform: Take a report without its lists for no answer

One without them was read as one that lists nothing, after which the attempts it does not name are started elsewhere.

--- a/tests/platform_adapter/answers_test.cpp
+++ b/tests/platform_adapter/answers_test.cpp
@@ -95,7 +95,7 @@
     {"both lists", 200,
      R"({"clockMs":7,"running":[["5c0e7a21d94b36f8.0.1.17",2,"",41]],"ended":[]})",
      order_outcome::done},
-    {"no lists", 200, R"({"clockMs":7})", order_outcome::done},
+    {"no lists", 200, R"({"clockMs":7})", order_outcome::unanswered},
     {"no body", 200, "", order_outcome::unanswered},
     {"a body that is cut off", 200, R"({"clockMs":7,"running":[["5c0e)",
      order_outcome::unanswered},
