scheduler: Keep which runs of a task have failed

A failure that is reported again by an instance could not be told from a new one but by whether this owner knew the run. Now the numbers of the failed runs are kept and stored with the task, so each counts once, whoever reads it and however often. A record of an older version has none; then a failure of another than the current run is not counted, as before. Older versions skip the new element. A gang keeps its last failed run only: an older one that is read later does not count.

--- a/libraries/scheduler/job.hpp
+++ b/libraries/scheduler/job.hpp
@@ -62,6 +62,14 @@
     /// The instance of the last attempt.
     std::string instance;
     loss_count lost;
+    /// The numbers of the attempts in `failures`. A record of an older version
+    /// has none, and then they are fewer.
+    std::vector<std::uint32_t> failed_runs;
+
+    /// Whether the failure of an attempt that is not the current one is
+    /// certainly not in `failures` yet: an instance repeats an end until it is
+    /// acknowledged, to the next owner too.
+    [[nodiscard]] bool failure_is_new(std::uint32_t number) const;
 
     friend bool operator==(task const&, task const&) = default;
 };
--- a/libraries/scheduler/scheduler.hpp
+++ b/libraries/scheduler/scheduler.hpp
@@ -242,7 +242,6 @@
     void unexpected_attempt_ended(job& of,
                                   attempt_name const& name,
                                   end_reason reason,
-                                  bool known,
                                   base::instant now);
     void give_up(job& of,
                  attempt_name const& name,
--- a/libraries/scheduler/scheduler_ends.cpp
+++ b/libraries/scheduler/scheduler_ends.cpp
@@ -88,7 +88,7 @@
         if (it.phase != task_phase::done)
         {
             report_unexpected_end(at, name, reason, it);
-            unexpected_attempt_ended(*of, name, reason, was.has_value(), now);
+            unexpected_attempt_ended(*of, name, reason, now);
         }
         return;
     }
@@ -151,13 +151,10 @@
 
 /// Applies the end of an attempt that is not the task's current one. The
 /// instance forgets the end once it is acknowledged, so a task that is done
-/// must not start again. A failure counts if this owner knew the attempt:
-/// otherwise a former owner may have counted it, and the instance repeats an
-/// end that was not acknowledged.
+/// must not start again, and a failure counts.
 void scheduler::unexpected_attempt_ended(job& of,
                                          attempt_name const& name,
                                          end_reason reason,
-                                         bool known,
                                          base::instant now)
 {
     auto& in = *of.find(name.task.step);
@@ -167,7 +164,9 @@
     {
         return;
     }
-    if (reason == end_reason::failed && known)
+    auto const counts =
+        spec.gang ? name.run > in.gang_failed_run : it.failure_is_new(name.run);
+    if (reason == end_reason::failed && counts)
     {
         ++m_counts.ends_failed;
         count_failure(of, name, in, it, now);
@@ -286,6 +285,7 @@
     else
     {
         ++it.failures;
+        it.failed_runs.push_back(name.run);
     }
     auto const failures = spec.gang ? in.gang_failures : it.failures;
     if (failures >= attempts_allowed(of))
--- a/libraries/scheduler/state_record.cpp
+++ b/libraries/scheduler/state_record.cpp
@@ -20,7 +20,7 @@
 }
 
 /// `[index, phase, run, failures, instance, checkpoint, instances lost, crashes
-/// at start]`, without empty elements at the end.
+/// at start, [failed runs]]`, without empty elements at the end.
 json::array task_row(std::uint32_t index, task const& it)
 {
     json::array out{index, static_cast<std::int64_t>(it.phase)};
@@ -32,15 +32,21 @@
     out.emplace_back(it.failures);
     out.emplace_back(it.phase == task_phase::placed ? it.instance
                                                     : std::string{});
-    if (!it.checkpoint.empty() || it.lost.suspect())
+    auto const any_failed = !it.failed_runs.empty();
+    if (!it.checkpoint.empty() || it.lost.suspect() || any_failed)
     {
         out.emplace_back(it.checkpoint);
     }
-    if (it.lost.suspect())
+    if (it.lost.suspect() || any_failed)
     {
         out.emplace_back(it.lost.losses());
         out.emplace_back(it.lost.at_start());
     }
+    if (any_failed)
+    {
+        out.emplace_back(
+            json::array(it.failed_runs.begin(), it.failed_runs.end()));
+    }
     return out;
 }
 
@@ -90,6 +96,15 @@
     to.checkpoint = text_at(*it, 5);
     to.lost = {static_cast<std::uint32_t>(at_or(*it, 6)),
                static_cast<std::uint32_t>(at_or(*it, 7))};
+    constexpr std::size_t failed_runs = 8;
+    if (it->size() > failed_runs && (*it)[failed_runs].is_array())
+    {
+        for (auto const& run : (*it)[failed_runs].get_array())
+        {
+            to.failed_runs.push_back(
+                static_cast<std::uint32_t>(json_codec::as_number(run)));
+        }
+    }
     return {};
 }
 
