cell: Confirm a configuration that came from another process

A route that was taken out is answered with 503 in place of 404, for seconds after the newer configuration has arrived.

Cause: a process that fetches the configuration from another one gives up its own read of the store, and the copy doesn't say how long ago its version was the newest. The process then counts as unsure until a read of its own ends: with a store that answers 1.3 s late, 2 s later; an owner hears of it in no other way, since it asks the others nothing.

Change: after a fetch the process asks the one that sent the copy the question that all processes know, which answers with version and age.

--- a/libraries/cell/node.cpp
+++ b/libraries/cell/node.cpp
@@ -105,16 +105,8 @@
     , m_adapter{make(m_client, m_order_client, m_settings)}
     , m_log{std::make_unique<decisions_to_log>()}
     , m_peers{m_client}
-    , m_ownership{m_loop,
-                  m_clock,
-                  *m_adapter.cell_log,
-                  m_peers,
-                  m_latency,
-                  {m_settings.instance,
-                   network::address_or_empty(m_settings.listen.peer),
-                   m_settings.limits.millicores()},
-                  new_incarnation(),
-                  *this}
+    , m_ownership{m_loop,    m_clock, *m_adapter.cell_log, m_peers,
+                  m_latency, self(),  new_incarnation(),   *this}
     , m_peer_service{m_loop, m_clock, *this}
     , m_advice{m_clock, *m_adapter.advice, m_peers,
                [this]
@@ -201,6 +193,13 @@
     return {};
 }
 
+peer node::self() const
+{
+    return {m_settings.instance,
+            network::address_or_empty(m_settings.listen.peer),
+            m_settings.limits.millicores()};
+}
+
 scheduler::policy node::policy() const
 {
     scheduler::policy out;
--- a/libraries/cell/node.hpp
+++ b/libraries/cell/node.hpp
@@ -77,6 +77,9 @@
     [[nodiscard]] bool configuration_overdue() const;
     void note_newest(std::int64_t known, network::socket_address const& from);
     void fetch_configuration(network::socket_address const& from);
+    void confirm_configuration(network::socket_address const& from);
+    /// This process as the others know it.
+    [[nodiscard]] peer self() const;
     void take_readiness(network::responder const& answer);
     [[nodiscard]] std::vector<peer> others() const;
     void take_metrics(network::responder const& answer);
--- a/libraries/cell/node_configuration.cpp
+++ b/libraries/cell/node_configuration.cpp
@@ -13,6 +13,9 @@
 /// A copy that makes no progress for this long is on a silent connection.
 constexpr base::duration copy_stall = std::chrono::seconds{1};
 
+/// Timeout of the question that confirms a copy.
+constexpr base::duration confirmation_timeout = std::chrono::milliseconds{500};
+
 fetch_outcome end_of(peer_result<configuration_record> const& it)
 {
     if (it.answer)
@@ -169,7 +172,26 @@
             }
             configuration_changed(it.answer->key, it.answer->value, "peer");
             m_operators.skip_to(it.answer->next);
+            confirm_configuration(from);
         });
 }
 
+/// Asks the process that sent the configuration how long ago its version was
+/// the newest. This process may have no other way to know: an owner asks the
+/// others nothing, and the read of the store that was under way is given up.
+void node::confirm_configuration(network::socket_address const& from)
+{
+    m_peers.watch(from, {self(), 0, configuration_here()}, base::duration{0},
+                  confirmation_timeout,
+                  [this, from, asked_at = m_clock.now()](
+                      peer_result<watch_answer> const& it)
+                  {
+                      if (it.answer)
+                      {
+                          on_configuration_reported(it.answer->configuration,
+                                                    asked_at, from);
+                      }
+                  });
+}
+
 } // namespace berylhill::cell
--- a/tests/platform_adapter/configuration_test.cpp
+++ b/tests/platform_adapter/configuration_test.cpp
@@ -136,4 +136,22 @@
     BOOST_TEST(in_force_in_time("a", "b"));
 }
 
+/// Guards against a route that was taken out and is answered with 503: the
+/// owner has the newest configuration from another process, and its own read
+/// of the store that would confirm the version takes too long.
+BOOST_AUTO_TEST_CASE(a_configuration_of_another_process_is_confirmed)
+{
+    store->put(operators_topic, configuration_key,
+               configuration_document(2, {"q", "a"}));
+    BOOST_REQUIRE(run_until([&] { return serve("a", "b"); }));
+    auto const to = owner();
+    BOOST_REQUIRE(to.has_value());
+    links[*to]->set(link_state::silent);
+    BOOST_REQUIRE(run_until([&] { return ask(*to, "b") == 503U; }));
+    store->put(operators_topic, configuration_key,
+               configuration_document(3, {"q", "b"}));
+    BOOST_TEST(run_until([&] { return ask(*to, "a") == 404U; }, in_force));
+    BOOST_TEST(ask(*to, "b") == 200U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
