scheduler tests: Carry out hold requests seconds late

A request without an answer may be carried out later, after newer ones; the random runs had that for starts and stops, not for hold requests, which renew leases and acknowledge ends. Now 1% of them in the runs with rejections get no answer and are carried out 2 to 12 s later, with a generator of their own: the other cases keep their runs.

--- a/tests/scheduler/random_test.cpp
+++ b/tests/scheduler/random_test.cpp
@@ -65,7 +65,8 @@
                                              .late_append = 0.05,
                                              .cancel_new = 0.1,
                                              .reject = 0.06,
-                                             .late_spell = 0.1};
+                                             .late_spell = 0.1,
+                                             .late_hold = 0.01};
 
 fault_rates rough_for(planted fault)
 {
--- a/tests/scheduler/world.cpp
+++ b/tests/scheduler/world.cpp
@@ -53,6 +53,7 @@
     , m_resize_random{seed}
     , m_reject_random{seed}
     , m_spell_random{seed}
+    , m_hold_random{seed}
     , m_rough{rough}
     , m_fault{fault}
     , m_configuration{configuration()}
--- a/tests/scheduler/world.hpp
+++ b/tests/scheduler/world.hpp
@@ -96,6 +96,8 @@
     /// Spells of seconds in which most orders are delayed or get no answer and
     /// are carried out up to 12 s later.
     double late_spell{0};
+    /// Hold requests without an answer that are carried out up to 12 s later.
+    double late_hold{0};
 };
 
 /// Simulates a cell on a virtual clock: instances that behave as the platform's
@@ -275,6 +277,7 @@
     [[nodiscard]] bool rejects(fake_instance const& it);
     [[nodiscard]] std::optional<scheduler::start_answer>
     start_rejection(fake_instance const& at, workload::job_id of);
+    [[nodiscard]] std::optional<base::duration> late_hold();
     [[nodiscard]] order_delay next_delay(base::duration timeout);
     void deliver(owner_pointer const& to, scheduler::start_reply it);
     void note_answer(scheduler::start_reply const& it);
@@ -297,6 +300,9 @@
     void send(owner_pointer const& by, scheduler::stop_order const& it);
     void send(owner_pointer const& by, scheduler::advice_order const& it);
     void hold(owner_pointer const& by, std::string const& id);
+    void read_hold(fake_instance& at,
+                   owner const& by,
+                   scheduler::hold_order const& it);
     void fenced(owner_pointer const& by);
     void freeze(owner_pointer const& it);
     void submit_something();
@@ -321,6 +327,7 @@
     std::mt19937_64 m_resize_random;
     std::mt19937_64 m_reject_random;
     std::mt19937_64 m_spell_random;
+    std::mt19937_64 m_hold_random;
     fault_rates m_rough;
     planted m_fault;
     scheduler::policy m_rules;
--- a/tests/scheduler/world_orders.cpp
+++ b/tests/scheduler/world_orders.cpp
@@ -178,17 +178,50 @@
           });
 }
 
+void world::read_hold(fake_instance& at,
+                      owner const& by,
+                      scheduler::hold_order const& it)
+{
+    at.token = std::max(at.token, by.token);
+    at.until_ms = std::max(at.until_ms, it.until_ms);
+    note_seen(at, it.seen_end, by.token);
+}
+
 void world::hold(owner_pointer const& by, std::string const& id)
 {
     auto const order = by->decisions->next_hold(id, m_now);
     auto const sent_at = m_now;
     auto const address =
         by->decisions->instances().all().at(id)->info().address;
-    auto const lost = m_trouble && chance(m_rough.lose);
     auto const again = [this, by, id](base::duration pause)
     {
         by->hold_after[id] = m_now + pause;
     };
+    if (auto const pause = late_hold())
+    {
+        after(answer_timeout,
+              [this, by, id, again]
+              {
+                  if (by->alive)
+                  {
+                      by->decisions->hold_unanswered(id, m_now);
+                      again(hold_pause);
+                      pump(by);
+                  }
+              });
+        after(*pause,
+              [this, by, id, order, address]
+              {
+                  auto* const at = at_address(address);
+                  if (at != nullptr && !at->cut && at->id == id &&
+                      by->token >= at->token && !rejects(*at))
+                  {
+                      read_hold(*at, *by, order);
+                  }
+              });
+        return;
+    }
+    auto const lost = m_trouble && chance(m_rough.lose);
     after(hop(),
           [this, by, id, order, sent_at, address, lost, again]
           {
@@ -236,9 +269,7 @@
                   fenced(by);
                   return;
               }
-              at->token = std::max(at->token, by->token);
-              at->until_ms = std::max(at->until_ms, order.until_ms);
-              note_seen(*at, order.seen_end, by->token);
+              read_hold(*at, *by, order);
               scheduler::hold_report report;
               report.instance = id;
               report.sent_at = sent_at;
--- a/tests/scheduler/world_rejections.cpp
+++ b/tests/scheduler/world_rejections.cpp
@@ -18,6 +18,10 @@
 /// valid ticket while it rejects other requests.
 constexpr double single_share = 0.3;
 
+/// How long a request without an answer may be under way.
+constexpr base::duration shortest_delay = std::chrono::seconds{2};
+constexpr base::duration longest_delay = std::chrono::seconds{12};
+
 /// Answers with no more than this left of the timeout do not arrive in time.
 constexpr base::duration answer_margin = std::chrono::milliseconds{10};
 
@@ -98,8 +102,8 @@
     }
     if (chance(m_spell_random, m_spell_share))
     {
-        out.request = pause_between(m_spell_random, std::chrono::seconds{2},
-                                    std::chrono::seconds{12});
+        out.request =
+            pause_between(m_spell_random, shortest_delay, longest_delay);
         out.unanswered = true;
     }
     else if (chance(m_spell_random, slow_share))
@@ -111,6 +115,16 @@
     return out;
 }
 
+/// How long a hold request that gets no answer is under way; empty for others.
+std::optional<base::duration> world::late_hold()
+{
+    if (!m_trouble || !chance(m_hold_random, m_rough.late_hold))
+    {
+        return std::nullopt;
+    }
+    return pause_between(m_hold_random, shortest_delay, longest_delay);
+}
+
 /// Tells the owner the outcome of an order, or what a planted fault makes of
 /// it.
 void world::deliver(owner_pointer const& to, scheduler::start_reply it)
