--- a/libraries/entry/worker_group_orders.cpp
+++ b/libraries/entry/worker_group_orders.cpp
@@ -55,6 +55,9 @@
     return std::nullopt;
 }
 
+/// Guards against a task in two places when a message arrives after its sender
+/// has given it up: the sender takes the answer to a later message as an answer
+/// to all earlier ones.
 void worker_group_actor::take_orders(group_orders_asked const& it)
 {
     if (auto why = refusal_of(it.orders.shard, it.orders.shard_epoch))
@@ -62,6 +65,14 @@
         it.answer.set(*why);
         return;
     }
+    auto const& orders = it.orders;
+    if (!m_gate.admit(orders.shard, orders.shard_epoch, orders.number))
+    {
+        it.answer.set(base::failure{
+            failure_code::superseded,
+            "a later message of " + orders.shard + " has arrived", 0});
+        return;
+    }
     auto const now = m_node.clock.now();
     for (auto const& attempt : it.orders.releases)
     {
@@ -87,6 +98,15 @@
     publish();
 }
 
+/// Whether the attempt has run here to an end, of which its shard may have
+/// taken note already while an order for it was under way.
+bool worker_group_actor::is_over(model::attempt_id const& it) const
+{
+    auto const shard = shard_of_job(it.task.job);
+    return m_ends.contains(it) ||
+           (shard && m_gate.has_ended(jobs_unit(*shard), it));
+}
+
 order_answer worker_group_actor::take_hold(placement::hold_order const& it,
                                            base::instant now)
 {
@@ -103,7 +123,7 @@
                    ? take_commit(attempt, now)
                    : order_answer{attempt, order_state::held, {}};
     }
-    if (m_ends.contains(attempt))
+    if (is_over(attempt))
     {
         return {attempt, order_state::started, {}};
     }
@@ -129,7 +149,7 @@
     {
         return {it, order_state::started, {}};
     }
-    if (m_ends.contains(it))
+    if (is_over(it))
     {
         return {it, order_state::started, {}};
     }
