soak: Play late orders beside rejections

The soak never met a task that runs twice after a rejected order: its instances answered each order at once or, behind a silent link, lost it; none rejected a request while healthy; none carried out an order that had got no answer; and a start after an acknowledged end was found only once the job was shown as completed.

Tasks take 1 s in place of 250 ms there. The ledger finds a task that starts after its end was acknowledged with the lease held.

--- a/tests/platform_adapter/stand_ins/instance_stand_in.cpp
+++ b/tests/platform_adapter/stand_ins/instance_stand_in.cpp
@@ -11,6 +11,8 @@
 
 namespace json = boost::json;
 
+constexpr std::string_view hold_path = "/api/hold";
+
 network::http_response conflict(std::int64_t clock_ms, char const* reason)
 {
     return {409,
@@ -78,6 +80,42 @@
 
 void instance_stand_in::handle(network::http_request const& it,
                                network::responder const& answer)
+{
+    if (m_faults.rejects())
+    {
+        answer({503, {}, {}});
+        return;
+    }
+    auto const is_order = it.target != hold_path;
+    auto const delay = is_order ? m_faults.delay() : std::nullopt;
+    if (delay)
+    {
+        m_late_orders.push_back(
+            {it, answer, std::chrono::steady_clock::now() + *delay});
+        return;
+    }
+    carry_out(it, answer);
+}
+
+/// Their callers have stopped waiting for the answer by now.
+void instance_stand_in::carry_out_late_orders()
+{
+    auto const now = std::chrono::steady_clock::now();
+    std::vector<late_order> still;
+    for (auto& it : std::exchange(m_late_orders, {}))
+    {
+        if (now < it.at)
+        {
+            still.push_back(std::move(it));
+            continue;
+        }
+        carry_out(it.request, it.answer);
+    }
+    m_late_orders = std::move(still);
+}
+
+void instance_stand_in::carry_out(network::http_request const& it,
+                                  network::responder const& answer)
 {
     if (network::field_of(it.fields, "X-Target-Instance") != m_id)
     {
@@ -97,6 +135,7 @@
         return;
     }
     m_token = token;
+    look_at_lease();
     if (it.target == "/api/run-start")
     {
         start(body.value(), answer);
@@ -105,7 +144,7 @@
     {
         stop(body.value(), answer);
     }
-    else if (it.target == "/api/hold")
+    else if (it.target == hold_path)
     {
         hold(body.value(), answer);
     }
@@ -120,23 +159,22 @@
 {
     auto const task = json_codec::text_or(it, "task");
     auto const run = json_codec::number_or(it, "run");
-    auto const known = m_running.find(task);
-    if (known != m_running.end() && known->second.number <= run)
+    for (auto known = m_running.lower_bound({task, 0});
+         known != m_running.end() && known->first <= run_name{task, run};)
     {
-        end(task, known->second.number, "stopped");
-        m_running.erase(known);
+        end(known->first, "stopped");
+        known = m_running.erase(known);
     }
     // A start of this run that comes later is refused.
     m_highest[task] = std::max(m_highest[task], run);
     answer({200, {}, json::serialize(json::object{{"clockMs", clock_ms()}})});
 }
 
-void instance_stand_in::end(std::string const& task,
-                            std::int64_t run,
-                            char const* how)
+void instance_stand_in::end(run_name const& it, char const* how)
 {
+    auto const& [task, run] = it;
     m_highest[task] = std::max(m_highest[task], run);
-    m_ended.push_back({m_next_end++, task, run, how, ""});
+    m_ended.push_back({{m_next_end++, task, run, how, ""}});
     if (m_on_end)
     {
         m_on_end(task, how);
@@ -157,9 +195,9 @@
 std::vector<std::string> instance_stand_in::running() const
 {
     std::vector<std::string> out;
-    for (auto const& [task, it] : m_running)
+    for (auto const& [it, ends] : m_running)
     {
-        out.push_back(task);
+        out.push_back(it.first);
     }
     return out;
 }
@@ -169,18 +207,24 @@
 {
     auto const task = json_codec::text_or(it, "task");
     auto const run = json_codec::number_or(it, "run");
-    auto const known = m_running.find(task);
-    if (known == m_running.end())
+    auto const until = json_codec::number_or(it, "untilMs");
+    auto const known = m_running.contains({task, run});
+    if (!known && until <= clock_ms())
     {
-        if (run <= m_highest[task])
-        {
-            answer(conflict(clock_ms(), "old"));
-            return;
-        }
-        m_running[task] = {run, std::chrono::steady_clock::now() + m_work};
+        answer(conflict(clock_ms(), "late"));
+        return;
+    }
+    m_until_ms = std::max(m_until_ms, until);
+    if (!known && run <= m_highest[task])
+    {
+        answer(conflict(clock_ms(), "old"));
+        return;
+    }
+    if (!known)
+    {
+        m_running[{task, run}] = std::chrono::steady_clock::now() + m_work;
         m_started(task);
     }
-    m_until_ms = std::max(m_until_ms, json_codec::number_or(it, "untilMs"));
     answer({200, {}, json::serialize(json::object{{"clockMs", clock_ms()}})});
 }
 
@@ -188,8 +232,20 @@
                              network::responder const& answer)
 {
     auto const seen = json_codec::number_or(it, "seenUpto");
-    std::erase_if(m_ended, [&](json::array const& row)
-                  { return row[0].as_int64() <= seen; });
+    std::erase_if(m_ended,
+                  [&](listed_end const& known)
+                  {
+                      if (known.row[0].as_int64() > seen)
+                      {
+                          return false;
+                      }
+                      if (m_on_acknowledged && !known.lease_expired &&
+                          json_codec::as_text(known.row[3]) == "done")
+                      {
+                          m_on_acknowledged(json_codec::as_text(known.row[1]));
+                      }
+                      return true;
+                  });
     m_until_ms = std::max(m_until_ms, json_codec::number_or(it, "untilMs"));
     auto const wait = json_codec::number_or(it, "waitMs");
     if (wait == 0 || !m_ended.empty())
@@ -204,14 +260,14 @@
 network::http_response instance_stand_in::report() const
 {
     json::array running;
-    for (auto const& [task, it] : m_running)
+    for (auto const& [it, ends] : m_running)
     {
-        running.emplace_back(json::array{task, it.number, "", 50});
+        running.emplace_back(json::array{it.first, it.second, "", 50});
     }
     json::array ended;
     for (auto const& it : m_ended)
     {
-        ended.emplace_back(it);
+        ended.emplace_back(it.row);
     }
     return {200,
             {},
@@ -220,20 +276,37 @@
                                          {"ended", std::move(ended)}})};
 }
 
+void instance_stand_in::look_at_lease()
+{
+    if (m_until_ms == 0 || clock_ms() < m_until_ms)
+    {
+        return;
+    }
+    for (auto const& [it, ends] : std::exchange(m_running, {}))
+    {
+        end(it, "lapsed");
+    }
+    for (auto& it : m_ended)
+    {
+        it.lease_expired = true;
+    }
+}
+
 void instance_stand_in::every_tick()
 {
     auto const now = std::chrono::steady_clock::now();
-    auto const lapsed = m_until_ms != 0 && clock_ms() >= m_until_ms;
+    look_at_lease();
     for (auto it = m_running.begin(); it != m_running.end();)
     {
-        if (!lapsed && now < it->second.ends)
+        if (now < it->second)
         {
             ++it;
             continue;
         }
-        end(it->first, it->second.number, lapsed ? "lapsed" : "done");
+        end(it->first, "done");
         it = m_running.erase(it);
     }
+    carry_out_late_orders();
     std::vector<waiting_hold> still;
     for (auto& it : std::exchange(m_waiting, {}))
     {
--- a/tests/platform_adapter/stand_ins/instance_stand_in.hpp
+++ b/tests/platform_adapter/stand_ins/instance_stand_in.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "request_faults.hpp"
+
 #include <json_codec/reader.hpp>
 #include <network/http_server.hpp>
 
@@ -11,21 +13,23 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace berylhill::platform_test
 {
 
 /// An instance that runs tasks: each takes a fixed time and ends `done`. It
-/// keeps the highest token, leases, and its ends until they are seen. Lives on
-/// the test's loop.
+/// keeps the highest token, leases, and its ends until they are seen. A run
+/// that is started beside another one of its task runs beside it. Lives on the
+/// test's loop.
 class instance_stand_in
 {
 public:
     /// What it says of its room while that is whole, in thousandths of a core.
     static constexpr std::int64_t cpu_millis = 8'000;
 
-    /// Told of each task that begins.
+    /// Told of each run that begins.
     using start_handler = std::function<void(std::string const& task)>;
 
     instance_stand_in(boost::asio::io_context& loop,
@@ -43,6 +47,19 @@
         m_on_end = std::move(it);
     }
 
+    /// Told of each task whose end `done` is acknowledged, with no expiry of
+    /// the lease between the end and the acknowledgement.
+    void on_acknowledged(start_handler it)
+    {
+        m_on_acknowledged = std::move(it);
+    }
+
+    /// Which requests are rejected or carried out late.
+    [[nodiscard]] request_faults& faults() noexcept
+    {
+        return m_faults;
+    }
+
     /// Crashes and is back at once under another id: nothing runs, nothing is
     /// known.
     void restart(std::string id);
@@ -71,10 +88,21 @@
     heartbeat(network::socket_address const& reached_at) const;
 
 private:
-    struct running_task
+    /// A task and the number of its run.
+    using run_name = std::pair<std::string, std::int64_t>;
+
+    struct listed_end
+    {
+        boost::json::array row;
+        /// The lease has expired since.
+        bool lease_expired{false};
+    };
+
+    struct late_order
     {
-        std::int64_t number{0};
-        std::chrono::steady_clock::time_point ends;
+        network::http_request request;
+        network::responder answer;
+        std::chrono::steady_clock::time_point at;
     };
 
     struct waiting_hold
@@ -85,10 +113,14 @@
 
     void handle(network::http_request const& it,
                 network::responder const& answer);
+    void carry_out(network::http_request const& it,
+                   network::responder const& answer);
+    void carry_out_late_orders();
     void start(boost::json::value const& it, network::responder const& answer);
     void stop(boost::json::value const& it, network::responder const& answer);
     void hold(boost::json::value const& it, network::responder const& answer);
-    void end(std::string const& task, std::int64_t run, char const* how);
+    void end(run_name const& run, char const* how);
+    void look_at_lease();
     [[nodiscard]] std::int64_t clock_ms() const;
     [[nodiscard]] network::http_response report() const;
     void every_tick();
@@ -98,16 +130,20 @@
     std::chrono::milliseconds m_work;
     start_handler m_started;
     end_handler m_on_end;
+    start_handler m_on_acknowledged;
+    request_faults m_faults;
     boost::asio::steady_timer m_timer;
     network::http_server m_server;
     std::int64_t m_cpu_millis{cpu_millis};
     std::int64_t m_token{0};
     std::int64_t m_until_ms{0};
-    std::map<std::string, running_task> m_running;
+    /// When each run ends.
+    std::map<run_name, std::chrono::steady_clock::time_point> m_running;
     std::map<std::string, std::int64_t> m_highest;
-    std::vector<boost::json::array> m_ended;
+    std::vector<listed_end> m_ended;
     std::int64_t m_next_end{1};
     std::vector<waiting_hold> m_waiting;
+    std::vector<late_order> m_late_orders;
 };
 
 } // namespace berylhill::platform_test
--- a/tests/soak/ledger_test.cpp
+++ b/tests/soak/ledger_test.cpp
@@ -64,6 +64,54 @@
          it.started("i-1", "j.0.0.0");
      },
      "runs on i-0 and i-1"},
+    {"two runs of a task on one instance",
+     [](ledger& it)
+     {
+         accept(it);
+         it.started("i-0", "j.0.0.0");
+         it.started("i-0", "j.0.0.0");
+     },
+     "runs on i-0 and i-0"},
+    {"a task starts after its end was acknowledged",
+     [](ledger& it)
+     {
+         accept(it);
+         run(it, "i-0", "j.0.0.0");
+         it.end_acknowledged("j.0.0.0");
+         it.started("i-1", "j.0.0.0");
+     },
+     "after its end was acknowledged"},
+    {"a task starts after its end was acknowledged and the instance crashed",
+     [](ledger& it)
+     {
+         accept(it);
+         run(it, "i-0", "j.0.0.0");
+         it.end_acknowledged("j.0.0.0");
+         it.crashed("i-0");
+         it.started("i-1", "j.0.0.0");
+     },
+     "after its end was acknowledged"},
+    {"a task starts again after an end that was not acknowledged",
+     [](ledger& it)
+     {
+         accept(it);
+         run(it, "i-0", "j.0.0.0");
+         run_all(it);
+         it.end_acknowledged("j.0.0.1");
+         it.shown("j", "completed", start);
+     },
+     ""},
+    {"a late order leaves an instance with more than it holds",
+     [](ledger& it)
+     {
+         accept(it);
+         it.started("i-0", "j.0.0.0");
+         it.ended("i-0", "j.0.0.0", "stopped");
+         it.started("i-0", "j.0.0.1");
+         it.started("i-0", "k.0.0.0");
+         it.started("i-0", "k.0.0.1");
+     },
+     "holds 3 tasks"},
     {"a task starts again elsewhere after its instance crashed",
      [](ledger& it)
      {
--- a/tests/soak/plan_test.cpp
+++ b/tests/soak/plan_test.cpp
@@ -31,4 +31,27 @@
     BOOST_TEST(seen.size() == fault_kinds);
 }
 
+BOOST_AUTO_TEST_CASE(a_seed_always_gives_the_same_faults_of_orders)
+{
+    constexpr std::chrono::seconds length{8};
+    BOOST_TEST((order_plan_of(7, length) == order_plan_of(7, length)));
+    BOOST_TEST((order_plan_of(7, length) != order_plan_of(8, length)));
+}
+
+BOOST_AUTO_TEST_CASE(every_seed_has_rejections_and_late_orders)
+{
+    for (std::uint64_t seed = 1; seed <= 50; ++seed)
+    {
+        auto const plan = order_plan_of(seed, std::chrono::seconds{8});
+        BOOST_TEST(std::ranges::is_sorted(plan, {}, &fault::at));
+        std::set<fault_kind> seen;
+        for (auto const& it : plan)
+        {
+            seen.insert(it.kind);
+        }
+        BOOST_TEST((seen == std::set{fault_kind::instance_rejects,
+                                     fault_kind::orders_late}));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/utilities/soak/cell.cpp
+++ b/utilities/soak/cell.cpp
@@ -34,6 +34,11 @@
 constexpr std::string_view crashing_task_suffix = "0.0.0.0";
 constexpr std::chrono::milliseconds crash_pause{5};
 
+/// The share of requests that an instance rejects, and of orders that are late,
+/// while this fault lasts.
+constexpr double rejected_share = 0.5;
+constexpr double late_share = 0.7;
+
 /// The share of appends without an answer while the store loses them.
 constexpr double lost_share = 0.4;
 
@@ -58,6 +63,7 @@
            std::string binary,
            std::filesystem::path folder,
            cell_size size,
+           std::uint64_t seed,
            ledger& seen)
     : m_loop{loop}
     , m_seen{seen}
@@ -83,7 +89,8 @@
         m_workers.push_back(std::move(made));
         auto& it = m_workers.back();
         it.instance = std::make_unique<platform_test::instance_stand_in>(
-            loop, at, id, task_time,
+            loop, at, id,
+            size.orders == order_kind::late ? long_task_time : task_time,
             [this, n](std::string const& task)
             { started(m_workers[n], task); });
         it.resizes_at =
@@ -91,6 +98,10 @@
         it.instance->on_end(
             [this, n](std::string const& task, std::string const& how)
             { m_seen.ended(m_workers[n].instance->id(), task, how); });
+        it.instance->on_acknowledged([this](std::string const& task)
+                                     { m_seen.end_acknowledged(task); });
+        it.instance->faults() =
+            platform_test::request_faults{seed * size.instances + n};
         m_store->put(platform_test::instances_topic, id,
                      it.instance->heartbeat(it.reached_at));
     }
@@ -306,6 +317,12 @@
     case fault_kind::change_configuration:
         configure();
         return;
+    case fault_kind::instance_rejects:
+        near.instance->faults().set_rejected_share(rejected_share);
+        return;
+    case fault_kind::orders_late:
+        make_orders_late(late_share);
+        return;
     }
 }
 
@@ -336,11 +353,25 @@
     case fault_kind::store_loses_answers:
         m_store->set_lost_share(0);
         return;
+    case fault_kind::instance_rejects:
+        near.instance->faults().set_rejected_share(0);
+        return;
+    case fault_kind::orders_late:
+        make_orders_late(0);
+        return;
     default:
         return;
     }
 }
 
+void cell::make_orders_late(double share)
+{
+    for (auto& it : m_workers)
+    {
+        it.instance->faults().set_late({.share = share});
+    }
+}
+
 void cell::look_after_processes()
 {
     auto const now = std::chrono::steady_clock::now();
@@ -389,6 +420,8 @@
     for (auto& it : m_workers)
     {
         it.link->set(link_state::open);
+        it.instance->faults().set_rejected_share(0);
+        it.instance->faults().set_late({});
         if (it.small_since)
         {
             resize(it, std::chrono::steady_clock::now());
--- a/utilities/soak/cell.hpp
+++ b/utilities/soak/cell.hpp
@@ -35,6 +35,16 @@
     large,
 };
 
+/// What becomes of the orders to instances.
+enum class order_kind : std::uint8_t
+{
+    prompt,
+    /// Instances reject part of their requests for some time, and orders get
+    /// no answer and are carried out seconds later. Tasks take longer, so that
+    /// two runs of one are seen beside each other.
+    late,
+};
+
 /// The size of a run, and what its instances are like. A value.
 struct cell_size
 {
@@ -42,6 +52,7 @@
     std::size_t instances{6};
     instance_kind kind{instance_kind::steady};
     configuration_kind configuration{configuration_kind::small};
+    order_kind orders{order_kind::prompt};
 
     friend bool operator==(cell_size const&, cell_size const&) = default;
 };
@@ -54,13 +65,16 @@
     /// Tasks of `task_cpu` that an instance holds.
     static constexpr std::int64_t task_cpu = 3'000;
     static constexpr std::chrono::milliseconds task_time{250};
+    static constexpr std::chrono::milliseconds long_task_time{1'000};
     static constexpr std::size_t room = static_cast<std::size_t>(
         platform_test::instance_stand_in::cpu_millis / task_cpu);
 
+    /// Same seed, same draws of what becomes of a request.
     cell(boost::asio::io_context& loop,
          std::string binary,
          std::filesystem::path folder,
          cell_size size,
+         std::uint64_t seed,
          ledger& seen);
     cell(cell const&) = delete;
     cell& operator=(cell const&) = delete;
@@ -125,6 +139,7 @@
     void started(worker& it, std::string const& task);
     void resize(worker& it, ledger::instant now);
     void announce(worker& it);
+    void make_orders_late(double share);
     void configure();
 
     boost::asio::io_context& m_loop;
--- a/utilities/soak/ledger.cpp
+++ b/utilities/soak/ledger.cpp
@@ -44,6 +44,10 @@
     {
         found("task " + name + " starts after its job was completed");
     }
+    if (it.end_acknowledged)
+    {
+        found("task " + name + " starts after its end was acknowledged");
+    }
     check_order(name);
     check_crashes(name, it);
     it.running_on.insert(instance);
@@ -135,6 +139,11 @@
     }
 }
 
+void ledger::end_acknowledged(std::string const& task)
+{
+    m_tasks[task].end_acknowledged = true;
+}
+
 /// What ran there runs no longer; ends that nobody has read are lost.
 void ledger::crashed(std::string const& instance)
 {
--- a/utilities/soak/ledger.hpp
+++ b/utilities/soak/ledger.hpp
@@ -27,6 +27,8 @@
     void ended(std::string const& instance,
                std::string const& task,
                std::string const& how);
+    /// An end `done` of the task was acknowledged in time: it stands for good.
+    void end_acknowledged(std::string const& task);
     void crashed(std::string const& instance);
     /// The task crashes each instance that starts it.
     void crashes_its_instances(std::string const& task);
@@ -78,6 +80,7 @@
         /// Where it ended `done`; empty: nowhere that still stands.
         std::string done_on;
         bool ever_done{false};
+        bool end_acknowledged{false};
         /// Instances that crashed while it ran there.
         std::size_t crashes{0};
         bool crashes_its_instances{false};
--- a/utilities/soak/main.cpp
+++ b/utilities/soak/main.cpp
@@ -43,6 +43,9 @@
     add("clients", "", cxxopts::value<std::size_t>()->default_value("8"));
     add("unsteady", "tasks that crash their instances, and instances that "
                     "shrink and grow");
+    add("late-orders", "spells in which orders get no answer and are carried "
+                       "out seconds later, and instances that reject part of "
+                       "their requests");
     add("large", "configurations as large as the store takes, over links that "
                  "carry 2 Mbit/s");
     add("plan", "print the faults of each seed, and play none");
@@ -50,13 +53,14 @@
     return options;
 }
 
-void print_plan(std::uint64_t seed, std::chrono::milliseconds length)
+void print_plan(soak::run_settings const& settings)
 {
-    for (auto const& it : soak::plan_of(seed, length))
+    for (auto const& it : soak::faults_of(settings))
     {
-        std::cout << "seed " << seed << " at " << it.at.count() << " ms for "
-                  << it.length.count() << " ms: " << name_of(it.kind)
-                  << " target " << it.target << '\n';
+        std::cout << "seed " << settings.seed << " at " << it.at.count()
+                  << " ms for " << it.length.count()
+                  << " ms: " << name_of(it.kind) << " target " << it.target
+                  << '\n';
     }
 }
 
@@ -95,20 +99,22 @@
         given.count("unsteady") != 0 ? soak::instance_kind::unsteady
                                      : soak::instance_kind::steady,
         given.count("large") != 0 ? soak::configuration_kind::large
-                                  : soak::configuration_kind::small};
+                                  : soak::configuration_kind::small,
+        given.count("late-orders") != 0 ? soak::order_kind::late
+                                        : soak::order_kind::prompt};
     settings.clients = given["clients"].as<std::size_t>();
     auto const first = given["first"].as<std::uint64_t>();
     auto const seeds = given["seeds"].as<std::uint64_t>();
     std::uint64_t held = 0;
     for (auto seed = first; seed < first + seeds; ++seed)
     {
+        settings.seed = seed;
         if (given.count("plan") != 0)
         {
-            print_plan(seed, settings.length);
+            print_plan(settings);
             ++held;
             continue;
         }
-        settings.seed = seed;
         held +=
             play_seed(settings, given["directory"].as<std::string>()) ? 1 : 0;
     }
--- a/utilities/soak/plan.cpp
+++ b/utilities/soak/plan.cpp
@@ -1,6 +1,7 @@
 #include <soak/plan.hpp>
 
 #include <algorithm>
+#include <array>
 #include <random>
 
 namespace berylhill::soak
@@ -8,7 +9,7 @@
 
 std::string name_of(fault_kind it)
 {
-    static constexpr char const* names[fault_kinds] = {
+    static constexpr char const* names[fault_kinds + order_fault_kinds] = {
         "kill",
         "terminate",
         "freeze",
@@ -25,6 +26,8 @@
         "store_loses_answers",
         "instance_crash",
         "change_configuration",
+        "instance_rejects",
+        "orders_late",
     };
     return names[static_cast<std::size_t>(it)];
 }
@@ -56,4 +59,45 @@
     return out;
 }
 
+std::vector<fault> order_plan_of(std::uint64_t seed,
+                                 std::chrono::milliseconds length)
+{
+    struct bounds
+    {
+        fault_kind kind;
+        std::int64_t fewest;
+        std::int64_t most;
+        std::int64_t shortest_ms;
+        std::int64_t longest_ms;
+    };
+    constexpr std::array<bounds, order_fault_kinds> kinds{{
+        {fault_kind::instance_rejects, 5, 12, 1'500, 5'000},
+        {fault_kind::orders_late, 1, 2, 2'500, 7'000},
+    }};
+    // Another sequence than that of the other faults.
+    constexpr std::uint64_t order_stream = 0x6f72646572730000;
+    std::mt19937_64 random{seed ^ order_stream};
+    auto const draw = [&](std::int64_t from, std::int64_t to)
+    {
+        return std::uniform_int_distribution<std::int64_t>{from, to}(random);
+    };
+    constexpr std::int64_t targets = 1'000;
+    std::vector<fault> out;
+    for (auto const& it : kinds)
+    {
+        for (auto n = draw(it.fewest, it.most); n > 0; --n)
+        {
+            fault made;
+            made.at = std::chrono::milliseconds{draw(0, length.count())};
+            made.length =
+                std::chrono::milliseconds{draw(it.shortest_ms, it.longest_ms)};
+            made.kind = it.kind;
+            made.target = static_cast<std::size_t>(draw(0, targets));
+            out.push_back(made);
+        }
+    }
+    std::ranges::sort(out);
+    return out;
+}
+
 } // namespace berylhill::soak
--- a/utilities/soak/plan.hpp
+++ b/utilities/soak/plan.hpp
@@ -30,10 +30,15 @@
     store_loses_answers,
     instance_crash,
     change_configuration,
+    /// An instance rejects part of its requests.
+    instance_rejects,
+    /// Most orders to all instances get no answer and are carried out late.
+    orders_late,
 };
 
-/// How many kinds there are.
+/// How many kinds there are in every plan, and how many more of orders.
 inline constexpr std::size_t fault_kinds = 16;
+inline constexpr std::size_t order_fault_kinds = 2;
 
 /// For the printed plan.
 [[nodiscard]] std::string name_of(fault_kind it);
@@ -55,4 +60,9 @@
 [[nodiscard]] std::vector<fault> plan_of(std::uint64_t seed,
                                          std::chrono::milliseconds length);
 
+/// The faults of orders of a seed, to be played beside its other faults; drawn
+/// from a generator of their own. Pure.
+[[nodiscard]] std::vector<fault>
+order_plan_of(std::uint64_t seed, std::chrono::milliseconds length);
+
 } // namespace berylhill::soak
--- a/utilities/soak/run.cpp
+++ b/utilities/soak/run.cpp
@@ -30,7 +30,7 @@
     explicit play_through(run_settings const& it)
         : m_settings{it}
         , m_seen{cell::room, client::task_names()}
-        , m_cell{m_loop, it.binary, it.folder, it.size, m_seen}
+        , m_cell{m_loop, it.binary, it.folder, it.size, it.seed, m_seen}
     {
         for (std::size_t n = 0; n < it.clients; ++n)
         {
@@ -70,7 +70,7 @@
     {
         auto const start = clock::now();
         std::vector<change> changes;
-        for (auto const& it : plan_of(m_settings.seed, m_settings.length))
+        for (auto const& it : faults_of(m_settings))
         {
             changes.push_back({start + it.at, it, true});
             changes.push_back({start + it.at + it.length, it, false});
@@ -158,6 +158,18 @@
 
 } // namespace
 
+std::vector<fault> faults_of(run_settings const& it)
+{
+    auto out = plan_of(it.seed, it.length);
+    if (it.size.orders == order_kind::late)
+    {
+        auto const more = order_plan_of(it.seed, it.length);
+        out.insert(out.end(), more.begin(), more.end());
+        std::ranges::sort(out);
+    }
+    return out;
+}
+
 run_end play(run_settings const& it)
 {
     return play_through{it}.go();
--- a/utilities/soak/run.hpp
+++ b/utilities/soak/run.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <soak/cell.hpp>
+#include <soak/plan.hpp>
 
 #include <chrono>
 #include <cstdint>
@@ -32,6 +33,9 @@
     std::size_t starts{0};
 };
 
+/// All faults of the seed in the order of time. Pure.
+[[nodiscard]] std::vector<fault> faults_of(run_settings const& it);
+
 /// Plays the faults of a seed against real processes.
 [[nodiscard]] run_end play(run_settings const& it);
 
