--- a/libraries/scheduler/scheduler_ends.cpp
+++ b/libraries/scheduler/scheduler_ends.cpp
@@ -76,6 +76,10 @@
     {
         return;
     }
+    if (of->remove_remaining(name, at.info().id))
+    {
+        m_jobs.touch(name.task.step.job);
+    }
     auto& it = in->tasks[name.task.index];
     auto const current = it.phase == task_phase::placed && it.run == name.run &&
                          it.instance == at.info().id;
@@ -84,7 +88,7 @@
         if (it.phase != task_phase::done)
         {
             report_unexpected_end(at, name, reason, it);
-            unexpected_attempt_ended(*of, name, reason, now);
+            unexpected_attempt_ended(*of, name, reason, was.has_value(), now);
         }
         return;
     }
@@ -147,10 +151,13 @@
 
 /// Applies the end of an attempt that is not the task's current one. The
 /// instance forgets the end once it is acknowledged, so a task that is done
-/// must not start again, and a failure counts.
+/// must not start again. A failure counts if this owner knew the attempt:
+/// otherwise a former owner may have counted it, and the instance repeats an
+/// end that was not acknowledged.
 void scheduler::unexpected_attempt_ended(job& of,
                                          attempt_name const& name,
                                          end_reason reason,
+                                         bool known,
                                          base::instant now)
 {
     auto& in = *of.find(name.task.step);
@@ -160,7 +167,7 @@
     {
         return;
     }
-    if (reason == end_reason::failed)
+    if (reason == end_reason::failed && known)
     {
         ++m_counts.ends_failed;
         count_failure(of, name, in, it, now);
@@ -170,12 +177,15 @@
         ++m_counts.ends_done;
         if (spec.gang)
         {
-            stop_gang(name.task.step, in, now);
+            for (std::uint32_t n = 0; n < in.tasks.size(); ++n)
+            {
+                release_current(of, {name.task.step, n}, now);
+            }
             gang_done(in);
         }
         else
         {
-            stop_current(name.task, it, now);
+            release_current(of, name.task, now);
             in.waiting -= it.phase == task_phase::waiting ? 1 : 0;
             task_done(of, in, it);
         }
@@ -183,6 +193,20 @@
     after_change(of, now);
 }
 
+/// Stops the current attempt of a task that is about to be done, and keeps it
+/// recorded until it has ended.
+void scheduler::release_current(job& of,
+                                workload::task_name const& name,
+                                base::instant now)
+{
+    auto const& it = *find_task(name);
+    if (it.phase == task_phase::placed)
+    {
+        of.add_remaining({name, it.run}, it.instance);
+        stop_current(name, it, now);
+    }
+}
+
 /// Logs what is needed to tell a task that crashes its instances from one that
 /// merely ran there, and either from an order that was never carried out.
 void scheduler::report_lost(instance const& at,
