scenario: Take ports outside the ranges of the soak and the tests

The log of an entry that a scenario run beside it started has that port from 20:08:25.6. The soak and the tests have ranges of their own, because the ports of a killed process are free until it starts again; scenarios drew theirs from 10,000 to 32,000, across both. Now from 10,000 to 19,999.

free_ports/a_run_takes_no_port_of_the_soak_or_the_tests: 111 checks of 201 failed before, none now.

--- a/libraries/scenario/free_ports.cpp
+++ b/libraries/scenario/free_ports.cpp
@@ -16,9 +16,11 @@
 
 /// Below the range that the kernel takes for outgoing connections: a port from
 /// there can be gone again before the process that it is meant for has bound
-/// it, as the many connections of a run come and go.
+/// it, as the many connections of a run come and go. Below the ranges of the
+/// soak and of the tests too, where the ports of a process that a run has
+/// killed are free until it starts it again.
 constexpr int s_first = 10'000;
-constexpr int s_last = 32'000;
+constexpr int s_last = 19'999;
 constexpr int s_most_tries = 2'000;
 
 bool bind_port(int socket, int port)
