--- a/libraries/entry/orders.cpp
+++ b/libraries/entry/orders.cpp
@@ -82,8 +82,6 @@
     return Json::Value{Json::arrayValue};
 }
 
-} // namespace
-
 Json::Value attempts_to_json(std::vector<model::attempt_id> const& it)
 {
     auto out = empty_array();
@@ -106,12 +104,15 @@
     return out;
 }
 
+} // namespace
+
 Json::Value to_json(group_orders const& it)
 {
     Json::Value out{Json::objectValue};
     out["unit"] = it.unit;
     out["shard"] = it.shard;
     out["shard_epoch"] = Json::Int64{it.shard_epoch};
+    out["number"] = Json::Int64{it.number};
     out["holds"] = empty_array();
     for (auto const& order : it.holds)
     {
@@ -138,6 +139,7 @@
     out.unit = it["unit"].asString();
     out.shard = it["shard"].asString();
     out.shard_epoch = it["shard_epoch"].asInt64();
+    out.number = it["number"].asInt64();
     for (auto const& order : it["holds"])
     {
         BOOST_LEAF_AUTO(value, order_from(order));
@@ -241,4 +243,21 @@
     return out;
 }
 
+Json::Value to_json(ends_answer const& it)
+{
+    Json::Value out{Json::objectValue};
+    out["taken"] = attempts_to_json(it.taken);
+    out["orders_sent"] = Json::Int64{it.orders_sent};
+    return out;
+}
+
+base::result<ends_answer> ends_answer_from(Json::Value const& it)
+{
+    BOOST_LEAF_CHECK(expect_object(it));
+    ends_answer out;
+    BOOST_LEAF_ASSIGN(out.taken, attempts_from(it["taken"]));
+    out.orders_sent = it["orders_sent"].asInt64();
+    return out;
+}
+
 } // namespace berylhill::entry
--- a/libraries/entry/orders.hpp
+++ b/libraries/entry/orders.hpp
@@ -40,6 +40,9 @@
     /// epoch below the highest that it has seen of the shard.
     std::string shard;
     std::int64_t shard_epoch{0};
+    /// Rises with each message of this owner of the shard to the rack, from 1
+    /// on. 0 from an owner that does not number its messages.
+    std::int64_t number{0};
     std::vector<placement::hold_order> holds;
     std::vector<model::attempt_id> commits;
     std::vector<model::attempt_id> releases;
@@ -99,6 +102,17 @@
     std::vector<placement::attempt_end> ends;
 };
 
+/// From a shard's owner: the ends of which it has taken note.
+struct ends_answer
+{
+    std::vector<model::attempt_id> taken;
+    /// How many messages with orders this owner had sent to the rack: no later
+    /// one orders any of `taken`.
+    std::int64_t orders_sent{0};
+
+    friend bool operator==(ends_answer const&, ends_answer const&) = default;
+};
+
 [[nodiscard]] Json::Value to_json(group_orders const& it);
 [[nodiscard]] base::result<group_orders>
 group_orders_from(Json::Value const& it);
@@ -114,10 +128,7 @@
 [[nodiscard]] Json::Value to_json(ends_report const& it);
 [[nodiscard]] base::result<ends_report> ends_report_from(Json::Value const& it);
 
-/// The attempts whose ends are in the log.
-[[nodiscard]] Json::Value
-attempts_to_json(std::vector<model::attempt_id> const& it);
-[[nodiscard]] base::result<std::vector<model::attempt_id>>
-attempts_from(Json::Value const& it);
+[[nodiscard]] Json::Value to_json(ends_answer const& it);
+[[nodiscard]] base::result<ends_answer> ends_answer_from(Json::Value const& it);
 
 } // namespace berylhill::entry
--- a/libraries/placement/job_queue_decide.cpp
+++ b/libraries/placement/job_queue_decide.cpp
@@ -51,7 +51,9 @@
         {
             continue;
         }
-        if (index >= 0)
+        // A task that waited out a failure may be done by a late success.
+        if (index >= 0 && job->tasks[static_cast<std::size_t>(index)].phase ==
+                              task_phase::waiting)
         {
             make_waiting(*job, index);
         }
@@ -327,6 +329,7 @@
     it.number += 1;
     it.group = group;
     it.phase = task_phase::ordered;
+    it.unanswered = false;
     it.planned = of_class.need;
     it.expected_run_s = static_cast<float>(of_class.run_s);
     it.urgent = of_class.urgent && account.allows_urgent(it.planned, 1);
