--- a/tests/platform_adapter/instance_calls_test.cpp
+++ b/tests/platform_adapter/instance_calls_test.cpp
@@ -49,8 +49,7 @@
     boost::asio::io_context loop;
     unsigned orders = 0;
     network::http_server server{
-        loop,
-        [&](network::http_request, network::responder const& answer)
+        loop, [&](network::http_request, network::responder const& answer)
         {
             ++orders;
             if (orders == 1)
@@ -68,8 +67,8 @@
             }
         }};
     network::http_client client{loop, {}};
-    network::socket_address const address{"127.0.0.1",
-                                          network_test::server_fixture::free_port()};
+    network::socket_address const address{
+        "127.0.0.1", network_test::server_fixture::free_port()};
     BOOST_REQUIRE(base::capture(
                       [&]() -> base::result<base::done>
                       {
@@ -130,9 +129,10 @@
 {
     boost::asio::io_context loop;
     network::http_server server{
-        loop,
-        [&](network::http_request, network::responder const& answer)
-        { answer({200, {}, sample.body, "application/json"}); }};
+        loop, [&](network::http_request, network::responder const& answer)
+        {
+            answer({200, {}, sample.body, "application/json"});
+        }};
     network::http_client client{loop, {}};
     network::socket_address const address{
         "127.0.0.1", network_test::server_fixture::free_port()};
--- a/tests/scheduler/start_answers_test.cpp
+++ b/tests/scheduler/start_answers_test.cpp
@@ -331,8 +331,8 @@
 }
 
 /// Guards against restarting a task that crashes its instances for ever: the
-/// loss was not counted, since after a rejection the attempt passed for one with
-/// a single order.
+/// loss was not counted, since after a rejection the attempt passed for one
+/// with a single order.
 BOOST_AUTO_TEST_CASE(a_crash_counts_when_an_order_may_have_been_carried_out)
 {
     sent_twice cell;
--- a/tests/scheduler/unexpected_runs_test.cpp
+++ b/tests/scheduler/unexpected_runs_test.cpp
@@ -182,8 +182,7 @@
     queue.max_attempts = 2;
     queue.stretch = 2;
     out.queues = {queue};
-    out.accounts =
-        workload::account_table{{{"small", {}, 0, {1'000, 0, 0}}}};
+    out.accounts = workload::account_table{{{"small", {}, 0, {1'000, 0, 0}}}};
     return out;
 }
 
