--- a/libraries/scheduler/scheduler_orders.cpp
+++ b/libraries/scheduler/scheduler_orders.cpp
@@ -198,7 +198,10 @@
     {
         return;
     }
-    report_sends(base::log_level::info, event_of(answer), *at, name, *it);
+    if (answer != stop_answer::accepted || it->sends.any_under_way())
+    {
+        report_sends(base::log_level::info, event_of(answer), *at, name, *it);
+    }
     if (answer != stop_answer::accepted)
     {
         return;
