scheduler tests: Keep three seeds that broke beyond the usual ones

Found by the random runs with 1,200 seeds of rejections and 1,500 of the other cases on: a task that is started once more than its queue allows, since its failure was read after its instance had counted as lost.

--- a/tests/scheduler/random_test.cpp
+++ b/tests/scheduler/random_test.cpp
@@ -154,6 +154,28 @@
     {"the outcome of unexpected runs is lost", planted::lose_unexpected_ends},
 };
 
+struct seed_case
+{
+    char const* name;
+    std::uint64_t seed;
+    fault_rates rough;
+};
+
+std::ostream& operator<<(std::ostream& to, seed_case const& it)
+{
+    return to << it.name << ", seed " << it.seed;
+}
+
+seed_case const seeds_that_broke[] = {
+    {"a failure read after its instance was lost, rejections", 1'133,
+     rejections_and_late_orders},
+    {"a failure read after its instance was lost, leaving instances",
+     1'196,
+     {.drain = 0.02}},
+    {"a failure read after its instance was lost, late appends", 1'233,
+     late_and_frozen},
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(random_runs)
@@ -220,6 +242,13 @@
     play(first, seeds, rejections_and_late_orders);
 }
 
+/// Guards against the faults that these seeds beyond the usual ones have shown.
+BOOST_DATA_TEST_CASE(seeds_that_broke_hold,
+                     boost::unit_test::data::make(seeds_that_broke))
+{
+    play(sample.seed, 1, sample.rough);
+}
+
 /// With a safeguard removed, the same runs detect the violation that it
 /// prevents.
 BOOST_DATA_TEST_CASE(planted_faults_are_found,
