--- a/tests/scheduler/unexpected_runs_test.cpp
+++ b/tests/scheduler/unexpected_runs_test.cpp
@@ -48,7 +48,7 @@
     it.list("a");
     it.report("a");
     it.decisions.submit(scheduler_fixture::job(1, 1), 0, it.now);
-    auto const start = it.starts().at(0);
+    auto start = it.starts().at(0);
     it.confirm(start);
     it.advance(second);
     it.report("a", {}, {{1, start.attempt, end_reason::failed, {}}});
