--- a/libraries/entry/placed_attempts.hpp
+++ b/libraries/entry/placed_attempts.hpp
@@ -11,8 +11,9 @@
 namespace berylhill::entry
 {
 
-/// The attempts of a shard that may run, where, and since which epoch of the
-/// rack's owner. An end of an attempt that is not here is no news. A value.
+/// The attempts of a shard that may be running, with their rack and the epoch
+/// of the rack's owner that answered for them. The end of an attempt that is
+/// not contained has been processed. A value.
 class placed_attempts
 {
 public:
--- a/libraries/entry/reply.hpp
+++ b/libraries/entry/reply.hpp
@@ -60,11 +60,11 @@
     bool m_given_up{false};
 };
 
-/// When what an actor is asked for takes effect.
+/// When a request to an actor takes effect.
 enum class effect : std::uint8_t
 {
     with_answer,   ///< In the step that sets the answer.
-    before_answer, ///< In an append, say, of which the answer waits to hear.
+    before_answer, ///< For example in an append whose outcome is the answer.
 };
 
 /// The failure of a request to a unit's actor that ended without an answer, as
--- a/libraries/entry/worker_outbox.hpp
+++ b/libraries/entry/worker_outbox.hpp
@@ -47,11 +47,11 @@
     /// The last request was surely not taken.
     void not_taken() noexcept;
 
-    /// No answer came to this request, which was the last.
+    /// The last request, this one, got no answer.
     void unanswered(platform::worker_request const& request);
 
-    /// The worker's process was replaced: what was sent to the former one
-    /// reaches nobody.
+    /// The worker's process was replaced: requests to the former one can no
+    /// longer take effect.
     void process_replaced();
 
     /// Attempts of which a start may still reach the worker.
--- a/libraries/placement/job_queue_decide.cpp
+++ b/libraries/placement/job_queue_decide.cpp
@@ -51,7 +51,7 @@
         {
             continue;
         }
-        // A task that waited out a failure may be done by a late success.
+        // A late success may have ended a task that waited after a failure.
         if (index >= 0 && job->tasks[static_cast<std::size_t>(index)].phase ==
                               task_phase::waiting)
         {
--- a/tests/calls/call_dispatcher_test.cpp
+++ b/tests/calls/call_dispatcher_test.cpp
@@ -215,7 +215,7 @@
 {
     char const* name;
     std::vector<std::pair<char const*, attempt_end>> ends;
-    ran told;
+    ran expected;
 };
 
 std::ostream& operator<<(std::ostream& out, hedged_case const& it)
@@ -263,7 +263,7 @@
     BOOST_REQUIRE(board.expire(at_ms(100)).size() == 1U);
     // So late that no resend follows.
     auto const late = at_ms(999);
-    std::vector<calls::refuse_request> told;
+    std::vector<calls::refuse_request> refusals;
     for (auto const& [attempt, end] : it.ends)
     {
         auto const surely = calls::attempt_rules::surely_not_run(end);
@@ -272,12 +272,12 @@
              surely ? std::optional{s_full} : std::optional<calls::refusal>{}},
             late);
         std::ranges::copy(only<calls::refuse_request>(out),
-                          std::back_inserter(told));
+                          std::back_inserter(refusals));
     }
     std::ranges::copy(only<calls::refuse_request>(board.expire(at_ms(1'000))),
-                      std::back_inserter(told));
-    BOOST_REQUIRE(told.size() == 1U);
-    BOOST_CHECK(told[0].why.execution == it.told);
+                      std::back_inserter(refusals));
+    BOOST_REQUIRE(refusals.size() == 1U);
+    BOOST_CHECK(refusals[0].why.execution == it.expected);
 }
 
 // The owner's process is suspended while it holds the call. The caller gets its
--- a/tests/cell/call_router_test.cpp
+++ b/tests/cell/call_router_test.cpp
@@ -32,7 +32,7 @@
     char const* name;
     unsigned status;
     job_answer_kind answer;
-    job_answer_kind told;
+    job_answer_kind outcome;
 };
 
 std::ostream& operator<<(std::ostream& to, repeat_case const& it)
@@ -143,9 +143,9 @@
         it.spec.id = {1};
         it.spec.queue = "a";
         it.timeout = std::chrono::milliseconds{700};
-        told.reset();
-        router.call(it,
-                    [this](cell::job_answer const& end) { told = end.kind; });
+        outcome.reset();
+        router.call(it, [this](cell::job_answer const& end)
+                    { outcome = end.kind; });
     }
 
     static std::uint16_t free_port()
@@ -163,7 +163,7 @@
     job_answer_kind kind{job_answer_kind::accepted};
     std::size_t calls{0};
     std::vector<network::responder> held;
-    std::optional<job_answer_kind> told;
+    std::optional<job_answer_kind> outcome;
     network::http_server server{loop, [this](auto const& it, auto answer)
                                 {
                                     handle(it, std::move(answer));
@@ -199,7 +199,7 @@
                      cancels)
 {
     call(cell::job_call_kind::status);
-    BOOST_REQUIRE(run_until([&] { return told.has_value(); }));
+    BOOST_REQUIRE(run_until([&] { return outcome.has_value(); }));
     hold = true;
     status = sample.status;
     kind = sample.answer;
@@ -207,9 +207,9 @@
     BOOST_REQUIRE(run_until([&] { return held.size() == 1; }));
     hold = false;
     server.close_connections();
-    BOOST_REQUIRE(run_until([&] { return told.has_value(); }));
+    BOOST_REQUIRE(run_until([&] { return outcome.has_value(); }));
     BOOST_TEST(calls > 2U);
-    BOOST_TEST((*told == sample.told));
+    BOOST_TEST((*outcome == sample.outcome));
 }
 
 /// A submission that was sent once is refused as its owner says.
@@ -217,12 +217,12 @@
 {
     kind = job_answer_kind::refused;
     call(cell::job_call_kind::submit);
-    BOOST_REQUIRE(run_until([&] { return told.has_value(); }));
-    BOOST_TEST((*told == job_answer_kind::refused));
+    BOOST_REQUIRE(run_until([&] { return outcome.has_value(); }));
+    BOOST_TEST((*outcome == job_answer_kind::refused));
     kind = job_answer_kind::over_cap;
     call(cell::job_call_kind::submit);
-    BOOST_REQUIRE(run_until([&] { return told.has_value(); }));
-    BOOST_TEST((*told == job_answer_kind::over_cap));
+    BOOST_REQUIRE(run_until([&] { return outcome.has_value(); }));
+    BOOST_TEST((*outcome == job_answer_kind::over_cap));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
