scheduler: Give unexpected attempts a file of their own

What an owner does with an attempt that it did not expect stands in scheduler_unexpected.cpp, the names of answers and reasons with their types in orders.cpp. Moved, not changed.

--- a/libraries/scheduler/orders.hpp
+++ b/libraries/scheduler/orders.hpp
@@ -106,6 +106,14 @@
     unanswered,
 };
 
+/// The name of the answer for log lines.
+[[nodiscard]] char const* name_of(start_answer it);
+
+/// Whether the answer to an order holds for every earlier one of the same
+/// attempt too, whenever that is carried out. The other rejections may no
+/// longer hold then.
+[[nodiscard]] bool settles_earlier_orders(start_answer it);
+
 /// The answer to one start order. A value.
 struct start_reply
 {
@@ -154,6 +162,9 @@
     instance_silent,
 };
 
+/// The name of the reason for log lines.
+[[nodiscard]] char const* name_of(end_reason it);
+
 /// An attempt that runs on an instance, as reported. A value.
 struct running_attempt_report
 {
--- a/libraries/scheduler/scheduler.hpp
+++ b/libraries/scheduler/scheduler.hpp
@@ -239,19 +239,12 @@
                        step& in,
                        task& it,
                        base::instant now);
-    void unexpected_attempt_ended(job& of,
-                                  attempt_name const& name,
-                                  end_reason reason,
-                                  base::instant now);
     void give_up(job& of,
                  attempt_name const& name,
                  task const& it,
                  base::instant now);
     void task_waits(step& in, task& it);
     void stop_gang(workload::step_name const& of, step& in, base::instant now);
-    void release_current(job& of,
-                         workload::task_name const& name,
-                         base::instant now);
     void stop_current(workload::task_name const& of,
                       task const& it,
                       base::instant now);
@@ -267,20 +260,29 @@
                      attempt_name const& name,
                      attempt const& it,
                      end_reason reason) const;
-    void report_unexpected_end(instance const& at,
-                               attempt_name const& name,
-                               end_reason reason,
-                               task const& it) const;
     void note_health(instance& at, end_reason reason, base::instant now);
     void read_running(instance& at, hold_report const& it);
-    void
-    add_stray(instance& at, attempt_name const& name, hold_report const& from);
     void read_ended(instance& at, hold_report const& it);
     [[nodiscard]] std::uint64_t last_processed_end(instance const& at) const;
     void drop_missing(instance& at, hold_report const& it);
     void note_begun(workload::job_id of);
     [[nodiscard]] std::uint32_t attempts_allowed(job const& of) const;
 
+    // scheduler_unexpected.cpp
+    void
+    add_stray(instance& at, attempt_name const& name, hold_report const& from);
+    void unexpected_attempt_ended(job& of,
+                                  attempt_name const& name,
+                                  end_reason reason,
+                                  base::instant now);
+    void release_current(job& of,
+                         workload::task_name const& name,
+                         base::instant now);
+    void report_unexpected_end(instance const& at,
+                               attempt_name const& name,
+                               end_reason reason,
+                               task const& it) const;
+
     // scheduler_orders.cpp
     void retry(instance& at, base::instant now);
     void send_again(instance& at,
--- a/libraries/scheduler/scheduler_ends.cpp
+++ b/libraries/scheduler/scheduler_ends.cpp
@@ -6,37 +6,6 @@
 namespace berylhill::scheduler
 {
 
-namespace
-{
-
-char const* text_of(end_reason it)
-{
-    switch (it)
-    {
-    case end_reason::done:
-        return "done";
-    case end_reason::failed:
-        return "failed";
-    case end_reason::stopped:
-        return "stopped";
-    case end_reason::lease_lapsed:
-        return "lease_lapsed";
-    case end_reason::gang_member_ended:
-        return "broken";
-    case end_reason::gang_incomplete:
-        return "alone";
-    case end_reason::instance_crashed:
-        return "instance_crashed";
-    case end_reason::instance_left:
-        return "instance_left";
-    case end_reason::instance_silent:
-        return "instance_silent";
-    }
-    return "unknown";
-}
-
-} // namespace
-
 /// Records the run time of one task per step: the others have the same
 /// estimate, and members of a gang end together.
 void scheduler::note_run_time(job const& of,
@@ -100,7 +69,7 @@
                  {{"task", text_of(name.task)},
                   {"run", name.run},
                   {"instance", at.info().id},
-                  {"reason", text_of(reason)}});
+                  {"reason", name_of(reason)}});
     if (was)
     {
         auto const began = was->state == attempt_state::running;
@@ -149,63 +118,6 @@
     after_change(*of, now);
 }
 
-/// Applies the end of an attempt that is not the task's current one. The
-/// instance forgets the end once it is acknowledged, so a task that is done
-/// must not start again, and a failure counts.
-void scheduler::unexpected_attempt_ended(job& of,
-                                         attempt_name const& name,
-                                         end_reason reason,
-                                         base::instant now)
-{
-    auto& in = *of.find(name.task.step);
-    auto& it = in.tasks[name.task.index];
-    auto const& spec = of.spec_of(name.task.step);
-    if (spec.long_running)
-    {
-        return;
-    }
-    auto const counts =
-        spec.gang ? name.run > in.gang_failed_run : it.failure_is_new(name.run);
-    if (reason == end_reason::failed && counts)
-    {
-        ++m_counts.ends_failed;
-        count_failure(of, name, in, it, now);
-    }
-    if (reason == end_reason::done)
-    {
-        ++m_counts.ends_done;
-        if (spec.gang)
-        {
-            for (std::uint32_t n = 0; n < in.tasks.size(); ++n)
-            {
-                release_current(of, {name.task.step, n}, now);
-            }
-            gang_done(in);
-        }
-        else
-        {
-            release_current(of, name.task, now);
-            in.waiting -= it.phase == task_phase::waiting ? 1 : 0;
-            task_done(of, in, it);
-        }
-    }
-    after_change(of, now);
-}
-
-/// Stops the current attempt of a task that is about to be done, and keeps it
-/// recorded until it has ended.
-void scheduler::release_current(job& of,
-                                workload::task_name const& name,
-                                base::instant now)
-{
-    auto const& it = *find_task(name);
-    if (it.phase == task_phase::placed)
-    {
-        of.add_remaining({name, it.run}, it.instance);
-        stop_current(name, it, now);
-    }
-}
-
 /// Logs what is needed to tell a task that crashes its instances from one that
 /// merely ran there, and either from an order that was never carried out.
 void scheduler::report_lost(instance const& at,
@@ -217,28 +129,12 @@
                  {{"task", text_of(name.task)},
                   {"run", name.run},
                   {"instance", at.info().id},
-                  {"reason", text_of(reason)},
+                  {"reason", name_of(reason)},
                   {"began", it.state == attempt_state::running ? 1 : 0},
                   {"worked_s", base::seconds_of(it.seen_work())},
                   {"beside", std::uint64_t{at.attempts().size() - 1}}});
 }
 
-/// Logs the end of an attempt that is not the task's current one.
-void scheduler::report_unexpected_end(instance const& at,
-                                      attempt_name const& name,
-                                      end_reason reason,
-                                      task const& it) const
-{
-    m_log->write(base::log_level::warning, "unexpected_end",
-                 {{"task", text_of(name.task)},
-                  {"run", name.run},
-                  {"instance", at.info().id},
-                  {"reason", text_of(reason)},
-                  {"current_run", it.run},
-                  {"current_instance", it.instance},
-                  {"placed", it.phase == task_phase::placed ? 1 : 0}});
-}
-
 void scheduler::task_done(job&, step& in, task& it)
 {
     it.phase = task_phase::done;
--- a/libraries/scheduler/scheduler_orders.cpp
+++ b/libraries/scheduler/scheduler_orders.cpp
@@ -16,34 +16,6 @@
 /// drops a dead instance within some seconds too.
 constexpr base::duration longest_rest = std::chrono::milliseconds{4'000};
 
-char const* text_of(start_answer it)
-{
-    switch (it)
-    {
-    case start_answer::running:
-        return "running";
-    case start_answer::fenced:
-        return "fenced";
-    case start_answer::outdated:
-        return "outdated";
-    case start_answer::lease_passed:
-        return "lease_passed";
-    case start_answer::no_room:
-        return "no_room";
-    case start_answer::no_ticket:
-        return "no_ticket";
-    case start_answer::turned_away:
-        return "turned_away";
-    case start_answer::other_incarnation:
-        return "other_incarnation";
-    case start_answer::invalid:
-        return "invalid";
-    case start_answer::unanswered:
-        return "unanswered";
-    }
-    return "unknown";
-}
-
 char const* event_of(stop_answer it)
 {
     switch (it)
@@ -149,7 +121,7 @@
                  {{"task", text_of(name.task)},
                   {"run", name.run},
                   {"instance", at.info().id},
-                  {"answer", text_of(reply.answer)},
+                  {"answer", name_of(reply.answer)},
                   {"send", reply.send},
                   {"sent", it.sends.sent()},
                   {"awaited", it.sends.awaited()},
--- a/libraries/scheduler/scheduler_reports.cpp
+++ b/libraries/scheduler/scheduler_reports.cpp
@@ -75,40 +75,6 @@
     }
 }
 
-/// Adds an attempt that was not expected and stops it. Its task is not started
-/// before it has ended, and then with a higher number: an instance rejects runs
-/// that are not higher than one that has ended there.
-void scheduler::add_stray(instance& at,
-                          attempt_name const& name,
-                          hold_report const& from)
-{
-    m_log->write(base::log_level::warning, "stray_attempt",
-                 {{"task", text_of(name.task)},
-                  {"run", name.run},
-                  {"instance", from.instance}});
-    auto* const job = m_jobs.find(name.task.step.job);
-    auto const known_need =
-        job != nullptr && name.task.step.step_index < job->spec().steps.size();
-    auto stray = known_need ? attempt_of(*job, name.task.step) : attempt{};
-    stray.need_known = known_need;
-    stray.state = attempt_state::running;
-    stray.settled_at = from.sent_at;
-    at.assume_lease(from.read_at, m_rules);
-    auto& added = at.add(name, stray);
-    want_stop(at, name, added, from.read_at);
-    auto* const it = find_task(name.task);
-    if (it == nullptr)
-    {
-        return;
-    }
-    if (it->phase == task_phase::waiting)
-    {
-        it->run = std::max(it->run, name.run);
-    }
-    job->add_remaining(name, from.instance);
-    m_jobs.touch(name.task.step.job);
-}
-
 void scheduler::read_ended(instance& at, hold_report const& it)
 {
     for (auto const& row : it.ended)
