scheduler, cell: Log how old the endpoint list's entry is at a start

Entries carry no time. A read shows where the log ended, and what lies beyond that offset was written later; cell::write_times keeps that, and gives each entry the time before which it was certainly not written. task_placed, start_sent_again and the lines of unanswered orders and stops now have entry_age_s, the greatest age that the entry may have, -1 if unknown; start_withheld tells why a decided start is not sent; instance_capacity is also written of an instance that was listed anew.

No decision changes.

--- a/libraries/cell/cell_owner.cpp
+++ b/libraries/cell/cell_owner.cpp
@@ -54,8 +54,9 @@
 {
     m_decisions.set_configuration(configuration);
     m_decisions.restore(records, wall_ms(*parts.clock), parts.clock->now());
-    m_instances.on_change([this](auto const& key, auto const& value)
-                          { instance_changed(key, value); });
+    m_instances.on_change(
+        [this](auto const& key, auto const& value, auto written_after)
+        { instance_changed(key, value, written_after); });
     m_instances.on_caught_up([this] { schedule_round(); });
     m_instances.start();
     every_tick();
@@ -251,7 +252,8 @@
 }
 
 void cell_owner::instance_changed(std::string const& key,
-                                  std::string const& value)
+                                  std::string const& value,
+                                  std::optional<base::instant> written_after)
 {
     auto const now = m_parts.clock->now();
     auto const id = m_parts.reader->instance_id(key);
@@ -268,7 +270,7 @@
                            {{"key", key}, {"error", read.error().message}});
         return;
     }
-    m_decisions.instance_listed(read.value(), now);
+    m_decisions.instance_listed(read.value(), written_after, now);
     m_holds.add(id);
 }
 
--- a/libraries/cell/cell_owner.hpp
+++ b/libraries/cell/cell_owner.hpp
@@ -123,7 +123,9 @@
     void
     hold_answered(std::string const& id, hold_result it, base::instant sent_at);
     [[nodiscard]] order_target target(std::string const& id) const;
-    void instance_changed(std::string const& key, std::string const& value);
+    void instance_changed(std::string const& key,
+                          std::string const& value,
+                          std::optional<base::instant> written_after);
     void every_tick();
     static void answer_accepted(batch_waiters::list const& whom);
     void expire_waiting();
--- a/libraries/cell/log_follower.cpp
+++ b/libraries/cell/log_follower.cpp
@@ -125,6 +125,7 @@
         m_first_page = false;
         m_pages_from = it.log_end;
     }
+    m_write_times.log_ended(it.log_end, m_asked_at);
     auto const last =
         it.entries.empty() ? std::string{} : it.entries.back().key;
     for (auto& entry : it.entries)
@@ -147,7 +148,7 @@
     {
         if (!m_pages.contains(key) && m_on_change)
         {
-            m_on_change(key, {});
+            m_on_change(key, {}, std::nullopt);
         }
     }
     for (auto const& [key, entry] : std::exchange(m_pages, {}))
@@ -218,6 +219,7 @@
             m_next = entry.offset + 1;
         }
     }
+    m_write_times.log_ended(result.log_end, it.as_of);
     auto const behind = m_next < result.log_end;
     auto const generation = *m_generation;
     succeeded();
@@ -343,7 +345,7 @@
     }
     if (m_on_change)
     {
-        m_on_change(it.key, it.value);
+        m_on_change(it.key, it.value, m_write_times.written_after(it.offset));
     }
 }
 
--- a/libraries/cell/log_follower.hpp
+++ b/libraries/cell/log_follower.hpp
@@ -3,6 +3,7 @@
 #include <base/time.hpp>
 #include <cell/keyed_log.hpp>
 #include <cell/reliable_read.hpp>
+#include <cell/write_times.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -11,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -40,9 +42,12 @@
 {
 public:
     /// Called with a key and its new value; the value is empty if the key was
-    /// deleted.
+    /// deleted. The record was not written before `written_after`; empty if it
+    /// may be of any age.
     using change_handler =
-        std::function<void(std::string const& key, std::string const& value)>;
+        std::function<void(std::string const& key,
+                           std::string const& value,
+                           std::optional<base::instant> written_after)>;
     /// Called after each successful read, after its changes.
     using caught_up_handler = std::function<void()>;
     /// Called when a read has reached the end of the log. The reported changes
@@ -157,6 +162,7 @@
     base::instant m_asked_at{};
     base::instant m_last_read{};
     base::instant m_answered_since{};
+    write_times m_write_times;
     /// While all records are read: those seen so far, and the end of the log
     /// when the first page was read.
     std::map<std::string, log_entry> m_pages;
--- a/libraries/cell/node.cpp
+++ b/libraries/cell/node.cpp
@@ -152,7 +152,7 @@
     , m_lag{m_loop, m_clock}
     , m_copy_budget{budget_of_copies(m_settings.limits.link_mbps)}
 {
-    m_operators.on_change([this](auto const& key, auto const& value)
+    m_operators.on_change([this](auto const& key, auto const& value, auto)
                           { configuration_changed(key, value, "store"); });
     m_operators.on_end_reached([this](base::instant as_of)
                                { m_propagation.on_store_read(as_of); });
--- a/libraries/cell/ownership.cpp
+++ b/libraries/cell/ownership.cpp
@@ -41,7 +41,7 @@
     , m_timer{loop}
 {
     m_follower.on_change(
-        [this](auto const& key, auto const& value)
+        [this](auto const& key, auto const& value, auto)
         {
             m_replica.set(key, value);
             if (key == owner_key && !value.empty())
--- a/libraries/scheduler/instance.cpp
+++ b/libraries/scheduler/instance.cpp
@@ -33,7 +33,9 @@
     m_info.id = std::move(id);
 }
 
-void instance::list(instance_info it, base::instant now)
+void instance::list(instance_info it,
+                    std::optional<base::instant> written_after,
+                    base::instant now)
 {
     m_shrunk =
         m_listed && (m_shrunk || !workload::fits(m_info.capacity, it.capacity));
@@ -46,6 +48,13 @@
     m_rack = m_info.labels.size() > rack_label ? m_info.labels[rack_label]
                                                : std::string{};
     m_listed = true;
+    m_written_after = written_after;
+}
+
+std::optional<base::duration> instance::entry_age(base::instant now) const
+{
+    return m_written_after ? std::optional{now - *m_written_after}
+                           : std::nullopt;
 }
 
 void instance::heard(base::instant at, std::int64_t clock_ms)
@@ -165,4 +174,10 @@
     return std::ranges::find(m_info.labels, label) != m_info.labels.end();
 }
 
+double logged_age(instance const& it, base::instant now)
+{
+    auto const age = it.entry_age(now);
+    return age ? base::seconds_of(*age) : -1;
+}
+
 } // namespace berylhill::scheduler
--- a/libraries/scheduler/instance.hpp
+++ b/libraries/scheduler/instance.hpp
@@ -123,8 +123,15 @@
         return m_listed;
     }
 
-    /// Updates the instance from an entry of the platform's endpoint list.
-    void list(instance_info it, base::instant now);
+    /// Updates the instance from an entry of the platform's endpoint list that
+    /// was not written before `written_after`; empty if it may be of any age.
+    void list(instance_info it,
+              std::optional<base::instant> written_after,
+              base::instant now);
+
+    /// How long ago the entry may have been written; empty if that is unknown.
+    [[nodiscard]] std::optional<base::duration>
+    entry_age(base::instant now) const;
 
     /// The earliest time at which a draining instance leaves; empty if it does
     /// not drain.
@@ -264,6 +271,7 @@
     attempt_count* m_counts;
     std::string m_rack;
     std::optional<base::instant> m_leaves_at;
+    std::optional<base::instant> m_written_after;
     bool m_shrunk{false};
     bool m_listed{false};
     bool m_fenced{false};
@@ -280,4 +288,8 @@
     base::instant m_paused_until{};
 };
 
+/// The age of the instance's entry in seconds for log lines; negative if it is
+/// unknown.
+[[nodiscard]] double logged_age(instance const& it, base::instant now);
+
 } // namespace berylhill::scheduler
--- a/libraries/scheduler/instance_table.cpp
+++ b/libraries/scheduler/instance_table.cpp
@@ -6,10 +6,12 @@
 namespace berylhill::scheduler
 {
 
-void instance_table::list(instance_info it, base::instant now)
+void instance_table::list(instance_info it,
+                          std::optional<base::instant> written_after,
+                          base::instant now)
 {
     auto& known = get(it.id);
-    known.list(std::move(it), now);
+    known.list(std::move(it), written_after, now);
 }
 
 void instance_table::unlist(std::string const& id)
--- a/libraries/scheduler/instance_table.hpp
+++ b/libraries/scheduler/instance_table.hpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -46,7 +47,9 @@
     }
 
     /// Adds or updates an instance from the platform's endpoint list.
-    void list(instance_info it, base::instant now);
+    void list(instance_info it,
+              std::optional<base::instant> written_after,
+              base::instant now);
 
     /// The platform's endpoint list no longer contains the instance.
     void unlist(std::string const& id);
--- a/libraries/scheduler/scheduler.cpp
+++ b/libraries/scheduler/scheduler.cpp
@@ -190,7 +190,9 @@
     return m_jobs.pending(queue);
 }
 
-void scheduler::instance_listed(instance_info it, base::instant now)
+void scheduler::instance_listed(instance_info it,
+                                std::optional<base::instant> written_after,
+                                base::instant now)
 {
     auto const* const known = m_instances.find(it.id);
     auto const fresh = known == nullptr || !known->listed();
@@ -202,7 +204,9 @@
                       {"zone", it.zone},
                       {"draining", it.draining ? 1 : 0}});
     }
-    else if (known->info().capacity != it.capacity)
+    // The capacity is zero until the instance is listed for the first time.
+    if (known != nullptr && known->info().capacity != workload::resources{} &&
+        known->info().capacity != it.capacity)
     {
         auto const& before = known->info().capacity;
         m_log->write(base::log_level::info, "instance_capacity",
@@ -216,7 +220,7 @@
     }
     // Two incarnations may be listed at one address in any order, the former
     // one for some more seconds. Only an answer shows which of them is alive.
-    m_instances.list(std::move(it), now);
+    m_instances.list(std::move(it), written_after, now);
 }
 
 void scheduler::instance_unlisted(std::string const& id, base::instant now)
--- a/libraries/scheduler/scheduler.hpp
+++ b/libraries/scheduler/scheduler.hpp
@@ -80,7 +80,11 @@
 
     // Events of instances and of the advice service.
 
-    void instance_listed(instance_info it, base::instant now);
+    /// The instance's entry in the platform's endpoint list was not written
+    /// before `written_after`; empty if it may be of any age.
+    void instance_listed(instance_info it,
+                         std::optional<base::instant> written_after,
+                         base::instant now);
     void instance_unlisted(std::string const& id, base::instant now);
     /// Another incarnation answers at the instance's address, so none of its
     /// attempts is running.
@@ -297,10 +301,15 @@
                       char const* event,
                       instance const& at,
                       attempt_name const& name,
-                      attempt const& it) const;
+                      attempt const& it,
+                      base::instant now) const;
     void release_start(start_order it, base::instant now);
     [[nodiscard]] bool may_start(instance const& at,
                                  attempt_name const& name) const;
+    void report_withheld(instance const& at,
+                         attempt_name const& name,
+                         attempt const& it,
+                         base::instant now) const;
     void open_due_occurrences(std::int64_t wall_ms, base::instant now);
 
     // scheduler_leave.cpp
--- a/libraries/scheduler/scheduler_decide.cpp
+++ b/libraries/scheduler/scheduler_decide.cpp
@@ -391,6 +391,7 @@
                  {{"task", text_of(name)},
                   {"run", run},
                   {"instance", on},
+                  {"entry_age_s", logged_age(where, now)},
                   {"waited_s", base::seconds_of(now - of.accepted_at)}});
 }
 
--- a/libraries/scheduler/scheduler_orders.cpp
+++ b/libraries/scheduler/scheduler_orders.cpp
@@ -52,7 +52,8 @@
     if (reply.answer == start_answer::unanswered)
     {
         it->sends.timed_out(reply.send);
-        report_sends(base::log_level::info, "start_unanswered", *at, name, *it);
+        report_sends(base::log_level::info, "start_unanswered", *at, name, *it,
+                     now);
         return;
     }
     it->sends.answered(reply.send);
@@ -147,7 +148,8 @@
                              char const* event,
                              instance const& at,
                              attempt_name const& name,
-                             attempt const& it) const
+                             attempt const& it,
+                             base::instant now) const
 {
     m_log->write(level, event,
                  {{"task", text_of(name.task)},
@@ -156,7 +158,8 @@
                   {"sent", it.sends.sent()},
                   {"awaited", it.sends.awaited()},
                   {"unanswered", it.sends.unanswered()},
-                  {"stop_wanted", it.stop_wanted ? 1 : 0}});
+                  {"stop_wanted", it.stop_wanted ? 1 : 0},
+                  {"entry_age_s", logged_age(at, now)}});
 }
 
 void scheduler::stop_answered(std::string const& id,
@@ -172,7 +175,8 @@
     }
     if (answer != stop_answer::accepted || it->sends.any_under_way())
     {
-        report_sends(base::log_level::info, event_of(answer), *at, name, *it);
+        report_sends(base::log_level::info, event_of(answer), *at, name, *it,
+                     now);
     }
     if (answer != stop_answer::accepted)
     {
@@ -229,6 +233,24 @@
            m_instances.attempts().of(name.task) == 1;
 }
 
+/// Logs why a start that was decided is not sent.
+void scheduler::report_withheld(instance const& at,
+                                attempt_name const& name,
+                                attempt const& it,
+                                base::instant now) const
+{
+    m_log->write(base::log_level::info, "start_withheld",
+                 {{"task", text_of(name.task)},
+                  {"run", name.run},
+                  {"instance", at.info().id},
+                  {"stop_wanted", it.stop_wanted ? 1 : 0},
+                  {"listed", at.listed() ? 1 : 0},
+                  {"draining", at.info().draining ? 1 : 0},
+                  {"over_capacity", at.over_capacity() ? 1 : 0},
+                  {"attempts", m_instances.attempts().of(name.task)},
+                  {"entry_age_s", logged_age(at, now)}});
+}
+
 void scheduler::release_start(start_order it, base::instant now)
 {
     auto* const at = m_instances.find(it.instance);
@@ -243,6 +265,7 @@
         // began to leave or lost capacity, or another attempt was found, while
         // the record was being stored, which takes seconds while the store is
         // unavailable. Nothing has to be stopped.
+        report_withheld(*at, it.attempt, *found, now);
         attempt_ended(*at, it.attempt, end_reason::stopped, {}, now);
         return;
     }
@@ -323,7 +346,7 @@
     m_orders.emplace_back(start_order{at.info().id, name, spec.payload,
                                       it.checkpoint, it.ticket,
                                       at.grant(now, m_rules), it.sends.add()});
-    report_sends(base::log_level::info, "start_sent_again", at, name, it);
+    report_sends(base::log_level::info, "start_sent_again", at, name, it, now);
 }
 
 void scheduler::open_due_occurrences(std::int64_t wall_ms, base::instant now)
--- a/libraries/scheduler/scheduler_reports.cpp
+++ b/libraries/scheduler/scheduler_reports.cpp
@@ -53,7 +53,7 @@
             if (known->sends.sent() > 0)
             {
                 report_sends(base::log_level::info, "attempt_found", at,
-                             row.attempt, *known);
+                             row.attempt, *known, it.read_at);
             }
             known->state = attempt_state::running;
             known->began_at = it.read_at;
--- a/tests/cell/log_follower_test.cpp
+++ b/tests/cell/log_follower_test.cpp
@@ -19,7 +19,7 @@
     fixture()
     {
         follower.on_change(
-            [this](std::string const& key, std::string const& value)
+            [this](std::string const& key, std::string const& value, auto)
             {
                 if (value.empty())
                 {
--- a/tests/scheduler/capacity_test.cpp
+++ b/tests/scheduler/capacity_test.cpp
@@ -44,7 +44,7 @@
     info.address = "a";
     info.capacity = capacity;
     info.labels = {"kind", "rack"};
-    it.decisions.instance_listed(info, it.now);
+    it.decisions.instance_listed(info, it.now, it.now);
 }
 
 } // namespace
--- a/tests/scheduler/instance_table_test.cpp
+++ b/tests/scheduler/instance_table_test.cpp
@@ -22,7 +22,7 @@
             scheduler::instance_info info;
             info.id = "i-" + std::to_string(n);
             info.capacity.cpu_millis = static_cast<std::int64_t>(n % 7);
-            book.list(info, {});
+            book.list(info, base::instant{}, {});
         }
     }
 
--- a/tests/scheduler/scheduler_fixture.hpp
+++ b/tests/scheduler/scheduler_fixture.hpp
@@ -73,7 +73,7 @@
         info.address = address.empty() ? id : address;
         info.capacity = {4'000, 4'000, 0};
         info.labels = {"kind", "rack"};
-        decisions.instance_listed(info, now);
+        decisions.instance_listed(info, now, now);
     }
 
     /// Delivers a report that was requested now.
--- a/tests/scheduler/world_failures.cpp
+++ b/tests/scheduler/world_failures.cpp
@@ -47,7 +47,7 @@
         }
         if (listed)
         {
-            each->decisions->instance_listed(info_of(it), m_now);
+            each->decisions->instance_listed(info_of(it), m_now, m_now);
         }
         else
         {
--- a/tests/scheduler/world_owner.cpp
+++ b/tests/scheduler/world_owner.cpp
@@ -49,7 +49,7 @@
     for (auto const& id : m_listed)
     {
         auto const& it = *m_instances.at(id);
-        made->decisions->instance_listed(info_of(it), m_now);
+        made->decisions->instance_listed(info_of(it), m_now, m_now);
     }
     every_tick(made);
 }
--- a/utilities/cell_replay/replay.cpp
+++ b/utilities/cell_replay/replay.cpp
@@ -141,7 +141,7 @@
     info.labels = {"kind", "rack-" + std::to_string(number / m_load.rack)};
     m_instances[info.id] = std::make_unique<replayed_instance>(
         info.id, m_load.speeds[number % m_load.speeds.size()]);
-    m_decisions.instance_listed(info, m_time.now());
+    m_decisions.instance_listed(info, m_time.now(), m_time.now());
     hold(info.id);
 }
 
@@ -153,7 +153,7 @@
     auto info = m_decisions.instances().all().at(id)->info();
     info.draining = true;
     info.min_stay = notice;
-    m_decisions.instance_listed(info, m_time.now());
+    m_decisions.instance_listed(info, m_time.now(), m_time.now());
     m_time.after(notice,
                  [this, id, number]
                  {
