scheduler tests: Show starts by outdated entries of the endpoint list

Until now the random runs told owners of each entry at once, also while their store was unavailable.

--- a/tests/scheduler/random_test.cpp
+++ b/tests/scheduler/random_test.cpp
@@ -40,6 +40,7 @@
 constexpr std::uint64_t usual_capped_seeds = 100;
 constexpr std::uint64_t usual_crash_seeds = 50;
 constexpr std::uint64_t usual_rejection_seeds = 50;
+constexpr std::uint64_t usual_outage_seeds = 50;
 
 fault_rates const late_and_frozen{.drain = 0.01,
                                   .freeze = 0.7,
@@ -68,6 +69,12 @@
                                              .late_spell = 0.1,
                                              .late_hold = 0.01};
 
+fault_rates const outages_and_resizes{.drain = 0.01,
+                                      .freeze = 0.7,
+                                      .late_append = 0.05,
+                                      .resize = 0.05,
+                                      .outage = 0.02};
+
 fault_rates rough_for(planted fault)
 {
     switch (fault)
@@ -80,6 +87,9 @@
     case planted::give_up_at_once:
     case planted::trust_old_capacity:
         return crashing_tasks;
+    case planted::trust_read_entries:
+    case planted::trust_old_entries:
+        return outages_and_resizes;
     case planted::reject_all_sends:
     case planted::believe_timeouts:
     case planted::believe_sent_stops:
@@ -146,6 +156,9 @@
     {"a task is given up after the first instance lost",
      planted::give_up_at_once},
     {"changes of capacity are ignored", planted::trust_old_capacity},
+    {"entries count as written when they are read",
+     planted::trust_read_entries},
+    {"entries are valid however old they are", planted::trust_old_entries},
     {"a rejection counts for all awaited orders", planted::reject_all_sends},
     {"an order without an answer counts as rejected",
      planted::believe_timeouts},
@@ -242,6 +255,15 @@
     play(first, seeds, rejections_and_late_orders);
 }
 
+/// Guards against overcommitting instances that shrink while the store is
+/// unavailable, before and after a change of owner.
+BOOST_AUTO_TEST_CASE(nothing_breaks_when_instances_shrink_during_outages)
+{
+    auto const first = number_from("BERYLHILL_FIRST_SEED", 1);
+    auto const seeds = number_from("BERYLHILL_SEEDS", usual_outage_seeds);
+    play(first, seeds, outages_and_resizes);
+}
+
 /// Guards against the faults that these seeds beyond the usual ones have shown.
 BOOST_DATA_TEST_CASE(seeds_that_broke_hold,
                      boost::unit_test::data::make(seeds_that_broke))
--- a/tests/scheduler/scheduler_fixture.hpp
+++ b/tests/scheduler/scheduler_fixture.hpp
@@ -20,12 +20,13 @@
 {
 public:
     explicit scheduler_fixture(
-        std::map<std::string, std::string> const& stored = {})
+        std::map<std::string, std::string> const& stored = {},
+        scheduler::policy const& rules = scheduler_fixture::rules())
         : m_log{[]
                 {
                     return 0.0;
                 }}
-        , decisions{rules(), m_log, now}
+        , decisions{rules, m_log, now}
     {
         workload::cell_configuration configuration;
         workload::queue_spec queue;
--- a/tests/scheduler/world.cpp
+++ b/tests/scheduler/world.cpp
@@ -54,6 +54,7 @@
     , m_reject_random{seed}
     , m_spell_random{seed}
     , m_hold_random{seed}
+    , m_beat_random{seed}
     , m_rough{rough}
     , m_fault{fault}
     , m_configuration{configuration()}
@@ -190,6 +191,10 @@
             after(std::chrono::milliseconds{between(300, 4'000)},
                   [this] { m_store_up = true; });
         }
+        if (m_store_up && chance(m_beat_random, m_rough.outage))
+        {
+            begin_store_outage();
+        }
         if (chance(m_reject_random, m_rough.reject))
         {
             begin_rejections();
--- a/tests/scheduler/world.hpp
+++ b/tests/scheduler/world.hpp
@@ -3,6 +3,7 @@
 #include "trace_log.hpp"
 
 #include <cell/batch_waiters.hpp>
+#include <cell/write_times.hpp>
 #include <scheduler/scheduler.hpp>
 
 #include <cstdint>
@@ -50,6 +51,10 @@
     believe_timeouts,
     /// An attempt counts as stopped when the stop is sent.
     believe_sent_stops,
+    /// An entry of the endpoint list counts as written when it is read.
+    trust_read_entries,
+    /// An entry of the endpoint list is valid however old it is.
+    trust_old_entries,
     /// The ends of runs that the owner does not expect are acknowledged and
     /// their outcome is lost.
     lose_unexpected_ends,
@@ -98,6 +103,10 @@
     double late_spell{0};
     /// Hold requests without an answer that are carried out up to 12 s later.
     double late_hold{0};
+    /// The store becomes unavailable for seconds while instances shrink. With
+    /// this, owners read the endpoint list from the store, where instances
+    /// write with each heartbeat.
+    double outage{0};
 };
 
 /// Simulates a cell on a virtual clock: instances that behave as the platform's
@@ -157,6 +166,14 @@
         std::uint64_t lapses{0};
     };
 
+    /// A record of the endpoint list's log.
+    struct list_record
+    {
+        std::string id;
+        bool listed{false};
+        scheduler::instance_info info;
+    };
+
     /// One incarnation of an instance.
     struct fake_instance
     {
@@ -170,6 +187,8 @@
         /// When it announced that it leaves, and the earliest time at which it
         /// does.
         std::optional<base::instant> drains_since;
+        /// When the store accepted that announcement.
+        std::optional<base::instant> drain_stored_at;
         base::instant leaves_at{};
         std::uint64_t token{0};
         double clock_rate{1};
@@ -193,6 +212,9 @@
         std::unique_ptr<scheduler::scheduler> decisions;
         bool alive{true};
         bool appending{false};
+        /// The first record of the endpoint list's log that it has not read.
+        std::size_t next_entry{0};
+        cell::write_times entry_times;
         std::map<std::string, base::instant> hold_after;
         base::instant frozen_until{};
         /// Since when its batch has been waiting for the store.
@@ -221,6 +243,17 @@
     void drain(fake_instance& it);
     void cut(fake_instance& it);
 
+    // world_beats.cpp
+    [[nodiscard]] bool beats() const noexcept
+    {
+        return m_rough.outage > 0;
+    }
+    void write_entry(fake_instance& it, bool listed);
+    void announce_to_store(std::string const& id, bool listed);
+    void beat_on(std::string const& id);
+    void begin_store_outage();
+    void read_entries(owner_pointer const& it);
+
     // world_crashes.cpp
     void note_crash(std::vector<scheduler::attempt_name> const& lost);
     void crash_soon(fake_instance& at, scheduler::attempt_name const& by);
@@ -328,6 +361,7 @@
     std::mt19937_64 m_reject_random;
     std::mt19937_64 m_spell_random;
     std::mt19937_64 m_hold_random;
+    std::mt19937_64 m_beat_random;
     fault_rates m_rough;
     planted m_fault;
     scheduler::policy m_rules;
@@ -339,6 +373,7 @@
         m_events;
     std::map<std::string, std::unique_ptr<fake_instance>> m_instances;
     std::set<std::string> m_listed;
+    std::vector<list_record> m_entries;
     /// The cell's log: the newest record of each key, and the writer of each
     /// offset.
     std::map<std::string, std::string> m_newest;
--- a/tests/scheduler/world_crashes.cpp
+++ b/tests/scheduler/world_crashes.cpp
@@ -67,7 +67,8 @@
     }
     it.larger.emplace_back(m_now + shrunk_slack, it.capacity);
     it.capacity = to;
-    if (m_fault == planted::trust_old_capacity || !m_listed.contains(it.id))
+    if (beats() || m_fault == planted::trust_old_capacity ||
+        !m_listed.contains(it.id))
     {
         return;
     }
--- a/tests/scheduler/world_failures.cpp
+++ b/tests/scheduler/world_failures.cpp
@@ -26,11 +26,21 @@
     made->born = m_now;
     auto const& it = *made;
     m_instances.emplace(made->id, std::move(made));
+    if (beats())
+    {
+        beat_on(it.id);
+        return;
+    }
     announce(it, true);
 }
 
 void world::announce(fake_instance const& it, bool listed)
 {
+    if (beats())
+    {
+        announce_to_store(it.id, listed);
+        return;
+    }
     if (listed)
     {
         m_listed.insert(it.id);
@@ -82,6 +92,10 @@
             std::uniform_int_distribution<std::int64_t>{a, b}(m_drain_random)};
     };
     it.drains_since = m_now;
+    if (!beats())
+    {
+        it.drain_stored_at = m_now;
+    }
     it.leaves_at = m_now + between_ms(1'500, 6'000);
     announce(it, true);
     after(it.leaves_at - m_now + between_ms(0, 3'000),
--- a/tests/scheduler/world_orders.cpp
+++ b/tests/scheduler/world_orders.cpp
@@ -25,10 +25,10 @@
     // the instance rejects.
     constexpr base::duration storing = std::chrono::seconds{2};
     auto const& target = *m_instances.at(it.instance);
-    auto const stood_still = by != m_owner && target.drains_since &&
-                             by->frozen_until > *target.drains_since;
-    if (by->alive && !stood_still && target.drains_since &&
-        m_now - *target.drains_since > storing && m_store_up)
+    auto const stood_still = by != m_owner && target.drain_stored_at &&
+                             by->frozen_until > *target.drain_stored_at;
+    if (by->alive && !stood_still && target.drain_stored_at &&
+        m_now - *target.drain_stored_at > storing && m_store_up)
     {
         broken("start of " + text_of(it.attempt.task) + " sent to " +
                it.instance + ", which is leaving, by the owner with token " +
--- a/tests/scheduler/world_owner.cpp
+++ b/tests/scheduler/world_owner.cpp
@@ -46,6 +46,12 @@
     }
     m_owner = made;
     m_owners.push_back(made);
+    if (beats())
+    {
+        read_entries(made);
+        every_tick(made);
+        return;
+    }
     for (auto const& id : m_listed)
     {
         auto const& it = *m_instances.at(id);
