scheduler: Start nothing by an entry that may be older than a change

Cause: what an entry of the endpoint list says was believed without an age. A start left by the list of before the silence, by entries that were read first after it and written before it, and an order without an answer was sent again to an instance that was not listed; one that came back to the list with less capacity did not count as shrunk.

An instance now gets starts, and orders again, only while its entry was written at most max_entry_age ago: the time for which a change may be unknown (bounds/contact_ms and one heartbeat, from the platform's settings) less 0.5 s for the heartbeat's way to the store and the order's way to the instance. The age counts from the read before the one that returned the entry, so reading a list anew does not make it young. It is looked at when a start is decided, when its record is stored and when it is sent again.

--- a/libraries/cell/node.cpp
+++ b/libraries/cell/node.cpp
@@ -32,6 +32,10 @@
 /// A lease is this much shorter than the longest one that instances grant.
 constexpr base::duration lease_margin = std::chrono::milliseconds{500};
 
+/// From a heartbeat until the store has its entry, and from a decision until
+/// its order arrives.
+constexpr base::duration entry_margin = std::chrono::milliseconds{500};
+
 /// A new configuration must be in force within seconds, even if a connection to
 /// the store goes silent.
 constexpr follow_options operators_follow_options{
@@ -206,6 +210,10 @@
     auto const longest =
         std::chrono::milliseconds{m_settings.bounds.longest_lease_ms};
     out.lease = std::min<base::duration>(out.lease, longest - lease_margin);
+    out.max_entry_age =
+        std::chrono::milliseconds{m_settings.bounds.contact_ms +
+                                  m_settings.bounds.heartbeat_ms} -
+        entry_margin;
     out.status_kept = base::from_seconds(m_settings.bounds.status_kept_s) +
                       std::chrono::seconds{5};
     return out;
--- a/libraries/cell/node_answers.cpp
+++ b/libraries/cell/node_answers.cpp
@@ -262,6 +262,8 @@
     if (m_owner)
     {
         now.decisions = &m_owner->decisions();
+        now.outdated_instances =
+            now.decisions->outdated_instances(m_clock.now());
         now.store_stuck = m_owner->store_stuck();
     }
     answer({status_ok, {}, m_metrics.text(now), "text/plain; version=0.0.4"});
--- a/libraries/cell/node_metrics.cpp
+++ b/libraries/cell/node_metrics.cpp
@@ -86,6 +86,9 @@
     {
         m_metrics.gauge(name, help).set(value);
     };
+    set("berylhill_cell_instances_outdated",
+        "Listed instances that get no start until their entry is renewed.",
+        static_cast<double>(it.outdated_instances));
     set("berylhill_cell_owns", "1 while this process owns the work.",
         it.owns ? 1 : 0);
     set("berylhill_cell_ready", "1 while it reports itself ready.",
--- a/libraries/cell/node_metrics.hpp
+++ b/libraries/cell/node_metrics.hpp
@@ -39,6 +39,8 @@
         std::uint64_t order_connections_opened{0};
         /// Null while this process does not own.
         scheduler::scheduler const* decisions{nullptr};
+        /// See `scheduler::outdated_instances`.
+        std::size_t outdated_instances{0};
         base::duration store_stuck{0};
     };
 
--- a/libraries/scheduler/instance.cpp
+++ b/libraries/scheduler/instance.cpp
@@ -37,8 +37,9 @@
                     std::optional<base::instant> written_after,
                     base::instant now)
 {
-    m_shrunk =
-        m_listed && (m_shrunk || !workload::fits(m_info.capacity, it.capacity));
+    // Also of an instance that was removed from the list meanwhile. Before it
+    // is listed for the first time its capacity is zero.
+    m_shrunk = m_shrunk || !workload::fits(m_info.capacity, it.capacity);
     m_info = std::move(it);
     m_leaves_at.reset();
     if (m_info.draining && m_info.min_stay)
@@ -57,6 +58,12 @@
                            : std::nullopt;
 }
 
+bool instance::entry_valid(base::instant now, policy const& rules) const
+{
+    auto const age = entry_age(now);
+    return m_listed && age && *age <= rules.max_entry_age;
+}
+
 void instance::heard(base::instant at, std::int64_t clock_ms)
 {
     if (m_clock_read_at && clock_ms < m_clock_ms)
--- a/libraries/scheduler/instance.hpp
+++ b/libraries/scheduler/instance.hpp
@@ -184,10 +184,16 @@
         return m_lease_end;
     }
 
-    [[nodiscard]] bool usable(base::instant now) const noexcept
+    /// Whether the instance is listed and its entry is recent enough to start
+    /// tasks by.
+    [[nodiscard]] bool entry_valid(base::instant now,
+                                   policy const& rules) const;
+
+    [[nodiscard]] bool usable(base::instant now, policy const& rules) const
     {
-        return m_listed && m_fenced && m_reachable && !m_info.draining &&
-               m_unknown_needs == 0 && now >= m_paused_until;
+        return entry_valid(now, rules) && m_fenced && m_reachable &&
+               !m_info.draining && m_unknown_needs == 0 &&
+               now >= m_paused_until;
     }
 
     void pause(base::instant until)
--- a/libraries/scheduler/policy.hpp
+++ b/libraries/scheduler/policy.hpp
@@ -59,6 +59,10 @@
     base::duration harmless_work{std::chrono::seconds{5}};
     /// How long no task is placed on an instance after it rejected a start.
     base::duration turned_away_pause{std::chrono::milliseconds{500}};
+    /// No start is sent to an instance whose entry in the endpoint list may be
+    /// older than this: the instance may have lost capacity since. Instances
+    /// write their entries with each heartbeat.
+    base::duration max_entry_age{std::chrono::milliseconds{4'000}};
     /// A gang whose latest start is nearer than this preempts attempts that
     /// have time left and resume from a checkpoint; a stop takes up to 1 s.
     base::duration preempt_before{std::chrono::milliseconds{2'500}};
--- a/libraries/scheduler/scheduler.cpp
+++ b/libraries/scheduler/scheduler.cpp
@@ -259,6 +259,15 @@
     }
 }
 
+std::size_t scheduler::outdated_instances(base::instant now) const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        m_instances.all(),
+        [&](auto const& it) {
+            return it.second->listed() && !it.second->entry_valid(now, m_rules);
+        }));
+}
+
 std::vector<order> scheduler::take_orders()
 {
     return std::exchange(m_orders, {});
--- a/libraries/scheduler/scheduler.hpp
+++ b/libraries/scheduler/scheduler.hpp
@@ -153,6 +153,10 @@
         return m_counts;
     }
 
+    /// Number of listed instances that get no start because their entry in the
+    /// endpoint list may be too old.
+    [[nodiscard]] std::size_t outdated_instances(base::instant now) const;
+
     [[nodiscard]] instance_table const& instances() const noexcept
     {
         return m_instances;
@@ -305,7 +309,8 @@
                       base::instant now) const;
     void release_start(start_order it, base::instant now);
     [[nodiscard]] bool may_start(instance const& at,
-                                 attempt_name const& name) const;
+                                 attempt_name const& name,
+                                 base::instant now) const;
     void report_withheld(instance const& at,
                          attempt_name const& name,
                          attempt const& it,
--- a/libraries/scheduler/scheduler_decide.cpp
+++ b/libraries/scheduler/scheduler_decide.cpp
@@ -182,7 +182,7 @@
                          workload::queue_spec const& queue,
                          base::instant now) const
 {
-    return it.usable(now) && it.info().service == queue.service &&
+    return it.usable(now, m_rules) && it.info().service == queue.service &&
            (spec.required_label.empty() || it.has_label(spec.required_label)) &&
            workload::fits(spec.reserved_need(), it.info().capacity);
 }
--- a/libraries/scheduler/scheduler_orders.cpp
+++ b/libraries/scheduler/scheduler_orders.cpp
@@ -227,10 +227,12 @@
 }
 
 /// Whether a start that was decided may still be sent.
-bool scheduler::may_start(instance const& at, attempt_name const& name) const
+bool scheduler::may_start(instance const& at,
+                          attempt_name const& name,
+                          base::instant now) const
 {
-    return !at.info().draining && !at.over_capacity() &&
-           m_instances.attempts().of(name.task) == 1;
+    return at.entry_valid(now, m_rules) && !at.info().draining &&
+           !at.over_capacity() && m_instances.attempts().of(name.task) == 1;
 }
 
 /// Logs why a start that was decided is not sent.
@@ -259,12 +261,12 @@
     {
         return;
     }
-    if (found->stop_wanted || !at->listed() || !may_start(*at, it.attempt))
+    if (found->stop_wanted || !may_start(*at, it.attempt, now))
     {
         // The attempt was cancelled before its order was sent, or the instance
-        // began to leave or lost capacity, or another attempt was found, while
-        // the record was being stored, which takes seconds while the store is
-        // unavailable. Nothing has to be stopped.
+        // began to leave, lost capacity or may have lost some, or another
+        // attempt was found, while the record was being stored, which takes
+        // seconds while the store is unavailable. Nothing has to be stopped.
         report_withheld(*at, it.attempt, *found, now);
         attempt_ended(*at, it.attempt, end_reason::stopped, {}, now);
         return;
@@ -330,10 +332,11 @@
         // As with hold requests, an order would grant a lease.
         return;
     }
-    if (!may_start(at, name))
+    if (!may_start(at, name, now))
     {
         // An order that has not been carried out must not be carried out any
-        // more.
+        // more. Waiting for a newer entry instead could take forever: an
+        // instance that loses its way to the store stays reachable.
         want_stop(at, name, it, now);
         return;
     }
--- a/libraries/settings/cell_schema.cpp
+++ b/libraries/settings/cell_schema.cpp
@@ -91,6 +91,13 @@
     it->add({"status_kept_s", "s",
              "How long the state of a finished job can be asked for."},
             &section::status_kept_s, number(1, day_s));
+    it->add({"heartbeat_ms", "ms",
+             "How often an instance writes its entry in the endpoint list."},
+            &section::heartbeat_ms, integer(100, 600'000));
+    it->add({"contact_ms", "ms",
+             "For how long, beyond a heartbeat, a change of an instance may be "
+             "unknown to this process."},
+            &section::contact_ms, integer(1'000, 600'000));
     it->add({"configuration_ms", "ms",
              "From an accepted configuration until it is in force."},
             &section::configuration_ms, integer(100, 3'600'000));
--- a/libraries/settings/cell_settings.hpp
+++ b/libraries/settings/cell_settings.hpp
@@ -40,6 +40,11 @@
     double stop_grace_s{6};
     /// How long the state of a finished job can be asked for.
     double status_kept_s{120};
+    /// How often an instance writes its entry in the endpoint list.
+    std::int64_t heartbeat_ms{1'500};
+    /// For how long, beyond a heartbeat, a change of an instance may be unknown
+    /// to this process.
+    std::int64_t contact_ms{3'000};
     /// From an accepted configuration until it is in force everywhere.
     std::int64_t configuration_ms{2'000};
 
--- a/tests/scheduler/owner_test.cpp
+++ b/tests/scheduler/owner_test.cpp
@@ -310,7 +310,8 @@
     it.report("a", {}, {end});
     BOOST_TEST(!it.decisions.batch_pending());
     BOOST_TEST(it.decisions.counts().ends_failed == 1U);
-    BOOST_TEST(it.decisions.instances().all().at("a")->usable(it.now));
+    BOOST_TEST(it.decisions.instances().all().at("a")->usable(
+        it.now, scheduler_fixture::rules()));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/scheduler/scheduler_fixture.hpp
+++ b/tests/scheduler/scheduler_fixture.hpp
@@ -40,9 +40,13 @@
         records = stored;
     }
 
+    /// Entries of the endpoint list stay valid: most tests list an instance
+    /// once.
     [[nodiscard]] static scheduler::policy rules()
     {
-        return {};
+        scheduler::policy out;
+        out.max_entry_age = std::chrono::hours{1};
+        return out;
     }
 
     [[nodiscard]] static workload::job_spec
--- a/tests/scheduler/world.cpp
+++ b/tests/scheduler/world.cpp
@@ -70,6 +70,11 @@
     }
     // Finished jobs are kept until the end of the run.
     m_rules.status_kept = std::chrono::hours{1};
+    if (!beats() || fault == planted::trust_old_entries)
+    {
+        // Without heartbeats an instance is listed only when it changes.
+        m_rules.max_entry_age = std::chrono::hours{1};
+    }
     if (fault == planted::no_wait_for_lapse)
     {
         m_rules.lapse_margin = -m_rules.lease;
--- a/tests/scheduler/world_beats.cpp
+++ b/tests/scheduler/world_beats.cpp
@@ -113,9 +113,10 @@
             it->decisions->instance_unlisted(id, m_now);
             continue;
         }
-        auto const written = m_fault == planted::trust_read_entries
-                                 ? std::optional{m_now}
-                                 : it->entry_times.written_after(n);
+        auto const trusted = m_fault == planted::trust_read_entries ||
+                             m_fault == planted::trust_old_entries;
+        auto const written =
+            trusted ? std::optional{m_now} : it->entry_times.written_after(n);
         it->decisions->instance_listed(m_entries[n].info, written, m_now);
     }
     it->next_entry = m_entries.size();
--- a/utilities/cell_replay/replay.cpp
+++ b/utilities/cell_replay/replay.cpp
@@ -34,6 +34,13 @@
     return "i-" + std::to_string(number) + '-' + std::to_string(life);
 }
 
+/// Instances are listed once here, so their entries must stay valid.
+scheduler::policy without_heartbeats(scheduler::policy it)
+{
+    it.max_entry_age = std::chrono::hours{1};
+    return it;
+}
+
 } // namespace
 
 replay::replay(cell_load const& load,
@@ -42,7 +49,7 @@
     : m_load{load}
     , m_jobs{jobs}
     , m_start{m_time.now()}
-    , m_decisions{rules, m_log, m_start}
+    , m_decisions{without_heartbeats(rules), m_log, m_start}
 {
     workload::cell_configuration configuration;
     for (auto const& it : load.kinds)
