cell: Tell the next owner how old the endpoint list's entries are

A new owner knew no entry's age and started nothing on an instance before its next heartbeat, up to 1.5 s after each change of owner.

Each answer to a watch now has the last end of the instances' log that the owner knows and how long ago that was; a process that claims the work bounds the ages of the entries by that, as by reads of its own. A release without the field leaves them unknown, as before.

Tests: a_new_owner_knows_the_ages_that_the_former_one_knew, peer_messages; the random runs with outages pass the former owner's knowledge on.

--- a/libraries/cell/cell_owner.cpp
+++ b/libraries/cell/cell_owner.cpp
@@ -40,6 +40,7 @@
                        std::map<std::string, std::string> const& records,
                        std::uint64_t token,
                        std::uint64_t next,
+                       write_times list_times,
                        ownership_lost_handler on_ownership_lost)
     : m_parts{parts}
     , m_decisions{rules, *parts.log, parts.clock->now()}
@@ -54,6 +55,7 @@
 {
     m_decisions.set_configuration(configuration);
     m_decisions.restore(records, wall_ms(*parts.clock), parts.clock->now());
+    m_instances.assume_write_times(std::move(list_times));
     m_instances.on_change(
         [this](auto const& key, auto const& value, auto written_after)
         { instance_changed(key, value, written_after); });
--- a/libraries/cell/cell_owner.hpp
+++ b/libraries/cell/cell_owner.hpp
@@ -50,12 +50,14 @@
 
     /// `token` is the fencing token of the claim, `next` the offset after the
     /// claim, and `records` the newest record of each key before the claim.
+    /// `list_times` is what former owners knew of the instances' log.
     cell_owner(owner_parts parts,
                scheduler::policy rules,
                workload::cell_configuration const& configuration,
                std::map<std::string, std::string> const& records,
                std::uint64_t token,
                std::uint64_t next,
+               write_times list_times,
                ownership_lost_handler on_ownership_lost);
     cell_owner(cell_owner const&) = delete;
     cell_owner& operator=(cell_owner const&) = delete;
@@ -95,6 +97,12 @@
         return m_batch_taken_back || m_append.refused();
     }
 
+    /// What is known of the ages of the instances' entries.
+    [[nodiscard]] write_times const& list_times() const noexcept
+    {
+        return m_instances.known_write_times();
+    }
+
     [[nodiscard]] scheduler::scheduler const& decisions() const noexcept
     {
         return m_decisions;
--- a/libraries/cell/log_follower.hpp
+++ b/libraries/cell/log_follower.hpp
@@ -15,6 +15,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 
 namespace berylhill::cell
 {
@@ -111,6 +112,18 @@
         return m_next;
     }
 
+    [[nodiscard]] write_times const& known_write_times() const noexcept
+    {
+        return m_write_times;
+    }
+
+    /// Sets what another process knew of the log. Precondition: nothing has
+    /// been read.
+    void assume_write_times(write_times it)
+    {
+        m_write_times = std::move(it);
+    }
+
     /// Since when the store has answered every read.
     [[nodiscard]] base::instant answered_since() const noexcept
     {
--- a/libraries/cell/node.cpp
+++ b/libraries/cell/node.cpp
@@ -235,13 +235,27 @@
                                    m_log.get(),
                                    &m_latency};
     m_owner = std::make_unique<cell_owner>(
-        parts, policy(), m_configuration, records, token, next,
+        parts, policy(), m_configuration, records, token, next, m_list_times,
         [this](char const* why) { m_ownership.lose_ownership(why); });
     m_peer_service.wake();
 }
 
+/// The owner answered after the request was sent, so its knowledge is at most
+/// that much older than it says.
+void node::on_list_end_reported(log_end_age const& it, base::instant asked_at)
+{
+    if (it.end != 0)
+    {
+        m_list_times.log_ended(it.end, asked_at - it.age);
+    }
+}
+
 void node::ended()
 {
+    if (m_owner)
+    {
+        m_list_times = m_owner->list_times();
+    }
     m_owner.reset();
     m_peer_service.wake();
 }
--- a/libraries/cell/node.hpp
+++ b/libraries/cell/node.hpp
@@ -51,6 +51,9 @@
                               base::instant asked_at,
                               network::socket_address const& from) override;
 
+    void on_list_end_reported(log_end_age const& it,
+                              base::instant asked_at) override;
+
     // peer_service::backend
     [[nodiscard]] watch_answer view() const override;
     void on_owner_reported(owner_view const& it) override;
@@ -136,6 +139,8 @@
     std::string m_compressed_configuration;
     byte_budget m_copy_budget;
     configuration_propagation m_propagation;
+    /// What the former owner knew of the instances' log.
+    write_times m_list_times;
     std::unique_ptr<cell_owner> m_owner;
     base::instant m_owns_since{};
     base::instant m_stop_at{};
--- a/libraries/cell/node_answers.cpp
+++ b/libraries/cell/node_answers.cpp
@@ -68,6 +68,7 @@
     {
         out.store_stuck = m_owner->store_stuck();
         out.store_refuses = m_owner->store_refuses();
+        out.list_end = m_owner->list_times().last_end(m_clock.now());
     }
     return out;
 }
--- a/libraries/cell/ownership.hpp
+++ b/libraries/cell/ownership.hpp
@@ -86,6 +86,11 @@
         on_configuration_reported(configuration_age const& it,
                                   base::instant asked_at,
                                   network::socket_address const& from) = 0;
+
+        /// The owner reported this end of the instances' log in the answer to
+        /// a request that was sent at `asked_at`.
+        virtual void on_list_end_reported(log_end_age const& it,
+                                          base::instant asked_at) = 0;
     };
 
     ownership(boost::asio::io_context& loop,
--- a/libraries/cell/ownership_watch.cpp
+++ b/libraries/cell/ownership_watch.cpp
@@ -108,6 +108,7 @@
         lost(owner_loss::restarted);
         return;
     }
+    m_listener.on_list_end_reported(answer.list_end, asked_at);
     m_failures = 0;
     m_rounds_isolated = 0;
     m_rounds_alone = 0;
--- a/libraries/cell/peer_messages.cpp
+++ b/libraries/cell/peer_messages.cpp
@@ -65,6 +65,22 @@
                : configuration_age{};
 }
 
+json::array array_of(log_end_age const& it)
+{
+    return {it.end, it.age.count()};
+}
+
+/// Empty if the sender runs a release without this field.
+log_end_age list_end_in(json::value const& it)
+{
+    auto const& row = json_codec::array_or_empty(it, "list_end");
+    return row.size() == 2
+               ? log_end_age{static_cast<std::uint64_t>(
+                                 json_codec::as_number(row[0])),
+                             base::duration{json_codec::as_number(row[1])}}
+               : log_end_age{};
+}
+
 template <class Enum>
 base::result<Enum>
 enum_in(json::value const& it, std::string_view name, Enum last)
@@ -108,6 +124,7 @@
                      {"watchers", it.watchers},
                      {"digest", it.peers.digest},
                      {"configuration", array_of(it.configuration)},
+                     {"list_end", array_of(it.list_end)},
                      {"peers", std::move(peers)}});
 }
 
@@ -131,6 +148,7 @@
     }
     out.peers.digest = json_codec::number_or(root, "digest");
     out.configuration = configuration_in(root);
+    out.list_end = list_end_in(root);
     out.watchers = static_cast<std::size_t>(
         json_codec::number_or(root, "watchers", std::ssize(out.peers.peers)));
     return out;
--- a/libraries/cell/peer_messages.hpp
+++ b/libraries/cell/peer_messages.hpp
@@ -5,6 +5,7 @@
 #include <cell/configuration_state.hpp>
 #include <cell/job_call.hpp>
 #include <cell/peer_list.hpp>
+#include <cell/write_times.hpp>
 
 #include <string>
 #include <string_view>
@@ -34,6 +35,8 @@
     /// recipient has the same digest.
     named_peers peers;
     configuration_age configuration;
+    /// The last end of the instances' log that the owner knows.
+    log_end_age list_end;
 
     friend bool operator==(watch_answer const&, watch_answer const&) = default;
 };
--- a/libraries/cell/write_times.cpp
+++ b/libraries/cell/write_times.cpp
@@ -40,4 +40,11 @@
                                 : std::optional{std::prev(it)->at};
 }
 
+log_end_age write_times::last_end(base::instant now) const
+{
+    return m_ends.empty()
+               ? log_end_age{}
+               : log_end_age{m_ends.back().end, now - m_ends.back().at};
+}
+
 } // namespace berylhill::cell
--- a/tests/cell/call_router_test.cpp
+++ b/tests/cell/call_router_test.cpp
@@ -68,6 +68,9 @@
                                    network::socket_address const&) override
     {
     }
+    void on_list_end_reported(cell::log_end_age const&, base::instant) override
+    {
+    }
 
     void began(std::map<std::string, std::string> const&,
                std::uint64_t,
--- a/tests/cell/cell_owner_test.cpp
+++ b/tests/cell/cell_owner_test.cpp
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 using namespace berylhill;
 using namespace berylhill::cell_test;
@@ -66,9 +67,11 @@
         return std::string{key};
     }
     [[nodiscard]] base::result<scheduler::instance_info>
-    instance(std::string_view, std::string_view) const override
+    instance(std::string_view key, std::string_view) const override
     {
-        return scheduler::instance_info{};
+        scheduler::instance_info out;
+        out.id = std::string{key};
+        return out;
     }
 };
 
@@ -92,17 +95,23 @@
     {
         constexpr std::size_t many = 10'000;
         log.append_behaviors.assign(many, fate::delay);
-        workload::cell_configuration configuration;
         configuration.version = 1;
         auto& queue = configuration.queues.emplace_back();
         queue.name = "a";
         queue.service = "service";
         configuration.services.emplace_back().name = "service";
+        take_over({});
+    }
+
+    /// Replaces the owner by one that got this from its predecessor.
+    void take_over(cell::write_times list_times)
+    {
         owner = std::make_unique<cell::cell_owner>(
             cell::owner_parts{&loop, &clock, &log, &listed, &orders, &desk,
                               &reader, &decisions, &latency},
             scheduler::policy{}, configuration,
-            std::map<std::string, std::string>{}, 1, 0, [](char const*) {});
+            std::map<std::string, std::string>{}, 1, 0, std::move(list_times),
+            [](char const*) {});
     }
 
     told submit(std::uint64_t id, base::duration timeout)
@@ -150,6 +159,7 @@
         std::chrono::milliseconds{250};
     static constexpr base::duration long_timeout = std::chrono::seconds{4};
 
+    workload::cell_configuration configuration;
     boost::asio::io_context loop;
     base::system_clock clock;
     fake_log log{loop};
@@ -235,4 +245,17 @@
     BOOST_TEST((**other == job_answer_kind::not_owner));
 }
 
+/// Guards against a pause of a heartbeat after each change of owner, and
+/// against starts by entries of any age after it.
+BOOST_AUTO_TEST_CASE(a_new_owner_knows_the_ages_that_the_former_one_knew)
+{
+    listed.put({{"old", "entry"}, {"new", "entry"}});
+    cell::write_times known;
+    known.log_ended(1, clock.now());
+    take_over(known);
+    BOOST_REQUIRE(run_until(
+        [&] { return owner->decisions().instances().all().size() == 2U; }));
+    BOOST_TEST(owner->decisions().outdated_instances(clock.now()) == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/cell/ownership_test.cpp
+++ b/tests/cell/ownership_test.cpp
@@ -31,6 +31,10 @@
     {
     }
 
+    void on_list_end_reported(cell::log_end_age const&, base::instant) override
+    {
+    }
+
     void began(std::map<std::string, std::string> const&,
                std::uint64_t token,
                std::uint64_t) override
--- /dev/null
+++ b/tests/cell/peer_messages_test.cpp
@@ -0,0 +1,52 @@
+#include <cell/peer_messages.hpp>
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <ostream>
+#include <string>
+
+using namespace berylhill;
+
+namespace
+{
+
+struct list_end_case
+{
+    char const* story;
+    char const* text;
+    cell::log_end_age expected;
+};
+
+std::ostream& operator<<(std::ostream& to, list_end_case const& it)
+{
+    return to << it.story;
+}
+
+list_end_case const list_ends[] = {
+    {"an older release", R"({"owns":true})", {}},
+    {"nothing read yet", R"({"owns":true,"list_end":[0,0]})", {}},
+    {"an end and its age",
+     R"({"owns":true,"list_end":[886,250000]})",
+     {886, std::chrono::milliseconds{250}}},
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(peer_messages)
+
+BOOST_DATA_TEST_CASE(a_watch_tells_the_end_of_the_instances_log,
+                     boost::unit_test::data::make(list_ends))
+{
+    auto const read =
+        base::capture([&] { return cell::parse_watch(sample.text); });
+    BOOST_REQUIRE(bool{read});
+    BOOST_TEST((read.value().list_end == sample.expected));
+    auto const again = base::capture(
+        [&] { return cell::parse_watch(cell::text_of(read.value())); });
+    BOOST_REQUIRE(bool{again});
+    BOOST_TEST((again.value() == read.value()));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/scheduler/world_owner.cpp
+++ b/tests/scheduler/world_owner.cpp
@@ -44,6 +44,10 @@
     {
         freeze(m_owner);
     }
+    if (m_owner)
+    {
+        made->entry_times = m_owner->entry_times;
+    }
     m_owner = made;
     m_owners.push_back(made);
     if (beats())
