scheduler: Count a draining instance that is gone early as crashed

A task whose start met the announcement could crash one more instance each time without being counted.

The announcement names the shortest time that the instance stays (remainingMs); one that is replaced before has crashed. The new test an_instance_that_is_gone_before_it_leaves_has_crashed failed before (job not given up after three crashes of instances that were to stay 6 s).

--- a/libraries/scheduler/orders.hpp
+++ b/libraries/scheduler/orders.hpp
@@ -152,11 +152,11 @@
     /// The other members of the gang did not start in time. Written as `alone`.
     gang_incomplete,
     /// Another incarnation answers at the address of the instance, which had
-    /// not announced that it leaves. This value and the next two are set by the
-    /// owner, never reported by an instance.
+    /// not announced that it leaves, or not so early. This value and the next
+    /// two are set by the owner, never reported by an instance.
     instance_crashed,
     /// As `instance_crashed`, for an instance that had announced that it
-    /// leaves.
+    /// leaves by then.
     instance_left,
     /// The instance did not answer until its lease had expired.
     instance_silent,
--- a/libraries/scheduler/scheduler.cpp
+++ b/libraries/scheduler/scheduler.cpp
@@ -247,8 +247,10 @@
     m_log->write(
         base::log_level::info, "instance_gone",
         {{"id", id}, {"attempts", std::uint64_t{it->attempts().size()}}});
-    auto const reason = it->info().draining ? end_reason::instance_left
-                                            : end_reason::instance_crashed;
+    auto const early = it->leaves_at() && now < *it->leaves_at();
+    auto const left = it->info().draining && !early;
+    auto const reason =
+        left ? end_reason::instance_left : end_reason::instance_crashed;
     it->unlist();
     it->set_unreachable();
     end_sent_attempts(*it, reason, now);
--- a/tests/scheduler/crash_limit_test.cpp
+++ b/tests/scheduler/crash_limit_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <memory>
+#include <optional>
 #include <ostream>
 
 using namespace berylhill;
@@ -118,6 +119,26 @@
      stopped_long_after, false},
 };
 
+struct draining_case
+{
+    char const* story;
+    /// The shortest time that the instance stays, and when it is gone.
+    std::optional<base::duration> stays;
+    base::duration gone_after;
+    bool given_up;
+};
+
+std::ostream& operator<<(std::ostream& to, draining_case const& it)
+{
+    return to << it.story;
+}
+
+draining_case const draining_cases[] = {
+    {"gone before the announced time", milliseconds{6'000}, milliseconds{20},
+     true},
+    {"gone at the announced time", milliseconds{100}, milliseconds{200}, false},
+};
+
 workload::job_spec job_of(crash_case const& it)
 {
     auto out = scheduler_fixture::job(1, it.tasks);
@@ -275,6 +296,28 @@
     BOOST_TEST(again[1].instance == "full");
 }
 
+/// Guards against uncounted crashes: an instance that has announced that it
+/// leaves and is gone earlier has crashed.
+BOOST_DATA_TEST_CASE(an_instance_that_is_gone_before_it_leaves_has_crashed,
+                     boost::unit_test::data::make(draining_cases))
+{
+    scheduler_fixture it;
+    it.decisions.submit(scheduler_fixture::job(1, 1), 0, it.now);
+    for (std::uint32_t n = 0; n < it.rules().crashes_to_give_up; ++n)
+    {
+        auto const id = "i-" + std::to_string(n);
+        it.list(id);
+        it.report(id);
+        it.confirm(it.starts().at(0));
+        it.list(id, {}, sample.stays);
+        it.advance(sample.gone_after);
+        it.decisions.instance_replaced(id, it.now);
+        (void)it.store();
+    }
+    BOOST_TEST((it.decisions.phase_of({1}) == job_phase::failed) ==
+               sample.given_up);
+}
+
 /// An order that reached another incarnation never started the task, so the
 /// instance was not lost under it.
 BOOST_AUTO_TEST_CASE(a_start_that_reached_another_incarnation_counts_no_loss)
