scheduler: Count instances lost under unexpected attempts

A loss of an instance under such a run was logged and not counted, so a task that crashes its instances went on beyond the allowed starts.

Losses now count for the task whichever of its attempts was there, and a task that has used up its losses is given up. Ends of a task that is done still change nothing. The new test a_crash_under_an_unexpected_attempt_counts failed before: three crashes counted as none.

--- a/libraries/scheduler/scheduler_ends.cpp
+++ b/libraries/scheduler/scheduler_ends.cpp
@@ -52,12 +52,23 @@
     auto& it = in->tasks[name.task.index];
     auto const current = it.phase == task_phase::placed && it.run == name.run &&
                          it.instance == at.info().id;
+    if (!current && it.phase == task_phase::done)
+    {
+        return;
+    }
+    if (was)
+    {
+        auto const began = was->state == attempt_state::running;
+        it.lost = it.lost.after({reason, began, was->seen_work()}, m_rules);
+    }
+    auto const given_up = instance_lost(reason) && it.lost.given_up(m_rules);
     if (!current)
     {
-        if (it.phase != task_phase::done)
+        report_unexpected_end(at, name, reason, it);
+        unexpected_attempt_ended(*of, name, reason, now);
+        if (given_up)
         {
-            report_unexpected_end(at, name, reason, it);
-            unexpected_attempt_ended(*of, name, reason, now);
+            give_up(*of, name, it, now);
         }
         return;
     }
@@ -70,11 +81,6 @@
                   {"run", name.run},
                   {"instance", at.info().id},
                   {"reason", name_of(reason)}});
-    if (was)
-    {
-        auto const began = was->state == attempt_state::running;
-        it.lost = it.lost.after({reason, began, was->seen_work()}, m_rules);
-    }
     auto const& spec = of->spec_of(name.task.step);
     if (!saved.empty() && spec.can_checkpoint)
     {
@@ -101,7 +107,7 @@
     {
         ++m_counts.ends_other;
         task_waits(*in, it);
-        if (instance_lost(reason) && it.lost.given_up(m_rules))
+        if (given_up)
         {
             give_up(*of, name, it, now);
         }
--- a/tests/scheduler/crash_limit_test.cpp
+++ b/tests/scheduler/crash_limit_test.cpp
@@ -318,6 +318,25 @@
                sample.given_up);
 }
 
+/// Guards against uncounted crashes under attempts that the owner did not
+/// expect: their task goes on to crash instances.
+BOOST_AUTO_TEST_CASE(a_crash_under_an_unexpected_attempt_counts)
+{
+    scheduler_fixture it;
+    it.decisions.submit(scheduler_fixture::job(1, 1), 0, it.now);
+    (void)it.store();
+    for (std::uint32_t n = 0; n < it.rules().crashes_to_give_up; ++n)
+    {
+        auto const id = "i-" + std::to_string(n);
+        it.list(id);
+        it.report(id, {{{{{{1}, 0, 0}, 0}, n + 1}, {}, 0}});
+        it.advance(milliseconds{20});
+        it.decisions.instance_replaced(id, it.now);
+        (void)it.store();
+    }
+    BOOST_TEST((it.decisions.phase_of({1}) == job_phase::failed));
+}
+
 /// An order that reached another incarnation never started the task, so the
 /// instance was not lost under it.
 BOOST_AUTO_TEST_CASE(a_start_that_reached_another_incarnation_counts_no_loss)
