--- a/libraries/scheduler/scheduler.hpp
+++ b/libraries/scheduler/scheduler.hpp
@@ -291,12 +291,7 @@
                                end_reason reason,
                                task const& it) const;
 
-    // scheduler_orders.cpp
-    void retry(instance& at, base::instant now);
-    void send_again(instance& at,
-                    attempt_name const& name,
-                    attempt& it,
-                    base::instant now);
+    // scheduler_answers.cpp
     void refused(instance& at,
                  start_reply const& reply,
                  attempt& it,
@@ -307,6 +302,13 @@
                       attempt_name const& name,
                       attempt const& it,
                       base::instant now) const;
+
+    // scheduler_orders.cpp
+    void retry(instance& at, base::instant now);
+    void send_again(instance& at,
+                    attempt_name const& name,
+                    attempt& it,
+                    base::instant now);
     void release_start(start_order it, base::instant now);
     [[nodiscard]] bool may_start(instance const& at,
                                  attempt_name const& name,
