soak, platform tests: Let the instances of the stand-ins write heartbeats

They wrote their entry once and when they changed, also while the store was down, so no entry could be older than it said.

--- a/tests/platform_adapter/cell_fixture.cpp
+++ b/tests/platform_adapter/cell_fixture.cpp
@@ -49,6 +49,17 @@
         store->put(instances_topic, instances.back()->id(),
                    instances.back()->heartbeat());
     }
+    m_heartbeats = std::make_unique<heartbeats>(
+        loop, *store,
+        [this]
+        {
+            std::vector<std::pair<std::string, std::string>> out;
+            for (auto const& it : instances)
+            {
+                out.emplace_back(it->id(), it->heartbeat());
+            }
+            return out;
+        });
     m_spare = local(port++);
     m_first_link = static_cast<std::uint16_t>(port);
     cells.resize(processes);
--- a/tests/platform_adapter/cell_fixture.hpp
+++ b/tests/platform_adapter/cell_fixture.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "stand_ins/heartbeats.hpp"
 #include "stand_ins/instance_stand_in.hpp"
 #include "stand_ins/ports.hpp"
 #include "stand_ins/process.hpp"
@@ -108,6 +109,7 @@
     std::map<std::string, int> started;
 
 private:
+    std::unique_ptr<heartbeats> m_heartbeats;
     network::socket_address m_spare;
     [[nodiscard]] network::http_request request(network::http_method method,
                                                 std::string const& path,
--- a/tests/platform_adapter/stand_ins/store_stand_in.hpp
+++ b/tests/platform_adapter/stand_ins/store_stand_in.hpp
@@ -33,6 +33,11 @@
         m_down = it;
     }
 
+    [[nodiscard]] bool down() const noexcept
+    {
+        return m_down;
+    }
+
     /// Carries out this share of the appends without an answer.
     void set_lost_share(double it)
     {
--- a/utilities/soak/cell.cpp
+++ b/utilities/soak/cell.cpp
@@ -102,9 +102,10 @@
                                      { m_seen.end_acknowledged(task); });
         it.instance->faults() =
             platform_test::request_faults{seed * size.instances + n};
-        m_store->put(platform_test::instances_topic, id,
-                     it.instance->heartbeat(it.reached_at));
+        announce(it);
     }
+    m_heartbeats = std::make_unique<platform_test::heartbeats>(
+        loop, *m_store, [this] { return entries(); });
     for (std::size_t n = 0; n < size.processes; ++n)
     {
         member it;
@@ -191,8 +192,24 @@
     announce(it);
 }
 
+std::vector<std::pair<std::string, std::string>> cell::entries() const
+{
+    std::vector<std::pair<std::string, std::string>> out;
+    for (auto const& it : m_workers)
+    {
+        out.emplace_back(it.instance->id(),
+                         it.instance->heartbeat(it.reached_at));
+    }
+    return out;
+}
+
+/// While the store is down only a later heartbeat tells it.
 void cell::announce(worker& it)
 {
+    if (m_store->down())
+    {
+        return;
+    }
     m_store->put(platform_test::instances_topic, it.instance->id(),
                  it.instance->heartbeat(it.reached_at));
 }
--- a/utilities/soak/cell.hpp
+++ b/utilities/soak/cell.hpp
@@ -4,6 +4,7 @@
 #include <soak/plan.hpp>
 #include <stand_ins/cell_process.hpp>
 #include <stand_ins/fault_link.hpp>
+#include <stand_ins/heartbeats.hpp>
 #include <stand_ins/instance_stand_in.hpp>
 #include <stand_ins/store_stand_in.hpp>
 
@@ -13,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace berylhill::soak
@@ -139,6 +141,8 @@
     void started(worker& it, std::string const& task);
     void resize(worker& it, ledger::instant now);
     void announce(worker& it);
+    [[nodiscard]] std::vector<std::pair<std::string, std::string>>
+    entries() const;
     void make_orders_late(double share);
     void configure();
 
@@ -149,6 +153,7 @@
     std::unique_ptr<platform_test::store_stand_in> m_store;
     std::vector<member> m_processes;
     std::vector<worker> m_workers;
+    std::unique_ptr<platform_test::heartbeats> m_heartbeats;
     int m_version{0};
     int m_crashes{0};
     bool m_healed{false};
