scheduler, cell: Log by which rules of place a start was decided

The log told neither the service, the label nor the bound by which an instance was chosen, nor how many attempts of the step it had, nor which of the three an order that did not leave had run against. No decision changes.

task_placed: service, required_label, of_step, max_of_step; start_withheld: serves_queue, has_label, of_step, max_of_step; stray_attempt: of_step, max_of_step. Metrics: berylhill_cell_attempts_unexpected and berylhill_cell_starts_withheld. The count of a step's attempts on an instance has moved into start_place.

--- a/libraries/cell/node_metrics.cpp
+++ b/libraries/cell/node_metrics.cpp
@@ -62,6 +62,12 @@
     set("berylhill_cell_tasks_given_up",
         "Tasks not started again: instances were lost under them.",
         static_cast<double>(counts.tasks_given_up));
+    set("berylhill_cell_attempts_unexpected",
+        "Attempts found running that this owner did not expect.",
+        static_cast<double>(counts.unexpected));
+    set("berylhill_cell_starts_withheld",
+        "Starts that were decided and not sent.",
+        static_cast<double>(counts.withheld));
     set("berylhill_cell_preempted", "Attempts stopped for more urgent work.",
         static_cast<double>(counts.preempted));
     set("berylhill_cell_jobs", "Jobs known, finished ones included.",
--- a/libraries/scheduler/outcomes.hpp
+++ b/libraries/scheduler/outcomes.hpp
@@ -41,6 +41,10 @@
     /// Tasks that were given up because several instances were lost while they
     /// ran there.
     std::uint64_t tasks_given_up{0};
+    /// Attempts that an instance reported and the owner did not expect.
+    std::uint64_t unexpected{0};
+    /// Starts that were decided and not sent.
+    std::uint64_t withheld{0};
     std::uint64_t preempted{0};
     std::uint64_t evacuated{0};
 
--- a/libraries/scheduler/scheduler.hpp
+++ b/libraries/scheduler/scheduler.hpp
@@ -11,6 +11,7 @@
 #include <scheduler/placement.hpp>
 #include <scheduler/policy.hpp>
 #include <scheduler/run_times.hpp>
+#include <scheduler/start_place.hpp>
 #include <scheduler/start_waits.hpp>
 #include <workload/cell_configuration.hpp>
 
@@ -313,6 +314,8 @@
     [[nodiscard]] bool may_start(instance const& at,
                                  attempt_name const& name,
                                  base::instant now) const;
+    [[nodiscard]] start_place place_now(instance const& at,
+                                        workload::step_name const& of) const;
     void report_withheld(instance const& at,
                          attempt_name const& name,
                          attempt const& it,
@@ -444,9 +447,6 @@
                              workload::queue_spec const& queue,
                              std::vector<instance const*> const& named,
                              base::instant now);
-    [[nodiscard]] std::uint32_t tasks_on(workload::step_name const& of,
-                                         workload::step_spec const& spec,
-                                         instance const& at) const;
 
     /// Maximum number of suitable instances that are examined for an advice
     /// request. In a cell of thousands of instances, the best of this many is
--- a/libraries/scheduler/scheduler_decide.cpp
+++ b/libraries/scheduler/scheduler_decide.cpp
@@ -182,8 +182,7 @@
                          workload::queue_spec const& queue,
                          base::instant now) const
 {
-    return it.usable(now, m_rules) && it.info().service == queue.service &&
-           (spec.required_label.empty() || it.has_label(spec.required_label)) &&
+    return it.usable(now, m_rules) && suits(it, spec, queue) &&
            workload::fits(spec.reserved_need(), it.info().capacity);
 }
 
@@ -192,7 +191,8 @@
                                   workload::step_spec const& spec,
                                   fit by) const
 {
-    auto const here = spec.max_per_instance == 0 ? 0 : tasks_on(name, spec, it);
+    auto const here =
+        spec.max_per_instance == 0 ? 0 : attempts_of_step(it, name);
     auto const suspects =
         by == fit::separate_suspects ? it.other_suspects(name.job) : 0;
     return {it.info().id,       it.rack(), it.room(),
@@ -258,22 +258,6 @@
            (takes <= short_task || now + takes <= it.reserved_until);
 }
 
-std::uint32_t scheduler::tasks_on(workload::step_name const& of,
-                                  workload::step_spec const& spec,
-                                  instance const& at) const
-{
-    // Includes attempts that are being stopped, as the resource accounting
-    // does.
-    auto const& all = at.attempts();
-    std::uint32_t n = 0;
-    auto it = all.lower_bound(attempt_name{{of, 0}, 0});
-    for (; it != all.end() && it->first.task.step == of && n < spec.tasks; ++it)
-    {
-        ++n;
-    }
-    return n;
-}
-
 /// Logs why the work of an account waits.
 void scheduler::report_at_cap(job const& of, turn const& it, base::instant now)
 {
@@ -391,6 +375,10 @@
                  {{"task", text_of(name)},
                   {"run", run},
                   {"instance", on},
+                  {"service", where.info().service},
+                  {"of_step", attempts_of_step(where, name.step)},
+                  {"max_of_step", of.spec_of(name.step).max_per_instance},
+                  {"required_label", of.spec_of(name.step).required_label},
                   {"entry_age_s", logged_age(where, now)},
                   {"waited_s", base::seconds_of(now - of.accepted_at)}});
 }
--- a/libraries/scheduler/scheduler_orders.cpp
+++ b/libraries/scheduler/scheduler_orders.cpp
@@ -67,12 +67,27 @@
            !at.over_capacity() && m_instances.attempts().of(name.task) == 1;
 }
 
+/// Whether the instance may run tasks of the step by what is known now. None
+/// may run whose job or queue is unknown.
+start_place scheduler::place_now(instance const& at,
+                                 workload::step_name const& of) const
+{
+    auto const* const job = m_jobs.find(of.job);
+    auto const* const queue = job == nullptr ? nullptr : queue_of(*job);
+    if (queue == nullptr || of.step_index >= job->spec().steps.size())
+    {
+        return {};
+    }
+    return place_of(at, of, job->spec_of(of), *queue);
+}
+
 /// Logs why a start that was decided is not sent.
 void scheduler::report_withheld(instance const& at,
                                 attempt_name const& name,
                                 attempt const& it,
                                 base::instant now) const
 {
+    auto const place = place_now(at, name.task.step);
     m_log->write(base::log_level::info, "start_withheld",
                  {{"task", text_of(name.task)},
                   {"run", name.run},
@@ -82,6 +97,10 @@
                   {"draining", at.info().draining ? 1 : 0},
                   {"over_capacity", at.over_capacity() ? 1 : 0},
                   {"attempts", m_instances.attempts().of(name.task)},
+                  {"serves_queue", place.serves_queue ? 1 : 0},
+                  {"has_label", place.has_label ? 1 : 0},
+                  {"of_step", place.of_step},
+                  {"max_of_step", place.max_of_step},
                   {"entry_age_s", logged_age(at, now)}});
 }
 
@@ -99,6 +118,7 @@
         // began to leave, lost capacity or may have lost some, or another
         // attempt was found, while the record was being stored, which takes
         // seconds while the store is unavailable. Nothing has to be stopped.
+        ++m_counts.withheld;
         report_withheld(*at, it.attempt, *found, now);
         attempt_ended(*at, it.attempt, end_reason::stopped, {}, now);
         return;
--- a/libraries/scheduler/scheduler_unexpected.cpp
+++ b/libraries/scheduler/scheduler_unexpected.cpp
@@ -12,10 +12,6 @@
                           attempt_name const& name,
                           hold_report const& from)
 {
-    m_log->write(base::log_level::warning, "stray_attempt",
-                 {{"task", text_of(name.task)},
-                  {"run", name.run},
-                  {"instance", from.instance}});
     auto* const job = m_jobs.find(name.task.step.job);
     auto const known_need =
         job != nullptr && name.task.step.step_index < job->spec().steps.size();
@@ -25,6 +21,14 @@
     stray.settled_at = from.sent_at;
     at.assume_lease(from.read_at, m_rules);
     auto& added = at.add(name, stray);
+    ++m_counts.unexpected;
+    auto const place = place_now(at, name.task.step);
+    m_log->write(base::log_level::warning, "stray_attempt",
+                 {{"task", text_of(name.task)},
+                  {"run", name.run},
+                  {"instance", from.instance},
+                  {"of_step", place.of_step},
+                  {"max_of_step", place.max_of_step}});
     want_stop(at, name, added, from.read_at);
     auto* const it = find_task(name.task);
     if (it == nullptr)
