scheduler tests: Show starts that leave for where they may not run

Planted faults: a bound that is ignored, labels that are ignored, a queue that keeps its old service.

--- a/tests/scheduler/random_test.cpp
+++ b/tests/scheduler/random_test.cpp
@@ -41,6 +41,7 @@
 constexpr std::uint64_t usual_crash_seeds = 50;
 constexpr std::uint64_t usual_rejection_seeds = 50;
 constexpr std::uint64_t usual_outage_seeds = 50;
+constexpr std::uint64_t usual_place_seeds = 50;
 
 fault_rates const late_and_frozen{.drain = 0.01,
                                   .freeze = 0.7,
@@ -75,6 +76,14 @@
                                       .resize = 0.05,
                                       .outage = 0.02};
 
+fault_rates const places_and_late_orders{.drain = 0.01,
+                                         .freeze = 0.7,
+                                         .late_append = 0.05,
+                                         .reject = 0.06,
+                                         .late_spell = 0.1,
+                                         .late_hold = 0.01,
+                                         .move_queue = 0.03};
+
 fault_rates rough_for(planted fault)
 {
     switch (fault)
@@ -95,6 +104,10 @@
     case planted::believe_sent_stops:
     case planted::lose_unexpected_ends:
         return rejections_and_late_orders;
+    case planted::ignore_step_bounds:
+    case planted::ignore_labels:
+    case planted::trust_old_services:
+        return places_and_late_orders;
     default:
         return {};
     }
@@ -165,6 +178,9 @@
     {"an attempt counts as stopped when the stop is sent",
      planted::believe_sent_stops},
     {"the outcome of unexpected runs is lost", planted::lose_unexpected_ends},
+    {"the bound on tasks of a step is ignored", planted::ignore_step_bounds},
+    {"required labels are ignored", planted::ignore_labels},
+    {"a moved queue keeps its service", planted::trust_old_services},
 };
 
 struct seed_case
@@ -266,6 +282,16 @@
     play(first, seeds, outages_and_resizes);
 }
 
+/// Guards against starting tasks where they may not run: on an instance with
+/// too many tasks of their step, without their label, or of a service that
+/// their queue has left.
+BOOST_AUTO_TEST_CASE(tasks_start_only_where_they_may_run)
+{
+    auto const first = number_from("BERYLHILL_FIRST_SEED", 1);
+    auto const seeds = number_from("BERYLHILL_SEEDS", usual_place_seeds);
+    play(first, seeds, places_and_late_orders, calm_under_a_cap);
+}
+
 /// Guards against the faults that these seeds beyond the usual ones have shown.
 BOOST_DATA_TEST_CASE(seeds_that_broke_hold,
                      boost::unit_test::data::make(seeds_that_broke))
--- a/tests/scheduler/scheduler_fixture.hpp
+++ b/tests/scheduler/scheduler_fixture.hpp
@@ -28,14 +28,7 @@
                 }}
         , decisions{rules, m_log, now}
     {
-        workload::cell_configuration configuration;
-        workload::queue_spec queue;
-        queue.name = "q";
-        queue.service = "svc";
-        queue.max_attempts = 2;
-        queue.stretch = 2;
-        configuration.queues = {queue};
-        decisions.set_configuration(configuration);
+        move_queue("svc");
         decisions.restore(stored, 0, now);
         records = stored;
     }
@@ -64,20 +57,41 @@
         return out;
     }
 
+    /// Puts a configuration in force in which the queue's tasks run on the
+    /// instances of this service.
+    void move_queue(std::string const& service)
+    {
+        workload::cell_configuration configuration;
+        workload::queue_spec queue;
+        queue.name = "q";
+        queue.service = service;
+        queue.max_attempts = 2;
+        queue.stretch = 2;
+        configuration.queues = {queue};
+        decisions.set_configuration(configuration);
+    }
+
     /// Lists an instance. With `stays_for`, it drains and leaves after that
     /// time.
     void list(std::string const& id,
               std::string const& address = {},
               std::optional<base::duration> stays_for = std::nullopt)
     {
-        scheduler::instance_info info;
+        auto info = entry_of(id);
         info.draining = stays_for.has_value();
         info.min_stay = stays_for;
-        info.id = id;
-        info.service = "svc";
         info.address = address.empty() ? id : address;
-        info.capacity = {4'000, 4'000, 0};
-        info.labels = {"kind", "rack"};
+        decisions.instance_listed(info, now, now);
+    }
+
+    /// Lists an instance of a service, with its kind.
+    void list_as(std::string const& id,
+                 std::string const& service,
+                 std::string const& kind)
+    {
+        auto info = entry_of(id);
+        info.service = service;
+        info.labels = {kind, "rack"};
         decisions.instance_listed(info, now, now);
     }
 
@@ -162,6 +176,18 @@
     base::instant now{std::chrono::seconds{100}};
 
 private:
+    [[nodiscard]] static scheduler::instance_info
+    entry_of(std::string const& id)
+    {
+        scheduler::instance_info out;
+        out.id = id;
+        out.service = "svc";
+        out.address = id;
+        out.capacity = {4'000, 4'000, 0};
+        out.labels = {"kind", "rack"};
+        return out;
+    }
+
     trace_log m_log;
 
 public:
--- a/tests/scheduler/world.cpp
+++ b/tests/scheduler/world.cpp
@@ -55,6 +55,7 @@
     , m_spell_random{seed}
     , m_hold_random{seed}
     , m_beat_random{seed}
+    , m_place_random{seed}
     , m_rough{rough}
     , m_fault{fault}
     , m_configuration{configuration()}
@@ -92,7 +93,7 @@
     }
     for (int n = 0; n < instances; ++n)
     {
-        add_instance("a" + std::to_string(n));
+        add_instance("a" + std::to_string(n), first_place(n));
     }
 }
 
@@ -216,6 +217,10 @@
         {
             begin_late_spell();
         }
+        if (chance(m_place_random, m_rough.move_queue))
+        {
+            move_queue();
+        }
         std::vector<fake_instance*> up;
         for (auto const& [id, it] : m_instances)
         {
@@ -293,6 +298,7 @@
         }
         spec.steps.push_back(step);
     }
+    narrow(spec);
     if (chance(m_cap_random, m_rough.capped))
     {
         spec.account = "capped";
@@ -330,7 +336,7 @@
         m_accepted.insert(it.id);
         return;
     }
-    m_owner->decisions->submit(it, 0, m_now);
+    m_owner->decisions->submit(as_submitted(it), 0, m_now);
     auto* const asked = m_owner.get();
     m_owner->clients.add({[this, asked, id = it.id](auto const& answer)
                           {
--- a/tests/scheduler/world.hpp
+++ b/tests/scheduler/world.hpp
@@ -58,6 +58,12 @@
     /// The ends of runs that the owner does not expect are acknowledged and
     /// their outcome is lost.
     lose_unexpected_ends,
+    /// Any number of tasks of a step may be placed on one instance.
+    ignore_step_bounds,
+    /// Tasks may be placed on instances without the label they require.
+    ignore_labels,
+    /// Owners are not told that a queue has moved to another service.
+    trust_old_services,
 };
 
 /// The caps that the operator switches between.
@@ -107,6 +113,21 @@
     /// this, owners read the endpoint list from the store, where instances
     /// write with each heartbeat.
     double outage{0};
+    /// Queues that move to another service. With this, instances of two kinds
+    /// serve two services, and some steps require a kind or allow only one or
+    /// two of their tasks on an instance.
+    double move_queue{0};
+};
+
+/// What an instance serves and which label it has. A value.
+struct fake_place
+{
+    std::string service{"svc"};
+    std::string kind{"kind"};
+    /// Each incarnation may be of another kind.
+    bool any_kind{false};
+
+    friend bool operator==(fake_place const&, fake_place const&) = default;
 };
 
 /// Simulates a cell on a virtual clock: instances that behave as the platform's
@@ -179,6 +200,7 @@
     {
         std::string id;
         std::string address;
+        fake_place place;
         workload::resources capacity;
         /// Former capacities, and the time until which each applies.
         std::vector<std::pair<base::instant, workload::resources>> larger;
@@ -236,7 +258,7 @@
     void broken(std::string what);
 
     // world_platform.cpp
-    void add_instance(std::string address);
+    void add_instance(std::string address, fake_place place);
     [[nodiscard]] scheduler::instance_info
     info_of(fake_instance const& it) const;
     void crash(fake_instance& it);
@@ -265,6 +287,19 @@
     void check_failed(workload::job_id it,
                       std::vector<std::string>& into) const;
 
+    // world_places.cpp
+    [[nodiscard]] bool places() const noexcept
+    {
+        return m_rough.move_queue > 0;
+    }
+    [[nodiscard]] fake_place first_place(int number);
+    [[nodiscard]] fake_place next_incarnation(fake_place it);
+    void narrow(workload::job_spec& it);
+    [[nodiscard]] workload::job_spec as_submitted(workload::job_spec it) const;
+    void move_queue();
+    void check_place(fake_instance const& at, scheduler::start_order const& it);
+    void check_service_sent_to(scheduler::start_order const& it);
+
     void announce(fake_instance const& it, bool listed);
     [[nodiscard]] std::int64_t clock_of(fake_instance const& it) const;
     [[nodiscard]] fake_instance* at_address(std::string const& address);
@@ -363,10 +398,15 @@
     std::mt19937_64 m_spell_random;
     std::mt19937_64 m_hold_random;
     std::mt19937_64 m_beat_random;
+    std::mt19937_64 m_place_random;
     fault_rates m_rough;
     planted m_fault;
     scheduler::policy m_rules;
     workload::cell_configuration m_configuration;
+    /// By queue: the services of former configurations, and since when each no
+    /// longer applies.
+    std::map<std::string, std::map<std::string, base::instant>>
+        m_former_services;
     base::instant m_now{};
     trace_log m_log;
     std::uint64_t m_sequence{0};
--- a/tests/scheduler/world_checks.cpp
+++ b/tests/scheduler/world_checks.cpp
@@ -26,6 +26,7 @@
     }
     check_room(at, used + spec->reserved_need());
     check_crashes(it.attempt.task);
+    check_place(at, it);
     if (spec->max_per_instance != 0 && of_step >= spec->max_per_instance)
     {
         broken("too many tasks of a step on " + at.id + ": " + name);
--- a/tests/scheduler/world_failures.cpp
+++ b/tests/scheduler/world_failures.cpp
@@ -16,11 +16,12 @@
 
 } // namespace
 
-void world::add_instance(std::string address)
+void world::add_instance(std::string address, fake_place place)
 {
     auto made = std::make_unique<fake_instance>();
     made->id = "i-" + std::to_string(m_next_instance++);
     made->address = std::move(address);
+    made->place = std::move(place);
     made->capacity = whole_instance;
     made->clock_rate = chance(0.5) ? 1.0 : 0.98;
     made->born = m_now;
@@ -70,11 +71,11 @@
 {
     scheduler::instance_info out;
     out.id = it.id;
-    out.service = "svc";
+    out.service = it.place.service;
     out.address = it.address;
     out.zone = "zone";
     out.capacity = it.capacity;
-    out.labels = {"kind", "rack"};
+    out.labels = {it.place.kind, "rack"};
     out.draining = it.drains_since.has_value();
     if (out.draining)
     {
@@ -139,7 +140,8 @@
         chance(0.6) ? it.address : "b" + std::to_string(m_next_address++);
     after(listed_for, [this, id] { announce(*m_instances.at(id), false); });
     after(std::chrono::milliseconds{between(500, 5'000)},
-          [this, address] { add_instance(address); });
+          [this, address, place = it.place]
+          { add_instance(address, next_incarnation(place)); });
 }
 
 void world::cut(fake_instance& it)
--- a/tests/scheduler/world_orders.cpp
+++ b/tests/scheduler/world_orders.cpp
@@ -39,6 +39,10 @@
                std::to_string(by->token));
     }
     check_sent(*by, it);
+    if (by == m_owner)
+    {
+        check_service_sent_to(it);
+    }
     auto const answer = [this, by, it](start_answer end, std::int64_t clock)
     {
         deliver(by, {it.instance, it.attempt, it.send, end, clock});
@@ -170,7 +174,7 @@
                       std::hash<std::string>{}(id + text_of(it.step));
                   // Some instances are always allowed, so that steps can run.
                   auto const always = (id.back() - '0') % 2 == 0;
-                  if (always || (hash >> well_mixed_bits) % 4 != 0)
+                  if (always || places() || (hash >> well_mixed_bits) % 4 != 0)
                   {
                       allowed.push_back({id, "t"});
                   }
