scheduler: Send no start to where the task may not run any more

Cause: the service of the queue, the label and the bound on tasks of a step were looked at when a start was decided, and not again when its record was stored, which takes seconds while the store is away, nor when its order was sent again. The class: a decision is checked against what was known when it was made, and carried out by what is known later.

--- a/libraries/scheduler/scheduler_orders.cpp
+++ b/libraries/scheduler/scheduler_orders.cpp
@@ -64,7 +64,8 @@
                           base::instant now) const
 {
     return at.entry_valid(now, m_rules) && !at.info().draining &&
-           !at.over_capacity() && m_instances.attempts().of(name.task) == 1;
+           !at.over_capacity() && m_instances.attempts().of(name.task) == 1 &&
+           place_now(at, name.task.step).allowed();
 }
 
 /// Whether the instance may run tasks of the step by what is known now. None
@@ -116,8 +117,9 @@
     {
         // The attempt was cancelled before its order was sent, or the instance
         // began to leave, lost capacity or may have lost some, or another
-        // attempt was found, while the record was being stored, which takes
-        // seconds while the store is unavailable. Nothing has to be stopped.
+        // attempt was found, or the task may not run there any more, while the
+        // record was being stored, which takes seconds while the store is
+        // unavailable. Nothing has to be stopped.
         ++m_counts.withheld;
         report_withheld(*at, it.attempt, *found, now);
         attempt_ended(*at, it.attempt, end_reason::stopped, {}, now);
