scheduler: Begin each round with the most urgent steps

Cause: a round examines a bounded number of instances, and the next one goes on from there. With 1,790 steps waiting it took 51 rounds and 1.6 s to reach the last one (31 ms a round on half a core), and more after that; tickets are valid for 2 s. New steps, tickets and freed room waited until it began anew.

A quarter of a continued round goes to the head of the list. Gangs are left out there if they were examined since the list began: they have reserved their instances.

--- a/libraries/scheduler/job.hpp
+++ b/libraries/scheduler/job.hpp
@@ -111,6 +111,8 @@
     std::uint32_t gang_failures{0};
     std::uint32_t gang_failed_run{0};
     advice_state advice;
+    /// The last scheduling round in which the step was examined.
+    std::uint64_t decided_in_round{0};
     /// Since when the step has been ready to start.
     std::optional<base::instant> ready_since;
     /// The waiting time has been recorded.
--- a/libraries/scheduler/scheduler.hpp
+++ b/libraries/scheduler/scheduler.hpp
@@ -120,7 +120,8 @@
     void tick(std::int64_t wall_ms, base::instant now);
     /// Runs a scheduling round, which places tasks that can start. A round
     /// examines a bounded number of instances; if that does not suffice for all
-    /// steps, the next one continues with the remaining steps.
+    /// steps, the next one continues with the remaining steps, after a look at
+    /// the most urgent ones.
     void decide(base::instant now);
     /// Whether the last round reached the last step.
     [[nodiscard]] bool round_complete() const noexcept
@@ -341,6 +342,8 @@
                     step& in,
                     base::instant now);
     void note_wait(job const& of, step& in, base::instant now);
+    using turn_iterator = std::vector<turn>::const_iterator;
+    void decide_urgent(turn_iterator from, turn_iterator to, base::instant now);
     void decide_step(turn const& it, base::instant now);
     void decide_gang(job& of,
                      turn const& it,
--- a/libraries/scheduler/scheduler_decide.cpp
+++ b/libraries/scheduler/scheduler_decide.cpp
@@ -23,6 +23,10 @@
 /// hundreds of instances.
 constexpr std::size_t most_looks = 20'000;
 
+/// Of these, how many are for the most urgent steps in a round that continues
+/// the previous one.
+constexpr std::size_t most_urgent_looks = 5'000;
+
 } // namespace
 
 workload::queue_spec const* scheduler::queue_of(job const& it) const
@@ -45,6 +49,7 @@
                              : all.begin();
     m_resume_after.reset();
     m_examined = 0;
+    decide_urgent(all.begin(), it, now);
     for (; it != all.end(); ++it)
     {
         decide_step(*it, now);
@@ -56,6 +61,26 @@
     }
 }
 
+/// While thousands of steps wait, it takes many rounds to reach the last one.
+/// New work and freed room must not wait for that, so each round begins with
+/// the most urgent steps. Gangs are examined only once until the last step is
+/// reached: they have reserved their instances then.
+void scheduler::decide_urgent(turn_iterator from,
+                              turn_iterator to,
+                              base::instant now)
+{
+    for (auto it = from; it != to && m_examined < most_urgent_looks; ++it)
+    {
+        auto& of = *m_jobs.find(it->name.job);
+        if (of.find(it->name)->decided_in_round == m_round &&
+            of.spec_of(it->name).gang)
+        {
+            continue;
+        }
+        decide_step(*it, now);
+    }
+}
+
 /// Returns the ready steps in the order in which they are served: first those
 /// that can be in time, the most urgent before the others; then those that are
 /// late and worth less; last those that are worthless.
@@ -120,6 +145,7 @@
     auto& of = *m_jobs.find(it.name.job);
     auto const& queue = *queue_of(of);
     auto const& spec = of.spec_of(it.name);
+    of.find(it.name)->decided_in_round = m_round;
     if (auto const& in = *of.find(it.name);
         spec.gang && (in.placed() > 0 || any_attempt(it.name, in)))
     {
--- a/tests/scheduler/advice_test.cpp
+++ b/tests/scheduler/advice_test.cpp
@@ -174,6 +174,25 @@
     BOOST_TEST(asked.size() == gangs);
 }
 
+/// Guards against late starts while thousands of steps wait: new work was
+/// examined only when the rounds had reached the last step.
+BOOST_AUTO_TEST_CASE(urgent_work_does_not_wait_for_the_last_step)
+{
+    constexpr std::uint64_t gangs = 300;
+    advised_cell it{250};
+    for (std::uint64_t n = 1; n <= gangs; ++n)
+    {
+        it.decisions.submit(gang(n, 2), 0, it.now);
+    }
+    BOOST_REQUIRE(!it.advice_requests().empty());
+    BOOST_REQUIRE(!it.decisions.round_complete());
+    auto urgent = scheduler_fixture::job(gangs + 1, 1);
+    urgent.queue = "free";
+    it.decisions.submit(urgent, 0, it.now);
+    BOOST_TEST(it.starts().size() == 1U);
+    BOOST_TEST(!it.decisions.round_complete());
+}
+
 /// Guards against a job that stalls although there is room. It was rejected
 /// while the store was unavailable and submitted again; the answer to a request
 /// of the first submission was counted with those of the second, so that a
