scheduler, cell: Give rounds a file of their own, and the counters a table

The first half is scheduler_rounds.cpp now, moved without a change. The gauges of the owner's counters were nine calls alike; they are rows of a table, with the same names and texts. The tests of start_places share their set-up.

--- a/libraries/cell/node_metrics.cpp
+++ b/libraries/cell/node_metrics.cpp
@@ -5,6 +5,43 @@
 namespace berylhill::cell
 {
 
+namespace
+{
+
+using counts = scheduler::scheduler_counts;
+
+/// A gauge that shows one of the owner's counters since its claim.
+struct scheduler_gauge
+{
+    char const* name;
+    char const* help;
+    std::uint64_t counts::*count;
+};
+
+constexpr scheduler_gauge scheduler_gauges[] = {
+    {"berylhill_cell_starts", "Tasks started by this owner.", &counts::starts},
+    {"berylhill_cell_ends_done", "Attempts that ended done.",
+     &counts::ends_done},
+    {"berylhill_cell_ends_failed", "Attempts that ended failed.",
+     &counts::ends_failed},
+    {"berylhill_cell_ends_other", "Attempts that were stopped or lapsed.",
+     &counts::ends_other},
+    {"berylhill_cell_ends_lost",
+     "Attempts whose instance was lost or gave no answer.", &counts::ends_lost},
+    {"berylhill_cell_tasks_given_up",
+     "Tasks not started again: instances were lost under them.",
+     &counts::tasks_given_up},
+    {"berylhill_cell_attempts_unexpected",
+     "Attempts found running that this owner did not expect.",
+     &counts::unexpected},
+    {"berylhill_cell_starts_withheld", "Starts that were decided and not sent.",
+     &counts::withheld},
+    {"berylhill_cell_preempted", "Attempts stopped for more urgent work.",
+     &counts::preempted},
+};
+
+} // namespace
+
 node_metrics::node_metrics()
 {
     // Created here so that the first scrape contains all of them.
@@ -47,29 +84,10 @@
     {
         m_metrics.gauge(name, help).set(value);
     };
-    auto const& counts = it.counts();
-    set("berylhill_cell_starts", "Tasks started by this owner.",
-        static_cast<double>(counts.starts));
-    set("berylhill_cell_ends_done", "Attempts that ended done.",
-        static_cast<double>(counts.ends_done));
-    set("berylhill_cell_ends_failed", "Attempts that ended failed.",
-        static_cast<double>(counts.ends_failed));
-    set("berylhill_cell_ends_other", "Attempts that were stopped or lapsed.",
-        static_cast<double>(counts.ends_other));
-    set("berylhill_cell_ends_lost",
-        "Attempts whose instance was lost or gave no answer.",
-        static_cast<double>(counts.ends_lost));
-    set("berylhill_cell_tasks_given_up",
-        "Tasks not started again: instances were lost under them.",
-        static_cast<double>(counts.tasks_given_up));
-    set("berylhill_cell_attempts_unexpected",
-        "Attempts found running that this owner did not expect.",
-        static_cast<double>(counts.unexpected));
-    set("berylhill_cell_starts_withheld",
-        "Starts that were decided and not sent.",
-        static_cast<double>(counts.withheld));
-    set("berylhill_cell_preempted", "Attempts stopped for more urgent work.",
-        static_cast<double>(counts.preempted));
+    for (auto const& each : scheduler_gauges)
+    {
+        set(each.name, each.help, static_cast<double>(it.counts().*each.count));
+    }
     set("berylhill_cell_jobs", "Jobs known, finished ones included.",
         static_cast<double>(it.jobs().all().size()));
     set("berylhill_cell_steps_waiting", "Steps with tasks that wait.",
--- a/libraries/scheduler/scheduler.hpp
+++ b/libraries/scheduler/scheduler.hpp
@@ -335,16 +335,18 @@
                                            workload::step_spec const& spec,
                                            base::instant now) const;
 
-    // scheduler_decide.cpp
+    // scheduler_rounds.cpp
+    using turn_iterator = std::vector<turn>::const_iterator;
     [[nodiscard]] std::vector<turn> turns(base::instant now);
     void note_ready(job const& of,
                     workload::step_name const& name,
                     step& in,
                     base::instant now);
     void note_wait(job const& of, step& in, base::instant now);
-    using turn_iterator = std::vector<turn>::const_iterator;
     void decide_urgent(turn_iterator from, turn_iterator to, base::instant now);
     void decide_step(turn const& it, base::instant now);
+
+    // scheduler_decide.cpp
     void decide_gang(job& of,
                      turn const& it,
                      std::vector<candidate> const& from,
--- a/tests/scheduler/start_places_test.cpp
+++ b/tests/scheduler/start_places_test.cpp
@@ -60,6 +60,18 @@
     return out;
 }
 
+/// An owner with such a job, and an idle instance `a` that may run one of its
+/// tasks.
+struct narrow_cell : scheduler_fixture
+{
+    narrow_cell()
+    {
+        list("a");
+        report("a");
+        decisions.submit(narrow_job(), 0, now);
+    }
+};
+
 void forbid(scheduler_fixture& it, forbidden_by why)
 {
     switch (why)
@@ -88,10 +100,7 @@
 BOOST_DATA_TEST_CASE(a_stored_start_is_not_sent_where_it_may_not_run,
                      boost::unit_test::data::make(forbidden_cases))
 {
-    scheduler_fixture it;
-    it.list("a");
-    it.report("a");
-    it.decisions.submit(narrow_job(), 0, it.now);
+    narrow_cell it;
     BOOST_TEST(count_of<scheduler::start_order>(it.decide()) == 0U);
     forbid(it, sample.why);
     BOOST_TEST(count_of<scheduler::start_order>(it.store()) == 0U);
@@ -102,10 +111,7 @@
 BOOST_DATA_TEST_CASE(an_order_is_not_sent_again_where_the_task_may_not_run,
                      boost::unit_test::data::make(forbidden_cases))
 {
-    scheduler_fixture it;
-    it.list("a");
-    it.report("a");
-    it.decisions.submit(narrow_job(), 0, it.now);
+    narrow_cell it;
     auto const sent = it.starts();
     BOOST_REQUIRE(sent.size() == 1U);
     forbid(it, sample.why);
@@ -122,10 +128,7 @@
 /// beside the late order of another one that counted as rejected.
 BOOST_AUTO_TEST_CASE(a_rejected_order_under_way_counts_for_its_step)
 {
-    scheduler_fixture it;
-    it.list("a");
-    it.report("a");
-    it.decisions.submit(narrow_job(), 0, it.now);
+    narrow_cell it;
     auto const first = it.starts();
     BOOST_REQUIRE(first.size() == 1U);
     it.list("b");
@@ -151,10 +154,7 @@
 /// Guards against exceeding the bound on tasks of a step after a takeover.
 BOOST_AUTO_TEST_CASE(the_next_owner_counts_what_the_former_one_decided)
 {
-    scheduler_fixture former;
-    former.list("a");
-    former.report("a");
-    former.decisions.submit(narrow_job(), 0, former.now);
+    narrow_cell former;
     BOOST_REQUIRE(former.starts().size() == 1U);
 
     scheduler_fixture it{former.records};
