scheduler: Send no start beyond an account's lowered cap

Cause: the cap was looked at when a start was decided, and not again when its record was stored or its order sent again, as the place was.

Evidence: account_cap/a_lowered_cap_holds_for_starts_that_were_decided (3 starts in place of 1) and a_lowered_cap_holds_for_orders_that_are_sent_again (3 orders again in place of none) failed before.

may_start asks the ledger whether the cap was lowered below the usage. Starts leave one after the other, and one that is withheld counts no more, so as many leave as the cap allows. Usage that is merely found after a takeover withholds nothing, as for the capacity of instances.

--- a/libraries/scheduler/account_ledger.cpp
+++ b/libraries/scheduler/account_ledger.cpp
@@ -33,13 +33,41 @@
          tasks_in(cap.gpus, used.gpus, task.gpus, most)}));
 }
 
+/// Whether the usage exceeds a cap in any dimension.
+bool exceeds(workload::resources const& used, workload::resources const& cap)
+{
+    auto const over = [](std::int64_t part, std::int64_t most)
+    {
+        return most > 0 && part > most;
+    };
+    return over(used.cpu_millis, cap.cpu_millis) ||
+           over(used.memory_mb, cap.memory_mb) || over(used.gpus, cap.gpus);
+}
+
+/// Whether a cap is smaller than the former one in any dimension.
+bool lowers(workload::resources const& cap, workload::resources const& former)
+{
+    auto const lower = [](std::int64_t now, std::int64_t before)
+    {
+        return now > 0 && (before <= 0 || now < before);
+    };
+    return lower(cap.cpu_millis, former.cpu_millis) ||
+           lower(cap.memory_mb, former.memory_mb) ||
+           lower(cap.gpus, former.gpus);
+}
+
 } // namespace
 
 void account_ledger::set_accounts(std::vector<workload::account_spec> const& it)
 {
     for (auto const& account : it)
     {
-        m_entries[account.name].cap = account.cap;
+        auto const [at, added] =
+            m_entries.try_emplace(account.name, entry{account.cap, {}, false});
+        auto& known = at->second;
+        known.lowered =
+            known.lowered || (!added && lowers(account.cap, known.cap));
+        known.cap = account.cap;
     }
 }
 
@@ -92,11 +120,19 @@
     {
         return cap > 0 && 2 * used >= cap;
     };
-    auto const& [cap, used] = at->second;
+    auto const& cap = at->second.cap;
+    auto const& used = at->second.used;
     return half(used.cpu_millis, cap.cpu_millis) ||
            half(used.memory_mb, cap.memory_mb) || half(used.gpus, cap.gpus);
 }
 
+bool account_ledger::over_lowered_cap(std::string_view account) const
+{
+    auto const at = m_entries.find(account);
+    return at != m_entries.end() && at->second.lowered &&
+           exceeds(at->second.used, at->second.cap);
+}
+
 workload::resources account_ledger::used(std::string_view account) const
 {
     auto const at = m_entries.find(account);
--- a/libraries/scheduler/account_ledger.hpp
+++ b/libraries/scheduler/account_ledger.hpp
@@ -50,6 +50,11 @@
     /// Whether the account uses at least half of its cap in any dimension.
     [[nodiscard]] bool half_used(std::string_view account) const;
 
+    /// Whether the account's cap was lowered and it uses more than is left.
+    /// Usage that is merely found after a takeover does not count as a reason
+    /// to revoke starts that fitted when they were decided.
+    [[nodiscard]] bool over_lowered_cap(std::string_view account) const;
+
     /// The resources that the account uses.
     [[nodiscard]] workload::resources used(std::string_view account) const;
 
@@ -61,6 +66,7 @@
     {
         workload::resources cap;
         workload::resources used;
+        bool lowered{false};
     };
 
     std::map<std::string, entry, std::less<>> m_entries;
--- a/libraries/scheduler/scheduler.hpp
+++ b/libraries/scheduler/scheduler.hpp
@@ -314,6 +314,7 @@
     void release_start(start_order it, base::instant now);
     [[nodiscard]] bool may_start(instance const& at,
                                  attempt_name const& name,
+                                 attempt const& it,
                                  base::instant now) const;
     [[nodiscard]] start_place place_now(instance const& at,
                                         workload::step_name const& of) const;
--- a/libraries/scheduler/scheduler_orders.cpp
+++ b/libraries/scheduler/scheduler_orders.cpp
@@ -61,10 +61,12 @@
 /// Whether a start that was decided may still be sent.
 bool scheduler::may_start(instance const& at,
                           attempt_name const& name,
+                          attempt const& it,
                           base::instant now) const
 {
     return at.entry_valid(now, m_rules) && !at.info().draining &&
            !at.over_capacity() && m_instances.attempts().of(name.task) == 1 &&
+           !m_instances.accounts().over_lowered_cap(it.account) &&
            place_now(at, name.task.step).allowed();
 }
 
@@ -98,6 +100,8 @@
                   {"draining", at.info().draining ? 1 : 0},
                   {"over_capacity", at.over_capacity() ? 1 : 0},
                   {"attempts", m_instances.attempts().of(name.task)},
+                  {"over_cap",
+                   m_instances.accounts().over_lowered_cap(it.account) ? 1 : 0},
                   {"serves_queue", place.serves_queue ? 1 : 0},
                   {"has_label", place.has_label ? 1 : 0},
                   {"of_step", place.of_step},
@@ -113,13 +117,14 @@
     {
         return;
     }
-    if (found->stop_wanted || !may_start(*at, it.attempt, now))
+    if (found->stop_wanted || !may_start(*at, it.attempt, *found, now))
     {
         // The attempt was cancelled before its order was sent, or the instance
         // began to leave, lost capacity or may have lost some, or another
-        // attempt was found, or the task may not run there any more, while the
-        // record was being stored, which takes seconds while the store is
-        // unavailable. Nothing has to be stopped.
+        // attempt was found, or the task may not run there any more, or the
+        // account's cap was lowered, while the record was being stored, which
+        // takes seconds while the store is unavailable. Nothing has to be
+        // stopped.
         ++m_counts.withheld;
         report_withheld(*at, it.attempt, *found, now);
         attempt_ended(*at, it.attempt, end_reason::stopped, {}, now);
@@ -186,7 +191,7 @@
         // As with hold requests, an order would grant a lease.
         return;
     }
-    if (!may_start(at, name, now))
+    if (!may_start(at, name, it, now))
     {
         // An order that has not been carried out must not be carried out any
         // more. Waiting for a newer entry instead could take forever: an
--- a/tests/scheduler/account_cap_test.cpp
+++ b/tests/scheduler/account_cap_test.cpp
@@ -160,4 +160,43 @@
                 scheduler::submission::accepted));
 }
 
+/// Guards against exceeding a lowered cap: starts that had been decided under
+/// the former one left when their record was stored.
+BOOST_AUTO_TEST_CASE(a_lowered_cap_holds_for_starts_that_were_decided)
+{
+    capped_cell it;
+    it.decisions.submit(job_of("small", 1, 3), 0, it.now);
+    BOOST_TEST(count_of<scheduler::start_order>(it.decide()) == 0U);
+    it.decisions.set_configuration(with_cap({1'000, 0, 0}));
+    BOOST_TEST(count_of<scheduler::start_order>(it.store()) == 1U);
+}
+
+/// Guards against exceeding a lowered cap: orders without an answer were sent
+/// again.
+BOOST_AUTO_TEST_CASE(a_lowered_cap_holds_for_orders_that_are_sent_again)
+{
+    constexpr auto until_sent_again = std::chrono::milliseconds{250};
+    capped_cell it;
+    it.decisions.submit(job_of("small", 1, 3), 0, it.now);
+    BOOST_REQUIRE(it.starts().size() == 3U);
+    it.decisions.set_configuration(with_cap({1'000, 0, 0}));
+    it.advance(until_sent_again);
+    it.decisions.tick(0, it.now);
+    auto const again = it.decisions.take_orders();
+    BOOST_TEST(count_of<scheduler::start_order>(again) == 0U);
+    BOOST_TEST(count_of<scheduler::stop_order>(it.store()) == 3U);
+}
+
+/// A takeover may find more running than the cap allows; starts that fitted
+/// when they were decided still leave.
+BOOST_AUTO_TEST_CASE(a_cap_that_was_not_lowered_withholds_nothing)
+{
+    capped_cell it;
+    it.decisions.submit(job_of("small", 1, 3), 0, it.now);
+    BOOST_TEST(count_of<scheduler::start_order>(it.decide()) == 0U);
+    it.decisions.submit(job_of("small", 2, 1), 0, it.now);
+    it.report("a", {{{{{{2}, 0, 0}, 0}, 1}, {}, 10}});
+    BOOST_TEST(count_of<scheduler::start_order>(it.store()) == 3U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
