meta: Keep clean results of the linter by content

The linter takes a quarter of an hour for all sources and is run several times on nearly the same tree.

--- a/meta/berylhill.sh
+++ b/meta/berylhill.sh
@@ -9,7 +9,7 @@
   build [PRESET]          configure and build (release, asan, tsan)
   test [PRESET]           all tests, through CTest
   format [--check]        run the formatter, or only check
-  lint [FILE...]          run the linter over all sources, or some
+  lint [FILE...]          run the linter over all sources, or some; keeps clean results
   bench                   print one `name=value unit` line for each figure
   demo                    install, build, run both customers' samples
   scenario FILE [--seed N] [--runs M]
@@ -57,7 +57,7 @@
     if [ "${#files[@]}" -eq 0 ]; then
         mapfile -t files < <(sources | grep '\.cpp$')
     fi
-    printf '%s\n' "${files[@]}" | xargs -P "${BERYLHILL_JOBS:-$(nproc)}" -n 2 clang-tidy --quiet -p build/release 2>/dev/null
+    meta/lint.sh "${files[@]}"
 }
 
 command=${1:-}
