cell: Log what tells an overloaded owner from one that is taking over

No decision changes. Lag and processor time are metrics too (berylhill_cell_loop_lag_seconds, berylhill_cell_processor_cores).

--- a/libraries/cell/node.hpp
+++ b/libraries/cell/node.hpp
@@ -10,6 +10,7 @@
 #include <cell/node_metrics.hpp>
 #include <cell/ownership.hpp>
 #include <cell/peer_service.hpp>
+#include <cell/processor_meter.hpp>
 #include <network/http_server.hpp>
 
 #include <boost/asio/io_context.hpp>
@@ -130,6 +131,7 @@
     boost::asio::steady_timer m_log_timer;
     boost::asio::steady_timer m_load_timer;
     loop_lag m_lag;
+    processor_meter m_processor;
     node_metrics m_metrics;
     workload::cell_configuration m_configuration;
     /// The record of the configuration, for processes that cannot read the
--- a/libraries/cell/node_answers.cpp
+++ b/libraries/cell/node_answers.cpp
@@ -258,6 +258,8 @@
     now.newest_configuration =
         std::max(m_propagation.newest(), m_configuration.version);
     now.configuration_age = m_propagation.age(m_clock.now());
+    now.loop_lag = m_lag.average();
+    now.processor_cores = m_processor.cores();
     now.connections = m_callers.connections();
     now.order_connections_opened = m_order_client.connections_opened();
     if (m_owner)
--- a/libraries/cell/node_load.cpp
+++ b/libraries/cell/node_load.cpp
@@ -1,6 +1,7 @@
 #include <cell/node.hpp>
 
 #include <base/log.hpp>
+#include <base/processor_time.hpp>
 #include <cell/yield_rule.hpp>
 
 #include <boost/asio/post.hpp>
@@ -22,6 +23,7 @@
 
 void node::watch_load()
 {
+    m_processor.measured(m_clock.now(), base::processor_time());
     if (m_owner && !m_stopping && !m_yielding)
     {
         auto const why = should_yield(
@@ -40,10 +42,16 @@
 void node::yield(char const* why)
 {
     m_yielding = true;
+    auto const& decisions = m_owner->decisions();
     base::log(base::log_level::info, "owner_yields",
               {{"why", why},
+               {"token", m_owner->token()},
                {"lag_s", base::seconds_of(m_lag.average())},
-               {"cores", m_settings.limits.cores}});
+               {"cores", m_settings.limits.cores},
+               {"cores_used", m_processor.cores()},
+               {"owned_s", base::seconds_of(m_clock.now() - m_owns_since)},
+               {"instances", std::uint64_t{decisions.instances().all().size()}},
+               {"reachable", std::uint64_t{decisions.reachable_instances()}}});
     m_owner->release(release_limit,
                      [this]
                      {
--- a/libraries/cell/node_metrics.cpp
+++ b/libraries/cell/node_metrics.cpp
@@ -92,16 +92,11 @@
         static_cast<double>(it.jobs().all().size()));
     set("berylhill_cell_steps_waiting", "Steps with tasks that wait.",
         static_cast<double>(it.jobs().ready().size()));
-    std::size_t reachable = 0;
-    for (auto const& [id, at] : it.instances().all())
-    {
-        reachable += at->listed() && at->reachable() ? 1 : 0;
-    }
     set("berylhill_cell_instances", "Instances listed or holding work.",
         static_cast<double>(it.instances().all().size()));
     set("berylhill_cell_instances_reachable",
         "Listed instances that gave an answer.",
-        static_cast<double>(reachable));
+        static_cast<double>(it.reachable_instances()));
 }
 
 std::string node_metrics::text(readings const& it)
@@ -126,6 +121,11 @@
     set("berylhill_cell_configuration_age_seconds",
         "Since the version in force was known to be the newest.",
         base::seconds_of(it.configuration_age));
+    set("berylhill_cell_loop_lag_seconds",
+        "How late the event loop runs timers that are due.",
+        base::seconds_of(it.loop_lag));
+    set("berylhill_cell_processor_cores",
+        "Processor time that the process gets.", it.processor_cores);
     set("berylhill_cell_connections", "Open connections of callers.",
         static_cast<double>(it.connections));
     set("berylhill_cell_order_connections_opened",
--- a/libraries/cell/node_metrics.hpp
+++ b/libraries/cell/node_metrics.hpp
@@ -35,6 +35,10 @@
         std::int64_t newest_configuration{0};
         /// Time since the version in force was known to be the newest.
         base::duration configuration_age{0};
+        /// See `loop_lag::average`.
+        base::duration loop_lag{0};
+        /// See `processor_meter::cores`.
+        double processor_cores{0};
         std::size_t connections{0};
         std::uint64_t order_connections_opened{0};
         /// Null while this process does not own.
--- a/libraries/cell/ownership.cpp
+++ b/libraries/cell/ownership.cpp
@@ -21,6 +21,24 @@
 
 } // namespace
 
+char const* name_of(ownership_state it)
+{
+    switch (it)
+    {
+    case ownership_state::starting:
+        return "starting";
+    case ownership_state::watching:
+        return "watching";
+    case ownership_state::suspecting:
+        return "suspecting";
+    case ownership_state::claiming:
+        return "claiming";
+    case ownership_state::owning:
+        return "owning";
+    }
+    return "other";
+}
+
 ownership::ownership(boost::asio::io_context& loop,
                      base::clock const& clock,
                      keyed_log& cell,
@@ -58,6 +76,7 @@
 
 void ownership::start()
 {
+    m_ownerless_since = m_clock.now();
     find_owner();
 }
 
@@ -65,8 +84,8 @@
 void ownership::find_owner()
 {
     ++*m_generation;
+    not_heard();
     m_state = ownership_state::starting;
-    m_heard = false;
     m_lookup.find(
         [this, mine = *m_generation](std::optional<owner_view> const& it)
         {
@@ -104,11 +123,14 @@
         return;
     }
     m_owner = it;
-    m_heard = false;
     m_failures = 0;
     m_rounds_alone = 0;
     base::log(base::log_level::info, "owner_seen",
-              {{"owner", it.instance}, {"token", it.token}});
+              {{"owner", it.instance},
+               {"token", it.token},
+               {"state", name_of(m_state)},
+               {"ownerless_s", base::seconds_of(ownerless_for())}});
+    not_heard();
     if (m_state == ownership_state::owning ||
         m_state == ownership_state::starting)
     {
@@ -119,6 +141,23 @@
     watch(base::duration{0});
 }
 
+/// The owner has not answered, or a new one has to be reached.
+void ownership::not_heard()
+{
+    if (owner_heard())
+    {
+        m_ownerless_since = m_clock.now();
+    }
+    m_heard = false;
+}
+
+/// Returns for how long this process has not heard from an owner.
+base::duration ownership::ownerless_for() const
+{
+    return owner_heard() ? base::duration{0}
+                         : m_clock.now() - m_ownerless_since;
+}
+
 void ownership::on_owner_reported(owner_view const& it)
 {
     if (it.token <= m_owner.token)
@@ -147,8 +186,8 @@
 void ownership::yield(base::duration rest)
 {
     ++*m_generation;
+    not_heard();
     m_state = ownership_state::watching;
-    m_heard = false;
     // A successor's announcement ends the pause.
     run_after(rest, [this] { find_owner(); });
 }
--- a/libraries/cell/ownership.hpp
+++ b/libraries/cell/ownership.hpp
@@ -32,6 +32,9 @@
     owning,
 };
 
+/// The name of the value in logs.
+[[nodiscard]] char const* name_of(ownership_state it);
+
 /// How a watched owner was lost.
 enum class owner_loss : std::uint8_t
 {
@@ -168,6 +171,8 @@
                  owner_view const& mine,
                  std::uint64_t at);
     void run_after(base::duration pause, std::function<void()> task);
+    void not_heard();
+    [[nodiscard]] base::duration ownerless_for() const;
     [[nodiscard]] std::int64_t succession_rank() const;
     [[nodiscard]] base::duration watch_interval() const;
     [[nodiscard]] base::duration claim_delay() const;
@@ -195,6 +200,8 @@
     bool m_heard{false};
     bool m_leaving{false};
     base::instant m_claim_began{};
+    /// Since when this process has not heard from an owner.
+    base::instant m_ownerless_since{};
     std::uint32_t m_failures{0};
     /// Consecutive rounds in which no other process answered.
     std::uint32_t m_rounds_isolated{0};
--- a/libraries/cell/ownership_claim.cpp
+++ b/libraries/cell/ownership_claim.cpp
@@ -29,6 +29,9 @@
 /// Time limit of a claim, after which the owner is looked up again.
 constexpr base::duration claim_limit = std::chrono::milliseconds{2'000};
 
+/// Longer waits for a turn are logged.
+constexpr base::duration logged_claim_delay = std::chrono::milliseconds{500};
+
 /// Pause after a claim that could not be made.
 constexpr base::duration claim_retry = std::chrono::milliseconds{150};
 
@@ -80,7 +83,15 @@
     // turn comes: dozens that read it at once would delay the first one to
     // claim. Nothing is logged before, because a new owner may appear during
     // the wait.
-    run_after(claim_delay(),
+    auto const delay = claim_delay();
+    if (delay > logged_claim_delay)
+    {
+        base::log(base::log_level::info, "claim_waits",
+                  {{"why", why},
+                   {"rank", succession_rank()},
+                   {"delay_s", base::seconds_of(delay)}});
+    }
+    run_after(delay,
               [this, why]
               {
                   base::log(base::log_level::info, "claim_begins",
@@ -182,7 +193,6 @@
         return;
     }
     ++*m_generation;
-    m_state = ownership_state::owning;
     auto const former = std::exchange(m_owner, claimant);
     m_rounds_isolated = 0;
     m_rounds_alone = 0;
@@ -190,7 +200,10 @@
     m_follower.stop();
     base::log(base::log_level::info, "claim_won",
               {{"token", claimant.token},
-               {"records", std::uint64_t{m_replica.records().size()}}});
+               {"records", std::uint64_t{m_replica.records().size()}},
+               {"took_s", base::seconds_of(m_clock.now() - m_claim_began)},
+               {"ownerless_s", base::seconds_of(ownerless_for())}});
+    m_state = ownership_state::owning;
     m_listener.began(m_replica.records(), claimant.token, at + 1);
     m_replica.clear();
     std::set<network::socket_address> told{former.address};
--- a/libraries/cell/ownership_watch.cpp
+++ b/libraries/cell/ownership_watch.cpp
@@ -149,7 +149,7 @@
 
 void ownership::lost(owner_loss why)
 {
-    m_heard = false;
+    not_heard();
     base::log(base::log_level::warning, "owner_lost",
               {{"owner", m_owner.instance},
                {"token", m_owner.token},
--- a/libraries/scheduler/scheduler.cpp
+++ b/libraries/scheduler/scheduler.cpp
@@ -270,6 +270,13 @@
         }));
 }
 
+std::size_t scheduler::reachable_instances() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        m_instances.all(), [](auto const& it)
+        { return it.second->listed() && it.second->reachable(); }));
+}
+
 std::vector<order> scheduler::take_orders()
 {
     return std::exchange(m_orders, {});
--- a/libraries/scheduler/scheduler.hpp
+++ b/libraries/scheduler/scheduler.hpp
@@ -159,6 +159,10 @@
     /// endpoint list may be too old.
     [[nodiscard]] std::size_t outdated_instances(base::instant now) const;
 
+    /// Number of listed instances whose last request was answered under the
+    /// present owner's token.
+    [[nodiscard]] std::size_t reachable_instances() const;
+
     [[nodiscard]] instance_table const& instances() const noexcept
     {
         return m_instances;
