cell: Read a lost page of the newest records again by itself

Callers see no owner for long after all processes were gone: the records are read page by page, and one page that did not come in time made the reading begin anew, with all pages before it, on a link that is loaded already. The page is now asked for again from where it was.

log_follower/a_lost_page_is_read_again_by_itself failed before: 6 pages read in place of 5 (four pages, the second one lost).

--- a/libraries/cell/log_follower.cpp
+++ b/libraries/cell/log_follower.cpp
@@ -98,26 +98,29 @@
 void log_follower::read_newest(std::string const& after)
 {
     m_asked_at = m_clock.now();
-    m_log.read_newest(
-        after, {m_page_timeout, page_stall_timeout},
-        [this, alive = m_generation, mine = *m_generation](newest_result it)
-        {
-            if (*alive == mine)
-            {
-                newest_read(std::move(it));
-            }
-        });
+    m_log.read_newest(after, {m_page_timeout, page_stall_timeout},
+                      [this, after, alive = m_generation,
+                       mine = *m_generation](newest_result it)
+                      {
+                          if (*alive == mine)
+                          {
+                              newest_read(after, std::move(it));
+                          }
+                      });
 }
 
-void log_follower::newest_read(newest_result it)
+/// A lost page is read again by itself: a reading that starts over never ends
+/// on a link that loses one page in each.
+void log_follower::newest_read(std::string const& after, newest_result it)
 {
     if (!it.answered)
     {
         failed("newest", 0, it.bytes_received);
         m_page_timeout = std::min(2 * m_page_timeout, max_page_timeout);
-        run_after(m_options.retry, [this] { start(); });
+        run_after(m_options.retry, [this, after] { read_newest(after); });
         return;
     }
+    m_last_progress = m_clock.now();
     if (m_first_page)
     {
         // The log may grow while pages are read one after the other; regular
@@ -321,6 +324,7 @@
 void log_follower::succeeded()
 {
     m_last_read = m_clock.now();
+    m_last_progress = m_last_read;
     if (auto const failures = std::exchange(m_failures, 0); failures > 0)
     {
         m_answered_since = m_last_read;
--- a/libraries/cell/log_follower.hpp
+++ b/libraries/cell/log_follower.hpp
@@ -130,6 +130,12 @@
         return m_answered_since;
     }
 
+    /// When the last read or page of the newest records arrived.
+    [[nodiscard]] base::instant last_progress() const noexcept
+    {
+        return m_last_progress;
+    }
+
     /// When the store last answered.
     [[nodiscard]] base::instant last_read() const noexcept
     {
@@ -138,7 +144,7 @@
 
 private:
     void read_newest(std::string const& after);
-    void newest_read(newest_result it);
+    void newest_read(std::string const& after, newest_result it);
     void finish_newest();
     void read_tail(base::duration wait,
                    base::duration limit = max_response_delay);
@@ -174,6 +180,7 @@
     std::uint64_t m_failures{0};
     base::instant m_asked_at{};
     base::instant m_last_read{};
+    base::instant m_last_progress{};
     base::instant m_answered_since{};
     write_times m_write_times;
     /// While all records are read: those seen so far, and the end of the log
--- a/tests/cell/fake_log.hpp
+++ b/tests/cell/fake_log.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cell/keyed_log.hpp>
+#include <cell/owner_lookup.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -10,6 +11,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -122,8 +124,10 @@
                      network::call_patience const& patience,
                      cell::newest_handler handler) override
     {
+        ++pages;
         std::map<std::string, std::uint64_t> last;
-        for (std::uint64_t n = 0; n < log.size(); ++n)
+        auto const shown = log.size() - std::min(hidden_records, log.size());
+        for (std::uint64_t n = 0; n < shown; ++n)
         {
             last[log[n].key] = n;
         }
@@ -144,9 +148,14 @@
             out.entries.push_back({n, key, log[n].value});
         }
         auto const takes = page_delay + time_on_link(out.entries);
-        auto const in_time = patience.stall.count() == 0
-                                 ? takes <= patience.begin
-                                 : page_delay <= patience.begin;
+        // Owners are looked up by pages after all jobs.
+        auto const of_jobs = after < cell::before_owner_key;
+        job_pages += of_jobs ? 1 : 0;
+        auto const lost =
+            pages_to_lose.contains(pages) || (lose_job_pages && of_jobs);
+        auto const in_time = !lost && (patience.stall.count() == 0
+                                           ? takes <= patience.begin
+                                           : page_delay <= patience.begin);
         if (!in_time)
         {
             ++pages_lost;
@@ -197,6 +206,16 @@
     std::size_t link_bytes_per_s{0};
     /// Time until a page of the newest records begins to arrive.
     base::duration page_delay{0};
+    /// Pages of the newest records that were requested.
+    std::size_t pages{0};
+    /// Those of them that begin with jobs.
+    std::size_t job_pages{0};
+    bool lose_job_pages{false};
+    /// The newest records of the log that pages leave out, as if they had been
+    /// read before these were written.
+    std::size_t hidden_records{0};
+    /// The numbers, from 1, of the pages that do not arrive.
+    std::set<std::size_t> pages_to_lose;
     /// Pages that did not arrive before the caller's timeout.
     std::size_t pages_lost{0};
 
--- a/tests/cell/log_follower_test.cpp
+++ b/tests/cell/log_follower_test.cpp
@@ -83,6 +83,19 @@
     BOOST_TEST((seen == map{{"a", "2"}, {"aa", "1"}, {"b", "1"}}));
 }
 
+/// Guards against a new owner that never gets through its records: a page was
+/// lost on a loaded link, and the reading began anew each time.
+BOOST_AUTO_TEST_CASE(a_lost_page_is_read_again_by_itself)
+{
+    log.page = 1;
+    log.put({{"a", "1"}, {"b", "1"}, {"c", "1"}, {"d", "1"}});
+    log.pages_to_lose = {2};
+    follower.start();
+    run(260);
+    BOOST_TEST((seen == map{{"a", "1"}, {"b", "1"}, {"c", "1"}, {"d", "1"}}));
+    BOOST_TEST(log.pages == 5U);
+}
+
 BOOST_AUTO_TEST_CASE(trimmed_log_is_read_again)
 {
     log.put({{"a", "1"}, {"b", "1"}});
