cell: Claim before reading the records, and look for other claims meanwhile

Some went on calling a former owner for up to 16 s.

Cause: a claim was made only after all records had been read. After all are gone no process knows another, so their turns lie within 0.2 s, none finds a claim, and all read everything at once over links and a store that carry one such reading. And a new owner's first list names only the first that asked, by which every process took itself for a standby and began to read.

Change: a process that does not follow the log appends its claim where the log ended when it looked up the newest one, and reads the records after it has won (`restoring`). This is safe since the claim itself ends the former owner's appends: what lies before the claim's offset is final, and the owner begins only when it has read that far; a newer claim read on the way ends it. Until then it answers watches as the owner, takes no calls, and gives up after 4 s without a page. A process that waits for its turn looks for other claims every 0.15 to 1.15 s. A standby is one that the owner's list names.

--- a/libraries/cell/call_router.cpp
+++ b/libraries/cell/call_router.cpp
@@ -97,7 +97,7 @@
         return;
     }
     if (left.count() <= 0 || m_owner.owner().token == 0 ||
-        !m_owner.owner_heard())
+        !m_owner.owner_serves())
     {
         retry(it);
         return;
@@ -124,7 +124,7 @@
             {
                 return;
             }
-            if (m_owner.owner_heard() &&
+            if (m_owner.owner_serves() &&
                 m_owner.owner().token == it->asked_token)
             {
                 watch_owner(it, asked);
--- a/libraries/cell/node.hpp
+++ b/libraries/cell/node.hpp
@@ -64,6 +64,7 @@
     [[nodiscard]] std::optional<std::string>
     compressed_configuration() override;
     [[nodiscard]] bool owns() const override;
+    [[nodiscard]] bool serves() const override;
     void call_owner(job_call const& it, job_answer_handler done) override;
     void advise(advice_request const& it, advice_handler done) override;
 
--- a/libraries/cell/node_answers.cpp
+++ b/libraries/cell/node_answers.cpp
@@ -59,8 +59,9 @@
 watch_answer node::view() const
 {
     watch_answer out;
-    out.owns = m_owner != nullptr && !m_stopping;
-    out.leaving = (m_stopping || m_yielding) && m_owner == nullptr;
+    out.owns = owns() && !m_stopping;
+    out.restoring = owns() && !serves();
+    out.leaving = (m_stopping || m_ownership.released()) && !owns();
     out.owner = m_ownership.owner();
     out.owner_heard = m_ownership.owner_heard();
     out.configuration = configuration_here();
@@ -79,6 +80,11 @@
 }
 
 bool node::owns() const
+{
+    return serves() || m_ownership.state() == ownership_state::restoring;
+}
+
+bool node::serves() const
 {
     return m_owner != nullptr;
 }
@@ -230,7 +236,7 @@
 bool node::ready() const
 {
     return !m_stopping && m_configuration.version != 0 &&
-           !configuration_overdue() && m_ownership.owner_heard();
+           !configuration_overdue() && m_ownership.owner_serves();
 }
 
 void node::take_readiness(network::responder const& answer)
--- a/libraries/cell/owner_lookup.cpp
+++ b/libraries/cell/owner_lookup.cpp
@@ -53,36 +53,36 @@
 
 void owner_lookup::read_after(std::string const& key, handler done)
 {
-    m_cell.read_newest(key, {m_timeout, lookup_stall_timeout},
-                       [this, alive = m_generation, mine = *m_generation,
-                        done = std::move(done)](newest_result const& it)
-                       {
-                           if (*alive != mine)
-                           {
-                               return;
-                           }
-                           if (!it.answered)
-                           {
-                               m_timeout =
-                                   std::min(2 * m_timeout, max_lookup_timeout);
-                               done(std::nullopt);
-                               return;
-                           }
-                           m_timeout = lookup_timeout;
-                           auto const at = std::ranges::find(
-                               it.entries, owner_key, &log_entry::key);
-                           if (at != it.entries.end())
-                           {
-                               done(claim_of(at->value));
-                               return;
-                           }
-                           if (it.truncated && !it.entries.empty())
-                           {
-                               read_after(it.entries.back().key, done);
-                               return;
-                           }
-                           done(owner_view{});
-                       });
+    m_cell.read_newest(
+        key, {m_timeout, lookup_stall_timeout},
+        [this, alive = m_generation, mine = *m_generation,
+         done = std::move(done)](newest_result const& it)
+        {
+            if (*alive != mine)
+            {
+                return;
+            }
+            if (!it.answered)
+            {
+                m_timeout = std::min(2 * m_timeout, max_lookup_timeout);
+                done(std::nullopt);
+                return;
+            }
+            m_timeout = lookup_timeout;
+            auto const at =
+                std::ranges::find(it.entries, owner_key, &log_entry::key);
+            if (at != it.entries.end())
+            {
+                done(found_claim{claim_of(at->value), it.log_end});
+                return;
+            }
+            if (it.truncated && !it.entries.empty())
+            {
+                read_after(it.entries.back().key, done);
+                return;
+            }
+            done(found_claim{{}, it.log_end});
+        });
 }
 
 } // namespace berylhill::cell
--- a/libraries/cell/owner_lookup.hpp
+++ b/libraries/cell/owner_lookup.hpp
@@ -3,6 +3,7 @@
 #include <cell/keyed_log.hpp>
 #include <cell/peer.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -22,6 +23,16 @@
 /// token is 0.
 [[nodiscard]] owner_view claim_of(std::string const& value);
 
+/// The newest claim, and where the log ended when it was read. A value.
+struct found_claim
+{
+    /// Its token is 0 if there is no claim.
+    owner_view owner;
+    std::uint64_t log_end{0};
+
+    friend bool operator==(found_claim const&, found_claim const&) = default;
+};
+
 /// Finds the owner by the newest claim without reading the jobs' records.
 ///
 /// When all processes started at once and each read all records, megabytes per
@@ -33,9 +44,8 @@
 class owner_lookup
 {
 public:
-    /// Called with the claim, whose token is 0 if there is none; with nothing
-    /// if the store did not answer.
-    using handler = std::function<void(std::optional<owner_view> const&)>;
+    /// Called with nothing if the store did not answer.
+    using handler = std::function<void(std::optional<found_claim> const&)>;
 
     explicit owner_lookup(keyed_log& cell);
     owner_lookup(owner_lookup const&) = delete;
--- a/libraries/cell/ownership.cpp
+++ b/libraries/cell/ownership.cpp
@@ -33,6 +33,8 @@
         return "suspecting";
     case ownership_state::claiming:
         return "claiming";
+    case ownership_state::restoring:
+        return "restoring";
     case ownership_state::owning:
         return "owning";
     }
@@ -87,7 +89,7 @@
     not_heard();
     m_state = ownership_state::starting;
     m_lookup.find(
-        [this, mine = *m_generation](std::optional<owner_view> const& it)
+        [this, mine = *m_generation](std::optional<found_claim> const& it)
         {
             if (*m_generation != mine)
             {
@@ -98,7 +100,7 @@
                 run_after(find_retry, [this] { find_owner(); });
                 return;
             }
-            owner_found(*it);
+            owner_found(it->owner);
         });
 }
 
@@ -122,9 +124,11 @@
     {
         return;
     }
+    auto const was_restoring = m_state == ownership_state::restoring;
     m_owner = it;
     m_failures = 0;
     m_rounds_alone = 0;
+    m_released = false;
     base::log(base::log_level::info, "owner_seen",
               {{"owner", it.instance},
                {"token", it.token},
@@ -139,6 +143,10 @@
     ++*m_generation;
     m_state = ownership_state::watching;
     watch(base::duration{0});
+    if (was_restoring)
+    {
+        m_listener.ended();
+    }
 }
 
 /// The owner has not answered, or a new one has to be reached.
@@ -185,22 +193,26 @@
 
 void ownership::yield(base::duration rest)
 {
-    ++*m_generation;
+    m_released = true;
+    m_rests_until = m_clock.now() + rest;
     not_heard();
-    m_state = ownership_state::watching;
-    // A successor's announcement ends the pause.
-    run_after(rest, [this] { find_owner(); });
+    claim("yielded");
 }
 
 void ownership::leave()
 {
     m_leaving = true;
+    auto const was_restoring = m_state == ownership_state::restoring;
     if (m_state != ownership_state::owning &&
-        m_state != ownership_state::claiming)
+        m_state != ownership_state::claiming && !was_restoring)
     {
         return;
     }
     find_owner();
+    if (was_restoring)
+    {
+        m_listener.ended();
+    }
 }
 
 void ownership::run_after(base::duration pause, std::function<void()> task)
--- a/libraries/cell/ownership.hpp
+++ b/libraries/cell/ownership.hpp
@@ -29,6 +29,8 @@
     /// The owner did not answer; other processes are being asked.
     suspecting,
     claiming,
+    /// The claim is stored; the records before it are being read.
+    restoring,
     owning,
 };
 
@@ -52,8 +54,16 @@
 /// Finds the owner of the cell's work, watches it, and claims the work when the
 /// owner is gone. A claim is a record appended at the end of the cell's log, so
 /// only one of two competing claims succeeds. The winner's fencing token, the
-/// offset of its claim plus one, is higher than that of all owners before. An
-/// unnecessary claim causes a change of owner but breaks no guarantee, so
+/// offset of its claim plus one, is higher than that of all owners before.
+///
+/// A process that does not follow the log claims first and reads the records
+/// afterwards. No record of a former owner can follow the claim, because its
+/// appends are refused from then on; so what is read up to the claim is
+/// complete however long the reading takes. If all processes read before they
+/// claim, hundreds that start at once share the store's bandwidth and none of
+/// them claims for seconds.
+///
+/// An unnecessary claim causes a change of owner but breaks no guarantee, so
 /// suspicion may be quick.
 ///
 /// Lives on the event loop.
@@ -70,14 +80,15 @@
         listener& operator=(listener const&) = delete;
         virtual ~listener() = default;
 
-        /// This process now owns the work. `records` are the newest records
-        /// before the claim, `token` is the claim's fencing token and `next`
-        /// the offset after the claim.
+        /// This process now owns the work and has read the records: `records`
+        /// are the newest ones before the claim, `token` is the claim's fencing
+        /// token and `next` the offset after the claim.
         virtual void began(std::map<std::string, std::string> const& records,
                            std::uint64_t token,
                            std::uint64_t next) = 0;
 
-        /// This process no longer owns the work.
+        /// This process no longer owns the work. Also called if it has not
+        /// begun.
         virtual void ended() = 0;
 
         /// Returns the configuration version of this process and its age.
@@ -137,7 +148,22 @@
     /// Whether the owner answered the last watch.
     [[nodiscard]] bool owner_heard() const noexcept
     {
-        return m_state == ownership_state::owning || m_heard;
+        return m_state == ownership_state::owning ||
+               m_state == ownership_state::restoring || m_heard;
+    }
+
+    /// Whether the owner answered the last watch and has read the records, so
+    /// that it serves calls.
+    [[nodiscard]] bool owner_serves() const noexcept
+    {
+        return m_state == ownership_state::owning ||
+               (m_heard && !m_owner_restoring);
+    }
+
+    /// This process gave up ownership and has not seen a successor yet.
+    [[nodiscard]] bool released() const noexcept
+    {
+        return m_released;
     }
 
     /// The other processes as reported by the owner; only standbys know all of
@@ -165,17 +191,26 @@
     void suspected();
     void probe_owner_again();
     void claim(char const* why);
-    void check_owner_before_claim();
-    void claim_now();
+    void wait_for_turn();
+    void find_other_claim();
+    void begin_claim();
+    void append_claim(std::uint64_t at);
     void claimed(reliable_append_outcome it,
-                 owner_view const& mine,
+                 owner_view const& claimant,
                  std::uint64_t at);
+    void announce(owner_view const& former);
+    void restore();
+    void check_restored();
+    void restored();
+    void give_up_restoring();
     void run_after(base::duration pause, std::function<void()> task);
     void not_heard();
     [[nodiscard]] base::duration ownerless_for() const;
     [[nodiscard]] std::int64_t succession_rank() const;
+    [[nodiscard]] bool is_standby() const;
     [[nodiscard]] base::duration watch_interval() const;
     [[nodiscard]] base::duration claim_delay() const;
+    [[nodiscard]] base::duration lookup_delay() const;
     void update_following();
 
     boost::asio::io_context& m_loop;
@@ -198,8 +233,17 @@
     /// The number of processes that watch the owner.
     std::size_t m_watchers{0};
     bool m_heard{false};
+    /// The owner is still reading the records.
+    bool m_owner_restoring{false};
     bool m_leaving{false};
+    bool m_released{false};
+    char const* m_claim_reason{""};
+    /// When it is this process's turn to claim.
+    base::instant m_turn{};
+    /// This process makes no claim before this time.
+    base::instant m_rests_until{};
     base::instant m_claim_began{};
+    base::instant m_restore_began{};
     /// Since when this process has not heard from an owner.
     base::instant m_ownerless_since{};
     std::uint32_t m_failures{0};
--- a/libraries/cell/ownership_claim.cpp
+++ b/libraries/cell/ownership_claim.cpp
@@ -16,9 +16,9 @@
 /// the log, or announced, when the next one checks.
 constexpr base::duration claim_step = std::chrono::milliseconds{25};
 
-/// Interval between processes that do not follow the log. They read all of it
-/// before they claim, and dozens that do so at once slow down the one that
-/// wins.
+/// Interval between processes that do not follow the log: they look for another
+/// claim before their own, so one that is stored or announced within this time
+/// saves the next one's.
 constexpr base::duration late_claim_step = std::chrono::milliseconds{150};
 
 /// While the other processes are unknown, an instance this small lets larger
@@ -26,6 +26,17 @@
 constexpr std::int64_t small_millicores = 200;
 constexpr base::duration small_delay = std::chrono::milliseconds{250};
 
+/// Least time after which a process that waits for its turn looks for another
+/// claim: most learn of one by its announcement before.
+constexpr base::duration min_lookup_delay = std::chrono::milliseconds{150};
+
+/// The records are given up when none has arrived for this long, longer than a
+/// page takes on the link of a small machine.
+constexpr base::duration restore_stall_limit = std::chrono::seconds{4};
+
+/// A process that could not read the records makes no claim for this long.
+constexpr base::duration restore_rest = std::chrono::seconds{5};
+
 /// Time limit of a claim, after which the owner is looked up again.
 constexpr base::duration claim_limit = std::chrono::milliseconds{2'000};
 
@@ -70,6 +81,18 @@
     return out;
 }
 
+/// Returns the time until another process's claim is looked for while this one
+/// waits for its turn. Spread over an interval, since all begin to wait at the
+/// same moment.
+base::duration ownership::lookup_delay() const
+{
+    constexpr std::size_t parts = 16;
+    auto const part = static_cast<std::int64_t>(
+        std::hash<std::string>{}(m_self.instance) / parts % parts);
+    return min_lookup_delay +
+           watch_wait(m_watchers) * part / static_cast<std::int64_t>(parts);
+}
+
 void ownership::claim(char const* why)
 {
     if (m_leaving)
@@ -79,97 +102,118 @@
     }
     ++*m_generation;
     m_state = ownership_state::claiming;
-    // Processes that do not follow the log start reading it only when their
-    // turn comes: dozens that read it at once would delay the first one to
-    // claim. Nothing is logged before, because a new owner may appear during
-    // the wait.
-    auto const delay = claim_delay();
-    if (delay > logged_claim_delay)
+    m_claim_reason = why;
+    auto const now = m_clock.now();
+    m_turn = std::max(now + claim_delay(), m_rests_until);
+    if (m_turn - now > logged_claim_delay)
     {
         base::log(base::log_level::info, "claim_waits",
                   {{"why", why},
                    {"rank", succession_rank()},
-                   {"delay_s", base::seconds_of(delay)}});
+                   {"delay_s", base::seconds_of(m_turn - now)}});
     }
-    run_after(delay,
-              [this, why]
-              {
-                  base::log(base::log_level::info, "claim_begins",
-                            {{"why", why},
-                             {"former", m_owner.instance},
-                             {"former_token", m_owner.token}});
-                  m_claim_began = m_clock.now();
-                  check_owner_before_claim();
-              });
+    wait_for_turn();
 }
 
-/// Another process may have claimed while this one waited. A process that does
-/// not follow the log would notice that only after reading all its records, and
-/// dozens that do so at once occupy the links of small machines for seconds.
-void ownership::check_owner_before_claim()
+/// The winner announces itself to the processes that it knows, few if it has
+/// just started. So a process that waits longer also looks for other claims;
+/// otherwise the last of hundreds would call the former owner for many seconds.
+void ownership::wait_for_turn()
 {
-    if (m_follower.running())
+    auto const left = m_turn - m_clock.now();
+    auto const pause = lookup_delay();
+    if (left <= pause)
     {
-        claim_now();
+        run_after(std::max(left, base::duration{0}), [this] { begin_claim(); });
         return;
     }
+    run_after(pause, [this] { find_other_claim(); });
+}
+
+void ownership::find_other_claim()
+{
     m_lookup.find(
-        [this, mine = *m_generation](std::optional<owner_view> const& it)
+        [this, mine = *m_generation](std::optional<found_claim> const& it)
         {
             if (*m_generation != mine)
             {
                 return;
             }
-            if (it && it->token > m_owner.token)
+            if (it && it->owner.token > m_owner.token)
             {
-                adopt(*it);
+                adopt(it->owner);
                 return;
             }
-            m_follower.start();
-            claim_now();
+            wait_for_turn();
         });
 }
 
-void ownership::claim_now()
+/// A process that has read all records claims at the end that it knows. Another
+/// one looks for the newest claim and appends its own where the log ended then.
+void ownership::begin_claim()
 {
-    if (!m_follower.ready())
+    m_claim_began = m_clock.now();
+    base::log(base::log_level::info, "claim_begins",
+              {{"why", m_claim_reason},
+               {"former", m_owner.instance},
+               {"former_token", m_owner.token},
+               {"followed", m_follower.ready() ? 1 : 0}});
+    auto const retry = [this]
     {
-        if (m_clock.now() - m_claim_began > claim_limit)
-        {
-            probe_owner_again();
-            return;
-        }
-        run_after(claim_step, [this] { claim_now(); });
+        run_after(claim_retry, [this] { probe_owner_again(); });
+    };
+    if (m_follower.ready())
+    {
+        m_follower.catch_up(
+            [this, retry, alive = m_generation,
+             mine = *m_generation](bool up_to_date)
+            {
+                // A claim that was read meanwhile has changed the state.
+                if (*alive == mine)
+                {
+                    up_to_date ? append_claim(m_follower.next_offset())
+                               : retry();
+                }
+            });
         return;
     }
-    m_follower.catch_up(
-        [this, alive = m_generation, mine = *m_generation](bool up_to_date)
+    m_lookup.find(
+        [this, retry,
+         mine = *m_generation](std::optional<found_claim> const& it)
         {
-            // A claim that was read meanwhile has changed the state.
-            if (*alive != mine)
+            if (*m_generation != mine)
             {
                 return;
             }
-            if (!up_to_date)
+            if (!it)
             {
-                run_after(claim_retry, [this] { probe_owner_again(); });
+                retry();
                 return;
             }
-            if (m_append.busy())
+            if (it->owner.token > m_owner.token)
             {
-                // The outcome of an earlier claim is still being resolved.
-                run_after(claim_retry, [this] { claim_now(); });
+                adopt(it->owner);
                 return;
             }
-            auto const at = m_follower.next_offset();
-            auto const claimant = owner_view{at + 1, m_self.instance,
-                                             m_self.address, m_incarnation};
-            m_append.begin(at, {{owner_key, text_of(claimant)}}, claim_limit,
-                           [this, claimant, at](reliable_append_outcome it)
-                           { claimed(it, claimant, at); });
+            append_claim(it->log_end);
         });
 }
 
+void ownership::append_claim(std::uint64_t at)
+{
+    if (m_append.busy())
+    {
+        // The outcome of an earlier claim is still being resolved.
+        run_after(claim_retry, [this] { begin_claim(); });
+        return;
+    }
+    auto const claimant =
+        owner_view{at + 1, m_self.instance, m_self.address, m_incarnation};
+    m_append.begin(at, {{owner_key, text_of(claimant)}}, claim_limit,
+                   [this, claimant, at](reliable_append_outcome it)
+                   { claimed(it, claimant, at); });
+}
+
 void ownership::claimed(reliable_append_outcome it,
                         owner_view const& claimant,
                         std::uint64_t at)
@@ -196,16 +240,23 @@
     auto const former = std::exchange(m_owner, claimant);
     m_rounds_isolated = 0;
     m_rounds_alone = 0;
-    m_replica.set(owner_key, text_of(claimant));
-    m_follower.stop();
+    m_released = false;
     base::log(base::log_level::info, "claim_won",
               {{"token", claimant.token},
                {"records", std::uint64_t{m_replica.records().size()}},
                {"took_s", base::seconds_of(m_clock.now() - m_claim_began)},
                {"ownerless_s", base::seconds_of(ownerless_for())}});
-    m_state = ownership_state::owning;
-    m_listener.began(m_replica.records(), claimant.token, at + 1);
-    m_replica.clear();
+    announce(former);
+    if (m_follower.ready() && m_follower.next_offset() >= at)
+    {
+        restored();
+        return;
+    }
+    restore();
+}
+
+void ownership::announce(owner_view const& former)
+{
     std::set<network::socket_address> told{former.address};
     for (auto const& other : m_peers.peers)
     {
@@ -215,8 +266,67 @@
     told.erase(network::socket_address{});
     for (auto const& other : told)
     {
-        m_peer_client.announce(other, claimant);
+        m_peer_client.announce(other, m_owner);
     }
 }
 
+/// Reads the records before the claim. Whatever a reading that has already
+/// begun has missed is read from the log up to the claim.
+void ownership::restore()
+{
+    m_state = ownership_state::restoring;
+    m_restore_began = m_clock.now();
+    if (!m_follower.running())
+    {
+        m_follower.start();
+    }
+    check_restored();
+}
+
+void ownership::check_restored()
+{
+    auto const claim_offset = m_owner.token - 1;
+    if (m_follower.ready() && m_follower.next_offset() >= claim_offset)
+    {
+        restored();
+        return;
+    }
+    auto const progress = std::max(m_restore_began, m_follower.last_progress());
+    if (m_clock.now() - progress > restore_stall_limit)
+    {
+        give_up_restoring();
+        return;
+    }
+    run_after(claim_step, [this] { check_restored(); });
+}
+
+void ownership::restored()
+{
+    ++*m_generation;
+    if (m_state == ownership_state::restoring)
+    {
+        base::log(
+            base::log_level::info, "owner_restored",
+            {{"token", m_owner.token},
+             {"records", std::uint64_t{m_replica.records().size()}},
+             {"took_s", base::seconds_of(m_clock.now() - m_restore_began)}});
+    }
+    m_state = ownership_state::owning;
+    m_follower.stop();
+    m_listener.began(m_replica.records(), m_owner.token, m_owner.token);
+    m_replica.clear();
+}
+
+/// Another process may reach the store better, so this one lets it claim.
+void ownership::give_up_restoring()
+{
+    base::log(base::log_level::warning, "restore_given_up",
+              {{"token", m_owner.token},
+               {"took_s", base::seconds_of(m_clock.now() - m_restore_began)}});
+    m_follower.stop();
+    m_replica.clear();
+    yield(restore_rest);
+    m_listener.ended();
+}
+
 } // namespace berylhill::cell
--- a/libraries/cell/ownership_watch.cpp
+++ b/libraries/cell/ownership_watch.cpp
@@ -113,6 +113,7 @@
     m_rounds_isolated = 0;
     m_rounds_alone = 0;
     m_heard = true;
+    m_owner_restoring = answer.restoring;
     m_watchers = answer.watchers;
     // An owner that runs an older release sends no digest and the full list
     // each time.
@@ -144,7 +145,7 @@
 /// first in cells of any size.
 base::duration ownership::watch_interval() const
 {
-    return watch_wait(succession_rank() < standby_count ? 0 : m_watchers);
+    return watch_wait(is_standby() ? 0 : m_watchers);
 }
 
 void ownership::lost(owner_loss why)
@@ -261,12 +262,20 @@
     watch(base::duration{0});
 }
 
+/// A new owner's list names few processes at first. One that it does not name
+/// is no standby, or each of hundreds would begin to read the log.
+bool ownership::is_standby() const
+{
+    return succession_rank() < standby_count &&
+           std::ranges::find(m_peers.peers, m_self) != m_peers.peers.end();
+}
+
 /// Starts or stops following the log. Only standbys follow it, or each process
 /// would receive the whole traffic of the cell; others read it from the start
 /// if they have to claim.
 void ownership::update_following()
 {
-    auto const wanted = succession_rank() < standby_count;
+    auto const wanted = is_standby();
     if (wanted && !m_follower.running())
     {
         m_follower.start();
--- a/libraries/cell/peer_messages.cpp
+++ b/libraries/cell/peer_messages.cpp
@@ -116,6 +116,7 @@
     }
     return json::serialize(
         json::object{{"owns", it.owns},
+                     {"restoring", it.restoring},
                      {"leaving", it.leaving},
                      {"store_stuck", it.store_stuck.count()},
                      {"store_refuses", it.store_refuses},
@@ -133,6 +134,7 @@
     BOOST_LEAF_AUTO(root, json_codec::parse(text));
     watch_answer out;
     out.owns = json_codec::flag_or(root, "owns");
+    out.restoring = json_codec::flag_or(root, "restoring");
     out.leaving = json_codec::flag_or(root, "leaving");
     out.store_stuck = micros(root, "store_stuck");
     out.store_refuses = json_codec::flag_or(root, "store_refuses");
--- a/libraries/cell/peer_messages.hpp
+++ b/libraries/cell/peer_messages.hpp
@@ -19,6 +19,8 @@
 {
     /// The answering process is the owner.
     bool owns{false};
+    /// It is still reading the records and serves no calls yet.
+    bool restoring{false};
     /// It is releasing ownership: a successor may claim at once.
     bool leaving{false};
     /// How long it has been unable to write to the store.
--- a/libraries/cell/peer_service.cpp
+++ b/libraries/cell/peer_service.cpp
@@ -157,7 +157,7 @@
 void peer_service::job(network::http_request const& it,
                        network::responder answer)
 {
-    if (!m_backend.owns())
+    if (!m_backend.serves())
     {
         answer({status_conflict, {}, {}});
         return;
--- a/libraries/cell/peer_service.hpp
+++ b/libraries/cell/peer_service.hpp
@@ -45,8 +45,11 @@
         /// bandwidth reserved for them.
         [[nodiscard]] virtual std::optional<std::string>
         compressed_configuration() = 0;
+        /// This process is the owner, also while it reads the records.
         [[nodiscard]] virtual bool owns() const = 0;
-        /// Precondition: `owns()`.
+        /// It is the owner and has read the records.
+        [[nodiscard]] virtual bool serves() const = 0;
+        /// Precondition: `serves()`.
         virtual void call_owner(job_call const& it,
                                 job_answer_handler done) = 0;
         virtual void advise(advice_request const& it, advice_handler done) = 0;
--- a/tests/cell/call_router_test.cpp
+++ b/tests/cell/call_router_test.cpp
@@ -111,6 +111,7 @@
         {
             cell::watch_answer out;
             out.owns = true;
+            out.restoring = restoring;
             out.owner = claim;
             answer({200, {}, cell::text_of(out)});
             return;
@@ -161,6 +162,7 @@
 
     boost::asio::io_context loop;
     cell::owner_view claim{1, "other", {"127.0.0.1", free_port()}, "it"};
+    bool restoring{false};
     bool hold{false};
     unsigned status{200};
     job_answer_kind kind{job_answer_kind::accepted};
@@ -228,4 +230,20 @@
     BOOST_TEST((*outcome == job_answer_kind::over_cap));
 }
 
+/// Guards against hundreds of processes that send all their calls to a new
+/// owner again and again while it reads its records and can only refuse them.
+BOOST_AUTO_TEST_CASE(an_owner_gets_no_calls_before_it_has_read_its_records)
+{
+    restoring = true;
+    BOOST_REQUIRE(run_until([&] { return !owner.owner_serves(); }));
+    BOOST_TEST(owner.owner_heard());
+    call(cell::job_call_kind::submit);
+    loop.restart();
+    loop.run_for(std::chrono::milliseconds{100});
+    BOOST_TEST(calls == 0U);
+    restoring = false;
+    BOOST_REQUIRE(run_until([&] { return outcome.has_value(); }));
+    BOOST_TEST((*outcome == job_answer_kind::accepted));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/cell/ownership_test.cpp
+++ b/tests/cell/ownership_test.cpp
@@ -1,14 +1,17 @@
 #include "fake_log.hpp"
+#include "ownership_process.hpp"
 
 #include <cell/ownership.hpp>
 #include <network/http_client.hpp>
 #include <network/http_server.hpp>
 
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <chrono>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -18,35 +21,6 @@
 namespace
 {
 
-struct quiet_listener final : cell::ownership::listener
-{
-    [[nodiscard]] cell::configuration_age configuration_here() const override
-    {
-        return {};
-    }
-
-    void on_configuration_reported(cell::configuration_age const&,
-                                   base::instant,
-                                   network::socket_address const&) override
-    {
-    }
-
-    void on_list_end_reported(cell::log_end_age const&, base::instant) override
-    {
-    }
-
-    void began(std::map<std::string, std::string> const&,
-               std::uint64_t token,
-               std::uint64_t) override
-    {
-        tokens.push_back(token);
-    }
-    void ended() override {}
-
-    /// The token of each claim that was won.
-    std::vector<std::uint64_t> tokens;
-};
-
 /// A process that has just started, with a log written by others.
 struct fixture
 {
@@ -67,26 +41,6 @@
         log.put({{cell::owner_key, cell::text_of(claim)}});
     }
 
-    static bool listens(network::http_server& it,
-                        network::socket_address const& at)
-    {
-        return base::capture(
-                   [&]() -> base::result<base::done>
-                   {
-                       BOOST_LEAF_CHECK(it.listen(at));
-                       return base::done{};
-                   })
-            .has_value();
-    }
-
-    static std::uint16_t free_port()
-    {
-        boost::asio::io_context own;
-        boost::asio::ip::tcp::acceptor acceptor{
-            own, {boost::asio::ip::make_address_v4("127.0.0.1"), 0}};
-        return acceptor.local_endpoint().port();
-    }
-
     boost::asio::io_context loop;
     std::vector<network::responder> held;
     base::system_clock clock;
@@ -94,7 +48,7 @@
     network::http_client http{loop, {}};
     cell::peer_client peers{http};
     cell::store_latency latency;
-    quiet_listener listener;
+    recording_listener listener;
     cell::ownership owner{loop,          clock,
                           log,           peers,
                           latency,       {"small", {"127.0.0.1", 1}, 120},
@@ -127,7 +81,7 @@
 /// claims its work.
 BOOST_AUTO_TEST_CASE(busy_owner_is_not_replaced_by_a_new_process)
 {
-    cell::owner_view const claim{2, "large", {"127.0.0.1", free_port()}, "it"};
+    cell::owner_view const claim{2, "large", free_address(), "it"};
     fill(1, claim);
     network::http_server busy{
         loop, [&](auto const&, network::responder answer)
@@ -154,7 +108,7 @@
 /// If nothing answers at all, the work is claimed within two seconds.
 BOOST_AUTO_TEST_CASE(silent_owner_is_replaced_by_a_process_without_peers)
 {
-    cell::owner_view const claim{2, "large", {"127.0.0.1", free_port()}, "it"};
+    cell::owner_view const claim{2, "large", free_address(), "it"};
     fill(1, claim);
     network::http_server silent{loop, [&](auto const&, auto answer)
                                 {
@@ -181,8 +135,146 @@
     log.append_behaviors.clear();
     run(std::chrono::milliseconds{1'500});
     BOOST_TEST((owner.state() == cell::ownership_state::owning));
-    BOOST_TEST(listener.tokens == std::vector<std::uint64_t>{log.log.size()},
-               boost::test_tools::per_element());
+    BOOST_REQUIRE(listener.takeovers.size() == 1U);
+    BOOST_TEST(listener.takeovers.front().token == log.log.size());
+}
+
+/// Guards against a cell without an owner for seconds after all its processes
+/// were killed: each reads the records of all jobs before it claims.
+BOOST_AUTO_TEST_CASE(claim_does_not_wait_for_the_job_records)
+{
+    log.page = 1'000;
+    log.link_bytes_per_s = 500'000;
+    fill(5'000, {5'001, "former", free_address(), "other"});
+    owner.start();
+    run(std::chrono::milliseconds{900});
+    BOOST_TEST((owner.state() == cell::ownership_state::restoring));
+    BOOST_TEST(owner.owner().token == 5'002U);
+    BOOST_TEST(log.log.size() == 5'002U);
+    BOOST_TEST(owner.owner_heard());
+    BOOST_TEST(!owner.owner_serves());
+    BOOST_TEST(listener.takeovers.empty());
+}
+
+/// Guards against a store whose bandwidth goes into the same records for every
+/// process of a cell that has lost all of them.
+BOOST_AUTO_TEST_CASE(only_the_winner_of_a_claim_reads_the_records)
+{
+    constexpr int many = 12;
+    log.page = 500;
+    log.link_bytes_per_s = 4'000'000;
+    fill(2'000, {2'001, "former", free_address(), "other"});
+    std::vector<std::unique_ptr<ownership_process>> all;
+    for (int n = 0; n < many; ++n)
+    {
+        all.push_back(std::make_unique<ownership_process>(
+            loop, log, "process-" + std::to_string(n)));
+        all.back()->owner.start();
+    }
+    run(std::chrono::milliseconds{2'000});
+    std::size_t begun = 0;
+    for (auto const& it : all)
+    {
+        begun += it->listener.takeovers.size();
+        BOOST_TEST(it->owner.owner_heard());
+    }
+    BOOST_TEST(begun == 1U);
+    BOOST_TEST(log.job_pages == 5U);
+}
+
+/// Guards against a process that keeps the work though it can't read it.
+BOOST_AUTO_TEST_CASE(claim_is_given_up_if_no_records_arrive)
+{
+    log.lose_job_pages = true;
+    fill(10, {11, "former", free_address(), "other"});
+    owner.start();
+    run(std::chrono::milliseconds{2'000});
+    BOOST_TEST((owner.state() == cell::ownership_state::restoring));
+    run(std::chrono::milliseconds{3'500});
+    BOOST_TEST(owner.released());
+    BOOST_TEST(listener.ends == 1U);
+    BOOST_TEST(listener.takeovers.empty());
+    // Another process claims.
+    log.put({{cell::owner_key, cell::text_of(cell::owner_view{
+                                   13, "next", free_address(), ""})}});
+    run(std::chrono::milliseconds{800});
+    BOOST_TEST(owner.owner().token == 13U);
+    BOOST_TEST(!owner.released());
+}
+
+/// Guards against hundreds of processes that all begin to read the log, since a
+/// new owner names only the first few that watch it.
+BOOST_DATA_TEST_CASE(only_a_process_that_is_named_becomes_a_standby,
+                     boost::unit_test::data::make({false, true}),
+                     named)
+{
+    cell::owner_view const claim{2, "large", free_address(), "it"};
+    fill(1, claim);
+    auto const self = cell::peer{"small", {"127.0.0.1", 1}, 120};
+    network::http_server server{
+        loop, [&](auto const&, network::responder answer)
+        {
+            cell::watch_answer out;
+            out.owns = true;
+            out.owner = claim;
+            out.watchers = 1;
+            out.peers = {
+                {named ? self : cell::peer{"other", {"10.0.0.1", 1}, 500}}, 1};
+            answer({200, {}, cell::text_of(out)});
+        }};
+    BOOST_TEST_REQUIRE(listens(server, claim.address));
+    owner.start();
+    run(std::chrono::milliseconds{300});
+    BOOST_TEST(owner.owner_heard());
+    BOOST_TEST((log.job_pages > 0) == named);
+}
+
+/// Guards against a process that calls a former owner for many seconds: it is
+/// the last of hundreds in the succession, and the winner does not know it.
+BOOST_AUTO_TEST_CASE(process_late_in_the_succession_finds_the_new_owner)
+{
+    constexpr int many = 200;
+    cell::owner_view const former{2, "former", free_address(), "it"};
+    cell::owner_view const next{3, "next", free_address(), "it"};
+    fill(1, former);
+    bool leaving = false;
+    auto const answer_as = [&](cell::owner_view const& it)
+    {
+        cell::watch_answer out;
+        out.owns = !leaving || it.token == next.token;
+        out.leaving = !out.owns;
+        out.owner = it;
+        out.watchers = many;
+        for (int n = 0; n < many; ++n)
+        {
+            out.peers.peers.push_back(
+                {"p-" + std::to_string(n), {"127.0.0.1", 1}, 500});
+        }
+        out.peers.digest = 1;
+        return out;
+    };
+    network::http_server first{
+        loop, [&](auto const&, network::responder answer)
+        {
+            answer({200, {}, cell::text_of(answer_as(former))});
+        }};
+    network::http_server second{
+        loop, [&](auto const&, network::responder answer)
+        {
+            answer({200, {}, cell::text_of(answer_as(next))});
+        }};
+    BOOST_TEST_REQUIRE(listens(first, former.address));
+    BOOST_TEST_REQUIRE(listens(second, next.address));
+    owner.start();
+    run(std::chrono::milliseconds{200});
+    BOOST_TEST(owner.owner_heard());
+    leaving = true;
+    run(std::chrono::milliseconds{100});
+    BOOST_TEST((owner.state() == cell::ownership_state::claiming));
+    log.put({{cell::owner_key, cell::text_of(next)}});
+    run(std::chrono::milliseconds{1'000});
+    BOOST_TEST(owner.owner().token == next.token);
+    BOOST_TEST(owner.owner_heard());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
