cell: Count no takeover as overload, and don't repeat a hand-over that did not help

Cause: an owner on 0.25 cores sends its first requests to 2,976 instances, and runs its timers more than 70 ms late meanwhile. The rule took that for an overload and handed over as soon as 1.5 s had passed, to an equal instance that had the same before it.

Change: lag counts as overload only when the takeover should be over, 1.5 s and 0.5 ms of processor time for each instance (7.5 s there, 1.6 s at 48 instances, so a slowed instance of a small cell hands over as soon as before; a slowed one of thousands later by that time). An owner that was overloaded as well as the one before it keeps the work twice as long, then four times, up to a minute; the count goes with the answers to watches and ends once an owner keeps up. A larger instance takes over as before.

Weighed: telling a slowed machine from an overloaded one by the processor time the owner gets.

yield_rule: 2 of the 7 new cases failed before (an owner that is still reaching 3,000 instances; a hand-over that did not help).

--- a/libraries/cell/node.hpp
+++ b/libraries/cell/node.hpp
@@ -11,6 +11,7 @@
 #include <cell/ownership.hpp>
 #include <cell/peer_service.hpp>
 #include <cell/processor_meter.hpp>
+#include <cell/yield_rule.hpp>
 #include <network/http_server.hpp>
 
 #include <boost/asio/io_context.hpp>
@@ -98,7 +99,7 @@
     void await_signals();
     void reload();
     void watch_load();
-    void yield(char const* why);
+    void yield(yield_reason why);
     void stop();
     void drain();
     void flush_logs();
@@ -150,6 +151,9 @@
     bool m_stopping{false};
     /// Ownership is being handed to another process.
     bool m_yielding{false};
+    /// See `owner_load::overloaded_owners`; counts this process too once it has
+    /// handed over.
+    std::uint32_t m_overloaded_owners{0};
     bool m_was_ready{false};
 };
 
--- a/libraries/cell/node_answers.cpp
+++ b/libraries/cell/node_answers.cpp
@@ -62,6 +62,7 @@
     out.owns = owns() && !m_stopping;
     out.restoring = owns() && !serves();
     out.leaving = (m_stopping || m_ownership.released()) && !owns();
+    out.overloaded_owners = m_overloaded_owners;
     out.owner = m_ownership.owner();
     out.owner_heard = m_ownership.owner_heard();
     out.configuration = configuration_here();
--- a/libraries/cell/node_load.cpp
+++ b/libraries/cell/node_load.cpp
@@ -2,7 +2,6 @@
 
 #include <base/log.hpp>
 #include <base/processor_time.hpp>
-#include <cell/yield_rule.hpp>
 
 #include <boost/asio/post.hpp>
 
@@ -26,12 +25,20 @@
     m_processor.measured(m_clock.now(), base::processor_time());
     if (m_owner && !m_stopping && !m_yielding)
     {
-        auto const why = should_yield(
-            {m_settings.limits.millicores(), m_clock.now() - m_owns_since,
-             m_lag.average(), m_peer_service.watchers()});
-        if (why != yield_reason::none)
+        auto const load =
+            owner_load{m_settings.limits.millicores(),
+                       m_clock.now() - m_owns_since,
+                       m_lag.average(),
+                       m_peer_service.watchers(),
+                       m_owner->decisions().instances().all().size(),
+                       m_overloaded_owners};
+        if (handles_load(load))
         {
-            yield(name_of(why));
+            m_overloaded_owners = 0;
+        }
+        if (auto const why = should_yield(load); why != yield_reason::none)
+        {
+            yield(why);
         }
     }
     m_load_timer.expires_after(load_pause);
@@ -39,17 +46,20 @@
 }
 
 /// Hands ownership to another process, as in a planned stop.
-void node::yield(char const* why)
+void node::yield(yield_reason why)
 {
     m_yielding = true;
+    m_overloaded_owners =
+        why == yield_reason::overloaded ? m_overloaded_owners + 1 : 0;
     auto const& decisions = m_owner->decisions();
     base::log(base::log_level::info, "owner_yields",
-              {{"why", why},
+              {{"why", name_of(why)},
                {"token", m_owner->token()},
                {"lag_s", base::seconds_of(m_lag.average())},
                {"cores", m_settings.limits.cores},
                {"cores_used", m_processor.cores()},
                {"owned_s", base::seconds_of(m_clock.now() - m_owns_since)},
+               {"overloaded_owners", m_overloaded_owners},
                {"instances", std::uint64_t{decisions.instances().all().size()}},
                {"reachable", std::uint64_t{decisions.reachable_instances()}}});
     m_owner->release(release_limit,
--- a/libraries/cell/ownership.cpp
+++ b/libraries/cell/ownership.cpp
@@ -129,6 +129,7 @@
     m_failures = 0;
     m_rounds_alone = 0;
     m_released = false;
+    m_overloaded_owners = 0;
     base::log(base::log_level::info, "owner_seen",
               {{"owner", it.instance},
                {"token", it.token},
--- a/libraries/cell/ownership.hpp
+++ b/libraries/cell/ownership.hpp
@@ -160,6 +160,13 @@
                (m_heard && !m_owner_restoring);
     }
 
+    /// How many owners before this process, one after the other, handed over
+    /// because they were overloaded.
+    [[nodiscard]] std::uint32_t overloaded_owners() const noexcept
+    {
+        return m_overloaded_owners;
+    }
+
     /// This process gave up ownership and has not seen a successor yet.
     [[nodiscard]] bool released() const noexcept
     {
@@ -237,6 +244,7 @@
     bool m_owner_restoring{false};
     bool m_leaving{false};
     bool m_released{false};
+    std::uint32_t m_overloaded_owners{0};
     char const* m_claim_reason{""};
     /// When it is this process's turn to claim.
     base::instant m_turn{};
--- a/libraries/cell/ownership_watch.cpp
+++ b/libraries/cell/ownership_watch.cpp
@@ -102,6 +102,7 @@
         }
         if (answer.leaving)
         {
+            m_overloaded_owners = answer.overloaded_owners;
             claim("owner_leaves");
             return;
         }
@@ -124,6 +125,7 @@
     update_following();
     if (answer.leaving)
     {
+        m_overloaded_owners = answer.overloaded_owners;
         claim("owner_leaves");
         return;
     }
--- a/libraries/cell/peer_messages.cpp
+++ b/libraries/cell/peer_messages.cpp
@@ -118,6 +118,7 @@
         json::object{{"owns", it.owns},
                      {"restoring", it.restoring},
                      {"leaving", it.leaving},
+                     {"overloaded_owners", it.overloaded_owners},
                      {"store_stuck", it.store_stuck.count()},
                      {"store_refuses", it.store_refuses},
                      {"owner", object_of(it.owner)},
@@ -136,6 +137,8 @@
     out.owns = json_codec::flag_or(root, "owns");
     out.restoring = json_codec::flag_or(root, "restoring");
     out.leaving = json_codec::flag_or(root, "leaving");
+    out.overloaded_owners = static_cast<std::uint32_t>(
+        json_codec::number_or(root, "overloaded_owners"));
     out.store_stuck = micros(root, "store_stuck");
     out.store_refuses = json_codec::flag_or(root, "store_refuses");
     out.owner_heard = json_codec::flag_or(root, "owner_heard");
--- a/libraries/cell/peer_messages.hpp
+++ b/libraries/cell/peer_messages.hpp
@@ -23,6 +23,9 @@
     bool restoring{false};
     /// It is releasing ownership: a successor may claim at once.
     bool leaving{false};
+    /// How many owners, one after the other, handed over because they were
+    /// overloaded, including it if it is leaving for that reason.
+    std::uint32_t overloaded_owners{0};
     /// How long it has been unable to write to the store.
     base::duration store_stuck{0};
     /// The store answers it but refuses its appends.
--- a/libraries/cell/yield_rule.cpp
+++ b/libraries/cell/yield_rule.cpp
@@ -19,6 +19,34 @@
 /// tenths of a second shows under a load that it can handle.
 constexpr base::duration max_lag = std::chrono::milliseconds{70};
 
+/// Processor time to reach one instance for the first time: the request, the
+/// report, and the entry of the list.
+constexpr base::duration takeover_time_per_instance =
+    std::chrono::microseconds{500};
+
+/// Upper limit of the time that an overloaded owner keeps the work.
+constexpr base::duration max_overloaded_time = std::chrono::seconds{60};
+
+constexpr std::int64_t millicores_per_core = 1'000;
+
+/// Returns how long after its claim an owner may still be busy with the
+/// takeover.
+base::duration takeover_time(owner_load const& it)
+{
+    auto const millicores = std::max<std::int64_t>(1, it.millicores);
+    return min_owned_time + takeover_time_per_instance *
+                                static_cast<std::int64_t>(it.instances) *
+                                millicores_per_core / millicores;
+}
+
+/// Returns how long an overloaded owner keeps the work.
+base::duration overloaded_time(owner_load const& it)
+{
+    constexpr std::uint32_t max_doublings = 10;
+    auto const doublings = std::min(it.overloaded_owners, max_doublings);
+    return std::min(takeover_time(it) * (1U << doublings), max_overloaded_time);
+}
+
 } // namespace
 
 char const* name_of(yield_reason it)
@@ -48,9 +76,15 @@
     {
         return yield_reason::larger_instance;
     }
-    return it.lag > max_lag && largest >= it.millicores
+    return it.lag > max_lag && largest >= it.millicores &&
+                   it.owned_for >= overloaded_time(it)
                ? yield_reason::overloaded
                : yield_reason::none;
 }
 
+bool handles_load(owner_load const& it)
+{
+    return it.owned_for >= takeover_time(it) && it.lag <= max_lag;
+}
+
 } // namespace berylhill::cell
--- a/libraries/cell/yield_rule.hpp
+++ b/libraries/cell/yield_rule.hpp
@@ -3,6 +3,7 @@
 #include <base/time.hpp>
 #include <cell/peer.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <vector>
 
@@ -18,6 +19,11 @@
     base::duration lag{0};
     /// The processes that watch it.
     std::vector<peer> others;
+    /// How many instances it sends requests to.
+    std::size_t instances{0};
+    /// How many owners before it, one after the other, handed over because they
+    /// were overloaded.
+    std::uint32_t overloaded_owners{0};
 };
 
 enum class yield_reason : std::uint8_t
@@ -38,6 +44,16 @@
 /// late, so other processes consider it lost and the work moves from one small
 /// instance to the next. A change of owner takes some tenths of a second, so an
 /// owner that has just taken over continues.
+///
+/// A takeover is a load of its own, of which nobody is relieved by a hand-over:
+/// the successor has to reach all instances too. So the lag counts as overload
+/// only when the takeover should be over. If the owner before was overloaded as
+/// well, the work itself may be too much for any equal instance, and each
+/// hand-over waits twice as long as the one before.
 [[nodiscard]] yield_reason should_yield(owner_load const& it);
 
+/// Returns whether the owner has shown that it can handle the work, so that a
+/// later overload has another cause than that of the owners before.
+[[nodiscard]] bool handles_load(owner_load const& it);
+
 } // namespace berylhill::cell
--- a/tests/cell/peer_messages_test.cpp
+++ b/tests/cell/peer_messages_test.cpp
@@ -49,12 +49,14 @@
     BOOST_TEST((again.value() == read.value()));
 }
 
-/// Of a release that does not say so, an owner has read its records.
+/// Of a release that does not say so, an owner has read its records, and none
+/// before it was overloaded.
 BOOST_AUTO_TEST_CASE(a_watch_tells_how_far_a_takeover_is)
 {
     cell::watch_answer told;
     told.owns = true;
     told.restoring = true;
+    told.overloaded_owners = 3;
     auto const read =
         base::capture([&] { return cell::parse_watch(cell::text_of(told)); });
     BOOST_REQUIRE(bool{read});
@@ -63,6 +65,7 @@
         base::capture([] { return cell::parse_watch(R"({"owns":true})"); });
     BOOST_REQUIRE(bool{older});
     BOOST_TEST(!older.value().restoring);
+    BOOST_TEST(older.value().overloaded_owners == 0U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/cell/yield_rule_test.cpp
+++ b/tests/cell/yield_rule_test.cpp
@@ -52,11 +52,56 @@
     {"an overloaded owner does not yield to a smaller instance",
      {500, seconds{9}, milliseconds{400}, {peer_with(120)}},
      yield_reason::none},
+    {"an owner that is still reaching 3,000 instances continues",
+     {250, seconds{4}, milliseconds{400}, {peer_with(250)}, 3'000},
+     yield_reason::none},
+    {"a larger instance takes over while thousands are being reached",
+     {120, seconds{2}, milliseconds{400}, {peer_with(500)}, 3'000},
+     yield_reason::larger_instance},
+    {"overload after 3,000 instances should have been reached counts",
+     {250, seconds{9}, milliseconds{400}, {peer_with(250)}, 3'000},
+     yield_reason::overloaded},
+    {"a slowed owner of 48 instances yields soon",
+     {250, milliseconds{1'700}, milliseconds{400}, {peer_with(250)}, 48},
+     yield_reason::overloaded},
+    {"a hand-over after which nothing was better is not repeated soon",
+     {250, seconds{9}, milliseconds{400}, {peer_with(250)}, 3'000, 1},
+     yield_reason::none},
+    {"after twice the time it is",
+     {250, seconds{16}, milliseconds{400}, {peer_with(250)}, 3'000, 1},
+     yield_reason::overloaded},
+    {"after many hand-overs a minute is enough",
+     {250, seconds{61}, milliseconds{400}, {peer_with(250)}, 3'000, 4'000},
+     yield_reason::overloaded},
     {"pauses of a tenth of a second are no overload",
      {250, seconds{9}, milliseconds{50}, {peer_with(250)}},
      yield_reason::none},
 };
 
+struct load_case
+{
+    char const* story;
+    owner_load load;
+    bool expected;
+};
+
+std::ostream& operator<<(std::ostream& to, load_case const& it)
+{
+    return to << it.story;
+}
+
+std::vector<load_case> const load_cases{
+    {"without lag, long after its claim",
+     {250, seconds{9}, milliseconds{5}, {}, 3'000, 1},
+     true},
+    {"without lag, before the instances are reached",
+     {250, seconds{2}, milliseconds{5}, {}, 3'000, 1},
+     false},
+    {"late, long after its claim",
+     {250, seconds{9}, milliseconds{400}, {}, 3'000, 1},
+     false},
+};
+
 struct order_case
 {
     cell::peer it;
@@ -83,7 +128,8 @@
 
 /// Guards against a cell that waits for seconds because its owner runs on a
 /// small machine, answers late and is considered lost, and the next small
-/// machine takes over.
+/// machine takes over; and against a takeover that never ends, since each owner
+/// of thousands of instances hands over before it has reached them.
 BOOST_DATA_TEST_CASE(owner_yields_when_overloaded_or_smaller,
                      boost::unit_test::data::make(cases),
                      it)
@@ -91,6 +137,13 @@
     BOOST_TEST((should_yield(it.load) == it.expected));
 }
 
+BOOST_DATA_TEST_CASE(owner_handles_load_once_it_keeps_up_after_the_takeover,
+                     boost::unit_test::data::make(load_cases),
+                     it)
+{
+    BOOST_TEST(handles_load(it.load) == it.expected);
+}
+
 BOOST_DATA_TEST_CASE(more_processor_time_comes_first,
                      boost::unit_test::data::make(orders),
                      it)
