--- a/meta/lint.sh
+++ b/meta/lint.sh
@@ -15,8 +15,12 @@
         /^[^ ]/ { source = "" }
         /^ / {
             file = $1
-            if (index(file, root) != 1) next
-            file = substr(file, length(root) + 1)
+            # A compiler cache may name files relative to the build folder.
+            if (sub(/^\.\.\/\.\.\//, "", file) == 0) {
+                if (index(file, root) != 1) next
+                file = substr(file, length(root) + 1)
+            }
+            if (file ~ /^\.\.\//) next
             if (source == "") source = file
             print source "\t" file
         }'
