cell, soak: Say when a process or the soak itself stood still

A process logs `loop_paused` when its event loop runs a timer more than a second late, and the soak prints the longest turn of its own loop for each seed: if both stood still at the same time the machine did. No check changes.

--- a/libraries/cell/loop_lag.cpp
+++ b/libraries/cell/loop_lag.cpp
@@ -1,5 +1,7 @@
 #include <cell/loop_lag.hpp>
 
+#include <base/log.hpp>
+
 #include <algorithm>
 
 namespace berylhill::cell
@@ -15,6 +17,10 @@
 /// when it is measured.
 constexpr base::duration max_measurement = std::chrono::milliseconds{800};
 
+/// A timer that is run this late is logged: the process or its machine stood
+/// still.
+constexpr base::duration logged_pause = std::chrono::seconds{1};
+
 /// Time constant of the average. Measurements are weighted by the time that
 /// they cover; otherwise a late loop would be noticed late.
 constexpr base::duration averaging_time = std::chrono::milliseconds{600};
@@ -44,8 +50,14 @@
             {
                 return;
             }
-            auto const late = std::clamp(m_clock.now() - due, base::duration{0},
-                                         max_measurement);
+            auto const pause = m_clock.now() - due;
+            if (pause > logged_pause)
+            {
+                base::log(base::log_level::warning, "loop_paused",
+                          {{"late_s", base::seconds_of(pause)}});
+            }
+            auto const late =
+                std::clamp(pause, base::duration{0}, max_measurement);
             auto const took =
                 std::min(measuring_interval + late, averaging_time);
             m_average +=
--- a/utilities/soak/main.cpp
+++ b/utilities/soak/main.cpp
@@ -73,7 +73,9 @@
     auto const end = soak::play(settings);
     std::cout << "seed " << settings.seed << ' '
               << (end.findings.empty() ? "held" : "BROKE") << " accepted "
-              << end.accepted << " starts " << end.starts << std::endl;
+              << end.accepted << " starts " << end.starts
+              << " longest turn of the soak itself " << end.longest_turn.count()
+              << " ms" << std::endl;
     for (std::size_t n = 0;
          n < std::min(end.findings.size(), most_findings_shown); ++n)
     {
--- a/utilities/soak/run.cpp
+++ b/utilities/soak/run.cpp
@@ -17,6 +17,9 @@
 /// Before the first fault, so that an owner has been found.
 constexpr std::chrono::seconds quiet{2};
 
+/// How long the loop runs before processes and instances are looked after.
+constexpr std::chrono::milliseconds turn{10};
+
 /// From the last fault until every accepted job has to have ended: leases of
 /// instances that went silent (8 s), and a takeover.
 constexpr std::chrono::seconds settle_limit{40};
@@ -55,7 +58,9 @@
         run_until(settle_limit, [this] { return all_idle(); });
         check_configuration();
         m_seen.finish();
-        return {m_seen.findings(), m_seen.accepted(), m_seen.starts()};
+        return {m_seen.findings(), m_seen.accepted(), m_seen.starts(),
+                std::chrono::duration_cast<std::chrono::milliseconds>(
+                    m_longest_turn)};
     }
 
 private:
@@ -89,10 +94,12 @@
         auto const end = clock::now() + limit;
         while (!done() && clock::now() < end)
         {
+            auto const began = clock::now();
             m_loop.restart();
-            m_loop.run_for(std::chrono::milliseconds{10});
+            m_loop.run_for(turn);
             m_cell.look_after_processes();
             m_cell.look_after_instances();
+            m_longest_turn = std::max(m_longest_turn, clock::now() - began);
         }
     }
 
@@ -154,6 +161,7 @@
     ledger m_seen;
     cell m_cell;
     std::vector<std::unique_ptr<client>> m_clients;
+    clock::duration m_longest_turn{0};
 };
 
 } // namespace
--- a/utilities/soak/run.hpp
+++ b/utilities/soak/run.hpp
@@ -31,6 +31,9 @@
     std::vector<std::string> findings;
     std::size_t accepted{0};
     std::size_t starts{0};
+    /// The longest turn of the run's own loop. One of many seconds says that
+    /// the machine stood still, or this program.
+    std::chrono::milliseconds longest_turn{0};
 };
 
 /// All faults of the seed in the order of time. Pure.
