cell: Wait longer for an owner that takes over

Change: the owner says in its answers that it is taking over, while it is by its instances (1 ms of processor time for each, in place of 0.5 ms), and processes then wait 1 s and 0.6 s in place of 0.3 s and 0.2 s. An owner whose process is gone is found at once all the same, by its broken connection; one that freezes in these seconds is found 1.1 s later than before.

an_owner_that_takes_over_may_answer_late: an owner that does not say so is lost in the same test, which is the landed behaviour.

--- a/libraries/cell/node.cpp
+++ b/libraries/cell/node.cpp
@@ -225,6 +225,7 @@
 {
     m_owns_since = m_clock.now();
     m_yielding = false;
+    m_taking_over = true;
     m_overloaded_owners = m_ownership.overloaded_owners();
     auto const parts = owner_parts{&m_loop,
                                    &m_clock,
--- a/libraries/cell/node.hpp
+++ b/libraries/cell/node.hpp
@@ -154,6 +154,8 @@
     /// See `owner_load::overloaded_owners`; counts this process too once it has
     /// handed over.
     std::uint32_t m_overloaded_owners{0};
+    /// See `is_taking_over`.
+    bool m_taking_over{false};
     bool m_was_ready{false};
 };
 
--- a/libraries/cell/node_answers.cpp
+++ b/libraries/cell/node_answers.cpp
@@ -61,6 +61,7 @@
     watch_answer out;
     out.owns = owns() && !m_stopping;
     out.restoring = owns() && !serves();
+    out.taking_over = out.restoring || (owns() && m_taking_over);
     out.leaving = (m_stopping || m_ownership.released()) && !owns();
     out.overloaded_owners = m_overloaded_owners;
     out.owner = m_ownership.owner();
--- a/libraries/cell/node_load.cpp
+++ b/libraries/cell/node_load.cpp
@@ -32,6 +32,7 @@
                        m_peer_service.watchers(),
                        m_owner->decisions().instances().all().size(),
                        m_overloaded_owners};
+        m_taking_over = is_taking_over(load);
         if (handles_load(load))
         {
             m_overloaded_owners = 0;
--- a/libraries/cell/ownership.cpp
+++ b/libraries/cell/ownership.cpp
@@ -136,6 +136,8 @@
                {"state", name_of(m_state)},
                {"ownerless_s", base::seconds_of(ownerless_for())}});
     not_heard();
+    // An owner that is found at the start may have died long ago.
+    m_owner_taking_over = m_state != ownership_state::starting;
     if (m_state == ownership_state::owning ||
         m_state == ownership_state::starting)
     {
--- a/libraries/cell/ownership.hpp
+++ b/libraries/cell/ownership.hpp
@@ -216,6 +216,7 @@
     [[nodiscard]] std::int64_t succession_rank() const;
     [[nodiscard]] bool is_standby() const;
     [[nodiscard]] base::duration watch_interval() const;
+    [[nodiscard]] base::duration watch_slack() const;
     [[nodiscard]] base::duration claim_delay() const;
     [[nodiscard]] base::duration lookup_delay() const;
     void update_following();
@@ -242,6 +243,8 @@
     bool m_heard{false};
     /// The owner is still reading the records.
     bool m_owner_restoring{false};
+    /// The owner has just taken over and may answer late.
+    bool m_owner_taking_over{false};
     bool m_leaving{false};
     bool m_released{false};
     std::uint32_t m_overloaded_owners{0};
--- a/libraries/cell/ownership_watch.cpp
+++ b/libraries/cell/ownership_watch.cpp
@@ -14,12 +14,20 @@
 /// Added to the time that a watch is kept open before the owner counts as
 /// silent: longer than the pauses of an owner's processor, which take tenths of
 /// a second.
-constexpr base::duration watch_slack = std::chrono::milliseconds{300};
+constexpr base::duration usual_watch_slack = std::chrono::milliseconds{300};
 
 /// Timeout of the second, short request to an owner that did not answer, and of
 /// the requests to other processes.
 constexpr base::duration probe_timeout = std::chrono::milliseconds{200};
 
+/// The same while the owner takes over: thousands of requests and answers are
+/// in line before a watch then. If hundreds of processes ask again after the
+/// usual time, the owner falls further behind and is considered lost.
+constexpr base::duration takeover_watch_slack =
+    std::chrono::milliseconds{1'000};
+constexpr base::duration takeover_probe_timeout =
+    std::chrono::milliseconds{600};
+
 /// Pause between rounds of suspicion.
 constexpr base::duration suspect_pause = std::chrono::milliseconds{100};
 
@@ -64,7 +72,7 @@
     m_peer_client.watch(
         m_owner.address,
         {m_self, m_peers.digest, m_listener.configuration_here()}, wait,
-        wait + (wait.count() == 0 ? probe_limit() : watch_slack),
+        wait + (wait.count() == 0 ? probe_limit() : watch_slack()),
         [this, alive = m_generation, mine = *m_generation,
          asked_at = m_clock.now()](peer_result<watch_answer> const& it)
         {
@@ -115,6 +123,7 @@
     m_rounds_alone = 0;
     m_heard = true;
     m_owner_restoring = answer.restoring;
+    m_owner_taking_over = answer.taking_over;
     m_watchers = answer.watchers;
     // An owner that runs an older release sends no digest and the full list
     // each time.
@@ -150,6 +159,11 @@
     return watch_wait(is_standby() ? 0 : m_watchers);
 }
 
+base::duration ownership::watch_slack() const
+{
+    return m_owner_taking_over ? takeover_watch_slack : usual_watch_slack;
+}
+
 void ownership::lost(owner_loss why)
 {
     not_heard();
@@ -238,7 +252,9 @@
 
 base::duration ownership::probe_limit() const
 {
-    return probe_timeout * (1U << std::min(m_rounds_alone, alone_rounds));
+    auto const first =
+        m_owner_taking_over ? takeover_probe_timeout : probe_timeout;
+    return first * (1U << std::min(m_rounds_alone, alone_rounds));
 }
 
 void ownership::suspected()
--- a/libraries/cell/peer_messages.cpp
+++ b/libraries/cell/peer_messages.cpp
@@ -117,6 +117,7 @@
     return json::serialize(
         json::object{{"owns", it.owns},
                      {"restoring", it.restoring},
+                     {"taking_over", it.taking_over},
                      {"leaving", it.leaving},
                      {"overloaded_owners", it.overloaded_owners},
                      {"store_stuck", it.store_stuck.count()},
@@ -136,6 +137,7 @@
     watch_answer out;
     out.owns = json_codec::flag_or(root, "owns");
     out.restoring = json_codec::flag_or(root, "restoring");
+    out.taking_over = json_codec::flag_or(root, "taking_over");
     out.leaving = json_codec::flag_or(root, "leaving");
     out.overloaded_owners = static_cast<std::uint32_t>(
         json_codec::number_or(root, "overloaded_owners"));
--- a/libraries/cell/peer_messages.hpp
+++ b/libraries/cell/peer_messages.hpp
@@ -21,6 +21,8 @@
     bool owns{false};
     /// It is still reading the records and serves no calls yet.
     bool restoring{false};
+    /// It has just taken over and may answer late.
+    bool taking_over{false};
     /// It is releasing ownership: a successor may claim at once.
     bool leaving{false};
     /// How many owners, one after the other, handed over because they were
--- a/libraries/cell/yield_rule.cpp
+++ b/libraries/cell/yield_rule.cpp
@@ -20,23 +20,29 @@
 constexpr base::duration max_lag = std::chrono::milliseconds{70};
 
 /// Processor time to reach one instance for the first time: the request, the
-/// report, and the entry of the list.
+/// report, and the entry of the list, beside the other work of an owner.
 constexpr base::duration takeover_time_per_instance =
-    std::chrono::microseconds{500};
+    std::chrono::microseconds{1'000};
 
 /// Upper limit of the time that an overloaded owner keeps the work.
 constexpr base::duration max_overloaded_time = std::chrono::seconds{60};
 
 constexpr std::int64_t millicores_per_core = 1'000;
 
+/// Returns how long it takes to reach all instances.
+base::duration reaching_time(owner_load const& it)
+{
+    auto const millicores = std::max<std::int64_t>(1, it.millicores);
+    return takeover_time_per_instance *
+           static_cast<std::int64_t>(it.instances) * millicores_per_core /
+           millicores;
+}
+
 /// Returns how long after its claim an owner may still be busy with the
 /// takeover.
 base::duration takeover_time(owner_load const& it)
 {
-    auto const millicores = std::max<std::int64_t>(1, it.millicores);
-    return min_owned_time + takeover_time_per_instance *
-                                static_cast<std::int64_t>(it.instances) *
-                                millicores_per_core / millicores;
+    return min_owned_time + reaching_time(it);
 }
 
 /// Returns how long an overloaded owner keeps the work.
@@ -82,6 +88,11 @@
                : yield_reason::none;
 }
 
+bool is_taking_over(owner_load const& it)
+{
+    return it.owned_for < reaching_time(it);
+}
+
 bool handles_load(owner_load const& it)
 {
     return it.owned_for >= takeover_time(it) && it.lag <= max_lag;
--- a/libraries/cell/yield_rule.hpp
+++ b/libraries/cell/yield_rule.hpp
@@ -52,6 +52,10 @@
 /// hand-over waits twice as long as the one before.
 [[nodiscard]] yield_reason should_yield(owner_load const& it);
 
+/// Returns whether the owner is probably still reaching its instances, so that
+/// it may answer late.
+[[nodiscard]] bool is_taking_over(owner_load const& it);
+
 /// Returns whether the owner has shown that it can handle the work, so that a
 /// later overload has another cause than that of the owners before.
 [[nodiscard]] bool handles_load(owner_load const& it);
--- a/tests/cell/ownership_test.cpp
+++ b/tests/cell/ownership_test.cpp
@@ -182,6 +182,44 @@
     BOOST_TEST(log.job_pages == 5U);
 }
 
+/// Guards against a takeover that never ends: a new owner sends requests to
+/// thousands of instances, answers a watch after 0.6 s, and the next process
+/// claims its work and begins with the same requests.
+BOOST_DATA_TEST_CASE(an_owner_that_takes_over_may_answer_late,
+                     boost::unit_test::data::make({false, true}),
+                     taking_over)
+{
+    cell::owner_view const claim{2, "large", free_address(), "it"};
+    fill(1, claim);
+    // Another process, which does not answer.
+    cell::peer const other{"other", free_address(), 500};
+    auto delay = std::chrono::milliseconds{0};
+    network::http_server busy{
+        loop, [&](auto const&, network::responder answer)
+        {
+            auto timer =
+                std::make_shared<boost::asio::steady_timer>(loop, delay);
+            timer->async_wait(
+                [timer, claim, other, taking_over,
+                 answer = std::move(answer)](auto)
+                {
+                    cell::watch_answer out;
+                    out.owns = true;
+                    out.taking_over = taking_over;
+                    out.owner = claim;
+                    out.peers = {{other}, 1};
+                    answer({200, {}, cell::text_of(out)});
+                });
+        }};
+    BOOST_TEST_REQUIRE(listens(busy, claim.address));
+    owner.start();
+    run(std::chrono::milliseconds{300});
+    BOOST_TEST(owner.owner_heard());
+    delay = std::chrono::milliseconds{600};
+    run(std::chrono::milliseconds{2'000});
+    BOOST_TEST(owner.owner_heard() == taking_over);
+}
+
 /// Guards against a process that keeps the work though it can't read it.
 BOOST_AUTO_TEST_CASE(claim_is_given_up_if_no_records_arrive)
 {
--- a/tests/cell/peer_messages_test.cpp
+++ b/tests/cell/peer_messages_test.cpp
@@ -56,6 +56,7 @@
     cell::watch_answer told;
     told.owns = true;
     told.restoring = true;
+    told.taking_over = true;
     told.overloaded_owners = 3;
     auto const read =
         base::capture([&] { return cell::parse_watch(cell::text_of(told)); });
@@ -65,6 +66,7 @@
         base::capture([] { return cell::parse_watch(R"({"owns":true})"); });
     BOOST_REQUIRE(bool{older});
     BOOST_TEST(!older.value().restoring);
+    BOOST_TEST(!older.value().taking_over);
     BOOST_TEST(older.value().overloaded_owners == 0U);
 }
 
