cell: Get the configuration from the owner after a start

Change: a process that has just started finds the owner first, learns of its version with the first watch, and fetches the packed copy, as processes that are behind always do; it follows the store from where the copy was made. The winner of a claim reads the store at once, and answers all open watches when it has its first version. Who has no copy after 0.5 to 2.5 s, spread by name, reads the store as before.

configuration_path/a_process_that_starts_gets_the_configuration_from_the_owner failed with the landed program (one more page of the operators' records read).

--- a/libraries/cell/log_follower.cpp
+++ b/libraries/cell/log_follower.cpp
@@ -70,6 +70,19 @@
     read_newest({});
 }
 
+void log_follower::start_at(std::uint64_t offset)
+{
+    ++*m_generation;
+    m_timer.cancel();
+    m_read.cancel();
+    m_running = true;
+    m_ready = true;
+    m_pages.clear();
+    m_next = offset;
+    m_max_bytes = m_options.max_bytes;
+    read_tail(base::duration{0});
+}
+
 void log_follower::stop()
 {
     ++*m_generation;
--- a/libraries/cell/log_follower.hpp
+++ b/libraries/cell/log_follower.hpp
@@ -82,6 +82,10 @@
     /// Starts, or restarts with the newest records.
     void start();
 
+    /// Starts, or restarts, with the records from `offset` on; the newest ones
+    /// before it are known from another source.
+    void start_at(std::uint64_t offset);
+
     /// Stops following and forgets all keys; pending reads are ignored.
     void stop();
 
--- a/libraries/cell/node.cpp
+++ b/libraries/cell/node.cpp
@@ -153,6 +153,7 @@
     , m_stop_timer{m_loop}
     , m_log_timer{m_loop}
     , m_load_timer{m_loop}
+    , m_configuration_timer{m_loop}
     , m_lag{m_loop, m_clock}
     , m_copy_budget{budget_of_copies(m_settings.limits.link_mbps)}
 {
@@ -189,7 +190,7 @@
     await_signals();
     flush_logs();
     watch_load();
-    m_operators.start();
+    read_configuration_later();
     m_ownership.start();
     m_loop.run();
     base::log(base::log_level::info, "process_stopped", {});
--- a/libraries/cell/node.hpp
+++ b/libraries/cell/node.hpp
@@ -43,6 +43,7 @@
     [[nodiscard]] base::result<void> run();
 
     // ownership::listener
+    void claimed() override;
     void began(std::map<std::string, std::string> const& records,
                std::uint64_t token,
                std::uint64_t next) override;
@@ -82,7 +83,10 @@
     [[nodiscard]] bool sure_of_configuration() const;
     [[nodiscard]] bool configuration_overdue() const;
     void note_newest(std::int64_t known, network::socket_address const& from);
+    void read_configuration_later();
+    void read_configuration();
     void fetch_configuration(network::socket_address const& from);
+    void follow_configuration_from(std::uint64_t next);
     void confirm_configuration(network::socket_address const& from);
     /// This process as the others know it.
     [[nodiscard]] peer self() const;
@@ -132,6 +136,7 @@
     boost::asio::steady_timer m_stop_timer;
     boost::asio::steady_timer m_log_timer;
     boost::asio::steady_timer m_load_timer;
+    boost::asio::steady_timer m_configuration_timer;
     loop_lag m_lag;
     processor_meter m_processor;
     node_metrics m_metrics;
--- a/libraries/cell/node_configuration.cpp
+++ b/libraries/cell/node_configuration.cpp
@@ -16,6 +16,21 @@
 /// Timeout of the question that confirms a copy.
 constexpr base::duration confirmation_timeout = std::chrono::milliseconds{500};
 
+/// A process that has just started gets the configuration from the owner, if
+/// it finds one within this time; otherwise it reads the store itself. Spread
+/// over an interval, for cells whose processes all start at once.
+constexpr base::duration min_read_delay = std::chrono::milliseconds{500};
+constexpr base::duration read_delay_spread = std::chrono::milliseconds{2'000};
+
+base::duration read_delay(std::string const& instance)
+{
+    constexpr std::size_t parts = 64;
+    auto const part = std::hash<std::string>{}(instance) % parts;
+    return min_read_delay + read_delay_spread *
+                                static_cast<std::int64_t>(part) /
+                                static_cast<std::int64_t>(parts);
+}
+
 fetch_outcome end_of(peer_result<configuration_record> const& it)
 {
     if (it.answer)
@@ -28,6 +43,37 @@
 
 } // namespace
 
+/// If hundreds of processes that start at once read a large configuration from
+/// the store, the records of the jobs, which the new owner needs first, share
+/// the store's bandwidth with as many copies of it.
+void node::read_configuration_later()
+{
+    m_configuration_timer.expires_after(read_delay(m_settings.instance));
+    m_configuration_timer.async_wait(
+        [this](auto ec)
+        {
+            if (!ec)
+            {
+                read_configuration();
+            }
+        });
+}
+
+void node::read_configuration()
+{
+    m_configuration_timer.cancel();
+    if (!m_operators.running())
+    {
+        m_operators.start();
+    }
+}
+
+/// The other processes get the configuration from the owner.
+void node::claimed()
+{
+    read_configuration();
+}
+
 void node::configuration_changed(std::string const& key,
                                  std::string const& value,
                                  char const* source)
@@ -51,6 +97,7 @@
         // newer one.
         return;
     }
+    auto const is_first = m_configuration.version == 0;
     m_configuration = *read.value();
     m_configuration_record = {key, value, 0};
     m_compressed_configuration.clear();
@@ -69,6 +116,10 @@
     {
         m_owner->set_configuration(m_configuration);
     }
+    if (is_first && owns())
+    {
+        m_peer_service.wake();
+    }
 }
 
 void node::report_unclear_accounts() const
@@ -171,11 +222,24 @@
                 return;
             }
             configuration_changed(it.answer->key, it.answer->value, "peer");
-            m_operators.skip_to(it.answer->next);
+            follow_configuration_from(it.answer->next);
             confirm_configuration(from);
         });
 }
 
+/// Follows the store from the offset after a copy. A reading of the newest
+/// records that has not ended is given up.
+void node::follow_configuration_from(std::uint64_t next)
+{
+    m_configuration_timer.cancel();
+    if (m_operators.ready())
+    {
+        m_operators.skip_to(next);
+        return;
+    }
+    m_operators.start_at(next);
+}
+
 /// Asks the process that sent the configuration how long ago its version was
 /// the newest. This process may have no other way to know: an owner asks the
 /// others nothing, and the read of the store that was under way is given up.
--- a/libraries/cell/ownership.hpp
+++ b/libraries/cell/ownership.hpp
@@ -80,6 +80,9 @@
         listener& operator=(listener const&) = delete;
         virtual ~listener() = default;
 
+        /// This process has won a claim and will read the records.
+        virtual void claimed() = 0;
+
         /// This process now owns the work and has read the records: `records`
         /// are the newest ones before the claim, `token` is the claim's fencing
         /// token and `next` the offset after the claim.
--- a/libraries/cell/ownership_claim.cpp
+++ b/libraries/cell/ownership_claim.cpp
@@ -247,6 +247,7 @@
                {"took_s", base::seconds_of(m_clock.now() - m_claim_began)},
                {"ownerless_s", base::seconds_of(ownerless_for())}});
     announce(former);
+    m_listener.claimed();
     if (m_follower.ready() && m_follower.next_offset() >= at)
     {
         restored();
--- a/tests/cell/call_router_test.cpp
+++ b/tests/cell/call_router_test.cpp
@@ -77,6 +77,8 @@
                std::uint64_t) override
     {
     }
+    void claimed() override {}
+
     void ended() override {}
 };
 
--- a/tests/cell/log_follower_test.cpp
+++ b/tests/cell/log_follower_test.cpp
@@ -107,6 +107,29 @@
     BOOST_TEST((seen == map{{"b", "1"}, {"c", "1"}}));
 }
 
+/// Guards against a process that reads large records again that it has as a
+/// copy.
+BOOST_AUTO_TEST_CASE(records_before_a_copy_are_not_read)
+{
+    log.put({{"a", "1"}, {"b", "1"}});
+    // A reading that has not ended is given up.
+    log.page_delay = std::chrono::milliseconds{40};
+    follower.start();
+    run(2);
+    follower.start_at(2);
+    log.put({{"b", "2"}});
+    run();
+    BOOST_TEST((seen == map{{"b", "2"}}));
+    BOOST_TEST(follower.ready());
+    BOOST_TEST(follower.next_offset() == 3U);
+    // Where the log was trimmed, all is read.
+    log.put({{"b", {}}, {"c", "1"}});
+    log.first = 5;
+    follower.start_at(3);
+    run(40);
+    BOOST_TEST((seen == map{{"a", "1"}, {"c", "1"}}));
+}
+
 BOOST_AUTO_TEST_CASE(catching_up_reports_the_end)
 {
     log.put({{"a", "1"}});
--- a/tests/cell/ownership_process.hpp
+++ b/tests/cell/ownership_process.hpp
@@ -75,6 +75,8 @@
         takeovers.push_back({records, token, next});
     }
 
+    void claimed() override {}
+
     void ended() override
     {
         ++ends;
--- a/tests/platform_adapter/configuration_test.cpp
+++ b/tests/platform_adapter/configuration_test.cpp
@@ -154,4 +154,27 @@
     BOOST_TEST(ask(*to, "b") == 200U);
 }
 
+/// Guards against a restart of hundreds of processes that each read a large
+/// configuration from the store, while the new owner needs its records.
+BOOST_AUTO_TEST_CASE(
+    a_process_that_starts_gets_the_configuration_from_the_owner)
+{
+    store->put(operators_topic, configuration_key,
+               configuration_document(2, {"q", "a"}));
+    BOOST_REQUIRE(run_until([&] { return serve("a", "b"); }));
+    auto const to = owner();
+    BOOST_REQUIRE(to.has_value());
+    auto const other = (*to + 1) % processes;
+    auto const before = store->newest_reads(operators_topic);
+    stop_process(other);
+    start_process(other, link_address(other).port);
+    BOOST_REQUIRE(run_until([&] { return ready(other); }));
+    BOOST_TEST(ask(other, "a") == 200U);
+    BOOST_TEST(store->newest_reads(operators_topic) == before);
+    // Later versions come from the store.
+    store->put(operators_topic, configuration_key,
+               configuration_document(3, {"q", "b"}));
+    BOOST_TEST(run_until([&] { return serve("b", "a"); }, in_force));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform_adapter/stand_ins/store_stand_in.cpp
+++ b/tests/platform_adapter/stand_ins/store_stand_in.cpp
@@ -197,6 +197,7 @@
 void store_stand_in::newest(std::string const& topic,
                             network::responder const& answer)
 {
+    ++m_newest_reads[topic];
     auto const& log = m_topics[topic];
     std::map<std::string, std::size_t> last;
     for (std::size_t n = 0; n < log.size(); ++n)
--- a/tests/platform_adapter/stand_ins/store_stand_in.hpp
+++ b/tests/platform_adapter/stand_ins/store_stand_in.hpp
@@ -68,6 +68,13 @@
         return m_appends;
     }
 
+    /// How often pages of the newest records of the topic were read.
+    [[nodiscard]] std::size_t newest_reads(std::string const& topic) const
+    {
+        auto const at = m_newest_reads.find(topic);
+        return at == m_newest_reads.end() ? 0 : at->second;
+    }
+
 private:
     struct entry
     {
@@ -117,6 +124,7 @@
     std::chrono::milliseconds m_read_delay{0};
     bool m_strict_size{false};
     std::size_t m_appends{0};
+    std::map<std::string, std::size_t> m_newest_reads;
     bool m_down{false};
     double m_lost_share{0};
     double m_lost_sum{0};
