cell: Log what clients were told, and by whom it was decided

A client's rejection could not be explained afterwards: a 401, 403, 404 or 429 that the owner decided left a line at the owner only, gone with an owner that is killed before its log is flushed, and a 503 for an unknown or overdue configuration named no job.

Each answer that is not a success now has a line at the process that gave it: status, who decided it (owner or entry), how often the call was sent, whether an earlier send is unresolved, the token and the configurations on both sides. A success after several sends has one too. A process writes at most 100 such lines a second, 400 at once, and counts those left out; before, nothing bounded them. call_outdated says whether the owner knows the job.

--- /dev/null
+++ b/libraries/cell/answer_log.cpp
@@ -0,0 +1,101 @@
+#include <cell/answer_log.hpp>
+
+#include <utility>
+
+namespace berylhill::cell
+{
+
+namespace
+{
+
+/// Lines a second and the largest burst: a process that rejects everything
+/// spends about a hundredth of its processor time on them.
+constexpr std::int64_t lines_per_s = 100;
+constexpr std::int64_t lines_at_once = 400;
+
+bool is_success(job_answer_kind it)
+{
+    return it == job_answer_kind::accepted || it == job_answer_kind::phase ||
+           it == job_answer_kind::pending;
+}
+
+char const* name_of(answer_source it)
+{
+    return it == answer_source::owner ? "owner" : "entry";
+}
+
+} // namespace
+
+answer_log::answer_log(base::clock const& clock, scheduler::decision_log& to)
+    : m_clock{clock}
+    , m_to{to}
+    , m_lines{lines_per_s, lines_at_once}
+{
+}
+
+void answer_log::call_ended(job_call const& call,
+                            call_outcome const& end,
+                            unsigned status,
+                            base::duration took,
+                            deciding_configuration const& by)
+{
+    auto const success = is_success(end.answer.kind);
+    if ((success && end.sends <= 1) || !may_write())
+    {
+        return;
+    }
+    m_to.write(base::log_level::info, success ? "call_answered" : "call_failed",
+               {{"job", text_of(call.job)},
+                {"call", cell::name_of(call.kind)},
+                {"status", status},
+                {"end", cell::name_of(end.answer.kind)},
+                {"by", name_of(end.source)},
+                {"sends", end.sends},
+                {"unresolved", end.send_unresolved ? 1 : 0},
+                {"token", end.token},
+                {"took_s", base::seconds_of(took)},
+                {"retry_after_s", base::seconds_of(end.answer.retry_after)},
+                {"decided_by", call.configuration},
+                {"version", by.version},
+                {"newest", by.newest},
+                {"age_s", base::seconds_of(by.age)}});
+}
+
+void answer_log::request_denied(std::string_view job,
+                                unsigned status,
+                                std::string_view why,
+                                std::string_view key_digest,
+                                deciding_configuration const& by)
+{
+    if (!may_write())
+    {
+        return;
+    }
+    m_to.write(base::log_level::info, "request_denied",
+               {{"job", job},
+                {"status", status},
+                {"why", why},
+                {"key_digest", key_digest},
+                {"version", by.version},
+                {"newest", by.newest},
+                {"age_s", base::seconds_of(by.age)}});
+}
+
+/// Returns whether a line may be written now, and reports those left out
+/// before it.
+bool answer_log::may_write()
+{
+    if (!m_lines.try_take(1, m_clock.now()))
+    {
+        ++m_left_out;
+        return false;
+    }
+    if (auto const n = std::exchange(m_left_out, 0); n != 0)
+    {
+        m_to.write(base::log_level::warning, "answers_not_logged",
+                   {{"lines", n}});
+    }
+    return true;
+}
+
+} // namespace berylhill::cell
--- a/libraries/cell/call_router.cpp
+++ b/libraries/cell/call_router.cpp
@@ -27,9 +27,7 @@
 
 struct call_router::pending_call
 {
-    pending_call(boost::asio::io_context& loop,
-                 job_call it,
-                 job_answer_handler then)
+    pending_call(boost::asio::io_context& loop, job_call it, handler then)
         : call{std::move(it)}
         , done{std::move(then)}
         , timer{loop}
@@ -37,7 +35,7 @@
     }
 
     job_call call;
-    job_answer_handler done;
+    handler done;
     boost::asio::steady_timer timer;
     /// Until when an owner is searched for, if none has received the call.
     base::instant search_until{};
@@ -49,6 +47,8 @@
     std::uint32_t asked{0};
     /// Token of the owner that was called last.
     std::uint64_t asked_token{0};
+    /// See `call_outcome::sends`.
+    std::uint32_t sends{0};
 };
 
 call_router::call_router(boost::asio::io_context& loop,
@@ -64,7 +64,7 @@
 {
 }
 
-void call_router::call(job_call it, job_answer_handler done)
+void call_router::call(job_call it, handler done)
 {
     if (it.kind == job_call_kind::status)
     {
@@ -73,7 +73,7 @@
             auto const kind = may_use(it.account, end->account)
                                   ? job_answer_kind::phase
                                   : job_answer_kind::forbidden;
-            done({kind, end->phase, 0, {}});
+            done({{kind, end->phase, 0, {}}});
             return;
         }
     }
@@ -90,9 +90,7 @@
 {
     auto const left = it->answer_by - m_clock.now();
     it->call.timeout = left;
-    if (left.count() > 0 &&
-        m_local(it->call, [this, it](job_answer const& answer)
-                { owner_answered(it, answer); }))
+    if (left.count() > 0 && call_here(it))
     {
         return;
     }
@@ -110,6 +108,21 @@
     watch_owner(it, it->asked);
 }
 
+/// Calls the owner in this process; returns false if there is none.
+bool call_router::call_here(pending_call_pointer const& it)
+{
+    // The answer may come before the function returns.
+    ++it->sends;
+    it->asked_token = m_owner.owner().token;
+    if (m_local(it->call, [this, it](job_answer const& answer)
+                { owner_answered(it, answer); }))
+    {
+        return true;
+    }
+    --it->sends;
+    return false;
+}
+
 /// A slow store can delay an owner's answer for more than a second, while a
 /// lost owner never answers. The other processes detect a lost owner before any
 /// client's timeout expires.
@@ -131,6 +144,7 @@
                 return;
             }
             ++it->asked;
+            ++it->sends;
             it->maybe_done = true;
             retry(it);
         });
@@ -150,12 +164,14 @@
         // stored.
         if (end.answer && end.answer->kind == job_answer_kind::accepted)
         {
-            finish(it, *end.answer);
+            finish(it, *end.answer, answer_source::owner);
         }
         return;
     }
     ++it->asked;
     it->timer.cancel();
+    it->sends += (end.sent_before ? 1U : 0U) +
+                 (end.end == network::call_end::not_sent ? 0U : 1U);
     it->maybe_done = it->maybe_done || end.sent_before ||
                      end.end == network::call_end::unanswered;
     if (!end.answer)
@@ -179,7 +195,7 @@
         retry(it);
         return;
     }
-    finish(it, answer);
+    finish(it, answer, answer_source::owner);
 }
 
 void call_router::retry(pending_call_pointer const& it)
@@ -200,14 +216,17 @@
     }
     auto const changes = it->call.kind == job_call_kind::submit ||
                          it->call.kind == job_call_kind::cancel;
-    finish(it, it->maybe_done && changes
-                   ? job_answer{job_answer_kind::outcome_unknown, {}, 0, {}}
-                   : job_answer{
-                         job_answer_kind::refused, {}, 0, default_retry_after});
+    finish(
+        it,
+        it->maybe_done && changes
+            ? job_answer{job_answer_kind::outcome_unknown, {}, 0, {}}
+            : job_answer{job_answer_kind::refused, {}, 0, default_retry_after},
+        answer_source::entry);
 }
 
 void call_router::finish(pending_call_pointer const& it,
-                         job_answer const& answer)
+                         job_answer const& answer,
+                         answer_source source)
 {
     if (!it->done)
     {
@@ -222,7 +241,7 @@
     }
     --m_under_way;
     auto const done = std::exchange(it->done, nullptr);
-    done(given);
+    done({given, source, it->sends, it->maybe_done, it->asked_token});
 }
 
 } // namespace berylhill::cell
--- a/libraries/cell/call_router.hpp
+++ b/libraries/cell/call_router.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <base/time.hpp>
+#include <cell/call_outcome.hpp>
 #include <cell/job_call.hpp>
 #include <cell/ownership.hpp>
 #include <cell/peer_client.hpp>
@@ -32,8 +33,10 @@
                 ownership const& owner,
                 local_function local);
 
+    using handler = std::function<void(call_outcome const&)>;
+
     /// `done` is called once, before the call's timeout expires.
-    void call(job_call it, job_answer_handler done);
+    void call(job_call it, handler done);
 
     /// The number of calls that wait for an owner or for its answer.
     [[nodiscard]] std::size_t under_way() const noexcept
@@ -46,6 +49,7 @@
     using pending_call_pointer = std::shared_ptr<pending_call>;
 
     void send_to_owner(pending_call_pointer const& it);
+    [[nodiscard]] bool call_here(pending_call_pointer const& it);
     void watch_owner(pending_call_pointer const& it, std::uint32_t asked);
     void peer_call_ended(pending_call_pointer const& it,
                          std::uint32_t asked,
@@ -53,7 +57,9 @@
     void owner_answered(pending_call_pointer const& it,
                         job_answer const& answer);
     void retry(pending_call_pointer const& it);
-    void finish(pending_call_pointer const& it, job_answer const& answer);
+    void finish(pending_call_pointer const& it,
+                job_answer const& answer,
+                answer_source source);
 
     boost::asio::io_context& m_loop;
     base::clock const& m_clock;
--- a/libraries/cell/node.cpp
+++ b/libraries/cell/node.cpp
@@ -72,10 +72,10 @@
 /// Largest burst of configuration copies, in bytes.
 constexpr std::int64_t copies_at_once = std::int64_t{64} * 1024;
 
-byte_budget budget_of_copies(double link_mbps)
+token_bucket budget_of_copies(double link_mbps)
 {
     constexpr double bytes_per_megabit = 125'000;
-    return byte_budget{
+    return token_bucket{
         static_cast<std::int64_t>(link_mbps * bytes_per_megabit / copy_share),
         copies_at_once};
 }
@@ -108,6 +108,7 @@
     , m_order_client{m_loop, order_limits(m_settings.limits.descriptors)}
     , m_adapter{make(m_client, m_order_client, m_settings)}
     , m_log{std::make_unique<decisions_to_log>()}
+    , m_answers{m_clock, *m_log}
     , m_peers{m_client}
     , m_ownership{m_loop,    m_clock, *m_adapter.cell_log, m_peers,
                   m_latency, self(),  new_incarnation(),   *this}
--- a/libraries/cell/node.hpp
+++ b/libraries/cell/node.hpp
@@ -2,7 +2,7 @@
 
 #include <cell/adapter.hpp>
 #include <cell/advice_dispatcher.hpp>
-#include <cell/byte_budget.hpp>
+#include <cell/answer_log.hpp>
 #include <cell/call_router.hpp>
 #include <cell/cell_owner.hpp>
 #include <cell/configuration_propagation.hpp>
@@ -11,6 +11,7 @@
 #include <cell/ownership.hpp>
 #include <cell/peer_service.hpp>
 #include <cell/processor_meter.hpp>
+#include <cell/token_bucket.hpp>
 #include <cell/yield_rule.hpp>
 #include <network/http_server.hpp>
 
@@ -74,9 +75,13 @@
     [[nodiscard]] scheduler::policy policy() const;
     void take_job_call(network::http_request const& it,
                        network::responder answer);
-    void note_answer(job_call const& call,
-                     job_answer const& end,
-                     base::duration took);
+    void answer_call(job_call const& call,
+                     call_outcome const& end,
+                     base::duration took,
+                     network::responder const& answer);
+    [[nodiscard]] deciding_configuration deciding() const;
+    void refuse_without_configuration(std::string const& target,
+                                      network::responder const& answer);
     void refuse(std::string const& target,
                 refused_request it,
                 network::responder const& answer);
@@ -121,6 +126,7 @@
     network::http_client m_order_client;
     adapter m_adapter;
     std::unique_ptr<decisions_to_log> m_log;
+    answer_log m_answers;
     store_latency m_latency;
     peer_client m_peers;
     ownership m_ownership;
@@ -146,7 +152,7 @@
     configuration_record m_configuration_record;
     /// The record, compressed; empty until it is requested.
     std::string m_compressed_configuration;
-    byte_budget m_copy_budget;
+    token_bucket m_copy_budget;
     configuration_propagation m_propagation;
     /// What the former owner knew of the instances' log.
     write_times m_list_times;
--- a/libraries/cell/node_answers.cpp
+++ b/libraries/cell/node_answers.cpp
@@ -108,7 +108,9 @@
                {"queue", it.queue},
                {"end", name_of(end)},
                {"decided_by", it.configuration},
-               {"version", m_configuration.version}});
+               {"version", m_configuration.version},
+               {"known", m_owner->decisions().account_of(it.job) ? 1 : 0},
+               {"token", m_ownership.owner().token}});
     done({end, {}, 0, {}});
 }
 
@@ -130,10 +132,7 @@
 {
     if (m_configuration.version == 0 || configuration_overdue())
     {
-        // The configuration is unknown, so neither "no such queue" nor "no such
-        // job" would be reliable; another process has the configuration.
-        m_metrics.denied(status_unavailable);
-        answer({status_unavailable, {{"Retry-After", "1"}}, {}});
+        refuse_without_configuration(it.target, answer);
         return;
     }
     auto decoded = m_adapter.jobs->decode(it, m_configuration);
@@ -145,13 +144,22 @@
     }
     auto call = std::get<job_call>(std::move(decoded));
     note_old_configuration(call);
-    m_router.call(call,
-                  [this, call, begun = m_clock.now(),
-                   answer = std::move(answer)](job_answer const& end)
-                  {
-                      note_answer(call, end, m_clock.now() - begun);
-                      answer(m_adapter.jobs->encode(call, end));
-                  });
+    m_router.call(call, [this, call, begun = m_clock.now(),
+                         answer = std::move(answer)](call_outcome const& end)
+                  { answer_call(call, end, m_clock.now() - begun, answer); });
+}
+
+/// The configuration is unknown or overdue, so neither "no such queue" nor "no
+/// such job" would be reliable; another process has the configuration.
+void node::refuse_without_configuration(std::string const& target,
+                                        network::responder const& answer)
+{
+    m_metrics.denied(status_unavailable);
+    m_answers.request_denied(last_segment(target), status_unavailable,
+                             m_configuration.version == 0 ? "no_configuration"
+                                                          : "overdue",
+                             {}, deciding());
+    answer({status_unavailable, {{"Retry-After", "1"}}, {}});
 }
 
 /// Refuses a request. A newer configuration may allow what this one does not,
@@ -166,12 +174,11 @@
         it.response = {status_unavailable, {{"Retry-After", "1"}}, {}};
     }
     m_metrics.denied(it.response.status);
-    base::log(base::log_level::info, "request_denied",
-              {{"job", last_segment(target)},
-               {"status", it.response.status},
-               {"key_digest", it.key_digest},
-               {"version", m_configuration.version},
-               {"age_s", base::seconds_of(m_propagation.age(m_clock.now()))}});
+    m_answers.request_denied(last_segment(target), it.response.status,
+                             it.reason == refusal_reason::configuration
+                                 ? "configuration"
+                                 : "request",
+                             it.key_digest, deciding());
     answer(std::move(it.response));
 }
 
@@ -214,25 +221,21 @@
                {"age_s", base::seconds_of(m_propagation.age(m_clock.now()))}});
 }
 
-void node::note_answer(job_call const& call,
-                       job_answer const& end,
-                       base::duration took)
+deciding_configuration node::deciding() const
 {
-    m_metrics.answered(call.kind, end.kind, took);
-    if (end.kind != job_answer_kind::refused &&
-        end.kind != job_answer_kind::outcome_unknown)
-    {
-        return;
-    }
-    base::log(base::log_level::info, "call_failed",
-              {{"job", text_of(call.job)},
-               {"call", name_of(call.kind)},
-               {"end", name_of(end.kind)},
-               {"took_s", base::seconds_of(took)},
-               {"retry_after_s", base::seconds_of(end.retry_after)},
-               {"owner", m_ownership.owner().instance},
-               {"token", m_ownership.owner().token},
-               {"owner_heard", m_ownership.owner_heard() ? 1 : 0}});
+    return {m_configuration.version, m_propagation.newest(),
+            m_propagation.age(m_clock.now())};
+}
+
+void node::answer_call(job_call const& call,
+                       call_outcome const& end,
+                       base::duration took,
+                       network::responder const& answer)
+{
+    auto response = m_adapter.jobs->encode(call, end.answer);
+    m_metrics.answered(call.kind, end.answer.kind, took);
+    m_answers.call_ended(call, end, response.status, took, deciding());
+    answer(std::move(response));
 }
 
 bool node::ready() const
