--- a/libraries/cell/cell_owner.cpp
+++ b/libraries/cell/cell_owner.cpp
@@ -1,6 +1,7 @@
 #include <cell/cell_owner.hpp>
 
 #include <base/log.hpp>
+#include <cell/call_check.hpp>
 
 #include <boost/asio/post.hpp>
 
@@ -102,7 +103,32 @@
            (store_refuses() ? refused_limit : m_parts.latency->stuck_limit());
 }
 
-void cell_owner::call(job_call const& it, job_answer_handler done)
+void cell_owner::call(job_call const& it,
+                      workload::cell_configuration const& configuration,
+                      job_answer_handler done)
+{
+    auto const verdict = check(it, configuration);
+    if (verdict == call_verdict::allowed)
+    {
+        carry_out(it, std::move(done));
+        return;
+    }
+    auto const end = verdict == call_verdict::no_queue
+                         ? job_answer_kind::no_queue
+                         : job_answer_kind::no_key;
+    m_parts.log->write(base::log_level::info, "call_outdated",
+                       {{"job", text_of(it.job)},
+                        {"call", name_of(it.kind)},
+                        {"queue", it.queue},
+                        {"end", name_of(end)},
+                        {"decided_by", it.configuration},
+                        {"version", configuration.version},
+                        {"known", m_decisions.account_of(it.job) ? 1 : 0},
+                        {"token", m_token}});
+    done({end, {}, 0, {}});
+}
+
+void cell_owner::carry_out(job_call const& it, job_answer_handler done)
 {
     if (m_releasing || m_lost)
     {
--- a/libraries/cell/cell_owner.hpp
+++ b/libraries/cell/cell_owner.hpp
@@ -67,8 +67,11 @@
 
     void set_configuration(workload::cell_configuration const& it);
 
-    /// `done` is called once, from within this call or later.
-    void call(job_call const& it, job_answer_handler done);
+    /// Rejects what `configuration`, the one in force in this process, does not
+    /// allow. `done` is called once, from within this call or later.
+    void call(job_call const& it,
+              workload::cell_configuration const& configuration,
+              job_answer_handler done);
 
     /// Releases ownership: makes no new decisions and calls `done` once the
     /// current append has ended, or after `limit`.
@@ -109,6 +112,7 @@
     }
 
 private:
+    void carry_out(job_call const& it, job_answer_handler done);
     void submit(job_call const& it, job_answer_handler done);
     void cancel(job_call const& it, job_answer_handler done);
     void wait_for_batch(job_call const& of, job_answer_handler done);
--- a/libraries/cell/node_answers.cpp
+++ b/libraries/cell/node_answers.cpp
@@ -1,7 +1,6 @@
 #include <cell/node.hpp>
 
 #include <base/log.hpp>
-#include <cell/call_check.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -93,25 +92,7 @@
 
 void node::call_owner(job_call const& it, job_answer_handler done)
 {
-    auto const verdict = check(it, m_configuration);
-    if (verdict == call_verdict::allowed)
-    {
-        m_owner->call(it, std::move(done));
-        return;
-    }
-    auto const end = verdict == call_verdict::no_queue
-                         ? job_answer_kind::no_queue
-                         : job_answer_kind::no_key;
-    base::log(base::log_level::info, "call_outdated",
-              {{"job", text_of(it.job)},
-               {"call", name_of(it.kind)},
-               {"queue", it.queue},
-               {"end", name_of(end)},
-               {"decided_by", it.configuration},
-               {"version", m_configuration.version},
-               {"known", m_owner->decisions().account_of(it.job) ? 1 : 0},
-               {"token", m_ownership.owner().token}});
-    done({end, {}, 0, {}});
+    m_owner->call(it, m_configuration, std::move(done));
 }
 
 void node::advise(advice_request const& it, advice_handler done)
--- a/tests/cell/cell_owner_test.cpp
+++ b/tests/cell/cell_owner_test.cpp
@@ -127,7 +127,7 @@
         it.spec.steps.push_back(step);
         it.timeout = timeout;
         auto out = std::make_shared<std::optional<job_answer_kind>>();
-        owner->call(it,
+        owner->call(it, configuration,
                     [out](cell::job_answer const& end) { *out = end.kind; });
         return out;
     }
