cell tests: Show a stored submission that is rejected by a newer configuration

A submission is stored and its answer is lost; the entry sends it again, and the next owner has a newer configuration without the client's key or queue.

job_call has the field 'repeated' and the messages between processes carry it; nothing sets or reads it yet.

--- a/libraries/cell/job_call.hpp
+++ b/libraries/cell/job_call.hpp
@@ -41,6 +41,9 @@
     workload::job_spec spec;
     /// How long the client waits for the answer.
     base::duration timeout{0};
+    /// Between processes: an earlier send of this call may have arrived, at
+    /// this owner or a former one.
+    bool repeated{false};
 
     friend bool operator==(job_call const&, job_call const&) = default;
 };
--- a/libraries/cell/peer_messages.cpp
+++ b/libraries/cell/peer_messages.cpp
@@ -200,7 +200,8 @@
                      {"place", it.route_hash},
                      {"key", it.key_digest},
                      {"job", text_of(it.job)},
-                     {"patience", it.timeout.count()}};
+                     {"patience", it.timeout.count()},
+                     {"repeated", it.repeated}};
     if (it.kind == job_call_kind::submit)
     {
         out["spec"] =
@@ -224,6 +225,8 @@
     BOOST_LEAF_ASSIGN(out.job,
                       workload::parse_job_id(json_codec::text_or(root, "job")));
     out.timeout = micros(root, "patience");
+    // A process that runs an older release does not say so.
+    out.repeated = json_codec::flag_or(root, "repeated");
     if (out.kind == job_call_kind::submit)
     {
         BOOST_LEAF_AUTO(spec, scheduler::parse_spec_value(
--- a/tests/cell/call_router_test.cpp
+++ b/tests/cell/call_router_test.cpp
@@ -1,7 +1,9 @@
 #include "fake_log.hpp"
+#include "printing.hpp"
 
 #include <cell/call_router.hpp>
 #include <cell/ownership.hpp>
+#include <cell/peer_messages.hpp>
 #include <cell/peer_paths.hpp>
 #include <network/http_client.hpp>
 #include <network/http_server.hpp>
@@ -32,6 +34,7 @@
     char const* name;
     unsigned status;
     job_answer_kind answer;
+    /// What the client is told.
     job_answer_kind outcome;
 };
 
@@ -46,6 +49,12 @@
      job_answer_kind::outcome_unknown},
     {"over the cap", 200, job_answer_kind::over_cap,
      job_answer_kind::outcome_unknown},
+    {"no such key in a newer configuration", 200, job_answer_kind::no_key,
+     job_answer_kind::outcome_unknown},
+    {"no such queue in a newer configuration", 200, job_answer_kind::no_queue,
+     job_answer_kind::outcome_unknown},
+    // The owner knows the job, so it is another account's for all sends.
+    {"forbidden", 200, job_answer_kind::forbidden, job_answer_kind::forbidden},
     {"no owner any more, by its answer", 200, job_answer_kind::not_owner,
      job_answer_kind::outcome_unknown},
     {"no owner any more, by its status",
@@ -119,6 +128,9 @@
             return;
         }
         ++calls;
+        auto const sent =
+            base::capture([&] { return cell::parse_job_call(it.body); });
+        repeated = sent && sent.value().repeated;
         if (hold)
         {
             held.push_back(std::move(answer));
@@ -158,6 +170,24 @@
                     });
     }
 
+    /// Makes a call whose first send arrives on a connection that breaks before
+    /// the answer; later sends get this answer.
+    void repeat(cell::job_call_kind what,
+                unsigned with_status,
+                job_answer_kind answer)
+    {
+        call(cell::job_call_kind::status);
+        BOOST_REQUIRE(run_until([&] { return outcome.has_value(); }));
+        hold = true;
+        status = with_status;
+        kind = answer;
+        call(what);
+        BOOST_REQUIRE(run_until([&] { return held.size() == 1; }));
+        hold = false;
+        server.close_connections();
+        BOOST_REQUIRE(run_until([&] { return outcome.has_value(); }));
+    }
+
     static std::uint16_t free_port()
     {
         boost::asio::io_context own;
@@ -173,6 +203,8 @@
     unsigned status{200};
     job_answer_kind kind{job_answer_kind::accepted};
     std::size_t calls{0};
+    /// Whether the last call said that an earlier send may have arrived.
+    bool repeated{false};
     std::vector<network::responder> held;
     std::optional<job_answer_kind> outcome;
     cell::call_outcome last;
@@ -210,16 +242,8 @@
                      sample,
                      cancels)
 {
-    call(cell::job_call_kind::status);
-    BOOST_REQUIRE(run_until([&] { return outcome.has_value(); }));
-    hold = true;
-    status = sample.status;
-    kind = sample.answer;
-    call(cancels ? cell::job_call_kind::cancel : cell::job_call_kind::submit);
-    BOOST_REQUIRE(run_until([&] { return held.size() == 1; }));
-    hold = false;
-    server.close_connections();
-    BOOST_REQUIRE(run_until([&] { return outcome.has_value(); }));
+    repeat(cancels ? cell::job_call_kind::cancel : cell::job_call_kind::submit,
+           sample.status, sample.answer);
     BOOST_TEST(calls > 2U);
     BOOST_TEST((*outcome == sample.outcome));
     BOOST_TEST(last.sends > 1U);
@@ -227,20 +251,55 @@
     BOOST_TEST(last.token == claim.token);
 }
 
-/// A submission that was sent once is refused as its owner says.
-BOOST_AUTO_TEST_CASE(a_refusal_of_the_only_send_is_told)
+/// A client that cancels again needs no answer of the first send: there is no
+/// such job.
+BOOST_AUTO_TEST_CASE(a_repeated_cancellation_of_no_job_is_told)
+{
+    repeat(cell::job_call_kind::cancel, 200, job_answer_kind::unknown_job);
+    BOOST_TEST((*outcome == job_answer_kind::unknown_job));
+}
+
+/// A read holds for itself, however often it was sent.
+BOOST_DATA_TEST_CASE(an_answer_to_a_repeated_read_is_told,
+                     boost::unit_test::data::make({job_answer_kind::phase,
+                                                   job_answer_kind::unknown_job,
+                                                   job_answer_kind::no_key,
+                                                   job_answer_kind::no_queue,
+                                                   job_answer_kind::forbidden}),
+                     answer)
 {
-    kind = job_answer_kind::refused;
+    repeat(cell::job_call_kind::status, 200, answer);
+    BOOST_TEST((*outcome == answer));
+}
+
+/// Guards against an owner that cannot tell a repeated submission from a new
+/// one, and judges a stored job by a newer configuration.
+BOOST_AUTO_TEST_CASE(an_owner_is_told_that_a_call_is_repeated)
+{
+    repeat(cell::job_call_kind::submit, 200, job_answer_kind::no_key);
+    BOOST_TEST(repeated);
+    kind = job_answer_kind::accepted;
+    call(cell::job_call_kind::submit);
+    BOOST_REQUIRE(run_until([&] { return outcome.has_value(); }));
+    BOOST_TEST(!repeated);
+}
+
+/// A call that was sent once is rejected as its owner says.
+BOOST_DATA_TEST_CASE(a_refusal_of_the_only_send_is_told,
+                     boost::unit_test::data::make(
+                         {job_answer_kind::refused, job_answer_kind::over_cap,
+                          job_answer_kind::no_key, job_answer_kind::no_queue,
+                          job_answer_kind::forbidden,
+                          job_answer_kind::unknown_job}),
+                     answer)
+{
+    kind = answer;
     call(cell::job_call_kind::submit);
     BOOST_REQUIRE(run_until([&] { return outcome.has_value(); }));
-    BOOST_TEST((*outcome == job_answer_kind::refused));
+    BOOST_TEST((*outcome == answer));
     BOOST_TEST(last.sends == 1U);
     BOOST_TEST(!last.send_unresolved);
     BOOST_TEST((last.source == cell::answer_source::owner));
-    kind = job_answer_kind::over_cap;
-    call(cell::job_call_kind::submit);
-    BOOST_REQUIRE(run_until([&] { return outcome.has_value(); }));
-    BOOST_TEST((*outcome == job_answer_kind::over_cap));
 }
 
 /// Guards against hundreds of processes that send all their calls to a new
--- a/tests/cell/cell_owner_test.cpp
+++ b/tests/cell/cell_owner_test.cpp
@@ -1,5 +1,7 @@
 #include "fake_log.hpp"
+#include "printing.hpp"
 
+#include <cell/call_check.hpp>
 #include <cell/cell_owner.hpp>
 #include <network/http_client.hpp>
 
@@ -10,6 +12,7 @@
 #include <chrono>
 #include <memory>
 #include <optional>
+#include <ostream>
 #include <string>
 #include <utility>
 
@@ -114,20 +117,36 @@
             [](char const*) {});
     }
 
-    told submit(std::uint64_t id, base::duration timeout)
+    [[nodiscard]] cell::job_call submission(std::uint64_t id,
+                                            base::duration timeout) const
     {
         cell::job_call it;
         it.kind = cell::job_call_kind::submit;
         it.queue = "a";
+        it.account = "team";
+        it.configuration = 1;
+        it.route_hash = cell::hash_of_route(configuration.queues.front());
+        it.key_digest = cell::digest_of_key("key");
         it.job = {id};
         it.spec.id = {id};
         it.spec.queue = "a";
+        it.spec.account = "team";
         workload::step_spec step;
         step.tasks = 1;
         it.spec.steps.push_back(step);
         it.timeout = timeout;
+        return it;
+    }
+
+    told submit(std::uint64_t id, base::duration timeout)
+    {
+        return call(submission(id, timeout));
+    }
+
+    told call(cell::job_call const& it)
+    {
         auto out = std::make_shared<std::optional<job_answer_kind>>();
-        owner->call(it, configuration,
+        owner->call(it, in_force ? *in_force : configuration,
                     [out](cell::job_answer const& end) { *out = end.kind; });
         return out;
     }
@@ -145,6 +164,52 @@
         return done();
     }
 
+    /// Replaces the owner by one that has read all records.
+    void take_over_records()
+    {
+        std::map<std::string, std::string> records;
+        for (auto const& it : log.log)
+        {
+            records[it.key] = it.value;
+        }
+        auto const next = log.log.size();
+        owner = std::make_unique<cell::cell_owner>(
+            cell::owner_parts{&loop, &clock, &log, &listed, &orders, &desk,
+                              &reader, &decisions, &latency},
+            scheduler::policy{}, configuration, records, next, next,
+            cell::write_times{}, [](char const*) {});
+    }
+
+    void submit_and_wait(std::uint64_t id)
+    {
+        log.append_behaviors.clear();
+        auto const end = submit(id, long_timeout);
+        BOOST_REQUIRE(run_until([&] { return end->has_value(); }));
+        BOOST_REQUIRE((**end == job_answer_kind::accepted));
+    }
+
+    void cancel_and_wait(std::uint64_t id)
+    {
+        auto it = submission(id, long_timeout);
+        it.kind = cell::job_call_kind::cancel;
+        auto const end = call(it);
+        BOOST_REQUIRE(run_until([&] { return end->has_value(); }));
+        BOOST_REQUIRE((**end == job_answer_kind::accepted));
+    }
+
+    /// Puts a newer configuration in force in the owner's process, without the
+    /// callers' key or without their queue.
+    void change_configuration(job_answer_kind removed)
+    {
+        in_force = configuration;
+        in_force->version = 2;
+        if (removed == job_answer_kind::no_queue)
+        {
+            in_force->queues.clear();
+        }
+        in_force->accounts = workload::account_table{{{"team", {}, 1, {}}}};
+    }
+
     /// Submits the job; its record has been sent to the store, and the client
     /// has heard that the outcome is unknown.
     void submit_without_outcome(std::uint64_t id)
@@ -160,6 +225,8 @@
     static constexpr base::duration long_timeout = std::chrono::seconds{4};
 
     workload::cell_configuration configuration;
+    /// What the owner's process has in force if that is newer.
+    std::optional<workload::cell_configuration> in_force;
     boost::asio::io_context loop;
     base::system_clock clock;
     fake_log log{loop};
@@ -179,10 +246,107 @@
     std::unique_ptr<cell::cell_owner> owner;
 };
 
+enum class job_state : std::uint8_t
+{
+    unknown,
+    stored,
+    cancelled,
+};
+
+/// A call that an older configuration allowed, at an owner with a newer one.
+struct outdated_case
+{
+    char const* name;
+    cell::job_call_kind kind;
+    job_state before;
+    bool repeated;
+    char const* account;
+    bool accepted;
+};
+
+std::ostream& operator<<(std::ostream& to, outdated_case const& it)
+{
+    return to << it.name;
+}
+
+using enum cell::job_call_kind;
+
+outdated_case const outdated[] = {
+    {"a submission", submit, job_state::unknown, false, "team", false},
+    {"a repeated one that no owner has stored", submit, job_state::unknown,
+     true, "team", false},
+    {"a repeated one that is stored", submit, job_state::stored, true, "team",
+     true},
+    {"a repeated one that is stored and was cancelled", submit,
+     job_state::cancelled, true, "team", true},
+    {"a repeated one of another account's job", submit, job_state::stored, true,
+     "other", false},
+    {"a client's later attempt", submit, job_state::stored, false, "team",
+     false},
+    {"a cancellation", cancel, job_state::stored, false, "team", false},
+    {"a repeated one that had no effect", cancel, job_state::stored, true,
+     "team", false},
+    {"a repeated one that is stored", cancel, job_state::cancelled, true,
+     "team", true},
+    {"a read", status, job_state::stored, true, "team", false},
+};
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(cell_owner, fixture)
 
+/// Guards against a job that is rejected and runs: its submission was stored
+/// and sent again, and the second send was judged by a newer configuration.
+BOOST_DATA_TEST_CASE(
+    a_repeated_call_that_took_effect_is_not_judged_anew,
+    boost::unit_test::data::make(outdated) *
+        boost::unit_test::data::make({job_answer_kind::no_key,
+                                      job_answer_kind::no_queue}),
+    sample,
+    removed)
+{
+    if (sample.before != job_state::unknown)
+    {
+        submit_and_wait(1);
+    }
+    if (sample.before == job_state::cancelled)
+    {
+        cancel_and_wait(1);
+    }
+    take_over_records();
+    change_configuration(removed);
+    auto it = submission(1, long_timeout);
+    it.kind = sample.kind;
+    it.repeated = sample.repeated;
+    it.account = sample.account;
+    it.spec.account = sample.account;
+    auto const end = call(it);
+    BOOST_REQUIRE(run_until([&] { return end->has_value(); }));
+    BOOST_TEST(
+        (**end == (sample.accepted ? job_answer_kind::accepted : removed)));
+    auto const phase = owner->decisions().phase_of({1});
+    BOOST_TEST(phase.has_value() == (sample.before != job_state::unknown));
+    BOOST_TEST((phase == scheduler::job_phase::cancelled) ==
+               (sample.before == job_state::cancelled));
+}
+
+/// The same while the record of the first send is on its way to the store.
+BOOST_AUTO_TEST_CASE(a_repeated_call_waits_for_the_record_of_its_first_send)
+{
+    submit_without_outcome(1);
+    change_configuration(job_answer_kind::no_key);
+    auto it = submission(1, long_timeout);
+    it.repeated = true;
+    auto const second = call(it);
+    loop.restart();
+    loop.run_for(std::chrono::milliseconds{50});
+    BOOST_TEST(!second->has_value());
+    log.deliver_late();
+    log.append_behaviors.clear();
+    BOOST_REQUIRE(run_until([&] { return second->has_value(); }));
+    BOOST_TEST((**second == job_answer_kind::accepted));
+}
+
 /// Guards against a job that is refused and runs: the append of a submission
 /// had no answer, its client submitted it again, and the second submission was
 /// refused because the store gave no answers.
--- a/tests/cell/peer_messages_test.cpp
+++ b/tests/cell/peer_messages_test.cpp
@@ -49,6 +49,27 @@
     BOOST_TEST((again.value() == read.value()));
 }
 
+/// A release that does not know repeated calls sends each as a first one.
+BOOST_AUTO_TEST_CASE(a_call_says_whether_it_is_repeated)
+{
+    cell::job_call sent;
+    sent.kind = cell::job_call_kind::cancel;
+    sent.job = {7};
+    sent.repeated = true;
+    auto const read = base::capture(
+        [&] { return cell::parse_job_call(cell::text_of(sent)); });
+    BOOST_REQUIRE(bool{read});
+    BOOST_TEST((read.value() == sent));
+    auto const older = base::capture(
+        []
+        {
+            return cell::parse_job_call(
+                R"({"kind":2,"job":"0000000000000007","patience":5})");
+        });
+    BOOST_REQUIRE(bool{older});
+    BOOST_TEST(!older.value().repeated);
+}
+
 /// Of a release that does not say so, an owner has read its records, and none
 /// before it was overloaded.
 BOOST_AUTO_TEST_CASE(a_watch_tells_how_far_a_takeover_is)
