cell: Don't tell a client the answer to a second send as the outcome of the first

Cause: the submission was stored, and its answer was lost with the owner. The entry sent it again. The next owner looked at its newer configuration before it looked whether it knows the job, and answered no_key or no_queue; the entry, which turned only refused and over_cap into "outcome unknown" after a send without an answer, told the client so.

Class: the answer to a repeat is taken for the answer to all sends.

Mended in both places. A table says for each kind of answer and call whether it covers earlier sends too; all others become "outcome unknown". A call says that it is repeated, and an owner answers a repeated call that has taken effect without judging it anew: a submission that it knows, of the same account, is accepted, and a cancellation of a job that has ended. A client's new request is no repeat, so a revoked key is rejected as before, whatever it names. Where the connection sent a call again by itself, the entry asks once more and says so.

Why it holds: a rejection reaches the client only if no send is without an answer, or if the answer follows from the job's record, which is the same for all sends. It does not depend on which owner was called when.

--- a/libraries/cell/call_router.cpp
+++ b/libraries/cell/call_router.cpp
@@ -23,6 +23,35 @@
 /// How often the router checks that the called owner still owns the work.
 constexpr base::duration owner_check_interval = std::chrono::milliseconds{50};
 
+/// Returns whether an owner's answer to the last send of a call also tells how
+/// the earlier sends ended.
+bool covers_earlier_sends(job_call_kind call, job_answer_kind answer)
+{
+    auto const changes_nothing =
+        call == job_call_kind::status || call == job_call_kind::pending;
+    switch (answer)
+    {
+    case job_answer_kind::accepted:
+    case job_answer_kind::phase:
+    case job_answer_kind::pending:
+    case job_answer_kind::outcome_unknown:
+    // The job is not the caller's, so no send had an effect.
+    case job_answer_kind::forbidden:
+        return true;
+    case job_answer_kind::unknown_job:
+        return call != job_call_kind::submit;
+    case job_answer_kind::no_queue:
+    case job_answer_kind::no_key:
+        return changes_nothing;
+    case job_answer_kind::over_cap:
+    case job_answer_kind::refused:
+    case job_answer_kind::not_owner:
+    case job_answer_kind::interrupted:
+        return false;
+    }
+    return false;
+}
+
 } // namespace
 
 struct call_router::pending_call
@@ -90,6 +119,7 @@
 {
     auto const left = it->answer_by - m_clock.now();
     it->call.timeout = left;
+    it->call.repeated = it->maybe_done;
     if (left.count() > 0 && call_here(it))
     {
         return;
@@ -195,6 +225,14 @@
         retry(it);
         return;
     }
+    if (it->maybe_done && !it->call.repeated &&
+        !covers_earlier_sends(it->call.kind, answer.kind))
+    {
+        // The owner took the call for a first one, since the connection sent it
+        // again by itself. Told otherwise, it may know the outcome.
+        retry(it);
+        return;
+    }
     finish(it, answer, answer_source::owner);
 }
 
@@ -233,11 +271,11 @@
         return;
     }
     auto given = answer;
-    if (it->maybe_done && (given.kind == job_answer_kind::refused ||
-                           given.kind == job_answer_kind::over_cap))
+    if (it->maybe_done && !covers_earlier_sends(it->call.kind, given.kind))
     {
         // An earlier send may have been stored, or may still be carried out.
-        given.kind = job_answer_kind::outcome_unknown;
+        given = {job_answer_kind::outcome_unknown, {}, 0, {}};
+        source = answer_source::entry;
     }
     --m_under_way;
     auto const done = std::exchange(it->done, nullptr);
--- a/libraries/cell/cell_owner.cpp
+++ b/libraries/cell/cell_owner.cpp
@@ -108,7 +108,7 @@
                       job_answer_handler done)
 {
     auto const verdict = check(it, configuration);
-    if (verdict == call_verdict::allowed)
+    if (verdict == call_verdict::allowed || has_taken_effect(it))
     {
         carry_out(it, std::move(done));
         return;
@@ -128,6 +128,24 @@
     done({end, {}, 0, {}});
 }
 
+/// Returns whether an earlier send of the call took effect, so that carrying it
+/// out again only answers it. A client's new request is no repeat: its key may
+/// have been revoked since.
+bool cell_owner::has_taken_effect(job_call const& it) const
+{
+    auto const account = m_decisions.account_of(it.job);
+    if (!it.repeated || !account || !may_use(it.account, *account))
+    {
+        return false;
+    }
+    if (it.kind == job_call_kind::cancel)
+    {
+        auto const phase = m_decisions.phase_of(it.job);
+        return phase && scheduler::finished(*phase);
+    }
+    return it.kind == job_call_kind::submit;
+}
+
 void cell_owner::carry_out(job_call const& it, job_answer_handler done)
 {
     if (m_releasing || m_lost)
--- a/libraries/cell/cell_owner.hpp
+++ b/libraries/cell/cell_owner.hpp
@@ -68,7 +68,8 @@
     void set_configuration(workload::cell_configuration const& it);
 
     /// Rejects what `configuration`, the one in force in this process, does not
-    /// allow. `done` is called once, from within this call or later.
+    /// allow, unless an earlier send of the same call has taken effect. `done`
+    /// is called once, from within this call or later.
     void call(job_call const& it,
               workload::cell_configuration const& configuration,
               job_answer_handler done);
@@ -112,6 +113,7 @@
     }
 
 private:
+    [[nodiscard]] bool has_taken_effect(job_call const& it) const;
     void carry_out(job_call const& it, job_answer_handler done);
     void submit(job_call const& it, job_answer_handler done);
     void cancel(job_call const& it, job_answer_handler done);
