--- a/libraries/command/time_line.cpp
+++ b/libraries/command/time_line.cpp
@@ -80,6 +80,22 @@
                                { return member.value.starts_with(job); });
 }
 
+/// Says in a sentence what a client was told, from a line `call_failed`.
+std::string rejection_text(log_line const& it)
+{
+    if (it.value_of("unresolved") == "1")
+    {
+        return "Its client was answered " + it.value_of("status") +
+               "; an earlier send may have had an effect.";
+    }
+    if (it.value_of("by") == "owner")
+    {
+        return "Its client was answered " + it.value_of("status") +
+               " by the owner (" + it.value_of("end") + ").";
+    }
+    return "No owner could be reached while its client waited.";
+}
+
 } // namespace
 
 std::vector<log_line> time_line_of(std::string const& job,
@@ -187,9 +203,9 @@
     {
         return "It waits: no instance with leave has had room for it.";
     }
-    if (last_of("call_failed") != nullptr)
+    if (auto const* const told = last_of("call_failed"); told != nullptr)
     {
-        return "No owner could be reached while its client waited.";
+        return rejection_text(*told);
     }
     return "The lines do not tell.";
 }
--- a/tests/command/explain_test.cpp
+++ b/tests/command/explain_test.cpp
@@ -57,6 +57,22 @@
           std::string{"request_denied job="} + job +
               " status=401 key_digest=7 version=5 age_s=0.1"),
      "answered 401 by version 5"},
+    {"rejected by the owner",
+     line(1, std::string{"call_outdated job="} + job + " end=no_key") +
+         line(2,
+              std::string{"call_failed job="} + job +
+                  " status=401 end=no_key by=owner sends=1 unresolved=0"),
+     "answered 401 by the owner (no_key)"},
+    {"the outcome is unknown",
+     line(1,
+          std::string{"call_failed job="} + job +
+              " status=504 end=outcome_unknown by=entry sends=2 unresolved=1"),
+     "answered 504; an earlier send may have had an effect"},
+    {"no owner",
+     line(1,
+          std::string{"call_failed job="} + job +
+              " status=503 end=refused by=entry sends=0 unresolved=0"),
+     "No owner could be reached"},
     {"failed after a takeover",
      line(1, std::string{"job_taken job="} + job) +
          line(2, "claim_won token=9 records=4") +
