--- a/tests/cell/cell_owner_test.cpp
+++ b/tests/cell/cell_owner_test.cpp
@@ -1,4 +1,5 @@
 #include "fake_log.hpp"
+#include "idle_platform.hpp"
 #include "printing.hpp"
 
 #include <cell/call_check.hpp>
@@ -23,71 +24,6 @@
 namespace
 {
 
-class no_instances final : public cell::instance_client
-{
-public:
-    void start(cell::order_target const&,
-               scheduler::start_order const&,
-               base::duration,
-               cell::start_handler) override
-    {
-    }
-    void stop(cell::order_target const&,
-              scheduler::attempt_name const&,
-              base::duration,
-              cell::order_handler) override
-    {
-    }
-    void hold(cell::order_target const&,
-              scheduler::hold_order const&,
-              base::duration,
-              cell::hold_handler) override
-    {
-    }
-};
-
-class no_advice final : public cell::advice_client
-{
-public:
-    void ask(workload::step_name const&,
-             std::vector<std::string> const&,
-             base::duration,
-             cell::advice_handler) override
-    {
-    }
-};
-
-class no_documents final : public cell::documents
-{
-public:
-    [[nodiscard]] base::result<std::optional<workload::cell_configuration>>
-    configuration(std::string_view, std::string_view) const override
-    {
-        return std::optional<workload::cell_configuration>{};
-    }
-    [[nodiscard]] std::string instance_id(std::string_view key) const override
-    {
-        return std::string{key};
-    }
-    [[nodiscard]] base::result<scheduler::instance_info>
-    instance(std::string_view key, std::string_view) const override
-    {
-        scheduler::instance_info out;
-        out.id = std::string{key};
-        return out;
-    }
-};
-
-class no_log final : public scheduler::decision_log
-{
-public:
-    void write(base::log_level,
-               std::string_view,
-               std::initializer_list<base::log_field>) override
-    {
-    }
-};
-
 /// An owner whose store gives no answer, so that the first submission may be
 /// stored at any time.
 struct fixture
