--- a/libraries/cell/node.hpp
+++ b/libraries/cell/node.hpp
@@ -79,6 +79,8 @@
                      call_outcome const& end,
                      base::duration took,
                      network::responder const& answer);
+    /// The newest version that this process knows of.
+    [[nodiscard]] std::int64_t newest_configuration() const;
     [[nodiscard]] deciding_configuration deciding() const;
     void refuse_without_configuration(std::string const& target,
                                       network::responder const& answer);
--- a/libraries/cell/node_answers.cpp
+++ b/libraries/cell/node_answers.cpp
@@ -202,9 +202,14 @@
                {"age_s", base::seconds_of(m_propagation.age(m_clock.now()))}});
 }
 
+std::int64_t node::newest_configuration() const
+{
+    return std::max(m_propagation.newest(), m_configuration.version);
+}
+
 deciding_configuration node::deciding() const
 {
-    return {m_configuration.version, m_propagation.newest(),
+    return {m_configuration.version, newest_configuration(),
             m_propagation.age(m_clock.now())};
 }
 
@@ -247,8 +252,7 @@
     now.ready = ready();
     now.token = m_ownership.owner().token;
     now.configuration_version = m_configuration.version;
-    now.newest_configuration =
-        std::max(m_propagation.newest(), m_configuration.version);
+    now.newest_configuration = newest_configuration();
     now.configuration_age = m_propagation.age(m_clock.now());
     now.loop_lag = m_lag.average();
     now.processor_cores = m_processor.cores();
