cell: Let an owner reject no submission that it knows, marked as repeated or not

What callers would see: during an upgrade an entry of the older release sends a stored submission again, without the mark that it is repeated; an owner of the new release answers no_key, and the client is told 401 of a job that runs.

Cause: the owner took the mark for the only evidence that a call has taken effect, though it knows the job.

An unmarked call that has taken effect, and that a newer configuration would not allow, is answered "outcome unknown" now. That is no success for a revoked key, and no false rejection; a repeated one is answered as before. The log line of an outdated call says whether it was repeated, and is written for the accepted ones too.

--- a/libraries/cell/cell_owner.cpp
+++ b/libraries/cell/cell_owner.cpp
@@ -108,33 +108,39 @@
                       job_answer_handler done)
 {
     auto const verdict = check(it, configuration);
-    if (verdict == call_verdict::allowed || has_taken_effect(it))
+    if (verdict == call_verdict::allowed)
     {
         carry_out(it, std::move(done));
         return;
     }
-    auto const end = verdict == call_verdict::no_queue
-                         ? job_answer_kind::no_queue
-                         : job_answer_kind::no_key;
-    m_parts.log->write(base::log_level::info, "call_outdated",
-                       {{"job", text_of(it.job)},
-                        {"call", name_of(it.kind)},
-                        {"queue", it.queue},
-                        {"end", name_of(end)},
-                        {"decided_by", it.configuration},
-                        {"version", configuration.version},
-                        {"known", m_decisions.account_of(it.job) ? 1 : 0},
-                        {"token", m_token}});
-    done({end, {}, 0, {}});
+    if (!has_taken_effect(it))
+    {
+        auto const end = verdict == call_verdict::no_queue
+                             ? job_answer_kind::no_queue
+                             : job_answer_kind::no_key;
+        log_outdated(it, configuration.version, end);
+        done({end, {}, 0, {}});
+        return;
+    }
+    if (it.repeated)
+    {
+        log_outdated(it, configuration.version, job_answer_kind::accepted);
+        carry_out(it, std::move(done));
+        return;
+    }
+    log_outdated(it, configuration.version, job_answer_kind::outcome_unknown);
+    done({job_answer_kind::outcome_unknown, {}, 0, {}});
 }
 
-/// Returns whether an earlier send of the call took effect, so that carrying it
-/// out again only answers it. A client's new request is no repeat: its key may
-/// have been revoked since.
+/// Returns whether this call or an equal one took effect: the job is known, or
+/// has ended before it is cancelled. A rejection would then be false, even if
+/// the call is not marked as repeated: processes of older releases do not mark
+/// it. Only a repeated one may be answered with success, since the key of a
+/// client's new request may have been revoked.
 bool cell_owner::has_taken_effect(job_call const& it) const
 {
     auto const account = m_decisions.account_of(it.job);
-    if (!it.repeated || !account || !may_use(it.account, *account))
+    if (!account || !may_use(it.account, *account))
     {
         return false;
     }
@@ -146,6 +152,22 @@
     return it.kind == job_call_kind::submit;
 }
 
+void cell_owner::log_outdated(job_call const& it,
+                              std::int64_t version,
+                              job_answer_kind end) const
+{
+    m_parts.log->write(base::log_level::info, "call_outdated",
+                       {{"job", text_of(it.job)},
+                        {"call", name_of(it.kind)},
+                        {"queue", it.queue},
+                        {"end", name_of(end)},
+                        {"repeated", it.repeated ? 1 : 0},
+                        {"known", m_decisions.account_of(it.job) ? 1 : 0},
+                        {"decided_by", it.configuration},
+                        {"version", version},
+                        {"token", m_token}});
+}
+
 void cell_owner::carry_out(job_call const& it, job_answer_handler done)
 {
     if (m_releasing || m_lost)
--- a/libraries/cell/cell_owner.hpp
+++ b/libraries/cell/cell_owner.hpp
@@ -68,8 +68,8 @@
     void set_configuration(workload::cell_configuration const& it);
 
     /// Rejects what `configuration`, the one in force in this process, does not
-    /// allow, unless an earlier send of the same call has taken effect. `done`
-    /// is called once, from within this call or later.
+    /// allow, unless an equal call has taken effect. `done` is called once,
+    /// from within this call or later.
     void call(job_call const& it,
               workload::cell_configuration const& configuration,
               job_answer_handler done);
@@ -114,6 +114,9 @@
 
 private:
     [[nodiscard]] bool has_taken_effect(job_call const& it) const;
+    void log_outdated(job_call const& it,
+                      std::int64_t version,
+                      job_answer_kind end) const;
     void carry_out(job_call const& it, job_answer_handler done);
     void submit(job_call const& it, job_answer_handler done);
     void cancel(job_call const& it, job_answer_handler done);
