cell: Log the owner's own answer beside what the client was told

A 504 in place of an owner's no_key did not say so, and if the owner was killed no line did. Submissions and cancellations have a budget of lines of their own, so that rejected reads or a scan of unknown keys leave none of them out.

--- a/libraries/cell/answer_log.cpp
+++ b/libraries/cell/answer_log.cpp
@@ -29,7 +29,8 @@
 answer_log::answer_log(base::clock const& clock, scheduler::decision_log& to)
     : m_clock{clock}
     , m_to{to}
-    , m_lines{lines_per_s, lines_at_once}
+    , m_changes{lines_per_s, lines_at_once}
+    , m_others{lines_per_s, lines_at_once}
 {
 }
 
@@ -40,7 +41,10 @@
                             deciding_configuration const& by)
 {
     auto const success = is_success(end.answer.kind);
-    if ((success && end.sends <= 1) || !may_write())
+    auto const changes = call.kind == job_call_kind::submit ||
+                         call.kind == job_call_kind::cancel;
+    if ((success && end.sends <= 1) ||
+        !may_write(changes ? m_changes : m_others))
     {
         return;
     }
@@ -50,6 +54,8 @@
                 {"status", status},
                 {"end", cell::name_of(end.answer.kind)},
                 {"by", name_of(end.source)},
+                {"owner_end",
+                 end.owner_answer ? cell::name_of(*end.owner_answer) : "none"},
                 {"sends", end.sends},
                 {"unresolved", end.send_unresolved ? 1 : 0},
                 {"token", end.token},
@@ -67,7 +73,7 @@
                                 std::string_view key_digest,
                                 deciding_configuration const& by)
 {
-    if (!may_write())
+    if (!may_write(m_others))
     {
         return;
     }
@@ -83,9 +89,9 @@
 
 /// Returns whether a line may be written now, and reports those left out
 /// before it.
-bool answer_log::may_write()
+bool answer_log::may_write(token_bucket& budget)
 {
-    if (!m_lines.try_take(1, m_clock.now()))
+    if (!budget.try_take(1, m_clock.now()))
     {
         ++m_left_out;
         return false;
--- a/libraries/cell/answer_log.hpp
+++ b/libraries/cell/answer_log.hpp
@@ -52,11 +52,14 @@
                         deciding_configuration const& by);
 
 private:
-    [[nodiscard]] bool may_write();
+    [[nodiscard]] bool may_write(token_bucket& budget);
 
     base::clock const& m_clock;
     scheduler::decision_log& m_to;
-    token_bucket m_lines;
+    /// Lines of submissions and cancellations. They have a budget of their own,
+    /// so that rejected reads or unknown keys leave none of them out.
+    token_bucket m_changes;
+    token_bucket m_others;
     std::uint64_t m_left_out{0};
 };
 
--- a/libraries/cell/call_outcome.hpp
+++ b/libraries/cell/call_outcome.hpp
@@ -3,6 +3,7 @@
 #include <cell/job_call.hpp>
 
 #include <cstdint>
+#include <optional>
 
 namespace berylhill::cell
 {
@@ -21,6 +22,8 @@
 {
     job_answer answer;
     answer_source source{answer_source::entry};
+    /// What the owner answered to the last send; nothing if it did not.
+    std::optional<job_answer_kind> owner_answer{};
     /// Transmissions of the call that an owner may have received.
     std::uint32_t sends{0};
     /// An owner may have acted on a send whose answer did not arrive.
--- a/tests/cell/answer_log_test.cpp
+++ b/tests/cell/answer_log_test.cpp
@@ -77,7 +77,7 @@
 cell::call_outcome
 outcome(job_answer_kind kind, answer_source source, std::uint32_t sends)
 {
-    return {{kind, {}, 0, {}}, source, sends, sends > 1, 7};
+    return {{kind, {}, 0, {}}, source, {}, sends, sends > 1, 7};
 }
 
 told_case const told[] = {
@@ -154,6 +154,11 @@
     auto const written = lines.count("request_denied");
     BOOST_TEST(written <= 500U);
     BOOST_TEST(written >= 100U);
+    call.kind = cell::job_call_kind::submit;
+    log.call_ended(call,
+                   outcome(job_answer_kind::refused, answer_source::owner, 1),
+                   503, {}, {});
+    BOOST_TEST(lines.count("call_failed") == 1U);
     clock.time += std::chrono::seconds{1};
     log.request_denied("0000000000001234", 503, "overdue", {}, {});
     BOOST_REQUIRE(lines.count("answers_not_logged") == 1U);
--- a/tests/cell/call_router_test.cpp
+++ b/tests/cell/call_router_test.cpp
@@ -278,6 +278,7 @@
 {
     repeat(cell::job_call_kind::submit, 200, job_answer_kind::no_key);
     BOOST_TEST(repeated);
+    BOOST_TEST((last.owner_answer == job_answer_kind::no_key));
     kind = job_answer_kind::accepted;
     call(cell::job_call_kind::submit);
     BOOST_REQUIRE(run_until([&] { return outcome.has_value(); }));
