command: Say of a job that ran what its client was told

explain said 'it did not run' of a job that was refused and then taken from the client's next attempt, and nothing of a rejection where the job ran.

--- a/libraries/command/time_line.cpp
+++ b/libraries/command/time_line.cpp
@@ -83,7 +83,7 @@
 /// Says in a sentence what a client was told, from a line `call_failed`.
 std::string rejection_text(log_line const& it)
 {
-    if (it.value_of("unresolved") == "1")
+    if (it.value_of("unresolved") == "1" && it.value_of("by") == "entry")
     {
         return "Its client was answered " + it.value_of("status") +
                "; an earlier send may have had an effect.";
@@ -96,6 +96,79 @@
     return "No owner could be reached while its client waited.";
 }
 
+log_line const* last_of(std::vector<log_line> const& it, std::string_view event)
+{
+    auto const found =
+        std::find_if(it.rbegin(), it.rend(),
+                     [&](log_line const& line) { return line.event == event; });
+    return found == it.rend() ? nullptr : &*found;
+}
+
+/// Says in a sentence what became of a job.
+std::string outcome_in(std::vector<log_line> const& it)
+{
+    if (auto const* const end = last_of(it, "job_finished"); end != nullptr)
+    {
+        auto const phase = end->value_of("phase");
+        auto out = "It is " + phase + ", " + end->value_of("took_s") +
+                   " s after it was accepted";
+        auto const* const failed = last_of(it, "attempt_ended");
+        if (auto const* const lost = last_of(it, "task_given_up");
+            lost != nullptr)
+        {
+            return out + ": " + lost->value_of("instances_lost") +
+                   " instances were lost under " + lost->value_of("task") +
+                   ", " + lost->value_of("at_its_start") +
+                   " of them crashed as they started it.";
+        }
+        if (phase == "failed" && failed != nullptr)
+        {
+            out += ": the last start that ended so was " +
+                   failed->value_of("task") + " on " +
+                   failed->value_of("instance");
+        }
+        return out + ".";
+    }
+    if (auto const* const refused = last_of(it, "job_refused");
+        refused != nullptr && last_of(it, "task_placed") == nullptr)
+    {
+        return "It was refused, since the store had taken nothing for " +
+               refused->value_of("stuck_s") + " s; it did not run.";
+    }
+    if (auto const* const capped = last_of(it, "job_over_cap");
+        capped != nullptr)
+    {
+        return "It was refused: it needs more than account " +
+               capped->value_of("account") + " may have running.";
+    }
+    if (auto const* const denied = last_of(it, "request_denied");
+        denied != nullptr && last_of(it, "job_taken") == nullptr)
+    {
+        return "It was answered " + denied->value_of("status") +
+               " by version " + denied->value_of("version") +
+               " of the configuration.";
+    }
+    if (last_of(it, "task_placed") != nullptr)
+    {
+        return "It has begun and not ended.";
+    }
+    if (auto const* const waits = last_of(it, "account_at_cap");
+        waits != nullptr)
+    {
+        return "It waits: account " + waits->value_of("account") +
+               " has as much running as it may.";
+    }
+    if (last_of(it, "advice_read") != nullptr)
+    {
+        return "It waits: no instance with leave has had room for it.";
+    }
+    if (auto const* const told = last_of(it, "call_failed"); told != nullptr)
+    {
+        return rejection_text(*told);
+    }
+    return "The lines do not tell.";
+}
+
 } // namespace
 
 std::vector<log_line> time_line_of(std::string const& job,
@@ -145,69 +218,15 @@
 
 std::string cause_in(std::vector<log_line> const& it)
 {
-    auto const last_of = [&](std::string_view event) -> log_line const*
-    {
-        auto const found = std::find_if(it.rbegin(), it.rend(),
-                                        [&](log_line const& line)
-                                        { return line.event == event; });
-        return found == it.rend() ? nullptr : &*found;
-    };
-    if (auto const* const end = last_of("job_finished"); end != nullptr)
-    {
-        auto const phase = end->value_of("phase");
-        auto out = "It is " + phase + ", " + end->value_of("took_s") +
-                   " s after it was accepted";
-        auto const* const failed = last_of("attempt_ended");
-        if (auto const* const lost = last_of("task_given_up"); lost != nullptr)
-        {
-            return out + ": " + lost->value_of("instances_lost") +
-                   " instances were lost under " + lost->value_of("task") +
-                   ", " + lost->value_of("at_its_start") +
-                   " of them crashed as they started it.";
-        }
-        if (phase == "failed" && failed != nullptr)
-        {
-            out += ": the last start that ended so was " +
-                   failed->value_of("task") + " on " +
-                   failed->value_of("instance");
-        }
-        return out + ".";
-    }
-    if (auto const* const refused = last_of("job_refused"); refused != nullptr)
-    {
-        return "It was refused, since the store had taken nothing for " +
-               refused->value_of("stuck_s") + " s; it did not run.";
-    }
-    if (auto const* const capped = last_of("job_over_cap"); capped != nullptr)
-    {
-        return "It was refused: it needs more than account " +
-               capped->value_of("account") + " may have running.";
-    }
-    if (auto const* const denied = last_of("request_denied");
-        denied != nullptr && last_of("job_taken") == nullptr)
-    {
-        return "It was answered " + denied->value_of("status") +
-               " by version " + denied->value_of("version") +
-               " of the configuration.";
-    }
-    if (last_of("task_placed") != nullptr)
-    {
-        return "It has begun and not ended.";
-    }
-    if (auto const* const waits = last_of("account_at_cap"); waits != nullptr)
-    {
-        return "It waits: account " + waits->value_of("account") +
-               " has as much running as it may.";
-    }
-    if (last_of("advice_read") != nullptr)
+    auto out = outcome_in(it);
+    auto const ran = last_of(it, "task_placed") != nullptr ||
+                     last_of(it, "job_finished") != nullptr;
+    auto const* const told = last_of(it, "call_failed");
+    if (ran && told != nullptr && told->value_of("call") == "submit")
     {
-        return "It waits: no instance with leave has had room for it.";
-    }
-    if (auto const* const told = last_of("call_failed"); told != nullptr)
-    {
-        return rejection_text(*told);
+        out += " " + rejection_text(*told);
     }
-    return "The lines do not tell.";
+    return out;
 }
 
 } // namespace berylhill::command
--- a/tests/command/explain_test.cpp
+++ b/tests/command/explain_test.cpp
@@ -73,6 +73,29 @@
           std::string{"call_failed job="} + job +
               " status=503 end=refused by=entry sends=0 unresolved=0"),
      "No owner could be reached"},
+    {"refused, and then taken from the client's next attempt",
+     line(1,
+          std::string{"job_refused job="} + job +
+              " why=store_stuck stuck_s=0.9") +
+         line(2, std::string{"job_taken job="} + job + " account=team") +
+         line(3, std::string{"task_placed task="} + job + ".0.0.0 run=1"),
+     "has begun and not ended"},
+    {"rejected, and it ran",
+     line(1, std::string{"job_taken job="} + job + " account=team") +
+         line(2,
+              std::string{"call_failed job="} + job +
+                  " call=submit status=401 end=no_key by=owner sends=2 "
+                  "unresolved=1") +
+         line(3,
+              std::string{"job_finished job="} + job +
+                  " phase=completed took_s=2.0"),
+     "answered 401"},
+    {"a job of another account",
+     line(1,
+          std::string{"call_failed job="} + job +
+              " call=submit status=403 end=forbidden by=owner sends=2 "
+              "unresolved=1"),
+     "answered 403 by the owner (forbidden)"},
     {"failed after a takeover",
      line(1, std::string{"job_taken job="} + job) +
          line(2, "claim_won token=9 records=4") +
