command: Don't take the next entry's rejection for the outcome of a lost request

Cause: entry_client kept only the last entry's failure or answer. The entry itself has failed_tries for this; it moves to base, and the client uses it: after a lost answer a rejection or a missing connection is "outcome unknown" (exit 4). Reads and successes are told as they are, since a repeat is recognised by its id.

--- a/libraries/entry/failed_tries.hpp
+++ b/libraries/base/failed_tries.hpp
@@ -4,7 +4,7 @@
 
 #include <optional>
 
-namespace berylhill::entry
+namespace berylhill::base
 {
 
 /// The failures of several tries of one request that changes something, each
@@ -13,16 +13,22 @@
 class failed_tries
 {
 public:
-    void add(base::failure const& it);
+    void add(failure const& it);
+
+    /// Whether a try got no answer, so that it may have been carried out.
+    [[nodiscard]] bool may_have_been_done() const noexcept
+    {
+        return m_unknown;
+    }
 
     /// How the request ended. A refusal of one try says nothing of another that
     /// got no answer, so it is `outcome_unknown` where there was such a one,
     /// and the last failure otherwise. Precondition: a failure was added.
-    [[nodiscard]] base::failure outcome() const;
+    [[nodiscard]] failure outcome() const;
 
 private:
-    std::optional<base::failure> m_last;
+    std::optional<failure> m_last;
     bool m_unknown{false};
 };
 
-} // namespace berylhill::entry
+} // namespace berylhill::base
--- a/libraries/command/entry_client.cpp
+++ b/libraries/command/entry_client.cpp
@@ -1,6 +1,7 @@
 #include <command/entry_client.hpp>
 
 #include <api/problem.hpp>
+#include <base/failed_tries.hpp>
 #include <model/json.hpp>
 
 #include <httplib.h>
@@ -37,6 +38,21 @@
     return to;
 }
 
+bool is_success(entry_answer const& it)
+{
+    return it.status < s_first_error_status;
+}
+
+bool changes_nothing(entry_request const& it)
+{
+    return it.method == "GET";
+}
+
+base::failure rejection_of(entry_answer const& it)
+{
+    return api::failure_of(api::problem_from(it.status, it.body));
+}
+
 bool surely_not_sent(httplib::Error it)
 {
     return it == httplib::Error::Connection ||
@@ -49,8 +65,7 @@
     if (surely_not_sent(why))
     {
         return base::fail(base::failure_code::unavailable,
-                          "entry " + entry +
-                              ": no connection, nothing was sent");
+                          "entry " + entry + ": no connection");
     }
     return base::fail(base::failure_code::outcome_unknown,
                       "entry " + entry + ": no whole answer came (" +
@@ -70,33 +85,38 @@
 base::result<entry_answer>
 entry_client::send(entry_request const& request) const
 {
-    base::failure last;
+    base::failed_tries tries;
     for (auto const& it : m_entries)
     {
         auto const answer = base::capture([&] { return send_to(it, request); });
-        if (answer)
+        if (answer && (is_success(answer.value()) || changes_nothing(request) ||
+                       !tries.may_have_been_done()))
         {
             return answer.value();
         }
-        last = answer.error();
+        tries.add(answer ? rejection_of(answer.value()) : answer.error());
         // The entry may have taken the request before its answer was lost.
         // Sent to the next one as well, it would be done twice.
-        if (last.code == base::failure_code::outcome_unknown &&
-            request.again == repeat::forbidden)
+        if (answer ||
+            (tries.may_have_been_done() && request.again == repeat::forbidden))
         {
             break;
         }
     }
-    return base::fail(last);
+    auto out = tries.outcome();
+    if (out.code == base::failure_code::unavailable)
+    {
+        out.message += ", nothing was sent";
+    }
+    return base::fail(out);
 }
 
 base::result<Json::Value> entry_client::ask(entry_request const& request) const
 {
     BOOST_LEAF_AUTO(answer, send(request));
-    if (answer.status >= s_first_error_status)
+    if (!is_success(answer))
     {
-        return base::fail(
-            api::failure_of(api::problem_from(answer.status, answer.body)));
+        return base::fail(rejection_of(answer));
     }
     return model::parse_json(answer.body);
 }
--- a/libraries/command/entry_client.hpp
+++ b/libraries/command/entry_client.hpp
@@ -63,7 +63,8 @@
 
     /// The answer, whatever its status. Fails with `unavailable` where the
     /// request was surely not sent to any entry, and with `outcome_unknown`
-    /// where it was sent and no whole answer came.
+    /// where it was sent and no whole answer came, also if another entry
+    /// rejected it afterwards.
     [[nodiscard]] base::result<entry_answer>
     send(entry_request const& request) const;
 
--- a/libraries/entry/unit_client.cpp
+++ b/libraries/entry/unit_client.cpp
@@ -1,7 +1,7 @@
 #include <entry/unit_client.hpp>
 
+#include <base/failed_tries.hpp>
 #include <entry/entry_node.hpp>
-#include <entry/failed_tries.hpp>
 
 #include <algorithm>
 #include <chrono>
@@ -65,7 +65,7 @@
                                           repeat when)
 {
     auto const until = self.clock.now() + timeout;
-    failed_tries tries;
+    base::failed_tries tries;
     for (;;)
     {
         auto const left = until - self.clock.now();
--- a/tests/entry/failed_tries_test.cpp
+++ b/tests/base/failed_tries_test.cpp
@@ -1,4 +1,4 @@
-#include <entry/failed_tries.hpp>
+#include <base/failed_tries.hpp>
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
@@ -68,7 +68,7 @@
 // without an answer may have been accepted.
 BOOST_DATA_TEST_CASE(a_refusal_does_not_speak_for_an_earlier_try, s_tries, it)
 {
-    entry::failed_tries tries;
+    base::failed_tries tries;
     for (auto const code : it.tries)
     {
         tries.add({code, "why", 0.5});
--- a/tests/command/client_test.cpp
+++ b/tests/command/client_test.cpp
@@ -184,6 +184,39 @@
     BOOST_TEST(holds(end.err, "try again after 2 s"));
 }
 
+/// Guards against a job that is reported as not submitted, and runs: the first
+/// entry took the request and gave no answer, the next one was not reached.
+BOOST_AUTO_TEST_CASE(a_lost_answer_is_not_forgotten_for_an_entry_that_is_down)
+{
+    silent_entry const first;
+    auto const end = run_command({"cancel", "j-1", "--entry", first.address(),
+                                  "--entry", closed_address()});
+    BOOST_TEST(end.status == 4, end.err);
+    BOOST_TEST(!holds(end.err, "nothing was sent"), end.err);
+}
+
+/// The same where the next entry rejects the request.
+BOOST_DATA_TEST_CASE(a_rejection_by_the_next_entry_leaves_the_first_open,
+                     s_problems,
+                     it)
+{
+    auto const path =
+        std::filesystem::temp_directory_path() / "berylhill-repeated-job.json";
+    std::ofstream{path} << R"({"contract": "kitakaze", "name": "n",
+        "tasks": 1, "kind": "batch", "key": "k",
+        "declared": {"millicores": 100, "memory_mb": 64}, "command": "true"})";
+    auto const sent = api::problem_of({it.code, "the reason", 2});
+    fake_entry next;
+    next.on_post("/v1/jobs", sent.status, api::body_of(sent),
+                 "application/problem+json");
+    silent_entry const first;
+    auto const end =
+        run_command({"submit", path.string(), "--key", "k", "--entry",
+                     first.address(), "--entry", next.address()});
+    BOOST_TEST_REQUIRE(next.asked().size() == 1U, end.err);
+    BOOST_TEST(end.status == 4, end.err);
+}
+
 BOOST_AUTO_TEST_CASE(an_apply_sends_the_difference_and_its_base)
 {
     fake_entry entry;
