--- a/libraries/ownership/claim_table.cpp
+++ b/libraries/ownership/claim_table.cpp
@@ -8,8 +8,8 @@
 namespace berylhill::ownership
 {
 
-claim_table::claim_table(joiner_rule joiners)
-    : m_joiners{joiners}
+claim_table::claim_table(joiner_rule rule)
+    : m_joiner_rule{rule}
 {
 }
 
@@ -21,10 +21,10 @@
         m_deferred.emplace_back(offset, it);
         return {};
     }
-    auto const done = std::visit(
+    auto const result = std::visit(
         [&](auto const& typed) { return apply_record(offset, typed); }, it);
-    m_version += done.effective ? 1 : 0;
-    return done;
+    m_version += result.effective ? 1 : 0;
+    return result;
 }
 
 void claim_table::advance_to(std::int64_t offset)
@@ -35,7 +35,7 @@
 void claim_table::reset(std::int64_t first)
 {
     m_complete = false;
-    m_first = first;
+    m_first_available = first;
     m_next = std::max(m_next, first);
     m_units.clear();
     m_members.clear();
@@ -63,13 +63,13 @@
 bool claim_table::may_claim(std::string const& unit,
                             std::string const& incarnation) const
 {
-    auto const claimer = m_members.find(incarnation);
-    if (claimer == m_members.end())
+    auto const claimant = m_members.find(incarnation);
+    if (claimant == m_members.end())
     {
         return false;
     }
     auto const* current = owner_of(unit);
-    return current == nullptr || knows_claimer(*current, claimer->second);
+    return current == nullptr || knows_claimant(*current, claimant->second);
 }
 
 std::vector<std::string> claim_table::changed_since(std::int64_t offset) const
@@ -89,11 +89,11 @@
 /// cannot read the log extends its lease if every member it knows vouches for
 /// it, and so would miss the claim of a process that it does not know. Such a
 /// claim takes effect only after the owner has published that it has read the
-/// claimer's `join`, has released the unit, or is no longer a member.
-bool claim_table::knows_claimer(owner const& current,
-                                member const& claimer) const
+/// claimant's `join`, has released the unit, or is no longer a member.
+bool claim_table::knows_claimant(owner const& current,
+                                 member const& claimant) const
 {
-    if (m_joiners == joiner_rule::claim_at_once || current.released)
+    if (m_joiner_rule == joiner_rule::claim_at_once || current.released)
     {
         return true;
     }
@@ -102,13 +102,13 @@
     {
         return true;
     }
-    return claimer.join_offset <
+    return claimant.join_offset <
            std::max(holder->second.seen_through, current.epoch);
 }
 
 apply_result claim_table::apply_record(std::int64_t offset, join const& it)
 {
-    // An instance runs one process at a time, so its older process is gone.
+    // An instance runs one process at a time, so its older process has ended.
     std::erase_if(m_members, [&](auto const& known)
                   { return known.second.instance == it.instance; });
     m_members[it.incarnation] = {it.instance, it.zone, offset, offset};
@@ -176,15 +176,15 @@
 
 apply_result claim_table::apply_record(std::int64_t offset, snapshot const& it)
 {
-    if (m_complete || it.through < m_first)
+    if (m_complete || it.through < m_first_available)
     {
         return {};
     }
-    auto const loaded = load_snapshot(it.table);
-    if (!loaded.has_value())
+    auto const load_result = load_snapshot(it.table);
+    if (!load_result.has_value())
     {
         base::log(base::log_level::warning, "snapshot_skipped",
-                  {{"offset", offset}, {"why", loaded.error().message}});
+                  {{"offset", offset}, {"why", load_result.error().message}});
         return {};
     }
     std::erase_if(m_deferred,
--- a/libraries/ownership/claim_table.hpp
+++ b/libraries/ownership/claim_table.hpp
@@ -43,8 +43,8 @@
 /// The effect of one record on the table.
 struct apply_result
 {
-    /// False for records that lost a race, or are from a process that is not a
-    /// member; these are ignored.
+    /// False for a record that is ignored: another record took effect first, or
+    /// the process is not a member.
     bool effective{false};
     /// For a claim or a hand-over: no process can still hold an older lease.
     bool unit_was_free{false};
@@ -52,10 +52,11 @@
     friend auto operator<=>(apply_result const&, apply_result const&) = default;
 };
 
-/// When a claim takes effect if the unit's owner may not know the claimer yet.
+/// When a claim takes effect if the unit's owner may not know the claimant yet.
 enum class joiner_rule : std::uint8_t
 {
-    /// Once the owner has published that it knows the claimer, or is gone.
+    /// Once the owner has published that it knows the claimant, has released
+    /// the unit, or is no longer a member.
     wait_until_seen,
     /// Immediately. Unsafe; for the exhaustive test only.
     claim_at_once,
@@ -66,15 +67,15 @@
 class claim_table
 {
 public:
-    explicit claim_table(joiner_rule joiners = joiner_rule::wait_until_seen);
+    explicit claim_table(joiner_rule rule = joiner_rule::wait_until_seen);
 
     /// Applies the record at `offset`. Offsets must not decrease.
     apply_result apply(std::int64_t offset, record const& it);
 
-    /// Notes that all records before `offset` have been applied.
+    /// Declares that all records before `offset` have been read.
     void advance_to(std::int64_t offset);
 
-    /// Clears the table because records before `first` are lost. The table
+    /// Clears the table because records before `first` were deleted. The table
     /// stays incomplete until a snapshot is applied.
     void reset(std::int64_t first);
 
@@ -128,15 +129,15 @@
     apply_result apply_record(std::int64_t offset, claim const& it);
     apply_result apply_record(std::int64_t offset, release const& it);
     apply_result apply_record(std::int64_t offset, snapshot const& it);
-    [[nodiscard]] bool knows_claimer(owner const& current,
-                                     member const& claimer) const;
+    [[nodiscard]] bool knows_claimant(owner const& current,
+                                      member const& claimant) const;
     [[nodiscard]] base::outcome<base::done>
     load_snapshot(std::string const& text);
 
-    joiner_rule m_joiners;
+    joiner_rule m_joiner_rule;
     bool m_complete{true};
     std::int64_t m_next{0};
-    std::int64_t m_first{0};
+    std::int64_t m_first_available{0};
     std::uint64_t m_version{0};
     std::map<std::string, owner> m_units;
     std::map<std::string, member> m_members;
--- a/libraries/ownership/message.hpp
+++ b/libraries/ownership/message.hpp
@@ -12,7 +12,7 @@
 namespace berylhill::ownership
 {
 
-/// Sent periodically from one entry to another as a sign of life.
+/// Sent periodically from one entry to another to show that the sender runs.
 struct heartbeat
 {
     std::string incarnation;
@@ -24,8 +24,8 @@
     friend auto operator<=>(heartbeat const&, heartbeat const&) = default;
 };
 
-/// A watcher reports that it gets no heartbeats from a process. Both fields are
-/// incarnations.
+/// A watcher reports that it receives no heartbeats from a process. Both fields
+/// are incarnations.
 struct suspicion
 {
     std::string from;
--- a/libraries/ownership/participant.cpp
+++ b/libraries/ownership/participant.cpp
@@ -18,7 +18,7 @@
 actions participant::set_units(std::set<std::string> units, base::instant now)
 {
     m_units = std::move(units);
-    m_scanned = false;
+    m_scan_is_current = false;
     return tick(now);
 }
 
@@ -67,8 +67,8 @@
     m_unowned_since.clear();
     m_log_lease_until = {};
     m_vouched_until = {};
-    m_round.reset();
-    m_scanned = false;
+    m_vouch_round.reset();
+    m_scan_is_current = false;
 }
 
 void participant::apply_record(std::int64_t offset,
@@ -76,7 +76,7 @@
                                base::instant now)
 {
     auto const was_member = is_member();
-    auto const done = m_table.apply(offset, it);
+    auto const result = m_table.apply(offset, it);
     resolve_own_append(it);
     if (auto const* joined = std::get_if<join>(&it))
     {
@@ -84,7 +84,7 @@
         {
             // A newer process runs on this instance.
             m_active_from.clear();
-            m_left = true;
+            m_has_left = true;
         }
         if (joined->incarnation == m_options.incarnation)
         {
@@ -97,7 +97,7 @@
     else if (auto const* claim_record = std::get_if<claim>(&it))
     {
         m_peers[claim_record->incarnation].last_claim_read = now;
-        update_activation(claim_record->unit, done, now);
+        update_activation(claim_record->unit, result, now);
     }
     else if (auto const* release_record = std::get_if<release>(&it))
     {
@@ -105,7 +105,7 @@
         {
             m_releasing.erase(release_record->unit);
         }
-        update_activation(release_record->unit, done, now);
+        update_activation(release_record->unit, result, now);
     }
     else if (auto const* table = std::get_if<snapshot>(&it))
     {
@@ -115,10 +115,10 @@
 }
 
 void participant::update_activation(std::string const& unit,
-                                    apply_result const& done,
+                                    apply_result const& result,
                                     base::instant now)
 {
-    if (!done.effective)
+    if (!result.effective)
     {
         return;
     }
@@ -132,9 +132,11 @@
     // An older lease ends at most `lease_duration` after the claim took effect,
     // which was before now; `clock_margin` allows for clocks of different
     // rates.
-    auto const is_free = done.unit_was_free && now >= m_trust_free_units_from;
+    auto const was_free =
+        result.unit_was_free && now >= m_trust_free_units_from;
     m_active_from[unit] =
-        is_free ? now : now + m_options.lease_duration + m_options.clock_margin;
+        was_free ? now
+                 : now + m_options.lease_duration + m_options.clock_margin;
 }
 
 void participant::resolve_own_append(record const& it)
@@ -156,7 +158,7 @@
 }
 
 actions participant::on_append_settled(std::uint64_t ticket,
-                                       append_outcome end,
+                                       append_outcome outcome,
                                        base::instant now)
 {
     auto const found = m_unresolved.find(ticket);
@@ -164,7 +166,7 @@
     {
         return {};
     }
-    if (end == append_outcome::written)
+    if (outcome == append_outcome::written)
     {
         m_written_at.emplace(ticket, now);
         return {};
@@ -211,13 +213,13 @@
 
 actions participant::on_vouch_answer(vouch_answer const& it, base::instant)
 {
-    if (!m_round || it.round != m_round->number)
+    if (!m_vouch_round || it.round != m_vouch_round->number)
     {
         return {};
     }
-    m_round->incarnations.insert(it.from);
-    m_round->instances.insert(it.instance);
-    m_round->doubtful.insert(it.doubtful.begin(), it.doubtful.end());
+    m_vouch_round->incarnations.insert(it.from);
+    m_vouch_round->instances.insert(it.instance);
+    m_vouch_round->doubtful.insert(it.doubtful.begin(), it.doubtful.end());
     finish_round();
     return {};
 }
@@ -236,31 +238,32 @@
     return {};
 }
 
-void participant::ask_vouches(base::instant now, actions& out)
+void participant::request_vouches(base::instant now, actions& out)
 {
     auto const log_lease_is_short =
         m_log_lease_until - now < m_options.lease_duration / 2;
-    auto const is_asking =
-        m_round && now - m_round->started < m_options.lease_duration / 4;
-    auto const has_enough_time =
+    auto const round_is_recent =
+        m_vouch_round &&
+        now - m_vouch_round->started < m_options.lease_duration / 4;
+    auto const vouched_lease_is_long =
         m_vouched_until - now > m_options.lease_duration / 2;
-    if (!log_lease_is_short || is_asking || has_enough_time ||
+    if (!log_lease_is_short || round_is_recent || vouched_lease_is_long ||
         m_active_from.empty() || !is_member())
     {
         return;
     }
-    m_round = vouch_round{};
-    m_round->number = ++m_last_round;
-    m_round->started = now;
-    std::set<std::string> asked = m_listed;
+    m_vouch_round = vouch_round{};
+    m_vouch_round->number = ++m_last_round;
+    m_vouch_round->started = now;
+    std::set<std::string> recipients = m_listed;
     for (auto const& [incarnation, it] : m_table.members())
     {
-        asked.insert(it.instance);
+        recipients.insert(it.instance);
     }
-    asked.erase(m_options.instance);
+    recipients.erase(m_options.instance);
     vouch_request const request{m_options.incarnation, m_options.instance,
-                                m_round->number, m_table.next()};
-    for (auto const& it : asked)
+                                m_vouch_round->number, m_table.next()};
+    for (auto const& it : recipients)
     {
         out.emplace_back(send_vouch_request{it, request});
     }
@@ -277,7 +280,7 @@
     for (auto const& [incarnation, it] : m_table.members())
     {
         auto const is_self = incarnation == m_options.incarnation;
-        if (!is_self && !m_round->incarnations.contains(incarnation))
+        if (!is_self && !m_vouch_round->incarnations.contains(incarnation))
         {
             return false;
         }
@@ -285,20 +288,21 @@
     return true;
 }
 
-/// The same if some members cannot answer because they are gone. A unit claimed
-/// by such a member may have been handed on to a process that this owner does
-/// not know. But a process that acts for a unit was listed before its claim, so
-/// it is on any list fetched after the round began, and answers for itself.
+/// Detects the same claims if some members cannot answer because their
+/// instances are no longer listed. A unit claimed by such a member may have
+/// been handed on to a process that this owner does not know. But a process
+/// that acts for a unit was listed before its claim, so it is on any list
+/// fetched after the round began, and answers for itself.
 bool participant::all_listed_answered() const
 {
-    if (!m_listed_as_of || *m_listed_as_of < m_round->started)
+    if (!m_listed_as_of || *m_listed_as_of < m_vouch_round->started)
     {
         return false;
     }
     auto const has_answered = [&](std::string const& instance)
     {
         return instance == m_options.instance ||
-               m_round->instances.contains(instance);
+               m_vouch_round->instances.contains(instance);
     };
     for (auto const& [incarnation, it] : m_table.members())
     {
@@ -315,20 +319,20 @@
 
 void participant::finish_round()
 {
-    if (!m_round)
+    if (!m_vouch_round)
     {
         return;
     }
-    auto const is_confirmed = m_options.rules.vouch == vouch_rule::any_member ||
-                              all_members_answered() || all_listed_answered();
-    if (!is_confirmed)
+    auto const is_complete = m_options.rules.vouch == vouch_rule::any_member ||
+                             all_members_answered() || all_listed_answered();
+    if (!is_complete)
     {
         return;
     }
-    m_vouched_until =
-        std::max(m_vouched_until, m_round->started + m_options.lease_duration);
-    m_doubtful = std::move(m_round->doubtful);
-    m_round.reset();
+    m_vouched_until = std::max(m_vouched_until, m_vouch_round->started +
+                                                    m_options.lease_duration);
+    m_doubtful_units = std::move(m_vouch_round->doubtful);
+    m_vouch_round.reset();
 }
 
 std::optional<std::int64_t> participant::active_epoch(std::string const& unit,
@@ -336,14 +340,14 @@
 {
     auto const active = m_active_from.find(unit);
     if (active == m_active_from.end() || now < active->second ||
-        m_releasing.contains(unit) || m_left)
+        m_releasing.contains(unit) || m_has_left)
     {
         return std::nullopt;
     }
-    auto const has_right =
+    auto const lease_is_valid =
         now < m_log_lease_until ||
-        (now < m_vouched_until && !m_doubtful.contains(unit));
-    if (!has_right)
+        (now < m_vouched_until && !m_doubtful_units.contains(unit));
+    if (!lease_is_valid)
     {
         return std::nullopt;
     }
--- a/libraries/ownership/participant.hpp
+++ b/libraries/ownership/participant.hpp
@@ -19,11 +19,12 @@
 namespace berylhill::ownership
 {
 
-/// Whose vouch an owner needs to extend its lease without the log.
+/// Which members have to vouch before an owner extends its lease without the
+/// log.
 enum class vouch_rule : std::uint8_t
 {
-    every_member, ///< All members that it knows.
-    any_member,   ///< Any one. Unsafe; for the exhaustive test only.
+    every_member, ///< All members that the owner knows.
+    any_member,   ///< Any one of them. Unsafe; for the exhaustive test only.
 };
 
 /// How a process answers a vouch request while a claim of its own is
@@ -38,7 +39,7 @@
 enum class removed_member_rule : std::uint8_t
 {
     ask_all_listed, ///< Vouches of all entries on a newly fetched list.
-    exempt,         ///< Nothing. Unsafe; for the exhaustive test only.
+    exempt, ///< No vouch of that member. Unsafe; for the exhaustive test only.
 };
 
 /// The rules that prevent two processes from acting for one unit. Only tests
@@ -67,16 +68,17 @@
     /// A process without a heartbeat for this long is suspected to be dead.
     base::duration suspect_after{std::chrono::milliseconds{1'200}};
     /// A process sends heartbeats to at most this many others, its watchers,
-    /// which report to the rest when it falls silent. This keeps the number of
-    /// messages an instance sends independent of the number of instances.
+    /// which report to all members when they stop receiving them. This keeps
+    /// the number of messages an instance sends independent of the number of
+    /// instances.
     std::size_t max_watchers{8};
     /// How often a watcher repeats its report of a silent process.
     base::duration suspicion_interval{std::chrono::milliseconds{500}};
     /// Replaces `suspect_after` while this process gets heartbeats from less
-    /// than half of those it watches, and may itself be cut off.
+    /// than half of those it watches, and may itself be partitioned from them.
     base::duration isolated_suspect_after{std::chrono::milliseconds{4'000}};
     /// With fewer watched processes than this, missing heartbeats do not show
-    /// which side is cut off.
+    /// which side of a network partition it is on.
     std::size_t min_peers_for_isolation{2};
     /// How long each process in a unit's preference order waits for the one
     /// before it to claim the unit.
@@ -162,9 +164,9 @@
 };
 
 /// State machine of one process in the ownership protocol: which units the
-/// process may act for, and what it has to do to claim, keep and hand over
-/// units. Performs no I/O: each event is passed in with its instant and returns
-/// the actions to perform. Not thread-safe.
+/// process may act for, and which actions claim, keep and hand over units.
+/// Performs no I/O: each event is passed in with its instant and returns the
+/// actions to perform. Not thread-safe.
 ///
 /// No two processes act for one unit at the same time: a lease ends
 /// `lease_duration` after an instant at which no claim over the unit had taken
@@ -196,7 +198,7 @@
     void on_log_gap(std::int64_t first);
 
     [[nodiscard]] actions on_append_settled(std::uint64_t ticket,
-                                            append_outcome end,
+                                            append_outcome outcome,
                                             base::instant now);
 
     [[nodiscard]] actions on_heartbeat(heartbeat const& it, base::instant now);
@@ -252,7 +254,7 @@
     /// instance.
     [[nodiscard]] bool stopped() const noexcept
     {
-        return m_left;
+        return m_has_left;
     }
     /// The end of the lease granted by reading the log; in the past during a
     /// log outage.
@@ -300,7 +302,7 @@
     void apply_record(std::int64_t offset, record const& it, base::instant now);
     void resolve_own_append(record const& it);
     void update_activation(std::string const& unit,
-                           apply_result const& done,
+                           apply_result const& result,
                            base::instant now);
     void append(record it, actions& out);
     template <class Record>
@@ -323,21 +325,21 @@
     void rebalance(base::instant now, actions& out);
     void write_snapshot(base::instant now, actions& out);
     void leave_when_ready(base::instant now, actions& out);
-    void ask_vouches(base::instant now, actions& out);
+    void request_vouches(base::instant now, actions& out);
     void finish_round();
     [[nodiscard]] bool all_members_answered() const;
     [[nodiscard]] bool all_listed_answered() const;
 
     [[nodiscard]] bool is_alive(std::string const& incarnation,
                                 base::instant now,
-                                base::duration within) const;
-    [[nodiscard]] bool is_preferred_for(std::string const& what,
+                                base::duration timeout) const;
+    [[nodiscard]] bool is_preferred_for(std::string const& key,
                                         base::instant now) const;
     [[nodiscard]] bool is_suspected(std::string const& incarnation,
                                     base::instant now) const;
     [[nodiscard]] base::duration suspect_timeout(base::instant now) const;
     [[nodiscard]] bool is_isolated(base::instant now) const;
-    [[nodiscard]] bool is_probably_cut_off(base::instant now) const;
+    [[nodiscard]] bool is_probably_partitioned(base::instant now) const;
     void update_watchers();
     void report_silent_peers(base::instant now, actions& out);
     [[nodiscard]] unit_counts count_units() const;
@@ -356,7 +358,7 @@
     choose_successor(std::string const& unit,
                      std::vector<candidate> const& candidates,
                      unit_counts& load,
-                     std::size_t most) const;
+                     std::size_t max_units) const;
 
     participant_options m_options;
     claim_table m_table;
@@ -371,24 +373,27 @@
     std::map<std::string, base::instant> m_active_from;
     /// Since when a unit has had no live owner.
     std::map<std::string, base::instant> m_unowned_since;
-    /// Units with a pending `release` record; this process has stopped acting
-    /// for them.
+    /// Units with a pending `release` record. This process no longer acts for
+    /// them.
     std::set<std::string> m_releasing;
     base::instant m_log_lease_until{};
     base::instant m_vouched_until{};
-    std::set<std::string> m_doubtful;
-    std::optional<vouch_round> m_round;
+    /// The units to which `m_vouched_until` does not apply.
+    std::set<std::string> m_doubtful_units;
+    std::optional<vouch_round> m_vouch_round;
     std::uint64_t m_last_round{0};
     std::map<std::string, peer> m_peers;
     /// The incarnations whose heartbeats this process monitors, and the
     /// instances that monitor its own.
     std::set<std::string> m_watched;
     std::set<std::string> m_watchers;
-    std::vector<candidate> m_watch_members;
+    /// The members for which `m_watched` and `m_watchers` were computed.
+    std::vector<candidate> m_watch_inputs;
     /// When a process was last reported silent, by its incarnation and the
     /// watcher's.
     std::map<std::string, std::map<std::string, base::instant>> m_suspected;
     base::instant m_last_suspicion_at{};
+    /// The instances on the last endpoint list, and those on any list so far.
     std::set<std::string> m_listed;
     std::set<std::string> m_ever_listed;
     std::optional<base::instant> m_listed_as_of;
@@ -398,15 +403,15 @@
     base::instant m_last_snapshot{};
     std::int64_t m_snapshot_through{0};
     bool m_stopping{false};
-    bool m_left{false};
-    /// Set when the table is completed without a snapshot after a gap: until
-    /// then, units that look free may have an owner.
+    bool m_has_left{false};
+    /// Set when the table is completed without a snapshot after a gap: before
+    /// this instant, a unit that is free in the table may have an owner.
     base::instant m_trust_free_units_from{};
     /// Inputs of the last `claim_unowned_units`, which has nothing to do while
     /// they stay the same.
     std::uint64_t m_scanned_table_version{0};
-    std::vector<candidate> m_scanned_live;
-    bool m_scanned{false};
+    std::vector<candidate> m_scanned_live_members;
+    bool m_scan_is_current{false};
 };
 
 } // namespace berylhill::ownership
--- a/libraries/ownership/participant_decisions.cpp
+++ b/libraries/ownership/participant_decisions.cpp
@@ -19,7 +19,7 @@
 actions participant::tick(base::instant now)
 {
     actions out;
-    if (m_left)
+    if (m_has_left)
     {
         return out;
     }
@@ -40,7 +40,7 @@
         publish_seen(out);
     }
     report_silent_peers(now, out);
-    ask_vouches(now, out);
+    request_vouches(now, out);
     return out;
 }
 
@@ -85,13 +85,14 @@
 {
     auto alive = live_members(now);
     auto const inputs_unchanged =
-        m_scanned && m_unowned_since.empty() &&
-        m_scanned_table_version == m_table.version() && m_scanned_live == alive;
+        m_scan_is_current && m_unowned_since.empty() &&
+        m_scanned_table_version == m_table.version() &&
+        m_scanned_live_members == alive;
     // If all processes start together, the first to join would claim every
     // unit.
     auto const joined_recently = now - m_joined_at < m_options.suspect_after;
     if (inputs_unchanged || joined_recently || !is_member() ||
-        is_probably_cut_off(now))
+        is_probably_partitioned(now))
     {
         return;
     }
@@ -116,9 +117,9 @@
     }
     std::erase_if(m_unowned_since,
                   [&](auto const& it) { return !m_units.contains(it.first); });
-    m_scanned = true;
+    m_scan_is_current = true;
     m_scanned_table_version = m_table.version();
-    m_scanned_live = std::move(alive);
+    m_scanned_live_members = std::move(alive);
 }
 
 void participant::claim_unit(std::string const& unit,
@@ -132,11 +133,12 @@
     {
         return;
     }
-    auto const most = max_units_per_process(m_units.size(), candidates.size(),
-                                            m_options.max_load_factor);
+    auto const max_units = max_units_per_process(
+        m_units.size(), candidates.size(), m_options.max_load_factor);
     auto order = preference_order(unit, candidates);
-    std::erase_if(order, [&](std::string const& it)
-                  { return load[it] >= most || !m_table.may_claim(unit, it); });
+    std::erase_if(
+        order, [&](std::string const& it)
+        { return load[it] >= max_units || !m_table.may_claim(unit, it); });
     auto const own =
         std::find(order.begin(), order.end(), m_options.incarnation);
     if (own == order.end())
@@ -161,11 +163,11 @@
 participant::choose_successor(std::string const& unit,
                               std::vector<candidate> const& candidates,
                               unit_counts& load,
-                              std::size_t most) const
+                              std::size_t max_units) const
 {
     for (auto const& it : preference_order(unit, candidates))
     {
-        if (it != m_options.incarnation && load[it] < most)
+        if (it != m_options.incarnation && load[it] < max_units)
         {
             ++load[it];
             return it;
@@ -187,29 +189,29 @@
 {
     auto const load = count_units();
     auto const own = owned_units();
-    auto const most = std::ceil(mean * m_options.max_load_factor);
-    auto const n = static_cast<double>(own.size());
-    auto const has_underloaded =
-        std::any_of(m_scanned_live.begin(), m_scanned_live.end(),
-                    [&](candidate const& it)
-                    {
-                        auto const found = load.find(it.incarnation);
-                        auto const size =
-                            found == load.end() ? 0 : found->second;
-                        return static_cast<double>(size) <
-                               std::floor(mean / m_options.max_load_factor);
-                    });
-    auto const keep = has_underloaded ? std::ceil(mean) : most;
-    if (n <= keep)
+    auto const max_units = std::ceil(mean * m_options.max_load_factor);
+    auto const unit_count = static_cast<double>(own.size());
+    auto const has_underloaded = std::any_of(
+        m_scanned_live_members.begin(), m_scanned_live_members.end(),
+        [&](candidate const& it)
+        {
+            auto const found = load.find(it.incarnation);
+            auto const size = found == load.end() ? 0 : found->second;
+            return static_cast<double>(size) <
+                   std::floor(mean / m_options.max_load_factor);
+        });
+    auto const max_kept = has_underloaded ? std::ceil(mean) : max_units;
+    if (unit_count <= max_kept)
     {
         return {};
     }
-    auto const surplus = static_cast<std::size_t>(n - keep);
-    auto const moved = std::max<std::size_t>(1, surplus / s_surplus_divisor);
+    auto const surplus = static_cast<std::size_t>(unit_count - max_kept);
+    auto const batch_size =
+        std::max<std::size_t>(1, surplus / s_surplus_divisor);
     std::vector<std::string> names;
     for (auto const& it : own)
     {
-        if (names.size() < moved && m_active_from.contains(it))
+        if (names.size() < batch_size && m_active_from.contains(it))
         {
             names.push_back(it);
         }
@@ -273,7 +275,7 @@
 {
     if (!is_member())
     {
-        m_left = !has_pending<join>();
+        m_has_left = !has_pending<join>();
         return;
     }
     auto const candidates = eligible_owners(now);
--- a/libraries/ownership/participant_membership.cpp
+++ b/libraries/ownership/participant_membership.cpp
@@ -58,7 +58,7 @@
 
 bool participant::is_alive(std::string const& incarnation,
                            base::instant now,
-                           base::duration within) const
+                           base::duration timeout) const
 {
     if (incarnation == m_options.incarnation)
     {
@@ -70,21 +70,21 @@
     }
     auto const it = m_peers.find(incarnation);
     auto const last = it == m_peers.end() ? m_started : it->second.last_heard;
-    return now - last <= within;
+    return now - last <= timeout;
 }
 
 /// Heartbeats of the others are not synchronous, so in a network failure their
-/// timeouts end one after another. A process therefore counts as heard only
+/// timeouts expire one after another. A process therefore counts as heard only
 /// within two thirds of `suspect_after`. Otherwise this process would suspect
 /// the first one and claim its units before it detects that it is isolated.
 bool participant::is_isolated(base::instant now) const
 {
     auto const others = m_watched.size();
-    auto const recent = m_options.suspect_after * 2 / 3;
+    auto const heard_timeout = m_options.suspect_after * 2 / 3;
     std::size_t heard = 0;
     for (auto const& it : m_watched)
     {
-        heard += is_alive(it, now, recent) ? 1 : 0;
+        heard += is_alive(it, now, heard_timeout) ? 1 : 0;
     }
     return others >= m_options.min_peers_for_isolation && heard * 2 < others;
 }
@@ -95,13 +95,13 @@
                             : m_options.suspect_after;
 }
 
-/// Prevents a process that is cut off from the others, but not from the log,
-/// from claiming every unit of the cell; each unit would be idle until its
-/// claim is active, again and again. By the time it may claim units of the
-/// others, those that are alive have claimed its own units, and it has read
-/// their claims. A process without units cannot tell, and waits until the
-/// others are removed from the platform's endpoint list.
-bool participant::is_probably_cut_off(base::instant now) const
+/// Prevents a process that is partitioned from the others, but not from the
+/// log, from repeatedly claiming every unit of the cell. Each unit would be
+/// idle until its claim is active. By the time this process may claim units of
+/// the others, those that are alive have claimed its own units, and it has read
+/// their claims. A process without units cannot detect the partition this way,
+/// and waits until the others are removed from the platform's endpoint list.
+bool participant::is_probably_partitioned(base::instant now) const
 {
     if (!is_isolated(now))
     {
@@ -118,7 +118,8 @@
            std::any_of(m_watched.begin(), m_watched.end(), has_claimed);
 }
 
-/// Requires recent reports of two watchers, because one may itself be cut off.
+/// Requires recent reports of two watchers, because one may itself be
+/// partitioned.
 bool participant::is_suspected(std::string const& incarnation,
                                base::instant now) const
 {
@@ -144,7 +145,7 @@
         all.push_back({incarnation, it.instance, it.zone});
     }
     // Quadratic in the number of members, so done only when they change.
-    if (all == m_watch_members)
+    if (all == m_watch_inputs)
     {
         return;
     }
@@ -166,7 +167,7 @@
     }
     std::erase_if(m_suspected, [&](auto const& it)
                   { return !m_table.members().contains(it.first); });
-    m_watch_members = std::move(all);
+    m_watch_inputs = std::move(all);
 }
 
 std::set<std::string> participant::heartbeat_targets() const
@@ -175,7 +176,8 @@
     {
         return m_watchers;
     }
-    // Everybody has to know a process that is leaving or not a member yet.
+    // All processes need to know that this process is leaving, or that it is
+    // alive before it has joined.
     std::set<std::string> all = m_listed;
     for (auto const& [incarnation, it] : m_table.members())
     {
@@ -214,11 +216,11 @@
 
 std::vector<candidate> participant::live_members(base::instant now) const
 {
-    auto const within = suspect_timeout(now);
+    auto const timeout = suspect_timeout(now);
     std::vector<candidate> found;
     for (auto const& [incarnation, it] : m_table.members())
     {
-        if (is_alive(incarnation, now, within))
+        if (is_alive(incarnation, now, timeout))
         {
             found.push_back({incarnation, it.instance, it.zone});
         }
@@ -244,10 +246,10 @@
     return found;
 }
 
-bool participant::is_preferred_for(std::string const& what,
+bool participant::is_preferred_for(std::string const& key,
                                    base::instant now) const
 {
-    auto const order = preference_order(what, live_members(now));
+    auto const order = preference_order(key, live_members(now));
     return !order.empty() && order.front() == m_options.incarnation;
 }
 
--- a/libraries/ownership/record.hpp
+++ b/libraries/ownership/record.hpp
@@ -14,7 +14,7 @@
 namespace berylhill::ownership
 {
 
-/// A process becomes a member; older incarnations of its instance are gone.
+/// A process becomes a member; older incarnations of its instance have ended.
 struct join
 {
     std::string incarnation;
--- a/libraries/ownership/unit_distribution.cpp
+++ b/libraries/ownership/unit_distribution.cpp
@@ -41,7 +41,7 @@
 
 std::vector<candidate> watchers_of(candidate const& watched,
                                    std::vector<candidate> const& all,
-                                   std::size_t most)
+                                   std::size_t max_watchers)
 {
     std::map<std::string, candidate> by_incarnation;
     std::vector<candidate> others;
@@ -53,38 +53,40 @@
             by_incarnation[it.incarnation] = it;
         }
     }
-    if (others.size() <= most)
+    if (others.size() <= max_watchers)
     {
         return others;
     }
-    // First the most preferred of each zone, then the second of each zone, etc.
-    std::map<std::string, std::size_t> taken;
-    std::map<std::pair<std::size_t, std::size_t>, candidate> rounds;
-    std::size_t place = 0;
+    // Takes the most preferred of each zone, then the second of each zone, etc.
+    std::map<std::string, std::size_t> taken_by_zone;
+    std::map<std::pair<std::size_t, std::size_t>, candidate> by_round;
+    std::size_t position = 0;
     for (auto const& name : preference_order(watched.instance, others))
     {
         auto const& it = by_incarnation[name];
-        rounds.emplace(std::pair{taken[it.zone]++, place++}, it);
+        by_round.emplace(std::pair{taken_by_zone[it.zone]++, position++}, it);
     }
-    std::vector<candidate> found;
-    for (auto const& [round, it] : rounds)
+    std::vector<candidate> watchers;
+    for (auto const& [round, it] : by_round)
     {
-        if (found.size() < most)
+        if (watchers.size() < max_watchers)
         {
-            found.push_back(it);
+            watchers.push_back(it);
         }
     }
-    return found;
+    return watchers;
 }
 
-std::size_t
-max_units_per_process(std::size_t units, std::size_t n, double max_load_factor)
+std::size_t max_units_per_process(std::size_t units,
+                                  std::size_t processes,
+                                  double max_load_factor)
 {
-    if (n == 0)
+    if (processes == 0)
     {
         return units;
     }
-    auto const mean = static_cast<double>(units) / static_cast<double>(n);
+    auto const mean =
+        static_cast<double>(units) / static_cast<double>(processes);
     return static_cast<std::size_t>(std::ceil(mean * max_load_factor));
 }
 
--- a/tests/ownership/claim_table_test.cpp
+++ b/tests/ownership/claim_table_test.cpp
@@ -57,8 +57,8 @@
     BOOST_TEST(table.apply(3, it.it).effective == it.takes_effect);
 }
 
-// Two entries claim a dead entry's unit at the same time. Both records are in
-// the log; every reader must name the same owner.
+// Two entries claim the unit of a crashed entry at the same time. Both records
+// are in the log, and every reader must determine the same owner.
 BOOST_AUTO_TEST_CASE(first_of_two_claims_takes_effect)
 {
     auto it = example();
--- a/tests/ownership/exhaustive_test.cpp
+++ b/tests/ownership/exhaustive_test.cpp
@@ -25,7 +25,7 @@
     std::vector<std::string> counterexample;
     /// The processes that acted in any state, and until when the first owner
     /// did.
-    std::set<std::string> acted;
+    std::set<std::string> active;
     std::int64_t owner_until{0};
 };
 
@@ -46,11 +46,11 @@
     return run;
 }
 
-void record_acting(system_state const& it, exploration_result& found)
+void record_active(system_state const& it, exploration_result& found)
 {
-    for (auto const& name : it.acting())
+    for (auto const& name : it.active_processes())
     {
-        found.acted.insert(name);
+        found.active.insert(name);
         if (name == "e")
         {
             found.owner_until = std::max(found.owner_until, it.now());
@@ -81,8 +81,8 @@
                         return;
                     }
                     all.push_back({from, label});
-                    record_acting(to, it);
-                    if (to.acting().size() > 1)
+                    record_active(to, it);
+                    if (to.active_processes().size() > 1)
                     {
                         it.counterexample = path_to(all, all.size() - 1);
                     }
@@ -126,14 +126,14 @@
     return it;
 }
 
-system_state::bounds dying()
+system_state::bounds crashing()
 {
     system_state::bounds it;
     it.horizon = 5;
     it.third_process =
         system_state::third_process_state::joined_unknown_to_owner;
     it.owner_cannot_read = true;
-    it.deaths = true;
+    it.crashes = true;
     return it;
 }
 
@@ -145,8 +145,9 @@
 }
 
 std::array const s_safe_cases{
-    exploration_case{"two processes, one refused append",
-                     with(two_processes(), [](auto& it) { it.refusals = 1; })},
+    exploration_case{
+        "two processes, one refused append",
+        with(two_processes(), [](auto& it) { it.rejections = 1; })},
     exploration_case{"two processes, a longer lease",
                      with(two_processes(),
                           [](auto& it)
@@ -163,13 +164,13 @@
     exploration_case{"a process joins while the owner cannot read the log",
                      joining()},
     exploration_case{"a member takes over and hands over to a new member",
-                     with(dying(),
+                     with(crashing(),
                           [](auto& it)
                           {
-                              it.deaths = false;
+                              it.crashes = false;
                               it.stops = "p";
                           })},
-    exploration_case{"a member dies and is removed from the list", dying()},
+    exploration_case{"a member dies and is removed from the list", crashing()},
 };
 
 std::array const s_unsafe_cases{
@@ -187,7 +188,7 @@
                           [](auto& it)
                           { it.rules.joiners = joiner_rule::claim_at_once; })},
     exploration_case{"a member removed from the list is exempt",
-                     with(dying(),
+                     with(crashing(),
                           [](auto& it) {
                               it.rules.removed_members =
                                   removed_member_rule::exempt;
@@ -210,25 +211,25 @@
 
 BOOST_AUTO_TEST_SUITE(exhaustive)
 
-// If two entries acted for one group, both would place tasks there and overload
-// its workers. It would take an owner that extends its lease without the log
-// while another's claim, delayed or unseen, has become active. The test runs
-// the real classes through every order of reads, appends, vouches, joins,
-// deaths and stops up to the bounds; an entry that takes no step is a paused
-// one.
+// Guards against two entries that act for one group: both would place tasks
+// there and overload its workers. This could happen if an owner extended its
+// lease without the log after the claim of another entry, delayed or unseen,
+// had become active. The test runs the protocol classes through every order of
+// reads, appends, vouches, joins, crashes and stops up to the bounds. An entry
+// that takes no step represents a paused one.
 BOOST_DATA_TEST_CASE(no_two_processes_act_for_one_unit, s_safe_cases, it)
 {
     auto const found = explore(system_state{it.limits});
     print(it, found);
     BOOST_TEST(found.is_complete);
     BOOST_TEST(found.counterexample.empty());
-    // The bounds are wide enough: the owner extended its first lease, and
-    // another process took over.
+    // Checks that the bounds are wide enough: the owner extended its first
+    // lease, and another process took over.
     BOOST_TEST(found.owner_until > 1 + it.limits.lease_duration);
-    BOOST_TEST(found.acted.size() > 1U);
+    BOOST_TEST(found.active.size() > 1U);
 }
 
-// Without any one of the safety rules there is a counterexample. So each rule
+// Without any one of the safety rules there is a counterexample, so each rule
 // is needed, and the exploration detects violations.
 BOOST_DATA_TEST_CASE(each_safety_rule_is_needed, s_unsafe_cases, it)
 {
--- a/tests/ownership/participant_test.cpp
+++ b/tests/ownership/participant_test.cpp
@@ -18,7 +18,7 @@
 {
     simulated_cell it{of};
     it.run(10s);
-    BOOST_REQUIRE(it.acted_on() == it.units().size());
+    BOOST_REQUIRE(it.active_units() == it.units().size());
     it.reset_gaps();
     return it;
 }
@@ -32,15 +32,15 @@
     auto const it = settled_cell();
     for (std::size_t i = 0; i < it.size(); ++i)
     {
-        auto const n = it.acted_on_by(i).size();
+        auto const n = it.active_units_of(i).size();
         BOOST_TEST(n > 0U);
         BOOST_TEST(n <= max_units_per_process(64, 9, 1.25));
     }
     BOOST_TEST(it.conflicts() == 0U);
 }
 
-// An entry dies. No task is placed in its groups and shards until another entry
-// owns them, which has to happen within seconds.
+// After an entry crashes, no task is placed in its groups and shards until
+// another entry owns them. Guards against a slow takeover.
 BOOST_AUTO_TEST_CASE(crashed_entry_is_taken_over_within_seconds)
 {
     auto it = settled_cell();
@@ -51,7 +51,7 @@
         it.reset_gaps();
         it.kill(i);
         it.run(8s + 37ms * static_cast<std::int64_t>(n));
-        BOOST_TEST(it.acted_on() == it.units().size());
+        BOOST_TEST(it.active_units() == it.units().size());
         gaps.push_back(base::seconds_of(it.longest_gap()));
         it.restart(i);
         it.run(12s);
@@ -64,22 +64,22 @@
     BOOST_TEST(it.conflicts() == 0U);
 }
 
-// In a cell of many instances no process gets heartbeats from all the others. A
-// crash has to be detected by the watchers and reported to the rest.
+// In a cell of many instances, no process receives heartbeats from all others.
+// A crash has to be detected by the watchers and reported to the rest.
 BOOST_AUTO_TEST_CASE(crash_is_detected_by_watchers)
 {
     auto it = settled_cell({.instances = 24, .zones = 4, .units = 72});
     BOOST_TEST(it.at(3).heartbeat_targets().size() == 8U);
     it.kill(3);
     it.run(8s);
-    BOOST_TEST(it.acted_on() == it.units().size());
+    BOOST_TEST(it.active_units() == it.units().size());
     BOOST_TEST_MESSAGE(
         "takeover with watchers_s=" << base::seconds_of(it.longest_gap()));
     BOOST_TEST(base::seconds_of(it.longest_gap()) <= 5);
     BOOST_TEST(it.conflicts() == 0U);
 }
 
-// A watcher that is cut off from the processes it watches reports them as
+// A watcher that is partitioned from the processes it watches reports them as
 // silent. Its report alone must not move their units.
 BOOST_AUTO_TEST_CASE(suspicion_by_one_watcher_is_not_enough)
 {
@@ -97,30 +97,30 @@
     BOOST_TEST(it.longest_gap() == base::duration{});
 }
 
-// An entry is cut off from the others but reaches the log. If it suspected all
-// of them and claimed every unit, the whole cell would be idle until the claims
-// are active.
+// An entry is partitioned from the others but reaches the log. If it suspected
+// all of them and claimed every unit, the whole cell would be idle until the
+// claims are active.
 BOOST_AUTO_TEST_CASE(isolated_process_claims_nothing)
 {
     auto it = settled_cell();
-    it.cut(0, true);
-    auto const lost = it.acted_on_by(0);
+    it.partition(0, true);
+    auto const lost = it.active_units_of(0);
     it.run(1min);
-    BOOST_TEST(it.acted_on_by(0).empty());
-    BOOST_TEST(it.acted_on() == it.units().size());
+    BOOST_TEST(it.active_units_of(0).empty());
+    BOOST_TEST(it.active_units() == it.units().size());
     // Its units are taken over once. Some other units are moved, but none is
     // idle.
     BOOST_TEST(base::seconds_of(it.longest_gap()) <= 5);
     BOOST_TEST(it.units_with_gap(1s) == lost.size());
-    it.cut(0, false);
+    it.partition(0, false);
     it.run(10s);
-    BOOST_TEST(it.acted_on() == it.units().size());
+    BOOST_TEST(it.active_units() == it.units().size());
     BOOST_TEST(it.conflicts() == 0U);
 }
 
-// Most instances die at once. The rest get heartbeats from less than half of
-// the cell, as if they were cut off. As nobody claims their units, they know
-// that they are not, and take over.
+// Most instances crash at once. The rest receive heartbeats from less than half
+// of the cell, as in a network partition. No other process claims their units,
+// which shows that they are not partitioned, so they have to take over.
 BOOST_AUTO_TEST_CASE(loss_of_most_instances_is_taken_over)
 {
     auto it = settled_cell({.instances = 5, .units = 20});
@@ -128,7 +128,7 @@
     it.kill(1);
     it.kill(2);
     it.run(8s);
-    BOOST_TEST(it.acted_on() == it.units().size());
+    BOOST_TEST(it.active_units() == it.units().size());
     BOOST_TEST(it.conflicts() == 0U);
 }
 
@@ -140,74 +140,74 @@
     it.stop(4);
     it.run(1s);
     BOOST_TEST(it.at(4).stopped());
-    BOOST_TEST(it.acted_on() == it.units().size());
+    BOOST_TEST(it.active_units() == it.units().size());
     BOOST_TEST_MESSAGE(
         "hand-over gap_s=" << base::seconds_of(it.longest_gap()));
     BOOST_TEST(base::seconds_of(it.longest_gap()) < 0.2);
     BOOST_TEST(it.conflicts() == 0U);
 }
 
-// The platform's log is down for ten minutes. Leases last seconds, so without
-// vouches the cell would be idle although every entry works.
+// The platform's log is unavailable for ten minutes. Leases last seconds, so
+// without vouches the cell would be idle although every entry runs.
 BOOST_AUTO_TEST_CASE(log_outage_stops_no_unit)
 {
     auto it = settled_cell({.instances = 5, .units = 20});
-    it.set_log(false);
+    it.set_log_available(false);
     it.run(10min);
     BOOST_TEST(it.longest_gap() == base::duration{});
-    it.set_log(true);
+    it.set_log_available(true);
     it.run(10s);
     BOOST_TEST(it.longest_gap() == base::duration{});
     BOOST_TEST(it.conflicts() == 0U);
 }
 
-// An entry dies while the log is down. Its units have to wait for the log;
-// units of the others must not stop for good because the dead entry cannot
-// vouch.
+// An entry crashes while the log is unavailable. Its units stay idle until the
+// log is back. The units of the others must not become idle permanently because
+// the crashed entry cannot vouch.
 BOOST_AUTO_TEST_CASE(crash_in_log_outage_stops_only_its_units)
 {
     auto it = settled_cell({.instances = 5, .units = 20});
-    auto const lost = it.acted_on_by(2).size();
-    it.set_log(false);
+    auto const lost = it.active_units_of(2).size();
+    it.set_log_available(false);
     it.run(10s);
     it.kill(2);
     it.run(30s);
-    BOOST_TEST(it.acted_on() == it.units().size() - lost);
-    it.set_log(true);
+    BOOST_TEST(it.active_units() == it.units().size() - lost);
+    it.set_log_available(true);
     it.run(8s);
-    BOOST_TEST(it.acted_on() == it.units().size());
+    BOOST_TEST(it.active_units() == it.units().size());
     BOOST_TEST(it.conflicts() == 0U);
 }
 
-// An entry restarts while the log is down. The new process has not read the
-// log, but it vouches for its instance, so the others keep their leases.
+// An entry restarts while the log is unavailable. The new process has not read
+// the log, but it vouches for its instance, so the others keep their leases.
 BOOST_AUTO_TEST_CASE(restart_in_log_outage_stops_only_its_units)
 {
     auto it = settled_cell({.instances = 5, .units = 20});
-    auto const lost = it.acted_on_by(2).size();
-    it.set_log(false);
+    auto const lost = it.active_units_of(2).size();
+    it.set_log_available(false);
     it.run(10s);
     it.kill(2);
     it.restart(2);
     it.run(20s);
-    BOOST_TEST(it.acted_on() == it.units().size() - lost);
+    BOOST_TEST(it.active_units() == it.units().size() - lost);
     BOOST_TEST(it.conflicts() == 0U);
 }
 
-// An entry is paused (SIGSTOP) and resumed. It does not know that time has
-// passed and that others own its units now.
+// An entry is paused (SIGSTOP) and resumed. It has not been informed that
+// others own its units now, and must detect that its lease has expired.
 BOOST_AUTO_TEST_CASE(resumed_owner_finds_its_lease_expired)
 {
     auto it = settled_cell({.instances = 3, .units = 9});
-    auto const units = it.acted_on_by(0);
+    auto const units = it.active_units_of(0);
     BOOST_REQUIRE(!units.empty());
     it.pause(0, true);
     it.run(10s);
-    // Checked at the moment of resuming, before the entry receives anything.
+    // Checked when the entry resumes, before it receives anything.
     BOOST_TEST(!it.at(0).active_epoch(units.front(), it.now()).has_value());
     it.pause(0, false);
     it.run(5s);
-    BOOST_TEST(it.acted_on() == it.units().size());
+    BOOST_TEST(it.active_units() == it.units().size());
     BOOST_TEST(it.conflicts() == 0U);
 }
 
@@ -224,7 +224,7 @@
         it.restart(i);
         it.run(10s);
     }
-    BOOST_TEST(it.acted_on() == it.units().size());
+    BOOST_TEST(it.active_units() == it.units().size());
     BOOST_TEST(base::seconds_of(it.longest_gap()) < 0.2);
     BOOST_TEST(it.conflicts() == 0U);
 }
@@ -239,7 +239,7 @@
         it.restart(i);
     }
     it.run(8s);
-    BOOST_TEST(it.acted_on() == it.units().size());
+    BOOST_TEST(it.active_units() == it.units().size());
     BOOST_TEST(it.conflicts() == 0U);
 }
 
@@ -252,10 +252,10 @@
     it.run(30s);
     it.restart(3);
     it.run(4s);
-    auto const early = it.acted_on_by(3).size();
+    auto const early = it.active_units_of(3).size();
     BOOST_TEST(early <= 6U);
     it.run(60s);
-    BOOST_TEST(it.acted_on_by(3).size() >= 8U);
+    BOOST_TEST(it.active_units_of(3).size() >= 8U);
     BOOST_TEST(it.conflicts() == 0U);
 }
 
--- a/tests/ownership/simulated_cell.cpp
+++ b/tests/ownership/simulated_cell.cpp
@@ -5,17 +5,17 @@
 namespace berylhill::ownership
 {
 
-simulated_cell::simulated_cell(settings given)
-    : m_settings{given}
+simulated_cell::simulated_cell(settings options)
+    : m_settings{options}
 {
-    for (std::size_t n = 0; n < given.units; ++n)
+    for (std::size_t n = 0; n < options.units; ++n)
     {
         m_units.insert("unit-" + std::to_string(n));
     }
-    m_nodes.resize(given.instances);
-    for (std::size_t i = 0; i < given.instances; ++i)
+    m_processes.resize(options.instances);
+    for (std::size_t i = 0; i < options.instances; ++i)
     {
-        m_nodes[i].instance = "entry-" + std::to_string(i);
+        m_processes[i].instance = "entry-" + std::to_string(i);
         create(i);
     }
     reset_gaps();
@@ -23,55 +23,56 @@
 
 void simulated_cell::create(std::size_t i)
 {
-    auto& node = m_nodes[i];
+    auto& process = m_processes[i];
     participant_options options;
-    options.instance = node.instance;
-    options.incarnation = node.instance + "." + std::to_string(node.starts);
+    options.instance = process.instance;
+    options.incarnation =
+        process.instance + "." + std::to_string(process.starts);
     options.zone = "zone-" + std::to_string(i % m_settings.zones);
-    node.it = std::make_unique<participant>(options, m_now);
-    node.next = 0;
-    node.alive = true;
-    node.paused = false;
-    perform(i, node.it->on_entry_list(list(), m_now));
-    perform(i, node.it->set_units(m_units, m_now));
+    process.protocol = std::make_unique<participant>(options, m_now);
+    process.next = 0;
+    process.alive = true;
+    process.paused = false;
+    perform(i, process.protocol->on_entry_list(endpoint_list(), m_now));
+    perform(i, process.protocol->set_units(m_units, m_now));
 }
 
 void simulated_cell::kill(std::size_t i)
 {
-    m_nodes[i].alive = false;
-    m_nodes[i].listed_until = m_now + m_settings.list_lag;
+    m_processes[i].alive = false;
+    m_processes[i].listed_until = m_now + m_settings.list_lag;
 }
 
 void simulated_cell::restart(std::size_t i)
 {
-    ++m_nodes[i].starts;
+    ++m_processes[i].starts;
     create(i);
 }
 
 void simulated_cell::pause(std::size_t i, bool paused)
 {
-    m_nodes[i].paused = paused;
+    m_processes[i].paused = paused;
 }
 
 void simulated_cell::stop(std::size_t i)
 {
-    perform(i, m_nodes[i].it->stop(m_now));
+    perform(i, m_processes[i].protocol->stop(m_now));
 }
 
-void simulated_cell::set_log(bool is_up)
+void simulated_cell::set_log_available(bool is_available)
 {
-    m_log_up = is_up;
+    m_log_is_available = is_available;
 }
 
-void simulated_cell::cut(std::size_t i, bool is_cut)
+void simulated_cell::partition(std::size_t i, bool is_partitioned)
 {
-    m_nodes[i].cut = is_cut;
+    m_processes[i].partitioned = is_partitioned;
 }
 
-std::set<std::string> simulated_cell::list() const
+std::set<std::string> simulated_cell::endpoint_list() const
 {
     std::set<std::string> names;
-    for (auto const& it : m_nodes)
+    for (auto const& it : m_processes)
     {
         if (it.alive || m_now < it.listed_until)
         {
@@ -81,18 +82,18 @@
     return names;
 }
 
-void simulated_cell::perform(std::size_t i, actions const& list_of)
+void simulated_cell::perform(std::size_t i, actions const& list)
 {
-    for (auto const& it : list_of)
+    for (auto const& it : list)
     {
         if (auto const* append = std::get_if<append_record>(&it))
         {
             m_appends.push_back({m_now + m_settings.append_duration, i, *append,
-                                 m_nodes[i].starts});
+                                 m_processes[i].starts});
         }
-        else if (auto const* ask = std::get_if<send_vouch_request>(&it))
+        else if (auto const* request = std::get_if<send_vouch_request>(&it))
         {
-            m_messages.push_back({i, ask->to, it});
+            m_messages.push_back({i, request->to, it});
             ++m_vouch_messages;
         }
         else if (auto const* answer = std::get_if<send_vouch_answer>(&it))
@@ -100,13 +101,15 @@
             m_messages.push_back({i, answer->to, it});
             ++m_vouch_messages;
         }
-        else if (auto const* suspected = std::get_if<send_suspicion>(&it))
+        else if (auto const* suspicion_message =
+                     std::get_if<send_suspicion>(&it))
         {
-            m_messages.push_back({i, suspected->to, it});
+            m_messages.push_back({i, suspicion_message->to, it});
         }
         else
         {
-            perform(i, m_nodes[i].it->on_entry_list(list(), m_now));
+            perform(i, m_processes[i].protocol->on_entry_list(endpoint_list(),
+                                                              m_now));
         }
     }
 }
@@ -117,16 +120,16 @@
     {
         auto const it = m_appends.front();
         m_appends.pop_front();
-        auto& node = m_nodes[it.node];
-        if (m_log_up)
+        auto& process = m_processes[it.process];
+        if (m_log_is_available)
         {
-            m_log.push_back(it.entry.value);
+            m_log.push_back(it.append.value);
         }
-        else if (node.alive && node.starts == it.start)
+        else if (process.alive && process.starts == it.start)
         {
-            perform(it.node,
-                    node.it->on_append_settled(
-                        it.entry.ticket, append_outcome::never_written, m_now));
+            perform(it.process, process.protocol->on_append_settled(
+                                    it.append.ticket,
+                                    append_outcome::never_written, m_now));
         }
     }
 }
@@ -137,77 +140,83 @@
     m_messages.clear();
     for (auto const& it : messages)
     {
-        for (std::size_t i = 0; i < m_nodes.size(); ++i)
+        for (std::size_t i = 0; i < m_processes.size(); ++i)
         {
-            auto& node = m_nodes[i];
-            auto const is_unreachable = node.cut || m_nodes[it.from].cut;
-            if (node.instance != it.to || !node.alive || node.paused ||
+            auto& process = m_processes[i];
+            auto const is_unreachable =
+                process.partitioned || m_processes[it.from].partitioned;
+            if (process.instance != it.to || !process.alive || process.paused ||
                 is_unreachable)
             {
                 continue;
             }
-            if (auto const* ask = std::get_if<send_vouch_request>(&it.message))
+            if (auto const* request =
+                    std::get_if<send_vouch_request>(&it.message))
             {
-                perform(i, node.it->on_vouch_request(ask->message, m_now));
+                perform(i, process.protocol->on_vouch_request(request->message,
+                                                              m_now));
                 continue;
             }
-            if (auto const* suspected =
+            if (auto const* suspicion_message =
                     std::get_if<send_suspicion>(&it.message))
             {
-                perform(i, node.it->on_suspicion(suspected->message, m_now));
+                perform(i, process.protocol->on_suspicion(
+                               suspicion_message->message, m_now));
                 continue;
             }
             auto const& answer = std::get<send_vouch_answer>(it.message);
-            perform(i, node.it->on_vouch_answer(answer.message, m_now));
+            perform(i,
+                    process.protocol->on_vouch_answer(answer.message, m_now));
         }
     }
 }
 
 bool simulated_cell::is_due(base::duration period, std::size_t i) const
 {
-    auto const shift = m_settings.step * static_cast<std::int64_t>(i);
-    return (m_now.time_since_epoch() + shift) % period < m_settings.step;
+    auto const offset = m_settings.step * static_cast<std::int64_t>(i);
+    return (m_now.time_since_epoch() + offset) % period < m_settings.step;
 }
 
 void simulated_cell::run_process(std::size_t i)
 {
-    auto& node = m_nodes[i];
-    if (!node.alive || node.paused)
+    auto& process = m_processes[i];
+    if (!process.alive || process.paused)
     {
         return;
     }
     if (is_due(m_settings.heartbeat_interval, i))
     {
-        auto const targets = node.it->heartbeat_targets();
-        for (std::size_t to = 0; to < m_nodes.size(); ++to)
+        auto const targets = process.protocol->heartbeat_targets();
+        for (std::size_t to = 0; to < m_processes.size(); ++to)
         {
-            auto& other = m_nodes[to];
+            auto& other = m_processes[to];
             if (targets.contains(other.instance))
             {
                 ++m_heartbeats;
-                if (other.alive && !other.paused && !other.cut && !node.cut)
+                if (other.alive && !other.paused && !other.partitioned &&
+                    !process.partitioned)
                 {
-                    perform(to, other.it->on_heartbeat(node.it->own_heartbeat(),
-                                                       m_now));
+                    perform(to, other.protocol->on_heartbeat(
+                                    process.protocol->own_heartbeat(), m_now));
                 }
             }
         }
-        perform(i, node.it->on_entry_list(list(), m_now));
+        perform(i, process.protocol->on_entry_list(endpoint_list(), m_now));
     }
-    if (m_log_up && is_due(m_settings.read_interval, i))
+    if (m_log_is_available && is_due(m_settings.read_interval, i))
     {
         std::vector<std::pair<std::int64_t, record>> records;
         auto const end = static_cast<std::int64_t>(m_log.size());
-        for (auto n = node.next; n < end; ++n)
+        for (auto n = process.next; n < end; ++n)
         {
             records.emplace_back(n, m_log[static_cast<std::size_t>(n)]);
         }
-        node.next = end;
-        perform(i, node.it->on_log_read(records, end, m_now, m_now));
+        process.next = end;
+        perform(i, process.protocol->on_log_read(records, end, m_now, m_now));
     }
     if (is_due(m_settings.tick_interval, i))
     {
-        perform(i, node.it->tick(m_now));
+        perform(i, process.protocol->tick(m_now));
     }
 }
 
@@ -218,7 +227,7 @@
     {
         complete_appends();
         deliver();
-        for (std::size_t i = 0; i < m_nodes.size(); ++i)
+        for (std::size_t i = 0; i < m_processes.size(); ++i)
         {
             run_process(i);
         }
@@ -231,12 +240,12 @@
     for (auto const& unit : m_units)
     {
         std::size_t n = 0;
-        for (auto const& it : m_nodes)
+        for (auto const& it : m_processes)
         {
-            n += it.alive && it.it->active_epoch(unit, m_now) ? 1 : 0;
+            n += it.alive && it.protocol->active_epoch(unit, m_now) ? 1 : 0;
         }
         m_conflicts += n > 1 ? 1 : 0;
-        auto& last = m_last_acted[unit];
+        auto& last = m_last_active[unit];
         if (n == 0)
         {
             auto& gap = m_gaps[unit];
@@ -247,26 +256,26 @@
     }
 }
 
-std::size_t simulated_cell::acted_on() const
+std::size_t simulated_cell::active_units() const
 {
     std::size_t n = 0;
-    for (std::size_t i = 0; i < m_nodes.size(); ++i)
+    for (std::size_t i = 0; i < m_processes.size(); ++i)
     {
-        n += acted_on_by(i).size();
+        n += active_units_of(i).size();
     }
     return n;
 }
 
-std::vector<std::string> simulated_cell::acted_on_by(std::size_t i) const
+std::vector<std::string> simulated_cell::active_units_of(std::size_t i) const
 {
     std::vector<std::string> names;
-    if (!m_nodes[i].alive || m_nodes[i].paused)
+    if (!m_processes[i].alive || m_processes[i].paused)
     {
         return names;
     }
     for (auto const& unit : m_units)
     {
-        if (m_nodes[i].it->active_epoch(unit, m_now))
+        if (m_processes[i].protocol->active_epoch(unit, m_now))
         {
             names.push_back(unit);
         }
@@ -296,7 +305,7 @@
     m_gaps.clear();
     for (auto const& unit : m_units)
     {
-        m_last_acted[unit] = m_now;
+        m_last_active[unit] = m_now;
     }
 }
 
--- a/tests/ownership/simulated_cell.hpp
+++ b/tests/ownership/simulated_cell.hpp
@@ -15,8 +15,8 @@
 {
 
 /// A cell simulated in virtual time: entries that run the ownership protocol, a
-/// log, an endpoint list that lags, and a network. For tests and benchmarks.
-/// Not thread-safe.
+/// log, an endpoint list that is updated with a delay, and a network. For tests
+/// and benchmarks. Not thread-safe.
 class simulated_cell
 {
 public:
@@ -33,19 +33,19 @@
         base::duration list_lag{std::chrono::seconds{15}};
     };
 
-    explicit simulated_cell(settings given);
+    explicit simulated_cell(settings options);
 
     void run(base::duration span);
 
-    /// Ends the process; the list shows it until its lag is over.
+    /// Ends the process; the endpoint list still has it for `list_lag`.
     void kill(std::size_t i);
     /// Starts a new process on the instance.
     void restart(std::size_t i);
     void pause(std::size_t i, bool paused);
     void stop(std::size_t i);
-    void set_log(bool is_up);
-    /// Cuts the instance off from the others, not from the log.
-    void cut(std::size_t i, bool is_cut);
+    void set_log_available(bool is_available);
+    /// Partitions the instance from the others, but not from the log.
+    void partition(std::size_t i, bool is_partitioned);
 
     [[nodiscard]] base::instant now() const noexcept
     {
@@ -53,25 +53,25 @@
     }
     [[nodiscard]] std::size_t size() const noexcept
     {
-        return m_nodes.size();
+        return m_processes.size();
     }
     [[nodiscard]] participant const& at(std::size_t i) const
     {
-        return *m_nodes[i].it;
+        return *m_processes[i].protocol;
     }
     [[nodiscard]] participant& at(std::size_t i)
     {
-        return *m_nodes[i].it;
+        return *m_processes[i].protocol;
     }
     [[nodiscard]] std::set<std::string> const& units() const noexcept
     {
         return m_units;
     }
     /// Number of units for which a process may act now.
-    [[nodiscard]] std::size_t acted_on() const;
+    [[nodiscard]] std::size_t active_units() const;
     /// The units for which this process may act now.
-    [[nodiscard]] std::vector<std::string> acted_on_by(std::size_t i) const;
-    /// The longest time since `reset_gaps` in which no process could act for a
+    [[nodiscard]] std::vector<std::string> active_units_of(std::size_t i) const;
+    /// The longest time since `reset_gaps` for which no process could act for a
     /// unit.
     [[nodiscard]] base::duration longest_gap() const;
     [[nodiscard]] std::size_t units_with_gap(base::duration longer_than) const;
@@ -89,11 +89,11 @@
     {
         return m_heartbeats;
     }
-    [[nodiscard]] record const& entry(std::size_t i) const
+    [[nodiscard]] record const& log_record(std::size_t i) const
     {
         return m_log[i];
     }
-    [[nodiscard]] std::size_t log_entries() const noexcept
+    [[nodiscard]] std::size_t log_size() const noexcept
     {
         return m_log.size();
     }
@@ -101,21 +101,21 @@
 private:
     struct simulated_process
     {
-        std::unique_ptr<participant> it;
+        std::unique_ptr<participant> protocol;
         std::string instance;
         bool alive{true};
         bool paused{false};
-        bool cut{false};
+        bool partitioned{false};
         int starts{1};
         std::int64_t next{0};
-        /// Until when the list still shows the process after its end.
+        /// Until when the endpoint list has the process after its end.
         base::instant listed_until{};
     };
     struct pending_append
     {
         base::instant due;
-        std::size_t node{0};
-        append_record entry;
+        std::size_t process{0};
+        append_record append;
         int start{0};
     };
     struct network_message
@@ -132,17 +132,17 @@
     void run_process(std::size_t i);
     void record_gaps();
     [[nodiscard]] bool is_due(base::duration period, std::size_t i) const;
-    [[nodiscard]] std::set<std::string> list() const;
+    [[nodiscard]] std::set<std::string> endpoint_list() const;
 
     settings m_settings;
     base::instant m_now{std::chrono::seconds{1}};
-    std::vector<simulated_process> m_nodes;
+    std::vector<simulated_process> m_processes;
     std::set<std::string> m_units;
     std::vector<record> m_log;
     std::deque<pending_append> m_appends;
     std::vector<network_message> m_messages;
-    bool m_log_up{true};
-    std::map<std::string, base::instant> m_last_acted;
+    bool m_log_is_available{true};
+    std::map<std::string, base::instant> m_last_active;
     std::map<std::string, base::duration> m_gaps;
     std::size_t m_conflicts{0};
     std::size_t m_vouch_messages{0};
--- a/tests/ownership/state_digester.hpp
+++ b/tests/ownership/state_digester.hpp
@@ -129,8 +129,8 @@
     /// state of rebalancing and snapshots, which the test disables.
     void add(participant const& it, base::instant now)
     {
-        add_all(it.m_table, it.m_releasing, it.m_doubtful, it.m_listed,
-                it.m_ever_listed, it.m_stopping, it.m_left);
+        add_all(it.m_table, it.m_releasing, it.m_doubtful_units, it.m_listed,
+                it.m_ever_listed, it.m_stopping, it.m_has_left);
         add(std::max(it.m_log_lease_until, now));
         add(std::max(it.m_vouched_until, now));
         for (auto const& [ticket, own] : it.m_unresolved)
@@ -142,12 +142,13 @@
             add_all(unit, std::max(from, now));
         }
         add(it.m_listed_as_of && *it.m_listed_as_of >= now);
-        add(is_asking(it));
-        if (it.m_round)
+        add(has_open_round(it));
+        if (it.m_vouch_round)
         {
-            add_all(it.m_round->started, it.m_round->incarnations,
-                    it.m_round->instances, it.m_round->doubtful);
-            add(it.m_listed_as_of && *it.m_listed_as_of >= it.m_round->started);
+            add_all(it.m_vouch_round->started, it.m_vouch_round->incarnations,
+                    it.m_vouch_round->instances, it.m_vouch_round->doubtful);
+            add(it.m_listed_as_of &&
+                *it.m_listed_as_of >= it.m_vouch_round->started);
         }
         for (auto const& [name, peer] : it.m_peers)
         {
@@ -155,9 +156,9 @@
         }
     }
 
-    [[nodiscard]] static bool is_asking(participant const& it)
+    [[nodiscard]] static bool has_open_round(participant const& it)
     {
-        return it.m_round.has_value();
+        return it.m_vouch_round.has_value();
     }
 
 private:
--- a/tests/ownership/system_state.cpp
+++ b/tests/ownership/system_state.cpp
@@ -20,7 +20,8 @@
     it.zone = "z";
     it.lease_duration = base::duration{limits.lease_duration};
     it.clock_margin = {};
-    // No heartbeats: each process claims at its first tick that allows it.
+    // Without heartbeats, each process claims at the first tick at which the
+    // protocol allows it.
     it.suspect_after = {};
     it.isolated_suspect_after = {};
     it.min_peers_for_isolation = 100;
@@ -79,7 +80,7 @@
         }
         while (!m_appends.empty())
         {
-            take_effect(0);
+            append_to_log(0);
         }
     }
 }
@@ -92,15 +93,16 @@
         {
             m_appends.push_back({i, *append});
         }
-        else if (auto const* ask = std::get_if<send_vouch_request>(&it))
+        else if (auto const* request = std::get_if<send_vouch_request>(&it))
         {
             std::erase_if(m_messages,
-                          [&](network_message const& old) {
-                              return old.asker == ask->message.from &&
-                                     old.round != ask->message.round;
+                          [&](network_message const& old)
+                          {
+                              return old.requester == request->message.from &&
+                                     old.round != request->message.round;
                           });
-            m_messages.push_back(
-                {ask->to, ask->message.from, ask->message.round, ask->message});
+            m_messages.push_back({request->to, request->message.from,
+                                  request->message.round, request->message});
         }
         else if (auto const* answer = std::get_if<send_vouch_answer>(&it))
         {
@@ -108,12 +110,12 @@
                                   answer->message});
         }
         else if (std::holds_alternative<fetch_entry_list>(it) &&
-                 m_bounds.deaths)
+                 m_bounds.crashes)
         {
-            // An older fetch is useless for the new round.
-            std::erase_if(m_fetches,
-                          [&](fetch const& old) { return old.process == i; });
-            m_fetches.push_back({i, m_now});
+            // An older fetch cannot confirm the new round.
+            std::erase_if(m_list_fetches, [&](list_fetch const& old)
+                          { return old.process == i; });
+            m_list_fetches.push_back({i, m_now});
         }
     }
     drop_stale_messages();
@@ -124,12 +126,12 @@
     for (std::size_t i = 0; i < m_processes.size(); ++i)
     {
         auto const& it = *m_processes[i];
-        if (!state_digester::is_asking(it.it))
+        if (!state_digester::has_open_round(it.it))
         {
             std::erase_if(m_messages, [&](network_message const& old)
-                          { return old.asker == it.name; });
-            std::erase_if(m_fetches,
-                          [&](fetch const& old) { return old.process == i; });
+                          { return old.requester == it.name; });
+            std::erase_if(m_list_fetches, [&](list_fetch const& old)
+                          { return old.process == i; });
         }
     }
 }
@@ -152,10 +154,10 @@
     perform(i, edit(i).it.tick(at(m_now)));
 }
 
-void system_state::take_effect(std::size_t i)
+void system_state::append_to_log(std::size_t i)
 {
     auto log = std::make_shared<std::vector<record>>(*m_log);
-    log->push_back(m_appends[i].entry.value);
+    log->push_back(m_appends[i].append.value);
     m_claims += std::holds_alternative<claim>(log->back()) ? 1 : 0;
     state_digester digest;
     digest.add(m_log_digest);
@@ -165,13 +167,13 @@
     m_appends.erase(m_appends.begin() + static_cast<std::ptrdiff_t>(i));
 }
 
-void system_state::refuse(std::size_t i)
+void system_state::reject(std::size_t i)
 {
     auto const it = m_appends[i];
     m_appends.erase(m_appends.begin() + static_cast<std::ptrdiff_t>(i));
-    ++m_refusals;
+    ++m_rejections;
     perform(it.process, edit(it.process)
-                            .it.on_append_settled(it.entry.ticket,
+                            .it.on_append_settled(it.append.ticket,
                                                   append_outcome::never_written,
                                                   at(m_now)));
 }
@@ -182,14 +184,14 @@
     m_messages.erase(m_messages.begin() + static_cast<std::ptrdiff_t>(i));
     for (std::size_t n = 0; n < m_processes.size(); ++n)
     {
-        if (m_processes[n]->name != it.to || m_processes[n]->dead)
+        if (m_processes[n]->name != it.to || m_processes[n]->crashed)
         {
             continue;
         }
         auto& to = edit(n);
-        if (auto const* ask = std::get_if<vouch_request>(&it.message))
+        if (auto const* request = std::get_if<vouch_request>(&it.message))
         {
-            perform(n, to.it.on_vouch_request(*ask, at(m_now)));
+            perform(n, to.it.on_vouch_request(*request, at(m_now)));
             continue;
         }
         perform(n, to.it.on_vouch_answer(std::get<vouch_answer>(it.message),
@@ -199,8 +201,9 @@
 
 void system_state::answer_fetch(std::size_t i)
 {
-    auto const it = m_fetches[i];
-    m_fetches.erase(m_fetches.begin() + static_cast<std::ptrdiff_t>(i));
+    auto const it = m_list_fetches[i];
+    m_list_fetches.erase(m_list_fetches.begin() +
+                         static_cast<std::ptrdiff_t>(i));
     perform(it.process,
             edit(it.process).it.on_entry_list(m_list, at(it.as_of)));
 }
@@ -230,7 +233,7 @@
     }
     for (std::size_t i = 0; i < m_processes.size(); ++i)
     {
-        if (!m_processes[i]->dead)
+        if (!m_processes[i]->crashed)
         {
             visit_process(i, visit);
         }
@@ -259,10 +262,10 @@
                       [&](system_state& it)
                       { it.perform(i, it.edit(i).it.stop(at(m_now))); });
     }
-    if (m_bounds.deaths && name == "p")
+    if (m_bounds.crashes && name == "p")
     {
         visit_changed(name + " dies", visit,
-                      [&](system_state& it) { it.edit(i).dead = true; });
+                      [&](system_state& it) { it.edit(i).crashed = true; });
     }
 }
 
@@ -271,17 +274,17 @@
     for (std::size_t i = 0; i < m_appends.size(); ++i)
     {
         auto label = m_processes[m_appends[i].process]->name + "'s ";
-        auto const type = to_json(m_appends[i].entry.value)["type"].asString();
+        auto const type = to_json(m_appends[i].append.value)["type"].asString();
         label += type;
         if (type != "claim" || m_claims < m_bounds.claims)
         {
             visit_changed(label + " takes effect", visit,
-                          [&](system_state& it) { it.take_effect(i); });
+                          [&](system_state& it) { it.append_to_log(i); });
         }
-        if (m_refusals < m_bounds.refusals)
+        if (m_rejections < m_bounds.rejections)
         {
             visit_changed(label + " is refused", visit,
-                          [&](system_state& it) { it.refuse(i); });
+                          [&](system_state& it) { it.reject(i); });
         }
     }
 }
@@ -291,24 +294,24 @@
     for (std::size_t i = 0; i < m_messages.size(); ++i)
     {
         auto const& it = m_messages[i];
-        auto const* ask = std::get_if<vouch_request>(&it.message);
+        auto const* request = std::get_if<vouch_request>(&it.message);
         auto const label =
-            ask != nullptr
-                ? it.to + " gets " + ask->from + "'s request and answers"
+            request != nullptr
+                ? it.to + " gets " + request->from + "'s request and answers"
                 : it.to + " gets the answer of " +
                       std::get<vouch_answer>(it.message).from;
         visit_changed(label, visit,
                       [&](system_state& next) { next.deliver(i); });
     }
-    for (std::size_t i = 0; i < m_fetches.size(); ++i)
+    for (std::size_t i = 0; i < m_list_fetches.size(); ++i)
     {
-        visit_changed(m_processes[m_fetches[i].process]->name +
+        visit_changed(m_processes[m_list_fetches[i].process]->name +
                           " gets the list",
                       visit, [&](system_state& it) { it.answer_fetch(i); });
     }
     for (auto const& it : m_processes)
     {
-        if (it->dead && m_list.contains(it->name))
+        if (it->crashed && m_list.contains(it->name))
         {
             visit_changed("the list no longer has " + it->name, visit,
                           [&](system_state& next)
@@ -317,12 +320,12 @@
     }
 }
 
-std::vector<std::string> system_state::acting() const
+std::vector<std::string> system_state::active_processes() const
 {
     std::vector<std::string> names;
     for (auto const& it : m_processes)
     {
-        if (!it->dead && it->it.active_epoch(s_unit, at(m_now)))
+        if (!it->crashed && it->it.active_epoch(s_unit, at(m_now)))
         {
             names.push_back(it->name);
         }
@@ -337,7 +340,7 @@
         state_digester it;
         it.add(of.it, at(m_now));
         it.add(of.next);
-        it.add(of.dead);
+        it.add(of.crashed);
         of.digest = it.result();
         of.digested_at = m_now;
     }
@@ -353,7 +356,7 @@
     {
         state_digester part;
         part.add(each.process);
-        part.add(each.entry.value);
+        part.add(each.append.value);
         parts.push_back(part.result());
     }
     for (auto const& each : m_messages)
@@ -363,7 +366,7 @@
         part.add(each.message);
         parts.push_back(part.result());
     }
-    for (auto const& each : m_fetches)
+    for (auto const& each : m_list_fetches)
     {
         state_digester part;
         part.add(each.process);
@@ -380,7 +383,7 @@
     it.add(m_log_digest);
     it.add(parts);
     it.add(m_list);
-    it.add(m_refusals);
+    it.add(m_rejections);
     return it.result();
 }
 
--- a/tests/ownership/system_state.hpp
+++ b/tests/ownership/system_state.hpp
@@ -15,8 +15,8 @@
 namespace berylhill::ownership
 {
 
-/// One state of a small cell in the exhaustive test: the processes, the log and
-/// the messages and appends in flight. Each possible step yields a changed
+/// One state of a small cell in the exhaustive test: the processes, the log,
+/// and the messages and appends in flight. Each possible step yields a modified
 /// copy. Times are in ticks of one microsecond.
 class system_state
 {
@@ -24,7 +24,7 @@
     enum class third_process_state : std::uint8_t
     {
         never,
-        /// Starts at any time in the run.
+        /// May start at any step of the run.
         starts,
         /// Has joined; "p" has published that it knows the process, "e" has not
         /// read the `join` record.
@@ -38,13 +38,13 @@
         /// Maximum number of claims that take effect in a run; others stay
         /// pending.
         int claims{2};
-        /// Maximum number of appends that the log refuses in a run.
-        int refusals{0};
-        /// Whether process "p" may die and be removed from the list.
-        bool deaths{false};
+        /// Maximum number of appends that the log rejects in a run.
+        int rejections{0};
+        /// Whether process "p" may crash and be removed from the endpoint list.
+        bool crashes{false};
         /// The process that may be asked to stop; empty for none.
         std::string stops{};
-        /// Process "e" cannot read the log any more.
+        /// Process "e" can no longer read the log.
         bool owner_cannot_read{false};
         third_process_state third_process{third_process_state::never};
         /// Whether processes other than "e" tick independently of log reads.
@@ -63,7 +63,7 @@
     void for_each_step(visitor const& visit) const;
 
     /// The processes that may act for the unit now.
-    [[nodiscard]] std::vector<std::string> acting() const;
+    [[nodiscard]] std::vector<std::string> active_processes() const;
     [[nodiscard]] state_digester::digest digest() const;
     [[nodiscard]] std::int64_t now() const noexcept
     {
@@ -76,7 +76,7 @@
         std::string name;
         participant it;
         std::int64_t next{0};
-        bool dead{false};
+        bool crashed{false};
         /// Cached, because most steps change only one process.
         mutable state_digester::digest digest{};
         mutable std::int64_t digested_at{-1};
@@ -84,17 +84,17 @@
     struct pending_append
     {
         std::size_t process{0};
-        append_record entry;
+        append_record append;
     };
     struct network_message
     {
         std::string to;
         /// The process whose vouch round the message belongs to.
-        std::string asker;
+        std::string requester;
         std::uint64_t round{0};
         std::variant<vouch_request, vouch_answer> message;
     };
-    struct fetch
+    struct list_fetch
     {
         std::size_t process{0};
         std::int64_t as_of{0};
@@ -111,14 +111,14 @@
     void start(std::string const& name);
     void read(std::size_t i);
     void tick(std::size_t i);
-    void take_effect(std::size_t i);
+    void append_to_log(std::size_t i);
     void settle(std::size_t first);
     void perform(std::size_t i, actions const& list);
     void deliver(std::size_t i);
     void answer_fetch(std::size_t i);
-    /// Removes messages of finished rounds, which have no effect any more.
+    /// Removes messages of finished rounds, which no longer have an effect.
     void drop_stale_messages();
-    void refuse(std::size_t i);
+    void reject(std::size_t i);
     void visit_process(std::size_t i, visitor const& visit) const;
     void visit_log(visitor const& visit) const;
     void visit_network(visitor const& visit) const;
@@ -136,9 +136,9 @@
     state_digester::digest m_log_digest;
     std::vector<pending_append> m_appends;
     std::vector<network_message> m_messages;
-    std::vector<fetch> m_fetches;
+    std::vector<list_fetch> m_list_fetches;
     std::set<std::string> m_list;
-    int m_refusals{0};
+    int m_rejections{0};
     int m_claims{0};
 };
 
--- a/utilities/state_bench/main.cpp
+++ b/utilities/state_bench/main.cpp
@@ -233,13 +233,13 @@
     simulated_cell it{
         {.instances = instances, .zones = 4, .units = 8 * instances}};
     it.run(std::chrono::seconds{15});
-    auto const entries = it.log_entries();
+    auto const entries = it.log_size();
     auto const beats_before = it.heartbeats();
     it.run(std::chrono::seconds{20});
     auto const beats = static_cast<double>(it.heartbeats() - beats_before) /
                        20 / static_cast<double>(instances);
-    auto const idle_entries = it.log_entries() - entries;
-    it.set_log(false);
+    auto const idle_entries = it.log_size() - entries;
+    it.set_log_available(false);
     it.run(std::chrono::seconds{5});
     auto const before = it.vouch_messages();
     it.run(std::chrono::seconds{20});
@@ -254,7 +254,7 @@
     print(name + ".idle_log_entries", static_cast<double>(idle_entries) / 20,
           "entries/s");
     print(name + ".unacted",
-          static_cast<double>(it.units().size() - it.acted_on()), "units");
+          static_cast<double>(it.units().size() - it.active_units()), "units");
 }
 
 } // namespace
