--- a/libraries/placement/estimator.cpp
+++ b/libraries/placement/estimator.cpp
@@ -13,8 +13,8 @@
 {
 
 // Factor on the declared resources while no job of the name has ended, so that
-// a declaration which is too small by half does no harm. Running tasks are
-// planned again once there is history, which frees the excess.
+// a task that uses half as much again as declared still fits its plan. Running
+// tasks are planned again once there is history, which frees the excess.
 constexpr double s_unknown_factor = 1.6;
 constexpr double s_run_quantile = 0.9;
 // Safety margin above the largest observed peak: s_first_margin / n for n jobs
@@ -23,9 +23,9 @@
 constexpr double s_first_margin = 0.5;
 constexpr std::size_t s_max_names = 50'000;
 
-float ratio(double seen, double declared)
+float ratio(double observed, double declared)
 {
-    return declared > 0 ? static_cast<float>(seen / declared) : 1.0F;
+    return declared > 0 ? static_cast<float>(observed / declared) : 1.0F;
 }
 
 std::int64_t scaled(std::int64_t declared, double factor)
@@ -58,23 +58,23 @@
     auto& it = m_histories[key_of(request)];
     auto const id = base::hash_of(job);
     auto const known = std::find(it.jobs.begin(), it.jobs.end(), id);
-    auto const seen = known != it.jobs.end();
-    auto const at = seen ? static_cast<std::size_t>(known - it.jobs.begin())
-                         : it.count % s_kept;
+    auto const is_known = known != it.jobs.end();
+    auto const at = is_known ? static_cast<std::size_t>(known - it.jobs.begin())
+                             : it.count % s_max_jobs;
     auto const& declared = request.declared;
-    auto const note = [&](float& into, float value)
+    auto const store = [&](float& into, float value)
     {
-        into = seen ? std::max(into, value) : value;
+        into = is_known ? std::max(into, value) : value;
     };
-    note(it.cores[at], ratio(static_cast<double>(peak.millicores),
-                             static_cast<double>(declared.millicores)));
-    note(it.memory[at], ratio(static_cast<double>(peak.memory_mb),
-                              static_cast<double>(declared.memory_mb)));
-    note(it.run[at], ratio(run_s, request.declared_run_s));
+    store(it.cores[at], ratio(static_cast<double>(peak.millicores),
+                              static_cast<double>(declared.millicores)));
+    store(it.memory[at], ratio(static_cast<double>(peak.memory_mb),
+                               static_cast<double>(declared.memory_mb)));
+    store(it.run[at], ratio(run_s, request.declared_run_s));
     it.jobs[at] = id;
-    it.count += seen ? 0 : 1;
+    it.count += is_known ? 0 : 1;
     summarize(it);
-    return !seen && std::has_single_bit(it.count);
+    return !is_known && std::has_single_bit(it.count);
 }
 
 void estimator::record_usage(model::job_request const& request,
@@ -97,7 +97,7 @@
 
 void estimator::summarize(history& it)
 {
-    auto const n = std::min<std::size_t>(it.count, s_kept);
+    auto const n = std::min<std::size_t>(it.count, s_max_jobs);
     auto const largest = [n](auto const& all)
     {
         return *std::max_element(all.begin(), all.begin() + n);
@@ -124,7 +124,7 @@
     {
         auto const& it = found->second;
         auto const n =
-            static_cast<double>(std::min<std::size_t>(it.count, s_kept));
+            static_cast<double>(std::min<std::size_t>(it.count, s_max_jobs));
         margin = 1 + std::max(s_min_margin, s_first_margin / n);
         cores = it.largest_cores;
         memory = it.largest_memory;
--- a/libraries/placement/estimator.hpp
+++ b/libraries/placement/estimator.hpp
@@ -53,14 +53,15 @@
                                         model::resources const& largest) const;
 
 private:
-    static constexpr std::size_t s_kept = 32;
+    /// The number of most recent jobs kept for each name.
+    static constexpr std::size_t s_max_jobs = 32;
 
     struct history
     {
-        std::array<float, s_kept> cores{};
-        std::array<float, s_kept> memory{};
-        std::array<float, s_kept> run{};
-        std::array<std::uint64_t, s_kept> jobs{};
+        std::array<float, s_max_jobs> cores{};
+        std::array<float, s_max_jobs> memory{};
+        std::array<float, s_max_jobs> run{};
+        std::array<std::uint64_t, s_max_jobs> jobs{};
         std::uint32_t count{0};
         float largest_cores{0};
         float largest_memory{0};
--- a/libraries/placement/group_ledger.cpp
+++ b/libraries/placement/group_ledger.cpp
@@ -37,22 +37,23 @@
     {
         return {};
     }
-    std::vector<model::attempt_id> gone{it->second.tasks.begin(),
+    std::vector<model::attempt_id> lost{it->second.tasks.begin(),
                                         it->second.tasks.end()};
-    for (auto const& attempt : gone)
+    for (auto const& attempt : lost)
     {
         m_tasks.erase(attempt);
     }
     m_workers.erase(it);
-    return gone;
+    return lost;
 }
 
-void group_ledger::set_unresponsive(std::string const& worker, bool silent)
+void group_ledger::set_unresponsive(std::string const& worker,
+                                    bool is_unresponsive)
 {
     auto const it = m_workers.find(worker);
     if (it != m_workers.end())
     {
-        it->second.unresponsive = silent;
+        it->second.unresponsive = is_unresponsive;
     }
 }
 
@@ -65,7 +66,7 @@
 group_ledger::commit(model::attempt_id const& attempt, base::instant now)
 {
     auto const it = m_tasks.find(attempt);
-    if (it == m_tasks.end() || it->second.at != phase::held)
+    if (it == m_tasks.end() || it->second.phase != allocation_phase::held)
     {
         return std::nullopt;
     }
@@ -75,7 +76,7 @@
         return std::nullopt;
     }
     auto& held = it->second;
-    held.at = phase::committed;
+    held.phase = allocation_phase::committed;
     unreserve(attempt.task.job);
     held.since = now;
     start_order order;
@@ -96,12 +97,12 @@
     {
         return {};
     }
-    if (it->second.at == phase::held)
+    if (it->second.phase == allocation_phase::held)
     {
         erase(attempt);
         return {};
     }
-    it->second.at = phase::stopping;
+    it->second.phase = allocation_phase::stopping;
     return {{ledger_action_kind::stop, it->second.worker, attempt, 1}};
 }
 
@@ -114,17 +115,17 @@
     {
         return;
     }
-    task_state found;
-    found.request.attempt = running.attempt;
-    found.request.contract = running.contract;
-    found.request.name = running.name;
-    found.request.need = running.planned;
-    found.at = phase::running;
-    found.peak = running.used;
-    found.used = running.used;
-    found.since = now;
-    found.adopted = true;
-    place(it->second, std::move(found));
+    task_state adopted_task;
+    adopted_task.request.attempt = running.attempt;
+    adopted_task.request.contract = running.contract;
+    adopted_task.request.name = running.name;
+    adopted_task.request.need = running.planned;
+    adopted_task.phase = allocation_phase::running;
+    adopted_task.peak = running.used;
+    adopted_task.used = running.used;
+    adopted_task.since = now;
+    adopted_task.adopted = true;
+    place(it->second, std::move(adopted_task));
 }
 
 void group_ledger::on_finished(model::attempt_id const& attempt,
@@ -137,14 +138,14 @@
         return;
     }
     auto const& ended = it->second;
-    auto& on = m_workers.at(ended.worker);
+    auto& host = m_workers.at(ended.worker);
     auto const failed = end == model::task_end::failed;
     if (failed || end == model::task_end::succeeded)
     {
         auto const name = ended.request.contract + '/' + ended.request.name;
-        auto const likely = m_history.failure_probability(name, ended.worker,
-                                                          m_cell_failure_rate);
-        on.condition.ended(failed, likely, now);
+        auto const failure_probability = m_history.failure_probability(
+            name, ended.worker, m_cell_failure_rate);
+        host.health_state.on_attempt_ended(failed, failure_probability, now);
         m_history.add(name, ended.worker, failed);
         m_ended += 1;
         m_failed += failed ? 1 : 0;
@@ -156,7 +157,7 @@
     }
     else
     {
-        on.condition.attempt_gone();
+        host.health_state.on_attempt_removed();
     }
     erase(attempt);
 }
@@ -173,8 +174,8 @@
     {
         return {};
     }
-    auto& on = found->second;
-    on.unresponsive = false;
+    auto& host = found->second;
+    host.unresponsive = false;
     std::set<model::attempt_id> reported;
     for (auto const& it : running)
     {
@@ -182,43 +183,46 @@
         adopt(worker, it, now);
         auto& known = m_tasks.at(it.attempt);
         update_usage(known, it.used);
-        if (known.at == phase::held || known.at == phase::committed)
+        if (known.phase == allocation_phase::held ||
+            known.phase == allocation_phase::committed)
         {
-            known.at = phase::running;
+            known.phase = allocation_phase::running;
         }
     }
     std::vector<ledger_action> actions;
-    auto const tasks = on.tasks;
+    auto const tasks = host.tasks;
     for (auto const& it : tasks)
     {
-        auto const at = m_tasks.at(it).at;
+        auto const phase = m_tasks.at(it).phase;
         auto const starts_late =
-            at == phase::stopping && late_starts.contains(it);
-        if (reported.contains(it) || at == phase::held ||
-            at == phase::committed || starts_late)
+            phase == allocation_phase::stopping && late_starts.contains(it);
+        if (reported.contains(it) || phase == allocation_phase::held ||
+            phase == allocation_phase::committed || starts_late)
         {
             continue;
         }
         actions.push_back({ledger_action_kind::lost, worker, it, 1});
-        on.condition.attempt_gone();
+        host.health_state.on_attempt_removed();
         erase(it);
     }
-    auto const relief = act_on_overuse(on);
-    actions.insert(actions.end(), relief.begin(), relief.end());
+    auto const overuse_actions = act_on_overuse(host);
+    actions.insert(actions.end(), overuse_actions.begin(),
+                   overuse_actions.end());
     return actions;
 }
 
-std::vector<ledger_action> group_ledger::act_on_overuse(worker_state& on)
+std::vector<ledger_action> group_ledger::act_on_overuse(worker_state& host)
 {
     std::vector<task_use> uses;
-    for (auto const& attempt : on.tasks)
+    for (auto const& attempt : host.tasks)
     {
         auto const& it = m_tasks.at(attempt);
-        uses.push_back({attempt, it.request.need, it.used, it.request.urgent,
-                        it.request.safety, it.since, it.throttled,
-                        it.checkpointing || it.at == phase::stopping});
+        uses.push_back(
+            {attempt, it.request.need, it.used, it.request.urgent,
+             it.request.safety, it.since, it.throttled,
+             it.checkpointing || it.phase == allocation_phase::stopping});
     }
-    auto actions = actions_against_overuse(on.listed.id, on.listed.capacity,
+    auto actions = actions_against_overuse(host.listed.id, host.listed.capacity,
                                            std::move(uses));
     for (auto const& it : actions)
     {
@@ -232,19 +236,19 @@
 std::vector<model::attempt_id> group_ledger::expire_holds(base::instant now)
 {
     advance_time(now);
-    std::vector<model::attempt_id> over;
+    std::vector<model::attempt_id> expired;
     for (auto const& [attempt, it] : m_tasks)
     {
-        if (it.at == phase::held && now >= it.expires_at)
+        if (it.phase == allocation_phase::held && now >= it.expires_at)
         {
-            over.push_back(attempt);
+            expired.push_back(attempt);
         }
     }
-    for (auto const& it : over)
+    for (auto const& it : expired)
     {
         erase(it);
     }
-    return over;
+    return expired;
 }
 
 bool group_ledger::reserve(std::string const& job,
@@ -278,33 +282,33 @@
     it.ended = m_ended;
     it.failed = m_failed;
     it.reserved_for = m_reservation ? m_reservation->job : "";
-    double most = -1;
-    for (auto const& [id, on] : m_workers)
+    double largest_free_share = -1;
+    for (auto const& [id, host] : m_workers)
     {
-        if (!takes_new(on))
+        if (!accepts_tasks(host))
         {
             continue;
         }
-        auto const capacity = on.listed.capacity;
-        auto const room = free_for(on, {});
+        auto const capacity = host.listed.capacity;
+        auto const free_capacity = free_for(host, {});
         it.workers += 1;
         it.total = it.total + capacity;
-        it.free = it.free + room;
+        it.free = it.free + free_capacity;
         it.largest_worker = model::largest_of(it.largest_worker, capacity);
-        auto const used = dominant_share(capacity - room, capacity);
-        if (1 - used > most)
+        auto const used = dominant_share(capacity - free_capacity, capacity);
+        if (1 - used > largest_free_share)
         {
-            most = 1 - used;
-            it.largest_free = room;
+            largest_free_share = 1 - used;
+            it.largest_free = free_capacity;
         }
     }
     for (auto const& [attempt, placed] : m_tasks)
     {
-        it.held += placed.at == phase::held ? 1 : 0;
-        it.running += placed.at == phase::held ? 0 : 1;
+        it.held += placed.phase == allocation_phase::held ? 1 : 0;
+        it.running += placed.phase == allocation_phase::held ? 0 : 1;
         if (placed.request.preempted == model::preemption::by_checkpoint &&
             placed.request.urgent == model::urgency::normal &&
-            placed.at == phase::running && !placed.checkpointing)
+            placed.phase == allocation_phase::running && !placed.checkpointing)
         {
             it.preemptible = it.preemptible + placed.charge();
         }
@@ -315,21 +319,21 @@
 std::vector<worker_summary> group_ledger::worker_summaries() const
 {
     std::vector<worker_summary> all;
-    for (auto const& [id, on] : m_workers)
+    for (auto const& [id, host] : m_workers)
     {
         worker_summary it;
         it.worker = id;
-        it.capacity = on.listed.capacity;
-        it.tasks = static_cast<std::int32_t>(on.tasks.size());
-        it.state = on.condition.state();
-        it.leaving = on.listed.state == model::listed_state::leaving;
-        for (auto const& attempt : on.tasks)
+        it.capacity = host.listed.capacity;
+        it.tasks = static_cast<std::int32_t>(host.tasks.size());
+        it.state = host.health_state.state();
+        it.leaving = host.listed.state == model::listed_state::leaving;
+        for (auto const& attempt : host.tasks)
         {
             auto const& placed = m_tasks.at(attempt);
             it.planned = it.planned + placed.request.need;
             it.charged = it.charged + placed.charge();
         }
-        assert(it.charged == on.charged);
+        assert(it.charged == host.charged);
         all.push_back(std::move(it));
     }
     return all;
@@ -341,12 +345,12 @@
     return it == m_tasks.end() ? std::string{} : it->second.worker;
 }
 
-void group_ledger::place(worker_state& on, task_state placed)
+void group_ledger::place(worker_state& host, task_state placed)
 {
     auto const attempt = placed.request.attempt;
-    placed.worker = on.listed.id;
-    on.charged = on.charged + placed.charge();
-    on.tasks.insert(attempt);
+    placed.worker = host.listed.id;
+    host.charged = host.charged + placed.charge();
+    host.tasks.insert(attempt);
     m_tasks.emplace(attempt, std::move(placed));
 }
 
@@ -357,29 +361,29 @@
     {
         return;
     }
-    auto& on = m_workers.at(it->second.worker);
-    on.charged = on.charged - it->second.charge();
-    on.tasks.erase(attempt);
+    auto& host = m_workers.at(it->second.worker);
+    host.charged = host.charged - it->second.charge();
+    host.tasks.erase(attempt);
     m_tasks.erase(it);
 }
 
 void group_ledger::update_usage(task_state& it, model::resources const& used)
 {
-    auto& on = m_workers.at(it.worker);
-    on.charged = on.charged - it.charge();
+    auto& host = m_workers.at(it.worker);
+    host.charged = host.charged - it.charge();
     it.used = used;
     it.peak = model::largest_of(it.peak, used);
-    on.charged = on.charged + it.charge();
+    host.charged = host.charged + it.charge();
 }
 
 void group_ledger::advance_time(base::instant now)
 {
-    for (auto& [id, on] : m_workers)
+    for (auto& [id, host] : m_workers)
     {
-        on.condition.advance(now);
-        if (on.claimed && now >= on.claimed->expires_at)
+        host.health_state.advance(now);
+        if (host.claimed && now >= host.claimed->expires_at)
         {
-            on.claimed.reset();
+            host.claimed.reset();
         }
     }
     if (m_reservation && now >= m_reservation->until)
--- a/libraries/placement/group_ledger.hpp
+++ b/libraries/placement/group_ledger.hpp
@@ -51,9 +51,10 @@
 };
 
 /// The allocation state of one group of workers, kept by the group's owner. It
-/// alone accounts for the workers' capacity: workers start whatever they are
-/// told to, even if it doesn't fit. Has no side effects; not thread-safe. Every
-/// event takes the instant at which it happens, and instants must not decrease.
+/// alone accounts for the workers' capacity: a worker starts every task that it
+/// is sent, even if the task does not fit. Has no side effects; not
+/// thread-safe. Every event takes the instant at which it happens, and instants
+/// must not decrease.
 ///
 /// Invariant: a hold is granted only where the planned resources and observed
 /// peaks of all held and running tasks leave enough capacity for it.
@@ -71,7 +72,7 @@
 
     /// Sets whether the worker fails to answer. An unresponsive worker gets no
     /// new tasks, and its tasks stay accounted for.
-    void set_unresponsive(std::string const& worker, bool silent);
+    void set_unresponsive(std::string const& worker, bool is_unresponsive);
 
     /// The share of attempts that fail in the whole cell, 0 to 1.
     void set_cell_failure_rate(double rate);
@@ -82,8 +83,8 @@
                      base::instant expires_at,
                      base::instant now);
 
-    /// Turns a hold into a start. Empty when the hold has expired or was never
-    /// granted: no start may be sent then.
+    /// Commits a hold and returns the start to send. Empty when the hold has
+    /// expired or was never granted; no start may be sent then.
     std::optional<start_order> commit(model::attempt_id const& attempt,
                                       base::instant now);
 
@@ -109,7 +110,7 @@
                      base::instant now);
 
     /// Applies a worker's report of its running tasks. Attempts in
-    /// `late_starts`, which may be started yet, are kept though they are not
+    /// `late_starts`, which may still be started, are kept though they are not
     /// reported. Precondition: the ends in the same answer were passed to
     /// `on_finished` first, and answers are applied in the order of the
     /// exchanges.
@@ -137,7 +138,7 @@
     [[nodiscard]] std::string worker_of(model::attempt_id const& attempt) const;
 
 private:
-    enum class phase : std::uint8_t
+    enum class allocation_phase : std::uint8_t
     {
         held,
         committed,
@@ -149,7 +150,7 @@
     {
         hold_request request;
         std::string worker;
-        phase at{phase::held};
+        allocation_phase phase{allocation_phase::held};
         model::resources peak;
         model::resources used;
         base::instant since{};
@@ -177,7 +178,7 @@
         model::endpoint listed;
         bool unresponsive{false};
         model::resources charged;
-        worker_health condition;
+        worker_health health_state;
         std::optional<claim> claimed;
         std::set<model::attempt_id> tasks;
     };
@@ -189,7 +190,7 @@
         base::instant until{};
     };
 
-    [[nodiscard]] static bool takes_new(worker_state const& it);
+    [[nodiscard]] static bool accepts_tasks(worker_state const& it);
     [[nodiscard]] static model::resources
     free_for(worker_state const& it, model::attempt_id const& attempt);
     [[nodiscard]] bool reserved_for_other(hold_request const& request,
@@ -197,7 +198,7 @@
     [[nodiscard]] worker_state* best_worker(hold_request const& request);
     [[nodiscard]] candidate candidate_of(worker_state const& it,
                                          hold_request const& request) const;
-    [[nodiscard]] bool could_fit(model::resources const& need) const;
+    [[nodiscard]] bool fits_empty_worker(model::resources const& need) const;
     hold_result preempt_for(hold_request const& request, base::instant now);
     [[nodiscard]] std::vector<model::attempt_id>
     victims_on(worker_state const& it, hold_request const& request) const;
--- a/libraries/placement/group_ledger_hold.cpp
+++ b/libraries/placement/group_ledger_hold.cpp
@@ -18,10 +18,10 @@
 
 } // namespace
 
-bool group_ledger::takes_new(worker_state const& it)
+bool group_ledger::accepts_tasks(worker_state const& it)
 {
     return it.listed.state == model::listed_state::live && !it.unresponsive &&
-           it.condition.takes_new();
+           it.health_state.accepts_tasks();
 }
 
 model::resources group_ledger::free_for(worker_state const& it,
@@ -50,19 +50,19 @@
 candidate group_ledger::candidate_of(worker_state const& it,
                                      hold_request const& request) const
 {
-    candidate seen;
-    seen.total = it.listed.capacity;
-    seen.free = free_for(it, request.attempt);
-    seen.failed_here = std::find(request.avoid.begin(), request.avoid.end(),
-                                 it.listed.id) != request.avoid.end();
+    candidate option;
+    option.total = it.listed.capacity;
+    option.free = free_for(it, request.attempt);
+    option.failed_here = std::find(request.avoid.begin(), request.avoid.end(),
+                                   it.listed.id) != request.avoid.end();
     if (request.kind == model::job_kind::service)
     {
-        seen.same_here = static_cast<std::int32_t>(std::count_if(
+        option.same_here = static_cast<std::int32_t>(std::count_if(
             it.tasks.begin(), it.tasks.end(),
             [&](auto const& attempt)
             { return attempt.task.job == request.attempt.task.job; }));
     }
-    return seen;
+    return option;
 }
 
 group_ledger::worker_state*
@@ -77,16 +77,16 @@
     rank best_rank;
     for (auto& [id, it] : m_workers)
     {
-        if (!takes_new(it))
+        if (!accepts_tasks(it))
         {
             continue;
         }
-        auto const seen = candidate_of(it, request);
-        if (!request.need.fits_in(seen.free))
+        auto const option = candidate_of(it, request);
+        if (!request.need.fits_in(option.free))
         {
             continue;
         }
-        auto const at = order.rank_of(seen, request.need);
+        auto const at = order.rank_of(option, request.need);
         if (best == nullptr || at < best_rank)
         {
             best = &it;
@@ -96,7 +96,7 @@
     return best;
 }
 
-bool group_ledger::could_fit(model::resources const& need) const
+bool group_ledger::fits_empty_worker(model::resources const& need) const
 {
     return std::any_of(m_workers.begin(), m_workers.end(),
                        [&](auto const& it)
@@ -113,7 +113,7 @@
     {
         return {{hold_state::repeated, known->second.worker}, {}};
     }
-    if (!could_fit(request.need))
+    if (!fits_empty_worker(request.need))
     {
         return {{hold_state::never_fits, {}}, {}};
     }
@@ -121,24 +121,24 @@
     {
         return {{hold_state::reserved, {}}, {}};
     }
-    auto* const on = best_worker(request);
-    if (on == nullptr)
+    auto* const host = best_worker(request);
+    if (host == nullptr)
     {
         return request.may_preempt ? preempt_for(request, now)
                                    : hold_result{{hold_state::full, {}}, {}};
     }
-    if (on->claimed && on->claimed->attempt.task == request.attempt.task)
+    if (host->claimed && host->claimed->attempt.task == request.attempt.task)
     {
-        on->claimed.reset();
+        host->claimed.reset();
     }
     task_state held;
     held.request = request;
     held.expires_at = expires_at;
     held.since = now;
-    place(*on, std::move(held));
-    on->condition.attempt_given();
-    assert(on->charged.fits_in(on->listed.capacity));
-    return {{hold_state::held, on->listed.id}, {}};
+    place(*host, std::move(held));
+    host->health_state.on_attempt_placed();
+    assert(host->charged.fits_in(host->listed.capacity));
+    return {{hold_state::held, host->listed.id}, {}};
 }
 
 void group_ledger::resize(model::attempt_id const& attempt,
@@ -150,73 +150,76 @@
         return;
     }
     auto& it = found->second;
-    auto& on = m_workers.at(it.worker);
-    auto const others = on.charged - it.charge();
-    auto const room = not_negative(on.listed.capacity - others);
+    auto& host = m_workers.at(it.worker);
+    auto const others = host.charged - it.charge();
+    auto const free_capacity = not_negative(host.listed.capacity - others);
     auto const before = it.request.need;
     // The attempt keeps what it already has, even on an overcommitted worker.
     it.request.need = {
-        std::min(need.millicores, std::max(room.millicores, before.millicores)),
-        std::min(need.memory_mb, std::max(room.memory_mb, before.memory_mb)),
+        std::min(need.millicores,
+                 std::max(free_capacity.millicores, before.millicores)),
+        std::min(need.memory_mb,
+                 std::max(free_capacity.memory_mb, before.memory_mb)),
         before.accelerators};
-    on.charged = others + it.charge();
+    host.charged = others + it.charge();
 }
 
 std::vector<model::attempt_id>
 group_ledger::victims_on(worker_state const& it,
                          hold_request const& request) const
 {
-    std::vector<task_state const*> movable;
+    std::vector<task_state const*> preemptible;
     for (auto const& attempt : it.tasks)
     {
         auto const& placed = m_tasks.at(attempt);
         if (placed.request.preempted == model::preemption::by_checkpoint &&
             placed.request.urgent == model::urgency::normal &&
             placed.request.kind != model::job_kind::gang &&
-            placed.at == phase::running && !placed.checkpointing)
+            placed.phase == allocation_phase::running && !placed.checkpointing)
         {
-            movable.push_back(&placed);
+            preemptible.push_back(&placed);
         }
     }
     // The youngest tasks lose the least progress.
-    std::sort(movable.begin(), movable.end(),
+    std::sort(preemptible.begin(), preemptible.end(),
               [](auto const* a, auto const* b) { return a->since > b->since; });
-    auto room = free_for(it, request.attempt);
+    auto free_capacity = free_for(it, request.attempt);
     std::vector<model::attempt_id> victims;
-    for (auto const* placed : movable)
+    for (auto const* placed : preemptible)
     {
-        if (request.need.fits_in(room))
+        if (request.need.fits_in(free_capacity))
         {
             break;
         }
-        room = room + placed->charge();
+        free_capacity = free_capacity + placed->charge();
         victims.push_back(placed->request.attempt);
     }
-    return request.need.fits_in(room) ? victims
-                                      : std::vector<model::attempt_id>{};
+    return request.need.fits_in(free_capacity)
+               ? victims
+               : std::vector<model::attempt_id>{};
 }
 
 hold_result group_ledger::preempt_for(hold_request const& request,
                                       base::instant now)
 {
     worker_state* best = nullptr;
-    std::vector<model::attempt_id> fewest;
+    std::vector<model::attempt_id> best_victims;
     for (auto& [id, it] : m_workers)
     {
         if (it.claimed && it.claimed->attempt.task == request.attempt.task)
         {
             return {{hold_state::preempting, {}}, {}};
         }
-        if (!takes_new(it) || it.claimed)
+        if (!accepts_tasks(it) || it.claimed)
         {
             continue;
         }
         auto victims = victims_on(it, request);
         if (!victims.empty() &&
-            (best == nullptr || victims.size() < fewest.size()))
+            (best == nullptr || victims.size() < best_victims.size()))
         {
             best = &it;
-            fewest = std::move(victims);
+            best_victims = std::move(victims);
         }
     }
     if (best == nullptr)
@@ -226,7 +229,7 @@
     best->claimed =
         claim{request.attempt, request.need, now + s_claim_duration};
     hold_result result{{hold_state::preempting, {}}, {}};
-    for (auto const& it : fewest)
+    for (auto const& it : best_victims)
     {
         m_tasks.at(it).checkpointing = true;
         result.actions.push_back(
--- a/libraries/placement/group_table.cpp
+++ b/libraries/placement/group_table.cpp
@@ -23,7 +23,7 @@
             std::min(a.accelerators, b.accelerators)};
 }
 
-std::int64_t count_fitting(model::resources const& room,
+std::int64_t count_fitting(model::resources const& capacity,
                            model::resources const& need)
 {
     auto n = std::numeric_limits<std::int32_t>::max() * std::int64_t{1};
@@ -31,9 +31,9 @@
     {
         n = want > 0 ? std::min(n, have / want) : n;
     };
-    limit(room.millicores, need.millicores);
-    limit(room.memory_mb, need.memory_mb);
-    limit(room.accelerators, need.accelerators);
+    limit(capacity.millicores, need.millicores);
+    limit(capacity.memory_mb, need.memory_mb);
+    limit(capacity.accelerators, need.accelerators);
     return n;
 }
 
@@ -45,7 +45,7 @@
     if (added)
     {
         m_groups.emplace_back().digest.group = group;
-        m_rooms.emplace_back();
+        m_capacities.emplace_back();
     }
     return it->second;
 }
@@ -61,12 +61,12 @@
     known.zone =
         m_zones.emplace(it.zone, static_cast<std::int32_t>(m_zones.size()))
             .first->second;
-    auto& room = m_rooms[index];
-    room.total = it.total;
-    room.free = model::largest_of(it.free - known.in_flight, {});
-    room.largest_free = smallest_of(it.largest_free, room.free);
-    room.has_refused = false;
-    room.reserved = !known.reserved_for.empty() || !it.reserved_for.empty();
+    auto& capacity = m_capacities[index];
+    capacity.total = it.total;
+    capacity.free = model::largest_of(it.free - known.in_flight, {});
+    capacity.largest_free = smallest_of(it.largest_free, capacity.free);
+    capacity.has_refused = false;
+    capacity.reserved = !known.reserved_for.empty() || !it.reserved_for.empty();
     if (total_changed)
     {
         update_totals();
@@ -118,16 +118,16 @@
                        double run_s,
                        base::instant now) const
 {
-    auto const& room = m_rooms[index];
-    if (!need.fits_in(room.largest_free))
+    auto const& capacity = m_capacities[index];
+    if (!need.fits_in(capacity.largest_free))
     {
         return false;
     }
-    if (room.has_refused && room.refused.fits_in(need))
+    if (capacity.has_refused && capacity.refused.fits_in(need))
     {
         return false;
     }
-    return !room.reserved || !reserved_for_other(index, job, run_s, now);
+    return !capacity.reserved || !reserved_for_other(index, job, run_s, now);
 }
 
 std::int32_t group_table::choose(job_record const& job,
@@ -139,16 +139,16 @@
     std::int32_t best = -1;
     rank best_rank;
     auto const spread = job.request.kind == model::job_kind::service;
-    for (std::size_t index = 0; index < m_rooms.size(); ++index)
+    for (std::size_t index = 0; index < m_capacities.size(); ++index)
     {
         if (!fits(index, job, need, run_s, now))
         {
             continue;
         }
-        candidate seen;
-        seen.total = m_rooms[index].total;
-        seen.free = m_rooms[index].free;
-        seen.failed_here =
+        candidate option;
+        option.total = m_capacities[index].total;
+        option.free = m_capacities[index].free;
+        option.failed_here =
             !job.failed_groups.empty() &&
             job.failed_groups.contains(static_cast<std::int32_t>(index));
         if (spread)
@@ -157,15 +157,15 @@
             {
                 auto const& other = m_groups[at(group)];
                 auto const same_zone = other.zone == m_groups[index].zone;
-                seen.same_in_zone += same_zone ? n : 0;
-                seen.same_in_rack += at(group) == index ? n : 0;
+                option.same_in_zone += same_zone ? n : 0;
+                option.same_in_rack += at(group) == index ? n : 0;
             }
         }
-        auto const found = order.rank_of(seen, need);
-        if (best < 0 || found < best_rank)
+        auto const option_rank = order.rank_of(option, need);
+        if (best < 0 || option_rank < best_rank)
         {
             best = static_cast<std::int32_t>(index);
-            best_rank = found;
+            best_rank = option_rank;
         }
     }
     return best;
@@ -181,33 +181,33 @@
     {
         return 0;
     }
-    auto const n = count_fitting(m_rooms[at(index)].free, need);
+    auto const n = count_fitting(m_capacities[at(index)].free, need);
     return static_cast<std::int32_t>(std::min<std::int64_t>(n, 1'000'000));
 }
 
 std::int64_t group_table::slots_when_empty(model::resources const& need) const
 {
-    std::int64_t all = 0;
+    std::int64_t slots = 0;
     for (auto const& it : m_groups)
     {
-        all +=
+        slots +=
             count_fitting(it.digest.largest_worker, need) * it.digest.workers;
     }
-    return all;
+    return slots;
 }
 
 std::int32_t group_table::choose_preemptible(model::resources const& need) const
 {
     std::int32_t best = -1;
-    std::int64_t most = 0;
+    std::int64_t largest_preemptible = 0;
     for (std::size_t index = 0; index < m_groups.size(); ++index)
     {
         auto const& it = m_groups[index].digest;
-        auto const room = it.preemptible + m_rooms[index].free;
-        if (need.fits_in(room) && need.fits_in(it.largest_worker) &&
-            it.preemptible.millicores > most)
+        auto const capacity = it.preemptible + m_capacities[index].free;
+        if (need.fits_in(capacity) && need.fits_in(it.largest_worker) &&
+            it.preemptible.millicores > largest_preemptible)
         {
-            most = it.preemptible.millicores;
+            largest_preemptible = it.preemptible.millicores;
             best = static_cast<std::int32_t>(index);
         }
     }
@@ -218,9 +218,9 @@
 {
     auto& it = m_groups[at(index)];
     it.in_flight = it.in_flight + need;
-    auto& room = m_rooms[at(index)];
-    room.free = model::largest_of(room.free - need, {});
-    room.largest_free = smallest_of(room.largest_free, room.free);
+    auto& capacity = m_capacities[at(index)];
+    capacity.free = model::largest_of(capacity.free - need, {});
+    capacity.largest_free = smallest_of(capacity.largest_free, capacity.free);
 }
 
 void group_table::on_answered(std::int32_t index, model::resources const& need)
@@ -231,12 +231,12 @@
 
 void group_table::on_refused(std::int32_t index, model::resources const& need)
 {
-    auto& room = m_rooms[at(index)];
-    if (!room.has_refused || need.fits_in(room.refused))
+    auto& capacity = m_capacities[at(index)];
+    if (!capacity.has_refused || need.fits_in(capacity.refused))
     {
-        room.refused = need;
+        capacity.refused = need;
     }
-    room.has_refused = true;
+    capacity.has_refused = true;
 }
 
 void group_table::reserve(std::int32_t index,
@@ -248,7 +248,7 @@
     it.reserved_for = job;
     it.frees_at = frees_at;
     it.reserved_until = until;
-    m_rooms[at(index)].reserved = true;
+    m_capacities[at(index)].reserved = true;
 }
 
 void group_table::unreserve(std::string const& job)
@@ -264,21 +264,21 @@
         {
             it.digest.reserved_for.clear();
         }
-        m_rooms[index].reserved =
+        m_capacities[index].reserved =
             !it.reserved_for.empty() || !it.digest.reserved_for.empty();
     }
 }
 
 std::vector<std::int32_t> group_table::in_order() const
 {
-    std::vector<std::int32_t> all(m_groups.size());
-    std::iota(all.begin(), all.end(), 0);
-    std::sort(all.begin(), all.end(),
+    std::vector<std::int32_t> indices(m_groups.size());
+    std::iota(indices.begin(), indices.end(), 0);
+    std::sort(indices.begin(), indices.end(),
               [&](auto a, auto b) {
                   return m_groups[at(a)].digest.group <
                          m_groups[at(b)].digest.group;
               });
-    return all;
+    return indices;
 }
 
 } // namespace berylhill::placement
--- a/libraries/placement/group_table.hpp
+++ b/libraries/placement/group_table.hpp
@@ -56,8 +56,9 @@
 
     void on_requested(std::int32_t index, model::resources const& need);
     void on_answered(std::int32_t index, model::resources const& need);
-    /// The owner refused a task that fits according to the digest; tasks that
-    /// are at least as large are not sent there until the next digest.
+    /// The group's owner refused a task that fits according to the digest.
+    /// Tasks that are at least as large are not sent there until the next
+    /// digest.
     void on_refused(std::int32_t index, model::resources const& need);
 
     /// Reserves the group for a job until `until`: tasks of other jobs are sent
@@ -89,7 +90,7 @@
 
 private:
     /// The data read by the scan over all groups, stored contiguously.
-    struct room_view
+    struct capacity_view
     {
         model::resources total;
         model::resources free;
@@ -120,7 +121,7 @@
                                           base::instant now) const;
     void update_totals();
 
-    std::vector<room_view> m_rooms;
+    std::vector<capacity_view> m_capacities;
     std::vector<group_view> m_groups;
     std::unordered_map<std::string, std::int32_t> m_index;
     std::unordered_map<std::string, std::int32_t> m_zones;
--- a/libraries/placement/job_queue.cpp
+++ b/libraries/placement/job_queue.cpp
@@ -68,41 +68,43 @@
                           "a job needs at least one task");
     }
     auto const& largest = m_groups.largest_worker();
-    auto const one = m_estimator.estimate_for(request, largest);
-    auto const known = !largest.empty();
-    auto const need = one.confidence > 0 ? one.peak : request.declared;
-    if (known && !need.fits_in(largest))
+    auto const expected = m_estimator.estimate_for(request, largest);
+    auto const has_workers = !largest.empty();
+    auto const need =
+        expected.confidence > 0 ? expected.peak : request.declared;
+    if (has_workers && !need.fits_in(largest))
     {
         return base::fail(failure_code::invalid,
                           "no worker is large enough: one task needs " +
                               text_of(need) + ", the largest worker has " +
                               text_of(largest));
     }
-    auto const together =
+    auto const concurrent_tasks =
         request.kind == model::job_kind::batch ? 1 : request.tasks;
-    if (!(need * together).fits_in(contract.quota))
+    if (!(need * concurrent_tasks).fits_in(contract.quota))
     {
         return base::fail(failure_code::invalid,
                           "the contract's quota is too small: the job needs " +
-                              text_of(need * together) +
+                              text_of(need * concurrent_tasks) +
                               " at once, the quota is " +
                               text_of(contract.quota));
     }
-    if (together > contract.tasks_at_once)
+    if (concurrent_tasks > contract.tasks_at_once)
     {
-        return base::fail(
-            failure_code::invalid,
-            "the contract allows " + std::to_string(contract.tasks_at_once) +
-                " tasks at once, the job needs " + std::to_string(together));
+        return base::fail(failure_code::invalid,
+                          "the contract allows " +
+                              std::to_string(contract.tasks_at_once) +
+                              " tasks at once, the job needs " +
+                              std::to_string(concurrent_tasks));
     }
-    if (known && request.kind == model::job_kind::gang &&
-        m_groups.slots_when_empty(need) < together)
+    if (has_workers && request.kind == model::job_kind::gang &&
+        m_groups.slots_when_empty(need) < concurrent_tasks)
     {
         return base::fail(failure_code::invalid,
                           "all workers together are too small: they can run " +
                               std::to_string(m_groups.slots_when_empty(need)) +
                               " such tasks at once, the gang has " +
-                              std::to_string(together));
+                              std::to_string(concurrent_tasks));
     }
     if (it.jobs >= contract.jobs_at_once)
     {
@@ -149,7 +151,7 @@
     }
     if (!m_account_index.contains(request.contract))
     {
-        // The contract was removed; jobs accepted under it are still run.
+        // The contract was removed; jobs accepted under it still run.
         model::contract it;
         it.name = request.contract;
         set_contract(it);
--- a/libraries/placement/job_queue.hpp
+++ b/libraries/placement/job_queue.hpp
@@ -96,10 +96,10 @@
     /// actions contain the outcome; they are empty for an unknown job.
     queue_actions cancel(std::string const& job, base::instant now);
 
-    /// Places waiting tasks until at least `most` holds are requested or
+    /// Places waiting tasks until at least `max_holds` holds are requested or
     /// nothing more fits. A gang may exceed this limit, as it is placed as a
     /// whole.
-    queue_actions decide(base::instant now, std::int32_t most);
+    queue_actions decide(base::instant now, std::int32_t max_holds);
 
     /// The group's owner granted a hold in mode `hold`. The attempt is released
     /// when it is no longer needed.
@@ -118,16 +118,16 @@
     /// The last order for the attempt got no answer. Returns the same order, as
     /// orders are idempotent and the first may have been carried out.
     queue_actions on_unanswered(model::attempt_id const& attempt);
-    /// The last send of the order for the attempt was surely not taken. Where
-    /// an earlier send of a start got no answer, that one may still be carried
-    /// out, and the same order is returned. Otherwise the attempt does not run,
-    /// as after `on_refused`.
+    /// The last send of the order for the attempt certainly had no effect. If
+    /// an earlier send of a start got no answer, that one may still take
+    /// effect, and the same order is returned. Otherwise the attempt does not
+    /// run, as after `on_refused`.
     queue_actions on_not_taken(model::attempt_id const& attempt,
                                base::instant now);
     queue_actions on_finished(attempt_end const& it, base::instant now);
-    /// An attempt of the task other than the current one has succeeded. The
-    /// task of a batch job that waits is done then and is not started again. A
-    /// current attempt goes on.
+    /// An attempt of the task other than the current one has succeeded. A
+    /// waiting task of a batch job is then done and is not started again. A
+    /// current attempt continues.
     queue_actions on_late_success(model::task_id const& task,
                                   base::instant now);
     /// Records the measured use of a running attempt.
@@ -153,7 +153,8 @@
 private:
     using job_pointer = std::shared_ptr<job_record>;
 
-    /// A contract's entry in the priority queue of one decision round.
+    /// A contract's entry in the priority queue of one decision round; the
+    /// smallest share is served first.
     struct turn
     {
         double share{0};
@@ -164,13 +165,13 @@
 
     /// A timer that puts a job, and a task of it if `task` is not -1, back into
     /// its queue.
-    struct wake
+    struct wakeup_timer
     {
         base::instant at{};
         std::uint64_t order{0};
         std::weak_ptr<job_record> job;
         std::int32_t task{-1};
-        friend bool operator>(wake const& a, wake const& b)
+        friend bool operator>(wakeup_timer const& a, wakeup_timer const& b)
         {
             return a.at != b.at ? a.at > b.at : a.order > b.order;
         }
@@ -278,13 +279,14 @@
     std::vector<std::unique_ptr<contract_account>> m_accounts;
     std::unordered_map<std::string, std::int32_t> m_account_index;
     std::unordered_map<std::string, job_pointer> m_jobs;
-    std::priority_queue<wake, std::vector<wake>, std::greater<>> m_wakes;
-    std::uint64_t m_wake_order{0};
+    std::priority_queue<wakeup_timer, std::vector<wakeup_timer>, std::greater<>>
+        m_wakeups;
+    std::uint64_t m_wakeup_order{0};
     std::optional<reservation> m_reservation;
     /// The job that has been blocked longest among those blocked this round.
     job_pointer m_longest_blocked;
     std::uint64_t m_round{0};
-    std::int32_t m_urgent_in_row{0};
+    std::int32_t m_consecutive_urgent{0};
     std::int64_t m_waiting_tasks{0};
     /// Classes whose estimate has changed since their tasks were planned.
     std::vector<std::shared_ptr<job_class>> m_to_replan;
--- a/libraries/placement/job_queue_decide.cpp
+++ b/libraries/placement/job_queue_decide.cpp
@@ -32,21 +32,21 @@
                                 std::int32_t task,
                                 base::instant at)
 {
-    m_wakes.push({at, ++m_wake_order, job, task});
+    m_wakeups.push({at, ++m_wakeup_order, job, task});
 }
 
 base::instant job_queue::next_wakeup() const
 {
-    return m_wakes.empty() ? base::instant::max() : m_wakes.top().at;
+    return m_wakeups.empty() ? base::instant::max() : m_wakeups.top().at;
 }
 
 void job_queue::process_wakeups(base::instant now)
 {
-    while (!m_wakes.empty() && m_wakes.top().at <= now)
+    while (!m_wakeups.empty() && m_wakeups.top().at <= now)
     {
-        auto const job = m_wakes.top().job.lock();
-        auto const index = m_wakes.top().task;
-        m_wakes.pop();
+        auto const job = m_wakeups.top().job.lock();
+        auto const index = m_wakeups.top().task;
+        m_wakeups.pop();
         if (job == nullptr || model::is_final(job->state))
         {
             continue;
@@ -67,8 +67,9 @@
     for (std::size_t n = 0; n < m_accounts.size(); ++n)
     {
         auto const& it = *m_accounts[n];
-        auto const wants = urgent ? it.active_urgent > 0 : !it.active.empty();
-        if (wants)
+        auto const has_work =
+            urgent ? it.active_urgent > 0 : !it.active.empty();
+        if (has_work)
         {
             all.push_back({it.weighted_share(m_groups.total()),
                            static_cast<std::int32_t>(n)});
@@ -77,7 +78,7 @@
     return turns{std::greater<>{}, std::move(all)};
 }
 
-queue_actions job_queue::decide(base::instant now, std::int32_t most)
+queue_actions job_queue::decide(base::instant now, std::int32_t max_holds)
 {
     queue_actions actions;
     process_wakeups(now);
@@ -89,18 +90,19 @@
     {
         return static_cast<std::int32_t>(actions.holds.size());
     };
-    while (decided() < most && !(urgent.empty() && normal.empty()))
+    while (decided() < max_holds && !(urgent.empty() && normal.empty()))
     {
-        auto const yields = m_urgent_in_row >= s_max_consecutive_urgent;
-        if (!urgent.empty() && !(yields && !normal.empty()))
+        auto const normal_is_due =
+            m_consecutive_urgent >= s_max_consecutive_urgent;
+        if (!urgent.empty() && !(normal_is_due && !normal.empty()))
         {
             if (decide_one(urgent, true, now, actions))
             {
-                m_urgent_in_row += 1;
+                m_consecutive_urgent += 1;
             }
             continue;
         }
-        m_urgent_in_row = 0;
+        m_consecutive_urgent = 0;
         if (!normal.empty())
         {
             decide_one(normal, false, now, actions);
@@ -137,12 +139,12 @@
     while (!it.jobs.empty())
     {
         auto const& front = it.jobs.front();
-        auto const dead = model::is_final(front->state);
-        if (!dead && !front->waiting.empty())
+        auto const is_finished = model::is_final(front->state);
+        if (!is_finished && !front->waiting.empty())
         {
             break;
         }
-        it.finished -= dead ? 1 : 0;
+        it.finished -= is_finished ? 1 : 0;
         front->queued = false;
         it.jobs.pop_front();
     }
@@ -169,7 +171,7 @@
     it.need = found.peak;
     it.run_s = found.run_s;
     // A job that was accepted without the safety margin of the estimate must
-    // not wait for ever because of it.
+    // not wait forever because of the margin.
     if (!can_ever_fit(*it.jobs.front(), it.need))
     {
         it.need = found.peak_without_margin;
@@ -181,12 +183,13 @@
 {
     auto const& account = *m_accounts[static_cast<std::size_t>(job.account)];
     auto const batch = job.request.kind == model::job_kind::batch;
-    auto const together = batch ? 1 : job.request.tasks;
+    auto const concurrent_tasks = batch ? 1 : job.request.tasks;
     auto const& contract = account.contract();
     auto const urgent = job.request.urgent == model::urgency::urgent;
-    return (need * together).fits_in(contract.quota) &&
-           (!urgent || (need * together).fits_in(contract.urgent_quota)) &&
-           (batch || m_groups.slots_when_empty(need) >= together);
+    return (need * concurrent_tasks).fits_in(contract.quota) &&
+           (!urgent ||
+            (need * concurrent_tasks).fits_in(contract.urgent_quota)) &&
+           (batch || m_groups.slots_when_empty(need) >= concurrent_tasks);
 }
 
 double job_queue::order_key(contract_account const& account,
@@ -288,12 +291,13 @@
                            queue_actions& actions)
 {
     auto const& account = account_of(*job);
-    auto const& by =
+    auto const& ranking =
         policy_for(job->request.kind, account.contract().preferred);
     auto& task = job->tasks[static_cast<std::size_t>(job->waiting.back())];
     auto preempt = task.claimed_group >= 0;
-    auto group = preempt ? task.claimed_group
-                         : m_groups.choose(*job, it.need, it.run_s, now, by);
+    auto group = preempt
+                     ? task.claimed_group
+                     : m_groups.choose(*job, it.need, it.run_s, now, ranking);
     task.claimed_group = -1;
     if (group < 0 && it.urgent && account.allows_urgent(it.need, 1))
     {
--- a/libraries/placement/job_queue_events.cpp
+++ b/libraries/placement/job_queue_events.cpp
@@ -17,15 +17,15 @@
 constexpr std::size_t s_min_failed_workers = 3;
 constexpr std::int16_t s_max_failures_on_any_worker = 12;
 /// A task that lost this many workers in a row is considered the cause. A loss
-/// after a run of at least s_harmless_run is attributed to another cause.
+/// after a run of at least s_long_run is attributed to another cause.
 constexpr std::int16_t s_max_consecutive_losses = 5;
-constexpr base::duration s_harmless_run{60'000'000};
+constexpr base::duration s_long_run{60'000'000};
 constexpr double s_first_back_off_s = 1;
 constexpr double s_max_back_off_s = 300;
 constexpr std::int32_t s_max_doublings = 9;
 constexpr double s_no_token_delay_s = 10;
-constexpr base::duration s_refused_pause{20'000};
-constexpr base::duration s_preempting_pause{100'000};
+constexpr base::duration s_refused_delay{20'000};
+constexpr base::duration s_preempting_delay{100'000};
 
 queue_actions release_of(std::string const& group,
                          model::attempt_id const& attempt)
@@ -152,15 +152,15 @@
     {
         // One hold expired while others were started. A gang runs only as a
         // whole.
-        job->not_before = now + s_refused_pause;
+        job->not_before = now + s_refused_delay;
         return late_commit || job->state == model::job_state::running
                    ? restart_gang(job, now)
                    : release_gang(job, now);
     }
-    auto const making_room = why == hold_state::preempting;
-    it->claimed_group = making_room ? group : -1;
-    auto const pause = making_room ? s_preempting_pause : base::duration{0};
-    schedule_wakeup(job, -1, now + pause);
+    auto const is_preempting = why == hold_state::preempting;
+    it->claimed_group = is_preempting ? group : -1;
+    auto const delay = is_preempting ? s_preempting_delay : base::duration{0};
+    schedule_wakeup(job, -1, now + delay);
     return {};
 }
 
@@ -189,9 +189,9 @@
     return actions;
 }
 
-/// Guards against a task in two places: a send that failed for certain tells
-/// nothing of an earlier one. A hold alone starts nothing and expires by
-/// itself, so only an order to start is kept.
+/// Prevents a task from running in two places: a send that certainly failed
+/// does not show whether an earlier one took effect. A hold alone starts
+/// nothing and expires by itself, so only a start order is repeated.
 queue_actions job_queue::on_not_taken(model::attempt_id const& attempt,
                                       base::instant now)
 {
@@ -326,11 +326,13 @@
                           "task " + std::to_string(index) +
                               " failed: " + end.detail);
     }
-    auto const everywhere = it.failures >= s_max_failures &&
-                            job->failed_workers.size() >= s_min_failed_workers;
-    // A service is never given up.
+    auto const failed_everywhere =
+        it.failures >= s_max_failures &&
+        job->failed_workers.size() >= s_min_failed_workers;
+    // A service is retried without limit.
     auto const service = job->request.kind == model::job_kind::service;
-    if (!service && (everywhere || it.failures >= s_max_failures_on_any_worker))
+    if (!service &&
+        (failed_everywhere || it.failures >= s_max_failures_on_any_worker))
     {
         return finish_job(*job, model::job_state::failed,
                           "task " + std::to_string(index) + " failed " +
@@ -340,27 +342,27 @@
     }
     auto const doublings =
         std::min(job->consecutive_failures - 1, s_max_doublings);
-    auto longest =
+    auto back_off_s =
         std::min(s_first_back_off_s * (1 << doublings), s_max_back_off_s);
     if (!account_of(*job).take_retry_token())
     {
-        longest += s_no_token_delay_s;
+        back_off_s += s_no_token_delay_s;
     }
-    boost::random::uniform_real_distribution<double> spread{longest / 2,
-                                                            longest};
-    return run_again(job, index, now + base::from_seconds(spread(m_random)),
-                     now);
+    boost::random::uniform_real_distribution<double> back_off_range{
+        back_off_s / 2, back_off_s};
+    return run_again(job, index,
+                     now + base::from_seconds(back_off_range(m_random)), now);
 }
 
 /// Limits how many workers a task may lose in a row: a task that crashes its
-/// workers would otherwise take down one after the other.
+/// workers would otherwise crash one after the other.
 queue_actions job_queue::task_lapsed(job_pointer const& job,
                                      std::int32_t index,
                                      base::instant now)
 {
     auto& it = job->tasks[static_cast<std::size_t>(index)];
     it.consecutive_losses =
-        now - it.since < s_harmless_run
+        now - it.since < s_long_run
             ? static_cast<std::int16_t>(it.consecutive_losses + 1)
             : std::int16_t{0};
     if (it.consecutive_losses >= s_max_consecutive_losses)
--- a/libraries/placement/job_queue_gang.cpp
+++ b/libraries/placement/job_queue_gang.cpp
@@ -21,24 +21,24 @@
                            base::instant now,
                            queue_actions& actions)
 {
-    auto const wanted = static_cast<std::int32_t>(job->waiting.size());
+    auto const required_slots = static_cast<std::int32_t>(job->waiting.size());
     struct offer
     {
         std::int32_t slots;
         std::int32_t group;
     };
     std::vector<offer> offers;
-    std::int64_t all = 0;
+    std::int64_t total_slots = 0;
     for (std::int32_t group = 0; group < m_groups.size(); ++group)
     {
         auto const n = m_groups.slots(group, *job, it.need, it.run_s, now);
         if (n > 0)
         {
             offers.push_back({n, group});
-            all += n;
+            total_slots += n;
         }
     }
-    if (all < wanted)
+    if (total_slots < required_slots)
     {
         return false;
     }
@@ -48,16 +48,17 @@
     // A group's free capacity is split over its workers, and fragmentation may
     // cost up to one task on each worker but the first. Enough groups are
     // chosen to fit the gang even then, as far as there are enough; the last of
-    // them are asked only if the others did not suffice.
-    std::int64_t certain = 0;
+    // them are asked only if the others do not suffice.
+    std::int64_t guaranteed_slots = 0;
     auto const last =
         std::find_if(offers.begin(), offers.end(),
                      [&](auto const& each)
                      {
-                         auto const pieces =
+                         auto const max_fragmentation_loss =
                              m_groups.digest_of(each.group).workers - 1;
-                         certain += std::max(each.slots - pieces, 1);
-                         return certain >= wanted;
+                         guaranteed_slots +=
+                             std::max(each.slots - max_fragmentation_loss, 1);
+                         return guaranteed_slots >= required_slots;
                      });
     if (last != offers.end())
     {
@@ -88,7 +89,7 @@
         auto const group = job->groups_to_ask.back();
         job->groups_to_ask.pop_back();
         auto n = m_groups.slots(group, *job, it.need, it.run_s, now);
-        auto const asked = n > 0;
+        auto const has_slots = n > 0;
         while (n-- > 0 && !job->waiting.empty())
         {
             auto const index = job->waiting.back();
@@ -97,7 +98,7 @@
             job->ordered += 1;
             request_hold(job, index, group, hold_mode::hold, false, actions);
         }
-        if (asked)
+        if (has_slots)
         {
             return;
         }
@@ -150,11 +151,11 @@
     job->held = 0;
     job->rounds_failed += 1;
     auto const doublings = std::min(job->rounds_failed, s_max_doublings);
-    auto const longest =
+    auto const back_off_s =
         std::min(s_first_back_off_s * (1 << doublings), s_max_back_off_s);
-    boost::random::uniform_real_distribution<double> spread{longest / 2,
-                                                            longest};
-    job->not_before = now + base::from_seconds(spread(m_random));
+    boost::random::uniform_real_distribution<double> back_off_range{
+        back_off_s / 2, back_off_s};
+    job->not_before = now + base::from_seconds(back_off_range(m_random));
     schedule_wakeup(job, -1, job->not_before);
     record_blocked(job, now);
     return actions;
--- a/libraries/placement/job_queue_reserve.cpp
+++ b/libraries/placement/job_queue_reserve.cpp
@@ -15,10 +15,10 @@
 constexpr base::duration s_delay_if_packing_preferred{15'000'000};
 /// Reservations are short, so that they expire soon when the job's owner is
 /// lost, and are renewed while the job waits.
-constexpr base::duration s_reservation_time{30'000'000};
-constexpr base::duration s_renewal_before{15'000'000};
+constexpr base::duration s_reservation_duration{30'000'000};
+constexpr base::duration s_renewal_margin{15'000'000};
 /// A task whose dominant share of the largest worker is below this is small.
-constexpr double s_large_task = 0.25;
+constexpr double s_large_task_share = 0.25;
 constexpr double s_first_step_s = 1;
 constexpr double s_max_step_s = 4096;
 
@@ -29,10 +29,10 @@
     job->blocked_since = std::min(job->blocked_since, now);
     auto const size =
         dominant_share(job->of_class->need, m_groups.largest_worker());
-    if (job->request.kind != model::job_kind::gang && size < s_large_task)
+    if (job->request.kind != model::job_kind::gang && size < s_large_task_share)
     {
-        // Small tasks fit somewhere soon enough; a reservation for them would
-        // only leave capacity idle.
+        // Small tasks are placed soon without a reservation, which would only
+        // leave capacity idle.
         return;
     }
     if (m_longest_blocked == nullptr ||
@@ -51,13 +51,13 @@
     }
     auto const packing =
         account_of(*job).contract().preferred == model::preference::packing;
-    auto const patience =
+    auto const reservation_delay =
         packing ? s_delay_if_packing_preferred : s_delay_if_waiting_preferred;
-    if (now - job->blocked_since < patience)
+    if (now - job->blocked_since < reservation_delay)
     {
         return;
     }
-    if (m_reservation && now + s_renewal_before >= m_reservation->until)
+    if (m_reservation && now + s_renewal_margin >= m_reservation->until)
     {
         drop_reservation(m_reservation->job);
     }
@@ -72,15 +72,15 @@
                             queue_actions& to)
 {
     auto const& need = job.of_class->need;
-    auto const wanted = static_cast<std::int64_t>(
+    auto const required_slots = static_cast<std::int64_t>(
         job.request.kind == model::job_kind::gang ? job.waiting.size() : 1);
-    struct ending
+    struct expected_end
     {
         std::int32_t group;
         base::instant at;
         model::resources planned;
     };
-    std::vector<ending> endings;
+    std::vector<expected_end> expected_ends;
     for (auto const& [id, other] : m_jobs)
     {
         for (auto const& it : other->tasks)
@@ -93,7 +93,7 @@
                 auto const ran = now - it.since;
                 auto const run = std::max<base::duration>(
                     base::from_seconds(it.expected_run_s), ran + ran / 2);
-                endings.push_back({it.group, it.since + run, it.planned});
+                expected_ends.push_back({it.group, it.since + run, it.planned});
             }
         }
     }
@@ -106,12 +106,12 @@
         {
             free[n] = m_groups.digest_of(static_cast<std::int32_t>(n)).free;
         }
-        for (auto const& it : endings)
+        for (auto const& it : expected_ends)
         {
             if (it.at <= at)
             {
-                auto& room = free[static_cast<std::size_t>(it.group)];
-                room = room + it.planned;
+                auto& group_free = free[static_cast<std::size_t>(it.group)];
+                group_free = group_free + it.planned;
             }
         }
         struct offer
@@ -120,33 +120,34 @@
             std::int32_t group;
         };
         std::vector<offer> offers;
-        std::int64_t all = 0;
+        std::int64_t total_slots = 0;
         for (std::size_t n = 0; n < groups; ++n)
         {
             std::int64_t slots = 0;
-            while (slots < wanted && (need * (slots + 1)).fits_in(free[n]))
+            while (slots < required_slots &&
+                   (need * (slots + 1)).fits_in(free[n]))
             {
                 slots += 1;
             }
-            all += slots;
+            total_slots += slots;
             offers.push_back({slots, static_cast<std::int32_t>(n)});
         }
-        if (all < wanted)
+        if (total_slots < required_slots)
         {
             continue;
         }
         std::sort(offers.begin(), offers.end(),
                   [](auto const& a, auto const& b)
                   { return a.slots > b.slots; });
-        m_reservation = reservation{job.id, now + s_reservation_time};
-        std::int64_t kept = 0;
+        m_reservation = reservation{job.id, now + s_reservation_duration};
+        std::int64_t reserved_slots = 0;
         for (auto const& it : offers)
         {
-            if (kept >= wanted)
+            if (reserved_slots >= required_slots)
             {
                 break;
             }
-            kept += it.slots;
+            reserved_slots += it.slots;
             m_groups.reserve(it.group, job.id, at, m_reservation->until);
             to.reservations.push_back(
                 {m_groups.name_of(it.group), job.id, at, m_reservation->until});
--- a/libraries/placement/overuse.cpp
+++ b/libraries/placement/overuse.cpp
@@ -19,7 +19,7 @@
 }
 
 /// The share of its cores that brings a task back to its planned use.
-double share_for(task_use const& it)
+double core_share_for(task_use const& it)
 {
     if (it.used.millicores <= it.planned.millicores)
     {
@@ -67,10 +67,10 @@
             used = used + it.used;
         }
     }
-    auto const full = model::resources{
+    auto const limit = model::resources{
         capacity.millicores, capacity.memory_mb * s_full_percent / 100,
         capacity.accelerators};
-    if (charged.fits_in(capacity) && used.fits_in(full))
+    if (charged.fits_in(capacity) && used.fits_in(limit))
     {
         return actions;
     }
@@ -79,7 +79,7 @@
         if (over_plan(it) && !it.throttled && !it.leaving)
         {
             actions.push_back({ledger_action_kind::throttle, worker, it.attempt,
-                               share_for(it)});
+                               core_share_for(it)});
         }
     }
     // Throttling is enough to share processors; memory has to be freed.
@@ -87,7 +87,7 @@
     std::sort(tasks.begin(), tasks.end(), cheaper_to_checkpoint);
     for (auto const& it : tasks)
     {
-        if (memory <= full.memory_mb)
+        if (memory <= limit.memory_mb)
         {
             break;
         }
--- a/libraries/placement/policy.cpp
+++ b/libraries/placement/policy.cpp
@@ -18,11 +18,12 @@
                      : 0.0;
 }
 
-double left_after(candidate const& it, model::resources const& need) noexcept
+double free_share_after(candidate const& it,
+                        model::resources const& need) noexcept
 {
-    auto const left = it.free - need;
-    return share(left.millicores, it.total.millicores) +
-           share(left.memory_mb, it.total.memory_mb);
+    auto const remaining = it.free - need;
+    return share(remaining.millicores, it.total.millicores) +
+           share(remaining.memory_mb, it.total.memory_mb);
 }
 
 } // namespace
@@ -42,23 +43,25 @@
     constexpr double rack_weight = 1e3;
     auto const spread = it.same_in_zone * zone_weight +
                         it.same_in_rack * rack_weight + it.same_here;
-    return {it.failed_here, spread, -left_after(it, need)};
+    return {it.failed_here, spread, -free_share_after(it, need)};
 }
 
 rank batch_policy::rank_of(candidate const& it,
                            model::resources const& need) const
 {
-    auto const idle = need.accelerators == 0 && it.total.accelerators > 0;
-    return {it.failed_here, idle ? s_idle_accelerator_cost : 0,
-            left_after(it, need)};
+    auto const wastes_accelerators =
+        need.accelerators == 0 && it.total.accelerators > 0;
+    return {it.failed_here, wastes_accelerators ? s_idle_accelerator_cost : 0,
+            free_share_after(it, need)};
 }
 
 rank gang_policy::rank_of(candidate const& it,
                           model::resources const& need) const
 {
-    auto const idle = need.accelerators == 0 && it.total.accelerators > 0;
-    return {it.failed_here, idle ? s_idle_accelerator_cost : 0,
-            -left_after(it, need)};
+    auto const wastes_accelerators =
+        need.accelerators == 0 && it.total.accelerators > 0;
+    return {it.failed_here, wastes_accelerators ? s_idle_accelerator_cost : 0,
+            -free_share_after(it, need)};
 }
 
 policy const& policy_for(model::job_kind kind,
--- a/libraries/placement/worker_health.cpp
+++ b/libraries/placement/worker_health.cpp
@@ -8,15 +8,17 @@
 namespace
 {
 
-constexpr double s_min_probability = 1e-4;
-constexpr double s_min_likely = 0.02;
-constexpr double s_max_likely = 0.98;
+constexpr double s_quarantine_below_probability = 1e-4;
+constexpr double s_min_failure_probability = 0.02;
+constexpr double s_max_failure_probability = 0.98;
 constexpr base::duration s_first_quarantine{30'000'000};
 constexpr base::duration s_max_quarantine{600'000'000};
 
 } // namespace
 
-void worker_health::ended(bool failed, double likely, base::instant now)
+void worker_health::on_attempt_ended(bool failed,
+                                     double failure_probability,
+                                     base::instant now)
 {
     m_probe_running = false;
     if (!failed)
@@ -31,9 +33,11 @@
         quarantine(now);
         return;
     }
-    m_failure_run_probability *= std::clamp(likely, s_min_likely, s_max_likely);
+    m_failure_run_probability *=
+        std::clamp(failure_probability, s_min_failure_probability,
+                   s_max_failure_probability);
     if (m_state == health::good &&
-        m_failure_run_probability < s_min_probability)
+        m_failure_run_probability < s_quarantine_below_probability)
     {
         quarantine(now);
     }
@@ -48,12 +52,12 @@
     }
 }
 
-void worker_health::attempt_given()
+void worker_health::on_attempt_placed()
 {
     m_probe_running = m_state == health::probing;
 }
 
-void worker_health::attempt_gone()
+void worker_health::on_attempt_removed()
 {
     m_probe_running = false;
 }
--- a/libraries/placement/worker_health.hpp
+++ b/libraries/placement/worker_health.hpp
@@ -17,34 +17,37 @@
 /// Health of one worker, derived from the ends of its attempts. Not
 /// thread-safe.
 ///
-/// Protects against a worker that fails every attempt: it is emptied fastest,
-/// so placement keeps sending work to it. A worker is quarantined after a run
-/// of consecutive failures whose probability on a good worker is below 1 in
-/// 10000, and a probe returns a repaired worker to service. Failures of a job
-/// that fails everywhere count little, because they were likely on any worker.
+/// Protects against a worker that fails every attempt: its attempts end
+/// soonest, so placement would keep sending work to its free capacity. A worker
+/// is quarantined after a run of consecutive failures whose probability on a
+/// good worker is below 1 in 10000, and a probe returns a repaired worker to
+/// service. Failures of a job that fails everywhere count little, because they
+/// were likely on any worker.
 class worker_health
 {
 public:
-    /// An attempt ended. `likely` is the probability, 0 to 1, that it fails on
-    /// any other worker, from the failure rates of the cell and of the same job
-    /// elsewhere.
-    void ended(bool failed, double likely, base::instant now);
+    /// An attempt ended. `failure_probability` is the probability, 0 to 1, that
+    /// it fails on any other worker, from the failure rates of the cell and of
+    /// the same job elsewhere.
+    void on_attempt_ended(bool failed,
+                          double failure_probability,
+                          base::instant now);
 
     /// Moves from quarantine to probing when the quarantine is over.
     void advance(base::instant now);
 
     /// An attempt was placed on the worker.
-    void attempt_given();
+    void on_attempt_placed();
 
     /// An attempt ended in a way that does not depend on the worker's health.
-    void attempt_gone();
+    void on_attempt_removed();
 
     [[nodiscard]] health state() const noexcept
     {
         return m_state;
     }
 
-    [[nodiscard]] bool takes_new() const noexcept
+    [[nodiscard]] bool accepts_tasks() const noexcept
     {
         return m_state == health::good ||
                (m_state == health::probing && !m_probe_running);
--- a/tests/placement/fake_cell.cpp
+++ b/tests/placement/fake_cell.cpp
@@ -42,7 +42,7 @@
     }
 }
 
-void fake_cell::step(std::int32_t most)
+void fake_cell::step(std::int32_t max_holds)
 {
     for (auto& [name, ledger] : ledgers)
     {
@@ -54,11 +54,11 @@
         {
             queues[n].update_group(ledger.digest(), now);
         }
-        carry_out(n, queues[n].decide(now, most));
+        execute(n, queues[n].decide(now, max_holds));
     }
 }
 
-void fake_cell::carry_out(std::size_t queue, placement::queue_actions actions)
+void fake_cell::execute(std::size_t queue, placement::queue_actions actions)
 {
     while (!actions.empty())
     {
@@ -91,7 +91,7 @@
     }
     for (auto const& it : actions.holds)
     {
-        carry_out_hold(queue, it, next);
+        execute_hold(queue, it, next);
     }
     for (auto const& it : actions.commits)
     {
@@ -104,9 +104,9 @@
     return next;
 }
 
-void fake_cell::carry_out_hold(std::size_t queue,
-                               placement::hold_order const& order,
-                               placement::queue_actions& next)
+void fake_cell::execute_hold(std::size_t queue,
+                             placement::hold_order const& order,
+                             placement::queue_actions& next)
 {
     auto& ledger = ledgers.at(order.group);
     auto const attempt = order.request.attempt;
@@ -144,9 +144,9 @@
     }
     running[attempt] = group;
     owner[attempt] = queue;
-    auto const known = true_peaks.find(order->start.name);
+    auto const known = actual_peaks.find(order->start.name);
     peaks[attempt] =
-        known == true_peaks.end() ? order->start.planned : known->second;
+        known == actual_peaks.end() ? order->start.planned : known->second;
     next.append(queues[queue].on_started(attempt, group, now));
     if (on_start)
     {
@@ -156,7 +156,7 @@
 
 // The attempt is passed by value because callers pass keys of `running`, which
 // are erased here.
-void fake_cell::end(model::attempt_id attempt, model::task_end how)
+void fake_cell::end(model::attempt_id attempt, model::task_end result)
 {
     auto const it = running.find(attempt);
     if (it == running.end())
@@ -165,15 +165,15 @@
     }
     auto& ledger = ledgers.at(it->second);
     auto const worker = ledger.worker_of(attempt);
-    ledger.on_finished(attempt, how, now);
+    ledger.on_finished(attempt, result, now);
     running.erase(it);
     auto const queue = owner.at(attempt);
-    carry_out(queue,
-              queues[queue].on_finished(
-                  {attempt, how, worker, peaks.at(attempt), 10, {}}, now));
+    execute(queue,
+            queues[queue].on_finished(
+                {attempt, result, worker, peaks.at(attempt), 10, {}}, now));
 }
 
-bool fake_cell::nothing_overfull() const
+bool fake_cell::no_worker_is_overcommitted() const
 {
     for (auto const& [name, ledger] : ledgers)
     {
@@ -188,7 +188,7 @@
     return true;
 }
 
-model::contract wide_contract(std::string const& name)
+model::contract unlimited_contract(std::string const& name)
 {
     model::contract it;
     it.name = name;
--- a/tests/placement/fake_cell.hpp
+++ b/tests/placement/fake_cell.hpp
@@ -25,15 +25,15 @@
 
     /// Removes expired holds, sends digests to the queues, lets them decide and
     /// executes all orders.
-    void step(std::int32_t most = 1000);
+    void step(std::int32_t max_holds = 1000);
     void advance(double seconds)
     {
         now += base::from_seconds(seconds);
     }
     /// Ends one running attempt.
-    void end(model::attempt_id attempt, model::task_end how);
+    void end(model::attempt_id attempt, model::task_end result);
     /// Executes a queue's actions and those that follow from them.
-    void carry_out(std::size_t queue, placement::queue_actions actions);
+    void execute(std::size_t queue, placement::queue_actions actions);
     /// Executes a queue's actions once and returns those that follow from them.
     placement::queue_actions deliver(std::size_t queue,
                                      placement::queue_actions const& actions);
@@ -43,7 +43,7 @@
         return queues[n];
     }
     /// Whether the plans and peaks of every worker's tasks fit its capacity.
-    [[nodiscard]] bool nothing_overfull() const;
+    [[nodiscard]] bool no_worker_is_overcommitted() const;
 
     base::instant now{base::from_seconds(1000)};
     std::map<std::string, placement::group_ledger> ledgers;
@@ -52,7 +52,7 @@
     std::map<model::attempt_id, std::string> running;
     std::map<model::attempt_id, std::size_t> owner;
     /// The actual peak use of tasks by name; others use what is planned.
-    std::map<std::string, model::resources> true_peaks;
+    std::map<std::string, model::resources> actual_peaks;
     std::map<model::attempt_id, model::resources> peaks;
     std::map<std::string, model::job_state> outcomes;
     std::vector<model::attempt_id> checkpoints;
@@ -61,16 +61,16 @@
     std::function<void(placement::start_order const&)> on_start;
 
 private:
-    void carry_out_hold(std::size_t queue,
-                        placement::hold_order const& order,
-                        placement::queue_actions& next);
+    void execute_hold(std::size_t queue,
+                      placement::hold_order const& order,
+                      placement::queue_actions& next);
     void start(std::size_t queue,
                std::string const& group,
                model::attempt_id const& attempt,
                placement::queue_actions& next);
 };
 
-[[nodiscard]] model::contract wide_contract(std::string const& name);
+[[nodiscard]] model::contract unlimited_contract(std::string const& name);
 
 [[nodiscard]] model::job_request request_of(std::string const& contract,
                                             std::string const& name,
--- a/tests/placement/gang_test.cpp
+++ b/tests/placement/gang_test.cpp
@@ -49,8 +49,8 @@
                             {4'000, 8'192, 0});
         }
     }
-    cell.add_contract(wide_contract("cantabrica"));
-    cell.add_contract(wide_contract("kitakaze"));
+    cell.add_contract(unlimited_contract("cantabrica"));
+    cell.add_contract(unlimited_contract("kitakaze"));
     cell.step();
 }
 
@@ -87,14 +87,14 @@
 
 // Fragmentation: by its digest a rack has room for three tasks, but its two
 // workers fit one each. The third fits into another rack. A gang that asks only
-// the first rack releases its holds and asks the same rack again for ever.
+// the first rack releases its holds and asks the same rack again forever.
 BOOST_AUTO_TEST_CASE(fragmented_capacity_does_not_block_a_gang)
 {
     fake_cell cell;
     cell.add_worker("rack-a", "w-1", {2'400, 8'192, 0});
     cell.add_worker("rack-a", "w-2", {2'400, 8'192, 0});
     cell.add_worker("rack-b", "w-3", {1'600, 8'192, 0});
-    cell.add_contract(wide_contract("cantabrica"));
+    cell.add_contract(unlimited_contract("cantabrica"));
     cell.step();
     submit(cell, 0, "job-1", gang_of(3, {1'000, 1'024, 0}));
     for (std::int32_t n = 0; n < 20; ++n)
@@ -122,7 +122,7 @@
             auto const n_running = running_of(cell, job);
             BOOST_TEST((n_running == 0 || n_running == 20));
         }
-        BOOST_TEST(cell.nothing_overfull());
+        BOOST_TEST(cell.no_worker_is_overcommitted());
         cell.advance(0.1);
         if (n % 10 == 9)
         {
@@ -180,7 +180,7 @@
     add_racks(cell, 4, 2);
     auto small = request_of("kitakaze", "daily", {1'000, 1'024, 0});
     small.declared_run_s = 5;
-    cell.true_peaks["daily"] = small.declared;
+    cell.actual_peaks["daily"] = small.declared;
     std::map<model::attempt_id, base::instant> ends;
     cell.on_start = [&](placement::start_order const& it)
     {
--- a/tests/placement/invariant_test.cpp
+++ b/tests/placement/invariant_test.cpp
@@ -35,12 +35,12 @@
         {
             // The actual use is 0.3 to 1.2 times the declared one.
             auto const declared = declared_of(name);
-            m_cell.true_peaks["name-" + std::to_string(name)] = {
+            m_cell.actual_peaks["name-" + std::to_string(name)] = {
                 declared.millicores * (name + 3) / 10,
                 declared.memory_mb * (name + 3) / 10, 0};
         }
-        m_cell.add_contract(wide_contract("kitakaze"));
-        auto narrow = wide_contract("cantabrica");
+        m_cell.add_contract(unlimited_contract("kitakaze"));
+        auto narrow = unlimited_contract("cantabrica");
         narrow.quota = {40'000, 200'000, 0};
         narrow.preempted = model::preemption::by_checkpoint;
         m_cell.add_contract(narrow);
@@ -155,11 +155,11 @@
         if (it != m_jobs.end())
         {
             auto const queue = it->second.first;
-            m_cell.carry_out(queue, m_cell.queue(queue).cancel(id, m_cell.now));
+            m_cell.execute(queue, m_cell.queue(queue).cancel(id, m_cell.now));
         }
     }
 
-    void end_one(model::task_end how)
+    void end_one(model::task_end result)
     {
         if (m_cell.running.empty())
         {
@@ -167,12 +167,12 @@
         }
         auto const at =
             pick(0, static_cast<std::int64_t>(m_cell.running.size()) - 1);
-        m_cell.end(std::next(m_cell.running.begin(), at)->first, how);
+        m_cell.end(std::next(m_cell.running.begin(), at)->first, result);
     }
 
     void check()
     {
-        BOOST_REQUIRE(m_cell.nothing_overfull());
+        BOOST_REQUIRE(m_cell.no_worker_is_overcommitted());
         std::set<model::task_id> seen;
         for (auto const& [attempt, group] : m_cell.running)
         {
@@ -221,7 +221,7 @@
     {
         fake_cell cell;
         cell.add_worker("rack-a", "w-1", {64'000, 65'536, 0});
-        cell.add_contract(wide_contract("kitakaze"));
+        cell.add_contract(unlimited_contract("kitakaze"));
         cell.step();
         for (std::int32_t n = 0; n < 40; ++n)
         {
@@ -236,7 +236,7 @@
             moved.emplace_back(order.size() + n * moved.size() % 1'000, 'x');
         }
         cell.step();
-        cell.true_peaks["daily"] = {500, 512, 0};
+        cell.actual_peaks["daily"] = {500, 512, 0};
         cell.end(cell.running.begin()->first, model::task_end::succeeded);
         for (auto const& it : cell.queue().decide(cell.now, 1).resizes)
         {
--- a/tests/placement/ledger_test.cpp
+++ b/tests/placement/ledger_test.cpp
@@ -224,9 +224,9 @@
     BOOST_TEST(ledger.digest().free.millicores == 4'000);
 }
 
-// An attempt whose start may arrive yet must not be given up because its stop
-// was answered: it would run beside the next attempt, on capacity that was
-// given away.
+// An attempt whose start may still arrive must not be considered lost because
+// its stop was answered: it would run beside the next attempt, on capacity that
+// was allocated to another task.
 BOOST_AUTO_TEST_CASE(a_stopped_task_that_may_start_late_is_kept)
 {
     auto ledger = ledger_with(1);
--- a/tests/placement/lifecycle_test.cpp
+++ b/tests/placement/lifecycle_test.cpp
@@ -16,7 +16,7 @@
 {
     fake_cell cell;
     cell.add_worker("rack-a", "w-1", {4'000, 8'192, 0});
-    cell.add_contract(wide_contract("kitakaze"));
+    cell.add_contract(unlimited_contract("kitakaze"));
     cell.step();
     auto request = request_of("kitakaze", "daily", {1'000, 1'024, 0});
     request.tasks = 6;
@@ -30,7 +30,7 @@
         cell.end(cell.running.begin()->first, model::task_end::succeeded);
         cell.advance(1);
         cell.step();
-        BOOST_TEST(cell.nothing_overfull());
+        BOOST_TEST(cell.no_worker_is_overcommitted());
     }
     BOOST_CHECK(cell.outcomes.at("job-1") == model::job_state::succeeded);
     BOOST_TEST(cell.queue().job_count() == 0U);
@@ -41,7 +41,7 @@
     fake_cell cell;
     cell.add_worker("rack-a", "w-1", {4'000, 8'192, 0});
     cell.add_worker("rack-b", "w-2", {4'000, 8'192, 0});
-    cell.add_contract(wide_contract("cantabrica"));
+    cell.add_contract(unlimited_contract("cantabrica"));
     cell.step();
     auto request = request_of("cantabrica", "reissue", {1'000, 1'024, 0});
     request.kind = model::job_kind::gang;
@@ -59,8 +59,8 @@
     char const* name;
     model::task_end first_end;
     /// Whether the task is started again before the success of its first
-    /// attempt is heard.
-    bool again;
+    /// attempt is reported.
+    bool restarted;
 };
 
 std::ostream& operator<<(std::ostream& out, late_success_case const& it)
@@ -78,31 +78,31 @@
 
 } // namespace
 
-// A worker that was given up comes back with the result of a task. The task
-// must not be started again after its success was taken note of; a second run
-// that is under way ends the job as well.
+// A worker that was considered lost returns and reports the success of a task.
+// A waiting task must not be started again after that; a second attempt that is
+// already running ends the job as well.
 BOOST_DATA_TEST_CASE(a_late_success_ends_a_waiting_task, s_late_successes, it)
 {
     fake_cell cell;
     cell.add_worker("rack-a", "w-1", {4'000, 8'192, 0});
-    cell.add_contract(wide_contract("kitakaze"));
+    cell.add_contract(unlimited_contract("kitakaze"));
     cell.step();
     auto const request = request_of("kitakaze", "daily", {1'000, 1'024, 0});
     BOOST_REQUIRE(cell.queue().submit("job-1", request, cell.now));
     cell.step();
     BOOST_REQUIRE(cell.running.size() == 1U);
     cell.end(cell.running.begin()->first, it.first_end);
-    if (it.again)
+    if (it.restarted)
     {
         cell.step();
     }
-    cell.carry_out(0, cell.queue().on_late_success({"job-1", 0}, cell.now));
-    BOOST_TEST(cell.outcomes.contains("job-1") == !it.again);
+    cell.execute(0, cell.queue().on_late_success({"job-1", 0}, cell.now));
+    BOOST_TEST(cell.outcomes.contains("job-1") == !it.restarted);
     // Longer than any pause after a failure.
     cell.advance(400);
     cell.step();
-    BOOST_TEST(cell.running.size() == (it.again ? 1U : 0U));
-    if (it.again)
+    BOOST_TEST(cell.running.size() == (it.restarted ? 1U : 0U));
+    if (it.restarted)
     {
         cell.end(cell.running.begin()->first, model::task_end::succeeded);
     }
@@ -116,11 +116,11 @@
 {
     fake_cell cell;
     cell.add_worker("rack-a", "w-1", {4'000, 8'192, 0});
-    cell.add_contract(wide_contract("kitakaze"));
+    cell.add_contract(unlimited_contract("kitakaze"));
     auto request = request_of("kitakaze", "daily", {1'000, 1'024, 0});
     request.tasks = 2;
     BOOST_REQUIRE(cell.queue().submit("job-1", request, cell.now));
-    cell.carry_out(0, cell.queue().on_late_success({"job-1", 1}, cell.now));
+    cell.execute(0, cell.queue().on_late_success({"job-1", 1}, cell.now));
     BOOST_TEST(cell.queue().waiting_tasks() == 1);
     cell.step();
     BOOST_REQUIRE(cell.running.size() == 1U);
--- a/tests/placement/queue_test.cpp
+++ b/tests/placement/queue_test.cpp
@@ -41,8 +41,8 @@
             "rack-" + std::string(1, static_cast<char>('a' + n % 4));
         cell.add_worker(group, "w-" + std::to_string(n), {16'000, 65'536, 0});
     }
-    cell.add_contract(wide_contract("kitakaze"));
-    cell.add_contract(wide_contract("cantabrica"));
+    cell.add_contract(unlimited_contract("kitakaze"));
+    cell.add_contract(unlimited_contract("cantabrica"));
     cell.step();
     return cell;
 }
@@ -86,11 +86,11 @@
 } // namespace
 
 // A job that can never run must be refused with the reason. If it were
-// accepted, it would wait for ever.
+// accepted, it would wait forever.
 BOOST_DATA_TEST_CASE(impossible_jobs_are_rejected, s_rejected, it)
 {
     auto cell = cell_of(8);
-    auto narrow = wide_contract("narrow");
+    auto narrow = unlimited_contract("narrow");
     narrow.quota = {100'000, 1'000'000, 10};
     narrow.tasks_at_once = 50;
     cell.add_contract(narrow);
@@ -171,8 +171,8 @@
     BOOST_CHECK(cell.outcomes.at("kitakaze-1") == model::job_state::failed);
 }
 
-// A task loses its worker now and then, each time after a long run. It must not
-// be given up as the cause.
+// A task loses its worker repeatedly, each time after a long run. It must not
+// be considered the cause, and must not fail.
 BOOST_AUTO_TEST_CASE(a_task_with_long_runs_does_not_fail_for_lost_workers)
 {
     constexpr int losses = 20;
@@ -223,7 +223,7 @@
     auto const before = std::chrono::steady_clock::now();
     for (std::int32_t n = 0; n < jobs; n += 2)
     {
-        cell.carry_out(
+        cell.execute(
             0, cell.queue().cancel("kitakaze-" + std::to_string(n), cell.now));
     }
     BOOST_CHECK(std::chrono::steady_clock::now() - before <
@@ -253,7 +253,7 @@
 BOOST_AUTO_TEST_CASE(contracts_share_by_weight)
 {
     auto cell = cell_of(8);
-    auto heavy = wide_contract("cantabrica");
+    auto heavy = unlimited_contract("cantabrica");
     heavy.weight = 3;
     cell.add_contract(heavy);
     for (std::int32_t n = 0; n < 200; ++n)
@@ -275,11 +275,11 @@
 BOOST_AUTO_TEST_CASE(replanning_stays_within_the_quota)
 {
     auto cell = cell_of(4);
-    auto narrow = wide_contract("kitakaze");
+    auto narrow = unlimited_contract("kitakaze");
     narrow.quota = {6'000, 60'000, 0};
     cell.add_contract(narrow);
     auto const request = request_of("kitakaze", "monthly", {1'000, 1'024, 0});
-    cell.true_peaks["monthly"] = {500, 512, 0};
+    cell.actual_peaks["monthly"] = {500, 512, 0};
     for (std::int32_t n = 0; n < 40; ++n)
     {
         submit(cell, "kitakaze-" + std::to_string(n), request);
@@ -289,10 +289,10 @@
         cell.step();
         BOOST_TEST(cell.queue().usage_of("kitakaze").fits_in(narrow.quota));
         cell.end(cell.running.begin()->first, model::task_end::succeeded);
-        cell.true_peaks["monthly"] = {1'400, 1'400, 0};
+        cell.actual_peaks["monthly"] = {1'400, 1'400, 0};
         cell.advance(1);
     }
-    BOOST_TEST(cell.nothing_overfull());
+    BOOST_TEST(cell.no_worker_is_overcommitted());
 }
 
 // Urgent jobs arrive while the queue is long. Within the urgent quota they
@@ -300,7 +300,7 @@
 BOOST_AUTO_TEST_CASE(urgent_work_goes_first_within_its_quota)
 {
     auto cell = cell_of(1);
-    auto narrow = wide_contract("cantabrica");
+    auto narrow = unlimited_contract("cantabrica");
     narrow.urgent_quota = {5'000, 100'000, 0};
     cell.add_contract(narrow);
     for (std::int32_t n = 0; n < 30; ++n)
@@ -315,7 +315,7 @@
     {
         submit(cell, "cantabrica-" + std::to_string(n), urgent);
     }
-    cell.carry_out(0, cell.queue().decide(cell.now, 3));
+    cell.execute(0, cell.queue().decide(cell.now, 3));
     BOOST_TEST(running_of(cell, "cantabrica") == 3);
     cell.step();
     BOOST_TEST(running_of(cell, "kitakaze") >= 4);
--- a/tests/placement/unanswered_test.cpp
+++ b/tests/placement/unanswered_test.cpp
@@ -13,21 +13,21 @@
 namespace
 {
 
-/// What is heard of the sends of one order, in order.
-enum class heard : std::uint8_t
+/// What the sender learns about one send of an order.
+enum class send_result : std::uint8_t
 {
-    nothing,
+    no_answer,
     not_taken,
 };
 
 struct sends_case
 {
     char const* name;
-    std::vector<heard> sends;
+    std::vector<send_result> sends;
     model::job_kind kind;
     model::rerun safety;
-    /// Whether the same order is to be sent again, rather than the task placed
-    /// anew.
+    /// Whether the same order has to be sent again instead of a new placement
+    /// of the task.
     bool same_order;
 };
 
@@ -38,32 +38,34 @@
 
 std::array const s_sends{
     sends_case{"the only send is not taken",
-               {heard::not_taken},
+               {send_result::not_taken},
                model::job_kind::batch,
                model::rerun::idempotent,
                false},
     sends_case{"no answer, then not taken",
-               {heard::nothing, heard::not_taken},
+               {send_result::no_answer, send_result::not_taken},
                model::job_kind::batch,
                model::rerun::idempotent,
                true},
     sends_case{"no answer, then not taken twice",
-               {heard::nothing, heard::not_taken, heard::not_taken},
+               {send_result::no_answer, send_result::not_taken,
+                send_result::not_taken},
                model::job_kind::batch,
                model::rerun::idempotent,
                true},
     sends_case{"no answer twice, then not taken",
-               {heard::nothing, heard::nothing, heard::not_taken},
+               {send_result::no_answer, send_result::no_answer,
+                send_result::not_taken},
                model::job_kind::service,
                model::rerun::idempotent,
                true},
     sends_case{"a hold of an at-most-once task expires by itself",
-               {heard::nothing, heard::not_taken},
+               {send_result::no_answer, send_result::not_taken},
                model::job_kind::batch,
                model::rerun::at_most_once,
                false},
     sends_case{"a hold of a gang expires by itself",
-               {heard::nothing, heard::not_taken},
+               {send_result::no_answer, send_result::not_taken},
                model::job_kind::gang,
                model::rerun::idempotent,
                false},
@@ -76,7 +78,7 @@
     {
         cell.add_worker("rack-a", "w-1", {4'000, 8'192, 0});
         cell.add_worker("rack-b", "w-2", {4'000, 8'192, 0});
-        cell.add_contract(wide_contract("kitakaze"));
+        cell.add_contract(unlimited_contract("kitakaze"));
         cell.step();
         auto request = request_of("kitakaze", "daily", {1'000, 1'024, 0});
         request.kind = it.kind;
@@ -88,13 +90,13 @@
     }
 
     /// The orders that follow from the last of `sends`.
-    placement::queue_actions after(std::vector<heard> const& sends)
+    placement::queue_actions after(std::vector<send_result> const& sends)
     {
         auto const& attempt = first.request.attempt;
         placement::queue_actions last;
         for (auto const it : sends)
         {
-            last = it == heard::nothing
+            last = it == send_result::no_answer
                        ? cell.queue().on_unanswered(attempt)
                        : cell.queue().on_not_taken(attempt, cell.now);
         }
@@ -109,8 +111,8 @@
 
 BOOST_AUTO_TEST_SUITE(unanswered_orders)
 
-// A send that was surely not taken must not be read as the end of an earlier
-// one without an answer: the task would be started in two groups.
+// A send that certainly had no effect must not be treated as the outcome of an
+// earlier one without an answer: the task would be started in two groups.
 BOOST_DATA_TEST_CASE(a_send_that_is_not_taken_settles_no_other, s_sends, it)
 {
     ordered_task task{it};
@@ -123,7 +125,7 @@
 }
 
 // An answer of the group's owner settles all sends of the order: an attempt
-// that it refused must not wait for an earlier send for ever.
+// that it refused must not wait forever for an earlier send.
 BOOST_AUTO_TEST_CASE(a_refusal_by_the_owner_settles_all_sends)
 {
     auto const& it = s_sends[1];
