ownership: Say what a watcher reports

Comments spoke of silent and dead processes. A watcher reports missing heartbeats, and a process is suspected to have failed.

--- a/libraries/ownership/participant.hpp
+++ b/libraries/ownership/participant.hpp
@@ -65,14 +65,14 @@
     /// Added to `lease_duration` before acting on a claim over a unit that was
     /// not released, because clocks run at different rates.
     base::duration clock_margin{std::chrono::milliseconds{50}};
-    /// A process without a heartbeat for this long is suspected to be dead.
+    /// A process without a heartbeat for this long is suspected to have failed.
     base::duration suspect_after{std::chrono::milliseconds{1'200}};
     /// A process sends heartbeats to at most this many others, its watchers,
     /// which report to all members when they stop receiving them. This keeps
     /// the number of messages an instance sends independent of the number of
     /// instances.
     std::size_t max_watchers{8};
-    /// How often a watcher repeats its report of a silent process.
+    /// How often a watcher repeats its report of a process without heartbeats.
     base::duration suspicion_interval{std::chrono::milliseconds{500}};
     /// Replaces `suspect_after` while this process gets heartbeats from less
     /// than half of those it watches, and may itself be partitioned from them.
@@ -203,7 +203,7 @@
 
     [[nodiscard]] actions on_heartbeat(heartbeat const& it, base::instant now);
 
-    /// A watcher reports a silent process.
+    /// A watcher reports a process without heartbeats.
     [[nodiscard]] actions on_suspicion(suspicion const& it, base::instant now);
 
     /// The instances to which `own_heartbeat` has to be sent about every 300
@@ -247,7 +247,7 @@
     }
     [[nodiscard]] heartbeat own_heartbeat() const;
 
-    /// Members that are not suspected to be dead, including this process.
+    /// Members that are not suspected to have failed, including this process.
     [[nodiscard]] std::vector<candidate> live_members(base::instant now) const;
 
     /// The `leave` record is in the log, or a newer process runs on this
@@ -389,8 +389,8 @@
     std::set<std::string> m_watchers;
     /// The members for which `m_watched` and `m_watchers` were computed.
     std::vector<candidate> m_watch_inputs;
-    /// When a process was last reported silent, by its incarnation and the
-    /// watcher's.
+    /// When missing heartbeats of a process were last reported, by its
+    /// incarnation and the watcher's.
     std::map<std::string, std::map<std::string, base::instant>> m_suspected;
     base::instant m_last_suspicion_at{};
     /// The instances on the last endpoint list, and those on any list so far.
--- a/tests/ownership/participant_test.cpp
+++ b/tests/ownership/participant_test.cpp
@@ -79,8 +79,8 @@
     BOOST_TEST(it.conflicts() == 0U);
 }
 
-// A watcher that is partitioned from the processes it watches reports them as
-// silent. Its report alone must not move their units.
+// A watcher that is partitioned from the processes it watches reports missing
+// heartbeats. Its report alone must not move their units.
 BOOST_AUTO_TEST_CASE(suspicion_by_one_watcher_is_not_enough)
 {
     auto it = settled_cell({.instances = 24, .zones = 4, .units = 72});
