scheduler: Log what steps of single tasks wait for, and for which gang a cap is reserved

tasks_wait gives, every 3 s for each step that has waited for 3 s, its instances with tickets, those that the advice service allowed and refused, and its open requests. account_at_cap names the gang that the cap is reserved for. Decisions are unchanged.

--- a/libraries/scheduler/scheduler.hpp
+++ b/libraries/scheduler/scheduler.hpp
@@ -358,6 +358,11 @@
                      base::instant now);
     [[nodiscard]] std::uint32_t account_room(job& of, turn const& it);
     void report_at_cap(job const& of, turn const& it, base::instant now);
+    void report_waiting_tasks(turn const& it,
+                              workload::step_spec const& spec,
+                              step& in,
+                              std::size_t candidates,
+                              base::instant now);
     void decide_tasks(job& of,
                       turn const& it,
                       std::uint32_t most,
@@ -497,8 +502,8 @@
     run_times m_run_times;
     start_waits m_waits;
     /// Client accounts whose remaining cap is reserved for one of their gangs
-    /// in this round.
-    std::set<std::string, std::less<>> m_reserved_accounts;
+    /// in this round, and that gang.
+    std::map<std::string, workload::step_name, std::less<>> m_reserved_accounts;
     /// By account: when the log may next report that it is at its cap.
     std::map<std::string, base::instant> m_cap_reports;
     scheduler_counts m_counts;
--- a/libraries/scheduler/scheduler_decide.cpp
+++ b/libraries/scheduler/scheduler_decide.cpp
@@ -15,6 +15,10 @@
 /// Minimum interval between two log lines about one account at its cap.
 constexpr base::duration cap_report_pause = std::chrono::seconds{1};
 
+/// Minimum interval between two log lines about one step of single tasks, and
+/// how long it has to wait before the first one.
+constexpr base::duration wait_report_pause = std::chrono::seconds{3};
+
 } // namespace
 
 workload::queue_spec const* scheduler::queue_of(job const& it) const
@@ -47,7 +51,7 @@
     if (accounts.can_hold(account, spec.need, waiting) &&
         (it.tier != turn_tier::worthless || accounts.half_used(account)))
     {
-        m_reserved_accounts.insert(account);
+        m_reserved_accounts.emplace(account, it.name);
     }
     return 0;
 }
@@ -146,6 +150,7 @@
     auto const& accounts = m_instances.accounts();
     auto const cap = accounts.cap(account);
     auto const used = accounts.used(account);
+    auto const gang = m_reserved_accounts.find(account);
     m_log->write(base::log_level::info, "account_at_cap",
                  {{"step", text_of(it.name)},
                   {"account", account},
@@ -154,7 +159,34 @@
                   {"memory_mb", used.memory_mb},
                   {"memory_mb_cap", cap.memory_mb},
                   {"gpus", used.gpus},
-                  {"gpus_cap", cap.gpus}});
+                  {"gpus_cap", cap.gpus},
+                  {"reserved_for", gang == m_reserved_accounts.end()
+                                       ? std::string{}
+                                       : text_of(gang->second)}});
+}
+
+/// Logs what the tasks of a step wait for that is not a gang.
+void scheduler::report_waiting_tasks(turn const& it,
+                                     workload::step_spec const& spec,
+                                     step& in,
+                                     std::size_t candidates,
+                                     base::instant now)
+{
+    if (in.waiting == 0 || now < *in.ready_since + wait_report_pause ||
+        now < in.next_report)
+    {
+        return;
+    }
+    in.next_report = now + wait_report_pause;
+    m_log->write(base::log_level::info, "tasks_wait",
+                 {{"step", text_of(it.name)},
+                  {"tasks", std::uint64_t{spec.tasks}},
+                  {"waiting", in.waiting},
+                  {"candidates", std::uint64_t{candidates}},
+                  {"allowed", std::uint64_t{in.advice.allowed.size()}},
+                  {"refused", std::uint64_t{in.advice.refused.size()}},
+                  {"asking", std::uint64_t{in.advice.open.size()}},
+                  {"late_s", base::seconds_of(now - it.latest_start)}});
 }
 
 void scheduler::decide_tasks(job& of,
--- a/libraries/scheduler/scheduler_rounds.cpp
+++ b/libraries/scheduler/scheduler_rounds.cpp
@@ -154,6 +154,7 @@
     else
     {
         decide_tasks(of, it, account, from, now);
+        report_waiting_tasks(it, spec, *of.find(it.name), from.size(), now);
     }
     if (queue.advice && of.find(it.name)->waiting > 0)
     {
