cell: Don't send an ended owner's requests for advice before the next one's

Cause: the dispatcher of advice requests belongs to the process and outlives the owner in it. When a process lost ownership, the requests that waited there stayed, and were sent on one after the other, though nobody read their answers. The service answers one call at a time for each process, up to 1.4 s for a long one. So a process that owned again sent the old requests first (they are needed earlier), and one that did not own took the senders of the present owner. Neither keys nor accounts have to do with it: what it takes is a process that loses ownership and lives.

Change: an owner drops the requests that were not sent when it ends, and logs advice_dropped.

Test: cell_owner/advice_requests_of_an_ended_owner_are_not_sent failed before (4 requests sent in place of 2), and passes; all of test_cell passes.

--- a/libraries/cell/advice_dispatcher.cpp
+++ b/libraries/cell/advice_dispatcher.cpp
@@ -54,6 +54,16 @@
     send_next();
 }
 
+std::size_t advice_dispatcher::drop_waiting()
+{
+    auto const dropped = m_queue.take_waiting();
+    for (auto const number : dropped)
+    {
+        m_questions.erase(number);
+    }
+    return dropped.size();
+}
+
 void advice_dispatcher::send_next()
 {
     if (m_queue.waiting() == 0)
--- a/libraries/cell/advice_dispatcher.hpp
+++ b/libraries/cell/advice_dispatcher.hpp
@@ -32,9 +32,13 @@
     /// The number of processes that can send requests now, this one included.
     [[nodiscard]] std::size_t sender_count();
 
-    /// `done` is called once, on the event loop.
+    /// `done` is called once, on the event loop, unless the request is dropped.
     void ask(scheduler::advice_order const& it, handler done);
 
+    /// Drops all requests that have not been sent, since nobody needs their
+    /// answers any more, and returns how many they were.
+    std::size_t drop_waiting();
+
 private:
     struct question
     {
--- a/libraries/cell/advice_queue.cpp
+++ b/libraries/cell/advice_queue.cpp
@@ -134,4 +134,16 @@
     }
 }
 
+std::vector<std::uint64_t> advice_queue::take_waiting()
+{
+    std::vector<std::uint64_t> out;
+    out.reserve(m_waiting.size());
+    for (auto const& [at, expected] : m_waiting)
+    {
+        out.push_back(at.request);
+    }
+    m_waiting.clear();
+    return out;
+}
+
 } // namespace berylhill::cell
--- a/libraries/cell/advice_queue.hpp
+++ b/libraries/cell/advice_queue.hpp
@@ -49,6 +49,10 @@
     void
     ended(network::socket_address const& by, bool answered, base::instant now);
 
+    /// Removes all requests that no process has been told to send, and returns
+    /// their numbers.
+    [[nodiscard]] std::vector<std::uint64_t> take_waiting();
+
     [[nodiscard]] std::size_t waiting() const noexcept
     {
         return m_waiting.size();
--- a/libraries/cell/cell_owner.cpp
+++ b/libraries/cell/cell_owner.cpp
@@ -68,6 +68,7 @@
 cell_owner::~cell_owner()
 {
     *m_alive = false;
+    drop_advice_requests();
     // Calls whose records were never sent to the store have certainly not taken
     // effect. A job that waits for the next batch may be in an earlier one.
     for (auto const& it :
@@ -91,6 +92,18 @@
     }
 }
 
+/// The service answers one request at a time for each process: requests of this
+/// owner would be sent before those of the next one, which needs the answers.
+void cell_owner::drop_advice_requests()
+{
+    if (auto const n = m_parts.advice->drop_waiting(); n > 0)
+    {
+        m_parts.log->write(
+            base::log_level::info, "advice_dropped",
+            {{"requests", std::uint64_t{n}}, {"token", m_token}});
+    }
+}
+
 void cell_owner::set_configuration(workload::cell_configuration const& it)
 {
     m_decisions.set_configuration(it);
--- a/libraries/cell/cell_owner.hpp
+++ b/libraries/cell/cell_owner.hpp
@@ -113,6 +113,7 @@
     }
 
 private:
+    void drop_advice_requests();
     [[nodiscard]] bool has_taken_effect(job_call const& it) const;
     void carry_out(job_call const& it, job_answer_handler done);
     void submit(job_call const& it, job_answer_handler done);
--- a/tests/cell/cell_owner_test.cpp
+++ b/tests/cell/cell_owner_test.cpp
@@ -11,11 +11,13 @@
 #include <boost/test/unit_test.hpp>
 
 #include <chrono>
+#include <deque>
 #include <memory>
 #include <optional>
 #include <ostream>
 #include <string>
 #include <utility>
+#include <vector>
 
 using namespace berylhill;
 using namespace berylhill::cell_test;
@@ -24,6 +26,34 @@
 namespace
 {
 
+/// An advice service that answers when the test says so.
+class held_advice final : public cell::advice_client
+{
+public:
+    void ask(workload::step_name const& step,
+             std::vector<std::string> const&,
+             base::duration,
+             cell::advice_handler done) override
+    {
+        asked.push_back(step.job.number);
+        open.push_back(std::move(done));
+    }
+
+    void answer_all()
+    {
+        while (!open.empty())
+        {
+            auto const done = std::move(open.front());
+            open.pop_front();
+            done({true, {}, std::chrono::seconds{1}});
+        }
+    }
+
+    /// The jobs of all requests so far.
+    std::vector<std::uint64_t> asked;
+    std::deque<cell::advice_handler> open;
+};
+
 /// An owner whose store gives no answer, so that the first submission may be
 /// stored at any time.
 struct fixture
@@ -156,6 +186,18 @@
         BOOST_TEST(log.appends > 0U);
     }
 
+    /// Requests advice that the service takes long to give, for a step of the
+    /// job.
+    void ask_advice(std::uint64_t job)
+    {
+        scheduler::advice_order it;
+        it.step.job = {job};
+        it.instances = {"i"};
+        it.expected = std::chrono::milliseconds{800};
+        it.needed_by = clock.now();
+        desk.ask(it, [](cell::advice_result const&) {});
+    }
+
     static constexpr base::duration short_timeout =
         std::chrono::milliseconds{250};
     static constexpr base::duration long_timeout = std::chrono::seconds{4};
@@ -170,7 +212,7 @@
     network::http_client client{loop, {}};
     cell::peer_client peers{client};
     no_instances orders;
-    no_advice advice;
+    held_advice advice;
     cell::advice_dispatcher desk{clock, advice, peers,
                                  []
                                  {
@@ -358,4 +400,19 @@
     BOOST_TEST(owner->decisions().outdated_instances(clock.now()) == 1U);
 }
 
+/// Guards against work that waits for seconds beside free room: the requests of
+/// an earlier ownership were sent before those of the present one.
+BOOST_AUTO_TEST_CASE(advice_requests_of_an_ended_owner_are_not_sent)
+{
+    ask_advice(1);
+    ask_advice(2);
+    ask_advice(3);
+    owner.reset();
+    take_over({});
+    ask_advice(4);
+    advice.answer_all();
+    BOOST_TEST(advice.asked == (std::vector<std::uint64_t>{1, 4}),
+               boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
