--- a/libraries/cell/cell_owner.hpp
+++ b/libraries/cell/cell_owner.hpp
@@ -113,6 +113,7 @@
     }
 
 private:
+    void drop_advice_requests();
     [[nodiscard]] bool has_taken_effect(job_call const& it) const;
     void log_outdated(job_call const& it,
                       std::int64_t version,
