--- a/libraries/scheduler/scheduler.hpp
+++ b/libraries/scheduler/scheduler.hpp
@@ -506,6 +506,8 @@
     std::map<std::string, workload::step_name, std::less<>> m_reserved_accounts;
     /// By account: when the log may next report that it is at its cap.
     std::map<std::string, base::instant> m_cap_reports;
+    /// When the log may next tell what a step of single tasks waits for.
+    base::instant m_next_wait_report{};
     scheduler_counts m_counts;
 };
 
--- a/libraries/scheduler/scheduler_decide.cpp
+++ b/libraries/scheduler/scheduler_decide.cpp
@@ -19,6 +19,10 @@
 /// how long it has to wait before the first one.
 constexpr base::duration wait_report_pause = std::chrono::seconds{3};
 
+/// Minimum interval between two such lines of any steps, since thousands may
+/// wait.
+constexpr base::duration wait_report_spacing = std::chrono::milliseconds{50};
+
 } // namespace
 
 workload::queue_spec const* scheduler::queue_of(job const& it) const
@@ -173,11 +177,12 @@
                                      base::instant now)
 {
     if (in.waiting == 0 || now < *in.ready_since + wait_report_pause ||
-        now < in.next_report)
+        now < in.next_report || now < m_next_wait_report)
     {
         return;
     }
     in.next_report = now + wait_report_pause;
+    m_next_wait_report = now + wait_report_spacing;
     m_log->write(base::log_level::info, "tasks_wait",
                  {{"step", text_of(it.name)},
                   {"tasks", std::uint64_t{spec.tasks}},
