soak: Take 401, 403 and 404 to a submission for rejections

Now 401, 403, 404, 429 and 503 are rejections for both.

A job that was only rejected and runs is found at the start of its task or at the rejection, whichever comes later, and not at the end of the run only: a later attempt that is accepted, or gets no answer, excuses no start before it. An attempt under way at the start does.

A request that the connection sent twice counts as an attempt without a clear answer, since a rejection of the second send says nothing of the first.

jobs_that_were_only_rejected_never_run: 5 answers by 13 histories; unclear_answers_reject_nothing: 6 answers.

--- a/tests/soak/ledger_test.cpp
+++ b/tests/soak/ledger_test.cpp
@@ -229,6 +229,8 @@
          run(it, "i-0", "j.0.0.0");
      },
      ""},
+    {"a job runs that nobody handed in",
+     [](ledger& it) { run(it, "i-0", "j.0.0.0"); }, "nobody handed it in"},
     {"a state that is final changes",
      [](ledger& it)
      {
@@ -256,10 +258,167 @@
      "runs on after its job's end"},
 };
 
+unsigned const rejections[] = {401, 403, 404, 429, 503};
+
+/// Answers that leave it open whether the submission took effect.
+unsigned const unclear_answers[] = {0, 400, 408, 500, 502, 504};
+
+void attempt(ledger& it, unsigned status)
+{
+    it.submit_sent("j");
+    it.submit_answered("j", status, start);
+}
+
+struct rejection_case
+{
+    char const* story;
+    std::function<void(ledger&, unsigned)> history;
+    bool breach;
+};
+
+std::ostream& operator<<(std::ostream& to, rejection_case const& it)
+{
+    return to << it.story;
+}
+
+std::vector<rejection_case> const rejection_cases{
+    {"a task starts after the answer",
+     [](ledger& it, unsigned status)
+     {
+         attempt(it, status);
+         run(it, "i-0", "j.0.0.0");
+     },
+     true},
+    {"a task starts before the answer",
+     [](ledger& it, unsigned status)
+     {
+         it.submit_sent("j");
+         run(it, "i-0", "j.0.0.0");
+         it.submit_answered("j", status, start);
+     },
+     true},
+    {"two attempts, and a task starts after both",
+     [](ledger& it, unsigned status)
+     {
+         attempt(it, status);
+         attempt(it, status);
+         run(it, "i-0", "j.0.0.0");
+     },
+     true},
+    {"a task starts while the second of two attempts is under way",
+     [](ledger& it, unsigned status)
+     {
+         attempt(it, status);
+         it.submit_sent("j");
+         run(it, "i-0", "j.0.0.0");
+         it.submit_answered("j", status, start);
+     },
+     true},
+    {"a task starts before another attempt that is accepted",
+     [](ledger& it, unsigned status)
+     {
+         attempt(it, status);
+         run_all(it);
+         attempt(it, 200);
+         it.shown("j", "completed", start);
+     },
+     true},
+    {"a task starts before another attempt that gets no answer",
+     [](ledger& it, unsigned status)
+     {
+         attempt(it, status);
+         run(it, "i-0", "j.0.0.0");
+         attempt(it, 0);
+     },
+     true},
+    {"no task starts", [](ledger& it, unsigned status) { attempt(it, status); },
+     false},
+    {"another attempt is accepted",
+     [](ledger& it, unsigned status)
+     {
+         attempt(it, status);
+         attempt(it, 200);
+         run_all(it);
+         it.shown("j", "completed", start);
+     },
+     false},
+    {"a task starts before the answer that accepts another attempt",
+     [](ledger& it, unsigned status)
+     {
+         attempt(it, status);
+         it.submit_sent("j");
+         run_all(it);
+         it.submit_answered("j", 200, start);
+         it.shown("j", "completed", start);
+     },
+     false},
+    {"the first attempt got no answer",
+     [](ledger& it, unsigned status)
+     {
+         attempt(it, 0);
+         attempt(it, status);
+         run(it, "i-0", "j.0.0.0");
+     },
+     false},
+    {"the outcome of the first attempt was unknown",
+     [](ledger& it, unsigned status)
+     {
+         attempt(it, 504);
+         attempt(it, status);
+         run(it, "i-0", "j.0.0.0");
+     },
+     false},
+    {"another attempt got no answer before a task starts",
+     [](ledger& it, unsigned status)
+     {
+         attempt(it, status);
+         attempt(it, 0);
+         run(it, "i-0", "j.0.0.0");
+     },
+     false},
+    {"the connection has sent the attempt twice",
+     [](ledger& it, unsigned status)
+     {
+         it.submit_sent("j");
+         it.submit_repeated("j");
+         it.submit_answered("j", status, start);
+         run(it, "i-0", "j.0.0.0");
+     },
+     false},
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(soak_ledger)
 
+// Guards against a job that runs although its client was told otherwise.
+BOOST_DATA_TEST_CASE(jobs_that_were_only_rejected_never_run,
+                     boost::unit_test::data::make(rejections) *
+                         boost::unit_test::data::make(rejection_cases),
+                     status,
+                     it)
+{
+    ledger seen{2, {{"0.0.0", "0.0.1"}, {"0.1.0"}}};
+    it.history(seen, status);
+    seen.finish();
+    BOOST_REQUIRE(seen.findings().size() == (it.breach ? 1U : 0U));
+    BOOST_TEST((!it.breach ||
+                seen.findings().front().find("every attempt was refused") !=
+                    std::string::npos));
+}
+
+// Guards against a breach that is seen where a job may run.
+BOOST_DATA_TEST_CASE(unclear_answers_reject_nothing,
+                     boost::unit_test::data::make(unclear_answers),
+                     status)
+{
+    ledger seen{2, {{"0.0.0", "0.0.1"}, {"0.1.0"}}};
+    attempt(seen, status);
+    run(seen, "i-0", "j.0.0.0");
+    seen.finish();
+    BOOST_TEST(seen.findings().empty());
+}
+
 BOOST_DATA_TEST_CASE(breaches_are_found_and_nothing_else,
                      boost::unit_test::data::make(cases),
                      it)
--- a/utilities/soak/client.cpp
+++ b/utilities/soak/client.cpp
@@ -13,8 +13,6 @@
 {
 
 constexpr unsigned status_ok = 200;
-constexpr unsigned too_many = 429;
-constexpr unsigned unavailable = 503;
 constexpr unsigned gone = 410;
 
 constexpr std::chrono::seconds deadline{3};
@@ -100,6 +98,7 @@
 
 void client::submit()
 {
+    m_seen.submit_sent(m_job);
     call(network::http_method::post,
          platform_test::job_document(cell::task_cpu, cell::task_time.count()),
          [this](auto const& it) { submitted(it); });
@@ -109,6 +108,11 @@
 {
     auto const answered = it.end == network::call_end::answered;
     auto const status = answered ? it.response.status : 0U;
+    if (it.sent_before)
+    {
+        m_maybe_taken = true;
+        m_seen.submit_repeated(m_job);
+    }
     m_seen.submit_answered(m_job, status, std::chrono::steady_clock::now());
     if (status == status_ok)
     {
@@ -116,7 +120,7 @@
         later(look_pause, m_cancels ? &client::cancel : &client::look);
         return;
     }
-    if (status == too_many || status == unavailable)
+    if (ledger::is_rejection(status))
     {
         ++m_refusals;
         if (m_refusals >= most_refusals && !m_maybe_taken)
--- a/utilities/soak/ledger.cpp
+++ b/utilities/soak/ledger.cpp
@@ -1,6 +1,8 @@
 #include <soak/ledger.hpp>
 
 #include <algorithm>
+#include <array>
+#include <utility>
 
 namespace berylhill::soak
 {
@@ -35,6 +37,7 @@
     auto& it = m_tasks[name];
     auto& of = m_jobs[job_of(name)];
     of.begun = true;
+    check_rejected(job_of(name));
     if (!it.running_on.empty())
     {
         found("task " + name + " runs on " + *it.running_on.begin() + " and " +
@@ -162,14 +165,40 @@
     }
 }
 
+bool ledger::is_rejection(unsigned status)
+{
+    constexpr std::array<unsigned, 5> rejections{401, 403, 404, 429, 503};
+    return std::ranges::find(rejections, status) != rejections.end();
+}
+
+/// After an attempt without a clear answer the job may run, whatever the next
+/// ones are answered.
+void ledger::check_rejected(std::string const& id)
+{
+    auto& it = m_jobs[id];
+    if (it.begun && it.rejected && it.under_way == 0 && !it.accepted &&
+        !it.maybe_accepted && !std::exchange(it.found, true))
+    {
+        found("job " + id + " ran, and every attempt was refused");
+    }
+}
+
+void ledger::submit_sent(std::string const& id)
+{
+    ++m_jobs[id].under_way;
+}
+
+void ledger::submit_repeated(std::string const& id)
+{
+    m_jobs[id].maybe_accepted = true;
+}
+
 void ledger::submit_answered(std::string const& id,
                              unsigned status,
                              instant now)
 {
     auto& it = m_jobs[id];
-    constexpr unsigned too_many = 429;
-    constexpr unsigned unavailable = 503;
-    constexpr unsigned not_found = 404;
+    it.under_way = std::max(0, it.under_way - 1);
     if (status >= 200 && status < 300)
     {
         if (!it.accepted)
@@ -179,7 +208,12 @@
         }
         it.accepted = true;
     }
-    else if (status != too_many && status != unavailable && status != not_found)
+    else if (is_rejection(status))
+    {
+        it.rejected = true;
+        check_rejected(id);
+    }
+    else
     {
         it.maybe_accepted = true;
     }
@@ -242,9 +276,10 @@
         {
             found("job " + id + " was accepted and has not ended: " + it.state);
         }
-        if (it.begun && !it.accepted && !it.maybe_accepted)
+        if (it.begun && !it.accepted && !it.maybe_accepted && !it.rejected &&
+            it.under_way == 0)
         {
-            found("job " + id + " ran, and every attempt was refused");
+            found("job " + id + " ran, and nobody handed it in");
         }
     }
     for (auto const& [instance, tasks] : m_running)
--- a/utilities/soak/ledger.hpp
+++ b/utilities/soak/ledger.hpp
@@ -36,11 +36,19 @@
     void room_changed(std::string const& instance, std::size_t room);
 
     // What callers saw.
+    void submit_sent(std::string const& job);
+    /// The connection has sent the attempt twice; its answer is that to the
+    /// second send.
+    void submit_repeated(std::string const& job);
+    /// `status`: 0 where no answer came.
     void submit_answered(std::string const& job, unsigned status, instant now);
     void cancel_sent(std::string const& job);
     void shown(std::string const& job, std::string const& state, instant now);
     void unknown(std::string const& job, instant now);
 
+    /// Such an answer to a submission says that it has no effect.
+    [[nodiscard]] static bool is_rejection(unsigned status);
+
     /// Something else that must not be.
     void found(std::string what);
 
@@ -69,6 +77,10 @@
         instant accepted_at;
         /// Some attempt to hand it in may have been taken.
         bool maybe_accepted{false};
+        bool rejected{false};
+        bool found{false};
+        /// Attempts to hand it in that have not ended.
+        int under_way{0};
         bool cancel_sent{false};
         bool begun{false};
         std::string state;
@@ -87,6 +99,7 @@
     };
 
     [[nodiscard]] bool step_done(std::string const& job, std::size_t step);
+    void check_rejected(std::string const& id);
     void check_order(std::string const& name);
     void check_crashes(std::string const& name, task_seen const& it);
     [[nodiscard]] std::size_t room_of(std::string const& instance) const;
