soak: Revoke keys while answers are lost and owners are killed

Its faults are drawn from a generator of their own and played beside the seed's others. A client whose key is revoked goes on with another account's.

--- a/tests/platform_adapter/stand_ins/store_stand_in.cpp
+++ b/tests/platform_adapter/stand_ins/store_stand_in.cpp
@@ -6,6 +6,7 @@
 
 #include <openssl/evp.h>
 
+#include <algorithm>
 #include <stdexcept>
 
 namespace berylhill::platform_test
@@ -81,6 +82,18 @@
     wake();
 }
 
+std::string store_stand_in::newest_value(std::string const& key) const
+{
+    std::string out;
+    for (auto const& [topic, log] : m_topics)
+    {
+        auto const at =
+            std::ranges::find(log.rbegin(), log.rend(), key, &entry::key);
+        out = at == log.rend() ? out : at->value;
+    }
+    return out;
+}
+
 void store_stand_in::handle(network::http_request const& it,
                             network::responder answer)
 {
--- a/tests/platform_adapter/stand_ins/store_stand_in.hpp
+++ b/tests/platform_adapter/stand_ins/store_stand_in.hpp
@@ -63,6 +63,15 @@
         m_strict_size = true;
     }
 
+    /// How many appends were carried out without an answer.
+    [[nodiscard]] std::size_t lost() const noexcept
+    {
+        return m_lost.size();
+    }
+
+    /// The last record of the key in any topic; empty: there is none.
+    [[nodiscard]] std::string newest_value(std::string const& key) const;
+
     [[nodiscard]] std::size_t appends() const noexcept
     {
         return m_appends;
--- a/tests/soak/plan_test.cpp
+++ b/tests/soak/plan_test.cpp
@@ -1,14 +1,93 @@
+#include <base/hash.hpp>
 #include <soak/plan.hpp>
 
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <ostream>
 #include <set>
+#include <sstream>
 
 using namespace berylhill::soak;
 
+namespace
+{
+
+using plan_function = std::vector<fault> (*)(std::uint64_t,
+                                             std::chrono::milliseconds);
+
+struct plan_case
+{
+    char const* name;
+    plan_function plan;
+    /// Of the plans of the seeds 1 to 50.
+    std::uint64_t digest;
+};
+
+std::ostream& operator<<(std::ostream& to, plan_case const& it)
+{
+    return to << it.name;
+}
+
+std::uint64_t digest_of(plan_function plan)
+{
+    constexpr std::uint64_t seeds = 50;
+    std::ostringstream text;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed)
+    {
+        for (auto const& it : plan(seed, std::chrono::seconds{8}))
+        {
+            text << it.at.count() << ' ' << it.length.count() << ' '
+                 << name_of(it.kind) << ' ' << it.target << '\n';
+        }
+    }
+    return berylhill::base::hash_of(text.str());
+}
+
+plan_case const plan_cases[] = {
+    {"all modes", plan_of, 17471926006679473002U},
+    {"orders", order_plan_of, 4573663074486923376U},
+};
+
+} // namespace
+
 BOOST_AUTO_TEST_SUITE(soak_plan)
 
+// Guards against seeds of old runs that no longer give the same faults.
+BOOST_DATA_TEST_CASE(plans_of_seeds_do_not_change,
+                     boost::unit_test::data::make(plan_cases),
+                     it)
+{
+    BOOST_TEST(digest_of(it.plan) == it.digest);
+}
+
+BOOST_AUTO_TEST_CASE(a_seed_always_gives_the_same_faults_of_keys)
+{
+    constexpr std::chrono::seconds length{8};
+    BOOST_TEST((key_plan_of(7, length) == key_plan_of(7, length)));
+    BOOST_TEST((key_plan_of(7, length) != key_plan_of(8, length)));
+}
+
+// Guards against seeds in which nothing overlaps.
+BOOST_AUTO_TEST_CASE(every_seed_kills_owners_beside_revoked_keys)
+{
+    for (std::uint64_t seed = 1; seed <= 50; ++seed)
+    {
+        auto const plan = key_plan_of(seed, std::chrono::seconds{8});
+        BOOST_TEST(std::ranges::is_sorted(plan, {}, &fault::at));
+        auto const count = [&](fault_kind kind)
+        {
+            return std::ranges::count(plan, kind, &fault::kind);
+        };
+        BOOST_TEST(count(fault_kind::revoke_key) >= 16);
+        BOOST_TEST(count(fault_kind::kill_owner) >= 3);
+        BOOST_TEST(count(fault_kind::kill) >= 1);
+        BOOST_TEST(count(fault_kind::store_loses_answers) >= 1);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_seed_always_gives_the_same_plan)
 {
     constexpr std::chrono::seconds length{8};
--- a/utilities/soak/cell.cpp
+++ b/utilities/soak/cell.cpp
@@ -1,9 +1,9 @@
 #include <soak/cell.hpp>
 
-#include <stand_ins/documents.hpp>
+#include <cell/owner_lookup.hpp>
 #include <stand_ins/ports.hpp>
 
-#include <array>
+#include <algorithm>
 #include <csignal>
 #include <utility>
 
@@ -57,6 +57,11 @@
     return {'/', 'x', static_cast<char>(first_letter + version % letters), '/'};
 }
 
+std::string key_of(std::size_t account)
+{
+    return "key-" + std::to_string(account);
+}
+
 } // namespace
 
 cell::cell(boost::asio::io_context& loop,
@@ -69,6 +74,7 @@
     , m_seen{seen}
     , m_kind{size.kind}
     , m_configuration{size.configuration}
+    , m_callers{size.callers}
 {
     using platform_test::ports_per_process;
     auto const links = 2;
@@ -90,7 +96,9 @@
         auto& it = m_workers.back();
         it.instance = std::make_unique<platform_test::instance_stand_in>(
             loop, at, id,
-            size.orders == order_kind::late ? long_task_time : task_time,
+            size.orders == order_kind::late         ? long_task_time
+            : size.callers == caller_kind::accounts ? short_task_time
+                                                    : task_time,
             [this, n](std::string const& task)
             { started(m_workers[n], task); });
         it.resizes_at =
@@ -143,7 +151,33 @@
                                          large_sizes.size()];
     m_store->put(
         platform_test::operators_topic, platform_test::configuration_key,
-        platform_test::configuration_document(m_version, queues, bytes));
+        m_callers == caller_kind::accounts
+            ? platform_test::configuration_document(m_version, queues, keys())
+            : platform_test::configuration_document(m_version, queues, bytes));
+}
+
+std::vector<platform_test::account_keys> cell::keys() const
+{
+    std::vector<platform_test::account_keys> out;
+    for (std::size_t n = 0; n < accounts; ++n)
+    {
+        out.push_back({"account-" + std::to_string(n), {}});
+        if (m_revoked[n] == 0)
+        {
+            out.back().keys.push_back(key_of(n));
+        }
+    }
+    return out;
+}
+
+std::vector<network::http_field> cell::fields_of(std::size_t account) const
+{
+    std::vector<network::http_field> out{{"Host", "h"}};
+    if (m_callers == caller_kind::accounts)
+    {
+        out.push_back({"X-Key", key_of(account)});
+    }
+    return out;
 }
 
 std::string cell::added_queue() const
@@ -176,6 +210,26 @@
     it.process->signal(signal);
 }
 
+void cell::kill(member& it)
+{
+    it.held = true;
+    stop(it, SIGKILL, false);
+}
+
+/// The owner that the store has, if any.
+void cell::kill_owner()
+{
+    m_owner_dies_after.reset();
+    auto const record = m_store->newest_value(berylhill::cell::owner_key);
+    auto const at = std::ranges::find_if(
+        m_processes, [&](member const& it)
+        { return record.find('"' + it.how.name + '"') != record.npos; });
+    if (at != m_processes.end())
+    {
+        kill(*at);
+    }
+}
+
 void cell::crash(worker& it)
 {
     auto const before = it.instance->id();
@@ -277,8 +331,7 @@
     switch (it.kind)
     {
     case fault_kind::kill:
-        at.held = true;
-        stop(at, SIGKILL, false);
+        kill(at);
         return;
     case fault_kind::terminate:
         stop(at, SIGTERM, true);
@@ -340,6 +393,13 @@
     case fault_kind::orders_late:
         make_orders_late(late_share);
         return;
+    case fault_kind::revoke_key:
+        ++m_revoked[it.target % accounts];
+        configure();
+        return;
+    case fault_kind::kill_owner:
+        m_owner_dies_after = m_store->lost();
+        return;
     }
 }
 
@@ -376,6 +436,21 @@
     case fault_kind::orders_late:
         make_orders_late(0);
         return;
+    case fault_kind::revoke_key:
+        --m_revoked[it.target % accounts];
+        configure();
+        return;
+    case fault_kind::kill_owner:
+        if (m_owner_dies_after)
+        {
+            kill_owner();
+        }
+        // Which process it was is not kept.
+        for (auto& each : m_processes)
+        {
+            each.held = false;
+        }
+        return;
     default:
         return;
     }
@@ -391,6 +466,10 @@
 
 void cell::look_after_processes()
 {
+    if (m_owner_dies_after && m_store->lost() > *m_owner_dies_after)
+    {
+        kill_owner();
+    }
     auto const now = std::chrono::steady_clock::now();
     for (auto& it : m_processes)
     {
--- a/utilities/soak/cell.hpp
+++ b/utilities/soak/cell.hpp
@@ -3,6 +3,7 @@
 #include <soak/ledger.hpp>
 #include <soak/plan.hpp>
 #include <stand_ins/cell_process.hpp>
+#include <stand_ins/documents.hpp>
 #include <stand_ins/fault_link.hpp>
 #include <stand_ins/heartbeats.hpp>
 #include <stand_ins/instance_stand_in.hpp>
@@ -10,6 +11,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <array>
 #include <filesystem>
 #include <memory>
 #include <optional>
@@ -47,6 +49,15 @@
     late,
 };
 
+/// Who may call.
+enum class caller_kind : std::uint8_t
+{
+    anybody,
+    /// Client accounts with a key each; not with large configurations. Tasks
+    /// are short, so that many jobs are handed in.
+    accounts,
+};
+
 /// The size of a run, and what its instances are like. A value.
 struct cell_size
 {
@@ -55,6 +66,7 @@
     instance_kind kind{instance_kind::steady};
     configuration_kind configuration{configuration_kind::small};
     order_kind orders{order_kind::prompt};
+    caller_kind callers{caller_kind::anybody};
 
     friend bool operator==(cell_size const&, cell_size const&) = default;
 };
@@ -67,10 +79,14 @@
     /// Tasks of `task_cpu` that an instance holds.
     static constexpr std::int64_t task_cpu = 3'000;
     static constexpr std::chrono::milliseconds task_time{250};
+    static constexpr std::chrono::milliseconds short_task_time{60};
     static constexpr std::chrono::milliseconds long_task_time{1'000};
     static constexpr std::size_t room = static_cast<std::size_t>(
         platform_test::instance_stand_in::cpu_millis / task_cpu);
 
+    /// Client accounts, where there are any.
+    static constexpr std::size_t accounts = 4;
+
     /// Same seed, same draws of what becomes of a request.
     cell(boost::asio::io_context& loop,
          std::string binary,
@@ -98,6 +114,10 @@
     /// Where callers reach a process: its link.
     [[nodiscard]] network::socket_address callers_of(std::size_t process) const;
 
+    /// The fields of a request of a client account.
+    [[nodiscard]] std::vector<network::http_field>
+    fields_of(std::size_t account) const;
+
     [[nodiscard]] std::size_t processes() const noexcept
     {
         return m_processes.size();
@@ -145,11 +165,17 @@
     entries() const;
     void make_orders_late(double share);
     void configure();
+    [[nodiscard]] std::vector<platform_test::account_keys> keys() const;
+    void kill(member& it);
+    void kill_owner();
 
     boost::asio::io_context& m_loop;
     ledger& m_seen;
     instance_kind m_kind;
     configuration_kind m_configuration;
+    caller_kind m_callers;
+    /// How many faults keep the account's key revoked.
+    std::array<int, accounts> m_revoked{};
     std::unique_ptr<platform_test::store_stand_in> m_store;
     std::vector<member> m_processes;
     std::vector<worker> m_workers;
@@ -157,6 +183,8 @@
     int m_version{0};
     int m_crashes{0};
     bool m_healed{false};
+    /// The owner is killed when the store has lost more answers than these.
+    std::optional<std::size_t> m_owner_dies_after;
 };
 
 } // namespace berylhill::soak
--- a/utilities/soak/client.cpp
+++ b/utilities/soak/client.cpp
@@ -13,6 +13,7 @@
 {
 
 constexpr unsigned status_ok = 200;
+constexpr unsigned unauthorised = 401;
 constexpr unsigned gone = 410;
 
 constexpr std::chrono::seconds deadline{3};
@@ -41,6 +42,7 @@
     , m_random{seed}
     , m_client{loop, {}}
     , m_timer{loop}
+    , m_account{static_cast<std::size_t>(seed % cell::accounts)}
 {
 }
 
@@ -75,11 +77,8 @@
 {
     auto const to = m_cell.callers_of(draw(m_cell.processes()));
     m_client.call(to,
-                  {method,
-                   "/q/" + m_job,
-                   {{"Host", "h"}},
-                   std::move(body),
-                   "application/json"},
+                  {method, "/q/" + m_job, m_cell.fields_of(m_account),
+                   std::move(body), "application/json"},
                   deadline, std::move(done));
 }
 
@@ -122,6 +121,12 @@
     }
     if (ledger::is_rejection(status))
     {
+        if (status == unauthorised && !m_maybe_taken)
+        {
+            m_account = (m_account + 1) % cell::accounts;
+            later(retry_pause, &client::next_job);
+            return;
+        }
         ++m_refusals;
         if (m_refusals >= most_refusals && !m_maybe_taken)
         {
--- a/utilities/soak/client.hpp
+++ b/utilities/soak/client.hpp
@@ -65,6 +65,7 @@
     network::http_client m_client;
     boost::asio::steady_timer m_timer;
     std::string m_job;
+    std::size_t m_account;
     int m_refusals{0};
     bool m_maybe_taken{false};
     bool m_accepted{false};
--- a/utilities/soak/main.cpp
+++ b/utilities/soak/main.cpp
@@ -46,6 +46,9 @@
     add("late-orders", "spells in which orders get no answer and are carried "
                        "out seconds later, and instances that reject part of "
                        "their requests");
+    add("revoke-keys", "client accounts whose keys are revoked and given back "
+                       "one after the other, while the store loses answers and "
+                       "owners are killed; not with --large");
     add("large", "configurations as large as the store takes, over links that "
                  "carry 2 Mbit/s");
     add("plan", "print the faults of each seed, and play none");
@@ -103,7 +106,9 @@
         given.count("large") != 0 ? soak::configuration_kind::large
                                   : soak::configuration_kind::small,
         given.count("late-orders") != 0 ? soak::order_kind::late
-                                        : soak::order_kind::prompt};
+                                        : soak::order_kind::prompt,
+        given.count("revoke-keys") != 0 ? soak::caller_kind::accounts
+                                        : soak::caller_kind::anybody};
     settings.clients = given["clients"].as<std::size_t>();
     auto const first = given["first"].as<std::uint64_t>();
     auto const seeds = given["seeds"].as<std::uint64_t>();
--- a/utilities/soak/plan.cpp
+++ b/utilities/soak/plan.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <random>
 
 namespace berylhill::soak
@@ -9,7 +10,7 @@
 
 std::string name_of(fault_kind it)
 {
-    static constexpr char const* names[fault_kinds + order_fault_kinds] = {
+    static constexpr char const* names[] = {
         "kill",
         "terminate",
         "freeze",
@@ -28,7 +29,11 @@
         "change_configuration",
         "instance_rejects",
         "orders_late",
+        "revoke_key",
+        "kill_owner",
     };
+    static_assert(std::size(names) ==
+                  fault_kinds + order_fault_kinds + key_fault_kinds);
     return names[static_cast<std::size_t>(it)];
 }
 
@@ -100,4 +105,64 @@
     return out;
 }
 
+std::vector<fault> key_plan_of(std::uint64_t seed,
+                               std::chrono::milliseconds length)
+{
+    struct series
+    {
+        fault_kind kind;
+        std::int64_t shortest_gap_ms;
+        std::int64_t longest_gap_ms;
+        std::int64_t shortest_ms;
+        std::int64_t longest_ms;
+    };
+    constexpr series all[] = {
+        {fault_kind::revoke_key, 150, 400, 200, 900},
+        {fault_kind::kill_owner, 900, 2'200, 100, 600},
+        {fault_kind::kill, 1'500, 4'000, 100, 800},
+        {fault_kind::store_loses_answers, 300, 2'500, 2'000, 4'000},
+    };
+    // Another sequence than those of the other faults.
+    constexpr std::uint64_t key_stream = 0x6b65797300000000;
+    std::mt19937_64 random{seed ^ key_stream};
+    auto const draw = [&](std::int64_t from, std::int64_t to)
+    {
+        return std::uniform_int_distribution<std::int64_t>{from, to}(random);
+    };
+    constexpr std::int64_t targets = 1'000;
+    constexpr std::int64_t longest_takeover_ms = 150;
+    std::vector<fault> out;
+    for (auto const& it : all)
+    {
+        auto const gap = [&]
+        {
+            return std::chrono::milliseconds{
+                draw(it.shortest_gap_ms, it.longest_gap_ms)};
+        };
+        auto target = static_cast<std::size_t>(draw(0, targets));
+        for (auto at = gap(); at < length; at += gap())
+        {
+            std::chrono::milliseconds const lasts{
+                draw(it.shortest_ms, it.longest_ms)};
+            out.push_back({at, lasts, it.kind, target++});
+            // Calls whose answer goes with the owner are judged by the next
+            // one some 100 ms later.
+            for (auto n = it.kind == fault_kind::kill_owner ? 2U : 0U; n > 0;
+                 --n)
+            {
+                std::chrono::milliseconds const after{
+                    draw(0, longest_takeover_ms)};
+                out.push_back(
+                    {at + after, lasts, fault_kind::revoke_key, target + n});
+            }
+            // Spells of one kind that ends for all would end each other.
+            at += it.kind == fault_kind::store_loses_answers
+                      ? lasts
+                      : std::chrono::milliseconds{0};
+        }
+    }
+    std::ranges::sort(out);
+    return out;
+}
+
 } // namespace berylhill::soak
--- a/utilities/soak/plan.hpp
+++ b/utilities/soak/plan.hpp
@@ -34,11 +34,17 @@
     instance_rejects,
     /// Most orders to all instances get no answer and are carried out late.
     orders_late,
+    /// A client account has no key.
+    revoke_key,
+    /// When the store loses its next answer, if it does.
+    kill_owner,
 };
 
-/// How many kinds there are in every plan, and how many more of orders.
+/// How many kinds there are in every plan, and how many more of orders and of
+/// keys.
 inline constexpr std::size_t fault_kinds = 16;
 inline constexpr std::size_t order_fault_kinds = 2;
+inline constexpr std::size_t key_fault_kinds = 2;
 
 /// For the printed plan.
 [[nodiscard]] std::string name_of(fault_kind it);
@@ -65,4 +71,10 @@
 [[nodiscard]] std::vector<fault>
 order_plan_of(std::uint64_t seed, std::chrono::milliseconds length);
 
+/// Keys that are revoked and given back in series while the store loses answers
+/// and processes are killed, to be played beside the seed's other faults; drawn
+/// from a generator of their own. Pure.
+[[nodiscard]] std::vector<fault> key_plan_of(std::uint64_t seed,
+                                             std::chrono::milliseconds length);
+
 } // namespace berylhill::soak
--- a/utilities/soak/run.cpp
+++ b/utilities/soak/run.cpp
@@ -142,7 +142,7 @@
             std::optional<unsigned> got;
             asker.call(
                 m_cell.callers_of(process),
-                {network::http_method::get, path, {{"Host", "h"}}, {}, {}},
+                {network::http_method::get, path, m_cell.fields_of(0), {}, {}},
                 std::chrono::seconds{1},
                 [&](network::call_result const& it)
                 { got = it.response.status; });
@@ -169,11 +169,18 @@
 std::vector<fault> faults_of(run_settings const& it)
 {
     auto out = plan_of(it.seed, it.length);
-    if (it.size.orders == order_kind::late)
+    auto const add = [&](std::vector<fault> const& more)
     {
-        auto const more = order_plan_of(it.seed, it.length);
         out.insert(out.end(), more.begin(), more.end());
         std::ranges::sort(out);
+    };
+    if (it.size.orders == order_kind::late)
+    {
+        add(order_plan_of(it.seed, it.length));
+    }
+    if (it.size.callers == caller_kind::accounts)
+    {
+        add(key_plan_of(it.seed, it.length));
     }
     return out;
 }
