--- a/utilities/soak/client.cpp
+++ b/utilities/soak/client.cpp
@@ -13,8 +13,7 @@
 {
 
 constexpr unsigned status_ok = 200;
-constexpr unsigned too_many = 429;
-constexpr unsigned unavailable = 503;
+constexpr unsigned unauthorised = 401;
 constexpr unsigned gone = 410;
 
 constexpr std::chrono::seconds deadline{3};
@@ -43,6 +42,7 @@
     , m_random{seed}
     , m_client{loop, {}}
     , m_timer{loop}
+    , m_account{static_cast<std::size_t>(seed % cell::accounts)}
 {
 }
 
@@ -77,11 +77,8 @@
 {
     auto const to = m_cell.callers_of(draw(m_cell.processes()));
     m_client.call(to,
-                  {method,
-                   "/q/" + m_job,
-                   {{"Host", "h"}},
-                   std::move(body),
-                   "application/json"},
+                  {method, "/q/" + m_job, m_cell.fields_of(m_account),
+                   std::move(body), "application/json"},
                   deadline, std::move(done));
 }
 
@@ -100,6 +97,7 @@
 
 void client::submit()
 {
+    m_seen.submit_sent(m_job);
     call(network::http_method::post,
          platform_test::job_document(cell::task_cpu, cell::task_time.count()),
          [this](auto const& it) { submitted(it); });
@@ -109,6 +107,11 @@
 {
     auto const answered = it.end == network::call_end::answered;
     auto const status = answered ? it.response.status : 0U;
+    if (it.sent_before)
+    {
+        m_maybe_taken = true;
+        m_seen.submit_repeated(m_job);
+    }
     m_seen.submit_answered(m_job, status, std::chrono::steady_clock::now());
     if (status == status_ok)
     {
@@ -116,8 +119,14 @@
         later(look_pause, m_cancels ? &client::cancel : &client::look);
         return;
     }
-    if (status == too_many || status == unavailable)
+    if (ledger::is_rejection(status))
     {
+        if (status == unauthorised && !m_maybe_taken)
+        {
+            m_account = (m_account + 1) % cell::accounts;
+            later(retry_pause, &client::next_job);
+            return;
+        }
         ++m_refusals;
         if (m_refusals >= most_refusals && !m_maybe_taken)
         {
