--- a/libraries/cell/answer_log.cpp
+++ b/libraries/cell/answer_log.cpp
@@ -8,8 +8,8 @@
 namespace
 {
 
-/// Lines a second and the largest burst: a process that rejects everything
-/// spends about a hundredth of its processor time on them.
+/// Lines a second and the largest burst, so that a process that rejects
+/// everything keeps its processor time for its callers.
 constexpr std::int64_t lines_per_s = 100;
 constexpr std::int64_t lines_at_once = 400;
 
--- a/libraries/cell/call_router.cpp
+++ b/libraries/cell/call_router.cpp
@@ -272,9 +272,9 @@
         return;
     }
     auto given = answer;
-    auto const by_owner = source == answer_source::owner
-                              ? std::optional{answer.kind}
-                              : std::nullopt;
+    auto const owner_answer = source == answer_source::owner
+                                  ? std::optional{answer.kind}
+                                  : std::nullopt;
     if (it->maybe_done && !covers_earlier_sends(it->call.kind, given.kind))
     {
         // An earlier send may have been stored, or may still be carried out.
@@ -283,7 +283,8 @@
     }
     --m_under_way;
     auto const done = std::exchange(it->done, nullptr);
-    done({given, source, by_owner, it->sends, it->maybe_done, it->asked_token});
+    done({given, source, owner_answer, it->sends, it->maybe_done,
+          it->asked_token});
 }
 
 } // namespace berylhill::cell
