scheduler: Store the state of a large job in parts of bounded size

Cause: the state of a job was one record with a row for every task of every occurrence that ever was. Past 262,144 bytes the store rejects it, and the records of all jobs go out in one append. Each change of one task also wrote the whole job anew.

Change: a job that repeats or has more than 64 tasks has a partitioned state: a head, a record for each 32 tasks of a step, and a note for an occurrence that is complete while an earlier one is not. The head counts the complete ones, which are dropped from memory. Only parts that changed are written. Records are ordered so that a successor can begin after any of them: new ones before those that they replace are deleted, an end before all else. A gang of which some members are done is done.

Jobs with up to 64 tasks are stored as before. Older records of larger ones are read and replaced. An older release that owns after this one shows a partitioned job as running and can cancel it, but runs none of it (its specification is under a key that it doesn't know); an end that it acknowledges meanwhile is lost, so that task runs again.

Also bounded: checkpoints that are kept (1,024 bytes), tasks of open occurrences of one job in memory (20,000). The due time of an occurrence no longer overflows.

Why it works: the size of a record depends on 32 tasks, neither on the age nor on the size of the job.

--- a/libraries/scheduler/job.cpp
+++ b/libraries/scheduler/job.cpp
@@ -45,6 +45,16 @@
     return out;
 }
 
+std::size_t tasks_in(std::vector<workload::step_spec> const& steps)
+{
+    std::size_t out = 0;
+    for (auto const& it : steps)
+    {
+        out += it.tasks;
+    }
+    return out;
+}
+
 } // namespace
 
 char const* name_of(job_phase it)
@@ -65,16 +75,34 @@
     return "other";
 }
 
+void step::recount()
+{
+    done = 0;
+    waiting = 0;
+    for (auto const& it : tasks)
+    {
+        done += it.phase == task_phase::done ? 1 : 0;
+        waiting += it.phase == task_phase::waiting ? 1 : 0;
+    }
+}
+
 bool occurrence::complete() const noexcept
 {
     return std::ranges::all_of(steps,
                                [](step const& it) { return it.complete(); });
 }
 
-job::job(workload::job_spec spec, std::int64_t accepted, base::instant now)
+job::job(workload::job_spec spec,
+         std::int64_t accepted,
+         base::instant now,
+         record_layout layout)
     : accepted_ms{accepted}
     , accepted_at{now}
     , m_spec{std::move(spec)}
+    , m_layout{layout}
+    , m_tasks_per_occurrence{tasks_in(m_spec.steps)}
+    , m_partitioned{m_spec.repeats.count != 0 ||
+                    m_tasks_per_occurrence > layout.max_tasks_in_one_record}
 {
     set_work(estimates_of(m_spec.steps));
 }
@@ -96,13 +124,73 @@
     out.steps.resize(m_spec.steps.size());
     for (std::size_t n = 0; n < out.steps.size(); ++n)
     {
-        out.steps[n].tasks.resize(m_spec.steps[n].tasks);
+        out.steps[n].tasks.reset(m_spec.steps[n].tasks);
         out.steps[n].waiting = m_spec.steps[n].tasks;
     }
     return out;
 }
 
+std::uint32_t job::next_occurrence() const
+{
+    auto out = completed.all_below();
+    if (!completed.beyond().empty())
+    {
+        out = std::max(out, *completed.beyond().rbegin() + 1);
+    }
+    if (!occurrences.empty())
+    {
+        out = std::max(out, occurrences.rbegin()->first + 1);
+    }
+    return out;
+}
+
+base::instant job::due_at(std::uint32_t number) const
+{
+    auto const at = occurrences.find(number);
+    return at == occurrences.end() ? accepted_at : at->second.due;
+}
+
+void job::retire_complete_occurrences()
+{
+    for (auto at = occurrences.begin(); at != occurrences.end();)
+    {
+        auto const number = at->first;
+        if (!at->second.complete())
+        {
+            ++at;
+            continue;
+        }
+        at = occurrences.erase(at);
+        completed.add(number);
+        note_completed(number);
+    }
+}
+
+/// The record of an occurrence that is complete replaces those of its tasks,
+/// and is replaced by the head once all earlier ones are complete.
+void job::note_completed(std::uint32_t number)
+{
+    if (!m_partitioned)
+    {
+        return;
+    }
+    parts.note_changed({number});
+    for (auto const& it : parts.stored())
+    {
+        if (it.occurrence == number ||
+            (it.notes_completion() && it.occurrence < completed.all_below()))
+        {
+            parts.note_changed(it);
+        }
+    }
+}
+
 step* job::find(workload::step_name const& it)
+{
+    return const_cast<step*>(std::as_const(*this).find(it));
+}
+
+step const* job::find(workload::step_name const& it) const
 {
     auto const at = occurrences.find(it.occurrence);
     if (at == occurrences.end() || it.step_index >= at->second.steps.size())
@@ -112,21 +200,71 @@
     return &at->second.steps[it.step_index];
 }
 
-bool job::ready(occurrence const& in, std::uint32_t number) const
+task& job::edit(workload::task_name const& it)
 {
-    return std::ranges::all_of(m_spec.steps[number].depends_on,
-                               [&](std::uint32_t it)
-                               { return in.steps[it].complete(); });
+    if (m_partitioned)
+    {
+        parts.note_changed(part_of(it));
+    }
+    return find(it.step)->tasks.m_tasks[it.index];
+}
+
+void job::note_former_state_changed()
+{
+    if (!parts.has_former_records())
+    {
+        return;
+    }
+    for (auto const& [number, in] : occurrences)
+    {
+        for (std::uint32_t s = 0; s < in.steps.size(); ++s)
+        {
+            auto const last =
+                static_cast<std::uint32_t>(in.steps[s].tasks.size() - 1);
+            auto const ranges = part_of({{m_spec.id, number, s}, last}).range;
+            for (std::uint32_t range = 0; range <= ranges; ++range)
+            {
+                parts.note_changed({number, s, range});
+            }
+        }
+    }
+    for (auto const& it : remaining_attempts)
+    {
+        parts.note_changed(part_of(it.attempt.task));
+    }
+}
+
+void job::restore_task(workload::task_name const& it, task state)
+{
+    find(it.step)->tasks.m_tasks[it.index] = std::move(state);
 }
 
-bool job::complete() const
+void job::note_step_changed(workload::step_name const& it)
 {
-    if (occurrences.size() < occurrences_in_all())
+    if (m_partitioned)
     {
-        return false;
+        parts.note_changed(part_of({it, 0}));
     }
-    return std::ranges::all_of(occurrences, [](auto const& it)
-                               { return it.second.complete(); });
+}
+
+bool job::has_task(workload::task_name const& it) const
+{
+    return it.step.occurrence < next_occurrence() &&
+           it.step.step_index < m_spec.steps.size() &&
+           it.index < m_spec.steps[it.step.step_index].tasks;
+}
+
+state_part job::part_of(workload::task_name const& it) const
+{
+    return {it.step.occurrence, it.step.step_index,
+            it.index / m_layout.tasks_per_part};
+}
+
+bool job::ready(occurrence const& in, std::uint32_t number) const
+{
+    return std::ranges::all_of(m_spec.steps[number].depends_on,
+                               [&](std::uint32_t it)
+                               { return in.steps[it].complete(); });
 }
 
 bool task::failure_is_new(std::uint32_t number) const
@@ -140,14 +278,23 @@
     auto const& spec = spec_of(name.task.step);
     remaining_attempts.push_back(
         {name, instance, spec.reserved_need(), spec.need});
+    if (m_partitioned)
+    {
+        parts.note_changed(part_of(name.task));
+    }
 }
 
 bool job::remove_remaining(attempt_name const& name,
                            std::string const& instance)
 {
-    return std::erase_if(
-               remaining_attempts, [&](remaining_attempt const& it)
-               { return it.attempt == name && it.instance == instance; }) > 0;
+    auto const removed = std::erase_if(
+        remaining_attempts, [&](remaining_attempt const& it)
+        { return it.attempt == name && it.instance == instance; });
+    if (removed > 0 && m_partitioned)
+    {
+        parts.note_changed(part_of(name.task));
+    }
+    return removed > 0;
 }
 
 void job::collect_remaining_attempts()
@@ -172,6 +319,10 @@
 void job::release_details()
 {
     collect_remaining_attempts();
+    for (auto const& it : remaining_attempts)
+    {
+        parts_kept.insert(part_of(it.attempt.task));
+    }
     m_spec.payload.clear();
     m_spec.payload.shrink_to_fit();
     occurrences.clear();
--- a/libraries/scheduler/job.hpp
+++ b/libraries/scheduler/job.hpp
@@ -1,14 +1,19 @@
 #pragma once
 
 #include <base/time.hpp>
+#include <scheduler/completed_occurrences.hpp>
 #include <scheduler/loss_count.hpp>
 #include <scheduler/orders.hpp>
+#include <scheduler/part_ledger.hpp>
+#include <scheduler/task_list.hpp>
 #include <workload/job_spec.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -42,38 +47,6 @@
     over_share,
 };
 
-enum class task_phase : std::uint8_t
-{
-    waiting,
-    /// An attempt may be running.
-    placed,
-    done,
-};
-
-/// One task of a step.
-struct task
-{
-    task_phase phase{task_phase::waiting};
-    /// The number of its last attempt; 0 if there was none.
-    std::uint32_t run{0};
-    std::uint32_t failures{0};
-    /// The checkpoint that the next attempt resumes from.
-    std::string checkpoint;
-    /// The instance of the last attempt.
-    std::string instance;
-    loss_count lost;
-    /// The numbers of the attempts in `failures`. A record of an older version
-    /// has none, and then they are fewer.
-    std::vector<std::uint32_t> failed_runs;
-
-    /// Whether the failure of an attempt that is not the current one is
-    /// certainly not in `failures` yet: an instance repeats an end until it is
-    /// acknowledged, to the next owner too.
-    [[nodiscard]] bool failure_is_new(std::uint32_t number) const;
-
-    friend bool operator==(task const&, task const&) = default;
-};
-
 class instance;
 
 /// Answers of the advice service for a step. Whether an instance is allowed
@@ -103,7 +76,7 @@
 /// The tasks of one step of one occurrence.
 struct step
 {
-    std::vector<task> tasks;
+    task_list tasks;
     std::uint32_t done{0};
     std::uint32_t waiting{0};
     /// For a gang: how often it failed as a whole, and in which run it failed
@@ -133,6 +106,9 @@
         return done == tasks.size();
     }
 
+    /// Counts the tasks anew by their phases.
+    void recount();
+
     /// Number of tasks with an attempt that may be running.
     [[nodiscard]] std::uint32_t placed() const noexcept
     {
@@ -140,7 +116,8 @@
     }
 };
 
-/// One execution of a job's steps; a repeating job has several.
+/// One execution of a job's steps; a repeating job has several. Those that are
+/// complete are only counted.
 struct occurrence
 {
     /// When it was due, on the local clock.
@@ -166,18 +143,81 @@
 class job
 {
 public:
-    job(workload::job_spec spec, std::int64_t accepted_ms, base::instant now);
+    job(workload::job_spec spec,
+        std::int64_t accepted_ms,
+        base::instant now,
+        record_layout layout = {});
 
     [[nodiscard]] workload::job_spec const& spec() const noexcept
     {
         return m_spec;
     }
 
-    /// Creates the occurrence with all tasks waiting.
+    [[nodiscard]] record_layout const& layout() const noexcept
+    {
+        return m_layout;
+    }
+
+    /// Whether the state of the job is stored in several records, each of which
+    /// has a bounded size.
+    [[nodiscard]] bool partitioned() const noexcept
+    {
+        return m_partitioned;
+    }
+
+    /// The store has parts of the state, although the specification is not
+    /// known any more.
+    void assume_partitioned() noexcept
+    {
+        m_partitioned = true;
+    }
+
+    /// If the job was restored from the records of a release that knew no
+    /// parts, notes that all its parts have to be written.
+    void note_former_state_changed();
+
+    /// Creates the occurrence with all tasks waiting. Precondition: it is not
+    /// complete.
     occurrence& open_occurrence(std::uint32_t number, base::instant due);
 
-    /// Returns the step, or null if the job has no such step yet.
+    /// The lowest number of which no occurrence has been opened.
+    [[nodiscard]] std::uint32_t next_occurrence() const;
+
+    /// Number of tasks of the open occurrences.
+    [[nodiscard]] std::size_t open_tasks() const noexcept
+    {
+        return m_tasks_per_occurrence * occurrences.size();
+    }
+
+    /// When the occurrence was due; for one that is not open, when the job was
+    /// accepted.
+    [[nodiscard]] base::instant due_at(std::uint32_t occurrence) const;
+
+    /// Replaces the occurrences whose tasks are all done by a note of that.
+    /// References to their steps and tasks become invalid.
+    void retire_complete_occurrences();
+
+    /// Returns the step, or null if the job has no such step yet or its
+    /// occurrence is complete.
     [[nodiscard]] step* find(workload::step_name const& it);
+    [[nodiscard]] step const* find(workload::step_name const& it) const;
+
+    /// Returns the task in order to change it, and notes that its record has to
+    /// be written. Precondition: its step can be found.
+    [[nodiscard]] task& edit(workload::task_name const& it);
+
+    /// Sets a task as its record says. Precondition: its step can be found.
+    void restore_task(workload::task_name const& it, task state);
+
+    /// Notes that the record which has the counts of the step has to be
+    /// written.
+    void note_step_changed(workload::step_name const& it);
+
+    /// Whether the job has such a task, in an occurrence that has been opened.
+    [[nodiscard]] bool has_task(workload::task_name const& it) const;
+
+    /// The part of the state that has the task.
+    [[nodiscard]] state_part part_of(workload::task_name const& it) const;
 
     [[nodiscard]] workload::step_spec const&
     spec_of(workload::step_name const& it) const
@@ -188,8 +228,11 @@
     /// Whether all steps that step `number` depends on are complete.
     [[nodiscard]] bool ready(occurrence const& in, std::uint32_t number) const;
 
-    /// Whether every occurrence has been opened and is complete.
-    [[nodiscard]] bool complete() const;
+    /// Whether every occurrence is complete and has been retired.
+    [[nodiscard]] bool complete() const
+    {
+        return completed.all_below() >= occurrences_in_all();
+    }
 
     /// The total number of occurrences of the job.
     [[nodiscard]] std::uint32_t occurrences_in_all() const noexcept
@@ -223,7 +266,7 @@
                           std::string const& instance);
 
     /// Releases what only unfinished jobs need and records the attempts that
-    /// may still be running.
+    /// may still be running, and the parts that have them.
     void release_details();
 
     /// Whether the job is within its client account's share; jobs beyond it
@@ -240,7 +283,14 @@
     base::instant accepted_at{};
     /// When its phase became final, on the local clock.
     base::instant finished_at{};
+    /// Those that are open.
     std::map<std::uint32_t, occurrence> occurrences;
+    completed_occurrences completed;
+    /// Used if the state is partitioned.
+    part_ledger parts;
+    /// For a finished job: the parts that name attempts which may still be
+    /// running. They stay in the store as long as the job's status.
+    std::set<state_part> parts_kept;
     /// Attempts that may still be running and that no task names as its
     /// current one: all those of a finished job, and those that were not
     /// expected or whose task is done. A successor counts and stops them.
@@ -250,8 +300,12 @@
 
 private:
     void collect_remaining_attempts();
+    void note_completed(std::uint32_t number);
 
     workload::job_spec m_spec;
+    record_layout m_layout;
+    std::size_t m_tasks_per_occurrence{0};
+    bool m_partitioned{false};
     std::vector<base::duration> m_chains;
     base::duration m_longest{0};
 };
--- a/libraries/scheduler/job_table.cpp
+++ b/libraries/scheduler/job_table.cpp
@@ -1,5 +1,8 @@
 #include <scheduler/job_table.hpp>
 
+#include <scheduler/part_record.hpp>
+
+#include <algorithm>
 #include <cassert>
 #include <iterator>
 #include <utility>
@@ -12,7 +15,8 @@
                     base::instant now)
 {
     auto const id = spec.id;
-    auto made = std::make_unique<job>(std::move(spec), accepted_ms, now);
+    auto made =
+        std::make_unique<job>(std::move(spec), accepted_ms, now, m_layout);
     auto const [at, added] = m_jobs.emplace(id, std::move(made));
     assert(added);
     m_new.insert(id);
@@ -47,11 +51,13 @@
     {
         return;
     }
-    forget_finished(*at->second);
+    auto const& of = *at->second;
+    forget_finished(of);
     m_repeating.erase(it);
-    m_jobs.erase(at);
     m_changed.erase(it);
-    m_dropped.insert(it);
+    m_dropped[it] =
+        of.partitioned() ? keys_to_delete(of) : std::vector{state_key(it)};
+    m_jobs.erase(at);
 }
 
 bool job_table::withdraw(workload::job_id it)
@@ -84,49 +90,61 @@
 job_table::changes job_table::take_changes()
 {
     changes out;
-    for (auto const id : m_new)
+    // First, because a dropped job may have been submitted again.
+    for (auto const& [id, keys] : m_dropped)
     {
-        auto const& it = *m_jobs.at(id);
-        if (!finished(it.phase))
+        for (auto const& key : keys)
         {
-            out.records.push_back({spec_key(id), spec_value(it)});
+            out.records.push_back({key, {}});
         }
-        out.jobs.push_back(id);
     }
-    for (auto const id : m_changed)
+    out.dropped = std::exchange(m_dropped, {});
+    auto taken = m_changed;
+    taken.insert(m_new.begin(), m_new.end());
+    for (auto const id : taken)
     {
-        auto const& it = *m_jobs.at(id);
-        out.records.push_back({state_key(id), state_value(it)});
-        if (finished(it.phase))
-        {
-            out.records.push_back({spec_key(id), {}});
-        }
-        if (!m_new.contains(id))
-        {
-            out.jobs.push_back(id);
-        }
-    }
-    for (auto const id : m_dropped)
-    {
-        out.records.push_back({state_key(id), {}});
-        out.dropped.push_back(id);
+        add_records(*m_jobs.at(id), out.records);
+        out.jobs.push_back(id);
     }
     m_new.clear();
     m_changed.clear();
-    m_dropped.clear();
     return out;
 }
 
+void job_table::add_records(job& it, std::vector<record>& to) const
+{
+    auto const id = it.spec().id;
+    if (it.partitioned())
+    {
+        std::ranges::move(take_part_records(it), std::back_inserter(to));
+        return;
+    }
+    if (m_new.contains(id) && !finished(it.phase))
+    {
+        to.push_back({spec_key(id), spec_value(it)});
+    }
+    if (!m_changed.contains(id))
+    {
+        return;
+    }
+    to.push_back({state_key(id), state_value(it)});
+    if (finished(it.phase))
+    {
+        to.push_back({spec_key(id), {}});
+    }
+}
+
 void job_table::put_back(std::vector<workload::job_id> const& changed,
-                         std::vector<workload::job_id> const& dropped)
+                         dropped_jobs const& dropped)
 {
     for (auto const id : changed)
     {
-        auto const* const it = find(id);
+        auto* const it = find(id);
         if (it == nullptr)
         {
             continue;
         }
+        it->parts.batch_not_stored();
         m_changed.insert(id);
         if (!it->stored)
         {
@@ -136,6 +154,12 @@
     m_dropped.insert(dropped.begin(), dropped.end());
 }
 
+void job_table::stored(job& it)
+{
+    it.stored = true;
+    it.parts.batch_stored();
+}
+
 void job_table::refresh_ready(job const& it)
 {
     auto const id = it.spec().id;
--- a/libraries/scheduler/job_table.hpp
+++ b/libraries/scheduler/job_table.hpp
@@ -2,6 +2,7 @@
 
 #include <scheduler/job.hpp>
 #include <scheduler/record.hpp>
+#include <scheduler/state_part.hpp>
 
 #include <cstddef>
 #include <map>
@@ -21,6 +22,15 @@
 public:
     using job_map = std::unordered_map<workload::job_id, std::unique_ptr<job>>;
 
+    /// Jobs that are no longer kept, with the keys of their records in the
+    /// order in which they have to be deleted.
+    using dropped_jobs = std::map<workload::job_id, std::vector<std::string>>;
+
+    explicit job_table(record_layout layout = {})
+        : m_layout{layout}
+    {
+    }
+
     /// Precondition: the id is unknown.
     job&
     add(workload::job_spec spec, std::int64_t accepted_ms, base::instant now);
@@ -58,13 +68,16 @@
     {
         std::vector<record> records;
         std::vector<workload::job_id> jobs;
-        std::vector<workload::job_id> dropped;
+        dropped_jobs dropped;
     };
     [[nodiscard]] changes take_changes();
 
     /// Marks the changes taken last as unwritten again.
     void put_back(std::vector<workload::job_id> const& changed,
-                  std::vector<workload::job_id> const& dropped);
+                  dropped_jobs const& dropped);
+
+    /// The changes of the job that were taken last are stored.
+    void stored(job& it);
 
     /// Steps with waiting tasks whose dependencies are complete.
     [[nodiscard]] std::set<workload::step_name> const& ready() const noexcept
@@ -106,13 +119,15 @@
     finished_before(base::instant it) const;
 
 private:
+    void add_records(job& it, std::vector<record>& to) const;
     void forget_finished(job const& it);
     void forget_pending(job const& it);
 
+    record_layout m_layout;
     job_map m_jobs;
     std::set<workload::job_id> m_changed;
     std::set<workload::job_id> m_new;
-    std::set<workload::job_id> m_dropped;
+    dropped_jobs m_dropped;
     std::set<workload::step_name> m_ready;
     std::set<workload::job_id> m_repeating;
     /// By queue: the jobs of which no task has started.
--- a/libraries/scheduler/policy.hpp
+++ b/libraries/scheduler/policy.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <base/time.hpp>
+#include <scheduler/state_part.hpp>
 
+#include <cstddef>
 #include <cstdint>
 
 namespace berylhill::scheduler
@@ -84,6 +86,14 @@
     base::duration leave_before{std::chrono::milliseconds{1'500}};
     /// How long the status of a finished job is available.
     base::duration status_kept{std::chrono::seconds{120}};
+    /// Checkpoints with more bytes are not kept, and their tasks start from the
+    /// beginning: the state of a task is a part of a record.
+    std::size_t max_checkpoint_bytes{1'024};
+    /// Number of tasks of the open occurrences of a job, beyond which no
+    /// further one is opened before another is complete: a job that is due more
+    /// often than the cell can run it must not use up the memory.
+    std::size_t max_open_tasks{20'000};
+    record_layout layout{};
 
     friend bool operator==(policy const&, policy const&) = default;
 };
--- a/libraries/scheduler/record.cpp
+++ b/libraries/scheduler/record.cpp
@@ -3,6 +3,11 @@
 #include <json_codec/reader.hpp>
 #include <scheduler/record_rows.hpp>
 
+#include <algorithm>
+#include <charconv>
+#include <iterator>
+#include <optional>
+
 namespace berylhill::scheduler
 {
 
@@ -12,7 +17,56 @@
 namespace json = boost::json;
 
 constexpr std::string_view spec_prefix = "j:";
+constexpr std::string_view partitioned_spec_prefix = "js:";
 constexpr std::string_view state_prefix = "s:";
+constexpr std::string_view part_prefix = "t:";
+
+/// Number of digits of a job's id in a key.
+constexpr std::size_t id_digits = 16;
+
+struct key_prefix
+{
+    std::string_view text;
+    record_kind kind;
+};
+
+constexpr key_prefix prefixes[] = {
+    {spec_prefix, record_kind::spec},
+    {partitioned_spec_prefix, record_kind::partitioned_spec},
+    {state_prefix, record_kind::state},
+    {part_prefix, record_kind::part},
+};
+
+/// Parses `.OCCURRENCE`, or `.OCCURRENCE.STEP.RANGE`.
+std::optional<state_part> parse_part(std::string_view text)
+{
+    std::vector<std::uint32_t> numbers;
+    while (!text.empty())
+    {
+        if (text.front() != '.')
+        {
+            return std::nullopt;
+        }
+        text.remove_prefix(1);
+        auto& it = numbers.emplace_back();
+        auto const read =
+            std::from_chars(text.data(), text.data() + text.size(), it);
+        if (read.ec != std::errc{})
+        {
+            return std::nullopt;
+        }
+        text.remove_prefix(static_cast<std::size_t>(read.ptr - text.data()));
+    }
+    switch (numbers.size())
+    {
+    case 1:
+        return state_part{numbers[0]};
+    case 3:
+        return state_part{numbers[0], numbers[1], numbers[2]};
+    default:
+        return std::nullopt;
+    }
+}
 
 /// A JSON object without empty members: most steps use few of them.
 class sparse_object
@@ -115,24 +169,45 @@
     return std::string{state_prefix} + text_of(it);
 }
 
-record_key parse_record_key(std::string_view key)
+std::string partitioned_spec_key(workload::job_id it)
 {
-    auto kind = record_kind::other;
-    if (key.starts_with(spec_prefix))
+    return std::string{partitioned_spec_prefix} + text_of(it);
+}
+
+std::string part_key(workload::job_id of, state_part const& it)
+{
+    auto out = std::string{part_prefix} + text_of(of) + "." +
+               std::to_string(it.occurrence);
+    if (!it.notes_completion())
     {
-        kind = record_kind::spec;
+        out += "." + std::to_string(it.step) + "." + std::to_string(it.range);
     }
-    else if (key.starts_with(state_prefix))
+    return out;
+}
+
+record_key parse_record_key(std::string_view key)
+{
+    auto const* const prefix =
+        std::ranges::find_if(prefixes, [&](key_prefix const& it)
+                             { return key.starts_with(it.text); });
+    if (prefix == std::end(prefixes))
     {
-        kind = record_kind::state;
+        return {};
     }
-    if (kind == record_kind::other)
+    key.remove_prefix(prefix->text.size());
+    auto const rest = key.substr(std::min(id_digits, key.size()));
+    auto const id = base::capture(
+        [&] {
+            return workload::parse_job_id(
+                key.substr(0, key.size() - rest.size()));
+        });
+    auto const of_part = prefix->kind == record_kind::part;
+    auto const part = of_part ? parse_part(rest) : state_part{};
+    if (!id || !part || (!of_part && !rest.empty()))
     {
         return {};
     }
-    auto const id = base::capture(
-        [&] { return workload::parse_job_id(key.substr(spec_prefix.size())); });
-    return id ? record_key{kind, id.value()} : record_key{};
+    return {prefix->kind, id.value(), *part};
 }
 
 std::string spec_value(job const& it)
--- a/libraries/scheduler/record.hpp
+++ b/libraries/scheduler/record.hpp
@@ -2,6 +2,7 @@
 
 #include <base/result.hpp>
 #include <scheduler/job.hpp>
+#include <scheduler/state_part.hpp>
 
 #include <cstdint>
 #include <string>
@@ -27,8 +28,13 @@
 {
     /// A job as it was submitted; never changes.
     spec,
-    /// The state of a job.
+    /// The same of a job whose state is partitioned. A release that knows no
+    /// parts must not run such a job, so the key is one that it does not know.
+    partitioned_spec,
+    /// The state of a job, or the head of a partitioned one.
     state,
+    /// A part of a partitioned state.
+    part,
     other,
 };
 
@@ -36,12 +42,16 @@
 {
     record_kind kind{record_kind::other};
     workload::job_id job;
+    /// For the kind `part`.
+    state_part part;
 
     friend bool operator==(record_key const&, record_key const&) = default;
 };
 
 [[nodiscard]] std::string spec_key(workload::job_id it);
+[[nodiscard]] std::string partitioned_spec_key(workload::job_id it);
 [[nodiscard]] std::string state_key(workload::job_id it);
+[[nodiscard]] std::string part_key(workload::job_id of, state_part const& it);
 [[nodiscard]] record_key parse_record_key(std::string_view key);
 
 /// Encodes a job's specification and when it was accepted.
@@ -59,7 +69,7 @@
 [[nodiscard]] base::result<stored_spec>
 parse_spec_value(workload::job_id id, std::string_view value);
 
-/// How far a job is.
+/// How far a job is; of a partitioned state only the head.
 [[nodiscard]] std::string state_value(job const& it);
 
 /// Restores the state of a job that was just created from its specification.
--- a/libraries/scheduler/scheduler.cpp
+++ b/libraries/scheduler/scheduler.cpp
@@ -22,6 +22,7 @@
     : m_rules{rules}
     , m_log{&log}
     , m_instances{former_lease_end(rules, now)}
+    , m_jobs{rules.layout}
 {
 }
 
@@ -55,11 +56,12 @@
     return out;
 }
 
-/// Returns null if the job is unknown or its details were released.
-task* scheduler::find_task(workload::task_name const& it)
+/// Returns null if the job is unknown, its details were released, or the
+/// occurrence is complete.
+task const* scheduler::find_task(workload::task_name const& it) const
 {
-    auto* const job = m_jobs.find(it.step.job);
-    auto* const in = job == nullptr ? nullptr : job->find(it.step);
+    auto const* const job = m_jobs.find(it.step.job);
+    auto const* const in = job == nullptr ? nullptr : job->find(it.step);
     return in == nullptr || it.index >= in->tasks.size() ? nullptr
                                                          : &in->tasks[it.index];
 }
@@ -348,7 +350,7 @@
     {
         if (auto* const job = m_jobs.find(id); job != nullptr)
         {
-            job->stored = true;
+            m_jobs.stored(*job);
             job->stored_phase = phase;
         }
     }
--- a/libraries/scheduler/scheduler.hpp
+++ b/libraries/scheduler/scheduler.hpp
@@ -187,25 +187,32 @@
         std::map<std::string, std::uint64_t> seen_ends;
         /// The jobs in the batch, and the phase that each is written with.
         std::vector<std::pair<workload::job_id, job_phase>> jobs;
-        std::vector<workload::job_id> dropped;
+        job_table::dropped_jobs dropped;
     };
 
     void update_expected_work(job& of) const;
     [[nodiscard]] static attempt attempt_of(job const& of,
                                             workload::step_name const& name);
-    [[nodiscard]] task* find_task(workload::task_name const& it);
+    [[nodiscard]] task const* find_task(workload::task_name const& it) const;
     [[nodiscard]] bool any_attempt(workload::step_name const& of,
                                    step const& in) const;
     [[nodiscard]] bool within_cap(workload::job_spec const& it) const;
 
     // scheduler_restore.cpp
     void
-    restore_spec(workload::job_id id, record const& from, base::instant now);
+    restore_spec(record_key const& key, record const& from, base::instant now);
     void
     restore_state(workload::job_id id, record const& from, base::instant now);
-    job& restore_finished(workload::job_id id,
-                          record const& from,
+    void
+    restore_part(record_key const& key, record const& from, base::instant now);
+    job& add_without_spec(workload::job_id id,
+                          stored_status const& known,
                           base::instant now);
+    void restore_status(job& of, stored_status const& known, base::instant now);
+    [[nodiscard]] bool may_have_attempts(job const& of) const;
+    void restore_progress(job& of, base::instant now);
+    static void complete_gangs(job& of);
+    static void open_missing_occurrences(job& of, base::instant now);
     void stop_remaining(job const& of, base::instant now);
     void inherit_attempts(job const& of, base::instant now);
     void report_unreadable(record const& it, base::failure const& why) const;
@@ -221,7 +228,7 @@
                        std::string const& checkpoint,
                        base::instant now);
     void task_done(job& of, step& in, task& it);
-    void gang_done(step& in);
+    static void gang_done(job& of, workload::step_name const& name);
     void task_failed(job& of,
                      attempt_name const& name,
                      step& in,
--- a/libraries/scheduler/scheduler_decide.cpp
+++ b/libraries/scheduler/scheduler_decide.cpp
@@ -250,7 +250,7 @@
     }
     for (std::uint32_t n = 0; n < in.tasks.size(); ++n)
     {
-        in.tasks[n].checkpoint = checkpoint;
+        of.edit({it.name, n}).checkpoint = checkpoint;
         place(of, {it.name, n}, std::string{from[chosen[n]].instance}, run + 1,
               now);
     }
@@ -264,7 +264,7 @@
                       base::instant now)
 {
     auto& in = *of.find(name.step);
-    auto& it = in.tasks[name.index];
+    auto& it = of.edit(name);
     it.phase = task_phase::placed;
     it.run = run;
     it.instance = on;
--- a/libraries/scheduler/scheduler_ends.cpp
+++ b/libraries/scheduler/scheduler_ends.cpp
@@ -45,8 +45,7 @@
         at.add_open_order(name, now, now + m_rules.max_request_delay);
     }
     auto* const of = m_jobs.find(name.task.step.job);
-    auto* const in = of == nullptr ? nullptr : of->find(name.task.step);
-    if (in == nullptr || name.task.index >= in->tasks.size())
+    if (of == nullptr || finished(of->phase))
     {
         return;
     }
@@ -54,13 +53,20 @@
     {
         m_jobs.touch(name.task.step.job);
     }
-    auto& it = in->tasks[name.task.index];
-    auto const current = it.phase == task_phase::placed && it.run == name.run &&
-                         it.instance == at.info().id;
-    if (!current && it.phase == task_phase::done)
+    auto* const in = of->find(name.task.step);
+    if (in == nullptr || name.task.index >= in->tasks.size())
+    {
+        return;
+    }
+    auto const& known_task = in->tasks[name.task.index];
+    auto const current = known_task.phase == task_phase::placed &&
+                         known_task.run == name.run &&
+                         known_task.instance == at.info().id;
+    if (!current && known_task.phase == task_phase::done)
     {
         return;
     }
+    auto& it = of->edit(name.task);
     if (was)
     {
         auto const began = was->state == attempt_state::running;
@@ -87,7 +93,8 @@
                   {"instance", at.info().id},
                   {"reason", name_of(reason)}});
     auto const& spec = of->spec_of(name.task.step);
-    if (!saved.empty() && spec.can_checkpoint)
+    if (!saved.empty() && spec.can_checkpoint &&
+        saved.size() <= m_rules.max_checkpoint_bytes)
     {
         it.checkpoint = saved;
     }
@@ -96,7 +103,7 @@
         ++m_counts.ends_done;
         if (spec.gang)
         {
-            gang_done(*in);
+            gang_done(*of, name.task.step);
         }
         else
         {
@@ -154,10 +161,12 @@
 }
 
 /// The members of a gang end together, so one successful end completes all.
-void scheduler::gang_done(step& in)
+void scheduler::gang_done(job& of, workload::step_name const& name)
 {
-    for (auto& it : in.tasks)
+    auto& in = *of.find(name);
+    for (std::uint32_t n = 0; n < in.tasks.size(); ++n)
     {
+        auto& it = of.edit({name, n});
         it.phase = task_phase::done;
         it.checkpoint.clear();
     }
@@ -188,6 +197,7 @@
         }
         in.gang_failed_run = name.run;
         ++in.gang_failures;
+        of.note_step_changed(name.task.step);
     }
     else
     {
@@ -260,12 +270,12 @@
     {
         return;
     }
+    m_jobs.refresh_ready(of);
+    of.retire_complete_occurrences();
     if (of.complete())
     {
         finish(of, job_phase::completed, now);
-        return;
     }
-    m_jobs.refresh_ready(of);
 }
 
 void scheduler::finish(job& of, job_phase phase, base::instant now)
--- a/libraries/scheduler/scheduler_lives.cpp
+++ b/libraries/scheduler/scheduler_lives.cpp
@@ -144,7 +144,7 @@
         left.need_known = known_need;
         left.state = attempt_state::sent;
         want_stop(to, name, to.add(name, left), now);
-        if (find_task(name.task) != nullptr)
+        if (job != nullptr && !finished(job->phase) && job->has_task(name.task))
         {
             job->add_remaining(name, to.info().id);
             m_jobs.touch(name.task.step.job);
@@ -167,11 +167,11 @@
         of->add_remaining(name, to);
         m_jobs.touch(name.task.step.job);
     }
-    auto* const it = find_task(name.task);
+    auto const* const it = find_task(name.task);
     if (it != nullptr && it->phase == task_phase::placed &&
         it->run == name.run && it->instance == from)
     {
-        it->instance = to;
+        of->edit(name.task).instance = to;
         m_jobs.touch(name.task.step.job);
     }
 }
@@ -182,17 +182,19 @@
                            base::duration worked,
                            base::instant now)
 {
-    auto* const it = find_task(name.task);
-    if (it == nullptr || it->phase == task_phase::done)
+    auto const* const known = find_task(name.task);
+    if (known == nullptr || known->phase == task_phase::done)
     {
         return;
     }
-    it->lost =
-        it->lost.after({end_reason::instance_crashed, began, worked}, m_rules);
+    auto& of = *m_jobs.find(name.task.step.job);
+    auto& it = of.edit(name.task);
+    it.lost =
+        it.lost.after({end_reason::instance_crashed, began, worked}, m_rules);
     m_jobs.touch(name.task.step.job);
-    if (it->lost.given_up(m_rules))
+    if (it.lost.given_up(m_rules))
     {
-        give_up(*m_jobs.find(name.task.step.job), name, *it, now);
+        give_up(of, name, it, now);
     }
 }
 
--- a/libraries/scheduler/scheduler_orders.cpp
+++ b/libraries/scheduler/scheduler_orders.cpp
@@ -1,6 +1,7 @@
 #include <scheduler/scheduler.hpp>
 
 #include <algorithm>
+#include <limits>
 
 namespace berylhill::scheduler
 {
@@ -16,6 +17,21 @@
 /// drops a dead instance within some seconds too.
 constexpr base::duration longest_rest = std::chrono::milliseconds{4'000};
 
+/// When an occurrence is due, in milliseconds since 1970; at the latest moment
+/// there is if the sum is too large. Precondition: the interval is not
+/// negative.
+std::int64_t due_ms(workload::repetition const& of, std::uint32_t number)
+{
+    std::int64_t after = 0;
+    std::int64_t out = 0;
+    if (__builtin_mul_overflow(of.interval_ms, std::int64_t{number}, &after) ||
+        __builtin_add_overflow(of.first_ms, after, &out))
+    {
+        return std::numeric_limits<std::int64_t>::max();
+    }
+    return out;
+}
+
 } // namespace
 
 hold_order scheduler::next_hold(std::string const& id, base::instant now)
@@ -217,26 +233,25 @@
 
 void scheduler::open_due_occurrences(std::int64_t wall_ms, base::instant now)
 {
-    std::vector<workload::job_id> complete;
+    std::vector<workload::job_id> all_opened;
     for (auto const id : m_jobs.repeating())
     {
         auto* const job = m_jobs.find(id);
-        auto const& repeats = job->spec().repeats;
-        auto const next = static_cast<std::uint32_t>(job->occurrences.size());
-        if (next >= repeats.count)
+        auto const next = job->next_occurrence();
+        if (next >= job->occurrences_in_all())
         {
-            complete.push_back(id);
+            all_opened.push_back(id);
             continue;
         }
-        if (wall_ms < repeats.first_ms + next * repeats.interval_ms)
+        if (wall_ms < due_ms(job->spec().repeats, next) ||
+            job->open_tasks() >= m_rules.max_open_tasks)
         {
             continue;
         }
         job->open_occurrence(next, now);
-        m_jobs.touch(id);
         m_jobs.refresh_ready(*job);
     }
-    for (auto const id : complete)
+    for (auto const id : all_opened)
     {
         m_jobs.set_all_opened(id);
     }
--- a/libraries/scheduler/scheduler_restore.cpp
+++ b/libraries/scheduler/scheduler_restore.cpp
@@ -1,5 +1,7 @@
 #include <scheduler/scheduler.hpp>
 
+#include <scheduler/part_record.hpp>
+
 #include <algorithm>
 #include <utility>
 
@@ -12,7 +14,7 @@
 /// After this time the remaining attempts of a finished job have certainly
 /// ended: leases of a former owner are shorter, and the time of day may have
 /// jumped by some seconds.
-constexpr std::int64_t leftovers_end_ms = 20'000;
+constexpr std::int64_t remaining_end_ms = 20'000;
 
 /// When a job was accepted, on the local clock. The time of day may have
 /// jumped, so the result is never in the future.
@@ -31,65 +33,93 @@
                         base::instant now)
 {
     m_wall_ms = wall_ms;
+    std::vector<std::pair<record_key, record>> states;
+    std::vector<std::pair<record_key, record>> parts;
     for (auto const& [key, value] : records)
     {
         auto const what = parse_record_key(key);
-        if (what.kind == record_kind::spec)
+        switch (what.kind)
         {
-            restore_spec(what.job, {key, value}, now);
+        case record_kind::spec:
+        case record_kind::partitioned_spec:
+            restore_spec(what, {key, value}, now);
+            break;
+        case record_kind::state:
+            states.emplace_back(what, record{key, value});
+            break;
+        case record_kind::part:
+            parts.emplace_back(what, record{key, value});
+            break;
+        case record_kind::other:
+            break;
         }
     }
-    for (auto const& [key, value] : records)
+    for (auto const& [key, from] : states)
     {
-        auto const what = parse_record_key(key);
-        if (what.kind == record_kind::state)
-        {
-            restore_state(what.job, {key, value}, now);
-        }
+        restore_state(key.job, from, now);
+    }
+    for (auto const& [key, from] : parts)
+    {
+        restore_part(key, from, now);
     }
     for (auto const& [id, job] : m_jobs.all())
     {
-        update_expected_work(*job);
-        if (!finished(job->phase) && job->occurrences.empty() &&
-            job->spec().repeats.count == 0)
-        {
-            job->open_occurrence(0, job->accepted_at);
-        }
-        m_jobs.restored(*job);
-        inherit_attempts(*job, now);
-        if (!finished(job->phase))
-        {
-            stop_remaining(*job, now);
-        }
+        restore_progress(*job, now);
     }
 }
 
-void scheduler::restore_spec(workload::job_id id,
+/// A job has two specifications if a former owner was lost while it replaced
+/// the records of an older release.
+void scheduler::restore_spec(record_key const& key,
                              record const& from,
                              base::instant now)
 {
     auto const read =
-        base::capture([&] { return parse_spec_value(id, from.value); });
+        base::capture([&] { return parse_spec_value(key.job, from.value); });
     if (!read)
     {
         report_unreadable(from, read.error());
         return;
     }
     auto const accepted = read.value().accepted_ms;
-    auto& job = m_jobs.add(read.value().spec, accepted,
-                           instant_of(accepted, m_wall_ms, now));
+    auto* const known = m_jobs.find(key.job);
+    auto& job = known != nullptr
+                    ? *known
+                    : m_jobs.add(read.value().spec, accepted,
+                                 instant_of(accepted, m_wall_ms, now));
     job.stored = true;
     job.standing = read.value().standing;
+    if (!job.partitioned())
+    {
+        return;
+    }
+    if (key.kind == record_kind::partitioned_spec)
+    {
+        job.parts.note_spec_stored();
+    }
+    else
+    {
+        job.parts.note_former_records();
+    }
 }
 
 void scheduler::restore_state(workload::job_id id,
                               record const& from,
                               base::instant now)
 {
-    auto* job = m_jobs.find(id);
-    if (job == nullptr)
+    auto const status =
+        base::capture([&] { return parse_stored_status(id, from.value); });
+    if (!status)
     {
-        job = &restore_finished(id, from, now);
+        report_unreadable(from, status.error());
+    }
+    auto const known = status ? status.value() : stored_status{};
+    auto* const job = m_jobs.find(id);
+    if (job == nullptr || finished(known.phase))
+    {
+        restore_status(job == nullptr ? add_without_spec(id, known, now) : *job,
+                       known, now);
+        return;
     }
     auto const read = base::capture(
         [&]() -> base::result<base::done>
@@ -101,37 +131,156 @@
     {
         report_unreadable(from, read.error());
     }
-    job->finished_at = now;
 }
 
-/// Restores a job of which only the end is known. Attempts that a former owner
-/// left running are counted on their instances and stopped: without them, new
-/// starts could exceed the capacity of an instance or the cap of the client
-/// account.
-job& scheduler::restore_finished(workload::job_id id,
-                                 record const& from,
+job& scheduler::add_without_spec(workload::job_id id,
+                                 stored_status const& known,
                                  base::instant now)
 {
-    auto const end =
-        base::capture([&] { return parse_stored_status(id, from.value); });
-    if (!end)
-    {
-        report_unreadable(from, end.error());
-    }
-    auto const known = end ? end.value() : stored_status{};
     workload::job_spec spec;
     spec.id = id;
     spec.account = known.account;
     auto& out = m_jobs.add(std::move(spec), m_wall_ms, now);
     out.stored = true;
-    if (m_wall_ms - known.finished_ms > leftovers_end_ms)
+    return out;
+}
+
+/// Restores a job of which little more than the end matters. Attempts that a
+/// former owner left running are counted on their instances and stopped:
+/// without them, new starts could exceed the capacity of an instance or the cap
+/// of the client account.
+void scheduler::restore_status(job& of,
+                               stored_status const& known,
+                               base::instant now)
+{
+    of.phase = known.phase;
+    of.stored_phase = known.phase;
+    of.finished_ms = known.finished_ms;
+    of.finished_at = now;
+    of.release_details();
+    if (!finished(of.phase) || may_have_attempts(of))
     {
-        return out;
+        of.remaining_attempts = known.remaining_attempts;
+    }
+}
+
+/// Whether attempts of a job that finished under a former owner may still run.
+bool scheduler::may_have_attempts(job const& of) const
+{
+    return m_wall_ms - of.finished_ms <= remaining_end_ms;
+}
+
+void scheduler::restore_part(record_key const& key,
+                             record const& from,
+                             base::instant now)
+{
+    auto* const of = m_jobs.find(key.job);
+    if (of == nullptr)
+    {
+        report_unreadable(from, {base::failure_code::invalid,
+                                 "part of a job that is not known", 0});
+        return;
+    }
+    of->parts.note_stored(key.part);
+    if (finished(of->phase))
+    {
+        // The specification was deleted before the parts if the former owner
+        // was lost in between.
+        of->assume_partitioned();
+    }
+    auto const read = base::capture(
+        [&]() -> base::result<base::done>
+        {
+            if (!finished(of->phase))
+            {
+                BOOST_LEAF_CHECK(
+                    read_part_value(from.value, key.part, now, *of));
+            }
+            else if (may_have_attempts(*of))
+            {
+                BOOST_LEAF_CHECK(
+                    read_remaining_attempts(from.value, key.part, *of));
+            }
+            return base::done{};
+        });
+    if (!read)
+    {
+        report_unreadable(from, read.error());
+    }
+}
+
+/// Resumes a job whose records have all been read.
+void scheduler::restore_progress(job& of, base::instant now)
+{
+    auto const id = of.spec().id;
+    auto const has_spec = !of.spec().steps.empty();
+    update_expected_work(of);
+    if (!finished(of.phase) && has_spec)
+    {
+        complete_gangs(of);
+        open_missing_occurrences(of, now);
+        of.retire_complete_occurrences();
+        of.note_former_state_changed();
+    }
+    m_jobs.restored(of);
+    inherit_attempts(of, now);
+    stop_remaining(of, now);
+    auto const left_behind =
+        finished(of.phase) && (has_spec || !of.parts.stored().empty());
+    if (left_behind || of.parts.anything_changed())
+    {
+        m_jobs.touch(id);
+    }
+    if (!finished(of.phase) && has_spec && of.complete())
+    {
+        finish(of, job_phase::completed, now);
+    }
+}
+
+/// The members of a gang end together. If the former owner was lost before all
+/// records of the end were stored, some members are done and others are not.
+void scheduler::complete_gangs(job& of)
+{
+    for (auto& [number, in] : of.occurrences)
+    {
+        for (std::uint32_t n = 0; n < in.steps.size(); ++n)
+        {
+            auto const name = workload::step_name{of.spec().id, number, n};
+            auto const& gang = in.steps[n];
+            if (!of.spec_of(name).gang || gang.done == 0 || gang.complete())
+            {
+                continue;
+            }
+            for (std::uint32_t index = 0; index < gang.tasks.size(); ++index)
+            {
+                auto const& it = gang.tasks[index];
+                if (it.phase == task_phase::placed)
+                {
+                    of.add_remaining({{name, index}, it.run}, it.instance);
+                }
+            }
+            gang_done(of, name);
+        }
+    }
+}
+
+/// Opens the occurrences that had been opened, but of which no task has a
+/// record.
+void scheduler::open_missing_occurrences(job& of, base::instant now)
+{
+    if (of.spec().repeats.count == 0 && of.next_occurrence() == 0)
+    {
+        of.open_occurrence(0, of.accepted_at);
+        return;
+    }
+    auto const end = of.next_occurrence();
+    for (auto n = of.completed.all_below(); n < end; ++n)
+    {
+        if (!of.completed.contains(n) && !of.occurrences.contains(n))
+        {
+            of.open_occurrence(n, now);
+        }
     }
-    out.remaining_attempts = known.remaining_attempts;
-    out.finished_ms = known.finished_ms;
-    stop_remaining(out, now);
-    return out;
 }
 
 /// Counts and stops the attempts that a former owner left running beside the
--- a/libraries/scheduler/scheduler_unexpected.cpp
+++ b/libraries/scheduler/scheduler_unexpected.cpp
@@ -30,14 +30,15 @@
                   {"of_step", place.of_step},
                   {"max_of_step", place.max_of_step}});
     want_stop(at, name, added, from.read_at);
-    auto* const it = find_task(name.task);
-    if (it == nullptr)
+    if (job == nullptr || finished(job->phase) || !job->has_task(name.task))
     {
         return;
     }
-    if (it->phase == task_phase::waiting)
+    if (auto const* const it = find_task(name.task);
+        it != nullptr && it->phase == task_phase::waiting)
     {
-        it->run = std::max(it->run, name.run);
+        auto& changed = job->edit(name.task);
+        changed.run = std::max(changed.run, name.run);
     }
     job->add_remaining(name, from.instance);
     m_jobs.touch(name.task.step.job);
@@ -52,7 +53,7 @@
                                          base::instant now)
 {
     auto& in = *of.find(name.task.step);
-    auto& it = in.tasks[name.task.index];
+    auto& it = of.edit(name.task);
     auto const& spec = of.spec_of(name.task.step);
     if (spec.long_running)
     {
@@ -74,7 +75,7 @@
             {
                 release_current(of, {name.task.step, n}, now);
             }
-            gang_done(in);
+            gang_done(of, name.task.step);
         }
         else
         {
--- /dev/null
+++ b/libraries/scheduler/task.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <scheduler/loss_count.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace berylhill::scheduler
+{
+
+enum class task_phase : std::uint8_t
+{
+    waiting,
+    /// An attempt may be running.
+    placed,
+    done,
+};
+
+/// One task of a step.
+struct task
+{
+    task_phase phase{task_phase::waiting};
+    /// The number of its last attempt; 0 if there was none.
+    std::uint32_t run{0};
+    std::uint32_t failures{0};
+    /// The checkpoint that the next attempt resumes from.
+    std::string checkpoint;
+    /// The instance of the last attempt.
+    std::string instance;
+    loss_count lost;
+    /// The numbers of the attempts in `failures`. A record of an older version
+    /// has none, and then they are fewer.
+    std::vector<std::uint32_t> failed_runs;
+
+    /// Whether the failure of an attempt that is not the current one is
+    /// certainly not in `failures` yet: an instance repeats an end until it is
+    /// acknowledged, to the next owner too.
+    [[nodiscard]] bool failure_is_new(std::uint32_t number) const;
+
+    friend bool operator==(task const&, task const&) = default;
+};
+
+} // namespace berylhill::scheduler
--- a/libraries/scheduler/timing.cpp
+++ b/libraries/scheduler/timing.cpp
@@ -17,7 +17,7 @@
 {
     auto const begin = of.spec().repeats.count == 0
                            ? of.accepted_at
-                           : of.occurrences.at(name.occurrence).due;
+                           : of.due_at(name.occurrence);
     auto const work = static_cast<double>(of.longest_chain().count());
     auto const objective =
         base::duration{static_cast<std::int64_t>(queue.stretch * work)} +
--- a/tests/scheduler/random_test.cpp
+++ b/tests/scheduler/random_test.cpp
@@ -43,6 +43,7 @@
 constexpr std::uint64_t usual_outage_seeds = 50;
 constexpr std::uint64_t usual_place_seeds = 20;
 constexpr std::uint64_t usual_life_seeds = 20;
+constexpr std::uint64_t usual_partition_seeds = 50;
 
 fault_rates const late_and_frozen{.drain = 0.01,
                                   .freeze = 0.7,
@@ -95,6 +96,16 @@
                                         .late_hold = 0.02,
                                         .reborn = 0.8};
 
+fault_rates const partitions_and_cut_batches{.owner_change = 0.01,
+                                             .drain = 0.01,
+                                             .freeze = 0.7,
+                                             .late_append = 0.05,
+                                             .cancel_new = 0.1,
+                                             .crashers = 0.03,
+                                             .reject = 0.03,
+                                             .late_spell = 0.03,
+                                             .cut_batch = 0.05};
+
 fault_rates rough_for(planted fault)
 {
     switch (fault)
@@ -121,6 +132,10 @@
         return places_and_late_orders;
     case planted::hide_births:
         return lives_and_late_orders;
+    case planted::forget_parts:
+    case planted::count_complete_too_high:
+    case planted::delete_before_writing:
+        return partitions_and_cut_batches;
     default:
         return {};
     }
@@ -198,6 +213,11 @@
     {"required labels are ignored", planted::ignore_labels},
     {"a moved queue keeps its service", planted::trust_old_services},
     {"reports do not tell the birth", planted::hide_births},
+    {"some parts of a state are not written", planted::forget_parts},
+    {"one occurrence too many counts as complete",
+     planted::count_complete_too_high},
+    {"records are deleted before others are written",
+     planted::delete_before_writing},
 };
 
 struct seed_case
@@ -319,6 +339,16 @@
     play(first, seeds, lives_and_late_orders, calm_under_a_cap);
 }
 
+/// Guards against tasks that run twice, jobs that are lost and ends that are
+/// forgotten when the state of a job is stored in several records and the owner
+/// is lost after any of them.
+BOOST_AUTO_TEST_CASE(invariants_hold_when_batches_are_stored_in_part)
+{
+    auto const first = number_from("BERYLHILL_FIRST_SEED", 1);
+    auto const seeds = number_from("BERYLHILL_SEEDS", usual_partition_seeds);
+    play(first, seeds, partitions_and_cut_batches, calm_under_a_cap);
+}
+
 /// Guards against the faults that these seeds beyond the usual ones have shown.
 BOOST_DATA_TEST_CASE(seeds_that_broke_hold,
                      boost::unit_test::data::make(seeds_that_broke))
--- a/tests/scheduler/world.hpp
+++ b/tests/scheduler/world.hpp
@@ -67,6 +67,13 @@
     trust_old_services,
     /// Reports do not tell which life of an instance they are from.
     hide_births,
+    /// Some parts of partitioned states are not written.
+    forget_parts,
+    /// The head of a partitioned state counts one occurrence too many as
+    /// complete.
+    count_complete_too_high,
+    /// In a batch, records are deleted before others are written.
+    delete_before_writing,
 };
 
 /// The caps that the operator switches between.
@@ -124,6 +131,10 @@
     /// birth, clock and count of ends. Requests to the former life are carried
     /// out by the later one.
     double reborn{0};
+    /// Batches of which the store takes a beginning, and the rest later or, if
+    /// the owner is replaced in between, never. With this, nearly all states
+    /// are partitioned, and a share of the jobs is repeated.
+    double cut_batch{0};
 };
 
 /// What an instance serves and which label it has. A value.
@@ -251,6 +262,9 @@
         std::unique_ptr<scheduler::scheduler> decisions;
         bool alive{true};
         bool appending{false};
+        /// The records of the batch that are appended when those before them
+        /// are stored.
+        std::vector<scheduler::record> rest_of_batch;
         /// The first record of the endpoint list's log that it has not read.
         std::size_t next_entry{0};
         cell::write_times entry_times;
@@ -340,6 +354,18 @@
     void check_place(fake_instance const& at, scheduler::start_order const& it);
     void check_service_sent_to(scheduler::start_order const& it);
 
+    // world_partitions.cpp
+    [[nodiscard]] bool partitions() const noexcept
+    {
+        return m_rough.cut_batch > 0;
+    }
+    [[nodiscard]] std::int64_t wall_ms() const;
+    void repeat(workload::job_spec& it);
+    void damage_batch(std::vector<scheduler::record>& it);
+    void cut_batch(owner& by, std::vector<scheduler::record>& records);
+    void batch_cut_off();
+    void check_due(scheduler::attempt_name const& it);
+
     void announce(fake_instance const& it, bool listed);
     [[nodiscard]] std::int64_t clock_of(fake_instance const& it) const;
     void raise_token(fake_instance& at, std::uint64_t token) const;
@@ -379,6 +405,8 @@
                            std::uint64_t token);
     void note_seen(fake_instance& at, std::uint64_t seen, std::uint64_t token);
     void check_ends(std::vector<std::string>& into) const;
+    void check_completed(workload::job_spec const& it,
+                         std::vector<std::string>& into) const;
     [[nodiscard]] bool all_ended() const;
     void check_pending();
 
@@ -442,6 +470,7 @@
     std::mt19937_64 m_beat_random;
     std::mt19937_64 m_place_random;
     std::mt19937_64 m_life_random;
+    std::mt19937_64 m_part_random;
     fault_rates m_rough;
     planted m_fault;
     scheduler::policy m_rules;
