cell: Compare all records of an append that is read back

An append without an answer is settled by reading the records at its offset, up to 1 MiB of them; what lay beyond was not compared. A batch of up to 2 MiB whose beginning equals that of another one at the offset counted as stored: callers would have been told that what only the other batch lacks is stored.

The read goes on until all records are compared. reliable_append/all_records_of_a_large_append_are_compared failed before (stored in place of overtaken).

--- a/libraries/cell/reliable_append.cpp
+++ b/libraries/cell/reliable_append.cpp
@@ -44,8 +44,8 @@
 constexpr base::duration first_repeat_pause = std::chrono::milliseconds{5};
 constexpr base::duration max_repeat_pause = std::chrono::milliseconds{100};
 
-/// Size limit of the read that checks the records at an offset: above the
-/// largest batch, all records of which are compared.
+/// Size limit of a read that checks the records at an offset. A larger append
+/// takes several of them.
 constexpr std::size_t read_back_bytes = std::size_t{1024} * 1024;
 
 /// Time to the first byte of that read, doubled after each timeout up to the
@@ -129,6 +129,7 @@
     m_busy = true;
     m_awaiting = 0;
     m_reading_back = false;
+    m_found = 0;
     m_at = at;
     m_records = std::move(records);
     m_limit = limit;
@@ -260,7 +261,7 @@
 {
     auto const patience = std::min(max_read_back_timeout,
                                    doubled(read_back_timeout, m_read_backs++));
-    m_log.read({m_at,
+    m_log.read({m_at + m_found,
                 base::duration{0},
                 read_back_bytes,
                 {patience, read_back_stall_timeout}},
@@ -296,24 +297,36 @@
     }
     if (it.entries.empty())
     {
+        // Appends are stored as a whole, so the first record is missing too.
+        m_found = 0;
         m_reading_back = false;
         run_after(first_pause, [this] { send(); });
         return;
     }
-    finish(is_stored_at_offset(it) ? reliable_append_outcome::stored
-                                   : reliable_append_outcome::overtaken);
+    if (!matches(it.entries))
+    {
+        finish(reliable_append_outcome::overtaken);
+        return;
+    }
+    m_found += it.entries.size();
+    if (m_found >= m_records.size())
+    {
+        finish(reliable_append_outcome::stored);
+        return;
+    }
+    read_back();
 }
 
-/// Compares all records, because a batch that was written again may begin like
-/// the one before.
-bool reliable_append::is_stored_at_offset(read_result const& it) const
+/// Whether the records found are the next ones of the append. All are compared,
+/// because a batch that was written again may begin like the one before.
+bool reliable_append::matches(std::vector<log_entry> const& found) const
 {
-    auto const n = std::min(it.entries.size(), m_records.size());
+    auto const n = std::min(found.size(), m_records.size() - m_found);
     for (std::size_t i = 0; i < n; ++i)
     {
-        auto const& found = it.entries[i];
-        if (found.offset != m_at + i || found.key != m_records[i].key ||
-            found.value != m_records[i].value)
+        auto const& ours = m_records[m_found + i];
+        if (found[i].offset != m_at + m_found + i || found[i].key != ours.key ||
+            found[i].value != ours.value)
         {
             return false;
         }
--- a/libraries/cell/reliable_append.hpp
+++ b/libraries/cell/reliable_append.hpp
@@ -96,7 +96,7 @@
     void repeat(base::instant sent_at);
     void read_back();
     void read_back_done(read_result const& it);
-    [[nodiscard]] bool is_stored_at_offset(read_result const& it) const;
+    [[nodiscard]] bool matches(std::vector<log_entry> const& found) const;
     void run_after(base::duration pause, std::function<void()> task);
     void finish(reliable_append_outcome it);
 
@@ -120,6 +120,8 @@
     std::uint32_t m_awaiting{0};
     /// The records at the offset are being read.
     bool m_reading_back{false};
+    /// How many of them have been found to be those of the append.
+    std::size_t m_found{0};
     bool m_busy{false};
     handler m_done;
 };
--- a/tests/cell/reliable_append_test.cpp
+++ b/tests/cell/reliable_append_test.cpp
@@ -8,6 +8,8 @@
 
 #include <optional>
 #include <ostream>
+#include <string>
+#include <utility>
 
 using namespace berylhill;
 using namespace berylhill::cell_test;
@@ -145,6 +147,31 @@
     BOOST_TEST((*end == reliable_append_outcome::stored));
 }
 
+/// Guards against taking another batch for this one because only what fits into
+/// one read of the log was compared.
+BOOST_AUTO_TEST_CASE(all_records_of_a_large_append_are_compared)
+{
+    record_list large;
+    for (int n = 0; n < 8; ++n)
+    {
+        large.push_back({"k" + std::to_string(n), std::string(250'000, 'v')});
+    }
+    auto other = large;
+    other.back().value.back() = 'w';
+    for (auto const& [found, expected] :
+         {std::pair{large, reliable_append_outcome::stored},
+          std::pair{other, reliable_append_outcome::overtaken}})
+    {
+        log.log = found;
+        end.reset();
+        append.begin(0, large, {},
+                     [this](reliable_append_outcome it) { end = it; });
+        run();
+        BOOST_REQUIRE(end.has_value());
+        BOOST_TEST((*end == expected));
+    }
+}
+
 /// Guards against refused work while the store is merely slow: appends take 240
 /// ms instead of the usual 4 ms, each attempt was abandoned before its answer
 /// came, and the attempts queued up behind each other.
