cell, scheduler: Hold only the job whose records the store rejects

Nothing of any job was stored or started, new submissions got 503 or 504, and each successor did the same.

Cause, two faults that need each other. A final rejection (any 4xx that the code had no case for) was decoded as no answer, so the append was repeated for ever. And the records of all jobs of a round went out in one append without a bound, all or nothing: the rejection of one record was one of all.

Change - Such an answer is of a type of its own, with its status. An append that may be stored by an earlier attempt without an answer is read back, and in doubt if nothing is found. - A batch is appended in as many calls as the store's limits ask for (settings, from the platform's), in the order of its records. A rejected call is divided by jobs until the rejected job stands alone. - That job is held: nothing of it is started, its planned starts are not sent, its ends and later ones of the same instance are not acknowledged; its records are tried again after 1 s, doubled up to 30 s, and at each call about it. A submission of which nothing is stored is forgotten and refused; other callers of the job are told that the outcome is unknown. An instance with 300 ends that cannot be acknowledged gets no starts. - A process whose claim is rejected waits 2 s before the next. - One log line and two metrics; `explain` tells a held job. No hand-over: a successor could do no better.

Why it works: what leaves the owner (starts, acknowledgements, answers) rests on records of its job alone, and each of the three is kept back for the held job only.

Evidence: whole_path/a_job_with_rejected_records_stops_no_other, three real processes and a store that rejects one key, over two takeovers, failed on the code before ("completed" of the other job not in 30 s) and holds now. The world of the random runs takes records for another owner's batch no longer only by their writer: it compares them.

The stand-ins of the store hold the platform's limits from one place (append_limits).

--- a/libraries/cell/batch_waiters.cpp
+++ b/libraries/cell/batch_waiters.cpp
@@ -49,6 +49,23 @@
     return take_sent();
 }
 
+template <class Chosen>
+batch_waiters::list batch_waiters::take_from_both(Chosen chosen)
+{
+    auto out = take_where(m_next, chosen);
+    auto sent = take_where(m_sent, chosen);
+    out.insert(out.end(), std::make_move_iterator(sent.begin()),
+               std::make_move_iterator(sent.end()));
+    return out;
+}
+
+batch_waiters::list
+batch_waiters::rejected(std::set<workload::job_id> const& jobs)
+{
+    return take_from_both([&](batch_waiter const& it)
+                          { return jobs.contains(it.job); });
+}
+
 batch_waiters::list batch_waiters::nothing_to_store()
 {
     return take_unsent();
@@ -75,15 +92,8 @@
 
 batch_waiters::list batch_waiters::expire(base::instant now)
 {
-    auto const over = [&](batch_waiter const& it)
-    {
-        return now >= it.deadline;
-    };
-    auto out = take_where(m_next, over);
-    auto sent = take_where(m_sent, over);
-    out.insert(out.end(), std::make_move_iterator(sent.begin()),
-               std::make_move_iterator(sent.end()));
-    return out;
+    return take_from_both([&](batch_waiter const& it)
+                          { return now >= it.deadline; });
 }
 
 batch_waiters::list batch_waiters::take_unsent()
--- a/libraries/cell/batch_waiters.hpp
+++ b/libraries/cell/batch_waiters.hpp
@@ -4,6 +4,7 @@
 #include <cell/job_call.hpp>
 
 #include <functional>
+#include <set>
 #include <vector>
 
 namespace berylhill::cell
@@ -17,6 +18,8 @@
     workload::job_id submitted_job;
     /// When the client must be answered at the latest.
     base::instant deadline;
+    /// The job that its call names.
+    workload::job_id job{};
 };
 
 /// The clients of an owner that wait for the store, either for the batch that
@@ -42,6 +45,10 @@
     /// The batch is stored; returns its clients.
     [[nodiscard]] list batch_stored();
 
+    /// The records of these jobs were rejected; returns their clients, also
+    /// those that wait for the next batch.
+    [[nodiscard]] list rejected(std::set<workload::job_id> const& jobs);
+
     /// There is nothing to store; returns the clients that waited for the next
     /// batch.
     [[nodiscard]] list nothing_to_store();
@@ -63,6 +70,9 @@
     [[nodiscard]] list take_sent();
 
 private:
+    template <class Chosen>
+    [[nodiscard]] list take_from_both(Chosen chosen);
+
     list m_next;
     list m_sent;
 };
--- a/libraries/cell/cell_owner.cpp
+++ b/libraries/cell/cell_owner.cpp
@@ -48,7 +48,8 @@
     , m_token{token}
     , m_next{next}
     , m_on_ownership_lost{std::move(on_ownership_lost)}
-    , m_append{*parts.loop, *parts.clock, *parts.cell, *parts.latency}
+    , m_append{*parts.loop, *parts.clock, *parts.cell, *parts.latency,
+               parts.limits}
     , m_instances{*parts.loop, *parts.clock, *parts.instances, "instances",
                   instances_follow_options}
     , m_tick{*parts.loop}
@@ -238,7 +239,7 @@
     // waits; if the batch is taken back, all clients of the job are refused.
     if (store_blocked() && !m_decisions.account_of(it.job))
     {
-        log_refusal(it.job);
+        log_refusal(it.job, store_stuck_reason);
         done({job_answer_kind::refused, {}, 0, default_retry_after});
         return;
     }
@@ -265,7 +266,7 @@
 {
     if (store_blocked())
     {
-        log_refusal(it.job);
+        log_refusal(it.job, store_stuck_reason);
         done({job_answer_kind::refused, {}, 0, default_retry_after});
         return;
     }
--- a/libraries/cell/cell_owner.hpp
+++ b/libraries/cell/cell_owner.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cell/advice_dispatcher.hpp>
+#include <cell/batch_append.hpp>
 #include <cell/batch_waiters.hpp>
 #include <cell/documents.hpp>
 #include <cell/hold_list.hpp>
@@ -37,6 +38,7 @@
     documents const* reader{nullptr};
     scheduler::decision_log* log{nullptr};
     store_latency* latency{nullptr};
+    append_limits limits{};
 };
 
 /// Runs the work of the cell while this process owns it, from its claim until
@@ -124,11 +126,13 @@
     void wait_for_batch(job_call const& of, job_answer_handler done);
     void refuse_unsent();
     void take_back_batch();
-    void log_refusal(workload::job_id it) const;
+    void log_refusal(workload::job_id it, char const* why) const;
+    void answer_rejected(std::vector<scheduler::rejected_job> const& jobs);
     [[nodiscard]] bool lingers(base::instant now) const;
     void schedule_round();
     void run_round();
     void commit();
+    void batch_ended(batch_outcome const& it);
     void stored();
     void send_orders(std::vector<scheduler::order> const& orders);
     void send(scheduler::start_order const& it);
@@ -149,12 +153,16 @@
     void expire_waiting();
     void ownership_lost(char const* why);
 
+    /// Why a call is refused, in log lines.
+    static constexpr char const* store_stuck_reason = "store_stuck";
+    static constexpr char const* rejected_reason = "rejected";
+
     owner_parts m_parts;
     scheduler::scheduler m_decisions;
     std::uint64_t m_token;
     std::uint64_t m_next;
     ownership_lost_handler m_on_ownership_lost;
-    reliable_append m_append;
+    batch_append m_append;
     log_follower m_instances;
     boost::asio::steady_timer m_tick;
     boost::asio::steady_timer m_round;
--- a/libraries/cell/cell_owner_batch.cpp
+++ b/libraries/cell/cell_owner_batch.cpp
@@ -1,6 +1,7 @@
 #include <cell/cell_owner.hpp>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace berylhill::cell
@@ -33,7 +34,7 @@
     auto const until = m_parts.clock->now() + of.timeout - answer_margin;
     auto const submitted =
         of.kind == job_call_kind::submit ? of.job : workload::job_id{};
-    m_waiting.add({std::move(done), submitted, until});
+    m_waiting.add({std::move(done), submitted, until, of.job});
     schedule_round();
 }
 
@@ -45,16 +46,16 @@
         [this](workload::job_id it) { return m_decisions.withdraw(it); });
     for (auto const& it : refused)
     {
-        log_refusal(it.submitted_job);
+        log_refusal(it.submitted_job, store_stuck_reason);
         it.done({job_answer_kind::refused, {}, 0, default_retry_after});
     }
 }
 
-void cell_owner::log_refusal(workload::job_id it) const
+void cell_owner::log_refusal(workload::job_id it, char const* why) const
 {
     m_parts.log->write(base::log_level::info, "job_refused",
                        {{"job", text_of(it)},
-                        {"why", "store_stuck"},
+                        {"why", why},
                         {"stuck_s", base::seconds_of(store_stuck())},
                         {"token", m_token}});
 }
@@ -120,23 +121,48 @@
         stored();
         return;
     }
-    auto const n = records.size();
     m_store_blocked_since = m_store_blocked_since.value_or(now);
-    m_append.begin(m_next, std::move(records), base::duration{0},
-                   [this, n](reliable_append_outcome end)
-                   {
-                       if (end != reliable_append_outcome::stored)
-                       {
-                           ownership_lost(
-                               end == reliable_append_outcome::overtaken
-                                   ? "log_overtaken"
-                                   : "log_history_lost");
-                           return;
-                       }
-                       m_next += n;
-                       m_decisions.batch_stored(m_parts.clock->now());
-                       stored();
-                   });
+    m_append.begin(m_next, std::move(records),
+                   [this](batch_outcome const& it) { batch_ended(it); });
+}
+
+void cell_owner::batch_ended(batch_outcome const& it)
+{
+    if (it.end != reliable_append_outcome::stored)
+    {
+        ownership_lost(it.end == reliable_append_outcome::overtaken
+                           ? "log_overtaken"
+                           : "log_history_lost");
+        return;
+    }
+    m_next = it.next;
+    m_decisions.batch_stored(m_parts.clock->now(), it.rejected);
+    answer_rejected(it.rejected);
+    stored();
+}
+
+/// A submission of which certainly nothing is stored has been withdrawn. Of the
+/// other calls nobody can say yet what will become of them.
+void cell_owner::answer_rejected(
+    std::vector<scheduler::rejected_job> const& jobs)
+{
+    std::set<workload::job_id> ids;
+    for (auto const& it : jobs)
+    {
+        ids.insert(it.job);
+    }
+    for (auto const& it : m_waiting.rejected(ids))
+    {
+        auto const withdrawn = it.submitted_job.number != 0 &&
+                               !m_decisions.account_of(it.job).has_value();
+        if (withdrawn)
+        {
+            log_refusal(it.job, rejected_reason);
+            it.done({job_answer_kind::refused, {}, 0, default_retry_after});
+            continue;
+        }
+        it.done({job_answer_kind::outcome_unknown, {}, 0, {}});
+    }
 }
 
 void cell_owner::stored()
--- a/libraries/cell/keyed_log.hpp
+++ b/libraries/cell/keyed_log.hpp
@@ -31,6 +31,8 @@
     refused,
     /// The store is full.
     full,
+    /// The store answered that it will never take these records.
+    rejected,
     /// No answer, or a refusal of a request that was sent twice: the records
     /// may be stored, now or later.
     unanswered,
@@ -43,6 +45,8 @@
     std::uint64_t offset{0};
     /// End offset of the log, if known.
     std::uint64_t log_end{0};
+    /// HTTP status of the answer, for logs; 0: no answer.
+    unsigned http_status{0};
 
     friend bool operator==(append_result const&,
                            append_result const&) = default;
--- a/libraries/cell/node.cpp
+++ b/libraries/cell/node.cpp
@@ -97,6 +97,12 @@
     return std::to_string(source()) + std::to_string(source());
 }
 
+append_limits append_limits_of(settings::cell_platform_settings const& it)
+{
+    return {static_cast<std::size_t>(it.record_bytes),
+            static_cast<std::size_t>(it.append_bytes)};
+}
+
 } // namespace
 
 class node::decisions_to_log final : public scheduler::decision_log
@@ -251,7 +257,8 @@
                                    &m_advice,
                                    m_adapter.decoder.get(),
                                    m_log.get(),
-                                   &m_latency};
+                                   &m_latency,
+                                   append_limits_of(m_settings.platform)};
     m_owner = std::make_unique<cell_owner>(
         parts, policy(), m_configuration, records, token, next, m_list_times,
         [this](char const* why) { m_ownership.lose_ownership(why); });
--- a/libraries/cell/node_metrics.cpp
+++ b/libraries/cell/node_metrics.cpp
@@ -38,6 +38,8 @@
      &counts::withheld},
     {"berylhill_cell_lives_replaced",
      "Instances that started again under their id.", &counts::lives_replaced},
+    {"berylhill_cell_records_rejected",
+     "Times that the store rejected the records of a job.", &counts::rejected},
     {"berylhill_cell_preempted", "Attempts stopped for more urgent work.",
      &counts::preempted},
 };
@@ -92,6 +94,9 @@
     }
     set("berylhill_cell_jobs", "Jobs known, finished ones included.",
         static_cast<double>(it.jobs().all().size()));
+    set("berylhill_cell_jobs_held",
+        "Jobs whose records the store rejects; none of their tasks is started.",
+        static_cast<double>(it.held_jobs_count()));
     set("berylhill_cell_steps_waiting", "Steps with tasks that wait.",
         static_cast<double>(it.jobs().ready().size()));
     set("berylhill_cell_instances", "Instances listed or holding work.",
--- a/libraries/cell/ownership_claim.cpp
+++ b/libraries/cell/ownership_claim.cpp
@@ -277,10 +277,18 @@
             base::log_level::info, "claim_failed",
             {{"token", claimant.token},
              {"overtaken", it == reliable_append_outcome::overtaken ? 1 : 0}});
-        if (m_state == ownership_state::claiming)
+        if (m_state != ownership_state::claiming)
         {
-            find_owner();
+            return;
         }
+        if (it == reliable_append_outcome::rejected ||
+            it == reliable_append_outcome::rejected_in_doubt)
+        {
+            // Nothing that happens soon lets the store take the next one.
+            run_after(claim_limit, [this] { find_owner(); });
+            return;
+        }
+        find_owner();
         return;
     }
     if (m_leaving || m_owner.token > claimant.token)
--- a/libraries/cell/reliable_append.cpp
+++ b/libraries/cell/reliable_append.cpp
@@ -1,6 +1,7 @@
 #include <cell/reliable_append.hpp>
 
 #include <base/log.hpp>
+#include <cell/append_limits.hpp>
 
 #include <algorithm>
 #include <bit>
@@ -78,6 +79,14 @@
     return out;
 }
 
+/// Precondition: there are records.
+scheduler::record const*
+largest_of(std::vector<scheduler::record> const& records)
+{
+    auto const at = std::ranges::max_element(records, {}, stored_size);
+    return &*at;
+}
+
 base::duration doubled(base::duration it, std::uint32_t times)
 {
     constexpr std::uint32_t max_doublings = 10;
@@ -130,6 +139,7 @@
     m_awaiting = 0;
     m_reading_back = false;
     m_found = 0;
+    m_rejected = false;
     m_at = at;
     m_records = std::move(records);
     m_limit = limit;
@@ -229,6 +239,9 @@
             repeat(sent_at);
         }
         return;
+    case append_outcome::rejected:
+        rejected(it);
+        return;
     case append_outcome::refused:
     case append_outcome::full:
         ++m_refusals;
@@ -247,6 +260,30 @@
     }
 }
 
+/// A rejection is final, so the append is not repeated. If an earlier attempt
+/// had no answer, the log shows whether that one is stored.
+void reliable_append::rejected(append_result const& it)
+{
+    auto const* const largest = largest_of(m_records);
+    base::log(base::log_level::error, "append_rejected",
+              {{"at", m_at},
+               {"status", std::uint64_t{it.http_status}},
+               {"records", std::uint64_t{m_records.size()}},
+               {"bytes", bytes_of(m_records)},
+               {"largest_key", largest->key},
+               {"largest_bytes", std::uint64_t{stored_size(*largest)}}});
+    if (!m_maybe_stored)
+    {
+        finish(reliable_append_outcome::rejected);
+        return;
+    }
+    m_rejected = true;
+    if (!std::exchange(m_reading_back, true))
+    {
+        read_back();
+    }
+}
+
 /// Limits the rate of retries: a connection reset takes no time, and a store
 /// that resets all connections would get three hundred appends a second.
 void reliable_append::repeat(base::instant sent_at)
@@ -297,10 +334,7 @@
     }
     if (it.entries.empty())
     {
-        // Appends are stored as a whole, so the first record is missing too.
-        m_found = 0;
-        m_reading_back = false;
-        run_after(first_pause, [this] { send(); });
+        nothing_found();
         return;
     }
     if (!matches(it.entries))
@@ -317,6 +351,20 @@
     read_back();
 }
 
+/// The log ends where the records would continue. Appends are stored as a
+/// whole, so the first record is missing too.
+void reliable_append::nothing_found()
+{
+    m_found = 0;
+    m_reading_back = false;
+    if (m_rejected)
+    {
+        finish(reliable_append_outcome::rejected_in_doubt);
+        return;
+    }
+    run_after(first_pause, [this] { send(); });
+}
+
 /// Whether the records found are the next ones of the append. All are compared,
 /// because a batch that was written again may begin like the one before.
 bool reliable_append::matches(std::vector<log_entry> const& found) const
--- a/libraries/cell/reliable_append.hpp
+++ b/libraries/cell/reliable_append.hpp
@@ -42,6 +42,11 @@
     overtaken,
     /// Given up; it is unknown whether the records are stored.
     unknown,
+    /// The store will never take the records, and none of them is stored.
+    rejected,
+    /// The same, but an earlier attempt had no answer. The records are not
+    /// stored yet; they may be until another append is stored at the offset.
+    rejected_in_doubt,
 };
 
 /// Appends records at one offset and retries until the outcome is certain. An
@@ -94,8 +99,10 @@
     void answered(append_result const& it, base::instant sent_at);
     void overdue();
     void repeat(base::instant sent_at);
+    void rejected(append_result const& it);
     void read_back();
     void read_back_done(read_result const& it);
+    void nothing_found();
     [[nodiscard]] bool matches(std::vector<log_entry> const& found) const;
     void run_after(base::duration pause, std::function<void()> task);
     void finish(reliable_append_outcome it);
@@ -122,6 +129,8 @@
     bool m_reading_back{false};
     /// How many of them have been found to be those of the append.
     std::size_t m_found{0};
+    /// The store has answered that it will never take the records.
+    bool m_rejected{false};
     bool m_busy{false};
     handler m_done;
 };
--- a/libraries/command/time_line.cpp
+++ b/libraries/command/time_line.cpp
@@ -21,6 +21,9 @@
     event_text{"job_taken", "the owner took the job; it counts once stored"},
     event_text{"job_refused", "the owner refused it: it does not run"},
     event_text{"job_over_cap", "it needs more than its account may run"},
+    event_text{"job_held",
+               "the store rejects its records; nothing of it starts"},
+    event_text{"job_released", "the store takes its records again"},
     event_text{"call_forbidden", "the caller's account is not the job's"},
     event_text{"request_denied", "the configuration allows no such request"},
     event_text{"account_at_cap", "its account runs as much as it may"},
@@ -54,6 +57,7 @@
     event_text{"right_lost", "the owner lost its right"},
     event_text{"append_unanswered", "the store gave no answer to a write"},
     event_text{"append_refused", "the store refused a write"},
+    event_text{"append_rejected", "the store will never take these records"},
     event_text{"log_lost", "a log of the store cannot be read"},
     event_text{"log_regained", "a log of the store can be read again"},
     event_text{"process_started", "a process began"},
@@ -104,6 +108,17 @@
     return found == it.rend() ? nullptr : &*found;
 }
 
+/// Whether the store rejects the job's records by the last line about that.
+bool is_held(std::vector<log_line> const& it)
+{
+    auto const last = std::find_if(it.rbegin(), it.rend(),
+                                   [](log_line const& line) {
+                                       return line.event == "job_held" ||
+                                              line.event == "job_released";
+                                   });
+    return last != it.rend() && last->event == "job_held";
+}
+
 /// Says in a sentence what became of a job.
 std::string outcome_in(std::vector<log_line> const& it)
 {
@@ -129,6 +144,16 @@
         }
         return out + ".";
     }
+    if (is_held(it))
+    {
+        return "It is held: the store rejects its records.";
+    }
+    if (auto const* const refused = last_of(it, "job_refused");
+        refused != nullptr && refused->value_of("why") == "rejected")
+    {
+        return "It was refused, since the store rejected its records; it did "
+               "not run.";
+    }
     if (auto const* const refused = last_of(it, "job_refused");
         refused != nullptr && last_of(it, "task_placed") == nullptr)
     {
--- a/libraries/scheduler/instance.hpp
+++ b/libraries/scheduler/instance.hpp
@@ -328,6 +328,9 @@
         return m_rack;
     }
 
+    /// The number of the last end that was read, whether it is stored or not:
+    /// the instance repeats an end until it is acknowledged.
+    std::uint64_t last_read_end{0};
     /// Number of task failures since the last success.
     std::uint32_t failures_in_a_row{0};
     /// The last scheduling round in which the instance was reserved for a gang.
--- a/libraries/scheduler/job.hpp
+++ b/libraries/scheduler/job.hpp
@@ -276,6 +276,8 @@
     /// The phase that is stored and may therefore be reported to clients.
     job_phase stored_phase{job_phase::queued};
     bool stored{false};
+    /// It is not known to be stored, but some of its records may be.
+    bool may_be_stored{false};
     /// Whether any task has started.
     bool begun{false};
     /// When it was accepted, in milliseconds since 1970 and on the local clock.
--- a/libraries/scheduler/job_table.cpp
+++ b/libraries/scheduler/job_table.cpp
@@ -119,7 +119,7 @@
         std::ranges::move(take_part_records(it), std::back_inserter(to));
         return;
     }
-    if (m_new.contains(id) && !finished(it.phase))
+    if (!finished(it.phase) && it.parts.take_spec())
     {
         to.push_back({spec_key(id), spec_value(it)});
     }
@@ -154,6 +154,25 @@
     m_dropped.insert(dropped.begin(), dropped.end());
 }
 
+void job_table::hold(workload::job_id it)
+{
+    m_held.insert(it);
+    m_new.erase(it);
+    if (m_changed.erase(it) > 0)
+    {
+        m_held_changes.insert(it);
+    }
+}
+
+void job_table::let_go(workload::job_id it)
+{
+    m_held.erase(it);
+    if (m_held_changes.erase(it) > 0)
+    {
+        m_changed.insert(it);
+    }
+}
+
 void job_table::stored(job& it)
 {
     it.stored = true;
--- a/libraries/scheduler/job_table.hpp
+++ b/libraries/scheduler/job_table.hpp
@@ -54,9 +54,15 @@
     /// Marks the job's state as changed.
     void touch(workload::job_id it)
     {
-        m_changed.insert(it);
+        (m_held.contains(it) ? m_held_changes : m_changed).insert(it);
     }
 
+    /// Leaves the changes of the job out of all batches.
+    void hold(workload::job_id it);
+
+    /// Adds the changes of a held job to the next batch again.
+    void let_go(workload::job_id it);
+
     [[nodiscard]] bool anything_changed() const noexcept
     {
         return !m_changed.empty() || !m_new.empty() || !m_dropped.empty();
@@ -126,6 +132,9 @@
     record_layout m_layout;
     job_map m_jobs;
     std::set<workload::job_id> m_changed;
+    /// Jobs whose changes are left out, and those of them that have any.
+    std::set<workload::job_id> m_held;
+    std::set<workload::job_id> m_held_changes;
     std::set<workload::job_id> m_new;
     dropped_jobs m_dropped;
     std::set<workload::step_name> m_ready;
--- a/libraries/scheduler/outcomes.hpp
+++ b/libraries/scheduler/outcomes.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <workload/job_id.hpp>
+
 #include <cstdint>
 
 namespace berylhill::scheduler
@@ -28,6 +30,23 @@
     already_finished,
 };
 
+/// What is known of the records of a job that the store rejected for good.
+enum class rejected_records : std::uint8_t
+{
+    not_stored,
+    /// Some of them are stored, or may be.
+    may_be_stored,
+};
+
+/// A job whose records were rejected. A value.
+struct rejected_job
+{
+    workload::job_id job;
+    rejected_records records{rejected_records::not_stored};
+
+    friend bool operator==(rejected_job const&, rejected_job const&) = default;
+};
+
 /// Counters for the metrics. A value.
 struct scheduler_counts
 {
@@ -49,6 +68,8 @@
     /// Lives of instances that were followed by another one under the same id.
     std::uint64_t lives_replaced{0};
     std::uint64_t evacuated{0};
+    /// How often the store has rejected the records of a job.
+    std::uint64_t rejected{0};
 
     friend bool operator==(scheduler_counts const&,
                            scheduler_counts const&) = default;
--- a/libraries/scheduler/scheduler.cpp
+++ b/libraries/scheduler/scheduler.cpp
@@ -104,6 +104,7 @@
 {
     if (auto const* const known = m_jobs.find(it.id); known != nullptr)
     {
+        try_held_again(it.id);
         return known->stored ? submission::already_stored
                              : submission::already_accepted;
     }
@@ -166,6 +167,7 @@
     {
         return cancellation::unknown;
     }
+    try_held_again(it);
     if (finished(job->phase))
     {
         return finished(job->stored_phase) ? cancellation::already_finished
@@ -332,34 +334,36 @@
                                batch->starts.begin(), batch->starts.end());
     m_next_batch.stops.insert(m_next_batch.stops.begin(), batch->stops.begin(),
                               batch->stops.end());
-    for (auto const& [id, n] : batch->seen_ends)
+    for (auto& [id, ends] : batch->ends)
     {
-        auto& seen = m_next_batch.seen_ends[id];
-        seen = std::max(seen, n);
+        m_next_batch.ends[id].merge(ends);
     }
 }
 
-void scheduler::batch_stored(base::instant now)
+void scheduler::batch_stored(base::instant now,
+                             std::vector<rejected_job> const& rejected)
 {
-    auto const batch = std::exchange(m_in_flight, std::nullopt);
+    auto batch = std::exchange(m_in_flight, std::nullopt);
     if (!batch)
     {
         return;
     }
+    hold_rejected(*batch, rejected, now);
     for (auto const& [id, phase] : batch->jobs)
     {
         if (auto* const job = m_jobs.find(id); job != nullptr)
         {
             m_jobs.stored(*job);
             job->stored_phase = phase;
+            release_held(id);
         }
     }
-    for (auto const& [id, n] : batch->seen_ends)
+    hold_ends(*batch);
+    cancel_held_starts(*batch, now);
+    withdraw_rejected(rejected);
+    for (auto const& [id, ends] : batch->ends)
     {
-        if (auto* const it = m_instances.find(id); it != nullptr)
-        {
-            it->set_seen_end(n);
-        }
+        acknowledge(id, ends.rbegin()->first);
     }
     for (auto const& it : batch->starts)
     {
@@ -374,7 +378,7 @@
 bool scheduler::batch_pending() const noexcept
 {
     return m_jobs.anything_changed() || !m_next_batch.starts.empty() ||
-           !m_next_batch.stops.empty() || !m_next_batch.seen_ends.empty();
+           !m_next_batch.stops.empty() || !m_next_batch.ends.empty();
 }
 
 } // namespace berylhill::scheduler
--- a/libraries/scheduler/scheduler.hpp
+++ b/libraries/scheduler/scheduler.hpp
@@ -4,6 +4,7 @@
 #include <scheduler/advice_budget.hpp>
 #include <scheduler/decision_log.hpp>
 #include <scheduler/gang_plan.hpp>
+#include <scheduler/held_jobs.hpp>
 #include <scheduler/instance_table.hpp>
 #include <scheduler/job_table.hpp>
 #include <scheduler/orders.hpp>
@@ -139,8 +140,11 @@
     /// answers are released; empty if there are none. Precondition: the
     /// previous batch was reported as stored or as not stored.
     [[nodiscard]] std::vector<record> take_batch(base::instant now);
-    /// The batch taken last is stored.
-    void batch_stored(base::instant now);
+    /// The batch taken last is stored, but for the records of the rejected
+    /// jobs. A submission of which nothing is stored is withdrawn; the other
+    /// rejected jobs are held until the store takes their records.
+    void batch_stored(base::instant now,
+                      std::vector<rejected_job> const& rejected = {});
     /// The batch taken last is certainly not stored; its contents become part
     /// of the next one.
     void batch_not_stored();
@@ -173,6 +177,12 @@
         return m_instances;
     }
 
+    /// Number of jobs whose records the store rejects.
+    [[nodiscard]] std::size_t held_jobs_count() const noexcept
+    {
+        return m_held.size();
+    }
+
     [[nodiscard]] job_table const& jobs() const noexcept
     {
         return m_jobs;
@@ -184,12 +194,26 @@
     {
         std::vector<start_order> starts;
         std::vector<stop_order> stops;
-        std::map<std::string, std::uint64_t> seen_ends;
+        /// By instance and number: the ends that were read, and their jobs.
+        std::map<std::string, std::map<std::uint64_t, workload::job_id>> ends;
         /// The jobs in the batch, and the phase that each is written with.
         std::vector<std::pair<workload::job_id, job_phase>> jobs;
         job_table::dropped_jobs dropped;
     };
 
+    // scheduler_held.cpp
+    void hold_rejected(pending_batch& batch,
+                       std::vector<rejected_job> const& rejected,
+                       base::instant now);
+    void hold(job const& it, base::instant now);
+    void hold_ends(pending_batch const& batch);
+    void cancel_held_starts(pending_batch& batch, base::instant now);
+    void withdraw_rejected(std::vector<rejected_job> const& rejected);
+    void try_held_again(workload::job_id it);
+    void try_due_held_jobs(base::instant now);
+    void release_held(workload::job_id it);
+    void acknowledge(std::string const& id, std::uint64_t last_end);
+
     void update_expected_work(job& of) const;
     [[nodiscard]] static attempt attempt_of(job const& of,
                                             workload::step_name const& name);
@@ -264,7 +288,7 @@
     void read_report(instance& at, hold_report const& it);
     void read_running(instance& at, hold_report const& it);
     void read_ended(instance& at, hold_report const& it);
-    [[nodiscard]] std::uint64_t last_processed_end(instance const& at) const;
+    void rest_if_crowded(instance& at, hold_report const& it);
     void drop_missing(instance& at, hold_report const& it);
     void note_begun(workload::job_id of);
     [[nodiscard]] std::uint32_t attempts_allowed(job const& of) const;
@@ -484,6 +508,7 @@
     account_shares m_shares;
     job_table m_jobs;
     std::vector<order> m_orders;
+    held_jobs m_held;
     pending_batch m_next_batch;
     std::optional<pending_batch> m_in_flight;
     /// A job has finished since the last batch.
--- a/libraries/scheduler/scheduler_orders.cpp
+++ b/libraries/scheduler/scheduler_orders.cpp
@@ -174,9 +174,13 @@
     leave_instances(now);
     m_instances.forget_idle(now, m_rules.max_request_delay);
     open_due_occurrences(wall_ms, now);
+    try_due_held_jobs(now);
     for (auto const id : m_jobs.finished_before(now - m_rules.status_kept))
     {
-        m_jobs.drop(id);
+        if (!m_held.contains(id))
+        {
+            m_jobs.drop(id);
+        }
     }
 }
 
--- a/libraries/scheduler/scheduler_reports.cpp
+++ b/libraries/scheduler/scheduler_reports.cpp
@@ -13,6 +13,11 @@
 /// incomplete.
 constexpr std::size_t ends_per_report = 500;
 
+/// With this many ends that cannot be acknowledged an instance gets no start
+/// until a later report has fewer: as many attempts as run there may end.
+constexpr std::size_t crowded_ends = 300;
+constexpr base::duration crowded_pause = std::chrono::seconds{4};
+
 } // namespace
 
 std::optional<std::string> scheduler::hold_answered(hold_report it)
@@ -44,6 +49,7 @@
     at.reported(it.read_at, it.clock_ms);
     read_running(at, it);
     read_ended(at, it);
+    rest_if_crowded(at, it);
     drop_missing(at, it);
 }
 
@@ -91,35 +97,28 @@
 {
     for (auto const& row : it.ended)
     {
-        if (row.number <= last_processed_end(at))
+        if (row.number <= std::max(at.last_read_end, at.seen_end()))
         {
             continue;
         }
-        m_next_batch.seen_ends[it.instance] = row.number;
+        at.last_read_end = row.number;
+        m_next_batch.ends[it.instance].emplace(row.number,
+                                               row.attempt.task.step.job);
         note_health(at, row.reason, it.read_at);
         attempt_ended(at, row.attempt, row.reason, row.checkpoint, it.read_at);
     }
 }
 
-/// The number of the last end of the instance that was processed, whether it is
-/// stored or not: the instance repeats an end until it is acknowledged.
-std::uint64_t scheduler::last_processed_end(instance const& at) const
+/// Ends of a held job are not acknowledged, and with them all later ones. An
+/// instance that has so many that a report does not hold them all could not
+/// tell how other work ends, so it gets none.
+void scheduler::rest_if_crowded(instance& at, hold_report const& it)
 {
-    auto out = at.seen_end();
-    auto const note = [&](pending_batch const& in)
-    {
-        if (auto const it = in.seen_ends.find(at.info().id);
-            it != in.seen_ends.end())
-        {
-            out = std::max(out, it->second);
-        }
-    };
-    note(m_next_batch);
-    if (m_in_flight)
+    if (it.ended.size() >= crowded_ends &&
+        m_held.first_unstored_end(at.info().id))
     {
-        note(*m_in_flight);
+        at.pause(it.read_at + crowded_pause);
     }
-    return out;
 }
 
 /// Ends attempts that were settled before the report was requested and are not
--- a/libraries/scheduler/scheduler_restore.cpp
+++ b/libraries/scheduler/scheduler_restore.cpp
@@ -91,6 +91,7 @@
     job.standing = read.value().standing;
     if (!job.partitioned())
     {
+        job.parts.note_spec_stored();
         return;
     }
     if (key.kind == record_kind::partitioned_spec)
--- a/libraries/scheduler/scheduler_rounds.cpp
+++ b/libraries/scheduler/scheduler_rounds.cpp
@@ -77,7 +77,7 @@
     {
         auto* const of = m_jobs.find(name.job);
         auto const* const queue = queue_of(*of);
-        if (queue == nullptr)
+        if (queue == nullptr || m_held.contains(name.job))
         {
             continue;
         }
--- a/libraries/settings/cell_schema.cpp
+++ b/libraries/settings/cell_schema.cpp
@@ -74,6 +74,14 @@
             &section::advice, optional_address());
     it->add({"machines", "", "The service that moves and services machines."},
             &section::machines, optional_address());
+    // Below this, the state of a few tasks does not fit into a record.
+    constexpr std::int64_t least_bytes = 65'536;
+    constexpr std::int64_t most_bytes = 1'073'741'824;
+    it->add({"record_bytes", "bytes", "The store takes no larger record."},
+            &section::record_bytes, integer(least_bytes, most_bytes));
+    it->add({"append_bytes", "bytes",
+             "The store takes no more in the records of one append."},
+            &section::append_bytes, integer(least_bytes, most_bytes));
     return it;
 }
 
--- a/libraries/settings/cell_settings.hpp
+++ b/libraries/settings/cell_settings.hpp
@@ -26,6 +26,9 @@
     std::string store;
     std::string advice;
     std::string machines;
+    /// What the store takes: the largest record, and the records of one append.
+    std::int64_t record_bytes{262'144};
+    std::int64_t append_bytes{2'097'152};
 
     friend bool operator==(cell_platform_settings const&,
                            cell_platform_settings const&) = default;
--- a/tests/cell/fake_log.hpp
+++ b/tests/cell/fake_log.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cell/append_limits.hpp>
 #include <cell/keyed_log.hpp>
 #include <cell/owner_lookup.hpp>
 
@@ -50,6 +51,16 @@
                 cell::append_handler handler) override
     {
         ++appends;
+        if (rejects(records))
+        {
+            ++rejected_appends;
+            cell::append_result out;
+            out.outcome = cell::append_outcome::rejected;
+            out.http_status = 400;
+            boost::asio::post(m_loop, [handler = std::move(handler), out]
+                              { handler(out); });
+            return;
+        }
         auto const next =
             append_behaviors.empty() ? fate::store : append_behaviors.front();
         if (!append_behaviors.empty())
@@ -190,6 +201,13 @@
         }
     }
 
+    /// What the store takes; all else is rejected for good.
+    cell::append_limits limits;
+    /// Appends with a record that has this in its key are rejected for good;
+    /// empty: none.
+    std::string rejected_key;
+    std::size_t rejected_appends{0};
+
     std::vector<scheduler::record> log;
     std::uint64_t first{0};
     std::size_t page{500};
@@ -293,6 +311,24 @@
         bool m_broken_off{false};
     };
 
+    [[nodiscard]] bool
+    rejects(std::vector<scheduler::record> const& records) const
+    {
+        std::size_t bytes = 0;
+        for (auto const& it : records)
+        {
+            bytes += cell::size_in_call(it);
+            auto const wrong_key =
+                !rejected_key.empty() &&
+                it.key.find(rejected_key) != std::string::npos;
+            if (wrong_key || cell::stored_size(it) > limits.record_bytes)
+            {
+                return true;
+            }
+        }
+        return bytes > limits.call_bytes;
+    }
+
     void append_slowly(std::uint64_t at,
                        std::vector<scheduler::record> const& records,
                        base::duration timeout,
--- a/tests/cell/ownership_test.cpp
+++ b/tests/cell/ownership_test.cpp
@@ -321,4 +321,17 @@
     BOOST_TEST(owner.owner_heard());
 }
 
+/// Guards against processes that do nothing but claim, hundreds of times a
+/// second, while the store rejects their claims for good.
+BOOST_AUTO_TEST_CASE(rejected_claims_are_not_repeated_at_once)
+{
+    log.rejected_key = cell::owner_key;
+    owner.start();
+    run(std::chrono::milliseconds{1'500});
+    BOOST_TEST(log.rejected_appends == 1U);
+    log.rejected_key.clear();
+    run(std::chrono::milliseconds{2'500});
+    BOOST_TEST(owner.owner().instance == "small");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/cell/reliable_append_test.cpp
+++ b/tests/cell/reliable_append_test.cpp
@@ -147,6 +147,42 @@
     BOOST_TEST((*end == reliable_append_outcome::stored));
 }
 
+/// Guards against an append that is repeated for ever because its final
+/// rejection counts as no answer.
+BOOST_AUTO_TEST_CASE(rejected_append_is_not_repeated)
+{
+    log.rejected_key = "b";
+    begin(0);
+    run();
+    BOOST_REQUIRE(end.has_value());
+    BOOST_TEST((*end == reliable_append_outcome::rejected));
+    BOOST_TEST(log.appends == 1U);
+    BOOST_TEST(log.log.empty());
+}
+
+/// Guards against a rejected append that is reported as certainly not stored
+/// although an earlier attempt, which had no answer, can still be carried out.
+BOOST_AUTO_TEST_CASE(rejected_append_is_in_doubt_after_a_silent_attempt)
+{
+    log.append_behaviors = {fate::delay};
+    begin(0);
+    log.rejected_key = "b";
+    run();
+    BOOST_REQUIRE(end.has_value());
+    BOOST_TEST((*end == reliable_append_outcome::rejected_in_doubt));
+}
+
+/// Guards against the same when that attempt has been carried out.
+BOOST_AUTO_TEST_CASE(rejected_append_that_is_stored_is_found)
+{
+    log.append_behaviors = {fate::store_silently};
+    begin(0);
+    log.rejected_key = "b";
+    run();
+    BOOST_REQUIRE(end.has_value());
+    BOOST_TEST((*end == reliable_append_outcome::stored));
+}
+
 /// Guards against taking another batch for this one because only what fits into
 /// one read of the log was compared.
 BOOST_AUTO_TEST_CASE(all_records_of_a_large_append_are_compared)
--- a/tests/command/explain_test.cpp
+++ b/tests/command/explain_test.cpp
@@ -46,6 +46,17 @@
     {"more than its account may have",
      line(1, std::string{"job_over_cap job="} + job + " account=team"),
      "needs more than account team may have running"},
+    {"its records are rejected",
+     line(1, "append_rejected at=4 status=400 records=1 bytes=9") +
+         line(2,
+              std::string{"job_held job="} + job + " phase=running stored=1"),
+     "held: the store rejects its records"},
+    {"its submission was rejected by the store",
+     line(1, "append_rejected at=4 status=400 records=1 bytes=9") +
+         line(2,
+              std::string{"job_refused job="} + job +
+                  " why=rejected stuck_s=0"),
+     "the store rejected its records; it did not run"},
     {"waits for its account's cap",
      line(1, std::string{"job_taken job="} + job + " account=team") +
          line(2,
--- a/tests/platform_adapter/answers_test.cpp
+++ b/tests/platform_adapter/answers_test.cpp
@@ -43,10 +43,26 @@
     {"unavailable", 503, "", append_outcome::unanswered},
     {"too many calls", 429, "", append_outcome::unanswered},
     {"full", 507, "", append_outcome::unanswered},
+    {"malformed", 400, "", append_outcome::unanswered},
     {"stored", 200, R"({"offset":3,"end":4})", append_outcome::stored},
     {"conflict", 412, R"({"end":4})", append_outcome::conflict},
 };
 
+answer_case<append_outcome> const appends[] = {
+    {"stored", 200, R"({"offset":3,"end":4})", append_outcome::stored},
+    {"conflict", 412, R"({"end":4})", append_outcome::conflict},
+    {"malformed", 400, "", append_outcome::rejected},
+    {"not allowed", 403, "", append_outcome::rejected},
+    {"another writer", 409, R"({"reason":"fenced"})", append_outcome::rejected},
+    {"too large", 413, "", append_outcome::rejected},
+    {"a client error that is not known", 422, "", append_outcome::rejected},
+    {"too many calls", 429, "", append_outcome::refused},
+    {"an error that is not known", 500, "", append_outcome::unanswered},
+    {"an error of a proxy", 502, "", append_outcome::unanswered},
+    {"unavailable", 503, "", append_outcome::refused},
+    {"full", 507, "", append_outcome::full},
+};
+
 answer_case<start_answer> const starts[] = {
     {"running", 200, R"({"clockMs":7})", start_answer::running},
     {"running, without a body", 200, "", start_answer::running},
@@ -258,6 +274,18 @@
     BOOST_TEST((*end == sample.outcome));
 }
 
+/// Guards against records that are appended again without end because their
+/// final rejection counts as no answer.
+BOOST_DATA_TEST_CASE(append_is_settled_by_its_status,
+                     boost::unit_test::data::make(appends))
+{
+    status = sample.status;
+    body = sample.body;
+    auto const end = append();
+    BOOST_REQUIRE(end.has_value());
+    BOOST_TEST((*end == sample.outcome));
+}
+
 /// Guards against an answer that settles more than it says.
 BOOST_DATA_TEST_CASE(start_is_settled_by_what_its_answer_says,
                      boost::unit_test::data::make(starts))
--- a/tests/platform_adapter/stand_ins/store_stand_in.hpp
+++ b/tests/platform_adapter/stand_ins/store_stand_in.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cell/append_limits.hpp>
 #include <network/http_server.hpp>
 
 #include <boost/asio/io_context.hpp>
@@ -9,6 +10,8 @@
 #include <list>
 #include <map>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 namespace berylhill::platform_test
@@ -63,6 +66,25 @@
         m_strict_size = true;
     }
 
+    /// From now on takes no larger records and calls than these; at first,
+    /// those of the platform.
+    void set_limits(cell::append_limits const& it)
+    {
+        m_limits = it;
+    }
+
+    /// Rejects appends with a record that has this in its key; empty: none.
+    void set_rejected_key(std::string it)
+    {
+        m_rejected_key = std::move(it);
+    }
+
+    /// How many appends were rejected for good.
+    [[nodiscard]] std::size_t rejected() const noexcept
+    {
+        return m_rejected;
+    }
+
     /// How many appends were carried out without an answer.
     [[nodiscard]] std::size_t lost() const noexcept
     {
@@ -105,6 +127,7 @@
                 std::string const& target,
                 std::string const& body,
                 network::responder const& answer);
+    [[nodiscard]] bool rejects(std::string_view body) const;
     void newest(std::string const& topic, network::responder const& answer);
     [[nodiscard]] network::http_response read(std::string const& topic,
                                               std::size_t from,
@@ -132,6 +155,9 @@
     std::chrono::milliseconds m_append_delay{0};
     std::chrono::milliseconds m_read_delay{0};
     bool m_strict_size{false};
+    cell::append_limits m_limits;
+    std::string m_rejected_key;
+    std::size_t m_rejected{0};
     std::size_t m_appends{0};
     std::map<std::string, std::size_t> m_newest_reads;
     bool m_down{false};
--- a/tests/platform_adapter/whole_path_test.cpp
+++ b/tests/platform_adapter/whole_path_test.cpp
@@ -162,6 +162,42 @@
     BOOST_TEST(run_until([&] { return completed(2, 2); }));
 }
 
+/// Guards against one accepted job stopping all others: the store rejects its
+/// records for good, and each owner appended them again without end.
+BOOST_AUTO_TEST_CASE(a_job_with_rejected_records_stops_no_other)
+{
+    BOOST_REQUIRE(all_ready(*this));
+    BOOST_TEST(submit(0, 1) == 200U);
+    store->set_rejected_key("0000000000000001");
+    std::uint64_t next = 2;
+    for (int takeover = 0; takeover < 3; ++takeover)
+    {
+        auto const first = owner();
+        BOOST_REQUIRE(first.has_value());
+        auto const other = (*first + 1) % processes;
+        BOOST_TEST(run_until([&] { return submit(other, next) == 200U; }));
+        BOOST_TEST(run_until([&] { return completed(other, next); }));
+        ++next;
+        BOOST_TEST(run_until([&] { return store->rejected() > 0; }));
+        // Known to all owners, whatever becomes of it.
+        BOOST_TEST(call(other, network::http_method::get,
+                        "/q/0000000000000001") == 200U);
+        if (takeover < 2)
+        {
+            stop_process(*first);
+            start_process(*first);
+            BOOST_TEST(run_until([&] { return ready(*first); }));
+        }
+    }
+    store->set_rejected_key({});
+    BOOST_TEST(
+        run_until([&] { return completed(0, 1); }, std::chrono::seconds{40}));
+    for (auto const& [task, n] : started)
+    {
+        BOOST_TEST(n == 1, task);
+    }
+}
+
 /// Users are refused though the store takes all that is sent to it: it is
 /// slow, and who waits behind an append under way was refused for that.
 BOOST_AUTO_TEST_CASE(a_slow_store_takes_all_new_work)
--- a/tests/scheduler/random_test.cpp
+++ b/tests/scheduler/random_test.cpp
@@ -44,6 +44,7 @@
 constexpr std::uint64_t usual_place_seeds = 20;
 constexpr std::uint64_t usual_life_seeds = 20;
 constexpr std::uint64_t usual_partition_seeds = 50;
+constexpr std::uint64_t usual_rejected_seeds = 50;
 
 fault_rates const late_and_frozen{.drain = 0.01,
                                   .freeze = 0.7,
@@ -106,6 +107,16 @@
                                              .late_spell = 0.03,
                                              .cut_batch = 0.05};
 
+fault_rates const rejected_records{.drain = 0.01,
+                                   .freeze = 0.7,
+                                   .late_append = 0.05,
+                                   .twice = 0.2,
+                                   .cancel_new = 0.1,
+                                   .crashers = 0.03,
+                                   .reject = 0.03,
+                                   .late_spell = 0.03,
+                                   .reject_records = 0.05};
+
 fault_rates rough_for(planted fault)
 {
     switch (fault)
@@ -136,6 +147,9 @@
     case planted::count_complete_too_high:
     case planted::delete_before_writing:
         return partitions_and_cut_batches;
+    case planted::believe_rejected:
+    case planted::repeat_rejected:
+        return rejected_records;
     default:
         return {};
     }
@@ -218,6 +232,8 @@
      planted::count_complete_too_high},
     {"records are deleted before others are written",
      planted::delete_before_writing},
+    {"rejected records count as stored", planted::believe_rejected},
+    {"a rejection counts as no answer", planted::repeat_rejected},
 };
 
 struct seed_case
@@ -349,6 +365,19 @@
     play(first, seeds, partitions_and_cut_batches, calm_under_a_cap);
 }
 
+/// Guards against one job whose records the store rejects, for a while or for
+/// good, stopping all other jobs, and against promises that rest on records
+/// which are not stored.
+BOOST_AUTO_TEST_CASE(a_job_with_rejected_records_stops_no_other)
+{
+    auto const first = number_from("BERYLHILL_FIRST_SEED", 1);
+    auto const seeds = number_from("BERYLHILL_SEEDS", usual_rejected_seeds);
+    play(first, seeds, rejected_records, calm_under_a_cap);
+    auto both = partitions_and_cut_batches;
+    both.reject_records = rejected_records.reject_records;
+    play(first, seeds / 2, both, calm_under_a_cap);
+}
+
 /// Guards against the faults that these seeds beyond the usual ones have shown.
 BOOST_DATA_TEST_CASE(seeds_that_broke_hold,
                      boost::unit_test::data::make(seeds_that_broke))
--- a/tests/scheduler/world.hpp
+++ b/tests/scheduler/world.hpp
@@ -74,6 +74,10 @@
     count_complete_too_high,
     /// In a batch, records are deleted before others are written.
     delete_before_writing,
+    /// Rejected records count as stored.
+    believe_rejected,
+    /// A rejection counts as no answer: the batch is appended again.
+    repeat_rejected,
 };
 
 /// The caps that the operator switches between.
@@ -135,6 +139,8 @@
     /// the owner is replaced in between, never. With this, nearly all states
     /// are partitioned, and a share of the jobs is repeated.
     double cut_batch{0};
+    /// Jobs whose records the store rejects for some time; some until the end.
+    double reject_records{0};
 };
 
 /// What an instance serves and which label it has. A value.
@@ -265,6 +271,10 @@
         /// The records of the batch that are appended when those before them
         /// are stored.
         std::vector<scheduler::record> rest_of_batch;
+        /// The jobs of the batch whose records were rejected.
+        std::vector<scheduler::rejected_job> rejected;
+        /// An attempt to append the batch had no answer.
+        bool in_doubt{false};
         /// The first record of the endpoint list's log that it has not read.
         std::size_t next_entry{0};
         cell::write_times entry_times;
@@ -277,6 +287,14 @@
         std::map<scheduler::attempt_name, std::set<std::uint32_t>> awaited;
     };
 
+    /// An append of which at least one record was stored.
+    struct stored_append
+    {
+        std::uint64_t writer{0};
+        std::vector<scheduler::record> sent;
+        std::vector<scheduler::record> rejected;
+    };
+
     using owner_pointer = std::shared_ptr<owner>;
     using owner_handler = std::function<void(owner&)>;
 
@@ -366,6 +384,16 @@
     void batch_cut_off();
     void check_due(scheduler::attempt_name const& it);
 
+    // world_rejected_records.cpp
+    void reject_some_job();
+    [[nodiscard]] bool rejects_records_of(workload::job_id it) const;
+    [[nodiscard]] bool rejected_for_good(workload::job_id it) const;
+    std::vector<scheduler::record>
+    take_rejected(std::vector<scheduler::record>& records) const;
+    void note_rejected(owner& by,
+                       std::vector<scheduler::record> const& rejected) const;
+    void batch_stored(owner& by);
+
     void announce(fake_instance const& it, bool listed);
     [[nodiscard]] std::int64_t clock_of(fake_instance const& it) const;
     void raise_token(fake_instance& at, std::uint64_t token) const;
@@ -471,6 +499,7 @@
     std::mt19937_64 m_place_random;
     std::mt19937_64 m_life_random;
     std::mt19937_64 m_part_random;
+    std::mt19937_64 m_record_random;
     fault_rates m_rough;
     planted m_fault;
     scheduler::policy m_rules;
@@ -491,6 +520,10 @@
     /// offset.
     std::map<std::string, std::string> m_newest;
     std::vector<std::uint64_t> m_writers;
+    /// The jobs whose records the store rejects, and until when.
+    std::map<workload::job_id, base::instant> m_rejected_until;
+    /// What was appended, by its first offset.
+    std::map<std::uint64_t, stored_append> m_stored_at;
     bool m_store_up{true};
     base::instant m_store_changed_at{};
     owner_pointer m_owner;
