scheduler, workload: Reject at once what can never be stored or kept

A job of 2,000,000 tasks is within the bounds of its steps, but its state is larger than the memory of a process (reckoned, not run).

More than 100,000 tasks in all are a malformed request (400).

--- a/libraries/cell/call_router.cpp
+++ b/libraries/cell/call_router.cpp
@@ -45,6 +45,7 @@
     case job_answer_kind::no_key:
         return changes_nothing;
     case job_answer_kind::over_cap:
+    case job_answer_kind::too_large:
     case job_answer_kind::refused:
     case job_answer_kind::not_owner:
     case job_answer_kind::interrupted:
--- a/libraries/cell/cell_owner.cpp
+++ b/libraries/cell/cell_owner.cpp
@@ -251,6 +251,11 @@
         done({job_answer_kind::over_cap, {}, 0, {}});
         return;
     }
+    if (taken == scheduler::submission::too_large)
+    {
+        done({job_answer_kind::too_large, {}, 0, {}});
+        return;
+    }
     if (taken == scheduler::submission::accepted)
     {
         m_parts.log->write(base::log_level::info, "job_taken",
--- a/libraries/cell/job_call.cpp
+++ b/libraries/cell/job_call.cpp
@@ -33,6 +33,8 @@
         return "forbidden";
     case job_answer_kind::over_cap:
         return "over_cap";
+    case job_answer_kind::too_large:
+        return "too_large";
     case job_answer_kind::no_queue:
         return "no_queue";
     case job_answer_kind::no_key:
--- a/libraries/cell/job_call.hpp
+++ b/libraries/cell/job_call.hpp
@@ -78,6 +78,9 @@
     /// such key; the call had no effect.
     no_queue,
     no_key,
+    /// Not accepted permanently: the store has no room for such a job's
+    /// specification.
+    too_large,
 };
 
 /// The label of the value in logs and metrics.
--- a/libraries/cell/node.cpp
+++ b/libraries/cell/node.cpp
@@ -236,6 +236,8 @@
         std::chrono::milliseconds{m_settings.bounds.contact_ms +
                                   m_settings.bounds.heartbeat_ms} -
         entry_margin;
+    out.max_record_bytes =
+        static_cast<std::size_t>(m_settings.platform.record_bytes);
     out.status_kept = base::from_seconds(m_settings.bounds.status_kept_s) +
                       std::chrono::seconds{5};
     return out;
--- a/libraries/cell/peer_messages.cpp
+++ b/libraries/cell/peer_messages.cpp
@@ -279,7 +279,8 @@
 {
     BOOST_LEAF_AUTO(root, json_codec::parse(text));
     job_answer out;
-    BOOST_LEAF_ASSIGN(out.kind, enum_in(root, "kind", job_answer_kind::no_key));
+    BOOST_LEAF_ASSIGN(out.kind,
+                      enum_in(root, "kind", job_answer_kind::too_large));
     BOOST_LEAF_ASSIGN(out.phase,
                       enum_in(root, "phase", scheduler::job_phase::cancelled));
     out.pending =
--- a/libraries/command/time_line.cpp
+++ b/libraries/command/time_line.cpp
@@ -26,6 +26,7 @@
     event_text{"job_released", "the store takes its records again"},
     event_text{"call_forbidden", "the caller's account is not the job's"},
     event_text{"request_denied", "the configuration allows no such request"},
+    event_text{"job_too_large", "its specification does not fit into a record"},
     event_text{"account_at_cap", "its account runs as much as it may"},
     event_text{"call_outdated", "the owner has a newer configuration"},
     event_text{"call_failed", "a client was told that it was not done"},
@@ -166,6 +167,13 @@
         return "It was refused: it needs more than account " +
                capped->value_of("account") + " may have running.";
     }
+    if (auto const* const large = last_of(it, "job_too_large");
+        large != nullptr)
+    {
+        return "It was refused: its specification has " +
+               large->value_of("bytes") + " bytes, and a record " +
+               large->value_of("max_bytes") + ".";
+    }
     if (auto const* const denied = last_of(it, "request_denied");
         denied != nullptr && last_of(it, "job_taken") == nullptr)
     {
--- a/libraries/scheduler/outcomes.hpp
+++ b/libraries/scheduler/outcomes.hpp
@@ -18,6 +18,8 @@
     already_stored,
     /// Rejected: it needs more than its account may ever use.
     over_cap,
+    /// Rejected: its specification does not fit into a record.
+    too_large,
 };
 
 /// Outcome of a cancellation.
--- a/libraries/scheduler/policy.hpp
+++ b/libraries/scheduler/policy.hpp
@@ -94,6 +94,8 @@
     /// often than the cell can run it must not use up the memory.
     std::size_t max_open_tasks{20'000};
     record_layout layout{};
+    /// The store takes no larger record.
+    std::size_t max_record_bytes{262'144};
 
     friend bool operator==(policy const&, policy const&) = default;
 };
--- a/libraries/scheduler/record.cpp
+++ b/libraries/scheduler/record.cpp
@@ -238,6 +238,13 @@
     return json::serialize(out);
 }
 
+std::size_t spec_record_bytes(job const& it)
+{
+    constexpr std::size_t key_length_bytes = 1;
+    return key_length_bytes + partitioned_spec_key(it.spec().id).size() +
+           spec_value(it).size();
+}
+
 base::result<stored_spec> parse_spec_value(workload::job_id id,
                                            std::string_view value)
 {
--- a/libraries/scheduler/record.hpp
+++ b/libraries/scheduler/record.hpp
@@ -57,6 +57,10 @@
 /// Encodes a job's specification and when it was accepted.
 [[nodiscard]] std::string spec_value(job const& it);
 
+/// The bytes of the record of a job's specification, with its key, as the store
+/// counts them.
+[[nodiscard]] std::size_t spec_record_bytes(job const& it);
+
 /// The contents of a specification record. A value.
 struct stored_spec
 {
--- a/libraries/scheduler/scheduler.cpp
+++ b/libraries/scheduler/scheduler.cpp
@@ -114,6 +114,15 @@
                      {{"job", text_of(it.id)}, {"account", it.account}});
         return submission::over_cap;
     }
+    if (auto const bytes = spec_record_bytes(job{it, wall_ms, now});
+        bytes > m_rules.max_record_bytes)
+    {
+        m_log->write(base::log_level::info, "job_too_large",
+                     {{"job", text_of(it.id)},
+                      {"bytes", std::uint64_t{bytes}},
+                      {"max_bytes", std::uint64_t{m_rules.max_record_bytes}}});
+        return submission::too_large;
+    }
     auto const repeats = it.repeats.count != 0;
     auto const owed = m_shares.take(it.account, now);
     auto& job = m_jobs.add(std::move(it), wall_ms, now);
--- a/libraries/workload/validation.cpp
+++ b/libraries/workload/validation.cpp
@@ -80,9 +80,15 @@
     {
         out.add({source, 0, "/steps", "must have at least one step"});
     }
+    std::uint64_t tasks = 0;
     for (std::size_t n = 0; n < it.steps.size(); ++n)
     {
         check_step(it.steps[n], n, it.steps.size(), out);
+        tasks += it.steps[n].tasks;
+    }
+    if (tasks > max_tasks_per_job)
+    {
+        out.add({source, 0, "/steps", "must have at most 100000 tasks in all"});
     }
     if (it.repeats.count != 0 && it.repeats.interval_ms < 0)
     {
--- a/tests/cell/answer_log_test.cpp
+++ b/tests/cell/answer_log_test.cpp
@@ -98,6 +98,8 @@
     {"over the cap",
      outcome(job_answer_kind::over_cap, answer_source::owner, 1),
      "call_failed"},
+    {"too large", outcome(job_answer_kind::too_large, answer_source::owner, 1),
+     "call_failed"},
     {"no owner", outcome(job_answer_kind::refused, answer_source::entry, 0),
      "call_failed"},
     {"outcome unknown",
--- a/tests/cell/call_router_test.cpp
+++ b/tests/cell/call_router_test.cpp
@@ -49,6 +49,8 @@
      job_answer_kind::outcome_unknown},
     {"over the cap", 200, job_answer_kind::over_cap,
      job_answer_kind::outcome_unknown},
+    {"too large", 200, job_answer_kind::too_large,
+     job_answer_kind::outcome_unknown},
     {"no such key in a newer configuration", 200, job_answer_kind::no_key,
      job_answer_kind::outcome_unknown},
     {"no such queue in a newer configuration", 200, job_answer_kind::no_queue,
@@ -295,8 +297,8 @@
 BOOST_DATA_TEST_CASE(a_refusal_of_the_only_send_is_told,
                      boost::unit_test::data::make(
                          {job_answer_kind::refused, job_answer_kind::over_cap,
-                          job_answer_kind::no_key, job_answer_kind::no_queue,
-                          job_answer_kind::forbidden,
+                          job_answer_kind::too_large, job_answer_kind::no_key,
+                          job_answer_kind::no_queue, job_answer_kind::forbidden,
                           job_answer_kind::unknown_job}),
                      answer)
 {
--- a/tests/cell/cell_owner_test.cpp
+++ b/tests/cell/cell_owner_test.cpp
@@ -501,4 +501,20 @@
                boost::test_tools::per_element());
 }
 
+/// Guards against an accepted job that the store can never take.
+BOOST_AUTO_TEST_CASE(a_job_too_large_for_the_store_is_rejected_at_once)
+{
+    auto it = submission(1, long_timeout);
+    constexpr std::size_t steps = 3'000;
+    it.spec.steps.assign(steps, it.spec.steps.front());
+    for (auto& step : it.spec.steps)
+    {
+        step.image = std::string(100, 'i');
+    }
+    auto const end = call(it);
+    BOOST_REQUIRE(end->has_value());
+    BOOST_TEST((**end == job_answer_kind::too_large));
+    BOOST_TEST(!owner->decisions().account_of({1}).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/command/explain_test.cpp
+++ b/tests/command/explain_test.cpp
@@ -63,6 +63,11 @@
               std::string{"account_at_cap step="} + job +
                   ".0.0 account=team cpu_millis=9 cpu_millis_cap=9"),
      "account team has as much running as it may"},
+    {"too large for the store",
+     line(1,
+          std::string{"job_too_large job="} + job +
+              " bytes=300000 max_bytes=262144"),
+     "its specification has 300000 bytes, and a record 262144"},
     {"a key that nobody has",
      line(1,
           std::string{"request_denied job="} + job +
