--- a/libraries/settings/cell_schema.cpp
+++ b/libraries/settings/cell_schema.cpp
@@ -75,7 +75,7 @@
     it->add({"machines", "", "The service that moves and services machines."},
             &section::machines, optional_address());
     // Below this, the state of a few tasks does not fit into a record.
-    constexpr std::int64_t least_bytes = 65'536;
+    constexpr std::int64_t least_bytes = 4'096;
     constexpr std::int64_t most_bytes = 1'073'741'824;
     it->add({"record_bytes", "bytes", "The store takes no larger record."},
             &section::record_bytes, integer(least_bytes, most_bytes));
--- a/tests/platform_adapter/stand_ins/cell_process.cpp
+++ b/tests/platform_adapter/stand_ins/cell_process.cpp
@@ -28,8 +28,9 @@
         << R"(","zone":"a","listen":{"callers":")" << address(0)
         << R"(","readiness":")" << address(1) << R"(","peer":")" << address(2)
         << R"(","metrics":")" << address(3) << R"("},"platform":{"store":")"
-        << text_of(local(it.store_port))
-        << R"("},"bounds":{"stop_grace_s":3}})";
+        << text_of(local(it.store_port)) << R"(","record_bytes":)"
+        << it.store_limits.record_bytes << R"(,"append_bytes":)"
+        << it.store_limits.call_bytes << R"(},"bounds":{"stop_grace_s":3}})";
 }
 
 std::unique_ptr<process> start(cell_process const& it)
--- a/tests/platform_adapter/stand_ins/cell_process.hpp
+++ b/tests/platform_adapter/stand_ins/cell_process.hpp
@@ -2,6 +2,8 @@
 
 #include "process.hpp"
 
+#include <cell/append_limits.hpp>
+
 #include <cstddef>
 #include <filesystem>
 #include <memory>
@@ -19,6 +21,8 @@
     /// The first of four ports: callers, readiness, peers, metrics.
     std::size_t first_port{0};
     std::size_t store_port{0};
+    /// What its settings say that the store takes.
+    cell::append_limits store_limits{};
 };
 
 /// Ports that a process listens at.
--- a/tests/platform_adapter/stand_ins/documents.cpp
+++ b/tests/platform_adapter/stand_ins/documents.cpp
@@ -67,9 +67,11 @@
     return json::serialize(out);
 }
 
-std::string job_document(std::int64_t cpu_millis, std::int64_t estimate_ms)
+std::string job_document(std::int64_t cpu_millis,
+                         std::int64_t estimate_ms,
+                         std::size_t first_tasks)
 {
-    auto const step = [&](int tasks)
+    auto const step = [&](std::size_t tasks)
     {
         return json::object{{"count", tasks},
                             {"cpu", cpu_millis},
@@ -79,7 +81,8 @@
     auto second = step(1);
     second["after"] = json::array{0};
     return json::serialize(json::object{
-        {"taskSpec", "t"}, {"steps", json::array{step(2), std::move(second)}}});
+        {"taskSpec", "t"},
+        {"steps", json::array{step(first_tasks), std::move(second)}}});
 }
 
 } // namespace berylhill::platform_test
--- a/tests/platform_adapter/stand_ins/documents.hpp
+++ b/tests/platform_adapter/stand_ins/documents.hpp
@@ -37,8 +37,9 @@
                        std::vector<std::string> const& queues,
                        std::vector<account_keys> const& accounts);
 
-/// A job of two steps as a client hands it in: two tasks, and one after them.
+/// A job of two steps as a client hands it in: some tasks, and one after them.
 [[nodiscard]] std::string job_document(std::int64_t cpu_millis,
-                                       std::int64_t estimate_ms);
+                                       std::int64_t estimate_ms,
+                                       std::size_t first_tasks = 2);
 
 } // namespace berylhill::platform_test
--- a/utilities/soak/cell.cpp
+++ b/utilities/soak/cell.cpp
@@ -65,6 +65,17 @@
     return "key-" + std::to_string(account);
 }
 
+std::chrono::milliseconds time_of_tasks(cell_size const& it)
+{
+    if (it.orders == order_kind::late)
+    {
+        return cell::long_task_time;
+    }
+    auto const is_short =
+        it.callers == caller_kind::accounts || it.jobs == job_kind::wide;
+    return is_short ? cell::short_task_time : cell::task_time;
+}
+
 } // namespace
 
 cell::cell(boost::asio::io_context& loop,
@@ -78,6 +89,7 @@
     , m_kind{size.kind}
     , m_configuration{size.configuration}
     , m_callers{size.callers}
+    , m_jobs{size.jobs}
     , m_keeps_ids{size.keeps_ids}
 {
     using platform_test::ports_per_process;
@@ -89,6 +101,10 @@
     m_store_address = local(port++);
     m_store =
         std::make_unique<platform_test::store_stand_in>(loop, m_store_address);
+    if (m_jobs == job_kind::wide)
+    {
+        m_store->set_limits(small_limits);
+    }
     m_refusing_address = local(port++);
     m_refusing = std::make_unique<platform_test::store_gate>(
         loop, m_refusing_address, m_store_address);
@@ -104,10 +120,7 @@
         m_workers.push_back(std::move(made));
         auto& it = m_workers.back();
         it.instance = std::make_unique<platform_test::instance_stand_in>(
-            loop, at, id,
-            size.orders == order_kind::late         ? long_task_time
-            : size.callers == caller_kind::accounts ? short_task_time
-                                                    : task_time,
+            loop, at, id, time_of_tasks(size),
             [this, n](std::string const& task)
             { started(m_workers[n], task); });
         it.resizes_at =
@@ -134,6 +147,10 @@
         it.callers = local(port++);
         it.how = {binary, folder, "cell-" + std::to_string(n), port,
                   store_link.port};
+        if (m_jobs == job_kind::wide)
+        {
+            it.how.store_limits = small_limits;
+        }
         it.to_store =
             std::make_unique<fault_link>(loop, store_link, m_store_address);
         if (m_configuration == configuration_kind::large)
--- a/utilities/soak/cell.hpp
+++ b/utilities/soak/cell.hpp
@@ -60,6 +60,15 @@
     accounts,
 };
 
+/// What callers hand in.
+enum class job_kind : std::uint8_t
+{
+    small,
+    /// Jobs with a partitioned state, each batch of which takes several
+    /// appends: the store takes little in one. Tasks are short.
+    wide,
+};
+
 /// The size of a run, and what its instances are like. A value.
 struct cell_size
 {
@@ -73,6 +82,7 @@
     bool keeps_ids{false};
     /// The store turns processes away, in place of most other faults.
     bool store_turns_away{false};
+    job_kind jobs{job_kind::small};
 
     friend bool operator==(cell_size const&, cell_size const&) = default;
 };
@@ -90,6 +100,14 @@
     static constexpr std::size_t room = static_cast<std::size_t>(
         platform_test::instance_stand_in::cpu_millis / task_cpu);
 
+    /// Tasks of the first step of a job.
+    static constexpr std::size_t small_step = 2;
+    static constexpr std::size_t wide_step = 70;
+
+    /// What the store takes from jobs that are wide.
+    static constexpr ::berylhill::cell::append_limits small_limits{4'096,
+                                                                   4'096};
+
     /// Client accounts, where there are any.
     static constexpr std::size_t accounts = 4;
 
@@ -129,6 +147,11 @@
     /// the work. Not judged where processes are killed beside that.
     [[nodiscard]] bool must_accept(std::size_t process) const;
 
+    [[nodiscard]] std::size_t first_step() const noexcept
+    {
+        return m_jobs == job_kind::wide ? wide_step : small_step;
+    }
+
     [[nodiscard]] std::size_t processes() const noexcept
     {
         return m_processes.size();
@@ -188,6 +211,7 @@
     instance_kind m_kind;
     configuration_kind m_configuration;
     caller_kind m_callers;
+    job_kind m_jobs;
     bool m_keeps_ids;
     /// How many faults keep the account's key revoked.
     std::array<int, accounts> m_revoked{};
--- a/utilities/soak/client.cpp
+++ b/utilities/soak/client.cpp
@@ -31,9 +31,15 @@
 
 } // namespace
 
-std::vector<std::vector<std::string>> client::task_names()
+std::vector<std::vector<std::string>>
+client::task_names(std::size_t first_tasks)
 {
-    return {{"0.0.0", "0.0.1"}, {"0.1.0"}};
+    std::vector<std::string> first;
+    for (std::size_t n = 0; n < first_tasks; ++n)
+    {
+        first.push_back("0.0." + std::to_string(n));
+    }
+    return {std::move(first), {"0.1.0"}};
 }
 
 client::client(boost::asio::io_context& loop,
@@ -102,7 +108,8 @@
 {
     m_seen.submit_sent(m_job);
     call(network::http_method::post,
-         platform_test::job_document(cell::task_cpu, cell::task_time.count()),
+         platform_test::job_document(cell::task_cpu, cell::task_time.count(),
+                                     m_cell.first_step()),
          [this](auto const& it) { submitted(it); });
     if (m_cell.must_accept(m_process))
     {
--- a/utilities/soak/client.hpp
+++ b/utilities/soak/client.hpp
@@ -43,8 +43,10 @@
         return m_idle;
     }
 
-    /// The names of a job's tasks after `JOB.`, step by step.
-    [[nodiscard]] static std::vector<std::vector<std::string>> task_names();
+    /// The names of a job's tasks after `JOB.`, step by step. `first_tasks` is
+    /// how many the first step has.
+    [[nodiscard]] static std::vector<std::vector<std::string>>
+    task_names(std::size_t first_tasks);
 
 private:
     using handler = std::function<void(network::call_result const&)>;
--- a/utilities/soak/main.cpp
+++ b/utilities/soak/main.cpp
@@ -57,6 +57,8 @@
     add("turn-away", "a store that turns the owner and maybe more processes "
                      "away, in place of the other faults of processes and of "
                      "the store");
+    add("wide", "jobs of many tasks, and a store that takes little in one "
+                "append");
     add("plan", "print the faults of each seed, and play none");
     add("help", "");
     return options;
@@ -116,7 +118,9 @@
         given.count("revoke-keys") != 0 ? soak::caller_kind::accounts
                                         : soak::caller_kind::anybody,
         given.count("same-ids") != 0,
-        given.count("turn-away") != 0};
+        given.count("turn-away") != 0,
+        given.count("wide") != 0 ? soak::job_kind::wide
+                                 : soak::job_kind::small};
     settings.clients = given["clients"].as<std::size_t>();
     auto const first = given["first"].as<std::uint64_t>();
     auto const seeds = given["seeds"].as<std::uint64_t>();
--- a/utilities/soak/run.cpp
+++ b/utilities/soak/run.cpp
@@ -32,7 +32,9 @@
 public:
     explicit play_through(run_settings const& it)
         : m_settings{it}
-        , m_seen{cell::room, client::task_names()}
+        , m_seen{cell::room, client::task_names(it.size.jobs == job_kind::wide
+                                                    ? cell::wide_step
+                                                    : cell::small_step)}
         , m_cell{m_loop, it.binary, it.folder, it.size, it.seed, m_seen}
     {
         for (std::size_t n = 0; n < it.clients; ++n)
