--- a/tests/scheduler/state_size_test.cpp
+++ b/tests/scheduler/state_size_test.cpp
@@ -312,4 +312,25 @@
     BOOST_TEST(it.records().contains(scheduler::state_key({0xb2})));
 }
 
+/// Guards against attempts that nobody stops: what may still run of a cancelled
+/// job has to be known to the next owner, and nothing of it once the job is
+/// forgotten.
+BOOST_AUTO_TEST_CASE(a_cancelled_wide_job_is_known_until_it_is_deleted_whole)
+{
+    constexpr std::uint32_t tasks = 100;
+    one_job_cell it{job_of(1, tasks)};
+    BOOST_TEST(it.start().size() == tasks);
+    it.cancel();
+    scheduler_fixture next{it.records()};
+    auto const stops = next.store();
+    BOOST_TEST(count_of<scheduler::stop_order>(stops) == tasks);
+    BOOST_TEST(
+        (next.decisions.phase_of({0xb2}) == scheduler::job_phase::cancelled));
+    next.advance(scheduler_fixture::rules().status_kept +
+                 std::chrono::seconds{1});
+    next.decisions.tick(0, next.now);
+    std::ignore = next.store();
+    BOOST_TEST(next.records.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/scheduler/world.hpp
+++ b/tests/scheduler/world.hpp
@@ -382,6 +382,7 @@
     void damage_batch(std::vector<scheduler::record>& it);
     void cut_batch(owner& by, std::vector<scheduler::record>& records);
     void batch_cut_off();
+    void check_records(std::vector<std::string>& into) const;
     void check_due(scheduler::attempt_name const& it);
 
     // world_rejected_records.cpp
--- a/tests/scheduler/world_checks.cpp
+++ b/tests/scheduler/world_checks.cpp
@@ -221,6 +221,7 @@
 
 void world::check_ends(std::vector<std::string>& into) const
 {
+    check_records(into);
     for (auto const id : m_accepted)
     {
         auto const phase = m_owner->decisions->phase_of(id);
--- a/tests/scheduler/world_partitions.cpp
+++ b/tests/scheduler/world_partitions.cpp
@@ -136,4 +136,20 @@
     }
 }
 
+/// No record is left of a job that has none to say so: nobody would ever delete
+/// it.
+void world::check_records(std::vector<std::string>& into) const
+{
+    for (auto const& [key, value] : m_newest)
+    {
+        auto const what = scheduler::parse_record_key(key);
+        if (what.kind == scheduler::record_kind::part &&
+            !m_newest.contains(scheduler::state_key(what.job)) &&
+            !m_newest.contains(scheduler::partitioned_spec_key(what.job)))
+        {
+            into.push_back("record left behind: " + key);
+        }
+    }
+}
+
 } // namespace berylhill::scheduler_test
--- a/utilities/state_bench/main.cpp
+++ b/utilities/state_bench/main.cpp
@@ -1,5 +1,7 @@
-/// Measures the decisions about ownership and the log's writer, and prints one
-/// `name=value unit` line for each figure.
+/// Measures the decisions about ownership, the log's writer and the records of
+/// jobs, and prints one `name=value unit` line for each figure.
+#include "job_state.hpp"
+
 #include <model/json.hpp>
 #include <ownership/participant.hpp>
 #include <stream/writer_state.hpp>
@@ -278,4 +280,5 @@
     {
         measure_messages(n);
     }
+    state_bench::measure_job_state();
 }
