scheduler: Tell of checkpoints that are not kept, and no held job of a refused one

A checkpoint above the bound was dropped without a line. A submission that the store rejects was logged as held and released before it was refused; only jobs that stay are held. Tests: an older release's records are replaced, from each prefix of the records that do it; a backlog of due occurrences is opened bit by bit; an occurrence beyond the end of time.

--- a/libraries/scheduler/job.hpp
+++ b/libraries/scheduler/job.hpp
@@ -256,8 +256,8 @@
     /// estimates. Precondition: one duration per step.
     void set_work(std::vector<base::duration> const& it);
 
-    /// Adds an attempt to `remaining_attempts`. Precondition: the job is not
-    /// finished.
+    /// Adds an attempt to `remaining_attempts`. Precondition: the specification
+    /// is known.
     void add_remaining(attempt_name const& name, std::string const& instance);
 
     /// Removes an attempt from `remaining_attempts`. Returns whether it was
--- a/libraries/scheduler/scheduler.hpp
+++ b/libraries/scheduler/scheduler.hpp
@@ -280,6 +280,9 @@
                    attempt& it,
                    base::instant now);
     void end_sent_attempts(instance& at, end_reason reason, base::instant now);
+    void keep_checkpoint(attempt_name const& name,
+                         task& it,
+                         std::string const& saved);
     void report_lost(instance const& at,
                      attempt_name const& name,
                      attempt const& it,
--- a/libraries/scheduler/scheduler_ends.cpp
+++ b/libraries/scheduler/scheduler_ends.cpp
@@ -93,10 +93,9 @@
                   {"instance", at.info().id},
                   {"reason", name_of(reason)}});
     auto const& spec = of->spec_of(name.task.step);
-    if (!saved.empty() && spec.can_checkpoint &&
-        saved.size() <= m_rules.max_checkpoint_bytes)
+    if (!saved.empty() && spec.can_checkpoint)
     {
-        it.checkpoint = saved;
+        keep_checkpoint(name, it, saved);
     }
     if (reason == end_reason::done && !spec.long_running)
     {
@@ -136,6 +135,22 @@
     after_change(*of, now);
 }
 
+/// Keeps the checkpoint unless it is too large for the records of a job.
+void scheduler::keep_checkpoint(attempt_name const& name,
+                                task& it,
+                                std::string const& saved)
+{
+    if (saved.size() <= m_rules.max_checkpoint_bytes)
+    {
+        it.checkpoint = saved;
+        return;
+    }
+    m_log->write(base::log_level::warning, "checkpoint_too_large",
+                 {{"task", text_of(name.task)},
+                  {"run", name.run},
+                  {"bytes", std::uint64_t{saved.size()}}});
+}
+
 /// Logs what is needed to tell a task that crashes its instances from one that
 /// merely ran there, and either from an order that was never carried out.
 void scheduler::report_lost(instance const& at,
--- a/libraries/scheduler/scheduler_held.cpp
+++ b/libraries/scheduler/scheduler_held.cpp
@@ -38,7 +38,8 @@
         auto const* const it = m_jobs.find(id);
         if (it != nullptr && !it->stored && !it->may_be_stored)
         {
-            release_held(id);
+            m_jobs.let_go(id);
+            std::ignore = m_held.release(id);
             m_jobs.put_back({id}, {});
             std::ignore = withdraw(id);
         }
@@ -49,7 +50,8 @@
 {
     auto const id = it.spec().id;
     m_jobs.hold(id);
-    if (m_held.hold(id, now))
+    auto const is_first = m_held.hold(id, now);
+    if (is_first && (it.stored || it.may_be_stored))
     {
         m_log->write(base::log_level::error, "job_held",
                      {{"job", text_of(id)},
--- a/tests/scheduler/part_record_test.cpp
+++ b/tests/scheduler/part_record_test.cpp
@@ -1,12 +1,17 @@
+#include "scheduler_fixture.hpp"
+
 #include <scheduler/part_record.hpp>
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <limits>
 #include <map>
 #include <ostream>
 #include <string>
+#include <tuple>
+#include <vector>
 
 using namespace berylhill;
 using scheduler::state_part;
@@ -228,6 +233,96 @@
     BOOST_TEST(scheduler::take_part_records(it).empty());
 }
 
+/// Guards against tasks that run again after an upgrade, wherever in the
+/// replacement of the older release's records its owner is lost.
+BOOST_AUTO_TEST_CASE(records_of_an_older_release_are_replaced)
+{
+    using scheduler_test::scheduler_fixture;
+    auto spec = scheduler_fixture::job(0xab, 3);
+    spec.repeats = {3, 0, 100};
+    // Occurrence 0 is complete, of occurrence 1 one task is done and one runs.
+    record_map const former{
+        {scheduler::spec_key(id),
+         scheduler::spec_value(scheduler::job{spec, 0, base::instant{}})},
+        {scheduler::state_key(id),
+         R"({"p":1,"b":1,"o":[[0,[[0,0,0,[[0,2],[1,2],[2,2]]]]],)"
+         R"([1,[[0,0,0,[[0,2],[1,1,4,0,"a"]]]]]]})"}};
+    scheduler_fixture first{former};
+    auto const batch = first.decisions.take_batch(first.now);
+    BOOST_TEST(batch.size() == 4U);
+    for (std::size_t stored = 0; stored <= batch.size(); ++stored)
+    {
+        auto records = former;
+        for (std::size_t n = 0; n < stored; ++n)
+        {
+            auto const& it = batch[n];
+            it.value.empty() ? void(records.erase(it.key))
+                             : void(records[it.key] = it.value);
+        }
+        scheduler_fixture next{records};
+        next.list("a");
+        auto const running = scheduler::attempt_name{{{id, 1, 0}, 1}, 4};
+        next.report("a", {{running, {}, 10}});
+        std::ignore = next.starts();
+        auto const& job = *next.decisions.jobs().find(id);
+        BOOST_TEST(job.completed.all_below() == 1U);
+        auto const& tasks = job.occurrences.at(1).steps[0].tasks;
+        BOOST_TEST((tasks[0].phase == task_phase::done));
+        BOOST_TEST((tasks[1].phase == task_phase::placed));
+        BOOST_TEST(tasks[1].run == 4U);
+        BOOST_TEST(tasks[2].run == 1U);
+        BOOST_TEST(!next.records.contains(scheduler::spec_key(id)));
+        BOOST_TEST(next.records.contains(scheduler::partitioned_spec_key(id)));
+    }
+}
+
+/// Guards against an owner that runs out of memory under a job that is due more
+/// often than the cell can run it.
+BOOST_AUTO_TEST_CASE(a_backlog_of_occurrences_is_opened_bit_by_bit)
+{
+    using scheduler_test::scheduler_fixture;
+    auto rules = scheduler_fixture::rules();
+    rules.max_open_tasks = 6;
+    scheduler_fixture it{{}, rules};
+    auto spec = scheduler_fixture::job(0xab, 3);
+    spec.repeats = {100, 0, 0};
+    it.decisions.submit(spec, 0, it.now);
+    for (int n = 0; n < 10; ++n)
+    {
+        it.decisions.tick(1'000, it.now);
+    }
+    BOOST_TEST(it.decisions.jobs().find(id)->occurrences.size() == 2U);
+    it.list("a");
+    it.report("a");
+    auto const started = it.starts();
+    BOOST_REQUIRE(started.size() == 4U);
+    std::vector<scheduler::ended_attempt_report> ended;
+    for (std::uint64_t n = 0; n < 3; ++n)
+    {
+        ended.push_back(
+            {n + 1, started[n].attempt, scheduler::end_reason::done, {}});
+    }
+    it.report("a", {{started[3].attempt, {}, 10}}, ended);
+    it.decisions.tick(1'000, it.now);
+    BOOST_TEST(it.decisions.jobs().find(id)->next_occurrence() == 3U);
+}
+
+/// Guards against an overflow: such an occurrence is never due.
+BOOST_AUTO_TEST_CASE(an_occurrence_beyond_the_end_of_time_is_never_due)
+{
+    using scheduler_test::scheduler_fixture;
+    scheduler_fixture it;
+    auto spec = scheduler_fixture::job(0xab, 1);
+    constexpr auto most = std::numeric_limits<std::int64_t>::max();
+    spec.repeats = {5, 0, most / 2};
+    it.decisions.submit(spec, 0, it.now);
+    for (int n = 0; n < 10; ++n)
+    {
+        it.decisions.tick(most - 1, it.now);
+    }
+    BOOST_TEST(it.decisions.jobs().find(id)->next_occurrence() == 3U);
+}
+
 BOOST_DATA_TEST_CASE(an_unreadable_part_is_an_error,
                      boost::unit_test::data::make(unreadable))
 {
