--- a/tests/scheduler/random_test.cpp
+++ b/tests/scheduler/random_test.cpp
@@ -355,29 +355,6 @@
     play(first, seeds, lives_and_late_orders, calm_under_a_cap);
 }
 
-/// Guards against tasks that run twice, jobs that are lost and ends that are
-/// forgotten when the state of a job is stored in several records and the owner
-/// is lost after any of them.
-BOOST_AUTO_TEST_CASE(invariants_hold_when_batches_are_stored_in_part)
-{
-    auto const first = number_from("BERYLHILL_FIRST_SEED", 1);
-    auto const seeds = number_from("BERYLHILL_SEEDS", usual_partition_seeds);
-    play(first, seeds, partitions_and_cut_batches, calm_under_a_cap);
-}
-
-/// Guards against one job whose records the store rejects, for a while or for
-/// good, stopping all other jobs, and against promises that rest on records
-/// which are not stored.
-BOOST_AUTO_TEST_CASE(a_job_with_rejected_records_stops_no_other)
-{
-    auto const first = number_from("BERYLHILL_FIRST_SEED", 1);
-    auto const seeds = number_from("BERYLHILL_SEEDS", usual_rejected_seeds);
-    play(first, seeds, rejected_records, calm_under_a_cap);
-    auto both = partitions_and_cut_batches;
-    both.reject_records = rejected_records.reject_records;
-    play(first, seeds / 2, both, calm_under_a_cap);
-}
-
 /// Guards against the faults that these seeds beyond the usual ones have shown.
 BOOST_DATA_TEST_CASE(seeds_that_broke_hold,
                      boost::unit_test::data::make(seeds_that_broke))
@@ -402,3 +379,30 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(random_records)
+
+/// Guards against tasks that run twice, jobs that are lost and ends that are
+/// forgotten when the state of a job is stored in several records and the owner
+/// is lost after any of them.
+BOOST_AUTO_TEST_CASE(invariants_hold_when_batches_are_stored_in_part)
+{
+    auto const first = number_from("BERYLHILL_FIRST_SEED", 1);
+    auto const seeds = number_from("BERYLHILL_SEEDS", usual_partition_seeds);
+    play(first, seeds, partitions_and_cut_batches, calm_under_a_cap);
+}
+
+/// Guards against one job whose records the store rejects, for a while or for
+/// good, stopping all other jobs, and against promises that rest on records
+/// which are not stored.
+BOOST_AUTO_TEST_CASE(a_job_with_rejected_records_stops_no_other)
+{
+    auto const first = number_from("BERYLHILL_FIRST_SEED", 1);
+    auto const seeds = number_from("BERYLHILL_SEEDS", usual_rejected_seeds);
+    play(first, seeds, rejected_records, calm_under_a_cap);
+    auto both = partitions_and_cut_batches;
+    both.reject_records = rejected_records.reject_records;
+    play(first, seeds / 2, both, calm_under_a_cap);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
