--- a/libraries/scheduler/scheduler_held.cpp
+++ b/libraries/scheduler/scheduler_held.cpp
@@ -81,11 +81,12 @@
 /// attempt breaks no promise.
 void scheduler::cancel_held_starts(pending_batch& batch, base::instant now)
 {
-    auto const rest = std::ranges::stable_partition(
-        batch.starts, [&](start_order const& it)
+    auto const rest = std::stable_partition(
+        batch.starts.begin(), batch.starts.end(),
+        [&](start_order const& it)
         { return !m_held.contains(it.attempt.task.step.job); });
-    std::vector<start_order> const cancelled{rest.begin(), rest.end()};
-    batch.starts.erase(rest.begin(), rest.end());
+    std::vector<start_order> const cancelled{rest, batch.starts.end()};
+    batch.starts.erase(rest, batch.starts.end());
     for (auto const& it : cancelled)
     {
         auto* const at = m_instances.find(it.instance);
--- a/tests/scheduler/world_partitions.cpp
+++ b/tests/scheduler/world_partitions.cpp
@@ -92,8 +92,9 @@
     }
     if (m_fault == planted::delete_before_writing)
     {
-        std::ranges::stable_partition(it, [](scheduler::record const& each)
-                                      { return each.value.empty(); });
+        std::stable_partition(it.begin(), it.end(),
+                              [](scheduler::record const& each)
+                              { return each.value.empty(); });
     }
 }
 
--- a/tests/scheduler/world_rejected_records.cpp
+++ b/tests/scheduler/world_rejected_records.cpp
@@ -53,11 +53,12 @@
 std::vector<scheduler::record>
 world::take_rejected(std::vector<scheduler::record>& records) const
 {
-    auto const rest = std::ranges::stable_partition(
-        records, [this](scheduler::record const& it)
-        { return !rejects_records_of(job_of(it)); });
-    std::vector<scheduler::record> out{rest.begin(), rest.end()};
-    records.erase(rest.begin(), rest.end());
+    auto const rest =
+        std::stable_partition(records.begin(), records.end(),
+                              [this](scheduler::record const& it)
+                              { return !rejects_records_of(job_of(it)); });
+    std::vector<scheduler::record> out{rest, records.end()};
+    records.erase(rest, records.end());
     return out;
 }
 
