--- a/tests/scheduler/held_jobs_test.cpp
+++ b/tests/scheduler/held_jobs_test.cpp
@@ -44,7 +44,7 @@
     scheduler::start_order run(std::uint64_t id)
     {
         decisions.submit(job(id, 1), 0, now);
-        auto const out = starts().at(0);
+        auto out = starts().at(0);
         confirm(out);
         return out;
     }
--- a/utilities/state_bench/job_state.cpp
+++ b/utilities/state_bench/job_state.cpp
@@ -176,6 +176,7 @@
                      std::vector<scheduler::start_order> const& started)
 {
     std::vector<batch_cost> costs;
+    costs.reserve(started.size());
     for (auto const& it : started)
     {
         costs.push_back(cell.end(it));
