cell: Log what an owner knew when it took a cancellation

Callers saw tasks start after a DELETE had been acknowledged. The record could not tell a 410 that was not kept from one by an owner that was overtaken, or from a 200 without a record: an answer at the first send had no line at all.

An entry now logs each answer to a cancellation, under a budget of its own, so that a wave of submissions leaves none out; an owner logs whether it knew the job, its token, where its records end, and how long ago a stored append last showed that it still owned the work (cancellation_taken). No logic changes.

Tests: answer_log/each_answer_to_a_cancellation_has_a_line, cell_owner/a_cancellation_is_logged_with_what_its_owner_knew.

--- a/libraries/cell/answer_log.cpp
+++ b/libraries/cell/answer_log.cpp
@@ -29,7 +29,8 @@
 answer_log::answer_log(base::clock const& clock, scheduler::decision_log& to)
     : m_clock{clock}
     , m_to{to}
-    , m_changes{lines_per_s, lines_at_once}
+    , m_submissions{lines_per_s, lines_at_once}
+    , m_cancellations{lines_per_s, lines_at_once}
     , m_others{lines_per_s, lines_at_once}
 {
 }
@@ -41,10 +42,9 @@
                             deciding_configuration const& by)
 {
     auto const success = is_success(end.answer.kind);
-    auto const changes = call.kind == job_call_kind::submit ||
-                         call.kind == job_call_kind::cancel;
-    if ((success && end.sends <= 1) ||
-        !may_write(changes ? m_changes : m_others))
+    auto const told_by_owner =
+        success && end.sends <= 1 && call.kind != job_call_kind::cancel;
+    if (told_by_owner || !may_write(budget_of(call.kind)))
     {
         return;
     }
@@ -87,6 +87,21 @@
                 {"age_s", base::seconds_of(by.age)}});
 }
 
+token_bucket& answer_log::budget_of(job_call_kind it)
+{
+    switch (it)
+    {
+    case job_call_kind::submit:
+        return m_submissions;
+    case job_call_kind::cancel:
+        return m_cancellations;
+    case job_call_kind::status:
+    case job_call_kind::pending:
+        return m_others;
+    }
+    return m_others;
+}
+
 /// Returns whether a line may be written now, and reports those left out
 /// before it.
 bool answer_log::may_write(token_bucket& budget)
--- a/libraries/cell/answer_log.hpp
+++ b/libraries/cell/answer_log.hpp
@@ -25,10 +25,11 @@
                            deciding_configuration const&) = default;
 };
 
-/// Logs what clients were told: each answer that is not a success, and each
-/// success after several sends. A success after one send has no line, since
-/// the owner's `job_taken` tells it. Lines beyond a rate are left out and
-/// counted. Not thread-safe.
+/// Logs what clients were told: each answer that is not a success, each success
+/// after several sends, and each answer to a cancellation, after which no task
+/// may start. Another success after one send has no line, since the owner's
+/// `job_taken` tells it. Lines beyond a rate are left out and counted. Not
+/// thread-safe.
 class answer_log
 {
 public:
@@ -52,13 +53,15 @@
                         deciding_configuration const& by);
 
 private:
+    [[nodiscard]] token_bucket& budget_of(job_call_kind it);
     [[nodiscard]] bool may_write(token_bucket& budget);
 
     base::clock const& m_clock;
     scheduler::decision_log& m_to;
-    /// Lines of submissions and cancellations. They have a budget of their own,
-    /// so that rejected reads or unknown keys leave none of them out.
-    token_bucket m_changes;
+    /// Lines of submissions and of cancellations. Each have a budget of their
+    /// own, so that rejected reads or unknown keys leave none of them out.
+    token_bucket m_submissions;
+    token_bucket m_cancellations;
     token_bucket m_others;
     std::uint64_t m_left_out{0};
 };
--- a/libraries/cell/cell_owner.cpp
+++ b/libraries/cell/cell_owner.cpp
@@ -54,6 +54,7 @@
                   instances_follow_options}
     , m_tick{*parts.loop}
     , m_round{*parts.loop}
+    , m_confirmed_at{parts.clock->now()}
 {
     m_decisions.set_configuration(configuration);
     m_decisions.restore(records, wall_ms(*parts.clock), parts.clock->now());
@@ -275,6 +276,7 @@
         done({job_answer_kind::refused, {}, 0, default_retry_after});
         return;
     }
+    log_cancellation(it.job);
     auto const end = m_decisions.cancel(it.job, m_parts.clock->now());
     if (end == scheduler::cancellation::unknown)
     {
@@ -289,6 +291,22 @@
     wait_for_batch(it, std::move(done));
 }
 
+/// Logs what this owner knew when it took a cancellation, and how sure it was
+/// that it still owned the work.
+void cell_owner::log_cancellation(workload::job_id it) const
+{
+    auto const phase = m_decisions.phase_of(it);
+    auto const known = m_decisions.account_of(it).has_value();
+    m_parts.log->write(base::log_level::info, "cancellation_taken",
+                       {{"job", text_of(it)},
+                        {"known", known ? 1 : 0},
+                        {"stored", phase ? scheduler::name_of(*phase) : "no"},
+                        {"token", m_token},
+                        {"next", m_next},
+                        {"confirmed_s", base::seconds_of(m_parts.clock->now() -
+                                                         m_confirmed_at)}});
+}
+
 /// Coalesces events that arrive together into one scheduling round and one
 /// batch.
 void cell_owner::schedule_round()
--- a/libraries/cell/cell_owner.hpp
+++ b/libraries/cell/cell_owner.hpp
@@ -123,6 +123,7 @@
     void carry_out(job_call const& it, job_answer_handler done);
     void submit(job_call const& it, job_answer_handler done);
     void cancel(job_call const& it, job_answer_handler done);
+    void log_cancellation(workload::job_id it) const;
     void wait_for_batch(job_call const& of, job_answer_handler done);
     void refuse_unsent();
     void take_back_batch();
@@ -175,6 +176,11 @@
     std::optional<base::instant> m_open_since;
     /// Since when records have been waiting for the store; empty if none are.
     std::optional<base::instant> m_store_blocked_since;
+    /// The latest time at which this process certainly owned the work: when
+    /// the last stored append was sent, or when it began to own.
+    base::instant m_confirmed_at;
+    /// When the append in progress was sent.
+    base::instant m_append_sent_at{};
     /// A batch was taken back, and none has been stored since.
     bool m_batch_taken_back{false};
     /// No append is sent before this time.
--- a/libraries/cell/cell_owner_batch.cpp
+++ b/libraries/cell/cell_owner_batch.cpp
@@ -122,6 +122,7 @@
         return;
     }
     m_store_blocked_since = m_store_blocked_since.value_or(now);
+    m_append_sent_at = now;
     m_append.begin(m_next, std::move(records),
                    [this](batch_outcome const& it) { batch_ended(it); });
 }
@@ -136,6 +137,7 @@
         return;
     }
     m_next = it.next;
+    m_confirmed_at = m_append_sent_at;
     m_decisions.batch_stored(m_parts.clock->now(), it.rejected);
     answer_rejected(it.rejected);
     stored();
--- a/tests/cell/answer_log_test.cpp
+++ b/tests/cell/answer_log_test.cpp
@@ -1,3 +1,5 @@
+#include "line_list.hpp"
+
 #include <cell/answer_log.hpp>
 
 #include <boost/test/data/monomorphic.hpp>
@@ -5,48 +7,17 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
-#include <map>
 #include <ostream>
 #include <string>
-#include <vector>
 
 using namespace berylhill;
+using namespace berylhill::cell_test;
 using cell::answer_source;
 using cell::job_answer_kind;
 
 namespace
 {
 
-struct line
-{
-    std::string event;
-    std::map<std::string, std::string> fields;
-};
-
-class line_list final : public scheduler::decision_log
-{
-public:
-    void write(base::log_level,
-               std::string_view event,
-               std::initializer_list<base::log_field> fields) override
-    {
-        line out{std::string{event}, {}};
-        for (auto const& it : fields)
-        {
-            out.fields[it.key] = it.text;
-        }
-        lines.push_back(std::move(out));
-    }
-
-    [[nodiscard]] std::size_t count(std::string_view event) const
-    {
-        return static_cast<std::size_t>(
-            std::ranges::count(lines, event, &line::event));
-    }
-
-    std::vector<line> lines;
-};
-
 class manual_clock final : public base::clock
 {
 public:
@@ -146,6 +117,21 @@
     BOOST_TEST(found.fields.at("version") == "12");
 }
 
+/// Guards against a task that runs after its job's cancellation was
+/// acknowledged, where no log tells which answer the caller had.
+BOOST_DATA_TEST_CASE(each_answer_to_a_cancellation_has_a_line,
+                     boost::unit_test::data::make(told))
+{
+    call.kind = cell::job_call_kind::cancel;
+    log.call_ended(call, sample.end, 410, {}, {12, 13, {}});
+    BOOST_REQUIRE(lines.lines.size() == 1U);
+    auto const& found = lines.lines.front();
+    BOOST_TEST(found.fields.at("job") == text_of(call.job));
+    BOOST_TEST(found.fields.at("call") == "cancel");
+    BOOST_TEST(found.fields.at("status") == "410");
+    BOOST_TEST(found.fields.at("token") == "7");
+}
+
 BOOST_AUTO_TEST_CASE(lines_are_limited_and_those_left_out_are_counted)
 {
     constexpr int denied = 5'000;
--- a/tests/cell/cell_owner_test.cpp
+++ b/tests/cell/cell_owner_test.cpp
@@ -1,5 +1,6 @@
 #include "fake_log.hpp"
 #include "idle_platform.hpp"
+#include "line_list.hpp"
 #include "printing.hpp"
 
 #include <cell/call_check.hpp>
@@ -10,8 +11,10 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <deque>
+#include <iterator>
 #include <memory>
 #include <optional>
 #include <ostream>
@@ -224,7 +227,7 @@
                                      return std::vector<cell::peer>{};
                                  }};
     no_documents reader;
-    no_log decisions;
+    line_list decisions;
     cell::store_latency latency;
     std::unique_ptr<cell::cell_owner> owner;
 };
@@ -473,6 +476,25 @@
     BOOST_TEST(log.log.size() == 1U);
 }
 
+/// Guards against a cancellation that is acknowledged and not kept, where no
+/// log tells what its owner knew.
+BOOST_AUTO_TEST_CASE(a_cancellation_is_logged_with_what_its_owner_knew)
+{
+    submit_and_wait(1);
+    cancel_of(1);
+    cancel_of(2);
+    BOOST_REQUIRE(decisions.count("cancellation_taken") == 2U);
+    std::vector<line> said;
+    std::ranges::copy_if(decisions.lines, std::back_inserter(said),
+                         [](line const& it)
+                         { return it.event == "cancellation_taken"; });
+    BOOST_TEST(said.front().fields.at("stored") == "queued");
+    BOOST_TEST(said.back().fields.at("job") == text_of(workload::job_id{2}));
+    BOOST_TEST(said.back().fields.at("known") == "0");
+    BOOST_TEST(said.back().fields.at("stored") == "no");
+    BOOST_TEST(said.back().fields.at("token") == "1");
+}
+
 /// Guards against a pause of a heartbeat after each change of owner, and
 /// against starts by entries of any age after it.
 BOOST_AUTO_TEST_CASE(a_new_owner_knows_the_ages_that_the_former_one_knew)
