cell, scheduler: Keep the cancellation of a job that is not known

Callers saw tasks start, and jobs complete, after a DELETE had been acknowledged with 410 (UNASKED).

Cause: an owner that did not know the job answered "no such job" and kept nothing. The submission was still under way: its caller had left it without an answer, its entry was paused with it or searched for an owner, or the two came by two entries. It was accepted afterwards, and ran. For the same reason an owner that had been overtaken, and did not know it yet, could acknowledge the cancellation of a job that its successor had accepted: its answer needed no call to the store. Class: an acknowledgement that rests on not knowing, with nothing stored.

The owner now stores the id before it answers. The append succeeds only while it owns the work, so an overtaken owner learns of its successor in place of answering, and the entry asks that one. A later submission is accepted and shown as cancelled; nothing of it starts, under any later owner. The ids are kept as long as the status of a finished job; at most 10,000, since callers may cancel any id, and one more is refused with 503.

Failed before the change: cell_owner/a_submission_after_its_cancellation_never_runs (3 of 3 cases: the job was queued and ready), cell_owner/an_overtaken_owner_acknowledges_no_cancellation (answered 410).

--- a/libraries/cell/batch_waiters.hpp
+++ b/libraries/cell/batch_waiters.hpp
@@ -20,6 +20,8 @@
     base::instant deadline;
     /// The job that its call names.
     workload::job_id job{};
+    /// The answer once the records are stored.
+    job_answer_kind once_stored{job_answer_kind::accepted};
 };
 
 /// The clients of an owner that wait for the store, either for the batch that
--- a/libraries/cell/cell_owner.cpp
+++ b/libraries/cell/cell_owner.cpp
@@ -164,7 +164,7 @@
         auto const phase = m_decisions.phase_of(it.job);
         return phase && scheduler::finished(*phase);
     }
-    return it.kind == job_call_kind::submit;
+    return it.kind == job_call_kind::submit && m_decisions.submitted(it.job);
 }
 
 void cell_owner::log_outdated(job_call const& it,
@@ -265,7 +265,13 @@
                             {"account", it.spec.account},
                             {"steps", std::uint64_t{it.spec.steps.size()}}});
     }
-    wait_for_batch(it, std::move(done));
+    if (taken == scheduler::submission::already_cancelled)
+    {
+        m_parts.log->write(base::log_level::info,
+                           "submission_after_cancellation",
+                           {{"job", text_of(it.job)}, {"token", m_token}});
+    }
+    wait_for_batch(it, job_answer_kind::accepted, std::move(done));
 }
 
 void cell_owner::cancel(job_call const& it, job_answer_handler done)
@@ -277,18 +283,25 @@
         return;
     }
     log_cancellation(it.job);
-    auto const end = m_decisions.cancel(it.job, m_parts.clock->now());
-    if (end == scheduler::cancellation::unknown)
+    switch (m_decisions.cancel(it.job, it.account, m_parts.clock->now()))
     {
+    case scheduler::cancellation::refused:
+        log_refusal(it.job, too_many_reason);
+        done({job_answer_kind::refused, {}, 0, default_retry_after});
+        return;
+    case scheduler::cancellation::unknown_stored:
         done({job_answer_kind::unknown_job, {}, 0, {}});
         return;
-    }
-    if (end == scheduler::cancellation::already_finished)
-    {
+    case scheduler::cancellation::already_finished:
         done({job_answer_kind::accepted, {}, 0, {}});
         return;
+    case scheduler::cancellation::unknown:
+        wait_for_batch(it, job_answer_kind::unknown_job, std::move(done));
+        return;
+    case scheduler::cancellation::accepted:
+        wait_for_batch(it, job_answer_kind::accepted, std::move(done));
+        return;
     }
-    wait_for_batch(it, std::move(done));
 }
 
 /// Logs what this owner knew when it took a cancellation, and how sure it was
--- a/libraries/cell/cell_owner.hpp
+++ b/libraries/cell/cell_owner.hpp
@@ -124,7 +124,9 @@
     void submit(job_call const& it, job_answer_handler done);
     void cancel(job_call const& it, job_answer_handler done);
     void log_cancellation(workload::job_id it) const;
-    void wait_for_batch(job_call const& of, job_answer_handler done);
+    void wait_for_batch(job_call const& of,
+                        job_answer_kind once_stored,
+                        job_answer_handler done);
     void refuse_unsent();
     void take_back_batch();
     void log_refusal(workload::job_id it, char const* why) const;
@@ -150,13 +152,14 @@
                           std::string const& value,
                           std::optional<base::instant> written_after);
     void every_tick();
-    static void answer_accepted(batch_waiters::list const& whom);
+    static void answer_stored(batch_waiters::list const& whom);
     void expire_waiting();
     void ownership_lost(char const* why);
 
     /// Why a call is refused, in log lines.
     static constexpr char const* store_stuck_reason = "store_stuck";
     static constexpr char const* rejected_reason = "rejected";
+    static constexpr char const* too_many_reason = "too_many_early";
 
     owner_parts m_parts;
     scheduler::scheduler m_decisions;
--- a/libraries/cell/cell_owner_batch.cpp
+++ b/libraries/cell/cell_owner_batch.cpp
@@ -29,12 +29,14 @@
 
 } // namespace
 
-void cell_owner::wait_for_batch(job_call const& of, job_answer_handler done)
+void cell_owner::wait_for_batch(job_call const& of,
+                                job_answer_kind once_stored,
+                                job_answer_handler done)
 {
     auto const until = m_parts.clock->now() + of.timeout - answer_margin;
     auto const submitted =
         of.kind == job_call_kind::submit ? of.job : workload::job_id{};
-    m_waiting.add({std::move(done), submitted, until, of.job});
+    m_waiting.add({std::move(done), submitted, until, of.job, once_stored});
     schedule_round();
 }
 
@@ -110,7 +112,7 @@
     else
     {
         // A client may wait for records that are already stored.
-        answer_accepted(m_waiting.nothing_to_store());
+        answer_stored(m_waiting.nothing_to_store());
         return;
     }
     m_waiting.batch_sent();
@@ -172,16 +174,16 @@
     m_batches_stored = m_batches_taken;
     m_store_blocked_since.reset();
     m_batch_taken_back = false;
-    answer_accepted(m_waiting.batch_stored());
+    answer_stored(m_waiting.batch_stored());
     send_orders(m_decisions.take_orders());
     schedule_round();
 }
 
-void cell_owner::answer_accepted(batch_waiters::list const& whom)
+void cell_owner::answer_stored(batch_waiters::list const& whom)
 {
     for (auto const& it : whom)
     {
-        it.done({job_answer_kind::accepted, {}, 0, {}});
+        it.done({it.once_stored, {}, 0, {}});
     }
 }
 
--- a/libraries/scheduler/job.hpp
+++ b/libraries/scheduler/job.hpp
@@ -276,6 +276,11 @@
     /// The phase that is stored and may therefore be reported to clients.
     job_phase stored_phase{job_phase::queued};
     bool stored{false};
+    /// False if only its cancellation has arrived. Such a job never runs, and
+    /// its status is not shown.
+    bool submitted{true};
+    /// Whether the store knows that it was submitted.
+    bool stored_submitted{true};
     /// It is not known to be stored, but some of its records may be.
     bool may_be_stored{false};
     /// Whether any task has started.
--- a/libraries/scheduler/job_table.cpp
+++ b/libraries/scheduler/job_table.cpp
@@ -32,6 +32,30 @@
     return *at->second;
 }
 
+job& job_table::add_early_cancellation(workload::job_id it,
+                                       std::string account,
+                                       std::int64_t wall_ms,
+                                       base::instant now)
+{
+    workload::job_spec spec;
+    spec.id = it;
+    spec.account = std::move(account);
+    auto& out = add(std::move(spec), wall_ms, now);
+    out.submitted = false;
+    out.stored_submitted = false;
+    out.finished_ms = wall_ms;
+    m_early_cancellations.insert(it);
+    finish(out, job_phase::cancelled, now);
+    return out;
+}
+
+void job_table::set_submitted(job& it)
+{
+    it.submitted = true;
+    m_early_cancellations.erase(it.spec().id);
+    touch(it.spec().id);
+}
+
 job* job_table::find(workload::job_id it)
 {
     auto const at = m_jobs.find(it);
@@ -53,6 +77,7 @@
     }
     auto const& of = *at->second;
     forget_finished(of);
+    m_early_cancellations.erase(it);
     m_repeating.erase(it);
     m_changed.erase(it);
     m_dropped[it] =
@@ -71,6 +96,7 @@
     std::erase_if(m_ready, [&](workload::step_name const& name)
                   { return name.job == it; });
     forget_finished(*at->second);
+    m_early_cancellations.erase(it);
     m_repeating.erase(it);
     m_new.erase(it);
     m_changed.erase(it);
@@ -246,6 +272,10 @@
     {
         forget_pending(it);
     }
+    if (!it.submitted)
+    {
+        m_early_cancellations.insert(id);
+    }
     if (finished(it.phase))
     {
         m_repeating.erase(id);
--- a/libraries/scheduler/job_table.hpp
+++ b/libraries/scheduler/job_table.hpp
@@ -35,6 +35,22 @@
     job&
     add(workload::job_spec spec, std::int64_t accepted_ms, base::instant now);
 
+    /// Adds a job of which only the cancellation has arrived. Precondition: the
+    /// id is unknown.
+    job& add_early_cancellation(workload::job_id it,
+                                std::string account,
+                                std::int64_t wall_ms,
+                                base::instant now);
+
+    /// The submission of a job has arrived after its cancellation.
+    void set_submitted(job& it);
+
+    /// Number of jobs of which only the cancellation has arrived.
+    [[nodiscard]] std::size_t early_cancellations() const noexcept
+    {
+        return m_early_cancellations.size();
+    }
+
     /// Returns null if the job is unknown.
     [[nodiscard]] job* find(workload::job_id it);
     [[nodiscard]] job const* find(workload::job_id it) const;
@@ -137,6 +153,7 @@
     std::set<workload::job_id> m_held_changes;
     std::set<workload::job_id> m_new;
     dropped_jobs m_dropped;
+    std::set<workload::job_id> m_early_cancellations;
     std::set<workload::step_name> m_ready;
     std::set<workload::job_id> m_repeating;
     /// By queue: the jobs of which no task has started.
--- a/libraries/scheduler/outcomes.hpp
+++ b/libraries/scheduler/outcomes.hpp
@@ -16,6 +16,9 @@
     already_accepted,
     /// Already known and stored.
     already_stored,
+    /// Its cancellation came first, so it never runs; stored with the next
+    /// batch.
+    already_cancelled,
     /// Rejected: it needs more than its account may ever use.
     over_cap,
     /// Rejected: its specification does not fit into a record.
@@ -25,7 +28,14 @@
 /// Outcome of a cancellation.
 enum class cancellation : std::uint8_t
 {
+    /// No such job has been submitted. Once the next batch is stored, it never
+    /// runs if it is submitted later.
     unknown,
+    /// The same, and that is stored already.
+    unknown_stored,
+    /// No such job has been submitted, and too many such cancellations are
+    /// kept: it has no effect.
+    refused,
     /// It takes effect once the next batch is stored.
     accepted,
     /// The job has a final phase, and that phase is stored.
--- a/libraries/scheduler/policy.hpp
+++ b/libraries/scheduler/policy.hpp
@@ -86,6 +86,9 @@
     base::duration leave_before{std::chrono::milliseconds{1'500}};
     /// How long the status of a finished job is available.
     base::duration status_kept{std::chrono::seconds{120}};
+    /// Cancellations of jobs that were not submitted are kept as long as the
+    /// status of a finished job, up to this number: callers may cancel any id.
+    std::size_t max_early_cancellations{10'000};
     /// Checkpoints with more bytes are not kept, and their tasks start from the
     /// beginning: the state of a task is a part of a record.
     std::size_t max_checkpoint_bytes{1'024};
--- a/libraries/scheduler/record.hpp
+++ b/libraries/scheduler/record.hpp
@@ -93,6 +93,8 @@
     /// finished in milliseconds since 1970.
     std::vector<remaining_attempt> remaining_attempts;
     std::int64_t finished_ms{0};
+    /// False if only the job's cancellation has arrived.
+    bool submitted{true};
 
     friend bool operator==(stored_status const&,
                            stored_status const&) = default;
--- a/libraries/scheduler/scheduler.cpp
+++ b/libraries/scheduler/scheduler.cpp
@@ -45,6 +45,12 @@
     return job == nullptr ? std::nullopt : std::optional{job->spec().account};
 }
 
+bool scheduler::submitted(workload::job_id it) const
+{
+    auto const* const job = m_jobs.find(it);
+    return job != nullptr && job->submitted;
+}
+
 /// Creates an attempt of a task of the step with its resource needs.
 attempt scheduler::attempt_of(job const& of, workload::step_name const& name)
 {
@@ -102,9 +108,14 @@
                              std::int64_t wall_ms,
                              base::instant now)
 {
-    if (auto const* const known = m_jobs.find(it.id); known != nullptr)
+    if (auto* const known = m_jobs.find(it.id); known != nullptr)
     {
         try_held_again(it.id);
+        if (!known->submitted)
+        {
+            m_jobs.set_submitted(*known);
+            return submission::already_cancelled;
+        }
         return known->stored ? submission::already_stored
                              : submission::already_accepted;
     }
@@ -169,14 +180,21 @@
     return true;
 }
 
-cancellation scheduler::cancel(workload::job_id it, base::instant now)
+cancellation scheduler::cancel(workload::job_id it,
+                               std::string const& account,
+                               base::instant now)
 {
     auto* const job = m_jobs.find(it);
     if (job == nullptr)
     {
-        return cancellation::unknown;
+        return cancel_early(it, account, now);
     }
     try_held_again(it);
+    if (!job->submitted)
+    {
+        return job->stored ? cancellation::unknown_stored
+                           : cancellation::unknown;
+    }
     if (finished(job->phase))
     {
         return finished(job->stored_phase) ? cancellation::already_finished
@@ -186,10 +204,25 @@
     return cancellation::accepted;
 }
 
+/// Keeps the cancellation of a job that was not submitted: its submission may
+/// still be under way and must not run once the cancellation is acknowledged.
+cancellation scheduler::cancel_early(workload::job_id it,
+                                     std::string const& account,
+                                     base::instant now)
+{
+    if (m_jobs.early_cancellations() >= m_rules.max_early_cancellations)
+    {
+        return cancellation::refused;
+    }
+    m_jobs.add_early_cancellation(it, account, m_wall_ms, now);
+    m_finished = true;
+    return cancellation::unknown;
+}
+
 std::optional<job_phase> scheduler::phase_of(workload::job_id it) const
 {
     auto const* const job = m_jobs.find(it);
-    if (job == nullptr || !job->stored)
+    if (job == nullptr || !job->stored || !job->stored_submitted)
     {
         return std::nullopt;
     }
@@ -314,7 +347,8 @@
     auto changes = m_jobs.take_changes();
     for (auto const id : changes.jobs)
     {
-        m_next_batch.jobs.emplace_back(id, m_jobs.find(id)->phase);
+        auto const& it = *m_jobs.find(id);
+        m_next_batch.jobs.push_back({id, it.phase, it.submitted});
     }
     m_next_batch.dropped = std::move(changes.dropped);
     m_in_flight = std::exchange(m_next_batch, {});
@@ -334,9 +368,9 @@
         return;
     }
     std::vector<workload::job_id> changed;
-    for (auto const& [id, phase] : batch->jobs)
+    for (auto const& it : batch->jobs)
     {
-        changed.push_back(id);
+        changed.push_back(it.id);
     }
     m_jobs.put_back(changed, batch->dropped);
     m_next_batch.starts.insert(m_next_batch.starts.begin(),
@@ -358,13 +392,14 @@
         return;
     }
     hold_rejected(*batch, rejected, now);
-    for (auto const& [id, phase] : batch->jobs)
+    for (auto const& it : batch->jobs)
     {
-        if (auto* const job = m_jobs.find(id); job != nullptr)
+        if (auto* const job = m_jobs.find(it.id); job != nullptr)
         {
             m_jobs.stored(*job);
-            job->stored_phase = phase;
-            release_held(id);
+            job->stored_phase = it.phase;
+            job->stored_submitted = it.submitted;
+            release_held(it.id);
         }
     }
     hold_ends(*batch);
--- a/libraries/scheduler/scheduler.hpp
+++ b/libraries/scheduler/scheduler.hpp
@@ -57,6 +57,9 @@
     [[nodiscard]] std::optional<std::string>
     account_of(workload::job_id it) const;
 
+    /// Whether the job is known and its submission has arrived.
+    [[nodiscard]] bool submitted(workload::job_id it) const;
+
     void set_policy(policy it)
     {
         m_rules = it;
@@ -76,7 +79,10 @@
     /// Withdraws a submission of which nothing has been sent to the store; it
     /// never runs. Returns false if it may be stored.
     bool withdraw(workload::job_id it);
-    cancellation cancel(workload::job_id it, base::instant now);
+    /// `account` is the client account of the caller; empty if it has none.
+    /// Precondition: it may use the job if that is known.
+    cancellation
+    cancel(workload::job_id it, std::string const& account, base::instant now);
     /// The stored phase; no value if no such job is stored.
     [[nodiscard]] std::optional<job_phase> phase_of(workload::job_id it) const;
     [[nodiscard]] std::size_t pending(std::string const& queue) const;
@@ -189,6 +195,14 @@
     }
 
 private:
+    /// What a batch says of a job.
+    struct written_job
+    {
+        workload::job_id id;
+        job_phase phase{job_phase::queued};
+        bool submitted{true};
+    };
+
     /// Orders and acknowledgements that are held back until a batch is stored.
     struct pending_batch
     {
@@ -196,8 +210,7 @@
         std::vector<stop_order> stops;
         /// By instance and number: the ends that were read, and their jobs.
         std::map<std::string, std::map<std::uint64_t, workload::job_id>> ends;
-        /// The jobs in the batch, and the phase that each is written with.
-        std::vector<std::pair<workload::job_id, job_phase>> jobs;
+        std::vector<written_job> jobs;
         job_table::dropped_jobs dropped;
     };
 
@@ -221,6 +234,9 @@
     [[nodiscard]] bool any_attempt(workload::step_name const& of,
                                    step const& in) const;
     [[nodiscard]] bool within_cap(workload::job_spec const& it) const;
+    cancellation cancel_early(workload::job_id it,
+                              std::string const& account,
+                              base::instant now);
 
     // scheduler_restore.cpp
     void
--- a/libraries/scheduler/scheduler_held.cpp
+++ b/libraries/scheduler/scheduler_held.cpp
@@ -16,8 +16,8 @@
     for (auto const& [id, records] : rejected)
     {
         ++m_counts.rejected;
-        std::erase_if(batch.jobs, [&, job = id](auto const& it)
-                      { return it.first == job; });
+        std::erase_if(batch.jobs,
+                      [&, job = id](auto const& it) { return it.id == job; });
         auto* const it = m_jobs.find(id);
         if (it == nullptr)
         {
--- a/libraries/scheduler/scheduler_restore.cpp
+++ b/libraries/scheduler/scheduler_restore.cpp
@@ -156,6 +156,8 @@
 {
     of.phase = known.phase;
     of.stored_phase = known.phase;
+    of.submitted = known.submitted;
+    of.stored_submitted = known.submitted;
     of.finished_ms = known.finished_ms;
     of.finished_at = now;
     of.release_details();
--- a/libraries/scheduler/state_record.cpp
+++ b/libraries/scheduler/state_record.cpp
@@ -116,6 +116,10 @@
     {
         out["b"] = 1;
     }
+    if (!it.submitted)
+    {
+        out["n"] = 1;
+    }
     if (it.partitioned())
     {
         add_head(it, out);
@@ -175,9 +179,10 @@
 {
     BOOST_LEAF_AUTO(root, json_codec::parse(value));
     BOOST_LEAF_AUTO(phase, phase_in(root));
-    stored_status out{phase, json_codec::text_or(root, "u"), {}, 0};
+    stored_status out{phase, json_codec::text_or(root, "u"), {}, 0, true};
     BOOST_LEAF_ASSIGN(out.remaining_attempts, remaining_in(id, root));
     out.finished_ms = json_codec::number_or(root, "f");
+    out.submitted = json_codec::number_or(root, "n") == 0;
     return out;
 }
 
--- a/tests/cell/cell_owner_test.cpp
+++ b/tests/cell/cell_owner_test.cpp
@@ -83,7 +83,7 @@
                               &reader, &decisions, &latency},
             scheduler::policy{}, configuration,
             std::map<std::string, std::string>{}, 1, 0, std::move(list_times),
-            [](char const*) {});
+            [this](char const*) { lost = true; });
     }
 
     [[nodiscard]] cell::job_call submission(std::uint64_t id,
@@ -164,6 +164,20 @@
         BOOST_REQUIRE((**end == job_answer_kind::accepted));
     }
 
+    /// Waits for the answer.
+    job_answer_kind answer_to(told const& it)
+    {
+        BOOST_REQUIRE(run_until([&] { return it->has_value(); }));
+        return **it;
+    }
+
+    told status_of(std::uint64_t id)
+    {
+        auto it = submission(id, long_timeout);
+        it.kind = cell::job_call_kind::status;
+        return call(it);
+    }
+
     told cancel_of(std::uint64_t id)
     {
         auto it = submission(id, long_timeout);
@@ -230,8 +244,23 @@
     line_list decisions;
     cell::store_latency latency;
     std::unique_ptr<cell::cell_owner> owner;
+    /// An owner has detected that it was overtaken.
+    bool lost{false};
 };
 
+/// When another owner takes over.
+enum class owner_change : std::uint8_t
+{
+    none,
+    between_calls,
+    after_submission,
+};
+
+std::ostream& operator<<(std::ostream& to, owner_change it)
+{
+    return to << static_cast<int>(it);
+}
+
 enum class job_state : std::uint8_t
 {
     unknown,
@@ -495,6 +524,48 @@
     BOOST_TEST(said.back().fields.at("token") == "1");
 }
 
+/// Guards against a task that starts after its job's cancellation was
+/// acknowledged: the cancellation came before the submission, and the owner
+/// that answered "no such job" kept nothing.
+BOOST_DATA_TEST_CASE(a_submission_after_its_cancellation_never_runs,
+                     boost::unit_test::data::make(
+                         {owner_change::none, owner_change::between_calls,
+                          owner_change::after_submission}),
+                     change)
+{
+    log.append_behaviors.clear();
+    BOOST_TEST((answer_to(cancel_of(1)) == job_answer_kind::unknown_job));
+    if (change == owner_change::between_calls)
+    {
+        take_over_records();
+    }
+    BOOST_TEST((answer_to(status_of(1)) == job_answer_kind::unknown_job));
+    BOOST_TEST(
+        (answer_to(submit(1, long_timeout)) == job_answer_kind::accepted));
+    if (change == owner_change::after_submission)
+    {
+        take_over_records();
+    }
+    BOOST_TEST(
+        (owner->decisions().phase_of({1}) == scheduler::job_phase::cancelled));
+    BOOST_TEST(owner->decisions().jobs().ready().empty());
+    BOOST_TEST((answer_to(cancel_of(1)) == job_answer_kind::accepted));
+}
+
+/// Guards against the same by an owner that was overtaken and does not know it
+/// yet: its successor has accepted the job.
+BOOST_AUTO_TEST_CASE(an_overtaken_owner_acknowledges_no_cancellation)
+{
+    log.append_behaviors.clear();
+    log.put({{std::string{cell::owner_key}, "a later claim"}});
+    auto const end = cancel_of(1);
+    BOOST_TEST(run_until([&] { return lost; }));
+    BOOST_TEST(!end->has_value());
+    owner.reset();
+    BOOST_REQUIRE(end->has_value());
+    BOOST_TEST((**end == job_answer_kind::interrupted));
+}
+
 /// Guards against a pause of a heartbeat after each change of owner, and
 /// against starts by entries of any age after it.
 BOOST_AUTO_TEST_CASE(a_new_owner_knows_the_ages_that_the_former_one_knew)
--- a/tests/scheduler/account_cap_test.cpp
+++ b/tests/scheduler/account_cap_test.cpp
@@ -80,7 +80,7 @@
     {
         it.confirm(each);
     }
-    it.decisions.cancel({1}, it.now);
+    it.decisions.cancel({1}, {}, it.now);
     it.decisions.submit(job_of("small", 2, 1), 0, it.now);
     BOOST_TEST(it.starts().empty());
     it.report(first[0].instance, {},
--- a/tests/scheduler/capacity_test.cpp
+++ b/tests/scheduler/capacity_test.cpp
@@ -106,7 +106,7 @@
         rows.push_back({start.attempt, {}, 10});
     }
     list(it, {3'000, 4'000, 0});
-    it.decisions.cancel({1}, it.now);
+    it.decisions.cancel({1}, {}, it.now);
     it.decisions.submit(scheduler_fixture::job(2, 1), 0, it.now);
     BOOST_TEST(it.starts().empty());
     it.advance(milliseconds{100});
--- a/tests/scheduler/held_jobs_test.cpp
+++ b/tests/scheduler/held_jobs_test.cpp
@@ -219,7 +219,7 @@
     std::ignore = store();
     BOOST_TEST(!decisions.batch_pending());
     BOOST_TEST(
-        (decisions.cancel({1}, now) == scheduler::cancellation::accepted));
+        (decisions.cancel({1}, {}, now) == scheduler::cancellation::accepted));
     BOOST_TEST(decisions.batch_pending());
 }
 
--- a/tests/scheduler/owner_test.cpp
+++ b/tests/scheduler/owner_test.cpp
@@ -282,7 +282,7 @@
     auto const start = it.starts().at(0);
     it.decisions.submit(scheduler_fixture::job(2, 1, 4'000), 0, it.now);
     BOOST_TEST(it.decisions.pending("q") == 2U);
-    it.decisions.cancel({1}, it.now);
+    it.decisions.cancel({1}, {}, it.now);
     BOOST_TEST(it.decisions.pending("q") == 1U);
     it.confirm(start);
     BOOST_TEST(it.decisions.pending("q") == 1U);
--- a/tests/scheduler/state_size_test.cpp
+++ b/tests/scheduler/state_size_test.cpp
@@ -107,7 +107,7 @@
 
     void cancel()
     {
-        m_cell.decisions.cancel(m_id, m_cell.now);
+        m_cell.decisions.cancel(m_id, {}, m_cell.now);
         std::ignore = store();
     }
 
--- a/tests/scheduler/world.cpp
+++ b/tests/scheduler/world.cpp
@@ -395,7 +395,7 @@
         return;
     }
     m_cancelled.insert(it);
-    m_owner->decisions->cancel(it, m_now);
+    m_owner->decisions->cancel(it, {}, m_now);
     pump(m_owner);
 }
 
