scheduler: Keep a cancellation when its submission is withdrawn

Callers got 200 to a DELETE, and the job ran when its submission was tried again (UNASKED).

Cause: a cancellation of a job whose batch is not stored waits for that batch. If the store refuses the batch, it is taken back, and the submissions in it are refused and withdrawn. Nothing was left to store then, so the cancellation was answered as if all of it were stored, while no record said so. Class: the same as for a cancellation of an unknown job, an acknowledgement without a record.

A submission that is withdrawn after its cancellation leaves the cancellation, which stays in the next batch; its caller is answered once that is stored. A submission whose records the store rejects for good is forgotten as before: its cancellation is answered "outcome unknown".

Failed before the change: cell_owner/a_cancellation_outlives_the_refusal_of_its_submission (the cancellation was answered "accepted", the log was empty).

--- a/libraries/scheduler/job_table.cpp
+++ b/libraries/scheduler/job_table.cpp
@@ -56,6 +56,20 @@
     touch(it.spec().id);
 }
 
+bool job_table::withdraw_submission(job& it)
+{
+    auto const id = it.spec().id;
+    if (!m_new.contains(id))
+    {
+        return false;
+    }
+    it.submitted = false;
+    it.stored_submitted = false;
+    m_early_cancellations.insert(id);
+    touch(id);
+    return true;
+}
+
 job* job_table::find(workload::job_id it)
 {
     auto const at = m_jobs.find(it);
--- a/libraries/scheduler/job_table.hpp
+++ b/libraries/scheduler/job_table.hpp
@@ -45,6 +45,10 @@
     /// The submission of a job has arrived after its cancellation.
     void set_submitted(job& it);
 
+    /// Keeps only the cancellation of a cancelled job. Returns false, without
+    /// effect, if a batch has been taken since the job was added.
+    bool withdraw_submission(job& it);
+
     /// Number of jobs of which only the cancellation has arrived.
     [[nodiscard]] std::size_t early_cancellations() const noexcept
     {
--- a/libraries/scheduler/scheduler.cpp
+++ b/libraries/scheduler/scheduler.cpp
@@ -162,6 +162,19 @@
 }
 
 bool scheduler::withdraw(workload::job_id it)
+{
+    auto* const job = m_jobs.find(it);
+    if (job != nullptr && job->phase == job_phase::cancelled)
+    {
+        // The caller of the cancellation waits until it is stored.
+        return m_jobs.withdraw_submission(*job);
+    }
+    return forget_unsent(it);
+}
+
+/// Forgets a job of which nothing has been sent to the store, and its starts.
+/// Returns false if it may be stored.
+bool scheduler::forget_unsent(workload::job_id it)
 {
     if (!m_jobs.withdraw(it))
     {
--- a/libraries/scheduler/scheduler.hpp
+++ b/libraries/scheduler/scheduler.hpp
@@ -77,7 +77,8 @@
     submission
     submit(workload::job_spec it, std::int64_t wall_ms, base::instant now);
     /// Withdraws a submission of which nothing has been sent to the store; it
-    /// never runs. Returns false if it may be stored.
+    /// never runs. Its cancellation is kept if there was one. Returns false if
+    /// the submission may be stored.
     bool withdraw(workload::job_id it);
     /// `account` is the client account of the caller; empty if it has none.
     /// Precondition: it may use the job if that is known.
@@ -234,6 +235,7 @@
     [[nodiscard]] bool any_attempt(workload::step_name const& of,
                                    step const& in) const;
     [[nodiscard]] bool within_cap(workload::job_spec const& it) const;
+    bool forget_unsent(workload::job_id it);
     cancellation cancel_early(workload::job_id it,
                               std::string const& account,
                               base::instant now);
--- a/libraries/scheduler/scheduler_held.cpp
+++ b/libraries/scheduler/scheduler_held.cpp
@@ -41,7 +41,7 @@
             m_jobs.let_go(id);
             std::ignore = m_held.release(id);
             m_jobs.put_back({id}, {});
-            std::ignore = withdraw(id);
+            std::ignore = forget_unsent(id);
         }
     }
 }
--- a/tests/cell/cell_owner_test.cpp
+++ b/tests/cell/cell_owner_test.cpp
@@ -505,6 +505,26 @@
     BOOST_TEST(log.log.size() == 1U);
 }
 
+/// Guards against the same where the submission is refused because the store
+/// refuses its batch: nothing was left to store, so the cancellation that
+/// waited for the batch was acknowledged without a record.
+BOOST_AUTO_TEST_CASE(a_cancellation_outlives_the_refusal_of_its_submission)
+{
+    log.append_behaviors.assign(log.append_behaviors.size(), fate::refuse);
+    auto const first = submit(1, long_timeout);
+    auto const cancelled = cancel_of(1);
+    BOOST_TEST((answer_to(first) == job_answer_kind::refused));
+    BOOST_TEST(!cancelled->has_value());
+    log.append_behaviors.clear();
+    BOOST_TEST((answer_to(cancelled) == job_answer_kind::accepted));
+    BOOST_TEST(!log.log.empty());
+    take_over_records();
+    BOOST_TEST(
+        (answer_to(submit(1, long_timeout)) == job_answer_kind::accepted));
+    BOOST_TEST(
+        (owner->decisions().phase_of({1}) == scheduler::job_phase::cancelled));
+}
+
 /// Guards against a cancellation that is acknowledged and not kept, where no
 /// log tells what its owner knew.
 BOOST_AUTO_TEST_CASE(a_cancellation_is_logged_with_what_its_owner_knew)
