cell: Deny a job only while the store confirms the ownership

Callers of an owner that had been overtaken and did not know it yet (it was paused, or cut off from the other processes) were told 410 to a GET of a job that its successor had accepted.

An owner now denies a job only if the store has confirmed within 0.5 s that it still owns the work: a stored append does, which a busy owner has all the time; an idle one reads where the log ends, once for all who wait. If the log has another record there, it learns of its successor, and the entry asks that one. If the store does not tell, the caller is refused with a time to retry.

Failed before the change: cell_owner/an_overtaken_owner_denies_no_job (2 of 2), cell_owner/a_job_is_denied_only_by_a_confirmed_owner. With the change the 44 cases of cell_owner hold.

--- a/libraries/cell/cell_owner.cpp
+++ b/libraries/cell/cell_owner.cpp
@@ -54,7 +54,6 @@
                   instances_follow_options}
     , m_tick{*parts.loop}
     , m_round{*parts.loop}
-    , m_confirmed_at{parts.clock->now()}
 {
     m_decisions.set_configuration(configuration);
     m_decisions.restore(records, wall_ms(*parts.clock), parts.clock->now());
@@ -70,6 +69,10 @@
 cell_owner::~cell_owner()
 {
     *m_alive = false;
+    for (auto const& it : m_unconfirmed)
+    {
+        it.done({job_answer_kind::not_owner, {}, 0, {}});
+    }
     drop_advice_requests();
     // Calls whose records were never sent to the store have certainly not taken
     // effect. A job that waits for the next batch may be in an earlier one.
@@ -218,8 +221,12 @@
     case job_call_kind::status:
     {
         auto const phase = m_decisions.phase_of(it.job);
-        done(phase ? job_answer{job_answer_kind::phase, *phase, 0, {}}
-                   : job_answer{job_answer_kind::unknown_job, {}, 0, {}});
+        if (!phase)
+        {
+            answer_unknown(it, std::move(done));
+            return;
+        }
+        done({job_answer_kind::phase, *phase, 0, {}});
         return;
     }
     case job_call_kind::pending:
@@ -310,14 +317,18 @@
 {
     auto const phase = m_decisions.phase_of(it);
     auto const known = m_decisions.account_of(it).has_value();
-    m_parts.log->write(base::log_level::info, "cancellation_taken",
-                       {{"job", text_of(it)},
-                        {"known", known ? 1 : 0},
-                        {"stored", phase ? scheduler::name_of(*phase) : "no"},
-                        {"token", m_token},
-                        {"next", m_next},
-                        {"confirmed_s", base::seconds_of(m_parts.clock->now() -
-                                                         m_confirmed_at)}});
+    constexpr double never = -1;
+    m_parts.log->write(
+        base::log_level::info, "cancellation_taken",
+        {{"job", text_of(it)},
+         {"known", known ? 1 : 0},
+         {"stored", phase ? scheduler::name_of(*phase) : "no"},
+         {"token", m_token},
+         {"next", m_next},
+         {"confirmed_s",
+          m_confirmed_at
+              ? base::seconds_of(m_parts.clock->now() - *m_confirmed_at)
+              : never}});
 }
 
 /// Coalesces events that arrive together into one scheduling round and one
@@ -411,6 +422,7 @@
                 refuse_unsent();
             }
             expire_waiting();
+            refuse_unconfirmed();
             if (m_released && now > m_release_by)
             {
                 std::exchange(m_released, nullptr)();
--- a/libraries/cell/cell_owner.hpp
+++ b/libraries/cell/cell_owner.hpp
@@ -115,6 +115,12 @@
     }
 
 private:
+    struct unconfirmed_caller
+    {
+        job_answer_handler done;
+        base::instant deadline;
+    };
+
     void drop_advice_requests();
     [[nodiscard]] bool has_taken_effect(job_call const& it) const;
     void log_outdated(job_call const& it,
@@ -124,6 +130,14 @@
     void submit(job_call const& it, job_answer_handler done);
     void cancel(job_call const& it, job_answer_handler done);
     void log_cancellation(workload::job_id it) const;
+    void answer_unknown(job_call const& it, job_answer_handler done);
+    void confirm();
+    void confirm_answered(std::uint64_t from,
+                          base::instant sent_at,
+                          read_result const& it);
+    void confirmed(base::instant at);
+    [[nodiscard]] bool surely_owns() const;
+    void refuse_unconfirmed();
     void wait_for_batch(job_call const& of,
                         job_answer_kind once_stored,
                         job_answer_handler done);
@@ -179,9 +193,13 @@
     std::optional<base::instant> m_open_since;
     /// Since when records have been waiting for the store; empty if none are.
     std::optional<base::instant> m_store_blocked_since;
-    /// The latest time at which this process certainly owned the work: when
-    /// the last stored append was sent, or when it began to own.
-    base::instant m_confirmed_at;
+    /// The latest time at which this process certainly owned the work; empty if
+    /// the store has not confirmed it since the claim.
+    std::optional<base::instant> m_confirmed_at;
+    bool m_confirming{false};
+    /// Callers who ask for a job that is not known; they are told so once the
+    /// store has confirmed that this process still owns the work.
+    std::vector<unconfirmed_caller> m_unconfirmed;
     /// When the append in progress was sent.
     base::instant m_append_sent_at{};
     /// A batch was taken back, and none has been stored since.
--- a/libraries/cell/cell_owner_batch.cpp
+++ b/libraries/cell/cell_owner_batch.cpp
@@ -139,10 +139,10 @@
         return;
     }
     m_next = it.next;
-    m_confirmed_at = m_append_sent_at;
     m_decisions.batch_stored(m_parts.clock->now(), it.rejected);
     answer_rejected(it.rejected);
     stored();
+    confirmed(m_append_sent_at);
 }
 
 /// A submission of which certainly nothing is stored has been withdrawn. Of the
--- /dev/null
+++ b/libraries/cell/cell_owner_confirm.cpp
@@ -0,0 +1,139 @@
+#include <cell/cell_owner.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace berylhill::cell
+{
+
+namespace
+{
+
+/// An owner that was replaced without knowing it may deny a job that its
+/// successor has accepted for this long: shorter than the silence after which
+/// another process claims.
+constexpr base::duration max_unconfirmed = std::chrono::milliseconds{500};
+
+/// Timeout of the read that shows whether another process has claimed.
+constexpr base::duration confirm_timeout = std::chrono::milliseconds{500};
+
+constexpr std::size_t confirm_bytes = 1'024;
+
+} // namespace
+
+/// Denies a job. That job may have been accepted by a successor if this process
+/// has not been in contact with the store since.
+void cell_owner::answer_unknown(job_call const& it, job_answer_handler done)
+{
+    if (surely_owns())
+    {
+        done({job_answer_kind::unknown_job, {}, 0, {}});
+        return;
+    }
+    if (store_blocked())
+    {
+        done({job_answer_kind::refused, {}, 0, default_retry_after});
+        return;
+    }
+    m_unconfirmed.push_back(
+        {std::move(done), m_parts.clock->now() + it.timeout});
+    confirm();
+}
+
+bool cell_owner::surely_owns() const
+{
+    return m_confirmed_at &&
+           m_parts.clock->now() - *m_confirmed_at <= max_unconfirmed;
+}
+
+/// Looks whether the log still ends where this owner's records end. An append
+/// in progress shows the same when it is stored.
+void cell_owner::confirm()
+{
+    if (m_confirming || m_append.busy() || m_lost)
+    {
+        return;
+    }
+    m_confirming = true;
+    auto const now = m_parts.clock->now();
+    read_request const request{m_next, base::duration{0}, confirm_bytes,
+                               network::call_patience{confirm_timeout}};
+    m_parts.cell->read(
+        request,
+        [this, alive = m_alive, from = m_next, now](read_result const& it)
+        {
+            if (*alive)
+            {
+                confirm_answered(from, now, it);
+            }
+        });
+}
+
+void cell_owner::confirm_answered(std::uint64_t from,
+                                  base::instant sent_at,
+                                  read_result const& it)
+{
+    m_confirming = false;
+    if (it.outcome != read_outcome::read)
+    {
+        for (auto const& caller : std::exchange(m_unconfirmed, {}))
+        {
+            caller.done({job_answer_kind::refused, {}, 0, default_retry_after});
+        }
+        return;
+    }
+    if (it.log_end == from)
+    {
+        confirmed(sent_at);
+        return;
+    }
+    auto const own_record = m_append.busy() || m_next != from;
+    if (!own_record)
+    {
+        ownership_lost("log_overtaken");
+    }
+}
+
+/// This process certainly owned the work at that time.
+void cell_owner::confirmed(base::instant at)
+{
+    m_confirmed_at = std::max(m_confirmed_at.value_or(at), at);
+    if (m_unconfirmed.empty())
+    {
+        return;
+    }
+    if (!surely_owns())
+    {
+        confirm();
+        return;
+    }
+    for (auto const& it : std::exchange(m_unconfirmed, {}))
+    {
+        it.done({job_answer_kind::unknown_job, {}, 0, {}});
+    }
+}
+
+/// Refuses the callers that cannot be answered in time. While the store is
+/// blocked it confirms nothing.
+void cell_owner::refuse_unconfirmed()
+{
+    auto const now = m_parts.clock->now();
+    auto const blocked = store_blocked();
+    std::vector<unconfirmed_caller> late;
+    std::erase_if(m_unconfirmed,
+                  [&](unconfirmed_caller const& it)
+                  {
+                      auto const out = blocked || now >= it.deadline;
+                      if (out)
+                      {
+                          late.push_back(it);
+                      }
+                      return out;
+                  });
+    for (auto const& it : late)
+    {
+        it.done({job_answer_kind::refused, {}, 0, default_retry_after});
+    }
+}
+
+} // namespace berylhill::cell
--- a/tests/cell/cell_owner_test.cpp
+++ b/tests/cell/cell_owner_test.cpp
@@ -220,6 +220,14 @@
         desk.ask(it, [](cell::advice_result const&) {});
     }
 
+    /// Lets the time pass after which the owner needs a new confirmation that
+    /// it owns the work.
+    void outlast_confirmation()
+    {
+        auto const end = clock.now() + std::chrono::milliseconds{600};
+        run_until([&] { return clock.now() > end; });
+    }
+
     static constexpr base::duration short_timeout =
         std::chrono::milliseconds{250};
     static constexpr base::duration long_timeout = std::chrono::seconds{4};
@@ -525,6 +533,43 @@
         (owner->decisions().phase_of({1}) == scheduler::job_phase::cancelled));
 }
 
+/// Guards against callers who are told that an accepted job does not exist, by
+/// an owner that was overtaken and does not know it yet.
+BOOST_DATA_TEST_CASE(an_overtaken_owner_denies_no_job,
+                     boost::unit_test::data::make({false, true}),
+                     was_confirmed)
+{
+    if (was_confirmed)
+    {
+        submit_and_wait(2);
+        outlast_confirmation();
+    }
+    log.append_behaviors.clear();
+    log.put({{std::string{cell::owner_key}, "a later claim"}});
+    auto const end = status_of(1);
+    BOOST_TEST(run_until([&] { return lost; }));
+    BOOST_TEST(!end->has_value());
+    owner.reset();
+    BOOST_TEST((answer_to(end) == job_answer_kind::not_owner));
+}
+
+/// An owner asks the store only if nothing else has shown lately that it owns
+/// the work, and refuses at once if the store does not tell.
+BOOST_AUTO_TEST_CASE(a_job_is_denied_only_by_a_confirmed_owner)
+{
+    log.append_behaviors.clear();
+    auto const before = log.reads;
+    auto const first = status_of(1);
+    auto const second = status_of(2);
+    BOOST_TEST((answer_to(first) == job_answer_kind::unknown_job));
+    BOOST_TEST((answer_to(second) == job_answer_kind::unknown_job));
+    BOOST_TEST((answer_to(status_of(3)) == job_answer_kind::unknown_job));
+    BOOST_TEST(log.reads == before + 1);
+    outlast_confirmation();
+    log.silent_reads = 1;
+    BOOST_TEST((answer_to(status_of(1)) == job_answer_kind::refused));
+}
+
 /// Guards against a cancellation that is acknowledged and not kept, where no
 /// log tells what its owner knew.
 BOOST_AUTO_TEST_CASE(a_cancellation_is_logged_with_what_its_owner_knew)
