cell: Show no job as ended that was never submitted

A process that follows the log answered a GET with 200 and "cancelled" for an id of which only the cancellation had come, while the owner answered 410: nobody had submitted such a job. Found in review of the kept cancellations, by reading.

replica::end_of now leaves out what was not submitted.

--- a/libraries/cell/replica.cpp
+++ b/libraries/cell/replica.cpp
@@ -35,7 +35,9 @@
     }
     auto const read = base::capture(
         [&] { return scheduler::parse_stored_status(it, at->second); });
-    if (!read || !scheduler::finished(read.value().phase))
+    auto const shown = read && read.value().submitted &&
+                       scheduler::finished(read.value().phase);
+    if (!shown)
     {
         return std::nullopt;
     }
--- a/libraries/cell/replica.hpp
+++ b/libraries/cell/replica.hpp
@@ -26,8 +26,8 @@
     /// Returns the owner of the newest claim; its token is 0 if there is none.
     [[nodiscard]] owner_view owner() const;
 
-    /// Returns how a job has ended, if its record says that it has. Such a
-    /// record is final.
+    /// Returns how a job has ended, if its record says that it was submitted
+    /// and has ended. Such a record is final.
     [[nodiscard]] std::optional<scheduler::stored_status>
     end_of(workload::job_id it) const;
 
