scheduler: Withdraw no job that may be stored

A caller was refused with 503, and its job could run (REFUSED). Found in review, by reading; no user has reported it.

The records of a large job go into several appends. If the first is stored and a later one rejected for good, the job is held and its caller told that the outcome is unknown. The caller's next try released the held records into a batch that the store refused; taking it back counted the job as new, so it was withdrawn and its caller refused.

A job of which records may be stored is no longer counted as new. Failed before: held_jobs/a_job_that_may_be_stored_is_not_withdrawn.

--- a/libraries/scheduler/job_table.cpp
+++ b/libraries/scheduler/job_table.cpp
@@ -186,7 +186,7 @@
         }
         it->parts.batch_not_stored();
         m_changed.insert(id);
-        if (!it->stored)
+        if (!it->stored && !it->may_be_stored)
         {
             m_new.insert(id);
         }
--- a/tests/scheduler/held_jobs_test.cpp
+++ b/tests/scheduler/held_jobs_test.cpp
@@ -243,4 +243,17 @@
     BOOST_TEST(starts().size() == 1U);
 }
 
+/// Guards against a job that is refused and runs: a part of its records is
+/// stored, and the batch with the others is taken back.
+BOOST_AUTO_TEST_CASE(a_job_that_may_be_stored_is_not_withdrawn)
+{
+    decisions.submit(job(1, 1), 0, now);
+    std::ignore = store_but({rejected(1, rejected_records::may_be_stored)});
+    std::ignore = decisions.submit(job(1, 1), 0, now);
+    std::ignore = decisions.take_batch(now);
+    decisions.batch_not_stored();
+    BOOST_TEST(!decisions.withdraw({1}));
+    BOOST_TEST(decisions.account_of({1}).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
