scheduler: Forget a dropped job that was never stored

A process ended by itself (std::out_of_range in job_table::take_changes) when the store had refused the records of a finished job, or of an early cancellation, for longer than its status is kept: the job was dropped and stayed in the list of new ones. Found in review, by reading.

Dropping a job now takes it off that list. Failed before, with that exception: early_cancellation/a_cancellation_that_was_never_stored_is_forgotten.

--- a/libraries/scheduler/job_table.cpp
+++ b/libraries/scheduler/job_table.cpp
@@ -93,6 +93,7 @@
     forget_finished(of);
     m_early_cancellations.erase(it);
     m_repeating.erase(it);
+    m_new.erase(it);
     m_changed.erase(it);
     m_dropped[it] =
         of.partitioned() ? keys_to_delete(of) : std::vector{state_key(it)};
--- a/tests/scheduler/early_cancellation_test.cpp
+++ b/tests/scheduler/early_cancellation_test.cpp
@@ -132,6 +132,19 @@
     BOOST_TEST((decisions.cancel({4}, {}, now) == cancellation::unknown));
 }
 
+/// Guards against a process that ends by itself: the store refused a
+/// cancellation for longer than it is kept.
+BOOST_AUTO_TEST_CASE(a_cancellation_that_was_never_stored_is_forgotten)
+{
+    std::ignore = decisions.cancel({1}, {}, now);
+    std::ignore = decisions.take_batch(now);
+    decisions.batch_not_stored();
+    advance(scheduler::policy{}.status_kept + std::chrono::seconds{1});
+    decisions.tick(0, now);
+    std::ignore = store();
+    BOOST_TEST(!decisions.account_of({1}).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(a_cancellation_is_forgotten_like_a_finished_job)
 {
     std::ignore = decisions.cancel({1}, {}, now);
