cell, scheduler: Keep an early cancellation for its client account

A caller's cancellation of an unknown id kept another account's job of that id from running, and its callers were told 403. Found in review of the kept cancellations, by reading.

Such a cancellation now holds for its account. Another account's submission replaces it: the first account's own submission is then forbidden, so it does not run either. If both have cancelled the id, it holds for all. 403 is given only of jobs that were submitted. A read that finds the log moved on by an append of the owner itself is repeated, so that no caller waits for it in vain.

--- a/libraries/cell/cell_owner.cpp
+++ b/libraries/cell/cell_owner.cpp
@@ -201,7 +201,7 @@
         return;
     }
     if (auto const of = m_decisions.account_of(it.job);
-        of && !may_use(it.account, *of))
+        of && m_decisions.submitted(it.job) && !may_use(it.account, *of))
     {
         m_parts.log->write(base::log_level::info, "call_forbidden",
                            {{"job", text_of(it.job)},
--- a/libraries/cell/cell_owner_confirm.cpp
+++ b/libraries/cell/cell_owner_confirm.cpp
@@ -87,10 +87,18 @@
         confirmed(sent_at);
         return;
     }
-    auto const own_record = m_append.busy() || m_next != from;
-    if (!own_record)
+    if (m_append.busy())
+    {
+        return;
+    }
+    if (m_next == from)
     {
         ownership_lost("log_overtaken");
+        return;
+    }
+    if (!m_unconfirmed.empty())
+    {
+        confirm();
     }
 }
 
--- a/libraries/cell/job_call.hpp
+++ b/libraries/cell/job_call.hpp
@@ -2,6 +2,7 @@
 
 #include <base/time.hpp>
 #include <scheduler/job.hpp>
+#include <workload/job_access.hpp>
 #include <workload/job_spec.hpp>
 
 #include <cstddef>
@@ -103,14 +104,7 @@
     friend bool operator==(job_answer const&, job_answer const&) = default;
 };
 
-/// Returns whether a caller of one client account may see and cancel a job of
-/// another. Jobs submitted without a key belong to no account, and queues that
-/// require no key are open to all.
-[[nodiscard]] inline bool may_use(std::string const& caller,
-                                  std::string const& owner)
-{
-    return caller.empty() || owner.empty() || caller == owner;
-}
+using workload::may_use;
 
 using job_answer_handler = std::function<void(job_answer const&)>;
 
--- a/libraries/scheduler/scheduler.cpp
+++ b/libraries/scheduler/scheduler.cpp
@@ -1,5 +1,7 @@
 #include <scheduler/scheduler.hpp>
 
+#include <workload/job_access.hpp>
+
 #include <algorithm>
 #include <utility>
 
@@ -111,13 +113,19 @@
     if (auto* const known = m_jobs.find(it.id); known != nullptr)
     {
         try_held_again(it.id);
-        if (!known->submitted)
+        auto const cancelled =
+            !known->submitted &&
+            workload::may_use(known->spec().account, it.account);
+        if (cancelled)
         {
             m_jobs.set_submitted(*known);
             return submission::already_cancelled;
         }
-        return known->stored ? submission::already_stored
-                             : submission::already_accepted;
+        if (known->submitted)
+        {
+            return known->stored ? submission::already_stored
+                                 : submission::already_accepted;
+        }
     }
     if (!within_cap(it))
     {
@@ -134,6 +142,8 @@
                       {"max_bytes", std::uint64_t{m_rules.max_record_bytes}}});
         return submission::too_large;
     }
+    // Another account may have cancelled the id, not this job.
+    m_jobs.drop(it.id);
     auto const repeats = it.repeats.count != 0;
     auto const owed = m_shares.take(it.account, now);
     auto& job = m_jobs.add(std::move(it), wall_ms, now);
@@ -205,8 +215,7 @@
     try_held_again(it);
     if (!job->submitted)
     {
-        return job->stored ? cancellation::unknown_stored
-                           : cancellation::unknown;
+        return cancel_again(*job, account, now);
     }
     if (finished(job->phase))
     {
@@ -217,6 +226,21 @@
     return cancellation::accepted;
 }
 
+/// A cancellation by another account must hold for that one too.
+cancellation scheduler::cancel_again(job const& of,
+                                     std::string const& account,
+                                     base::instant now)
+{
+    auto const& kept_for = of.spec().account;
+    if (kept_for.empty() || kept_for == account)
+    {
+        return of.stored ? cancellation::unknown_stored : cancellation::unknown;
+    }
+    auto const id = of.spec().id;
+    m_jobs.drop(id);
+    return cancel_early(id, {}, now);
+}
+
 /// Keeps the cancellation of a job that was not submitted: its submission may
 /// still be under way and must not run once the cancellation is acknowledged.
 cancellation scheduler::cancel_early(workload::job_id it,
--- a/libraries/scheduler/scheduler.hpp
+++ b/libraries/scheduler/scheduler.hpp
@@ -236,6 +236,8 @@
                                    step const& in) const;
     [[nodiscard]] bool within_cap(workload::job_spec const& it) const;
     bool forget_unsent(workload::job_id it);
+    cancellation
+    cancel_again(job const& of, std::string const& account, base::instant now);
     cancellation cancel_early(workload::job_id it,
                               std::string const& account,
                               base::instant now);
--- a/tests/scheduler/early_cancellation_test.cpp
+++ b/tests/scheduler/early_cancellation_test.cpp
@@ -60,6 +60,28 @@
     {"two cancellations", {cancel, cancel, take, stored, cancel}, false},
 };
 
+struct account_case
+{
+    char const* name;
+    std::vector<char const*> cancelled_by;
+    char const* submitted_by;
+    bool runs;
+};
+
+std::ostream& operator<<(std::ostream& to, account_case const& it)
+{
+    return to << it.name;
+}
+
+account_case const accounts[] = {
+    {"the same account", {"a"}, "a", false},
+    {"another account", {"a"}, "b", true},
+    {"both accounts", {"a", "b"}, "b", false},
+    {"both accounts, the first one submits", {"a", "b"}, "a", false},
+    {"a caller without a key", {""}, "a", false},
+    {"a submission without a key", {"a"}, "", false},
+};
+
 struct cancelling_cell : scheduler_fixture
 {
     cancelling_cell()
@@ -132,6 +154,26 @@
     BOOST_TEST((decisions.cancel({4}, {}, now) == cancellation::unknown));
 }
 
+/// Guards against a client account that keeps the jobs of another one from
+/// running, or whose own cancelled job runs.
+BOOST_DATA_TEST_CASE(a_cancellation_holds_for_its_account,
+                     boost::unit_test::data::make(accounts))
+{
+    for (auto const* const it : sample.cancelled_by)
+    {
+        std::ignore = decisions.cancel({1}, it, now);
+    }
+    std::ignore = store();
+    auto spec = job(1, 1);
+    spec.account = sample.submitted_by;
+    auto const end = decisions.submit(spec, 0, now);
+    std::ignore = store();
+    BOOST_TEST((end == submission::accepted) == sample.runs);
+    scheduler_fixture next{records};
+    BOOST_TEST((next.decisions.phase_of({1}) == job_phase::queued) ==
+               sample.runs);
+}
+
 /// Guards against a process that ends by itself: the store refused a
 /// cancellation for longer than it is kept.
 BOOST_AUTO_TEST_CASE(a_cancellation_that_was_never_stored_is_forgotten)
