cell: Renew no lease after a pause before the ownership is confirmed

A task could run twice (TWICE): an owner that was paused and overtaken, and woke, renewed leases and repeated starts before anything told it of its successor. An instance that the successor has not reached yet, or that has just started, takes them. The successor waits for the former owner's leases until 2 s after its takeover at most, so it starts the task elsewhere while the first run goes on.

After a pause of its event loop of more than 0.5 s an owner now sends no order and no hold before a read begun since then shows that the log still ends where its records do. If the store does not answer, or within 1 s, it goes on: while the store is away running tasks keep their leases. The log says owner_resumed.

Failed before: cell_owner/a_paused_owner_sends_nothing_before_it_is_sure (the overtaken owner sent a hold).

--- a/libraries/cell/cell_owner.cpp
+++ b/libraries/cell/cell_owner.cpp
@@ -54,6 +54,7 @@
                   instances_follow_options}
     , m_tick{*parts.loop}
     , m_round{*parts.loop}
+    , m_last_turn{parts.clock->now()}
 {
     m_decisions.set_configuration(configuration);
     m_decisions.restore(records, wall_ms(*parts.clock), parts.clock->now());
@@ -370,7 +371,7 @@
     {
         m_decisions.decide(now);
     }
-    send_orders(m_decisions.take_orders());
+    send_orders();
     commit();
     send_due_holds();
     m_pace.ended(m_parts.clock->now());
@@ -413,6 +414,7 @@
             {
                 return;
             }
+            note_turn();
             auto const now = m_parts.clock->now();
             m_decisions.set_advice_machines(m_parts.advice->sender_count());
             m_decisions.tick(wall_ms(*m_parts.clock), now);
--- a/libraries/cell/cell_owner.hpp
+++ b/libraries/cell/cell_owner.hpp
@@ -138,6 +138,9 @@
     void confirmed(base::instant at);
     [[nodiscard]] bool surely_owns() const;
     void refuse_unconfirmed();
+    void note_turn();
+    void resume();
+    void send_orders();
     void wait_for_batch(job_call const& of,
                         job_answer_kind once_stored,
                         job_answer_handler done);
@@ -197,6 +200,11 @@
     /// the store has not confirmed it since the claim.
     std::optional<base::instant> m_confirmed_at;
     bool m_confirming{false};
+    /// When this object last ran.
+    base::instant m_last_turn;
+    /// When the process went on after a pause; empty once the store has
+    /// confirmed since then that it owns the work, or does not tell.
+    std::optional<base::instant> m_resumed_at;
     /// Callers who ask for a job that is not known; they are told so once the
     /// store has confirmed that this process still owns the work.
     std::vector<unconfirmed_caller> m_unconfirmed;
--- a/libraries/cell/cell_owner_batch.cpp
+++ b/libraries/cell/cell_owner_batch.cpp
@@ -175,7 +175,7 @@
     m_store_blocked_since.reset();
     m_batch_taken_back = false;
     answer_stored(m_waiting.batch_stored());
-    send_orders(m_decisions.take_orders());
+    send_orders();
     schedule_round();
 }
 
--- a/libraries/cell/cell_owner_confirm.cpp
+++ b/libraries/cell/cell_owner_confirm.cpp
@@ -19,6 +19,14 @@
 
 constexpr std::size_t confirm_bytes = 1'024;
 
+/// After a pause this long another process may own the work: shorter than the
+/// silence after which one claims.
+constexpr base::duration noted_pause = std::chrono::milliseconds{500};
+
+/// A paused owner whose store is slow goes on after this time: running tasks
+/// need their leases.
+constexpr base::duration max_resume_wait = std::chrono::seconds{1};
+
 } // namespace
 
 /// Denies a job. That job may have been accepted by a successor if this process
@@ -76,6 +84,7 @@
     m_confirming = false;
     if (it.outcome != read_outcome::read)
     {
+        resume();
         for (auto const& caller : std::exchange(m_unconfirmed, {}))
         {
             caller.done({job_answer_kind::refused, {}, 0, default_retry_after});
@@ -106,6 +115,14 @@
 void cell_owner::confirmed(base::instant at)
 {
     m_confirmed_at = std::max(m_confirmed_at.value_or(at), at);
+    if (m_resumed_at && at >= *m_resumed_at)
+    {
+        resume();
+    }
+    else if (m_resumed_at)
+    {
+        confirm();
+    }
     if (m_unconfirmed.empty())
     {
         return;
@@ -121,6 +138,36 @@
     }
 }
 
+/// Detects that the process was paused. Nothing that another owner may not
+/// expect leaves this one before the store has confirmed the ownership: leases
+/// that it renews are taken to have expired by then.
+void cell_owner::note_turn()
+{
+    auto const now = m_parts.clock->now();
+    auto const last = std::exchange(m_last_turn, now);
+    if (now - last > noted_pause)
+    {
+        m_resumed_at = now;
+        m_parts.log->write(
+            base::log_level::warning, "owner_resumed",
+            {{"paused_s", base::seconds_of(now - last)}, {"token", m_token}});
+        confirm();
+        return;
+    }
+    if (m_resumed_at && now - *m_resumed_at > max_resume_wait)
+    {
+        resume();
+    }
+}
+
+void cell_owner::resume()
+{
+    if (std::exchange(m_resumed_at, std::nullopt))
+    {
+        schedule_round();
+    }
+}
+
 /// Refuses the callers that cannot be answered in time. While the store is
 /// blocked it confirms nothing.
 void cell_owner::refuse_unconfirmed()
--- a/libraries/cell/cell_owner_orders.cpp
+++ b/libraries/cell/cell_owner_orders.cpp
@@ -39,6 +39,17 @@
 
 } // namespace
 
+/// Sends the orders decided so far, unless the process may have been overtaken
+/// during a pause.
+void cell_owner::send_orders()
+{
+    note_turn();
+    if (!m_resumed_at)
+    {
+        send_orders(m_decisions.take_orders());
+    }
+}
+
 void cell_owner::send_orders(std::vector<scheduler::order> const& orders)
 {
     for (auto const& it : orders)
@@ -155,6 +166,11 @@
 
 void cell_owner::send_due_holds()
 {
+    note_turn();
+    if (m_resumed_at)
+    {
+        return;
+    }
     auto const due = m_holds.take_due(
         m_parts.clock->now(), m_batches_stored, max_holds_at_once,
         [this](auto const& it) { return hold_status_of(it); });
--- a/tests/cell/cell_owner_test.cpp
+++ b/tests/cell/cell_owner_test.cpp
@@ -19,6 +19,7 @@
 #include <optional>
 #include <ostream>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -57,6 +58,42 @@
     std::deque<cell::advice_handler> open;
 };
 
+/// Instances whose answers to holds the test gives.
+class held_instances final : public cell::instance_client
+{
+public:
+    void start(cell::order_target const&,
+               scheduler::start_order const&,
+               base::duration,
+               cell::start_handler) override
+    {
+    }
+    void stop(cell::order_target const&,
+              scheduler::attempt_name const&,
+              base::duration,
+              cell::order_handler) override
+    {
+    }
+    void hold(cell::order_target const&,
+              scheduler::hold_order const&,
+              base::duration,
+              cell::hold_handler done) override
+    {
+        ++holds;
+        open = std::move(done);
+    }
+
+    void answer_hold()
+    {
+        cell::hold_result it;
+        it.outcome = cell::order_outcome::done;
+        std::exchange(open, nullptr)(it);
+    }
+
+    std::size_t holds{0};
+    cell::hold_handler open;
+};
+
 /// An owner whose store gives no answer, so that the first submission may be
 /// stored at any time.
 struct fixture
@@ -241,7 +278,7 @@
     fake_log listed{loop};
     network::http_client client{loop, {}};
     cell::peer_client peers{client};
-    no_instances orders;
+    held_instances orders;
     held_advice advice;
     cell::advice_dispatcher desk{clock, advice, peers,
                                  []
@@ -570,6 +607,40 @@
     BOOST_TEST((answer_to(status_of(1)) == job_answer_kind::refused));
 }
 
+/// Guards against a task that runs twice: an owner that was paused and
+/// overtaken renewed leases that its successor waits for.
+BOOST_DATA_TEST_CASE(a_paused_owner_sends_nothing_before_it_is_sure,
+                     boost::unit_test::data::make({false, true}),
+                     overtaken)
+{
+    log.append_behaviors.clear();
+    listed.put({{"i", "entry"}});
+    BOOST_REQUIRE(run_until([&] { return orders.open != nullptr; }));
+    auto const before = orders.holds;
+    std::this_thread::sleep_for(std::chrono::milliseconds{700});
+    if (overtaken)
+    {
+        log.put({{std::string{cell::owner_key}, "a later claim"}});
+    }
+    orders.answer_hold();
+    run_until([&] { return lost || orders.holds > before; });
+    BOOST_TEST(lost == overtaken);
+    BOOST_TEST((orders.holds > before) == !overtaken);
+}
+
+/// While the store tells nothing, running tasks keep their leases.
+BOOST_AUTO_TEST_CASE(a_paused_owner_goes_on_if_the_store_does_not_tell)
+{
+    listed.put({{"i", "entry"}});
+    BOOST_REQUIRE(run_until([&] { return orders.open != nullptr; }));
+    auto const before = orders.holds;
+    std::this_thread::sleep_for(std::chrono::milliseconds{700});
+    log.silent_reads = 1;
+    orders.answer_hold();
+    BOOST_TEST(run_until([&] { return orders.holds > before; }));
+    BOOST_TEST(!lost);
+}
+
 /// Guards against a cancellation that is acknowledged and not kept, where no
 /// log tells what its owner knew.
 BOOST_AUTO_TEST_CASE(a_cancellation_is_logged_with_what_its_owner_knew)
--- a/tests/cell/idle_platform.hpp
+++ b/tests/cell/idle_platform.hpp
@@ -64,6 +64,8 @@
     {
         scheduler::instance_info out;
         out.id = std::string{key};
+        out.service = "service";
+        out.address = "127.0.0.1:1";
         return out;
     }
 };
