soak: Tell runs that late orders begin from prompt ones

A check of when a task starts has to know whether its order was held up by the soak itself. The instances' stand-in says so while it carries out a late order.

--- a/tests/platform_adapter/stand_ins/instance_stand_in.cpp
+++ b/tests/platform_adapter/stand_ins/instance_stand_in.cpp
@@ -134,7 +134,9 @@
             still.push_back(std::move(it));
             continue;
         }
+        m_carries_out_late = true;
         carry_out(it.request, it.answer);
+        m_carries_out_late = false;
     }
     m_late_orders = std::move(still);
 }
--- a/tests/platform_adapter/stand_ins/instance_stand_in.hpp
+++ b/tests/platform_adapter/stand_ins/instance_stand_in.hpp
@@ -64,6 +64,12 @@
         return m_faults;
     }
 
+    /// Whether the run that begins was ordered earlier.
+    [[nodiscard]] bool carries_out_late() const noexcept
+    {
+        return m_carries_out_late;
+    }
+
     /// Tells its birth from now on, and has a clock that begins with it.
     void tell_birth();
 
@@ -158,6 +164,7 @@
     std::int64_t m_next_end{1};
     std::vector<waiting_hold> m_waiting;
     std::vector<late_order> m_late_orders;
+    bool m_carries_out_late{false};
 };
 
 } // namespace berylhill::platform_test
--- a/tests/soak/instance_test.cpp
+++ b/tests/soak/instance_test.cpp
@@ -93,12 +93,15 @@
     network::socket_address address{platform_test::local(
         platform_test::free_ports(platform_test::port_range::tests, 1))};
     std::vector<std::string> started;
+    /// Whether the last run that began was ordered earlier.
+    bool late{false};
     std::vector<std::string> acknowledged;
     network::http_response answer;
     instance_stand_in instance{loop, address, "i-0", work,
                                [this](std::string const& it)
                                {
                                    started.push_back(it);
+                                   late = instance.carries_out_late();
                                }};
     network::http_client client{loop, {}};
 
@@ -186,7 +189,8 @@
     BOOST_TEST(start_run(1, long_lease) == 200U);
 }
 
-// Guards against late orders that are answered, or carried out at once.
+// Guards against late orders that are answered, carried out at once, or not
+// told from those that come in time.
 BOOST_FIXTURE_TEST_CASE(a_late_order_is_carried_out_after_newer_ones,
                         instance_fixture)
 {
@@ -201,6 +205,9 @@
         run_for(std::chrono::milliseconds{10});
     }
     BOOST_TEST(started.size() == 1U);
+    BOOST_TEST(late);
+    BOOST_TEST(start_run(2, long_lease) == 200U);
+    BOOST_TEST(!late);
 }
 
 // Guards against a stop that does not end what an order before it begins.
