soak: Check that tasks of cancelled jobs neither start nor run on

The ledger finds a start over 3 s after the first acknowledgement (200 or 410); a task that runs 3.9 s after it with nothing disturbed since; and a cancellation that is never acknowledged. Faults, crashes of instances and starts by late orders disturb; a late order's start is not judged. A run lasts 3.9 s longer, so that starts after the last cancellation are seen.

One job in four is cancelled in haste, at the next entry: with its submission, 100 ms later while that is under way, or as soon as it has ended, answered or not; a third of these twice. Without an accepted submission the client goes on to its next job. Plans of faults are as before; the ids after a client's first job differ, as they did by timing.

That tasks run on was found in planted histories alone.

--- a/tests/soak/ledger_test.cpp
+++ b/tests/soak/ledger_test.cpp
@@ -47,6 +47,16 @@
     it.submit_answered("j", 200, start);
 }
 
+/// Its cancelling is acknowledged at `start`.
+void cancel(ledger& it)
+{
+    it.cancel_sent("j");
+    it.cancel_acknowledged("j", start);
+}
+
+constexpr auto longest_run = ledger::cancel_bound + ledger::stop_bound;
+constexpr std::chrono::milliseconds just_later{1};
+
 std::vector<breach_case> const cases{
     {"a job that runs as it should breaks nothing",
      [](ledger& it)
@@ -315,6 +325,117 @@
          it.shown("j", "cancelled", start);
      },
      "runs on after its job's end"},
+    {"a task starts in time after its job's cancelling",
+     [](ledger& it)
+     {
+         it.submit_sent("j");
+         cancel(it);
+         it.submit_answered("j", 0, start);
+         run(it, "i-0", "j.0.0.0");
+         it.started_promptly("j.0.0.0", start + ledger::cancel_bound);
+     },
+     ""},
+    {"a task starts later after its job's cancelling",
+     [](ledger& it)
+     {
+         it.submit_sent("j");
+         cancel(it);
+         it.submit_answered("j", 0, start);
+         run(it, "i-0", "j.0.0.0");
+         it.started_promptly("j.0.0.0",
+                             start + ledger::cancel_bound + just_later);
+     },
+     "j.0.0.0 starts 3001 ms after its job's cancelling"},
+    {"another acknowledgement gives a task no more time to start",
+     [](ledger& it)
+     {
+         it.submit_answered("j", 0, start);
+         cancel(it);
+         it.cancel_acknowledged("j", start + ledger::cancel_bound);
+         run(it, "i-0", "j.0.0.0");
+         it.started_promptly("j.0.0.0",
+                             start + ledger::cancel_bound + just_later);
+     },
+     "starts 3001 ms after"},
+    {"a task starts after a cancelling that nobody acknowledged",
+     [](ledger& it)
+     {
+         accept(it);
+         it.cancel_sent("j");
+         run_all(it);
+         it.started_promptly("j.0.1.0", start + longest_run);
+         it.shown("j", "completed", start);
+         it.cancel_acknowledged("j", start + longest_run);
+     },
+     ""},
+    {"a task of a cancelled job ends in time",
+     [](ledger& it)
+     {
+         accept(it);
+         it.started("i-0", "j.0.0.0");
+         cancel(it);
+         it.check_cancelled(start + longest_run);
+         it.ended("i-0", "j.0.0.0", "stopped");
+         it.check_cancelled(start + longest_run * 2);
+         it.shown("j", "cancelled", start);
+     },
+     ""},
+    {"a task runs on after its job's cancelling, with nothing disturbed",
+     [](ledger& it)
+     {
+         it.submit_answered("j", 0, start);
+         it.started("i-0", "j.0.0.0");
+         it.disturbed(start - just_later);
+         cancel(it);
+         it.check_cancelled(start + longest_run + just_later);
+     },
+     "j.0.0.0 runs on 3901 ms after its job's cancelling"},
+    {"a task of a cancelled job runs on beside a disturbance",
+     [](ledger& it)
+     {
+         it.submit_answered("j", 0, start);
+         it.started("i-0", "j.0.0.0");
+         cancel(it);
+         it.disturbed(start + just_later);
+         it.check_cancelled(start + longest_run + just_later);
+     },
+     ""},
+    {"a task of a cancelled job runs on long after a disturbance",
+     [](ledger& it)
+     {
+         it.submit_answered("j", 0, start);
+         it.started("i-0", "j.0.0.0");
+         cancel(it);
+         it.disturbed(start + just_later);
+         it.check_cancelled(start + longest_run + just_later * 2);
+     },
+     "runs on 3902 ms after its job's cancelling"},
+    {"a task of a job that nobody cancelled runs on",
+     [](ledger& it)
+     {
+         it.submit_answered("j", 0, start);
+         it.started("i-0", "j.0.0.0");
+         it.check_cancelled(start + longest_run * 2);
+     },
+     ""},
+    {"a job whose cancelling alone was answered is not lost",
+     [](ledger& it)
+     {
+         it.submit_sent("j");
+         cancel(it);
+         it.submit_answered("j", 0, start);
+     },
+     ""},
+    {"a job that is accepted after its cancelling has to end",
+     [](ledger& it)
+     {
+         it.submit_sent("j");
+         cancel(it);
+         accept(it);
+     },
+     "has not ended"},
+    {"a cancelling is never acknowledged",
+     [](ledger& it) { it.cancel_sent("j"); }, "was never acknowledged"},
 };
 
 struct owed_case
@@ -513,6 +634,7 @@
     BOOST_TEST(seen.findings().size() == (it.breach ? 1U : 0U));
 }
 
+// Guards against a breach that the soak does not see, and one that is none.
 BOOST_DATA_TEST_CASE(breaches_are_found_and_nothing_else,
                      boost::unit_test::data::make(cases),
                      it)
--- a/utilities/soak/cell.cpp
+++ b/utilities/soak/cell.cpp
@@ -315,6 +315,7 @@
 {
     auto const id = it.instance->id();
     m_seen.crashed(it.instance->life());
+    m_seen.disturbed(std::chrono::steady_clock::now());
     ++m_crashes;
     it.instance->restart(m_keeps_ids ? id
                                      : id.substr(0, id.find('+')) + "+" +
@@ -360,14 +361,17 @@
 /// or just before.
 void cell::started(worker& it, std::string const& task)
 {
+    auto const now = std::chrono::steady_clock::now();
     m_seen.started(it.instance->life(), task);
+    it.instance->carries_out_late() ? m_seen.disturbed(now)
+                                    : m_seen.started_promptly(task, now);
     if (m_kind == instance_kind::steady ||
         !task.ends_with(crashing_task_suffix))
     {
         return;
     }
     m_seen.crashes_its_instances(task);
-    it.crashes_at = std::chrono::steady_clock::now() + crash_pause;
+    it.crashes_at = now + crash_pause;
 }
 
 /// It shrinks to room for one task, and is whole again later.
--- a/utilities/soak/client.cpp
+++ b/utilities/soak/client.cpp
@@ -4,6 +4,7 @@
 #include <stand_ins/documents.hpp>
 #include <workload/job_id.hpp>
 
+#include <array>
 #include <utility>
 
 namespace berylhill::soak
@@ -29,6 +30,15 @@
 /// One job in so many is cancelled.
 constexpr std::uint64_t cancel_one_in = 7;
 
+/// One job in so many is cancelled in haste; one of so many of these twice.
+constexpr std::uint64_t hasty_one_in = 4;
+constexpr std::uint64_t twice_one_in = 3;
+
+/// From a submission until its caller cancels: with it, while it is still under
+/// way, or at its end alone.
+constexpr std::array<std::chrono::milliseconds, 3> haste_pauses{
+    std::chrono::milliseconds{0}, std::chrono::milliseconds{100}, 2 * deadline};
+
 } // namespace
 
 std::vector<std::vector<std::string>>
@@ -79,12 +89,21 @@
     m_maybe_taken = false;
     m_accepted = false;
     m_cancels = draw(cancel_one_in) == 0;
+    m_hasty = draw(hasty_one_in) == 0;
+    m_cancels_again = m_hasty && draw(twice_one_in) == 0;
+    m_cancel_begun = false;
+    m_cancelled = false;
+    if (m_hasty)
+    {
+        later(haste_pauses[draw(haste_pauses.size())], &client::begin_cancel);
+    }
     submit();
 }
 
 void client::call(network::http_method method, std::string body, handler done)
 {
-    m_process = draw(m_cell.processes());
+    m_process = m_hasty ? (m_process + 1) % m_cell.processes()
+                        : draw(m_cell.processes());
     m_client.call(m_cell.callers_of(m_process),
                   {method, "/q/" + m_job, m_cell.fields_of(m_account),
                    std::move(body), "application/json"},
@@ -106,6 +125,7 @@
 
 void client::submit()
 {
+    m_under_way = true;
     m_seen.submit_sent(m_job);
     call(network::http_method::post,
          platform_test::job_document(cell::task_cpu, cell::task_time.count(),
@@ -122,15 +142,21 @@
 {
     auto const answered = it.end == network::call_end::answered;
     auto const status = answered ? it.response.status : 0U;
+    m_under_way = false;
     if (it.sent_before)
     {
         m_maybe_taken = true;
         m_seen.submit_repeated(m_job);
     }
     m_seen.submit_answered(m_job, status, std::chrono::steady_clock::now());
-    if (status == status_ok)
+    m_accepted = status == status_ok;
+    if (m_hasty)
+    {
+        m_cancelled ? leave_cancelled() : begin_cancel();
+        return;
+    }
+    if (m_accepted)
     {
-        m_accepted = true;
         later(look_pause, m_cancels ? &client::cancel : &client::look);
         return;
     }
@@ -157,18 +183,49 @@
     later(retry_pause, &client::submit);
 }
 
+/// Once for a job, whatever comes first: its time, or the end of the
+/// submission.
+void client::begin_cancel()
+{
+    if (!std::exchange(m_cancel_begun, true))
+    {
+        m_timer.cancel();
+        cancel();
+    }
+}
+
 void client::cancel()
 {
     m_seen.cancel_sent(m_job);
     call(network::http_method::remove, {},
-         [this](network::call_result const& it)
-         {
-             auto const done = it.end == network::call_end::answered &&
-                               (it.response.status == status_ok ||
-                                it.response.status == gone);
-             later(done ? look_pause : retry_pause,
-                   done ? &client::look : &client::cancel);
-         });
+         [this](auto const& it) { cancelled(it); });
+}
+
+void client::cancelled(network::call_result const& it)
+{
+    if (it.end != network::call_end::answered ||
+        (it.response.status != status_ok && it.response.status != gone))
+    {
+        later(retry_pause, &client::cancel);
+        return;
+    }
+    m_seen.cancel_acknowledged(m_job, std::chrono::steady_clock::now());
+    if (std::exchange(m_cancels_again, false))
+    {
+        cancel();
+        return;
+    }
+    m_cancelled = true;
+    if (!m_under_way)
+    {
+        leave_cancelled();
+    }
+}
+
+/// A job that was not accepted need not be known.
+void client::leave_cancelled()
+{
+    later(look_pause, m_accepted ? &client::look : &client::next_job);
 }
 
 void client::look()
--- a/utilities/soak/client.hpp
+++ b/utilities/soak/client.hpp
@@ -16,8 +16,9 @@
 
 /// A caller that hands in a job, asks for its state until it has ended, and
 /// goes on with the next. It keeps its connections open as long as the other
-/// side does, and sends a request again where it got no clear answer. Lives on
-/// the event loop.
+/// side does, and sends a request again where it got no clear answer. A hasty
+/// one cancels a job whose submission has not been answered. Lives on the event
+/// loop.
 class client
 {
 public:
@@ -56,7 +57,10 @@
     void submitted(network::call_result const& it);
     void look();
     void looked(network::call_result const& it);
+    void begin_cancel();
     void cancel();
+    void cancelled(network::call_result const& it);
+    void leave_cancelled();
     void call(network::http_method method, std::string body, handler done);
     void later(std::chrono::milliseconds pause, void (client::*what)());
     [[nodiscard]] std::uint64_t draw(std::uint64_t below);
@@ -74,6 +78,12 @@
     bool m_maybe_taken{false};
     bool m_accepted{false};
     bool m_cancels{false};
+    /// Cancels without waiting for the submission, and whether twice.
+    bool m_hasty{false};
+    bool m_cancels_again{false};
+    bool m_under_way{false};
+    bool m_cancel_begun{false};
+    bool m_cancelled{false};
     bool m_finishing{false};
     bool m_idle{false};
 };
--- a/utilities/soak/ledger.cpp
+++ b/utilities/soak/ledger.cpp
@@ -18,6 +18,11 @@
     return task.substr(0, task.find('.'));
 }
 
+std::string ms_of(std::chrono::nanoseconds length)
+{
+    return std::to_string(length / std::chrono::milliseconds{1}) + " ms";
+}
+
 bool is_final(std::string const& state)
 {
     return state == "completed" || state == "failed" || state == "cancelled";
@@ -62,6 +67,16 @@
     }
 }
 
+void ledger::started_promptly(std::string const& name, instant now)
+{
+    auto const& at = m_jobs[job_of(name)].cancel_acknowledged_at;
+    if (at && now - *at > cancel_bound)
+    {
+        found("task " + name + " starts " + ms_of(now - *at) +
+              " after its job's cancelling was acknowledged");
+    }
+}
+
 void ledger::check_crashes(std::string const& name, task_seen const& it)
 {
     // Three may crash under a task, and two starts more are allowed.
@@ -237,6 +252,38 @@
     m_jobs[id].cancel_sent = true;
 }
 
+/// The first acknowledgement counts.
+void ledger::cancel_acknowledged(std::string const& id, instant now)
+{
+    auto& at = m_jobs[id].cancel_acknowledged_at;
+    at = at.value_or(now);
+}
+
+void ledger::disturbed(instant now)
+{
+    m_disturbed_at = now;
+}
+
+void ledger::check_cancelled(instant now)
+{
+    for (auto const& [instance, tasks] : m_running)
+    {
+        for (auto const& name : tasks)
+        {
+            auto& of = m_jobs[job_of(name)];
+            auto const at = of.cancel_acknowledged_at;
+            if (at &&
+                now - std::max(*at, m_disturbed_at) >
+                    cancel_bound + stop_bound &&
+                !std::exchange(of.runs_on, true))
+            {
+                found("task " + name + " runs on " + ms_of(now - *at) +
+                      " after its job's cancelling was acknowledged");
+            }
+        }
+    }
+}
+
 void ledger::shown(std::string const& id, std::string const& state, instant)
 {
     auto& it = m_jobs[id];
@@ -305,6 +352,13 @@
             }
         }
     }
+    for (auto const& [id, it] : m_jobs)
+    {
+        if (it.cancel_sent && !it.cancel_acknowledged_at)
+        {
+            found("job " + id + "'s cancelling was never acknowledged");
+        }
+    }
 }
 
 } // namespace berylhill::soak
--- a/utilities/soak/ledger.hpp
+++ b/utilities/soak/ledger.hpp
@@ -19,12 +19,19 @@
 public:
     using instant = std::chrono::steady_clock::time_point;
 
+    /// From the acknowledgement of a cancellation until no task of the job
+    /// starts any more, and from then until none runs.
+    static constexpr std::chrono::milliseconds cancel_bound{3'000};
+    static constexpr std::chrono::milliseconds stop_bound{900};
+
     /// `room`: how many tasks an instance holds; `tasks`: names of the tasks
     /// of a job after `JOB.`, in the order of their steps.
     ledger(std::size_t room, std::vector<std::vector<std::string>> steps);
 
     // What instances saw.
     void started(std::string const& instance, std::string const& task);
+    /// The start was carried out as soon as the order arrived.
+    void started_promptly(std::string const& task, instant now);
     void ended(std::string const& instance,
                std::string const& task,
                std::string const& how);
@@ -46,12 +53,18 @@
     /// The attempt that was sent last has to be accepted by then.
     void must_be_accepted(std::string const& job, instant by);
     void cancel_sent(std::string const& job);
+    void cancel_acknowledged(std::string const& job, instant now);
     void shown(std::string const& job, std::string const& state, instant now);
     void unknown(std::string const& job, instant now);
 
     /// Such an answer to a submission says that it has no effect.
     [[nodiscard]] static bool is_rejection(unsigned status);
 
+    /// A fault begins, lasts or ends.
+    void disturbed(instant now);
+    /// Looks for tasks of cancelled jobs that run on.
+    void check_cancelled(instant now);
+
     /// Something else that must not be.
     void found(std::string what);
 
@@ -92,6 +105,8 @@
         int under_way{0};
         std::optional<instant> must_be_accepted_by;
         bool cancel_sent{false};
+        std::optional<instant> cancel_acknowledged_at;
+        bool runs_on{false};
         bool begun{false};
         std::string state;
     };
@@ -122,6 +137,7 @@
     std::map<std::string, std::set<std::string>> m_running;
     /// Of instances whose room has changed.
     std::map<std::string, std::size_t> m_rooms;
+    instant m_disturbed_at;
     std::vector<std::string> m_findings;
     std::size_t m_accepted_jobs{0};
     std::size_t m_owed{0};
--- a/utilities/soak/run.cpp
+++ b/utilities/soak/run.cpp
@@ -59,6 +59,7 @@
         }
         run_until(settle_limit, [this] { return all_idle(); });
         check_configuration();
+        run_for(ledger::cancel_bound + ledger::stop_bound + turn);
         m_seen.finish();
         return {m_seen.findings(), m_seen.accepted(), m_seen.owed(),
                 m_seen.starts(),
@@ -88,6 +89,8 @@
         {
             run_for(it.at - clock::now());
             it.begins ? m_cell.begin(it.what) : m_cell.end(it.what);
+            m_faults += it.begins ? 1 : -1;
+            m_seen.disturbed(clock::now());
         }
     }
 
@@ -103,6 +106,11 @@
             m_cell.look_after_processes();
             m_cell.look_after_instances();
             m_longest_turn = std::max(m_longest_turn, clock::now() - began);
+            if (m_faults > 0)
+            {
+                m_seen.disturbed(clock::now());
+            }
+            m_seen.check_cancelled(clock::now());
         }
     }
 
@@ -165,6 +173,8 @@
     cell m_cell;
     std::vector<std::unique_ptr<client>> m_clients;
     clock::duration m_longest_turn{0};
+    /// That last.
+    int m_faults{0};
 };
 
 } // namespace
