--- a/libraries/network/socket_address.cpp
+++ b/libraries/network/socket_address.cpp
@@ -21,8 +21,10 @@
     auto const read = std::from_chars(digits.data(), end, port);
     boost::system::error_code ec;
     auto host = std::string{text.substr(0, colon)};
-    boost::asio::ip::make_address_v4(host, ec);
-    if (ec || read.ec != std::errc{} || read.ptr != end)
+    auto const address = boost::asio::ip::make_address_v4(host, ec);
+    // A text with a zero byte is read only up to there.
+    if (ec || address.to_string() != host || read.ec != std::errc{} ||
+        read.ptr != end)
     {
         return base::fail(base::failure_code::invalid,
                           "not IP:port: " + std::string{text});
--- a/tests/platform_adapter/store_format_test.cpp
+++ b/tests/platform_adapter/store_format_test.cpp
@@ -48,6 +48,23 @@
     }
 }
 
+/// A process ends on one record of another writer, whose key is said to be
+/// longer than the record.
+BOOST_AUTO_TEST_CASE(a_key_ends_with_its_record)
+{
+    for (std::size_t n = 0; n < 4; ++n)
+    {
+        auto const record = "\x09" + std::string(n, 'k');
+        auto const length =
+            std::string(3, '\0') + static_cast<char>(record.size());
+        auto const read = platform::decode_records(
+            number(2) + number(0) + length + record, 1);
+        BOOST_REQUIRE(read.entries.size() == 1U);
+        BOOST_TEST(
+            (read.entries[0] == cell::log_entry{1, std::string(n, 'k'), {}}));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(newest_records_are_decoded)
 {
     auto const read = platform::decode_newest(
--- a/tests/platform_adapter/whole_path_test.cpp
+++ b/tests/platform_adapter/whole_path_test.cpp
@@ -261,6 +261,88 @@
     BOOST_TEST(calls == 0U);
 }
 
+/// All processes end, or no longer see which instances there are. Another
+/// writer has put odd entries among those of the instances, and in place of one
+/// that works.
+BOOST_AUTO_TEST_CASE(odd_entries_hide_no_others)
+{
+    std::size_t calls = 0;
+    network::http_server stranger{loop, [&](auto const&, auto answer)
+                                  {
+                                      ++calls;
+                                      answer({200, {}, "{}"});
+                                  }};
+    auto const& at = spare_address();
+    BOOST_REQUIRE(base::capture(
+        [&]() -> base::result<base::done>
+        {
+            BOOST_LEAF_CHECK(stranger.listen(at));
+            return base::done{};
+        }));
+    auto const good = instances.front()->heartbeat(at);
+    auto const with = [&](std::string const& from, std::string const& to)
+    {
+        auto out = good;
+        out.replace(out.find(from), from.size(), to);
+        return out;
+    };
+    constexpr std::size_t levels = 100'000;
+    auto const more = [&](std::string const& it)
+    {
+        return with("\"sequence\":1", "\"sequence\":1," + it);
+    };
+    std::string const odd[] = {
+        more("\"more\":" + std::string(levels, '[') + std::string(levels, ']')),
+        with("\"cpu\":8000", "\"cpu\":9223372036854775807"),
+        with("\"cpu\":8000", "\"cpu\":1e300"),
+        more("\"remainingMs\":1e300"),
+        more("\"born\":9223372036854775807"),
+        with(text_of(at), at.host + ":65536"),
+        with(text_of(at), at.host + ":0"),
+        with("\"k\"", "\"" + std::string(250'000, 'k') + "\",7"),
+    };
+    BOOST_REQUIRE(all_ready(*this));
+    std::uint64_t id = 0;
+    auto const works_only = [&](instance_stand_in& worker)
+    {
+        for (auto const& it : instances)
+        {
+            it->set_cpu(it.get() == &worker ? instance_stand_in::cpu_millis
+                                            : 0);
+            store->put(instances_topic, it->id(), it->heartbeat());
+        }
+        run_until([] { return false; }, std::chrono::milliseconds{500});
+        ++id;
+        BOOST_TEST(submit(id % processes, id) == 200U);
+        BOOST_TEST(run_until([&] { return !worker.running().empty(); }));
+    };
+    works_only(*instances.front());
+    for (std::size_t n = 0; n < std::size(odd); ++n)
+    {
+        store->put(instances_topic, "i-odd-" + std::to_string(n), odd[n]);
+        store->put(instances_topic, instances.front()->id(), odd[n]);
+    }
+    BOOST_TEST(run_until([&] { return completed(1, id); }));
+    // It reads them among the newest of the list.
+    stop_process(2);
+    start_process(2);
+    BOOST_REQUIRE(all_ready(*this));
+    for (auto const& it : instances)
+    {
+        works_only(*it);
+        BOOST_TEST(run_until([&] { return completed(0, id); }));
+    }
+    for (auto const& [task, n] : started)
+    {
+        BOOST_TEST(n == 1, task);
+    }
+    BOOST_TEST(calls == 0U);
+    for (auto const& it : cells)
+    {
+        BOOST_TEST(!it->ended());
+    }
+}
+
 /// A user gets no answer any more from a process that is well. Whoever reads
 /// its log has stopped reading, the pipe is full, and the process waits in a
 /// write.
