--- a/tests/platform_adapter/cell_fixture.cpp
+++ b/tests/platform_adapter/cell_fixture.cpp
@@ -137,6 +137,25 @@
                   });
 }
 
+void cell_fixture::call_beside(std::size_t process,
+                               network::http_method method,
+                               std::string const& path,
+                               std::string const& body,
+                               std::chrono::milliseconds patience,
+                               std::optional<unsigned>& status)
+{
+    auto it = request(method, path, body);
+    it.fields.push_back({"X-Deadline-Ms", std::to_string(patience.count())});
+    m_client.call(local(m_first_port + process * ports_per_process),
+                  std::move(it), patience,
+                  [&status](network::call_result const& end)
+                  {
+                      status = end.end == network::call_end::answered
+                                   ? end.response.status
+                                   : 0U;
+                  });
+}
+
 unsigned cell_fixture::call(std::size_t process,
                             network::http_method method,
                             std::string const& path,
--- a/tests/platform_adapter/cell_fixture.hpp
+++ b/tests/platform_adapter/cell_fixture.hpp
@@ -83,6 +83,15 @@
     void submit_beside(std::size_t process,
                        std::uint64_t id,
                        std::optional<unsigned>& status);
+
+    /// Calls without waiting, and tells the process how long the caller waits;
+    /// `status` as above.
+    void call_beside(std::size_t process,
+                     network::http_method method,
+                     std::string const& path,
+                     std::string const& body,
+                     std::chrono::milliseconds patience,
+                     std::optional<unsigned>& status);
     [[nodiscard]] bool completed(std::size_t process, std::uint64_t id);
     [[nodiscard]] bool ready(std::size_t process);
 
--- a/tests/platform_adapter/stand_ins/instance_stand_in.hpp
+++ b/tests/platform_adapter/stand_ins/instance_stand_in.hpp
@@ -78,6 +78,12 @@
         m_cpu_millis = millis;
     }
 
+    /// How long each task takes that begins from now on.
+    void set_work(std::chrono::milliseconds it)
+    {
+        m_work = it;
+    }
+
     /// The tasks that run now.
     [[nodiscard]] std::vector<std::string> running() const;
 
