cell: Count no restored records as a pause of the owner

Restoring the records of a large cell can take longer than the pause after which an owner confirms its ownership, so a new owner would have waited for a read that nothing calls for. Found when reading the diff.

--- a/libraries/cell/cell_owner.cpp
+++ b/libraries/cell/cell_owner.cpp
@@ -54,7 +54,6 @@
                   instances_follow_options}
     , m_tick{*parts.loop}
     , m_round{*parts.loop}
-    , m_last_turn{parts.clock->now()}
 {
     m_decisions.set_configuration(configuration);
     m_decisions.restore(records, wall_ms(*parts.clock), parts.clock->now());
@@ -64,6 +63,8 @@
         { instance_changed(key, value, written_after); });
     m_instances.on_caught_up([this] { schedule_round(); });
     m_instances.start();
+    // Restoring the records of a large cell takes time and is no pause.
+    m_last_turn = parts.clock->now();
     every_tick();
 }
 
--- a/libraries/cell/cell_owner.hpp
+++ b/libraries/cell/cell_owner.hpp
@@ -201,7 +201,7 @@
     std::optional<base::instant> m_confirmed_at;
     bool m_confirming{false};
     /// When this object last ran.
-    base::instant m_last_turn;
+    base::instant m_last_turn{};
     /// When the process went on after a pause; empty once the store has
     /// confirmed since then that it owns the work, or does not tell.
     std::optional<base::instant> m_resumed_at;
