--- a/tests/platform_adapter/store_format_test.cpp
+++ b/tests/platform_adapter/store_format_test.cpp
@@ -55,10 +55,12 @@
     for (std::size_t n = 0; n < 4; ++n)
     {
         auto const record = "\x09" + std::string(n, 'k');
-        auto const length =
-            std::string(3, '\0') + static_cast<char>(record.size());
-        auto const read = platform::decode_records(
-            number(2) + number(0) + length + record, 1);
+        auto answer = number(2);
+        answer += number(0);
+        answer.append(3, '\0');
+        answer += static_cast<char>(record.size());
+        answer += record;
+        auto const read = platform::decode_records(answer, 1);
         BOOST_REQUIRE(read.entries.size() == 1U);
         BOOST_TEST(
             (read.entries[0] == cell::log_entry{1, std::string(n, 'k'), {}}));
