scheduler, cell: Log why a task was started again

task_restarted says all of it in one line beside the later start, where no instance had reported the end of the last one. task_placed, leases_lapsed, attempt_lost and attempt_not_there name the token and the age of the last confirmation or report. An owner that nothing confirms writes ownership_unconfirmed, and the metrics tell its age.

A claim counts as a confirmation from before it was sent: any later claim is newer than that.

--- a/libraries/cell/cell_owner.cpp
+++ b/libraries/cell/cell_owner.cpp
@@ -39,14 +39,13 @@
                        scheduler::policy rules,
                        workload::cell_configuration const& configuration,
                        std::map<std::string, std::string> const& records,
-                       std::uint64_t token,
-                       std::uint64_t next,
+                       won_claim const& claim,
                        write_times list_times,
                        ownership_lost_handler on_ownership_lost)
     : m_parts{parts}
     , m_decisions{rules, *parts.log, parts.clock->now()}
-    , m_token{token}
-    , m_next{next}
+    , m_token{claim.token}
+    , m_next{claim.next}
     , m_on_ownership_lost{std::move(on_ownership_lost)}
     , m_append{*parts.loop, *parts.clock, *parts.cell, *parts.latency,
                parts.limits}
@@ -54,7 +53,10 @@
                   instances_follow_options}
     , m_tick{*parts.loop}
     , m_round{*parts.loop}
+    , m_confirmed_at{claim.sent_at}
 {
+    m_decisions.set_token(m_token);
+    m_decisions.ownership_confirmed(m_confirmed_at);
     m_decisions.set_configuration(configuration);
     m_decisions.restore(records, wall_ms(*parts.clock), parts.clock->now());
     m_instances.assume_write_times(std::move(list_times));
@@ -319,18 +321,13 @@
 {
     auto const phase = m_decisions.phase_of(it);
     auto const known = m_decisions.account_of(it).has_value();
-    constexpr double never = -1;
-    m_parts.log->write(
-        base::log_level::info, "cancellation_taken",
-        {{"job", text_of(it)},
-         {"known", known ? 1 : 0},
-         {"stored", phase ? scheduler::name_of(*phase) : "no"},
-         {"token", m_token},
-         {"next", m_next},
-         {"confirmed_s",
-          m_confirmed_at
-              ? base::seconds_of(m_parts.clock->now() - *m_confirmed_at)
-              : never}});
+    m_parts.log->write(base::log_level::info, "cancellation_taken",
+                       {{"job", text_of(it)},
+                        {"known", known ? 1 : 0},
+                        {"stored", phase ? scheduler::name_of(*phase) : "no"},
+                        {"token", m_token},
+                        {"next", m_next},
+                        {"confirmed_s", base::seconds_of(confirmed_ago())}});
 }
 
 /// Coalesces events that arrive together into one scheduling round and one
@@ -416,6 +413,7 @@
                 return;
             }
             note_turn();
+            report_unconfirmed();
             auto const now = m_parts.clock->now();
             m_decisions.set_advice_machines(m_parts.advice->sender_count());
             m_decisions.tick(wall_ms(*m_parts.clock), now);
--- a/libraries/cell/cell_owner.hpp
+++ b/libraries/cell/cell_owner.hpp
@@ -10,6 +10,7 @@
 #include <cell/log_follower.hpp>
 #include <cell/reliable_append.hpp>
 #include <cell/round_throttle.hpp>
+#include <cell/won_claim.hpp>
 #include <scheduler/scheduler.hpp>
 
 #include <boost/asio/io_context.hpp>
@@ -50,15 +51,13 @@
     /// Called at most once, when another owner has been detected.
     using ownership_lost_handler = std::function<void(char const* why)>;
 
-    /// `token` is the fencing token of the claim, `next` the offset after the
-    /// claim, and `records` the newest record of each key before the claim.
+    /// `records` are the newest record of each key before the claim.
     /// `list_times` is what former owners knew of the instances' log.
     cell_owner(owner_parts parts,
                scheduler::policy rules,
                workload::cell_configuration const& configuration,
                std::map<std::string, std::string> const& records,
-               std::uint64_t token,
-               std::uint64_t next,
+               won_claim const& claim,
                write_times list_times,
                ownership_lost_handler on_ownership_lost);
     cell_owner(cell_owner const&) = delete;
@@ -109,6 +108,12 @@
         return m_instances.known_write_times();
     }
 
+    /// How long ago this process certainly owned the work.
+    [[nodiscard]] base::duration confirmed_ago() const
+    {
+        return m_parts.clock->now() - m_confirmed_at;
+    }
+
     [[nodiscard]] scheduler::scheduler const& decisions() const noexcept
     {
         return m_decisions;
@@ -138,6 +143,7 @@
     void confirmed(base::instant at);
     [[nodiscard]] bool surely_owns() const;
     void refuse_unconfirmed();
+    void report_unconfirmed();
     void note_turn();
     void resume();
     void send_orders();
@@ -196,10 +202,11 @@
     std::optional<base::instant> m_open_since;
     /// Since when records have been waiting for the store; empty if none are.
     std::optional<base::instant> m_store_blocked_since;
-    /// The latest time at which this process certainly owned the work; empty if
-    /// the store has not confirmed it since the claim.
-    std::optional<base::instant> m_confirmed_at;
+    /// The latest time at which this process certainly owned the work.
+    base::instant m_confirmed_at;
     bool m_confirming{false};
+    /// The log has told that the ownership was not confirmed for long.
+    bool m_unconfirmed_reported{false};
     /// When this object last ran.
     base::instant m_last_turn{};
     /// When the process went on after a pause; empty once the store has
--- a/libraries/cell/cell_owner_confirm.cpp
+++ b/libraries/cell/cell_owner_confirm.cpp
@@ -23,6 +23,9 @@
 /// silence after which one claims.
 constexpr base::duration noted_pause = std::chrono::milliseconds{500};
 
+/// An owner that was not confirmed for this long is logged.
+constexpr base::duration logged_unconfirmed = std::chrono::seconds{2};
+
 /// A paused owner whose store is slow goes on after this time: running tasks
 /// need their leases.
 constexpr base::duration max_resume_wait = std::chrono::seconds{1};
@@ -50,8 +53,7 @@
 
 bool cell_owner::surely_owns() const
 {
-    return m_confirmed_at &&
-           m_parts.clock->now() - *m_confirmed_at <= max_unconfirmed;
+    return confirmed_ago() <= max_unconfirmed;
 }
 
 /// Looks whether the log still ends where this owner's records end. An append
@@ -114,7 +116,8 @@
 /// This process certainly owned the work at that time.
 void cell_owner::confirmed(base::instant at)
 {
-    m_confirmed_at = std::max(m_confirmed_at.value_or(at), at);
+    m_confirmed_at = std::max(m_confirmed_at, at);
+    m_decisions.ownership_confirmed(m_confirmed_at);
     if (m_resumed_at && at >= *m_resumed_at)
     {
         resume();
@@ -138,6 +141,24 @@
     }
 }
 
+/// Logs once that the ownership has not been confirmed for long, and that it is
+/// again.
+void cell_owner::report_unconfirmed()
+{
+    auto const ago = confirmed_ago();
+    auto const is_long = ago > logged_unconfirmed;
+    if (std::exchange(m_unconfirmed_reported, is_long) == is_long)
+    {
+        return;
+    }
+    m_parts.log->write(
+        is_long ? base::log_level::warning : base::log_level::info,
+        is_long ? "ownership_unconfirmed" : "ownership_confirmed",
+        {{"token", m_token},
+         {"confirmed_s", base::seconds_of(ago)},
+         {"store_stuck_s", base::seconds_of(store_stuck())}});
+}
+
 /// Detects that the process was paused. Nothing that another owner may not
 /// expect leaves this one before the store has confirmed the ownership: leases
 /// that it renews are taken to have expired by then.
--- a/libraries/cell/node.cpp
+++ b/libraries/cell/node.cpp
@@ -244,8 +244,7 @@
 }
 
 void node::began(std::map<std::string, std::string> const& records,
-                 std::uint64_t token,
-                 std::uint64_t next)
+                 won_claim const& claim)
 {
     m_owns_since = m_clock.now();
     m_yielding = false;
@@ -262,7 +261,7 @@
                                    &m_latency,
                                    append_limits_of(m_settings.platform)};
     m_owner = std::make_unique<cell_owner>(
-        parts, policy(), m_configuration, records, token, next, m_list_times,
+        parts, policy(), m_configuration, records, claim, m_list_times,
         [this](char const* why) { m_ownership.lose_ownership(why); });
     m_peer_service.wake();
 }
--- a/libraries/cell/node.hpp
+++ b/libraries/cell/node.hpp
@@ -50,8 +50,7 @@
     // ownership::listener
     void claimed() override;
     void began(std::map<std::string, std::string> const& records,
-               std::uint64_t token,
-               std::uint64_t next) override;
+               won_claim const& claim) override;
     void ended() override;
     [[nodiscard]] configuration_age configuration_here() const override;
     void
--- a/libraries/cell/node_answers.cpp
+++ b/libraries/cell/node_answers.cpp
@@ -271,6 +271,7 @@
         now.outdated_instances =
             now.decisions->outdated_instances(m_clock.now());
         now.store_stuck = m_owner->store_stuck();
+        now.confirmed_ago = m_owner->confirmed_ago();
     }
     if (auto const& it = m_store.outage(); it)
     {
--- a/libraries/cell/node_metrics.cpp
+++ b/libraries/cell/node_metrics.cpp
@@ -141,6 +141,9 @@
     set("berylhill_cell_store_stuck_seconds",
         "For how long the store has not taken what should be stored.",
         base::seconds_of(it.store_stuck));
+    set("berylhill_cell_ownership_confirmed_seconds",
+        "How long ago the owner last knew that it owns the work.",
+        base::seconds_of(it.confirmed_ago));
     set("berylhill_cell_store_outage_seconds",
         "Length of the store's outage up to its last call not served.",
         base::seconds_of(it.store_outage));
--- a/libraries/cell/node_metrics.hpp
+++ b/libraries/cell/node_metrics.hpp
@@ -46,6 +46,8 @@
         /// See `scheduler::outdated_instances`.
         std::size_t outdated_instances{0};
         base::duration store_stuck{0};
+        /// See `cell_owner::confirmed_ago`; 0 while this process does not own.
+        base::duration confirmed_ago{0};
         /// Length of the present outage up to the last call that was not
         /// served; see `store_contact::outage`.
         base::duration store_outage{0};
--- a/libraries/cell/ownership.hpp
+++ b/libraries/cell/ownership.hpp
@@ -9,6 +9,7 @@
 #include <cell/replica.hpp>
 #include <cell/store_contact.hpp>
 #include <cell/store_succession.hpp>
+#include <cell/won_claim.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -86,11 +87,9 @@
         virtual void claimed() = 0;
 
         /// This process now owns the work and has read the records: `records`
-        /// are the newest ones before the claim, `token` is the claim's fencing
-        /// token and `next` the offset after the claim.
+        /// are the newest ones before the claim.
         virtual void began(std::map<std::string, std::string> const& records,
-                           std::uint64_t token,
-                           std::uint64_t next) = 0;
+                           won_claim const& claim) = 0;
 
         /// This process no longer owns the work. Also called if it has not
         /// begun.
--- a/libraries/cell/ownership_claim.cpp
+++ b/libraries/cell/ownership_claim.cpp
@@ -375,7 +375,8 @@
     }
     m_state = ownership_state::owning;
     m_follower.stop();
-    m_listener.began(m_replica.records(), m_owner.token, m_owner.token);
+    m_listener.began(m_replica.records(),
+                     {m_owner.token, m_owner.token, m_claim_began});
     m_replica.clear();
 }
 
--- a/libraries/scheduler/instance.cpp
+++ b/libraries/scheduler/instance.cpp
@@ -84,6 +84,7 @@
 void instance::reported(base::instant at, std::int64_t clock_ms)
 {
     heard(at, clock_ms);
+    m_reported_at = at;
     m_fenced = true;
     m_reachable = true;
 }
@@ -192,4 +193,9 @@
     return age ? base::seconds_of(*age) : -1;
 }
 
+double logged_ago(std::optional<base::instant> const& it, base::instant now)
+{
+    return it ? base::seconds_of(now - *it) : -1;
+}
+
 } // namespace berylhill::scheduler
--- a/libraries/scheduler/instance.hpp
+++ b/libraries/scheduler/instance.hpp
@@ -222,6 +222,12 @@
         m_reachable = false;
     }
 
+    /// When its last report was read; empty if it has not reported.
+    [[nodiscard]] std::optional<base::instant> reported_at() const noexcept
+    {
+        return m_reported_at;
+    }
+
     /// Records a reading of the instance's clock.
     void heard(base::instant at, std::int64_t clock_ms);
 
@@ -357,6 +363,7 @@
     std::size_t m_unknown_needs{0};
     std::map<attempt_name, attempt> m_attempts;
     std::uint64_t m_seen_end{0};
+    std::optional<base::instant> m_reported_at;
     std::optional<base::instant> m_clock_read_at;
     std::int64_t m_clock_ms{0};
     base::instant m_lease_end;
@@ -369,4 +376,8 @@
 /// unknown.
 [[nodiscard]] double logged_age(instance const& it, base::instant now);
 
+/// The time since then in seconds for log lines; negative if it is empty.
+[[nodiscard]] double logged_ago(std::optional<base::instant> const& it,
+                                base::instant now);
+
 } // namespace berylhill::scheduler
--- a/libraries/scheduler/scheduler.cpp
+++ b/libraries/scheduler/scheduler.cpp
@@ -23,6 +23,7 @@
 scheduler::scheduler(policy rules, decision_log& log, base::instant now)
     : m_rules{rules}
     , m_log{&log}
+    , m_confirmed_at{now}
     , m_instances{former_lease_end(rules, now)}
     , m_jobs{rules.layout}
 {
--- a/libraries/scheduler/scheduler.hpp
+++ b/libraries/scheduler/scheduler.hpp
@@ -11,6 +11,7 @@
 #include <scheduler/outcomes.hpp>
 #include <scheduler/placement.hpp>
 #include <scheduler/policy.hpp>
+#include <scheduler/presumed_end.hpp>
 #include <scheduler/run_times.hpp>
 #include <scheduler/start_place.hpp>
 #include <scheduler/start_waits.hpp>
@@ -52,6 +53,19 @@
 
     void set_configuration(workload::cell_configuration const& it);
 
+    /// Sets the owner's fencing token, for the log.
+    void set_token(std::uint64_t it) noexcept
+    {
+        m_token = it;
+    }
+
+    /// This process certainly owned the work at that time; before the first
+    /// call, when this object was created.
+    void ownership_confirmed(base::instant at) noexcept
+    {
+        m_confirmed_at = at;
+    }
+
     /// The client account of a job, empty if it has none; no value if the job
     /// is unknown.
     [[nodiscard]] std::optional<std::string>
@@ -306,7 +320,16 @@
     void report_lost(instance const& at,
                      attempt_name const& name,
                      attempt const& it,
-                     end_reason reason) const;
+                     end_reason reason,
+                     base::instant now) const;
+    void presume_ended(instance& at,
+                       attempt_name const& name,
+                       end_reason reason,
+                       base::instant now);
+    void report_restart(attempt_name const& name,
+                        std::string const& on,
+                        base::instant now);
+    [[nodiscard]] double confirmed_s(base::instant now) const;
     void note_health(instance& at, end_reason reason, base::instant now);
     void read_report(instance& at, hold_report const& it);
     void read_running(instance& at, hold_report const& it);
@@ -522,6 +545,11 @@
 
     policy m_rules;
     decision_log* m_log;
+    std::uint64_t m_token{0};
+    /// The latest time at which this process certainly owned the work.
+    base::instant m_confirmed_at;
+    /// The last attempts of waiting tasks, if no instance reported their ends.
+    std::map<workload::task_name, presumed_end> m_presumed_ends;
     /// All queues of any configuration so far: jobs of a removed queue continue
     /// under its last configuration.
     std::map<std::string, workload::queue_spec> m_queues;
--- a/libraries/scheduler/scheduler_decide.cpp
+++ b/libraries/scheduler/scheduler_decide.cpp
@@ -293,7 +293,10 @@
                   {"max_of_step", of.spec_of(name.step).max_per_instance},
                   {"required_label", of.spec_of(name.step).required_label},
                   {"entry_age_s", logged_age(where, now)},
+                  {"token", m_token},
+                  {"confirmed_s", confirmed_s(now)},
                   {"waited_s", base::seconds_of(now - of.accepted_at)}});
+    report_restart(named, on, now);
 }
 
 } // namespace berylhill::scheduler
--- a/libraries/scheduler/scheduler_ends.cpp
+++ b/libraries/scheduler/scheduler_ends.cpp
@@ -36,7 +36,7 @@
     if (was && instance_lost(reason))
     {
         ++m_counts.ends_lost;
-        report_lost(at, name, *was, reason);
+        report_lost(at, name, *was, reason, now);
     }
     at.remove(name);
     if (was && was->sends.any_under_way() &&
@@ -156,7 +156,8 @@
 void scheduler::report_lost(instance const& at,
                             attempt_name const& name,
                             attempt const& it,
-                            end_reason reason) const
+                            end_reason reason,
+                            base::instant now) const
 {
     m_log->write(base::log_level::info, "attempt_lost",
                  {{"task", text_of(name.task)},
@@ -164,10 +165,60 @@
                   {"instance", at.info().id},
                   {"reason", name_of(reason)},
                   {"began", it.state == attempt_state::running ? 1 : 0},
+                  {"inherited", it.state == attempt_state::inherited ? 1 : 0},
+                  {"token", m_token},
+                  {"reported_s", logged_ago(at.reported_at(), now)},
                   {"worked_s", base::seconds_of(it.seen_work())},
                   {"beside", std::uint64_t{at.attempts().size() - 1}}});
 }
 
+/// Ends an attempt whose end no instance has reported, and keeps the reason for
+/// the log line of the task's next start.
+void scheduler::presume_ended(instance& at,
+                              attempt_name const& name,
+                              end_reason reason,
+                              base::instant now)
+{
+    auto const* const it = find_task(name.task);
+    if (it != nullptr && it->phase == task_phase::placed && it->run == name.run)
+    {
+        m_presumed_ends[name.task] = {name.run, at.info().id, reason,
+                                      at.reported_at()};
+    }
+    attempt_ended(at, name, reason, {}, now);
+}
+
+/// Logs why the task's last attempt was taken to be over, if no instance said
+/// so: the line to look for if two attempts of a task ran at the same time.
+void scheduler::report_restart(attempt_name const& name,
+                               std::string const& on,
+                               base::instant now)
+{
+    auto const found = m_presumed_ends.find(name.task);
+    if (found == m_presumed_ends.end())
+    {
+        return;
+    }
+    auto const& last = found->second;
+    m_log->write(base::log_level::info, "task_restarted",
+                 {{"task", text_of(name.task)},
+                  {"run", name.run},
+                  {"instance", on},
+                  {"token", m_token},
+                  {"confirmed_s", confirmed_s(now)},
+                  {"last_run", last.run},
+                  {"last_instance", last.instance},
+                  {"last_end", name_of(last.reason)},
+                  {"last_reported_s", logged_ago(last.reported_at, now)}});
+    m_presumed_ends.erase(found);
+}
+
+/// How long ago this process certainly owned the work, for log lines.
+double scheduler::confirmed_s(base::instant now) const
+{
+    return base::seconds_of(now - m_confirmed_at);
+}
+
 void scheduler::task_done(job&, step& in, task& it)
 {
     it.phase = task_phase::done;
@@ -300,6 +351,13 @@
     m_finished = true;
     of.finished_ms = m_wall_ms;
     m_jobs.finish(of, phase, now);
+    auto const first = m_presumed_ends.lower_bound({{id, 0, 0}, 0});
+    auto last = first;
+    while (last != m_presumed_ends.end() && last->first.step.job == id)
+    {
+        ++last;
+    }
+    m_presumed_ends.erase(first, last);
     m_log->write(base::log_level::info, "job_finished",
                  {{"job", text_of(id)},
                   {"phase", name_of(phase)},
@@ -356,7 +414,7 @@
     }
     for (auto const& name : names)
     {
-        attempt_ended(at, name, reason, {}, now);
+        presume_ended(at, name, reason, now);
     }
 }
 
--- a/libraries/scheduler/scheduler_orders.cpp
+++ b/libraries/scheduler/scheduler_orders.cpp
@@ -166,7 +166,10 @@
         {
             m_log->write(base::log_level::warning, "leases_lapsed",
                          {{"instance", id},
-                          {"attempts", std::uint64_t{at->attempts().size()}}});
+                          {"attempts", std::uint64_t{at->attempts().size()}},
+                          {"token", m_token},
+                          {"confirmed_s", confirmed_s(now)},
+                          {"reported_s", logged_ago(at->reported_at(), now)}});
             end_sent_attempts(*at, end_reason::instance_silent, now);
         }
         retry(*at, now);
--- a/libraries/scheduler/scheduler_reports.cpp
+++ b/libraries/scheduler/scheduler_reports.cpp
@@ -148,8 +148,11 @@
         m_log->write(base::log_level::info, "attempt_not_there",
                      {{"task", text_of(name.task)},
                       {"run", name.run},
-                      {"instance", it.instance}});
-        attempt_ended(at, name, end_reason::lease_lapsed, {}, it.read_at);
+                      {"instance", it.instance},
+                      {"token", m_token},
+                      {"confirmed_s", confirmed_s(it.read_at)},
+                      {"asked_s", base::seconds_of(it.read_at - it.sent_at)}});
+        presume_ended(at, name, end_reason::lease_lapsed, it.read_at);
     }
 }
 
--- a/tests/cell/call_router_test.cpp
+++ b/tests/cell/call_router_test.cpp
@@ -84,8 +84,7 @@
     }
 
     void began(std::map<std::string, std::string> const&,
-               std::uint64_t,
-               std::uint64_t) override
+               cell::won_claim const&) override
     {
     }
     void claimed() override {}
--- a/tests/cell/cell_owner_test.cpp
+++ b/tests/cell/cell_owner_test.cpp
@@ -119,8 +119,9 @@
             cell::owner_parts{&loop, &clock, &log, &listed, &orders, &desk,
                               &reader, &decisions, &latency},
             scheduler::policy{}, configuration,
-            std::map<std::string, std::string>{}, 1, 0, std::move(list_times),
-            [this](char const*) { lost = true; });
+            std::map<std::string, std::string>{},
+            cell::won_claim{1, 0, clock.now() - restoring},
+            std::move(list_times), [this](char const*) { lost = true; });
     }
 
     [[nodiscard]] cell::job_call submission(std::uint64_t id,
@@ -182,7 +183,8 @@
         owner = std::make_unique<cell::cell_owner>(
             cell::owner_parts{&loop, &clock, &log, &listed, &orders, &desk,
                               &reader, &decisions, &latency},
-            scheduler::policy{}, configuration, records, next, next,
+            scheduler::policy{}, configuration, records,
+            cell::won_claim{next, next, clock.now() - restoring},
             cell::write_times{}, [](char const*) {});
     }
 
@@ -272,6 +274,8 @@
     static constexpr base::duration short_timeout =
         std::chrono::milliseconds{250};
     static constexpr base::duration long_timeout = std::chrono::seconds{4};
+    /// From an owner's claim until it has read the records.
+    static constexpr base::duration restoring = std::chrono::seconds{1};
 
     workload::cell_configuration configuration;
     /// What the owner's process has in force if that is newer.
--- a/tests/cell/ownership_process.hpp
+++ b/tests/cell/ownership_process.hpp
@@ -170,10 +170,9 @@
     }
 
     void began(std::map<std::string, std::string> const& records,
-               std::uint64_t token,
-               std::uint64_t next) override
+               cell::won_claim const& claim) override
     {
-        takeovers.push_back({records, token, next});
+        takeovers.push_back({records, claim.token, claim.next});
     }
 
     void claimed() override
--- a/tests/cell/rejections_random_test.cpp
+++ b/tests/cell/rejections_random_test.cpp
@@ -120,14 +120,13 @@
     // cell::ownership::listener
     void claimed() override {}
     void began(std::map<std::string, std::string> const& records,
-               std::uint64_t token,
-               std::uint64_t next) override
+               cell::won_claim const& claim) override
     {
         ++takeovers;
         m_owner = std::make_unique<cell::cell_owner>(
             cell::owner_parts{&m_loop, &m_clock, &m_log, &m_listed, &m_orders,
                               &m_desk, &m_reader, &m_decisions, &m_latency},
-            scheduler::policy{}, m_configuration, records, token, next,
+            scheduler::policy{}, m_configuration, records, claim,
             cell::write_times{},
             [this](char const* why) { m_ownership.lose_ownership(why); });
         m_service.wake();
