scheduler, cell: End what a former owner does by itself

Callers saw a task run in two places. An owner that was cut off together with some instances went on renewing their leases for as long as the cut lasted, since only an instance that knows a later token stopped it. Its successor did not reach these instances, took the leases to have ended a lease and 2 s after the takeover, which nothing enforced, and started their tasks elsewhere.

An owner now has a lease of its own (policy::ownership_lease, 2 s), counted from before the store last showed that no other process had claimed: an append that was stored, or a read of the log's end every 0.7 s while it stores nothing. Leases that it grants begin by the end of that one, so they end by themselves before the successor's wait is over, whatever is delayed or paused, since their ends are times of the instance's clock. Beyond it an owner places, starts and repeats nothing: an instance that crashed has seen no token of the successor.

An append confirms from when the attempt that the store answered was sent, no longer from when its batch began, so that work goes on at once when the store is back.

Evidence: a former owner and its successor on virtual time, an instance that only the former one reaches.

The test that lets a confirmation become outdated waits for its age now, not for a time: an idle owner is confirmed regularly. It checks the same.

Price: where the store is away for all for longer than 2 s and a lease, what runs ends, and an owner that learns nothing for 2 s starts nothing.

--- a/libraries/cell/batch_append.cpp
+++ b/libraries/cell/batch_append.cpp
@@ -37,7 +37,7 @@
                          handler done)
 {
     m_busy = true;
-    m_outcome = {reliable_append_outcome::stored, at, {}};
+    m_outcome = {reliable_append_outcome::stored, at, {}, std::nullopt};
     m_begun.clear();
     m_rejected.clear();
     m_anything_stored = false;
@@ -168,6 +168,7 @@
 void batch_append::stored(std::size_t records)
 {
     m_outcome.next += records;
+    m_outcome.stored_after = m_append.stored_after();
     m_anything_stored = true;
     m_in_doubt = false;
     for (auto const& it : m_calls.front())
--- a/libraries/cell/batch_append.hpp
+++ b/libraries/cell/batch_append.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -21,6 +22,9 @@
     /// The offset after the last record that was stored.
     std::uint64_t next{0};
     std::vector<scheduler::rejected_job> rejected;
+    /// If anything is stored: the last call that was stored took effect after
+    /// this time.
+    std::optional<base::instant> stored_after;
 
     friend bool operator==(batch_outcome const&,
                            batch_outcome const&) = default;
--- a/libraries/cell/cell_owner.cpp
+++ b/libraries/cell/cell_owner.cpp
@@ -413,6 +413,7 @@
                 return;
             }
             note_turn();
+            confirm_regularly();
             report_unconfirmed();
             auto const now = m_parts.clock->now();
             m_decisions.set_advice_machines(m_parts.advice->sender_count());
--- a/libraries/cell/cell_owner.hpp
+++ b/libraries/cell/cell_owner.hpp
@@ -143,6 +143,7 @@
     void confirmed(base::instant at);
     [[nodiscard]] bool surely_owns() const;
     void refuse_unconfirmed();
+    void confirm_regularly();
     void report_unconfirmed();
     void note_turn();
     void resume();
@@ -205,6 +206,8 @@
     /// The latest time at which this process certainly owned the work.
     base::instant m_confirmed_at;
     bool m_confirming{false};
+    /// When the ownership may next be confirmed without an occasion.
+    base::instant m_next_confirmation{};
     /// The log has told that the ownership was not confirmed for long.
     bool m_unconfirmed_reported{false};
     /// When this object last ran.
@@ -215,8 +218,6 @@
     /// Callers who ask for a job that is not known; they are told so once the
     /// store has confirmed that this process still owns the work.
     std::vector<unconfirmed_caller> m_unconfirmed;
-    /// When the append in progress was sent.
-    base::instant m_append_sent_at{};
     /// A batch was taken back, and none has been stored since.
     bool m_batch_taken_back{false};
     /// No append is sent before this time.
--- a/libraries/cell/cell_owner_batch.cpp
+++ b/libraries/cell/cell_owner_batch.cpp
@@ -124,7 +124,6 @@
         return;
     }
     m_store_blocked_since = m_store_blocked_since.value_or(now);
-    m_append_sent_at = now;
     m_append.begin(m_next, std::move(records),
                    [this](batch_outcome const& it) { batch_ended(it); });
 }
@@ -139,10 +138,13 @@
         return;
     }
     m_next = it.next;
+    if (it.stored_after)
+    {
+        confirmed(*it.stored_after);
+    }
     m_decisions.batch_stored(m_parts.clock->now(), it.rejected);
     answer_rejected(it.rejected);
     stored();
-    confirmed(m_append_sent_at);
 }
 
 /// A submission of which certainly nothing is stored has been withdrawn. Of the
--- a/libraries/cell/cell_owner_confirm.cpp
+++ b/libraries/cell/cell_owner_confirm.cpp
@@ -23,6 +23,10 @@
 /// silence after which one claims.
 constexpr base::duration noted_pause = std::chrono::milliseconds{500};
 
+/// An owner that stores nothing has its ownership confirmed this often, and
+/// tries again this often: a part of `policy::ownership_lease`.
+constexpr base::duration confirmation_pause = std::chrono::milliseconds{700};
+
 /// An owner that was not confirmed for this long is logged.
 constexpr base::duration logged_unconfirmed = std::chrono::seconds{2};
 
@@ -141,6 +145,19 @@
     }
 }
 
+/// What an owner may do by itself ends with its ownership lease. One that
+/// stores nothing would learn nothing of a successor either.
+void cell_owner::confirm_regularly()
+{
+    auto const now = m_parts.clock->now();
+    if (confirmed_ago() < confirmation_pause || now < m_next_confirmation)
+    {
+        return;
+    }
+    m_next_confirmation = now + confirmation_pause;
+    confirm();
+}
+
 /// Logs once that the ownership has not been confirmed for long, and that it is
 /// again.
 void cell_owner::report_unconfirmed()
--- a/libraries/cell/cell_owner_orders.cpp
+++ b/libraries/cell/cell_owner_orders.cpp
@@ -71,6 +71,16 @@
 
 void cell_owner::send(scheduler::start_order const& it)
 {
+    auto const now = m_parts.clock->now();
+    if (!m_decisions.surely_owns(now))
+    {
+        // The process was paused after the decision. The order counts as sent
+        // and unanswered; if this is still the owner, it is repeated.
+        m_decisions.start_answered({it.instance, it.attempt, it.send,
+                                    scheduler::start_answer::unanswered, 0},
+                                   now);
+        return;
+    }
     m_holds.wake(it.instance);
     m_parts.orders->start(
         target(it.instance), it, start_timeout,
--- a/libraries/cell/reliable_append.cpp
+++ b/libraries/cell/reliable_append.cpp
@@ -216,6 +216,7 @@
     switch (it.outcome)
     {
     case append_outcome::stored:
+        m_stored_after = sent_at;
         finish(reliable_append_outcome::stored);
         return;
     case append_outcome::conflict:
@@ -345,6 +346,7 @@
     m_found += it.entries.size();
     if (m_found >= m_records.size())
     {
+        m_stored_after = m_began;
         finish(reliable_append_outcome::stored);
         return;
     }
--- a/libraries/cell/reliable_append.hpp
+++ b/libraries/cell/reliable_append.hpp
@@ -87,6 +87,12 @@
         return m_busy && m_refusals > 1;
     }
 
+    /// The last append that was stored took effect after this time.
+    [[nodiscard]] base::instant stored_after() const noexcept
+    {
+        return m_stored_after;
+    }
+
     /// Takes back an append that is certainly not stored: all attempts were
     /// refused and none is in flight. `done` is then never called. Returns
     /// false and changes nothing if the records may be stored.
@@ -117,6 +123,7 @@
     std::vector<scheduler::record> m_records;
     base::duration m_limit{0};
     base::instant m_began{};
+    base::instant m_stored_after{};
     std::uint32_t m_tries{0};
     std::uint32_t m_refusals{0};
     /// Reads of the records at the offset so far.
--- a/libraries/scheduler/instance.cpp
+++ b/libraries/scheduler/instance.cpp
@@ -89,13 +89,13 @@
     m_reachable = true;
 }
 
-std::int64_t instance::grant(base::instant now, policy const& rules)
+std::int64_t instance::grant(base::instant from, policy const& rules)
 {
     if (!m_clock_read_at)
     {
         return 0;
     }
-    auto const since = now - *m_clock_read_at;
+    auto const since = from - *m_clock_read_at;
     auto const until = m_clock_ms + milliseconds_of(since + rules.lease);
     // The instance read its clock before this process received the reading, so
     // by the local clock the lease expires no later than this, however slow the
--- a/libraries/scheduler/instance.hpp
+++ b/libraries/scheduler/instance.hpp
@@ -234,10 +234,10 @@
     /// As `heard`, for a report: marks the instance as fenced and reachable.
     void reported(base::instant at, std::int64_t clock_ms);
 
-    /// Grants a lease that starts now. Returns its end in milliseconds on the
-    /// instance's clock, or 0 while that clock is unknown, and records the
+    /// Grants a lease that starts at `from`. Returns its end in milliseconds on
+    /// the instance's clock, or 0 while that clock is unknown, and records the
     /// latest time at which the lease expires.
-    [[nodiscard]] std::int64_t grant(base::instant now, policy const& rules);
+    [[nodiscard]] std::int64_t grant(base::instant from, policy const& rules);
 
     /// Records that a lease is in force that was granted by `now` at the
     /// latest.
--- a/libraries/scheduler/policy.hpp
+++ b/libraries/scheduler/policy.hpp
@@ -25,9 +25,11 @@
     /// Added to the expiry of a lease for rounding errors and the instance's
     /// own timers.
     base::duration lapse_margin{std::chrono::milliseconds{300}};
-    /// A former owner may renew leases until some instance rejects it. After a
-    /// takeover its last renewals are assumed to be this late.
-    base::duration former_owner_margin{std::chrono::seconds{2}};
+    /// How long an owner goes on by itself after the last moment at which it
+    /// certainly owned the work: then it starts nothing, and what it renews
+    /// ends no later than a lease after that. The next owner waits for it, so
+    /// it is short; an owner confirms itself several times in it.
+    base::duration ownership_lease{std::chrono::seconds{2}};
     /// How long an instance waits for an attempt to end before it answers a
     /// hold request.
     base::duration hold_wait{std::chrono::milliseconds{1'000}};
--- a/libraries/scheduler/scheduler.cpp
+++ b/libraries/scheduler/scheduler.cpp
@@ -11,11 +11,12 @@
 namespace
 {
 
-/// When all leases of former owners have expired after a takeover.
+/// When all leases of former owners have expired after a takeover: a former
+/// owner grants none that begins later than an ownership lease after it.
 base::instant former_lease_end(policy const& rules, base::instant now)
 {
     return now + longest_locally(rules.lease, rules) + rules.lapse_margin +
-           rules.former_owner_margin;
+           rules.ownership_lease;
 }
 
 } // namespace
--- a/libraries/scheduler/scheduler.hpp
+++ b/libraries/scheduler/scheduler.hpp
@@ -66,6 +66,13 @@
         m_confirmed_at = at;
     }
 
+    /// Whether this process may start tasks: it has certainly owned the work
+    /// within `policy::ownership_lease`.
+    [[nodiscard]] bool surely_owns(base::instant now) const
+    {
+        return now - m_confirmed_at <= m_rules.ownership_lease;
+    }
+
     /// The client account of a job, empty if it has none; no value if the job
     /// is unknown.
     [[nodiscard]] std::optional<std::string>
@@ -148,7 +155,7 @@
     /// Runs a scheduling round, which places tasks that can start. A round
     /// examines a bounded number of instances; if that does not suffice for all
     /// steps, the next one continues with the remaining steps, after a look at
-    /// the most urgent ones.
+    /// the most urgent ones. Does nothing unless `surely_owns`.
     void decide(base::instant now);
     /// Whether the last round reached the last step.
     [[nodiscard]] bool round_complete() const noexcept
@@ -384,6 +391,7 @@
                       base::instant now) const;
 
     // scheduler_orders.cpp
+    [[nodiscard]] base::instant lease_begin(base::instant now) const;
     void retry(instance& at, base::instant now);
     void send_again(instance& at,
                     attempt_name const& name,
--- a/libraries/scheduler/scheduler_orders.cpp
+++ b/libraries/scheduler/scheduler_orders.cpp
@@ -34,6 +34,15 @@
 
 } // namespace
 
+/// When a lease that is granted now begins. A former owner that does not know
+/// that it is one may still reach instances that its successor does not: the
+/// leases there must end by themselves before the successor starts their tasks
+/// elsewhere.
+base::instant scheduler::lease_begin(base::instant now) const
+{
+    return std::min(now, m_confirmed_at + m_rules.ownership_lease);
+}
+
 hold_order scheduler::next_hold(std::string const& id, base::instant now)
 {
     auto* const it = m_instances.find(id);
@@ -53,7 +62,8 @@
         return out;
     }
     out.seen_end = it->seen_end();
-    out.until_ms = it->attempts().empty() ? 0 : it->grant(now, m_rules);
+    out.until_ms =
+        it->attempts().empty() ? 0 : it->grant(lease_begin(now), m_rules);
     out.wait = m_rules.hold_wait;
     return out;
 }
@@ -114,6 +124,7 @@
                   {"run", name.run},
                   {"instance", at.info().id},
                   {"stop_wanted", it.stop_wanted ? 1 : 0},
+                  {"confirmed_s", confirmed_s(now)},
                   {"listed", at.listed() ? 1 : 0},
                   {"draining", at.info().draining ? 1 : 0},
                   {"over_capacity", at.over_capacity() ? 1 : 0},
@@ -135,14 +146,15 @@
     {
         return;
     }
-    if (found->stop_wanted || !may_start(*at, it.attempt, *found, now))
+    if (found->stop_wanted || !surely_owns(now) ||
+        !may_start(*at, it.attempt, *found, now))
     {
-        // The attempt was cancelled before its order was sent, or the instance
-        // began to leave, lost capacity or may have lost some, or another
-        // attempt was found, or the task may not run there any more, or the
-        // account's cap was lowered, while the record was being stored, which
-        // takes seconds while the store is unavailable. Nothing has to be
-        // stopped.
+        // The attempt was cancelled before its order was sent, or another
+        // process may own the work by now, or the instance began to leave, lost
+        // capacity or may have lost some, or another attempt was found, or the
+        // task may not run there any more, or the account's cap was lowered,
+        // while the record was being stored, which takes seconds while the
+        // store is unavailable. Nothing has to be stopped.
         ++m_counts.withheld;
         report_withheld(*at, it.attempt, *found, now);
         attempt_ended(*at, it.attempt, end_reason::stopped, {}, now);
@@ -151,7 +163,7 @@
     found->state = attempt_state::sent;
     found->next_try = now + m_rules.order_retry;
     at->note_asked(now);
-    it.until_ms = at->grant(now, m_rules);
+    it.until_ms = at->grant(lease_begin(now), m_rules);
     it.send = found->sends.add();
     ++m_counts.starts;
     m_orders.emplace_back(std::move(it));
@@ -212,9 +224,10 @@
         m_orders.emplace_back(stop_order{at.info().id, name});
         return;
     }
-    if (!at.reachable())
+    if (!at.reachable() || !surely_owns(now))
     {
-        // As with hold requests, an order would grant a lease.
+        // As with hold requests, an order would grant a lease; and a later life
+        // of the instance has seen no token of a later owner.
         return;
     }
     if (!may_start(at, name, it, now))
@@ -232,9 +245,9 @@
     }
     auto const& spec = job->spec();
     at.note_asked(now);
-    m_orders.emplace_back(start_order{at.info().id, name, spec.payload,
-                                      it.checkpoint, it.ticket,
-                                      at.grant(now, m_rules), it.sends.add()});
+    m_orders.emplace_back(
+        start_order{at.info().id, name, spec.payload, it.checkpoint, it.ticket,
+                    at.grant(lease_begin(now), m_rules), it.sends.add()});
     report_sends(base::log_level::info, "start_sent_again", at, name, it, now);
 }
 
--- a/libraries/scheduler/scheduler_rounds.cpp
+++ b/libraries/scheduler/scheduler_rounds.cpp
@@ -25,6 +25,11 @@
 
 void scheduler::decide(base::instant now)
 {
+    if (!surely_owns(now))
+    {
+        m_resume_after.reset();
+        return;
+    }
     if (!m_resume_after)
     {
         ++m_round;
--- a/tests/cell/cell_owner_test.cpp
+++ b/tests/cell/cell_owner_test.cpp
@@ -267,8 +267,8 @@
     /// it owns the work.
     void outlast_confirmation()
     {
-        auto const end = clock.now() + 2 * max_unconfirmed;
-        run_until([&] { return clock.now() > end; });
+        BOOST_REQUIRE(run_until(
+            [&] { return owner->confirmed_ago() > max_unconfirmed; }));
     }
 
     static constexpr base::duration short_timeout =
@@ -639,6 +639,31 @@
     BOOST_TEST((orders.holds > before) == !overtaken);
 }
 
+/// An owner that stores nothing is confirmed all the same, as often as it must
+/// be to go on.
+BOOST_AUTO_TEST_CASE(an_idle_owner_is_confirmed)
+{
+    log.append_behaviors.clear();
+    auto const until = clock.now() + 2 * scheduler::policy{}.ownership_lease;
+    auto longest = base::duration{0};
+    run_until(
+        [&]
+        {
+            longest = std::max(longest, owner->confirmed_ago());
+            return clock.now() > until;
+        });
+    BOOST_TEST((longest < scheduler::policy{}.ownership_lease));
+}
+
+/// Guards against a former owner that learns nothing of its successor, since it
+/// stores nothing and its instances do not know the successor either.
+BOOST_AUTO_TEST_CASE(an_idle_owner_learns_of_its_successor)
+{
+    log.append_behaviors.clear();
+    log.put({{std::string{cell::owner_key}, "a later claim"}});
+    BOOST_TEST(run_until([&] { return lost; }));
+}
+
 /// While the store tells nothing, running tasks keep their leases.
 BOOST_AUTO_TEST_CASE(a_paused_owner_goes_on_if_the_store_does_not_tell)
 {
--- a/tests/scheduler/instance_lives_test.cpp
+++ b/tests/scheduler/instance_lives_test.cpp
@@ -482,7 +482,8 @@
     it.decisions.hold_unanswered(later, it.now);
     it.list("b");
     it.report("b");
-    it.now = reborn_at + max_request_delay + std::chrono::milliseconds{10'100};
+    it.advance(reborn_at + max_request_delay +
+               std::chrono::milliseconds{10'100} - it.now);
     it.decisions.tick(0, it.now);
     BOOST_TEST(it.starts().empty());
 }
--- a/tests/scheduler/owner_test.cpp
+++ b/tests/scheduler/owner_test.cpp
@@ -269,6 +269,125 @@
     }
 }
 
+namespace
+{
+
+/// For how long nothing has confirmed an owner that renews a lease, and for how
+/// long before the renewal ends its lease would have begun.
+struct unconfirmed_case
+{
+    base::duration unconfirmed;
+    base::duration cut;
+
+    friend std::ostream& operator<<(std::ostream& to,
+                                    unconfirmed_case const& it)
+    {
+        return to << base::seconds_of(it.unconfirmed);
+    }
+};
+
+constexpr base::duration own_lease = scheduler::policy{}.ownership_lease;
+
+unconfirmed_case const unconfirmed_cases[] = {
+    {base::duration{0}, base::duration{0}},
+    {own_lease, base::duration{0}},
+    {own_lease + second, second},
+    {own_lease + 9 * second, 9 * second},
+};
+
+/// How often a former owner renews the lease of an instance.
+constexpr base::duration renewals[] = {std::chrono::milliseconds{100}, second,
+                                       3 * second};
+
+} // namespace
+
+/// Guards against a former owner that keeps tasks running which its successor
+/// starts elsewhere.
+BOOST_DATA_TEST_CASE(an_unconfirmed_owner_cuts_the_leases_that_it_renews,
+                     boost::unit_test::data::make(unconfirmed_cases))
+{
+    scheduler_fixture it;
+    it.list("a");
+    it.report("a");
+    it.decisions.submit(scheduler_fixture::job(1, 1), 0, it.now);
+    auto const start = it.starts().at(0);
+    it.confirm(start);
+    it.advance_unconfirmed(sample.unconfirmed);
+    it.report("a", {{start.attempt, {}, 10}});
+    auto const lease = scheduler::policy{}.lease;
+    auto const whole = (it.now + lease).time_since_epoch();
+    BOOST_TEST(it.decisions.next_hold("a", it.now).until_ms ==
+               (whole - sample.cut).count() / 1'000);
+}
+
+/// Guards against a task that runs twice: its former owner reaches its
+/// instance, the present one does not and starts it elsewhere.
+BOOST_DATA_TEST_CASE(a_task_starts_elsewhere_after_its_former_owners_leases,
+                     boost::unit_test::data::make(renewals),
+                     pause)
+{
+    scheduler_fixture former;
+    former.list("a");
+    former.report("a");
+    former.decisions.submit(scheduler_fixture::job(1, 1), 0, former.now);
+    auto const start = former.starts().at(0);
+    former.confirm(start);
+
+    scheduler_fixture it{former.records};
+    it.list("a");
+    it.list("b");
+    it.report("b");
+    constexpr base::duration step = std::chrono::milliseconds{100};
+    std::int64_t last_until = start.until_ms;
+    auto renewed_at = former.now;
+    std::vector<scheduler::start_order> again;
+    while (again.empty() && it.now < former.now + 60 * second)
+    {
+        it.advance(step);
+        former.advance_unconfirmed(step);
+        it.decisions.hold_unanswered("a", it.now);
+        it.report("b");
+        it.decisions.tick(0, it.now);
+        again = it.starts();
+        former.decisions.tick(0, former.now);
+        if (again.empty() && former.now - renewed_at >= pause &&
+            former.clock_ms() < last_until)
+        {
+            renewed_at = former.now;
+            former.report("a", {{start.attempt, {}, 10}});
+            auto const renewed =
+                former.decisions.next_hold("a", former.now).until_ms;
+            last_until = std::max(last_until, renewed);
+        }
+    }
+    BOOST_REQUIRE(again.size() == 1U);
+    BOOST_TEST(again[0].instance == "b");
+    BOOST_TEST(it.clock_ms() > last_until);
+}
+
+/// Guards against a start by a former owner on an instance that has seen no
+/// token of its successor.
+BOOST_AUTO_TEST_CASE(an_unconfirmed_owner_starts_nothing)
+{
+    scheduler_fixture it;
+    it.list("a");
+    it.report("a");
+    it.decisions.submit(scheduler_fixture::job(1, 1), 0, it.now);
+    auto const start = it.starts().at(0);
+    it.answer(start, scheduler::start_answer::unanswered);
+    it.decisions.submit(scheduler_fixture::job(2, 1), 0, it.now);
+    BOOST_TEST(it.decide().empty());
+    it.advance_unconfirmed(own_lease + second);
+    it.report("a");
+    it.decisions.submit(scheduler_fixture::job(3, 1), 0, it.now);
+    it.decisions.tick(0, it.now);
+    BOOST_TEST(it.starts().empty());
+    it.advance(4 * second);
+    it.report("a");
+    it.decisions.tick(0, it.now);
+    BOOST_TEST(it.starts().size() == 3U);
+}
+
 /// Guards against a count of pending jobs that is too low for the rest of the
 /// ownership: a job that was cancelled while its first start was in flight was
 /// subtracted when it was cancelled and again when the instance reported the
--- a/tests/scheduler/scheduler_fixture.hpp
+++ b/tests/scheduler/scheduler_fixture.hpp
@@ -163,7 +163,15 @@
         answer(it, scheduler::start_answer::running);
     }
 
+    /// The store confirms the ownership all the while.
     void advance(base::duration by)
+    {
+        now += by;
+        decisions.ownership_confirmed(now);
+    }
+
+    /// Nothing confirms the ownership meanwhile.
+    void advance_unconfirmed(base::duration by)
     {
         now += by;
     }
--- a/tests/scheduler/world.cpp
+++ b/tests/scheduler/world.cpp
@@ -85,8 +85,7 @@
     }
     if (fault == planted::no_wait_for_lapse)
     {
-        m_rules.lapse_margin = -m_rules.lease;
-        m_rules.former_owner_margin = base::duration{0};
+        m_rules.lapse_margin = -m_rules.lease - m_rules.ownership_lease;
     }
     constexpr std::uint32_t never = 1'000'000;
     if (fault == planted::never_give_up)
--- a/tests/scheduler/world_owner.cpp
+++ b/tests/scheduler/world_owner.cpp
@@ -129,6 +129,10 @@
     refuse_unsent(it);
     // Clients whose outcome is unknown are told so.
     (void)it->clients.expire(m_now);
+    if (m_store_up && it == m_owner)
+    {
+        it->decisions->ownership_confirmed(m_now);
+    }
     it->decisions->tick(wall_ms(), m_now);
     pump(it);
     after(tick, [this, it] { every_tick(it); });
--- a/utilities/cell_replay/replay.cpp
+++ b/utilities/cell_replay/replay.cpp
@@ -214,6 +214,7 @@
 
 void replay::tick()
 {
+    m_decisions.ownership_confirmed(m_time.now());
     m_decisions.tick(0, m_time.now());
     soon();
     m_time.after(tick_pause, [this] { tick(); });
--- a/utilities/state_bench/job_state.cpp
+++ b/utilities/state_bench/job_state.cpp
@@ -93,6 +93,7 @@
     /// Opens the next occurrence if there is one, and starts its tasks.
     std::vector<scheduler::start_order> start(std::int64_t wall_ms)
     {
+        m_decisions.ownership_confirmed(m_now);
         m_decisions.tick(wall_ms, m_now);
         std::vector<scheduler::start_order> out;
         do
