tests: Cut owners off together with instances

The random runs of the scheduler had no two owners that stay alive: every instance that the new owner reached told the former one. Now a former owner is cut off from the store and from its successors for 2 to 14 s, together with a half of the instances, which the successors do not reach; leases take 3 s, and a third of the tasks takes up to 40 s.

--- a/tests/scheduler/random_test.cpp
+++ b/tests/scheduler/random_test.cpp
@@ -16,7 +16,8 @@
 
 constexpr base::duration trouble = std::chrono::seconds{20};
 constexpr base::duration calm = std::chrono::seconds{120};
-/// Under the cap only 2 or 3 tasks at a time do the work of the whole cell.
+/// Under the cap only 2 or 3 tasks at a time do the work of the whole cell, and
+/// beside islands some tasks take 40 s.
 constexpr base::duration calm_under_a_cap = std::chrono::seconds{400};
 
 /// Number of seeds of a normal run. `BERYLHILL_SEEDS` sets another number, and
@@ -45,6 +46,7 @@
 constexpr std::uint64_t usual_life_seeds = 20;
 constexpr std::uint64_t usual_partition_seeds = 25;
 constexpr std::uint64_t usual_rejected_seeds = 20;
+constexpr std::uint64_t usual_island_seeds = 100;
 
 fault_rates const late_and_frozen{.drain = 0.01,
                                   .freeze = 0.7,
@@ -117,6 +119,17 @@
                                    .late_spell = 0.03,
                                    .reject_records = 0.05};
 
+fault_rates const islands{
+    .drain = 0.01, .freeze = 0.5, .late_append = 0.02, .island = 0.7};
+
+fault_rates const islands_and_lives{.crash = 0.03,
+                                    .drain = 0.01,
+                                    .late_append = 0.02,
+                                    .late_spell = 0.03,
+                                    .late_hold = 0.01,
+                                    .reborn = 0.8,
+                                    .island = 0.7};
+
 fault_rates rough_for(planted fault)
 {
     switch (fault)
@@ -150,6 +163,8 @@
     case planted::believe_rejected:
     case planted::repeat_rejected:
         return rejected_records;
+    case planted::always_confirmed:
+        return islands;
     default:
         return {};
     }
@@ -158,7 +173,8 @@
 std::vector<std::string> run(std::uint64_t seed, planted fault)
 {
     world it{seed, rough_for(fault), fault};
-    return it.run(trouble, calm);
+    return it.run(trouble,
+                  rough_for(fault).island > 0 ? calm_under_a_cap : calm);
 }
 
 void play(std::uint64_t first,
@@ -170,6 +186,7 @@
     std::uint64_t takeovers = 0;
     std::uint64_t begun_after_rejection = 0;
     std::uint64_t rebirths = 0;
+    std::uint64_t cut_off = 0;
     for (auto seed = first; seed < first + seeds; ++seed)
     {
         world it{seed, rough, planted::nothing};
@@ -178,16 +195,17 @@
         takeovers += it.takeovers();
         begun_after_rejection += it.begun_after_rejection();
         rebirths += it.rebirths();
+        cut_off += it.islands();
         for (auto const& what : broken)
         {
             BOOST_ERROR("seed " << seed << ": " << what);
         }
     }
-    BOOST_TEST_MESSAGE(seeds << " seeds from " << first << ", " << starts
-                             << " starts, " << takeovers << " takeovers, "
-                             << begun_after_rejection
-                             << " attempts begun after a rejection, "
-                             << rebirths << " rebirths");
+    BOOST_TEST_MESSAGE(
+        seeds << " seeds from " << first << ", " << starts << " starts, "
+              << takeovers << " takeovers, " << begun_after_rejection
+              << " attempts begun after a rejection, " << rebirths
+              << " rebirths, " << cut_off << " owners cut off");
 }
 
 struct planted_case
@@ -234,6 +252,7 @@
      planted::delete_before_writing},
     {"rejected records count as stored", planted::believe_rejected},
     {"a rejection counts as no answer", planted::repeat_rejected},
+    {"owners act as if they were confirmed", planted::always_confirmed},
 };
 
 struct seed_case
@@ -355,6 +374,23 @@
     play(first, seeds, lives_and_late_orders, calm_under_a_cap);
 }
 
+/// Guards against tasks that two owners run: former owners go on beside their
+/// successors, which do not reach all instances.
+BOOST_AUTO_TEST_CASE(no_task_runs_twice_when_owners_are_cut_off_with_instances)
+{
+    auto const first = number_from("BERYLHILL_FIRST_SEED", 1);
+    auto const seeds = number_from("BERYLHILL_SEEDS", usual_island_seeds);
+    play(first, seeds, islands, calm_under_a_cap);
+}
+
+/// The same, with instances that start again under their ids meanwhile.
+BOOST_AUTO_TEST_CASE(no_task_runs_twice_when_cut_off_instances_start_again)
+{
+    auto const first = number_from("BERYLHILL_FIRST_SEED", 1);
+    auto const seeds = number_from("BERYLHILL_SEEDS", usual_life_seeds);
+    play(first, seeds, islands_and_lives, calm_under_a_cap);
+}
+
 /// Guards against the faults that these seeds beyond the usual ones have shown.
 BOOST_DATA_TEST_CASE(seeds_that_broke_hold,
                      boost::unit_test::data::make(seeds_that_broke))
--- a/tests/scheduler/world.cpp
+++ b/tests/scheduler/world.cpp
@@ -59,6 +59,7 @@
     , m_life_random{seed}
     , m_part_random{seed}
     , m_record_random{seed}
+    , m_island_random{seed}
     , m_rough{rough}
     , m_fault{fault}
     , m_configuration{configuration()}
@@ -74,6 +75,10 @@
     }
     // Finished jobs are kept until the end of the run.
     m_rules.status_kept = std::chrono::hours{1};
+    if (rough.island > 0)
+    {
+        shorten_leases();
+    }
     if (partitions())
     {
         m_rules.layout = {1, 2};
@@ -162,6 +167,7 @@
             {
                 set_cap(m_configuration, largest_cap_millis);
             }
+            m_island_until = m_now;
             for (auto const& [id, it] : m_instances)
             {
                 it->cut = false;
@@ -291,6 +297,7 @@
         step.tasks = static_cast<std::uint32_t>(between(1, 5));
         step.need = {between(1, 4) * 1'000, between(1, 4) * 1'000, 0};
         step.estimate_ms = between(100, 2'500);
+        lengthen(step);
         step.gang = chance(0.3);
         if (step.gang)
         {
--- a/tests/scheduler/world.hpp
+++ b/tests/scheduler/world.hpp
@@ -65,6 +65,12 @@
         return m_takeovers;
     }
 
+    /// Number of owners that were cut off together with instances.
+    [[nodiscard]] std::uint64_t islands() const noexcept
+    {
+        return m_islands;
+    }
+
     [[nodiscard]] std::uint64_t rebirths() const noexcept
     {
         return m_rebirths;
@@ -224,6 +230,13 @@
                      std::string const& address,
                      fake_place const& place);
 
+    // world_islands.cpp
+    void shorten_leases();
+    void lengthen(workload::step_spec& it);
+    void cut_off_owners();
+    [[nodiscard]] bool cut_off(owner const& it) const;
+    [[nodiscard]] bool reaches(owner const& by, fake_instance const& at) const;
+
     // world_beats.cpp
     [[nodiscard]] bool beats() const noexcept
     {
@@ -387,6 +400,7 @@
     std::mt19937_64 m_life_random;
     std::mt19937_64 m_part_random;
     std::mt19937_64 m_record_random;
+    std::mt19937_64 m_island_random;
     fault_rates m_rough;
     planted m_fault;
     scheduler::policy m_rules;
@@ -415,6 +429,10 @@
     base::instant m_store_changed_at{};
     owner_pointer m_owner;
     std::vector<owner_pointer> m_owners;
+    /// The addresses that only the owners up to this token reach, until then.
+    std::set<std::string> m_island;
+    std::uint64_t m_last_cut_off{0};
+    base::instant m_island_until{};
     std::map<workload::job_id, workload::job_spec> m_submitted;
     std::set<workload::job_id> m_accepted;
     std::set<workload::job_id> m_cancelled;
@@ -454,6 +472,7 @@
     std::uint64_t m_starts{0};
     std::uint64_t m_takeovers{0};
     std::uint64_t m_rebirths{0};
+    std::uint64_t m_islands{0};
     bool m_trouble{true};
 };
 
--- a/tests/scheduler/world_faults.hpp
+++ b/tests/scheduler/world_faults.hpp
@@ -62,6 +62,8 @@
     believe_rejected,
     /// A rejection counts as no answer: the batch is appended again.
     repeat_rejected,
+    /// Owners act as if the store confirmed them all the time.
+    always_confirmed,
 };
 
 /// The failure rates of a run.
@@ -118,6 +120,10 @@
     double cut_batch{0};
     /// Jobs whose records the store rejects for some time; some until the end.
     double reject_records{0};
+    /// Former owners that are cut off from the store together with a half of
+    /// the instances, which the new owner does not reach. With this, leases are
+    /// shorter than many of the cuts, and some tasks are longer than leases.
+    double island{0};
 };
 
 } // namespace berylhill::scheduler_test
--- a/tests/scheduler/world_lives.cpp
+++ b/tests/scheduler/world_lives.cpp
@@ -121,7 +121,8 @@
           [this, by, it, address]
           {
               auto* const at = at_address(address);
-              if (at == nullptr || at->cut || at != living(it.instance))
+              if (at == nullptr || !reaches(*by, *at) ||
+                  at != living(it.instance))
               {
                   return;
               }
--- a/tests/scheduler/world_orders.cpp
+++ b/tests/scheduler/world_orders.cpp
@@ -73,7 +73,7 @@
           [this, by, it, answer, address, quiet, delay]
           {
               auto* const at = at_address(address);
-              if (at == nullptr || at->cut)
+              if (at == nullptr || !reaches(*by, *at))
               {
                   if (!quiet)
                   {
@@ -135,7 +135,7 @@
           [this, by, it, lost, delay, answer]
           {
               auto* const at = reached_by(*by, it.instance);
-              auto const reached = at != nullptr && !at->cut;
+              auto const reached = at != nullptr && reaches(*by, *at);
               auto const rejected = reached && rejects(*at);
               auto const fence = reached && !rejected &&
                                  by->token < at->token &&
@@ -227,7 +227,7 @@
               [this, by, id, order, address]
               {
                   auto* const at = at_address(address);
-                  if (at != nullptr && !at->cut && at == living(id) &&
+                  if (at != nullptr && reaches(*by, *at) && at == living(id) &&
                       by->token >= at->token && !rejects(*at))
                   {
                       read_hold(*at, *by, order);
@@ -240,7 +240,7 @@
           [this, by, id, order, sent_at, address, lost, again]
           {
               auto* const at = at_address(address);
-              if (at == nullptr || at->cut || (lost && chance(0.5)))
+              if (at == nullptr || !reaches(*by, *at) || (lost && chance(0.5)))
               {
                   after(answer_timeout,
                         [this, by, id, again]
--- a/tests/scheduler/world_owner.cpp
+++ b/tests/scheduler/world_owner.cpp
@@ -36,7 +36,13 @@
     made->decisions->restore(m_newest, wall_ms(), m_now);
     m_log.write(base::log_level::debug, "world_takeover",
                 {{"token", made->token}});
-    if (m_owner && chance(0.5))
+    if (m_owner && m_owner->alive && m_trouble && m_now >= m_island_until &&
+        chance(m_island_random, m_rough.island))
+    {
+        ++m_islands;
+        cut_off_owners();
+    }
+    else if (m_owner && chance(0.5))
     {
         m_owner->alive = false;
     }
@@ -129,7 +135,7 @@
     refuse_unsent(it);
     // Clients whose outcome is unknown are told so.
     (void)it->clients.expire(m_now);
-    if (m_store_up && it == m_owner)
+    if ((m_store_up && it == m_owner) || m_fault == planted::always_confirmed)
     {
         it->decisions->ownership_confirmed(m_now);
     }
@@ -241,7 +247,7 @@
                    bool answered)
 {
     it->in_doubt |= !answered;
-    if (!m_store_up)
+    if (!m_store_up || cut_off(*it))
     {
         if (answered)
         {
