cell: Confirm an owner also while its appends get no answer

One who had not seen the work read the bound on owners and found ways in which an owner that nobody has replaced ends its own work:

- no read of the log's end while an append was in progress, which has no time limit: a store that answers reads only let all work lapse after 2 s and a lease;
- the reads had 500 ms, so a store that takes longer never confirmed an owner that stores nothing; now 1.5 s, one every 0.6 s;
- a batch of several calls confirmed at its end only; each call does now;
- an append that was found by reading back confirmed from its first attempt, so all starts of the batch were withheld.
It confirms from that read if nothing stands behind the records;
- a start that was not sent counted as sent without an answer for good;
- a lease that ended before the instance's clock began was sent as a negative number; it is left out now;
- a claim was dated by a member that a later attempt could overwrite.

reliable_append/confirmation_is_not_newer_than_another_writers_record holds the dating that everything rests on; an_owner_is_confirmed_while_it_stores _nothing has the append without an answer. In a_job_is_denied_only_by_a _confirmed_owner the store is silent for all reads now, not for one: another read may confirm meanwhile, and the answer is then allowed. It expects the same answer.

--- a/libraries/cell/batch_append.cpp
+++ b/libraries/cell/batch_append.cpp
@@ -168,7 +168,7 @@
 void batch_append::stored(std::size_t records)
 {
     m_outcome.next += records;
-    m_outcome.stored_after = m_append.stored_after();
+    m_outcome.confirmed_at = m_append.confirmed_at();
     m_anything_stored = true;
     m_in_doubt = false;
     for (auto const& it : m_calls.front())
--- a/libraries/cell/batch_append.hpp
+++ b/libraries/cell/batch_append.hpp
@@ -22,9 +22,8 @@
     /// The offset after the last record that was stored.
     std::uint64_t next{0};
     std::vector<scheduler::rejected_job> rejected;
-    /// If anything is stored: the last call that was stored took effect after
-    /// this time.
-    std::optional<base::instant> stored_after;
+    /// See `reliable_append::confirmed_at`; empty if nothing is stored.
+    std::optional<base::instant> confirmed_at;
 
     friend bool operator==(batch_outcome const&,
                            batch_outcome const&) = default;
@@ -66,6 +65,13 @@
         return m_append.refused();
     }
 
+    /// As `batch_outcome::confirmed_at`, for what is stored of the batch so
+    /// far.
+    [[nodiscard]] std::optional<base::instant> confirmed_at() const noexcept
+    {
+        return m_outcome.confirmed_at;
+    }
+
     /// Takes back a batch of which certainly nothing is stored. `done` is then
     /// never called. Returns false and changes nothing otherwise.
     bool take_back();
--- a/libraries/cell/cell_owner.hpp
+++ b/libraries/cell/cell_owner.hpp
@@ -140,6 +140,10 @@
     void confirm_answered(std::uint64_t from,
                           base::instant sent_at,
                           read_result const& it);
+    void read_log_end(base::duration timeout, read_handler done);
+    void log_end_read(std::uint64_t from,
+                      base::instant sent_at,
+                      std::uint64_t log_end);
     void confirmed(base::instant at);
     [[nodiscard]] bool surely_owns() const;
     void refuse_unconfirmed();
--- a/libraries/cell/cell_owner_batch.cpp
+++ b/libraries/cell/cell_owner_batch.cpp
@@ -138,9 +138,9 @@
         return;
     }
     m_next = it.next;
-    if (it.stored_after)
+    if (it.confirmed_at)
     {
-        confirmed(*it.stored_after);
+        confirmed(*it.confirmed_at);
     }
     m_decisions.batch_stored(m_parts.clock->now(), it.rejected);
     answer_rejected(it.rejected);
--- a/libraries/cell/cell_owner_confirm.cpp
+++ b/libraries/cell/cell_owner_confirm.cpp
@@ -23,9 +23,12 @@
 /// silence after which one claims.
 constexpr base::duration noted_pause = std::chrono::milliseconds{500};
 
-/// An owner that stores nothing has its ownership confirmed this often, and
-/// tries again this often: a part of `policy::ownership_lease`.
-constexpr base::duration confirmation_pause = std::chrono::milliseconds{700};
+/// An owner that was not confirmed for this long reads the log's end, and again
+/// this often until an answer comes: three times in `policy::ownership_lease`.
+constexpr base::duration confirmation_pause = std::chrono::milliseconds{600};
+
+/// Timeout of these reads. A slow store must confirm too.
+constexpr base::duration regular_timeout = std::chrono::milliseconds{1'500};
 
 /// An owner that was not confirmed for this long is logged.
 constexpr base::duration logged_unconfirmed = std::chrono::seconds{2};
@@ -69,16 +72,22 @@
         return;
     }
     m_confirming = true;
-    auto const now = m_parts.clock->now();
+    read_log_end(confirm_timeout, [this, from = m_next,
+                                   now = m_parts.clock->now()](auto const& it)
+                 { confirm_answered(from, now, it); });
+}
+
+void cell_owner::read_log_end(base::duration timeout, read_handler done)
+{
     read_request const request{m_next, base::duration{0}, confirm_bytes,
-                               network::call_patience{confirm_timeout}};
+                               network::call_patience{timeout}};
     m_parts.cell->read(
         request,
-        [this, alive = m_alive, from = m_next, now](read_result const& it)
+        [alive = m_alive, done = std::move(done)](read_result const& it)
         {
             if (*alive)
             {
-                confirm_answered(from, now, it);
+                done(it);
             }
         });
 }
@@ -97,23 +106,26 @@
         }
         return;
     }
-    if (it.log_end == from)
+    log_end_read(from, sent_at, it.log_end);
+    if (it.log_end != from && !m_unconfirmed.empty())
     {
-        confirmed(sent_at);
-        return;
+        confirm();
     }
-    if (m_append.busy())
+}
+
+/// A log that ends elsewhere may have been written by this owner meanwhile.
+void cell_owner::log_end_read(std::uint64_t from,
+                              base::instant sent_at,
+                              std::uint64_t log_end)
+{
+    if (log_end == from)
     {
+        confirmed(sent_at);
         return;
     }
-    if (m_next == from)
+    if (!m_append.busy() && m_next == from)
     {
         ownership_lost("log_overtaken");
-        return;
-    }
-    if (!m_unconfirmed.empty())
-    {
-        confirm();
     }
 }
 
@@ -145,17 +157,30 @@
     }
 }
 
-/// What an owner may do by itself ends with its ownership lease. One that
-/// stores nothing would learn nothing of a successor either.
+/// What an owner may do by itself ends with its ownership lease, and one that
+/// stores nothing would learn nothing of a successor. The log is also read
+/// while an append is in progress, which may get no answer for long.
 void cell_owner::confirm_regularly()
 {
+    if (auto const at = m_append.confirmed_at(); at && *at > m_confirmed_at)
+    {
+        confirmed(*at);
+    }
     auto const now = m_parts.clock->now();
-    if (confirmed_ago() < confirmation_pause || now < m_next_confirmation)
+    if (m_lost || confirmed_ago() < confirmation_pause ||
+        now < m_next_confirmation)
     {
         return;
     }
     m_next_confirmation = now + confirmation_pause;
-    confirm();
+    read_log_end(regular_timeout,
+                 [this, from = m_next, now](read_result const& it)
+                 {
+                     if (it.outcome == read_outcome::read && !m_lost)
+                     {
+                         log_end_read(from, now, it.log_end);
+                     }
+                 });
 }
 
 /// Logs once that the ownership has not been confirmed for long, and that it is
--- a/libraries/cell/cell_owner_orders.cpp
+++ b/libraries/cell/cell_owner_orders.cpp
@@ -74,11 +74,8 @@
     auto const now = m_parts.clock->now();
     if (!m_decisions.surely_owns(now))
     {
-        // The process was paused after the decision. The order counts as sent
-        // and unanswered; if this is still the owner, it is repeated.
-        m_decisions.start_answered({it.instance, it.attempt, it.send,
-                                    scheduler::start_answer::unanswered, 0},
-                                   now);
+        // The process was paused after the decision.
+        m_decisions.start_not_sent(it, now);
         return;
     }
     m_holds.wake(it.instance);
--- a/libraries/cell/ownership.hpp
+++ b/libraries/cell/ownership.hpp
@@ -225,7 +225,8 @@
     void append_claim(std::uint64_t at);
     void claimed(reliable_append_outcome it,
                  owner_view const& claimant,
-                 std::uint64_t at);
+                 std::uint64_t at,
+                 base::instant sent_at);
     void announce(owner_view const& former);
     void restore();
     void check_restored();
@@ -286,6 +287,8 @@
     /// This process makes no claim before this time.
     base::instant m_rests_until{};
     base::instant m_claim_began{};
+    /// Before the stored claim was sent.
+    base::instant m_claim_sent_at{};
     base::instant m_restore_began{};
     /// Since when this process has not heard from an owner.
     base::instant m_ownerless_since{};
--- a/libraries/cell/ownership_claim.cpp
+++ b/libraries/cell/ownership_claim.cpp
@@ -263,13 +263,15 @@
     auto const claimant =
         owner_view{at + 1, m_self.instance, m_self.address, m_incarnation};
     m_append.begin(at, {{owner_key, text_of(claimant)}}, claim_limit,
-                   [this, claimant, at](reliable_append_outcome it)
-                   { claimed(it, claimant, at); });
+                   [this, claimant, at,
+                    sent_at = m_clock.now()](reliable_append_outcome it)
+                   { claimed(it, claimant, at, sent_at); });
 }
 
 void ownership::claimed(reliable_append_outcome it,
                         owner_view const& claimant,
-                        std::uint64_t at)
+                        std::uint64_t at,
+                        base::instant sent_at)
 {
     if (it != reliable_append_outcome::stored)
     {
@@ -298,6 +300,7 @@
         return;
     }
     ++*m_generation;
+    m_claim_sent_at = sent_at;
     auto const former = std::exchange(m_owner, claimant);
     m_rounds_isolated = 0;
     m_rounds_alone = 0;
@@ -376,7 +379,7 @@
     m_state = ownership_state::owning;
     m_follower.stop();
     m_listener.began(m_replica.records(),
-                     {m_owner.token, m_owner.token, m_claim_began});
+                     {m_owner.token, m_owner.token, m_claim_sent_at});
     m_replica.clear();
 }
 
--- a/libraries/cell/reliable_append.cpp
+++ b/libraries/cell/reliable_append.cpp
@@ -216,7 +216,7 @@
     switch (it.outcome)
     {
     case append_outcome::stored:
-        m_stored_after = sent_at;
+        m_confirmed_at = sent_at;
         finish(reliable_append_outcome::stored);
         return;
     case append_outcome::conflict:
@@ -303,17 +303,18 @@
                 base::duration{0},
                 read_back_bytes,
                 {patience, read_back_stall_timeout}},
-               [this, alive = m_generation,
-                mine = *m_generation](read_result const& it)
+               [this, alive = m_generation, mine = *m_generation,
+                sent_at = m_clock.now()](read_result const& it)
                {
                    if (*alive == mine)
                    {
-                       read_back_done(it);
+                       read_back_done(it, sent_at);
                    }
                });
 }
 
-void reliable_append::read_back_done(read_result const& it)
+void reliable_append::read_back_done(read_result const& it,
+                                     base::instant sent_at)
 {
     if (it.outcome == read_outcome::trimmed)
     {
@@ -346,7 +347,8 @@
     m_found += it.entries.size();
     if (m_found >= m_records.size())
     {
-        m_stored_after = m_began;
+        auto const is_last = it.log_end == m_at + m_records.size();
+        m_confirmed_at = is_last ? sent_at : m_began;
         finish(reliable_append_outcome::stored);
         return;
     }
--- a/libraries/cell/reliable_append.hpp
+++ b/libraries/cell/reliable_append.hpp
@@ -87,10 +87,11 @@
         return m_busy && m_refusals > 1;
     }
 
-    /// The last append that was stored took effect after this time.
-    [[nodiscard]] base::instant stored_after() const noexcept
+    /// At this time no other writer's record followed what this writer had
+    /// stored, the last append that was stored included if it was by then.
+    [[nodiscard]] base::instant confirmed_at() const noexcept
     {
-        return m_stored_after;
+        return m_confirmed_at;
     }
 
     /// Takes back an append that is certainly not stored: all attempts were
@@ -107,7 +108,7 @@
     void repeat(base::instant sent_at);
     void rejected(append_result const& it);
     void read_back();
-    void read_back_done(read_result const& it);
+    void read_back_done(read_result const& it, base::instant sent_at);
     void nothing_found();
     [[nodiscard]] bool matches(std::vector<log_entry> const& found) const;
     void run_after(base::duration pause, std::function<void()> task);
@@ -123,7 +124,7 @@
     std::vector<scheduler::record> m_records;
     base::duration m_limit{0};
     base::instant m_began{};
-    base::instant m_stored_after{};
+    base::instant m_confirmed_at{};
     std::uint32_t m_tries{0};
     std::uint32_t m_refusals{0};
     /// Reads of the records at the offset so far.
--- a/libraries/command/time_line.cpp
+++ b/libraries/command/time_line.cpp
@@ -36,6 +36,7 @@
     event_text{"task_restarted",
                "no instance had said that its last start ended"},
     event_text{"start_sent_again", "a start without an answer was sent again"},
+    event_text{"start_not_sent", "its owner was paused before it sent it"},
     event_text{"start_unanswered", "a start got no answer in time"},
     event_text{"start_refused", "the instance rejected one start of the task"},
     event_text{"attempt_found", "the instance reported a start not confirmed"},
--- a/libraries/scheduler/instance.cpp
+++ b/libraries/scheduler/instance.cpp
@@ -104,7 +104,7 @@
                      longest_locally(since + rules.lease, rules) +
                      rules.lapse_margin;
     m_lease_end = std::max(m_lease_end, end);
-    return until;
+    return std::max<std::int64_t>(until, 0);
 }
 
 void instance::assume_lease(base::instant now, policy const& rules)
--- a/libraries/scheduler/instance.hpp
+++ b/libraries/scheduler/instance.hpp
@@ -235,8 +235,9 @@
     void reported(base::instant at, std::int64_t clock_ms);
 
     /// Grants a lease that starts at `from`. Returns its end in milliseconds on
-    /// the instance's clock, or 0 while that clock is unknown, and records the
-    /// latest time at which the lease expires.
+    /// the instance's clock, or 0 while that clock is unknown or if it has
+    /// ended before that clock began, and records the latest time at which the
+    /// lease expires.
     [[nodiscard]] std::int64_t grant(base::instant from, policy const& rules);
 
     /// Records that a lease is in force that was granted by `now` at the
--- a/libraries/scheduler/scheduler.hpp
+++ b/libraries/scheduler/scheduler.hpp
@@ -134,6 +134,9 @@
     std::optional<std::string> hold_answered(hold_report it);
     void hold_unanswered(std::string const& id, base::instant now);
     void start_answered(start_reply const& it, base::instant now);
+    /// The order was decided and certainly not sent. It is sent again once
+    /// `surely_owns`.
+    void start_not_sent(start_order const& it, base::instant now);
     void stop_answered(std::string const& id,
                        attempt_name const& name,
                        stop_answer answer,
--- a/libraries/scheduler/scheduler_answers.cpp
+++ b/libraries/scheduler/scheduler_answers.cpp
@@ -99,6 +99,19 @@
     }
 }
 
+void scheduler::start_not_sent(start_order const& it, base::instant now)
+{
+    auto* const at = m_instances.find(it.instance);
+    auto* const found = at == nullptr ? nullptr : at->find(it.attempt);
+    if (found == nullptr)
+    {
+        return;
+    }
+    found->sends.answered(it.send);
+    report_sends(base::log_level::info, "start_not_sent", *at, it.attempt,
+                 *found, now);
+}
+
 /// This order was not carried out, which says nothing of the others of the
 /// attempt: while any of them may be, the attempt has to be stopped before the
 /// task can be placed again.
--- a/tests/cell/cell_owner_test.cpp
+++ b/tests/cell/cell_owner_test.cpp
@@ -614,7 +614,7 @@
     BOOST_TEST(log.reads > before);
     BOOST_TEST(log.reads <= before + 1 + static_cast<std::size_t>(later));
     outlast_confirmation();
-    log.silent_reads = 1;
+    log.all_reads_silent = true;
     BOOST_TEST((answer_to(status_of(1)) == job_answer_kind::refused));
 }
 
@@ -639,11 +639,18 @@
     BOOST_TEST((orders.holds > before) == !overtaken);
 }
 
-/// An owner that stores nothing is confirmed all the same, as often as it must
-/// be to go on.
-BOOST_AUTO_TEST_CASE(an_idle_owner_is_confirmed)
+/// Guards against an owner that lets its work lapse although the store shows
+/// that nobody else owns it: it stores nothing, or its append gets no answer.
+BOOST_DATA_TEST_CASE(an_owner_is_confirmed_while_it_stores_nothing,
+                     boost::unit_test::data::make({false, true}),
+                     appends)
 {
-    log.append_behaviors.clear();
+    std::shared_ptr<std::optional<job_answer_kind>> end;
+    if (appends)
+    {
+        end = submit(1, long_timeout);
+        BOOST_REQUIRE(run_until([&] { return log.appends > 0; }));
+    }
     auto const until = clock.now() + 2 * scheduler::policy{}.ownership_lease;
     auto longest = base::duration{0};
     run_until(
--- a/tests/cell/fake_log.hpp
+++ b/tests/cell/fake_log.hpp
@@ -124,7 +124,8 @@
             out.entries.push_back({n, log[n].key, log[n].value});
         }
         auto const call = std::make_shared<read_call>(m_loop);
-        auto const silent = std::exchange(silent_reads, 0) > 0;
+        auto const silent =
+            std::exchange(silent_reads, 0) > 0 || all_reads_silent;
         auto const takes = time_on_link(out.entries);
         call->answer(silent ? 2 * it.timeouts.begin : read_delay, takes,
                      it.timeouts.begin, std::move(out), std::move(handler));
@@ -217,6 +218,8 @@
     /// The largest read so far, in bytes of keys and values.
     std::size_t largest_read{0};
     std::size_t reads{0};
+    /// No read is answered before the caller's timeout.
+    bool all_reads_silent{false};
 
     base::duration slow_time{std::chrono::milliseconds{240}};
 
--- a/tests/cell/reliable_append_test.cpp
+++ b/tests/cell/reliable_append_test.cpp
@@ -71,6 +71,31 @@
      reliable_append_outcome::overtaken},
 };
 
+struct confirmation_case
+{
+    char const* name;
+    std::vector<fate> fates;
+    /// Another writer appends behind the records before they are found.
+    bool overtaken;
+    /// The confirmation is newer than the first attempt.
+    bool newer;
+};
+
+std::ostream& operator<<(std::ostream& to, confirmation_case const& it)
+{
+    return to << it.name;
+}
+
+confirmation_case const confirmation_cases[] = {
+    {"stored at once", {}, false, false},
+    {"refused, then stored", {fate::refuse, fate::refuse}, false, true},
+    {"found, and nothing behind it", {fate::store_silently}, false, true},
+    {"found, and another writer behind it",
+     {fate::store_silently},
+     true,
+     false},
+};
+
 struct fixture
 {
     boost::asio::io_context loop;
@@ -116,6 +141,27 @@
     }
 }
 
+/// Guards against an owner that takes an append for a sign that it still owns
+/// the work although another process has claimed since.
+BOOST_DATA_TEST_CASE(confirmation_is_not_newer_than_another_writers_record,
+                     boost::unit_test::data::make(confirmation_cases))
+{
+    log.append_behaviors.assign(sample.fates.begin(), sample.fates.end());
+    auto const before = clock.now();
+    begin(0);
+    auto const begun = clock.now();
+    if (sample.overtaken)
+    {
+        log.put({{"owner", "x"}});
+    }
+    run();
+    BOOST_REQUIRE(end.has_value());
+    BOOST_TEST((*end == reliable_append_outcome::stored));
+    BOOST_TEST((append.confirmed_at() >= before));
+    BOOST_TEST((append.confirmed_at() <= clock.now()));
+    BOOST_TEST((append.confirmed_at() > begun) == sample.newer);
+}
+
 BOOST_AUTO_TEST_CASE(refused_append_can_be_taken_back)
 {
     log.append_behaviors.assign(1'000, fate::refuse);
