scheduler: Wait for the longest lease of later lives after a takeover

Callers could see a task run in two places. A former owner's last start or hold that reaches a later life of an instance, whose clock is younger, is not cut to the lease that it names: the life shortens it to the longest that it accepts, from the arrival. An owner that did not reach this life took all former leases to have ended a lease after the last order, and started the task elsewhere.

After a takeover, leases on instances that tell a birth are now taken to last for policy::longest_lease from the end of the ownership lease. That is 2 s more with the default policy, 0.5 s with leases that the settings shorten. Instances that tell none reject what is meant for another incarnation; for them nothing changes.

Not covered: a hold or start that arrives over lapse_margin (0.3 s) after the end of the ownership lease. Both are sent once more, up to 0.4 s (a start) or 1.4 s (a hold) later, if a reused connection breaks.

Evidence: without the change the case "a later life takes it" fails, the task starts elsewhere before the lease has ended; the case without a birth holds before and after. The case tables of this commit alone were run with instance_lives and owner.

--- a/libraries/scheduler/instance_table.cpp
+++ b/libraries/scheduler/instance_table.cpp
@@ -27,7 +27,10 @@
     auto& at = m_instances[id];
     if (!at)
     {
-        at = std::make_shared<instance>(id, m_former_lease_end, ++m_last_number,
+        auto const lease_end = parse_life(id).born_ms == 0
+                                   ? m_former_lease_end
+                                   : m_former_life_lease_end;
+        at = std::make_shared<instance>(id, lease_end, ++m_last_number,
                                         m_accounts.get(), m_attempts.get());
     }
     return *at;
--- a/libraries/scheduler/instance_table.hpp
+++ b/libraries/scheduler/instance_table.hpp
@@ -24,9 +24,13 @@
         std::map<std::string, std::shared_ptr<instance>, std::less<>>;
 
     /// `former_lease_end`: the time by which all leases granted before this
-    /// table was created have certainly expired.
-    explicit instance_table(base::instant former_lease_end)
+    /// table was created have certainly expired; `former_life_lease_end`: the
+    /// same for instances that tell their birth, where a later life may have
+    /// granted the longest lease instead.
+    instance_table(base::instant former_lease_end,
+                   base::instant former_life_lease_end)
         : m_former_lease_end{former_lease_end}
+        , m_former_life_lease_end{former_life_lease_end}
     {
     }
 
@@ -110,6 +114,7 @@
         std::make_unique<attempt_count>()};
     instance_map m_instances;
     base::instant m_former_lease_end;
+    base::instant m_former_life_lease_end;
     std::uint32_t m_last_number{0};
     /// Id of the instance that `select_by_free_cpu` examined last.
     std::string m_looked_at;
--- a/libraries/scheduler/scheduler.cpp
+++ b/libraries/scheduler/scheduler.cpp
@@ -13,9 +13,11 @@
 
 /// When all leases of former owners have expired after a takeover: a former
 /// owner grants none that begins later than an ownership lease after it.
-base::instant former_lease_end(policy const& rules, base::instant now)
+/// `lease` is the longest one that its orders can give.
+base::instant
+former_lease_end(base::duration lease, policy const& rules, base::instant now)
 {
-    return now + longest_locally(rules.lease, rules) + rules.lapse_margin +
+    return now + longest_locally(lease, rules) + rules.lapse_margin +
            rules.ownership_lease;
 }
 
@@ -25,7 +27,8 @@
     : m_rules{rules}
     , m_log{&log}
     , m_confirmed_at{now}
-    , m_instances{former_lease_end(rules, now)}
+    , m_instances{former_lease_end(rules.lease, rules, now),
+                  former_lease_end(rules.longest_lease, rules, now)}
     , m_jobs{rules.layout}
 {
 }
--- a/tests/scheduler/instance_lives_test.cpp
+++ b/tests/scheduler/instance_lives_test.cpp
@@ -88,6 +88,33 @@
      told_by::entry_then_report},
 };
 
+/// Where a former owner's task may run by an order of its last moment.
+struct former_order_case
+{
+    char const* story;
+    std::string instance;
+    /// From the takeover until it has surely ended, but for the margin.
+    base::duration runs;
+};
+
+std::ostream& operator<<(std::ostream& to, former_order_case const& it)
+{
+    return to << it.story;
+}
+
+base::duration after_the_takeover(base::duration lease)
+{
+    scheduler::policy const rules;
+    return rules.ownership_lease + longest_locally(lease, rules);
+}
+
+former_order_case const former_orders[] = {
+    {"no birth is told, so no later life takes it", "a",
+     after_the_takeover(scheduler::policy{}.lease)},
+    {"a later life takes it", former,
+     after_the_takeover(scheduler::policy{}.longest_lease)},
+};
+
 /// A cell with one task on the former life of `a`.
 class reborn_fixture : public scheduler_fixture
 {
@@ -317,6 +344,28 @@
     BOOST_TEST(again[0].attempt.run > start.attempt.run);
 }
 
+/// Guards against two runs of a task: a later life that the next owner does not
+/// reach shortens the lease of a former owner's order by its own clock.
+BOOST_DATA_TEST_CASE(next_owner_waits_for_the_lease_of_a_former_owners_order,
+                     boost::unit_test::data::make(former_orders))
+{
+    scheduler_fixture before;
+    before.list(sample.instance);
+    before.report(sample.instance);
+    before.decisions.submit(before.job(1, 1), 0, before.now);
+    BOOST_TEST_REQUIRE(before.starts().size() == 1U);
+
+    scheduler_fixture it{before.records};
+    it.list("b");
+    it.report("b");
+    it.advance(sample.runs);
+    it.decisions.tick(0, it.now);
+    BOOST_TEST(it.starts().empty());
+    it.advance(std::chrono::seconds{1});
+    it.decisions.tick(0, it.now);
+    BOOST_TEST(it.starts().size() == 1U);
+}
+
 /// Guards against an instance that stays on the list: its entry is removed by
 /// the id, whichever life wrote it.
 BOOST_AUTO_TEST_CASE(removed_entry_takes_the_listed_life_off)
--- a/tests/scheduler/instance_table_test.cpp
+++ b/tests/scheduler/instance_table_test.cpp
@@ -26,7 +26,7 @@
         }
     }
 
-    scheduler::instance_table book{{}};
+    scheduler::instance_table book{{}, {}};
     std::size_t looks{0};
 };
 
