soak: Cut owners off together with instances

No fault of the soak outlasted a lease, no task outlasted a fault, and all processes reached the same instances, so two owners that ran a task at the same time could not be seen, whatever the code did.

--islands cuts the owner off from the store and from the other processes for 4 to 13 s, one time after the other in 40 s of faults, together with every second instance: these answer owners up to its token only, the others later owners only.

A process had one address for the others, at which it listened and which it told them; /listen/peer_advertised is another one that they reach it at, so that a link can lie between. Where it is empty nothing changes.

By the logs the successor took the first run's leases to have lapsed and restarted it, and the owner that was cut off still read that run's end.

--- a/libraries/cell/node.cpp
+++ b/libraries/cell/node.cpp
@@ -220,8 +220,10 @@
 
 peer node::self() const
 {
-    return {m_settings.instance,
-            network::address_or_empty(m_settings.listen.peer),
+    auto const& listen = m_settings.listen;
+    auto const& reached_at =
+        listen.peer_advertised.empty() ? listen.peer : listen.peer_advertised;
+    return {m_settings.instance, network::address_or_empty(reached_at),
             m_settings.limits.millicores()};
 }
 
--- a/libraries/cell/node_answers.cpp
+++ b/libraries/cell/node_answers.cpp
@@ -44,10 +44,11 @@
     {
         return out;
     }
-    auto const self = network::address_or_empty(m_settings.listen.peer);
+    auto const self_address = self().address;
     for (auto const& it : m_ownership.peers())
     {
-        if (it.address != self && std::ranges::find(out, it) == out.end())
+        if (it.address != self_address &&
+            std::ranges::find(out, it) == out.end())
         {
             out.push_back(it);
         }
--- a/libraries/settings/cell_schema.cpp
+++ b/libraries/settings/cell_schema.cpp
@@ -57,6 +57,9 @@
     it->add({"peer", "", "For the other processes of the cell.",
              presence::required},
             &section::peer, address());
+    it->add({"peer_advertised", "",
+             "Where they reach it if that is another address."},
+            &section::peer_advertised, optional_address());
     it->add(
         {"metrics", "", "For those who collect metrics.", presence::required},
         &section::metrics, address());
--- a/libraries/settings/cell_settings.hpp
+++ b/libraries/settings/cell_settings.hpp
@@ -14,6 +14,8 @@
     std::string callers;
     std::string readiness;
     std::string peer;
+    /// Where the other processes reach it; empty: at `peer`.
+    std::string peer_advertised;
     std::string metrics;
 
     friend bool operator==(cell_listen_settings const&,
--- a/tests/platform_adapter/stand_ins/cell_process.hpp
+++ b/tests/platform_adapter/stand_ins/cell_process.hpp
@@ -5,6 +5,7 @@
 #include <cell/append_limits.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <filesystem>
 #include <memory>
 #include <string>
@@ -23,11 +24,18 @@
     std::size_t store_port{0};
     /// What its settings say that the store takes.
     cell::append_limits store_limits{};
+    std::int64_t longest_lease_ms{10'000};
+    /// What the other processes take for the port of its peers, where
+    /// something listens that leads to the process; 0: nothing lies between.
+    std::size_t peers_reach_it_at{0};
 };
 
 /// Ports that a process listens at.
 inline constexpr std::size_t ports_per_process = 4;
 
+/// The port at which it listens for peers.
+[[nodiscard]] std::size_t own_peer_port(cell_process const& it);
+
 /// Writes its settings file.
 void write_settings(cell_process const& it);
 
--- a/tests/platform_adapter/stand_ins/instance_stand_in.cpp
+++ b/tests/platform_adapter/stand_ins/instance_stand_in.cpp
@@ -103,9 +103,35 @@
     return m_born_ms == 0 ? m_id : m_id + "@" + std::to_string(m_born_ms);
 }
 
+void instance_stand_in::set_reached_by(token_range const& it)
+{
+    m_reached_by = it;
+    if (it == token_range{})
+    {
+        m_unanswered.clear();
+    }
+}
+
+bool instance_stand_in::reached_by(network::http_request const& it) const
+{
+    if (m_reached_by == token_range{})
+    {
+        return true;
+    }
+    auto const body = base::capture([&] { return json_codec::parse(it.body); });
+    auto const token =
+        body ? json_codec::number_or(body.value(), "fencingToken") : 0;
+    return token >= m_reached_by.lowest && token <= m_reached_by.highest;
+}
+
 void instance_stand_in::handle(network::http_request const& it,
                                network::responder const& answer)
 {
+    if (!reached_by(it))
+    {
+        m_unanswered.push_back(answer);
+        return;
+    }
     if (m_faults.rejects())
     {
         answer({503, {}, {}});
--- a/tests/platform_adapter/stand_ins/instance_stand_in.hpp
+++ b/tests/platform_adapter/stand_ins/instance_stand_in.hpp
@@ -11,6 +11,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <string>
 #include <utility>
@@ -19,6 +20,15 @@
 namespace berylhill::platform_test
 {
 
+/// Which owners reach an instance, by their tokens. A value.
+struct token_range
+{
+    std::int64_t lowest{0};
+    std::int64_t highest{std::numeric_limits<std::int64_t>::max()};
+
+    friend bool operator==(token_range const&, token_range const&) = default;
+};
+
 /// An instance that runs tasks: each takes a fixed time and ends `done`. It
 /// keeps the highest token, leases, and its ends until they are seen. A run
 /// that is started beside another one of its task runs beside it. Lives on the
@@ -64,6 +74,9 @@
         return m_faults;
     }
 
+    /// The other owners get no answer, and their requests have no effect.
+    void set_reached_by(token_range const& it);
+
     /// Whether the run that begins was ordered earlier.
     [[nodiscard]] bool carries_out_late() const noexcept
     {
@@ -136,6 +149,7 @@
 
     void handle(network::http_request const& it,
                 network::responder const& answer);
+    [[nodiscard]] bool reached_by(network::http_request const& it) const;
     void carry_out(network::http_request const& it,
                    network::responder const& answer);
     void carry_out_late_orders();
@@ -155,6 +169,9 @@
     end_handler m_on_end;
     start_handler m_on_acknowledged;
     request_faults m_faults;
+    token_range m_reached_by;
+    /// A responder that goes would end its connection.
+    std::vector<network::responder> m_unanswered;
     boost::asio::steady_timer m_timer;
     network::http_server m_server;
     std::int64_t m_cpu_millis{cpu_millis};
--- a/tests/soak/instance_test.cpp
+++ b/tests/soak/instance_test.cpp
@@ -133,6 +133,27 @@
     {"a stop that is seen", long_lease, true, 1, false},
 };
 
+struct reach_case
+{
+    char const* story;
+    platform_test::token_range reached_by;
+    bool answers;
+};
+
+std::ostream& operator<<(std::ostream& to, reach_case const& it)
+{
+    return to << it.story;
+}
+
+/// The requests of the fixture go by token 1.
+reach_case const reaches[] = {
+    {"all owners", {}, true},
+    {"owners up to this one", {.highest = 1}, true},
+    {"owners from this one on", {.lowest = 1}, true},
+    {"earlier owners", {.highest = 0}, false},
+    {"later owners", {.lowest = 2}, false},
+};
+
 /// Of so many requests, a share within this distance of the wanted one.
 constexpr int draws = 2'000;
 constexpr double share_error = 0.05;
@@ -270,6 +291,22 @@
     BOOST_TEST(started.size() == 1U);
 }
 
+// Guards against requests of owners out of reach that are answered or have an
+// effect, and against an instance that stays out of reach.
+BOOST_DATA_TEST_CASE_F(instance_fixture,
+                       owners_out_of_reach_get_no_answer,
+                       boost::unit_test::data::make(reaches),
+                       it)
+{
+    instance.set_reached_by(it.reached_by);
+    BOOST_TEST(start_run(1, long_lease) == (it.answers ? 200U : 0U));
+    BOOST_TEST(hold(0) == (it.answers ? 200U : 0U));
+    BOOST_TEST(started.size() == (it.answers ? 1U : 0U));
+    instance.set_reached_by({});
+    BOOST_TEST(hold(0) == 200U);
+    BOOST_TEST(started.size() == (it.answers ? 1U : 0U));
+}
+
 BOOST_AUTO_TEST_CASE(shares_and_delays_are_as_set)
 {
     request_faults it{7};
--- a/tests/soak/plan_test.cpp
+++ b/tests/soak/plan_test.cpp
@@ -52,6 +52,7 @@
     {"keys", key_plan_of, 6378140804097283246U},
     {"lives", life_plan_of, 9400850602368523475U},
     {"store", store_plan_of, 8676680649804888980U},
+    {"islands", island_plan_of, 17376928686754483051U},
 };
 
 } // namespace
@@ -112,6 +113,32 @@
     BOOST_TEST(manners.size() == 3U);
 }
 
+// Guards against islands that end each other, and against seeds of which none
+// outlasts a lease and the wait of the next owner.
+BOOST_AUTO_TEST_CASE(islands_follow_one_another)
+{
+    for (std::uint64_t seed = 1; seed <= 50; ++seed)
+    {
+        auto plan = island_plan_of(seed, std::chrono::seconds{40});
+        BOOST_TEST(std::ranges::count(plan, fault_kind::instance_crash,
+                                      &fault::kind) >= 3);
+        std::erase_if(plan, [](fault const& it)
+                      { return it.kind != fault_kind::island; });
+        BOOST_TEST(plan.size() >= 2U);
+        std::chrono::milliseconds over{0};
+        std::chrono::milliseconds longest{0};
+        for (auto const& it : plan)
+        {
+            BOOST_TEST((it.at - over >= std::chrono::seconds{2}));
+            BOOST_TEST((it.length >= std::chrono::seconds{4}));
+            BOOST_TEST((it.length <= std::chrono::seconds{13}));
+            over = it.at + it.length;
+            longest = std::max(longest, it.length);
+        }
+        BOOST_TEST((longest >= std::chrono::seconds{6}));
+    }
+}
+
 // Guards against seeds in which no instance starts again.
 BOOST_AUTO_TEST_CASE(every_seed_has_several_lives)
 {
--- a/utilities/soak/cell.cpp
+++ b/utilities/soak/cell.cpp
@@ -3,6 +3,8 @@
 #include <cell/owner_lookup.hpp>
 #include <stand_ins/ports.hpp>
 
+#include <boost/json.hpp>
+
 #include <algorithm>
 #include <csignal>
 #include <utility>
@@ -65,8 +67,18 @@
     return "key-" + std::to_string(account);
 }
 
-std::chrono::milliseconds time_of_tasks(cell_size const& it)
+/// The longest lease of instances where owners are cut off.
+constexpr std::int64_t short_lease_ms = 3'500;
+
+std::chrono::milliseconds time_of_tasks(cell_size const& it,
+                                        std::size_t instance)
 {
+    if (it.islands)
+    {
+        // Of two neighbours, one lies on an island.
+        return instance / 2 % 2 == 0 ? cell::longest_task_time
+                                     : cell::island_task_time;
+    }
     if (it.orders == order_kind::late)
     {
         return cell::long_task_time;
@@ -93,7 +105,7 @@
     , m_keeps_ids{size.keeps_ids}
 {
     using platform_test::ports_per_process;
-    auto const links = 2;
+    std::size_t const links = size.islands ? 3 : 2;
     auto const wanted =
         size.processes * (ports_per_process + links) + size.instances * 2 + 2;
     std::size_t port = platform_test::free_ports(
@@ -120,7 +132,7 @@
         m_workers.push_back(std::move(made));
         auto& it = m_workers.back();
         it.instance = std::make_unique<platform_test::instance_stand_in>(
-            loop, at, id, time_of_tasks(size),
+            loop, at, id, time_of_tasks(size, n),
             [this, n](std::string const& task)
             { started(m_workers[n], task); });
         it.resizes_at =
@@ -159,6 +171,15 @@
         }
         it.from_callers =
             std::make_unique<fault_link>(loop, it.callers, local(port));
+        if (size.islands)
+        {
+            it.how.longest_lease_ms = short_lease_ms;
+            it.how.peers_reach_it_at = port + ports_per_process;
+            it.from_peers = std::make_unique<fault_link>(
+                loop, local(it.how.peers_reach_it_at),
+                local(own_peer_port(it.how)));
+            ++port;
+        }
         port += ports_per_process;
         it.process = platform_test::start(it.how);
         m_processes.push_back(std::move(it));
@@ -303,6 +324,44 @@
     }
 }
 
+/// Every other instance stays with the owner; only later ones reach the rest.
+void cell::cut_off_owner(std::size_t target)
+{
+    auto const at = owner();
+    if (at == m_processes.end())
+    {
+        return;
+    }
+    m_cut_off = static_cast<std::size_t>(at - m_processes.begin());
+    at->to_store->set(link_state::silent);
+    at->from_peers->set(link_state::silent);
+    auto const token = json_codec::number_or(
+        boost::json::parse(m_store->newest_value(berylhill::cell::owner_key)),
+        "token");
+    for (std::size_t n = 0; n < m_workers.size(); ++n)
+    {
+        auto const stays = (n + target) % 2 == 0;
+        m_workers[n].instance->set_reached_by(
+            stays ? platform_test::token_range{.highest = token}
+                  : platform_test::token_range{.lowest = token + 1});
+    }
+}
+
+void cell::cut_off_none()
+{
+    if (!m_cut_off)
+    {
+        return;
+    }
+    auto& it = m_processes[*std::exchange(m_cut_off, std::nullopt)];
+    it.to_store->set(link_state::open);
+    it.from_peers->set(link_state::open);
+    for (auto& each : m_workers)
+    {
+        each.instance->set_reached_by({});
+    }
+}
+
 bool cell::must_accept(std::size_t process) const
 {
     return !m_turned_away.empty() && !m_turned_away.contains(process) &&
@@ -495,6 +554,9 @@
     case fault_kind::store_turns_away:
         turn_away(it.target);
         return;
+    case fault_kind::island:
+        cut_off_owner(it.target);
+        return;
     }
 }
 
@@ -534,6 +596,9 @@
     case fault_kind::store_turns_away:
         turn_away_none();
         return;
+    case fault_kind::island:
+        cut_off_none();
+        return;
     case fault_kind::revoke_key:
         --m_revoked[it.target % accounts];
         configure();
@@ -605,6 +670,7 @@
     m_store->set_down(false);
     m_store->set_lost_share(0);
     turn_away_none();
+    cut_off_none();
     for (auto& it : m_processes)
     {
         it.held = false;
--- a/utilities/soak/cell.hpp
+++ b/utilities/soak/cell.hpp
@@ -83,6 +83,9 @@
     /// The store turns processes away, in place of most other faults.
     bool store_turns_away{false};
     job_kind jobs{job_kind::small};
+    /// Owners are cut off together with instances. Tasks outlast the leases,
+    /// and some of them the wait of the next owner.
+    bool islands{false};
 
     friend bool operator==(cell_size const&, cell_size const&) = default;
 };
@@ -97,6 +100,8 @@
     static constexpr std::chrono::milliseconds task_time{250};
     static constexpr std::chrono::milliseconds short_task_time{60};
     static constexpr std::chrono::milliseconds long_task_time{1'000};
+    static constexpr std::chrono::milliseconds island_task_time{4'000};
+    static constexpr std::chrono::milliseconds longest_task_time{9'000};
     static constexpr std::size_t room = static_cast<std::size_t>(
         platform_test::instance_stand_in::cpu_millis / task_cpu);
 
@@ -169,6 +174,8 @@
         std::unique_ptr<platform_test::process> process;
         std::unique_ptr<platform_test::fault_link> to_store;
         std::unique_ptr<platform_test::fault_link> from_callers;
+        /// Only where owners are cut off.
+        std::unique_ptr<platform_test::fault_link> from_peers;
         network::socket_address callers;
         /// Ended by us, or asked to end.
         bool stopping{false};
@@ -205,6 +212,8 @@
     void kill_owner();
     void turn_away(std::size_t target);
     void turn_away_none();
+    void cut_off_owner(std::size_t target);
+    void cut_off_none();
 
     boost::asio::io_context& m_loop;
     ledger& m_seen;
@@ -223,6 +232,8 @@
     std::vector<member> m_processes;
     std::set<std::size_t> m_turned_away;
     ledger::instant m_turned_away_since;
+    /// The owner that is cut off together with instances.
+    std::optional<std::size_t> m_cut_off;
     std::vector<worker> m_workers;
     std::unique_ptr<platform_test::heartbeats> m_heartbeats;
     int m_version{0};
--- a/utilities/soak/main.cpp
+++ b/utilities/soak/main.cpp
@@ -59,6 +59,9 @@
                      "the store");
     add("wide", "jobs of many tasks, and a store that takes little in one "
                 "append");
+    add("islands", "40 s of faults, in which owners are cut off from the store "
+                   "and the other processes for seconds, together with "
+                   "instances that only they reach");
     add("plan", "print the faults of each seed, and play none");
     add("help", "");
     return options;
@@ -119,8 +122,12 @@
                                         : soak::caller_kind::anybody,
         given.count("same-ids") != 0,
         given.count("turn-away") != 0,
-        given.count("wide") != 0 ? soak::job_kind::wide
-                                 : soak::job_kind::small};
+        given.count("wide") != 0 ? soak::job_kind::wide : soak::job_kind::small,
+        given.count("islands") != 0};
+    if (settings.size.islands)
+    {
+        settings.length = std::chrono::seconds{40};
+    }
     settings.clients = given["clients"].as<std::size_t>();
     auto const first = given["first"].as<std::uint64_t>();
     auto const seeds = given["seeds"].as<std::uint64_t>();
--- a/utilities/soak/plan.cpp
+++ b/utilities/soak/plan.cpp
@@ -33,9 +33,10 @@
         "revoke_key",
         "kill_owner",
         "store_turns_away",
+        "island",
     };
     static_assert(std::size(names) ==
-                  static_cast<std::size_t>(fault_kind::store_turns_away) + 1);
+                  static_cast<std::size_t>(fault_kind::island) + 1);
     return names[static_cast<std::size_t>(it)];
 }
 
@@ -157,7 +158,8 @@
             }
             // Spells of one kind that ends for all would end each other.
             at += it.kind == fault_kind::store_loses_answers ||
-                          it.kind == fault_kind::store_turns_away
+                          it.kind == fault_kind::store_turns_away ||
+                          it.kind == fault_kind::island
                       ? lasts
                       : std::chrono::milliseconds{0};
         }
@@ -199,4 +201,14 @@
     return series_of(seed ^ store_stream, length, all);
 }
 
+std::vector<fault> island_plan_of(std::uint64_t seed,
+                                  std::chrono::milliseconds length)
+{
+    constexpr series all[] = {
+        {fault_kind::island, 2'000, 4'000, 4'000, 13'000},
+        {fault_kind::instance_crash, 5'000, 12'000, 0, 0}};
+    constexpr std::uint64_t island_stream = 0x69736c616e647300;
+    return series_of(seed ^ island_stream, length, all);
+}
+
 } // namespace berylhill::soak
--- a/utilities/soak/plan.hpp
+++ b/utilities/soak/plan.hpp
@@ -41,6 +41,9 @@
     /// The store turns the owner and maybe more processes away, and serves the
     /// others.
     store_turns_away,
+    /// The owner is cut off from the store and from the other processes
+    /// together with some instances, which only it reaches.
+    island,
 };
 
 /// How many kinds there are in every plan, and how many more of orders.
@@ -88,4 +91,9 @@
 [[nodiscard]] std::vector<fault>
 store_plan_of(std::uint64_t seed, std::chrono::milliseconds length);
 
+/// Islands, one after the other, and some instances that crash, to be played
+/// beside the seed's other faults; drawn from a generator of their own. Pure.
+[[nodiscard]] std::vector<fault>
+island_plan_of(std::uint64_t seed, std::chrono::milliseconds length);
+
 } // namespace berylhill::soak
--- a/utilities/soak/run.cpp
+++ b/utilities/soak/run.cpp
@@ -23,6 +23,8 @@
 /// From the last fault until every accepted job has to have ended: leases of
 /// instances that went silent (8 s), and a takeover.
 constexpr std::chrono::seconds settle_limit{40};
+/// The same where each of the tasks of a job takes many seconds.
+constexpr std::chrono::seconds long_settle_limit{80};
 
 /// From a change of the configuration until it is in force.
 constexpr std::chrono::seconds configuration_limit{5};
@@ -57,7 +59,8 @@
         {
             it->finish();
         }
-        run_until(settle_limit, [this] { return all_idle(); });
+        run_until(m_settings.size.islands ? long_settle_limit : settle_limit,
+                  [this] { return all_idle(); });
         check_configuration();
         run_for(ledger::cancel_bound + ledger::stop_bound + turn);
         m_seen.finish();
@@ -196,7 +199,11 @@
     {
         add(key_plan_of(it.seed, it.length));
     }
-    if (it.size.keeps_ids)
+    if (it.size.islands)
+    {
+        add(island_plan_of(it.seed, it.length));
+    }
+    else if (it.size.keeps_ids)
     {
         add(life_plan_of(it.seed, it.length));
     }
