scheduler: Wait for late orders of a former owner at a known later life

Callers could see a task run in two places. The present owner keeps an attempt whose order got no answer until a later life of the instance can't carry that order out any more, if it has read the life's entry. For the attempts that it inherited it did not, as it doesn't know their orders: the task started elsewhere when the former owner's leases had ended, while a late order of that owner could still run it at a life that is listed, but does not report.

Inherited attempts now count as orders without an answer, sent by the end of the former owner's ownership lease.

Evidence: without the change the case "a later life that is listed takes it late" fails, the task starts elsewhere before the wait is over. With it the suites instance_lives and owner hold, and the random runs with lives and with owners that are cut off (three tests, 1 min 49 s). The other random runs were not run with it.

--- a/libraries/scheduler/scheduler_lives.cpp
+++ b/libraries/scheduler/scheduler_lives.cpp
@@ -47,7 +47,8 @@
 
 /// The entry of a later life was read, which may carry out the open orders of
 /// this one: its lease says nothing of them. Only once: the entry is written
-/// with each heartbeat.
+/// with each heartbeat. Which orders of a former owner are open is not known,
+/// but it sends none later than an ownership lease after the takeover.
 void scheduler::expect_later_life(instance& former, base::instant now) const
 {
     auto const open =
@@ -57,6 +58,14 @@
     {
         former.assume_lease_until(late_lease_end(now));
     }
+    for (auto const& [name, it] : former.attempts())
+    {
+        if (it.state == attempt_state::inherited && it.settled_at)
+        {
+            former.assume_lease_until(
+                late_lease_end(*it.settled_at + m_rules.ownership_lease));
+        }
+    }
 }
 
 /// Ends the former lives of an instance of which a later one has reported.
--- a/tests/scheduler/instance_lives_test.cpp
+++ b/tests/scheduler/instance_lives_test.cpp
@@ -93,6 +93,7 @@
 {
     char const* story;
     std::string instance;
+    bool later_life_listed;
     /// From the takeover until it has surely ended, but for the margin.
     base::duration runs;
 };
@@ -109,10 +110,12 @@
 }
 
 former_order_case const former_orders[] = {
-    {"no birth is told, so no later life takes it", "a",
+    {"no birth is told, so no later life takes it", "a", false,
      after_the_takeover(scheduler::policy{}.lease)},
-    {"a later life takes it", former,
+    {"a later life takes it", former, false,
      after_the_takeover(scheduler::policy{}.longest_lease)},
+    {"a later life that is listed takes it late", former, true,
+     max_request_delay + after_the_takeover(scheduler::policy{}.longest_lease)},
 };
 
 /// A cell with one task on the former life of `a`.
@@ -358,6 +361,10 @@
     scheduler_fixture it{before.records};
     it.list("b");
     it.report("b");
+    for (int n = 0; sample.later_life_listed && n < 2; ++n)
+    {
+        it.list(later);
+    }
     it.advance(sample.runs);
     it.decisions.tick(0, it.now);
     BOOST_TEST(it.starts().empty());
