scheduler: Renew no lease of a life after the ownership lease

A hold request by an owner that had been replaced named the end of a lease by the clock of the instance's life. A later life, whose clock is younger, would take that for the longest lease that it accepts, at any time, and a start that it had carried out would run on beside the one elsewhere.

The line ownership_unconfirmed goes by the ownership lease itself.

--- a/libraries/cell/cell_owner.hpp
+++ b/libraries/cell/cell_owner.hpp
@@ -212,7 +212,7 @@
     bool m_confirming{false};
     /// When the ownership may next be confirmed without an occasion.
     base::instant m_next_confirmation{};
-    /// The log has told that the ownership was not confirmed for long.
+    /// The log has told that the ownership lease has ended.
     bool m_unconfirmed_reported{false};
     /// When this object last ran.
     base::instant m_last_turn{};
--- a/libraries/cell/cell_owner_confirm.cpp
+++ b/libraries/cell/cell_owner_confirm.cpp
@@ -30,9 +30,6 @@
 /// Timeout of these reads. A slow store must confirm too.
 constexpr base::duration regular_timeout = std::chrono::milliseconds{1'500};
 
-/// An owner that was not confirmed for this long is logged.
-constexpr base::duration logged_unconfirmed = std::chrono::seconds{2};
-
 /// A paused owner whose store is slow goes on after this time: running tasks
 /// need their leases.
 constexpr base::duration max_resume_wait = std::chrono::seconds{1};
@@ -183,22 +180,19 @@
                  });
 }
 
-/// Logs once that the ownership has not been confirmed for long, and that it is
-/// again.
+/// Logs once that the ownership lease has ended, and that it is renewed.
 void cell_owner::report_unconfirmed()
 {
-    auto const ago = confirmed_ago();
-    auto const is_long = ago > logged_unconfirmed;
-    if (std::exchange(m_unconfirmed_reported, is_long) == is_long)
+    auto const ended = !m_decisions.surely_owns(m_parts.clock->now());
+    if (std::exchange(m_unconfirmed_reported, ended) == ended)
     {
         return;
     }
-    m_parts.log->write(
-        is_long ? base::log_level::warning : base::log_level::info,
-        is_long ? "ownership_unconfirmed" : "ownership_confirmed",
-        {{"token", m_token},
-         {"confirmed_s", base::seconds_of(ago)},
-         {"store_stuck_s", base::seconds_of(store_stuck())}});
+    m_parts.log->write(ended ? base::log_level::warning : base::log_level::info,
+                       ended ? "ownership_unconfirmed" : "ownership_confirmed",
+                       {{"token", m_token},
+                        {"confirmed_s", base::seconds_of(confirmed_ago())},
+                        {"store_stuck_s", base::seconds_of(store_stuck())}});
 }
 
 /// Detects that the process was paused. Nothing that another owner may not
--- a/libraries/scheduler/scheduler_orders.cpp
+++ b/libraries/scheduler/scheduler_orders.cpp
@@ -62,8 +62,13 @@
         return out;
     }
     out.seen_end = it->seen_end();
-    out.until_ms =
-        it->attempts().empty() ? 0 : it->grant(lease_begin(now), m_rules);
+    // A later life's clock is younger, so it would shorten the end of the lease
+    // only to the longest that it accepts.
+    auto const later_life_takes_it =
+        !surely_owns(now) && parse_life(id).born_ms != 0;
+    out.until_ms = it->attempts().empty() || later_life_takes_it
+                       ? 0
+                       : it->grant(lease_begin(now), m_rules);
     out.wait = m_rules.hold_wait;
     return out;
 }
--- a/tests/scheduler/owner_test.cpp
+++ b/tests/scheduler/owner_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <ostream>
+#include <string>
 
 using namespace berylhill;
 using namespace berylhill::scheduler_test;
@@ -320,6 +321,26 @@
                (whole - sample.cut).count() / 1'000);
 }
 
+/// Guards against a lease that a later life of the instance takes by its own
+/// clock from an owner that has been replaced.
+BOOST_DATA_TEST_CASE(an_unconfirmed_owner_renews_nothing_where_lives_differ,
+                     boost::unit_test::data::make({own_lease,
+                                                   own_lease + second}),
+                     unconfirmed)
+{
+    std::string const life = "a@5";
+    scheduler_fixture it;
+    it.list(life);
+    it.report(life);
+    it.decisions.submit(scheduler_fixture::job(1, 1), 0, it.now);
+    auto const start = it.starts().at(0);
+    it.confirm(start);
+    it.advance_unconfirmed(unconfirmed);
+    it.report(life, {{start.attempt, {}, 10}});
+    auto const renewed = it.decisions.next_hold(life, it.now).until_ms != 0;
+    BOOST_TEST(renewed == (unconfirmed <= own_lease));
+}
+
 /// Guards against a task that runs twice: its former owner reaches its
 /// instance, the present one does not and starts it elsewhere.
 BOOST_DATA_TEST_CASE(a_task_starts_elsewhere_after_its_former_owners_leases,
