review: Show a lasting task that a waiting gang keeps away

A minion crashes under one of five tasks that last; a gang of the same tenant waits for more of the tenant's cap than is free and keeps the account to itself. The task is not started again for 69 s, the end of the watch; LOST allows 9 s.

Without the gang the task was back 0.06 s after the crash.

--- a/review/bed-2/bed.cpp
+++ b/review/bed-2/bed.cpp
@@ -80,14 +80,14 @@
     for (std::size_t n = 0; n < size.instances; ++n)
     {
         auto const id = "i-" + std::to_string(n);
-        m_instances.push_back(
-            std::make_unique<platform_test::instance_stand_in>(
-                m_loop, local(port++), id, size.work,
-                [this, id](std::string const& task)
-                {
-                    ++m_begun[task];
-                    note(join({"minion", id, "begins", task}));
-                }));
+        m_instances.push_back(std::make_unique<
+                              platform_test::instance_stand_in>(
+            m_loop, local(port++), id, size.work,
+            [this, n](std::string const& task)
+            {
+                ++m_begun[task];
+                note(join({"minion", m_instances[n]->id(), "begins", task}));
+            }));
         m_instances.back()->on_end(
             [this, id](std::string const& task, std::string const& how) {
                 note(join({"minion", id, "ends", task, how}));
@@ -246,14 +246,15 @@
 {
     auto const what = std::string{name_of(method)} + " " + path;
     note("client to process " + std::to_string(process) + ": " + what);
+    std::vector<network::http_field> fields{
+        {"Host", "h"}, {"X-Deadline-Ms", std::to_string(patience.count())}};
+    if (!m_key.empty())
+    {
+        fields.push_back({"X-Key", m_key});
+    }
     auto const it = ask(
         port_of(process),
-        {method,
-         path,
-         {{"Host", "h"}, {"X-Deadline-Ms", std::to_string(patience.count())}},
-         body,
-         "application/json"},
-        patience);
+        {method, path, std::move(fields), body, "application/json"}, patience);
     if (!it)
     {
         note("client: " + what + " has no answer");
@@ -279,6 +280,27 @@
          names);
 }
 
+void bed::configure(std::string const& document, std::string const& what)
+{
+    m_store->put(platform_test::operators_topic,
+                 platform_test::configuration_key, document);
+    note("operator writes " + what);
+}
+
+void bed::crash(std::size_t instance)
+{
+    auto& it = *m_instances[instance];
+    auto const former = it.id();
+    for (auto const& task : it.running())
+    {
+        note(join({"minion", former, "crashes under", task}));
+    }
+    it.restart(former + "-again-" + std::to_string(++m_crashes));
+    m_store->put(platform_test::instances_topic, former, {});
+    m_store->put(platform_test::instances_topic, it.id(), it.heartbeat());
+    note(join({"minion", former, "is back as", it.id()}));
+}
+
 void bed::signal(std::size_t process, int number)
 {
     m_signalled[process] = true;
--- a/review/bed-2/bed.hpp
+++ b/review/bed-2/bed.hpp
@@ -19,6 +19,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace berylhill::review
@@ -111,6 +112,18 @@
     /// Writes a configuration with these queues, as the operator does.
     void configure(std::vector<std::string> const& queues);
 
+    /// The same, word for word.
+    void configure(std::string const& document, std::string const& what);
+
+    /// The key of a client account that callers show from now on.
+    void set_key(std::string it)
+    {
+        m_key = std::move(it);
+    }
+
+    /// A minion crashes and is back at once as another one, which runs nothing.
+    void crash(std::size_t instance);
+
     void signal(std::size_t process, int number);
 
     /// Starts the process again once it has ended.
@@ -157,6 +170,8 @@
     std::size_t m_first_port{0};
     std::size_t m_store_port{0};
     int m_version{0};
+    int m_crashes{0};
+    std::string m_key;
     std::unique_ptr<platform_test::store_stand_in> m_store;
     std::vector<std::unique_ptr<platform_test::instance_stand_in>> m_instances;
     std::unique_ptr<platform_test::heartbeats> m_heartbeats;
