review: Show tasks that run again when their route moves

A version sends the only route of a service to another one while tasks of an accepted job run on the former one. Its minions are not called any more; the tasks end done, nobody reads it, and 4.2 s later all are started again elsewhere: TWICE. There is no other disruption.

--- a/review/bed-2/bed.cpp
+++ b/review/bed-2/bed.cpp
@@ -1,5 +1,7 @@
 #include "bed.hpp"
 
+#include <boost/json.hpp>
+
 #include <cell/peer_messages.hpp>
 #include <cell/peer_paths.hpp>
 
@@ -89,20 +91,21 @@
                 note(join({"minion", m_instances[n]->id(), "begins", task}));
             }));
         m_instances.back()->on_end(
-            [this, id](std::string const& task, std::string const& how) {
-                note(join({"minion", id, "ends", task, how}));
+            [this, n](std::string const& task, std::string const& how)
+            {
+                m_done[task] += how == "done" ? 1 : 0;
+                note(join({"minion", m_instances[n]->id(), "ends", task, how}));
             });
-        m_store->put(platform_test::instances_topic, id,
-                     m_instances.back()->heartbeat());
+        m_store->put(platform_test::instances_topic, id, entry(n));
     }
     m_heartbeats = std::make_unique<platform_test::heartbeats>(
         m_loop, *m_store,
         [this]
         {
             std::vector<std::pair<std::string, std::string>> out;
-            for (auto const& it : m_instances)
+            for (std::size_t n = 0; n < m_instances.size(); ++n)
             {
-                out.emplace_back(it->id(), it->heartbeat());
+                out.emplace_back(m_instances[n]->id(), entry(n));
             }
             return out;
         });
@@ -297,10 +300,32 @@
     }
     it.restart(former + "-again-" + std::to_string(++m_crashes));
     m_store->put(platform_test::instances_topic, former, {});
-    m_store->put(platform_test::instances_topic, it.id(), it.heartbeat());
+    m_store->put(platform_test::instances_topic, it.id(), entry(instance));
     note(join({"minion", former, "is back as", it.id()}));
 }
 
+/// The stand-in knows one service only.
+std::string bed::entry(std::size_t instance) const
+{
+    auto out = m_instances[instance]->heartbeat();
+    auto const service = m_services.find(instance);
+    if (service == m_services.end())
+    {
+        return out;
+    }
+    auto document = boost::json::parse(out);
+    document.as_object()["service"] = service->second;
+    return boost::json::serialize(document);
+}
+
+void bed::set_service(std::size_t instance, std::string const& service)
+{
+    m_services[instance] = service;
+    m_store->put(platform_test::instances_topic, m_instances[instance]->id(),
+                 entry(instance));
+    note(join({"minion", m_instances[instance]->id(), "is of", service}));
+}
+
 void bed::signal(std::size_t process, int number)
 {
     m_signalled[process] = true;
@@ -344,6 +369,16 @@
     return out;
 }
 
+std::size_t bed::done(std::string const& step) const
+{
+    std::size_t out = 0;
+    for (auto const& [task, n] : m_done)
+    {
+        out += task.starts_with(step + ".") ? n : 0;
+    }
+    return out;
+}
+
 std::size_t bed::ended_by_themselves()
 {
     std::size_t out = 0;
--- a/review/bed-2/bed.hpp
+++ b/review/bed-2/bed.hpp
@@ -121,6 +121,9 @@
         m_key = std::move(it);
     }
 
+    /// From now on the minion says that it belongs to this service.
+    void set_service(std::size_t instance, std::string const& service);
+
     /// A minion crashes and is back at once as another one, which runs nothing.
     void crash(std::size_t instance);
 
@@ -138,7 +141,10 @@
     /// How often a task of the step has begun; the step is named as ID.K.STEP.
     [[nodiscard]] std::size_t begun(std::string const& step) const;
 
-    /// Whether a process has ended that nobody ended.
+    /// How many of them ended `done`.
+    [[nodiscard]] std::size_t done(std::string const& step) const;
+
+    /// How many processes have ended that nobody ended.
     [[nodiscard]] std::size_t ended_by_themselves();
 
     [[nodiscard]] std::vector<
@@ -154,6 +160,7 @@
     }
 
 private:
+    [[nodiscard]] std::string entry(std::size_t instance) const;
     void write_settings(std::size_t n) const;
     void start(std::size_t n);
     [[nodiscard]] std::size_t port_of(std::size_t process) const;
@@ -177,7 +184,10 @@
     std::unique_ptr<platform_test::heartbeats> m_heartbeats;
     std::vector<std::unique_ptr<platform_test::process>> m_processes;
     std::vector<bool> m_signalled;
+    /// By instance; empty: as the stand-in says.
+    std::map<std::size_t, std::string> m_services;
     std::map<std::string, std::size_t> m_begun;
+    std::map<std::string, std::size_t> m_done;
     network::http_client m_client{m_loop, {}};
 };
 
--- a/review/bed-2/cases.hpp
+++ b/review/bed-2/cases.hpp
@@ -13,4 +13,8 @@
 /// account waits for more of the account's cap than is free.
 verdict lasting_task_behind_gang(run_options const& options);
 
+/// A route moves from one service to another while tasks of an accepted job
+/// run on minions of the former one.
+verdict route_moved(run_options const& options);
+
 } // namespace berylhill::review
--- a/review/bed-2/main.cpp
+++ b/review/bed-2/main.cpp
@@ -16,6 +16,7 @@
 {
     static std::map<std::string, case_function> const all{
         {"lasting_task_behind_gang", lasting_task_behind_gang},
+        {"route_moved", route_moved},
         {"route_taken_out", route_taken_out},
     };
     return all;
