review: Show a job that is failed for the cuts of a link

The only minion of a kind is cut off for 5.5 s five times and runs on. The job whose task runs there is shown as failed, though no run ended failed and no minion has crashed: LOST. An owner counts a minion that was silent for a lease like a crash.

--- a/review/bed-2/bed.cpp
+++ b/review/bed-2/bed.cpp
@@ -68,10 +68,11 @@
     , m_record{options.record}
     , m_folder{std::filesystem::temp_directory_path() /
                ("berylhill-review-" + std::to_string(::getpid()))}
+    , m_longest_lease_ms{size.longest_lease_ms}
     , m_first_port{platform_test::free_ports(
           platform_test::port_range::tests,
           static_cast<std::uint16_t>(ports_per_process * size.processes + 1 +
-                                     size.instances))}
+                                     2 * size.instances))}
 {
     std::filesystem::create_directories(m_folder);
     auto port = m_first_port + ports_per_process * size.processes;
@@ -96,6 +97,9 @@
                 m_done[task] += how == "done" ? 1 : 0;
                 note(join({"minion", m_instances[n]->id(), "ends", task, how}));
             });
+        m_reached_at.push_back(local(port++));
+        m_links.push_back(std::make_unique<platform_test::fault_link>(
+            m_loop, m_reached_at.back(), local(port - 2)));
         m_store->put(platform_test::instances_topic, id, entry(n));
     }
     m_heartbeats = std::make_unique<platform_test::heartbeats>(
@@ -140,7 +144,8 @@
         << "," << field("metrics", at(3)) << "},\"platform\":{"
         << field("store", text_of(local(m_store_port)))
         << R"(,"record_bytes":262144,"append_bytes":2097152},"bounds":{)"
-        << R"("longest_lease_ms":10000,"stop_grace_s":6,"status_kept_s":120,)"
+        << R"("longest_lease_ms":)" << m_longest_lease_ms
+        << R"(,"stop_grace_s":6,"status_kept_s":120,)"
         << R"("heartbeat_ms":1500,"contact_ms":3000,"configuration_ms":2000},)"
         << R"("limits":{"memory_mb":260,"descriptors":4100,"cores":0.25,)"
         << R"("link_mbps":1000.0}})";
@@ -304,20 +309,39 @@
     note(join({"minion", former, "is back as", it.id()}));
 }
 
-/// The stand-in knows one service only.
+/// The stand-in knows one service and one kind only.
 std::string bed::entry(std::size_t instance) const
 {
-    auto out = m_instances[instance]->heartbeat();
-    auto const service = m_services.find(instance);
-    if (service == m_services.end())
+    auto document = boost::json::parse(m_instances[instance]->heartbeat(
+                                           m_reached_at[instance]))
+                        .as_object();
+    if (auto const it = m_services.find(instance); it != m_services.end())
     {
-        return out;
+        document["service"] = it->second;
+    }
+    if (auto const it = m_kinds.find(instance); it != m_kinds.end())
+    {
+        document["labels"] = boost::json::array{it->second, "r"};
     }
-    auto document = boost::json::parse(out);
-    document.as_object()["service"] = service->second;
     return boost::json::serialize(document);
 }
 
+void bed::set_kind(std::size_t instance, std::string const& kind)
+{
+    m_kinds[instance] = kind;
+    m_store->put(platform_test::instances_topic, m_instances[instance]->id(),
+                 entry(instance));
+    note(join({"minion", m_instances[instance]->id(), "is of kind", kind}));
+}
+
+void bed::cut(std::size_t instance, bool off)
+{
+    m_links[instance]->set(off ? platform_test::link_state::silent
+                               : platform_test::link_state::open);
+    note(join({"minion", m_instances[instance]->id(),
+               off ? "is cut off" : "is reached again"}));
+}
+
 void bed::set_service(std::size_t instance, std::string const& service)
 {
     m_services[instance] = service;
--- a/review/bed-2/bed.hpp
+++ b/review/bed-2/bed.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <stand_ins/documents.hpp>
+#include <stand_ins/fault_link.hpp>
 #include <stand_ins/heartbeats.hpp>
 #include <stand_ins/instance_stand_in.hpp>
 #include <stand_ins/ports.hpp>
@@ -52,6 +53,8 @@
     std::size_t processes{3};
     std::size_t instances{6};
     std::chrono::milliseconds work{1'500};
+    /// `holdMaxMs` of the site.
+    std::int64_t longest_lease_ms{10'000};
 };
 
 /// An answer to a caller; status 0: the connection ended without one.
@@ -124,6 +127,12 @@
     /// From now on the minion says that it belongs to this service.
     void set_service(std::size_t instance, std::string const& service);
 
+    /// From now on the minion says that it is of this kind.
+    void set_kind(std::size_t instance, std::string const& kind);
+
+    /// Cuts the minion off from all processes, or ends that; it runs on.
+    void cut(std::size_t instance, bool off);
+
     /// A minion crashes and is back at once as another one, which runs nothing.
     void crash(std::size_t instance);
 
@@ -174,6 +183,7 @@
     clock::time_point m_began{clock::now()};
     std::ofstream m_record;
     std::filesystem::path m_folder;
+    std::int64_t m_longest_lease_ms;
     std::size_t m_first_port{0};
     std::size_t m_store_port{0};
     int m_version{0};
@@ -181,11 +191,15 @@
     std::string m_key;
     std::unique_ptr<platform_test::store_stand_in> m_store;
     std::vector<std::unique_ptr<platform_test::instance_stand_in>> m_instances;
+    /// What lies between the processes and each instance.
+    std::vector<std::unique_ptr<platform_test::fault_link>> m_links;
+    std::vector<network::socket_address> m_reached_at;
     std::unique_ptr<platform_test::heartbeats> m_heartbeats;
     std::vector<std::unique_ptr<platform_test::process>> m_processes;
     std::vector<bool> m_signalled;
     /// By instance; empty: as the stand-in says.
     std::map<std::size_t, std::string> m_services;
+    std::map<std::size_t, std::string> m_kinds;
     std::map<std::string, std::size_t> m_begun;
     std::map<std::string, std::size_t> m_done;
     network::http_client m_client{m_loop, {}};
--- a/review/bed-2/cases.hpp
+++ b/review/bed-2/cases.hpp
@@ -17,4 +17,8 @@
 /// run on minions of the former one.
 verdict route_moved(run_options const& options);
 
+/// The link to the only minion of a kind fails again and again, for some
+/// seconds each, while a task of that kind runs there.
+verdict failing_link(run_options const& options);
+
 } // namespace berylhill::review
--- a/review/bed-2/main.cpp
+++ b/review/bed-2/main.cpp
@@ -15,6 +15,7 @@
 std::map<std::string, case_function> const& cases()
 {
     static std::map<std::string, case_function> const all{
+        {"failing_link", failing_link},
         {"lasting_task_behind_gang", lasting_task_behind_gang},
         {"route_moved", route_moved},
         {"route_taken_out", route_taken_out},
