--- a/review/bed-2/cases.hpp
+++ b/review/bed-2/cases.hpp
@@ -5,10 +5,6 @@
 namespace berylhill::review
 {
 
-/// A job waits for its second step, its route is taken out, and the process
-/// that owns the work is stopped and started as in a rolling restart.
-verdict route_taken_out(run_options const& options);
-
 /// A minion crashes under a task that lasts, while a gang of the same client
 /// account waits for more of the account's cap than is free.
 verdict lasting_task_behind_gang(run_options const& options);
--- a/review/bed-2/main.cpp
+++ b/review/bed-2/main.cpp
@@ -18,7 +18,6 @@
         {"failing_link", failing_link},
         {"lasting_task_behind_gang", lasting_task_behind_gang},
         {"route_moved", route_moved},
-        {"route_taken_out", route_taken_out},
     };
     return all;
 }
