scheduler: Take back the loss of an instance that lived on

Callers saw a job shown as failed although no attempt of it had ended failed and no instance had crashed: the link to the only instance of a kind was cut six times for 5.5 s (review/5, LOST).

Cause: an instance that is silent until its lease has expired counts as crashed, since a task that takes its instances down has to be bounded, and nothing tells the two apart by then. The count was final: the same life answered half a second later, listed the attempt as lapsed, and nothing corrected the count. After five such losses the job was failed.

Change: a silent loss counts as before and is kept with the task by run and instance, in its record too. It is taken back when the instance turns out to have been alive after the loss was counted: the same life answers a request that was sent after it, or its entry was written after it. Another incarnation, an entry that is gone or was written before, and silence change nothing, so crashing tasks keep their bound of five starts.

What belongs to lost attempts moved from scheduler_ends.cpp to scheduler_losses.cpp.

--- a/libraries/scheduler/job.cpp
+++ b/libraries/scheduler/job.cpp
@@ -267,12 +267,6 @@
                                { return in.steps[it].complete(); });
 }
 
-bool task::failure_is_new(std::uint32_t number) const
-{
-    return failed_runs.size() == failures &&
-           std::ranges::find(failed_runs, number) == failed_runs.end();
-}
-
 void job::add_remaining(attempt_name const& name, std::string const& instance)
 {
     auto const& spec = spec_of(name.task.step);
--- a/libraries/scheduler/loss_count.hpp
+++ b/libraries/scheduler/loss_count.hpp
@@ -52,6 +52,13 @@
     [[nodiscard]] loss_count after(ended_attempt const& it,
                                    policy const& rules) const;
 
+    /// Returns the count without so many losses that were no crashes.
+    /// Precondition: they are counted, and not as crashes at a start.
+    [[nodiscard]] loss_count without(std::uint32_t losses) const noexcept
+    {
+        return {m_losses - losses, m_at_start};
+    }
+
     /// Whether the task is not started again.
     [[nodiscard]] bool given_up(policy const& rules) const noexcept
     {
--- a/libraries/scheduler/outcomes.hpp
+++ b/libraries/scheduler/outcomes.hpp
@@ -72,6 +72,9 @@
     /// Tasks that were given up because several instances were lost while they
     /// ran there.
     std::uint64_t tasks_given_up{0};
+    /// Losses that were counted against a task until the instance turned out
+    /// to have lived on.
+    std::uint64_t losses_withdrawn{0};
     /// Attempts that an instance reported and the owner did not expect.
     std::uint64_t unexpected{0};
     /// Starts that were decided and not sent.
--- a/libraries/scheduler/scheduler.cpp
+++ b/libraries/scheduler/scheduler.cpp
@@ -318,7 +318,12 @@
     }
     // Two incarnations may be listed at one address in any order, the former
     // one for some more seconds. Only an answer shows which of them is alive.
+    auto const id = it.id;
     m_instances.list(std::move(it), written_after, now);
+    if (written_after)
+    {
+        instance_alive(id, *written_after, "entry");
+    }
 }
 
 void scheduler::instance_unlisted(std::string const& id, base::instant now)
@@ -341,6 +346,7 @@
 
 void scheduler::instance_replaced(std::string const& id, base::instant now)
 {
+    m_unconfirmed_losses.confirm(id);
     auto* const it = m_instances.find(id);
     if (it == nullptr)
     {
--- a/libraries/scheduler/scheduler.hpp
+++ b/libraries/scheduler/scheduler.hpp
@@ -16,6 +16,7 @@
 #include <scheduler/start_place.hpp>
 #include <scheduler/start_waits.hpp>
 #include <scheduler/turn.hpp>
+#include <scheduler/unconfirmed_losses.hpp>
 #include <workload/cell_configuration.hpp>
 
 #include <cstdint>
@@ -307,10 +308,6 @@
                        step& in,
                        task& it,
                        base::instant now);
-    void give_up(job& of,
-                 attempt_name const& name,
-                 task const& it,
-                 base::instant now);
     void task_waits(step& in, task& it);
     void stop_gang(workload::step_name const& of, step& in, base::instant now);
     void stop_current(workload::task_name const& of,
@@ -323,10 +320,29 @@
                    attempt_name const& name,
                    attempt& it,
                    base::instant now);
-    void end_sent_attempts(instance& at, end_reason reason, base::instant now);
     void keep_checkpoint(attempt_name const& name,
                          task& it,
                          std::string const& saved);
+    void note_health(instance& at, end_reason reason, base::instant now);
+    void read_report(instance& at, hold_report const& it);
+    void read_running(instance& at, hold_report const& it);
+    void read_ended(instance& at, hold_report const& it);
+    void rest_if_crowded(instance& at, hold_report const& it);
+    void drop_missing(instance& at, hold_report const& it);
+    void note_begun(workload::job_id of);
+    [[nodiscard]] std::uint32_t attempts_allowed(job const& of) const;
+
+    // scheduler_losses.cpp
+    void count_end(attempt_name const& name,
+                   task& it,
+                   std::string const& on,
+                   ended_attempt const& end,
+                   base::instant now);
+    void instance_alive(std::string const& id,
+                        base::instant alive_at,
+                        char const* shown_by);
+    void restore_losses(job const& of, base::instant now);
+    void forget_losses(workload::job_id of);
     void report_lost(instance const& at,
                      attempt_name const& name,
                      attempt const& it,
@@ -340,14 +356,11 @@
                         std::string const& on,
                         base::instant now);
     [[nodiscard]] double confirmed_s(base::instant now) const;
-    void note_health(instance& at, end_reason reason, base::instant now);
-    void read_report(instance& at, hold_report const& it);
-    void read_running(instance& at, hold_report const& it);
-    void read_ended(instance& at, hold_report const& it);
-    void rest_if_crowded(instance& at, hold_report const& it);
-    void drop_missing(instance& at, hold_report const& it);
-    void note_begun(workload::job_id of);
-    [[nodiscard]] std::uint32_t attempts_allowed(job const& of) const;
+    void give_up(job& of,
+                 attempt_name const& name,
+                 task const& it,
+                 base::instant now);
+    void end_sent_attempts(instance& at, end_reason reason, base::instant now);
 
     // scheduler_lives.cpp
     [[nodiscard]] std::optional<std::string>
@@ -561,6 +574,7 @@
     base::instant m_confirmed_at;
     /// The last attempts of waiting tasks, if no instance reported their ends.
     std::map<workload::task_name, presumed_end> m_presumed_ends;
+    unconfirmed_losses m_unconfirmed_losses;
     /// All queues of any configuration so far: jobs of a removed queue continue
     /// under its last configuration.
     std::map<std::string, workload::queue_spec> m_queues;
--- a/libraries/scheduler/scheduler_ends.cpp
+++ b/libraries/scheduler/scheduler_ends.cpp
@@ -70,7 +70,8 @@
     if (was)
     {
         auto const began = was->state == attempt_state::running;
-        it.lost = it.lost.after({reason, began, was->seen_work()}, m_rules);
+        count_end(name, it, at.info().id, {reason, began, was->seen_work()},
+                  now);
     }
     auto const given_up = instance_lost(reason) && it.lost.given_up(m_rules);
     if (!current)
@@ -151,74 +152,6 @@
                   {"bytes", std::uint64_t{saved.size()}}});
 }
 
-/// Logs what is needed to tell a task that crashes its instances from one that
-/// merely ran there, and either from an order that was never carried out.
-void scheduler::report_lost(instance const& at,
-                            attempt_name const& name,
-                            attempt const& it,
-                            end_reason reason,
-                            base::instant now) const
-{
-    m_log->write(base::log_level::info, "attempt_lost",
-                 {{"task", text_of(name.task)},
-                  {"run", name.run},
-                  {"instance", at.info().id},
-                  {"reason", name_of(reason)},
-                  {"began", it.state == attempt_state::running ? 1 : 0},
-                  {"inherited", it.state == attempt_state::inherited ? 1 : 0},
-                  {"token", m_token},
-                  {"reported_s", logged_ago(at.reported_at(), now)},
-                  {"worked_s", base::seconds_of(it.seen_work())},
-                  {"beside", std::uint64_t{at.attempts().size() - 1}}});
-}
-
-/// Ends an attempt whose end no instance has reported, and keeps the reason for
-/// the log line of the task's next start.
-void scheduler::presume_ended(instance& at,
-                              attempt_name const& name,
-                              end_reason reason,
-                              base::instant now)
-{
-    auto const* const it = find_task(name.task);
-    if (it != nullptr && it->phase == task_phase::placed && it->run == name.run)
-    {
-        m_presumed_ends[name.task] = {name.run, at.info().id, reason,
-                                      at.reported_at()};
-    }
-    attempt_ended(at, name, reason, {}, now);
-}
-
-/// Logs why the task's last attempt was taken to be over, if no instance said
-/// so: the line to look for if two attempts of a task ran at the same time.
-void scheduler::report_restart(attempt_name const& name,
-                               std::string const& on,
-                               base::instant now)
-{
-    auto const found = m_presumed_ends.find(name.task);
-    if (found == m_presumed_ends.end())
-    {
-        return;
-    }
-    auto const& last = found->second;
-    m_log->write(base::log_level::info, "task_restarted",
-                 {{"task", text_of(name.task)},
-                  {"run", name.run},
-                  {"instance", on},
-                  {"token", m_token},
-                  {"confirmed_s", confirmed_s(now)},
-                  {"last_run", last.run},
-                  {"last_instance", last.instance},
-                  {"last_end", name_of(last.reason)},
-                  {"last_reported_s", logged_ago(last.reported_at, now)}});
-    m_presumed_ends.erase(found);
-}
-
-/// How long ago this process certainly owned the work, for log lines.
-double scheduler::confirmed_s(base::instant now) const
-{
-    return base::seconds_of(now - m_confirmed_at);
-}
-
 void scheduler::task_done(job&, step& in, task& it)
 {
     it.phase = task_phase::done;
@@ -277,22 +210,6 @@
     }
 }
 
-/// Applies to long-running tasks as well: without a limit such a task would
-/// crash one instance after another.
-void scheduler::give_up(job& of,
-                        attempt_name const& name,
-                        task const& it,
-                        base::instant now)
-{
-    ++m_counts.tasks_given_up;
-    m_log->write(base::log_level::warning, "task_given_up",
-                 {{"task", text_of(name.task)},
-                  {"run", name.run},
-                  {"instances_lost", it.lost.losses()},
-                  {"at_its_start", it.lost.at_start()}});
-    finish(of, job_phase::failed, now);
-}
-
 void scheduler::task_waits(step& in, task& it)
 {
     it.phase = task_phase::waiting;
@@ -351,13 +268,7 @@
     m_finished = true;
     of.finished_ms = m_wall_ms;
     m_jobs.finish(of, phase, now);
-    auto const first = m_presumed_ends.lower_bound({{id, 0, 0}, 0});
-    auto last = first;
-    while (last != m_presumed_ends.end() && last->first.step.job == id)
-    {
-        ++last;
-    }
-    m_presumed_ends.erase(first, last);
+    forget_losses(id);
     m_log->write(base::log_level::info, "job_finished",
                  {{"job", text_of(id)},
                   {"phase", name_of(phase)},
@@ -397,27 +308,6 @@
     m_next_batch.stops.push_back({at.info().id, name});
 }
 
-/// Ends all attempts whose orders were sent to the instance: none of them is
-/// running or can still begin. Planned attempts are kept, since their orders
-/// carry a new lease.
-void scheduler::end_sent_attempts(instance& at,
-                                  end_reason reason,
-                                  base::instant now)
-{
-    std::vector<attempt_name> names;
-    for (auto const& [name, it] : at.attempts())
-    {
-        if (it.state != attempt_state::planned)
-        {
-            names.push_back(name);
-        }
-    }
-    for (auto const& name : names)
-    {
-        presume_ended(at, name, reason, now);
-    }
-}
-
 void scheduler::note_begun(workload::job_id of)
 {
     auto* const it = m_jobs.find(of);
--- a/libraries/scheduler/scheduler_lives.cpp
+++ b/libraries/scheduler/scheduler_lives.cpp
@@ -198,8 +198,8 @@
     }
     auto& of = *m_jobs.find(name.task.step.job);
     auto& it = of.edit(name.task);
-    it.lost =
-        it.lost.after({end_reason::instance_crashed, began, worked}, m_rules);
+    it.count_end(name.run, {}, {end_reason::instance_crashed, began, worked},
+                 m_rules);
     m_jobs.touch(name.task.step.job);
     if (it.lost.given_up(m_rules))
     {
--- a/libraries/scheduler/scheduler_reports.cpp
+++ b/libraries/scheduler/scheduler_reports.cpp
@@ -47,6 +47,7 @@
                       {"ended", std::uint64_t{it.ended.size()}}});
     }
     at.reported(it.read_at, it.clock_ms);
+    instance_alive(it.instance, it.sent_at, "report");
     read_running(at, it);
     read_ended(at, it);
     rest_if_crowded(at, it);
--- a/libraries/scheduler/scheduler_restore.cpp
+++ b/libraries/scheduler/scheduler_restore.cpp
@@ -227,6 +227,7 @@
     }
     m_jobs.restored(of);
     inherit_attempts(of, now);
+    restore_losses(of, now);
     stop_remaining(of, now);
     auto const left_behind =
         finished(of.phase) && (has_spec || !of.parts.stored().empty());
--- a/libraries/scheduler/state_rows.cpp
+++ b/libraries/scheduler/state_rows.cpp
@@ -38,6 +38,33 @@
     return out;
 }
 
+json::array loss_rows(task const& of)
+{
+    json::array out;
+    for (auto const& it : of.unconfirmed_losses)
+    {
+        out.emplace_back(json::array{it.run, it.instance});
+    }
+    return out;
+}
+
+/// Losses that are not counted are ignored.
+void read_losses(json::value const& rows, task& into)
+{
+    if (!rows.is_array() || rows.get_array().size() > into.lost.losses())
+    {
+        return;
+    }
+    for (auto const& row : rows.get_array())
+    {
+        if (auto const* const it = row.if_array(); it != nullptr)
+        {
+            into.unconfirmed_losses.push_back(
+                {static_cast<std::uint32_t>(at_or(*it, 0)), text_at(*it, 1)});
+        }
+    }
+}
+
 } // namespace
 
 base::failure unreadable(std::string_view what)
@@ -67,11 +94,15 @@
         out.emplace_back(it.lost.losses());
         out.emplace_back(it.lost.at_start());
     }
-    if (any_failed)
+    if (any_failed || !it.unconfirmed_losses.empty())
     {
         out.emplace_back(
             json::array(it.failed_runs.begin(), it.failed_runs.end()));
     }
+    if (!it.unconfirmed_losses.empty())
+    {
+        out.emplace_back(loss_rows(it));
+    }
     return out;
 }
 
@@ -105,6 +136,11 @@
                 static_cast<std::uint32_t>(json_codec::as_number(run)));
         }
     }
+    constexpr std::size_t losses = 9;
+    if (it->size() > losses)
+    {
+        read_losses((*it)[losses], to);
+    }
     return std::pair{static_cast<std::uint32_t>(at_or(*it, 0)), std::move(to)};
 }
 
--- a/tests/scheduler/part_record_test.cpp
+++ b/tests/scheduler/part_record_test.cpp
@@ -162,9 +162,10 @@
     auto it = made();
     auto& step = it.open_occurrence(0, base::instant{}).steps[0];
     it.edit({step_of(0), 0}) = {
-        task_phase::placed, 4, 1, "check", "i-1", {}, {3}};
+        task_phase::placed, 4, 1, "check", "i-1", {}, {3}, {}};
     it.edit({step_of(0), 3}) = {
-        task_phase::waiting, 2, 1, "other", {}, {4, 2}, {}};
+        task_phase::waiting,     2, 1, "other", {}, {4, 2}, {},
+        {{1, "i-2"}, {2, "i-3"}}};
     it.edit({step_of(0), 4}).phase = task_phase::done;
     step.gang_failures = 1;
     step.gang_failed_run = 3;
--- a/tests/scheduler/record_test.cpp
+++ b/tests/scheduler/record_test.cpp
@@ -126,9 +126,10 @@
     auto& step = it.open_occurrence(0, base::instant{}).steps[0];
     auto const name = workload::step_name{spec.id, 0, 0};
     it.edit({name, 0}) = {
-        scheduler::task_phase::placed, 4, 1, "check", "i-1", {}, {3}};
+        scheduler::task_phase::placed, 4, 1, "check", "i-1", {}, {3}, {}};
     it.edit({name, 1}) = {
-        scheduler::task_phase::waiting, 2, 1, "other", {}, {4, 2}, {}};
+        scheduler::task_phase::waiting, 2, 1, "other", {}, {4, 2}, {},
+        {{1, "i-2"}, {2, "i-3"}}};
     it.edit({name, 2}).phase = scheduler::task_phase::done;
     step.gang_failures = 1;
     step.gang_failed_run = 3;
@@ -153,6 +154,33 @@
     BOOST_TEST((copy.phase == scheduler::job_phase::running));
 }
 
+/// Guards against a loss that can't be taken back, or one that is taken back
+/// twice, where an older release has written the count.
+BOOST_AUTO_TEST_CASE(losses_of_an_older_release_stay_counted)
+{
+    auto spec = full_spec();
+    spec.repeats = {};
+    char const* const states[] = {
+        R"({"p":1,"o":[[0,[[0,0,0,[[0,0,2,0,"","",2,0]]]]]]})",
+        R"({"p":1,"o":[[0,[[0,0,0,[[0,0,2,0,"","",2,0,[],[[1,"a"],[2,"b"],[3,"c"]]]]]]]]})",
+    };
+    for (auto const* const text : states)
+    {
+        scheduler::job it{spec, 0, base::instant{}};
+        auto const read = base::capture(
+            [&]() -> base::result<base::done>
+            {
+                BOOST_LEAF_CHECK(
+                    scheduler::read_state_value(text, base::instant{}, it));
+                return base::done{};
+            });
+        BOOST_REQUIRE(read.has_value());
+        auto const& task = it.occurrences.at(0).steps[0].tasks[0];
+        BOOST_TEST((task.lost == scheduler::loss_count{2, 0}));
+        BOOST_TEST(task.unconfirmed_losses.empty());
+    }
+}
+
 char const* const unreadable[] = {
     "",
     "{",
--- a/tests/scheduler/scheduler_fixture.hpp
+++ b/tests/scheduler/scheduler_fixture.hpp
@@ -21,8 +21,10 @@
 public:
     explicit scheduler_fixture(
         std::map<std::string, std::string> const& stored = {},
-        scheduler::policy const& rules = scheduler_fixture::rules())
-        : m_log{[]
+        scheduler::policy const& rules = scheduler_fixture::rules(),
+        base::instant from = base::instant{std::chrono::seconds{100}})
+        : now{from}
+        , m_log{[]
                 {
                     return 0.0;
                 }}
@@ -84,6 +86,12 @@
         decisions.instance_listed(info, now, now);
     }
 
+    /// Lists an instance whose entry was written at that time.
+    void list_written(std::string const& id, base::instant at)
+    {
+        decisions.instance_listed(entry_of(id), at, now);
+    }
+
     /// Lists an instance of a service, with its kind.
     void list_as(std::string const& id,
                  std::string const& service,
@@ -181,7 +189,7 @@
         return now.time_since_epoch().count() / 1'000;
     }
 
-    base::instant now{std::chrono::seconds{100}};
+    base::instant now;
 
 private:
     [[nodiscard]] static scheduler::instance_info
