scheduler: Call the instances of a former service until they are idle

Cause: the owner called only instances whose service some queue uses now. After the change those of the former service got no hold request any more: no lease was renewed, no end was read, and the attempts counted as lost when their leases were over.

Change: scheduler::may_call decides which instances are called. Besides those of services in use these are the ones that may still hold something of ours, by our records or by any configuration so far, until a report that was requested after the last order can have been carried out lists nothing. Entries of services that no configuration has named are not called, as before, and where one stands in place of an instance's own, the address stays as it was. The random runs call instances by the same rule.

--- a/libraries/cell/cell_owner_orders.cpp
+++ b/libraries/cell/cell_owner_orders.cpp
@@ -159,11 +159,7 @@
     {
         return hold_list::standing::unknown;
     }
-    // An entry of a service that no queue uses may belong to another system, at
-    // an address that must not be called.
-    auto const& info = at->second->info();
-    if (info.address.empty() || !m_decisions.serves(info.service) ||
-        !at->second->needs_reports(m_parts.clock->now()))
+    if (!m_decisions.may_call(*at->second, m_parts.clock->now()))
     {
         return hold_list::standing::not_callable;
     }
--- a/libraries/scheduler/instance.cpp
+++ b/libraries/scheduler/instance.cpp
@@ -71,6 +71,15 @@
     return m_listed && age && *age <= rules.max_entry_age;
 }
 
+bool instance::may_have_news(base::instant former_until,
+                             policy const& rules) const
+{
+    auto const sent_until =
+        std::max(former_until, m_start_sent_at.value_or(former_until));
+    return !m_attempts.empty() || !m_empty_report_at ||
+           *m_empty_report_at < sent_until + rules.max_request_delay;
+}
+
 void instance::heard(base::instant at, std::int64_t clock_ms)
 {
     if (m_clock_read_at && clock_ms < m_clock_ms)
@@ -127,6 +136,7 @@
 
 attempt& instance::add(attempt_name const& name, attempt it)
 {
+    m_had_attempts = true;
     m_used += it.need;
     if (m_ledger != nullptr && !it.account.empty())
     {
--- a/libraries/scheduler/instance.hpp
+++ b/libraries/scheduler/instance.hpp
@@ -148,6 +148,31 @@
         m_asked_at = now;
     }
 
+    /// A start order is sent to the instance now.
+    void note_start_sent(base::instant now)
+    {
+        note_asked(now);
+        m_start_sent_at = now;
+    }
+
+    /// A report that was requested then lists no attempts and no ends.
+    void note_empty_report(base::instant requested_at)
+    {
+        m_empty_report_at = requested_at;
+    }
+
+    /// Whether any attempt was ever added.
+    [[nodiscard]] bool had_attempts() const noexcept
+    {
+        return m_had_attempts;
+    }
+
+    /// Whether the instance may still report an attempt or an end: until a
+    /// report lists none that was requested after the last start order can have
+    /// been carried out. Former owners send none after `former_until`.
+    [[nodiscard]] bool may_have_news(base::instant former_until,
+                                     policy const& rules) const;
+
     /// When something was last sent to the instance; empty if nothing was.
     [[nodiscard]] std::optional<base::instant> asked_at() const noexcept
     {
@@ -363,6 +388,7 @@
     /// nothing else is placed here, since the instance could be overcommitted.
     std::size_t m_unknown_needs{0};
     std::map<attempt_name, attempt> m_attempts;
+    bool m_had_attempts{false};
     std::uint64_t m_seen_end{0};
     std::optional<base::instant> m_reported_at;
     std::optional<base::instant> m_clock_read_at;
@@ -370,6 +396,8 @@
     base::instant m_lease_end;
     base::instant m_paused_until{};
     std::optional<base::instant> m_asked_at;
+    std::optional<base::instant> m_start_sent_at;
+    std::optional<base::instant> m_empty_report_at;
     std::map<attempt_name, base::instant> m_open_orders;
 };
 
--- a/libraries/scheduler/instance_table.cpp
+++ b/libraries/scheduler/instance_table.cpp
@@ -42,6 +42,12 @@
     return at == m_instances.end() ? nullptr : at->second.get();
 }
 
+instance const* instance_table::find(std::string const& id) const
+{
+    auto const at = m_instances.find(id);
+    return at == m_instances.end() ? nullptr : at->second.get();
+}
+
 std::vector<std::string> instance_table::lives(std::string const& id) const
 {
     std::vector<std::string> out;
--- a/libraries/scheduler/instance_table.hpp
+++ b/libraries/scheduler/instance_table.hpp
@@ -65,6 +65,7 @@
 
     /// Returns null if the instance is unknown.
     [[nodiscard]] instance* find(std::string const& id);
+    [[nodiscard]] instance const* find(std::string const& id) const;
 
     /// The names of all known lives of the instance `id`.
     [[nodiscard]] std::vector<std::string> lives(std::string const& id) const;
--- a/libraries/scheduler/scheduler.cpp
+++ b/libraries/scheduler/scheduler.cpp
@@ -26,6 +26,7 @@
 scheduler::scheduler(policy rules, decision_log& log, base::instant now)
     : m_rules{rules}
     , m_log{&log}
+    , m_since{now}
     , m_confirmed_at{now}
     , m_instances{former_lease_end(rules.lease, rules, now),
                   former_lease_end(rules.longest_lease, rules, now)}
@@ -39,6 +40,7 @@
     {
         m_queues[queue.name] = queue;
     }
+    m_services.update(it, m_queues);
     if (it.accounts)
     {
         m_instances.accounts().set_accounts(it.accounts->all());
@@ -105,10 +107,18 @@
                                });
 }
 
-bool scheduler::serves(std::string const& service) const
+bool scheduler::may_call(instance const& it, base::instant now) const
 {
-    return std::ranges::any_of(m_queues, [&](auto const& it)
-                               { return it.second.service == service; });
+    return !it.info().address.empty() && it.needs_reports(now) &&
+           (m_services.used(it.info().service) || may_hold_work(it));
+}
+
+/// Whether work of this system may be on the instance, or an end that is not
+/// acknowledged, whatever its service is used for now.
+bool scheduler::may_hold_work(instance const& it) const
+{
+    auto const ours = it.had_attempts() || m_services.known(it.info().service);
+    return ours && it.may_have_news(m_since + m_rules.ownership_lease, m_rules);
 }
 
 submission scheduler::submit(workload::job_spec it,
@@ -318,6 +328,7 @@
     }
     // Two incarnations may be listed at one address in any order, the former
     // one for some more seconds. Only an answer shows which of them is alive.
+    keep_address(it);
     auto const id = it.id;
     m_instances.list(std::move(it), written_after, now);
     if (written_after)
@@ -326,6 +337,25 @@
     }
 }
 
+/// An entry that another writer puts in place of the instance's own must not
+/// lead its orders to another address.
+void scheduler::keep_address(instance_info& of) const
+{
+    auto const* const known = m_instances.find(of.id);
+    if (known == nullptr || m_services.known(of.service) ||
+        known->info().address.empty() || known->info().address == of.address ||
+        !may_hold_work(*known))
+    {
+        return;
+    }
+    m_log->write(base::log_level::warning, "entry_of_other_service",
+                 {{"id", of.id},
+                  {"service", of.service},
+                  {"address", of.address},
+                  {"kept_address", known->info().address}});
+    of.address = known->info().address;
+}
+
 void scheduler::instance_unlisted(std::string const& id, base::instant now)
 {
     for (auto const& life : m_instances.lives(id))
--- a/libraries/scheduler/scheduler.hpp
+++ b/libraries/scheduler/scheduler.hpp
@@ -7,6 +7,7 @@
 #include <scheduler/held_jobs.hpp>
 #include <scheduler/instance_table.hpp>
 #include <scheduler/job_table.hpp>
+#include <scheduler/known_services.hpp>
 #include <scheduler/orders.hpp>
 #include <scheduler/outcomes.hpp>
 #include <scheduler/placement.hpp>
@@ -123,8 +124,11 @@
     /// Another incarnation answers at the instance's address, so none of its
     /// attempts is running.
     void instance_replaced(std::string const& id, base::instant now);
-    /// Whether a queue of any configuration so far uses the service.
-    [[nodiscard]] bool serves(std::string const& service) const;
+    /// Whether requests may be sent to the instance and its reports matter. An
+    /// entry of a service that no queue uses may belong to another system, at
+    /// an address that must not be called, unless this one has sent work there.
+    /// Precondition: the instance is known.
+    [[nodiscard]] bool may_call(instance const& it, base::instant now) const;
     [[nodiscard]] hold_order next_hold(std::string const& id,
                                        base::instant now);
     /// How long the next hold request to the instance may be delayed, unless a
@@ -253,6 +257,8 @@
     void release_held(workload::job_id it);
     void acknowledge(std::string const& id, std::uint64_t last_end);
 
+    [[nodiscard]] bool may_hold_work(instance const& it) const;
+    void keep_address(instance_info& of) const;
     void update_expected_work(job& of) const;
     [[nodiscard]] static attempt attempt_of(job const& of,
                                             workload::step_name const& name);
@@ -570,6 +576,9 @@
     policy m_rules;
     decision_log* m_log;
     std::uint64_t m_token{0};
+    /// When this object was created. Former owners may have sent orders until
+    /// shortly after.
+    base::instant m_since;
     /// The latest time at which this process certainly owned the work.
     base::instant m_confirmed_at;
     /// The last attempts of waiting tasks, if no instance reported their ends.
@@ -578,6 +587,7 @@
     /// All queues of any configuration so far: jobs of a removed queue continue
     /// under its last configuration.
     std::map<std::string, workload::queue_spec> m_queues;
+    known_services m_services;
     /// Milliseconds since 1970 at the last event that passed the time of day.
     std::int64_t m_wall_ms{0};
     instance_table m_instances;
--- a/libraries/scheduler/scheduler_orders.cpp
+++ b/libraries/scheduler/scheduler_orders.cpp
@@ -167,7 +167,7 @@
     }
     found->state = attempt_state::sent;
     found->next_try = now + m_rules.order_retry;
-    at->note_asked(now);
+    at->note_start_sent(now);
     it.until_ms = at->grant(lease_begin(now), m_rules);
     it.send = found->sends.add();
     ++m_counts.starts;
@@ -249,7 +249,7 @@
         return;
     }
     auto const& spec = job->spec();
-    at.note_asked(now);
+    at.note_start_sent(now);
     m_orders.emplace_back(
         start_order{at.info().id, name, spec.payload, it.checkpoint, it.ticket,
                     at.grant(lease_begin(now), m_rules), it.sends.add()});
--- a/libraries/scheduler/scheduler_reports.cpp
+++ b/libraries/scheduler/scheduler_reports.cpp
@@ -48,6 +48,10 @@
     }
     at.reported(it.read_at, it.clock_ms);
     instance_alive(it.instance, it.sent_at, "report");
+    if (it.running.empty() && it.ended.empty())
+    {
+        at.note_empty_report(it.sent_at);
+    }
     read_running(at, it);
     read_ended(at, it);
     rest_if_crowded(at, it);
--- a/tests/cell/cell_owner_test.cpp
+++ b/tests/cell/cell_owner_test.cpp
@@ -639,6 +639,20 @@
     BOOST_TEST((orders.holds > before) == !overtaken);
 }
 
+/// Guards against work that lapses, or whose ends nobody reads, on instances of
+/// a service that its queue has left.
+BOOST_AUTO_TEST_CASE(an_instance_of_a_former_service_is_still_called)
+{
+    listed.put({{"i", "entry"}});
+    BOOST_REQUIRE(run_until([&] { return orders.open != nullptr; }));
+    auto moved = configuration;
+    moved.queues.front().service = "another service";
+    owner->set_configuration(moved);
+    auto const before = orders.holds;
+    orders.answer_hold();
+    BOOST_TEST(run_until([&] { return orders.holds > before; }));
+}
+
 /// Guards against an owner that lets its work lapse although the store shows
 /// that nobody else owns it: it stores nothing, or its append gets no answer.
 BOOST_DATA_TEST_CASE(an_owner_is_confirmed_while_it_stores_nothing,
--- a/tests/scheduler/scheduler_fixture.hpp
+++ b/tests/scheduler/scheduler_fixture.hpp
@@ -22,7 +22,9 @@
     explicit scheduler_fixture(
         std::map<std::string, std::string> const& stored = {},
         scheduler::policy const& rules = scheduler_fixture::rules(),
-        base::instant from = base::instant{std::chrono::seconds{100}})
+        base::instant from = base::instant{std::chrono::seconds{100}},
+        workload::cell_configuration const& configuration =
+            scheduler_fixture::configuration("svc", {}))
         : now{from}
         , m_log{[]
                 {
@@ -30,7 +32,7 @@
                 }}
         , decisions{rules, m_log, now}
     {
-        move_queue("svc");
+        decisions.set_configuration(configuration);
         decisions.restore(stored, 0, now);
         records = stored;
     }
@@ -59,18 +61,30 @@
         return out;
     }
 
-    /// Puts a configuration in force in which the queue's tasks run on the
-    /// instances of this service.
-    void move_queue(std::string const& service)
+    /// A configuration in which the queue's tasks run on the instances of this
+    /// service. It names these services besides.
+    [[nodiscard]] static workload::cell_configuration
+    configuration(std::string const& service,
+                  std::vector<std::string> const& others = {})
     {
-        workload::cell_configuration configuration;
+        workload::cell_configuration out;
         workload::queue_spec queue;
         queue.name = "q";
         queue.service = service;
         queue.max_attempts = 2;
         queue.stretch = 2;
-        configuration.queues = {queue};
-        decisions.set_configuration(configuration);
+        out.queues = {queue};
+        for (auto const& it : others)
+        {
+            out.services.emplace_back().name = it;
+        }
+        return out;
+    }
+
+    /// Puts such a configuration in force.
+    void move_queue(std::string const& service)
+    {
+        decisions.set_configuration(configuration(service));
     }
 
     /// Lists an instance. With `stays_for`, it drains and leaves after that
@@ -103,6 +117,17 @@
         decisions.instance_listed(info, now, now);
     }
 
+    /// Lists an instance of a service at an address.
+    void list_at(std::string const& id,
+                 std::string const& service,
+                 std::string const& address)
+    {
+        auto info = entry_of(id);
+        info.service = service;
+        info.address = address;
+        decisions.instance_listed(info, now, now);
+    }
+
     /// Delivers a report that was requested now.
     void report(std::string const& id,
                 std::vector<scheduler::running_attempt_report> running = {},
--- a/tests/scheduler/world_owner.cpp
+++ b/tests/scheduler/world_owner.cpp
@@ -188,8 +188,7 @@
     for (auto const& [id, at] : it->decisions->instances().all())
     {
         auto& next = it->hold_after[id];
-        if (m_now >= next && !at->info().address.empty() &&
-            at->needs_reports(m_now))
+        if (m_now >= next && it->decisions->may_call(*at, m_now))
         {
             next = m_now + std::chrono::hours{1};
             hold(it, id);
