scheduler: Keep the queue of a job with its record

Cause: a job's record named its queue and had nothing of it. An owner knows the queues of all configurations that it has seen, but a new one has the newest configuration alone, left the job out of its turns, and took 1 for the number of its attempts.

A new owner takes a queue that its configuration does not have from the newest unfinished job; what a configuration says goes first. A malformed row loses the queue and not the job; older releases ignore it.

--- a/libraries/scheduler/job.hpp
+++ b/libraries/scheduler/job.hpp
@@ -7,6 +7,7 @@
 #include <scheduler/part_ledger.hpp>
 #include <scheduler/task_list.hpp>
 #include <workload/job_spec.hpp>
+#include <workload/queue_spec.hpp>
 
 #include <cstddef>
 #include <cstdint>
@@ -269,6 +270,9 @@
     /// may still be running, and the parts that have them.
     void release_details();
 
+    /// Its queue as it was when the job was accepted; null if the job was
+    /// accepted by a release that did not keep it.
+    std::shared_ptr<workload::queue_spec const> queue;
     /// Whether the job is within its client account's share; jobs beyond it
     /// wait for all others.
     share_standing standing{share_standing::within_share};
--- a/libraries/scheduler/known_services.cpp
+++ b/libraries/scheduler/known_services.cpp
@@ -1,22 +1,22 @@
 #include <scheduler/known_services.hpp>
 
+#include <utility>
+
 namespace berylhill::scheduler
 {
 
-void known_services::update(
-    workload::cell_configuration const& it,
-    std::map<std::string, workload::queue_spec> const& queues)
+void known_services::add_named(workload::cell_configuration const& it)
 {
     for (auto const& service : it.services)
     {
         m_known.insert(service.name);
     }
-    m_used.clear();
-    for (auto const& [name, queue] : queues)
-    {
-        m_used.insert(queue.service);
-        m_known.insert(queue.service);
-    }
+}
+
+void known_services::set_used(std::set<std::string> it)
+{
+    m_used = std::move(it);
+    m_known.insert(m_used.begin(), m_used.end());
 }
 
 } // namespace berylhill::scheduler
--- a/libraries/scheduler/known_services.hpp
+++ b/libraries/scheduler/known_services.hpp
@@ -1,9 +1,7 @@
 #pragma once
 
 #include <workload/cell_configuration.hpp>
-#include <workload/queue_spec.hpp>
 
-#include <map>
 #include <set>
 #include <string>
 
@@ -15,9 +13,11 @@
 class known_services
 {
 public:
-    /// `queues` are those of any configuration so far, as they are now.
-    void update(workload::cell_configuration const& it,
-                std::map<std::string, workload::queue_spec> const& queues);
+    /// Adds the services that the configuration names.
+    void add_named(workload::cell_configuration const& it);
+
+    /// Sets those that the queues use from now on.
+    void set_used(std::set<std::string> it);
 
     /// Whether a queue uses the service now.
     [[nodiscard]] bool used(std::string const& service) const
--- a/libraries/scheduler/record.cpp
+++ b/libraries/scheduler/record.cpp
@@ -1,6 +1,7 @@
 #include <scheduler/record.hpp>
 
 #include <json_codec/reader.hpp>
+#include <scheduler/queue_row.hpp>
 #include <scheduler/record_rows.hpp>
 
 #include <algorithm>
@@ -230,6 +231,10 @@
     {
         out["b"] = 1;
     }
+    if (it.queue)
+    {
+        out["k"] = queue_row(*it.queue);
+    }
     if (spec.repeats.count != 0)
     {
         out["r"] = json::array{spec.repeats.count, spec.repeats.first_ms,
@@ -258,6 +263,7 @@
     out.standing = json_codec::number_or(root, "b") == 0
                        ? share_standing::within_share
                        : share_standing::over_share;
+    out.queue = queue_in(json_codec::array_or_empty(root, "k"), out.spec.queue);
     for (auto const& it : json_codec::array_or_empty(root, "s"))
     {
         out.spec.steps.push_back(parse_step(it));
--- a/libraries/scheduler/record.hpp
+++ b/libraries/scheduler/record.hpp
@@ -5,6 +5,7 @@
 #include <scheduler/state_part.hpp>
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -67,6 +68,8 @@
     workload::job_spec spec;
     std::int64_t accepted_ms{0};
     share_standing standing{share_standing::within_share};
+    /// As `job::queue`.
+    std::shared_ptr<workload::queue_spec const> queue;
 };
 
 /// Fails with `invalid`.
--- a/libraries/scheduler/scheduler.cpp
+++ b/libraries/scheduler/scheduler.cpp
@@ -38,9 +38,11 @@
 {
     for (auto const& queue : it.queues)
     {
-        m_queues[queue.name] = queue;
+        m_queues[queue.name] =
+            std::make_shared<workload::queue_spec const>(queue);
     }
-    m_services.update(it, m_queues);
+    m_services.add_named(it);
+    update_services();
     if (it.accounts)
     {
         m_instances.accounts().set_accounts(it.accounts->all());
@@ -48,6 +50,16 @@
     }
 }
 
+void scheduler::update_services()
+{
+    std::set<std::string> used;
+    for (auto const& [name, queue] : m_queues)
+    {
+        used.insert(queue->service);
+    }
+    m_services.set_used(std::move(used));
+}
+
 std::optional<std::string> scheduler::account_of(workload::job_id it) const
 {
     auto const* const job = m_jobs.find(it);
@@ -148,7 +160,10 @@
                      {{"job", text_of(it.id)}, {"account", it.account}});
         return submission::over_cap;
     }
-    if (auto const bytes = spec_record_bytes(job{it, wall_ms, now});
+    auto const queue = queue_named(it.queue);
+    job as_stored{it, wall_ms, now};
+    as_stored.queue = queue;
+    if (auto const bytes = spec_record_bytes(as_stored);
         bytes > m_rules.max_record_bytes)
     {
         m_log->write(base::log_level::info, "job_too_large",
@@ -162,6 +177,7 @@
     auto const repeats = it.repeats.count != 0;
     auto const owed = m_shares.take(it.account, now);
     auto& job = m_jobs.add(std::move(it), wall_ms, now);
+    job.queue = queue;
     job.standing =
         owed ? share_standing::within_share : share_standing::over_share;
     update_expected_work(job);
--- a/libraries/scheduler/scheduler.hpp
+++ b/libraries/scheduler/scheduler.hpp
@@ -257,6 +257,7 @@
     void release_held(workload::job_id it);
     void acknowledge(std::string const& id, std::uint64_t last_end);
 
+    void update_services();
     [[nodiscard]] bool may_hold_work(instance const& it) const;
     void keep_address(instance_info& of) const;
     void update_expected_work(job& of) const;
@@ -280,6 +281,7 @@
     restore_state(workload::job_id id, record const& from, base::instant now);
     void
     restore_part(record_key const& key, record const& from, base::instant now);
+    void restore_queues();
     job& add_without_spec(workload::job_id id,
                           stored_status const& known,
                           base::instant now);
@@ -493,6 +495,8 @@
     [[nodiscard]] bool is_preemptible(attempt_name const& name,
                                       std::int32_t than,
                                       base::instant now);
+    [[nodiscard]] std::shared_ptr<workload::queue_spec const>
+    queue_named(std::string const& it) const;
     [[nodiscard]] workload::queue_spec const* queue_of(job const& it) const;
     [[nodiscard]] bool eligible(instance const& it,
                                 workload::step_spec const& spec,
@@ -586,7 +590,7 @@
     unconfirmed_losses m_unconfirmed_losses;
     /// All queues of any configuration so far: jobs of a removed queue continue
     /// under its last configuration.
-    std::map<std::string, workload::queue_spec> m_queues;
+    std::map<std::string, std::shared_ptr<workload::queue_spec const>> m_queues;
     known_services m_services;
     /// Milliseconds since 1970 at the last event that passed the time of day.
     std::int64_t m_wall_ms{0};
--- a/libraries/scheduler/scheduler_decide.cpp
+++ b/libraries/scheduler/scheduler_decide.cpp
@@ -25,10 +25,16 @@
 
 } // namespace
 
+std::shared_ptr<workload::queue_spec const>
+scheduler::queue_named(std::string const& it) const
+{
+    auto const at = m_queues.find(it);
+    return at == m_queues.end() ? nullptr : at->second;
+}
+
 workload::queue_spec const* scheduler::queue_of(job const& it) const
 {
-    auto const at = m_queues.find(it.spec().queue);
-    return at == m_queues.end() ? nullptr : &at->second;
+    return queue_named(it.spec().queue).get();
 }
 
 /// How many of the step's waiting tasks its client account may start now. A
--- a/libraries/scheduler/scheduler_restore.cpp
+++ b/libraries/scheduler/scheduler_restore.cpp
@@ -66,6 +66,36 @@
     {
         restore_progress(*job, now);
     }
+    restore_queues();
+}
+
+/// Jobs of a queue that was removed from the configuration go on under the
+/// queue as it was when the newest of them was accepted.
+void scheduler::restore_queues()
+{
+    std::map<std::string, job const*> newest;
+    for (auto const& [id, it] : m_jobs.all())
+    {
+        if (finished(it->phase) || !it->queue ||
+            m_queues.contains(it->spec().queue))
+        {
+            continue;
+        }
+        auto& of = newest[it->spec().queue];
+        if (of == nullptr || of->accepted_ms < it->accepted_ms)
+        {
+            of = it.get();
+        }
+    }
+    for (auto const& [name, it] : newest)
+    {
+        m_queues[name] = it->queue;
+        m_log->write(base::log_level::info, "queue_restored",
+                     {{"queue", name},
+                      {"service", it->queue->service},
+                      {"job", text_of(it->spec().id)}});
+    }
+    update_services();
 }
 
 /// A job has two specifications if a former owner was lost while it replaced
@@ -89,6 +119,7 @@
                                  instant_of(accepted, m_wall_ms, now));
     job.stored = true;
     job.standing = read.value().standing;
+    job.queue = read.value().queue;
     if (!job.partitioned())
     {
         job.parts.note_spec_stored();
