scheduler: Let lost lasting tasks start beside a gang at its cap

Cause: while a gang waits for its part of a cap, later turns of the account start nothing. A job that lasts is long past its objective, so its turn comes after the gang's, and the gang waits for what that job holds.

Change: lasting tasks that have run before start all the same, within the cap: they held their part when the gang began to wait.

The new rows of account_cap fail without the change, 3 of 3, and hold with it.

--- a/libraries/scheduler/scheduler_decide.cpp
+++ b/libraries/scheduler/scheduler_decide.cpp
@@ -23,6 +23,18 @@
 /// wait.
 constexpr base::duration wait_report_spacing = std::chrono::milliseconds{50};
 
+/// Number of long-running tasks of the step that wait after they have run.
+std::uint32_t tasks_to_resume(workload::step_spec const& spec, step const& in)
+{
+    if (!spec.long_running)
+    {
+        return 0;
+    }
+    return static_cast<std::uint32_t>(std::ranges::count_if(
+        in.tasks, [](task const& it)
+        { return it.phase == task_phase::waiting && it.run > 0; }));
+}
+
 } // namespace
 
 std::shared_ptr<workload::queue_spec const>
@@ -40,17 +52,21 @@
 /// How many of the step's waiting tasks its client account may start now. A
 /// gang needs room for all of them. While it waits, later steps of its account
 /// start nothing, or they would use each part of the cap that becomes free. A
+/// long-running task that was lost starts again all the same: it held its part
+/// of the cap when the gang began to wait, and may be away for seconds only. A
 /// gang that has become worthless blocks no others while most of the cap is
 /// idle.
 std::uint32_t scheduler::account_room(job& of, turn const& it)
 {
     auto const& account = of.spec().account;
     auto const& spec = of.spec_of(it.name);
-    if (m_reserved_accounts.contains(account))
+    auto const waiting = m_reserved_accounts.contains(account)
+                             ? tasks_to_resume(spec, *of.find(it.name))
+                             : of.find(it.name)->waiting;
+    if (waiting == 0)
     {
         return 0;
     }
-    auto const waiting = of.find(it.name)->waiting;
     auto const out =
         m_instances.accounts().room_for(account, spec.need, waiting);
     if (!spec.gang || out == waiting)
--- a/tests/scheduler/account_cap_test.cpp
+++ b/tests/scheduler/account_cap_test.cpp
@@ -1,10 +1,15 @@
 #include "scheduler_fixture.hpp"
 
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <ostream>
+
 using namespace berylhill;
 using namespace berylhill::scheduler_test;
 using scheduler::end_reason;
+using std::chrono::milliseconds;
 
 namespace
 {
@@ -48,6 +53,26 @@
     }
 };
 
+struct lost_case
+{
+    char const* story;
+    std::uint32_t tasks;
+    bool gang;
+    /// Whether the task of another job that waits, and never ran, lasts too.
+    bool other_lasts;
+};
+
+std::ostream& operator<<(std::ostream& to, lost_case const& it)
+{
+    return to << it.story;
+}
+
+lost_case const lost_cases[] = {
+    {"one of two tasks", 2, false, false},
+    {"one of two tasks, another job that lasts waits", 2, false, true},
+    {"a gang", 2, true, false},
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(account_cap)
@@ -142,6 +167,57 @@
     BOOST_TEST((next[0].attempt.task.step.job == workload::job_id{2}));
 }
 
+/// Guards against long-running tasks that are away as long as a gang of their
+/// account waits for its cap, and against a gang that waits longer for it.
+BOOST_DATA_TEST_CASE(a_lost_long_running_task_starts_beside_a_waiting_gang,
+                     boost::unit_test::data::make(lost_cases))
+{
+    capped_cell it;
+    // Keeps a part of the cap, so that the waiting gang never fits.
+    it.decisions.submit(job_of("small", 9, 1), 0, it.now);
+    auto const kept = it.starts().at(0);
+    it.confirm(kept);
+    auto lasting = job_of("small", 1, sample.tasks);
+    lasting.steps[0].long_running = true;
+    lasting.steps[0].gang = sample.gang;
+    it.decisions.submit(lasting, 0, it.now);
+    auto const first = it.starts();
+    BOOST_TEST_REQUIRE(first.size() == sample.tasks);
+    for (auto const& start : first)
+    {
+        it.confirm(start);
+    }
+    // By now the objective of the lasting job has passed.
+    it.advance(std::chrono::seconds{30});
+    auto gang = job_of("small", 2, 3);
+    gang.steps[0].gang = true;
+    it.decisions.submit(gang, 0, it.now);
+    auto other = job_of("small", 3, 1);
+    other.steps[0].long_running = sample.other_lasts;
+    it.decisions.submit(other, 0, it.now);
+    BOOST_TEST(it.starts().empty());
+    it.advance(milliseconds{10});
+    std::vector<scheduler::running_attempt_report> left{{kept.attempt, {}, 10}};
+    for (std::size_t n = 1; n < first.size() && !sample.gang; ++n)
+    {
+        left.push_back({first[n].attempt, {}, 100});
+    }
+    it.report(first[0].instance, left,
+              {{1, first[0].attempt, end_reason::failed, {}}});
+    if (sample.gang)
+    {
+        std::ignore = it.store();
+        it.report(first[1].instance, left,
+                  {{2, first[1].attempt, end_reason::gang_member_ended, {}}});
+    }
+    auto const again = it.starts();
+    BOOST_TEST(again.size() == (sample.gang ? 2U : 1U));
+    for (auto const& start : again)
+    {
+        BOOST_TEST((start.attempt.task.step.job == workload::job_id{1}));
+    }
+}
+
 /// Guards against accepting a job that can never start because it needs more at
 /// once than its account's cap.
 BOOST_AUTO_TEST_CASE(a_job_that_never_fits_the_cap_is_rejected)
