tests: Wait for all processes before each of them is called

The test waits for process 0 and then calls all three. With process 2 killed and started again in the test, calls to it got no answer for 6 ms each, four of them after the start, and then 403: the same picture.

It waits until all are ready now, and checks what it did. all_ready stood in two tests and is the fixture's now.

--- a/tests/platform_adapter/account_test.cpp
+++ b/tests/platform_adapter/account_test.cpp
@@ -141,6 +141,7 @@
 BOOST_AUTO_TEST_CASE(an_account_sees_and_cancels_its_own_jobs_only)
 {
     store->put(operators_topic, configuration_key, accounts_document(2, true));
+    BOOST_REQUIRE(all_ready());
     BOOST_REQUIRE(run_until(
         [&] { return call(0, network::http_method::get, "/q/") == 401U; }));
     set_key(team_key);
--- a/tests/platform_adapter/cancellation_test.cpp
+++ b/tests/platform_adapter/cancellation_test.cpp
@@ -122,11 +122,6 @@
         }
     }
 
-    [[nodiscard]] bool all_ready()
-    {
-        return run_until([&] { return ready(0) && ready(1) && ready(2); });
-    }
-
     void pass(milliseconds it)
     {
         run_until([] { return false; }, it);
--- a/tests/platform_adapter/cell_fixture.cpp
+++ b/tests/platform_adapter/cell_fixture.cpp
@@ -180,6 +180,11 @@
            m_last_body.find("completed") != std::string::npos;
 }
 
+bool cell_fixture::all_ready()
+{
+    return run_until([&] { return ready(0) && ready(1) && ready(2); });
+}
+
 bool cell_fixture::ready(std::size_t process)
 {
     return ask(static_cast<std::uint16_t>(m_first_port +
--- a/tests/platform_adapter/cell_fixture.hpp
+++ b/tests/platform_adapter/cell_fixture.hpp
@@ -94,6 +94,8 @@
                      std::optional<unsigned>& status);
     [[nodiscard]] bool completed(std::size_t process, std::uint64_t id);
     [[nodiscard]] bool ready(std::size_t process);
+    /// Waits until all processes are ready; whether they are.
+    [[nodiscard]] bool all_ready();
 
     /// An address that nothing of the cell listens at.
     [[nodiscard]] network::socket_address const& spare_address() const noexcept
--- a/tests/platform_adapter/whole_path_test.cpp
+++ b/tests/platform_adapter/whole_path_test.cpp
@@ -42,19 +42,13 @@
     {"it freezes", SIGSTOP},
 };
 
-bool all_ready(cell_fixture& it)
-{
-    return it.run_until([&]
-                        { return it.ready(0) && it.ready(1) && it.ready(2); });
-}
-
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(whole_path, cell_fixture)
 
 BOOST_AUTO_TEST_CASE(jobs_go_through_any_process)
 {
-    BOOST_REQUIRE(all_ready(*this));
+    BOOST_REQUIRE(all_ready());
     for (std::uint64_t id = 1; id <= 6; ++id)
     {
         BOOST_TEST(submit(id % processes, id) == 200U);
@@ -86,7 +80,7 @@
 BOOST_DATA_TEST_CASE(work_goes_on_when_its_owner_is_lost,
                      boost::unit_test::data::make(loss_cases))
 {
-    BOOST_REQUIRE(all_ready(*this));
+    BOOST_REQUIRE(all_ready());
     auto const first = owner();
     BOOST_REQUIRE(first.has_value());
     auto const other = (*first + 1) % processes;
@@ -116,7 +110,7 @@
 /// completed after they are back: nothing but the store remembers it.
 BOOST_AUTO_TEST_CASE(accepted_work_outlives_all_processes)
 {
-    BOOST_REQUIRE(all_ready(*this));
+    BOOST_REQUIRE(all_ready());
     for (std::uint64_t id = 1; id <= 3; ++id)
     {
         BOOST_TEST(submit(0, id) == 200U);
@@ -133,7 +127,7 @@
     {
         start_process(n);
     }
-    BOOST_REQUIRE(all_ready(*this));
+    BOOST_REQUIRE(all_ready());
     for (std::uint64_t id = 1; id <= 3; ++id)
     {
         BOOST_TEST(run_until([&] { return completed(1, id); }));
@@ -148,7 +142,7 @@
 /// store takes nothing, and can hand it in when it is back.
 BOOST_AUTO_TEST_CASE(while_the_store_is_down_new_work_is_refused)
 {
-    BOOST_REQUIRE(all_ready(*this));
+    BOOST_REQUIRE(all_ready());
     BOOST_TEST(submit(0, 1) == 200U);
     BOOST_TEST(run_until([&] { return completed(0, 1); }));
     store->set_down(true);
@@ -166,7 +160,7 @@
 /// records for good, and each owner appended them again without end.
 BOOST_AUTO_TEST_CASE(a_job_with_rejected_records_stops_no_other)
 {
-    BOOST_REQUIRE(all_ready(*this));
+    BOOST_REQUIRE(all_ready());
     BOOST_TEST(submit(0, 1) == 200U);
     store->set_rejected_key("0000000000000001");
     std::uint64_t next = 2;
@@ -202,7 +196,7 @@
 /// slow, and who waits behind an append under way was refused for that.
 BOOST_AUTO_TEST_CASE(a_slow_store_takes_all_new_work)
 {
-    BOOST_REQUIRE(all_ready(*this));
+    BOOST_REQUIRE(all_ready());
     store->set_append_delay(std::chrono::milliseconds{800});
     std::array<std::optional<unsigned>, 6> ends;
     for (std::size_t n = 0; n < ends.size(); ++n)
@@ -252,7 +246,7 @@
     store->put(instances_topic, "i-missing", with("\"zone\":\"a\",", ""));
     store->put(instances_topic, "i-type", with("\"slots\":8", "\"slots\":[]"));
     store->put(instances_topic, "i-bytes", "\xff\x01{" + good);
-    BOOST_REQUIRE(all_ready(*this));
+    BOOST_REQUIRE(all_ready());
     for (std::uint64_t id = 1; id <= 8; ++id)
     {
         BOOST_TEST(submit(id % processes, id) == 200U);
@@ -301,7 +295,7 @@
         with(text_of(at), at.host + ":0"),
         with("\"k\"", "\"" + std::string(250'000, 'k') + "\",7"),
     };
-    BOOST_REQUIRE(all_ready(*this));
+    BOOST_REQUIRE(all_ready());
     std::uint64_t id = 0;
     auto const works_only = [&](instance_stand_in& worker)
     {
@@ -326,7 +320,7 @@
     // It reads them among the newest of the list.
     stop_process(2);
     start_process(2);
-    BOOST_REQUIRE(all_ready(*this));
+    BOOST_REQUIRE(all_ready());
     for (auto const& it : instances)
     {
         works_only(*it);
@@ -348,7 +342,7 @@
 /// write.
 BOOST_AUTO_TEST_CASE(a_log_that_nobody_reads_holds_up_nothing)
 {
-    BOOST_REQUIRE(all_ready(*this));
+    BOOST_REQUIRE(all_ready());
     stop_process(0);
     auto const pipe = log_path(0);
     std::filesystem::remove(pipe);
@@ -356,7 +350,7 @@
     auto const reader = ::open(pipe.c_str(), O_RDONLY | O_NONBLOCK);
     BOOST_REQUIRE(reader >= 0);
     start_process(0);
-    BOOST_REQUIRE(all_ready(*this));
+    BOOST_REQUIRE(all_ready());
     stop_process(1);
     stop_process(2);
     BOOST_REQUIRE(run_until([&] { return owner() == 0; }));
@@ -398,7 +392,7 @@
         stop_process(n);
         start_process(n, link_address(n).port);
     }
-    BOOST_REQUIRE(all_ready(*this));
+    BOOST_REQUIRE(all_ready());
     BOOST_REQUIRE(submit(0, 1) == 200U);
     auto const first = owner();
     BOOST_REQUIRE(first.has_value());
