--- a/tests/cell/idle_platform.hpp
+++ b/tests/cell/idle_platform.hpp
@@ -11,7 +11,7 @@
 {
 
 /// Instances that give no answer.
-class no_instances final : public cell::instance_client
+class no_instances : public cell::instance_client
 {
 public:
     void start(cell::order_target const&,
