scheduler: Give queues and services a table of their own

The queues of all configurations, the services that they use and those that belong to this system stood in three members of the scheduler, with four functions to keep them in step. queue_table has them now.

--- a/libraries/scheduler/scheduler.cpp
+++ b/libraries/scheduler/scheduler.cpp
@@ -36,13 +36,7 @@
 
 void scheduler::set_configuration(workload::cell_configuration const& it)
 {
-    for (auto const& queue : it.queues)
-    {
-        m_queues[queue.name] =
-            std::make_shared<workload::queue_spec const>(queue);
-    }
-    m_services.add_named(it);
-    update_services();
+    m_queues.configure(it);
     if (it.accounts)
     {
         m_instances.accounts().set_accounts(it.accounts->all());
@@ -50,16 +44,6 @@
     }
 }
 
-void scheduler::update_services()
-{
-    std::set<std::string> used;
-    for (auto const& [name, queue] : m_queues)
-    {
-        used.insert(queue->service);
-    }
-    m_services.set_used(std::move(used));
-}
-
 std::optional<std::string> scheduler::account_of(workload::job_id it) const
 {
     auto const* const job = m_jobs.find(it);
@@ -122,14 +106,14 @@
 bool scheduler::may_call(instance const& it, base::instant now) const
 {
     return !it.info().address.empty() && it.needs_reports(now) &&
-           (m_services.used(it.info().service) || may_hold_work(it));
+           (m_queues.uses(it.info().service) || may_hold_work(it));
 }
 
 /// Whether work of this system may be on the instance, or an end that is not
 /// acknowledged, whatever its service is used for now.
 bool scheduler::may_hold_work(instance const& it) const
 {
-    auto const ours = it.had_attempts() || m_services.known(it.info().service);
+    auto const ours = it.had_attempts() || m_queues.knows(it.info().service);
     return ours && it.may_have_news(m_since + m_rules.ownership_lease, m_rules);
 }
 
@@ -160,7 +144,7 @@
                      {{"job", text_of(it.id)}, {"account", it.account}});
         return submission::over_cap;
     }
-    auto const queue = queue_named(it.queue);
+    auto const queue = m_queues.find(it.queue);
     job as_stored{it, wall_ms, now};
     as_stored.queue = queue;
     if (auto const bytes = spec_record_bytes(as_stored);
@@ -358,7 +342,7 @@
 void scheduler::keep_address(instance_info& of) const
 {
     auto const* const known = m_instances.find(of.id);
-    if (known == nullptr || m_services.known(of.service) ||
+    if (known == nullptr || m_queues.knows(of.service) ||
         known->info().address.empty() || known->info().address == of.address ||
         !may_hold_work(*known))
     {
--- a/libraries/scheduler/scheduler.hpp
+++ b/libraries/scheduler/scheduler.hpp
@@ -7,12 +7,12 @@
 #include <scheduler/held_jobs.hpp>
 #include <scheduler/instance_table.hpp>
 #include <scheduler/job_table.hpp>
-#include <scheduler/known_services.hpp>
 #include <scheduler/orders.hpp>
 #include <scheduler/outcomes.hpp>
 #include <scheduler/placement.hpp>
 #include <scheduler/policy.hpp>
 #include <scheduler/presumed_end.hpp>
+#include <scheduler/queue_table.hpp>
 #include <scheduler/run_times.hpp>
 #include <scheduler/start_place.hpp>
 #include <scheduler/start_waits.hpp>
@@ -257,7 +257,6 @@
     void release_held(workload::job_id it);
     void acknowledge(std::string const& id, std::uint64_t last_end);
 
-    void update_services();
     [[nodiscard]] bool may_hold_work(instance const& it) const;
     void keep_address(instance_info& of) const;
     void update_expected_work(job& of) const;
@@ -495,8 +494,6 @@
     [[nodiscard]] bool is_preemptible(attempt_name const& name,
                                       std::int32_t than,
                                       base::instant now);
-    [[nodiscard]] std::shared_ptr<workload::queue_spec const>
-    queue_named(std::string const& it) const;
     [[nodiscard]] workload::queue_spec const* queue_of(job const& it) const;
     [[nodiscard]] bool eligible(instance const& it,
                                 workload::step_spec const& spec,
@@ -588,10 +585,7 @@
     /// The last attempts of waiting tasks, if no instance reported their ends.
     std::map<workload::task_name, presumed_end> m_presumed_ends;
     unconfirmed_losses m_unconfirmed_losses;
-    /// All queues of any configuration so far: jobs of a removed queue continue
-    /// under its last configuration.
-    std::map<std::string, std::shared_ptr<workload::queue_spec const>> m_queues;
-    known_services m_services;
+    queue_table m_queues;
     /// Milliseconds since 1970 at the last event that passed the time of day.
     std::int64_t m_wall_ms{0};
     instance_table m_instances;
--- a/libraries/scheduler/scheduler_decide.cpp
+++ b/libraries/scheduler/scheduler_decide.cpp
@@ -37,16 +37,9 @@
 
 } // namespace
 
-std::shared_ptr<workload::queue_spec const>
-scheduler::queue_named(std::string const& it) const
-{
-    auto const at = m_queues.find(it);
-    return at == m_queues.end() ? nullptr : at->second;
-}
-
 workload::queue_spec const* scheduler::queue_of(job const& it) const
 {
-    return queue_named(it.spec().queue).get();
+    return m_queues.find(it.spec().queue).get();
 }
 
 /// How many of the step's waiting tasks its client account may start now. A
--- a/libraries/scheduler/scheduler_restore.cpp
+++ b/libraries/scheduler/scheduler_restore.cpp
@@ -77,7 +77,7 @@
     for (auto const& [id, it] : m_jobs.all())
     {
         if (finished(it->phase) || !it->queue ||
-            m_queues.contains(it->spec().queue))
+            m_queues.find(it->spec().queue) != nullptr)
         {
             continue;
         }
@@ -89,13 +89,12 @@
     }
     for (auto const& [name, it] : newest)
     {
-        m_queues[name] = it->queue;
+        m_queues.add_removed(it->queue);
         m_log->write(base::log_level::info, "queue_restored",
                      {{"queue", name},
                       {"service", it->queue->service},
                       {"job", text_of(it->spec().id)}});
     }
-    update_services();
 }
 
 /// A job has two specifications if a former owner was lost while it replaced
