scheduler: Believe no other system's entry of an instance's life

An entry of another writer under the id of a crashed instance would have taken back its loss, again and again: the task would crash instances without a bound. Only entries of services that belong to this system say that an instance lives. The new row of silent_losses fails without it.

--- a/libraries/scheduler/scheduler.cpp
+++ b/libraries/scheduler/scheduler.cpp
@@ -330,8 +330,10 @@
     // one for some more seconds. Only an answer shows which of them is alive.
     keep_address(it);
     auto const id = it.id;
+    // Another writer's entry under the id says nothing of the instance.
+    auto const tells_of_it = written_after && m_queues.knows(it.service);
     m_instances.list(std::move(it), written_after, now);
-    if (written_after)
+    if (tells_of_it)
     {
         instance_alive(id, *written_after, "entry");
     }
--- a/tests/scheduler/silent_loss_test.cpp
+++ b/tests/scheduler/silent_loss_test.cpp
@@ -41,6 +41,8 @@
     later_entry,
     /// Its entry was last written while the leases were in force.
     earlier_entry,
+    /// An entry of another system stands in place of its own.
+    foreign_entry,
     /// A report that was requested while the leases were in force.
     earlier_report,
     /// Another incarnation answers at its address.
@@ -115,6 +117,8 @@
      false, false, true},
     {"the entry was written before, the owner is lost", news::earlier_entry,
      owner_loss::before_news, 1, false, false, true},
+    {"another system's entry", news::foreign_entry, owner_loss::never, 1, false,
+     false, true},
     {"the report was requested before", news::earlier_report, owner_loss::never,
      1, false, false, true},
     {"a gang", news::nothing, owner_loss::before_news, 2, true, false, true},
@@ -257,6 +261,9 @@
             m_cell->list_written(id, m_in_force);
             decisions.instance_unlisted(id, m_cell->now);
             break;
+        case news::foreign_entry:
+            m_cell->list_at(id, "stranger", id);
+            break;
         case news::earlier_report:
             decisions.hold_answered(
                 {id, m_in_force, m_cell->now, m_cell->clock_ms(), {}, {}});
