--- a/libraries/scheduler/instance.hpp
+++ b/libraries/scheduler/instance.hpp
@@ -388,6 +388,7 @@
     /// nothing else is placed here, since the instance could be overcommitted.
     std::size_t m_unknown_needs{0};
     std::map<attempt_name, attempt> m_attempts;
+    /// Whether there was any attempt.
     bool m_had_attempts{false};
     std::uint64_t m_seen_end{0};
     std::optional<base::instant> m_reported_at;
@@ -397,6 +398,7 @@
     base::instant m_paused_until{};
     std::optional<base::instant> m_asked_at;
     std::optional<base::instant> m_start_sent_at;
+    /// When the last report without attempts and ends was requested.
     std::optional<base::instant> m_empty_report_at;
     std::map<attempt_name, base::instant> m_open_orders;
 };
--- a/libraries/scheduler/scheduler.cpp
+++ b/libraries/scheduler/scheduler.cpp
@@ -110,7 +110,7 @@
 }
 
 /// Whether work of this system may be on the instance, or an end that is not
-/// acknowledged, whatever its service is used for now.
+/// acknowledged, whether a queue uses its service now or not.
 bool scheduler::may_hold_work(instance const& it) const
 {
     auto const ours = it.had_attempts() || m_queues.knows(it.info().service);
@@ -326,12 +326,12 @@
                       {"gpus", it.capacity.gpus},
                       {"gpus_before", before.gpus}});
     }
-    // Two incarnations may be listed at one address in any order, the former
-    // one for some more seconds. Only an answer shows which of them is alive.
     keep_address(it);
     auto const id = it.id;
     // Another writer's entry under the id says nothing of the instance.
     auto const tells_of_it = written_after && m_queues.knows(it.service);
+    // Two incarnations may be listed at one address in any order, the former
+    // one for some more seconds. Only an answer shows which of them is alive.
     m_instances.list(std::move(it), written_after, now);
     if (tells_of_it)
     {
@@ -350,11 +350,14 @@
     {
         return;
     }
-    m_log->write(base::log_level::warning, "entry_of_other_service",
-                 {{"id", of.id},
-                  {"service", of.service},
-                  {"address", of.address},
-                  {"kept_address", known->info().address}});
+    if (known->info().service != of.service)
+    {
+        m_log->write(base::log_level::warning, "entry_of_other_service",
+                     {{"id", of.id},
+                      {"service", of.service},
+                      {"address", of.address},
+                      {"kept_address", known->info().address}});
+    }
     of.address = known->info().address;
 }
 
