--- a/tests/scheduler/former_service_test.cpp
+++ b/tests/scheduler/former_service_test.cpp
@@ -244,6 +244,7 @@
                           { return each.number <= order.seen_end; });
             extend(it, order.until_ms);
             std::vector<scheduler::running_attempt_report> running;
+            running.reserve(it.running.size());
             for (auto const& [name, began] : it.running)
             {
                 running.push_back({name, {}, 10});
--- a/tests/scheduler/removed_queue_test.cpp
+++ b/tests/scheduler/removed_queue_test.cpp
@@ -88,6 +88,7 @@
     auto const starts = it.starts();
     BOOST_TEST_REQUIRE(!starts.empty());
     std::vector<scheduler::ended_attempt_report> ended;
+    ended.reserve(starts.size());
     auto const how =
         of.at == progress::failed_once ? end_reason::failed : end_reason::done;
     for (auto const& start : starts)
--- a/tests/scheduler/silent_loss_test.cpp
+++ b/tests/scheduler/silent_loss_test.cpp
@@ -239,6 +239,7 @@
         case news::lapsed:
         {
             std::vector<scheduler::ended_attempt_report> ended;
+            ended.reserve(starts.size());
             for (auto const& it : starts)
             {
                 ended.push_back({next_end(round) + ended.size(),
