--- a/libraries/scheduler/scheduler.hpp
+++ b/libraries/scheduler/scheduler.hpp
@@ -9,6 +9,7 @@
 #include <scheduler/job_table.hpp>
 #include <scheduler/orders.hpp>
 #include <scheduler/outcomes.hpp>
+#include <scheduler/pending_batch.hpp>
 #include <scheduler/placement.hpp>
 #include <scheduler/policy.hpp>
 #include <scheduler/presumed_end.hpp>
@@ -225,25 +226,6 @@
     }
 
 private:
-    /// What a batch says of a job.
-    struct written_job
-    {
-        workload::job_id id;
-        job_phase phase{job_phase::queued};
-        bool submitted{true};
-    };
-
-    /// Orders and acknowledgements that are held back until a batch is stored.
-    struct pending_batch
-    {
-        std::vector<start_order> starts;
-        std::vector<stop_order> stops;
-        /// By instance and number: the ends that were read, and their jobs.
-        std::map<std::string, std::map<std::uint64_t, workload::job_id>> ends;
-        std::vector<written_job> jobs;
-        job_table::dropped_jobs dropped;
-    };
-
     // scheduler_held.cpp
     void hold_rejected(pending_batch& batch,
                        std::vector<rejected_job> const& rejected,
@@ -257,8 +239,11 @@
     void release_held(workload::job_id it);
     void acknowledge(std::string const& id, std::uint64_t last_end);
 
+    // scheduler_instances.cpp
     [[nodiscard]] bool may_hold_work(instance const& it) const;
     void keep_address(instance_info& of) const;
+
+    // scheduler.cpp
     void update_expected_work(job& of) const;
     [[nodiscard]] static attempt attempt_of(job const& of,
                                             workload::step_name const& name);
