tests: Let a successor learn of a moved queue in any order

Records, configuration and entry of an instance in all six orders; and that an idle instance of a former service is called no longer than a late order may take. Both hold on the code as it is.

--- a/tests/scheduler/former_service_test.cpp
+++ b/tests/scheduler/former_service_test.cpp
@@ -4,6 +4,8 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+#include <array>
 #include <map>
 #include <memory>
 #include <ostream>
@@ -297,6 +299,70 @@
     BOOST_TEST(!it.may_call(moving_cell::former));
 }
 
+/// Guards against more calls than a late order needs to be found: they are
+/// paid for.
+BOOST_AUTO_TEST_CASE(an_idle_instance_of_a_former_service_is_soon_left_alone)
+{
+    moving_cell it{moved_cases[0]};
+    auto& former = it.instances.at(moving_cell::former);
+    it.move_queue();
+    it.run_for(scheduler::policy{}.max_request_delay + 10 * moment);
+    BOOST_TEST(former.ended.empty());
+    auto const calls = former.calls;
+    it.run_for(settling);
+    BOOST_TEST(former.calls == calls);
+}
+
+/// Guards against a successor that misses work on a former service, whichever
+/// of the three it learns of first.
+BOOST_DATA_TEST_CASE(a_successor_learns_of_a_moved_queue_in_any_order,
+                     boost::unit_test::data::xrange(6),
+                     number)
+{
+    moving_cell former{moved_cases[1]};
+    trace_log log{[]
+                  {
+                      return 0.0;
+                  }};
+    auto const now = former.cell->now;
+    scheduler::scheduler next{scheduler_fixture::rules(), log, now};
+    std::array steps{0, 1, 2};
+    for (int n = 0; n < number; ++n)
+    {
+        std::ranges::next_permutation(steps);
+    }
+    for (auto const step : steps)
+    {
+        switch (step)
+        {
+        case 0:
+            next.set_configuration(scheduler_fixture::configuration("other"));
+            break;
+        case 1:
+            next.restore(former.cell->records, 0, now);
+            break;
+        default:
+            next.instance_listed(
+                former.cell->decisions.instances().share("former")->info(), now,
+                now);
+        }
+    }
+    auto const at = next.instances().share("former");
+    BOOST_TEST(next.may_call(*at, now));
+    BOOST_TEST(at->attempts().size() == 3U);
+    std::vector<scheduler::ended_attempt_report> ended;
+    ended.reserve(at->attempts().size());
+    for (auto const& [name, it] : at->attempts())
+    {
+        ended.push_back({ended.size() + 1, name, end_reason::done, {}});
+    }
+    next.hold_answered({"former", now, now, 1, {}, ended});
+    BOOST_TEST(!next.take_batch(now).empty());
+    next.batch_stored(now);
+    BOOST_TEST((next.phase_of({1}) == job_phase::completed));
+    BOOST_TEST(next.next_hold("former", now).seen_end == ended.size());
+}
+
 /// Guards against an order that is carried out late on an instance of a former
 /// service: nobody would see what it started.
 BOOST_AUTO_TEST_CASE(a_late_order_to_a_former_service_is_found)
