--- a/libraries/cell/log_follower.cpp
+++ b/libraries/cell/log_follower.cpp
@@ -25,7 +25,7 @@
 constexpr base::duration min_catch_up_limit = std::chrono::milliseconds{400};
 
 /// If an answer was in transit for longer than this, the next read does not
-/// wait at the store: until it returns nobody can tell whether the records are
+/// wait at the store: until it returns, it is unknown whether the records are
 /// the newest.
 constexpr base::duration max_as_of_age = std::chrono::milliseconds{500};
 
--- a/libraries/cell/ownership_claim.cpp
+++ b/libraries/cell/ownership_claim.cpp
@@ -136,9 +136,10 @@
     begin_claim();
 }
 
-/// A process that the store turns away would only delay the processes that can
-/// claim. It goes on looking for an owner, and at the log, which also shows
-/// when the store serves it again. Returns whether the claim was withheld.
+/// A process whose requests the store rejects would only delay the processes
+/// that can claim. It goes on looking for an owner and reading the log, which
+/// also shows when the store serves it again. Returns whether the claim was
+/// withheld.
 bool ownership::withhold_claim()
 {
     auto const now = m_clock.now();
--- a/libraries/entry/job_shard_actor.cpp
+++ b/libraries/entry/job_shard_actor.cpp
@@ -244,8 +244,8 @@
            {
                if (!ended)
                {
-                   // Nobody is told before it is in the log, so it is tried
-                   // until it is.
+                   // Callers learn of the end only once its record is stored,
+                   // so the append is retried until then.
                    m_unwritten.push_back(it);
                    return;
                }
--- a/libraries/ownership/claim_table.hpp
+++ b/libraries/ownership/claim_table.hpp
@@ -55,10 +55,11 @@
 /// When a claim takes effect if the unit's owner may not know the claimant yet.
 enum class joiner_rule : std::uint8_t
 {
-    /// Once the owner has published that it knows the claimant, has released
-    /// the unit, or is no longer a member.
+    /// The claim waits until the owner has published that it knows the
+    /// claimant, has released the unit, or is no longer a member.
     wait_until_seen,
-    /// Immediately. Unsafe; for the exhaustive test only.
+    /// The claim takes effect immediately. Unsafe; for the exhaustive test
+    /// only.
     claim_at_once,
 };
 
--- a/libraries/rpc/frame_socket.hpp
+++ b/libraries/rpc/frame_socket.hpp
@@ -39,8 +39,8 @@
     /// `invalid` when it is longer than `longest_frame`.
     [[nodiscard]] base::result<std::string> read(base::duration timeout);
 
-    /// The other end has closed it, or sent something nobody asked for; such a
-    /// connection must not carry a request.
+    /// Whether the peer has closed the connection or sent unexpected data; such
+    /// a connection must not carry a request.
     [[nodiscard]] bool spoiled() const;
 
     /// Ends a `read` that is waiting in another thread. Thread-safe.
--- a/libraries/settings/entry_settings.hpp
+++ b/libraries/settings/entry_settings.hpp
@@ -119,7 +119,7 @@
                            trace_settings const&) = default;
 };
 
-/// What one entry instance is told by its settings file. A value.
+/// The settings of one entry instance. A value.
 struct entry_settings
 {
     std::string instance;
