soak: Move queues and cut links for longer than a lease

A move takes no queue out: an owner goes on using the service of a queue that it has known, and all instances would be called.

--- a/tests/platform_adapter/stand_ins/documents.cpp
+++ b/tests/platform_adapter/stand_ins/documents.cpp
@@ -8,8 +8,14 @@
 namespace json = boost::json;
 
 std::string configuration_document(int version,
-                                   std::vector<std::string> const& queues)
+                                   std::vector<std::string> const& queues,
+                                   std::string const& service)
 {
+    json::array services{json::object{{"name", "svc"}}};
+    if (service != "svc")
+    {
+        services.emplace_back(json::object{{"name", service}});
+    }
     json::array routes;
     for (auto const& name : queues)
     {
@@ -19,15 +25,14 @@
                                          {"timeoutMs", 3'000},
                                          {"targetLatencyMs", 500},
                                          {"priority", 0},
-                                         {"service", "svc"},
+                                         {"service", service},
                                          {"attempts", 2},
                                          {"stretch", 2}});
     }
-    return json::serialize(
-        json::object{{"version", version},
-                     {"routes", std::move(routes)},
-                     {"services", json::array{json::object{{"name", "svc"}}}},
-                     {"limits", json::object{}}});
+    return json::serialize(json::object{{"version", version},
+                                        {"routes", std::move(routes)},
+                                        {"services", std::move(services)},
+                                        {"limits", json::object{}}});
 }
 
 std::string configuration_document(int version,
--- a/tests/platform_adapter/stand_ins/documents.hpp
+++ b/tests/platform_adapter/stand_ins/documents.hpp
@@ -14,9 +14,11 @@
 inline constexpr char const* configuration_key = "config";
 
 /// The configuration as the operator writes it: a queue below `/NAME/` of host
-/// `h` for each name.
+/// `h` for each name, all of one service. It names `svc` and that service.
 [[nodiscard]] std::string
-configuration_document(int version, std::vector<std::string> const& queues);
+configuration_document(int version,
+                       std::vector<std::string> const& queues,
+                       std::string const& service = "svc");
 
 /// As above, with so many other queues that it has `bytes` at least.
 [[nodiscard]] std::string configuration_document(
--- a/tests/platform_adapter/stand_ins/instance_stand_in.cpp
+++ b/tests/platform_adapter/stand_ins/instance_stand_in.cpp
@@ -68,7 +68,7 @@
 instance_stand_in::heartbeat(network::socket_address const& reached_at) const
 {
     return with_birth(
-        {{"service", "svc"},
+        {{"service", m_service},
          {"address", text_of(reached_at)},
          {"zone", "a"},
          {"version", "v1"},
--- a/tests/platform_adapter/stand_ins/instance_stand_in.hpp
+++ b/tests/platform_adapter/stand_ins/instance_stand_in.hpp
@@ -97,6 +97,12 @@
         m_cpu_millis = millis;
     }
 
+    /// The service that it says it belongs to from now on.
+    void set_service(std::string it)
+    {
+        m_service = std::move(it);
+    }
+
     /// How long each task takes that begins from now on.
     void set_work(std::chrono::milliseconds it)
     {
@@ -164,6 +170,7 @@
 
     network::socket_address m_address;
     std::string m_id;
+    std::string m_service{"svc"};
     std::chrono::milliseconds m_work;
     start_handler m_started;
     end_handler m_on_end;
--- a/tests/soak/plan_test.cpp
+++ b/tests/soak/plan_test.cpp
@@ -53,6 +53,7 @@
     {"lives", life_plan_of, 9400850602368523475U},
     {"store", store_plan_of, 8676680649804888980U},
     {"islands", island_plan_of, 17376928686754483051U},
+    {"moves", move_plan_of, 11604399549716850893U},
 };
 
 } // namespace
--- a/utilities/soak/cell.cpp
+++ b/utilities/soak/cell.cpp
@@ -67,7 +67,10 @@
     return "key-" + std::to_string(account);
 }
 
-/// The longest lease of instances where owners are cut off.
+/// The service that queues move to and from.
+constexpr char const* other_service = "other";
+
+/// The longest lease of instances where owners or instances are cut off.
 constexpr std::int64_t short_lease_ms = 3'500;
 
 std::chrono::milliseconds time_of_tasks(cell_size const& it,
@@ -79,6 +82,10 @@
         return instance / 2 % 2 == 0 ? cell::longest_task_time
                                      : cell::island_task_time;
     }
+    if (it.moves_queues)
+    {
+        return cell::island_task_time;
+    }
     if (it.orders == order_kind::late)
     {
         return cell::long_task_time;
@@ -148,6 +155,10 @@
         {
             it.instance->tell_birth();
         }
+        if (size.moves_queues && n % 2 == 1)
+        {
+            it.instance->set_service(other_service);
+        }
         announce(it);
     }
     m_heartbeats = std::make_unique<platform_test::heartbeats>(
@@ -171,9 +182,12 @@
         }
         it.from_callers =
             std::make_unique<fault_link>(loop, it.callers, local(port));
-        if (size.islands)
+        if (size.islands || size.moves_queues)
         {
             it.how.longest_lease_ms = short_lease_ms;
+        }
+        if (size.islands)
+        {
             it.how.peers_reach_it_at = port + ports_per_process;
             it.from_peers = std::make_unique<fault_link>(
                 loop, local(it.how.peers_reach_it_at),
@@ -188,12 +202,26 @@
 
 cell::~cell() = default;
 
-/// Each version adds a queue and takes the one before it out; `q` stays.
+/// Each change adds a queue and takes the one before it out; `q` stays.
 void cell::configure()
+{
+    ++m_queue_changes;
+    write_configuration();
+}
+
+/// An owner goes on using the service of a queue that was taken out, so none is
+/// taken out here.
+void cell::move_queues()
+{
+    m_service = m_service == other_service ? "svc" : other_service;
+    write_configuration();
+}
+
+void cell::write_configuration()
 {
     ++m_version;
     std::vector<std::string> queues{"q"};
-    if (m_version > 1)
+    if (m_queue_changes > 1)
     {
         queues.push_back(added_queue().substr(1, 2));
     }
@@ -205,6 +233,9 @@
         platform_test::operators_topic, platform_test::configuration_key,
         m_callers == caller_kind::accounts
             ? platform_test::configuration_document(m_version, queues, keys())
+        : bytes == 0
+            ? platform_test::configuration_document(m_version, queues,
+                                                    m_service)
             : platform_test::configuration_document(m_version, queues, bytes));
 }
 
@@ -234,12 +265,12 @@
 
 std::string cell::added_queue() const
 {
-    return m_version < 2 ? std::string{} : queue_of(m_version);
+    return m_queue_changes < 2 ? std::string{} : queue_of(m_queue_changes);
 }
 
 std::string cell::removed_queue() const
 {
-    return m_version < 3 ? std::string{} : queue_of(m_version - 1);
+    return m_queue_changes < 3 ? std::string{} : queue_of(m_queue_changes - 1);
 }
 
 network::socket_address cell::callers_of(std::size_t process) const
@@ -557,6 +588,9 @@
     case fault_kind::island:
         cut_off_owner(it.target);
         return;
+    case fault_kind::move_queues:
+        move_queues();
+        return;
     }
 }
 
--- a/utilities/soak/cell.hpp
+++ b/utilities/soak/cell.hpp
@@ -86,6 +86,9 @@
     /// Owners are cut off together with instances. Tasks outlast the leases,
     /// and some of them the wait of the next owner.
     bool islands{false};
+    /// Each second instance belongs to another service; queues move, and links
+    /// to instances are silent for longer than a lease. Tasks outlast leases.
+    bool moves_queues{false};
 
     friend bool operator==(cell_size const&, cell_size const&) = default;
 };
@@ -206,6 +209,8 @@
     entries() const;
     void make_orders_late(double share);
     void configure();
+    void move_queues();
+    void write_configuration();
     [[nodiscard]] std::vector<platform_test::account_keys> keys() const;
     void kill(member& it);
     [[nodiscard]] std::vector<member>::iterator owner();
@@ -237,6 +242,10 @@
     std::vector<worker> m_workers;
     std::unique_ptr<platform_test::heartbeats> m_heartbeats;
     int m_version{0};
+    /// How often a queue was added.
+    int m_queue_changes{0};
+    /// The service of all queues.
+    std::string m_service{"svc"};
     int m_crashes{0};
     bool m_healed{false};
     /// The owner is killed when the store has lost more answers than these.
--- a/utilities/soak/main.cpp
+++ b/utilities/soak/main.cpp
@@ -62,6 +62,9 @@
     add("islands", "40 s of faults, in which owners are cut off from the store "
                    "and the other processes for seconds, together with "
                    "instances that only they reach");
+    add("moved-queues",
+        "40 s of faults, in which queues move between two services and links "
+        "to instances are silent for longer than a lease, while tasks run");
     add("plan", "print the faults of each seed, and play none");
     add("help", "");
     return options;
@@ -123,8 +126,9 @@
         given.count("same-ids") != 0,
         given.count("turn-away") != 0,
         given.count("wide") != 0 ? soak::job_kind::wide : soak::job_kind::small,
-        given.count("islands") != 0};
-    if (settings.size.islands)
+        given.count("islands") != 0,
+        given.count("moved-queues") != 0};
+    if (settings.size.islands || settings.size.moves_queues)
     {
         settings.length = std::chrono::seconds{40};
     }
--- a/utilities/soak/plan.cpp
+++ b/utilities/soak/plan.cpp
@@ -34,9 +34,10 @@
         "kill_owner",
         "store_turns_away",
         "island",
+        "move_queues",
     };
     static_assert(std::size(names) ==
-                  static_cast<std::size_t>(fault_kind::island) + 1);
+                  static_cast<std::size_t>(fault_kind::move_queues) + 1);
     return names[static_cast<std::size_t>(it)];
 }
 
@@ -211,4 +212,14 @@
     return series_of(seed ^ island_stream, length, all);
 }
 
+std::vector<fault> move_plan_of(std::uint64_t seed,
+                                std::chrono::milliseconds length)
+{
+    constexpr series all[] = {
+        {fault_kind::move_queues, 2'000, 6'000, 0, 0},
+        {fault_kind::instance_link_silent, 1'500, 4'000, 4'500, 7'000}};
+    constexpr std::uint64_t move_stream = 0x6d6f766573000000;
+    return series_of(seed ^ move_stream, length, all);
+}
+
 } // namespace berylhill::soak
--- a/utilities/soak/plan.hpp
+++ b/utilities/soak/plan.hpp
@@ -44,6 +44,8 @@
     /// The owner is cut off from the store and from the other processes
     /// together with some instances, which only it reaches.
     island,
+    /// The queues move to the other service.
+    move_queues,
 };
 
 /// How many kinds there are in every plan, and how many more of orders.
@@ -96,4 +98,10 @@
 [[nodiscard]] std::vector<fault>
 island_plan_of(std::uint64_t seed, std::chrono::milliseconds length);
 
+/// Queues that move, and links to instances that are silent for longer than a
+/// lease one after the other, to be played beside the seed's other faults;
+/// drawn from a generator of their own. Pure.
+[[nodiscard]] std::vector<fault> move_plan_of(std::uint64_t seed,
+                                              std::chrono::milliseconds length);
+
 } // namespace berylhill::soak
--- a/utilities/soak/run.cpp
+++ b/utilities/soak/run.cpp
@@ -59,7 +59,9 @@
         {
             it->finish();
         }
-        run_until(m_settings.size.islands ? long_settle_limit : settle_limit,
+        run_until(m_settings.size.islands || m_settings.size.moves_queues
+                      ? long_settle_limit
+                      : settle_limit,
                   [this] { return all_idle(); });
         check_configuration();
         run_for(ledger::cancel_bound + ledger::stop_bound + turn);
@@ -203,6 +205,10 @@
     {
         add(island_plan_of(it.seed, it.length));
     }
+    else if (it.size.moves_queues)
+    {
+        add(move_plan_of(it.seed, it.length));
+    }
     else if (it.size.keeps_ids)
     {
         add(life_plan_of(it.seed, it.length));
