tests: Start cells on machines that a test describes

Cause: the processes of the adapter's tests were told nothing of their machines, so no test could lower the limits that follow from them. Change: the fixture takes the limits of the settings, and a process of a test tells its peak memory and its open descriptors.

--- a/tests/platform_adapter/cell_fixture.cpp
+++ b/tests/platform_adapter/cell_fixture.cpp
@@ -27,8 +27,9 @@
 
 } // namespace
 
-cell_fixture::cell_fixture()
-    : m_first_port{free_ports(
+cell_fixture::cell_fixture(settings::cell_limit_settings const& machine)
+    : m_machine{machine}
+    , m_first_port{free_ports(
           port_range::tests,
           static_cast<std::uint16_t>(ports_per_process * processes + 2 +
                                      instance_count + processes))}
@@ -89,8 +90,16 @@
 
 void cell_fixture::start_process(std::size_t n, std::uint16_t store_port)
 {
-    cells[n] = start({BERYLHILL_BINARY, m_folder, "cell-" + std::to_string(n),
-                      m_first_port + n * ports_per_process, store_port});
+    cell_process it{BERYLHILL_BINARY, m_folder, "cell-" + std::to_string(n),
+                    callers_port(n), store_port};
+    it.machine = m_machine;
+    cells[n] = start(it);
+}
+
+std::uint16_t cell_fixture::callers_port(std::size_t process) const
+{
+    return static_cast<std::uint16_t>(m_first_port +
+                                      process * ports_per_process);
 }
 
 void cell_fixture::stop_process(std::size_t n)
@@ -125,7 +134,7 @@
                                  std::uint64_t id,
                                  std::optional<unsigned>& status)
 {
-    m_client.call(local(m_first_port + process * ports_per_process),
+    m_client.call(local(callers_port(process)),
                   request(network::http_method::post, job_path(id),
                           job_document(500, work.count())),
                   std::chrono::seconds{5},
@@ -146,8 +155,7 @@
 {
     auto it = request(method, path, body);
     it.fields.push_back({"X-Deadline-Ms", std::to_string(patience.count())});
-    m_client.call(local(m_first_port + process * ports_per_process),
-                  std::move(it), patience,
+    m_client.call(local(callers_port(process)), std::move(it), patience,
                   [&status](network::call_result const& end)
                   {
                       status = end.end == network::call_end::answered
@@ -161,9 +169,7 @@
                             std::string const& path,
                             std::string const& body)
 {
-    auto const end = ask(
-        static_cast<std::uint16_t>(m_first_port + process * ports_per_process),
-        request(method, path, body));
+    auto const end = ask(callers_port(process), request(method, path, body));
     m_last_body = end.body;
     return end.status;
 }
@@ -187,8 +193,7 @@
 
 bool cell_fixture::ready(std::size_t process)
 {
-    return ask(static_cast<std::uint16_t>(m_first_port +
-                                          process * ports_per_process + 1),
+    return ask(static_cast<std::uint16_t>(callers_port(process) + 1),
                {network::http_method::get, "/api/readiness", {}, {}, {}})
                .status == 200;
 }
@@ -198,8 +203,7 @@
     for (std::size_t n = 0; n < processes; ++n)
     {
         auto const end = ask(
-            static_cast<std::uint16_t>(m_first_port + n * ports_per_process +
-                                       2),
+            static_cast<std::uint16_t>(callers_port(n) + 2),
             {network::http_method::post,
              std::string{cell::peer_paths::watch},
              {},
--- a/tests/platform_adapter/cell_fixture.hpp
+++ b/tests/platform_adapter/cell_fixture.hpp
@@ -7,6 +7,7 @@
 #include "stand_ins/store_stand_in.hpp"
 
 #include <network/http_client.hpp>
+#include <settings/cell_settings.hpp>
 
 #include <filesystem>
 #include <map>
@@ -26,7 +27,8 @@
 public:
     static constexpr std::size_t processes = 3;
 
-    cell_fixture();
+    /// The processes are told that their machines are like this.
+    explicit cell_fixture(settings::cell_limit_settings const& machine = {});
     ~cell_fixture();
 
     /// Runs the loop until `done`, for `limit` at most; whether it was done.
@@ -109,6 +111,10 @@
         return local(m_first_link + n);
     }
 
+    /// Where the process listens for callers; the ports for probes, peers and
+    /// metrics follow.
+    [[nodiscard]] std::uint16_t callers_port(std::size_t process) const;
+
     /// The process that owns the work; nothing while none does.
     [[nodiscard]] std::optional<std::size_t> owner();
 
@@ -129,6 +135,7 @@
                                              network::http_request it);
 
     network::http_client m_client{loop, {}};
+    settings::cell_limit_settings m_machine;
     std::uint16_t m_first_port{0};
     std::uint16_t m_first_link{0};
     std::filesystem::path m_folder;
--- a/tests/platform_adapter/stand_ins/cell_process.cpp
+++ b/tests/platform_adapter/stand_ins/cell_process.cpp
@@ -45,7 +45,9 @@
         << it.store_limits.record_bytes << R"(,"append_bytes":)"
         << it.store_limits.call_bytes
         << R"(},"bounds":{"stop_grace_s":3,"longest_lease_ms":)"
-        << it.longest_lease_ms << "}}";
+        << it.longest_lease_ms << R"(},"limits":{"memory_mb":)"
+        << it.machine.memory_mb << R"(,"descriptors":)"
+        << it.machine.descriptors << "}}";
 }
 
 std::unique_ptr<process> start(cell_process const& it)
--- a/tests/platform_adapter/stand_ins/cell_process.hpp
+++ b/tests/platform_adapter/stand_ins/cell_process.hpp
@@ -3,6 +3,7 @@
 #include "process.hpp"
 
 #include <cell/append_limits.hpp>
+#include <settings/cell_settings.hpp>
 
 #include <cstddef>
 #include <cstdint>
@@ -28,6 +29,8 @@
     /// What the other processes take for the port of its peers, where
     /// something listens that leads to the process; 0: nothing lies between.
     std::size_t peers_reach_it_at{0};
+    /// What its machine gives it.
+    settings::cell_limit_settings machine{};
 };
 
 /// Ports that a process listens at.
--- a/tests/platform_adapter/stand_ins/process.cpp
+++ b/tests/platform_adapter/stand_ins/process.cpp
@@ -6,11 +6,26 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
 #include <stdexcept>
+#include <string_view>
 
 namespace berylhill::platform_test
 {
 
+namespace
+{
+
+/// What the kernel shows of the process.
+std::filesystem::path folder_of(pid_t it)
+{
+    return std::filesystem::path{"/proc"} / std::to_string(it);
+}
+
+} // namespace
+
 process::process(std::vector<std::string> const& arguments,
                  std::string const& log)
 {
@@ -53,6 +68,30 @@
     }
 }
 
+std::size_t process::peak_memory() const
+{
+    constexpr std::string_view name = "VmHWM:";
+    constexpr std::size_t bytes_per_kb = 1'024;
+    std::ifstream status{folder_of(m_id) / "status"};
+    for (std::string line; std::getline(status, line);)
+    {
+        if (line.starts_with(name))
+        {
+            return std::stoul(line.substr(name.size())) * bytes_per_kb;
+        }
+    }
+    return 0;
+}
+
+std::size_t process::descriptors() const
+{
+    std::error_code ec;
+    auto const all =
+        std::filesystem::directory_iterator{folder_of(m_id) / "fd", ec};
+    return ec ? 0
+              : static_cast<std::size_t>(std::distance(begin(all), end(all)));
+}
+
 bool process::ended()
 {
     if (!m_ended && ::waitpid(m_id, &m_status, WNOHANG) == m_id)
--- a/tests/platform_adapter/stand_ins/process.hpp
+++ b/tests/platform_adapter/stand_ins/process.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <sys/types.h>
 #include <vector>
@@ -20,6 +21,13 @@
 
     void signal(int number) const;
 
+    /// The most memory that it has had resident so far, in bytes; 0 once it
+    /// has ended.
+    [[nodiscard]] std::size_t peak_memory() const;
+
+    /// Files and sockets that it has open; 0 once it has ended.
+    [[nodiscard]] std::size_t descriptors() const;
+
     /// Whether it has ended; its status is then known.
     [[nodiscard]] bool ended();
 
