settings: Name limits for clients that do not behave

Cause: what a client may make a process hold had no limits that an operator could read or lower. Change: /limits of the cell has work_mb, job_steps and request_fields; /limits of the entry has memory_mb, connections and peer_connections.

--- a/libraries/settings/cell_schema.cpp
+++ b/libraries/settings/cell_schema.cpp
@@ -132,6 +132,19 @@
              "What the machine's link carries; copies of the configuration for "
              "other processes take a part of it."},
             &section::link_mbps, number(0.01, most_mbps));
+    constexpr std::int64_t most_mb = 1'048'576;
+    it->add({"work_mb", "MB",
+             "Accepted work takes no more of the memory, and no more than a "
+             "third of it; more is refused until some has ended. The same on "
+             "every process."},
+            &section::work_mb, integer(1, most_mb));
+    constexpr std::int64_t most_steps = 1'000'000;
+    it->add({"job_steps", "steps", "A job of more steps is refused."},
+            &section::job_steps, integer(1, most_steps));
+    constexpr std::int64_t most_fields = 100'000;
+    it->add({"request_fields", "fields",
+             "A request of more header and trailer fields is refused."},
+            &section::request_fields, integer(8, most_fields));
     return it;
 }
 
--- a/libraries/settings/cell_settings.hpp
+++ b/libraries/settings/cell_settings.hpp
@@ -2,6 +2,7 @@
 
 #include <base/log.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 
@@ -66,6 +67,21 @@
     double cores{0.25};
     /// What the machine's own link carries, Mbit/s.
     double link_mbps{100};
+    /// What accepted work may take of the memory of each process that may own
+    /// it; also at most a third of `memory_mb`.
+    std::int64_t work_mb{48};
+    /// A job of a client has at most so many steps.
+    std::int64_t job_steps{1'000};
+    /// A request of a client has at most so many header and trailer fields.
+    std::int64_t request_fields{128};
+
+    /// What accepted work may take here, in bytes.
+    [[nodiscard]] std::int64_t work_bytes() const
+    {
+        constexpr std::int64_t bytes_per_mb = 1'048'576;
+        constexpr std::int64_t share = 3;
+        return std::min(work_mb, memory_mb / share) * bytes_per_mb;
+    }
 
     [[nodiscard]] std::int64_t millicores() const
     {
--- a/libraries/settings/entry_schema.cpp
+++ b/libraries/settings/entry_schema.cpp
@@ -67,6 +67,18 @@
 {
     using section = limit_settings;
     auto it = std::make_shared<schema<section>>();
+    it->add({"memory_mb", "MB",
+             "What the machine has; connections of callers, and those of other "
+             "entries, hold at most a quarter each."},
+            &section::memory_mb, integer(16, 1'048'576));
+    it->add({"connections", "connections",
+             "Of callers. For one more, the one that has sent no whole request "
+             "for longest is closed."},
+            &section::connections, integer(16, 1'000'000));
+    it->add({"peer_connections", "connections",
+             "Of other entries. For one more, the one that has been idle for "
+             "longest is closed."},
+            &section::peer_connections, integer(16, 100'000));
     it->add({"body_bytes", "bytes", "A longer request body is refused."},
             &section::body_bytes, integer(1'024, 1'073'741'824));
     it->add({"http_threads", "threads",
--- a/libraries/settings/entry_settings.hpp
+++ b/libraries/settings/entry_settings.hpp
@@ -42,6 +42,9 @@
 /// Bounds that keep the process alive whatever callers do.
 struct limit_settings
 {
+    std::int64_t memory_mb{256};
+    std::int64_t connections{1'024};
+    std::int64_t peer_connections{256};
     std::int64_t body_bytes{1'048'576};
     std::int64_t http_threads{64};
     std::int64_t peer_threads{16};
