network: Bound each part of a request, not only header and body

What callers saw: a process ended, out of memory; trailers without end came behind a chunked body. Small trailer fields, one trailer line and one chunk extension each took 256 MB of 8 clients that sent 32 MB each. Cause: the parser bounds the header and the body. What it leaves in the buffer, because a line, a field or the size of a chunk has not come whole, had no bound, and only the time of a request ended it. Header fields had no bound in number, and each takes some 100 bytes beside its own. Change: a connection reads by itself into a buffer that has room for a header and one read more; request_parser counts fields. A buffer that has grown is given back when the connection is idle, and a request's parts go once it is handled. The listeners of probes and metrics have smaller limits. The session has a file of its own. Failing before: misbehaving_endless_parts on the landed code, 2 clients at each of the 4 listeners, a machine of 96 MB: the cases "trailer fields", "a trailer line" and "a chunk extension" were above it; the other six held. Now all nine hold.

--- a/libraries/cell/node.cpp
+++ b/libraries/cell/node.cpp
@@ -3,6 +3,7 @@
 #include <base/buffered_log.hpp>
 #include <base/log.hpp>
 #include <cell/observed_log.hpp>
+#include <cell/peer_paths.hpp>
 #include <settings/cell_schema.hpp>
 
 #include <boost/asio/post.hpp>
@@ -63,9 +64,41 @@
 /// Descriptors reserved for connections other than those of callers.
 constexpr std::int64_t own_descriptors = 800;
 
+/// The connections of the other processes use one descriptor in this many.
+constexpr std::int64_t peer_share = 5;
+
 /// Memory budget of a waiting caller connection: a request and its answer.
 constexpr std::int64_t connection_kb = 32;
 
+/// Of the memory, caller connections use one part in this many.
+constexpr std::int64_t connection_share = 4;
+
+constexpr std::int64_t kb_per_mb = 1'024;
+
+/// Connections of the platform's probes, and of those who collect metrics.
+constexpr std::size_t probe_connections = 64;
+
+/// A probe and a question for metrics have no body, and few fields.
+network::server_limits probe_limits()
+{
+    network::server_limits out;
+    out.header_bytes = std::size_t{8} * 1'024;
+    out.body_bytes = 1'024;
+    out.connections = probe_connections;
+    return out;
+}
+
+/// A call that another process passes on is written anew, and may be longer
+/// than it came.
+network::server_limits peer_limits(std::int64_t descriptors,
+                                   std::size_t caller_body_bytes)
+{
+    network::server_limits out;
+    out.body_bytes = 2 * caller_body_bytes;
+    out.connections = static_cast<std::size_t>(descriptors / peer_share);
+    return out;
+}
+
 /// Copies of the configuration use at most one part in this many of the link,
 /// so that hundreds of processes that fetch at once do not delay calls.
 constexpr double copy_share = 4;
@@ -151,24 +184,15 @@
                   operators_follow_options}
     , m_callers{m_loop,
                 [this](auto it, auto answer)
-                {
-                    take_job_call(it, std::move(answer));
-                }}
+                { take_job_call(it, std::move(answer)); }}
     , m_readiness{m_loop,
-                  [this](auto const&, auto answer)
-                  {
-                      take_readiness(answer);
-                  }}
+                  [this](auto const&, auto answer) { take_readiness(answer); }}
     , m_peer_server{m_loop,
                     [this](auto it, auto answer)
-                    {
-                        m_peer_service.handle(it, std::move(answer));
-                    }}
+                    { m_peer_service.handle(it, std::move(answer)); }}
     , m_metrics_server{m_loop,
                        [this](auto const&, auto answer)
-                       {
-                           take_metrics(answer);
-                       }}
+                       { take_metrics(answer); }}
     , m_signals{m_loop, SIGTERM, SIGINT, SIGHUP}
     , m_stop_timer{m_loop}
     , m_log_timer{m_loop}
@@ -177,6 +201,7 @@
     , m_lag{m_loop, m_clock}
     , m_copy_budget{budget_of_copies(m_settings.limits.link_mbps)}
 {
+    m_peer_server.set_busy_answer({peer_paths::status_busy, {}, {}});
     m_operators.on_change([this](auto const& key, auto const& value, auto)
                           { configuration_changed(key, value, "store"); });
     m_operators.on_end_reached([this](base::instant as_of)
@@ -292,19 +317,25 @@
 void node::apply_limits()
 {
     auto const& asked = m_configuration.limits;
+    auto const descriptors = m_settings.limits.descriptors;
     auto const by_descriptors = std::max<std::int64_t>(
-        64, m_settings.limits.descriptors - own_descriptors);
+        64, descriptors - own_descriptors);
     // At most a quarter of the memory is used for caller connections.
     auto const by_memory =
-        m_settings.limits.memory_mb * 1'024 / 4 / connection_kb;
+        m_settings.limits.memory_mb * kb_per_mb / connection_share /
+        connection_kb;
     network::server_limits limits;
     limits.header_bytes = asked.header_bytes;
+    limits.fields = static_cast<std::size_t>(m_settings.limits.request_fields);
     limits.body_bytes = asked.body_bytes;
     limits.request_time = asked.header_timeout;
     limits.idle_time = asked.idle_timeout;
     limits.connections =
         static_cast<std::size_t>(std::min(by_descriptors, by_memory));
     m_callers.set_limits(limits);
+    m_readiness.set_limits(probe_limits());
+    m_metrics_server.set_limits(probe_limits());
+    m_peer_server.set_limits(peer_limits(descriptors, asked.body_bytes));
 }
 
 void node::await_signals()
--- a/libraries/cell/peer_client.cpp
+++ b/libraries/cell/peer_client.cpp
@@ -17,10 +17,6 @@
 /// The other process is not the owner and has done nothing.
 constexpr unsigned status_conflict = 409;
 
-/// The other process is busy and has done nothing; it may serve a later
-/// request.
-constexpr unsigned status_busy = 429;
-
 /// Timeout of an announcement; processes that miss it learn of the owner from
 /// the log.
 constexpr base::duration announce_timeout = std::chrono::milliseconds{500};
@@ -45,7 +41,7 @@
         return out;
     }
     if (it.response.status == status_conflict ||
-        it.response.status == status_busy)
+        it.response.status == peer_paths::status_busy)
     {
         out.end = it.sent_before ? network::call_end::unanswered
                                  : network::call_end::not_sent;
--- a/libraries/cell/peer_paths.hpp
+++ b/libraries/cell/peer_paths.hpp
@@ -12,6 +12,10 @@
 inline constexpr std::string_view configuration = "/v1/peer/configuration";
 inline constexpr std::string_view advise = "/v1/peer/advise";
 
+/// Status of an answer: the process is busy and has done nothing; it may serve
+/// a later request.
+inline constexpr unsigned status_busy = 429;
+
 /// Header fields that negotiate a compressed body.
 inline constexpr char const* accept_encoding = "Accept-Encoding";
 inline constexpr char const* content_encoding = "Content-Encoding";
--- a/libraries/cell/peer_service.cpp
+++ b/libraries/cell/peer_service.cpp
@@ -17,7 +17,6 @@
 constexpr unsigned status_bad_request = 400;
 constexpr unsigned status_not_found = 404;
 constexpr unsigned status_conflict = 409;
-constexpr unsigned status_busy = 429;
 
 /// A process that has not asked for this long, the time of several watches, is
 /// not considered live.
@@ -147,7 +146,7 @@
     auto copy = m_backend.compressed_configuration();
     if (!copy)
     {
-        answer({status_busy, {}, {}});
+        answer({peer_paths::status_busy, {}, {}});
         return;
     }
     answer({status_ok,
--- a/libraries/network/http_server.cpp
+++ b/libraries/network/http_server.cpp
@@ -1,18 +1,12 @@
 #include <network/http_server.hpp>
 
 #include <base/log.hpp>
-#include <network/beast_fields.hpp>
-#include <network/socket_options.hpp>
-
-#include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http.hpp>
+#include <network/http_server_session.hpp>
 
 namespace berylhill::network
 {
 
 namespace asio = boost::asio;
-namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
 
 namespace
@@ -31,195 +25,13 @@
 
 } // namespace
 
-class http_server::session : public std::enable_shared_from_this<session>
-{
-public:
-    session(http_server& owner, tcp::socket socket)
-        : m_owner{owner}
-        , m_socket{std::move(socket)}
-        , m_timer{owner.m_loop}
-    {
-        set_call_options(m_socket);
-    }
-
-    void read()
-    {
-        m_parser.emplace();
-        m_parser->header_limit(
-            static_cast<std::uint32_t>(m_owner.m_limits.header_bytes));
-        m_parser->body_limit(m_owner.m_limits.body_bytes);
-        if (m_buf.size() > 0)
-        {
-            read_header();
-            return;
-        }
-        wait(m_owner.m_limits.idle_time);
-        m_socket.async_wait(tcp::socket::wait_read,
-                            [self = shared_from_this()](auto ec)
-                            {
-                                if (ec || self->m_closed)
-                                {
-                                    self->close();
-                                    return;
-                                }
-                                self->read_header();
-                            });
-    }
-
-    void close()
-    {
-        if (m_closed)
-        {
-            return;
-        }
-        m_closed = true;
-        m_timer.cancel();
-        boost::system::error_code ec;
-        m_socket.shutdown(tcp::socket::shutdown_both, ec);
-        m_socket.close(ec);
-        m_owner.m_sessions.erase(shared_from_this());
-    }
-
-private:
-    void read_header()
-    {
-        wait(m_owner.m_limits.request_time);
-        http::async_read_header(
-            m_socket, m_buf, *m_parser,
-            [self = shared_from_this()](auto ec, std::size_t)
-            { self->header_read(ec); });
-    }
-
-    void header_read(boost::system::error_code ec)
-    {
-        if (ec)
-        {
-            refuse(ec);
-            return;
-        }
-        http::async_read(m_socket, m_buf, *m_parser,
-                         [self = shared_from_this()](auto failed, std::size_t)
-                         { self->request_read(failed); });
-    }
-
-    /// A request that cannot be read is answered where the caller can know
-    /// why; the connection ends, since its next byte means nothing.
-    void refuse(boost::system::error_code ec)
-    {
-        if (m_closed)
-        {
-            return;
-        }
-        auto status = 400U;
-        auto const malformed =
-            ec.category() ==
-                http::make_error_code(http::error::end_of_stream).category() &&
-            ec != http::error::end_of_stream &&
-            ec != http::error::partial_message;
-        if (!malformed)
-        {
-            close();
-            return;
-        }
-        if (ec == http::error::body_limit)
-        {
-            status = 413;
-        }
-        if (ec == http::error::header_limit)
-        {
-            status = 431;
-        }
-        m_close_after = true;
-        ++m_owner.m_unanswered;
-        write({status, {}, R"({"error":"malformed request"})"});
-    }
-
-    void request_read(boost::system::error_code ec)
-    {
-        if (ec)
-        {
-            refuse(ec);
-            return;
-        }
-        if (m_closed)
-        {
-            return;
-        }
-        m_timer.cancel();
-        m_close_after = !m_parser->get().keep_alive();
-        ++m_owner.m_unanswered;
-        m_owner.m_handler(request_of(m_parser->release()),
-                          [self = shared_from_this()](http_response it)
-                          { self->write(std::move(it)); });
-    }
-
-    void write(http_response it)
-    {
-        --m_owner.m_unanswered;
-        if (m_closed)
-        {
-            return;
-        }
-        m_close_after = m_close_after || m_owner.m_closing;
-        m_response = {};
-        m_response.version(11);
-        m_response.result(it.status);
-        for (auto const& field : it.fields)
-        {
-            m_response.set(field.name, field.value);
-        }
-        if (!it.body.empty())
-        {
-            m_response.set(http::field::content_type, it.content_type);
-        }
-        m_response.keep_alive(!m_close_after);
-        m_response.body() = std::move(it.body);
-        m_response.prepare_payload();
-        wait(m_owner.m_limits.request_time);
-        http::async_write(m_socket, m_response,
-                          [self = shared_from_this()](auto ec, std::size_t)
-                          { self->written(ec); });
-    }
-
-    void written(boost::system::error_code ec)
-    {
-        if (ec || m_close_after)
-        {
-            close();
-            return;
-        }
-        read();
-    }
-
-    /// A caller that sends or reads nothing would hold the connection for
-    /// ever.
-    void wait(base::duration limit)
-    {
-        m_timer.expires_after(limit);
-        m_timer.async_wait(
-            [self = shared_from_this()](auto ec)
-            {
-                if (!ec)
-                {
-                    self->close();
-                }
-            });
-    }
-
-    http_server& m_owner;
-    tcp::socket m_socket;
-    asio::steady_timer m_timer;
-    boost::beast::flat_buffer m_buf;
-    std::optional<http::request_parser<http::string_body>> m_parser;
-    http::response<http::string_body> m_response;
-    bool m_close_after{false};
-    bool m_closed{false};
-};
-
-http_server::http_server(asio::io_context& loop, request_handler handler)
+http_server::http_server(asio::io_context& loop,
+                         request_handler handler,
+                         std::shared_ptr<connection_memory> memory)
     : m_loop{loop}
     , m_acceptor{loop}
     , m_handler{std::move(handler)}
+    , m_memory{std::move(memory)}
 {
 }
 
@@ -327,11 +139,12 @@
 {
     if (m_sessions.size() >= m_limits.connections)
     {
+        ++m_counts.closed_for_new;
         return;
     }
     auto const it = std::make_shared<session>(*this, std::move(socket));
     m_sessions.insert(it);
-    it->read();
+    it->begin();
 }
 
 } // namespace berylhill::network
--- a/libraries/network/http_server.hpp
+++ b/libraries/network/http_server.hpp
@@ -1,7 +1,8 @@
 #pragma once
 
-#include <base/time.hpp>
+#include <network/connection_memory.hpp>
 #include <network/http_message.hpp>
+#include <network/server_limits.hpp>
 #include <network/socket_address.hpp>
 
 #include <boost/asio/io_context.hpp>
@@ -9,6 +10,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <list>
 #include <memory>
 #include <unordered_set>
 
@@ -20,28 +22,17 @@
 
 using request_handler = std::function<void(http_request, responder)>;
 
-/// What one connection may hold back, and how many there may be.
-struct server_limits
-{
-    std::size_t header_bytes{16'384};
-    std::size_t body_bytes{262'144};
-    /// From the first byte of a request to its last.
-    base::duration request_time{std::chrono::seconds{3}};
-    /// Between requests.
-    base::duration idle_time{std::chrono::seconds{15}};
-    /// Connections above it are closed at once.
-    std::size_t connections{3'000};
-
-    friend bool operator==(server_limits const&,
-                           server_limits const&) = default;
-};
-
 /// Serves HTTP/1.1 on one address. A connection carries one request at a
 /// time. All members run on the thread of the event loop.
 class http_server
 {
 public:
-    http_server(boost::asio::io_context& loop, request_handler handler);
+    /// The server's connections share `memory` with those of other servers; it
+    /// has no limit of its own if there is none.
+    http_server(boost::asio::io_context& loop,
+                request_handler handler,
+                std::shared_ptr<connection_memory> memory =
+                    std::make_shared<connection_memory>());
     http_server(http_server const&) = delete;
     http_server& operator=(http_server const&) = delete;
     ~http_server();
@@ -55,6 +46,13 @@
         m_limits = it;
     }
 
+    /// Answers a whole request that finds too many others being answered;
+    /// nothing is done for it.
+    void set_busy_answer(http_response it)
+    {
+        m_busy_answer = std::move(it);
+    }
+
     /// From now on each response asks the caller to close, and idle
     /// connections are closed when `idle_time` has passed.
     void set_closing();
@@ -76,6 +74,11 @@
         return m_sessions.size();
     }
 
+    [[nodiscard]] server_counts const& counts() const noexcept
+    {
+        return m_counts;
+    }
+
 private:
     class session;
     friend class session;
@@ -88,7 +91,12 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     request_handler m_handler;
     server_limits m_limits;
+    std::shared_ptr<connection_memory> m_memory;
     std::unordered_set<std::shared_ptr<session>> m_sessions;
+    /// Connections without a whole request, the longest so first.
+    std::list<session*> m_without_request;
+    http_response m_busy_answer{503, {{"Retry-After", "1"}}, {}};
+    server_counts m_counts;
     std::size_t m_unanswered{0};
     bool m_closing{false};
 };
