network: Close the longest silent connection for a new one

What callers saw: no connection at all, as long as a crowd held as many as there may be and sent nothing, or one byte. Cause: above the limit the new connection was closed, whoever it was. Change: connections without a whole request are kept in the order in which they began to wait; the first one is closed for a new one. Bytes that come now and then do not change its place. One whose request is being answered is never closed for another.

--- a/libraries/network/http_server.cpp
+++ b/libraries/network/http_server.cpp
@@ -139,8 +139,12 @@
 {
     if (m_sessions.size() >= m_limits.connections)
     {
-        ++m_counts.closed_for_new;
-        return;
+        if (m_without_request.empty())
+        {
+            ++m_counts.closed_for_new;
+            return;
+        }
+        m_without_request.front()->close_for_new();
     }
     auto const it = std::make_shared<session>(*this, std::move(socket));
     m_sessions.insert(it);
--- a/tests/network/http_test.cpp
+++ b/tests/network/http_test.cpp
@@ -33,6 +33,29 @@
     return to << it.name;
 }
 
+std::string const chunked =
+    "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+std::string many_fields()
+{
+    std::string out = "GET / HTTP/1.1\r\n";
+    for (int n = 0; n < 200; ++n)
+    {
+        out += "a:\r\n";
+    }
+    return out + "\r\n";
+}
+
+std::string trailers()
+{
+    std::string out;
+    for (int n = 0; n < 2'000; ++n)
+    {
+        out += "a: b\r\n";
+    }
+    return out;
+}
+
 raw_case const raw_cases[] = {
     {"a length below 0",
      "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: -1\r\n\r\n",
@@ -45,6 +68,15 @@
      "GET / HTTP/1.1\r\nA: " + std::string(5'000, 'a') + "\r\n",
      "HTTP/1.1 431"},
     {"a whole request", "GET / HTTP/1.1\r\nHost: a\r\n\r\n", "HTTP/1.1 200"},
+    {"more fields than are read", many_fields(), "HTTP/1.1 431"},
+    {"a trailer line without end",
+     chunked + "1\r\nx\r\n0\r\na: " + std::string(5'000, 'a'), "HTTP/1.1 431"},
+    {"trailer fields without end", chunked + "1\r\nx\r\n0\r\n" + trailers(),
+     "HTTP/1.1 431"},
+    {"a chunk extension without end",
+     chunked + "1;a=" + std::string(5'000, 'a'), "HTTP/1.1 431"},
+    {"a chunked body with a trailer field",
+     chunked + "1\r\nx\r\n0\r\na: b\r\n\r\n", "HTTP/1.1 200"},
 };
 
 } // namespace
@@ -193,6 +225,51 @@
     BOOST_TEST(run_until([&] { return server.connections() == 0; }));
 }
 
+/// Guards against callers who get no connection: as many as there may be are
+/// held by others who send nothing.
+BOOST_AUTO_TEST_CASE(the_longest_silent_connection_makes_room)
+{
+    using boost::asio::ip::tcp;
+    constexpr std::size_t most = 20;
+    std::vector<std::unique_ptr<tcp::socket>> silent;
+    for (std::size_t n = 0; n < most; ++n)
+    {
+        silent.push_back(std::make_unique<tcp::socket>(loop));
+        silent.back()->connect(
+            {boost::asio::ip::make_address_v4(address.host), address.port});
+    }
+    BOOST_TEST(run_until([&] { return server.connections() == most; }));
+    auto const end = call(post("body"));
+    BOOST_REQUIRE(end.has_value());
+    BOOST_TEST((end->end == call_end::answered));
+    BOOST_TEST(server.counts().closed_for_new == 1U);
+}
+
+/// Guards against a request that was read whole and gets no answer: its
+/// connection does not make room.
+BOOST_AUTO_TEST_CASE(a_connection_that_waits_for_an_answer_makes_no_room)
+{
+    using boost::asio::ip::tcp;
+    constexpr std::size_t most = 20;
+    hold = true;
+    std::optional<network::call_result> end;
+    client.call(address, post("body"), std::chrono::seconds{3},
+                [&](network::call_result const& it) { end = it; });
+    BOOST_TEST(run_until([&] { return held.size() == 1; }));
+    std::vector<std::unique_ptr<tcp::socket>> silent;
+    for (std::size_t n = 0; n < 2 * most; ++n)
+    {
+        silent.push_back(std::make_unique<tcp::socket>(loop));
+        silent.back()->connect(
+            {boost::asio::ip::make_address_v4(address.host), address.port});
+    }
+    BOOST_TEST(
+        run_until([&] { return server.counts().closed_for_new > most; }));
+    held.front()({200, {}, {}});
+    BOOST_TEST(run_until([&] { return end.has_value(); }));
+    BOOST_TEST((end->end == call_end::answered));
+}
+
 /// An owner is lost, and hundreds of processes come to the next one at once;
 /// it is busy, and takes them in one at a time behind all else, so the last of
 /// them take it for lost too. Those that wait are taken together.
