cell: Bound the memory that all connections hold together

What callers saw: a process ended, out of memory, though each client kept to the limits of a request: there were many. Cause: only the number of connections was bounded, at 32 kB each; one may hold a body of 262 kB, and a decoded call several times that. A call was copied for the answer, the router and the send, its steps included. Change: the connections to all listeners of a process share a quarter of its memory (connection_memory). Callers and peers use a part of the descriptors each, so that a crowd leaves some for instances and store. What is kept for the answer has no specification. Each limit that is met is counted by listener and reason, berylhill_cell_limits_met.

--- a/libraries/cell/node.cpp
+++ b/libraries/cell/node.cpp
@@ -64,16 +64,22 @@
 /// Descriptors reserved for connections other than those of callers.
 constexpr std::int64_t own_descriptors = 800;
 
+/// Of the others, callers use one in this many, so that a crowd of them leaves
+/// enough for the instances and the store.
+constexpr std::int64_t caller_share = 3;
+
 /// The connections of the other processes use one descriptor in this many.
 constexpr std::int64_t peer_share = 5;
 
 /// Memory budget of a waiting caller connection: a request and its answer.
 constexpr std::int64_t connection_kb = 32;
 
-/// Of the memory, caller connections use one part in this many.
+/// Of the memory, connections to all servers together hold one part in this
+/// many.
 constexpr std::int64_t connection_share = 4;
 
 constexpr std::int64_t kb_per_mb = 1'024;
+constexpr std::int64_t bytes_per_kb = 1'024;
 
 /// Connections of the platform's probes, and of those who collect metrics.
 constexpr std::size_t probe_connections = 64;
@@ -184,15 +190,19 @@
                   operators_follow_options}
     , m_callers{m_loop,
                 [this](auto it, auto answer)
-                { take_job_call(it, std::move(answer)); }}
+                { take_job_call(it, std::move(answer)); },
+                m_connection_memory}
     , m_readiness{m_loop,
-                  [this](auto const&, auto answer) { take_readiness(answer); }}
+                  [this](auto const&, auto answer) { take_readiness(answer); },
+                  m_connection_memory}
     , m_peer_server{m_loop,
                     [this](auto it, auto answer)
-                    { m_peer_service.handle(it, std::move(answer)); }}
+                    { m_peer_service.handle(it, std::move(answer)); },
+                    m_connection_memory}
     , m_metrics_server{m_loop,
                        [this](auto const&, auto answer)
-                       { take_metrics(answer); }}
+                       { take_metrics(answer); },
+                       m_connection_memory}
     , m_signals{m_loop, SIGTERM, SIGINT, SIGHUP}
     , m_stop_timer{m_loop}
     , m_log_timer{m_loop}
@@ -319,11 +329,12 @@
     auto const& asked = m_configuration.limits;
     auto const descriptors = m_settings.limits.descriptors;
     auto const by_descriptors = std::max<std::int64_t>(
-        64, descriptors - own_descriptors);
-    // At most a quarter of the memory is used for caller connections.
-    auto const by_memory =
-        m_settings.limits.memory_mb * kb_per_mb / connection_share /
-        connection_kb;
+        64, (descriptors - own_descriptors) / caller_share);
+    auto const connection_memory_kb =
+        m_settings.limits.memory_mb * kb_per_mb / connection_share;
+    m_connection_memory->set_limit(
+        static_cast<std::size_t>(connection_memory_kb * bytes_per_kb));
+    auto const by_memory = connection_memory_kb / connection_kb;
     network::server_limits limits;
     limits.header_bytes = asked.header_bytes;
     limits.fields = static_cast<std::size_t>(m_settings.limits.request_fields);
--- a/libraries/cell/node.hpp
+++ b/libraries/cell/node.hpp
@@ -151,6 +151,9 @@
     advice_dispatcher m_advice;
     call_router m_router;
     log_follower m_operators;
+    /// Of the connections to all servers.
+    std::shared_ptr<network::connection_memory> m_connection_memory{
+        std::make_shared<network::connection_memory>()};
     network::http_server m_callers;
     network::http_server m_readiness;
     network::http_server m_peer_server;
--- a/libraries/cell/node_answers.cpp
+++ b/libraries/cell/node_answers.cpp
@@ -133,9 +133,13 @@
     }
     auto call = std::get<job_call>(std::move(decoded));
     note_old_configuration(call);
-    m_router.call(call, [this, call, begun = m_clock.now(),
-                         answer = std::move(answer)](call_outcome const& end)
-                  { answer_call(call, end, m_clock.now() - begun, answer); });
+    auto spec = std::exchange(call.spec, {});
+    auto const asked = call;
+    call.spec = std::move(spec);
+    m_router.call(std::move(call),
+                  [this, asked, begun = m_clock.now(),
+                   answer = std::move(answer)](call_outcome const& end)
+                  { answer_call(asked, end, m_clock.now() - begun, answer); });
 }
 
 /// The configuration is unknown or overdue, so neither "no such queue" nor "no
@@ -265,6 +269,11 @@
     now.loop_lag = m_lag.average();
     now.processor_cores = m_processor.cores();
     now.connections = m_callers.connections();
+    now.connection_bytes = m_connection_memory->held();
+    m_metrics.read_server("callers", m_callers.counts());
+    m_metrics.read_server("readiness", m_readiness.counts());
+    m_metrics.read_server("peer", m_peer_server.counts());
+    m_metrics.read_server("metrics", m_metrics_server.counts());
     now.order_connections_opened = m_order_client.connections_opened();
     if (m_owner)
     {
--- a/libraries/cell/node_metrics.cpp
+++ b/libraries/cell/node_metrics.cpp
@@ -109,6 +109,19 @@
         static_cast<double>(it.reachable_instances()));
 }
 
+void node_metrics::read_server(char const* listener,
+                               network::server_counts const& it)
+{
+    for (auto const& each : network::by_reason(it))
+    {
+        m_metrics
+            .gauge("berylhill_cell_limits_met",
+                   "Times that a limit of a listener was met.",
+                   {{"listener", listener}, {"reason", each.reason}})
+            .set(static_cast<double>(each.count));
+    }
+}
+
 std::string node_metrics::text(readings const& it)
 {
     auto const set = [&](char const* name, char const* help, double value)
@@ -138,6 +151,9 @@
         "Processor time that the process gets.", it.processor_cores);
     set("berylhill_cell_connections", "Open connections of callers.",
         static_cast<double>(it.connections));
+    set("berylhill_cell_connection_bytes",
+        "Memory that connections to all listeners hold.",
+        static_cast<double>(it.connection_bytes));
     set("berylhill_cell_order_connections_opened",
         "Connections opened to instances.",
         static_cast<double>(it.order_connections_opened));
--- a/libraries/cell/node_metrics.hpp
+++ b/libraries/cell/node_metrics.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cell/job_call.hpp>
+#include <network/server_limits.hpp>
 #include <scheduler/scheduler.hpp>
 #include <telemetry/metrics.hpp>
 
@@ -40,6 +41,8 @@
         /// See `processor_meter::cores`.
         double processor_cores{0};
         std::size_t connections{0};
+        /// Bytes that the connections to all servers hold.
+        std::size_t connection_bytes{0};
         std::uint64_t order_connections_opened{0};
         /// Null while this process does not own.
         scheduler::scheduler const* decisions{nullptr};
@@ -57,6 +60,9 @@
 
     [[nodiscard]] std::string text(readings const& it);
 
+    /// How often the server met a limit; part of the next text.
+    void read_server(char const* listener, network::server_counts const& it);
+
 private:
     void read_decisions(scheduler::scheduler const& it);
 
