workload, scheduler: Take time in proportion to a job's steps

What callers saw: 5 to 8 s without an answer from a process, and calls between processes late, after one request of 242 kB. An answer of 4.5 MB to 80,000 empty steps. Cause: the search for cycles went over all steps for each one that it removed, and the longest chains were computed as often as there are steps. Each wrong step was a finding of its own. Change: order_of_steps orders the steps in one pass; chains follow that order. A job that is wrong in many places is told eight of them.

--- a/libraries/scheduler/job.cpp
+++ b/libraries/scheduler/job.cpp
@@ -1,6 +1,9 @@
 #include <scheduler/job.hpp>
 
+#include <workload/step_order.hpp>
+
 #include <algorithm>
+#include <ranges>
 #include <utility>
 
 namespace berylhill::scheduler
@@ -23,23 +26,19 @@
 }
 
 /// For each step, the length of the longest dependency chain that begins with
-/// it. Steps may depend on later ones, so the computation is repeated until
-/// nothing changes; jobs with cyclic dependencies are rejected before they get
-/// here.
+/// it. Jobs with cyclic dependencies are rejected before they get here.
 std::vector<base::duration>
 chains_of(std::vector<workload::step_spec> const& steps,
           std::vector<base::duration> const& times)
 {
-    std::vector<base::duration> out(steps.size());
-    for (std::size_t round = 0; round < steps.size(); ++round)
+    auto out = times;
+    auto const order =
+        workload::order_of_steps(steps).value_or(std::vector<std::uint32_t>{});
+    for (auto const n : std::views::reverse(order))
     {
-        for (std::size_t n = 0; n < steps.size(); ++n)
+        for (auto const before : steps[n].depends_on)
         {
-            out[n] = std::max(out[n], times[n]);
-            for (auto const before : steps[n].depends_on)
-            {
-                out[before] = std::max(out[before], times[before] + out[n]);
-            }
+            out[before] = std::max(out[before], times[before] + out[n]);
         }
     }
     return out;
--- a/libraries/workload/validation.cpp
+++ b/libraries/workload/validation.cpp
@@ -1,5 +1,7 @@
 #include <workload/validation.hpp>
 
+#include <workload/step_order.hpp>
+
 #include <algorithm>
 #include <string>
 #include <vector>
@@ -12,6 +14,10 @@
 
 constexpr char const* source = "request";
 
+/// A client needs a few findings to see what is wrong; a request can be wrong
+/// in thousands of places, each of which takes more bytes in the answer.
+constexpr std::size_t max_findings = 8;
+
 void check_step(step_spec const& it,
                 std::size_t number,
                 std::size_t steps,
@@ -43,30 +49,6 @@
     }
 }
 
-/// Removes steps without remaining dependencies until there are none; the steps
-/// that are left depend on a cycle.
-bool has_cycle(std::vector<step_spec> const& steps)
-{
-    std::vector<bool> taken(steps.size(), false);
-    auto left = steps.size();
-    for (auto moved = true; moved;)
-    {
-        moved = false;
-        for (std::size_t n = 0; n < steps.size(); ++n)
-        {
-            if (!taken[n] &&
-                std::ranges::all_of(steps[n].depends_on, [&](std::uint32_t it)
-                                    { return taken[it]; }))
-            {
-                taken[n] = true;
-                moved = true;
-                --left;
-            }
-        }
-    }
-    return left != 0;
-}
-
 } // namespace
 
 base::findings check(job_spec const& it)
@@ -85,6 +67,10 @@
     {
         check_step(it.steps[n], n, it.steps.size(), out);
         tasks += it.steps[n].tasks;
+        if (out.items().size() >= max_findings)
+        {
+            return out;
+        }
     }
     if (tasks > max_tasks_per_job)
     {
@@ -94,7 +80,7 @@
     {
         out.add({source, 0, "/repeats", "interval must not be negative"});
     }
-    if (out.empty() && has_cycle(it.steps))
+    if (out.empty() && !order_of_steps(it.steps))
     {
         out.add({source, 0, "/steps", "steps depend on each other in a cycle"});
     }
