--- a/tests/platform_adapter/job_requests_test.cpp
+++ b/tests/platform_adapter/job_requests_test.cpp
@@ -97,6 +97,48 @@
                sample.status);
 }
 
+/// Guards against one request that asks for more steps than an owner can hold
+/// for many such requests.
+BOOST_AUTO_TEST_CASE(a_job_of_too_many_steps_is_refused)
+{
+    constexpr std::size_t most = 2;
+    auto const status_of = [&](std::string const& steps)
+    {
+        network::http_request const request{post,
+                                            good_path,
+                                            {{"Host", "h.example"}},
+                                            with_steps(steps),
+                                            "application/json"};
+        auto const end =
+            platform::job_requests{most}.decode(request, configuration());
+        auto const* const refused = std::get_if<cell::refused_request>(&end);
+        return refused == nullptr ? 0U : refused->response.status;
+    };
+    BOOST_TEST(status_of(R"([{"count":1},{"count":1}])") == 0U);
+    BOOST_TEST(status_of(R"([{"count":1},{"count":1},{"count":1}])") == 400U);
+}
+
+/// Guards against times that overflow where they are counted in microseconds:
+/// the client is refused at once, or waited for without end.
+BOOST_DATA_TEST_CASE(
+    a_client_waits_for_an_answer_for_a_bounded_time,
+    boost::unit_test::data::make({"9000000000000000000", "9223372036854775807",
+                                  "9223372036854776", "92233720368547758",
+                                  "86400000000"}))
+{
+    network::http_request const request{
+        get,
+        good_path,
+        {{"Host", "h.example"}, {"X-Deadline-Ms", sample}},
+        {},
+        {}};
+    auto const end = platform::job_requests{}.decode(request, configuration());
+    auto const* const call = std::get_if<cell::job_call>(&end);
+    BOOST_REQUIRE(call != nullptr);
+    BOOST_TEST((call->timeout >= std::chrono::seconds{3}));
+    BOOST_TEST((call->timeout <= std::chrono::hours{1}));
+}
+
 BOOST_AUTO_TEST_CASE(a_job_is_decoded_whole)
 {
     network::http_request const request{
