scheduler: Accept no more work than every owner has room for

What callers saw: the owner ended, out of memory, then each successor, and again after every restart: 25 requests of 678 bytes had asked for 100,000 tasks each, or 60 for occurrences that are all due. Cause: each task of an open occurrence had a row of 134 bytes from the start, and nothing bounded what is accepted. The records stay, so each successor made the same rows. Change, two ways beside each other. A row is made when a task first changes, eight at a time; rows of tasks that are done fall together (task_list). All jobs count what they take into one total, and work_room decides by it and by the number of attempts: a job is accepted up to three quarters of the room, else refused with 503 and a time, before anything is stored; further occurrences of a job are opened up to half; attempts are placed up to all of it, a thousand always, so that work that runs to its end makes room. A job that is known is never refused. A successor counts the same, and one that finds more than it may hold serves on: waiting tasks take three bytes each. The room is /limits/work_mb (48), and a third of the memory at most. The metrics are berylhill_cell_work_bytes and berylhill_cell_refused_for_room, the log line job_refused why=no_room.

--- a/libraries/cell/cell_owner.cpp
+++ b/libraries/cell/cell_owner.cpp
@@ -18,6 +18,10 @@
 /// deadlines.
 constexpr base::duration tick = std::chrono::milliseconds{10};
 
+/// When a client is to come back whose job found no room: work that runs to its
+/// end makes it, not a change of owner.
+constexpr base::duration no_room_retry_after = std::chrono::seconds{2};
+
 /// New work is refused once the store has refused all appends for this long.
 constexpr base::duration refused_limit = std::chrono::milliseconds{600};
 
@@ -268,6 +272,12 @@
         done({job_answer_kind::too_large, {}, 0, {}});
         return;
     }
+    if (taken == scheduler::submission::no_room)
+    {
+        log_refusal(it.job, no_room_reason);
+        done({job_answer_kind::refused, {}, 0, no_room_retry_after});
+        return;
+    }
     if (taken == scheduler::submission::accepted)
     {
         m_parts.log->write(base::log_level::info, "job_taken",
--- a/libraries/cell/cell_owner.hpp
+++ b/libraries/cell/cell_owner.hpp
@@ -188,6 +188,7 @@
     static constexpr char const* store_stuck_reason = "store_stuck";
     static constexpr char const* rejected_reason = "rejected";
     static constexpr char const* too_many_reason = "too_many_early";
+    static constexpr char const* no_room_reason = "no_room";
 
     owner_parts m_parts;
     scheduler::scheduler m_decisions;
--- a/libraries/cell/node.cpp
+++ b/libraries/cell/node.cpp
@@ -275,6 +275,8 @@
         entry_margin;
     out.max_record_bytes =
         static_cast<std::size_t>(m_settings.platform.record_bytes);
+    out.max_work_bytes =
+        static_cast<std::size_t>(m_settings.limits.work_bytes());
     out.status_kept = base::from_seconds(m_settings.bounds.status_kept_s) +
                       std::chrono::seconds{5};
     return out;
--- a/libraries/cell/node_metrics.cpp
+++ b/libraries/cell/node_metrics.cpp
@@ -43,6 +43,9 @@
      "Instances that started again under their id.", &counts::lives_replaced},
     {"berylhill_cell_records_rejected",
      "Times that the store rejected the records of a job.", &counts::rejected},
+    {"berylhill_cell_refused_for_room",
+     "Submissions refused because accepted work takes too much memory.",
+     &counts::refused_for_room},
     {"berylhill_cell_preempted", "Attempts stopped for more urgent work.",
      &counts::preempted},
 };
@@ -100,6 +103,8 @@
     set("berylhill_cell_jobs_held",
         "Jobs whose records the store rejects; none of their tasks is started.",
         static_cast<double>(it.held_jobs_count()));
+    set("berylhill_cell_work_bytes", "Memory that accepted work takes.",
+        static_cast<double>(it.room().used()));
     set("berylhill_cell_steps_waiting", "Steps with tasks that wait.",
         static_cast<double>(it.jobs().ready().size()));
     set("berylhill_cell_instances", "Instances listed or holding work.",
--- a/libraries/scheduler/attempt_count.cpp
+++ b/libraries/scheduler/attempt_count.cpp
@@ -9,7 +9,12 @@
 {
     auto const at = m_counts.find(it);
     assert(at != m_counts.end());
-    if (at != m_counts.end() && --at->second == 0)
+    if (at == m_counts.end())
+    {
+        return;
+    }
+    --m_total;
+    if (--at->second == 0)
     {
         m_counts.erase(at);
     }
--- a/libraries/scheduler/attempt_count.hpp
+++ b/libraries/scheduler/attempt_count.hpp
@@ -2,6 +2,7 @@
 
 #include <workload/task_name.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 
@@ -20,6 +21,7 @@
     void add(workload::task_name const& it)
     {
         ++m_counts[it];
+        ++m_total;
     }
 
     /// Precondition: the attempt was added.
@@ -27,8 +29,15 @@
 
     [[nodiscard]] std::uint32_t of(workload::task_name const& it) const;
 
+    /// The attempts of all tasks.
+    [[nodiscard]] std::size_t total() const noexcept
+    {
+        return m_total;
+    }
+
 private:
     std::map<workload::task_name, std::uint32_t> m_counts;
+    std::size_t m_total{0};
 };
 
 } // namespace berylhill::scheduler
--- a/libraries/scheduler/job.cpp
+++ b/libraries/scheduler/job.cpp
@@ -44,6 +44,43 @@
     return out;
 }
 
+/// What a job takes beside its specification: its places in tables, its state,
+/// and the record of that.
+constexpr std::size_t bytes_per_job = sizeof(job) + 512;
+
+/// What the record of a step has beside its texts.
+constexpr std::size_t record_bytes_per_step = 128;
+
+std::size_t memory_of(workload::step_spec const& it)
+{
+    auto const texts =
+        it.image.size() + it.required_label.size() + it.preferred_rack.size();
+    return sizeof(it) + record_bytes_per_step + 2 * texts +
+           2 * sizeof(std::uint32_t) * it.depends_on.size() +
+           sizeof(base::duration);
+}
+
+/// Of the job and of its record.
+std::size_t memory_of(workload::job_spec const& it)
+{
+    auto out = bytes_per_job + 2 * it.payload.size();
+    for (auto const& each : it.steps)
+    {
+        out += memory_of(each);
+    }
+    return out;
+}
+
+std::size_t memory_of(occurrence const& it)
+{
+    auto out = sizeof(it);
+    for (auto const& each : it.steps)
+    {
+        out += sizeof(each) + each.tasks.memory();
+    }
+    return out;
+}
+
 std::size_t tasks_in(std::vector<workload::step_spec> const& steps)
 {
     std::size_t out = 0;
@@ -94,7 +131,8 @@
 job::job(workload::job_spec spec,
          std::int64_t accepted,
          base::instant now,
-         record_layout layout)
+         record_layout layout,
+         std::shared_ptr<std::size_t> memory_total)
     : accepted_ms{accepted}
     , accepted_at{now}
     , m_spec{std::move(spec)}
@@ -102,7 +140,9 @@
     , m_tasks_per_occurrence{tasks_in(m_spec.steps)}
     , m_partitioned{m_spec.repeats.count != 0 ||
                     m_tasks_per_occurrence > layout.max_tasks_in_one_record}
+    , m_memory{std::move(memory_total)}
 {
+    m_memory.set(memory_of(m_spec));
     set_work(estimates_of(m_spec.steps));
 }
 
@@ -126,9 +166,21 @@
         out.steps[n].tasks.reset(m_spec.steps[n].tasks);
         out.steps[n].waiting = m_spec.steps[n].tasks;
     }
+    add_memory(memory_of(out), 0);
     return out;
 }
 
+std::size_t job::memory_per_occurrence() const noexcept
+{
+    return sizeof(occurrence) + m_spec.steps.size() * sizeof(step) +
+           m_tasks_per_occurrence * task_list::memory_per_task;
+}
+
+void job::add_memory(std::size_t now, std::size_t before)
+{
+    m_memory.set(m_memory.bytes() + now - before);
+}
+
 std::uint32_t job::next_occurrence() const
 {
     auto out = completed.all_below();
@@ -159,6 +211,7 @@
             ++at;
             continue;
         }
+        add_memory(0, memory_of(at->second));
         at = occurrences.erase(at);
         completed.add(number);
         note_completed(number);
@@ -205,7 +258,24 @@
     {
         parts.note_changed(part_of(it));
     }
-    return find(it.step)->tasks.m_tasks[it.index];
+    return row_of(it);
+}
+
+task& job::row_of(workload::task_name const& it)
+{
+    auto& tasks = find(it.step)->tasks;
+    auto const before = tasks.memory();
+    auto& out = tasks.row(it.index);
+    add_memory(tasks.memory(), before);
+    return out;
+}
+
+void job::compact(workload::task_name const& it)
+{
+    auto& tasks = find(it.step)->tasks;
+    auto const before = tasks.memory();
+    tasks.compact(it.index);
+    add_memory(tasks.memory(), before);
 }
 
 void job::note_former_state_changed()
@@ -235,7 +305,8 @@
 
 void job::restore_task(workload::task_name const& it, task state)
 {
-    find(it.step)->tasks.m_tasks[it.index] = std::move(state);
+    row_of(it) = std::move(state);
+    compact(it);
 }
 
 void job::note_step_changed(workload::step_name const& it)
@@ -319,6 +390,7 @@
     m_spec.payload.clear();
     m_spec.payload.shrink_to_fit();
     occurrences.clear();
+    m_memory.set(memory_of(m_spec));
 }
 
 } // namespace berylhill::scheduler
--- a/libraries/scheduler/job.hpp
+++ b/libraries/scheduler/job.hpp
@@ -3,6 +3,7 @@
 #include <base/time.hpp>
 #include <scheduler/completed_occurrences.hpp>
 #include <scheduler/loss_count.hpp>
+#include <scheduler/memory_share.hpp>
 #include <scheduler/orders.hpp>
 #include <scheduler/part_ledger.hpp>
 #include <scheduler/task_list.hpp>
@@ -144,10 +145,22 @@
 class job
 {
 public:
+    /// The memory that it takes is part of `memory_total`, if there is one.
     job(workload::job_spec spec,
         std::int64_t accepted_ms,
         base::instant now,
-        record_layout layout = {});
+        record_layout layout = {},
+        std::shared_ptr<std::size_t> memory_total = nullptr);
+
+    /// An estimate of the memory that it takes, in bytes, with its records as
+    /// other processes keep them. Attempts of its tasks come on top.
+    [[nodiscard]] std::size_t memory() const noexcept
+    {
+        return m_memory.bytes();
+    }
+
+    /// An estimate of the memory that one more occurrence takes at first.
+    [[nodiscard]] std::size_t memory_per_occurrence() const noexcept;
 
     [[nodiscard]] workload::job_spec const& spec() const noexcept
     {
@@ -207,6 +220,10 @@
     /// be written. Precondition: its step can be found.
     [[nodiscard]] task& edit(workload::task_name const& it);
 
+    /// The task is done and will not be changed soon. References to tasks of
+    /// its step become invalid. Precondition: its step can be found.
+    void compact(workload::task_name const& it);
+
     /// Sets a task as its record says. Precondition: its step can be found.
     void restore_task(workload::task_name const& it, task state);
 
@@ -312,6 +329,8 @@
 private:
     void collect_remaining_attempts();
     void note_completed(std::uint32_t number);
+    [[nodiscard]] task& row_of(workload::task_name const& it);
+    void add_memory(std::size_t now, std::size_t before);
 
     workload::job_spec m_spec;
     record_layout m_layout;
@@ -319,6 +338,7 @@
     bool m_partitioned{false};
     std::vector<base::duration> m_chains;
     base::duration m_longest{0};
+    memory_share m_memory;
 };
 
 } // namespace berylhill::scheduler
--- a/libraries/scheduler/job_table.cpp
+++ b/libraries/scheduler/job_table.cpp
@@ -15,8 +15,8 @@
                     base::instant now)
 {
     auto const id = spec.id;
-    auto made =
-        std::make_unique<job>(std::move(spec), accepted_ms, now, m_layout);
+    auto made = std::make_unique<job>(std::move(spec), accepted_ms, now,
+                                      m_layout, m_memory);
     auto const [at, added] = m_jobs.emplace(id, std::move(made));
     assert(added);
     m_new.insert(id);
--- a/libraries/scheduler/job_table.hpp
+++ b/libraries/scheduler/job_table.hpp
@@ -62,6 +62,13 @@
     /// Removes the job, and its records with the next batch.
     void drop(workload::job_id it);
 
+    /// An estimate of the memory that all jobs take, in bytes; see
+    /// `job::memory`.
+    [[nodiscard]] std::size_t memory() const noexcept
+    {
+        return *m_memory;
+    }
+
     [[nodiscard]] job_map const& all() const noexcept
     {
         return m_jobs;
@@ -150,6 +157,7 @@
     void forget_pending(job const& it);
 
     record_layout m_layout;
+    std::shared_ptr<std::size_t> m_memory{std::make_shared<std::size_t>(0)};
     job_map m_jobs;
     std::set<workload::job_id> m_changed;
     /// Jobs whose changes are left out, and those of them that have any.
--- a/libraries/scheduler/outcomes.hpp
+++ b/libraries/scheduler/outcomes.hpp
@@ -23,6 +23,9 @@
     over_cap,
     /// Rejected: its specification does not fit into a record.
     too_large,
+    /// Rejected for now: what was accepted takes as much memory as every
+    /// process that may own the work is sure to have.
+    no_room,
 };
 
 /// Outcome of a cancellation.
@@ -83,6 +86,8 @@
     /// Lives of instances that were followed by another one under the same id.
     std::uint64_t lives_replaced{0};
     std::uint64_t evacuated{0};
+    /// Submissions refused because accepted work takes too much memory.
+    std::uint64_t refused_for_room{0};
     /// How often the store has rejected the records of a job.
     std::uint64_t rejected{0};
 
--- a/libraries/scheduler/scheduler.cpp
+++ b/libraries/scheduler/scheduler.cpp
@@ -142,6 +142,11 @@
                       {"max_bytes", std::uint64_t{m_rules.max_record_bytes}}});
         return submission::too_large;
     }
+    if (!room().accepts(as_stored.memory() + as_stored.memory_per_occurrence()))
+    {
+        ++m_counts.refused_for_room;
+        return submission::no_room;
+    }
     // Another account may have cancelled the id, not this job.
     m_jobs.drop(it.id);
     auto const repeats = it.repeats.count != 0;
@@ -159,6 +164,12 @@
     return submission::accepted;
 }
 
+work_room scheduler::room() const
+{
+    return {m_rules.max_work_bytes, m_jobs.memory(),
+            m_instances.attempts().total()};
+}
+
 /// Sets the expected work of the job's steps from the observed run times of its
 /// queue.
 void scheduler::update_expected_work(job& of) const
--- a/libraries/scheduler/scheduler.hpp
+++ b/libraries/scheduler/scheduler.hpp
@@ -19,6 +19,7 @@
 #include <scheduler/start_waits.hpp>
 #include <scheduler/turn.hpp>
 #include <scheduler/unconfirmed_losses.hpp>
+#include <scheduler/work_room.hpp>
 #include <workload/cell_configuration.hpp>
 
 #include <cstdint>
@@ -225,6 +226,9 @@
         return m_jobs;
     }
 
+    /// What accepted work takes of the memory.
+    [[nodiscard]] work_room room() const;
+
 private:
     // scheduler_held.cpp
     void hold_rejected(pending_batch& batch,
--- a/libraries/scheduler/scheduler_ends.cpp
+++ b/libraries/scheduler/scheduler_ends.cpp
@@ -133,6 +133,10 @@
     {
         stop_gang(name.task.step, *in, now);
     }
+    if (in->tasks[name.task.index].phase == task_phase::done)
+    {
+        of->compact(name.task);
+    }
     after_change(*of, now);
 }
 
@@ -168,6 +172,7 @@
         auto& it = of.edit({name, n});
         it.phase = task_phase::done;
         it.checkpoint.clear();
+        of.compact({name, n});
     }
     in.done = static_cast<std::uint32_t>(in.tasks.size());
     in.waiting = 0;
--- a/libraries/scheduler/scheduler_orders.cpp
+++ b/libraries/scheduler/scheduler_orders.cpp
@@ -273,6 +273,12 @@
         {
             continue;
         }
+        // One occurrence of each job is always opened, or it would never end.
+        if (!job->occurrences.empty() &&
+            !room().opens(job->memory_per_occurrence()))
+        {
+            continue;
+        }
         job->open_occurrence(next, now);
         m_jobs.refresh_ready(*job);
     }
--- a/libraries/scheduler/scheduler_rounds.cpp
+++ b/libraries/scheduler/scheduler_rounds.cpp
@@ -140,6 +140,11 @@
         report_at_cap(of, it, now);
         return;
     }
+    auto const more = room().attempts();
+    if (more < (spec.gang ? spec.tasks : 1))
+    {
+        return;
+    }
     auto const from = candidates(of, it.name, queue, now);
     m_examined += queue.advice ? of.find(it.name)->advice.allowed.size()
                                : m_instances.all().size();
@@ -149,7 +154,10 @@
     }
     else
     {
-        decide_tasks(of, it, account, from, now);
+        decide_tasks(
+            of, it,
+            static_cast<std::uint32_t>(std::min<std::size_t>(account, more)),
+            from, now);
         report_waiting_tasks(it, spec, *of.find(it.name), from.size(), now);
     }
     if (queue.advice && of.find(it.name)->waiting > 0)
