network: Bound all parts of an answer

Cause: the client read answers with a buffer like that of the listener before: header, trailer and the size of a chunk had no bound of ours. An instance, or what answers at its address, could end the owner. Change: a header of 16 kB, and a buffer of 128 kB; a body was bounded at 8 MB already. An answer above it counts as none. The client's tests hold.

--- a/libraries/network/http_client.hpp
+++ b/libraries/network/http_client.hpp
@@ -108,7 +108,8 @@
     /// closed. A process that calls thousands of addresses would otherwise
     /// run out of descriptors, and then reach none of them.
     std::size_t open_with_idle{4'096};
-    /// A larger response counts as no answer.
+    /// A response with a larger header, or a larger body, counts as no answer.
+    std::size_t header_bytes{16'384};
     std::size_t body_bytes{std::size_t{8} * 1024 * 1024};
 };
 
--- a/libraries/network/http_client_connection.hpp
+++ b/libraries/network/http_client_connection.hpp
@@ -36,8 +36,12 @@
     /// those bytes would be read as the next one.
     [[nodiscard]] bool reusable();
 
+    /// Bytes that were received and not yet read; a part of an answer that has
+    /// to come whole, such as a field or the size of a chunk, is no longer.
+    static constexpr std::size_t max_buffer = std::size_t{128} * 1'024;
+
     boost::asio::ip::tcp::socket socket;
-    boost::beast::flat_buffer buf;
+    boost::beast::flat_buffer buf{max_buffer};
     /// Its place among the idle ones, while it is one.
     std::list<socket_address>::const_iterator idle_at;
 
--- a/libraries/network/http_client_exchange.cpp
+++ b/libraries/network/http_client_exchange.cpp
@@ -170,6 +170,8 @@
         return;
     }
     m_parser.emplace();
+    m_parser->header_limit(
+        static_cast<std::uint32_t>(m_owner.m_limits.header_bytes));
     m_parser->body_limit(m_owner.m_limits.body_bytes);
     http::async_read_header(
         m_connection->socket, m_connection->buf, *m_parser,
