entry: Read requests of callers on one thread, within limits

What callers saw: an entry that ends, out of memory, over a part of a request without end, and one that answers nobody while a hundred connections send a byte a second. Cause: cpp-httplib 0.11, the release of Debian 12, gives a thread to each connection, has a timeout for each read and none for a request, and bounds the body only where its length is announced. Change: network::http_server, which the cell uses, reads the requests (http_front); threads handle those that came whole, at most 16 waiting for each, the others are refused at once with a problem document that says not_run. http_router finds the handler, which goes on with the library's request and response. Health, status and metrics are answered where they are read, whatever the threads do. Callers who wait for a job take half of the threads at most, the others are told its state at once. Limits: /limits/memory_mb (a quarter for connections) and /limits/connections; counted in berylhill_limits_met.

--- a/libraries/entry/call_api.cpp
+++ b/libraries/entry/call_api.cpp
@@ -162,7 +162,7 @@
 
 } // namespace
 
-void add_call_api(httplib::Server& server, entry_node& self)
+void add_call_api(http_router& router, entry_node& self)
 {
     auto const handler =
         [&self](httplib::Request const& request, httplib::Response& to)
@@ -170,8 +170,8 @@
         serve(self, request, to);
     };
     constexpr auto pattern = R"(/v1/services/([^/?]+)(/.*)?)";
-    server.Get(pattern, handler);
-    server.Post(pattern, handler);
+    router.get(pattern, handler);
+    router.post(pattern, handler);
 }
 
 } // namespace berylhill::entry
--- a/libraries/entry/contract_api.cpp
+++ b/libraries/entry/contract_api.cpp
@@ -261,21 +261,21 @@
 
 } // namespace
 
-void add_contract_api(httplib::Server& server, entry_node& self)
+void add_contract_api(http_router& router, entry_node& self)
 {
-    server.Get("/v1/contracts",
+    router.get("/v1/contracts",
                [&self](httplib::Request const&, httplib::Response& to)
                { list(self, to); });
-    server.Post("/v1/contracts/apply",
+    router.post("/v1/contracts/apply",
                 [&self](httplib::Request const& request, httplib::Response& to)
                 { apply(self, request, to); });
-    server.Get(R"(/v1/contracts/([^/]+)/history)",
+    router.get(R"(/v1/contracts/([^/]+)/history)",
                [&self](httplib::Request const& request, httplib::Response& to)
                { history(self, request.matches[1], to); });
-    server.Post("/v1/stops",
+    router.post("/v1/stops",
                 [&self](httplib::Request const& request, httplib::Response& to)
                 { announce(self, request, to); });
-    server.Get(R"(/v1/stops/([^/]+)/([^/]+))",
+    router.get(R"(/v1/stops/([^/]+)/([^/]+))",
                [&self](httplib::Request const& request, httplib::Response& to) {
                    show_stop(self, request.matches[1], request.matches[2], to);
                });
--- a/libraries/entry/entry.cpp
+++ b/libraries/entry/entry.cpp
@@ -6,6 +6,7 @@
 #include <entry/configuration_keeper.hpp>
 #include <entry/contract_api.hpp>
 #include <entry/entry_node.hpp>
+#include <entry/http_front.hpp>
 #include <entry/job_api.hpp>
 #include <entry/log_followers.hpp>
 #include <entry/membership_actor.hpp>
@@ -17,8 +18,6 @@
 
 #include <caf/all.hpp>
 
-#include <httplib.h>
-
 #include <malloc.h>
 
 #include <atomic>
@@ -48,94 +47,6 @@
     s_signalled = true;
 }
 
-struct http_address
-{
-    std::string host;
-    int port{0};
-};
-
-base::result<http_address> parse(std::string const& text)
-{
-    auto const colon = text.rfind(':');
-    if (colon == std::string::npos)
-    {
-        return base::fail(base::failure_code::invalid,
-                          "'" + text + "' is not IP:port");
-    }
-    return http_address{text.substr(0, colon),
-                        std::atoi(text.c_str() + colon + 1)};
-}
-
-/// The HTTP server and the thread that accepts its connections.
-class http_front
-{
-public:
-    explicit http_front(entry_node& self)
-    {
-        auto const& limits = self.settings.limits;
-        auto const threads = static_cast<std::size_t>(limits.http_threads);
-        m_server.new_task_queue = [threads]
-        {
-            return new httplib::ThreadPool{threads};
-        };
-        m_server.set_payload_max_length(
-            static_cast<std::size_t>(limits.body_bytes));
-        // A caller that sends slower than this loses its connection, and the
-        // thread is free again.
-        m_server.set_read_timeout(
-            std::chrono::duration_cast<std::chrono::milliseconds>(
-                base::from_seconds(limits.request_read_s)));
-        m_server.set_keep_alive_max_count(100'000);
-        m_server.set_keep_alive_timeout(2);
-        m_server.set_tcp_nodelay(true);
-        add_call_api(m_server, self);
-        add_job_api(m_server, self);
-        add_contract_api(m_server, self);
-        add_operator_api(m_server, self);
-    }
-
-    ~http_front()
-    {
-        stop();
-    }
-    http_front(http_front const&) = delete;
-    http_front& operator=(http_front const&) = delete;
-
-    [[nodiscard]] base::result<base::done> bind(std::string const& address)
-    {
-        BOOST_LEAF_AUTO(at, parse(address));
-        if (!m_server.bind_to_port(at.host, at.port))
-        {
-            return base::fail(base::failure_code::unavailable,
-                              "cannot listen at " + address);
-        }
-        return base::done{};
-    }
-
-    /// Precondition: `bind` has succeeded.
-    void start()
-    {
-        m_thread = std::jthread{[this]
-                                {
-                                    m_server.listen_after_bind();
-                                }};
-    }
-
-    /// Finishes the requests that were begun.
-    void stop()
-    {
-        m_server.stop();
-        if (m_thread.joinable())
-        {
-            m_thread.join();
-        }
-    }
-
-private:
-    httplib::Server m_server;
-    std::jthread m_thread;
-};
-
 bool stop_announced(entry_node const& self)
 {
     return self.configuration.is_stopping(model::endpoint_kind::entry,
@@ -199,9 +110,15 @@
         peers.add(it.first, it.second);
     }
     self.http_address = self.settings.listen.http;
+    http_router router;
+    add_call_api(router, self);
+    add_job_api(router, self);
+    add_contract_api(router, self);
+    add_operator_api(router, self);
     // All that can fail comes before the first actor, which would have to be
     // stopped again.
-    http_front http{self};
+    http_front http{self.settings.limits, router};
+    self.front = &http;
     BOOST_LEAF_CHECK(http.bind(self.settings.listen.http));
     BOOST_LEAF_ASSIGN(self.peer_address,
                       peers.start(self.settings.listen.peer));
--- a/libraries/entry/entry_node.hpp
+++ b/libraries/entry/entry_node.hpp
@@ -31,6 +31,7 @@
 {
 
 class call_front;
+class http_front;
 
 /// The stream in which keys of calls are kept. Like `configuration` it is one
 /// for both data centres, so that a key is used once, whichever side it came
@@ -76,6 +77,9 @@
     configuration_store configuration;
     unit_registry units;
     call_front* calls{nullptr};
+    http_front* front{nullptr};
+    /// Callers whose threads wait for a job.
+    std::atomic<std::int64_t> waiting_callers{0};
     dispatcher dispatch;
     /// A stop has begun: no new callers.
     std::atomic<bool> stopping{false};
--- a/libraries/entry/job_api.cpp
+++ b/libraries/entry/job_api.cpp
@@ -86,6 +86,35 @@
     finish(to, answer, 202, message["job"].asString());
 }
 
+/// A caller that may wait for a job, for as long as this object lives.
+class waiting_caller
+{
+public:
+    explicit waiting_caller(entry_node& self)
+        : m_self{self}
+        , m_number{++self.waiting_callers}
+    {
+    }
+
+    ~waiting_caller()
+    {
+        --m_self.waiting_callers;
+    }
+
+    waiting_caller(waiting_caller const&) = delete;
+    waiting_caller& operator=(waiting_caller const&) = delete;
+
+    /// Callers who wait leave half of the threads to the others.
+    [[nodiscard]] bool allowed() const
+    {
+        return m_number <= m_self.settings.limits.http_threads / 2;
+    }
+
+private:
+    entry_node& m_self;
+    std::int64_t m_number;
+};
+
 bool is_over(Json::Value const& job)
 {
     auto const state = base::capture(
@@ -140,6 +169,11 @@
     Json::Value message{Json::objectValue};
     message["unit"] = unit;
     message["job"] = job;
+    waiting_caller const waits{self};
+    if (!waits.allowed())
+    {
+        wait = base::duration{0};
+    }
     auto const answer = base::capture(
         [&]
         { return ask_shard_until(self, unit, method, message, wait, when); });
@@ -194,21 +228,21 @@
 
 } // namespace
 
-void add_job_api(httplib::Server& server, entry_node& self)
+void add_job_api(http_router& router, entry_node& self)
 {
-    server.Post("/v1/jobs",
+    router.post("/v1/jobs",
                 [&self](httplib::Request const& request, httplib::Response& to)
                 { submit(self, request, to); });
-    server.Get("/v1/jobs",
+    router.get("/v1/jobs",
                [&self](httplib::Request const& request, httplib::Response& to)
                { list(self, request, to); });
-    server.Get(R"(/v1/jobs/([^/]+))",
+    router.get(R"(/v1/jobs/([^/]+))",
                [&self](httplib::Request const& request, httplib::Response& to)
                {
                    ask_shard(self, "jobs.show", request, wait_of(request),
                              repeat::reading, to);
                });
-    server.Post(R"(/v1/jobs/([^/]+)/cancel)",
+    router.post(R"(/v1/jobs/([^/]+)/cancel)",
                 [&self](httplib::Request const& request, httplib::Response& to)
                 {
                     ask_shard(self, "jobs.cancel", request, base::duration{0},
--- a/libraries/entry/job_api.hpp
+++ b/libraries/entry/job_api.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <httplib.h>
+#include <entry/http_router.hpp>
 
 namespace berylhill::entry
 {
@@ -9,6 +9,6 @@
 
 /// `/v1/jobs`: submit, status, cancel, list. See docs/API.md. `self` must
 /// outlive the server.
-void add_job_api(httplib::Server& server, entry_node& self);
+void add_job_api(http_router& router, entry_node& self);
 
 } // namespace berylhill::entry
--- a/libraries/entry/operator_api.cpp
+++ b/libraries/entry/operator_api.cpp
@@ -1,6 +1,7 @@
 #include <entry/operator_api.hpp>
 
 #include <entry/entry_node.hpp>
+#include <entry/http_front.hpp>
 #include <entry/http_problem.hpp>
 #include <telemetry/span.hpp>
 
@@ -113,22 +114,41 @@
     answer_json(to, out, self.stopping ? 503 : 200);
 }
 
+void metrics(entry_node& self, httplib::Response& to)
+{
+    for (auto const& it : network::by_reason(self.front->counts()))
+    {
+        self.metrics
+            .gauge("berylhill_limits_met",
+                   "Times that a limit of the listener of callers was met.",
+                   {{"reason", it.reason}})
+            .set(static_cast<double>(it.count));
+    }
+    to.set_content(self.metrics.text(), "text/plain; version=0.0.4");
+}
+
 } // namespace
 
-void add_operator_api(httplib::Server& server, entry_node& self)
+void add_operator_api(http_router& router, entry_node& self)
 {
-    server.Get("/v1/status",
-               [&self](httplib::Request const&, httplib::Response& to)
-               { status(self, to); });
-    server.Get("/v1/health",
-               [&self](httplib::Request const&, httplib::Response& to)
-               { health(self, to); });
-    server.Get(R"(/v1/traces/([0-9a-f]+))",
+    router.get(
+        "/v1/status",
+        [&self](httplib::Request const&, httplib::Response& to)
+        { status(self, to); },
+        handled::at_once);
+    router.get(
+        "/v1/health",
+        [&self](httplib::Request const&, httplib::Response& to)
+        { health(self, to); },
+        handled::at_once);
+    router.get(R"(/v1/traces/([0-9a-f]+))",
                [&self](httplib::Request const& request, httplib::Response& to)
                { trace(self, request.matches[1], to); });
-    server.Get(
-        "/metrics", [&self](httplib::Request const&, httplib::Response& to)
-        { to.set_content(self.metrics.text(), "text/plain; version=0.0.4"); });
+    router.get(
+        "/metrics",
+        [&self](httplib::Request const&, httplib::Response& to)
+        { metrics(self, to); },
+        handled::at_once);
 }
 
 } // namespace berylhill::entry
