rpc: Bound connections and requests of other entries

Cause: each connection got a thread, without bound, and the memory of a request as soon as its length was announced, 8 MB, for up to two minutes. Change: /limits/peer_connections; for one more, the connection that has been idle for longest is closed, never one whose request is run. A request takes memory as it comes, has ten seconds from its first byte, and beyond its first 64 kB shares a quarter of /limits/memory_mb with the others.

--- a/libraries/entry/entry.cpp
+++ b/libraries/entry/entry.cpp
@@ -39,6 +39,9 @@
 constexpr int s_malloc_arenas = 4;
 /// CAF's own threads; the actors do not block.
 constexpr std::size_t s_actor_threads = 2;
+/// Requests of other entries hold at most one part in this many of the memory.
+constexpr std::size_t s_peer_memory_share = 4;
+constexpr std::size_t s_bytes_per_mb = 1'048'576;
 
 std::atomic<bool> s_signalled{false};
 
@@ -104,7 +107,10 @@
     };
     call_front calls{self};
     self.calls = &calls;
-    rpc::server peers;
+    rpc::server peers{
+        {static_cast<std::size_t>(self.settings.limits.peer_connections),
+         static_cast<std::size_t>(self.settings.limits.memory_mb) *
+             s_bytes_per_mb / s_peer_memory_share}};
     for (auto const& it : methods.methods())
     {
         peers.add(it.first, it.second);
--- a/libraries/rpc/frame_socket.cpp
+++ b/libraries/rpc/frame_socket.cpp
@@ -8,6 +8,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <charconv>
@@ -24,6 +25,9 @@
 
 constexpr int s_backlog = 256;
 
+/// What is read of a request at a time.
+constexpr std::size_t s_piece = std::size_t{64} * 1'024;
+
 base::instant now()
 {
     return base::system_clock{}.now();
@@ -179,18 +183,51 @@
 base::result<std::string> frame_socket::read(base::duration timeout)
 {
     auto const until = now() + timeout;
+    BOOST_LEAF_AUTO(size, read_size(until, timeout));
+    std::string frame(size, '\0');
+    BOOST_LEAF_CHECK(read_bytes(frame.data(), frame.size(), until));
+    return frame;
+}
+
+base::result<std::string> frame_socket::read_request(base::duration idle,
+                                                     base::duration limit,
+                                                     frame_share& share)
+{
+    BOOST_LEAF_AUTO(size, read_size(now() + idle, limit));
+    auto const until = now() + limit;
+    std::string frame;
+    while (frame.size() < size)
+    {
+        auto const got = frame.size();
+        auto const next = std::min(size, got + s_piece);
+        if (!share.grow_to(next))
+        {
+            return base::fail(failure_code::refused,
+                              "too much memory in requests");
+        }
+        frame.resize(next);
+        BOOST_LEAF_CHECK(read_bytes(frame.data() + got, next - got, until));
+    }
+    return frame;
+}
+
+/// The size that a frame announces. Its first byte comes by `first_byte_by`,
+/// the others within `limit` of it.
+base::result<std::size_t> frame_socket::read_size(base::instant first_byte_by,
+                                                  base::duration limit) const
+{
     std::uint32_t size = 0;
     std::array<char, sizeof size> head{};
-    BOOST_LEAF_CHECK(read_bytes(head.data(), head.size(), until));
+    BOOST_LEAF_CHECK(read_bytes(head.data(), 1, first_byte_by));
+    BOOST_LEAF_CHECK(
+        read_bytes(head.data() + 1, head.size() - 1, now() + limit));
     std::memcpy(&size, head.data(), sizeof size);
     size = ntohl(size);
     if (size > longest_frame)
     {
         return base::fail(failure_code::invalid, "frame too long");
     }
-    std::string frame(size, '\0');
-    BOOST_LEAF_CHECK(read_bytes(frame.data(), frame.size(), until));
-    return frame;
+    return std::size_t{size};
 }
 
 base::result<base::done> frame_socket::read_bytes(char* into,
--- a/libraries/rpc/frame_socket.hpp
+++ b/libraries/rpc/frame_socket.hpp
@@ -2,6 +2,7 @@
 
 #include <base/result.hpp>
 #include <base/time.hpp>
+#include <rpc/frame_budget.hpp>
 
 #include <cstddef>
 #include <string>
@@ -39,6 +40,13 @@
     /// `invalid` when it is longer than `longest_frame`.
     [[nodiscard]] base::result<std::string> read(base::duration timeout);
 
+    /// Reads a frame of somebody who may not mean well: it begins within
+    /// `idle`, has come whole within `limit` from then on, and takes memory
+    /// only as it comes. Fails as `read` does, and with `refused` where `share`
+    /// has no room.
+    [[nodiscard]] base::result<std::string>
+    read_request(base::duration idle, base::duration limit, frame_share& share);
+
     /// Whether the peer has closed the connection or sent unexpected data; such
     /// a connection must not carry a request.
     [[nodiscard]] bool spoiled() const;
@@ -47,6 +55,8 @@
     void shut_down() const;
 
 private:
+    [[nodiscard]] base::result<std::size_t>
+    read_size(base::instant first_byte_by, base::duration limit) const;
     [[nodiscard]] base::result<base::done>
     read_bytes(char* into, std::size_t size, base::instant until) const;
 
--- a/libraries/rpc/server.cpp
+++ b/libraries/rpc/server.cpp
@@ -17,6 +17,8 @@
 /// A caller closes what it does not use long before; this is for callers that
 /// vanished without a word.
 constexpr base::duration s_idle_limit = std::chrono::minutes{2};
+/// From the first byte of a request to its last.
+constexpr base::duration s_read_limit = std::chrono::seconds{10};
 constexpr base::duration s_write_limit = std::chrono::seconds{5};
 constexpr int s_accept_poll_ms = 50;
 
@@ -96,7 +98,13 @@
         }
         reap_finished();
         std::lock_guard const lock{m_mutex};
+        if (!make_room())
+        {
+            ::close(descriptor);
+            continue;
+        }
         auto& added = m_connections.emplace_back(descriptor);
+        added.idle_since = m_clock.now();
         added.thread = std::jthread{[this, &added]
                                     {
                                         serve(added);
@@ -104,16 +112,59 @@
     }
 }
 
+/// Returns whether one more connection may be served, and closes an idle one
+/// for it if need be. Precondition: the mutex is held.
+bool server::make_room()
+{
+    std::size_t open = 0;
+    connection* longest_idle = nullptr;
+    for (auto& it : m_connections)
+    {
+        if (it.finished || it.gives_way)
+        {
+            continue;
+        }
+        ++open;
+        if (it.idle_since && (longest_idle == nullptr ||
+                              *it.idle_since < *longest_idle->idle_since))
+        {
+            longest_idle = &it;
+        }
+    }
+    if (open < m_limits.connections)
+    {
+        return true;
+    }
+    if (longest_idle == nullptr)
+    {
+        return false;
+    }
+    longest_idle->gives_way = true;
+    longest_idle->socket.shut_down();
+    return true;
+}
+
+void server::set_idle(connection& it, std::optional<base::instant> since)
+{
+    std::lock_guard const lock{m_mutex};
+    it.idle_since = since;
+}
+
 void server::serve(connection& it)
 {
     for (;;)
     {
-        auto const request =
-            base::capture([&] { return it.socket.read(s_idle_limit); });
+        frame_share share{m_request_bytes};
+        auto const request = base::capture(
+            [&] {
+                return it.socket.read_request(s_idle_limit, s_read_limit,
+                                              share);
+            });
         if (!request)
         {
             break;
         }
+        set_idle(it, std::nullopt);
         // The library throws for a request nested too deep, and an exception
         // that leaves a thread ends the process.
         auto const response =
@@ -129,6 +180,7 @@
         {
             break;
         }
+        set_idle(it, m_clock.now());
     }
     std::lock_guard const lock{m_mutex};
     it.socket.shut_down();
