tests: Run the loop until something holds in one place

Cause: the same loop stood in six fixtures. Change: tests/support/run_until.hpp. The tests of clients that do not behave share their texts, and two cases are new: a crowd at all listeners of all processes while the owner is killed, and connections that come and go. The landed code was not run on these two.

--- a/tests/cell/call_router_test.cpp
+++ b/tests/cell/call_router_test.cpp
@@ -7,6 +7,7 @@
 #include <cell/peer_paths.hpp>
 #include <network/http_client.hpp>
 #include <network/http_server.hpp>
+#include <tests/support/run_until.hpp>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/test/data/monomorphic.hpp>
@@ -143,14 +144,7 @@
     template <class Done>
     bool run_until(Done done)
     {
-        auto const limit =
-            std::chrono::steady_clock::now() + std::chrono::seconds{5};
-        while (!done() && std::chrono::steady_clock::now() < limit)
-        {
-            loop.restart();
-            loop.run_for(std::chrono::milliseconds{5});
-        }
-        return done();
+        return test_support::run_until(loop, done, std::chrono::seconds{5});
     }
 
     void call(cell::job_call_kind what)
--- a/tests/cell/cell_owner_fixture.hpp
+++ b/tests/cell/cell_owner_fixture.hpp
@@ -8,6 +8,7 @@
 #include <cell/call_check.hpp>
 #include <cell/cell_owner.hpp>
 #include <network/http_client.hpp>
+#include <tests/support/run_until.hpp>
 
 #include <boost/test/unit_test.hpp>
 
@@ -144,14 +145,7 @@
     template <class Done>
     bool run_until(Done done)
     {
-        auto const limit =
-            std::chrono::steady_clock::now() + std::chrono::seconds{5};
-        while (!done() && std::chrono::steady_clock::now() < limit)
-        {
-            loop.restart();
-            loop.run_for(std::chrono::milliseconds{5});
-        }
-        return done();
+        return test_support::run_until(loop, done, std::chrono::seconds{5});
     }
 
     /// Replaces the owner by one that has read all records.
--- a/tests/misbehaving_clients/crowds_test.cpp
+++ b/tests/misbehaving_clients/crowds_test.cpp
@@ -1,11 +1,15 @@
 #include "bounded_cell.hpp"
 #include "crowd.hpp"
+#include "texts.hpp"
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 
 #include <algorithm>
+#include <memory>
 #include <ostream>
+#include <utility>
+#include <vector>
 
 using namespace berylhill;
 using namespace berylhill::clients_test;
@@ -37,15 +41,9 @@
            "Content-Length: " + std::to_string(body) + "\r\n\r\n";
 }
 
-std::string repeated(std::string const& it, std::size_t bytes)
-{
-    std::string out;
-    while (out.size() + it.size() <= bytes)
-    {
-        out += it;
-    }
-    return out;
-}
+std::string const chunked_head =
+    "POST /q/0000000000000001 HTTP/1.1\r\nHost: h\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n";
 
 /// A job of many small steps, as large as a body may be.
 std::string large_job()
@@ -174,6 +172,65 @@
     check(0);
 }
 
+/// Guards against a cell that ends together: a crowd is at every listener of
+/// every process while the owner is lost.
+BOOST_FIXTURE_TEST_CASE(a_crowd_everywhere_outlasts_no_takeover, bounded_cell)
+{
+    constexpr std::uint16_t listeners = 4;
+    constexpr std::size_t clients = 8;
+    constexpr std::size_t most_bytes = std::size_t{4} * 1024 * 1024;
+    std::vector<std::unique_ptr<crowd>> all;
+    for (auto const& [first, again] :
+         {std::pair{chunked_head, repeated("a: b\r\n", 64'000)},
+          std::pair{head_of(body_bytes), std::string(64'000, 'x')},
+          std::pair{std::string{"P"}, std::string{}}})
+    {
+        all.push_back(
+            std::make_unique<crowd>(loop, script{first, again, most_bytes}));
+        for (std::size_t n = 0; n < processes; ++n)
+        {
+            for (std::uint16_t listener = 0; listener < listeners; ++listener)
+            {
+                all.back()->join(
+                    static_cast<std::uint16_t>(callers_port(n) + listener),
+                    clients);
+            }
+        }
+    }
+    auto const first = owner();
+    BOOST_REQUIRE(first.has_value());
+    stop_process(*first);
+    start_process(*first);
+    BOOST_TEST(run_until(
+        [&]
+        {
+            return std::ranges::all_of(all, [](auto const& it)
+                                       { return it->done(); });
+        }));
+    BOOST_TEST(all_ready());
+    check_all();
+}
+
+/// Guards against descriptors, or memory, that closed connections keep.
+BOOST_FIXTURE_TEST_CASE(connections_that_come_and_go_leave_nothing,
+                        bounded_cell)
+{
+    constexpr std::size_t rounds = 40;
+    constexpr std::size_t clients = 100;
+    constexpr std::size_t slack = 32;
+    check(0);
+    auto const before = cells[0]->descriptors();
+    for (std::size_t n = 0; n < rounds; ++n)
+    {
+        crowd some{loop, {"GET /q/ HTTP/1.1\r\nHost: h\r\n\r\n", {}, 1'000}};
+        some.join(callers_port(0), clients);
+        BOOST_TEST(run_until([&] { return some.done(); }));
+    }
+    check(0);
+    BOOST_TEST(
+        run_until([&] { return cells[0]->descriptors() < before + slack; }));
+}
+
 /// Guards against logs that outgrow everything: what a client sends is written
 /// for each of its requests.
 BOOST_FIXTURE_TEST_CASE(a_long_path_is_not_logged_whole, bounded_cell)
--- a/tests/misbehaving_clients/endless_parts_test.cpp
+++ b/tests/misbehaving_clients/endless_parts_test.cpp
@@ -1,5 +1,6 @@
 #include "bounded_cell.hpp"
 #include "crowd.hpp"
+#include "texts.hpp"
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
@@ -15,7 +16,6 @@
 constexpr std::size_t clients_per_listener = 2;
 constexpr std::size_t listeners = 4;
 constexpr std::size_t most_bytes = std::size_t{32} * 1024 * 1024;
-constexpr std::size_t piece = std::size_t{64} * 1024;
 
 /// A part of a request that does not end.
 struct endless_part
@@ -30,16 +30,6 @@
     return to << it.name;
 }
 
-std::string repeated(std::string const& it)
-{
-    std::string out;
-    while (out.size() < piece)
-    {
-        out += it;
-    }
-    return out;
-}
-
 std::string const chunked_head =
     "POST /q/0000000000000001 HTTP/1.1\r\nHost: h\r\n"
     "Transfer-Encoding: chunked\r\n\r\n";
@@ -47,16 +37,19 @@
     "POST /q/0000000000000001 HTTP/1.1\r\nHost: h\r\n";
 
 endless_part const parts[] = {
-    {"trailer fields", chunked_head + "1\r\nx\r\n0\r\n", repeated("a: b\r\n")},
-    {"a trailer line", chunked_head + "1\r\nx\r\n0\r\na: ", repeated("b")},
-    {"a chunk extension", chunked_head + "1;a=", repeated("b")},
-    {"header fields", open_head, repeated("a: b\r\n")},
-    {"empty header fields", open_head, repeated("a:\r\n")},
-    {"a header line", open_head + "a: ", repeated("b")},
-    {"a request line", "GET /q/", repeated("b")},
+    {"trailer fields", chunked_head + "1\r\nx\r\n0\r\n",
+     repeated("a: b\r\n", piece)},
+    {"a trailer line",
+     chunked_head + "1\r\nx\r\n0\r\na: ", repeated("b", piece)},
+    {"a chunk extension", chunked_head + "1;a=", repeated("b", piece)},
+    {"header fields", open_head, repeated("a: b\r\n", piece)},
+    {"empty header fields", open_head, repeated("a:\r\n", piece)},
+    {"a header line", open_head + "a: ", repeated("b", piece)},
+    {"a request line", "GET /q/", repeated("b", piece)},
     {"a chunked body", chunked_head,
      "10000\r\n" + std::string(piece, 'x') + "\r\n"},
-    {"small chunks", chunked_head, repeated("1;aaaaaaaaaaaaaaaa\r\nx\r\n")},
+    {"small chunks", chunked_head,
+     repeated("1;aaaaaaaaaaaaaaaa\r\nx\r\n", piece)},
 };
 
 } // namespace
--- a/tests/misbehaving_clients/entry_clients_test.cpp
+++ b/tests/misbehaving_clients/entry_clients_test.cpp
@@ -1,9 +1,11 @@
 #include "crowd.hpp"
+#include "texts.hpp"
 
 #include "stand_ins/ports.hpp"
 #include "stand_ins/process.hpp"
 
 #include <network/http_client.hpp>
+#include <tests/support/run_until.hpp>
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
@@ -79,14 +81,7 @@
     template <class Done>
     bool run_until(Done done)
     {
-        auto const end =
-            std::chrono::steady_clock::now() + std::chrono::seconds{30};
-        while (!done() && std::chrono::steady_clock::now() < end)
-        {
-            loop.restart();
-            loop.run_for(std::chrono::milliseconds{5});
-        }
-        return done();
+        return test_support::run_until(loop, done, std::chrono::seconds{30});
     }
 
     /// Whether one ordinary request is answered.
@@ -137,17 +132,6 @@
     return to << it.name;
 }
 
-std::string repeated(std::string const& it)
-{
-    constexpr std::size_t piece = std::size_t{64} * 1024;
-    std::string out;
-    while (out.size() < piece)
-    {
-        out += it;
-    }
-    return out;
-}
-
 std::string const chunked_head = "POST /v1/jobs HTTP/1.1\r\nHost: h\r\n"
                                  "Transfer-Encoding: chunked\r\n\r\n";
 std::string const open_head = "POST /v1/jobs HTTP/1.1\r\nHost: h\r\n";
@@ -157,16 +141,18 @@
 
 entry_case const http_cases[] = {
     {"trailer fields", 8, chunked_head + "1\r\nx\r\n0\r\n",
-     repeated("a: b\r\n"), endless, at_once},
-    {"a trailer line", 8, chunked_head + "1\r\nx\r\n0\r\na: ", repeated("b"),
+     repeated("a: b\r\n", piece), endless, at_once},
+    {"a trailer line", 8, chunked_head + "1\r\nx\r\n0\r\na: ",
+     repeated("b", piece), endless, at_once},
+    {"a chunk extension", 8, chunked_head + "1;a=", repeated("b", piece),
      endless, at_once},
-    {"a chunk extension", 8, chunked_head + "1;a=", repeated("b"), endless,
+    {"header fields", 8, open_head, repeated("a: b\r\n", piece), endless,
      at_once},
-    {"header fields", 8, open_head, repeated("a: b\r\n"), endless, at_once},
-    {"a header line", 8, open_head + "a: ", repeated("b"), endless, at_once},
-    {"a request line", 8, "GET /v1/", repeated("b"), endless, at_once},
-    {"a chunked body", 8, chunked_head, "10000\r\n" + repeated("x") + "\r\n",
-     endless, at_once},
+    {"a header line", 8, open_head + "a: ", repeated("b", piece), endless,
+     at_once},
+    {"a request line", 8, "GET /v1/", repeated("b", piece), endless, at_once},
+    {"a chunked body", 8, chunked_head,
+     "10000\r\n" + repeated("x", piece) + "\r\n", endless, at_once},
     {"one byte now and then", 24, open_head + "a: ", "b", endless, slowly},
     {"nothing", 400, {}, {}, 0, at_once},
 };
--- a/tests/network/server_fixture.hpp
+++ b/tests/network/server_fixture.hpp
@@ -2,6 +2,7 @@
 
 #include <network/http_client.hpp>
 #include <network/http_server.hpp>
+#include <tests/support/run_until.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -67,14 +68,7 @@
     template <class Done>
     bool run_until(Done done)
     {
-        auto const limit =
-            std::chrono::steady_clock::now() + std::chrono::seconds{5};
-        while (!done() && std::chrono::steady_clock::now() < limit)
-        {
-            loop.restart();
-            loop.run_for(std::chrono::milliseconds{5});
-        }
-        return done();
+        return test_support::run_until(loop, done, std::chrono::seconds{5});
     }
 
     /// What the server sends in answer to raw bytes, until it closes or is
--- a/tests/platform_adapter/answers_test.cpp
+++ b/tests/platform_adapter/answers_test.cpp
@@ -4,6 +4,7 @@
 #include <network/http_server.hpp>
 #include <platform/instance_calls.hpp>
 #include <platform/store_log.hpp>
+#include <tests/support/run_until.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/test/data/monomorphic.hpp>
@@ -172,14 +173,7 @@
     template <class Done>
     bool run_until(Done done)
     {
-        auto const limit =
-            std::chrono::steady_clock::now() + std::chrono::seconds{5};
-        while (!done() && std::chrono::steady_clock::now() < limit)
-        {
-            loop.restart();
-            loop.run_for(std::chrono::milliseconds{5});
-        }
-        return done();
+        return test_support::run_until(loop, done, std::chrono::seconds{5});
     }
 
     /// Leaves a connection open that the next call uses.
--- a/tests/platform_adapter/cell_fixture.hpp
+++ b/tests/platform_adapter/cell_fixture.hpp
@@ -8,6 +8,7 @@
 
 #include <network/http_client.hpp>
 #include <settings/cell_settings.hpp>
+#include <tests/support/run_until.hpp>
 
 #include <filesystem>
 #include <map>
@@ -36,13 +37,7 @@
     bool run_until(Done done,
                    std::chrono::milliseconds limit = std::chrono::seconds{30})
     {
-        auto const end = std::chrono::steady_clock::now() + limit;
-        while (!done() && std::chrono::steady_clock::now() < end)
-        {
-            loop.restart();
-            loop.run_for(std::chrono::milliseconds{5});
-        }
-        return done();
+        return test_support::run_until(loop, done, limit);
     }
 
     void start_process(std::size_t n);
