network, entry: Refuse requests in the form of each listener

What callers saw, since the entry reads by the cell's listener: 413 and 408 without the problem document that its pages promise, 404 without any. Cause: the listener answered what it refuses by itself in one form. Change: a server is told how to answer each reason (set_refusals). The entry's answers are problem documents that say not_run, also for an unknown path; a request that comes too slowly gets 408 there, and in the cell no answer, as before. A timer that fires in the turn in which the last byte comes refuses nothing. Tests: http_router/*, http/bytes_that_are_no_request_are_refused_at_once.

--- a/libraries/cell/node.cpp
+++ b/libraries/cell/node.cpp
@@ -105,6 +105,14 @@
     return out;
 }
 
+/// Another process sends a call again that was refused as busy.
+std::optional<network::http_response> peer_refusal(network::refused_request why)
+{
+    return why == network::refused_request::busy
+               ? network::http_response{peer_paths::status_busy, {}, {}}
+               : network::plain_refusal(why);
+}
+
 /// Copies of the configuration use at most one part in this many of the link,
 /// so that hundreds of processes that fetch at once do not delay calls.
 constexpr double copy_share = 4;
@@ -211,7 +219,7 @@
     , m_lag{m_loop, m_clock}
     , m_copy_budget{budget_of_copies(m_settings.limits.link_mbps)}
 {
-    m_peer_server.set_busy_answer({peer_paths::status_busy, {}, {}});
+    m_peer_server.set_refusals(peer_refusal);
     m_operators.on_change([this](auto const& key, auto const& value, auto)
                           { configuration_changed(key, value, "store"); });
     m_operators.on_end_reached([this](base::instant as_of)
--- a/libraries/entry/http_front.cpp
+++ b/libraries/entry/http_front.cpp
@@ -1,7 +1,8 @@
 #include <entry/http_front.hpp>
 
 #include <base/time.hpp>
-#include <calls/problem.hpp>
+#include <calls/call_outcome.hpp>
+#include <entry/http_problem.hpp>
 
 #include <boost/asio/post.hpp>
 
@@ -35,17 +36,38 @@
     return out;
 }
 
-/// Nothing was done for the request.
-network::http_response overloaded()
+calls::refusal_code code_of(network::refused_request it)
 {
-    auto const it =
-        calls::problem_of({calls::ran::not_run, calls::refusal_code::overloaded,
-                           "this entry has too many requests", s_retry_after_s},
-                          "");
-    return {static_cast<unsigned>(it.status),
-            {{"Retry-After", std::to_string(it.retry_after_s)}},
-            it.body,
-            std::string{calls::problem::s_content_type}};
+    return it == network::refused_request::busy
+               ? calls::refusal_code::overloaded
+               : calls::refusal_code::malformed;
+}
+
+char const* text_of(network::refused_request it)
+{
+    switch (it)
+    {
+    case network::refused_request::malformed:
+        return "the request is not HTTP/1.1";
+    case network::refused_request::too_slow:
+        return "the request did not arrive whole in time";
+    case network::refused_request::body_too_large:
+        return "the body is too large";
+    case network::refused_request::fields_too_large:
+        return "the header or the trailer is too large";
+    case network::refused_request::busy:
+        return "this entry has too many requests";
+    }
+    return "refused";
+}
+
+network::http_response refusal_of(network::refused_request it)
+{
+    auto const again =
+        it == network::refused_request::busy ? s_retry_after_s : 0;
+    return problem_response(
+        static_cast<unsigned>(it),
+        {calls::ran::not_run, code_of(it), text_of(it), again});
 }
 
 } // namespace
@@ -64,7 +86,7 @@
     m_memory->set_limit(static_cast<std::size_t>(
         limits.memory_mb * s_bytes_per_mb / s_memory_share));
     m_server.set_limits(server_limits_of(limits));
-    m_server.set_busy_answer(overloaded());
+    m_server.set_refusals(refusal_of);
 }
 
 http_front::~http_front()
@@ -106,7 +128,7 @@
     }
     if (m_handling >= m_most_waiting)
     {
-        answer(overloaded());
+        answer(refusal_of(network::refused_request::busy));
         return;
     }
     ++m_handling;
--- a/libraries/entry/http_problem.cpp
+++ b/libraries/entry/http_problem.cpp
@@ -72,6 +72,30 @@
     answer_problem(to, out);
 }
 
+network::http_response problem_response(unsigned status,
+                                        calls::refusal const& why)
+{
+    auto const problem = calls::problem_of(why, "");
+    network::http_response out;
+    out.status = status;
+    out.content_type = calls::problem::s_content_type;
+    out.body = problem.body;
+    auto const body =
+        base::capture([&] { return model::parse_json(problem.body); });
+    if (body)
+    {
+        auto with_status = body.value();
+        with_status["status"] = status;
+        out.body = model::text_of(with_status);
+    }
+    if (problem.retry_after_s > 0)
+    {
+        out.fields.push_back(
+            {"Retry-After", std::to_string(problem.retry_after_s)});
+    }
+    return out;
+}
+
 void answer_json(httplib::Response& to, Json::Value const& it, int status)
 {
     to.status = status;
--- a/libraries/entry/http_problem.hpp
+++ b/libraries/entry/http_problem.hpp
@@ -2,6 +2,7 @@
 
 #include <base/failure.hpp>
 #include <calls/problem.hpp>
+#include <network/http_message.hpp>
 
 #include <httplib.h>
 
@@ -21,6 +22,10 @@
                     base::failure const& it,
                     std::string const& instance);
 
+/// A refusal as the whole response, with a status of its own.
+[[nodiscard]] network::http_response
+problem_response(unsigned status, calls::refusal const& why);
+
 void answer_json(httplib::Response& to, Json::Value const& it, int status);
 
 } // namespace berylhill::entry
--- a/libraries/entry/http_router.cpp
+++ b/libraries/entry/http_router.cpp
@@ -1,6 +1,7 @@
 #include <entry/http_router.hpp>
 
 #include <base/log.hpp>
+#include <entry/http_problem.hpp>
 
 #include <algorithm>
 #include <exception>
@@ -20,6 +21,12 @@
 /// The library that matches paths takes stack for each byte of them.
 constexpr std::size_t s_longest_target = 8'192;
 
+calls::refusal malformed(std::string reason)
+{
+    return {calls::ran::not_run, calls::refusal_code::malformed,
+            std::move(reason), 0};
+}
+
 std::string path_of(std::string const& target)
 {
     return httplib::detail::decode_url(target.substr(0, target.find('?')),
@@ -98,13 +105,15 @@
 {
     if (it.target.size() > s_longest_target)
     {
-        return {s_target_too_long, {}, {}};
+        return problem_response(s_target_too_long,
+                                malformed("the target is too long"));
     }
     auto request = request_of(it);
     auto const* const found = find(it.method, request.path);
     if (found == nullptr)
     {
-        return {s_not_found, {}, {}};
+        return problem_response(
+            s_not_found, malformed("no such path, or not by this method"));
     }
     std::regex_match(request.path, request.matches, found->pattern);
     httplib::Response out;
@@ -117,7 +126,9 @@
         // One that leaves a thread ends the process.
         base::log(base::log_level::error, "request_failed",
                   {{"path", request.path}, {"error", failed.what()}});
-        return {s_failed, {}, {}};
+        return problem_response(s_failed, {calls::ran::unknown,
+                                           calls::refusal_code::outcome_unknown,
+                                           "the request failed", 0});
     }
     return response_of(std::move(out));
 }
--- a/libraries/network/http_server.cpp
+++ b/libraries/network/http_server.cpp
@@ -25,6 +25,24 @@
 
 } // namespace
 
+std::optional<http_response> plain_refusal(refused_request it)
+{
+    auto const status = static_cast<unsigned>(it);
+    switch (it)
+    {
+    case refused_request::too_slow:
+        return std::nullopt;
+    case refused_request::busy:
+        return http_response{
+            status, {{"Retry-After", "1"}}, R"({"error":"not accepted"})"};
+    case refused_request::malformed:
+    case refused_request::body_too_large:
+    case refused_request::fields_too_large:
+        return http_response{status, {}, R"({"error":"malformed request"})"};
+    }
+    return std::nullopt;
+}
+
 http_server::http_server(asio::io_context& loop,
                          request_handler handler,
                          std::shared_ptr<connection_memory> memory)
--- a/libraries/network/http_server.hpp
+++ b/libraries/network/http_server.hpp
@@ -9,9 +9,11 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 #include <unordered_set>
 
 namespace berylhill::network
@@ -22,6 +24,26 @@
 
 using request_handler = std::function<void(http_request, responder)>;
 
+/// Why a server refuses a request by itself; nothing was done for it.
+enum class refused_request : std::uint16_t
+{
+    malformed = 400,
+    /// It did not come whole in time.
+    too_slow = 408,
+    body_too_large = 413,
+    fields_too_large = 431,
+    /// It was read whole and finds too many others being answered.
+    busy = 503,
+};
+
+/// The answer to a refused request; nothing if its connection is to be closed
+/// without one.
+using refusal_maker =
+    std::function<std::optional<http_response>(refused_request)>;
+
+/// The status is that of the reason. A request that is too slow has no answer.
+[[nodiscard]] std::optional<http_response> plain_refusal(refused_request it);
+
 /// Serves HTTP/1.1 on one address. A connection carries one request at a
 /// time. All members run on the thread of the event loop.
 class http_server
@@ -46,11 +68,10 @@
         m_limits = it;
     }
 
-    /// Answers a whole request that finds too many others being answered;
-    /// nothing is done for it.
-    void set_busy_answer(http_response it)
+    /// Answers requests that the server refuses by itself.
+    void set_refusals(refusal_maker it)
     {
-        m_busy_answer = std::move(it);
+        m_refusals = std::move(it);
     }
 
     /// From now on each response asks the caller to close, and idle
@@ -95,7 +116,7 @@
     std::unordered_set<std::shared_ptr<session>> m_sessions;
     /// Connections without a whole request, the longest so first.
     std::list<session*> m_without_request;
-    http_response m_busy_answer{503, {{"Retry-After", "1"}}, {}};
+    refusal_maker m_refusals{plain_refusal};
     server_counts m_counts;
     std::size_t m_unanswered{0};
     bool m_closing{false};
--- a/libraries/network/http_server_session.cpp
+++ b/libraries/network/http_server_session.cpp
@@ -30,6 +30,16 @@
 /// decoded, and sent on to another process.
 constexpr std::size_t answering_factor = 4;
 
+refused_request reason_of(boost::system::error_code ec)
+{
+    if (ec == http::error::body_limit)
+    {
+        return refused_request::body_too_large;
+    }
+    return ec == http::error::header_limit ? refused_request::fields_too_large
+                                           : refused_request::malformed;
+}
+
 } // namespace
 
 http_server::session::session(http_server& owner, tcp::socket socket)
@@ -65,7 +75,7 @@
     {
         return;
     }
-    wait(m_owner.m_limits.idle_time, nullptr);
+    wait(m_owner.m_limits.idle_time, &session::close);
     m_socket.async_wait(tcp::socket::wait_read,
                         [self = shared_from_this()](auto ec)
                         {
@@ -111,7 +121,7 @@
 void http_server::session::read_first()
 {
     m_parser.emplace(m_owner.m_limits);
-    wait(m_owner.m_limits.request_time, &server_counts::too_slow);
+    wait(m_owner.m_limits.request_time, &session::time_out);
     bytes_read({}, 0);
 }
 
@@ -120,7 +130,7 @@
     auto const n = next_read();
     if (n == 0)
     {
-        refuse(http::error::buffer_overflow);
+        refuse(refused_request::fields_too_large);
         return;
     }
     m_socket.async_read_some(
@@ -146,7 +156,7 @@
 void http_server::session::bytes_read(boost::system::error_code ec,
                                       std::size_t n)
 {
-    if (m_closed)
+    if (m_closed || !m_parser)
     {
         return;
     }
@@ -158,7 +168,7 @@
     m_buf.commit(n);
     if (auto const failed = parse(); failed)
     {
-        refuse(failed);
+        refuse(reason_of(failed));
         return;
     }
     if (m_parser->is_done())
@@ -197,31 +207,25 @@
     return connection_bytes + m_buf.capacity() + m_parser->held();
 }
 
-/// A request that cannot be read is answered, so that the caller can know why;
-/// the connection ends, since its next byte means nothing.
-void http_server::session::refuse(boost::system::error_code ec)
+void http_server::session::refuse(refused_request why)
 {
-    constexpr unsigned malformed = 400;
-    constexpr unsigned body_too_large = 413;
-    constexpr unsigned fields_too_large = 431;
-    auto status = malformed;
-    if (ec == http::error::body_limit)
-    {
-        status = body_too_large;
-    }
-    if (ec == http::error::header_limit || ec == http::error::buffer_overflow)
-    {
-        status = fields_too_large;
-    }
-    if (status != malformed)
+    if (why == refused_request::body_too_large ||
+        why == refused_request::fields_too_large)
     {
         ++m_owner.m_counts.too_large;
     }
     stop_waiting();
     m_parser.reset();
-    m_close_after = true;
+    // The next byte of a request that was not read whole means nothing.
+    m_close_after = m_close_after || why != refused_request::busy;
+    auto answer = m_owner.m_refusals(why);
+    if (!answer)
+    {
+        close();
+        return;
+    }
     ++m_owner.m_unanswered;
-    write({status, {}, R"({"error":"malformed request"})"});
+    write(std::move(*answer));
 }
 
 void http_server::session::request_read()
@@ -232,14 +236,14 @@
     auto const bytes = answering_factor * m_parser->held();
     auto request = request_of(m_parser->release());
     m_parser.reset();
-    ++m_owner.m_unanswered;
     if (!m_memory->set_answering(*this,
                                  connection_bytes + m_buf.capacity() + bytes))
     {
         ++m_owner.m_counts.busy;
-        write(m_owner.m_busy_answer);
+        refuse(refused_request::busy);
         return;
     }
+    ++m_owner.m_unanswered;
     m_owner.m_handler(std::move(request),
                       [self = shared_from_this()](http_response it)
                       { self->write(std::move(it)); });
@@ -267,7 +271,7 @@
     m_response.keep_alive(!m_close_after);
     m_response.body() = std::move(it.body);
     m_response.prepare_payload();
-    wait(m_owner.m_limits.request_time, nullptr);
+    wait(m_owner.m_limits.request_time, &session::close);
     http::async_write(m_socket, m_response,
                       [self = shared_from_this()](auto ec, std::size_t)
                       { self->written(ec); });
@@ -285,26 +289,31 @@
 }
 
 /// A caller that sends or reads nothing would hold the connection for ever.
-/// `count` is the count of such callers, if there is one.
 void http_server::session::wait(base::duration limit,
-                                std::uint64_t server_counts::*count)
+                                void (session::*when_over)())
 {
     m_timer.expires_after(limit);
     m_timer.async_wait(
-        [self = shared_from_this(), count](auto ec)
+        [self = shared_from_this(), when_over](auto ec)
         {
-            if (ec)
-            {
-                return;
-            }
-            if (count != nullptr)
+            if (!ec)
             {
-                ++(self->m_owner.m_counts.*count);
+                (*self.*when_over)();
             }
-            self->close();
         });
 }
 
+void http_server::session::time_out()
+{
+    // The last byte may have come in the turn in which the time was over.
+    if (m_closed || !m_parser)
+    {
+        return;
+    }
+    ++m_owner.m_counts.too_slow;
+    refuse(refused_request::too_slow);
+}
+
 void http_server::session::stop_waiting()
 {
     if (m_waiting)
--- a/libraries/network/http_server_session.hpp
+++ b/libraries/network/http_server_session.hpp
@@ -40,11 +40,12 @@
     void bytes_read(boost::system::error_code ec, std::size_t n);
     [[nodiscard]] std::size_t next_read() const;
     [[nodiscard]] boost::system::error_code parse();
-    void refuse(boost::system::error_code ec);
+    void refuse(refused_request why);
     void request_read();
     void write(http_response it);
     void written(boost::system::error_code ec);
-    void wait(base::duration limit, std::uint64_t server_counts::*count);
+    void wait(base::duration limit, void (session::*when_over)());
+    void time_out();
     void stop_waiting();
     [[nodiscard]] std::size_t held_by_request() const;
 
