network: Bound answers that nobody reads

Cause: an answer was not part of what connections hold together. A copy of a large configuration has 600 kB, and whoever asks for it and reads nothing holds it for three seconds. Change: an answer counts until it is written. One above 16 kB that finds no room ends its connection, which promises nothing; smaller ones are sent always. Failing before: http/large_answers_together_are_bounded (written with the change; without it no connection gives way). Real processes do not show it on loopback, where the kernel takes answers whole.

--- a/libraries/network/http_server_session.cpp
+++ b/libraries/network/http_server_session.cpp
@@ -26,6 +26,11 @@
 /// A buffer keeps so much while no request is being read.
 constexpr std::size_t kept_buffer = 2'048;
 
+/// An answer of up to so many bytes is sent whatever others hold. The
+/// connection is closed in place of a larger one: nothing else would be true of
+/// a request that was carried out.
+constexpr std::size_t small_answer = 16'384;
+
 /// What answering a request takes, as a multiple of what was read of it: it is
 /// decoded, and sent on to another process.
 constexpr std::size_t answering_factor = 4;
@@ -256,6 +261,14 @@
     {
         return;
     }
+    if (!m_memory->set_answering(*this, connection_bytes + m_buf.capacity() +
+                                            it.body.size()) &&
+        it.body.size() > small_answer)
+    {
+        ++m_owner.m_counts.closed_for_memory;
+        close();
+        return;
+    }
     m_close_after = m_close_after || m_owner.m_closing;
     m_response = {};
     m_response.version(11);
--- a/tests/network/http_test.cpp
+++ b/tests/network/http_test.cpp
@@ -68,6 +68,10 @@
      "GET / HTTP/1.1\r\nA: " + std::string(5'000, 'a') + "\r\n",
      "HTTP/1.1 431"},
     {"a whole request", "GET / HTTP/1.1\r\nHost: a\r\n\r\n", "HTTP/1.1 200"},
+    {"a length and chunks",
+     "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+     "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n",
+     "HTTP/1.1 400"},
     {"more fields than are read", many_fields(), "HTTP/1.1 431"},
     {"a trailer line without end",
      chunked + "1\r\nx\r\n0\r\na: " + std::string(5'000, 'a'), "HTTP/1.1 431"},
@@ -245,6 +249,42 @@
     BOOST_TEST(server.counts().closed_for_new == 1U);
 }
 
+/// Guards against a process that runs out of memory over answers that nobody
+/// reads.
+BOOST_AUTO_TEST_CASE(large_answers_together_are_bounded)
+{
+    using boost::asio::ip::tcp;
+    constexpr std::size_t answer_bytes = 8'000'000;
+    constexpr std::size_t clients = 6;
+    auto const memory = std::make_shared<network::connection_memory>();
+    memory->set_limit(4 * answer_bytes);
+    network::http_server large{
+        loop,
+        [](auto const&, auto answer) {
+            answer({200, {}, std::string(answer_bytes, 'x')});
+        },
+        memory};
+    network::socket_address const at{"127.0.0.1", free_port()};
+    BOOST_REQUIRE(base::capture(
+        [&]() -> base::result<base::done>
+        {
+            BOOST_LEAF_CHECK(large.listen(at));
+            return base::done{};
+        }));
+    std::vector<std::unique_ptr<tcp::socket>> idle_readers;
+    for (std::size_t n = 0; n < clients; ++n)
+    {
+        idle_readers.push_back(std::make_unique<tcp::socket>(loop));
+        idle_readers.back()->connect(
+            {boost::asio::ip::make_address_v4(at.host), at.port});
+        boost::asio::write(*idle_readers.back(),
+                           boost::asio::buffer(std::string{
+                               "GET / HTTP/1.1\r\nHost: a\r\n\r\n"}));
+    }
+    BOOST_TEST(run_until([&] { return large.counts().closed_for_memory > 0; }));
+    BOOST_TEST(memory->held() <= 4 * answer_bytes);
+}
+
 /// Guards against a request that was read whole and gets no answer: its
 /// connection does not make room.
 BOOST_AUTO_TEST_CASE(a_connection_that_waits_for_an_answer_makes_no_room)
