scheduler: Find jobs by their ids in an ordered table

Cause: clients choose the ids of jobs, and the table hashed them by their own value: ids that are multiples of a few primes all meet in one bucket. Change: an ordered map.

--- a/libraries/scheduler/job_table.hpp
+++ b/libraries/scheduler/job_table.hpp
@@ -9,7 +9,6 @@
 #include <memory>
 #include <set>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 namespace berylhill::scheduler
@@ -20,7 +19,9 @@
 class job_table
 {
 public:
-    using job_map = std::unordered_map<workload::job_id, std::unique_ptr<job>>;
+    /// Ordered, since clients choose the ids: they could make most of them
+    /// collide in a hash table.
+    using job_map = std::map<workload::job_id, std::unique_ptr<job>>;
 
     /// Jobs that are no longer kept, with the keys of their records in the
     /// order in which they have to be deleted.
