--- a/libraries/cell/peer_service.cpp
+++ b/libraries/cell/peer_service.cpp
@@ -22,6 +22,10 @@
 /// not considered live.
 constexpr base::duration watcher_retention = std::chrono::milliseconds{1'200};
 
+/// Names of other processes that are kept: more than any cell has, and few
+/// enough to hold where somebody makes them up.
+constexpr std::size_t max_watchers = 4'096;
+
 /// How often the list of watchers is updated.
 constexpr base::duration list_pause = std::chrono::milliseconds{250};
 
@@ -119,7 +123,10 @@
         return;
     }
     auto const now = m_clock.now();
-    m_seen[from.value().from] = now;
+    if (m_seen.size() < max_watchers || m_seen.contains(from.value().from))
+    {
+        m_seen[from.value().from] = now;
+    }
     m_backend.on_version_reported(from.value().configuration.version,
                                   from.value().from.address);
     m_backend.on_evidence_reported(from.value().from, from.value().store);
