cell: Give the limits of a machine a file of their own

Cause: node.cpp derived the limits of all listeners beside everything else, and no test looked at them for the machines that there are. Change: node_limits, pure.

--- a/libraries/cell/node.cpp
+++ b/libraries/cell/node.cpp
@@ -2,6 +2,7 @@
 
 #include <base/buffered_log.hpp>
 #include <base/log.hpp>
+#include <cell/node_limits.hpp>
 #include <cell/observed_log.hpp>
 #include <cell/peer_paths.hpp>
 #include <settings/cell_schema.hpp>
@@ -44,67 +45,6 @@
     std::chrono::milliseconds{700}, std::chrono::milliseconds{20},
     std::chrono::milliseconds{350}, std::chrono::milliseconds{120}};
 
-/// Connections to one instance: one for the hold request, which stays open, and
-/// two for other orders, so that one unanswered order does not delay the next.
-/// Instances limit and bill their connections.
-constexpr std::size_t order_connections = 3;
-
-/// Idle connections to instances are closed while they use more than one
-/// descriptor in this many; the rest is for callers, the other processes and
-/// the store.
-constexpr std::int64_t order_share = 2;
-
-network::client_limits order_limits(std::int64_t descriptors)
-{
-    network::client_limits out{order_connections, order_connections};
-    out.open_with_idle = static_cast<std::size_t>(descriptors / order_share);
-    return out;
-}
-
-/// Descriptors reserved for connections other than those of callers.
-constexpr std::int64_t own_descriptors = 800;
-
-/// Of the others, callers use one in this many, so that a crowd of them leaves
-/// enough for the instances and the store.
-constexpr std::int64_t caller_share = 3;
-
-/// The connections of the other processes use one descriptor in this many.
-constexpr std::int64_t peer_share = 5;
-
-/// Memory budget of a waiting caller connection: a request and its answer.
-constexpr std::int64_t connection_kb = 32;
-
-/// Of the memory, connections to all servers together hold one part in this
-/// many.
-constexpr std::int64_t connection_share = 4;
-
-constexpr std::int64_t kb_per_mb = 1'024;
-constexpr std::int64_t bytes_per_kb = 1'024;
-
-/// Connections of the platform's probes, and of those who collect metrics.
-constexpr std::size_t probe_connections = 64;
-
-/// A probe and a question for metrics have no body, and few fields.
-network::server_limits probe_limits()
-{
-    network::server_limits out;
-    out.header_bytes = std::size_t{8} * 1'024;
-    out.body_bytes = 1'024;
-    out.connections = probe_connections;
-    return out;
-}
-
-/// A call that another process passes on is written anew, and may be longer
-/// than it came.
-network::server_limits peer_limits(std::int64_t descriptors,
-                                   std::size_t caller_body_bytes)
-{
-    network::server_limits out;
-    out.body_bytes = 2 * caller_body_bytes;
-    out.connections = static_cast<std::size_t>(descriptors / peer_share);
-    return out;
-}
-
 /// Another process sends a call again that was refused as busy.
 std::optional<network::http_response> peer_refusal(network::refused_request why)
 {
@@ -169,7 +109,7 @@
     : m_settings{std::move(settings)}
     , m_settings_path{std::move(settings_path)}
     , m_client{m_loop, {}}
-    , m_order_client{m_loop, order_limits(m_settings.limits.descriptors)}
+    , m_order_client{m_loop, order_limits(m_settings.limits)}
     , m_adapter{observed(
           make(m_client, m_order_client, m_settings), m_clock, m_store)}
     , m_log{std::make_unique<decisions_to_log>()}
@@ -336,27 +276,13 @@
 
 void node::apply_limits()
 {
+    auto const& machine = m_settings.limits;
     auto const& asked = m_configuration.limits;
-    auto const descriptors = m_settings.limits.descriptors;
-    auto const by_descriptors = std::max<std::int64_t>(
-        64, (descriptors - own_descriptors) / caller_share);
-    auto const connection_memory_kb =
-        m_settings.limits.memory_mb * kb_per_mb / connection_share;
-    m_connection_memory->set_limit(
-        static_cast<std::size_t>(connection_memory_kb * bytes_per_kb));
-    auto const by_memory = connection_memory_kb / connection_kb;
-    network::server_limits limits;
-    limits.header_bytes = asked.header_bytes;
-    limits.fields = static_cast<std::size_t>(m_settings.limits.request_fields);
-    limits.body_bytes = asked.body_bytes;
-    limits.request_time = asked.header_timeout;
-    limits.idle_time = asked.idle_timeout;
-    limits.connections =
-        static_cast<std::size_t>(std::min(by_descriptors, by_memory));
-    m_callers.set_limits(limits);
+    m_connection_memory->set_limit(connection_bytes(machine));
+    m_callers.set_limits(caller_limits(machine, asked));
+    m_peer_server.set_limits(peer_limits(machine, asked));
     m_readiness.set_limits(probe_limits());
     m_metrics_server.set_limits(probe_limits());
-    m_peer_server.set_limits(peer_limits(descriptors, asked.body_bytes));
 }
 
 void node::await_signals()
