scheduler, settings: Count finished jobs by what they keep

Cause: a finished job counted as one with its specification's record, some 1.7 kB, and is kept for two minutes. At 150 jobs a second these alone take 32 MB by that count, near the 36 MB at which new work is refused. Change: a finished job counts what it keeps, some 1.2 kB; the room is 80 MB, and half of the memory at most.

--- a/libraries/scheduler/job.cpp
+++ b/libraries/scheduler/job.cpp
@@ -44,29 +44,39 @@
     return out;
 }
 
-/// What a job takes beside its specification: its places in tables, its state,
-/// and the record of that.
-constexpr std::size_t bytes_per_job = sizeof(job) + 512;
+/// What a job takes beside its specification: its places in tables and the
+/// record of its state.
+constexpr std::size_t bytes_per_job = sizeof(job) + 256;
 
 /// What the record of a step has beside its texts.
 constexpr std::size_t record_bytes_per_step = 128;
 
-std::size_t memory_of(workload::step_spec const& it)
+std::size_t texts_of(workload::step_spec const& it)
 {
-    auto const texts =
-        it.image.size() + it.required_label.size() + it.preferred_rack.size();
-    return sizeof(it) + record_bytes_per_step + 2 * texts +
-           2 * sizeof(std::uint32_t) * it.depends_on.size() +
-           sizeof(base::duration);
+    return it.image.size() + it.required_label.size() +
+           it.preferred_rack.size();
+}
+
+/// Of a job whose record is deleted when its state is stored.
+std::size_t memory_of_finished(workload::job_spec const& it)
+{
+    auto out = bytes_per_job + it.payload.size();
+    for (auto const& each : it.steps)
+    {
+        out += sizeof(each) + sizeof(base::duration) + texts_of(each) +
+               sizeof(std::uint32_t) * each.depends_on.size();
+    }
+    return out;
 }
 
 /// Of the job and of its record.
 std::size_t memory_of(workload::job_spec const& it)
 {
-    auto out = bytes_per_job + 2 * it.payload.size();
+    auto out = memory_of_finished(it) + it.payload.size();
     for (auto const& each : it.steps)
     {
-        out += memory_of(each);
+        out += record_bytes_per_step + texts_of(each) +
+               sizeof(std::uint32_t) * each.depends_on.size();
     }
     return out;
 }
@@ -390,7 +400,7 @@
     m_spec.payload.clear();
     m_spec.payload.shrink_to_fit();
     occurrences.clear();
-    m_memory.set(memory_of(m_spec));
+    m_memory.set(memory_of_finished(m_spec));
 }
 
 } // namespace berylhill::scheduler
--- a/libraries/scheduler/policy.hpp
+++ b/libraries/scheduler/policy.hpp
@@ -100,7 +100,7 @@
     std::size_t max_open_tasks{20'000};
     /// Bytes that all accepted work may take; see `work_room`. Every process
     /// that may own the work must have so much beside what it needs for itself.
-    std::size_t max_work_bytes{std::size_t{48} * 1'024 * 1'024};
+    std::size_t max_work_bytes{std::size_t{80} * 1'024 * 1'024};
     record_layout layout{};
     /// The store takes no larger record.
     std::size_t max_record_bytes{262'144};
--- a/libraries/settings/cell_schema.cpp
+++ b/libraries/settings/cell_schema.cpp
@@ -134,8 +134,8 @@
             &section::link_mbps, number(0.01, most_mbps));
     constexpr std::int64_t most_mb = 1'048'576;
     it->add({"work_mb", "MB",
-             "Accepted work takes no more of the memory, and no more than a "
-             "third of it; more is refused until some has ended. The same on "
+             "Accepted work takes no more of the memory, and no more than "
+             "half of it; more is refused until some has ended. The same on "
              "every process."},
             &section::work_mb, integer(1, most_mb));
     constexpr std::int64_t most_steps = 1'000'000;
--- a/libraries/settings/cell_settings.hpp
+++ b/libraries/settings/cell_settings.hpp
@@ -68,8 +68,8 @@
     /// What the machine's own link carries, Mbit/s.
     double link_mbps{100};
     /// What accepted work may take of the memory of each process that may own
-    /// it; also at most a third of `memory_mb`.
-    std::int64_t work_mb{48};
+    /// it; also at most half of `memory_mb`.
+    std::int64_t work_mb{80};
     /// A job of a client has at most so many steps.
     std::int64_t job_steps{1'000};
     /// A request of a client has at most so many header and trailer fields.
@@ -79,7 +79,7 @@
     [[nodiscard]] std::int64_t work_bytes() const
     {
         constexpr std::int64_t bytes_per_mb = 1'048'576;
-        constexpr std::int64_t share = 3;
+        constexpr std::int64_t share = 2;
         return std::min(work_mb, memory_mb / share) * bytes_per_mb;
     }
 
