tests: Start successors on smaller machines than the owner's

Guards against successors that end one after the other over work that was accepted on machines with more memory: 150 jobs of 100,000 tasks, accepted on 1,024 MB, then all processes on 96 MB. They serve what is known, refuse new work, and accept it again once the jobs are cancelled.

--- a/tests/misbehaving_clients/accepted_work_test.cpp
+++ b/tests/misbehaving_clients/accepted_work_test.cpp
@@ -100,4 +100,34 @@
     }
 }
 
+/// Guards against successors that end one after the other: the work was
+/// accepted on machines with more memory than theirs.
+BOOST_AUTO_TEST_CASE(a_smaller_successor_serves_on)
+{
+    auto large = small_machine();
+    large.memory_mb = 1'024;
+    move_to(large);
+    constexpr std::uint64_t jobs = 150;
+    auto const body =
+        job_of(listed(R"({"count":10000,)" + too_large + "}", 10));
+    for (std::uint64_t id = 1; id <= jobs; ++id)
+    {
+        BOOST_TEST(call(0, network::http_method::post, path_of(id), body) ==
+                   200U);
+    }
+    move_to(small_machine());
+    for (std::size_t n = 0; n < processes; ++n)
+    {
+        BOOST_TEST(call(n, network::http_method::get, path_of(1)) == 200U);
+        BOOST_TEST(call(n, network::http_method::post, path_of(jobs + 1),
+                        body) == 503U);
+        check_machine(n);
+    }
+    for (std::uint64_t id = 1; id <= jobs; ++id)
+    {
+        BOOST_TEST(call(0, network::http_method::remove, path_of(id)) == 200U);
+    }
+    check_all();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/misbehaving_clients/bounded_cell.hpp
+++ b/tests/misbehaving_clients/bounded_cell.hpp
@@ -39,21 +39,43 @@
     /// The process lives within its machine, and serves an ordinary caller.
     void check(std::size_t n)
     {
-        constexpr std::size_t bytes_per_mb = 1'048'576;
         BOOST_TEST_CONTEXT("process " << n)
         {
             // By then it has read what others had sent before.
             auto const id = m_next_id++;
             BOOST_TEST(run_until([&] { return submit(n, id) == 200U; }));
             BOOST_TEST(run_until([&] { return completed(n, id); }));
-            BOOST_TEST(!cells[n]->ended());
-            BOOST_TEST(cells[n]->peak_memory() / bytes_per_mb <=
-                       static_cast<std::size_t>(m_machine.memory_mb));
-            BOOST_TEST(cells[n]->descriptors() <=
-                       static_cast<std::size_t>(m_machine.descriptors));
+            check_machine(n);
         }
     }
 
+    /// The process lives within its machine.
+    void check_machine(std::size_t n)
+    {
+        constexpr std::size_t bytes_per_mb = 1'048'576;
+        BOOST_TEST(!cells[n]->ended());
+        BOOST_TEST(cells[n]->peak_memory() / bytes_per_mb <=
+                   static_cast<std::size_t>(m_machine.memory_mb));
+        BOOST_TEST(cells[n]->descriptors() <=
+                   static_cast<std::size_t>(m_machine.descriptors));
+    }
+
+    /// Starts all processes anew, on other machines.
+    void move_to(settings::cell_limit_settings const& machine)
+    {
+        m_machine = machine;
+        set_machine(machine);
+        for (std::size_t n = 0; n < processes; ++n)
+        {
+            stop_process(n);
+        }
+        for (std::size_t n = 0; n < processes; ++n)
+        {
+            start_process(n);
+        }
+        BOOST_REQUIRE(all_ready());
+    }
+
 private:
     settings::cell_limit_settings m_machine;
     std::uint64_t m_next_id{0xFFFF'0000};
--- a/tests/platform_adapter/cell_fixture.hpp
+++ b/tests/platform_adapter/cell_fixture.hpp
@@ -47,6 +47,12 @@
 
     [[nodiscard]] std::uint16_t store_port() const;
 
+    /// Processes that are started from now on have such machines.
+    void set_machine(settings::cell_limit_settings const& it)
+    {
+        m_machine = it;
+    }
+
     /// Kills it and waits until it has ended.
     void stop_process(std::size_t n);
 
