cell: Tell the log which limits clients meet, and what work takes

Cause: a limit that is met was only counted, and an operator who has the log alone saw connections end for no reason. What accepted work takes was only in the metrics, which are fetched during an incident. Change: limits_met, a line a second of a listener at most while its counts change; work_held, every ten seconds at the owner. The names of the listeners stand in one place for both.

--- a/libraries/cell/node.hpp
+++ b/libraries/cell/node.hpp
@@ -6,6 +6,7 @@
 #include <cell/call_router.hpp>
 #include <cell/cell_owner.hpp>
 #include <cell/configuration_propagation.hpp>
+#include <cell/limit_log.hpp>
 #include <cell/loop_lag.hpp>
 #include <cell/node_metrics.hpp>
 #include <cell/ownership.hpp>
@@ -21,6 +22,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <array>
 #include <memory>
 #include <optional>
 #include <string>
@@ -121,6 +123,7 @@
     void await_signals();
     void reload();
     void watch_load();
+    void watch_limits();
     [[nodiscard]] std::vector<peer> possible_owners() const;
     void yield(yield_reason why);
     [[nodiscard]] std::uint32_t replaced_owners() const;
@@ -158,6 +161,10 @@
     network::http_server m_readiness;
     network::http_server m_peer_server;
     network::http_server m_metrics_server;
+    std::array<limit_log, 4> m_limit_logs{{{"callers", m_callers},
+                                           {"readiness", m_readiness},
+                                           {"peer", m_peer_server},
+                                           {"metrics", m_metrics_server}}};
     boost::asio::signal_set m_signals;
     boost::asio::steady_timer m_stop_timer;
     boost::asio::steady_timer m_log_timer;
@@ -174,6 +181,8 @@
     std::string m_compressed_configuration;
     token_bucket m_copy_budget;
     configuration_propagation m_propagation;
+    /// When the log next tells what accepted work takes.
+    base::instant m_next_work_report{};
     /// What the former owner knew of the instances' log.
     write_times m_list_times;
     std::unique_ptr<cell_owner> m_owner;
--- a/libraries/cell/node_answers.cpp
+++ b/libraries/cell/node_answers.cpp
@@ -270,10 +270,10 @@
     now.processor_cores = m_processor.cores();
     now.connections = m_callers.connections();
     now.connection_bytes = m_connection_memory->held();
-    m_metrics.read_server("callers", m_callers.counts());
-    m_metrics.read_server("readiness", m_readiness.counts());
-    m_metrics.read_server("peer", m_peer_server.counts());
-    m_metrics.read_server("metrics", m_metrics_server.counts());
+    for (auto const& it : m_limit_logs)
+    {
+        m_metrics.read_server(it.listener(), it.counts());
+    }
     now.order_connections_opened = m_order_client.connections_opened();
     if (m_owner)
     {
--- a/libraries/cell/node_load.cpp
+++ b/libraries/cell/node_load.cpp
@@ -14,15 +14,42 @@
 /// Interval of the check whether to hand over ownership.
 constexpr auto load_pause = std::chrono::milliseconds{250};
 
+/// Interval of the log line about accepted work.
+constexpr base::duration work_report_pause = std::chrono::seconds{10};
+
 /// A process that handed over ownership does not claim it for this long;
 /// otherwise the work could return to an instance that cannot handle it.
 constexpr base::duration yield_rest = std::chrono::seconds{5};
 
 } // namespace
 
+/// Tells the log which limits were met, and what the accepted work takes.
+void node::watch_limits()
+{
+    auto const now = m_clock.now();
+    for (auto& it : m_limit_logs)
+    {
+        it.look(now);
+    }
+    if (!m_owner || now < m_next_work_report)
+    {
+        return;
+    }
+    m_next_work_report = now + work_report_pause;
+    auto const& decisions = m_owner->decisions();
+    auto const room = decisions.room();
+    base::log(base::log_level::info, "work_held",
+              {{"token", m_owner->token()},
+               {"bytes", std::uint64_t{room.used()}},
+               {"max_bytes", std::uint64_t{room.max_bytes()}},
+               {"jobs", std::uint64_t{decisions.jobs().all().size()}},
+               {"refused", decisions.counts().refused_for_room}});
+}
+
 void node::watch_load()
 {
     m_processor.measured(m_clock.now(), base::processor_time());
+    watch_limits();
     if (m_owner && !m_stopping && !m_yielding)
     {
         auto const load =
--- a/libraries/scheduler/work_room.hpp
+++ b/libraries/scheduler/work_room.hpp
@@ -29,6 +29,11 @@
     {
     }
 
+    [[nodiscard]] std::size_t max_bytes() const noexcept
+    {
+        return m_max_bytes;
+    }
+
     [[nodiscard]] std::size_t used() const noexcept
     {
         return m_used;
