--- a/tests/network/http_test.cpp
+++ b/tests/network/http_test.cpp
@@ -68,6 +68,10 @@
      "GET / HTTP/1.1\r\nA: " + std::string(5'000, 'a') + "\r\n",
      "HTTP/1.1 431"},
     {"a whole request", "GET / HTTP/1.1\r\nHost: a\r\n\r\n", "HTTP/1.1 200"},
+    {"a body that asks to be continued",
+     "POST / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\n"
+     "Content-Length: 1\r\n\r\nx",
+     "HTTP/1.1 200"},
     {"a length and chunks",
      "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
      "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n",
@@ -249,6 +253,23 @@
     BOOST_TEST(server.counts().closed_for_new == 1U);
 }
 
+/// Guards against a request that was read whole and gets no answer: its caller
+/// sends nothing more, and says so.
+BOOST_AUTO_TEST_CASE(a_half_closed_connection_gets_its_answer)
+{
+    using boost::asio::ip::tcp;
+    hold = true;
+    tcp::socket socket{loop};
+    socket.connect(
+        {boost::asio::ip::make_address_v4(address.host), address.port});
+    boost::asio::write(socket, boost::asio::buffer(std::string{
+                                   "GET / HTTP/1.1\r\nHost: a\r\n\r\n"}));
+    socket.shutdown(tcp::socket::shutdown_send);
+    BOOST_TEST(run_until([&] { return held.size() == 1; }));
+    held.front()({200, {}, {}});
+    BOOST_TEST(run_until([&] { return socket.available() > 0; }));
+}
+
 /// Guards against a process that runs out of memory over answers that nobody
 /// reads.
 BOOST_AUTO_TEST_CASE(large_answers_together_are_bounded)
