--- a/libraries/cell/node_answers.cpp
+++ b/libraries/cell/node_answers.cpp
@@ -133,6 +133,7 @@
     }
     auto call = std::get<job_call>(std::move(decoded));
     note_old_configuration(call);
+    // What the answer needs of the call; a specification may take megabytes.
     auto spec = std::exchange(call.spec, {});
     auto const asked = call;
     call.spec = std::move(spec);
--- a/libraries/entry/job_api.cpp
+++ b/libraries/entry/job_api.cpp
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <charconv>
 #include <chrono>
+#include <optional>
 #include <string>
 
 namespace berylhill::entry
@@ -169,8 +170,12 @@
     Json::Value message{Json::objectValue};
     message["unit"] = unit;
     message["job"] = job;
-    waiting_caller const waits{self};
-    if (!waits.allowed())
+    std::optional<waiting_caller> waits;
+    if (wait.count() > 0)
+    {
+        waits.emplace(self);
+    }
+    if (waits && !waits->allowed())
     {
         wait = base::duration{0};
     }
