--- a/tests/misbehaving_clients/crowds_test.cpp
+++ b/tests/misbehaving_clients/crowds_test.cpp
@@ -54,6 +54,17 @@
     return R"({"taskSpec":"t","steps":[)" + steps + "]}";
 }
 
+/// A job of as many steps as are allowed, with long texts.
+std::string job_of_long_texts()
+{
+    constexpr std::size_t steps = 900;
+    auto const step = R"({"count":1,"cpu":500000,"image":")" +
+                      std::string(240, 'i') + R"("},)";
+    auto all = repeated(step, steps * step.size());
+    all.pop_back();
+    return R"({"taskSpec":"t","steps":[)" + all + "]}";
+}
+
 constexpr std::size_t all_of_it = 1'000'000;
 
 crowd_case const crowd_cases[] = {
@@ -78,6 +89,11 @@
      head_of(large_job().size()) + large_job(),
      {},
      all_of_it},
+    {"whole jobs of long texts at once",
+     300,
+     head_of(job_of_long_texts().size()) + job_of_long_texts(),
+     {},
+     all_of_it},
     {"requests behind one another",
      300,
      repeated("GET /q/ HTTP/1.1\r\nHost: h\r\n\r\n", 64'000),
