--- a/libraries/scheduler/job.cpp
+++ b/libraries/scheduler/job.cpp
@@ -3,7 +3,6 @@
 #include <workload/step_order.hpp>
 
 #include <algorithm>
-#include <ranges>
 #include <utility>
 
 namespace berylhill::scheduler
@@ -34,11 +33,11 @@
     auto out = times;
     auto const order =
         workload::order_of_steps(steps).value_or(std::vector<std::uint32_t>{});
-    for (auto const n : std::views::reverse(order))
+    for (auto at = order.rbegin(); at != order.rend(); ++at)
     {
-        for (auto const before : steps[n].depends_on)
+        for (auto const before : steps[*at].depends_on)
         {
-            out[before] = std::max(out[before], times[before] + out[n]);
+            out[before] = std::max(out[before], times[before] + out[*at]);
         }
     }
     return out;
