--- a/tests/scheduler/task_list_test.cpp
+++ b/tests/scheduler/task_list_test.cpp
@@ -57,7 +57,7 @@
     BOOST_TEST(*total - before < many * few_bytes);
     end_all(it, many);
     BOOST_TEST(*total - before <
-               2 * many * sizeof(scheduler::task) / few_bytes);
+               sizeof(scheduler::task) * many * 2 / few_bytes);
     BOOST_TEST(*total == it.memory());
 }
 
