cell, entry, rpc: Reword six comments

They read as the project's own idiom; acknowledged, outcome unknown and untrusted sender are the field's terms. No code changes.

--- a/libraries/cell/hold_schedule.hpp
+++ b/libraries/cell/hold_schedule.hpp
@@ -8,11 +8,12 @@
 {
 
 /// Decides when the next hold request to one instance is due. An instance
-/// answers when an attempt ends, and repeats ended attempts until it is told
-/// that they are stored; so after a report with ended attempts the next request
-/// waits until it can confirm them. This keeps the number of requests, which
-/// are billed, low at hundreds of ended attempts a second on instances that run
-/// eight tasks each. Pure. Not thread-safe.
+/// answers when an attempt ends, and repeats ended attempts until they are
+/// acknowledged, which the owner does once they are stored; so after a report
+/// with ended attempts the next request waits until it can acknowledge them.
+/// This keeps the number of requests, which are billed, low at hundreds of
+/// ended attempts a second on instances that run eight tasks each. Pure. Not
+/// thread-safe.
 class hold_schedule
 {
 public:
--- a/libraries/cell/ownership_claim.cpp
+++ b/libraries/cell/ownership_claim.cpp
@@ -165,9 +165,10 @@
     return true;
 }
 
-/// The winner announces itself to the processes that it knows, few if it has
-/// just started. So a process that waits longer also looks for other claims;
-/// otherwise the last of hundreds would call the former owner for many seconds.
+/// The winner announces itself to the processes in its peer list, which has few
+/// entries just after a start. So a process that waits longer also looks for
+/// other claims; otherwise the last of hundreds would call the former owner for
+/// many seconds.
 void ownership::wait_for_turn()
 {
     auto const left = m_turn - m_clock.now();
--- a/libraries/cell/peer_messages.hpp
+++ b/libraries/cell/peer_messages.hpp
@@ -34,7 +34,7 @@
     base::duration store_stuck{0};
     /// The store answers it but refuses its appends.
     bool store_refuses{false};
-    /// The owner that it knows.
+    /// The current owner, as far as the sender knows.
     owner_view owner;
     /// It has had an answer from that owner, and has not lost it since.
     bool owner_heard{false};
--- a/libraries/cell/yield_rule.hpp
+++ b/libraries/cell/yield_rule.hpp
@@ -45,8 +45,8 @@
 /// instance to the next. A change of owner takes some tenths of a second, so an
 /// owner that has just taken over continues.
 ///
-/// A takeover is a load of its own, of which nobody is relieved by a hand-over:
-/// the successor has to reach all instances too. So the lag counts as overload
+/// The load of a takeover is no reason to hand over, since the successor would
+/// have to reach all instances as well. So the lag counts as overload
 /// only when the takeover should be over. If the owner before was overloaded as
 /// well, the work itself may be too much for any equal instance, and each
 /// hand-over waits twice as long as the one before.
--- a/libraries/entry/messages.hpp
+++ b/libraries/entry/messages.hpp
@@ -156,7 +156,8 @@
 struct call_finished
 {
     std::string request_id;
-    /// Empty where it surely did not run; `timed_out` where nobody knows.
+    /// Empty if the call certainly did not run; `timed_out` if its outcome is
+    /// unknown.
     std::optional<calls::call_end> end;
 };
 
--- a/libraries/rpc/frame_socket.hpp
+++ b/libraries/rpc/frame_socket.hpp
@@ -40,10 +40,10 @@
     /// `invalid` when it is longer than `longest_frame`.
     [[nodiscard]] base::result<std::string> read(base::duration timeout);
 
-    /// Reads a frame of somebody who may not mean well: it begins within
-    /// `idle`, has come whole within `limit` from then on, and takes memory
-    /// only as it comes. Fails as `read` does, and with `refused` where `share`
-    /// has no room.
+    /// Reads a frame from an untrusted sender: it has to begin within `idle`
+    /// and to be complete within `limit` of its first bytes. Memory is
+    /// allocated only as bytes arrive. Fails as `read` does, and with `refused`
+    /// where `share` has no room.
     [[nodiscard]] base::result<std::string>
     read_request(base::duration idle, base::duration limit, frame_share& share);
 
