--- a/libraries/network/connection_memory.hpp
+++ b/libraries/network/connection_memory.hpp
@@ -14,7 +14,7 @@
 class connection_memory
 {
 public:
-    /// What holds some of the memory.
+    /// A connection that holds memory.
     class holder
     {
     public:
@@ -23,8 +23,8 @@
         holder& operator=(holder const&) = delete;
         virtual ~holder() = default;
 
-        /// Its request has not been read whole, and it goes. It must release
-        /// what it holds.
+        /// Closes the connection, whose request has not been read whole, and
+        /// frees what it holds.
         virtual void give_way() = 0;
 
         [[nodiscard]] std::size_t held() const noexcept
@@ -42,7 +42,8 @@
     /// share; the rest is for those that are being read.
     static constexpr std::size_t answering_share = 2;
 
-    /// Holds from now on; what is held above it goes with the next change.
+    /// Sets the limit. If more is held, connections give way at the next
+    /// change.
     void set_limit(std::size_t bytes)
     {
         m_limit = bytes;
--- a/libraries/network/http_server_session.cpp
+++ b/libraries/network/http_server_session.cpp
@@ -114,8 +114,8 @@
     close();
 }
 
-/// Also what was read goes at once: operations under way keep the object for a
-/// turn of the loop.
+/// Frees what was read at once: pending operations keep the object alive for
+/// another turn of the loop.
 void http_server::session::give_way()
 {
     ++m_owner.m_counts.closed_for_memory;
--- a/libraries/network/http_server_session.hpp
+++ b/libraries/network/http_server_session.hpp
@@ -29,7 +29,7 @@
 
     void close();
 
-    /// Another connection is to have its place.
+    /// Closes the connection to make room for a new one.
     void close_for_new();
 
     void give_way() override;
--- a/libraries/network/server_limits.hpp
+++ b/libraries/network/server_limits.hpp
@@ -9,7 +9,7 @@
 namespace berylhill::network
 {
 
-/// What one connection may hold back, and how many there may be. A value.
+/// Limits of one connection, and of the number of connections. A value.
 struct server_limits
 {
     /// Of the request line and the header fields; also of the trailer fields,
