review: Show that a hold forgets an end of a later life

While the store is slow an owner that waits for the record of an end hears nothing of an instance's crash. A start is carried out by the later life, and the next hold, by the former life's numbers, makes it forget the end `done` that nobody has read. The task starts again (TWICE).

--- a/review/bed-3/bed.cpp
+++ b/review/bed-3/bed.cpp
@@ -54,6 +54,42 @@
     return text;
 }
 
+network::http_request request(network::http_method method,
+                              std::string const& path,
+                              std::string const& body)
+{
+    return {method,
+            path,
+            {{"Host", "h"},
+             {"X-Deadline-Ms", std::to_string(client_deadline.count())}},
+            body,
+            body.empty() ? "" : "application/json"};
+}
+
+std::string job_document(std::string const& id,
+                         std::vector<step_to_submit> const& steps)
+{
+    json::array rows;
+    for (auto const& it : steps)
+    {
+        json::object row{{"count", it.count},
+                         {"cpu", 1'000},
+                         {"memMb", 100},
+                         {"estimateMs", it.estimate_ms}};
+        if (it.after >= 0)
+        {
+            row["after"] = json::array{it.after};
+        }
+        if (it.most_on_one > 0)
+        {
+            row["antiAffinity"] = it.most_on_one;
+        }
+        rows.emplace_back(std::move(row));
+    }
+    return json::serialize(json::object{{"taskSpec", "text of " + id},
+                                        {"steps", std::move(rows)}});
+}
+
 char const* name_of(network::http_method it)
 {
     switch (it)
@@ -155,8 +191,20 @@
         [this, id](std::string const& task)
         {
             note(id + " starts " + task);
+            if (m_acknowledged.contains(task) &&
+                m_started_again.insert(task).second)
+            {
+                note("BROKEN: " + task +
+                     " has ended done, and that end was acknowledged");
+            }
             m_runs.push_back({task, id, false, {}});
         }));
+    instances.back()->on_acknowledged(
+        [this, id](std::string const& task)
+        {
+            note(id + " is told that the end of " + task + " is noted");
+            m_acknowledged.insert(task);
+        });
     instances.back()->tell_birth();
     instances.back()->on_end(
         [this, id](std::string const& task, std::string const& how)
@@ -173,6 +221,13 @@
         });
 }
 
+void bed::announce(std::size_t n)
+{
+    store->put(platform_test::instances_topic, instances[n]->id(),
+               instances[n]->heartbeat(local(m_announced_ports[n])));
+    note(instances[n]->id() + " writes its entry");
+}
+
 void bed::wait(milliseconds time)
 {
     wait_until([] { return false; }, time);
@@ -265,15 +320,9 @@
                    std::string const& body)
 {
     std::optional<network::call_result> end;
-    m_client->call(
-        local(port_of(process, 0)),
-        {method,
-         path,
-         {{"Host", "h"},
-          {"X-Deadline-Ms", std::to_string(client_deadline.count())}},
-         body,
-         body.empty() ? "" : "application/json"},
-        client_deadline, [&](network::call_result const& it) { end = it; });
+    m_client->call(local(port_of(process, 0)), request(method, path, body),
+                   client_deadline,
+                   [&](network::call_result const& it) { end = it; });
     wait_until([&] { return end.has_value(); }, 2 * client_deadline);
     auto const status = end ? end->response.status : 0U;
     m_last_body = end ? end->response.body : std::string{};
@@ -282,31 +331,30 @@
     return status;
 }
 
+void bed::submit_beside(std::size_t process,
+                        std::string const& queue,
+                        std::string const& id,
+                        std::vector<step_to_submit> const& steps)
+{
+    m_client->call(local(port_of(process, 0)),
+                   request(network::http_method::post, "/" + queue + "/" + id,
+                           job_document(id, steps)),
+                   client_deadline,
+                   [this, process, id](network::call_result const& it)
+                   {
+                       note("client asks " + name_of_process(process) +
+                            " POST " + id + " -> " +
+                            std::to_string(it.response.status));
+                   });
+}
+
 unsigned bed::submit(std::size_t process,
                      std::string const& queue,
                      std::string const& id,
                      std::vector<step_to_submit> const& steps)
 {
-    json::array rows;
-    for (auto const& it : steps)
-    {
-        json::object row{{"count", it.count},
-                         {"cpu", 1'000},
-                         {"memMb", 100},
-                         {"estimateMs", it.estimate_ms}};
-        if (it.after >= 0)
-        {
-            row["after"] = json::array{it.after};
-        }
-        if (it.most_on_one > 0)
-        {
-            row["antiAffinity"] = it.most_on_one;
-        }
-        rows.emplace_back(std::move(row));
-    }
     return call(process, network::http_method::post, "/" + queue + "/" + id,
-                json::serialize(json::object{{"taskSpec", "text of " + id},
-                                             {"steps", std::move(rows)}}));
+                job_document(id, steps));
 }
 
 std::string
--- a/review/bed-3/bed.hpp
+++ b/review/bed-3/bed.hpp
@@ -16,6 +16,7 @@
 #include <fstream>
 #include <memory>
 #include <optional>
+#include <set>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -102,6 +103,12 @@
                   std::string const& path,
                   std::string const& body = {});
 
+    /// Hands a job in without waiting for the answer.
+    void submit_beside(std::size_t process,
+                       std::string const& queue,
+                       std::string const& id,
+                       std::vector<step_to_submit> const& steps);
+
     /// Hands a job in; the status of the answer.
     unsigned submit(std::size_t process,
                     std::string const& queue,
@@ -122,6 +129,12 @@
     [[nodiscard]] bool begun(std::string const& task) const;
     [[nodiscard]] bool done(std::string const& task) const;
 
+    /// The tasks that began again after an end `done` had been acknowledged.
+    [[nodiscard]] std::set<std::string> const& started_again() const noexcept
+    {
+        return m_started_again;
+    }
+
     /// Whether any instance runs anything.
     [[nodiscard]] bool anything_runs() const;
 
@@ -141,6 +154,9 @@
         m_announced_ports[instance] = port;
     }
 
+    /// Writes the entry of the instance now.
+    void announce(std::size_t instance);
+
     /// Where the instance itself listens.
     [[nodiscard]] std::uint16_t port_of_instance(std::size_t n) const
     {
@@ -180,6 +196,8 @@
     int m_version{0};
     std::string m_last_body;
     std::vector<seen_run> m_runs;
+    std::set<std::string> m_acknowledged;
+    std::set<std::string> m_started_again;
     std::unique_ptr<network::http_client> m_client;
     std::unique_ptr<platform_test::heartbeats> m_heartbeats;
     std::vector<std::unique_ptr<platform_test::process>> m_processes;
@@ -189,5 +207,6 @@
 verdict entry_of_another_writer(std::filesystem::path const& folder);
 verdict queue_unknown_to_owner(std::filesystem::path const& folder);
 verdict start_sent_twice(std::filesystem::path const& folder);
+verdict end_of_later_life(std::filesystem::path const& folder);
 
 } // namespace berylhill::review
--- a/review/bed-3/main.cpp
+++ b/review/bed-3/main.cpp
@@ -33,6 +33,10 @@
         {
             return static_cast<int>(start_sent_twice(arguments[2]));
         }
+        if (which == "end-of-later-life")
+        {
+            return static_cast<int>(end_of_later_life(arguments[2]));
+        }
     }
     catch (std::exception const& it)
     {
