scheduler, network: Acknowledge ends only over the connection that reported them

Cause: a hold names the instance by its id and ends by their numbers, which both lives share, and nothing bound the request to the life that had reported. The HTTP client's second send on a new connection did the same by itself.

A request that acknowledges ends now goes only over the connection that the last report came over: that ends at the life which reported, or is broken. If it is closed, nothing is sent, and the next request acknowledges nothing. Hold requests have a connection of their own for each instance. A request with nothing new to acknowledge names no end.

With a report more, an end that was stored already waited for a batch that need not come, and no request renewed the leases meanwhile: the owner now knows whether reported ends are stored, in flight or in the next batch.

The stand-in's connections end with its process now, as a crash does.

--- a/libraries/cell/cell_owner.hpp
+++ b/libraries/cell/cell_owner.hpp
@@ -173,8 +173,10 @@
     void send_hold(std::string const& id);
     [[nodiscard]] hold_list::standing
     hold_status_of(std::string const& id) const;
-    void
-    hold_answered(std::string const& id, hold_result it, base::instant sent_at);
+    void hold_answered(scheduler::hold_order const& to,
+                       hold_result it,
+                       base::instant sent_at);
+    [[nodiscard]] std::uint64_t batch_with_ends(std::string const& id) const;
     [[nodiscard]] order_target target(std::string const& id) const;
     void instance_changed(std::string const& key,
                           std::string const& value,
--- a/libraries/cell/cell_owner_orders.cpp
+++ b/libraries/cell/cell_owner_orders.cpp
@@ -32,6 +32,7 @@
     case order_outcome::fenced:
     case order_outcome::other_incarnation:
     case order_outcome::unanswered:
+    case order_outcome::not_sent:
         break;
     }
     return scheduler::stop_answer::unanswered;
@@ -192,33 +193,51 @@
     auto const now = m_parts.clock->now();
     auto const order = m_decisions.next_hold(id, now);
     m_parts.orders->hold(target(id), order, order.wait + hold_slack,
-                         [this, alive = m_alive, id, now](hold_result it)
+                         [this, alive = m_alive, order, now](hold_result it)
                          {
                              if (*alive && !m_lost)
                              {
-                                 hold_answered(id, std::move(it), now);
+                                 hold_answered(order, std::move(it), now);
                              }
                          });
 }
 
-void cell_owner::hold_answered(std::string const& id,
+/// The batch that has to be stored before the ends that the instance reported
+/// can be acknowledged; 0 if they can be now.
+std::uint64_t cell_owner::batch_with_ends(std::string const& id) const
+{
+    switch (m_decisions.ends_of(id))
+    {
+    case scheduler::reported_ends::stored:
+        return 0;
+    case scheduler::reported_ends::in_batch_in_flight:
+        return m_batches_taken;
+    case scheduler::reported_ends::in_next_batch:
+        break;
+    }
+    return m_batches_taken + 1;
+}
+
+void cell_owner::hold_answered(scheduler::hold_order const& to,
                                hold_result it,
                                base::instant sent_at)
 {
     auto const now = m_parts.clock->now();
+    auto const& id = to.instance;
     switch (it.outcome)
     {
     case order_outcome::done:
         it.report.instance = id;
         it.report.sent_at = sent_at;
         it.report.read_at = now;
+        it.report.acknowledged = to.seen_end;
         if (auto const life = m_decisions.hold_answered(it.report);
             life && *life != id)
         {
             m_holds.add(*life);
         }
         m_holds.reported(id, now,
-                         it.report.ended.empty() ? 0 : m_batches_taken + 1,
+                         it.report.ended.empty() ? 0 : batch_with_ends(id),
                          m_decisions.hold_interval(id));
         break;
     case order_outcome::fenced:
@@ -233,6 +252,10 @@
         m_decisions.hold_unanswered(id, now);
         m_holds.failed(id, now);
         break;
+    case order_outcome::not_sent:
+        m_decisions.hold_not_sent(id, now);
+        m_holds.reported(id, now, 0, {});
+        break;
     }
     schedule_round();
 }
--- a/libraries/cell/instance_client.hpp
+++ b/libraries/cell/instance_client.hpp
@@ -39,12 +39,15 @@
     other_incarnation,
     refused,
     unanswered,
+    /// The connection that a hold request had to go over was closed, so nothing
+    /// was sent.
+    not_sent,
 };
 
 struct hold_result
 {
     order_outcome outcome{order_outcome::unanswered};
-    /// Without times, which the caller fills in.
+    /// Without times and `acknowledged`, which the caller fills in.
     scheduler::hold_report report;
 };
 
--- a/libraries/network/http_client.cpp
+++ b/libraries/network/http_client.cpp
@@ -3,6 +3,8 @@
 #include <network/http_client_connection.hpp>
 #include <network/http_client_exchange.hpp>
 
+#include <algorithm>
+
 namespace berylhill::network
 {
 
@@ -21,8 +23,17 @@
                               call_patience const& patience,
                               call_handler handler)
 {
-    auto const made =
-        std::make_shared<exchange>(*this, to, request, std::move(handler));
+    return call_over({}, to, std::move(request), patience, std::move(handler));
+}
+
+call_handle http_client::call_over(connection_choice const& choice,
+                                   socket_address const& to,
+                                   http_request request,
+                                   call_patience const& patience,
+                                   call_handler handler)
+{
+    auto const made = std::make_shared<exchange>(*this, to, choice, request,
+                                                 std::move(handler));
     made->start(patience);
     return made;
 }
@@ -59,10 +70,9 @@
     }
 }
 
-std::unique_ptr<http_client::connection>
-http_client::take(socket_address const& to)
+std::unique_ptr<http_client::connection> http_client::take(pool_key const& of)
 {
-    auto const it = m_idle.find(to);
+    auto const it = m_idle.find(of);
     while (it != m_idle.end() && !it->second.empty())
     {
         auto last = std::move(it->second.back());
@@ -76,8 +86,27 @@
     return nullptr;
 }
 
-void http_client::give_back(socket_address const& to,
-                            std::unique_ptr<connection> it)
+std::unique_ptr<http_client::connection>
+http_client::take_only(pool_key const& of, std::uint64_t number)
+{
+    auto const pool = m_idle.find(of);
+    if (pool == m_idle.end())
+    {
+        return nullptr;
+    }
+    auto const it =
+        std::ranges::find(pool->second, number, &connection::number);
+    if (it == pool->second.end())
+    {
+        return nullptr;
+    }
+    auto out = std::move(*it);
+    pool->second.erase(it);
+    forget_idle_of(*out);
+    return out->reusable() ? std::move(out) : nullptr;
+}
+
+void http_client::give_back(pool_key const& to, std::unique_ptr<connection> it)
 {
     auto& idle = m_idle[to];
     if (idle.size() < m_limits.idle_per_address)
@@ -90,9 +119,13 @@
 
 void http_client::forget(socket_address const& to)
 {
-    auto const known = m_idle.extract(to);
-    if (known)
+    for (auto const reserved : {false, true})
     {
+        auto const known = m_idle.extract({to, reserved});
+        if (!known)
+        {
+            continue;
+        }
         for (auto const& it : known.mapped())
         {
             forget_idle_of(*it);
@@ -105,7 +138,7 @@
     m_idle_order.erase(it.idle_at);
 }
 
-/// Of one address the last one used is taken first, so its first is the one
+/// Of one pool the last one used is taken first, so its first is the one
 /// that has been idle longest.
 void http_client::close_idle()
 {
--- a/libraries/network/http_client.hpp
+++ b/libraries/network/http_client.hpp
@@ -41,6 +41,9 @@
     /// be carried out at any time; a response to the last one that nothing was
     /// done doesn't hold for it.
     bool sent_before{false};
+    /// The number of the connection over which the response came; 0 if none
+    /// did.
+    std::uint64_t connection{0};
 
     friend bool operator==(call_result const&, call_result const&) = default;
 };
@@ -77,6 +80,20 @@
                            call_patience const&) = default;
 };
 
+/// Which connection a call uses. A value.
+struct connection_choice
+{
+    /// The connection is kept for later calls of this kind to the address and
+    /// not used for others.
+    bool reserved{false};
+    /// Only the connection with this number is used: if it is not idle, nothing
+    /// is sent, and if it breaks, nothing is sent again. 0: any connection.
+    std::uint64_t only{0};
+
+    friend bool operator==(connection_choice const&,
+                           connection_choice const&) = default;
+};
+
 /// A call that has not ended. Not thread-safe.
 class call_under_way
 {
@@ -100,7 +117,7 @@
 /// Limits of the connections to other processes.
 struct client_limits
 {
-    /// Idle connections kept for each address.
+    /// Idle connections kept for each address, and as many reserved ones.
     std::size_t idle_per_address{4};
     /// Connections in use for each address; further calls wait for one.
     std::size_t in_use_per_address{64};
@@ -134,6 +151,13 @@
                      call_patience const& patience,
                      call_handler handler);
 
+    /// As `call`, over the chosen connection.
+    call_handle call_over(connection_choice const& choice,
+                          socket_address const& to,
+                          http_request request,
+                          call_patience const& patience,
+                          call_handler handler);
+
     /// Connections opened so far.
     [[nodiscard]] std::uint64_t connections_opened() const noexcept
     {
@@ -147,12 +171,23 @@
 
     using idle_connections = std::vector<std::unique_ptr<connection>>;
 
+    /// Calls that may use each other's connections.
+    struct pool_key
+    {
+        socket_address to;
+        bool reserved{false};
+
+        friend auto operator<=>(pool_key const&, pool_key const&) = default;
+    };
+
     /// Begins, now or when a connection to the address is free.
     void begin(std::shared_ptr<exchange> const& it);
     /// The exchange needs its connection no longer.
     void ended(socket_address const& to);
-    [[nodiscard]] std::unique_ptr<connection> take(socket_address const& to);
-    void give_back(socket_address const& to, std::unique_ptr<connection> it);
+    [[nodiscard]] std::unique_ptr<connection> take(pool_key const& of);
+    [[nodiscard]] std::unique_ptr<connection> take_only(pool_key const& of,
+                                                        std::uint64_t number);
+    void give_back(pool_key const& to, std::unique_ptr<connection> it);
     void forget(socket_address const& to);
     /// Closes idle connections until no more than the limit are open.
     void close_idle();
@@ -160,15 +195,15 @@
 
     boost::asio::io_context& m_loop;
     client_limits m_limits;
-    std::map<socket_address, idle_connections> m_idle;
+    std::map<pool_key, idle_connections> m_idle;
     /// By address: how many exchanges run, and those that wait.
     std::map<socket_address, std::size_t> m_running;
     std::map<socket_address, std::deque<std::weak_ptr<exchange>>> m_waiting;
     std::uint64_t m_opened{0};
     /// All that are open, idle or in use; connections may outlive the client.
     std::shared_ptr<std::size_t> m_open{std::make_shared<std::size_t>(0)};
-    /// The addresses of the idle connections, the longest idle first.
-    std::list<socket_address> m_idle_order;
+    /// The pools of the idle connections, the longest idle first.
+    std::list<pool_key> m_idle_order;
 };
 
 } // namespace berylhill::network
--- a/libraries/network/http_client_connection.hpp
+++ b/libraries/network/http_client_connection.hpp
@@ -6,6 +6,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <list>
 #include <memory>
 
@@ -16,8 +17,11 @@
 class http_client::connection
 {
 public:
-    connection(boost::asio::io_context& loop, std::shared_ptr<std::size_t> open)
-        : socket{loop}
+    connection(boost::asio::io_context& loop,
+               std::uint64_t n,
+               std::shared_ptr<std::size_t> open)
+        : number{n}
+        , socket{loop}
         , m_open{std::move(open)}
     {
         ++*m_open;
@@ -40,10 +44,12 @@
     /// to come whole, such as a field or the size of a chunk, is no longer.
     static constexpr std::size_t max_buffer = std::size_t{128} * 1'024;
 
+    /// Unique among those of its client; the first is 1.
+    std::uint64_t const number;
     boost::asio::ip::tcp::socket socket;
     boost::beast::flat_buffer buf{max_buffer};
     /// Its place among the idle ones, while it is one.
-    std::list<socket_address>::const_iterator idle_at;
+    std::list<pool_key>::const_iterator idle_at;
 
 private:
     std::shared_ptr<std::size_t> m_open;
--- a/libraries/network/http_client_exchange.cpp
+++ b/libraries/network/http_client_exchange.cpp
@@ -27,10 +27,12 @@
 
 http_client::exchange::exchange(http_client& owner,
                                 socket_address to,
+                                connection_choice const& choice,
                                 http_request const& request,
                                 call_handler handler)
     : m_owner{owner}
     , m_to{std::move(to)}
+    , m_choice{choice}
     , m_timer{owner.m_loop}
     , m_handler{std::move(handler)}
 {
@@ -75,14 +77,24 @@
 void http_client::exchange::connect()
 {
     m_running = true;
-    m_connection = m_owner.take(m_to);
+    pool_key const from{m_to, m_choice.reserved};
+    m_connection = m_choice.only == 0 ? m_owner.take(from)
+                                      : m_owner.take_only(from, m_choice.only);
     if (m_connection)
     {
         m_reused = true;
         send();
         return;
     }
-    open();
+    if (m_choice.only == 0)
+    {
+        open();
+        return;
+    }
+    asio::post(m_owner.m_loop,
+               [self = shared_from_this()] {
+                   self->finish({call_end::not_sent, {}});
+               });
 }
 
 void http_client::exchange::wait(base::duration limit)
@@ -119,8 +131,8 @@
 void http_client::exchange::open()
 {
     m_reused = false;
-    m_connection = std::make_unique<connection>(m_owner.m_loop, m_owner.m_open);
-    ++m_owner.m_opened;
+    m_connection = std::make_unique<connection>(
+        m_owner.m_loop, ++m_owner.m_opened, m_owner.m_open);
     m_owner.close_idle();
     boost::system::error_code ec;
     auto const address = asio::ip::make_address_v4(m_to.host, ec);
@@ -232,11 +244,13 @@
     }
     auto const keep = m_parser->get().keep_alive();
     auto answer = response_of(m_parser->release());
+    call_result out{call_end::answered, std::move(answer)};
     if (keep)
     {
-        m_owner.give_back(m_to, std::move(m_connection));
+        out.connection = m_connection->number;
+        m_owner.give_back({m_to, m_choice.reserved}, std::move(m_connection));
     }
-    finish({call_end::answered, std::move(answer), false});
+    finish(std::move(out));
 }
 
 bool http_client::exchange::goes_on(boost::system::error_code ec)
@@ -256,7 +270,7 @@
 void http_client::exchange::broken()
 {
     auto const nothing_read = !m_parser || !m_parser->got_some();
-    if (m_reused && nothing_read)
+    if (m_reused && nothing_read && m_choice.only == 0)
     {
         m_sent_before = true;
         m_parser.reset();
--- a/libraries/network/http_client_exchange.hpp
+++ b/libraries/network/http_client_exchange.hpp
@@ -20,6 +20,7 @@
 public:
     exchange(http_client& owner,
              socket_address to,
+             connection_choice const& choice,
              http_request const& request,
              call_handler handler);
 
@@ -58,7 +59,8 @@
     bool goes_on(boost::system::error_code ec);
 
     /// An idle connection that the other side had closed breaks on its first
-    /// use; the request then goes out once more on a new one.
+    /// use; the request then goes out once more on a new one, unless only that
+    /// connection may be used.
     void broken();
 
     /// The other connections to the address went the same way, so they are
@@ -69,6 +71,7 @@
 
     http_client& m_owner;
     socket_address m_to;
+    connection_choice m_choice;
     boost::asio::steady_timer m_timer;
     base::duration m_stall{0};
     call_handler m_handler;
--- a/libraries/scheduler/instance.hpp
+++ b/libraries/scheduler/instance.hpp
@@ -348,6 +348,32 @@
         m_seen_end = std::max(m_seen_end, n);
     }
 
+    /// The last end that is stored and that the instance may still repeat; 0 if
+    /// there is none.
+    [[nodiscard]] std::uint64_t unacknowledged_end() const noexcept
+    {
+        return m_seen_end > m_acknowledged_end ? m_seen_end : 0;
+    }
+
+    /// It answered a request that acknowledged its ends up to this number.
+    void note_acknowledged(std::uint64_t n)
+    {
+        m_acknowledged_end = std::max(m_acknowledged_end, n);
+    }
+
+    /// The connection that its last report came over; 0 if the instance did not
+    /// keep that open, empty if it was lost since.
+    [[nodiscard]] std::optional<std::uint64_t>
+    report_connection() const noexcept
+    {
+        return m_report_connection;
+    }
+
+    void set_report_connection(std::optional<std::uint64_t> it)
+    {
+        m_report_connection = it;
+    }
+
     /// Number of attempts here that belong to other jobs and are suspected of
     /// crashing instances.
     [[nodiscard]] std::uint32_t other_suspects(workload::job_id it) const;
@@ -391,6 +417,8 @@
     /// Whether there was any attempt.
     bool m_had_attempts{false};
     std::uint64_t m_seen_end{0};
+    std::uint64_t m_acknowledged_end{0};
+    std::optional<std::uint64_t> m_report_connection;
     std::optional<base::instant> m_reported_at;
     std::optional<base::instant> m_clock_read_at;
     std::int64_t m_clock_ms{0};
--- a/libraries/scheduler/orders.hpp
+++ b/libraries/scheduler/orders.hpp
@@ -71,8 +71,12 @@
 struct hold_order
 {
     std::string instance;
-    /// Ends up to this number are stored and may be deleted by the instance.
+    /// Ends up to this number are stored and may be deleted by the instance; 0
+    /// if none are acknowledged.
     std::uint64_t seen_end{0};
+    /// The only connection that the request may be sent over, which ends at the
+    /// life that counted the acknowledged ends; 0 if any may be used.
+    std::uint64_t connection{0};
     /// End of the lease in milliseconds on the instance's clock; 0 if no lease
     /// is granted.
     std::int64_t until_ms{0};
@@ -203,6 +207,10 @@
     /// When the reporting life of the instance started, in milliseconds since
     /// 1970; 0 if the report does not tell.
     std::int64_t born_ms{0};
+    /// The connection that the report came over; 0 if it is closed.
+    std::uint64_t connection{0};
+    /// `hold_order::seen_end` of the request.
+    std::uint64_t acknowledged{0};
 };
 
 /// An instance that the advice service allows, with its ticket. A value.
--- a/libraries/scheduler/outcomes.hpp
+++ b/libraries/scheduler/outcomes.hpp
@@ -95,4 +95,15 @@
                            scheduler_counts const&) = default;
 };
 
+/// How far the ends that an instance has reported are stored.
+enum class reported_ends : std::uint8_t
+{
+    /// Some can be acknowledged now, and no batch adds to them.
+    stored,
+    in_batch_in_flight,
+    /// In the next batch, or in a later one because the store rejects the
+    /// records of a job.
+    in_next_batch,
+};
+
 } // namespace berylhill::scheduler
--- a/libraries/scheduler/scheduler.hpp
+++ b/libraries/scheduler/scheduler.hpp
@@ -140,6 +140,11 @@
     /// if it was ignored.
     std::optional<std::string> hold_answered(hold_report it);
     void hold_unanswered(std::string const& id, base::instant now);
+    /// How far the ends that the instance has reported are stored.
+    [[nodiscard]] reported_ends ends_of(std::string const& id) const;
+    /// The connection that the request had to go over was closed, so nothing
+    /// was sent; the next request acknowledges nothing.
+    void hold_not_sent(std::string const& id, base::instant now);
     void start_answered(start_reply const& it, base::instant now);
     /// The order was decided and certainly not sent. It is sent again once
     /// `surely_owns`.
@@ -363,6 +368,8 @@
     life_reported(hold_report const& it);
     [[nodiscard]] base::instant late_lease_end(base::instant now) const;
     void expect_later_life(instance& former, base::instant now) const;
+    [[nodiscard]] bool same_connection(std::string const& former,
+                                       hold_report const& by);
     void retire_former_lives(instance& later, hold_report const& by);
     void move_open_orders(instance& from, instance& to, hold_report const& by);
     void
@@ -403,6 +410,7 @@
                       base::instant now) const;
 
     // scheduler_orders.cpp
+    static void acknowledge_ends(instance const& at, hold_order& in);
     [[nodiscard]] base::instant lease_begin(base::instant now) const;
     void retry(instance& at, base::instant now);
     void send_again(instance& at,
--- a/libraries/scheduler/scheduler_lives.cpp
+++ b/libraries/scheduler/scheduler_lives.cpp
@@ -68,6 +68,16 @@
     }
 }
 
+/// Whether the report came over the connection of the former life's last one.
+/// Something between the processes would then keep connections open beyond the
+/// end of an instance, and acknowledgements could reach a later life.
+bool scheduler::same_connection(std::string const& former,
+                                hold_report const& by)
+{
+    return by.connection != 0 &&
+           m_instances.get(former).report_connection() == by.connection;
+}
+
 /// Ends the former lives of an instance of which a later one has reported.
 void scheduler::retire_former_lives(instance& later, hold_report const& by)
 {
@@ -79,7 +89,8 @@
                      {{"id", id},
                       {"later", later.info().id},
                       {"attempts",
-                       std::uint64_t{m_instances.get(id).attempts().size()}}});
+                       std::uint64_t{m_instances.get(id).attempts().size()}},
+                      {"same_connection", same_connection(id, by) ? 1 : 0}});
         ++m_counts.lives_replaced;
         move_open_orders(m_instances.get(id), later, by);
         stop_open_orders(m_instances.get(id), later, now);
--- a/libraries/scheduler/scheduler_orders.cpp
+++ b/libraries/scheduler/scheduler_orders.cpp
@@ -61,7 +61,7 @@
         // again and count its ends anew.
         return out;
     }
-    out.seen_end = it->seen_end();
+    acknowledge_ends(*it, out);
     // A later life's clock is younger, so it would shorten the end of the lease
     // only to the longest that it accepts.
     auto const later_life_takes_it =
@@ -73,6 +73,35 @@
     return out;
 }
 
+/// The instance may have started again since its last report, with the same id
+/// and address, and count its ends anew: an acknowledgement would make it
+/// forget ends that nobody has read. The connection that the report came over
+/// ends at the life that sent it, or is broken.
+void scheduler::acknowledge_ends(instance const& at, hold_order& in)
+{
+    auto const connection = at.report_connection();
+    if (!connection)
+    {
+        return;
+    }
+    in.seen_end = at.unacknowledged_end();
+    in.connection = in.seen_end == 0 ? 0 : *connection;
+}
+
+void scheduler::hold_not_sent(std::string const& id, base::instant now)
+{
+    auto* const it = m_instances.find(id);
+    if (it == nullptr)
+    {
+        return;
+    }
+    it->set_report_connection(std::nullopt);
+    m_log->write(base::log_level::info, "report_connection_lost",
+                 {{"id", id},
+                  {"unacknowledged_end", it->unacknowledged_end()},
+                  {"reported_s", logged_ago(it->reported_at(), now)}});
+}
+
 /// In a cell of thousands most instances are idle, and polling each of them
 /// every second costs the owner more than its other work. Idle instances are
 /// therefore polled at a fixed total rate; one that becomes unresponsive in
--- a/libraries/scheduler/scheduler_reports.cpp
+++ b/libraries/scheduler/scheduler_reports.cpp
@@ -28,6 +28,10 @@
     {
         return std::nullopt;
     }
+    if (it.instance != *life)
+    {
+        it.acknowledged = 0;
+    }
     it.instance = *life;
     read_report(*at, it);
     return life;
@@ -47,6 +51,8 @@
                       {"ended", std::uint64_t{it.ended.size()}}});
     }
     at.reported(it.read_at, it.clock_ms);
+    at.set_report_connection(it.connection);
+    at.note_acknowledged(it.acknowledged);
     instance_alive(it.instance, it.sent_at, "report");
     if (it.running.empty() && it.ended.empty())
     {
@@ -114,6 +120,22 @@
     }
 }
 
+reported_ends scheduler::ends_of(std::string const& id) const
+{
+    if (m_next_batch.ends.contains(id))
+    {
+        return reported_ends::in_next_batch;
+    }
+    if (m_in_flight && m_in_flight->ends.contains(id))
+    {
+        return reported_ends::in_batch_in_flight;
+    }
+    auto const* const at = m_instances.find(id);
+    return at != nullptr && at->unacknowledged_end() != 0
+               ? reported_ends::stored
+               : reported_ends::in_next_batch;
+}
+
 /// Ends of a held job are not acknowledged, and with them all later ones. An
 /// instance that has so many that a report does not hold them all could not
 /// tell how other work ends, so it gets none.
--- a/tests/platform_adapter/stand_ins/instance_stand_in.cpp
+++ b/tests/platform_adapter/stand_ins/instance_stand_in.cpp
@@ -243,6 +243,8 @@
     m_highest.clear();
     m_ended.clear();
     m_next_end = 1;
+    m_waiting.clear();
+    m_server.close_connections();
     if (m_born_ms == 0)
     {
         return;
--- a/tests/platform_adapter/stand_ins/instance_stand_in.hpp
+++ b/tests/platform_adapter/stand_ins/instance_stand_in.hpp
@@ -87,8 +87,9 @@
     void tell_birth();
 
     /// Crashes and is back at once, under another id or, where it tells its
-    /// birth, under the same one: nothing runs, nothing is known. Late orders
-    /// still come, and not within `order_grace`: no owner could stop them.
+    /// birth, under the same one: nothing runs, nothing is known, and its
+    /// connections are closed, as of a process that ends. Late orders still
+    /// come, and not within `order_grace`: no owner could stop them.
     void restart(std::string id);
 
     /// Its room from now on, in thousandths of a core; also after a crash.
--- a/tests/scheduler/random_test.cpp
+++ b/tests/scheduler/random_test.cpp
@@ -130,6 +130,9 @@
                                     .reborn = 0.8,
                                     .island = 0.7};
 
+fault_rates const lives_and_long_rests{
+    .crash = 0.05, .long_rest = 0.3, .reborn = 0.8};
+
 fault_rates rough_for(planted fault)
 {
     switch (fault)
@@ -374,6 +377,15 @@
     play(first, seeds, lives_and_late_orders, calm_under_a_cap);
 }
 
+/// Guards against ends that a later life forgets unread: much happens at an
+/// instance between a report and the next request.
+BOOST_AUTO_TEST_CASE(invariants_hold_when_instances_are_asked_seconds_apart)
+{
+    auto const first = number_from("BERYLHILL_FIRST_SEED", 1);
+    auto const seeds = number_from("BERYLHILL_SEEDS", usual_life_seeds);
+    play(first, seeds, lives_and_long_rests, calm_under_a_cap);
+}
+
 /// Guards against the faults that these seeds beyond the usual ones have shown.
 BOOST_DATA_TEST_CASE(seeds_that_broke_hold,
                      boost::unit_test::data::make(seeds_that_broke))
--- a/tests/scheduler/world.hpp
+++ b/tests/scheduler/world.hpp
@@ -136,6 +136,8 @@
         std::optional<base::instant> drain_stored_at;
         base::instant leaves_at{};
         std::uint64_t token{0};
+        /// Stands for all connections to this life.
+        std::uint64_t connection{0};
         /// When a request raised the token to its present value.
         base::instant fenced_at{};
         double clock_rate{1};
@@ -344,6 +346,7 @@
     [[nodiscard]] bool rejects(fake_instance const& it);
     [[nodiscard]] std::optional<scheduler::start_answer>
     start_rejection(fake_instance const& at, workload::job_id of);
+    [[nodiscard]] base::duration pause_after_report();
     [[nodiscard]] std::optional<base::duration> late_hold();
     [[nodiscard]] order_delay next_delay(base::duration timeout);
     void deliver(owner_pointer const& to, scheduler::start_reply it);
--- a/tests/scheduler/world_failures.cpp
+++ b/tests/scheduler/world_failures.cpp
@@ -31,6 +31,7 @@
                            base::duration listed_after)
 {
     made->born = m_now;
+    made->connection = m_instances.size() + 1;
     auto const& it = *made;
     m_instances.emplace(made->id, std::move(made));
     auto const list = [this, id = it.id]
--- a/tests/scheduler/world_faults.hpp
+++ b/tests/scheduler/world_faults.hpp
@@ -102,6 +102,9 @@
     double late_spell{0};
     /// Hold requests without an answer that are carried out up to 12 s later.
     double late_hold{0};
+    /// Reports after which the next hold request is sent only seconds later, as
+    /// while the store is slow.
+    double long_rest{0};
     /// The store becomes unavailable for seconds while instances shrink. With
     /// this, owners read the endpoint list from the store, where instances
     /// write with each heartbeat.
--- a/tests/scheduler/world_orders.cpp
+++ b/tests/scheduler/world_orders.cpp
@@ -283,6 +283,16 @@
                   fenced(by);
                   return;
               }
+              if (order.connection != 0 && order.connection != at->connection)
+              {
+                  if (by->alive)
+                  {
+                      by->decisions->hold_not_sent(id, m_now);
+                      again({});
+                      pump(by);
+                  }
+                  return;
+              }
               read_hold(*at, *by, order);
               scheduler::hold_report report;
               report.instance = id;
@@ -291,6 +301,8 @@
               report.born_ms = m_fault == planted::hide_births
                                    ? 0
                                    : scheduler::parse_life(at->id).born_ms;
+              report.connection = at->connection;
+              report.acknowledged = order.seen_end;
               for (auto const& [name, running] : at->running)
               {
                   report.running.push_back({name, {}, 50});
@@ -306,7 +318,7 @@
                         {
                             return;
                         }
-                        again(hold_pause);
+                        again(pause_after_report());
                         if (lost)
                         {
                             by->decisions->hold_unanswered(id, m_now);
--- a/tests/scheduler/world_rejections.cpp
+++ b/tests/scheduler/world_rejections.cpp
@@ -115,6 +115,19 @@
     return out;
 }
 
+/// From a report until the next hold request.
+base::duration world::pause_after_report()
+{
+    constexpr base::duration usual = std::chrono::milliseconds{60};
+    if (!m_trouble || m_rough.long_rest == 0 ||
+        !chance(m_hold_random, m_rough.long_rest))
+    {
+        return usual;
+    }
+    return pause_between(m_hold_random, std::chrono::milliseconds{500},
+                         std::chrono::seconds{3});
+}
+
 /// How long a hold request that gets no answer is under way; empty for others.
 std::optional<base::duration> world::late_hold()
 {
