--- a/libraries/cell/hold_schedule.hpp
+++ b/libraries/cell/hold_schedule.hpp
@@ -10,7 +10,8 @@
 /// Decides when the next hold request to one instance is due. An instance
 /// answers when an attempt ends, and repeats ended attempts until they are
 /// acknowledged, which the owner does once they are stored; so after a report
-/// with ended attempts the next request waits until it can acknowledge them.
+/// with ended attempts the next request waits until it can acknowledge them, or
+/// until the leases of what still runs there have to be renewed.
 /// This keeps the number of requests, which are billed, low at hundreds of
 /// ended attempts a second on instances that run eight tasks each. Pure. Not
 /// thread-safe.
@@ -50,6 +51,8 @@
     bool m_request_in_flight{false};
     std::uint64_t m_batch{0};
     base::instant m_next{};
+    /// When the next request is due at the latest.
+    base::instant m_latest{};
 };
 
 } // namespace berylhill::cell
