scheduler: Let no entry of an unknown service hide an instance

Cause: births were compared before anything else was asked of the entry. Now an entry whose service no configuration so far has named says nothing of an instance that is known under the id, and a life known by such an entry alone hides none and makes no other one rest.

instance_lives/entry_of_an_unknown_service_hides_no_instance: its rows with a later birth, and the one with an earlier birth read first, failed before.

--- a/libraries/scheduler/scheduler.hpp
+++ b/libraries/scheduler/scheduler.hpp
@@ -251,6 +251,9 @@
     // scheduler_instances.cpp
     [[nodiscard]] bool may_hold_work(instance const& it) const;
     void keep_address(instance_info& of) const;
+    [[nodiscard]] bool is_ours(instance const& it) const;
+    [[nodiscard]] std::vector<std::string>
+    other_lives_of_ours(std::string const& than) const;
 
     // scheduler.cpp
     void update_expected_work(job& of) const;
--- a/libraries/scheduler/scheduler_instances.cpp
+++ b/libraries/scheduler/scheduler_instances.cpp
@@ -25,16 +25,30 @@
                                 base::instant now)
 {
     auto const life = parse_life(it.id);
-    if (!m_instances.later_lives(life).empty())
+    auto const other_lives = other_lives_of_ours(it.id);
+    if (!m_queues.knows(it.service) && !other_lives.empty())
+    {
+        // Another writer's entry under the id says nothing of the instance.
+        m_log->write(base::log_level::warning, "entry_of_unknown_service",
+                     {{"id", it.id}, {"service", it.service}});
+        return;
+    }
+    if (std::ranges::any_of(other_lives,
+                            [&](auto const& name) {
+                                return parse_life(name).born_ms > life.born_ms;
+                            }))
     {
         m_log->write(base::log_level::info, "entry_of_former_life",
                      {{"id", it.id}});
         return;
     }
-    for (auto const& former : m_instances.former_lives(life))
+    for (auto const& other : m_instances.lives(life.id))
     {
-        expect_later_life(m_instances.get(former), now);
-        m_instances.unlist(former);
+        if (other != it.id)
+        {
+            expect_later_life(m_instances.get(other), now);
+            m_instances.unlist(other);
+        }
     }
     auto const* const known = m_instances.find(it.id);
     auto const fresh = known == nullptr || !known->listed();
@@ -73,6 +87,27 @@
     }
 }
 
+/// Whether the life is certainly one of an instance of this system. One that
+/// has neither reported nor a service that any configuration named may be
+/// another writer's.
+bool scheduler::is_ours(instance const& it) const
+{
+    return it.fenced() || it.had_attempts() ||
+           m_queues.knows(it.info().service);
+}
+
+/// The other known lives under the id of this one that are ours.
+std::vector<std::string>
+scheduler::other_lives_of_ours(std::string const& than) const
+{
+    auto out = m_instances.lives(parse_life(than).id);
+    std::erase_if(out,
+                  [&](auto const& name) {
+                      return name == than || !is_ours(*m_instances.find(name));
+                  });
+    return out;
+}
+
 /// An entry that another writer puts in place of the instance's own must not
 /// lead its orders to another address.
 void scheduler::keep_address(instance_info& of) const
--- a/libraries/scheduler/scheduler_lives.cpp
+++ b/libraries/scheduler/scheduler_lives.cpp
@@ -82,15 +82,17 @@
 void scheduler::retire_former_lives(instance& later, hold_report const& by)
 {
     auto const now = by.read_at;
-    auto const former = m_instances.former_lives(parse_life(later.info().id));
+    auto former = m_instances.former_lives(parse_life(later.info().id));
+    std::erase_if(former, [&](auto const& id)
+                  { return !is_ours(m_instances.get(id)); });
     for (auto const& id : former)
     {
-        m_log->write(base::log_level::warning, "instance_reborn",
-                     {{"id", id},
-                      {"later", later.info().id},
-                      {"attempts",
-                       std::uint64_t{m_instances.get(id).attempts().size()}},
-                      {"same_connection", same_connection(id, by) ? 1 : 0}});
+        m_log->write(
+            base::log_level::warning, "instance_reborn",
+            {{"id", id},
+             {"later", later.info().id},
+             {"attempts", std::uint64_t{m_instances.get(id).attempts().size()}},
+             {"same_connection", same_connection(id, by) ? 1 : 0}});
         ++m_counts.lives_replaced;
         move_open_orders(m_instances.get(id), later, by);
         stop_open_orders(m_instances.get(id), later, now);
--- a/tests/scheduler/instance_lives_test.cpp
+++ b/tests/scheduler/instance_lives_test.cpp
@@ -118,6 +118,38 @@
      max_request_delay + after_the_takeover(scheduler::policy{}.longest_lease)},
 };
 
+/// When an entry of a service that no configuration names is read, which
+/// another writer has put under the key of instance `a`.
+enum class odd_entry : std::uint8_t
+{
+    before_the_first_own,
+    after_the_first_own,
+    between_two_own,
+};
+
+struct odd_entry_case
+{
+    char const* story;
+    odd_entry at;
+    /// The life that it names.
+    std::string names;
+};
+
+std::ostream& operator<<(std::ostream& to, odd_entry_case const& it)
+{
+    return to << it.story;
+}
+
+odd_entry_case const odd_entries[] = {
+    {"a later birth, read first", odd_entry::before_the_first_own, later},
+    {"a later birth, read last", odd_entry::after_the_first_own, later},
+    {"a later birth, then an own entry again", odd_entry::between_two_own,
+     later},
+    {"an earlier birth, read first", odd_entry::before_the_first_own, "a@7"},
+    {"an earlier birth, read last", odd_entry::after_the_first_own, "a@7"},
+    {"no birth, read last", odd_entry::after_the_first_own, "a"},
+};
+
 /// A cell with one task on the former life of `a`.
 class reborn_fixture : public scheduler_fixture
 {
@@ -384,6 +416,29 @@
     BOOST_TEST(!it.decisions.instances().all().at(former)->listed());
 }
 
+/// Guards against accepted work that never starts: an entry of another writer,
+/// with a service that no configuration names, hid the instance.
+BOOST_DATA_TEST_CASE(entry_of_an_unknown_service_hides_no_instance,
+                     boost::unit_test::data::make(odd_entries))
+{
+    reborn_fixture it;
+    if (sample.at != odd_entry::before_the_first_own)
+    {
+        it.list(former);
+        it.report(former);
+    }
+    it.list_as(sample.names, "another", "kind");
+    if (sample.at != odd_entry::after_the_first_own)
+    {
+        it.list(former);
+        it.report(former);
+    }
+    it.decisions.submit(it.job(1, 1), 0, it.now);
+    auto const started = it.starts();
+    BOOST_TEST_REQUIRE(started.size() == 1U);
+    BOOST_TEST(started[0].instance == former);
+}
+
 /// Guards against an instance that is taken for a life of another one.
 BOOST_AUTO_TEST_CASE(life_is_not_mistaken_for_an_id_that_reads_alike)
 {
