--- a/tests/scheduler/world.hpp
+++ b/tests/scheduler/world.hpp
@@ -370,6 +370,23 @@
     void send(owner_pointer const& by, scheduler::stop_order const& it);
     void send(owner_pointer const& by, scheduler::advice_order const& it);
     void hold(owner_pointer const& by, std::string const& id);
+    void fail_hold(owner_pointer const& by,
+                   std::string const& id,
+                   base::duration pause);
+    void hold_late(owner_pointer const& by,
+                   std::string const& address,
+                   scheduler::hold_order const& order,
+                   base::duration pause);
+    void carry_out_hold(fake_instance& at,
+                        owner_pointer const& by,
+                        scheduler::hold_order const& order,
+                        base::instant sent_at,
+                        bool answer_lost);
+    [[nodiscard]] scheduler::hold_report
+    report_of(fake_instance const& at,
+              owner const& by,
+              scheduler::hold_order const& to,
+              base::instant sent_at);
     void read_hold(fake_instance& at,
                    owner const& by,
                    scheduler::hold_order const& it);
--- a/tests/scheduler/world_orders.cpp
+++ b/tests/scheduler/world_orders.cpp
@@ -201,139 +201,155 @@
     note_seen(at, it.seen_end, by.token);
 }
 
+/// The owner gets no answer to a hold request, or one that says nothing was
+/// done, after the pause.
+void world::fail_hold(owner_pointer const& by,
+                      std::string const& id,
+                      base::duration pause)
+{
+    after(pause,
+          [this, by, id]
+          {
+              if (by->alive)
+              {
+                  by->decisions->hold_unanswered(id, m_now);
+                  by->hold_after[id] = m_now + hold_pause;
+                  pump(by);
+              }
+          });
+}
+
+/// The request gets no answer, and is carried out late.
+void world::hold_late(owner_pointer const& by,
+                      std::string const& address,
+                      scheduler::hold_order const& order,
+                      base::duration pause)
+{
+    fail_hold(by, order.instance, answer_timeout);
+    after(pause,
+          [this, by, order, address]
+          {
+              auto* const at = at_address(address);
+              if (at != nullptr && reaches(*by, *at) &&
+                  at == living(order.instance) && by->token >= at->token &&
+                  !rejects(*at))
+              {
+                  read_hold(*at, *by, order);
+              }
+          });
+}
+
 void world::hold(owner_pointer const& by, std::string const& id)
 {
     auto const order = by->decisions->next_hold(id, m_now);
     auto const sent_at = m_now;
     auto const address =
         by->decisions->instances().all().at(id)->info().address;
-    auto const again = [this, by, id](base::duration pause)
-    {
-        by->hold_after[id] = m_now + pause;
-    };
     if (auto const pause = late_hold())
     {
-        after(answer_timeout,
-              [this, by, id, again]
-              {
-                  if (by->alive)
-                  {
-                      by->decisions->hold_unanswered(id, m_now);
-                      again(hold_pause);
-                      pump(by);
-                  }
-              });
-        after(*pause,
-              [this, by, id, order, address]
-              {
-                  auto* const at = at_address(address);
-                  if (at != nullptr && reaches(*by, *at) && at == living(id) &&
-                      by->token >= at->token && !rejects(*at))
-                  {
-                      read_hold(*at, *by, order);
-                  }
-              });
+        hold_late(by, address, order, *pause);
         return;
     }
     auto const lost = m_trouble && chance(m_rough.lose);
     after(hop(),
-          [this, by, id, order, sent_at, address, lost, again]
+          [this, by, order, sent_at, address, lost]
           {
               auto* const at = at_address(address);
               if (at == nullptr || !reaches(*by, *at) || (lost && chance(0.5)))
               {
-                  after(answer_timeout,
-                        [this, by, id, again]
-                        {
-                            if (by->alive)
-                            {
-                                by->decisions->hold_unanswered(id, m_now);
-                                again(hold_pause);
-                                pump(by);
-                            }
-                        });
+                  fail_hold(by, order.instance, answer_timeout);
                   return;
               }
               if (rejects(*at))
               {
-                  after(hop(),
-                        [this, by, id, again]
-                        {
-                            if (by->alive)
-                            {
-                                by->decisions->hold_unanswered(id, m_now);
-                                again(hold_pause);
-                                pump(by);
-                            }
-                        });
+                  fail_hold(by, order.instance, hop());
                   return;
               }
-              if (at != living(id))
-              {
-                  if (by->alive)
-                  {
-                      by->decisions->instance_replaced(id, m_now);
-                      again(hold_pause);
-                      pump(by);
-                  }
-                  return;
-              }
-              if (by->token < at->token && m_fault != planted::no_fence)
-              {
-                  fenced(by);
-                  return;
-              }
-              if (order.connection != 0 && order.connection != at->connection)
+              carry_out_hold(*at, by, order, sent_at, lost);
+          });
+}
+
+/// Precondition: the request has reached the instance.
+void world::carry_out_hold(fake_instance& at,
+                           owner_pointer const& by,
+                           scheduler::hold_order const& order,
+                           base::instant sent_at,
+                           bool answer_lost)
+{
+    auto const& id = order.instance;
+    if (&at != living(id))
+    {
+        if (by->alive)
+        {
+            by->decisions->instance_replaced(id, m_now);
+            by->hold_after[id] = m_now + hold_pause;
+            pump(by);
+        }
+        return;
+    }
+    if (by->token < at.token && m_fault != planted::no_fence)
+    {
+        fenced(by);
+        return;
+    }
+    if (order.connection != 0 && order.connection != at.connection)
+    {
+        if (by->alive)
+        {
+            by->decisions->hold_not_sent(id, m_now);
+            by->hold_after[id] = m_now;
+            pump(by);
+        }
+        return;
+    }
+    read_hold(at, *by, order);
+    if (answer_lost)
+    {
+        fail_hold(by, id, answer_timeout);
+        return;
+    }
+    after(hop(),
+          [this, by, report = report_of(at, *by, order, sent_at)]() mutable
+          {
+              if (!by->alive)
               {
-                  if (by->alive)
-                  {
-                      by->decisions->hold_not_sent(id, m_now);
-                      again({});
-                      pump(by);
-                  }
                   return;
               }
-              read_hold(*at, *by, order);
-              scheduler::hold_report report;
-              report.instance = id;
-              report.sent_at = sent_at;
-              report.clock_ms = clock_of(*at);
-              report.born_ms = m_fault == planted::hide_births
-                                   ? 0
-                                   : scheduler::parse_life(at->id).born_ms;
-              report.connection = at->connection;
-              report.acknowledged = order.seen_end;
-              for (auto const& [name, running] : at->running)
-              {
-                  report.running.push_back({name, {}, 50});
-              }
-              for (auto const& end : at->ended)
+              by->hold_after[report.instance] = m_now + pause_after_report();
+              report.read_at = m_now;
+              if (m_fault == planted::trust_old_reports)
               {
-                  report.ended.push_back(as_told(*by, id, end.row));
+                  report.sent_at = m_now;
               }
-              after(lost ? answer_timeout : hop(),
-                    [this, by, id, report, again, lost]() mutable
-                    {
-                        if (!by->alive)
-                        {
-                            return;
-                        }
-                        again(pause_after_report());
-                        if (lost)
-                        {
-                            by->decisions->hold_unanswered(id, m_now);
-                            pump(by);
-                            return;
-                        }
-                        report.read_at = m_now;
-                        if (m_fault == planted::trust_old_reports)
-                        {
-                            report.sent_at = m_now;
-                        }
-                        by->decisions->hold_answered(report);
-                        pump(by);
-                    });
+              by->decisions->hold_answered(report);
+              pump(by);
           });
 }
 
+/// What the instance answers to the request now.
+scheduler::hold_report world::report_of(fake_instance const& at,
+                                        owner const& by,
+                                        scheduler::hold_order const& to,
+                                        base::instant sent_at)
+{
+    scheduler::hold_report out;
+    out.instance = to.instance;
+    out.sent_at = sent_at;
+    out.clock_ms = clock_of(at);
+    out.born_ms = m_fault == planted::hide_births
+                      ? 0
+                      : scheduler::parse_life(at.id).born_ms;
+    out.connection = at.connection;
+    out.acknowledged = to.seen_end;
+    for (auto const& [name, running] : at.running)
+    {
+        out.running.push_back({name, {}, 50});
+    }
+    for (auto const& end : at.ended)
+    {
+        out.ended.push_back(as_told(by, to.instance, end.row));
+    }
+    return out;
+}
+
 } // namespace berylhill::scheduler_test
