rpc, entry: Give a frame's buffer its size from the start

The buffer has the announced size from the start, as address space whose pages are used as bytes arrive, and the bound is fixed at 128 kB.

--- a/libraries/entry/entry.cpp
+++ b/libraries/entry/entry.cpp
@@ -37,6 +37,10 @@
 constexpr auto s_look_again = std::chrono::milliseconds{50};
 /// Threads that only wait keep an arena each; a few are enough.
 constexpr int s_malloc_arenas = 4;
+/// Larger blocks are given back to the system when they are freed. Without a
+/// fixed bound the first large request raises it, and the arenas keep what
+/// later ones free.
+constexpr int s_largest_arena_block = 128 * 1'024;
 /// CAF's own threads; the actors do not block.
 constexpr std::size_t s_actor_threads = 2;
 /// Requests of other entries hold at most one part in this many of the memory.
@@ -158,6 +162,7 @@
 int run(settings::entry_settings const& settings)
 {
     mallopt(M_ARENA_MAX, s_malloc_arenas);
+    mallopt(M_MMAP_THRESHOLD, s_largest_arena_block);
     base::start_log(settings.instance, settings.log.level);
     std::signal(SIGTERM, take_signal);
     std::signal(SIGINT, take_signal);
--- a/libraries/rpc/frame_socket.cpp
+++ b/libraries/rpc/frame_socket.cpp
@@ -195,7 +195,10 @@
 {
     BOOST_LEAF_AUTO(size, read_size(now() + idle, limit));
     auto const until = now() + limit;
+    // Address space only: its pages are used as bytes arrive. A buffer that
+    // grew instead would leave copies, which `share` does not count.
     std::string frame;
+    frame.reserve(size);
     while (frame.size() < size)
     {
         auto const got = frame.size();
--- a/tests/rpc/server_limits_test.cpp
+++ b/tests/rpc/server_limits_test.cpp
@@ -5,7 +5,13 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <sys/socket.h>
+
+#include <array>
 #include <chrono>
+#include <string>
+#include <thread>
+#include <tuple>
 #include <vector>
 
 using namespace berylhill;
@@ -85,6 +91,32 @@
     BOOST_TEST(echoes(address, room / 2));
 }
 
+/// Guards against an entry that holds far more than its limit for requests: the
+/// buffer of a large one grew, and left copies of it.
+BOOST_AUTO_TEST_CASE(a_large_frame_takes_no_more_than_its_size)
+{
+    constexpr std::size_t size = std::size_t{5} * 1'024 * 1'024;
+    std::array<int, 2> ends{};
+    BOOST_REQUIRE(::socketpair(AF_UNIX, SOCK_STREAM, 0, ends.data()) == 0);
+    rpc::frame_socket reader{ends[0]};
+    rpc::frame_socket writer{ends[1]};
+    std::thread sender{
+        [&]
+        {
+            std::ignore = base::capture(
+                [&]
+                { return writer.write(std::string(size, 'x'), s_patience); });
+        }};
+    rpc::frame_budget budget;
+    rpc::frame_share share{budget};
+    auto const frame = base::capture(
+        [&] { return reader.read_request(s_patience, s_patience, share); });
+    sender.join();
+    BOOST_REQUIRE(frame.has_value());
+    BOOST_TEST(frame.value().size() == size);
+    BOOST_TEST(frame.value().capacity() == size);
+}
+
 BOOST_AUTO_TEST_CASE(a_frame_gives_back_what_it_took)
 {
     constexpr std::size_t room = 1'000;
