--- a/libraries/network/http_client.hpp
+++ b/libraries/network/http_client.hpp
@@ -41,8 +41,8 @@
     /// be carried out at any time; a response to the last one that nothing was
     /// done doesn't hold for it.
     bool sent_before{false};
-    /// The number of the connection over which the response came; 0 if none
-    /// did.
+    /// The number of the connection over which the response came; 0 if it was
+    /// not kept open, or there is no response.
     std::uint64_t connection{0};
 
     friend bool operator==(call_result const&, call_result const&) = default;
