--- a/tests/scheduler/acknowledgement_test.cpp
+++ b/tests/scheduler/acknowledgement_test.cpp
@@ -23,7 +23,7 @@
 constexpr std::uint64_t to_former = 7;
 constexpr std::uint64_t to_later = 8;
 
-/// Takes no request over the connection any more.
+/// What has become of the connection that the end was reported over.
 enum class connection_state : std::uint8_t
 {
     open,
