--- a/libraries/cell/advice_dispatcher.hpp
+++ b/libraries/cell/advice_dispatcher.hpp
@@ -35,8 +35,8 @@
     /// `done` is called once, on the event loop, unless the request is dropped.
     void ask(scheduler::advice_order const& it, handler done);
 
-    /// Drops all requests that have not been sent, since nobody needs their
-    /// answers any more, and returns how many they were.
+    /// Cancels all requests that have not been sent and returns their number.
+    /// Their handlers are not called.
     std::size_t drop_waiting();
 
 private:
--- a/libraries/cell/cell_owner_batch.cpp
+++ b/libraries/cell/cell_owner_batch.cpp
@@ -23,8 +23,8 @@
 /// waits for. The most urgent work must start within half a second.
 constexpr base::duration urgent_linger = std::chrono::milliseconds{10};
 
-/// A client whose submission may be stored is told that the outcome is unknown
-/// this long before its deadline; an earlier answer would not help it.
+/// How long before the client's deadline the answer is sent that the outcome of
+/// its submission is unknown. An earlier answer would not help the client.
 constexpr base::duration answer_margin = std::chrono::milliseconds{100};
 
 } // namespace
@@ -147,8 +147,8 @@
     stored();
 }
 
-/// A submission of which certainly nothing is stored has been withdrawn. Of the
-/// other calls nobody can say yet what will become of them.
+/// Refuses the submissions of which certainly nothing is stored. The outcome of
+/// all other calls is unknown.
 void cell_owner::answer_rejected(
     std::vector<scheduler::rejected_job> const& jobs)
 {
--- a/libraries/cell/hold_list.hpp
+++ b/libraries/cell/hold_list.hpp
@@ -41,9 +41,9 @@
     /// their requests as sent. `stored` is the number of batches stored so far.
     /// Removes instances that are gone.
     ///
-    /// The limit is for a new owner, which has to ask all instances: while it
-    /// asked thousands at once it answered nobody, and the other processes
-    /// considered it lost.
+    /// The limit is for a new owner, which has to send a request to every
+    /// instance: thousands at once would block the event loop for so long that
+    /// the other processes would consider the owner lost.
     [[nodiscard]] std::vector<std::string>
     take_due(base::instant now,
              std::uint64_t stored,
--- a/libraries/entry/job_shard_actor.hpp
+++ b/libraries/entry/job_shard_actor.hpp
@@ -26,8 +26,8 @@
 ///
 /// It begins in three steps: it reads the shard's stream; it writes that it
 /// has opened the shard, which makes every later record of a former owner
-/// void; and it asks each rack's owner what runs. New jobs are taken after the
-/// second step, jobs of former owners go on after the third.
+/// void; and it asks each rack's owner which tasks run. New jobs are taken
+/// after the second step, jobs of former owners go on after the third.
 class job_shard_actor : public caf::event_based_actor
 {
 public:
