--- a/utilities/soak/cell.cpp
+++ b/utilities/soak/cell.cpp
@@ -90,8 +90,8 @@
     {
         return cell::long_task_time;
     }
-    auto const is_short =
-        it.callers == caller_kind::accounts || it.jobs == job_kind::wide;
+    auto const is_short = it.callers == caller_kind::accounts ||
+                          it.jobs == job_kind::wide || it.slow_store;
     return is_short ? cell::short_task_time : cell::task_time;
 }
 
@@ -110,6 +110,7 @@
     , m_callers{size.callers}
     , m_jobs{size.jobs}
     , m_keeps_ids{size.keeps_ids}
+    , m_slow_store{size.slow_store}
 {
     using platform_test::ports_per_process;
     std::size_t const links = size.islands ? 3 : 2;
@@ -146,7 +147,7 @@
             std::chrono::steady_clock::now() + resize_step * (n + 1);
         it.instance->on_end(
             [this, n](std::string const& task, std::string const& how)
-            { m_seen.ended(m_workers[n].instance->life(), task, how); });
+            { ended(m_workers[n], task, how); });
         it.instance->on_acknowledged([this](std::string const& task)
                                      { m_seen.end_acknowledged(task); });
         it.instance->faults() =
@@ -464,6 +465,17 @@
     it.crashes_at = now + crash_pause;
 }
 
+void cell::ended(worker& it, std::string const& task, std::string const& how)
+{
+    constexpr std::size_t ends_for_a_crash = 5;
+    constexpr std::chrono::milliseconds until_reported{30};
+    m_seen.ended(it.instance->life(), task, how);
+    if (m_slow_store && !m_healed && ++m_ends % ends_for_a_crash == 0)
+    {
+        it.crashes_at = std::chrono::steady_clock::now() + until_reported;
+    }
+}
+
 /// It shrinks to room for one task, and is whole again later.
 void cell::resize(worker& it, ledger::instant now)
 {
@@ -482,10 +494,6 @@
 
 void cell::look_after_instances()
 {
-    if (m_kind == instance_kind::steady)
-    {
-        return;
-    }
     auto const now = std::chrono::steady_clock::now();
     for (auto& it : m_workers)
     {
@@ -493,6 +501,10 @@
         {
             crash(it);
         }
+        if (m_kind == instance_kind::steady)
+        {
+            continue;
+        }
         if (!m_healed && now >= it.resizes_at)
         {
             resize(it, now);
@@ -699,10 +711,17 @@
     }
 }
 
+void cell::set_store_delay(std::chrono::milliseconds it)
+{
+    m_store->set_append_delay(it);
+    m_store->set_read_delay(it);
+}
+
 void cell::heal()
 {
     m_store->set_down(false);
     m_store->set_lost_share(0);
+    set_store_delay({});
     turn_away_none();
     cut_off_none();
     for (auto& it : m_processes)
--- a/utilities/soak/cell.hpp
+++ b/utilities/soak/cell.hpp
@@ -89,6 +89,10 @@
     /// Each second instance belongs to another service; queues move, and links
     /// to instances are silent for longer than a lease. Tasks outlast leases.
     bool moves_queues{false};
+    /// The store takes longer for an answer than instances for a task, and
+    /// these crash just after they have reported an end, while it is being
+    /// stored.
+    bool slow_store{false};
 
     friend bool operator==(cell_size const&, cell_size const&) = default;
 };
@@ -102,6 +106,7 @@
     static constexpr std::int64_t task_cpu = 3'000;
     static constexpr std::chrono::milliseconds task_time{250};
     static constexpr std::chrono::milliseconds short_task_time{60};
+    static constexpr std::chrono::milliseconds slow_answer{300};
     static constexpr std::chrono::milliseconds long_task_time{1'000};
     static constexpr std::chrono::milliseconds island_task_time{4'000};
     static constexpr std::chrono::milliseconds longest_task_time{9'000};
@@ -140,6 +145,9 @@
     /// What instances do of themselves, when its time has come.
     void look_after_instances();
 
+    /// The store answers so much later.
+    void set_store_delay(std::chrono::milliseconds it);
+
     /// Ends all faults.
     void heal();
 
@@ -203,6 +211,7 @@
     void stop(member& it, int signal, bool must_exit_well);
     void crash(worker& it);
     void started(worker& it, std::string const& task);
+    void ended(worker& it, std::string const& task, std::string const& how);
     void resize(worker& it, ledger::instant now);
     void announce(worker& it);
     [[nodiscard]] std::vector<std::pair<std::string, std::string>>
@@ -227,6 +236,8 @@
     caller_kind m_callers;
     job_kind m_jobs;
     bool m_keeps_ids;
+    bool m_slow_store;
+    std::size_t m_ends{0};
     /// How many faults keep the account's key revoked.
     std::array<int, accounts> m_revoked{};
     std::unique_ptr<platform_test::store_stand_in> m_store;
--- a/utilities/soak/main.cpp
+++ b/utilities/soak/main.cpp
@@ -65,6 +65,9 @@
     add("moved-queues",
         "40 s of faults, in which queues move between two services and links "
         "to instances are silent for longer than a lease, while tasks run");
+    add("slow-store", "in place of the other faults a store that takes 300 ms "
+                      "for each answer, short tasks, and instances that crash "
+                      "just after they have reported an end");
     add("plan", "print the faults of each seed, and play none");
     add("help", "");
     return options;
@@ -127,11 +130,16 @@
         given.count("turn-away") != 0,
         given.count("wide") != 0 ? soak::job_kind::wide : soak::job_kind::small,
         given.count("islands") != 0,
-        given.count("moved-queues") != 0};
+        given.count("moved-queues") != 0,
+        given.count("slow-store") != 0};
     if (settings.size.islands || settings.size.moves_queues)
     {
         settings.length = std::chrono::seconds{40};
     }
+    if (settings.size.slow_store)
+    {
+        settings.length = std::chrono::seconds{20};
+    }
     settings.clients = given["clients"].as<std::size_t>();
     auto const first = given["first"].as<std::uint64_t>();
     auto const seeds = given["seeds"].as<std::uint64_t>();
--- a/utilities/soak/run.cpp
+++ b/utilities/soak/run.cpp
@@ -53,7 +53,7 @@
             it->start();
         }
         run_for(quiet);
-        play_faults();
+        m_settings.size.slow_store ? play_slow_store() : play_faults();
         m_cell.heal();
         for (auto const& it : m_clients)
         {
@@ -99,6 +99,14 @@
         }
     }
 
+    /// The store is slow for all of the time.
+    void play_slow_store()
+    {
+        m_cell.set_store_delay(cell::slow_answer);
+        run_for(m_settings.length);
+        m_seen.disturbed(clock::now());
+    }
+
     template <class Done>
     void run_until(clock::duration limit, Done done)
     {
